--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Two commands on a fresh machine: `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := core node cli standins
+
+.PHONY: demo test lint bench slopes proto golden
+
+$(STAMP): constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel ruff mypy hypothesis matplotlib \
+	  types-protobuf types-tabulate types-jsonschema types-pycurl
+	$(BIN)/pip install -q -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m fielddrift_standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m unittest discover -s tests -t . -v
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages/core/src packages/node/src packages/cli/src packages/standins/src bench
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.decisions
+	$(BIN)/python -m bench.relay
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+golden: $(STAMP)
+	FIELDDRIFT_RENEW_GOLDEN=1 $(BIN)/python -m unittest tests.test_golden
+
+# Generated code is committed; this renews it after a change of peer.proto.
+proto: $(STAMP)
+	$(BIN)/pip install -q -c constraints.txt grpcio-tools
+	cd packages/node/src && ../../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+	  --plugin=protoc-gen-grpclib_python=../../../$(BIN)/protoc-gen-grpclib_python \
+	  --grpclib_python_out=. fielddrift_node/peer.proto
--- /dev/null
+++ b/packages/cli/src/fielddrift_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Let operators ask and command from a terminal or a script."""
--- /dev/null
+++ b/packages/cli/src/fielddrift_cli/main.py
@@ -0,0 +1,112 @@
+"""Run operators' statements: one, a file of them, or a prompt."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+from fielddrift_core.errors import ANSWERS, Kind
+from prompt_toolkit import PromptSession
+from prompt_toolkit.history import FileHistory
+from tabulate import tabulate
+
+from .client import Client, Outcome
+
+__all__ = ["main"]
+
+_HISTORY = "~/.fielddrift_history"
+_FAILED = 1
+
+
+@click.command()
+@click.argument("statement", required=False)
+@click.option("--node", "nodes", multiple=True, envvar="FIELDDRIFT_NODES", help="IP:PORT; repeat.")
+@click.option("--key", envvar="FIELDDRIFT_KEY", help="The operator's key.")
+@click.option("--file", type=click.Path(exists=True, dir_okay=False), help="Statements to run.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON, a line a statement.")
+@click.option("--wait", default=0.0, help="Seconds to wait until a change is in force.")
+@click.option("--since", type=int, help="The revision that a change was decided on.")
+@click.version_option(package_name="fielddrift-cli")
+def main(
+    statement: str | None,
+    nodes: tuple[str, ...],
+    key: str | None,
+    file: str | None,
+    as_json: bool,
+    wait: float,
+    since: int | None,
+) -> None:
+    """Run STATEMENT, the statements of a file, or a prompt.
+
+    The exit code tells the kind of the first failure.
+    """
+    if not nodes or not key:
+        raise click.UsageError("expected --node (or FIELDDRIFT_NODES) and --key (FIELDDRIFT_KEY)")
+    client = Client(nodes=nodes, key=key)
+    if statement is None and file is None:
+        _prompt(client, as_json, wait)
+        return
+    statements = [statement] if statement is not None else list(_statements(str(file)))
+    for each in statements:
+        outcome = client.run(each, wait=wait, since=since)
+        _print(outcome, as_json)
+        if code := _exit_code(outcome, wait):
+            sys.exit(code)
+
+
+def _statements(file: str) -> Iterator[str]:
+    """Yield the statements of a file: one a line, `#` begins a comment."""
+    for line in Path(file).read_text().splitlines():
+        statement = line.split("#", 1)[0].strip()
+        if statement:
+            yield statement
+
+
+def _prompt(client: Client, as_json: bool, wait: float) -> None:
+    session: PromptSession[str] = PromptSession(
+        history=FileHistory(str(Path(_HISTORY).expanduser()))
+    )
+    while True:
+        try:
+            statement = session.prompt("fielddrift> ").strip()
+        except (EOFError, KeyboardInterrupt):
+            return
+        if statement:
+            _print(client.run(statement, wait=wait, since=None), as_json)
+
+
+def _print(outcome: Outcome, as_json: bool) -> None:
+    if as_json:
+        click.echo(json.dumps(outcome.answer or outcome.problem, sort_keys=True))
+    elif outcome.problem is not None:
+        click.echo(_problem_text(outcome.problem), err=True)
+    elif outcome.answer is not None and "columns" in outcome.answer:
+        click.echo(tabulate(outcome.answer["rows"], headers=outcome.answer["columns"]))
+        for missing in outcome.answer["partial"]:
+            click.echo(f"not whole: {missing}", err=True)
+    elif outcome.answer is not None:
+        for name, value in outcome.answer.items():
+            click.echo(f"{name}: {value}")
+
+
+def _problem_text(problem: dict[str, Any]) -> str:
+    text = f"{problem.get('title', 'failed')}: {problem.get('detail', '')}"
+    if "retry_after" in problem:
+        text += f" (again after {problem['retry_after']} s)"
+    return text
+
+
+def _exit_code(outcome: Outcome, wait: float) -> int:
+    if outcome.problem is None:
+        pending = wait and outcome.answer and outcome.answer.get("in_force") is False
+        return _FAILED if pending else 0
+    name = str(outcome.problem.get("type", "")).rsplit(":", 1)[-1]
+    return ANSWERS[Kind(name)].exit_code if name in set(Kind) else _FAILED
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/core/src/fielddrift_core/grammar.py
@@ -0,0 +1,208 @@
+"""Parse the operators' language into commands and queries.
+
+One statement is parsed at a time.  Whatever a command needs that the operator
+does not write (keys, salts) is handed in, so that parsing stays repeatable.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from importlib import resources
+from typing import Any, NamedTuple
+
+from lark import Lark, Transformer, UnexpectedInput, v_args
+
+from .commands import (
+    Command,
+    CreateCustomer,
+    CreateModel,
+    CreateStore,
+    CreateTarget,
+    DropCustomer,
+    DropStore,
+    DropTarget,
+    PrepareVersion,
+    Rejected,
+    RotateKey,
+    SetDraining,
+    SetHold,
+    SwapVersion,
+)
+from .errors import Kind, Refusal
+from .model import HoldRule, StoreHost, Target, TargetRole, Weights
+
+__all__ = ["Condition", "Fresh", "Query", "key_digest", "parse"]
+
+_LONGEST_STATEMENT = 4096
+
+
+class Fresh(NamedTuple):
+    """Secrets drawn for one statement; unused unless it makes a key."""
+
+    key: str
+    salt: str
+
+
+class Condition(NamedTuple):
+    """One condition of a query; a flag is a field that must be true."""
+
+    field: str
+    value: str | float | bool
+
+
+class Query(NamedTuple):
+    """A `show` statement."""
+
+    noun: str
+    conditions: tuple[Condition, ...] = ()
+    by: tuple[str, ...] = ()
+
+
+def key_digest(key: str) -> str:
+    """Return the digest under which a bearer key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse(statement: str, *, fresh: Fresh) -> Command | Query:
+    """Return what `statement` asks for.
+
+    Raise `Rejected` naming the place and what was expected there.
+    """
+    if len(statement) > _LONGEST_STATEMENT:
+        detail = f"statement: {len(statement)} characters, expected at most {_LONGEST_STATEMENT}"
+        raise Rejected(Refusal(Kind.TOO_LARGE, detail))
+    try:
+        tree = _PARSER.parse(statement.strip().rstrip(";"))
+    except UnexpectedInput as error:
+        raise Rejected(Refusal(Kind.BAD_REQUEST, _explain(statement, error))) from None
+    return _Builder(fresh=fresh).transform(tree)
+
+
+def _explain(statement: str, error: UnexpectedInput) -> str:
+    words = set(getattr(error, "accepts", None) or getattr(error, "expected", None) or ())
+    words |= set(getattr(error, "allowed", None) or ())
+    expected = ", ".join(sorted(words)) or "the end"
+    if error.column is None or error.column < 1:
+        return f"statement {statement!r}: ends too early, expected {expected}"
+    found = statement.strip()[error.column - 1 :][:20] or "the end"
+    return f"line {error.line}, column {error.column}: {found!r}, expected {expected}"
+
+
+@v_args(inline=True)
+class _Builder(Transformer[Any, Any]):
+    """Turn a parse tree into a command or a query."""
+
+    def __init__(self, *, fresh: Fresh) -> None:
+        super().__init__()
+        self._fresh = fresh
+
+    def start(self, statement: Command | Query) -> Command | Query:
+        return statement
+
+    def name(self, token: str) -> str:
+        return token[1:-1] if token.startswith('"') else str(token)
+
+    def number(self, token: str) -> float:
+        return float(token)
+
+    # Options come as (field, value) pairs.
+
+    def share(self, number: float) -> float:
+        return number
+
+    def weights(self, ttft: float, recompute: float, link: float) -> Weights:
+        return Weights(ttft, recompute, link)
+
+    def chance(self, number: float) -> tuple[str, float]:
+        return ("chance", number)
+
+    def rush(self, number: float) -> tuple[str, float]:
+        return ("rush", number)
+
+    def slots(self, number: str) -> tuple[str, int]:
+        return ("slots", int(number))
+
+    def prefill(self, number: float) -> tuple[str, float]:
+        return ("prefill_rate", number)
+
+    def unchecked(self) -> tuple[str, bool]:
+        return ("checks", False)
+
+    def not_repeatable(self, *methods: str) -> tuple[str, tuple[str, ...]]:
+        return ("not_repeatable", tuple(method.upper() for method in methods))
+
+    # Commands.
+
+    def create_customer(self, name: str, share: float = 1.0) -> Command:
+        return CreateCustomer(name, share, key_digest(self._fresh.key), self._fresh.salt)
+
+    def rotate_key(self, name: str) -> Command:
+        return RotateKey(name, key_digest(self._fresh.key))
+
+    def drop_customer(self, name: str) -> Command:
+        return DropCustomer(name)
+
+    def create_model(self, name: str, version: str, weights: Weights = Weights()) -> Command:  # noqa: B008
+        return CreateModel(name, version, weights)
+
+    def prepare_version(self, name: str, version: str) -> Command:
+        return PrepareVersion(name, version)
+
+    def swap_version(self, name: str, version: str) -> Command:
+        return SwapVersion(name, version)
+
+    def create_engine(
+        self, name: str, address: str, data_centre: str, model: str, *options: Any
+    ) -> Command:
+        fields = dict(options)
+        return CreateTarget(Target(name, TargetRole.ENGINE, address, data_centre, model, **fields))
+
+    def create_service(
+        self, name: str, address: str, data_centre: str, service: str, *options: Any
+    ) -> Command:
+        fields = dict(options)
+        target = Target(name, TargetRole.SERVICE, address, data_centre, service, **fields)
+        return CreateTarget(target)
+
+    def create_store(
+        self, name: str, address: str, data_centre: str, memory: str, disk: str, link: float
+    ) -> Command:
+        return CreateStore(StoreHost(name, address, data_centre, int(memory), int(disk), link))
+
+    def drop_target(self, name: str) -> Command:
+        return DropTarget(name)
+
+    def drop_store(self, name: str) -> Command:
+        return DropStore(name)
+
+    def drain_target(self, name: str) -> Command:
+        return SetDraining(name, True)
+
+    def undrain_target(self, name: str) -> Command:
+        return SetDraining(name, False)
+
+    def set_hold(self, name: str, seconds: float, *options: Any) -> Command:
+        return SetHold(HoldRule(name, seconds, **dict(options)))
+
+    # Queries.
+
+    def noun(self, token: str) -> str:
+        return str(token)
+
+    def equals(self, field: str, value: str | float) -> Condition:
+        return Condition(field, value)
+
+    def flag(self, field: str) -> Condition:
+        return Condition(field, True)
+
+    def show(self, noun: str, *rest: Any) -> Query:
+        conditions = tuple(item for item in rest if isinstance(item, Condition))
+        by = tuple(item for item in rest if isinstance(item, str))
+        return Query(noun, conditions, by)
+
+
+_PARSER = Lark(
+    resources.files(__package__).joinpath("grammar.lark").read_text(),
+    parser="lalr",
+    maybe_placeholders=False,
+)
--- /dev/null
+++ b/packages/core/src/fielddrift_core/names.py
@@ -0,0 +1,113 @@
+"""Name kept blocks so that the name itself carries the truth.
+
+A name says customer, model, weight version and a digest chained over the
+prompt, keyed by the customer's salt.  The same text in two customers, or
+under two versions, has two names, and a name is never reused for other bytes.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+__all__ = ["BLOCK_BYTES", "Manifest", "Part", "PrefixName", "chain", "prefix_name", "rank"]
+
+BLOCK_BYTES = 1024
+"""Bytes of prompt text in one block."""
+
+_DIGEST_BYTES = 16
+
+
+class PrefixName(NamedTuple):
+    """The name of a kept prefix: `blocks` whole blocks ending at `digest`."""
+
+    customer: str
+    model: str
+    version: str
+    root: str
+    digest: str
+    blocks: int
+
+    @property
+    def folder(self) -> str:
+        """Return the path under which all kept lengths of this root lie."""
+        return f"{self.customer}/{self.model}/{self.version}/{self.root}"
+
+    @property
+    def path(self) -> str:
+        """Return the path of the manifest."""
+        return f"{self.folder}/{self.blocks}-{self.digest}"
+
+
+class Part(NamedTuple):
+    """A stored piece of a prefix: its id, length in bytes and digest."""
+
+    id: str
+    length: int
+    digest: str
+
+
+class Manifest(NamedTuple):
+    """What makes a kept prefix visible.
+
+    Part ids carry the attempt, so the parts of two exporters never mix.
+    """
+
+    path: str
+    attempt: str
+    blocks: int
+    digest: str
+    size: int
+    parts: tuple[Part, ...]
+
+
+def chain(text: bytes, *, salt: str) -> list[str]:
+    """Return a digest for each whole block of `text`, each over all before it.
+
+    A last block that is not full has no digest: it is always recomputed.
+    """
+    key = hashlib.sha256(salt.encode()).digest()
+    digests: list[str] = []
+    before = b""
+    for start in range(0, len(text) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        block = text[start : start + BLOCK_BYTES]
+        before = hashlib.blake2b(before + block, key=key, digest_size=_DIGEST_BYTES).digest()
+        digests.append(before.hex())
+    return digests
+
+
+def prefix_name(
+    *, customer: str, model: str, version: str, digests: Sequence[str], blocks: int
+) -> PrefixName:
+    """Return the name of the first `blocks` blocks of a chained prompt.
+
+    Raise ValueError when the prompt has fewer blocks than that.
+    """
+    if not 0 < blocks <= len(digests):
+        raise ValueError(f"blocks: {blocks}, expected 1 to {len(digests)}")
+    return PrefixName(
+        customer=customer,
+        model=model,
+        version=version,
+        root=digests[0],
+        digest=digests[blocks - 1],
+        blocks=blocks,
+    )
+
+
+def rank(key: str, names: Iterable[tuple[str, float]]) -> list[str]:
+    """Return `names` by weighted rendezvous hash of `key`, best first.
+
+    Each name comes with its weight (above 0).  Taking a name away moves only
+    the keys that it was best for.
+    """
+    scored = sorted((-_score(key, name, weight), name) for name, weight in names)
+    return [name for _, name in scored]
+
+
+def _score(key: str, name: str, weight: float) -> float:
+    raw = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    unit = (int.from_bytes(raw, "big") + 1) / (2**64 + 1)
+    return -weight / math.log(unit)
--- /dev/null
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -0,0 +1,98 @@
+"""Check a target's numbered events while they pass through.
+
+In the usual case what arrived is handed on as it is, after one look at the
+numbers.  Late, doubled and reordered events are put right; an answer counts
+as whole only when the end mark's count was reached.
+"""
+
+from __future__ import annotations
+
+import re
+
+__all__ = ["EventSequencer", "StreamError"]
+
+_NUMBER = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
+_END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
+_MOST_HELD = 10_000
+
+
+class StreamError(Exception):
+    """A stream that cannot be put right; the answer must not pass for whole."""
+
+
+class EventSequencer:
+    """Pass server-sent events on in order, each once.
+
+    Events are numbered from 1; the end mark is `event: end` with the count of
+    events in its data, and carries the number after the last one.
+    """
+
+    def __init__(self, *, following: int = 1) -> None:
+        self._next = following
+        self._rest = b""
+        self._held: dict[int, bytes] = {}
+        self._count: int | None = None
+
+    @property
+    def following(self) -> int:
+        """Return the number of the next event to hand on."""
+        return self._next
+
+    @property
+    def whole(self) -> bool:
+        """Return whether the marked end was handed on."""
+        return self._count is not None and self._next == self._count + 2
+
+    def restart(self) -> None:
+        """Forget what arrived but was not handed on, before a resumed stream."""
+        self._rest = b""
+        self._held.clear()
+
+    def feed(self, data: bytes) -> bytes:
+        """Return what can be handed on now that `data` arrived.
+
+        Raise `StreamError` for an event without a number, an end mark that
+        contradicts the events, or too many held out of order.
+        """
+        data = self._rest + data
+        cut = data.rfind(b"\n\n") + 2
+        if cut < 2:
+            self._rest = data
+            return b""
+        ready, self._rest = data[:cut], data[cut:]
+        numbers = [int(n) for n in _NUMBER.findall(ready)]
+        if numbers == list(range(self._next, self._next + ready.count(b"\n\n"))):
+            self._check_end(ready, numbers[-1])
+            self._next += len(numbers)
+            return ready
+        return self._put_right(ready)
+
+    def _put_right(self, ready: bytes) -> bytes:
+        for event in ready.split(b"\n\n")[:-1]:
+            found = _NUMBER.search(event)
+            if found is None:
+                raise StreamError(f"event {event[:60]!r}: expected an id line with a number")
+            number = int(found.group(1))
+            if number >= self._next:
+                self._held.setdefault(number, event + b"\n\n")
+        if len(self._held) > _MOST_HELD:
+            raise StreamError(f"event {self._next}: missing, {len(self._held)} later ones arrived")
+        return self._release()
+
+    def _release(self) -> bytes:
+        out = []
+        while (event := self._held.pop(self._next, None)) is not None:
+            self._check_end(event, self._next)
+            out.append(event)
+            self._next += 1
+        return b"".join(out)
+
+    def _check_end(self, ready: bytes, last: int) -> None:
+        if self._count is not None:
+            raise StreamError(f"event {last}: comes after the end mark")
+        found = _END.search(ready)
+        if found is None:
+            return
+        self._count = int(found.group(1))
+        if last != self._count + 1:
+            raise StreamError(f"end mark: count {self._count}, but its number is {last}")
--- /dev/null
+++ b/packages/node/src/fielddrift_node/__main__.py
@@ -0,0 +1,5 @@
+"""Run `fielddriftd` as a module."""
+
+from .main import main
+
+main()
--- /dev/null
+++ b/packages/node/src/fielddrift_node/board.py
@@ -0,0 +1,198 @@
+"""Remember what this node knows of each target.
+
+Loads are heard on answers and by polling; hints say which target may still
+have which prompt in memory.  All of it may be late or wrong: it costs time,
+never a wrong answer.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from fielddrift_core.model import Configuration, Target, TargetRole
+from fielddrift_core.retries import Breaker, RetryBudget
+from fielddrift_core.routing import Load, TargetView
+
+__all__ = ["Board", "TargetNote"]
+
+_MOST_HINTS = 20_000
+_VIEW_AGE_SECONDS = 1.0
+RUN_SECONDS_WEIGHT = 0.1
+
+
+class TargetNote:
+    """What is known of one target; guarded by the board's lock."""
+
+    def __init__(self) -> None:
+        self.load = Load()
+        self.sent: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self.breaker = Breaker()
+        self.budget = RetryBudget()
+        self.versions: tuple[str, ...] | None = None
+        self.epoch = 0
+        self.sequence = 0
+        self.run_seconds = 1.0
+
+    def sent_since(self) -> tuple[int, int]:
+        """Return the runs, and their tokens, that the last load cannot have counted."""
+        recent = [tokens for at, tokens in self.sent.values() if at > self.load.heard_at]
+        return len(recent), sum(recent)
+
+
+class Board:
+    """Keep a note per target, and hints per prompt.  Safe for threads."""
+
+    def __init__(self, *, data_centre: str) -> None:
+        self._data_centre = data_centre
+        self._notes: dict[str, TargetNote] = {}
+        self._hints: OrderedDict[tuple[str, str], tuple[int, str]] = OrderedDict()
+        self._active: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    # --- what was heard ----------------------------------------------------
+
+    def heard_load(self, name: str, load: Load, epoch: int, versions: Iterable[str]) -> None:
+        """Take a target's word on its load; a new life of it clears its hints."""
+        with self._lock:
+            note = self._note(name)
+            if epoch > note.epoch:
+                note.epoch = epoch
+                self._drop_hints(name)
+            note.load = load
+            note.versions = tuple(versions)
+
+    def heard_events(self, name: str, sequence: int, gone: Iterable[str]) -> None:
+        """Take cache events in; a gap drops every hint on that target."""
+        gone = list(gone)
+        with self._lock:
+            note = self._note(name)
+            if sequence - note.sequence > len(gone):
+                self._drop_hints(name)
+            note.sequence = sequence
+            evicted = set(gone)
+            stale = [k for k, (_, root) in self._hints.items() if k[0] == name and root in evicted]
+            for key in stale:
+                del self._hints[key]
+
+    def event_sequence(self, name: str) -> int:
+        """Return the number of the last cache event heard from a target."""
+        with self._lock:
+            return self._note(name).sequence
+
+    def remember(self, name: str, digest: str, blocks: int, target_root: str) -> None:
+        """Hint that target `name` has the prefix that ends in `digest`."""
+        with self._lock:
+            self._hints[(name, digest)] = (blocks, target_root)
+            self._hints.move_to_end((name, digest))
+            while len(self._hints) > _MOST_HINTS:
+                self._hints.popitem(last=False)
+
+    # --- sending -----------------------------------------------------------
+
+    def sent(self, name: str, run: str, tokens: int) -> None:
+        """Note that `run` goes out to target `name`."""
+        now = time.monotonic()
+        with self._lock:
+            note = self._note(name)
+            note.breaker.sent(now)
+            note.budget.first_try()
+            note.sent[run] = (now, tokens)
+
+    def ended(self, name: str, run: str) -> None:
+        """Note that `run` holds none of the target's slots any more."""
+        now = time.monotonic()
+        with self._lock:
+            note = self._note(name)
+            started = note.sent.pop(run, None)
+            if started is not None:
+                taken = now - started[0]
+                note.run_seconds += RUN_SECONDS_WEIGHT * (taken - note.run_seconds)
+
+    def worked(self, name: str) -> None:
+        """Note that target `name` answered."""
+        with self._lock:
+            self._note(name).breaker.succeeded()
+
+    def failed(self, name: str) -> None:
+        """Note that target `name` failed."""
+        with self._lock:
+            self._note(name).breaker.failed(time.monotonic())
+
+    def may_retry(self, name: str) -> bool:
+        """Spend a retry on account of target `name`'s failure."""
+        with self._lock:
+            return self._note(name).budget.take()
+
+    # --- choosing ----------------------------------------------------------
+
+    def views(
+        self, targets: Sequence[Target], *, version: str, digests: Sequence[str]
+    ) -> list[TargetView]:
+        """Return what is known of those `targets` that may get a request now."""
+        now = time.monotonic()
+        with self._lock:
+            views = []
+            for target in targets:
+                note = self._note(target.name)
+                loaded = not version or note.versions is None or version in note.versions
+                if loaded and note.breaker.allows(now):
+                    views.append(self._view(target, note, digests))
+            return views
+
+    def run_seconds(self, targets: Sequence[Target]) -> float:
+        """Return how long runs on `targets` have taken of late, in seconds."""
+        with self._lock:
+            taken = [self._note(target.name).run_seconds for target in targets]
+        return sum(taken) / len(taken) if taken else 1.0
+
+    def load(self, name: str) -> tuple[Load, int, str]:
+        """Return the load, own runs under way, and breaker state of a target."""
+        with self._lock:
+            note = self._note(name)
+            return note.load, len(note.sent), note.breaker.state(time.monotonic()).value
+
+    def touch(self, model: str) -> None:
+        """Note that `model` is in use here, so that its targets are polled."""
+        self._active[model] = time.monotonic()
+
+    def stale(self, configuration: Configuration, *, idle: float) -> list[Target]:
+        """Return the targets in use here whose load is old, the oldest first."""
+        now = time.monotonic()
+        models = {m for m, at in list(self._active.items()) if now - at < idle}
+        with self._lock:
+            old = [
+                (self._note(t.name).load.heard_at, t.name)
+                for t in configuration.targets.values()
+                if t.serves in models and t.role is TargetRole.ENGINE
+            ]
+        due = sorted((at, name) for at, name in old if now - at >= _VIEW_AGE_SECONDS)
+        return [configuration.targets[name] for _, name in due]
+
+    def _view(self, target: Target, note: TargetNote, digests: Sequence[str]) -> TargetView:
+        sent, tokens = note.sent_since()
+        return TargetView(
+            target=target,
+            load=note.load,
+            sent=sent,
+            sent_tokens=tokens,
+            memory_blocks=self._in_memory(target.name, digests),
+            near=target.data_centre == self._data_centre,
+        )
+
+    def _in_memory(self, name: str, digests: Sequence[str]) -> int:
+        for blocks in range(len(digests), 0, -1):
+            if (name, digests[blocks - 1]) in self._hints:
+                return blocks
+        return 0
+
+    def _note(self, name: str) -> TargetNote:
+        if name not in self._notes:
+            self._notes[name] = TargetNote()
+        return self._notes[name]
+
+    def _drop_hints(self, name: str) -> None:
+        for key in [key for key in self._hints if key[0] == name]:
+            del self._hints[key]
--- /dev/null
+++ b/packages/node/src/fielddrift_node/callers.py
@@ -0,0 +1,184 @@
+"""Answer callers and operators over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import structlog
+from fielddrift_core.claims import ClaimState
+from fielddrift_core.entry import EntryAnswer
+from fielddrift_core.errors import ANSWERS, Kind, Ran, Refusal
+from fielddrift_core.interfaces import OutsideError
+from result import Result
+from werkzeug.exceptions import HTTPException, MethodNotAllowed, NotFound
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from .exchange import Answer, Exchange, Filter, run_filters
+from .filters import COMPLETION, SERVICE
+from .filters.identify import identify
+from .log import get
+from .operators import Operators
+from .services import Services
+
+__all__ = ["CallersApp"]
+
+SERVICE_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+_LONGEST_STATEMENT = 65_536
+
+
+class CallersApp:
+    """A WSGI application; every answer but the streams is whole at once.
+
+    `entry` gives the entry answer for a model, `next_id` draws request ids,
+    `ask_state` finds a request's state wherever it was taken.
+    """
+
+    def __init__(
+        self,
+        *,
+        services: Services,
+        operators: Operators,
+        entry: Callable[[str], EntryAnswer],
+        next_id: Callable[[], str],
+        ask_state: Callable[[str, str], str | None],
+    ) -> None:
+        self._services = services
+        self._operators = operators
+        self._entry = entry
+        self._next_id = next_id
+        self._ask_state = ask_state
+        self._map = Map(
+            [
+                Rule("/v1/entry", methods=["GET"], endpoint=self._get_entry),
+                Rule("/v1/completions", methods=["POST"], endpoint=self._completions),
+                Rule("/v1/services/<name>/", methods=SERVICE_METHODS, endpoint=self._service),
+                Rule(
+                    "/v1/services/<name>/<path:path>",
+                    methods=SERVICE_METHODS,
+                    endpoint=self._service,
+                ),
+                Rule("/v1/requests/<path:wanted>", methods=["GET"], endpoint=self._get_request),
+                Rule("/v1/operators/statements", methods=["POST"], endpoint=self._statement),
+            ],
+            merge_slashes=False,
+        )
+
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        request = Request(environ)
+        request_id = self._next_id()
+        structlog.contextvars.bind_contextvars(request=request_id)
+        try:
+            response = self._answer(request, request_id, environ)
+        except Exception:
+            get().exception("request failed", path=request.path)
+            refusal = Refusal(Kind.INTERNAL, "the node failed; see its log", Ran.UNKNOWN)
+            response = self._refuse(refusal, request_id)
+        response.headers["Fielddrift-Request"] = request_id
+        return response(environ, start_response)
+
+    def _answer(self, request: Request, request_id: str, environ: Any) -> Response:
+        try:
+            endpoint, values = self._map.bind_to_environ(environ).match()
+        except NotFound:
+            return self._refuse(Refusal(Kind.NOT_FOUND, f"path: {request.path!r}"), request_id)
+        except MethodNotAllowed as error:
+            expected = ", ".join(sorted(error.valid_methods or ()))
+            detail = f"method: {request.method}, expected one of {expected}"
+            return self._refuse(Refusal(Kind.BAD_REQUEST, detail), request_id)
+        except HTTPException as error:
+            return self._refuse(Refusal(Kind.BAD_REQUEST, str(error)), request_id)
+        response: Response = endpoint(request, request_id, **values)
+        return response
+
+    # --- entry and state ---------------------------------------------------
+
+    def _get_entry(self, request: Request, request_id: str) -> Response:
+        answer = self._entry(request.args.get("model", ""))
+        body = {"addresses": list(answer.addresses), "keep_seconds": answer.keep}
+        return _json(body, **{"Cache-Control": f"max-age={int(answer.keep)}"})
+
+    def _get_request(self, request: Request, request_id: str, wanted: str) -> Response:
+        exchange = self._exchange(request, request_id, {})
+        outcome = identify(exchange)
+        if outcome.is_err():
+            return self._refuse(outcome.unwrap_err(), request_id)
+        customer = exchange.customer.name
+        state = self._ask_state(wanted, customer)
+        if state is not None:
+            return _json({"id": wanted, "state": state})
+        return self._claimed_state(customer, wanted, request_id)
+
+    def _claimed_state(self, customer: str, key: str, request_id: str) -> Response:
+        try:
+            row = self._services.claims.find(customer, key)
+        except OutsideError as error:
+            detail = f"the state of {key!r} cannot be read: {error}"
+            return self._refuse(Refusal(Kind.PLATFORM_DOWN, detail, Ran.UNKNOWN, 2.0), request_id)
+        if row is None:
+            return _json({"id": key, "state": "unknown"})
+        if row.state is ClaimState.RAN:
+            answer = {"status": row.status, "content_type": row.content_type, "base64": row.body}
+            return _json({"id": key, "state": "ran", "answer": answer})
+        if row.state is ClaimState.NOT_RUN:
+            return _json({"id": key, "state": "not-run"})
+        word = self._services.claims.word_of(row)
+        return _json({"id": key, "state": word})
+
+    # --- requests ----------------------------------------------------------
+
+    def _completions(self, request: Request, request_id: str) -> Response:
+        self._services.metrics.add("requests.completions")
+        return self._run(request, request_id, {}, COMPLETION)
+
+    def _service(self, request: Request, request_id: str, name: str, path: str = "") -> Response:
+        self._services.metrics.add("requests.services")
+        return self._run(request, request_id, {"name": name, "path": path}, SERVICE)
+
+    def _run(
+        self, request: Request, request_id: str, path: dict[str, str], filters: tuple[Filter, ...]
+    ) -> Response:
+        exchange = self._exchange(request, request_id, path)
+        outcome: Result[Exchange, Refusal] = run_filters(exchange, filters)
+        if outcome.is_err():
+            return self._refuse(outcome.unwrap_err(), request_id)
+        assert exchange.answer is not None
+        return _respond(exchange.answer)
+
+    def _exchange(self, request: Request, request_id: str, path: dict[str, str]) -> Exchange:
+        return Exchange(services=self._services, request=request, request_id=request_id, path=path)
+
+    def _refuse(self, refusal: Refusal, request_id: str) -> Response:
+        self._services.metrics.refused(refusal)
+        get().info("refused", kind=refusal.kind.value, detail=refusal.detail, ran=refusal.ran.value)
+        body = json.dumps(refusal.problem(request_id=request_id))
+        status = ANSWERS[refusal.kind].status
+        response = Response(body, status, mimetype="application/problem+json")
+        if refusal.retry_after is not None:
+            response.headers["Retry-After"] = str(max(1, round(refusal.retry_after)))
+        return response
+
+    # --- operators ---------------------------------------------------------
+
+    def _statement(self, request: Request, request_id: str) -> Response:
+        request.max_content_length = _LONGEST_STATEMENT
+        try:
+            raw = request.get_data()
+        except HTTPException as error:
+            return self._refuse(Refusal(Kind.TOO_LARGE, f"body: {error}"), request_id)
+        outcome = self._operators.run(request.headers.get("Authorization", ""), raw)
+        if isinstance(outcome, Refusal):
+            return self._refuse(outcome, request_id)
+        return _json(outcome)
+
+
+def _json(body: Any, **headers: str) -> Response:
+    return Response(json.dumps(body), 200, headers, mimetype="application/json")
+
+
+def _respond(answer: Answer) -> Response:
+    response = Response(answer.body, answer.status, dict(answer.headers))
+    response.headers["Content-Type"] = answer.content_type
+    return response
--- /dev/null
+++ b/packages/node/src/fielddrift_node/claims.py
@@ -0,0 +1,338 @@
+"""Claim requests that may not be repeated, in the platform's table.
+
+Claims that come within a few milliseconds of each other share a transaction,
+so the table's writes do not grow with the requests.  A claim whose insert
+stays unanswered is abandoned for good before its caller is refused.
+"""
+
+from __future__ import annotations
+
+import base64
+import queue
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
+from typing import NamedTuple
+
+import msgspec
+from fielddrift_core.claims import (
+    ClaimBook,
+    ClaimRow,
+    ClaimState,
+    Found,
+    Word,
+    claim_key,
+    judge,
+)
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.interfaces import OutsideError, Row, Table, Transaction, Write
+from fielddrift_core.retries import Breaker
+
+from .log import get
+from .metrics import Metrics
+
+__all__ = ["Claim", "ClaimDesk"]
+
+GROUP_SECONDS = 0.004
+_MOST_IN_GROUP = 64
+_LONGEST_BODY = 16_384
+_CLEAN_SECONDS = 1.0
+_RETRY_AFTER = 2.0
+
+
+class Claim(NamedTuple):
+    """A claim that this node holds, with the version of its row."""
+
+    row: ClaimRow
+    version: int
+
+
+class _Pending(NamedTuple):
+    write: Write
+    done: Future[Row]
+
+
+class _Unclean(NamedTuple):
+    row: ClaimRow
+    since: float
+
+
+class ClaimDesk:
+    """Group claims into transactions, and settle them afterwards.
+
+    `ask` asks another node for its word on one of its attempts; it returns
+    None when that node gives none.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        claimant: str,
+        address: str,
+        ask: Callable[[ClaimRow], Word | None],
+        metrics: Metrics,
+        timeout: float,
+        group_seconds: float = GROUP_SECONDS,
+    ) -> None:
+        self._table = table
+        self._claimant = claimant
+        self._address = address
+        self._ask = ask
+        self._metrics = metrics
+        self._timeout = timeout
+        self._group_seconds = group_seconds
+        self._book = ClaimBook()
+        self._lock = threading.Lock()
+        self._breaker = Breaker()
+        self._inbox: queue.SimpleQueue[_Pending | None] = queue.SimpleQueue()
+        self._unclean: dict[str, _Unclean] = {}
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._group, name="claims", daemon=True),
+            threading.Thread(target=self._clean, name="claims-clean", daemon=True),
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Stop, after one last try to settle what is open."""
+        self._stopped.set()
+        self._inbox.put(None)
+        self._clean_once(age=0.0)
+
+    # --- for requests ------------------------------------------------------
+
+    def claim(self, *, customer: str, key: str, digest: str) -> Claim | ClaimRow | Refusal:
+        """Claim a request: the claim, the kept outcome, or why it may not run.
+
+        A refusal that says "not run" is given only after the attempt was
+        abandoned.
+        """
+        row = ClaimRow(customer, key, self._claimant, self._address, uuid.uuid4().hex, digest)
+        with self._lock:
+            if not self._breaker.allows(time.monotonic()):
+                return _table_down("the table failed a moment ago")
+            self._book.open(row.attempt)
+        write = Write(claim_key(customer, key), _encode(row), if_absent=True)
+        try:
+            kept = self._submit(write)
+        except FutureTimeout:
+            with self._lock:
+                self._breaker.failed(time.monotonic())
+            return self._give_up(row, "no answer to the claim in time")
+        except OutsideError as error:
+            return self._give_up(row, f"claim not confirmed: {error}")
+        return self._settle(row, kept)
+
+    def begin_send(self, claim: Claim) -> bool:
+        """Allow the send, once; False when the claim was abandoned."""
+        with self._lock:
+            return self._book.begin_send(claim.row.attempt)
+
+    def ran(self, claim: Claim, *, status: int, content_type: str, body: bytes) -> None:
+        """Keep the outcome of a run, in the background."""
+        kept = base64.b64encode(body).decode() if len(body) <= _LONGEST_BODY else None
+        row = claim.row._replace(
+            state=ClaimState.RAN, status=status, content_type=content_type, body=kept
+        )
+        self._finish(claim, row)
+
+    def not_run(self, claim: Claim) -> None:
+        """Free the key of a request that surely did not run."""
+        with self._lock:
+            self._book.abandon(claim.row.attempt)
+        self._finish(claim, claim.row._replace(state=ClaimState.NOT_RUN))
+
+    def unknown(self, claim: Claim) -> None:
+        """Leave a claim whose run ended without an outcome."""
+        with self._lock:
+            self._book.close(claim.row.attempt)
+
+    def find(self, customer: str, key: str) -> ClaimRow | None:
+        """Return the row of a claim, None when there is none; raise `OutsideError`."""
+        row = self._table.read([claim_key(customer, key)])[0]
+        return _decode(row) if row.version else None
+
+    def word_of(self, row: ClaimRow) -> str:
+        """Return the state of a claimed row as far as its claimant tells it."""
+        word = self._word_of(row)
+        if word is Word.NEVER:
+            return "not-run"
+        return "running" if word is Word.RUNNING else "unknown"
+
+    def word(self, claimant: str, attempt: str) -> Word:
+        """Answer a peer that asks about one of our attempts."""
+        if claimant != self._claimant:
+            return Word.UNKNOWN
+        with self._lock:
+            return self._book.word(attempt)
+
+    # --- deciding ----------------------------------------------------------
+
+    def _settle(self, mine: ClaimRow, kept: Row) -> Claim | ClaimRow | Refusal:
+        found_row = _decode(kept)
+        if found_row.attempt == mine.attempt:
+            return Claim(mine, kept.version)
+        word = None
+        if found_row.state is ClaimState.CLAIMED:
+            word = self._word_of(found_row)
+        found = judge(found_row, mine, word)
+        if found.take_over:
+            return self._take_over(mine, kept)
+        self._abandon(mine)
+        return _outcome(found)
+
+    def _word_of(self, row: ClaimRow) -> Word | None:
+        if row.claimant == self._claimant:
+            return self.word(row.claimant, row.attempt)
+        return self._ask(row)
+
+    def _take_over(self, mine: ClaimRow, kept: Row) -> Claim | ClaimRow | Refusal:
+        write = Write(kept.key, _encode(mine), expect=kept.version)
+        try:
+            result = self._table.commit(Transaction((write,)))
+        except OutsideError as error:
+            return self._give_up(mine, f"claim not confirmed: {error}")
+        if not result.ok:
+            return self._settle(mine, result.rows[0])
+        self._metrics.add("claims.taken_over")
+        return Claim(mine, result.rows[0].version)
+
+    def _give_up(self, row: ClaimRow, why: str) -> Refusal:
+        self._abandon(row)
+        key = claim_key(row.customer, row.key)
+        self._unclean[key] = _Unclean(row._replace(state=ClaimState.NOT_RUN), time.monotonic())
+        return _table_down(why)
+
+    def _abandon(self, row: ClaimRow) -> None:
+        with self._lock:
+            self._book.abandon(row.attempt)
+
+    # --- writing -----------------------------------------------------------
+
+    def _submit(self, write: Write) -> Row:
+        pending = _Pending(write, Future())
+        self._inbox.put(pending)
+        return pending.done.result(timeout=self._timeout)
+
+    def _finish(self, claim: Claim, row: ClaimRow) -> None:
+        key = claim_key(row.customer, row.key)
+        self._unclean[key] = _Unclean(row, time.monotonic())
+        self._inbox.put(_Pending(Write(key, _encode(row), expect=claim.version), Future()))
+
+    def _group(self) -> None:
+        while (first := self._inbox.get()) is not None:
+            group = [first]
+            until = time.monotonic() + self._group_seconds
+            while len(group) < _MOST_IN_GROUP and (left := until - time.monotonic()) > 0:
+                try:
+                    pending = self._inbox.get(timeout=left)
+                except queue.Empty:
+                    break
+                if pending is None:
+                    return
+                group.append(pending)
+            self._commit(group)
+
+    def _commit(self, group: list[_Pending]) -> None:
+        """Write the inserts of a group in one transaction, and the outcomes in another.
+
+        An outcome whose row has changed meanwhile must not abort the others,
+        so a group of outcomes that fails is written one by one.
+        """
+        inserts = [p for p in group if p.write.if_absent]
+        outcomes = [p for p in group if not p.write.if_absent]
+        if inserts:
+            self._write(inserts)
+        if outcomes and not self._write(outcomes):
+            for pending in outcomes:
+                self._write([pending])
+
+    def _write(self, group: list[_Pending]) -> bool:
+        try:
+            result = self._table.commit(Transaction(tuple(p.write for p in group)))
+        except OutsideError as error:
+            return self._read_back(group, error)
+        self._table_worked(group)
+        if result.ok:
+            for pending, row in zip(group, result.rows, strict=True):
+                self._done(pending, row)
+        return result.ok
+
+    def _read_back(self, group: list[_Pending], error: OutsideError) -> bool:
+        """Learn what became of a commit whose answer was lost."""
+        try:
+            rows = self._table.read([p.write.key for p in group])
+        except OutsideError:
+            with self._lock:
+                self._breaker.failed(time.monotonic())
+            rows = [Row(p.write.key, "", 0) for p in group]
+        for pending, row in zip(group, rows, strict=True):
+            if row.version:
+                self._done(pending, row)
+            else:
+                pending.done.set_exception(error)
+        return True
+
+    def _done(self, pending: _Pending, row: Row) -> None:
+        written = row.value == pending.write.value
+        if written and not pending.write.if_absent:
+            self._unclean.pop(row.key, None)
+            with self._lock:
+                self._book.close(_decode(row).attempt)
+        pending.done.set_result(row)
+
+    def _table_worked(self, group: list[_Pending]) -> None:
+        with self._lock:
+            self._breaker.succeeded()
+        self._metrics.add("claims.commits")
+        self._metrics.add("claims.written", len(group))
+
+    # --- cleaning up -------------------------------------------------------
+
+    def _clean(self) -> None:
+        while not self._stopped.wait(_CLEAN_SECONDS):
+            self._clean_once(age=_CLEAN_SECONDS)
+
+    def _clean_once(self, *, age: float) -> None:
+        """Write the outcomes that have not reached the table for `age` seconds."""
+        now = time.monotonic()
+        for key, unclean in list(self._unclean.items()):
+            if now - unclean.since < age:
+                continue
+            try:
+                self._clean_row(key, unclean.row)
+            except OutsideError as error:
+                get().warning("claim not settled yet", key=key, error=str(error))
+                return
+            self._unclean.pop(key, None)
+
+    def _clean_row(self, key: str, wanted: ClaimRow) -> None:
+        row = self._table.read([key])[0]
+        if row.version and _decode(row).attempt == wanted.attempt:
+            write = Write(key, _encode(wanted), expect=row.version)
+            self._table.commit(Transaction((write,)))
+
+
+def _encode(row: ClaimRow) -> str:
+    return msgspec.json.encode(row).decode()
+
+
+def _decode(row: Row) -> ClaimRow:
+    return msgspec.json.decode(row.value, type=ClaimRow)
+
+
+def _table_down(why: str) -> Refusal:
+    detail = f"a request that may not be repeated needs the platform's table: {why}"
+    return Refusal(Kind.PLATFORM_DOWN, detail, Ran.NO, retry_after=_RETRY_AFTER)
+
+
+def _outcome(found: Found) -> ClaimRow | Refusal:
+    if found.kept is not None:
+        return found.kept
+    assert found.refusal is not None
+    return found.refusal
--- /dev/null
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -0,0 +1,254 @@
+"""Take part among the nodes: probe, pass words on, spread the configuration.
+
+Wraps the pure `Membership` with the calls it asks for.  Also what a node
+answers to its peers.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+from fielddrift_core.claims import Word
+from fielddrift_core.entry import EntryAnswer, order
+from fielddrift_core.interfaces import HostEntry, OutsideError
+from fielddrift_core.membership import Member, Membership, Status, TargetWord
+
+from . import peer_pb2 as pb
+from .configuration import ConfigSync
+from .peers import Peers, member_from, member_to, word_from, word_to
+
+__all__ = ["Cluster"]
+
+_SPREAD_TO = 3
+_ENTRY_KIND = "entry"
+
+
+class Cluster:
+    """One node's part in the fleet of nodes.  Safe for threads.
+
+    `claim_word` and `request_state` answer peers about this node's own
+    attempts and requests.  `connect` gives the calls to peers once they run.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Member,
+        rng: random.Random,
+        config: ConfigSync,
+        pool: ThreadPoolExecutor,
+        claim_word: Callable[[str, str], Word],
+        request_state: Callable[[str, str], str],
+    ) -> None:
+        self._membership = Membership(me=me, rng=rng)
+        self._rng = rng
+        self._config = config
+        self._pool = pool
+        self._claim_word = claim_word
+        self._request_state = request_state
+        self._lock = threading.Lock()
+        self._catching_up = threading.Lock()
+        self._peers: Peers | None = None
+
+    @property
+    def membership(self) -> Membership:
+        """Return the view of the nodes; read it only."""
+        return self._membership
+
+    def connect(self, peers: Peers) -> None:
+        """Set the calls to peers."""
+        self._peers = peers
+
+    @property
+    def _calls(self) -> Peers:
+        assert self._peers is not None
+        return self._peers
+
+    # --- what others ask ---------------------------------------------------
+
+    def entry(self, model: str, keep: float) -> EntryAnswer:
+        """Return the entry answer for a caller who came to this node."""
+        with self._lock:
+            usable = self._membership.usable()
+            data_centre = self._membership.me.data_centre
+        return order(usable, data_centre=data_centre, model=model, keep=keep)
+
+    def nodes(self) -> int:
+        """Return how many nodes are usable, at least 1."""
+        with self._lock:
+            return max(1, len(self._membership.usable()))
+
+    def leaving(self, target: str) -> bool:
+        """Return whether anyone said that a target is leaving."""
+        word = self._membership.target_word(target)
+        return word is not None and word.leaving
+
+    def hear_target(self, word: TargetWord) -> None:
+        """Take a word on a target in, and spread it at once if it is news."""
+        with self._lock:
+            news = self._membership.hear_target(word)
+        if news and word.leaving:
+            self.spread()
+
+    # --- answering peers ---------------------------------------------------
+
+    def gossip(self, heard: pb.Gossip) -> pb.Gossip:
+        """Take a peer's words in; return our own."""
+        self._hear(heard)
+        reply = self._gossip()
+        with self._lock:
+            known = {m.name: m for m in self._membership.members}.get(heard.sender)
+        if known is not None and known.status is not Status.ALIVE:
+            reply.members.append(member_to(known))
+        return reply
+
+    def probe(self, name: str) -> bool:
+        """Probe a member for a peer; return whether it answered."""
+        return self._ping(name)
+
+    def entries(self, first: int, last: int) -> list[str]:
+        """Return configuration entries."""
+        return self._config.entries(first, last)
+
+    def snapshot(self) -> pb.SnapshotReply:
+        """Return the whole configuration, and all members."""
+        with self._lock:
+            members = [member_to(m) for m in self._membership.members]
+        return pb.SnapshotReply(configuration=self._config.snapshot(), members=members)
+
+    def claim(self, claimant: str, attempt: str) -> Word:
+        """Return our word on one of our attempts."""
+        return self._claim_word(claimant, attempt)
+
+    def request(self, customer: str, request_id: str) -> str:
+        """Return the state of one of our requests."""
+        return self._request_state(request_id, customer)
+
+    # --- probing -----------------------------------------------------------
+
+    def turn(self) -> None:
+        """Probe one peer; suspect it when neither it nor helpers reach it."""
+        now = time.monotonic()
+        with self._lock:
+            self._membership.expire(now)
+            member = self._membership.next_probe()
+        if member is None or self._ping(member.name):
+            return
+        with self._lock:
+            helpers = self._membership.helpers(member.name)
+        if not any(self._helped(helper, member) for helper in helpers):
+            with self._lock:
+                self._membership.probe_failed(member.name, time.monotonic())
+
+    def spread(self) -> None:
+        """Tell a few random peers at once, in the background."""
+        with self._lock:
+            others = [m for m in self._membership.usable() if m != self._membership.me]
+            chosen = self._rng.sample(others, min(_SPREAD_TO, len(others)))
+        for member in chosen:
+            self._pool.submit(self._ping, member.name)
+
+    def leave(self) -> None:
+        """Say to the others that this node is leaving."""
+        with self._lock:
+            self._membership.leave(time.monotonic())
+        self.spread()
+
+    def join(self, addresses: Iterable[str]) -> bool:
+        """Take configuration and members from the first of `addresses` that answers."""
+        for address in addresses:
+            try:
+                reply = self._calls.snapshot(address)
+            except OutsideError:
+                continue
+            self._config.take_snapshot(reply.configuration)
+            self._take_members(reply.members)
+            self._ping(address)
+            return True
+        return False
+
+    def hear_hosts(self, hosts: Iterable[HostEntry]) -> None:
+        """Take the host list in: leaving entry hosts, and ones not met yet."""
+        entries = [h for h in hosts if h.kind == _ENTRY_KIND and "peer" in h.labels]
+        now = time.monotonic()
+        with self._lock:
+            known = {m.name: m for m in self._membership.present()}
+            for host in entries:
+                member = known.get(host.labels["peer"])
+                if host.leaving and member is not None and member.status is Status.ALIVE:
+                    self._membership.hear([member._replace(status=Status.LEAVING)], (), now)
+        absent = [h.labels["peer"] for h in entries if h.labels["peer"] not in known]
+        if absent:
+            self._pool.submit(self._ping, self._rng.choice(absent))
+
+    def refresh(self) -> bool:
+        """Catch up with the newest configuration that anyone near can tell."""
+        with self._lock:
+            others = [m.name for m in self._membership.present() if m != self._membership.me]
+            asked = self._rng.sample(others, min(_SPREAD_TO, len(others)))
+        answered = [self._ping(name) for name in asked]
+        self.catch_up()
+        return any(answered)
+
+    def catch_up(self, told_by: str = "") -> None:
+        """Fetch what is missing of the configuration, from who told of it, else the table."""
+        with self._catching_up:
+            if told_by and self._config.hear(0):
+                self._fetch_from(told_by)
+            if self._config.hear(0) or not told_by:
+                try:
+                    self._config.poll()
+                except OutsideError:
+                    return
+
+    def _fetch_from(self, peer: str) -> None:
+        try:
+            first, last = self._config.revision + 1, self._config.heard
+            self._config.take_entries(self._calls.entries(peer, first, last))
+            if self._config.hear(0):
+                self._config.take_snapshot(self._calls.snapshot(peer).configuration)
+        except (OutsideError, ValueError):
+            return
+
+    def _helped(self, helper: Member, member: Member) -> bool:
+        try:
+            return self._calls.probe(helper.name, member.name)
+        except OutsideError:
+            return False
+
+    def _ping(self, name: str) -> bool:
+        try:
+            reply = self._calls.ping(name, self._gossip())
+        except OutsideError:
+            return False
+        self._hear(reply)
+        return True
+
+    def _gossip(self) -> pb.Gossip:
+        with self._lock:
+            members, words = self._membership.outgoing()
+            me = self._membership.me
+        return pb.Gossip(
+            sender=me.name,
+            revision=self._config.revision,
+            heard=self._config.heard,
+            members=[member_to(m) for m in members],
+            words=[word_to(w) for w in words],
+        )
+
+    def _hear(self, message: pb.Gossip) -> None:
+        words = [word_from(w) for w in message.words]
+        self._take_members(message.members)
+        with self._lock:
+            self._membership.hear((), words, time.monotonic())
+        if self._config.hear(message.heard):
+            self._pool.submit(self.catch_up, message.sender)
+
+    def _take_members(self, messages: Iterable[pb.Member]) -> None:
+        members = [member_from(m) for m in messages]
+        with self._lock:
+            self._membership.hear(members, (), time.monotonic())
--- /dev/null
+++ b/packages/node/src/fielddrift_node/configuration.py
@@ -0,0 +1,266 @@
+"""Bring the configuration log from the table, or from peers, into force here.
+
+Changes are appended by one conditional transaction.  Nodes poll the head
+seldom, the more of them there are the seldomer, and tell each other.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from fielddrift_core.commands import Command, Rejected, apply
+from fielddrift_core.configlog import (
+    HEAD_KEY,
+    SNAPSHOT_EVERY,
+    ConfigView,
+    LogEntry,
+    change_key,
+    decode_entry,
+    decode_snapshot,
+    encode_entry,
+    encode_snapshot,
+    entry_key,
+)
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.interfaces import (
+    ObjectStore,
+    OutsideError,
+    Row,
+    Table,
+    Transaction,
+    Write,
+)
+from fielddrift_core.model import Configuration
+
+from .log import get
+from .metrics import Metrics
+
+__all__ = ["Accepted", "ConfigSync", "poll_seconds", "subject"]
+
+SNAPSHOT_OBJECT = "config/snapshot"
+_ENTRIES_A_READ = 100
+_POLLS_A_SECOND = 40.0
+_SHORTEST_POLL = 0.5
+_TRIES = 8
+
+
+class Accepted(NamedTuple):
+    """A change that the log has taken, now or before under the same change id."""
+
+    revision: int
+    repeated: bool = False
+
+
+def poll_seconds(members: int) -> float:
+    """Return how often one of `members` nodes reads the head, in seconds.
+
+    All nodes together read it at most `_POLLS_A_SECOND` times a second.
+    """
+    return max(_SHORTEST_POLL, members / _POLLS_A_SECOND)
+
+
+def subject(command: Command) -> tuple[str, str]:
+    """Return what a command is about: two on one subject may conflict."""
+    first = command[0]
+    name = first if isinstance(first, str) else first[0]
+    kind = type(command).__name__
+    for word in ("Customer", "Key", "Hold"):
+        if word in kind:
+            return ("customer", str(name))
+    for word in ("Model", "Version"):
+        if word in kind:
+            return ("model", str(name))
+    return ("host", str(name))
+
+
+class ConfigSync:
+    """Keep one node's `ConfigView` up to date.  Safe for threads."""
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        objects: ObjectStore,
+        metrics: Metrics,
+        on_change: Callable[[int], None],
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._metrics = metrics
+        self._on_change = on_change
+        self._view = ConfigView()
+        self._lock = threading.Lock()
+        self._entries: dict[int, str] = {}
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self._view.configuration
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here."""
+        return self._view.revision
+
+    @property
+    def heard(self) -> int:
+        """Return the highest revision known to be accepted."""
+        return self._view.heard
+
+    # --- catching up -------------------------------------------------------
+
+    def poll(self) -> None:
+        """Read the head and what is missing from the table; raise `OutsideError`."""
+        head = _head(self._table.read([HEAD_KEY])[0])
+        with self._lock:
+            self._view.hear(head)
+        if self.revision == 0 and head > 1:
+            self._take_stored_snapshot()
+        self._fetch()
+
+    def hear(self, revision: int) -> bool:
+        """Note that `revision` was accepted; return whether entries are missing."""
+        with self._lock:
+            return self._view.hear(revision)
+
+    def take_entries(self, entries: list[str]) -> None:
+        """Take entries from a peer, in any order."""
+        self._put([(raw, decode_entry(raw)) for raw in entries])
+
+    def take_snapshot(self, raw: bytes) -> bool:
+        """Take a whole configuration from a peer; False when it is not later."""
+        configuration = decode_snapshot(raw)
+        with self._lock:
+            taken = self._view.take_snapshot(configuration)
+        if taken:
+            self._changed(1)
+        return taken
+
+    def snapshot(self) -> bytes:
+        """Return the configuration in force for a peer that starts."""
+        return encode_snapshot(self.current)
+
+    def entries(self, first: int, last: int) -> list[str]:
+        """Return the entries that this node still has of a range."""
+        last = min(last, first + _ENTRIES_A_READ)
+        return [self._entries[r] for r in range(first, last + 1) if r in self._entries]
+
+    def _take_stored_snapshot(self) -> None:
+        raw = self._objects.get(SNAPSHOT_OBJECT)
+        if raw is not None:
+            self.take_snapshot(raw)
+
+    def _fetch(self) -> None:
+        while missing := list(self._view.missing())[:_ENTRIES_A_READ]:
+            rows = self._table.read([entry_key(revision) for revision in missing])
+            known = [row.value for row in rows if row.version]
+            if not known:
+                raise OutsideError(f"configuration entry {missing[0]}: not in the table")
+            self._put([(raw, decode_entry(raw)) for raw in known])
+
+    def _put(self, entries: list[tuple[str, LogEntry]]) -> None:
+        with self._lock:
+            count = 0
+            for raw, entry in entries:
+                self._entries[entry.revision] = raw
+                count += self._view.put(entry)
+            while len(self._entries) > 10 * _ENTRIES_A_READ:
+                del self._entries[min(self._entries)]
+        if count:
+            self._changed(count)
+
+    def _changed(self, count: int) -> None:
+        self._metrics.add("config.applied", count)
+        self._metrics.gauge("config.revision", self.revision)
+        self._on_change(self.revision)
+
+    # --- changing ----------------------------------------------------------
+
+    def submit(
+        self, command: Command, *, change_id: str, operator: str, since: int | None = None
+    ) -> Accepted | Refusal:
+        """Append a change; return its revision, or why it was not taken.
+
+        `since` is the revision that the operator looked at: a change on the
+        same subject after it wins.  The same `change_id` is never taken twice.
+        """
+        base = self.revision if since is None else since
+        try:
+            for _ in range(_TRIES):
+                outcome = self._try_append(command, change_id, operator, base)
+                if outcome is not None:
+                    return outcome
+        except OutsideError as error:
+            return self._out_of_reach(error)
+        return Refusal(Kind.CONFLICT, "other changes kept coming first", Ran.NO, 1.0)
+
+    def _try_append(
+        self, command: Command, change_id: str, operator: str, base: int
+    ) -> Accepted | Refusal | None:
+        head, before = self._table.read([HEAD_KEY, change_key(change_id)])
+        with self._lock:
+            self._view.hear(max(_head(head), int(before.value or 0)))
+        if before.version:
+            self._fetch()
+            return Accepted(int(before.value), repeated=True)
+        self.poll()
+        if self.revision != _head(head):
+            return None
+        if refusal := self._unfit(command, base):
+            return refusal
+        entry = LogEntry(self.revision + 1, change_id, operator, command)
+        return self._append(entry, head)
+
+    def _unfit(self, command: Command, base: int) -> Refusal | None:
+        for revision in range(base + 1, self.revision + 1):
+            raw = self._entries.get(revision)
+            if raw is None:
+                continue
+            entry = decode_entry(raw)
+            if subject(entry.command) == subject(command):
+                detail = (
+                    f"{' '.join(subject(command))}: change {entry.change_id} by "
+                    f"{entry.operator} came first, at revision {entry.revision}"
+                )
+                return Refusal(Kind.CONFLICT, detail)
+        try:
+            apply(self.current, command)
+        except Rejected as rejected:
+            return rejected.refusal
+        return None
+
+    def _append(self, entry: LogEntry, head: Row) -> Accepted | None:
+        raw = encode_entry(entry)
+        revision = str(entry.revision)
+        writes = (
+            Write(HEAD_KEY, revision, expect=head.version),
+            Write(entry_key(entry.revision), raw, expect=0),
+            Write(change_key(entry.change_id), revision, expect=0),
+        )
+        try:
+            done = self._table.commit(Transaction(writes)).ok
+        except OutsideError:
+            # The answer may have been lost after the change took effect.
+            done = bool(self._table.read([change_key(entry.change_id)])[0].version)
+        if not done:
+            return None
+        self._put([(raw, entry)])
+        if entry.revision % SNAPSHOT_EVERY == 0:
+            self._store_snapshot()
+        return Accepted(entry.revision)
+
+    def _store_snapshot(self) -> None:
+        try:
+            self._objects.put(SNAPSHOT_OBJECT, self.snapshot())
+        except OutsideError as error:
+            get().warning("configuration snapshot not stored", error=str(error))
+
+    def _out_of_reach(self, error: OutsideError) -> Refusal:
+        detail = f"whether the change was taken is not known: {error}; ask again with its id"
+        return Refusal(Kind.PLATFORM_DOWN, detail, Ran.UNKNOWN, retry_after=2.0)
+
+
+def _head(row: Row) -> int:
+    return int(row.value) if row.version else 0
--- /dev/null
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -0,0 +1,333 @@
+"""Put a node together, keep its rounds going, and stop it without cutting anyone."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import re
+import secrets
+import threading
+import time
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+from fielddrift_core.admission import Admission
+from fielddrift_core.interfaces import OutsideError
+from fielddrift_core.membership import Member, TargetWord
+from fielddrift_core.model import Target
+from fielddrift_core.routing import POLICIES
+
+from .board import Board
+from .callers import CallersApp
+from .claims import ClaimDesk
+from .cluster import Cluster
+from .configuration import ConfigSync, poll_seconds
+from .duties import Duties, StoreTender, TargetTender, duty_names
+from .http_client import HttpClient
+from .leasing import Leases, candidates
+from .log import get
+from .metrics import Metrics
+from .operators import Operators
+from .peers import Peers
+from .platform import HttpHostList, HttpObjectStore, HttpTable
+from .queries import Nodes
+from .servers import SERVERS
+from .services import Links, RequestLog, Services
+from .settings import Settings
+from .stores import Stores
+from .targets import LoadReport, TargetClient
+from .watch import Watch
+
+__all__ = ["Daemon"]
+
+TICK_SECONDS = 0.2
+GOSSIP_SECONDS = 1.0
+LOAD_SECONDS = 0.5
+DUTY_SECONDS = 1.0
+LEASE_TURN_SECONDS = 2.0
+HOSTS_SECONDS = 1.0
+_POLLS_A_ROUND = 5
+_POOL_THREADS = 32
+_IDLE_MODEL_SECONDS = 60.0
+_STOP_LOOK_SECONDS = 0.1
+_REQUEST_ID = re.compile(r"(\d+(?:\.\d+){3}:\d+)-([0-9a-f]{8})-\d+")
+
+
+class Daemon:
+    """One node: everything it runs, from start to stop."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        self._settings = settings
+        self._stopping = threading.Event()
+        self._boot = secrets.token_hex(4)
+        self._numbers = itertools.count(1)
+        node = settings["node"]
+        rng = random.Random(secrets.randbits(64))
+        self._metrics = Metrics(address=settings["statsd"])
+        self._pool = ThreadPoolExecutor(_POOL_THREADS, thread_name_prefix="pool")
+        self._http = HttpClient()
+        self._build_platform()
+        self._requests = RequestLog()
+        self._config = ConfigSync(
+            table=self._table,
+            objects=self._objects,
+            metrics=self._metrics,
+            on_change=self._changed,
+        )
+        self._cluster = Cluster(
+            me=Member(node["peer"], node["http"], node["data_centre"], time.time_ns() // 10**6),
+            rng=rng,
+            config=self._config,
+            pool=self._pool,
+            claim_word=lambda claimant, attempt: self._claims.word(claimant, attempt),
+            request_state=self._requests.state,
+        )
+        self._claims = ClaimDesk(
+            table=self._table,
+            claimant=f"{node['peer']}-{self._boot}",
+            address=node["peer"],
+            ask=lambda row: self._peers.claim(row),
+            metrics=self._metrics,
+            timeout=settings["limits"]["claim_seconds"],
+        )
+        self._peers = Peers(
+            address=node["peer"],
+            key=settings["keys"]["peer"],
+            answers=self._cluster,
+            metrics=self._metrics,
+        )
+        self._cluster.connect(self._peers)
+        self._services = self._build_services(rng)
+        self._build_duties()
+        self._app = self._build_app()
+
+    def _build_platform(self) -> None:
+        platform = self._settings["platform"]
+        seconds = platform.get("timeout_seconds", 2.0)
+        self._table = HttpTable(
+            address=platform["table"], http=self._http, metrics=self._metrics, timeout=seconds
+        )
+        self._objects = HttpObjectStore(address=platform["objects"], http=self._http)
+        self._hosts = HttpHostList(address=platform["hosts"], http=self._http, timeout=seconds)
+
+    def _build_services(self, rng: random.Random) -> Services:
+        return Services(
+            settings=self._settings,
+            metrics=self._metrics,
+            config=self._config,
+            watch=Watch(refresh=self._cluster.refresh),
+            board=Board(data_centre=self._settings["node"]["data_centre"]),
+            targets=TargetClient(http=self._http),
+            stores=Stores(http=self._http, pool=self._pool),
+            links=Links(),
+            claims=self._claims,
+            admission=Admission(),
+            admission_lock=threading.Lock(),
+            requests=self._requests,
+            policy=POLICIES[self._settings["policy"]],
+            rng=rng,
+            pool=self._pool,
+            leaving=self._cluster.leaving,
+            heard_headers=self._heard_headers,
+        )
+
+    def _build_duties(self) -> None:
+        holder = self._settings["node"]["peer"]
+        self._leases = Leases(table=self._table, holder=f"{holder}-{self._boot}")
+        self._duties = Duties(
+            leases=self._leases,
+            target_tender=TargetTender(targets=self._services.targets, metrics=self._metrics),
+            store_tender=StoreTender(stores=self._services.stores, metrics=self._metrics),
+            week_start=self._settings["week_start"],
+        )
+
+    def _build_app(self) -> CallersApp:
+        nodes = Nodes(membership=self._cluster.membership, peers=self._peers, table=self._table)
+        operators = Operators(
+            services=self._services, nodes=nodes, keys=self._settings["keys"]["operators"]
+        )
+        keep = self._settings["limits"]["entry_seconds"]
+        return CallersApp(
+            services=self._services,
+            operators=operators,
+            entry=lambda model: self._cluster.entry(model, keep),
+            next_id=self._next_id,
+            ask_state=self._ask_state,
+        )
+
+    # --- running -----------------------------------------------------------
+
+    def start(self) -> None:
+        """Catch up with the configuration, then serve."""
+        self._catch_up_at_start()
+        rounds: list[tuple[str, Callable[[], None], Callable[[], float]]] = [
+            ("tick", self._tick, lambda: TICK_SECONDS),
+            ("gossip", self._cluster.turn, lambda: GOSSIP_SECONDS),
+            ("config", self._poll_config, lambda: poll_seconds(self._cluster.nodes())),
+            ("hosts", self._poll_hosts, self._hosts_seconds),
+            ("loads", self._poll_loads, lambda: LOAD_SECONDS),
+            ("leases", self._turn_leases, lambda: LEASE_TURN_SECONDS),
+            ("duties", self._turn_duties, lambda: DUTY_SECONDS),
+        ]
+        for name, work, seconds in rounds:
+            thread = threading.Thread(
+                target=self._round, args=(name, work, seconds), name=name, daemon=True
+            )
+            thread.start()
+        host, _, port = self._settings["node"]["http"].rpartition(":")
+        start = SERVERS[self._settings["server"]]
+        self._server = start(self._app, host, int(port), self._settings["limits"]["threads"])
+        get().info("serving", http=self._settings["node"]["http"], revision=self._config.revision)
+
+    def stop(self) -> None:
+        """Leave: off the entry list, wait out old entry answers, let streams end."""
+        limits = self._settings["limits"]
+        get().info("leaving")
+        self._services.watch.leave()
+        self._cluster.leave()
+        self._stopping.set()
+        self._give_back_leases()
+        time.sleep(limits["entry_seconds"])
+        self._services.watch.refuse()
+        until = time.monotonic() + limits["stop_seconds"]
+        while self._requests.running() and time.monotonic() < until:
+            time.sleep(_STOP_LOOK_SECONDS)
+        self._pool.shutdown(wait=True, cancel_futures=True)
+        self._server.stop()
+        self._claims.close()
+        self._peers.close()
+        self._http.close()
+        get().info("stopped", cut=self._requests.running())
+
+    def _round(self, name: str, work: Callable[[], None], seconds: Callable[[], float]) -> None:
+        while True:
+            try:
+                work()
+            except OutsideError as error:
+                get().debug("round failed", round=name, error=str(error))
+            except Exception:
+                get().exception("round failed", round=name)
+            time.sleep(seconds())
+
+    def _catch_up_at_start(self) -> None:
+        """Take the configuration from the table, or in an outage from a peer."""
+        addresses = list(self._settings["peers"])
+        try:
+            hosts = self._hosts.hosts()
+            addresses += [h.labels["peer"] for h in hosts if "peer" in h.labels]
+        except OutsideError as error:
+            get().warning("host list out of reach", error=str(error))
+        mine = self._settings["node"]["peer"]
+        self._cluster.join(a for a in dict.fromkeys(addresses) if a != mine)
+        try:
+            self._config.poll()
+        except OutsideError as error:
+            get().warning("table out of reach", error=str(error))
+
+    # --- rounds ------------------------------------------------------------
+
+    def _tick(self) -> None:
+        if self._services.watch.tick():
+            self._metrics.add("pauses")
+            get().warning("this process was paused")
+
+    def _hosts_seconds(self) -> float:
+        return max(HOSTS_SECONDS, poll_seconds(self._cluster.nodes()))
+
+    def _poll_config(self) -> None:
+        if not self._cluster.membership.members:
+            return
+        self._config.poll()
+
+    def _poll_hosts(self) -> None:
+        hosts = self._hosts.hosts()
+        self._cluster.hear_hosts(hosts)
+        by_address = {t.address: t.name for t in self._config.current.targets.values()}
+        for host in hosts:
+            if host.address in by_address:
+                word = TargetWord(by_address[host.address], host.epoch, host.leaving)
+                self._cluster.hear_target(word)
+        self._services.links.share_among(self._cluster.nodes())
+
+    def _poll_loads(self) -> None:
+        board = self._services.board
+        due = board.stale(self._config.current, idle=_IDLE_MODEL_SECONDS)[:_POLLS_A_ROUND]
+        for target in due:
+            self._pool.submit(self._poll_load, target)
+
+    def _poll_load(self, target: Target) -> None:
+        board = self._services.board
+        try:
+            after = board.event_sequence(target.name)
+            report = self._services.targets.load(target, after=after)
+        except OutsideError:
+            board.failed(target.name)
+            return
+        board.worked(target.name)
+        board.heard_events(target.name, report.sequence, [name for _, name in report.events])
+        self._heard_report(target.name, report)
+
+    def _turn_leases(self) -> None:
+        if self._stopping.is_set():
+            return
+        names = [m.name for m in self._cluster.membership.usable()]
+        me = self._settings["node"]["peer"]
+        held = set(self._leases.held())
+        mine = [
+            duty
+            for duty in duty_names(self._config.current)
+            if duty in held or me in candidates(duty, names)
+        ]
+        self._leases.turn(mine)
+        self._metrics.gauge("duties.held", len(self._leases.held()))
+
+    def _turn_duties(self) -> None:
+        if not self._stopping.is_set():
+            self._duties.turn(self._config.current)
+
+    def _give_back_leases(self) -> None:
+        try:
+            self._leases.give_back()
+        except OutsideError as error:
+            get().info("leases not given back", error=str(error))
+
+    # --- what is heard -----------------------------------------------------
+
+    def _changed(self, revision: int) -> None:
+        self._cluster.spread()
+
+    def _heard_headers(self, target: str, headers: Mapping[str, str]) -> None:
+        leaving = headers.get("x-leaving", "")
+        if leaving.isdigit():
+            self._cluster.hear_target(TargetWord(target, int(leaving), True))
+        if "x-load" in headers:
+            try:
+                report = msgspec.json.decode(headers["x-load"], type=LoadReport)
+            except msgspec.DecodeError:
+                return
+            self._heard_report(target, report)
+
+    def _heard_report(self, target: str, report: LoadReport) -> None:
+        board = self._services.board
+        board.heard_load(target, report.load(), report.epoch, report.versions)
+        if report.leaving:
+            self._cluster.hear_target(TargetWord(target, report.epoch, True))
+
+    # --- request ids -------------------------------------------------------
+
+    def _next_id(self) -> str:
+        return f"{self._settings['node']['peer']}-{self._boot}-{next(self._numbers)}"
+
+    def _ask_state(self, wanted: str, customer: str) -> str | None:
+        """Return the state of a request id, None when it is not one."""
+        match = _REQUEST_ID.fullmatch(wanted)
+        if match is None:
+            return None
+        owner, boot = match.groups()
+        if owner == self._settings["node"]["peer"]:
+            return self._requests.state(wanted, customer) if boot == self._boot else "unknown"
+        try:
+            return self._peers.request(owner, customer, wanted)
+        except OutsideError:
+            return "unknown"
--- /dev/null
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -0,0 +1,97 @@
+"""Carry one caller's request through the filters."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator, Mapping
+from typing import NamedTuple
+
+from fielddrift_core.errors import Refusal
+from fielddrift_core.model import Configuration, Customer, Deployment, Target
+from fielddrift_core.routing import Need
+from result import Result
+from werkzeug.wrappers import Request
+
+from .claims import Claim
+from .services import Services
+from .stores import Found
+
+__all__ = ["Answer", "CompletionAsk", "Exchange", "Filter", "ServiceAsk", "run_filters"]
+
+
+class CompletionAsk(NamedTuple):
+    """A checked request for a completion."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    priority: int
+
+
+class ServiceAsk(NamedTuple):
+    """A checked service call."""
+
+    service: str
+    method: str
+    path: str
+    query: str
+    body: bytes
+    content_type: str
+
+
+class Answer(NamedTuple):
+    """What the caller gets; `body` may still be on its way."""
+
+    status: int
+    content_type: str
+    body: bytes | Iterator[bytes]
+    headers: Mapping[str, str] = {}
+
+
+class Exchange:
+    """One request on its way; each filter fills in what the next ones need."""
+
+    def __init__(
+        self, *, services: Services, request: Request, request_id: str, path: Mapping[str, str]
+    ) -> None:
+        self.services = services
+        self.request = request
+        self.request_id = request_id
+        self.path = path
+        self.began_at = time.monotonic()
+        self.deadline = 0.0
+        self.key = ""
+        self.repeatable = True
+        self.configuration = Configuration()
+        self.customer = Customer("", (), "")
+        self.completion: CompletionAsk | None = None
+        self.call: ServiceAsk | None = None
+        self.deployment = Deployment("", "")
+        self.targets: tuple[Target, ...] = ()
+        self.digests: list[str] = []
+        self.found: Found | None = None
+        self.need: Need | None = None
+        self.claim: Claim | None = None
+        self.failed: set[str] = set()
+        self.answer: Answer | None = None
+
+    @property
+    def left(self) -> float:
+        """Return the seconds left to the deadline."""
+        return self.deadline - time.monotonic()
+
+
+Filter = Callable[[Exchange], Result[Exchange, Refusal]]
+
+
+def run_filters(exchange: Exchange, filters: tuple[Filter, ...]) -> Result[Exchange, Refusal]:
+    """Pass `exchange` through `filters` until one refuses or all are done."""
+    outcome: Result[Exchange, Refusal]
+    for step in filters:
+        outcome = step(exchange)
+        if outcome.is_err():
+            return outcome
+        if exchange.answer is not None:
+            return outcome
+    return outcome
--- /dev/null
+++ b/packages/node/src/fielddrift_node/filters/__init__.py
@@ -0,0 +1,36 @@
+"""Take a request from its arrival to its answer, one step a module.
+
+The two lists show the steps in their order.
+"""
+
+from __future__ import annotations
+
+from ..exchange import Filter
+from .admit import admit
+from .call import call_service
+from .claim import claim
+from .identify import identify
+from .locate import locate
+from .parse import parse_completion, parse_service
+from .pin import pin_completion, pin_service
+from .run import run_completion
+
+__all__ = ["COMPLETION", "SERVICE"]
+
+COMPLETION: tuple[Filter, ...] = (
+    identify,
+    parse_completion,
+    pin_completion,
+    locate,
+    admit,
+    claim,
+    run_completion,
+)
+
+SERVICE: tuple[Filter, ...] = (
+    identify,
+    parse_service,
+    pin_service,
+    claim,
+    call_service,
+)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -0,0 +1,113 @@
+"""Call a plain service, again only where that is surely allowed."""
+
+from __future__ import annotations
+
+import time
+
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.interfaces import OutsideError
+from fielddrift_core.model import Target
+from fielddrift_core.retries import backoff
+from result import Err, Ok, Result
+
+from ..exchange import Answer, Exchange
+from ..http_client import Call, Reply
+from ..settle import TryFailed, settle_refused
+from ..targets import proved_not_started
+from .admit import no_target, usable
+
+__all__ = ["call_service"]
+
+_TRIES = 3
+
+
+def call_service(exchange: Exchange) -> Result[Exchange, Refusal]:
+    """Set the service's answer; every refusal says whether the call ran."""
+    services = exchange.services
+    if exchange.claim and not services.claims.begin_send(exchange.claim):
+        return Err(Refusal(Kind.PLATFORM_DOWN, "the claim was given up", Ran.NO, 1.0))
+    services.requests.note(exchange.request_id, exchange.customer.name, "running")
+    outcome = _try_all(exchange)
+    if isinstance(outcome, Refusal):
+        settle_refused(exchange, outcome)
+        return Err(outcome)
+    content_type = outcome.headers.get("content-type", "application/octet-stream")
+    if exchange.claim:
+        services.claims.ran(
+            exchange.claim, status=outcome.status, content_type=content_type, body=outcome.body
+        )
+    services.requests.note(exchange.request_id, exchange.customer.name, "ran")
+    services.metrics.add("answers.whole")
+    exchange.answer = Answer(outcome.status, content_type, outcome.body)
+    return Ok(exchange)
+
+
+def _try_all(exchange: Exchange) -> Reply | Refusal:
+    services = exchange.services
+    sure = True
+    for attempt in range(1, _TRIES + 1):
+        target = _choose(exchange)
+        if target is None:
+            return no_target(exchange, Ran.NO if sure else Ran.UNKNOWN)
+        try:
+            return _try_one(exchange, target)
+        except TryFailed as failure:
+            sure = sure and failure.sure
+            exchange.failed.add(target.name)
+            wait = backoff(attempt, rng=services.rng, left=exchange.left)
+            allowed = failure.sure or exchange.repeatable
+            if not allowed or wait is None or not services.board.may_retry(target.name):
+                return _failed(str(failure), sure)
+            services.metrics.add(f"retried.{failure.reason}")
+            time.sleep(wait)
+    return _failed(f"{_TRIES} targets failed", sure)
+
+
+def _choose(exchange: Exchange) -> Target | None:
+    views = exchange.services.board.views(usable(exchange), version="", digests=())
+    if not views:
+        return None
+    least = min(view.sent for view in views)
+    return exchange.services.rng.choice([v.target for v in views if v.sent == least])
+
+
+def _try_one(exchange: Exchange, target: Target) -> Reply:
+    services = exchange.services
+    services.board.sent(target.name, exchange.request_id, 0)
+    try:
+        reply = services.targets.call(target, _call(exchange, target))
+    except OutsideError as error:
+        services.board.failed(target.name)
+        reason = "connect" if error.sure else "cut-before-head"
+        raise TryFailed(str(error), reason, sure=error.sure) from None
+    finally:
+        services.board.ended(target.name, exchange.request_id)
+    services.heard_headers(target.name, reply.headers)
+    if proved_not_started(reply):
+        raise TryFailed(f"target {target.name}: did not start it", "not-started", sure=True)
+    services.board.worked(target.name)
+    return reply
+
+
+def _call(exchange: Exchange, target: Target) -> Call:
+    ask = exchange.call
+    assert ask is not None
+    url = f"http://{target.address}/call/{ask.path}"
+    headers = {
+        "X-Customer": exchange.customer.name,
+        "X-Request-Id": exchange.request_id,
+        "Content-Type": ask.content_type or "application/octet-stream",
+    }
+    if exchange.key:
+        headers["Idempotency-Key"] = exchange.key
+    return Call(
+        ask.method,
+        f"{url}?{ask.query}" if ask.query else url,
+        ask.body if ask.body or ask.method in ("POST", "PUT") else None,
+        headers,
+        timeout=max(0.001, exchange.left),
+    )
+
+
+def _failed(detail: str, sure: bool) -> Refusal:
+    return Refusal(Kind.TARGET_FAILED, detail, Ran.NO if sure else Ran.UNKNOWN, 0.5)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/filters/locate.py
@@ -0,0 +1,63 @@
+"""Find the longest kept prefix of a prompt."""
+
+from __future__ import annotations
+
+import time
+
+from fielddrift_core.errors import Refusal
+from fielddrift_core.names import chain, prefix_name
+from fielddrift_core.routing import Kept, Need
+from result import Ok, Result
+
+from ..exchange import Exchange
+from ..stores import Found
+
+__all__ = ["BYTES_A_TOKEN", "locate"]
+
+BYTES_A_TOKEN = 4
+
+
+def locate(exchange: Exchange) -> Result[Exchange, Refusal]:
+    """Set the prompt's digests, what is kept of it, and what it needs.
+
+    Finding nothing, or not in time, is no failure: the context is recomputed.
+    """
+    assert exchange.completion is not None
+    services = exchange.services
+    prompt = exchange.completion.prompt.encode()
+    exchange.digests = chain(prompt, salt=exchange.customer.salt)
+    if exchange.digests and exchange.configuration.stores:
+        began = time.monotonic()
+        exchange.found = _find(exchange)
+        services.metrics.time("locate", time.monotonic() - began)
+    exchange.need = Need(
+        tokens=len(prompt) // BYTES_A_TOKEN,
+        blocks=len(exchange.digests),
+        weights=exchange.deployment.weights,
+        kept=_kept(exchange),
+        run_seconds=services.board.run_seconds(exchange.targets),
+    )
+    return Ok(exchange)
+
+
+def _find(exchange: Exchange) -> Found | None:
+    name = prefix_name(
+        customer=exchange.customer.name,
+        model=exchange.deployment.model,
+        version=exchange.deployment.version,
+        digests=exchange.digests,
+        blocks=len(exchange.digests),
+    )
+    return exchange.services.stores.find(exchange.configuration, name, exchange.digests)
+
+
+def _kept(exchange: Exchange) -> Kept:
+    if exchange.found is None:
+        return Kept()
+    manifest, store = exchange.found
+    return Kept(
+        blocks=manifest.blocks,
+        size=manifest.size,
+        seconds=exchange.services.links.import_seconds(store, manifest.size),
+        link_seconds=manifest.size / store.link_rate,
+    )
--- /dev/null
+++ b/packages/node/src/fielddrift_node/filters/pin.py
@@ -0,0 +1,55 @@
+"""Pin the configuration that a request runs under.
+
+A request keeps the revision, and so the weight version, that was in force
+when it was taken, whatever changes while it runs.
+"""
+
+from __future__ import annotations
+
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.model import TargetRole
+from result import Err, Ok, Result
+
+from ..exchange import Exchange
+
+__all__ = ["pin_completion", "pin_service"]
+
+_RETRY_AFTER = 0.5
+
+
+def pin_completion(exchange: Exchange) -> Result[Exchange, Refusal]:
+    """Pin the deployment and its targets; refuse an unknown model."""
+    assert exchange.completion is not None
+    if refusal := _pin(exchange):
+        return Err(refusal)
+    model = exchange.completion.model
+    deployment = exchange.configuration.deployments.get(model)
+    if deployment is None:
+        return Err(Refusal(Kind.NOT_FOUND, f"model: {model!r} is not known"))
+    exchange.deployment = deployment
+    exchange.targets = exchange.configuration.serving(TargetRole.ENGINE, model)
+    exchange.services.board.touch(model)
+    return Ok(exchange)
+
+
+def pin_service(exchange: Exchange) -> Result[Exchange, Refusal]:
+    """Pin a service's targets, and whether the call may be repeated."""
+    assert exchange.call is not None
+    if refusal := _pin(exchange):
+        return Err(refusal)
+    name = exchange.call.service
+    exchange.targets = exchange.configuration.serving(TargetRole.SERVICE, name)
+    if not exchange.targets:
+        return Err(Refusal(Kind.NOT_FOUND, f"service: {name!r} is not known"))
+    if any(exchange.call.method in target.not_repeatable for target in exchange.targets):
+        exchange.repeatable = False
+    return Ok(exchange)
+
+
+def _pin(exchange: Exchange) -> Refusal | None:
+    watch = exchange.services.watch
+    if watch.refusing:
+        detail = "this node is stopping; ask GET /v1/entry for another"
+        return Refusal(Kind.STOPPING, detail, Ran.NO, _RETRY_AFTER)
+    exchange.configuration = exchange.services.config.current
+    return None
--- /dev/null
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -0,0 +1,178 @@
+"""Start a run on an engine, again elsewhere while nothing was relayed."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import TimeoutError as FutureTimeout
+from typing import NamedTuple
+
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.interfaces import OutsideError
+from fielddrift_core.retries import backoff
+from fielddrift_core.routing import Choice, Source
+from result import Err, Ok, Result
+
+from ..exchange import Answer, Exchange
+from ..http_client import Stream
+from ..relay import Broken, Relay, Started, whole_answer
+from ..settle import TryFailed, settle_refused
+from ..targets import EngineHead, RunOrder, proved_not_started, read_head
+from .admit import choose, no_target
+
+__all__ = ["run_completion"]
+
+_TRIES = 3
+_PATIENCE_FACTOR = 4.0
+_PATIENCE_FLOOR = 2.0
+
+
+class _Tried(NamedTuple):
+    started: Started | None
+    refusal: Refusal | None = None
+
+
+def run_completion(exchange: Exchange) -> Result[Exchange, Refusal]:
+    """Set the answer: a stream being relayed, or the whole text."""
+    assert exchange.completion is not None
+    services = exchange.services
+    if exchange.claim and not services.claims.begin_send(exchange.claim):
+        return Err(Refusal(Kind.PLATFORM_DOWN, "the claim was given up", Ran.NO, 1.0))
+    services.requests.note(exchange.request_id, exchange.customer.name, "running")
+    tried = _start(exchange, resume_at=1)
+    if tried.started is None:
+        assert tried.refusal is not None
+        settle_refused(exchange, tried.refusal)
+        return Err(tried.refusal)
+    relay = Relay(exchange=exchange, started=tried.started, resume=_resume)
+    if exchange.completion.stream:
+        exchange.answer = Answer(200, "text/event-stream", iter(relay), relay.headers)
+        return Ok(exchange)
+    try:
+        exchange.answer = whole_answer(exchange, relay)
+    except Broken as broken:
+        return Err(broken.refusal)
+    return Ok(exchange)
+
+
+def _resume(exchange: Exchange, resume_at: int) -> Started | None:
+    """Start the run again at its next event, on another target; None when it cannot be."""
+    if not exchange.repeatable:
+        return None
+    started = _start(exchange, resume_at=resume_at).started
+    if started is not None:
+        exchange.services.metrics.add("retried.resume")
+    return started
+
+
+def _start(exchange: Exchange, *, resume_at: int) -> _Tried:
+    services = exchange.services
+    sure = True
+    for attempt in range(1, _TRIES + 1):
+        choice = choose(exchange)
+        if choice is None:
+            return _Tried(None, no_target(exchange, Ran.NO if sure else Ran.UNKNOWN))
+        try:
+            return _Tried(_try_one(exchange, choice, f"{attempt}", resume_at))
+        except TryFailed as failure:
+            sure = sure and failure.sure
+            exchange.failed.add(choice.target.name)
+            wait = backoff(attempt, rng=services.rng, left=exchange.left)
+            allowed = failure.sure or exchange.repeatable
+            if not allowed or wait is None or not services.board.may_retry(choice.target.name):
+                return _Tried(None, _refusal(exchange, str(failure), sure))
+            services.metrics.add(f"retried.{failure.reason}")
+            time.sleep(wait)
+    return _Tried(None, _refusal(exchange, f"{_TRIES} targets failed", sure))
+
+
+def _try_one(exchange: Exchange, choice: Choice, attempt: str, resume_at: int) -> Started:
+    services = exchange.services
+    order = _order(exchange, choice, attempt, resume_at)
+    size = exchange.found.manifest.size if order.context and exchange.found else 0
+    assert exchange.need is not None
+    services.board.sent(choice.target.name, order.run, exchange.need.tokens)
+    stream = services.targets.run(choice.target, order, timeout=_run_seconds(exchange))
+    if size and exchange.found:
+        services.links.begin_import(exchange.found.store, size)
+    try:
+        head = _await_head(exchange, choice, order, stream)
+    except TryFailed as failure:
+        stream.close()
+        services.board.ended(choice.target.name, order.run)
+        if not failure.sure:
+            services.targets.cancel(choice.target, order.run)
+        raise
+    finally:
+        if size and exchange.found:
+            services.links.end_import(exchange.found.store, size)
+    return Started(choice, order, stream, head)
+
+
+def _await_head(exchange: Exchange, choice: Choice, order: RunOrder, stream: Stream) -> EngineHead:
+    """Return the head once it came and matches the order."""
+    services = exchange.services
+    name = choice.target.name
+    patience = max(_PATIENCE_FLOOR, _PATIENCE_FACTOR * choice.ttft)
+    if not exchange.repeatable:
+        patience = exchange.left
+    try:
+        head = stream.head.result(timeout=max(0.001, min(patience, exchange.left)))
+    except FutureTimeout:
+        services.board.failed(name)
+        raise TryFailed(f"target {name}: no first token", "cut-before-head", sure=False) from None
+    except OutsideError as error:
+        services.board.failed(name)
+        reason = "connect" if error.sure else "cut-before-head"
+        raise TryFailed(str(error), reason, sure=error.sure) from None
+    services.heard_headers(name, head.headers)
+    if proved_not_started(head):
+        raise TryFailed(f"target {name}: did not start it", "not-started", sure=True)
+    if head.status != 200:
+        services.board.failed(name)
+        raise TryFailed(f"target {name}: status {head.status}", "wrong-head", sure=False)
+    return _check_head(exchange, choice, order, stream)
+
+
+def _check_head(exchange: Exchange, choice: Choice, order: RunOrder, stream: Stream) -> EngineHead:
+    name = choice.target.name
+    try:
+        head = read_head(stream.head.result())
+    except OutsideError as error:
+        raise TryFailed(f"target {name}: {error}", "wrong-head", sure=False) from None
+    if (head.version, head.customer) != (order.version, order.customer):
+        exchange.services.board.failed(name)
+        detail = f"target {name}: ran version {head.version!r} for {head.customer!r}"
+        raise TryFailed(detail, "wrong-head", sure=False)
+    exchange.services.board.worked(name)
+    return head
+
+
+def _order(exchange: Exchange, choice: Choice, attempt: str, resume_at: int) -> RunOrder:
+    ask = exchange.completion
+    assert ask is not None
+    context = None
+    if choice.source is Source.IMPORT and exchange.found is not None:
+        manifest, store = exchange.found
+        context = {"store": store.address, "blocks": manifest.blocks, "parts": manifest.parts}
+    return RunOrder(
+        run=f"{exchange.request_id}.{resume_at}.{attempt}",
+        customer=exchange.customer.name,
+        model=ask.model,
+        version=exchange.deployment.version,
+        salt=exchange.customer.salt,
+        prompt=ask.prompt,
+        max_tokens=ask.max_tokens,
+        priority=ask.priority,
+        resume_at=resume_at,
+        context=context,
+    )
+
+
+def _run_seconds(exchange: Exchange) -> float:
+    # The deadline is for the first token; a run may go on for much longer.
+    return exchange.left + 600.0
+
+
+def _refusal(exchange: Exchange, detail: str, sure: bool) -> Refusal:
+    kind = Kind.DEADLINE if exchange.left <= 0 else Kind.TARGET_FAILED
+    return Refusal(kind, detail, Ran.NO if sure else Ran.UNKNOWN, 0.5)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/main.py
@@ -0,0 +1,55 @@
+"""Start `fielddriftd`, or check its settings."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+
+import click
+
+from .daemon import Daemon
+from .log import configure
+from .settings import Settings, SettingsError, load
+
+__all__ = ["main"]
+
+_BAD_SETTINGS = 2
+
+
+@click.group()
+@click.version_option(package_name="fielddrift-node")
+def main() -> None:
+    """Run a node of fielddrift."""
+
+
+@main.command()
+@click.argument("settings", type=click.Path())
+def run(settings: str) -> None:
+    """Run a node with the SETTINGS file until SIGTERM."""
+    checked = _load(settings)
+    configure(level=checked["log_level"], node=checked["node"]["peer"])
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    daemon = Daemon(settings=checked)
+    daemon.start()
+    stop.wait()
+    daemon.stop()
+    sys.exit(0)
+
+
+@main.command()
+@click.argument("settings", type=click.Path())
+def check(settings: str) -> None:
+    """Say what is wrong in the SETTINGS file, and where."""
+    _load(settings)
+    click.echo(f"{settings}: right")
+
+
+def _load(file: str) -> Settings:
+    try:
+        return load(file)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(_BAD_SETTINGS)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/platform.py
@@ -0,0 +1,133 @@
+"""Reach the platform: its table, object store and host list, over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+from fielddrift_core.interfaces import (
+    HostEntry,
+    OutsideError,
+    Row,
+    Transaction,
+    TransactionResult,
+)
+
+from .http_client import Call, HttpClient, Reply
+from .metrics import Metrics
+
+__all__ = ["HttpHostList", "HttpObjectStore", "HttpTable"]
+
+_JSON = {"Content-Type": "application/json"}
+
+
+class _Rows(msgspec.Struct):
+    rows: list[Row]
+
+
+class _Committed(msgspec.Struct):
+    ok: bool
+    rows: tuple[Row, ...]
+
+
+class _Hosts(msgspec.Struct):
+    hosts: list[HostEntry]
+
+
+class HttpTable:
+    """The platform's table.  Every failure is an `OutsideError`."""
+
+    def __init__(
+        self, *, address: str, http: HttpClient, metrics: Metrics, timeout: float = 2.0
+    ) -> None:
+        self._address = address
+        self._http = http
+        self._metrics = metrics
+        self._timeout = timeout
+
+    def read(self, keys: Sequence[str]) -> list[Row]:
+        """Return the rows of `keys`, in their order."""
+        self._metrics.add("table.reads", len(keys))
+        return self._call("read", {"keys": list(keys)}, _Rows).rows
+
+    def scan(self, prefix: str, after: str, limit: int) -> list[Row]:
+        """Return up to `limit` rows whose key starts with `prefix` and follows `after`."""
+        body = {"prefix": prefix, "after": after, "limit": limit}
+        rows = self._call("scan", body, _Rows).rows
+        self._metrics.add("table.reads", 1 + len(rows))
+        return rows
+
+    def commit(self, transaction: Transaction) -> TransactionResult:
+        """Commit, or abort; an `OutsideError` that is not sure may hide either."""
+        writes = [write._asdict() for write in transaction.writes]
+        self._metrics.add("table.writes", len(writes))
+        done = self._call("commit", {"writes": writes}, _Committed)
+        return TransactionResult(done.ok, done.rows)
+
+    def _call(self, what: str, body: Any, kind: type[Any]) -> Any:
+        call = Call(
+            "POST",
+            f"http://{self._address}/{what}",
+            msgspec.json.encode(body),
+            _JSON,
+            timeout=self._timeout,
+            fresh=what == "commit",
+        )
+        try:
+            return _decode(self._http.request(call), kind)
+        except OutsideError:
+            self._metrics.add("table.failures")
+            raise
+
+
+class HttpObjectStore:
+    """The platform's object store."""
+
+    def __init__(self, *, address: str, http: HttpClient, timeout: float = 5.0) -> None:
+        self._address = address
+        self._http = http
+        self._timeout = timeout
+
+    def get(self, name: str) -> bytes | None:
+        """Return an object's bytes, None when there is none."""
+        reply = self._http.request(Call("GET", self._url(name), timeout=self._timeout))
+        if reply.status == 404:
+            return None
+        _check(reply)
+        return reply.body
+
+    def put(self, name: str, data: bytes) -> None:
+        """Store an object whole."""
+        _check(self._http.request(Call("PUT", self._url(name), data, timeout=self._timeout)))
+
+    def _url(self, name: str) -> str:
+        return f"http://{self._address}/objects/{name}"
+
+
+class HttpHostList:
+    """The platform's host list."""
+
+    def __init__(self, *, address: str, http: HttpClient, timeout: float = 2.0) -> None:
+        self._address = address
+        self._http = http
+        self._timeout = timeout
+
+    def hosts(self) -> list[HostEntry]:
+        """Return all entries."""
+        call = Call("GET", f"http://{self._address}/hosts", timeout=self._timeout)
+        hosts: list[HostEntry] = _decode(self._http.request(call), _Hosts).hosts
+        return hosts
+
+
+def _check(reply: Reply) -> None:
+    if reply.status not in range(200, 300):
+        raise OutsideError(f"platform: status {reply.status}, expected 2xx")
+
+
+def _decode(reply: Reply, kind: type[Any]) -> Any:
+    _check(reply)
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise OutsideError(f"platform: {error}") from None
--- /dev/null
+++ b/packages/node/src/fielddrift_node/queries.py
@@ -0,0 +1,230 @@
+"""Answer operators' `show` statements.
+
+Each noun has a function, registered with `shows`, that gives the rows; the
+conditions and the grouping of the statement work on any of them.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, TypedDict
+
+from fielddrift_core.errors import Kind, Refusal
+from fielddrift_core.grammar import Condition, Query
+from fielddrift_core.interfaces import OutsideError, Table
+from fielddrift_core.leases import LeaseRow
+from fielddrift_core.membership import Membership, Status
+
+from .peers import Peers
+from .services import Services
+
+__all__ = ["LEASE_PREFIX", "Nodes", "Shown", "answer"]
+
+LEASE_PREFIX = "lease/"
+_MOST_ROWS = 10_000
+
+Rows = list[dict[str, Any]]
+
+
+class Shown(TypedDict):
+    """The answer to a query; `partial` names what could not be asked."""
+
+    columns: list[str]
+    rows: list[list[Any]]
+    partial: list[str]
+
+
+class Nodes:
+    """What queries ask of the other nodes and the table."""
+
+    def __init__(self, *, membership: Membership, peers: Peers, table: Table) -> None:
+        self.membership = membership
+        self.peers = peers
+        self.table = table
+
+
+_Show = Callable[[Services, Nodes, list[str]], Rows]
+_SHOW: dict[str, _Show] = {}
+
+
+def shows(noun: str) -> Callable[[_Show], _Show]:
+    """Register the decorated function as the one that lists `noun`."""
+
+    def register(function: _Show) -> _Show:
+        _SHOW[noun] = function
+        return function
+
+    return register
+
+
+def answer(query: Query, services: Services, nodes: Nodes) -> Shown | Refusal:
+    """Return the rows that `query` asks for, or why it cannot be answered."""
+    partial: list[str] = []
+    rows = _SHOW[query.noun](services, nodes, partial)
+    columns = list(rows[0]) if rows else []
+    unknown = [f for f in (*(c.field for c in query.conditions), *query.by) if f not in columns]
+    if rows and unknown:
+        detail = f"field: {unknown[0]!r}, expected one of {', '.join(columns)}"
+        return Refusal(Kind.BAD_REQUEST, detail)
+    kept = [row for row in rows if all(_holds(row, c) for c in query.conditions)]
+    if query.by:
+        kept = _group(kept, query.by)
+        columns = [*query.by, "count", *(["size"] if "size" in columns else [])]
+    shown = [[row[column] for column in columns] for row in kept[:_MOST_ROWS]]
+    return Shown(columns=columns, rows=shown, partial=partial)
+
+
+def _holds(row: dict[str, Any], condition: Condition) -> bool:
+    value = row[condition.field]
+    if isinstance(condition.value, bool):
+        return bool(value)
+    if isinstance(condition.value, float):
+        return isinstance(value, int | float) and float(value) == condition.value
+    return str(value) == condition.value
+
+
+def _group(rows: Rows, by: tuple[str, ...]) -> Rows:
+    counts: Counter[tuple[Any, ...]] = Counter()
+    sizes: Counter[tuple[Any, ...]] = Counter()
+    for row in rows:
+        key = tuple(row[field] for field in by)
+        counts[key] += 1
+        sizes[key] += row.get("size", 0)
+    return [
+        {**dict(zip(by, key, strict=True)), "count": count, "size": sizes[key]}
+        for key, count in sorted(counts.items(), key=lambda item: str(item[0]))
+    ]
+
+
+# --- configuration ---------------------------------------------------------
+
+
+@shows("customers")
+def _customers(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    customers = services.config.current.customers.values()
+    return [{"customer": c.name, "share": c.share, "keys": len(c.key_digests)} for c in customers]
+
+
+@shows("models")
+def _models(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    return [
+        {"model": d.model, "version": d.version, "prepared": " ".join(d.prepared)}
+        | d.weights._asdict()
+        for d in services.config.current.deployments.values()
+    ]
+
+
+@shows("holds")
+def _holds_rows(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    return [rule._asdict() for rule in services.config.current.holds.values()]
+
+
+@shows("stores")
+def _stores(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    return [
+        {"store": s.name, "address": s.address, "data_centre": s.data_centre}
+        | {"memory": s.memory, "disk": s.disk, "link": s.link_rate}
+        | {"usable": services.stores.usable(s)}
+        for s in services.config.current.stores.values()
+    ]
+
+
+@shows("targets")
+def _targets(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    return [
+        {
+            "target": t.name,
+            "role": t.role.value,
+            "address": t.address,
+            "data_centre": t.data_centre,
+            "serves": t.serves,
+            "checks": t.checks,
+            "leaving": t.draining or services.leaving(t.name),
+        }
+        for t in services.config.current.targets.values()
+    ]
+
+
+# --- the present state -----------------------------------------------------
+
+
+@shows("load")
+def _load(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    now = time.monotonic()
+    rows = []
+    for target in services.config.current.targets.values():
+        load, own, breaker = services.board.load(target.name)
+        heard = load.heard_at > float("-inf")
+        rows.append(
+            {
+                "target": target.name,
+                "running": load.running,
+                "queued": load.queued,
+                "backlog": load.backlog,
+                "own": own,
+                "breaker": breaker,
+                "age": round(now - load.heard_at, 1) if heard else None,
+            }
+        )
+    return rows
+
+
+@shows("held")
+def _held(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    rows: Rows = []
+    for store in services.config.current.stores.values():
+        try:
+            held = services.stores.client(store).held()
+        except OutsideError:
+            partial.append(f"store {store.name} cannot be asked")
+            continue
+        for entry in held:
+            customer, model, version = entry.path.split("/")[:3]
+            rows.append(
+                {"customer": customer, "model": model, "version": version, "store": store.name}
+                | {"tier": entry.tier, "blocks": entry.blocks, "size": entry.size}
+                | {"idle": round(entry.idle)}
+            )
+    return rows
+
+
+@shows("nodes")
+def _nodes(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    rows = []
+    for member in nodes.membership.members:
+        revision = None
+        if member.name == nodes.membership.me.name:
+            revision = services.config.revision
+        elif member.status is not Status.DEAD:
+            revision = nodes.peers.revision(member.name)
+        rows.append(
+            {
+                "node": member.name,
+                "http": member.http,
+                "data_centre": member.data_centre,
+                "status": member.status.name.lower(),
+                "revision": revision,
+            }
+        )
+    return sorted(rows, key=lambda row: str(row["node"]))
+
+
+@shows("duties")
+def _duties(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    from .leasing import decode_lease
+
+    try:
+        rows = nodes.table.scan(LEASE_PREFIX, LEASE_PREFIX, _MOST_ROWS)
+    except OutsideError:
+        partial.append("the platform's table cannot be read")
+        return []
+    leases: list[LeaseRow] = [decode_lease(row) for row in rows]
+    return [{"duty": x.duty, "holder": x.holder, "fence": x.fence} for x in leases]
+
+
+@shows("counters")
+def _counters(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+    totals = sorted(services.metrics.totals.items())
+    return [{"counter": name, "value": value} for name, value in totals]
--- /dev/null
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -0,0 +1,193 @@
+"""Relay a run's events to its caller, whole or visibly cut.
+
+What arrives is passed through as it is while its numbers are in order.  A run
+that breaks off is resumed at the next event on another target; when that
+cannot be, the stream ends with an error event, never with the end mark.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import time
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import msgspec
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.interfaces import OutsideError
+from fielddrift_core.routing import Choice
+from fielddrift_core.stream import EventSequencer, StreamError
+
+from .exchange import Answer, Exchange
+from .exporter import keep_prefix
+from .http_client import Stream
+from .settle import settle_refused
+from .targets import EngineHead, RunOrder
+
+__all__ = ["Broken", "Relay", "Started", "whole_answer"]
+
+_MOST_RESUMES = 3
+_TEXT = re.compile(rb'^data: (\{"choices".*\})$', re.MULTILINE)
+
+
+class Started(NamedTuple):
+    """A run whose head has come and was checked."""
+
+    choice: Choice
+    order: RunOrder
+    stream: Stream
+    head: EngineHead
+
+
+Resume = Callable[[Exchange, int], Started | None]
+
+
+class Broken(Exception):
+    """A run that could not be brought to its end."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class Relay:
+    """Iterate over the bytes for the caller of one run."""
+
+    def __init__(self, *, exchange: Exchange, started: Started, resume: Resume) -> None:
+        self._exchange = exchange
+        self._started = started
+        self._resume = resume
+        self._sequencer = EventSequencer()
+        self._resumes = 0
+        self._ttft = time.monotonic() - exchange.began_at
+        self._note_start(self._ttft)
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return what the caller is told of the run at its head."""
+        return {
+            "Fielddrift-Target": self._started.choice.target.name,
+            "Fielddrift-Source": self._started.choice.source.value,
+            "Fielddrift-Version": self._started.head.version,
+            "Fielddrift-Ttft": f"{self._ttft:.3f}",
+        }
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield events; a broken run ends in an error event."""
+        try:
+            yield from self.events()
+        except Broken as broken:
+            self._exchange.services.metrics.refused(broken.refusal)
+            problem = broken.refusal.problem(request_id=self._exchange.request_id)
+            yield b"event: error\ndata: " + json.dumps(problem).encode() + b"\n\n"
+
+    def events(self) -> Iterator[bytes]:
+        """Yield events in order, each once; raise `Broken` when the run breaks off."""
+        ended = False
+        try:
+            while not self._sequencer.whole:
+                yield from self._pass_on()
+                if not self._sequencer.whole:
+                    self._take_up_again()
+            ended = True
+        finally:
+            self._end(ended)
+
+    def _pass_on(self) -> Iterator[bytes]:
+        """Yield what the present stream gives until it ends or breaks."""
+        try:
+            for data in self._started.stream:
+                ready = self._sequencer.feed(data)
+                if ready:
+                    yield ready
+                if self._sequencer.whole:
+                    return
+        except (OutsideError, StreamError) as error:
+            self._fault = str(error)
+        else:
+            self._fault = "the stream ended without its end mark"
+
+    def _take_up_again(self) -> None:
+        name = self._started.choice.target.name
+        exchange = self._exchange
+        self._stop_run()
+        exchange.services.board.failed(name)
+        exchange.failed.add(name)
+        self._resumes += 1
+        self._sequencer.restart()
+        started = None
+        if self._resumes <= _MOST_RESUMES:
+            started = self._resume(exchange, self._sequencer.following)
+        if started is None:
+            raise Broken(self._cut())
+        self._started = started
+
+    def _cut(self) -> Refusal:
+        detail = f"cut after event {self._sequencer.following - 1}: {self._fault}"
+        return Refusal(Kind.CUT, detail, Ran.UNKNOWN, 0.5)
+
+    # --- accounting --------------------------------------------------------
+
+    def _note_start(self, ttft: float) -> None:
+        head = self._started.head
+        metrics = self._exchange.services.metrics
+        metrics.time("ttft", ttft)
+        metrics.add("blocks.memory", head.memory)
+        metrics.add("blocks.imported", head.imported)
+        metrics.add("blocks.recomputed", head.recomputed)
+        found = self._exchange.found
+        if head.imported and found:
+            metrics.add("link.imported", found.manifest.size)
+
+    def _stop_run(self) -> None:
+        self._started.stream.close()
+        services = self._exchange.services
+        services.board.ended(self._started.choice.target.name, self._started.order.run)
+
+    def _end(self, whole: bool) -> None:
+        exchange = self._exchange
+        services = exchange.services
+        self._stop_run()
+        if not whole:
+            services.targets.cancel(self._started.choice.target, self._started.order.run)
+            settle_refused(exchange, self._cut_unknown())
+            return
+        services.requests.note(exchange.request_id, exchange.customer.name, "ran")
+        services.metrics.add("answers.whole")
+        self._remember()
+        services.pool.submit(keep_prefix, exchange, self._started)
+
+    def _cut_unknown(self) -> Refusal:
+        return Refusal(Kind.CUT, "the stream was not brought to its end", Ran.UNKNOWN)
+
+    def _remember(self) -> None:
+        exchange = self._exchange
+        if exchange.digests:
+            exchange.services.board.remember(
+                self._started.choice.target.name,
+                exchange.digests[-1],
+                len(exchange.digests),
+                self._started.head.root,
+            )
+
+
+def whole_answer(exchange: Exchange, relay: Relay) -> Answer:
+    """Return the whole text as one answer; raise `Broken` when it was cut."""
+    events = b"".join(relay.events())
+    texts = [msgspec.json.decode(data)["choices"][0]["text"] for data in _TEXT.findall(events)]
+    assert exchange.completion is not None
+    body = json.dumps(
+        {
+            "id": exchange.request_id,
+            "object": "text_completion",
+            "model": exchange.completion.model,
+            "choices": [{"index": 0, "text": "".join(texts), "finish_reason": "length"}],
+            "usage": {"completion_tokens": len(texts)},
+        }
+    ).encode()
+    if exchange.claim:
+        exchange.services.claims.ran(
+            exchange.claim, status=200, content_type="application/json", body=body
+        )
+    return Answer(200, "application/json", body, relay.headers)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/stores.py
@@ -0,0 +1,189 @@
+"""Keep and find prefixes on store hosts.
+
+A prefix becomes visible by one conditional create of its manifest, after all
+of its parts are written; it is freed by taking the manifest away first.
+"""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeout
+from concurrent.futures import wait as wait_for
+from typing import Any, NamedTuple
+
+import msgspec
+from fielddrift_core.holding import Held
+from fielddrift_core.interfaces import OutsideError
+from fielddrift_core.model import Configuration, StoreHost
+from fielddrift_core.names import Manifest, Part, PrefixName, rank
+from fielddrift_core.retries import Breaker
+
+from .http_client import Call, HttpClient
+
+__all__ = ["Found", "StoreClient", "Stores", "placement"]
+
+_JSON = {"Content-Type": "application/json"}
+_LOOK_UP_SECONDS = 0.1
+_CANDIDATES = 2
+
+
+class Found(NamedTuple):
+    """A kept prefix and the store host that has it."""
+
+    manifest: Manifest
+    store: StoreHost
+
+
+class _Listed(msgspec.Struct):
+    path: str
+    attempt: str
+    blocks: int
+    digest: str
+    size: int
+    parts: list[Part]
+
+    def manifest(self) -> Manifest:
+        return Manifest(
+            self.path, self.attempt, self.blocks, self.digest, self.size, tuple(self.parts)
+        )
+
+
+class _Folder(msgspec.Struct):
+    manifests: list[_Listed]
+
+
+class _HeldList(msgspec.Struct):
+    held: list[Held]
+
+
+def placement(configuration: Configuration, folder: str) -> list[StoreHost]:
+    """Return the store hosts that may have the prefixes of `folder`, best first."""
+    weights = [(s.name, float(s.memory + s.disk)) for s in configuration.stores.values()]
+    return [configuration.stores[name] for name in rank(folder, weights)[:_CANDIDATES]]
+
+
+class StoreClient:
+    """Call one store host; raise `OutsideError`."""
+
+    def __init__(self, *, http: HttpClient, store: StoreHost) -> None:
+        self._http = http
+        self._url = f"http://{store.address}"
+
+    def folder(self, folder: str, *, timeout: float = _LOOK_UP_SECONDS) -> list[Manifest]:
+        """Return the manifests under `folder`."""
+        listed = self._get(f"manifests/{folder}", _Folder, timeout)
+        return [entry.manifest() for entry in listed.manifests]
+
+    def create(self, manifest: Manifest) -> bool:
+        """Create `manifest`; False when there is one already."""
+        body = msgspec.json.encode(manifest._asdict())
+        return self._send("POST", "manifests", body) != 409
+
+    def remove(self, path: str, attempt: str) -> bool:
+        """Take a manifest away if it is still that attempt's; False when not."""
+        return self._send("DELETE", f"manifests/{path}?attempt={attempt}") != 409
+
+    def held(self) -> list[Held]:
+        """Return all kept prefixes."""
+        held: list[Held] = self._get("held", _HeldList, 5.0).held
+        return held
+
+    def parts(self) -> list[str]:
+        """Return the ids of all parts."""
+        return list(self._get("parts", dict[str, list[str]], 5.0)["parts"])
+
+    def delete_part(self, part: str) -> None:
+        """Delete a part; harmless when it is gone."""
+        self._send("DELETE", f"parts/{part}")
+
+    def set_tier(self, path: str, tier: str) -> None:
+        """Move a prefix to memory or disk."""
+        self._send("POST", "tier", msgspec.json.encode({"path": path, "tier": tier}))
+
+    def _get(self, path: str, kind: Any, timeout: float) -> Any:
+        call = Call("GET", f"{self._url}/{path}", timeout=timeout, connect_timeout=timeout)
+        reply = self._http.request(call)
+        if reply.status != 200:
+            raise OutsideError(f"{call.url}: status {reply.status}, expected 200")
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except msgspec.DecodeError as error:
+            raise OutsideError(f"{call.url}: {error}") from None
+
+    def _send(self, method: str, path: str, body: bytes | None = None) -> int:
+        reply = self._http.request(Call(method, f"{self._url}/{path}", body, _JSON))
+        if reply.status >= 400 and reply.status != 409:
+            raise OutsideError(f"{method} {self._url}/{path}: status {reply.status}")
+        return reply.status
+
+
+class Stores:
+    """Look prefixes up on the few store hosts that may have them.
+
+    A store host that failed is left alone for a while, so that requests fall
+    back to recomputing at once.
+    """
+
+    def __init__(self, *, http: HttpClient, pool: ThreadPoolExecutor) -> None:
+        self._http = http
+        self._pool = pool
+        self._breakers: dict[str, Breaker] = {}
+
+    def client(self, store: StoreHost) -> StoreClient:
+        """Return the client of one store host."""
+        return StoreClient(http=self._http, store=store)
+
+    def usable(self, store: StoreHost) -> bool:
+        """Return whether a store host may be asked now."""
+        return self._breaker(store).allows(time.monotonic())
+
+    def note(self, store: StoreHost, *, worked: bool) -> None:
+        """Note how a call to a store host went."""
+        breaker = self._breaker(store)
+        if worked:
+            breaker.succeeded()
+        else:
+            breaker.failed(time.monotonic())
+
+    def find(
+        self, configuration: Configuration, name: PrefixName, digests: list[str]
+    ) -> Found | None:
+        """Return the longest kept prefix of a prompt; None when none is found in time."""
+        asked = {
+            self._pool.submit(self._look, store, name.folder): store
+            for store in placement(configuration, name.folder)
+            if self.usable(store)
+        }
+        wait_for(asked, timeout=2 * _LOOK_UP_SECONDS)
+        found = [
+            Found(manifest, store)
+            for future, store in asked.items()
+            for manifest in self._done(future)
+            if _fits(manifest, digests)
+        ]
+        return max(found, key=lambda f: f.manifest.blocks, default=None)
+
+    def _look(self, store: StoreHost, folder: str) -> list[Manifest]:
+        try:
+            found = self.client(store).folder(folder)
+        except OutsideError:
+            self.note(store, worked=False)
+            return []
+        self.note(store, worked=True)
+        return found
+
+    def _done(self, future: Future[list[Manifest]]) -> list[Manifest]:
+        try:
+            return future.result(timeout=0)
+        except (FutureTimeout, OutsideError):
+            return []
+
+    def _breaker(self, store: StoreHost) -> Breaker:
+        return self._breakers.setdefault(store.name, Breaker())
+
+
+def _fits(manifest: Manifest, digests: list[str]) -> bool:
+    """Return whether the manifest's prefix is one of the prompt's own."""
+    blocks = manifest.blocks
+    return 0 < blocks <= len(digests) and manifest.digest == digests[blocks - 1]
