--- a/packages/core/src/fielddrift_core/claims.py
+++ b/packages/core/src/fielddrift_core/claims.py
@@ -9,12 +9,34 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from enum import StrEnum
 from typing import NamedTuple
 
 from .errors import Kind, Ran, Refusal
 
-__all__ = ["ClaimBook", "ClaimRow", "ClaimState", "Found", "Word", "claim_key", "judge"]
+__all__ = [
+    "Ask",
+    "ClaimBook",
+    "ClaimRow",
+    "ClaimState",
+    "Claiming",
+    "Event",
+    "Found",
+    "Insert",
+    "Outcome",
+    "Seen",
+    "Step",
+    "TakeOver",
+    "Word",
+    "claim_key",
+    "claiming",
+    "judge",
+    "table_down",
+]
+
+
+RETRY_AFTER = 2.0
 
 
 class ClaimState(StrEnum):
@@ -55,7 +77,7 @@
 
 
 class Found(NamedTuple):
-    """What to do after a claim row was found: run, answer with it, or refuse."""
+    """What a row found in the table means: run, answer with it, take it over, or refuse."""
 
     run: bool = False
     kept: ClaimRow | None = None
@@ -63,6 +85,45 @@
     refusal: Refusal | None = None
 
 
+class Seen(NamedTuple):
+    """A claim row as the table has it, with its version there."""
+
+    row: ClaimRow
+    version: int
+
+
+class Insert(NamedTuple):
+    """Step: insert `row` unless its key is there; the event is what is there then."""
+
+    row: ClaimRow
+
+
+class Ask(NamedTuple):
+    """Step: ask the claimant of `row` for its word; the event is the word."""
+
+    row: ClaimRow
+
+
+class TakeOver(NamedTuple):
+    """Step: write `row` over the version given; the event is what is there then."""
+
+    row: ClaimRow
+    version: int
+
+
+class Outcome(NamedTuple):
+    """The end of claiming: held at `version`, the kept row, or a refusal."""
+
+    version: int = 0
+    kept: ClaimRow | None = None
+    refusal: Refusal | None = None
+
+
+Step = Insert | Ask | TakeOver
+Event = Seen | Word | None
+Claiming = Generator[Step, Event, Outcome]
+
+
 def claim_key(customer: str, key: str) -> str:
     """Return the table key of a claim."""
     return f"claim/{customer}/{key}"
@@ -89,6 +150,37 @@
     return Found(refusal=_unknown(row))
 
 
+def claiming(mine: ClaimRow, book: ClaimBook) -> Claiming:
+    """Yield the steps that claim `mine`; the outcome is the generator's value.
+
+    Send None as the event of a write when it is not known whether it took
+    effect: the attempt is then abandoned before anything else is said.
+    """
+    book.open(mine.attempt)
+    event = yield Insert(mine)
+    while isinstance(event, Seen):
+        seen = event
+        if seen.row.attempt == mine.attempt and seen.row.state is ClaimState.CLAIMED:
+            return Outcome(version=seen.version)
+        word = None
+        if seen.row.state is ClaimState.CLAIMED:
+            answered = yield Ask(seen.row)
+            word = answered if isinstance(answered, Word) else None
+        found = judge(seen.row, mine, word)
+        if not found.take_over:
+            book.abandon(mine.attempt)
+            return Outcome(kept=found.kept, refusal=found.refusal)
+        event = yield TakeOver(mine, seen.version)
+    book.abandon(mine.attempt)
+    return Outcome(refusal=table_down("whether the claim was written is not known"))
+
+
+def table_down(why: str) -> Refusal:
+    """Return the refusal for a claim that the table did not confirm."""
+    detail = f"a request that may not be repeated needs the platform's table: {why}"
+    return Refusal(Kind.PLATFORM_DOWN, detail, Ran.NO, retry_after=RETRY_AFTER)
+
+
 def _key_reused(row: ClaimRow) -> Refusal:
     detail = f"Idempotency-Key {row.key!r}: used before with another body, method or path"
     return Refusal(Kind.KEY_REUSED, detail, Ran.NO)
--- a/packages/core/src/fielddrift_core/commands.py
+++ b/packages/core/src/fielddrift_core/commands.py
@@ -303,7 +303,7 @@
     if command.version not in deployment.prepared:
         detail = f"version: {command.version!r} of {command.name!r} is not prepared"
         raise _reject(Kind.CONFLICT, detail)
-    swapped = deployment._replace(version=command.version, prepared=())
+    swapped = deployment._replace(version=command.version, prepared=(), previous=deployment.version)
     return configuration._replace(deployments={**configuration.deployments, command.name: swapped})
 
 
--- a/packages/core/src/fielddrift_core/configlog.py
+++ b/packages/core/src/fielddrift_core/configlog.py
@@ -99,11 +99,15 @@
         """Return the highest revision known to be accepted."""
         return max(self._heard, self.revision)
 
-    def hear(self, revision: int) -> bool:
-        """Note that `revision` was accepted; return whether entries are missing."""
-        self._heard = max(self._heard, revision)
+    @property
+    def behind(self) -> bool:
+        """Return whether accepted entries are missing here."""
         return self.heard > self.revision
 
+    def hear(self, revision: int) -> None:
+        """Note that `revision` was accepted somewhere."""
+        self._heard = max(self._heard, revision)
+
     def missing(self) -> range:
         """Return the revisions still to be fetched."""
         return range(self.revision + 1, self.heard + 1)
--- a/packages/core/src/fielddrift_core/membership.py
+++ b/packages/core/src/fielddrift_core/membership.py
@@ -115,7 +115,7 @@
     def outgoing(self) -> tuple[list[Member], list[TargetWord]]:
         """Return the least spread words, as many as a message holds."""
         limit = _SPREAD_FACTOR * math.ceil(math.log2(len(self._members) + 2))
-        chosen = sorted(self._spread, key=self._spread.__getitem__)[:UPDATES_A_MESSAGE]
+        chosen = sorted(self._spread, key=self._spread_order)[:UPDATES_A_MESSAGE]
         for key in chosen:
             self._spread[key] += 1
             if self._spread[key] >= limit:
@@ -124,6 +124,12 @@
         words = [self._words[key] for key in chosen if key in self._words]
         return members, words
 
+    def _spread_order(self, key: str) -> tuple[bool, int]:
+        # Words on leaving and failing go before the many on those who are well.
+        member = self._members.get(key)
+        well = member is not None and member.status is Status.ALIVE
+        return (well, self._spread[key])
+
     # --- what was heard ----------------------------------------------------
 
     def hear(self, members: Iterable[Member], words: Iterable[TargetWord], now: float) -> None:
@@ -176,7 +182,10 @@
     def _deny(self, word: Member, now: float) -> None:
         if word.rank <= self._me.rank:
             return
-        self._me = self._me._replace(incarnation=word.incarnation + 1)
+        if word.status is Status.LEAVING:
+            self._me = self._me._replace(incarnation=word.incarnation, status=Status.LEAVING)
+        else:
+            self._me = self._me._replace(incarnation=word.incarnation + 1)
         self._set(self._me, now)
 
     def _set(self, member: Member, now: float) -> None:
--- a/packages/core/src/fielddrift_core/model.py
+++ b/packages/core/src/fielddrift_core/model.py
@@ -58,13 +58,15 @@
     """A model that callers ask for by name, and its weight versions.
 
     `version` is the one in force; `prepared` are versions that engines load
-    ahead of a swap.
+    ahead of a swap; `previous` was in force before, and is kept loaded until
+    all nodes can have heard of the swap.
     """
 
     model: str
     version: str
     prepared: tuple[str, ...] = ()
     weights: Weights = Weights()
+    previous: str = ""
 
     @property
     def wanted(self) -> tuple[str, ...]:
--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -48,7 +48,7 @@
     def __init__(self, *, data_centre: str) -> None:
         self._data_centre = data_centre
         self._notes: dict[str, TargetNote] = {}
-        self._hints: OrderedDict[tuple[str, str], tuple[int, str]] = OrderedDict()
+        self._hints: OrderedDict[str, dict[str, tuple[int, str]]] = OrderedDict()
         self._active: dict[str, float] = {}
         self._lock = threading.Lock()
 
@@ -73,9 +73,7 @@
                 self._drop_hints(name)
             note.sequence = sequence
             evicted = set(gone)
-            stale = [k for k, (_, root) in self._hints.items() if k[0] == name and root in evicted]
-            for key in stale:
-                del self._hints[key]
+            self._drop_hints(name, evicted)
 
     def event_sequence(self, name: str) -> int:
         """Return the number of the last cache event heard from a target."""
@@ -85,8 +83,8 @@
     def remember(self, name: str, digest: str, blocks: int, target_root: str) -> None:
         """Hint that target `name` has the prefix that ends in `digest`."""
         with self._lock:
-            self._hints[(name, digest)] = (blocks, target_root)
-            self._hints.move_to_end((name, digest))
+            self._hints.setdefault(digest, {})[name] = (blocks, target_root)
+            self._hints.move_to_end(digest)
             while len(self._hints) > _MOST_HINTS:
                 self._hints.popitem(last=False)
 
@@ -134,12 +132,13 @@
         """Return what is known of those `targets` that may get a request now."""
         now = time.monotonic()
         with self._lock:
+            in_memory = self._in_memory(digests)
             views = []
             for target in targets:
                 note = self._note(target.name)
                 loaded = not version or note.versions is None or version in note.versions
                 if loaded and note.breaker.allows(now):
-                    views.append(self._view(target, note, digests))
+                    views.append(self._view(target, note, in_memory.get(target.name, 0)))
             return views
 
     def run_seconds(self, targets: Sequence[Target]) -> float:
@@ -171,28 +170,34 @@
         due = sorted((at, name) for at, name in old if now - at >= _VIEW_AGE_SECONDS)
         return [configuration.targets[name] for _, name in due]
 
-    def _view(self, target: Target, note: TargetNote, digests: Sequence[str]) -> TargetView:
+    def _view(self, target: Target, note: TargetNote, memory_blocks: int) -> TargetView:
         sent, tokens = note.sent_since()
         return TargetView(
             target=target,
             load=note.load,
             sent=sent,
             sent_tokens=tokens,
-            memory_blocks=self._in_memory(target.name, digests),
+            memory_blocks=memory_blocks,
             near=target.data_centre == self._data_centre,
         )
 
-    def _in_memory(self, name: str, digests: Sequence[str]) -> int:
-        for blocks in range(len(digests), 0, -1):
-            if (name, digests[blocks - 1]) in self._hints:
-                return blocks
-        return 0
+    def _in_memory(self, digests: Sequence[str]) -> dict[str, int]:
+        """Return the longest hinted prefix of a prompt, by target."""
+        found: dict[str, int] = {}
+        for digest in reversed(digests):
+            for name, (blocks, _) in self._hints.get(digest, {}).items():
+                found.setdefault(name, blocks)
+        return found
 
     def _note(self, name: str) -> TargetNote:
         if name not in self._notes:
             self._notes[name] = TargetNote()
         return self._notes[name]
 
-    def _drop_hints(self, name: str) -> None:
-        for key in [key for key in self._hints if key[0] == name]:
-            del self._hints[key]
+    def _drop_hints(self, name: str, roots: set[str] | None = None) -> None:
+        """Drop the hints on a target, all or those with one of its own `roots`."""
+        for digest, by_target in list(self._hints.items()):
+            if name in by_target and (roots is None or by_target[name][1] in roots):
+                del by_target[name]
+                if not by_target:
+                    del self._hints[digest]
--- a/packages/node/src/fielddrift_node/callers.py
+++ b/packages/node/src/fielddrift_node/callers.py
@@ -22,6 +22,7 @@
 from .log import get
 from .operators import Operators
 from .services import Services
+from .settle import truthful
 
 __all__ = ["CallersApp"]
 
@@ -139,11 +140,30 @@
 
     def _run(
         self, request: Request, request_id: str, path: dict[str, str], filters: tuple[Filter, ...]
+    ) -> Response:
+        places = self._services.places
+        if not places.take():
+            detail = "this node has as many requests as it can hold"
+            refusal = Refusal(Kind.OVERLOADED, detail, Ran.NO, 0.5)
+            return self._refuse(truthful(refusal, dict(request.headers)), request_id)
+        try:
+            response = self._run_filters(request, request_id, path, filters)
+        except BaseException:
+            places.give_back()
+            raise
+        response.call_on_close(places.give_back)
+        return response
+
+    def _run_filters(
+        self, request: Request, request_id: str, path: dict[str, str], filters: tuple[Filter, ...]
     ) -> Response:
         exchange = self._exchange(request, request_id, path)
         outcome: Result[Exchange, Refusal] = run_filters(exchange, filters)
         if outcome.is_err():
-            return self._refuse(outcome.unwrap_err(), request_id)
+            refusal = outcome.unwrap_err()
+            if exchange.claim is None:
+                refusal = truthful(refusal, dict(request.headers))
+            return self._refuse(refusal, request_id)
         assert exchange.answer is not None
         return _respond(exchange.answer)
 
--- a/packages/node/src/fielddrift_node/claims.py
+++ b/packages/node/src/fielddrift_node/claims.py
@@ -19,15 +19,23 @@
 
 import msgspec
 from fielddrift_core.claims import (
+    Ask,
     ClaimBook,
+    Claiming,
     ClaimRow,
     ClaimState,
-    Found,
+    Event,
+    Insert,
+    Outcome,
+    Seen,
+    Step,
+    TakeOver,
     Word,
     claim_key,
-    judge,
+    claiming,
+    table_down,
 )
-from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.errors import Refusal
 from fielddrift_core.interfaces import OutsideError, Row, Table, Transaction, Write
 from fielddrift_core.retries import Breaker
 
@@ -40,7 +48,6 @@
 _MOST_IN_GROUP = 64
 _LONGEST_BODY = 16_384
 _CLEAN_SECONDS = 1.0
-_RETRY_AFTER = 2.0
 
 
 class Claim(NamedTuple):
@@ -112,21 +119,13 @@
         A refusal that says "not run" is given only after the attempt was
         abandoned.
         """
+        if not self._breaker.allows(time.monotonic()):
+            return table_down("the table failed a moment ago")
         row = ClaimRow(customer, key, self._claimant, self._address, uuid.uuid4().hex, digest)
-        with self._lock:
-            if not self._breaker.allows(time.monotonic()):
-                return _table_down("the table failed a moment ago")
-            self._book.open(row.attempt)
-        write = Write(claim_key(customer, key), _encode(row), if_absent=True)
-        try:
-            kept = self._submit(write)
-        except FutureTimeout:
-            with self._lock:
-                self._breaker.failed(time.monotonic())
-            return self._give_up(row, "no answer to the claim in time")
-        except OutsideError as error:
-            return self._give_up(row, f"claim not confirmed: {error}")
-        return self._settle(row, kept)
+        outcome = self._drive(claiming(row, self._book))
+        if outcome.refusal is not None:
+            return outcome.refusal
+        return outcome.kept or Claim(row, outcome.version)
 
     def begin_send(self, claim: Claim) -> bool:
         """Allow the send, once; False when the claim was abandoned."""
@@ -171,47 +170,55 @@
         with self._lock:
             return self._book.word(attempt)
 
-    # --- deciding ----------------------------------------------------------
-
-    def _settle(self, mine: ClaimRow, kept: Row) -> Claim | ClaimRow | Refusal:
-        found_row = _decode(kept)
-        if found_row.attempt == mine.attempt:
-            return Claim(mine, kept.version)
-        word = None
-        if found_row.state is ClaimState.CLAIMED:
-            word = self._word_of(found_row)
-        found = judge(found_row, mine, word)
-        if found.take_over:
-            return self._take_over(mine, kept)
-        self._abandon(mine)
-        return _outcome(found)
+    # --- claiming ----------------------------------------------------------
+
+    def _drive(self, steps: Claiming) -> Outcome:
+        event: Event = None
+        try:
+            while True:
+                with self._lock:
+                    step = steps.send(event)
+                event = self._do(step)
+        except StopIteration as ended:
+            outcome: Outcome = ended.value
+            return outcome
+
+    def _do(self, step: Step) -> Event:
+        match step:
+            case Insert(row):
+                write = Write(claim_key(row.customer, row.key), _encode(row), if_absent=True)
+                return self._seen(row, lambda: self._submit(write))
+            case TakeOver(row, version):
+                return self._seen(row, lambda: self._write_over(row, version))
+            case Ask(row):
+                return self._word_of(row)
+
+    def _seen(self, row: ClaimRow, write: Callable[[], Row]) -> Seen | None:
+        """Return what is in the table after `write`, None when that is not known."""
+        try:
+            kept = write()
+        except FutureTimeout:
+            with self._lock:
+                self._breaker.failed(time.monotonic())
+        except OutsideError as error:
+            get().info("claim not confirmed", key=row.key, error=str(error))
+        else:
+            return Seen(_decode(kept), kept.version)
+        self._note_unclean(row._replace(state=ClaimState.NOT_RUN))
+        return None
+
+    def _write_over(self, row: ClaimRow, version: int) -> Row:
+        write = Write(claim_key(row.customer, row.key), _encode(row), expect=version)
+        result = self._table.commit(Transaction((write,)))
+        if result.ok:
+            self._metrics.add("claims.taken_over")
+        return result.rows[0]
 
     def _word_of(self, row: ClaimRow) -> Word | None:
         if row.claimant == self._claimant:
             return self.word(row.claimant, row.attempt)
         return self._ask(row)
 
-    def _take_over(self, mine: ClaimRow, kept: Row) -> Claim | ClaimRow | Refusal:
-        write = Write(kept.key, _encode(mine), expect=kept.version)
-        try:
-            result = self._table.commit(Transaction((write,)))
-        except OutsideError as error:
-            return self._give_up(mine, f"claim not confirmed: {error}")
-        if not result.ok:
-            return self._settle(mine, result.rows[0])
-        self._metrics.add("claims.taken_over")
-        return Claim(mine, result.rows[0].version)
-
-    def _give_up(self, row: ClaimRow, why: str) -> Refusal:
-        self._abandon(row)
-        key = claim_key(row.customer, row.key)
-        self._unclean[key] = _Unclean(row._replace(state=ClaimState.NOT_RUN), time.monotonic())
-        return _table_down(why)
-
-    def _abandon(self, row: ClaimRow) -> None:
-        with self._lock:
-            self._book.abandon(row.attempt)
-
     # --- writing -----------------------------------------------------------
 
     def _submit(self, write: Write) -> Row:
@@ -220,8 +227,8 @@
         return pending.done.result(timeout=self._timeout)
 
     def _finish(self, claim: Claim, row: ClaimRow) -> None:
+        self._note_unclean(row)
         key = claim_key(row.customer, row.key)
-        self._unclean[key] = _Unclean(row, time.monotonic())
         self._inbox.put(_Pending(Write(key, _encode(row), expect=claim.version), Future()))
 
     def _group(self) -> None:
@@ -281,9 +288,10 @@
     def _done(self, pending: _Pending, row: Row) -> None:
         written = row.value == pending.write.value
         if written and not pending.write.if_absent:
-            self._unclean.pop(row.key, None)
+            attempt = _decode(row).attempt
+            self._unclean.pop(attempt, None)
             with self._lock:
-                self._book.close(_decode(row).attempt)
+                self._book.close(attempt)
         pending.done.set_result(row)
 
     def _table_worked(self, group: list[_Pending]) -> None:
@@ -294,6 +302,10 @@
 
     # --- cleaning up -------------------------------------------------------
 
+    def _note_unclean(self, row: ClaimRow) -> None:
+        # By attempt: two attempts on one key may both be unsettled in an outage.
+        self._unclean[row.attempt] = _Unclean(row, time.monotonic())
+
     def _clean(self) -> None:
         while not self._stopped.wait(_CLEAN_SECONDS):
             self._clean_once(age=_CLEAN_SECONDS)
@@ -301,17 +313,20 @@
     def _clean_once(self, *, age: float) -> None:
         """Write the outcomes that have not reached the table for `age` seconds."""
         now = time.monotonic()
-        for key, unclean in list(self._unclean.items()):
+        for attempt, unclean in list(self._unclean.items()):
             if now - unclean.since < age:
                 continue
             try:
-                self._clean_row(key, unclean.row)
+                self._clean_row(unclean.row)
             except OutsideError as error:
-                get().warning("claim not settled yet", key=key, error=str(error))
+                get().warning("claim not settled yet", key=unclean.row.key, error=str(error))
                 return
-            self._unclean.pop(key, None)
+            self._unclean.pop(attempt, None)
+            with self._lock:
+                self._book.close(attempt)
 
-    def _clean_row(self, key: str, wanted: ClaimRow) -> None:
+    def _clean_row(self, wanted: ClaimRow) -> None:
+        key = claim_key(wanted.customer, wanted.key)
         row = self._table.read([key])[0]
         if row.version and _decode(row).attempt == wanted.attempt:
             write = Write(key, _encode(wanted), expect=row.version)
@@ -324,15 +339,3 @@
 
 def _decode(row: Row) -> ClaimRow:
     return msgspec.json.decode(row.value, type=ClaimRow)
-
-
-def _table_down(why: str) -> Refusal:
-    detail = f"a request that may not be repeated needs the platform's table: {why}"
-    return Refusal(Kind.PLATFORM_DOWN, detail, Ran.NO, retry_after=_RETRY_AFTER)
-
-
-def _outcome(found: Found) -> ClaimRow | Refusal:
-    if found.kept is not None:
-        return found.kept
-    assert found.refusal is not None
-    return found.refusal
--- a/packages/node/src/fielddrift_node/cluster.py
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -197,9 +197,9 @@
     def catch_up(self, told_by: str = "") -> None:
         """Fetch what is missing of the configuration, from who told of it, else the table."""
         with self._catching_up:
-            if told_by and self._config.hear(0):
+            if told_by and self._config.behind:
                 self._fetch_from(told_by)
-            if self._config.hear(0) or not told_by:
+            if self._config.behind or not told_by:
                 try:
                     self._config.poll()
                 except OutsideError:
@@ -209,7 +209,7 @@
         try:
             first, last = self._config.revision + 1, self._config.heard
             self._config.take_entries(self._calls.entries(peer, first, last))
-            if self._config.hear(0):
+            if self._config.behind:
                 self._config.take_snapshot(self._calls.snapshot(peer).configuration)
         except (OutsideError, ValueError):
             return
@@ -223,9 +223,9 @@
     def _ping(self, name: str) -> bool:
         try:
             reply = self._calls.ping(name, self._gossip())
-        except OutsideError:
+            self._hear(reply)
+        except (OutsideError, ValueError):
             return False
-        self._hear(reply)
         return True
 
     def _gossip(self) -> pb.Gossip:
--- a/packages/node/src/fielddrift_node/configuration.py
+++ b/packages/node/src/fielddrift_node/configuration.py
@@ -120,10 +120,16 @@
             self._take_stored_snapshot()
         self._fetch()
 
+    @property
+    def behind(self) -> bool:
+        """Return whether accepted changes are missing here."""
+        return self._view.behind
+
     def hear(self, revision: int) -> bool:
-        """Note that `revision` was accepted; return whether entries are missing."""
+        """Note that `revision` was accepted; return whether changes are missing here."""
         with self._lock:
-            return self._view.hear(revision)
+            self._view.hear(revision)
+            return self._view.behind
 
     def take_entries(self, entries: list[str]) -> None:
         """Take entries from a peer, in any order."""
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -24,6 +24,7 @@
 from .cluster import Cluster
 from .configuration import ConfigSync, poll_seconds
 from .duties import Duties, StoreTender, TargetTender, duty_names
+from .exporter import Exporter
 from .http_client import HttpClient
 from .leasing import Leases, candidates
 from .log import get
@@ -33,7 +34,7 @@
 from .platform import HttpHostList, HttpObjectStore, HttpTable
 from .queries import Nodes
 from .servers import SERVERS
-from .services import Links, RequestLog, Services
+from .services import Links, Places, RequestLog, Services
 from .settings import Settings
 from .stores import Stores
 from .targets import LoadReport, TargetClient
@@ -66,6 +67,7 @@
         rng = random.Random(secrets.randbits(64))
         self._metrics = Metrics(address=settings["statsd"])
         self._pool = ThreadPoolExecutor(_POOL_THREADS, thread_name_prefix="pool")
+        self._exporter = Exporter()
         self._http = HttpClient()
         self._build_platform()
         self._requests = RequestLog()
@@ -128,6 +130,8 @@
             policy=POLICIES[self._settings["policy"]],
             rng=rng,
             pool=self._pool,
+            exporter=self._exporter,
+            places=Places(limit=self._settings["limits"]["requests"]),
             leaving=self._cluster.leaving,
             heard_headers=self._heard_headers,
         )
@@ -164,7 +168,7 @@
         rounds: list[tuple[str, Callable[[], None], Callable[[], float]]] = [
             ("tick", self._tick, lambda: TICK_SECONDS),
             ("gossip", self._cluster.turn, lambda: GOSSIP_SECONDS),
-            ("config", self._poll_config, lambda: poll_seconds(self._cluster.nodes())),
+            ("config", self._config.poll, lambda: poll_seconds(self._cluster.nodes())),
             ("hosts", self._poll_hosts, self._hosts_seconds),
             ("loads", self._poll_loads, lambda: LOAD_SECONDS),
             ("leases", self._turn_leases, lambda: LEASE_TURN_SECONDS),
@@ -193,6 +197,7 @@
         until = time.monotonic() + limits["stop_seconds"]
         while self._requests.running() and time.monotonic() < until:
             time.sleep(_STOP_LOOK_SECONDS)
+        self._exporter.close()
         self._pool.shutdown(wait=True, cancel_futures=True)
         self._server.stop()
         self._claims.close()
@@ -235,11 +240,6 @@
     def _hosts_seconds(self) -> float:
         return max(HOSTS_SECONDS, poll_seconds(self._cluster.nodes()))
 
-    def _poll_config(self) -> None:
-        if not self._cluster.membership.members:
-            return
-        self._config.poll()
-
     def _poll_hosts(self) -> None:
         hosts = self._hosts.hosts()
         self._cluster.hear_hosts(hosts)
--- a/packages/node/src/fielddrift_node/duties.py
+++ b/packages/node/src/fielddrift_node/duties.py
@@ -22,6 +22,7 @@
 __all__ = ["Duties", "StoreTender", "TargetTender", "duty_names"]
 
 GRACE_SECONDS = 3.0
+PREVIOUS_SECONDS = 8.0
 ORPHAN_SECONDS = 60.0
 _ORDERS = "orders/"
 _HOLDING = "holding/"
@@ -41,6 +42,7 @@
     def __init__(self, *, targets: TargetClient, metrics: Metrics) -> None:
         self._targets = targets
         self._metrics = metrics
+        self._in_force: dict[str, tuple[str, float]] = {}
 
     def tend(self, deployment: Deployment, engines: tuple[Target, ...], fence: int) -> None:
         """Order what differs from the wanted state, and read it back.
@@ -48,13 +50,24 @@
         A target that checks no orders may have been given an old one by
         another node: its state is read each time, not assumed.
         """
-        order = Order(fence, deployment.wanted)
+        order = Order(fence, self._wanted(deployment))
         for engine in engines:
             try:
                 self._tend_one(engine, order)
             except OutsideError as error:
                 get().info("order not confirmed", target=engine.name, error=str(error))
 
+    def _wanted(self, deployment: Deployment) -> tuple[str, ...]:
+        """Return the versions to order; the previous one stays for a while after a swap."""
+        now = time.monotonic()
+        version, since = self._in_force.get(deployment.model, ("", now))
+        if version != deployment.version:
+            since = now
+            self._in_force[deployment.model] = (deployment.version, since)
+        if deployment.previous and now - since < PREVIOUS_SECONDS:
+            return (*deployment.wanted, deployment.previous)
+        return deployment.wanted
+
     def _tend_one(self, engine: Target, order: Order) -> None:
         state = self._targets.state(engine)
         loaded = set(state["versions"]) >= set(order.versions)
--- a/packages/node/src/fielddrift_node/exchange.py
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from fielddrift_core.errors import Refusal
@@ -45,7 +45,7 @@
 
     status: int
     content_type: str
-    body: bytes | Iterator[bytes]
+    body: bytes | Iterable[bytes]
     headers: Mapping[str, str] = {}
 
 
--- a/packages/node/src/fielddrift_node/exporter.py
+++ b/packages/node/src/fielddrift_node/exporter.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import threading
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,27 +13,51 @@
 from fielddrift_core.model import StoreHost
 from fielddrift_core.names import Manifest, Part, PrefixName, prefix_name
 
-from .exchange import Exchange
 from .log import get
 from .stores import placement
 
 if TYPE_CHECKING:
+    from .exchange import Exchange
     from .relay import Started
 
-__all__ = ["keep_prefix"]
+__all__ = ["Exporter"]
 
 BLOCKS_A_PART = 32
 BYTES_A_BLOCK = 4096
 _EXPORT_SECONDS = 30.0
+_THREADS = 4
+_MOST_WAITING = 32
 
 
-def keep_prefix(exchange: Exchange, started: Started) -> None:
-    """Export the prefix of a finished run if it is worth it; never raise."""
-    try:
-        _keep(exchange, started)
-    except OutsideError as error:
-        exchange.services.metrics.add("exports.failed")
-        get().info("export failed", request=exchange.request_id, error=str(error))
+class Exporter:
+    """Export in the background, on threads that look-ups do not wait for.
+
+    When too many exports are waiting, further ones are skipped: a prefix that
+    is not kept costs time at its next return, and nothing else.
+    """
+
+    def __init__(self) -> None:
+        self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix="export")
+        self._room = threading.Semaphore(_MOST_WAITING)
+
+    def submit(self, exchange: Exchange, started: Started) -> None:
+        """Export the prefix of a finished run some time soon, if it is worth it."""
+        if not self._room.acquire(blocking=False):
+            exchange.services.metrics.add("exports.skipped")
+            return
+        self._pool.submit(self._run, exchange, started)
+
+    def close(self) -> None:
+        """Finish the exports under way, drop the waiting ones."""
+        self._pool.shutdown(wait=True, cancel_futures=True)
+
+    def _run(self, exchange: Exchange, started: Started) -> None:
+        try:
+            _keep(exchange, started)
+        except Exception:
+            get().exception("export failed", request=exchange.request_id)
+        finally:
+            self._room.release()
 
 
 def _keep(exchange: Exchange, started: Started) -> None:
--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -12,7 +12,7 @@
 
 from ..exchange import Answer, Exchange
 from ..http_client import Call, Reply
-from ..settle import TryFailed, settle_refused
+from ..settle import TryFailed, begin, settle_refused
 from ..targets import proved_not_started
 from .admit import no_target, usable
 
@@ -24,9 +24,8 @@
 def call_service(exchange: Exchange) -> Result[Exchange, Refusal]:
     """Set the service's answer; every refusal says whether the call ran."""
     services = exchange.services
-    if exchange.claim and not services.claims.begin_send(exchange.claim):
-        return Err(Refusal(Kind.PLATFORM_DOWN, "the claim was given up", Ran.NO, 1.0))
-    services.requests.note(exchange.request_id, exchange.customer.name, "running")
+    if refusal := begin(exchange):
+        return Err(refusal)
     outcome = _try_all(exchange)
     if isinstance(outcome, Refusal):
         settle_refused(exchange, outcome)
@@ -83,9 +82,9 @@
     finally:
         services.board.ended(target.name, exchange.request_id)
     services.heard_headers(target.name, reply.headers)
+    services.board.worked(target.name)
     if proved_not_started(reply):
         raise TryFailed(f"target {target.name}: did not start it", "not-started", sure=True)
-    services.board.worked(target.name)
     return reply
 
 
--- a/packages/node/src/fielddrift_node/filters/parse.py
+++ b/packages/node/src/fielddrift_node/filters/parse.py
@@ -13,10 +13,10 @@
 from werkzeug.wrappers import Request
 
 from ..exchange import CompletionAsk, Exchange, ServiceAsk
+from ..settle import KEY_HEADER
 
 __all__ = ["parse_completion", "parse_service"]
 
-KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Fielddrift-Deadline"
 NOT_REPEATABLE_HEADER = "Fielddrift-Not-Repeatable"
 
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -15,7 +15,7 @@
 from ..exchange import Answer, Exchange
 from ..http_client import Stream
 from ..relay import Broken, Relay, Started, whole_answer
-from ..settle import TryFailed, settle_refused
+from ..settle import TryFailed, begin, settle_refused
 from ..targets import EngineHead, RunOrder, proved_not_started, read_head
 from .admit import choose, no_target
 
@@ -24,6 +24,9 @@
 _TRIES = 3
 _PATIENCE_FACTOR = 4.0
 _PATIENCE_FLOOR = 2.0
+# An import that takes much longer than estimated is given up and recomputed.
+_IMPORT_FACTOR = 3.0
+_IMPORT_FLOOR = 0.2
 
 
 class _Tried(NamedTuple):
@@ -34,10 +37,8 @@
 def run_completion(exchange: Exchange) -> Result[Exchange, Refusal]:
     """Set the answer: a stream being relayed, or the whole text."""
     assert exchange.completion is not None
-    services = exchange.services
-    if exchange.claim and not services.claims.begin_send(exchange.claim):
-        return Err(Refusal(Kind.PLATFORM_DOWN, "the claim was given up", Ran.NO, 1.0))
-    services.requests.note(exchange.request_id, exchange.customer.name, "running")
+    if refusal := begin(exchange):
+        return Err(refusal)
     tried = _start(exchange, resume_at=1)
     if tried.started is None:
         assert tried.refusal is not None
@@ -45,7 +46,7 @@
         return Err(tried.refusal)
     relay = Relay(exchange=exchange, started=tried.started, resume=_resume)
     if exchange.completion.stream:
-        exchange.answer = Answer(200, "text/event-stream", iter(relay), relay.headers)
+        exchange.answer = Answer(200, "text/event-stream", relay, relay.headers)
         return Ok(exchange)
     try:
         exchange.answer = whole_answer(exchange, relay)
@@ -126,6 +127,7 @@
         raise TryFailed(str(error), reason, sure=error.sure) from None
     services.heard_headers(name, head.headers)
     if proved_not_started(head):
+        services.board.worked(name)
         raise TryFailed(f"target {name}: did not start it", "not-started", sure=True)
     if head.status != 200:
         services.board.failed(name)
@@ -149,11 +151,16 @@
 
 def _order(exchange: Exchange, choice: Choice, attempt: str, resume_at: int) -> RunOrder:
     ask = exchange.completion
-    assert ask is not None
+    assert ask is not None and exchange.need is not None
     context = None
     if choice.source is Source.IMPORT and exchange.found is not None:
         manifest, store = exchange.found
-        context = {"store": store.address, "blocks": manifest.blocks, "parts": manifest.parts}
+        context = {
+            "store": store.address,
+            "blocks": manifest.blocks,
+            "parts": manifest.parts,
+            "seconds": _IMPORT_FLOOR + _IMPORT_FACTOR * exchange.need.kept.seconds,
+        }
     return RunOrder(
         run=f"{exchange.request_id}.{resume_at}.{attempt}",
         customer=exchange.customer.name,
--- a/packages/node/src/fielddrift_node/main.py
+++ b/packages/node/src/fielddrift_node/main.py
@@ -15,6 +15,7 @@
 __all__ = ["main"]
 
 _BAD_SETTINGS = 2
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 @click.group()
@@ -30,12 +31,16 @@
     checked = _load(settings)
     configure(level=checked["log_level"], node=checked["node"]["peer"])
     stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _STOP_SIGNALS:
         signal.signal(number, lambda *_: stop.set())
     daemon = Daemon(settings=checked)
     daemon.start()
     stop.wait()
     daemon.stop()
+    # The interpreter gives its handlers up before it ends; a second signal
+    # in that moment would turn a clean stop into a killed process.
+    for number in _STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     sys.exit(0)
 
 
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -20,7 +20,6 @@
 from fielddrift_core.stream import EventSequencer, StreamError
 
 from .exchange import Answer, Exchange
-from .exporter import keep_prefix
 from .http_client import Stream
 from .settle import settle_refused
 from .targets import EngineHead, RunOrder
@@ -60,6 +59,7 @@
         self._resume = resume
         self._sequencer = EventSequencer()
         self._resumes = 0
+        self._ended = False
         self._ttft = time.monotonic() - exchange.began_at
         self._note_start(self._ttft)
 
@@ -84,15 +84,19 @@
 
     def events(self) -> Iterator[bytes]:
         """Yield events in order, each once; raise `Broken` when the run breaks off."""
-        ended = False
         try:
             while not self._sequencer.whole:
                 yield from self._pass_on()
                 if not self._sequencer.whole:
                     self._take_up_again()
-            ended = True
         finally:
-            self._end(ended)
+            self.close()
+
+    def close(self) -> None:
+        """End the run, also when its caller went away before the first event."""
+        if not self._ended:
+            self._ended = True
+            self._end(self._sequencer.whole)
 
     def _pass_on(self) -> Iterator[bytes]:
         """Yield what the present stream gives until it ends or breaks."""
@@ -156,7 +160,7 @@
         services.requests.note(exchange.request_id, exchange.customer.name, "ran")
         services.metrics.add("answers.whole")
         self._remember()
-        services.pool.submit(keep_prefix, exchange, self._started)
+        services.exporter.submit(exchange, self._started)
 
     def _cut_unknown(self) -> Refusal:
         return Refusal(Kind.CUT, "the stream was not brought to its end", Ran.UNKNOWN)
--- a/packages/node/src/fielddrift_node/services.py
+++ b/packages/node/src/fielddrift_node/services.py
@@ -17,13 +17,14 @@
 from .board import Board
 from .claims import ClaimDesk
 from .configuration import ConfigSync
+from .exporter import Exporter
 from .metrics import Metrics
 from .settings import Settings
 from .stores import Stores
 from .targets import TargetClient
 from .watch import Watch
 
-__all__ = ["Links", "RequestLog", "Services"]
+__all__ = ["Links", "Places", "RequestLog", "Services"]
 
 _MOST_REQUESTS = 10_000
 
@@ -103,6 +104,21 @@
         return link
 
 
+class Places:
+    """Bound the requests in progress, so that none waits for a thread unseen."""
+
+    def __init__(self, *, limit: int) -> None:
+        self._free = threading.Semaphore(limit)
+
+    def take(self) -> bool:
+        """Take a place; False when all are taken."""
+        return self._free.acquire(blocking=False)
+
+    def give_back(self) -> None:
+        """Give a place back."""
+        self._free.release()
+
+
 class Services(NamedTuple):
     """Everything that a request may use; built once by the daemon."""
 
@@ -121,5 +137,7 @@
     policy: Policy
     rng: random.Random
     pool: ThreadPoolExecutor
+    exporter: Exporter
+    places: Places
     leaving: Callable[[str], bool]
     heard_headers: Callable[[str, Mapping[str, str]], None]
--- a/packages/node/src/fielddrift_node/settings.py
+++ b/packages/node/src/fielddrift_node/settings.py
@@ -49,6 +49,7 @@
     """Bounds on what callers may ask; sizes in bytes, times in seconds."""
 
     threads: int
+    requests: int
     prompt_bytes: int
     max_tokens: int
     deadline_seconds: float
@@ -81,6 +82,7 @@
     "week_start": 345_600.0,
     "limits": {
         "threads": 320,
+        "requests": 300,
         "prompt_bytes": 4_000_000,
         "max_tokens": 4096,
         "deadline_seconds": 30.0,
@@ -105,6 +107,7 @@
 
 _ABOVE_ZERO = (
     "limits.threads",
+    "limits.requests",
     "limits.prompt_bytes",
     "limits.max_tokens",
     "limits.deadline_seconds",
--- a/packages/standins/src/fielddrift_standins/engine.py
+++ b/packages/standins/src/fielddrift_standins/engine.py
@@ -268,8 +268,10 @@
         if context is None:
             return 0
         data = b""
+        until = time.monotonic() + context["seconds"]
         for part_id, length, digest in context["parts"]:
-            got = fetch("GET", f"http://{context['store']}/parts/{part_id}", timeout=5.0)
+            url = f"http://{context['store']}/parts/{part_id}"
+            got = fetch("GET", url, timeout=max(0.001, until - time.monotonic()))
             body = got.body
             right = hashlib.sha256(body).hexdigest() == digest
             if got.status != 200 or len(body) != length or not right:
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -125,6 +125,7 @@
         self._limits = {"entry_seconds": 0.5, "stop_seconds": 20.0, **(limits or {})}
         self._settings = settings
         self._hosts: list[list[Any]] = []
+        self._epoch = time.time_ns() // 10**6
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.nodes: list[NodeProcess] = []
@@ -164,7 +165,7 @@
         file.write_text(json.dumps(self._node_settings(http, peer, data_centre, peers)))
         node = self._start_node(file, http, peer)
         self.nodes.append(node)
-        self._hosts.append([http, "entry", data_centre, False, 1, {"peer": peer}])
+        self._hosts.append([http, "entry", data_centre, False, self._epoch, {"peer": peer}])
         self.set_hosts()
         self.wait_ready(node)
         return node
@@ -227,7 +228,7 @@
         """Set the host list; hosts at the addresses in `leaving` are leaving."""
         known = {host[0] for host in self._hosts}
         others = [
-            [address, "target", "catania-a", False, 1, {}]
+            [address, "target", "catania-a", False, self._epoch, {}]
             for address in leaving
             if address not in known
         ]
