--- a/packages/core/src/fielddrift_core/links.py
+++ b/packages/core/src/fielddrift_core/links.py
@@ -1,53 +1,77 @@
-"""Share a store host's link between imports and exports.
+"""Estimate how long an import over a store host's link takes.
 
-Every node knows a link's rate from the configuration and takes an equal part
-of it among the nodes; within its part, imports come before exports, so that
-keeping a block never slows the fetching of one.
+Nobody reports a link's queue.  A node learns it from its own imports: what
+one took, or is taking, beyond its bytes at the full rate is the delay that
+others cause.  The delay fades, so that a link that was crowded is tried
+again.  Imports come before exports: keeping a block must not slow the
+fetching of one.
 """
 
 from __future__ import annotations
 
+import math
+from collections.abc import Hashable
+
 __all__ = ["Link"]
 
-_SECONDS_OF_EXPORT_AHEAD = 2.0
+FADE_SECONDS = 4.0
+NEW_WEIGHT = 0.5
+_MOST_EXPORT_DELAY = 0.5
 
 
 class Link:
-    """Account for the bytes that this node has under way on one link.
+    """Follow one link from the view of one node.
 
-    `rate` is this node's part, in bytes a second.
+    `rate` is the whole link's, in bytes a second.  Not safe for threads.
     """
 
     def __init__(self, *, rate: float) -> None:
         self._rate = rate
-        self._importing = 0
+        self._imports: dict[Hashable, tuple[float, int]] = {}
         self._exporting = 0
+        self._delay = 0.0
+        self._delay_at = 0.0
 
-    @property
-    def rate(self) -> float:
-        """Return this node's part of the link, in bytes a second."""
-        return self._rate
+    def delay(self, now: float) -> float:
+        """Return the seconds that an import is expected to wait for others.
 
-    @rate.setter
-    def rate(self, rate: float) -> None:
-        self._rate = rate
+        An import that is already late tells of the delay before it ends.
+        """
+        learned = self._delay * math.exp((self._delay_at - now) / FADE_SECONDS)
+        late = [now - began - size / self._rate for began, size in self._imports.values()]
+        return max(0.0, learned, *late)
 
-    def import_seconds(self, size: int) -> float:
+    def import_seconds(self, size: int, now: float) -> float:
         """Return how long an import of `size` bytes would take from now."""
-        return (self._importing + size) / self._rate
+        own = sum(size for _, size in self._imports.values())
+        return (own + size) / self._rate + self.delay(now)
 
-    def may_export(self, size: int) -> bool:
+    def may_export(self, now: float) -> bool:
         """Return whether an export fits into what the imports leave."""
-        waiting = self._importing + self._exporting + size
-        return self._exporting == 0 or waiting / self._rate <= _SECONDS_OF_EXPORT_AHEAD
-
-    def begin(self, size: int, *, export: bool = False) -> None:
-        """Count `size` bytes as under way."""
-        if export:
-            self._exporting += size
-        else:
-            self._importing += size
-
-    def end(self, size: int, *, export: bool = False) -> None:
-        """Count `size` bytes as done, or given up."""
-        self.begin(-size, export=export)
+        if self._exporting or self._imports:
+            return False
+        return self.delay(now) <= _MOST_EXPORT_DELAY
+
+    def begin_import(self, key: Hashable, size: int, now: float) -> None:
+        """Count the import `key` as under way."""
+        self._imports[key] = (now, size)
+
+    def end_import(self, key: Hashable, now: float, seconds: float | None) -> None:
+        """Count the import `key` as ended; learn from the `seconds` it took.
+
+        None when it did not come to its end.
+        """
+        _, size = self._imports.pop(key)
+        if seconds is None:
+            return
+        beyond = max(0.0, seconds - size / self._rate)
+        self._delay += NEW_WEIGHT * (beyond - self._delay)
+        self._delay_at = now
+
+    def begin_export(self, size: int) -> None:
+        """Count an export as under way."""
+        self._exporting += size
+
+    def end_export(self, size: int) -> None:
+        """Count an export as ended."""
+        self._exporting -= size
--- a/packages/core/src/fielddrift_core/membership.py
+++ b/packages/core/src/fielddrift_core/membership.py
@@ -69,12 +69,18 @@
         self._changed_at: dict[str, float] = {}
         self._spread: dict[str, int] = {me.name: 0}
         self._round: list[str] = []
+        self._generation = 0
 
     @property
     def me(self) -> Member:
         """Return this node's own entry."""
         return self._me
 
+    @property
+    def generation(self) -> int:
+        """Return a number that grows with each change of the view."""
+        return self._generation
+
     @property
     def members(self) -> list[Member]:
         """Return all entries, the dead ones too."""
@@ -189,11 +195,13 @@
         self._set(self._me, now)
 
     def _set(self, member: Member, now: float) -> None:
+        self._generation += 1
         self._members[member.name] = member
         self._changed_at[member.name] = now
         self._spread[member.name] = 0
 
     def _forget(self, name: str) -> None:
+        self._generation += 1
         del self._members[name]
         self._spread.pop(name, None)
         self._changed_at.pop(name, None)
--- a/packages/core/src/fielddrift_core/routing.py
+++ b/packages/core/src/fielddrift_core/routing.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -18,6 +18,7 @@
 
 __all__ = [
     "POLICIES",
+    "SAMPLE",
     "Choice",
     "Kept",
     "Load",
@@ -26,13 +27,19 @@
     "Source",
     "TargetView",
     "cheapest",
+    "draw",
     "estimate",
     "policy",
+    "wait_seconds",
 ]
 
 SAMPLE = 5
+# An estimate beyond this part of the patience is a risk, and priced as one.
+PATIENCE_PART = 0.5
+LATE_COST = 10.0
 _MEMORY_HINT_TRUST = 0.9
 _FAR_SECONDS = 0.003
+_DRAWS = 4
 
 
 class Source(StrEnum):
@@ -60,7 +67,8 @@
     """What a node knows of a target when it chooses.
 
     `sent` and `sent_tokens` count this node's own requests since the load was
-    heard; `memory_blocks` is a hint of how much of the prompt it still has.
+    heard; `memory_blocks` is a hint of how much of the prompt it still has;
+    `run_seconds` is how long a run has held one of its slots of late.
     """
 
     target: Target
@@ -69,6 +77,7 @@
     sent_tokens: int = 0
     memory_blocks: int = 0
     near: bool = True
+    run_seconds: float = 1.0
 
 
 class Kept(NamedTuple):
@@ -83,14 +92,14 @@
 class Need(NamedTuple):
     """What a request needs: prompt length in tokens and blocks, and weights.
 
-    `run_seconds` is how long a run like it holds one of its target's slots.
+    `patience` is the seconds in which the first token must come.
     """
 
     tokens: int
     blocks: int
     weights: Weights
     kept: Kept = Kept()
-    run_seconds: float = 1.0
+    patience: float = 30.0
 
 
 class Choice(NamedTuple):
@@ -104,32 +113,70 @@
     cost: float
 
 
-Policy = Callable[[Need, Sequence[TargetView], random.Random], Choice | None]
+Choose = Callable[[Need, Sequence[TargetView], random.Random], Choice | None]
+
+
+class Policy(NamedTuple):
+    """A way to choose, and how many targets it wants drawn; None for all."""
+
+    choose: Choose
+    sample: int | None
+
 
 POLICIES: dict[str, Policy] = {}
 
 
-def policy(name: str) -> Callable[[Policy], Policy]:
+def policy(name: str, *, sample: int | None = None) -> Callable[[Choose], Choose]:
     """Register the decorated function as the policy called `name`."""
 
-    def register(function: Policy) -> Policy:
-        POLICIES[name] = function
+    def register(function: Choose) -> Choose:
+        POLICIES[name] = Policy(function, sample)
         return function
 
     return register
 
 
+# --- drawing ---------------------------------------------------------------
+
+
+def draw(
+    targets: Sequence[Target],
+    *,
+    warm: Iterable[Target],
+    allowed: Callable[[Target], bool],
+    sample: int | None,
+    rng: random.Random,
+) -> list[Target]:
+    """Return some allowed targets drawn at random, and all allowed ones in `warm`.
+
+    The cost does not grow with the number of targets, but where so few are
+    allowed that the draw finds none.
+    """
+    if sample is None or len(targets) <= sample:
+        return [target for target in targets if allowed(target)]
+    drawn: list[Target] = []
+    for target in rng.sample(targets, min(len(targets), _DRAWS * sample)):
+        if len(drawn) == sample:
+            break
+        if allowed(target):
+            drawn.append(target)
+    if not drawn:
+        return [target for target in targets if allowed(target)]
+    known = {target.name for target in drawn}
+    return drawn + [t for t in warm if t.name not in known and allowed(t)]
+
+
 # --- estimates -------------------------------------------------------------
 
 
-def wait_seconds(view: TargetView, need: Need) -> float:
+def wait_seconds(view: TargetView) -> float:
     """Return how long a new request would wait before its prefill starts."""
     target = view.target
     waiting = (view.load.backlog + view.sent_tokens) / target.prefill_rate
     ahead = view.load.running + view.load.queued + view.sent - target.slots + 1
     if ahead <= 0:
         return waiting
-    return max(waiting, ahead * need.run_seconds / target.slots)
+    return max(waiting, ahead * view.run_seconds / target.slots)
 
 
 def _memory_share(view: TargetView, need: Need) -> float:
@@ -147,11 +194,12 @@
         share = max(in_memory, kept.blocks / max(1, need.blocks))
         extra, link = kept.seconds, kept.link_seconds
     recomputed = 1.0 - share
-    wait = wait_seconds(view, need)
+    wait = wait_seconds(view)
     ttft = wait + extra + recomputed * need.tokens / view.target.prefill_rate
     ttft += 0.0 if view.near else _FAR_SECONDS
     weights = need.weights
     cost = weights.ttft * ttft + weights.recompute * recomputed + weights.link * link
+    cost += LATE_COST * max(0.0, ttft / (PATIENCE_PART * need.patience) - 1.0)
     return Choice(view.target, source, ttft, wait, recomputed, cost)
 
 
@@ -176,19 +224,13 @@
 # --- policies --------------------------------------------------------------
 
 
-@policy("cost")
-def choose(need: Need, views: Sequence[TargetView], rng: random.Random) -> Choice | None:
-    """Weigh a few drawn targets and those that may have the prompt in memory."""
-    if len(views) <= SAMPLE:
-        return cheapest(need, views)
-    drawn = rng.sample(views, SAMPLE)
-    warm = [view for view in views if view.memory_blocks]
-    return cheapest(need, [*drawn, *warm])
-
-
+@policy("cost", sample=SAMPLE)
 @policy("cost-all")
-def choose_among_all(need: Need, views: Sequence[TargetView], rng: random.Random) -> Choice | None:
-    """Weigh every target: best on fresh loads, herds on old ones."""
+def choose_cheapest(need: Need, views: Sequence[TargetView], rng: random.Random) -> Choice | None:
+    """Take the cheapest pair.
+
+    Among all targets this is best on fresh loads and herds on old ones.
+    """
     return cheapest(need, views)
 
 
@@ -224,7 +266,7 @@
     """Baseline: the least estimated wait, kept context unused."""
     if not views:
         return None
-    view = min(views, key=lambda v: wait_seconds(v, need))
+    view = min(views, key=lambda v: wait_seconds(v))
     return estimate(view, need, Source.RECOMPUTE)
 
 
@@ -233,7 +275,7 @@
     """Baseline: the least estimated wait, importing whatever is kept."""
     if not views:
         return None
-    return _plain(need, min(views, key=lambda v: wait_seconds(v, need)))
+    return _plain(need, min(views, key=lambda v: wait_seconds(v)))
 
 
 def _plain(need: Need, view: TargetView) -> Choice:
--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -10,7 +10,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from fielddrift_core.model import Configuration, Target, TargetRole
 from fielddrift_core.retries import Breaker, RetryBudget
@@ -45,8 +45,9 @@
 class Board:
     """Keep a note per target, and hints per prompt.  Safe for threads."""
 
-    def __init__(self, *, data_centre: str) -> None:
+    def __init__(self, *, data_centre: str, clock: Callable[[], float] = time.monotonic) -> None:
         self._data_centre = data_centre
+        self._clock = clock
         self._notes: dict[str, TargetNote] = {}
         self._hints: OrderedDict[str, dict[str, tuple[int, str]]] = OrderedDict()
         self._active: dict[str, float] = {}
@@ -92,7 +93,7 @@
 
     def sent(self, name: str, run: str, tokens: int) -> None:
         """Note that `run` goes out to target `name`."""
-        now = time.monotonic()
+        now = self._clock()
         with self._lock:
             note = self._note(name)
             note.breaker.sent(now)
@@ -101,7 +102,7 @@
 
     def ended(self, name: str, run: str) -> None:
         """Note that `run` holds none of the target's slots any more."""
-        now = time.monotonic()
+        now = self._clock()
         with self._lock:
             note = self._note(name)
             started = note.sent.pop(run, None)
@@ -117,7 +118,7 @@
     def failed(self, name: str) -> None:
         """Note that target `name` failed."""
         with self._lock:
-            self._note(name).breaker.failed(time.monotonic())
+            self._note(name).breaker.failed(self._clock())
 
     def may_retry(self, name: str) -> bool:
         """Spend a retry on account of target `name`'s failure."""
@@ -126,40 +127,40 @@
 
     # --- choosing ----------------------------------------------------------
 
-    def views(
-        self, targets: Sequence[Target], *, version: str, digests: Sequence[str]
-    ) -> list[TargetView]:
-        """Return what is known of those `targets` that may get a request now."""
-        now = time.monotonic()
+    def takes(self, target: Target, version: str) -> bool:
+        """Return whether a target may get a request for `version` now, as far as is known."""
         with self._lock:
-            in_memory = self._in_memory(digests)
-            views = []
-            for target in targets:
-                note = self._note(target.name)
-                loaded = not version or note.versions is None or version in note.versions
-                if loaded and note.breaker.allows(now):
-                    views.append(self._view(target, note, in_memory.get(target.name, 0)))
-            return views
-
-    def run_seconds(self, targets: Sequence[Target]) -> float:
-        """Return how long runs on `targets` have taken of late, in seconds."""
+            note = self._note(target.name)
+            loaded = not version or note.versions is None or version in note.versions
+            return loaded and note.breaker.allows(self._clock())
+
+    def warm(self, digests: Sequence[str]) -> dict[str, int]:
+        """Return the longest prefix of a prompt that each target may have in memory."""
+        found: dict[str, int] = {}
+        with self._lock:
+            for digest in reversed(digests):
+                for name, (blocks, _) in self._hints.get(digest, {}).items():
+                    found.setdefault(name, blocks)
+        return found
+
+    def views(self, targets: Sequence[Target], warm: Mapping[str, int]) -> list[TargetView]:
+        """Return what is known of `targets`, with the prefixes that are `warm` there."""
         with self._lock:
-            taken = [self._note(target.name).run_seconds for target in targets]
-        return sum(taken) / len(taken) if taken else 1.0
+            return [self._view(t, self._note(t.name), warm.get(t.name, 0)) for t in targets]
 
     def load(self, name: str) -> tuple[Load, int, str]:
         """Return the load, own runs under way, and breaker state of a target."""
         with self._lock:
             note = self._note(name)
-            return note.load, len(note.sent), note.breaker.state(time.monotonic()).value
+            return note.load, len(note.sent), note.breaker.state(self._clock()).value
 
     def touch(self, model: str) -> None:
         """Note that `model` is in use here, so that its targets are polled."""
-        self._active[model] = time.monotonic()
+        self._active[model] = self._clock()
 
     def stale(self, configuration: Configuration, *, idle: float) -> list[Target]:
         """Return the targets in use here whose load is old, the oldest first."""
-        now = time.monotonic()
+        now = self._clock()
         models = {m for m, at in list(self._active.items()) if now - at < idle}
         with self._lock:
             old = [
@@ -179,16 +180,9 @@
             sent_tokens=tokens,
             memory_blocks=memory_blocks,
             near=target.data_centre == self._data_centre,
+            run_seconds=note.run_seconds,
         )
 
-    def _in_memory(self, digests: Sequence[str]) -> dict[str, int]:
-        """Return the longest hinted prefix of a prompt, by target."""
-        found: dict[str, int] = {}
-        for digest in reversed(digests):
-            for name, (blocks, _) in self._hints.get(digest, {}).items():
-                found.setdefault(name, blocks)
-        return found
-
     def _note(self, name: str) -> TargetNote:
         if name not in self._notes:
             self._notes[name] = TargetNote()
--- a/packages/node/src/fielddrift_node/cluster.py
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -24,6 +24,7 @@
 __all__ = ["Cluster"]
 
 _SPREAD_TO = 3
+_MOST_ENTRIES = 256
 _ENTRY_KIND = "entry"
 
 
@@ -53,6 +54,7 @@
         self._lock = threading.Lock()
         self._catching_up = threading.Lock()
         self._peers: Peers | None = None
+        self._entries: tuple[int, dict[str, EntryAnswer]] = (0, {})
 
     @property
     def membership(self) -> Membership:
@@ -73,9 +75,15 @@
     def entry(self, model: str, keep: float) -> EntryAnswer:
         """Return the entry answer for a caller who came to this node."""
         with self._lock:
-            usable = self._membership.usable()
-            data_centre = self._membership.me.data_centre
-        return order(usable, data_centre=data_centre, model=model, keep=keep)
+            generation = self._membership.generation
+            if self._entries[0] != generation or len(self._entries[1]) >= _MOST_ENTRIES:
+                self._entries = (generation, {})
+            known = self._entries[1]
+            if model not in known:
+                usable = self._membership.usable()
+                data_centre = self._membership.me.data_centre
+                known[model] = order(usable, data_centre=data_centre, model=model, keep=keep)
+            return known[model]
 
     def nodes(self) -> int:
         """Return how many nodes are usable, at least 1."""
--- a/packages/node/src/fielddrift_node/configuration.py
+++ b/packages/node/src/fielddrift_node/configuration.py
@@ -32,7 +32,7 @@
     Transaction,
     Write,
 )
-from fielddrift_core.model import Configuration
+from fielddrift_core.model import Configuration, Target, TargetRole
 
 from .log import get
 from .metrics import Metrics
@@ -93,6 +93,7 @@
         self._view = ConfigView()
         self._lock = threading.Lock()
         self._entries: dict[int, str] = {}
+        self._serving: tuple[int, dict[tuple[TargetRole, str], tuple[Target, ...]]] = (0, {})
 
     @property
     def current(self) -> Configuration:
@@ -109,6 +110,16 @@
         """Return the highest revision known to be accepted."""
         return self._view.heard
 
+    def serving(self, role: TargetRole, name: str) -> tuple[Target, ...]:
+        """Return the targets of `role` that serve `name`, found once a revision."""
+        configuration = self.current
+        if self._serving[0] != configuration.revision:
+            self._serving = (configuration.revision, {})
+        found = self._serving[1]
+        if (role, name) not in found:
+            found[(role, name)] = configuration.serving(role, name)
+        return found[(role, name)]
+
     # --- catching up -------------------------------------------------------
 
     def poll(self) -> None:
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -248,7 +248,6 @@
             if host.address in by_address:
                 word = TargetWord(by_address[host.address], host.epoch, host.leaving)
                 self._cluster.hear_target(word)
-        self._services.links.share_among(self._cluster.nodes())
 
     def _poll_loads(self) -> None:
         board = self._services.board
--- a/packages/node/src/fielddrift_node/exchange.py
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -8,7 +8,7 @@
 
 from fielddrift_core.errors import Refusal
 from fielddrift_core.model import Configuration, Customer, Deployment, Target
-from fielddrift_core.routing import Need
+from fielddrift_core.routing import Choice, Need
 from result import Result
 from werkzeug.wrappers import Request
 
@@ -72,6 +72,7 @@
         self.digests: list[str] = []
         self.found: Found | None = None
         self.need: Need | None = None
+        self.choice: Choice | None = None
         self.claim: Claim | None = None
         self.failed: set[str] = set()
         self.answer: Answer | None = None
--- a/packages/node/src/fielddrift_node/filters/admit.py
+++ b/packages/node/src/fielddrift_node/filters/admit.py
@@ -6,62 +6,64 @@
 
 from fielddrift_core.errors import Kind, Ran, Refusal
 from fielddrift_core.model import Target
-from fielddrift_core.routing import Choice, cheapest
+from fielddrift_core.routing import Choice, draw
 from result import Err, Ok, Result
 
 from ..exchange import Exchange
 
-__all__ = ["admit", "choose", "no_target", "usable"]
+__all__ = ["admit", "allows", "choose", "no_target"]
 
 _RETRY_AFTER = 0.5
 
 
-def usable(exchange: Exchange) -> list[Target]:
-    """Return the pinned targets that may get new work now.
+def allows(exchange: Exchange, target: Target) -> bool:
+    """Return whether a pinned target may get this request now.
 
     The first sign of leaving counts, whoever gave it: the operators, the host
     list, a peer or the target itself.
     """
-    leaving = exchange.services.leaving
-    return [
-        target
-        for target in exchange.targets
-        if not target.draining and target.name not in exchange.failed and not leaving(target.name)
-    ]
+    services = exchange.services
+    if target.draining or target.name in exchange.failed or services.leaving(target.name):
+        return False
+    return services.board.takes(target, exchange.deployment.version)
 
 
 def choose(exchange: Exchange) -> Choice | None:
     """Return the target and source for the next try, or None."""
     assert exchange.need is not None
     services = exchange.services
-    views = services.board.views(
-        usable(exchange), version=exchange.deployment.version, digests=exchange.digests
+    warm = services.board.warm(exchange.digests)
+    known = exchange.configuration.targets
+    drawn = draw(
+        exchange.targets,
+        warm=[known[name] for name in warm if name in known],
+        allowed=lambda target: allows(exchange, target),
+        sample=services.policy.sample,
+        rng=services.rng,
     )
-    return services.policy(exchange.need, views, services.rng)
+    views = services.board.views(drawn, warm)
+    return services.policy.choose(exchange.need, views, services.rng)
 
 
 def admit(exchange: Exchange) -> Result[Exchange, Refusal]:
     """Refuse at once what the deadline or the customer's share forbids."""
     assert exchange.need is not None
     services = exchange.services
-    targets = usable(exchange)
-    views = services.board.views(
-        targets, version=exchange.deployment.version, digests=exchange.digests
-    )
-    best = cheapest(exchange.need, views)
-    if best is None:
+    choice = choose(exchange)
+    if choice is None:
         return Err(no_target(exchange))
     with services.admission_lock:
         refusal = services.admission.check(
             customer=exchange.customer.name,
             share=exchange.customer.share,
             tokens=exchange.need.tokens,
-            ttft=best.ttft,
-            wait=best.wait,
+            ttft=choice.ttft,
+            wait=choice.wait,
             patience=exchange.left,
-            room_rate=sum(target.prefill_rate for target in targets),
+            room_rate=choice.target.prefill_rate * len(exchange.targets),
             now=time.monotonic(),
         )
+    exchange.choice = choice
     return Err(refusal) if refusal else Ok(exchange)
 
 
--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -14,7 +14,7 @@
 from ..http_client import Call, Reply
 from ..settle import TryFailed, begin, settle_refused
 from ..targets import proved_not_started
-from .admit import no_target, usable
+from .admit import allows, no_target
 
 __all__ = ["call_service"]
 
@@ -65,7 +65,9 @@
 
 
 def _choose(exchange: Exchange) -> Target | None:
-    views = exchange.services.board.views(usable(exchange), version="", digests=())
+    views = exchange.services.board.views(
+        [target for target in exchange.targets if allows(exchange, target)], {}
+    )
     if not views:
         return None
     least = min(view.sent for view in views)
--- a/packages/node/src/fielddrift_node/filters/locate.py
+++ b/packages/node/src/fielddrift_node/filters/locate.py
@@ -35,7 +35,7 @@
         blocks=len(exchange.digests),
         weights=exchange.deployment.weights,
         kept=_kept(exchange),
-        run_seconds=services.board.run_seconds(exchange.targets),
+        patience=exchange.left,
     )
     return Ok(exchange)
 
--- a/packages/node/src/fielddrift_node/filters/pin.py
+++ b/packages/node/src/fielddrift_node/filters/pin.py
@@ -27,7 +27,7 @@
     if deployment is None:
         return Err(Refusal(Kind.NOT_FOUND, f"model: {model!r} is not known"))
     exchange.deployment = deployment
-    exchange.targets = exchange.configuration.serving(TargetRole.ENGINE, model)
+    exchange.targets = exchange.services.config.serving(TargetRole.ENGINE, model)
     exchange.services.board.touch(model)
     return Ok(exchange)
 
@@ -38,7 +38,7 @@
     if refusal := _pin(exchange):
         return Err(refusal)
     name = exchange.call.service
-    exchange.targets = exchange.configuration.serving(TargetRole.SERVICE, name)
+    exchange.targets = exchange.services.config.serving(TargetRole.SERVICE, name)
     if not exchange.targets:
         return Err(Refusal(Kind.NOT_FOUND, f"service: {name!r} is not known"))
     if any(exchange.call.method in target.not_repeatable for target in exchange.targets):
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -70,7 +70,8 @@
     sure = True
     last = ""
     for attempt in range(1, _TRIES + 1):
-        choice = choose(exchange)
+        choice = exchange.choice or choose(exchange)
+        exchange.choice = None
         if choice is None:
             return _Tried(None, no_target(exchange, Ran.NO if sure else Ran.UNKNOWN))
         try:
@@ -96,9 +97,11 @@
     services.board.sent(choice.target.name, order.run, exchange.need.tokens)
     stream = services.targets.run(choice.target, order, timeout=_run_seconds(exchange))
     if size and exchange.found:
-        services.links.begin_import(exchange.found.store, size)
+        services.links.begin_import(exchange.found.store, order.run, size)
+    import_seconds = None
     try:
         head = _await_head(exchange, choice, order, stream)
+        import_seconds = head.import_seconds if head.imported else None
     except TryFailed as failure:
         stream.close()
         services.board.ended(choice.target.name, order.run)
@@ -107,7 +110,7 @@
         raise
     finally:
         if size and exchange.found:
-            services.links.end_import(exchange.found.store, size)
+            services.links.end_import(exchange.found.store, order.run, import_seconds)
     return Started(choice, order, stream, head)
 
 
--- a/packages/node/src/fielddrift_node/services.py
+++ b/packages/node/src/fielddrift_node/services.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+import time
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -57,51 +58,44 @@
 
 
 class Links:
-    """Keep one `Link` per store host, each this node's part of it."""
+    """Keep one `Link` per store host.  Safe for threads."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._links: dict[str, Link] = {}
         self._lock = threading.Lock()
-        self._nodes = 1
-
-    def share_among(self, nodes: int) -> None:
-        """Set among how many nodes the links are shared."""
-        self._nodes = max(1, nodes)
 
     def import_seconds(self, store: StoreHost, size: int) -> float:
         """Return how long an import would take from now."""
         with self._lock:
-            return self._link(store).import_seconds(size)
+            return self._link(store).import_seconds(size, self._clock())
 
-    def begin_import(self, store: StoreHost, size: int) -> None:
-        """Count an import as under way."""
+    def begin_import(self, store: StoreHost, run: str, size: int) -> None:
+        """Count the import of a run as under way."""
         with self._lock:
-            self._link(store).begin(size)
+            self._link(store).begin_import(run, size, self._clock())
 
-    def end_import(self, store: StoreHost, size: int) -> None:
-        """Count an import as ended."""
+    def end_import(self, store: StoreHost, run: str, seconds: float | None) -> None:
+        """Count the import of a run as ended after `seconds`, None when it failed."""
         with self._lock:
-            self._link(store).end(size)
+            self._link(store).end_import(run, self._clock(), seconds)
 
     def begin_export(self, store: StoreHost, size: int) -> bool:
         """Count an export as under way; False when imports leave no room."""
         with self._lock:
             link = self._link(store)
-            if not link.may_export(size):
+            if not link.may_export(self._clock()):
                 return False
-            link.begin(size, export=True)
+            link.begin_export(size)
             return True
 
     def end_export(self, store: StoreHost, size: int) -> None:
         """Count an export as ended."""
         with self._lock:
-            self._link(store).end(size, export=True)
+            self._link(store).end_export(size)
 
     def _link(self, store: StoreHost) -> Link:
-        part = store.link_rate / self._nodes
-        link = self._links.setdefault(store.name, Link(rate=part))
-        link.rate = part
-        return link
+        return self._links.setdefault(store.name, Link(rate=store.link_rate))
 
 
 class Places:
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -51,6 +51,7 @@
     memory: int
     imported: int
     recomputed: int
+    import_seconds: float
     root: str
     load: LoadReport | None
 
@@ -154,6 +155,7 @@
             memory=int(fields["memory"]),
             imported=int(fields["imported"]),
             recomputed=int(fields["recomputed"]),
+            import_seconds=float(fields.get("import_seconds", 0.0)),
             root=head.headers.get("x-root", ""),
             load=load,
         )
--- a/packages/standins/src/fielddrift_standins/engine.py
+++ b/packages/standins/src/fielddrift_standins/engine.py
@@ -37,6 +37,7 @@
     memory: int
     imported: int
     recomputed: int
+    import_seconds: float
 
 
 class _Turns:
@@ -192,7 +193,7 @@
             "X-Version": version,
             "X-Customer": order["customer"],
             "X-Context": f"memory={used.memory} imported={used.imported} "
-            f"recomputed={used.recomputed}",
+            f"recomputed={used.recomputed} import_seconds={used.import_seconds:.4f}",
             "X-Load": json.dumps(self._lagged()),
             "X-Epoch": str(self._epoch),
             "X-Root": next(iter(_names(prompt, order["version"], order["salt"])), ""),
@@ -233,7 +234,9 @@
     def _context(self, order: dict[str, Any], prompt: bytes) -> tuple[list[bytes], _Used]:
         """Fill the prompt's blocks from memory, an import, or by computing them."""
         names = _names(prompt, order["version"], order["salt"])
+        began = time.monotonic()
         imported = self._import(order.get("context"), names)
+        import_seconds = time.monotonic() - began
         self._prefill.enter(order.get("priority", 0))
         try:
             if hang := self.app.faults.get("hang"):
@@ -245,7 +248,7 @@
         finally:
             self._prefill.leave()
         memory = max(0, len(names) - computed - imported)
-        return blocks, _Used(memory, imported, computed)
+        return blocks, _Used(memory, imported, computed, import_seconds)
 
     def _fill(
         self, order: dict[str, Any], prompt: bytes, names: list[str]
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -158,9 +158,12 @@
         self.stand_in("hosts", "hostlist", "--lag", str(lag))
         self.stand_in("weights", "weights")
 
-    def node(self, *, data_centre: str = "catania-a", peers: tuple[str, ...] = ()) -> NodeProcess:
+    def node(
+        self, *, data_centre: str = "catania-a", peers: tuple[str, ...] = (), peer: str = ""
+    ) -> NodeProcess:
         """Start a node, and wait until it serves."""
-        http, peer = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        http = f"127.0.0.1:{free_port()}"
+        peer = peer or f"127.0.0.1:{free_port()}"
         file = self._folder_path / f"node-{len(self.nodes)}.json"
         file.write_text(json.dumps(self._node_settings(http, peer, data_centre, peers)))
         node = self._start_node(file, http, peer)
