Tell the other nodes of a model what was sent; refuse early; check every door

Change: nodes send each other small keyed datagrams of what went out and what came back; the entry answer shares a model's callers out to the nodes that hear them; newcomers are refused beyond half of the patience, who returns beyond 0.7.

--- a/packages/core/src/fielddrift_core/admission.py
+++ b/packages/core/src/fielddrift_core/admission.py
@@ -12,11 +12,13 @@
 import math
 
 from .errors import Kind, Ran, Refusal
+from .routing import PATIENCE_PART
 
 __all__ = ["Admission"]
 
 USE_SECONDS = 5.0
-BUSY_SHARE = 0.5
+BUSY_SHARE = 0.4
+RETURN_PART = 0.7
 _OVER = 1.1
 _SHORTEST_RETURN = 0.2
 _LONGEST_RETURN = 60.0
@@ -58,16 +60,18 @@
         patience: float,
         room_rate: float,
         now: float,
+        returning: bool = False,
     ) -> Refusal | None:
         """Return None to admit, or the refusal.
 
         `patience` is the seconds in which the first token must come, `ttft`
         and `wait` the estimates, `room_rate` the tokens a second for which
-        room appears.
+        room appears.  Whoever is `returning` at the time it was told goes
+        before newcomers: more of the patience may be used up for it.
         """
         use = self._uses.setdefault(customer, _Use())
         use.share = share
-        if ttft > patience:
+        if ttft > (RETURN_PART if returning else PATIENCE_PART) * patience:
             detail = f"first token estimated in {ttft:.2f} s, wanted within {patience:.2f} s"
             kind = Kind.OVERLOADED if wait > 0 else Kind.DEADLINE
             return Refusal(kind, detail, Ran.NO, self._come_back(wait, tokens, room_rate, now))
--- a/packages/core/src/fielddrift_core/entry.py
+++ b/packages/core/src/fielddrift_core/entry.py
@@ -14,9 +14,14 @@
 from .membership import Member
 from .names import rank
 
-__all__ = ["KEEP_SECONDS", "EntryAnswer", "order"]
+__all__ = ["KEEP_SECONDS", "SMALL_FLEET", "SPREAD", "EntryAnswer", "audience", "order"]
 
 KEEP_SECONDS = 10.0
+SPREAD = 2
+"""Nodes of a data centre among which a model's callers are shared out."""
+
+SMALL_FLEET = 12
+
 _MOST_ADDRESSES = 8
 
 
@@ -28,16 +33,46 @@
 
 
 def order(
-    members: Iterable[Member], *, data_centre: str, model: str = "", keep: float = KEEP_SECONDS
+    members: Iterable[Member],
+    *,
+    data_centre: str,
+    model: str = "",
+    keep: float = KEEP_SECONDS,
+    turn: int = 0,
 ) -> EntryAnswer:
-    """Return the entry answer for a caller near `data_centre`."""
+    """Return the entry answer for a caller near `data_centre`.
+
+    `turn` counts callers, so that they share the model's first nodes out.
+    """
     near: list[Member] = []
     far: list[Member] = []
     for member in members:
         (near if member.data_centre == data_centre else far).append(member)
-    ranked = [*_ranked(near, model), *_ranked(far, model)]
+    ranked = [*_turned(_ranked(near, model), turn), *_ranked(far, model)]
     return EntryAnswer(tuple(ranked[:_MOST_ADDRESSES]), keep)
 
 
+def audience(members: Iterable[Member], *, model: str) -> list[Member]:
+    """Return the nodes to which a model's callers are sent first, of all data centres.
+
+    In a small fleet these are all of them.
+    """
+    everyone = list(members)
+    if len(everyone) <= SMALL_FLEET:
+        return everyone
+    chosen: list[Member] = []
+    for data_centre in sorted({member.data_centre for member in everyone}):
+        there = [member for member in everyone if member.data_centre == data_centre]
+        first = _ranked(there, model)[:SPREAD]
+        chosen += [member for member in there if member.http in first]
+    return chosen
+
+
+def _turned(addresses: list[str], turn: int) -> list[str]:
+    first = addresses[:SPREAD]
+    shift = turn % len(first) if first else 0
+    return [*first[shift:], *first[:shift], *addresses[SPREAD:]]
+
+
 def _ranked(members: list[Member], model: str) -> list[str]:
     return rank(model, [(member.http, 1.0) for member in members])
--- a/packages/core/src/fielddrift_core/links.py
+++ b/packages/core/src/fielddrift_core/links.py
@@ -17,6 +17,7 @@
 FADE_SECONDS = 4.0
 NEW_WEIGHT = 0.5
 _MOST_EXPORT_DELAY = 0.5
+_OLDEST_IMPORT = 30.0
 
 
 class Link:
@@ -37,14 +38,16 @@
 
         An import that is already late tells of the delay before it ends.
         """
+        self._expire(now)
         learned = self._delay * math.exp((self._delay_at - now) / FADE_SECONDS)
         late = [now - began - size / self._rate for began, size in self._imports.values()]
         return max(0.0, learned, *late)
 
     def import_seconds(self, size: int, now: float) -> float:
         """Return how long an import of `size` bytes would take from now."""
+        delay = self.delay(now)
         own = sum(size for _, size in self._imports.values())
-        return (own + size) / self._rate + self.delay(now)
+        return (own + size) / self._rate + delay
 
     def may_export(self, now: float) -> bool:
         """Return whether an export fits into what the imports leave."""
@@ -61,13 +64,19 @@
 
         None when it did not come to its end.
         """
-        _, size = self._imports.pop(key)
-        if seconds is None:
+        _, size = self._imports.pop(key, (0.0, 0))
+        if seconds is None or not size:
             return
         beyond = max(0.0, seconds - size / self._rate)
         self._delay += NEW_WEIGHT * (beyond - self._delay)
         self._delay_at = now
 
+    def _expire(self, now: float) -> None:
+        # The end of another node's import may never be heard of.
+        old = [key for key, (began, _) in self._imports.items() if now - began > _OLDEST_IMPORT]
+        for key in old:
+            del self._imports[key]
+
     def begin_export(self, size: int) -> None:
         """Count an export as under way."""
         self._exporting += size
--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -32,6 +32,12 @@
         self._rest = b""
         self._held: dict[int, bytes] = {}
         self._count: int | None = None
+        self._reordered = False
+
+    @property
+    def reordered(self) -> bool:
+        """Return whether any events had to be put right."""
+        return self._reordered
 
     @property
     def following(self) -> int:
@@ -68,6 +74,7 @@
         return self._put_right(ready)
 
     def _put_right(self, ready: bytes) -> bytes:
+        self._reordered = True
         for event in ready.split(b"\n\n")[:-1]:
             found = _NUMBER.search(event)
             if found is None:
--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -16,9 +16,13 @@
 from fielddrift_core.retries import Breaker, RetryBudget
 from fielddrift_core.routing import Load, TargetView
 
-__all__ = ["Board", "TargetNote"]
+__all__ = ["HINT_DIGITS", "Board", "TargetNote"]
+
+HINT_DIGITS = 16
+"""Hex digits of a prefix digest by which hints are kept: 64 bits."""
 
 _MOST_HINTS = 20_000
+_MOST_SENT = 2_000
 _VIEW_AGE_SECONDS = 1.0
 RUN_SECONDS_WEIGHT = 0.1
 
@@ -84,8 +88,9 @@
     def remember(self, name: str, digest: str, blocks: int, target_root: str) -> None:
         """Hint that target `name` has the prefix that ends in `digest`."""
         with self._lock:
-            self._hints.setdefault(digest, {})[name] = (blocks, target_root)
-            self._hints.move_to_end(digest)
+            key = digest[:HINT_DIGITS]
+            self._hints.setdefault(key, {})[name] = (blocks, target_root)
+            self._hints.move_to_end(key)
             while len(self._hints) > _MOST_HINTS:
                 self._hints.popitem(last=False)
 
@@ -110,6 +115,24 @@
                 taken = now - started[0]
                 note.run_seconds += RUN_SECONDS_WEIGHT * (taken - note.run_seconds)
 
+    def heard_again(self, name: str, running: int, queued: int, backlog: int) -> None:
+        """Take a target's load as another node heard it a moment ago."""
+        with self._lock:
+            self._note(name).load = Load(running, queued, backlog, self._clock())
+
+    def heard_sent(self, name: str, run: str, tokens: int) -> None:
+        """Note that another node sent `run` to target `name` a moment ago."""
+        with self._lock:
+            sent = self._note(name).sent
+            sent[run] = (self._clock(), tokens)
+            while len(sent) > _MOST_SENT:
+                sent.popitem(last=False)
+
+    def forget_sent(self, name: str, run: str) -> None:
+        """Forget another node's run: the target's own load counts it from now on."""
+        with self._lock:
+            self._note(name).sent.pop(run, None)
+
     def worked(self, name: str) -> None:
         """Note that target `name` answered."""
         with self._lock:
@@ -139,7 +162,7 @@
         found: dict[str, int] = {}
         with self._lock:
             for digest in reversed(digests):
-                for name, (blocks, _) in self._hints.get(digest, {}).items():
+                for name, (blocks, _) in self._hints.get(digest[:HINT_DIGITS], {}).items():
                     found.setdefault(name, blocks)
         return found
 
--- a/packages/node/src/fielddrift_node/cluster.py
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import threading
 import time
@@ -13,7 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from fielddrift_core.claims import Word
-from fielddrift_core.entry import EntryAnswer, order
+from fielddrift_core.entry import SPREAD, EntryAnswer, audience, order
 from fielddrift_core.interfaces import HostEntry, OutsideError
 from fielddrift_core.membership import Member, Membership, Status, TargetWord
 
@@ -24,7 +25,7 @@
 __all__ = ["Cluster"]
 
 _SPREAD_TO = 3
-_MOST_ENTRIES = 256
+_MOST_FOUND = 512
 _ENTRY_KIND = "entry"
 
 
@@ -54,7 +55,8 @@
         self._lock = threading.Lock()
         self._catching_up = threading.Lock()
         self._peers: Peers | None = None
-        self._entries: tuple[int, dict[str, EntryAnswer]] = (0, {})
+        self._turns = itertools.count()
+        self._found: tuple[int, dict[tuple[str, str, int], object]] = (0, {})
 
     @property
     def membership(self) -> Membership:
@@ -74,16 +76,36 @@
 
     def entry(self, model: str, keep: float) -> EntryAnswer:
         """Return the entry answer for a caller who came to this node."""
+        turn = next(self._turns)
+        key = ("entry", model, turn % SPREAD)
         with self._lock:
-            generation = self._membership.generation
-            if self._entries[0] != generation or len(self._entries[1]) >= _MOST_ENTRIES:
-                self._entries = (generation, {})
-            known = self._entries[1]
-            if model not in known:
+            found = self._found_for(key)
+            if found is None:
                 usable = self._membership.usable()
                 data_centre = self._membership.me.data_centre
-                known[model] = order(usable, data_centre=data_centre, model=model, keep=keep)
-            return known[model]
+                found = order(usable, data_centre=data_centre, model=model, keep=keep, turn=turn)
+                self._found[1][key] = found
+        assert isinstance(found, EntryAnswer)
+        return found
+
+    def audience(self, model: str) -> list[str]:
+        """Return the other nodes that choose targets for a model."""
+        key = ("audience", model, 0)
+        with self._lock:
+            found = self._found_for(key)
+            if found is None:
+                chosen = audience(self._membership.usable(), model=model)
+                found = [m.name for m in chosen if m.name != self._membership.me.name]
+                self._found[1][key] = found
+        assert isinstance(found, list)
+        return found
+
+    def _found_for(self, key: tuple[str, str, int]) -> object | None:
+        """Return what was worked out before, if no member has changed since."""
+        generation = self._membership.generation
+        if self._found[0] != generation or len(self._found[1]) >= _MOST_FOUND:
+            self._found = (generation, {})
+        return self._found[1].get(key)
 
     def nodes(self) -> int:
         """Return how many nodes are usable, at least 1."""
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -36,8 +36,10 @@
 from .servers import SERVERS
 from .services import Links, Places, RequestLog, Services
 from .settings import Settings
+from .sightings import Sightings
 from .stores import Stores
 from .targets import LoadReport, TargetClient
+from .underway import take
 from .watch import Watch
 
 __all__ = ["Daemon"]
@@ -100,6 +102,13 @@
             metrics=self._metrics,
         )
         self._cluster.connect(self._peers)
+        self._sightings = Sightings(
+            address=node["peer"],
+            key=settings["keys"]["peer"],
+            audience=self._cluster.audience,
+            take=lambda sighting: take(self._services, sighting),
+            metrics=self._metrics,
+        )
         self._services = self._build_services(rng)
         self._build_duties()
         self._app = self._build_app()
@@ -131,6 +140,7 @@
             rng=rng,
             pool=self._pool,
             exporter=self._exporter,
+            tell=self._sightings.tell,
             places=Places(limit=self._settings["limits"]["requests"]),
             leaving=self._cluster.leaving,
             heard_headers=self._heard_headers,
@@ -201,6 +211,7 @@
         self._pool.shutdown(wait=True, cancel_futures=True)
         self._server.stop()
         self._claims.close()
+        self._sightings.close()
         self._peers.close()
         self._http.close()
         get().info("stopped", cut=self._requests.running())
@@ -233,6 +244,7 @@
     # --- rounds ------------------------------------------------------------
 
     def _tick(self) -> None:
+        self._metrics.gauge("requests.open", self._services.places.taken)
         if self._services.watch.tick():
             self._metrics.add("pauses")
             get().warning("this process was paused")
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -17,6 +17,7 @@
 from ..relay import Broken, Relay, Started, whole_answer
 from ..settle import TryFailed, begin, settle_refused
 from ..targets import EngineHead, RunOrder, proved_not_started, read_head
+from ..underway import UnderWay
 from .admit import choose, no_target
 
 __all__ = ["run_completion"]
@@ -92,25 +93,20 @@
 def _try_one(exchange: Exchange, choice: Choice, attempt: str, resume_at: int) -> Started:
     services = exchange.services
     order = _order(exchange, choice, attempt, resume_at)
-    size = exchange.found.manifest.size if order.context and exchange.found else 0
     assert exchange.need is not None
     services.board.sent(choice.target.name, order.run, exchange.need.tokens)
     stream = services.targets.run(choice.target, order, timeout=_run_seconds(exchange))
-    if size and exchange.found:
-        services.links.begin_import(exchange.found.store, order.run, size)
-    import_seconds = None
+    under_way = UnderWay.begin(exchange, choice, order)
     try:
         head = _await_head(exchange, choice, order, stream)
-        import_seconds = head.import_seconds if head.imported else None
     except TryFailed as failure:
         stream.close()
         services.board.ended(choice.target.name, order.run)
+        under_way.failed()
         if not failure.sure:
             services.targets.cancel(choice.target, order.run)
         raise
-    finally:
-        if size and exchange.found:
-            services.links.end_import(exchange.found.store, order.run, import_seconds)
+    under_way.started(head)
     return Started(choice, order, stream, head)
 
 
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -159,22 +159,13 @@
             return
         services.requests.note(exchange.request_id, exchange.customer.name, "ran")
         services.metrics.add("answers.whole")
-        self._remember()
+        if self._sequencer.reordered:
+            services.metrics.add("streams.reordered")
         services.exporter.submit(exchange, self._started)
 
     def _cut_unknown(self) -> Refusal:
         return Refusal(Kind.CUT, "the stream was not brought to its end", Ran.UNKNOWN)
 
-    def _remember(self) -> None:
-        exchange = self._exchange
-        if exchange.digests:
-            exchange.services.board.remember(
-                self._started.choice.target.name,
-                exchange.digests[-1],
-                len(exchange.digests),
-                self._started.head.root,
-            )
-
 
 def whole_answer(exchange: Exchange, relay: Relay) -> Answer:
     """Return the whole text as one answer; raise `Broken` when it was cut."""
--- a/packages/node/src/fielddrift_node/services.py
+++ b/packages/node/src/fielddrift_node/services.py
@@ -21,6 +21,7 @@
 from .exporter import Exporter
 from .metrics import Metrics
 from .settings import Settings
+from .sightings import Sighting
 from .stores import Stores
 from .targets import TargetClient
 from .watch import Watch
@@ -70,12 +71,12 @@
         with self._lock:
             return self._link(store).import_seconds(size, self._clock())
 
-    def begin_import(self, store: StoreHost, run: str, size: int) -> None:
+    def begin_import(self, store: StoreHost, run: int, size: int) -> None:
         """Count the import of a run as under way."""
         with self._lock:
             self._link(store).begin_import(run, size, self._clock())
 
-    def end_import(self, store: StoreHost, run: str, seconds: float | None) -> None:
+    def end_import(self, store: StoreHost, run: int, seconds: float | None) -> None:
         """Count the import of a run as ended after `seconds`, None when it failed."""
         with self._lock:
             self._link(store).end_import(run, self._clock(), seconds)
@@ -102,15 +103,27 @@
     """Bound the requests in progress, so that none waits for a thread unseen."""
 
     def __init__(self, *, limit: int) -> None:
-        self._free = threading.Semaphore(limit)
+        self._limit = limit
+        self._taken = 0
+        self._lock = threading.Lock()
+
+    @property
+    def taken(self) -> int:
+        """Return how many places are taken."""
+        return self._taken
 
     def take(self) -> bool:
         """Take a place; False when all are taken."""
-        return self._free.acquire(blocking=False)
+        with self._lock:
+            if self._taken >= self._limit:
+                return False
+            self._taken += 1
+            return True
 
     def give_back(self) -> None:
         """Give a place back."""
-        self._free.release()
+        with self._lock:
+            self._taken -= 1
 
 
 class Services(NamedTuple):
@@ -133,5 +146,6 @@
     pool: ThreadPoolExecutor
     exporter: Exporter
     places: Places
+    tell: Callable[[str, Sighting], None]
     leaving: Callable[[str], bool]
     heard_headers: Callable[[str, Mapping[str, str]], None]
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -53,7 +53,7 @@
     recomputed: int
     import_seconds: float
     root: str
-    load: LoadReport | None
+    load: LoadReport
 
 
 class LoadReport(msgspec.Struct):
--- /dev/null
+++ b/tests/test_sightings.py
@@ -0,0 +1,87 @@
+"""Sightings: what nodes tell each other of their sends."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+from unittest import mock
+
+from fielddrift_node.metrics import Metrics
+from fielddrift_node.sightings import Ended, Head, Sent, Sighting, Sightings, short
+from fielddrift_standins.fleet import free_port
+
+from .fleets import CUSTOMER, FleetTest
+
+SENT = Sent("engine-0", short("run"), 8000, 2**63 + 5, 32, "archivio-rose", 120_000)
+HEAD = Head("engine-0", short("run"), 3, 1, 9000, 2**63 + 5, 32, "ab" * 8, "archivio-rose", 0.25)
+ENDED = Ended("engine-0", short("run"))
+
+
+class SightingsTest(unittest.TestCase):
+    def _start(self, key: str = "k" * 16, peers: list[str] | None = None) -> Sightings:
+        self.taken: list[Sighting] = []
+        self.heard = threading.Event()
+        self.address = f"127.0.0.1:{free_port()}"
+        sightings = Sightings(
+            address=self.address,
+            key=key,
+            audience=lambda model: peers or [],
+            take=self._take,
+            metrics=Metrics(address=""),
+        )
+        self.addCleanup(sightings.close)
+        return sightings
+
+    def _take(self, sighting: Sighting) -> None:
+        self.taken.append(sighting)
+        self.heard.set()
+
+    def test_what_is_told_arrives(self) -> None:
+        self._start()
+        teller = self._start_teller([self.address])
+        teller.tell("m", SENT)
+        self.assertTrue(self.heard.wait(5))
+        self.assertEqual(self.taken[0], SENT)
+
+    def _start_teller(self, peers: list[str]) -> Sightings:
+        taken, heard, address = self.taken, self.heard, self.address
+        teller = self._start(peers=peers)
+        self.taken, self.heard, self.address = taken, heard, address
+        return teller
+
+    def test_every_kind_comes_out_as_it_went_in(self) -> None:
+        one = self._start()
+        for data in one.pack([SENT, HEAD, ENDED]):
+            self.assertEqual(one.unpack(data), [SENT, HEAD, ENDED])
+
+    def test_many_are_split_into_packets(self) -> None:
+        one = self._start()
+        packed = one.pack([HEAD] * 60)
+        self.assertGreater(len(packed), 1)
+        self.assertTrue(all(len(data) <= 1400 for data in packed))
+        self.assertEqual(sum(len(one.unpack(data)) for data in packed), 60)
+
+    def test_another_key_and_altered_bytes_are_refused(self) -> None:
+        one, other = self._start(), self._start(key="o" * 16)
+        data = one.pack([SENT])[0]
+        altered = data[:-1] + bytes([data[-1] ^ 1])
+        for bad in (other.pack([SENT])[0], altered, b"", b"x" * 50):
+            with self.assertRaisesRegex(ValueError, "keyed digest"):
+                one.unpack(bad)
+
+    def test_old_ones_are_left_out(self) -> None:
+        one = self._start()
+        data = one.pack([SENT])[0]
+        with mock.patch("time.time", return_value=4e9):
+            self.assertEqual(one.unpack(data), [])
+
+
+class SharedSightingsTest(FleetTest):
+    def test_a_node_knows_what_another_one_had_computed(self) -> None:
+        """Without sightings the second node would import or compute the prompt."""
+        prompt = self.prompt(6)
+        first = self.fleet.complete(CUSTOMER, prompt, node=self.fleet.nodes[0])
+        second = self.fleet.complete(CUSTOMER, prompt, node=self.fleet.nodes[1])
+        self.assert_right(second, prompt)
+        self.assertEqual(second.headers["fielddrift-source"], "memory")
+        self.assertEqual(second.headers["fielddrift-target"], first.headers["fielddrift-target"])
