Bound what control sends: sums to statsd, the host list read in turns, store lists seldom

Cause: worked out for 400 nodes, four habits alone pass 3 KB a second a node: a statsd packet for each event (about 8 a request, 12 requests a second: 7 KB/s), every node reading a list of 1,200 hosts each 10 s (10 KB/s), sightings to 11 nodes (2,409 bytes a request, 29 KB/s), a store host's list each second. Change: counters are sent as sums each 10 s; all nodes together read the host list 4 times a second and pass on what it says, at once where a target leaves; sightings keep to limits.sighting_bytes; store hosts are listed each 10 s.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,5 +1,7 @@
 """Measure how a node's costs grow; write docs/data/slopes.json.
 
+Named slopes are measured anew, without names all of them.
+
 Each slope has at least four points, a straight line fitted to them, and the
 largest distance of a point from that line.
 """
@@ -9,6 +11,7 @@
 import json
 import os
 import random
+import sys
 import threading
 import time
 import tracemalloc
@@ -25,6 +28,8 @@
 from fielddrift_core.names import chain, rank
 from fielddrift_core.routing import POLICIES, Kept, Load, Need, draw
 from fielddrift_node.board import Board
+from fielddrift_node.metrics import Metrics
+from fielddrift_node.sightings import IP_UDP_BYTES, Head, Sent, Sightings
 from fielddrift_standins.demo import small_fleet
 from fielddrift_standins.fleet import PEER_KEY, Fleet, Process, free_port
 
@@ -210,7 +215,7 @@
         tracemalloc.start()
         board = Board(data_centre="dc")
         for number in range(count):
-            board.remember(f"t{number % 22}", f"{number:032x}", 100, f"{number:016x}")
+            board.remember(f"t{number % 22}", f"{number:016x}", 100, f"{number:016x}")
         points.append({"prompts": count, "memory_mb": tracemalloc.get_traced_memory()[0] / 1e6})
         tracemalloc.stop()
         print(points[-1], flush=True)
@@ -260,6 +265,26 @@
     return _best(decide)
 
 
+def sightings() -> Points:
+    """Measure the bytes of sightings that one request sends, by who hears of it."""
+    points = []
+    sent = Sent("oracolo-07", 2**31, 8000, 2**63, 32, "archivio-rose", 320_000_000)
+    head = Head("oracolo-07", 2**31, 6, 1, 9000, 2**63, 32, "ab" * 8, "archivio-rose", 0.257)
+    for count in (1, 4, 8, 11):
+        teller = Sightings(
+            address="127.0.0.1:0",
+            key="k" * 16,
+            audience=lambda model: (),
+            take=lambda sighting: None,
+            metrics=Metrics(address=""),
+        )
+        size = sum(len(data) + IP_UDP_BYTES for one in (sent, head) for data in teller.pack([one]))
+        teller.close()
+        points.append({"hearers": float(count), "bytes_a_request": float(count * size)})
+        print(points[-1], flush=True)
+    return points
+
+
 def members() -> Points:
     """Measure the membership's memory, and the cost of a message."""
     points = []
@@ -306,6 +331,7 @@
     "customers": (customers, "customers", ("snapshot_mb", "memory_mb", "change_ms")),
     "hints": (hints, "prompts", ("memory_mb",)),
     "decisions": (decisions, "targets", ("cost_us", "cost_all_us", "least_loaded_us")),
+    "sightings": (sightings, "hearers", ("bytes_a_request",)),
     "members": (members, "members", ("memory_mb", "message_us", "entry_us")),
     "peers": (
         peers,
@@ -323,8 +349,9 @@
 
 def main() -> None:
     """Measure all slopes and write them down."""
-    found: dict[str, Any] = {}
-    for name, (work, x, ys) in SLOPES.items():
+    found: dict[str, Any] = json.loads(OUT.read_text()) if OUT.exists() else {}
+    for name in sys.argv[1:] or SLOPES:
+        work, x, ys = SLOPES[name]
         print(f"== {name}", flush=True)
         points = work()
         found[name] = {"points": points, "fits": [fit(points, x, y) for y in ys]}
--- a/packages/core/src/fielddrift_core/membership.py
+++ b/packages/core/src/fielddrift_core/membership.py
@@ -138,12 +138,16 @@
 
     # --- what was heard ----------------------------------------------------
 
-    def hear(self, members: Iterable[Member], words: Iterable[TargetWord], now: float) -> None:
-        """Take a peer's words in; late and repeated ones change nothing."""
+    def hear(self, members: Iterable[Member], words: Iterable[TargetWord], now: float) -> bool:
+        """Take a peer's words in; late and repeated ones change nothing.
+
+        Return whether a target's leaving was news, which is worth passing on
+        at once.
+        """
         for member in members:
             self._hear_member(member, now)
-        for word in words:
-            self.hear_target(word)
+        news = [word for word in words if self.hear_target(word)]
+        return any(word.leaving for word in news)
 
     def hear_target(self, word: TargetWord) -> bool:
         """Take a word on a target in; leaving holds for the rest of its epoch."""
--- a/packages/node/src/fielddrift_node/cluster.py
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -274,7 +274,9 @@
         words = [word_from(w) for w in message.words]
         self._take_members(message.members)
         with self._lock:
-            self._membership.hear((), words, time.monotonic())
+            news = self._membership.hear((), words, time.monotonic())
+        if news:
+            self.spread()
         if self._config.hear(message.heard):
             self._pool.submit(self.catch_up, message.sender)
 
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -28,7 +28,7 @@
 from .http_client import HttpClient
 from .leasing import Leases, candidates
 from .log import get
-from .metrics import Metrics
+from .metrics import FLUSH_SECONDS, Metrics
 from .operators import Operators
 from .peers import Peers
 from .platform import HttpHostList, HttpObjectStore, HttpTable
@@ -52,6 +52,9 @@
 LEASE_TURN_SECONDS = 2.0
 HOSTS_SECONDS = 1.0
 _POLLS_A_ROUND = 5
+# The host list is long where there are many nodes, so they share its reading
+# out and pass on what it says.
+_HOST_POLLS_A_SECOND = 4.0
 _POOL_THREADS = 32
 _IDLE_MODEL_SECONDS = 60.0
 _STOP_LOOK_SECONDS = 0.1
@@ -109,6 +112,7 @@
             audience=self._cluster.audience,
             take=lambda sighting: take(self._services, sighting),
             metrics=self._metrics,
+            bytes_a_second=settings["limits"]["sighting_bytes"],
         )
         self._services = self._build_services(rng)
         self._build_duties()
@@ -184,6 +188,7 @@
             ("hosts", self._poll_hosts, self._hosts_seconds),
             ("loads", self._poll_loads, lambda: LOAD_SECONDS),
             ("leases", self._turn_leases, lambda: LEASE_TURN_SECONDS),
+            ("metrics", self._metrics.flush, lambda: FLUSH_SECONDS),
             ("duties", self._turn_duties, lambda: DUTY_SECONDS),
         ]
         for name, work, seconds in rounds:
@@ -213,6 +218,7 @@
         self._pool.shutdown(wait=True, cancel_futures=True)
         self._server.stop()
         self._claims.close()
+        self._metrics.flush()
         self._sightings.close()
         self._peers.close()
         self._http.close()
@@ -252,7 +258,7 @@
             get().warning("this process was paused")
 
     def _hosts_seconds(self) -> float:
-        return max(HOSTS_SECONDS, poll_seconds(self._cluster.nodes()))
+        return max(HOSTS_SECONDS, self._cluster.nodes() / _HOST_POLLS_A_SECOND)
 
     def _poll_hosts(self) -> None:
         hosts = self._hosts.hosts()
--- a/packages/node/src/fielddrift_node/duties.py
+++ b/packages/node/src/fielddrift_node/duties.py
@@ -24,6 +24,7 @@
 GRACE_SECONDS = 3.0
 PREVIOUS_SECONDS = 8.0
 ORPHAN_SECONDS = 60.0
+STORE_SECONDS = 10.0
 _ORDERS = "orders/"
 _HOLDING = "holding/"
 
@@ -162,6 +163,7 @@
         self._store_tender = store_tender
         self._week_start = week_start
         self._wall_clock = wall_clock
+        self._tended_at: dict[str, float] = {}
 
     def turn(self, configuration: Configuration) -> None:
         """Do one round of all duties held."""
@@ -171,9 +173,17 @@
                 engines = configuration.serving(TargetRole.ENGINE, model)
                 self._target_tender.tend(deployment, engines, fence)
         for name, store in configuration.stores.items():
-            if self._leases.fence(_HOLDING + name) is not None:
+            if self._leases.fence(_HOLDING + name) is not None and self._due(name):
                 self._tend_store(store, configuration)
 
+    def _due(self, store: str) -> bool:
+        """Return whether it is time to list a store host again: its list is long."""
+        now = time.monotonic()
+        if now - self._tended_at.get(store, float("-inf")) < STORE_SECONDS:
+            return False
+        self._tended_at[store] = now
+        return True
+
     def _tend_store(self, store: StoreHost, configuration: Configuration) -> None:
         week_second = (self._wall_clock() - self._week_start) % WEEK_SECONDS
         try:
--- a/packages/node/src/fielddrift_node/metrics.py
+++ b/packages/node/src/fielddrift_node/metrics.py
@@ -13,7 +13,10 @@
 import statsd
 from fielddrift_core.errors import Kind, Refusal
 
-__all__ = ["METRICS", "Metrics", "RETRY_REASONS"]
+__all__ = ["FLUSH_SECONDS", "METRICS", "RETRY_REASONS", "Metrics"]
+
+FLUSH_SECONDS = 10.0
+_TIMER_RATE = 0.1
 
 RETRY_REASONS = ("connect", "not-started", "cut-before-head", "wrong-head", "resume")
 
@@ -46,6 +49,7 @@
     "peers.received": "bytes of messages received from peers",
     "peers.failed": "calls to peers that failed",
     "sightings.bytes": "bytes of sightings sent to the nodes of a model",
+    "sightings.skipped": "sightings not sent, for their bytes a second were used up",
     "sightings.dropped": "sightings that were not one of ours",
     "duties.held": "gauge: leases held",
     "duties.orders": "orders sent to targets",
@@ -59,48 +63,64 @@
 
 
 class Metrics:
-    """Send counters, timers and gauges; keep the counters' totals."""
+    """Keep totals of counters and gauges, and send them to statsd now and then.
+
+    Counters are sent as sums by `flush`: a packet for each event would be
+    most of what a node sends.  Timers are sent for one event in ten.
+    """
 
     def __init__(self, *, address: str) -> None:
         self._client = None
         if address:
             host, _, port = address.rpartition(":")
             self._client = statsd.StatsClient(host, int(port), prefix="fielddrift")
-        self._totals: Counter[str] = Counter()
+        self._counters: Counter[str] = Counter()
+        self._sent: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
         self._lock = threading.Lock()
 
     @property
     def totals(self) -> dict[str, float]:
         """Return all counters and gauges since the start."""
         with self._lock:
-            return dict(self._totals)
+            return {**self._counters, **self._gauges}
 
     def add(self, name: str, amount: int = 1) -> None:
         """Add `amount` to the counter `name`."""
         self._check(name)
         with self._lock:
-            self._totals[name] += amount
-        if self._client:
-            self._client.incr(name, amount)
+            self._counters[name] += amount
 
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge `name`."""
         self._check(name)
         with self._lock:
-            self._totals[name] = value  # type: ignore[assignment]
-        if self._client:
-            self._client.gauge(name, value)
+            self._gauges[name] = value
 
     def time(self, name: str, seconds: float) -> None:
         """Send a duration to the timer `name`."""
         self._check(name)
         if self._client:
-            self._client.timing(name, seconds * 1000)
+            self._client.timing(name, seconds * 1000, rate=_TIMER_RATE)
 
     def refused(self, refusal: Refusal) -> None:
         """Count a refusal under its reason."""
         self.add(refusal.counter)
 
+    def flush(self) -> None:
+        """Send what has changed since the last flush."""
+        if self._client is None:
+            return
+        with self._lock:
+            grown = self._counters - self._sent
+            self._sent = Counter(self._counters)
+            gauges = dict(self._gauges)
+        with self._client.pipeline() as pipe:
+            for name, amount in grown.items():
+                pipe.incr(name, amount)
+            for name, value in gauges.items():
+                pipe.gauge(name, value)
+
     def _check(self, name: str) -> None:
         if name not in METRICS:
             raise ValueError(f"metric: {name!r}, expected one of METRICS")
--- a/packages/node/src/fielddrift_node/settings.py
+++ b/packages/node/src/fielddrift_node/settings.py
@@ -56,6 +56,7 @@
     claim_seconds: float
     stop_seconds: float
     entry_seconds: float
+    sighting_bytes: float
 
 
 class Settings(TypedDict):
@@ -89,6 +90,7 @@
         "claim_seconds": 1.0,
         "stop_seconds": 60.0,
         "entry_seconds": 10.0,
+        "sighting_bytes": 8000.0,
     },
 }
 
@@ -114,6 +116,7 @@
     "limits.claim_seconds",
     "limits.stop_seconds",
     "limits.entry_seconds",
+    "limits.sighting_bytes",
     "platform.timeout_seconds",
 )
 
--- a/packages/node/src/fielddrift_node/sightings.py
+++ b/packages/node/src/fielddrift_node/sightings.py
@@ -21,12 +21,13 @@
 from .log import get
 from .metrics import Metrics
 
-__all__ = ["Ended", "Head", "Sent", "Sighting", "Sightings", "short"]
+__all__ = ["IP_UDP_BYTES", "Ended", "Head", "Sent", "Sighting", "Sightings", "short"]
 
 GATHER_SECONDS = 0.005
+BYTES_A_SECOND = 8000.0
 _LONGEST_DATAGRAM = 1400
 _DIGEST_BYTES = 8
-_IP_UDP_BYTES = 28
+IP_UDP_BYTES = 28
 _OLDEST_SECONDS = 5.0
 
 
@@ -83,6 +84,24 @@
     sightings: list[tuple[int, list[object]]]
 
 
+class _Budget:
+    """Let so many bytes a second through, with two seconds' worth saved up at most."""
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._left = 2 * rate
+        self._at = time.monotonic()
+
+    def take(self, size: int) -> bool:
+        now = time.monotonic()
+        self._left = min(2 * self._rate, self._left + (now - self._at) * self._rate)
+        self._at = now
+        if size > self._left:
+            return False
+        self._left -= size
+        return True
+
+
 def short(name: str) -> int:
     """Return a number of 32 bits for a long name; two names may share one."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "big")
@@ -92,7 +111,8 @@
     """Send and receive sightings over UDP, on the peers' address.
 
     `audience` gives the addresses of the nodes that should hear about a
-    model; `take` takes a sighting in.
+    model; `take` takes a sighting in.  Beyond `bytes_a_second` sightings are
+    left out: choices get worse, the control traffic stays bounded.
     """
 
     def __init__(
@@ -103,11 +123,13 @@
         audience: Callable[[str], Iterable[str]],
         take: Callable[[Sighting], None],
         metrics: Metrics,
+        bytes_a_second: float = BYTES_A_SECOND,
     ) -> None:
         self._key = hashlib.sha256(key.encode()).digest()
         self._audience = audience
         self._take = take
         self._metrics = metrics
+        self._budget = _Budget(bytes_a_second)
         self._waiting: dict[str, list[Sighting]] = {}
         self._changed = threading.Condition()
         self._stopped = False
@@ -146,13 +168,16 @@
     def _send(self, model: str, sightings: list[Sighting]) -> None:
         peers = list(self._audience(model))
         for data in self.pack(sightings):
+            if not self._budget.take(len(peers) * (len(data) + IP_UDP_BYTES)):
+                self._metrics.add("sightings.skipped", len(sightings))
+                return
             for peer in peers:
                 host, _, port = peer.rpartition(":")
                 try:
                     self._socket.sendto(data, (host, int(port)))
                 except OSError as error:
                     get().debug("sighting not sent", peer=peer, error=str(error))
-                self._metrics.add("sightings.bytes", len(data) + _IP_UDP_BYTES)
+                self._metrics.add("sightings.bytes", len(data) + IP_UDP_BYTES)
 
     def pack(self, sightings: list[Sighting]) -> list[bytes]:
         """Return datagrams that carry `sightings`, each within the size of a packet."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,7 +16,7 @@
 from fielddrift_core.errors import ANSWERS, Kind
 from fielddrift_core.grammar import Condition, Fresh, Query, parse
 from fielddrift_core.model import Configuration
-from fielddrift_node.metrics import METRICS
+from fielddrift_node.metrics import METRICS, Metrics
 from fielddrift_node.settings import SettingsError, load
 
 ROOT = Path(__file__).parent.parent
@@ -182,8 +183,23 @@
             if not name.startswith(("refused.", "retried.")):
                 self.assertGreaterEqual(sources.count(f'"{name}"'), 2, name)
 
-    def test_an_unlisted_metric_is_an_error(self) -> None:
-        from fielddrift_node.metrics import Metrics
+    def test_statsd_gets_sums_once(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+            server.bind(("127.0.0.1", 0))
+            server.settimeout(5)
+            metrics = Metrics(address=f"127.0.0.1:{server.getsockname()[1]}")
+            for _ in range(3):
+                metrics.add("answers.whole")
+            metrics.gauge("requests.open", 2)
+            metrics.flush()
+            first = server.recv(1500).decode().splitlines()
+            metrics.add("answers.whole")
+            metrics.flush()
+            second = server.recv(1500).decode().splitlines()
+        self.assertIn("fielddrift.answers.whole:3|c", first)
+        self.assertIn("fielddrift.requests.open:2|g", first)
+        self.assertIn("fielddrift.answers.whole:1|c", second)
 
+    def test_an_unlisted_metric_is_an_error(self) -> None:
         with self.assertRaisesRegex(ValueError, "'odd'"):
             Metrics(address="").add("odd")
--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -18,7 +18,9 @@
 
 
 class SightingsTest(unittest.TestCase):
-    def _start(self, key: str = "k" * 16, peers: list[str] | None = None) -> Sightings:
+    def _start(
+        self, key: str = "k" * 16, peers: list[str] | None = None, **options: float
+    ) -> Sightings:
         self.taken: list[Sighting] = []
         self.heard = threading.Event()
         self.address = f"127.0.0.1:{free_port()}"
@@ -28,6 +30,7 @@
             audience=lambda model: peers or [],
             take=self._take,
             metrics=Metrics(address=""),
+            **options,
         )
         self.addCleanup(sightings.close)
         return sightings
@@ -43,9 +46,9 @@
         self.assertTrue(self.heard.wait(5))
         self.assertEqual(self.taken[0], SENT)
 
-    def _start_teller(self, peers: list[str]) -> Sightings:
+    def _start_teller(self, peers: list[str], **options: float) -> Sightings:
         taken, heard, address = self.taken, self.heard, self.address
-        teller = self._start(peers=peers)
+        teller = self._start(peers=peers, **options)
         self.taken, self.heard, self.address = taken, heard, address
         return teller
 
@@ -69,6 +72,12 @@
             with self.assertRaisesRegex(ValueError, "keyed digest"):
                 one.unpack(bad)
 
+    def test_beyond_its_bytes_a_second_nothing_is_sent(self) -> None:
+        self._start()
+        teller = self._start_teller([self.address], bytes_a_second=20.0)
+        teller.tell("m", HEAD)
+        self.assertFalse(self.heard.wait(0.3))
+
     def test_old_ones_are_left_out(self) -> None:
         one = self._start()
         data = one.pack([SENT])[0]
