--- a/packages/core/src/fielddrift_core/retries.py
+++ b/packages/core/src/fielddrift_core/retries.py
@@ -65,9 +65,10 @@
 
 
 class Breaker:
-    """Rest a target after failures in a row; rests double up to a limit."""
+    """Rest a target after failures in a row; rests double up to `longest` seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, longest: float = LONGEST_REST) -> None:
+        self._longest = longest
         self._failures = 0
         self._rest = FIRST_REST
         self._until = 0.0
@@ -103,4 +104,4 @@
         if self._failures < BREAK_AFTER:
             return
         self._until = now + self._rest
-        self._rest = min(LONGEST_REST, self._rest * 2)
+        self._rest = min(self._longest, self._rest * 2)
--- a/packages/node/src/fielddrift_node/claims.py
+++ b/packages/node/src/fielddrift_node/claims.py
@@ -48,6 +48,8 @@
 _MOST_IN_GROUP = 64
 _LONGEST_BODY = 16_384
 _CLEAN_SECONDS = 1.0
+# Every claim needs the table, so it is tried again sooner than a target.
+_LONGEST_TABLE_REST = 2.0
 
 
 class Claim(NamedTuple):
@@ -94,7 +96,7 @@
         self._group_seconds = group_seconds
         self._book = ClaimBook()
         self._lock = threading.Lock()
-        self._breaker = Breaker()
+        self._breaker = Breaker(longest=_LONGEST_TABLE_REST)
         self._inbox: queue.SimpleQueue[_Pending | None] = queue.SimpleQueue()
         self._unclean: dict[str, _Unclean] = {}
         self._stopped = threading.Event()
