Resume a run past its deadline and off a frozen engine; order engines side by side

Cause, found by reading: the deadline is for the first token, yet resuming after it gave up at once; a stream that stalls was waited for until the whole run's time was up; one engine slow to load kept the others' orders waiting. Change: a broken run may take 10 s to go on; a stream on which nothing comes for 3 s is taken for broken; orders go out on the pool, one at a time an engine. Tests: a cut after the deadline, an engine frozen in its stream; both whole.

--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -157,7 +157,9 @@
         self._leases = Leases(table=self._table, holder=f"{holder}-{self._boot}")
         self._duties = Duties(
             leases=self._leases,
-            target_tender=TargetTender(targets=self._services.targets, metrics=self._metrics),
+            target_tender=TargetTender(
+                targets=self._services.targets, pool=self._pool, metrics=self._metrics
+            ),
             store_tender=StoreTender(stores=self._services.stores, metrics=self._metrics),
             week_start=self._settings["week_start"],
         )
--- a/packages/node/src/fielddrift_node/duties.py
+++ b/packages/node/src/fielddrift_node/duties.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 
 from fielddrift_core.holding import WEEK_SECONDS, Held, plan
 from fielddrift_core.interfaces import OutsideError
@@ -40,23 +41,33 @@
 class TargetTender:
     """Bring the engines of a deployment into their wanted state."""
 
-    def __init__(self, *, targets: TargetClient, metrics: Metrics) -> None:
+    def __init__(
+        self, *, targets: TargetClient, pool: ThreadPoolExecutor, metrics: Metrics
+    ) -> None:
         self._targets = targets
+        self._pool = pool
         self._metrics = metrics
         self._in_force: dict[str, tuple[str, float]] = {}
+        self._busy: dict[str, Future[None]] = {}
 
     def tend(self, deployment: Deployment, engines: tuple[Target, ...], fence: int) -> None:
         """Order what differs from the wanted state, and read it back.
 
         A target that checks no orders may have been given an old one by
-        another node: its state is read each time, not assumed.
+        another node: its state is read each time, not assumed.  No engine
+        waits for another that is slow to load.
         """
         order = Order(fence, self._wanted(deployment))
         for engine in engines:
-            try:
-                self._tend_one(engine, order)
-            except OutsideError as error:
-                get().info("order not confirmed", target=engine.name, error=str(error))
+            busy = self._busy.get(engine.name)
+            if busy is None or busy.done():
+                self._busy[engine.name] = self._pool.submit(self._try_one, engine, order)
+
+    def _try_one(self, engine: Target, order: Order) -> None:
+        try:
+            self._tend_one(engine, order)
+        except OutsideError as error:
+            get().info("order not confirmed", target=engine.name, error=str(error))
 
     def _wanted(self, deployment: Deployment) -> tuple[str, ...]:
         """Return the versions to order; the previous one stays for a while after a swap."""
--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -65,16 +65,18 @@
     """An answer that is read while it arrives.
 
     Iterate over it for the body; the iteration raises `OutsideError` when the
-    answer breaks off.  Close it to cancel the call.
+    answer breaks off, or when nothing comes for `stall` seconds.  Close it to
+    cancel the call.
     """
 
     def __init__(self, *, cancel: Callable[[Stream], None]) -> None:
         self.head: Future[Head] = Future()
+        self.stall: float | None = None
         self._cancel = cancel
         self._chunks: queue.SimpleQueue[bytes | OutsideError | None] = queue.SimpleQueue()
 
     def __iter__(self) -> Iterator[bytes]:
-        while (chunk := self._chunks.get()) is not _END:
+        while (chunk := self._next()) is not _END:
             chunks = [chunk]
             # What has arrived together is handed on together.
             while not self._chunks.empty() and isinstance(chunks[-1], bytes):
@@ -87,6 +89,12 @@
             if chunks[-1] is _END:
                 return
 
+    def _next(self) -> bytes | OutsideError | None:
+        try:
+            return self._chunks.get(timeout=self.stall)
+        except queue.Empty:
+            return OutsideError(f"nothing came for {self.stall} s")
+
     def read(self) -> bytes:
         """Return the rest of the body."""
         return b"".join(self)
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -26,6 +26,12 @@
 
 __all__ = ["Broken", "Relay", "Started", "whole_answer"]
 
+STALL_SECONDS = 3.0
+"""A stream on which nothing comes for so long is taken for broken."""
+
+RESUME_SECONDS = 10.0
+"""How long a broken run may take to go on elsewhere."""
+
 _MOST_RESUMES = 3
 _TEXT = re.compile(rb'^data: (\{"choices".*\})$', re.MULTILINE)
 
@@ -100,6 +106,7 @@
 
     def _pass_on(self) -> Iterator[bytes]:
         """Yield what the present stream gives until it ends or breaks."""
+        self._started.stream.stall = STALL_SECONDS
         try:
             for data in self._started.stream:
                 ready = self._sequencer.feed(data)
@@ -122,6 +129,8 @@
         self._sequencer.restart()
         started = None
         if self._resumes <= _MOST_RESUMES:
+            # The deadline was for the first token, which has come.
+            exchange.deadline = max(exchange.deadline, time.monotonic() + RESUME_SECONDS)
             started = self._resume(exchange, self._sequencer.following)
         if started is None:
             raise Broken(self._cut())
--- a/tests/test_promise_answers.py
+++ b/tests/test_promise_answers.py
@@ -42,6 +42,17 @@
         self.assert_whole(self._stream(prompt), prompt)
         self.assertEqual(self.counter("retried.resume"), before + 2)
 
+    def test_a_run_cut_after_its_deadline_is_resumed_all_the_same(self) -> None:
+        """Found by reading: the deadline for the first token once ended the resuming."""
+        prompt = self.prompt(1)
+        self._engines(cut_after=120)
+        self.addCleanup(self._engines, cut_after=None)
+        got = self.fleet.complete(
+            CUSTOMER, prompt, stream=True, max_tokens=150, headers={"Fielddrift-Deadline": "1"}
+        )
+        self.assertTrue(is_whole(got), got.body[-300:])
+        self.assertEqual(text_of(got), expected_text(self.fleet, CUSTOMER, prompt, "v1", 150))
+
     def test_an_end_without_its_mark_never_passes_for_whole(self) -> None:
         self._engines(short=True)
         self.addCleanup(self._engines, short=False)
@@ -69,6 +80,28 @@
             self.assert_whole(got, prompt)
 
 
+class FrozenEngineTest(FleetTest):
+    def test_a_frozen_engines_stream_goes_on_elsewhere(self) -> None:
+        """Found by reading: a stream that stalls, unlike one that breaks, was waited for."""
+        prompt = self.prompt(1)
+        first = self.fleet.complete(CUSTOMER, prompt).headers["fielddrift-target"]
+        results: list[Fetched] = []
+
+        def ask() -> None:
+            results.append(self.fleet.complete(CUSTOMER, prompt, stream=True, max_tokens=200))
+
+        thread = threading.Thread(target=ask)
+        thread.start()
+        time.sleep(0.8)
+        frozen = self.fleet.processes[first]
+        frozen.signal(signal.SIGSTOP)
+        self.addCleanup(frozen.signal, signal.SIGCONT)
+        thread.join()
+        self.assertTrue(is_whole(results[0]), results[0].body[-300:])
+        expected = expected_text(self.fleet, CUSTOMER, prompt, "v1", 200)
+        self.assertEqual(text_of(results[0]), expected)
+
+
 class KilledTest(FleetTest):
     engines = 3
 
