Call what filters use the runtime; hear sightings only when they can be taken

Cause, found by reading: 'services' named both what filters work with and the plain services behind the system; and a node listened for sightings before it could take them, so one that came while it started ended its hearing for good. Change: services.py is runtime.py; the daemon's constructor is in steps; sightings start last, and one that cannot be taken is logged and left. Test: without the change the second sighting is never heard.

--- a/bench/world.py
+++ b/bench/world.py
@@ -21,7 +21,7 @@
 from fielddrift_core.names import rank
 from fielddrift_core.routing import POLICIES, Choice, Kept, Load, Need, Source, TargetView, draw
 from fielddrift_node.board import Board
-from fielddrift_node.services import Links
+from fielddrift_node.runtime import Links
 
 from .loads import Ask, LoadShape
 
--- a/packages/node/src/fielddrift_node/callers.py
+++ b/packages/node/src/fielddrift_node/callers.py
@@ -21,7 +21,7 @@
 from .filters.identify import identify
 from .log import get
 from .operators import Operators
-from .services import Services
+from .runtime import Runtime
 from .settle import truthful
 from .tickets import TICKET_HEADER
 
@@ -42,13 +42,13 @@
     def __init__(
         self,
         *,
-        services: Services,
+        runtime: Runtime,
         operators: Operators,
         entry: Callable[[str], EntryAnswer],
         next_id: Callable[[], str],
         ask_state: Callable[[str, str], str | None],
     ) -> None:
-        self._services = services
+        self._runtime = runtime
         self._operators = operators
         self._entry = entry
         self._next_id = next_id
@@ -116,7 +116,7 @@
 
     def _claimed_state(self, customer: str, key: str, request_id: str) -> Response:
         try:
-            row = self._services.claims.find(customer, key)
+            row = self._runtime.claims.find(customer, key)
         except OutsideError as error:
             detail = f"the state of {key!r} cannot be read: {error}"
             return self._refuse(Refusal(Kind.PLATFORM_DOWN, detail, Ran.UNKNOWN, 2.0), request_id)
@@ -127,23 +127,23 @@
             return _json({"id": key, "state": "ran", "answer": answer})
         if row.state is ClaimState.NOT_RUN:
             return _json({"id": key, "state": "not-run"})
-        word = self._services.claims.word_of(row)
+        word = self._runtime.claims.word_of(row)
         return _json({"id": key, "state": word})
 
     # --- requests ----------------------------------------------------------
 
     def _completions(self, request: Request, request_id: str) -> Response:
-        self._services.metrics.add("requests.completions")
+        self._runtime.metrics.add("requests.completions")
         return self._run(request, request_id, {}, COMPLETION)
 
     def _service(self, request: Request, request_id: str, name: str, path: str = "") -> Response:
-        self._services.metrics.add("requests.services")
+        self._runtime.metrics.add("requests.services")
         return self._run(request, request_id, {"name": name, "path": path}, SERVICE)
 
     def _run(
         self, request: Request, request_id: str, path: dict[str, str], filters: tuple[Filter, ...]
     ) -> Response:
-        places = self._services.places
+        places = self._runtime.places
         if not places.take():
             detail = "this node has as many requests as it can hold"
             refusal = Refusal(Kind.OVERLOADED, detail, Ran.NO, 0.5)
@@ -167,17 +167,17 @@
                 refusal = truthful(refusal, dict(request.headers))
             response = self._refuse(refusal, request_id)
             if refusal.kind in _WITH_TICKET and refusal.retry_after is not None:
-                ticket = self._services.tickets.issue(exchange.customer.name, refusal.retry_after)
+                ticket = self._runtime.tickets.issue(exchange.customer.name, refusal.retry_after)
                 response.headers[TICKET_HEADER] = ticket
             return response
         assert exchange.answer is not None
         return _respond(exchange.answer)
 
     def _exchange(self, request: Request, request_id: str, path: dict[str, str]) -> Exchange:
-        return Exchange(services=self._services, request=request, request_id=request_id, path=path)
+        return Exchange(runtime=self._runtime, request=request, request_id=request_id, path=path)
 
     def _refuse(self, refusal: Refusal, request_id: str) -> Response:
-        self._services.metrics.refused(refusal)
+        self._runtime.metrics.refused(refusal)
         get().info("refused", kind=refusal.kind.value, detail=refusal.detail, ran=refusal.ran.value)
         body = json.dumps(refusal.problem(request_id=request_id))
         status = ANSWERS[refusal.kind].status
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -33,8 +33,8 @@
 from .peers import Peers
 from .platform import HttpHostList, HttpObjectStore, HttpTable
 from .queries import Nodes
+from .runtime import Links, Places, RequestLog, Runtime
 from .servers import SERVERS
-from .services import Links, Places, RequestLog, Services
 from .settings import Settings
 from .sightings import Sightings
 from .stores import Stores
@@ -69,7 +69,6 @@
         self._stopping = threading.Event()
         self._boot = secrets.token_hex(4)
         self._numbers = itertools.count(1)
-        node = settings["node"]
         rng = random.Random(secrets.randbits(64))
         self._metrics = Metrics(address=settings["statsd"])
         self._pool = ThreadPoolExecutor(_POOL_THREADS, thread_name_prefix="pool")
@@ -77,6 +76,24 @@
         self._http = HttpClient()
         self._build_platform()
         self._requests = RequestLog()
+        self._build_peers(rng)
+        self._runtime = self._build_runtime(rng)
+        self._sightings = self._build_sightings()
+        self._build_duties()
+        self._app = self._build_app()
+
+    def _build_platform(self) -> None:
+        platform = self._settings["platform"]
+        seconds = platform.get("timeout_seconds", 2.0)
+        self._table = HttpTable(
+            address=platform["table"], http=self._http, metrics=self._metrics, timeout=seconds
+        )
+        self._objects = HttpObjectStore(address=platform["objects"], http=self._http)
+        self._hosts = HttpHostList(address=platform["hosts"], http=self._http, timeout=seconds)
+
+    def _build_peers(self, rng: random.Random) -> None:
+        settings = self._settings
+        node = settings["node"]
         self._config = ConfigSync(
             table=self._table,
             objects=self._objects,
@@ -106,29 +123,9 @@
             metrics=self._metrics,
         )
         self._cluster.connect(self._peers)
-        self._sightings = Sightings(
-            address=node["peer"],
-            key=settings["keys"]["peer"],
-            audience=self._cluster.audience,
-            take=lambda sighting: take(self._services, sighting),
-            metrics=self._metrics,
-            bytes_a_second=settings["limits"]["sighting_bytes"],
-        )
-        self._services = self._build_services(rng)
-        self._build_duties()
-        self._app = self._build_app()
 
-    def _build_platform(self) -> None:
-        platform = self._settings["platform"]
-        seconds = platform.get("timeout_seconds", 2.0)
-        self._table = HttpTable(
-            address=platform["table"], http=self._http, metrics=self._metrics, timeout=seconds
-        )
-        self._objects = HttpObjectStore(address=platform["objects"], http=self._http)
-        self._hosts = HttpHostList(address=platform["hosts"], http=self._http, timeout=seconds)
-
-    def _build_services(self, rng: random.Random) -> Services:
-        return Services(
+    def _build_runtime(self, rng: random.Random) -> Runtime:
+        return Runtime(
             settings=self._settings,
             metrics=self._metrics,
             config=self._config,
@@ -145,33 +142,44 @@
             rng=rng,
             pool=self._pool,
             exporter=self._exporter,
-            tell=self._sightings.tell,
+            tell=lambda model, sighting: self._sightings.tell(model, sighting),
             tickets=Tickets(key=self._settings["keys"]["peer"]),
             places=Places(limit=self._settings["limits"]["requests"]),
             leaving=self._cluster.leaving,
             heard_headers=self._heard_headers,
         )
 
+    def _build_sightings(self) -> Sightings:
+        # Last, for what arrives is taken into the runtime at once.
+        return Sightings(
+            address=self._settings["node"]["peer"],
+            key=self._settings["keys"]["peer"],
+            audience=self._cluster.audience,
+            take=lambda sighting: take(self._runtime, sighting),
+            metrics=self._metrics,
+            bytes_a_second=self._settings["limits"]["sighting_bytes"],
+        )
+
     def _build_duties(self) -> None:
         holder = self._settings["node"]["peer"]
         self._leases = Leases(table=self._table, holder=f"{holder}-{self._boot}")
         self._duties = Duties(
             leases=self._leases,
             target_tender=TargetTender(
-                targets=self._services.targets, pool=self._pool, metrics=self._metrics
+                targets=self._runtime.targets, pool=self._pool, metrics=self._metrics
             ),
-            store_tender=StoreTender(stores=self._services.stores, metrics=self._metrics),
+            store_tender=StoreTender(stores=self._runtime.stores, metrics=self._metrics),
             week_start=self._settings["week_start"],
         )
 
     def _build_app(self) -> CallersApp:
         nodes = Nodes(membership=self._cluster.membership, peers=self._peers, table=self._table)
         operators = Operators(
-            services=self._services, nodes=nodes, keys=self._settings["keys"]["operators"]
+            runtime=self._runtime, nodes=nodes, keys=self._settings["keys"]["operators"]
         )
         keep = self._settings["limits"]["entry_seconds"]
         return CallersApp(
-            services=self._services,
+            runtime=self._runtime,
             operators=operators,
             entry=lambda model: self._cluster.entry(model, keep),
             next_id=self._next_id,
@@ -207,12 +215,12 @@
         """Leave: off the entry list, wait out old entry answers, let streams end."""
         limits = self._settings["limits"]
         get().info("leaving")
-        self._services.watch.leave()
+        self._runtime.watch.leave()
         self._cluster.leave()
         self._stopping.set()
         self._give_back_leases()
         time.sleep(limits["entry_seconds"])
-        self._services.watch.refuse()
+        self._runtime.watch.refuse()
         until = time.monotonic() + limits["stop_seconds"]
         while self._requests.running() and time.monotonic() < until:
             time.sleep(_STOP_LOOK_SECONDS)
@@ -254,8 +262,8 @@
     # --- rounds ------------------------------------------------------------
 
     def _tick(self) -> None:
-        self._metrics.gauge("requests.open", self._services.places.taken)
-        if self._services.watch.tick():
+        self._metrics.gauge("requests.open", self._runtime.places.taken)
+        if self._runtime.watch.tick():
             self._metrics.add("pauses")
             get().warning("this process was paused")
 
@@ -272,16 +280,16 @@
                 self._cluster.hear_target(word)
 
     def _poll_loads(self) -> None:
-        board = self._services.board
+        board = self._runtime.board
         due = board.stale(self._config.current, idle=_IDLE_MODEL_SECONDS)[:_POLLS_A_ROUND]
         for target in due:
             self._pool.submit(self._poll_load, target)
 
     def _poll_load(self, target: Target) -> None:
-        board = self._services.board
+        board = self._runtime.board
         try:
             after = board.event_sequence(target.name)
-            report = self._services.targets.load(target, after=after)
+            report = self._runtime.targets.load(target, after=after)
         except OutsideError:
             board.failed(target.name)
             return
@@ -330,7 +338,7 @@
             self._heard_report(target, report)
 
     def _heard_report(self, target: str, report: LoadReport) -> None:
-        board = self._services.board
+        board = self._runtime.board
         board.heard_load(target, report.load(), report.epoch, report.versions)
         if report.leaving:
             self._cluster.hear_target(TargetWord(target, report.epoch, True))
--- a/packages/node/src/fielddrift_node/exchange.py
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -13,7 +13,7 @@
 from werkzeug.wrappers import Request
 
 from .claims import Claim
-from .services import Services
+from .runtime import Runtime
 from .stores import Found
 
 __all__ = ["Answer", "CompletionAsk", "Exchange", "Filter", "ServiceAsk", "run_filters"]
@@ -53,9 +53,9 @@
     """One request on its way; each filter fills in what the next ones need."""
 
     def __init__(
-        self, *, services: Services, request: Request, request_id: str, path: Mapping[str, str]
+        self, *, runtime: Runtime, request: Request, request_id: str, path: Mapping[str, str]
     ) -> None:
-        self.services = services
+        self.runtime = runtime
         self.request = request
         self.request_id = request_id
         self.path = path
--- a/packages/node/src/fielddrift_node/exporter.py
+++ b/packages/node/src/fielddrift_node/exporter.py
@@ -43,7 +43,7 @@
     def submit(self, exchange: Exchange, started: Started) -> None:
         """Export the prefix of a finished run some time soon, if it is worth it."""
         if not self._room.acquire(blocking=False):
-            exchange.services.metrics.add("exports.skipped")
+            exchange.runtime.metrics.add("exports.skipped")
             return
         self._pool.submit(self._run, exchange, started)
 
@@ -61,12 +61,12 @@
 
 
 def _keep(exchange: Exchange, started: Started) -> None:
-    services = exchange.services
+    runtime = exchange.runtime
     blocks = len(exchange.digests)
     kept = exchange.found.manifest.blocks if exchange.found else 0
     rule = exchange.configuration.holds.get(exchange.customer.name)
-    if services.watch.leaving or not should_keep(rule=rule, blocks=blocks, kept=kept):
-        services.metrics.add("exports.skipped")
+    if runtime.watch.leaving or not should_keep(rule=rule, blocks=blocks, kept=kept):
+        runtime.metrics.add("exports.skipped")
         return
     name = prefix_name(
         customer=exchange.customer.name,
@@ -76,29 +76,29 @@
         blocks=blocks,
     )
     for store in placement(exchange.configuration, name.folder):
-        if services.stores.usable(store) and _export(exchange, started, name, store):
+        if runtime.stores.usable(store) and _export(exchange, started, name, store):
             return
-    services.metrics.add("exports.failed")
+    runtime.metrics.add("exports.failed")
 
 
 def _export(exchange: Exchange, started: Started, name: PrefixName, store: StoreHost) -> bool:
     """Write the parts, then the manifest; return whether the prefix is kept."""
-    services = exchange.services
+    runtime = exchange.runtime
     size = name.blocks * BYTES_A_BLOCK
-    if not services.links.begin_export(store, size):
-        services.metrics.add("exports.skipped")
+    if not runtime.links.begin_export(store, size):
+        runtime.metrics.add("exports.skipped")
         return True
     try:
         manifest = _write(exchange, started, name, store)
     except OutsideError as error:
-        services.stores.note(store, worked=False)
+        runtime.stores.note(store, worked=False)
         get().info("export failed", request=exchange.request_id, error=str(error))
         return False
     finally:
-        services.links.end_export(store, size)
-    services.stores.note(store, worked=True)
-    services.metrics.add("exports.done")
-    services.metrics.add("link.exported", manifest.size)
+        runtime.links.end_export(store, size)
+    runtime.stores.note(store, worked=True)
+    runtime.metrics.add("exports.done")
+    runtime.metrics.add("link.exported", manifest.size)
     return True
 
 
@@ -111,13 +111,13 @@
         "blocks": name.blocks,
         "blocks_a_part": BLOCKS_A_PART,
     }
-    services = exchange.services
-    raw = services.targets.export(started.choice.target, order, timeout=_EXPORT_SECONDS)
+    runtime = exchange.runtime
+    raw = runtime.targets.export(started.choice.target, order, timeout=_EXPORT_SECONDS)
     try:
         parts = tuple(msgspec.convert(raw, list[Part]))
     except msgspec.ValidationError as error:
         raise OutsideError(f"parts of an export: {error}") from None
     size = sum(part.length for part in parts)
     manifest = Manifest(name.path, attempt, name.blocks, name.digest, size, parts)
-    services.stores.client(store).create(manifest)
+    runtime.stores.client(store).create(manifest)
     return manifest
--- a/packages/node/src/fielddrift_node/filters/admit.py
+++ b/packages/node/src/fielddrift_node/filters/admit.py
@@ -23,38 +23,38 @@
     The first sign of leaving counts, whoever gave it: the operators, the host
     list, a peer or the target itself.
     """
-    services = exchange.services
-    if target.draining or target.name in exchange.failed or services.leaving(target.name):
+    runtime = exchange.runtime
+    if target.draining or target.name in exchange.failed or runtime.leaving(target.name):
         return False
-    return services.board.takes(target, exchange.deployment.version)
+    return runtime.board.takes(target, exchange.deployment.version)
 
 
 def choose(exchange: Exchange) -> Choice | None:
     """Return the target and source for the next try, or None."""
     assert exchange.need is not None
-    services = exchange.services
-    warm = services.board.warm(exchange.digests)
+    runtime = exchange.runtime
+    warm = runtime.board.warm(exchange.digests)
     known = exchange.configuration.targets
     drawn = draw(
         exchange.targets,
         warm=[known[name] for name in warm if name in known],
         allowed=lambda target: allows(exchange, target),
-        sample=services.policy.sample,
-        rng=services.rng,
+        sample=runtime.policy.sample,
+        rng=runtime.rng,
     )
-    views = services.board.views(drawn, warm)
-    return services.policy.choose(exchange.need, views, services.rng)
+    views = runtime.board.views(drawn, warm)
+    return runtime.policy.choose(exchange.need, views, runtime.rng)
 
 
 def admit(exchange: Exchange) -> Result[Exchange, Refusal]:
     """Refuse at once what the deadline or the customer's share forbids."""
     assert exchange.need is not None
-    services = exchange.services
+    runtime = exchange.runtime
     choice = choose(exchange)
     if choice is None:
         return Err(no_target(exchange))
-    with services.admission_lock:
-        refusal = services.admission.check(
+    with runtime.admission_lock:
+        refusal = runtime.admission.check(
             customer=exchange.customer.name,
             share=exchange.customer.share,
             tokens=exchange.need.tokens,
@@ -63,7 +63,7 @@
             patience=exchange.left,
             room_rate=choice.target.prefill_rate * len(exchange.targets),
             now=time.monotonic(),
-            returning=services.tickets.counts(
+            returning=runtime.tickets.counts(
                 exchange.request.headers.get(TICKET_HEADER, ""), exchange.customer.name
             ),
         )
--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -23,7 +23,7 @@
 
 def call_service(exchange: Exchange) -> Result[Exchange, Refusal]:
     """Set the service's answer; every refusal says whether the call ran."""
-    services = exchange.services
+    runtime = exchange.runtime
     if refusal := begin(exchange):
         return Err(refusal)
     outcome = _try_all(exchange)
@@ -32,17 +32,17 @@
         return Err(outcome)
     content_type = outcome.headers.get("content-type", "application/octet-stream")
     if exchange.claim:
-        services.claims.ran(
+        runtime.claims.ran(
             exchange.claim, status=outcome.status, content_type=content_type, body=outcome.body
         )
-    services.requests.note(exchange.request_id, exchange.customer.name, "ran")
-    services.metrics.add("answers.whole")
+    runtime.requests.note(exchange.request_id, exchange.customer.name, "ran")
+    runtime.metrics.add("answers.whole")
     exchange.answer = Answer(outcome.status, content_type, outcome.body)
     return Ok(exchange)
 
 
 def _try_all(exchange: Exchange) -> Reply | Refusal:
-    services = exchange.services
+    runtime = exchange.runtime
     sure = True
     last = ""
     for attempt in range(1, _TRIES + 1):
@@ -55,38 +55,38 @@
             last = str(failure)
             sure = sure and failure.sure
             exchange.failed.add(target.name)
-            wait = backoff(attempt, rng=services.rng, left=exchange.left)
+            wait = backoff(attempt, rng=runtime.rng, left=exchange.left)
             allowed = failure.sure or exchange.repeatable
-            if not allowed or wait is None or not services.board.may_retry(target.name):
+            if not allowed or wait is None or not runtime.board.may_retry(target.name):
                 return _failed(str(failure), sure)
-            services.metrics.add(f"retried.{failure.reason}")
+            runtime.metrics.add(f"retried.{failure.reason}")
             time.sleep(wait)
     return _failed(f"{_TRIES} tries failed; the last: {last}", sure)
 
 
 def _choose(exchange: Exchange) -> Target | None:
-    views = exchange.services.board.views(
+    views = exchange.runtime.board.views(
         [target for target in exchange.targets if allows(exchange, target)], {}
     )
     if not views:
         return None
     least = min(view.sent for view in views)
-    return exchange.services.rng.choice([v.target for v in views if v.sent == least])
+    return exchange.runtime.rng.choice([v.target for v in views if v.sent == least])
 
 
 def _try_one(exchange: Exchange, target: Target) -> Reply:
-    services = exchange.services
-    services.board.sent(target.name, exchange.request_id, 0)
+    runtime = exchange.runtime
+    runtime.board.sent(target.name, exchange.request_id, 0)
     try:
-        reply = services.targets.call(target, _call(exchange, target))
+        reply = runtime.targets.call(target, _call(exchange, target))
     except OutsideError as error:
-        services.board.failed(target.name)
+        runtime.board.failed(target.name)
         reason = "connect" if error.sure else "cut-before-head"
         raise TryFailed(str(error), reason, sure=error.sure) from None
     finally:
-        services.board.ended(target.name, exchange.request_id)
-    services.heard_headers(target.name, reply.headers)
-    services.board.worked(target.name)
+        runtime.board.ended(target.name, exchange.request_id)
+    runtime.heard_headers(target.name, reply.headers)
+    runtime.board.worked(target.name)
     if proved_not_started(reply):
         raise TryFailed(f"target {target.name}: did not start it", "not-started", sure=True)
     return reply
--- a/packages/node/src/fielddrift_node/filters/claim.py
+++ b/packages/node/src/fielddrift_node/filters/claim.py
@@ -22,7 +22,7 @@
     if not exchange.key:
         detail = "Idempotency-Key: missing, expected one for a request that may not be repeated"
         return Err(Refusal(Kind.BAD_REQUEST, detail))
-    held = exchange.services.claims.claim(
+    held = exchange.runtime.claims.claim(
         customer=exchange.customer.name, key=exchange.key, digest=_fingerprint(exchange)
     )
     if isinstance(held, Refusal):
--- a/packages/node/src/fielddrift_node/filters/identify.py
+++ b/packages/node/src/fielddrift_node/filters/identify.py
@@ -24,8 +24,8 @@
     if not key:
         detail = "Authorization: missing, expected 'Bearer ' and a customer's key"
         return Err(Refusal(Kind.UNAUTHORIZED, detail))
-    exchange.services.watch.ensure_fresh()
-    configuration = exchange.services.config.current
+    exchange.runtime.watch.ensure_fresh()
+    configuration = exchange.runtime.config.current
     name = configuration.keys.get(key_digest(key))
     if name is None:
         return Err(Refusal(Kind.UNAUTHORIZED, "Authorization: the key is not known"))
--- a/packages/node/src/fielddrift_node/filters/locate.py
+++ b/packages/node/src/fielddrift_node/filters/locate.py
@@ -23,13 +23,13 @@
     Finding nothing, or not in time, is no failure: the context is recomputed.
     """
     assert exchange.completion is not None
-    services = exchange.services
+    runtime = exchange.runtime
     prompt = exchange.completion.prompt.encode()
     exchange.digests = chain(prompt, salt=exchange.customer.salt)
     if exchange.digests and exchange.configuration.stores:
         began = time.monotonic()
         exchange.found = _find(exchange)
-        services.metrics.time("locate", time.monotonic() - began)
+        runtime.metrics.time("locate", time.monotonic() - began)
     exchange.need = Need(
         tokens=len(prompt) // BYTES_A_TOKEN,
         blocks=len(exchange.digests),
@@ -48,7 +48,7 @@
         digests=exchange.digests,
         blocks=len(exchange.digests),
     )
-    return exchange.services.stores.find(exchange.configuration, name, exchange.digests)
+    return exchange.runtime.stores.find(exchange.configuration, name, exchange.digests)
 
 
 def _kept(exchange: Exchange) -> Kept:
@@ -58,6 +58,6 @@
     return Kept(
         blocks=manifest.blocks,
         size=manifest.size,
-        seconds=exchange.services.links.import_seconds(store, manifest.size),
+        seconds=exchange.runtime.links.import_seconds(store, manifest.size),
         link_seconds=manifest.size / store.link_rate,
     )
--- a/packages/node/src/fielddrift_node/filters/parse.py
+++ b/packages/node/src/fielddrift_node/filters/parse.py
@@ -42,7 +42,7 @@
 
 def parse_completion(exchange: Exchange) -> Result[Exchange, Refusal]:
     """Read and check a completion's body and headers."""
-    limits = exchange.services.settings["limits"]
+    limits = exchange.runtime.settings["limits"]
     try:
         raw = _read(exchange.request, limits["prompt_bytes"] + _JSON_OVERHEAD)
         body = _decode(raw)
@@ -67,7 +67,7 @@
     """Read and check a service call."""
     request = exchange.request
     try:
-        body = _read(request, exchange.services.settings["limits"]["prompt_bytes"])
+        body = _read(request, exchange.runtime.settings["limits"]["prompt_bytes"])
         _take_headers(exchange)
     except _Malformed as error:
         return Err(error.refusal)
@@ -126,7 +126,7 @@
 def _deadline(exchange: Exchange) -> float:
     raw = exchange.request.headers.get(DEADLINE_HEADER)
     if raw is None:
-        return exchange.services.settings["limits"]["deadline_seconds"]
+        return exchange.runtime.settings["limits"]["deadline_seconds"]
     try:
         seconds = float(raw)
     except ValueError:
--- a/packages/node/src/fielddrift_node/filters/pin.py
+++ b/packages/node/src/fielddrift_node/filters/pin.py
@@ -27,8 +27,8 @@
     if deployment is None:
         return Err(Refusal(Kind.NOT_FOUND, f"model: {model!r} is not known"))
     exchange.deployment = deployment
-    exchange.targets = exchange.services.config.serving(TargetRole.ENGINE, model)
-    exchange.services.board.touch(model)
+    exchange.targets = exchange.runtime.config.serving(TargetRole.ENGINE, model)
+    exchange.runtime.board.touch(model)
     return Ok(exchange)
 
 
@@ -38,7 +38,7 @@
     if refusal := _pin(exchange):
         return Err(refusal)
     name = exchange.call.service
-    exchange.targets = exchange.services.config.serving(TargetRole.SERVICE, name)
+    exchange.targets = exchange.runtime.config.serving(TargetRole.SERVICE, name)
     if not exchange.targets:
         return Err(Refusal(Kind.NOT_FOUND, f"service: {name!r} is not known"))
     if any(exchange.call.method in target.not_repeatable for target in exchange.targets):
@@ -47,9 +47,9 @@
 
 
 def _pin(exchange: Exchange) -> Refusal | None:
-    watch = exchange.services.watch
+    watch = exchange.runtime.watch
     if watch.refusing:
         detail = "this node is stopping; ask GET /v1/entry for another"
         return Refusal(Kind.STOPPING, detail, Ran.NO, _RETRY_AFTER)
-    exchange.configuration = exchange.services.config.current
+    exchange.configuration = exchange.runtime.config.current
     return None
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -62,12 +62,12 @@
         return None
     started = _start(exchange, resume_at=resume_at).started
     if started is not None:
-        exchange.services.metrics.add("retried.resume")
+        exchange.runtime.metrics.add("retried.resume")
     return started
 
 
 def _start(exchange: Exchange, *, resume_at: int) -> _Tried:
-    services = exchange.services
+    runtime = exchange.runtime
     sure = True
     last = ""
     for attempt in range(1, _TRIES + 1):
@@ -81,31 +81,31 @@
             last = str(failure)
             sure = sure and failure.sure
             exchange.failed.add(choice.target.name)
-            wait = backoff(attempt, rng=services.rng, left=exchange.left)
+            wait = backoff(attempt, rng=runtime.rng, left=exchange.left)
             allowed = failure.sure or exchange.repeatable
-            if not allowed or wait is None or not services.board.may_retry(choice.target.name):
+            if not allowed or wait is None or not runtime.board.may_retry(choice.target.name):
                 return _Tried(None, _refusal(exchange, str(failure), sure))
-            services.metrics.add(f"retried.{failure.reason}")
+            runtime.metrics.add(f"retried.{failure.reason}")
             time.sleep(wait)
     return _Tried(None, _refusal(exchange, f"{_TRIES} tries failed; the last: {last}", sure))
 
 
 def _try_one(exchange: Exchange, choice: Choice, attempt: str, resume_at: int) -> Started:
-    services = exchange.services
+    runtime = exchange.runtime
     order = _order(exchange, choice, attempt, resume_at)
     assert exchange.need is not None
     computed = int(exchange.need.tokens * choice.recomputed)
-    services.board.sent(choice.target.name, order.run, computed)
-    stream = services.targets.run(choice.target, order, timeout=_run_seconds(exchange))
+    runtime.board.sent(choice.target.name, order.run, computed)
+    stream = runtime.targets.run(choice.target, order, timeout=_run_seconds(exchange))
     under_way = UnderWay.begin(exchange, choice, order)
     try:
         head = _await_head(exchange, choice, order, stream)
     except TryFailed as failure:
         stream.close()
-        services.board.ended(choice.target.name, order.run)
+        runtime.board.ended(choice.target.name, order.run)
         under_way.failed()
         if not failure.sure:
-            services.targets.cancel(choice.target, order.run)
+            runtime.targets.cancel(choice.target, order.run)
         raise
     under_way.started(head)
     return Started(choice, order, stream, head)
@@ -113,23 +113,23 @@
 
 def _await_head(exchange: Exchange, choice: Choice, order: RunOrder, stream: Stream) -> EngineHead:
     """Return the head once it came and matches the order."""
-    services = exchange.services
+    runtime = exchange.runtime
     name = choice.target.name
     try:
         head = stream.head.result(timeout=max(0.001, _patience(exchange, choice)))
     except FutureTimeout:
-        services.board.failed(name)
+        runtime.board.failed(name)
         raise TryFailed(f"target {name}: no first token", "cut-before-head", sure=False) from None
     except OutsideError as error:
-        services.board.failed(name)
+        runtime.board.failed(name)
         reason = "connect" if error.sure else "cut-before-head"
         raise TryFailed(str(error), reason, sure=error.sure) from None
-    services.heard_headers(name, head.headers)
+    runtime.heard_headers(name, head.headers)
     if proved_not_started(head):
-        services.board.worked(name)
+        runtime.board.worked(name)
         raise TryFailed(f"target {name}: did not start it", "not-started", sure=True)
     if head.status != 200:
-        services.board.failed(name)
+        runtime.board.failed(name)
         raise TryFailed(f"target {name}: status {head.status}", "wrong-head", sure=False)
     return _check_head(exchange, choice, order, stream)
 
@@ -153,10 +153,10 @@
     except OutsideError as error:
         raise TryFailed(f"target {name}: {error}", "wrong-head", sure=False) from None
     if (head.version, head.customer) != (order.version, order.customer):
-        exchange.services.board.failed(name)
+        exchange.runtime.board.failed(name)
         detail = f"target {name}: ran version {head.version!r} for {head.customer!r}"
         raise TryFailed(detail, "wrong-head", sure=False)
-    exchange.services.board.worked(name)
+    exchange.runtime.board.worked(name)
     return head
 
 
--- a/packages/node/src/fielddrift_node/operators.py
+++ b/packages/node/src/fielddrift_node/operators.py
@@ -19,7 +19,7 @@
 from .configuration import Accepted
 from .filters.identify import bearer
 from .queries import Nodes, answer
-from .services import Services
+from .runtime import Runtime
 
 __all__ = ["Operators"]
 
@@ -38,8 +38,8 @@
 class Operators:
     """Run one statement for the operator whose key came with it."""
 
-    def __init__(self, *, services: Services, nodes: Nodes, keys: Mapping[str, str]) -> None:
-        self._services = services
+    def __init__(self, *, runtime: Runtime, nodes: Nodes, keys: Mapping[str, str]) -> None:
+        self._runtime = runtime
         self._nodes = nodes
         self._keys = keys
 
@@ -61,7 +61,7 @@
         except Rejected as rejected:
             return rejected.refusal
         if isinstance(parsed, Query):
-            shown = answer(parsed, self._services, self._nodes)
+            shown = answer(parsed, self._runtime, self._nodes)
             return shown if isinstance(shown, Refusal) else dict(shown)
         return self._change(parsed, asked, operator, fresh)
 
@@ -74,7 +74,7 @@
         self, command: Command, asked: _Statement, operator: str, fresh: Fresh
     ) -> dict[str, Any] | Refusal:
         change_id = asked.change_id or uuid.uuid4().hex
-        outcome = self._services.config.submit(
+        outcome = self._runtime.config.submit(
             command, change_id=change_id, operator=operator, since=asked.since
         )
         if isinstance(outcome, Refusal):
@@ -106,5 +106,5 @@
         others = [m.name for m in membership.members if m.name != membership.me.name]
         alive = {m.name for m in membership.members if m.status is not Status.DEAD}
         asked = [name for name in others if name in alive]
-        found = self._services.pool.map(self._nodes.peers.revision, asked)
+        found = self._runtime.pool.map(self._nodes.peers.revision, asked)
         return [n for n, seen in zip(asked, found, strict=True) if seen is None or seen < revision]
--- a/packages/node/src/fielddrift_node/queries.py
+++ b/packages/node/src/fielddrift_node/queries.py
@@ -20,7 +20,7 @@
 
 from .leasing import LEASE_PREFIX, decode_lease
 from .peers import Peers
-from .services import Services
+from .runtime import Runtime
 
 __all__ = ["Nodes", "Shown", "answer"]
 
@@ -46,7 +46,7 @@
         self.table = table
 
 
-_Show = Callable[[Services, Nodes, list[str]], Rows]
+_Show = Callable[[Runtime, Nodes, list[str]], Rows]
 _SHOW: dict[str, _Show] = {}
 
 
@@ -60,10 +60,10 @@
     return register
 
 
-def answer(query: Query, services: Services, nodes: Nodes) -> Shown | Refusal:
+def answer(query: Query, runtime: Runtime, nodes: Nodes) -> Shown | Refusal:
     """Return the rows that `query` asks for, or why it cannot be answered."""
     partial: list[str] = []
-    rows = _SHOW[query.noun](services, nodes, partial)
+    rows = _SHOW[query.noun](runtime, nodes, partial)
     columns = list(rows[0]) if rows else []
     unknown = [f for f in (*(c.field for c in query.conditions), *query.by) if f not in columns]
     if rows and unknown:
@@ -103,38 +103,38 @@
 
 
 @shows("customers")
-def _customers(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
-    customers = services.config.current.customers.values()
+def _customers(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
+    customers = runtime.config.current.customers.values()
     return [{"customer": c.name, "share": c.share, "keys": len(c.key_digests)} for c in customers]
 
 
 @shows("models")
-def _models(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _models(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     return [
         {"model": d.model, "version": d.version, "prepared": " ".join(d.prepared)}
         | {"adapters": " ".join(d.adapters)}
         | d.weights._asdict()
-        for d in services.config.current.deployments.values()
+        for d in runtime.config.current.deployments.values()
     ]
 
 
 @shows("holds")
-def _holds_rows(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
-    return [rule._asdict() for rule in services.config.current.holds.values()]
+def _holds_rows(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
+    return [rule._asdict() for rule in runtime.config.current.holds.values()]
 
 
 @shows("stores")
-def _stores(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _stores(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     return [
         {"store": s.name, "address": s.address, "data_centre": s.data_centre}
         | {"memory": s.memory, "disk": s.disk, "link": s.link_rate}
-        | {"usable": services.stores.usable(s)}
-        for s in services.config.current.stores.values()
+        | {"usable": runtime.stores.usable(s)}
+        for s in runtime.config.current.stores.values()
     ]
 
 
 @shows("targets")
-def _targets(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _targets(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     return [
         {
             "target": t.name,
@@ -144,9 +144,9 @@
             "serves": t.serves,
             "work": t.work if t.role is TargetRole.ENGINE else "",
             "checks": t.checks,
-            "leaving": t.draining or services.leaving(t.name),
+            "leaving": t.draining or runtime.leaving(t.name),
         }
-        for t in services.config.current.targets.values()
+        for t in runtime.config.current.targets.values()
     ]
 
 
@@ -154,11 +154,11 @@
 
 
 @shows("load")
-def _load(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _load(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     now = time.monotonic()
     rows = []
-    for target in services.config.current.targets.values():
-        load, own, breaker = services.board.load(target.name)
+    for target in runtime.config.current.targets.values():
+        load, own, breaker = runtime.board.load(target.name)
         heard = load.heard_at > float("-inf")
         rows.append(
             {
@@ -175,11 +175,11 @@
 
 
 @shows("held")
-def _held(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _held(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     rows: Rows = []
-    for store in services.config.current.stores.values():
+    for store in runtime.config.current.stores.values():
         try:
-            held = services.stores.client(store).held()
+            held = runtime.stores.client(store).held()
         except OutsideError:
             partial.append(f"store {store.name} cannot be asked")
             continue
@@ -194,12 +194,12 @@
 
 
 @shows("nodes")
-def _nodes(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _nodes(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     rows = []
     for member in nodes.membership.members:
         revision = None
         if member.name == nodes.membership.me.name:
-            revision = services.config.revision
+            revision = runtime.config.revision
         elif member.status is not Status.DEAD:
             revision = nodes.peers.revision(member.name)
         rows.append(
@@ -215,7 +215,7 @@
 
 
 @shows("duties")
-def _duties(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
+def _duties(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     try:
         rows = nodes.table.scan(LEASE_PREFIX, LEASE_PREFIX, _MOST_ROWS)
     except OutsideError:
@@ -226,6 +226,6 @@
 
 
 @shows("counters")
-def _counters(services: Services, nodes: Nodes, partial: list[str]) -> Rows:
-    totals = sorted(services.metrics.totals.items())
+def _counters(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
+    totals = sorted(runtime.metrics.totals.items())
     return [{"counter": name, "value": value} for name, value in totals]
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -84,7 +84,7 @@
         try:
             yield from self.events()
         except Broken as broken:
-            self._exchange.services.metrics.refused(broken.refusal)
+            self._exchange.runtime.metrics.refused(broken.refusal)
             problem = broken.refusal.problem(request_id=self._exchange.request_id)
             yield b"event: error\ndata: " + json.dumps(problem).encode() + b"\n\n"
 
@@ -123,7 +123,7 @@
         name = self._started.choice.target.name
         exchange = self._exchange
         self._stop_run()
-        exchange.services.board.failed(name)
+        exchange.runtime.board.failed(name)
         exchange.failed.add(name)
         self._resumes += 1
         self._sequencer.restart()
@@ -144,7 +144,7 @@
 
     def _note_start(self, ttft: float) -> None:
         head = self._started.head
-        metrics = self._exchange.services.metrics
+        metrics = self._exchange.runtime.metrics
         metrics.time("ttft", ttft)
         metrics.add("blocks.memory", head.memory)
         metrics.add("blocks.imported", head.imported)
@@ -155,22 +155,22 @@
 
     def _stop_run(self) -> None:
         self._started.stream.close()
-        services = self._exchange.services
-        services.board.ended(self._started.choice.target.name, self._started.order.run)
+        runtime = self._exchange.runtime
+        runtime.board.ended(self._started.choice.target.name, self._started.order.run)
 
     def _end(self, whole: bool) -> None:
         exchange = self._exchange
-        services = exchange.services
+        runtime = exchange.runtime
         self._stop_run()
         if not whole:
-            services.targets.cancel(self._started.choice.target, self._started.order.run)
+            runtime.targets.cancel(self._started.choice.target, self._started.order.run)
             settle_refused(exchange, self._cut_unknown())
             return
-        services.requests.note(exchange.request_id, exchange.customer.name, "ran")
-        services.metrics.add("answers.whole")
+        runtime.requests.note(exchange.request_id, exchange.customer.name, "ran")
+        runtime.metrics.add("answers.whole")
         if self._sequencer.reordered:
-            services.metrics.add("streams.reordered")
-        services.exporter.submit(exchange, self._started)
+            runtime.metrics.add("streams.reordered")
+        runtime.exporter.submit(exchange, self._started)
 
     def _cut_unknown(self) -> Refusal:
         return Refusal(Kind.CUT, "the stream was not brought to its end", Ran.UNKNOWN)
@@ -191,7 +191,7 @@
         }
     ).encode()
     if exchange.claim:
-        exchange.services.claims.ran(
+        exchange.runtime.claims.ran(
             exchange.claim, status=200, content_type="application/json", body=body
         )
     return Answer(200, "application/json", body, relay.headers)
--- a/packages/node/src/fielddrift_node/services.py
+++ b/packages/node/src/fielddrift_node/runtime.py
@@ -27,7 +27,7 @@
 from .tickets import Tickets
 from .watch import Watch
 
-__all__ = ["Links", "Places", "RequestLog", "Services"]
+__all__ = ["Links", "Places", "RequestLog", "Runtime"]
 
 _MOST_REQUESTS = 10_000
 
@@ -127,7 +127,7 @@
             self._taken -= 1
 
 
-class Services(NamedTuple):
+class Runtime(NamedTuple):
     """Everything that a request may use; built once by the daemon."""
 
     settings: Settings
--- a/packages/node/src/fielddrift_node/settle.py
+++ b/packages/node/src/fielddrift_node/settle.py
@@ -52,27 +52,27 @@
 
     A process that was paused may come here long after the deadline.
     """
-    services = exchange.services
+    runtime = exchange.runtime
     refusal = None
     if exchange.left <= 0:
         refusal = Refusal(Kind.DEADLINE, "the deadline passed before it was sent", Ran.NO, 0.5)
-    elif exchange.claim and not services.claims.begin_send(exchange.claim):
+    elif exchange.claim and not runtime.claims.begin_send(exchange.claim):
         refusal = Refusal(Kind.PLATFORM_DOWN, "the claim was given up", Ran.NO, 1.0)
     if refusal is not None:
         settle_refused(exchange, refusal)
         return refusal
-    services.requests.note(exchange.request_id, exchange.customer.name, "running")
+    runtime.requests.note(exchange.request_id, exchange.customer.name, "running")
     return None
 
 
 def settle_refused(exchange: Exchange, refusal: Refusal) -> None:
     """Note how a refused request ended; free its key if it surely did not run."""
-    services = exchange.services
+    runtime = exchange.runtime
     state = "not-run" if refusal.ran is Ran.NO else "unknown"
-    services.requests.note(exchange.request_id, exchange.customer.name, state)
+    runtime.requests.note(exchange.request_id, exchange.customer.name, state)
     if exchange.claim is None:
         return
     if refusal.ran is Ran.NO:
-        services.claims.not_run(exchange.claim)
+        runtime.claims.not_run(exchange.claim)
     else:
-        services.claims.unknown(exchange.claim)
+        runtime.claims.unknown(exchange.claim)
--- a/packages/node/src/fielddrift_node/sightings.py
+++ b/packages/node/src/fielddrift_node/sightings.py
@@ -206,6 +206,9 @@
             except (ValueError, TypeError) as error:
                 self._metrics.add("sightings.dropped")
                 get().info("sighting dropped", sender=sender[0], error=str(error))
+            except Exception:
+                # One that cannot be taken must not end the hearing of all others.
+                get().exception("sighting not taken", sender=sender[0])
 
     def unpack(self, data: bytes) -> list[Sighting]:
         """Return the sightings in a datagram; raise ValueError when it is not one of ours.
--- a/packages/node/src/fielddrift_node/underway.py
+++ b/packages/node/src/fielddrift_node/underway.py
@@ -9,7 +9,7 @@
 
 from .board import HINT_DIGITS
 from .exchange import Exchange
-from .services import Services
+from .runtime import Runtime
 from .sightings import Ended, Head, Sent, Sighting, short
 from .targets import EngineHead, RunOrder
 
@@ -19,7 +19,7 @@
 class UnderWay(NamedTuple):
     """A run that was sent and has not answered yet; `store` is where it imports from."""
 
-    services: Services
+    runtime: Runtime
     model: str
     target: str
     run: int
@@ -30,12 +30,12 @@
     @classmethod
     def begin(cls, exchange: Exchange, choice: Choice, order: RunOrder) -> UnderWay:
         """Count a run as sent, and tell the other nodes."""
-        services, found = exchange.services, exchange.found
+        runtime, found = exchange.runtime, exchange.found
         store = found.store if found is not None and order.context is not None else None
         size = found.manifest.size if found is not None and store is not None else 0
         digest = exchange.digests[-1] if exchange.digests else ""
         under_way = cls(
-            services=services,
+            runtime=runtime,
             model=order.model,
             target=choice.target.name,
             run=short(order.run),
@@ -44,7 +44,7 @@
             store=store,
         )
         if store is not None:
-            services.links.begin_import(store, under_way.run, size)
+            runtime.links.begin_import(store, under_way.run, size)
         assert exchange.need is not None
         tokens = int(exchange.need.tokens * choice.recomputed)
         under_way._tell(
@@ -69,7 +69,7 @@
         seconds = head.import_seconds if head.imported else None
         self._end_import(seconds)
         if self.digest:
-            self.services.board.remember(self.target, self.digest, self.blocks, head.root)
+            self.runtime.board.remember(self.target, self.digest, self.blocks, head.root)
         self._tell(
             Head(
                 target=self.target,
@@ -92,36 +92,36 @@
 
     def _end_import(self, seconds: float | None) -> None:
         if self.store is not None:
-            self.services.links.end_import(self.store, self.run, seconds)
+            self.runtime.links.end_import(self.store, self.run, seconds)
 
     def _tell(self, sighting: Sighting) -> None:
-        self.services.tell(self.model, sighting)
+        self.runtime.tell(self.model, sighting)
 
 
-def take(services: Services, sighting: Sighting) -> None:
+def take(runtime: Runtime, sighting: Sighting) -> None:
     """Take another node's sighting into the board and the links."""
-    board, store = services.board, services.config.current.stores.get(sighting.store)
+    board, store = runtime.board, runtime.config.current.stores.get(sighting.store)
     run = str(sighting.run)
     match sighting:
         case Sent():
             board.heard_sent(sighting.target, run, sighting.tokens)
-            _remember(services, sighting, "")
+            _remember(runtime, sighting, "")
             if store is not None:
-                services.links.begin_import(store, sighting.run, sighting.size)
+                runtime.links.begin_import(store, sighting.run, sighting.size)
         case Head():
             board.heard_again(sighting.target, sighting.running, sighting.queued, sighting.backlog)
             board.forget_sent(sighting.target, run)
-            _remember(services, sighting, sighting.root)
+            _remember(runtime, sighting, sighting.root)
             if store is not None:
                 seconds = sighting.import_seconds if sighting.import_seconds >= 0 else None
-                services.links.end_import(store, sighting.run, seconds)
+                runtime.links.end_import(store, sighting.run, seconds)
         case Ended():
             board.forget_sent(sighting.target, run)
             if store is not None:
-                services.links.end_import(store, sighting.run, None)
+                runtime.links.end_import(store, sighting.run, None)
 
 
-def _remember(services: Services, sighting: Sent | Head, root: str) -> None:
+def _remember(runtime: Runtime, sighting: Sent | Head, root: str) -> None:
     if sighting.blocks:
         digest = f"{sighting.prompt:0{HINT_DIGITS}x}"
-        services.board.remember(sighting.target, digest, sighting.blocks, root)
+        runtime.board.remember(sighting.target, digest, sighting.blocks, root)
--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -28,7 +28,7 @@
             address=self.address,
             key=key,
             audience=lambda model: peers or [],
-            take=self._take,
+            take=lambda sighting: self._take(sighting),
             metrics=Metrics(address=""),
             **options,
         )
@@ -52,6 +52,17 @@
         self.taken, self.heard, self.address = taken, heard, address
         return teller
 
+    def test_one_that_cannot_be_taken_does_not_end_the_hearing(self) -> None:
+        """Found by reading: a node hears sightings while it is still starting."""
+        self._start()
+        teller = self._start_teller([self.address])
+        with mock.patch.object(self, "_take", side_effect=AttributeError):
+            teller.tell("m", SENT)
+            threading.Event().wait(0.2)
+        teller.tell("m", HEAD)
+        self.assertTrue(self.heard.wait(5))
+        self.assertEqual(self.taken, [HEAD])
+
     def test_every_kind_comes_out_as_it_went_in(self) -> None:
         one = self._start()
         for data in one.pack([SENT, HEAD, ENDED]):
