--- a/packages/standins/src/fielddrift_standins/engine.py
+++ b/packages/standins/src/fielddrift_standins/engine.py
@@ -75,7 +75,7 @@
         self._limit = limit
         self._blocks: OrderedDict[str, bytes] = OrderedDict()
         self._lock = threading.Lock()
-        self.events: list[tuple[int, str]] = []
+        self._events: list[tuple[float, int, str]] = []
         self._sequence = 0
 
     def get(self, name: str) -> bytes | None:
@@ -90,7 +90,14 @@
             while len(self._blocks) > self._limit:
                 gone, _ = self._blocks.popitem(last=False)
                 self._sequence += 1
-                self.events = [*self.events[-499:], (self._sequence, gone)]
+                event = (time.monotonic(), self._sequence, gone)
+                self._events = [*self._events[-499:], event]
+
+    def events(self, after: int, lag: float) -> list[tuple[int, str]]:
+        """Return the evictions numbered above `after`, each `lag` seconds late."""
+        seen = time.monotonic() - lag
+        with self._lock:
+            return [(n, gone) for at, n, gone in self._events if n > after and at <= seen]
 
     def clear(self) -> None:
         with self._lock:
@@ -356,9 +363,10 @@
 
     def _get_load(self, request: Request) -> Response:
         after = int(request.args.get("after", 0))
-        gap = self.app.faults.get("gap")
-        events = [event for event in self._cache.events if event[0] > after and not gap]
-        sequence = self._cache.events[-1][0] if self._cache.events else 0
+        events = self._cache.events(after, self._load_lag)
+        sequence = events[-1][0] if events else after
+        if self.app.faults.get("gap"):
+            events = []
         return json_response({**self._lagged(), "events": events, "sequence": sequence})
 
     def _order(self, request: Request) -> Response:
