Keep nothing while a test asks what sightings tell

Cause: in a clean clone test_a_node_knows_what_another_one_had_computed saw 'import' for 'memory', once: the export of the first answer had ended before the second was asked, and an import to an idle engine (1 ms) was rightly cheaper than a memory hint trusted to nine tenths (8 ms). Ruled out: a lost sighting (then the source would be 'recompute' or 'import' at any time; the trial without sightings gave 'recompute'). Change: the store hosts are full during the test, so only a sighting can bring 'memory'; the expectation is as strict as before.

--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -98,7 +98,12 @@
 
 class SharedSightingsTest(FleetTest):
     def test_a_node_knows_what_another_one_had_computed(self) -> None:
-        """Without sightings the second node would import or compute the prompt."""
+        """Without sightings the second node would compute the prompt.
+
+        Nothing is kept meanwhile: a quick import elsewhere may rightly win.
+        """
+        for store in ("archivio-rose", "archivio-storico"):
+            self.fleet.faults(store, full=True)
         prompt = self.prompt(6)
         first = self.fleet.complete(CUSTOMER, prompt, node=self.fleet.nodes[0])
         second = self.fleet.complete(CUSTOMER, prompt, node=self.fleet.nodes[1])
