--- a/packages/core/src/fielddrift_core/retries.py
+++ b/packages/core/src/fielddrift_core/retries.py
@@ -11,7 +11,7 @@
 import random
 from enum import StrEnum
 
-__all__ = ["Breaker", "BreakerState", "RetryBudget", "backoff"]
+__all__ = ["Breaker", "BreakerState", "RetryBudget", "WindowBudget", "backoff"]
 
 BUDGET_SHARE = 0.1
 BUDGET_FLOOR = 3.0
@@ -20,6 +20,9 @@
 BREAK_AFTER = 3
 FIRST_REST = 0.5
 LONGEST_REST = 8.0
+_SLICES = 10
+_WINDOW_MARGIN = 0.8
+"""Part of a shared budget that is spent: other nodes' counts are not known exactly."""
 
 
 def backoff(attempt: int, *, rng: random.Random, left: float) -> float | None:
@@ -105,3 +108,41 @@
             return
         self._until = now + self._rest
         self._rest = min(self._longest, self._rest * 2)
+
+
+class WindowBudget:
+    """Bound repeated sends within any window by a share of first sends and a slack.
+
+    All nodes together may spend `ratio` x first sends + `slack`; each spends
+    from its own first sends and its part of the slack, so that none needs to
+    ask the others.  Sends are counted in slices of a tenth of the window.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio * _WINDOW_MARGIN
+        self._slack = slack * _WINDOW_MARGIN
+        self._slice = window / _SLICES
+        self._firsts: dict[int, int] = {}
+        self._repeats: dict[int, int] = {}
+
+    def first(self, now: float) -> None:
+        """Count a first send."""
+        self._count(self._firsts, now)
+
+    def take(self, now: float, *, nodes: int) -> bool:
+        """Spend one repeated send; False when the window has no room for it."""
+        allowed = self._ratio * self._sum(self._firsts, now) + self._slack / max(1, nodes)
+        if self._sum(self._repeats, now) + 1 > allowed:
+            return False
+        self._count(self._repeats, now)
+        return True
+
+    def _count(self, slices: dict[int, int], now: float) -> None:
+        current = int(now / self._slice)
+        slices[current] = slices.get(current, 0) + 1
+
+    def _sum(self, slices: dict[int, int], now: float) -> int:
+        current = int(now / self._slice)
+        for old in [number for number in slices if number < current - _SLICES]:
+            del slices[old]
+        return sum(slices.values())
--- /dev/null
+++ b/packages/core/src/fielddrift_core/roster.py
@@ -0,0 +1,118 @@
+"""Follow which targets live, from the platform's feed of their entries.
+
+Entries may lapse while the platform's store is away, although their targets
+live; those get a short respite after its return.  A target that is leaving
+gets no new work from the first word on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+__all__ = ["RESPITE_SECONDS", "Instance", "Roster"]
+
+RESPITE_SECONDS = 2.3
+"""Lapsed entries are back within about two seconds of the store's return."""
+
+
+class Instance(NamedTuple):
+    """One life of a target, under its own id.
+
+    `versions` are the weight versions that it said to have, by model.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    leaving: bool = False
+    slots: int = 0
+    versions: Mapping[str, int] = {}
+    warming: float = 0.0
+
+
+class Roster:
+    """The targets that are known, by service.  `version` only rises."""
+
+    def __init__(self) -> None:
+        self._instances: dict[str, Instance] = {}
+        self._leaving: set[str] = set()
+        self._lapsed: dict[str, float] = {}
+        self._by_service: dict[str, list[Instance]] = {}
+        self._respite_until = 0.0
+        self.version = 0
+        self.heard_at = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._instances)
+
+    def get(self, name: str) -> Instance | None:
+        """Return the instance called `name`."""
+        return self._instances.get(name)
+
+    def serving(self, service: str) -> list[Instance]:
+        """Return the instances of `service` that take new work."""
+        return self._by_service.get(service, [])
+
+    def all(self) -> Iterable[Instance]:
+        """Return every instance that is known, leaving ones too."""
+        return self._instances.values()
+
+    def store_returned(self, now: float) -> None:
+        """Note that the store answers again after it was away."""
+        self._respite_until = now + RESPITE_SECONDS
+
+    def heard(self, instance: Instance, now: float) -> None:
+        """Take an entry."""
+        self._lapsed.pop(instance.name, None)
+        if instance.leaving:
+            self._leaving.add(instance.name)
+        if self._instances.get(instance.name) != instance:
+            self._instances[instance.name] = instance
+            self._sort()
+
+    def gone(self, name: str, now: float) -> None:
+        """Take the end of an entry; during a respite, wait for its return first."""
+        if name not in self._instances:
+            return
+        if now < self._respite_until:
+            self._lapsed.setdefault(name, self._respite_until)
+            return
+        self._remove(name)
+
+    def replaced(self, entries: Iterable[Instance], now: float) -> None:
+        """Take a whole list of entries."""
+        listed = {entry.name: entry for entry in entries}
+        for entry in listed.values():
+            self.heard(entry, now)
+        for name in [n for n in self._instances if n not in listed]:
+            self.gone(name, now)
+
+    def left(self, name: str) -> None:
+        """Note a first sign that an instance is leaving, from whoever had it."""
+        if name in self._instances and name not in self._leaving:
+            self._leaving.add(name)
+            self._sort()
+
+    def leaving(self) -> frozenset[str]:
+        """Return the names of instances known to be leaving."""
+        return frozenset(self._leaving)
+
+    def tick(self, now: float) -> None:
+        """Give up lapsed entries whose respite is over."""
+        for name in [n for n, until in self._lapsed.items() if now >= until]:
+            self._remove(name)
+
+    def _remove(self, name: str) -> None:
+        self._lapsed.pop(name, None)
+        self._instances.pop(name, None)
+        self._leaving.discard(name)
+        self._sort()
+
+    def _sort(self) -> None:
+        by_service: dict[str, list[Instance]] = {}
+        for instance in self._instances.values():
+            if instance.name not in self._leaving:
+                by_service.setdefault(instance.service, []).append(instance)
+        self._by_service = by_service
--- /dev/null
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -0,0 +1,154 @@
+"""Know which parts of prompts the store hosts keep whole, and choose where to keep more.
+
+Only what a store itself told counts as kept; a gap in what it tells, or a new
+life, makes everything unknown until it is listed again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .catalog import StoreTraits
+from .names import rank
+from .prompt import Part
+
+__all__ = ["Shelf", "StoreView"]
+
+_BLOCK = 16
+"""Tokens that a store gives out at once."""
+_FILL_PART = 0.92
+"""Part of a store that is filled; the rest is for saves that other nodes began."""
+_SAVING_SECONDS = 3.0
+"""A save that was not told of after so long is taken for lost."""
+
+
+def room(tokens: int) -> int:
+    """Return the tokens of room that a part of `tokens` takes."""
+    return -(-tokens // _BLOCK) * _BLOCK
+
+
+class StoreView:
+    """What is known of one store host."""
+
+    def __init__(self, *, traits: StoreTraits) -> None:
+        self.traits = traits
+        self.life: int | None = None
+        self.following = 0
+        self.held: dict[tuple[str, str], int] = {}
+        self.used = 0
+        self.heard_at = float("-inf")
+
+    @property
+    def known(self) -> bool:
+        """Return whether what the store keeps is known."""
+        return self.life is not None
+
+    def unknown(self) -> None:
+        """Forget everything: it must be listed again."""
+        self.life = None
+        self.held.clear()
+        self.used = 0
+
+    def listed(self, life: int, following: int, held: Iterable[tuple[str, str, int]]) -> None:
+        """Take a whole list of (salt, part, tokens)."""
+        self.life, self.following = life, following
+        self.held = {(salt, part): tokens for salt, part, tokens in held}
+        self.used = sum(room(tokens) for tokens in self.held.values())
+
+    def add(self, salt: str, part: str, tokens: int) -> None:
+        """Note a part that is whole."""
+        if (salt, part) not in self.held:
+            self.used += room(tokens)
+        self.held[(salt, part)] = tokens
+
+    def drop(self, salt: str, part: str) -> None:
+        """Note a part that is gone."""
+        tokens = self.held.pop((salt, part), None)
+        if tokens is not None:
+            self.used -= room(tokens)
+
+
+class _Saving(NamedTuple):
+    store: str
+    until: float
+
+
+class Shelf:
+    """All store hosts.  Not safe for threads."""
+
+    def __init__(self) -> None:
+        self._views: dict[str, StoreView] = {}
+        self._saving: dict[tuple[str, str], _Saving] = {}
+        self._used_at: dict[tuple[str, str], float] = {}
+
+    def configure(self, stores: Iterable[StoreTraits]) -> None:
+        """Follow exactly `stores`."""
+        wanted = {store.address: store for store in stores}
+        for address in [a for a in self._views if a not in wanted]:
+            del self._views[address]
+        for address, traits in wanted.items():
+            if address in self._views:
+                self._views[address].traits = traits
+            else:
+                self._views[address] = StoreView(traits=traits)
+
+    @property
+    def views(self) -> list[StoreView]:
+        """Return all stores."""
+        return list(self._views.values())
+
+    def view(self, address: str) -> StoreView | None:
+        """Return one store."""
+        return self._views.get(address)
+
+    def holders(self, salt: str, part: Part) -> list[StoreTraits]:
+        """Return the stores that keep `part` whole."""
+        key = (salt, part.id)
+        return [v.traits for v in self._views.values() if v.held.get(key, 0) >= part.tokens]
+
+    def used(self, salt: str, part: Part, now: float) -> None:
+        """Note that a request uses `part`."""
+        self._used_at[(salt, part.id)] = now
+
+    def last_use(self, salt: str, part: str) -> float:
+        """Return when a request last used a part, as far as this node saw."""
+        return self._used_at.get((salt, part), float("-inf"))
+
+    def saving(self, salt: str, part: Part, now: float) -> bool:
+        """Return whether a save of `part` is under way."""
+        saving = self._saving.get((salt, part.id))
+        return saving is not None and now < saving.until
+
+    def save(self, salt: str, part: Part, now: float) -> StoreTraits | None:
+        """Choose a store for `part` and note the save; None when there is no room."""
+        fitting = [
+            view
+            for view in self._views.values()
+            if view.known and view.used + room(part.tokens) <= _FILL_PART * view.traits.capacity
+        ]
+        if not fitting:
+            return None
+        weights = [(v.traits.address, float(v.traits.capacity)) for v in fitting]
+        address = rank(part.id, weights)[0]
+        self._saving[(salt, part.id)] = _Saving(address, now + _SAVING_SECONDS)
+        return self._views[address].traits
+
+    def told_saving(self, salt: str, part: str, store: str, now: float) -> None:
+        """Note a save that another node began."""
+        self._saving[(salt, part)] = _Saving(store, now + _SAVING_SECONDS)
+
+    def expire(self, now: float) -> None:
+        """Forget saves that were told of, or are lost."""
+        for key in [k for k, s in self._saving.items() if now >= s.until]:
+            del self._saving[key]
+
+    def outdated(self, current: Iterable[str]) -> dict[str, list[tuple[str, str]]]:
+        """Return, by store, kept parts whose salt does not begin with one of `current`."""
+        prefixes = tuple(current)
+        found: dict[str, list[tuple[str, str]]] = {}
+        for address, view in self._views.items():
+            old = [key for key in view.held if not key[0].startswith(prefixes)]
+            if old:
+                found[address] = old
+        return found
--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -9,7 +9,7 @@
 
 import re
 
-__all__ = ["EventSequencer", "StreamError"]
+__all__ = ["EventCutter", "EventSequencer", "StreamError"]
 
 _NUMBER = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
 _END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
@@ -103,3 +103,57 @@
         self._count = int(found.group(1))
         if last != self._count + 1:
             raise StreamError(f"end mark: count {self._count}, but its number is {last}")
+
+
+_ID_LINE = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+
+
+class EventCutter:
+    """Cut a target's bytes into whole events, each handed on once.
+
+    Ids rise but need not follow on each other.  What is not whole stays here,
+    so that a run that broke off can be resumed behind the last whole event.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._last = ""
+
+    @property
+    def last(self) -> str:
+        """Return the id of the last event handed on, empty before the first."""
+        return self._last
+
+    @property
+    def partial(self) -> bool:
+        """Return whether an event has begun and not ended."""
+        return bool(self._rest)
+
+    def restart(self) -> None:
+        """Forget a part of an event, before a resumed stream."""
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that `data` completes, without any handed on before."""
+        data = self._rest + data
+        cut = data.rfind(b"\n\n") + 2
+        if cut < 2:
+            self._rest = data
+            return b""
+        ready, self._rest = data[:cut], data[cut:]
+        ids = _ID_LINE.findall(ready)
+        if not ids:
+            return ready
+        if self._last.isdigit() and ids[0].isdigit() and int(ids[0]) <= int(self._last):
+            ready = self._without_repeated(ready)
+        if ids[-1].isdigit() or not self._last:
+            self._last = ids[-1].decode("latin-1")
+        return ready
+
+    def _without_repeated(self, ready: bytes) -> bytes:
+        kept = []
+        for event in ready.split(b"\n\n")[:-1]:
+            found = _ID_LINE.search(event)
+            if found is None or int(found.group(1)) > int(self._last):
+                kept.append(event + b"\n\n")
+        return b"".join(kept)
--- /dev/null
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -0,0 +1,104 @@
+"""Follow what targets have to do: own sends exactly, other nodes' as they tell them.
+
+A run counts its unread prompt until its first event, and a place until its
+end.  What other nodes told fades out when they fall silent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+__all__ = ["TOLD_SECONDS", "Burden", "TargetHealth", "Workload"]
+
+TOLD_SECONDS = 1.5
+"""Age at which another node's word on its sends no longer counts: five of its beats."""
+
+_FAILURE_WEIGHT = 0.25
+"""Weight of the newest answer in a target's share of failures: about eight answers count."""
+_FAILURE_FADE_SECONDS = 4.0
+"""Time in which a share of failures halves while nothing is sent there."""
+
+
+class Burden(NamedTuple):
+    """Runs at a target, and the prompt tokens that it has yet to read for them."""
+
+    running: int = 0
+    unread: int = 0
+
+
+class Workload:
+    """Burdens by target.  Not safe for threads."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, dict[str, int]] = {}
+        self._told: dict[str, tuple[float, Mapping[str, Burden]]] = {}
+        self._sums: dict[str, Burden] = {}
+
+    def begin(self, target: str, run: str, unread: int) -> None:
+        """Count a run that was sent to `target`."""
+        self._own.setdefault(target, {})[run] = unread
+
+    def read(self, target: str, run: str) -> None:
+        """Note that the prompt of `run` is read."""
+        runs = self._own.get(target)
+        if runs is not None and run in runs:
+            runs[run] = 0
+
+    def end(self, target: str, run: str) -> None:
+        """Forget a run."""
+        runs = self._own.get(target)
+        if runs is not None:
+            runs.pop(run, None)
+            if not runs:
+                del self._own[target]
+
+    def own(self) -> dict[str, Burden]:
+        """Return this node's own burdens, for the other nodes."""
+        return {t: Burden(len(runs), sum(runs.values())) for t, runs in self._own.items()}
+
+    def told(self, node: str, burdens: Mapping[str, Burden], now: float) -> None:
+        """Take what another node says of its own sends."""
+        self._told[node] = (now, burdens)
+
+    def at(self, target: str, now: float) -> Burden:
+        """Return everything known to be at `target`."""
+        runs = self._own.get(target, {})
+        running, unread = len(runs), sum(runs.values())
+        for heard, burdens in self._told.values():
+            if now - heard <= TOLD_SECONDS and target in burdens:
+                running += burdens[target].running
+                unread += burdens[target].unread
+        return Burden(running, unread)
+
+    def forget(self, nodes: Iterable[str]) -> None:
+        """Drop what `nodes` told."""
+        for node in nodes:
+            self._told.pop(node, None)
+
+
+class TargetHealth:
+    """Judge targets by their answers; a share of failures from 0 to 1 each."""
+
+    def __init__(self) -> None:
+        self._shares: dict[str, tuple[float, float]] = {}
+
+    def worked(self, target: str, now: float) -> None:
+        """Count an answer."""
+        if target in self._shares:
+            self._add(target, 0.0, now)
+
+    def failed(self, target: str, now: float) -> None:
+        """Count a failure."""
+        self._add(target, 1.0, now)
+
+    def share(self, target: str, now: float) -> float:
+        """Return the share of recent sends to `target` that failed."""
+        if target not in self._shares:
+            return 0.0
+        share, at = self._shares[target]
+        return share * 0.5 ** ((now - at) / _FAILURE_FADE_SECONDS)
+
+    def _add(self, target: str, value: float, now: float) -> None:
+        share = self.share(target, now)
+        self._shares[target] = (share + _FAILURE_WEIGHT * (value - share), now)
--- a/packages/node/src/fielddrift_node/log.py
+++ b/packages/node/src/fielddrift_node/log.py
@@ -12,7 +12,7 @@
 
 
 def configure(*, level: str, node: str) -> None:
-    """Log JSON lines to standard error from `level` up, naming this node."""
+    """Log JSON lines to standard output from `level` up, naming this node."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -24,7 +24,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node=node)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/directory.py
@@ -0,0 +1,65 @@
+"""Tell callers which addresses to use, and the platform whether this node is ready."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+from urllib.parse import parse_qs
+
+from ..web.messages import Headers
+from ..web.server import Request, Responder
+
+__all__ = ["EntryAsk", "EntryDialect", "EntryDoor"]
+
+
+class EntryAsk(NamedTuple):
+    """A caller's question for addresses: from which data centre it comes."""
+
+    data_centre: str
+
+
+class EntryDialect(Protocol):
+    """How callers ask for addresses."""
+
+    resolve_path: str
+    ready_path: str
+
+    def read(self, query: dict[str, list[str]]) -> EntryAsk:
+        """Return what is asked."""
+
+    def answer(self, addresses: list[str], keep: float) -> bytes:
+        """Return the body of an answer; `keep` is in seconds."""
+
+
+class EntryDoor:
+    """Answer questions for addresses and for readiness."""
+
+    def __init__(
+        self,
+        *,
+        dialect: EntryDialect,
+        addresses: Callable[[str], list[str]],
+        ready: Callable[[], bool],
+        keep: float,
+    ) -> None:
+        self._dialect = dialect
+        self._addresses = addresses
+        self._ready = ready
+        self._keep = keep
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one question."""
+        path, _, query = request.head.target.decode("latin-1").partition("?")
+        if path == self._dialect.ready_path:
+            responder.send(200 if self._ready() else 503, Headers(), b"")
+            return
+        if path != self._dialect.resolve_path:
+            responder.send(404, Headers(), b"no such path")
+            return
+        ask = self._dialect.read(parse_qs(query))
+        addresses = self._addresses(ask.data_centre)
+        if not addresses:
+            responder.send(503, Headers(), b"no node is known to be ready")
+            return
+        headers = Headers([(b"Content-Type", b"application/json")])
+        responder.send(200, headers, self._dialect.answer(addresses, self._keep))
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -0,0 +1,236 @@
+"""Take a caller's request to a target and its answer back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import structlog
+from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
+from fielddrift_core.errors import ANSWERS, Kind, Ran, Refusal
+from fielddrift_core.retries import WindowBudget
+
+from ..web.client import Client
+from ..web.server import Request, Responder
+from .ports import Ask, BadAsk, CallerDialect, TargetDialect
+from .settings import NodeSettings
+from .views import Views
+
+__all__ = ["Call", "Gateway", "Refused", "Tools", "Trail"]
+
+_STATUS_NOT_PROVED: Mapping[int, int] = {503: 502, 429: 502}
+"""A refusal that would promise "has not run" becomes one that promises nothing."""
+_RETURN_SECONDS = 0.25
+"""When to come back where nothing better is known: a tenth of the shortest deadline."""
+_DEFAULT_PATIENCE = 30.0
+_ASK_AGAIN_SECONDS = 0.4
+"""How long a request that seems not allowed waits for a newer catalog after a pause."""
+
+_log = structlog.get_logger()
+
+
+class Refused(Exception):
+    """A request that ends with an answer of the node's own."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class Trail:
+    """What happened to a request, for its log line."""
+
+    def __init__(self) -> None:
+        self.targets: list[str] = []
+        self.reasons: list[str] = []
+        self.sent = False
+        """Whether any sending may have run."""
+        self.fetched = 0
+        self.weights: int | None = None
+        self.estimate = 0.0
+        self.first_event: float | None = None
+
+
+class Call(NamedTuple):
+    """A request that was judged: what it asks, under which catalog, until when."""
+
+    ask: Ask
+    catalog: Catalog
+    route: Route
+    service: Service
+    customer: CatalogCustomer | None
+    began: float
+    deadline: float
+    trail: Trail
+
+    @property
+    def customer_name(self) -> str:
+        """Return the customer's name, empty without one."""
+        return "" if self.customer is None else self.customer.name
+
+
+class Tools(NamedTuple):
+    """What the ways of a request share."""
+
+    settings: NodeSettings
+    views: Views
+    client: Client
+    callers: CallerDialect
+    targets: TargetDialect
+    budgets: dict[str, WindowBudget]
+    rng: random.Random
+
+    def budget(self, service: str) -> WindowBudget:
+        """Return the budget of repeated sends to `service`."""
+        if service not in self.budgets:
+            bounds = self.settings.bounds
+            self.budgets[service] = WindowBudget(
+                ratio=bounds.retry_ratio, slack=bounds.retry_slack, window=bounds.retry_window
+            )
+        return self.budgets[service]
+
+
+class Gateway:
+    """Judge each request, and hand it to the way that serves it."""
+
+    def __init__(self, *, tools: Tools) -> None:
+        # Imported here, for the two ways need the types above.
+        from .generation import Generation
+        from .plain import PlainCalls
+
+        self._tools = tools
+        self._generation = Generation(tools=tools)
+        self._plain = PlainCalls(tools=tools)
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        ask = self._tools.callers.read(request)
+        if isinstance(ask, BadAsk):
+            refusal = Refusal(Kind.BAD_REQUEST, ask.detail, Ran.NO)
+            self._refuse(responder, "", refusal, Trail())
+            return
+        trail = Trail()
+        loop = asyncio.get_running_loop()
+        try:
+            call = await self._judge(ask, trail)
+            async with asyncio.timeout_at(call.deadline):
+                await self._serve(call, responder)
+            self._log_end(call, "answered", loop.time())
+        except Refused as refused:
+            self._refuse(responder, ask.request_id, refused.refusal, trail)
+        except TimeoutError:
+            refusal = Refusal(Kind.DEADLINE, "no answer in time", _ran(trail))
+            self._refuse(responder, ask.request_id, refusal, trail)
+        except asyncio.CancelledError:
+            _log.info("request left", request=ask.request_id, targets=trail.targets)
+            raise
+        except Exception:
+            _log.exception("request failed", request=ask.request_id)
+            refusal = Refusal(Kind.INTERNAL, "the node failed", _ran(trail))
+            self._refuse(responder, ask.request_id, refusal, trail)
+
+    async def _serve(self, call: Call, responder: Responder) -> None:
+        if call.service.engine is not None and call.ask.prompt is not None:
+            await self._generation.serve(call, responder)
+        else:
+            await self._plain.serve(call, responder)
+
+    # --- judging ------------------------------------------------------------
+
+    async def _judge(self, ask: Ask, trail: Trail) -> Call:
+        try:
+            return self._call(ask, trail)
+        except Refused:
+            if not self._tools.views.stale.is_set():
+                raise
+        # This process was paused: what it believes may be long outdated.
+        await self._tools.views.refreshed(_ASK_AGAIN_SECONDS)
+        return self._call(ask, trail)
+
+    def _call(self, ask: Ask, trail: Trail) -> Call:
+        views = self._tools.views
+        catalog = views.catalog
+        if catalog is None:
+            detail = "no configuration is known yet"
+            raise Refused(Refusal(Kind.PLATFORM_DOWN, detail, Ran.NO, 1.0, "no-catalog"))
+        route = catalog.route(ask.host, ask.path)
+        if route is None:
+            if views.stale.is_set():
+                raise self._unsure("route")
+            detail = f"host {ask.host!r}, path {ask.path!r}: no route"
+            raise Refused(Refusal(Kind.NOT_FOUND, detail, Ran.NO))
+        customer = catalog.customer(ask.key) if ask.key else None
+        if customer is None and catalog.customers and not route.anonymous:
+            if views.stale.is_set():
+                raise self._unsure("key")
+            raise Refused(Refusal(Kind.UNAUTHORIZED, "the key is missing or unknown", Ran.NO))
+        service = catalog.services.get(self._share(route, ask))
+        if service is None:
+            raise Refused(Refusal(Kind.NO_TARGET, f"route {route.name}: no service", Ran.NO, 1.0))
+        patience = ask.patience if ask.patience is not None else _DEFAULT_PATIENCE
+        began = ask.request.arrived
+        deadline = began + min(patience, route.timeout)
+        return Call(ask, catalog, route, service, customer, began, deadline, trail)
+
+    def _unsure(self, what: str) -> Refused:
+        detail = f"this node was paused and does not know whether the {what} exists"
+        return Refused(Refusal(Kind.PLATFORM_DOWN, detail, Ran.NO, _RETURN_SECONDS, "stale"))
+
+    def _share(self, route: Route, ask: Ask) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._tools.rng.choices(route.shares, weights)[0].service
+
+    # --- ends ---------------------------------------------------------------
+
+    def _refuse(
+        self, responder: Responder, request_id: str, refusal: Refusal, trail: Trail
+    ) -> None:
+        if responder.started:
+            _log.warning("answer cut", request=request_id, detail=refusal.detail)
+            responder.cut()
+            return
+        status = ANSWERS[refusal.kind].status
+        if refusal.kind is Kind.DEADLINE and refusal.ran is not Ran.NO:
+            status = 504
+        elif refusal.ran is not Ran.NO:
+            status = _STATUS_NOT_PROVED.get(status, status)
+        retry_after = refusal.retry_after
+        if status == 503 and retry_after is None:
+            retry_after = _RETURN_SECONDS
+        headers = self._tools.callers.refusal_headers(request_id, retry_after)
+        _log.info(
+            "request refused",
+            request=request_id,
+            kind=refusal.kind.value,
+            status=status,
+            detail=refusal.detail,
+            targets=trail.targets,
+            reasons=trail.reasons,
+        )
+        responder.send(status, headers, refusal.detail.encode("utf-8", "replace"))
+
+    def _log_end(self, call: Call, outcome: str, now: float) -> None:
+        trail = call.trail
+        first = trail.first_event
+        _log.info(
+            "request answered",
+            request=call.ask.request_id,
+            route=call.route.name,
+            outcome=outcome,
+            targets=trail.targets,
+            reasons=trail.reasons,
+            catalog=call.catalog.version,
+            weights=trail.weights,
+            fetched=trail.fetched,
+            estimate_ms=round(trail.estimate * 1000),
+            first_ms=None if first is None else round((first - call.began) * 1000),
+            ms=round((now - call.began) * 1000),
+        )
+
+
+def _ran(trail: Trail) -> Ran:
+    return Ran.UNKNOWN if trail.sent else Ran.NO
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -0,0 +1,302 @@
+"""Serve prompts: choose an engine and kept parts, and relay its events.
+
+An answer's head goes out with its first event.  A run that breaks off is
+resumed behind the last whole event where its route allows that; else the
+caller's answer is cut too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+import structlog
+from fielddrift_core.catalog import StoreTraits
+from fielddrift_core.placement import EngineChoice, EngineSight, choose_engine
+from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.stream import EventCutter
+
+from ..web.client import Exchange, ExchangeError
+from ..web.messages import ResponseHead
+from ..web.server import Responder
+from .gateway import Call, Tools
+from .ports import Fetch, Send
+from .trying import Attempts, TryFailed, send_once
+
+__all__ = ["Generation", "salt_of"]
+
+_OLDEST_PART = 0.8
+"""Part of the time within which requests may begin on older weights that is used."""
+_AVOID_SECONDS = 0.3
+"""How long an engine that turned a request away is avoided."""
+_FIRST_EVENT_AIMS = 2.0
+_FIRST_EVENT_ESTIMATES = 4.0
+"""Silence before the first event, in aims and estimates, after which a run is moved."""
+_PAUSE_AIMS = 3.0
+"""Silence between events, in the longest pause allowed, after which a run is moved."""
+
+_log = structlog.get_logger()
+
+
+class _Run(NamedTuple):
+    choice: EngineChoice
+    exchange: Exchange
+    head: ResponseHead
+    first: bytes
+
+
+def salt_of(model: str, weights: int, isolated: str = "") -> str:
+    """Return the text under which parts are shared: one a model, its weights and wall."""
+    return f"{model}.{weights}.{isolated}"
+
+
+class Generation:
+    """Serve prompts on engines."""
+
+    def __init__(self, *, tools: Tools) -> None:
+        self._tools = tools
+
+    async def serve(self, call: Call, responder: Responder) -> None:
+        """Answer `call`; raise `Refused`."""
+        attempts = Attempts(call=call, tools=self._tools)
+        cutter = EventCutter()
+        run = await self._start(call, attempts, cutter)
+        try:
+            call.trail.first_event = asyncio.get_running_loop().time()
+            headers = self._tools.callers.answer_headers(run.head, call.ask.request_id)
+            events = run.head.length is None and run.head.status == 200
+            responder.start(run.head.status, headers, run.head.length)
+            responder.write(run.first)
+            if not events:
+                await self._relay_plain(run, responder)
+                return
+            while not await self._relay(call, run, responder, cutter, attempts):
+                cutter.restart()
+                self._ended(call, run)
+                run = await self._start(call, attempts, cutter)
+                responder.write(run.first)
+            responder.end()
+        finally:
+            self._ended(call, run)
+
+    # --- starting -------------------------------------------------------------
+
+    async def _start(self, call: Call, attempts: Attempts, cutter: EventCutter) -> _Run:
+        """Return a run whose first whole event has come; raise `Refused`."""
+        while True:
+            choice = self._choose(call, attempts.tried)
+            if choice is None:
+                raise attempts.exhausted()
+            attempts.begin(choice.instance.name)
+            try:
+                return await self._try(call, choice, cutter, more=attempts.more())
+            except TryFailed as failure:
+                self._learn(call, choice, failure)
+                attempts.failed(failure)
+
+    async def _try(
+        self, call: Call, choice: EngineChoice, cutter: EventCutter, *, more: bool
+    ) -> _Run:
+        tools = self._tools
+        send = self._send(call, choice, cutter.last)
+        name = choice.instance.name
+        tools.views.workload.begin(name, call.ask.request_id, choice.recall.unread)
+        exchange: Exchange | None = None
+        ok = False
+        try:
+            async with asyncio.timeout(self._patience(call, choice) if more else None):
+                exchange, head = await send_once(tools, send, unsafe=not call.route.repeatable)
+                first = await self._first(exchange, head, cutter)
+            ok = True
+        except TimeoutError:
+            raise TryFailed(
+                f"target {name}: no event", reason="silent", reached=True, not_run=False
+            ) from None
+        except ExchangeError as error:
+            raise TryFailed(str(error), reason="cut", reached=True, not_run=False) from None
+        finally:
+            if not ok:
+                tools.views.workload.end(name, call.ask.request_id)
+                if exchange is not None:
+                    exchange.cancel()
+        if head.status >= 500 and more and call.route.repeatable:
+            tools.views.workload.end(name, call.ask.request_id)
+            exchange.cancel()
+            detail = f"target {name}: status {head.status}"
+            raise TryFailed(detail, reason="status", reached=True, not_run=False)
+        tools.views.workload.read(name, call.ask.request_id)
+        if head.status < 500:
+            tools.views.health.worked(name, asyncio.get_running_loop().time())
+        self._heard_weights(call, choice, head)
+        return _Run(choice, exchange, head, first)
+
+    async def _first(self, exchange: Exchange, head: ResponseHead, cutter: EventCutter) -> bytes:
+        """Return the first whole events, or the first bytes of an answer that is none."""
+        if head.length is not None or head.status != 200:
+            return await exchange.piece()
+        while True:
+            data = await exchange.piece()
+            if not data:
+                raise ExchangeError("ended before its first event", sent=True, reason="cut")
+            if ready := cutter.feed(data):
+                return ready
+
+    def _patience(self, call: Call, choice: EngineChoice) -> float | None:
+        if not call.route.repeatable:
+            return None
+        return max(_FIRST_EVENT_AIMS * call.route.aim, _FIRST_EVENT_ESTIMATES * choice.seconds)
+
+    # --- relaying -------------------------------------------------------------
+
+    async def _relay_plain(self, run: _Run, responder: Responder) -> None:
+        while data := await run.exchange.piece():
+            responder.write(data)
+            await responder.drained()
+        responder.end()
+
+    async def _relay(
+        self, call: Call, run: _Run, responder: Responder, cutter: EventCutter, attempts: Attempts
+    ) -> bool:
+        """Pass events on; True at the end, False to resume elsewhere."""
+        movable = call.route.resumable and attempts.more() and cutter.last != ""
+        try:
+            while True:
+                async with asyncio.timeout(self._pause(call) if movable else None):
+                    data = await run.exchange.piece()
+                if not data:
+                    break
+                if ready := cutter.feed(data):
+                    responder.write(ready)
+                    await responder.drained()
+            if not cutter.partial:
+                return True
+            failure = TryFailed("ended inside an event", reason="cut", reached=True, not_run=False)
+        except ExchangeError as error:
+            failure = TryFailed(str(error), reason="cut", reached=True, not_run=False)
+        except TimeoutError:
+            failure = TryFailed("silent", reason="silent", reached=True, not_run=False)
+        self._learn(call, run.choice, failure)
+        run.exchange.cancel()
+        if not movable:
+            call.trail.sent = True
+        attempts.failed(failure)
+        return False
+
+    def _pause(self, call: Call) -> float:
+        return max(_FIRST_EVENT_AIMS * call.route.aim, _PAUSE_AIMS * call.route.pause_aim)
+
+    def _ended(self, call: Call, run: _Run) -> None:
+        run.exchange.cancel()
+        self._tools.views.workload.end(run.choice.instance.name, call.ask.request_id)
+
+    # --- choosing -------------------------------------------------------------
+
+    def _choose(self, call: Call, tried: set[str]) -> EngineChoice | None:
+        prompt = call.ask.prompt
+        traits = call.service.engine
+        assert prompt is not None and traits is not None
+        views = self._tools.views
+        now = asyncio.get_running_loop().time()
+        named = views.named.get(prompt.model, 0)
+        limit = self._tools.settings.bounds.weights * _OLDEST_PART
+        too_old = now - views.named_at.get(prompt.model, now) > limit
+        sights = []
+        for instance in views.roster.serving(call.service.name):
+            weights = views.weights_of(instance.name, prompt.model)
+            behind = weights is not None and weights < named
+            if weights is None or instance.name in tried or (behind and too_old):
+                continue
+            sights.append(
+                EngineSight(
+                    instance=instance,
+                    burden=views.workload.at(instance.name, now),
+                    failures=views.health.share(instance.name, now),
+                    behind=behind,
+                    loading=views.loading.get(instance.name, 0.0) > now,
+                )
+            )
+        return choose_engine(
+            prompt,
+            sights,
+            traits=traits,
+            data_centre=self._tools.settings.data_centre,
+            holders=lambda sight, part: self._holders(call, prompt, sight, part),
+        )
+
+    def _holders(
+        self, call: Call, prompt: Prompt, sight: EngineSight, part: Part
+    ) -> list[StoreTraits]:
+        return self._tools.views.shelf.holders(self._salt(call, prompt, sight.instance.name), part)
+
+    def _salt(self, call: Call, prompt: Prompt, instance: str) -> str:
+        weights = self._tools.views.weights_of(instance, prompt.model) or 0
+        isolated = call.customer_name if call.customer and call.customer.isolated else ""
+        return salt_of(prompt.model, weights, isolated)
+
+    def _send(self, call: Call, choice: EngineChoice, resume_after: str) -> Send:
+        prompt = call.ask.prompt
+        assert prompt is not None
+        views = self._tools.views
+        now = asyncio.get_running_loop().time()
+        salt = self._salt(call, prompt, choice.instance.name)
+        weights = views.weights_of(choice.instance.name, prompt.model)
+        call.trail.weights = weights
+        call.trail.estimate = choice.seconds
+        sources = tuple("" if s is None else s.address for s in choice.recall.sources)
+        call.trail.fetched = sum(1 for source in sources if source)
+        return Send(
+            ask=call.ask,
+            instance=choice.instance,
+            seconds=call.deadline - now,
+            customer=call.customer_name,
+            salt=salt,
+            weights=weights,
+            fetch=Fetch(sources, self._saves(prompt, salt, sources, now), views.until(now)),
+            resume_after=resume_after or call.ask.resume_after,
+            urgency=self._urgency(call),
+        )
+
+    def _saves(
+        self, prompt: Prompt, salt: str, sources: tuple[str, ...], now: float
+    ) -> tuple[str, ...]:
+        """Return, for each part, the store that should keep it, empty for none."""
+        shelf = self._tools.views.shelf
+        saves = []
+        for part, source in zip(prompt.parts, sources, strict=True):
+            shelf.used(salt, part, now)
+            store = None
+            shared = part in prompt.shared
+            if shared and not source and not shelf.saving(salt, part, now):
+                held = shelf.holders(salt, part)
+                store = None if held else shelf.save(salt, part, now)
+            saves.append("" if store is None else store.address)
+        return tuple(saves)
+
+    def _urgency(self, call: Call) -> int:
+        rank = call.route.rank
+        if call.customer is not None and call.customer.rank is not None:
+            rank = call.customer.rank
+        return min(9, max(0, rank))
+
+    # --- learning -------------------------------------------------------------
+
+    def _learn(self, call: Call, choice: EngineChoice, failure: TryFailed) -> None:
+        views = self._tools.views
+        name = choice.instance.name
+        now = asyncio.get_running_loop().time()
+        if failure.reason == "not-started":
+            views.loading[name] = max(views.loading.get(name, 0.0), now + _AVOID_SECONDS)
+            return
+        if failure.reason == "elsewhere":
+            views.loading[name] = now + _AVOID_SECONDS
+            return
+        views.health.failed(name, now)
+
+    def _heard_weights(self, call: Call, choice: EngineChoice, head: ResponseHead) -> None:
+        signs = self._tools.targets.signs(head)
+        prompt = call.ask.prompt
+        if signs.weights is None or prompt is None:
+            return
+        key = (choice.instance.name, prompt.model)
+        views = self._tools.views
+        views.weights[key] = max(views.weights.get(key, 0), signs.weights)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -0,0 +1,154 @@
+"""Follow what store hosts keep, and free what can be of no more use."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import structlog
+from fielddrift_core.prompt import Part
+from fielddrift_core.shelf import StoreView
+
+from .generation import salt_of
+from .ports import OutOfReach, TargetDialect
+from .views import FETCH_SECONDS, Views
+
+__all__ = ["Keeper"]
+
+_WAIT_SECONDS = 1.0
+_PAUSE_SECONDS = 0.25
+"""Rest between event calls: each carries what happened meanwhile."""
+_REST_SECONDS = 0.5
+_LOOK_SECONDS = 0.5
+_FREE_AFTER_SECONDS = FETCH_SECONDS + 3.0
+"""Parts of older weights are freed when the last fetch of them is surely over."""
+_FREED_AT_ONCE = 200
+
+_log = structlog.get_logger()
+
+
+class Keeper:
+    """Keep the shelf true to the stores."""
+
+    def __init__(self, *, views: Views, targets: TargetDialect, rng: random.Random) -> None:
+        self._views = views
+        self._targets = targets
+        self._rng = rng
+        self._loops: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Follow every store of the catalog until cancelled."""
+        try:
+            while True:
+                self._match()
+                await asyncio.sleep(_LOOK_SECONDS)
+        finally:
+            for task in self._loops.values():
+                task.cancel()
+
+    def _match(self) -> None:
+        wanted = {view.traits.address: view for view in self._views.shelf.views}
+        for address in [a for a in self._loops if a not in wanted]:
+            self._loops.pop(address).cancel()
+        for address, view in wanted.items():
+            if address not in self._loops:
+                self._loops[address] = asyncio.ensure_future(self._follow(view))
+        self._views.shelf.expire(asyncio.get_running_loop().time())
+
+    async def _follow(self, view: StoreView) -> None:
+        lost = False
+        while True:
+            try:
+                if not view.known:
+                    await self._list(view)
+                await self._hear(view)
+                if lost:
+                    _log.info("dependency regained", what="store host", store=view.traits.address)
+                lost = False
+                await asyncio.sleep(_PAUSE_SECONDS)
+            except OutOfReach as error:
+                if not lost:
+                    address = view.traits.address
+                    _log.warning(
+                        "dependency lost", what="store host", store=address, error=str(error)
+                    )
+                lost = True
+                view.unknown()
+                await asyncio.sleep(self._rng.uniform(_REST_SECONDS / 2, _REST_SECONDS))
+
+    async def _list(self, view: StoreView) -> None:
+        listed = await self._targets.kept_list(view.traits)
+        now = asyncio.get_running_loop().time()
+        view.listed(listed.life, listed.following, [tuple(held) for held in listed.held])
+        view.heard_at = now
+        self._views.heard_clock(listed.clock, now)
+        _log.info(
+            "store listed",
+            store=view.traits.address,
+            life=listed.life,
+            parts=len(listed.held),
+            broken=len(listed.broken),
+        )
+
+    async def _hear(self, view: StoreView) -> None:
+        events = await self._targets.kept_events(view.traits, view.following, _WAIT_SECONDS)
+        now = asyncio.get_running_loop().time()
+        if events.life != view.life or events.gap:
+            _log.info(
+                "store view dropped",
+                store=view.traits.address,
+                life=events.life,
+                before=view.life,
+                gap=events.gap,
+            )
+            view.unknown()
+            return
+        for held in events.added:
+            view.add(held.salt, held.id, held.tokens)
+        for held in events.dropped:
+            view.drop(held.salt, held.id)
+        view.following = events.following
+        view.heard_at = now
+        self._views.heard_clock(events.clock, now)
+
+    # --- freeing --------------------------------------------------------------
+
+    async def free_outdated(self) -> None:
+        """Free parts of weights that are no longer in use anywhere."""
+        views = self._views
+        now = asyncio.get_running_loop().time()
+        current = self._current_salts(now)
+        if current is None:
+            return
+        for address, keys in views.shelf.outdated(current).items():
+            view = views.shelf.view(address)
+            if view is None or view.life is None:
+                continue
+            batch = keys[:_FREED_AT_ONCE]
+            parts = [(salt, Part(part, 0)) for salt, part in batch]
+            done = await self._targets.free(view.traits, parts, view.life)
+            _log.info("parts freed", store=address, parts=len(batch), done=done)
+            if done:
+                for salt, part in batch:
+                    view.drop(salt, part)
+
+    def _current_salts(self, now: float) -> list[str] | None:
+        """Return the beginnings of salts in use; None while that is not sure."""
+        views = self._views
+        if views.catalog is None or views.stale.is_set():
+            return None
+        salts = []
+        for service in views.catalog.engines:
+            assert service.engine is not None
+            for model in service.engine.models:
+                named = views.named.get(model)
+                if named is None:
+                    return None
+                if now - views.named_at.get(model, now) < _FREE_AFTER_SECONDS:
+                    return None
+                for instance in views.roster.serving(service.name):
+                    weights = views.weights_of(instance.name, model)
+                    if weights is None or weights < named:
+                        return None
+                salts.append(salt_of(model, named))
+        return salts
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -0,0 +1,306 @@
+"""Put a serving node together, keep it running, and stop it without cutting anyone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
+
+import msgspec
+import structlog
+from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, entry_addresses
+from fielddrift_core.workload import Burden
+
+from ..web.client import Client
+from ..web.server import Limits, Server
+from .directory import EntryDialect, EntryDoor
+from .duty import Duty
+from .feeds import OperatorFeed, TargetFeed
+from .gateway import Gateway, Tools
+from .gossip import Gossip
+from .keeper import Keeper
+from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
+from .roller import Roller
+from .settings import NodeSettings
+from .views import Views
+
+__all__ = ["Dialects", "ServingNode"]
+
+MEMBERS = "members"
+_ENTRY_KEEP_SECONDS = 1.5
+"""How long callers keep an entry answer: a lost node is out of use within about two seconds."""
+_PAUSE_SECONDS = 0.7
+"""A tick that comes so much too late tells of a pause of this process."""
+_TICK_SECONDS = 0.1
+_JOIN_REST_SECONDS = 0.5
+_FREE_SECONDS = 1.0
+_STOP_LOOK_SECONDS = 0.05
+_STOP_SPARE_SECONDS = 0.9
+"""Time before the end of the grace at which the last connections are closed."""
+_QUIET_SECONDS = 2 * _ENTRY_KEEP_SECONDS
+"""Callers that keep an answer for long may come so late, when all is quiet."""
+
+_log = structlog.get_logger()
+
+
+class Dialects(NamedTuple):
+    """How the outside speaks."""
+
+    callers: CallerDialect
+    targets: TargetDialect
+    entry: EntryDialect
+
+
+class _MemberRow(NamedTuple):
+    node: Neighbour
+
+
+class ServingNode:
+    """One node."""
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        platform: Platform,
+        dialects: Dialects,
+        client: Client,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._rng = rng
+        self._client = client
+        self._views = Views()
+        self._leaving = False
+        self._boot = time.time_ns() // 1_000_000
+        gossip_address = f"{settings.host}:{settings.gossip_port}"
+        me = Neighbour(
+            name=settings.name,
+            boot=self._boot,
+            data_centre=settings.data_centre,
+            entry=settings.entry,
+            gossip=gossip_address,
+            peer=settings.peer,
+        )
+        self._neighbours = Neighbours(me=me)
+        self._gossip = Gossip(neighbours=self._neighbours, beat=self._beat, heard=self._heard)
+        self._operators = OperatorFeed(
+            platform=platform, views=self._views, changed=self._operators_changed, rng=rng
+        )
+        self._targets = TargetFeed(
+            platform=platform, views=self._views, returned=self._operators.again, rng=rng
+        )
+        self._keeper = Keeper(views=self._views, targets=dialects.targets, rng=rng)
+        duty = Duty(
+            name="weights",
+            holder=f"{settings.name}@{settings.host}",
+            platform=platform,
+            turn=settings.bounds.turn,
+        )
+        self._roller = Roller(
+            views=self._views,
+            neighbours=self._neighbours,
+            targets=dialects.targets,
+            duty=duty,
+            weights_seconds=settings.bounds.weights,
+            announce=lambda: self._gossip.changed(everywhere=True),
+        )
+        tools = Tools(
+            settings=settings,
+            views=self._views,
+            client=client,
+            callers=dialects.callers,
+            targets=dialects.targets,
+            budgets={},
+            rng=rng,
+        )
+        self._front = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
+        door = EntryDoor(
+            dialect=dialects.entry,
+            addresses=self._addresses,
+            ready=lambda: self._views.ready and not self._leaving,
+            keep=min(_ENTRY_KEEP_SECONDS, settings.bounds.entry_keep),
+        )
+        self._doors = Server(handler=door.handle, limits=Limits)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    # --- life -----------------------------------------------------------------
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until `stopping` is set, then leave."""
+        settings = self._settings
+        await self._listen(self._doors, settings.ready)
+        await self._listen(self._doors, settings.directory)
+        await self._gossip.start(settings.host, settings.gossip_port)
+        await self._listen(self._front, settings.entry)
+        _log.info("started", entry=settings.entry, boot=self._boot)
+        for work in (
+            self._operators.run,
+            self._targets.run,
+            self._join,
+            self._gossip.run,
+            self._keeper.run,
+            self._roller.run,
+            self._free,
+            self._tick,
+        ):
+            self._tasks.append(asyncio.ensure_future(self._guard(work)))
+        await stopping.wait()
+        await self._leave()
+
+    async def _listen(self, server: Server, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        await server.start(host, int(port))
+
+    async def _guard(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Keep a loop going: a fault of ours must not end the process."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception:
+                _log.exception("loop failed", loop=work.__qualname__)
+                await asyncio.sleep(_JOIN_REST_SECONDS)
+
+    async def _leave(self) -> None:
+        """Go: off the entry answers at once, let requests end, close last."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._leaving = True
+        self._front.leave()
+        self._gossip.say_now()
+        _log.info("leaving", busy=self._front.busy)
+        with contextlib.suppress(OutOfReach):
+            await self._roller.stop()
+        until = began + self._settings.bounds.grace - _STOP_SPARE_SECONDS
+        quiet_since = loop.time()
+        while loop.time() < until:
+            if self._front.busy:
+                quiet_since = loop.time()
+            if loop.time() - quiet_since > _QUIET_SECONDS:
+                break
+            await asyncio.sleep(_STOP_LOOK_SECONDS)
+        self._front.stop_accepting()
+        while self._front.busy and loop.time() < until + _STOP_SPARE_SECONDS / 2:
+            await asyncio.sleep(_STOP_LOOK_SECONDS)
+        _log.info("stopped", cut=self._front.busy, seconds=round(loop.time() - began, 2))
+        for task in self._tasks:
+            task.cancel()
+        self._front.close()
+        self._doors.stop_accepting()
+        self._doors.close()
+        self._client.close()
+
+    # --- loops ------------------------------------------------------------------
+
+    async def _join(self) -> None:
+        """Write this node's row, and greet the nodes that are listed."""
+        for seed in self._settings.seeds:
+            host = seed.rpartition(":")[0]
+            if host != self._settings.host:
+                self._gossip.greet([f"{host}:{self._settings.gossip_port}"])
+        me = self._neighbours.me
+        row = RowWrite(me.name, msgspec.json.encode(_MemberRow(me)))
+        while True:
+            try:
+                await self._platform.write(MEMBERS, [row])
+                rows, _ = await self._platform.rows(MEMBERS)
+                break
+            except OutOfReach as error:
+                _log.warning("not joined yet", error=str(error))
+                await asyncio.sleep(_JOIN_REST_SECONDS)
+        for saved in rows:
+            try:
+                node = msgspec.json.decode(saved.value, type=_MemberRow).node
+            except msgspec.DecodeError as error:
+                _log.error("member row not understood", row=saved.key, error=str(error))
+                continue
+            self._neighbours.introduce(node)
+        _log.info("joined", listed=len(rows))
+
+    async def _tick(self) -> None:
+        """Notice pauses of this process."""
+        loop = asyncio.get_running_loop()
+        while True:
+            before = loop.time()
+            await asyncio.sleep(_TICK_SECONDS)
+            late = loop.time() - before - _TICK_SECONDS
+            if late > _PAUSE_SECONDS:
+                _log.warning("this process was paused", seconds=round(late, 2))
+                self._views.stale.set()
+                self._operators.again()
+                self._targets.again()
+            self._views.nodes = 1 + len(self._neighbours.alive(loop.time()))
+
+    async def _free(self) -> None:
+        """Free what is outdated, from the first node of the list only."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_FREE_SECONDS)
+            others = [node.name for node in self._neighbours.serving(loop.time())]
+            if self._leaving or any(name < self._settings.name for name in others):
+                continue
+            with contextlib.suppress(OutOfReach):
+                await self._keeper.free_outdated()
+
+    # --- what is told and heard ---------------------------------------------------
+
+    def _operators_changed(self) -> None:
+        self._gossip.changed()
+
+    def _beat(self, near: bool) -> Beat:
+        views = self._views
+        now = asyncio.get_running_loop().time()
+        loading = {name: until - now for name, until in views.loading.items() if until > now}
+        return Beat(
+            node=self._neighbours.me,
+            ready=views.ready,
+            leaving=self._leaving,
+            catalog=0 if views.catalog is None else views.catalog.version,
+            named=dict(views.named),
+            burdens=views.workload.own(),
+            left=tuple(sorted(views.roster.leaving()))[:8],
+            loading=loading,
+            weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
+        )
+
+    def _heard(self, beat: Beat) -> None:
+        views = self._views
+        now = asyncio.get_running_loop().time()
+        burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
+        views.workload.told(beat.node.name, burdens, now)
+        for name in beat.left:
+            if name not in views.roster.leaving() and views.roster.get(name) is not None:
+                _log.info("target leaving", target=name, told_by=beat.node.name)
+                views.roster.left(name)
+        for name, seconds in beat.loading.items():
+            views.loading[name] = max(views.loading.get(name, 0.0), now + min(seconds, 2.0))
+        for instance, model, version in beat.weights:
+            if version > views.weights.get((instance, model), 0):
+                views.weights[(instance, model)] = version
+                views.loading.pop(instance, None)
+        known = 0 if views.catalog is None else views.catalog.version
+        newer = any(version > views.named.get(m, 0) for m, version in beat.named.items())
+        if beat.catalog > known or newer:
+            self._operators.again()
+
+    def _addresses(self, data_centre: str) -> list[str]:
+        nodes = self._neighbours.serving(asyncio.get_running_loop().time())
+        if self._views.ready and not self._leaving:
+            nodes.append(self._neighbours.me)
+        return entry_addresses(nodes, data_centre=data_centre)
+
+    def _limits(self) -> Limits:
+        catalog = self._views.catalog
+        if catalog is None:
+            return Limits()
+        return Limits(
+            header_bytes=catalog.header_bytes,
+            body_bytes=catalog.body_bytes,
+            header_seconds=catalog.header_seconds,
+            idle_seconds=catalog.idle_seconds,
+        )
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -0,0 +1,108 @@
+"""Serve requests to plain services: one whole answer, checked before it is passed on."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fielddrift_core.placement import PlainSight, choose_plain
+from fielddrift_core.roster import Instance
+
+from ..web.client import Exchange, ExchangeError
+from ..web.messages import ResponseHead
+from ..web.server import Responder
+from .gateway import Call, Tools
+from .ports import Send
+from .trying import Attempts, TryFailed, send_once
+
+__all__ = ["PlainCalls"]
+
+_SILENCE_AIMS = 4.0
+"""Silence of so many times a route's aim, after which a repeatable request is sent elsewhere."""
+_LEAST_SILENCE = 0.35
+
+
+class PlainCalls:
+    """Send to the target with the least expected time; again elsewhere where allowed."""
+
+    def __init__(self, *, tools: Tools) -> None:
+        self._tools = tools
+
+    async def serve(self, call: Call, responder: Responder) -> None:
+        """Answer `call`; raise `Refused`."""
+        attempts = Attempts(call=call, tools=self._tools)
+        while True:
+            instance = self._choose(call, attempts.tried)
+            if instance is None:
+                raise attempts.exhausted()
+            attempts.begin(instance.name)
+            try:
+                head, body = await self._try(call, instance, more=attempts.more())
+            except TryFailed as failure:
+                attempts.failed(failure)
+                continue
+            headers = self._tools.callers.answer_headers(head, call.ask.request_id)
+            responder.send(head.status, headers, body)
+            return
+
+    def _choose(self, call: Call, tried: set[str]) -> Instance | None:
+        views = self._tools.views
+        now = asyncio.get_running_loop().time()
+        sights = [
+            PlainSight(i, views.workload.at(i.name, now), views.health.share(i.name, now))
+            for i in views.roster.serving(call.service.name)
+        ]
+        return choose_plain(
+            sights,
+            data_centre=self._tools.settings.data_centre,
+            tried=tried,
+            rng=self._tools.rng,
+        )
+
+    async def _try(
+        self, call: Call, instance: Instance, *, more: bool
+    ) -> tuple[ResponseHead, bytes]:
+        views = self._tools.views
+        loop = asyncio.get_running_loop()
+        send = Send(call.ask, instance, call.deadline - loop.time(), call.customer_name)
+        views.workload.begin(instance.name, call.ask.request_id, 0)
+        try:
+            async with asyncio.timeout(self._patience(call) if more else None):
+                head, body = await self._exchange(call, send)
+        except TimeoutError:
+            views.health.failed(instance.name, loop.time())
+            raise TryFailed(
+                f"target {instance.name}: silent", reason="silent", reached=True, not_run=False
+            ) from None
+        except TryFailed as failure:
+            views.health.failed(instance.name, loop.time())
+            if failure.reason == "elsewhere":
+                views.roster.left(instance.name)
+            raise
+        finally:
+            views.workload.end(instance.name, call.ask.request_id)
+        if head.status >= 500:
+            views.health.failed(instance.name, loop.time())
+            if more and call.route.repeatable:
+                detail = f"target {instance.name}: status {head.status}"
+                raise TryFailed(detail, reason="status", reached=True, not_run=False)
+        else:
+            views.health.worked(instance.name, loop.time())
+        return head, body
+
+    async def _exchange(self, call: Call, send: Send) -> tuple[ResponseHead, bytes]:
+        unsafe = not call.route.repeatable
+        exchange, head = await send_once(self._tools, send, unsafe=unsafe)
+        return head, await self._body(send, exchange)
+
+    async def _body(self, send: Send, exchange: Exchange) -> bytes:
+        try:
+            return await exchange.body()
+        except ExchangeError as error:
+            raise TryFailed(str(error), reason="cut", reached=True, not_run=False) from None
+        finally:
+            exchange.cancel()
+
+    def _patience(self, call: Call) -> float | None:
+        if not call.route.repeatable:
+            return None
+        return max(_LEAST_SILENCE, _SILENCE_AIMS * call.route.aim)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -0,0 +1,214 @@
+"""Bring engines to the weights that operators named."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+from fielddrift_core.neighbours import Neighbours
+from fielddrift_core.rollout import EngineWeights, next_loads
+
+from .duty import Duty
+from .ports import EngineReport, OutOfReach, TargetDialect, WeightsOrder
+from .views import Views
+
+__all__ = ["Roller"]
+
+_LOOK_SECONDS = 0.1
+_STAND_IN_SECONDS = 2.5
+"""How long each node in line waits for those before it to do the work."""
+_ANNOUNCED_SECONDS = 1.0
+"""How long an announcement that an engine loads is believed without another."""
+_ANNOUNCE_LEAD = 0.03
+"""Between announcing and ordering: a datagram crosses data centres in some ms."""
+_REPORT_SECONDS = 0.2
+"""Between reports; what a report says is some hundred ms old."""
+_LOAD_SECONDS = 6.0
+"""How long an engine may take before it is ordered anew: a load takes about a
+second, and runs under way end first."""
+_UNTAKEN_SECONDS = 0.8
+"""How long an order that was not answered may stay invisible in reports."""
+_LATE_PART = 0.45
+"""Part of the time for new weights after which all engines load at once."""
+
+_log = structlog.get_logger()
+
+
+class _Work(NamedTuple):
+    model: str
+    wanted: int
+    engines: tuple[EngineWeights, ...]
+
+
+class Roller:
+    """Order loads while this node has the duty; one node at a time has it."""
+
+    def __init__(
+        self,
+        *,
+        views: Views,
+        neighbours: Neighbours,
+        targets: TargetDialect,
+        duty: Duty,
+        weights_seconds: float,
+        announce: Callable[[], None],
+    ) -> None:
+        self._views = views
+        self._neighbours = neighbours
+        self._targets = targets
+        self._duty = duty
+        self._weights_seconds = weights_seconds
+        self._announce = announce
+        self._under_way: dict[str, asyncio.Task[None]] = {}
+        self._since: float | None = None
+
+    async def run(self) -> None:
+        """Look for work until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(_LOOK_SECONDS)
+                try:
+                    await self._turn()
+                except OutOfReach as error:
+                    _log.warning("duty not taken", error=str(error))
+                    await asyncio.sleep(_LOOK_SECONDS * 3)
+        finally:
+            for task in self._under_way.values():
+                task.cancel()
+
+    async def stop(self) -> None:
+        """Give the duty back."""
+        for task in self._under_way.values():
+            task.cancel()
+        await self._duty.give_back()
+
+    async def _turn(self) -> None:
+        work = self._work()
+        now = asyncio.get_running_loop().time()
+        if not work:
+            self._since = None
+            if self._duty.held() and not self._under_way:
+                await self._duty.give_back()
+            return
+        if self._since is None:
+            self._since = now
+        if not self._duty.held() and now - self._since < self._place() * _STAND_IN_SECONDS:
+            return
+        if not await self._duty.take():
+            return
+        for item in work:
+            self._begin(item, now)
+
+    def _place(self) -> int:
+        """Return this node's place in the line of those that may do the work."""
+        loop = asyncio.get_running_loop()
+        names = [node.name for node in self._neighbours.serving(loop.time())]
+        return sum(name < self._neighbours.me.name for name in names)
+
+    def _work(self) -> list[_Work]:
+        views = self._views
+        if views.catalog is None or views.stale.is_set():
+            return []
+        now = asyncio.get_running_loop().time()
+        found = []
+        for service in views.catalog.engines:
+            assert service.engine is not None
+            for model in service.engine.models:
+                wanted = views.named.get(model, 0)
+                engines = tuple(self._engines(service.name, model, now))
+                if any(engine.weights < wanted for engine in engines):
+                    found.append(_Work(model, wanted, engines))
+        return found
+
+    def _engines(self, service: str, model: str, now: float) -> list[EngineWeights]:
+        views = self._views
+        engines = []
+        for instance in views.roster.serving(service):
+            weights = views.weights_of(instance.name, model)
+            if weights is None:
+                continue
+            running = views.workload.at(instance.name, now).running
+            loading = instance.name in self._under_way
+            engines.append(
+                EngineWeights(instance.name, instance.data_centre, weights, running, loading)
+            )
+        return engines
+
+    def _begin(self, work: _Work, now: float) -> None:
+        named_at = self._views.named_at.get(work.model, now)
+        late = now - named_at > _LATE_PART * self._weights_seconds
+        for name in next_loads(work.engines, wanted=work.wanted, late=late):
+            task = asyncio.ensure_future(self._bring(name, work.model, work.wanted))
+            self._under_way[name] = task
+            task.add_done_callback(lambda _, name=name: self._under_way.pop(name, None))
+
+    # --- one engine -----------------------------------------------------------
+
+    async def _bring(self, name: str, model: str, wanted: int) -> None:
+        """Order one engine to load `wanted`, and see that it does."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + _LOAD_SECONDS
+        orders: int | None = None
+        ordered_at = float("-inf")
+        while loop.time() < until:
+            instance = self._views.roster.get(name)
+            if instance is None or self._views.named.get(model, 0) != wanted:
+                return
+            self._views.loading[name] = loop.time() + _ANNOUNCED_SECONDS
+            self._announce()
+            await asyncio.sleep(_ANNOUNCE_LEAD)
+            report = await self._report(name)
+            if report is not None and report.versions.get(model, 0) >= wanted:
+                self._arrived(name, model, report.versions[model])
+                return
+            if report is not None:
+                orders = report.orders
+            idle = report is None or not report.busy
+            if idle and loop.time() - ordered_at > _UNTAKEN_SECONDS:
+                if not self._duty.held():
+                    return
+                ordered_at = loop.time()
+                await self._order(name, model, wanted, orders)
+            await asyncio.sleep(_REPORT_SECONDS)
+        _log.warning("weights not loaded", target=name, model=model, version=wanted)
+
+    async def _report(self, name: str) -> EngineReport | None:
+        instance = self._views.roster.get(name)
+        if instance is None:
+            return None
+        try:
+            report = await self._targets.report(instance)
+        except OutOfReach as error:
+            _log.info("no report", target=name, error=str(error))
+            return None
+        self._views.heard_clock(report.clock, asyncio.get_running_loop().time())
+        return report
+
+    async def _order(self, name: str, model: str, wanted: int, orders: int | None) -> None:
+        instance = self._views.roster.get(name)
+        if instance is None:
+            return
+        order = WeightsOrder(instance, model, wanted, self._duty.holder, self._duty.fence, orders)
+        try:
+            outcome = await self._targets.order(order)
+        except OutOfReach as error:
+            _log.warning("order not answered", target=name, version=wanted, error=str(error))
+            return
+        _log.info(
+            "order given",
+            target=name,
+            model=model,
+            version=wanted,
+            fence=order.fence,
+            orders=orders,
+            taken=outcome.taken,
+            detail=outcome.detail,
+        )
+
+    def _arrived(self, name: str, model: str, version: int) -> None:
+        self._views.weights[(name, model)] = version
+        self._views.loading.pop(name, None)
+        _log.info("weights loaded", target=name, model=model, version=version)
+        self._announce()
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -0,0 +1,48 @@
+"""Hold what a serving node is told at its start."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["Bounds", "NodeSettings", "SettingsFault"]
+
+
+class SettingsFault(Exception):
+    """Settings that cannot be used; the message names the place and the value."""
+
+
+class Bounds(NamedTuple):
+    """Times in seconds that a deployment promises; they come from its operators.
+
+    `drain` bounds new work at a target after its leaving was told, `grace`
+    how long a stop may take, `turn` the pause between orders of two holders,
+    `weights` how long requests may begin on older weights, `entry_keep` how
+    long callers keep an entry answer.  Repeated sends within `retry_window`
+    are at most `retry_ratio` of the requests and `retry_slack`.
+    """
+
+    drain: float
+    grace: float
+    retry_ratio: float
+    retry_window: float
+    retry_slack: float
+    turn: float
+    weights: float
+    entry_keep: float
+
+
+class NodeSettings(NamedTuple):
+    """Where a node is and listens.  Addresses are IP:PORT."""
+
+    name: str
+    host: str
+    data_centre: str
+    region: str
+    entry: str
+    ready: str
+    directory: str
+    peer: str
+    gossip_port: int
+    metrics_port: int
+    seeds: tuple[str, ...]
+    bounds: Bounds
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -0,0 +1,150 @@
+"""Tell how one sending to one target failed, and decide whether another may follow."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+from fielddrift_core.errors import Kind, Ran, Refusal
+
+from ..web.client import Exchange, ExchangeError
+from ..web.messages import ResponseHead
+from .gateway import Call, Refused, Tools
+from .ports import Send
+
+__all__ = ["Attempts", "TryFailed", "send_once"]
+
+MOST_CONNECTS = 4
+"""Targets to which no connection came up, before a request is refused."""
+CONNECT_SECONDS = 0.35
+"""A connection within a region takes some ms; a lost opening packet is sent again after 1 s."""
+_UNSAFE_MOST_IDLE = 0.4
+"""A kept connection on which something came so recently is still served by its target."""
+
+_log = structlog.get_logger()
+
+
+class TryFailed(Exception):
+    """One sending that gave no answer to deliver.
+
+    `reached` is False when no byte left; `not_run` is proof that it did not
+    run.  `return_after` is when the target wants to be asked again, in seconds.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        reason: str,
+        reached: bool,
+        not_run: bool,
+        return_after: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.reached = reached
+        self.not_run = not_run
+        self.return_after = return_after
+
+
+class Attempts:
+    """Count a request's sendings against its route's limit and the shared budget."""
+
+    def __init__(self, *, call: Call, tools: Tools) -> None:
+        self._call = call
+        self._tools = tools
+        self._reached = 0
+        self._connects = 0
+        self.tried: set[str] = set()
+
+    def begin(self, target: str) -> None:
+        """Note a sending to `target`; raise `Refused` when the budget has no room for it."""
+        now = asyncio.get_running_loop().time()
+        budget = self._tools.budget(self._call.service.name)
+        if self._reached == 0:
+            budget.first(now)
+        elif not budget.take(now, nodes=self._tools.views.nodes):
+            raise Refused(self._refusal("repeated sends are used up", None))
+        self.tried.add(target)
+        self._call.trail.targets.append(target)
+
+    def failed(self, failure: TryFailed) -> None:
+        """Take a failure; raise `Refused` unless another sending may follow."""
+        call = self._call
+        call.trail.reasons.append(failure.reason)
+        _log.info(
+            "send failed",
+            request=call.ask.request_id,
+            target=call.trail.targets[-1],
+            reason=failure.reason,
+            detail=str(failure),
+            not_run=failure.not_run,
+        )
+        if failure.reached:
+            self._reached += 1
+            if not failure.not_run:
+                call.trail.sent = True
+        else:
+            self._connects += 1
+        may = failure.not_run or call.route.repeatable
+        if not may or self._reached >= call.route.attempts or self._connects >= MOST_CONNECTS:
+            raise Refused(self._refusal(str(failure), failure.return_after))
+
+    def exhausted(self) -> Refused:
+        """Return the end of a request for which no target is left."""
+        return Refused(self._refusal("no target can take it", None))
+
+    def more(self) -> bool:
+        """Return whether the route allows another sending."""
+        return self._reached + 1 < self._call.route.attempts
+
+    def _refusal(self, detail: str, return_after: float | None) -> Refusal:
+        ran = Ran.UNKNOWN if self._call.trail.sent else Ran.NO
+        return Refusal(Kind.NO_TARGET, detail, ran, return_after)
+
+
+async def send_once(tools: Tools, send: Send, *, unsafe: bool) -> tuple[Exchange, ResponseHead]:
+    """Send, and return the exchange once its head is here; raise `TryFailed`.
+
+    An answer that proves that nothing ran is a failure here.
+    """
+    address = send.instance.address
+    data = tools.targets.request(send)
+    exchange: Exchange | None = None
+    try:
+        exchange = await tools.client.begin(
+            address,
+            data,
+            connect_seconds=CONNECT_SECONDS,
+            accepts=lambda head: tools.targets.answers(send, head),
+            most_idle=_UNSAFE_MOST_IDLE if unsafe else None,
+        )
+        head = await exchange.head()
+    except ExchangeError as error:
+        if exchange is not None:
+            exchange.cancel()
+        raise TryFailed(
+            str(error), reason=error.reason, reached=error.sent, not_run=not error.sent
+        ) from None
+    except asyncio.CancelledError:
+        if exchange is not None:
+            exchange.cancel()
+        raise
+    signs = tools.targets.signs(head)
+    if not signs.not_started:
+        return exchange, head
+    await _drain(exchange)
+    reason = "elsewhere" if signs.elsewhere else "not-started"
+    detail = f"target {send.instance.name}: status {head.status}, not run"
+    raise TryFailed(
+        detail, reason=reason, reached=True, not_run=True, return_after=signs.retry_after
+    )
+
+
+async def _drain(exchange: Exchange) -> None:
+    """Read the rest of a short answer, so that its connection can be used again."""
+    try:
+        async with asyncio.timeout(0.05):
+            await exchange.body()
+    except (ExchangeError, TimeoutError):
+        exchange.cancel()
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -0,0 +1,98 @@
+"""Hold what a serving node believes, each view with its version and age."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from fielddrift_core.catalog import Catalog
+from fielddrift_core.roster import Roster
+from fielddrift_core.shelf import Shelf
+from fielddrift_core.workload import TargetHealth, Workload
+
+from .ports import NamedWeights
+
+__all__ = ["Views"]
+
+FETCH_SECONDS = 2.0
+"""A fetch that took longer is thrown away by the engine, and the prompt read:
+no move is begun that would wait longer than that."""
+
+
+class Views:
+    """The node's views; loops write them, requests read them."""
+
+    def __init__(self) -> None:
+        self.catalog: Catalog | None = None
+        self.catalog_at = float("-inf")
+        """Loop time at which the operators' rows were last known to be current."""
+        self.named: dict[str, int] = {}
+        """The newest named weights by model."""
+        self.named_at: dict[str, float] = {}
+        self.roster = Roster()
+        self.workload = Workload()
+        self.health = TargetHealth()
+        self.shelf = Shelf()
+        self.loading: dict[str, float] = {}
+        """Until when an engine is taken to be loading weights."""
+        self.weights: dict[tuple[str, str], int] = {}
+        """Weights by (instance, model), where newer than the instance's entry."""
+        self.stale = asyncio.Event()
+        """Set while this process woke from a pause and has not read anew."""
+        self.nodes = 1
+        self._refreshed = asyncio.Event()
+        self._clock: tuple[int, float] | None = None
+
+    def heard_clock(self, clock: int | None, now: float) -> None:
+        """Take what a target said of the engines' clock, in ms."""
+        if clock is not None:
+            self._clock = (clock, now)
+
+    def until(self, now: float) -> int | None:
+        """Return the end of a fetch that begins at `now`, in ms on the engines' clock."""
+        if self._clock is None:
+            return None
+        clock, heard = self._clock
+        return clock + int((now - heard + FETCH_SECONDS) * 1000)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether requests can be served."""
+        return self.catalog is not None and len(self.roster) > 0
+
+    def take_catalog(self, catalog: Catalog) -> bool:
+        """Take a newer catalog; an older one is ignored."""
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return False
+        self.catalog = catalog
+        self.shelf.configure([s.store for s in catalog.stores if s.store is not None])
+        return True
+
+    def take_weights(self, weights: NamedWeights, now: float) -> bool:
+        """Take newer named weights; older ones are ignored."""
+        if weights.version <= self.named.get(weights.model, 0):
+            return False
+        self.named[weights.model] = weights.version
+        self.named_at[weights.model] = now
+        return True
+
+    def current(self, now: float) -> None:
+        """Note that the operators' rows were just read."""
+        self.catalog_at = now
+        self.stale.clear()
+        self._refreshed.set()
+
+    async def refreshed(self, seconds: float) -> None:
+        """Wait up to `seconds` for the operators' rows to be read again."""
+        self._refreshed.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._refreshed.wait(), seconds)
+
+    def weights_of(self, instance_name: str, model: str) -> int | None:
+        """Return the version of `model` that an instance has, None when it has none."""
+        instance = self.roster.get(instance_name)
+        listed = instance.versions.get(model) if instance is not None else None
+        learned = self.weights.get((instance_name, model))
+        if listed is None:
+            return learned
+        return max(listed, learned or 0)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -0,0 +1,417 @@
+"""Serve HTTP/1.1 connections: read whole requests, write answers as they come.
+
+One request of a connection is handled at a time, by a task that is cancelled
+as soon as the other side closes.  Broken framing ends the connection after an
+answer that says so; nothing of such a request is handed on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, cast
+
+import httptools
+
+from .messages import Headers, RequestHead, reason_phrase
+
+__all__ = ["Limits", "Request", "Responder", "Server", "prepare_socket"]
+
+_MOST_PIPELINED = 4
+_USER_TIMEOUT_MS = 4000
+"""Unacknowledged bytes end a connection after so long: a peer without power never answers."""
+_BACKLOG = 1024
+_WRITE_HIGH_WATER = 256 * 1024
+"""Bytes buffered for a caller that reads slowly, before its target is read no further."""
+
+
+class Limits(NamedTuple):
+    """What a caller may send, and how long it may take; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class Request(NamedTuple):
+    """A request read whole; `arrived` is the loop's time at its first byte."""
+
+    head: RequestHead
+    body: bytes
+    arrived: float
+
+
+class _BadRequest(Exception):
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+def prepare_socket(transport: asyncio.BaseTransport) -> None:
+    """Send small writes at once, and notice a peer that fell silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+
+class Responder:
+    """Write one answer."""
+
+    def __init__(self, *, connection: _Connection, keep_alive: bool, http_1_0: bool) -> None:
+        self._connection = connection
+        self._keep_alive = keep_alive
+        self._http_1_0 = http_1_0
+        self._chunked = False
+        self._started = False
+        self._ended = False
+
+    @property
+    def started(self) -> bool:
+        """Return whether the head was written."""
+        return self._started
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the answer is complete."""
+        return self._ended
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Write the head; with `length` None the body goes out in chunks."""
+        keep = self._keep_alive and not self._connection.closing
+        self._chunked = length is None and not self._http_1_0
+        if length is None and self._http_1_0:
+            keep = False
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason_phrase(status))]
+        lines += [b"%s: %s\r\n" % field for field in headers]
+        if length is not None:
+            lines.append(b"Content-Length: %d\r\n" % length)
+        elif self._chunked:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        if not keep:
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        self._keep_alive = keep
+        self._started = True
+        self._connection.write(b"".join(lines))
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        if data:
+            self._connection.write(b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data)
+
+    async def drained(self) -> None:
+        """Wait while the caller reads more slowly than the answer comes."""
+        await self._connection.drained()
+
+    def end(self) -> None:
+        """Mark the answer as complete."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._ended = True
+        if not self._keep_alive:
+            self._connection.close_soon()
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer at once."""
+        self.start(status, headers, len(body))
+        self.write(body)
+        self.end()
+
+    def cut(self) -> None:
+        """Break off, so that the answer cannot pass for a whole one."""
+        self._connection.abort()
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+class Server:
+    """Listen on one address and hand each request to `handler`."""
+
+    def __init__(self, *, handler: Handler, limits: Callable[[], Limits]) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+        self._leaving = False
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether answers tell callers to close."""
+        return self._leaving
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests are being handled."""
+        return sum(1 for connection in self._connections if connection.busy)
+
+    async def start(self, host: str, port: int) -> None:
+        """Begin to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connection, host, port, backlog=_BACKLOG, reuse_address=True
+        )
+
+    def leave(self) -> None:
+        """Answer with `Connection: close` from now on."""
+        self._leaving = True
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; those that are idle are closed."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def close(self) -> None:
+        """Close everything that is still open."""
+        for connection in list(self._connections):
+            connection.abort()
+
+    def _connection(self) -> _Connection:
+        return _Connection(server=self, handler=self._handler, limits=self._limits())
+
+    def joined(self, connection: _Connection) -> None:
+        """Note an open connection."""
+        self._connections.add(connection)
+
+    def left(self, connection: _Connection) -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection: parse requests, and handle them in their order."""
+
+    def __init__(self, *, server: Server, handler: Handler, limits: Limits) -> None:
+        self._server = server
+        self._handler = handler
+        self._limits = limits
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: deque[Request] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._close_soon = False
+        self._fault: _BadRequest | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._deadline = self._loop.time() + limits.idle_seconds
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._in_message = False
+        self._begin()
+
+    # --- state --------------------------------------------------------------
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being handled or read."""
+        return self._task is not None or bool(self._queue) or self._in_message
+
+    @property
+    def closing(self) -> bool:
+        """Return whether the next answer should be the last."""
+        return self._server.leaving or self._close_soon or self._fault is not None
+
+    def _begin(self) -> None:
+        self._url = b""
+        self._fields = Headers()
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._head_size = 0
+        self._head_done = False
+        self._arrived = 0.0
+
+    # --- asyncio ------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER)
+        prepare_socket(transport)
+        self._server.joined(self)
+        self._watch()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.left(self)
+        self._transport = None
+        self._can_write.set()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        self._queue.clear()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        self._can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        if self._fault is not None or self._close_soon:
+            return
+        self._head_size += 0 if self._head_done else len(data)
+        try:
+            self._parser.feed_data(data)
+            if not self._head_done and self._head_size > self._limits.header_bytes + len(data):
+                raise _BadRequest(431, "header: larger than the limit")
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            self._fail(cause if isinstance(cause, _BadRequest) else _BadRequest(400, repr(cause)))
+        except _BadRequest as error:
+            self._fail(error)
+        except httptools.HttpParserUpgrade:
+            self._fail(_BadRequest(400, "upgrade: not offered here"))
+        except httptools.HttpParserError as error:
+            self._fail(_BadRequest(400, f"framing: {error}"))
+
+    # --- httptools ----------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        self._begin()
+        self._in_message = True
+        self._arrived = self._loop.time()
+        self._deadline = self._arrived + self._limits.header_seconds
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._head_size = max(self._head_size, 0)
+        self._fields.add(name, value)
+        size = sum(len(n) + len(v) + 4 for n, v in self._fields) + len(self._url)
+        if size > self._limits.header_bytes:
+            raise _BadRequest(431, f"header: {size} bytes, at most {self._limits.header_bytes}")
+
+    def on_headers_complete(self) -> None:
+        self._head_done = True
+        self._deadline = self._loop.time() + self._limits.idle_seconds
+        fields = self._fields
+        for name in (b"content-length", b"transfer-encoding", b"host"):
+            if fields.count(name) > 1:
+                raise _BadRequest(400, f"header {name.decode()}: given more than once")
+        length, coding = fields.get(b"content-length"), fields.get(b"transfer-encoding")
+        if length is not None and coding is not None:
+            raise _BadRequest(400, "framing: a length and a transfer coding together")
+        if coding is not None and coding.strip().lower() != b"chunked":
+            raise _BadRequest(400, f"transfer-encoding {coding!r}: expected chunked")
+        if length is not None and not length.strip().isdigit():
+            raise _BadRequest(400, f"content-length {length!r}: expected digits")
+        if length is not None and int(length) > self._limits.body_bytes:
+            raise _BadRequest(413, f"body: {int(length)} bytes announced")
+        if not self._url.startswith(b"/"):
+            raise _BadRequest(400, f"request target {self._url[:40]!r}: expected a path")
+        if (fields.get(b"expect") or b"").lower() == b"100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+        self._body_size += len(body)
+        if self._body_size > self._limits.body_bytes:
+            raise _BadRequest(413, f"body: more than {self._limits.body_bytes} bytes")
+
+    def on_message_complete(self) -> None:
+        http_1_0 = self._parser.get_http_version() == "1.0"
+        head = RequestHead(
+            method=self._parser.get_method(),
+            target=self._url,
+            headers=self._fields,
+            keep_alive=self._parser.should_keep_alive(),
+            http_1_0=http_1_0,
+        )
+        self._in_message = False
+        self._head_size = 0
+        self._head_done = False
+        self._queue.append(Request(head, b"".join(self._body), self._arrived))
+        self._body = []
+        self._deadline = self._loop.time() + self._limits.idle_seconds
+        if len(self._queue) > _MOST_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+        self._next()
+
+    # --- handling -----------------------------------------------------------
+
+    def _next(self) -> None:
+        if self._task is not None or not self._queue or self._transport is None:
+            return
+        request = self._queue.popleft()
+        self._transport.resume_reading()
+        responder = Responder(
+            connection=self, keep_alive=request.head.keep_alive, http_1_0=request.head.http_1_0
+        )
+        self._task = self._loop.create_task(self._handle(request, responder))
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        try:
+            await self._handler(request, responder)
+        finally:
+            self._task = None
+            if not responder.ended:
+                self.abort()
+            else:
+                self._after_answer()
+
+    def _after_answer(self) -> None:
+        self._deadline = self._loop.time() + self._limits.idle_seconds
+        if self._transport is None:
+            return
+        if self._fault is not None and not self._queue:
+            self._answer_fault()
+        elif self._close_soon or (self.closing and not self._queue and not self._in_message):
+            self._transport.close()
+        else:
+            self._next()
+
+    def _fail(self, fault: _BadRequest) -> None:
+        self._fault = fault
+        self._in_message = False
+        if self._task is None and not self._queue:
+            self._answer_fault()
+
+    def _answer_fault(self) -> None:
+        fault = self._fault
+        if fault is None or self._transport is None:
+            return
+        body = str(fault).encode()
+        head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
+        self.write(head % (fault.status, reason_phrase(fault.status), len(body)) + body)
+        self._transport.close()
+
+    # --- writing and closing ------------------------------------------------
+
+    def write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drained(self) -> None:
+        await self._can_write.wait()
+
+    def close_soon(self) -> None:
+        self._close_soon = True
+
+    def close_if_idle(self) -> None:
+        if not self.busy and self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _watch(self) -> None:
+        now = self._loop.time()
+        if self._task is not None:
+            self._deadline = max(self._deadline, now + self._limits.idle_seconds)
+        if now >= self._deadline and self._transport is not None:
+            self._transport.close()
+            return
+        self._timer = self._loop.call_later(max(0.05, self._deadline - now), self._watch)
