Count a send as possibly run from the moment it leaves

Ruled out: a wrong proof from the target (it crashed without an answer).

Change: a send is unproved from the moment its bytes leave until its target proves that it did not run; the deadline's answer goes by that count.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -45,8 +45,8 @@
     def __init__(self) -> None:
         self.targets: list[str] = []
         self.reasons: list[str] = []
-        self.sent = False
-        """Whether any sending may have run."""
+        self.unproved = 0
+        """Sends that left, and of which no target proved that they did not run."""
         self.fetched = 0
         self.weights: int | None = None
         self.estimate = 0.0
@@ -233,4 +233,4 @@
 
 
 def _ran(trail: Trail) -> Ran:
-    return Ran.UNKNOWN if trail.sent else Ran.NO
+    return Ran.UNKNOWN if trail.unproved else Ran.NO
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -105,7 +105,7 @@
         ok = False
         try:
             async with asyncio.timeout(self._patience(call, choice) if more else None):
-                exchange, head = await send_once(tools, send, unsafe=not call.route.repeatable)
+                exchange, head = await send_once(tools, send, call)
                 first = await self._first(exchange, head, cutter)
             ok = True
         except TimeoutError:
@@ -177,8 +177,6 @@
             failure = TryFailed("silent", reason="silent", reached=True, not_run=False)
         self._learn(call, run.choice, failure)
         run.exchange.cancel()
-        if not movable:
-            call.trail.sent = True
         attempts.failed(failure)
         return False
 
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -90,8 +90,7 @@
         return head, body
 
     async def _exchange(self, call: Call, send: Send) -> tuple[ResponseHead, bytes]:
-        unsafe = not call.route.repeatable
-        exchange, head = await send_once(self._tools, send, unsafe=unsafe)
+        exchange, head = await send_once(self._tools, send, call)
         return head, await self._body(send, exchange)
 
     async def _body(self, send: Send, exchange: Exchange) -> bytes:
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -82,8 +82,6 @@
         )
         if failure.reached:
             self._reached += 1
-            if not failure.not_run:
-                call.trail.sent = True
         else:
             self._connects += 1
         may = failure.not_run or call.route.repeatable
@@ -99,7 +97,7 @@
         return self._reached + 1 < self._call.route.attempts
 
     def _refusal(self, detail: str, return_after: float | None) -> Refusal:
-        ran = Ran.UNKNOWN if self._call.trail.sent else Ran.NO
+        ran = Ran.UNKNOWN if self._call.trail.unproved else Ran.NO
         return Refusal(Kind.NO_TARGET, detail, ran, return_after)
 
 
@@ -117,8 +115,10 @@
             data,
             connect_seconds=CONNECT_SECONDS,
             accepts=lambda head: tools.targets.answers(send, head),
-            most_idle=_UNSAFE_MOST_IDLE if unsafe else None,
+            most_idle=None if call.route.repeatable else _UNSAFE_MOST_IDLE,
         )
+        # From here on the request may run, whatever becomes of this task.
+        call.trail.unproved += 1
         head = await exchange.head()
     except ExchangeError as error:
         if exchange is not None:
@@ -133,6 +133,7 @@
     signs = tools.targets.signs(head)
     if not signs.not_started:
         return exchange, head
+    call.trail.unproved -= 1
     await _drain(exchange)
     reason = "elsewhere" if signs.elsewhere else "not-started"
     detail = f"target {send.instance.name}: status {head.status}, not run"
