--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable, Collection, Iterable, Sequence
+from functools import partial
 from typing import NamedTuple
 
 from .catalog import EngineTraits, StoreTraits
@@ -141,7 +142,7 @@
             prompt,
             traits=traits,
             data_centre=instance.data_centre,
-            holders=lambda part, sight=sight: holders(sight, part),
+            holders=partial(holders, sight),
         )
         reading = (sight.burden.unread + recalled.unread) / READ_RATE
         crowd = sight.burden.running * _RUN_SECONDS
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -79,7 +79,11 @@
     async def _list(self, view: StoreView) -> None:
         listed = await self._targets.kept_list(view.traits)
         now = asyncio.get_running_loop().time()
-        view.listed(listed.life, listed.following, [tuple(held) for held in listed.held])
+        view.listed(
+            listed.life,
+            listed.following,
+            [(held.salt, held.id, held.tokens) for held in listed.held],
+        )
         view.heard_at = now
         self._views.heard_clock(listed.clock, now)
         _log.info(
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import structlog
@@ -142,7 +143,12 @@
         for name in next_loads(work.engines, wanted=work.wanted, late=late):
             task = asyncio.ensure_future(self._bring(name, work.model, work.wanted))
             self._under_way[name] = task
-            task.add_done_callback(lambda _, name=name: self._under_way.pop(name, None))
+            task.add_done_callback(partial(self._ended, name))
+
+    def _ended(self, name: str, task: asyncio.Task[None]) -> None:
+        self._under_way.pop(name, None)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("load failed", target=name, error=repr(task.exception()))
 
     # --- one engine -----------------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -101,7 +101,7 @@
         return Refusal(Kind.NO_TARGET, detail, ran, return_after)
 
 
-async def send_once(tools: Tools, send: Send, *, unsafe: bool) -> tuple[Exchange, ResponseHead]:
+async def send_once(tools: Tools, send: Send, call: Call) -> tuple[Exchange, ResponseHead]:
     """Send, and return the exchange once its head is here; raise `TryFailed`.
 
     An answer that proves that nothing ran is a failure here.
