--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from .readers import Reading
 from .workload import Burden
 
 __all__ = [
@@ -49,8 +50,7 @@
     `catalog` and `named` are versions in force, `burdens` its own sends by
     target.  `left` are targets known to be leaving; `loading` gives the
     seconds for which an engine is taken to be loading; `weights` are versions
-    seen at engines, by (instance, model).  `targets` is how recent its list of
-    targets is, in seconds of age.
+    seen at engines, by (instance, model).  `reading` is how far it has read.
     """
 
     node: Neighbour
@@ -62,6 +62,7 @@
     left: tuple[str, ...] = ()
     loading: Mapping[str, float] = {}
     weights: tuple[tuple[str, str, int], ...] = ()
+    reading: Reading = Reading()
 
 
 class _Heard(NamedTuple):
@@ -69,6 +70,7 @@
     ready: bool
     leaving: bool
     at: float
+    reading: Reading = Reading()
 
 
 class Neighbours:
@@ -98,7 +100,7 @@
         known = self._heard.get(node.name)
         if known is not None and known.node.boot > node.boot:
             return False
-        self._heard[node.name] = _Heard(node, beat.ready, beat.leaving, now)
+        self._heard[node.name] = _Heard(node, beat.ready, beat.leaving, now, beat.reading)
         return known is None or known.node.boot != node.boot
 
     def alive(self, now: float, *, data_centre: str | None = None) -> list[Neighbour]:
@@ -134,6 +136,20 @@
         """Return the live nodes of this data centre."""
         return self.alive(now, data_centre=self._me.data_centre)
 
+    def readings(self, now: float) -> dict[str, Reading]:
+        """Return how far the live nodes of this data centre have read, as of `now`."""
+        found = {}
+        for name, heard in self._heard.items():
+            near = heard.node.data_centre == self._me.data_centre
+            if near and not heard.leaving and self._lives(heard, now):
+                found[name] = heard.reading._replace(age=heard.reading.age + now - heard.at)
+        return found
+
+    def node(self, name: str) -> Neighbour | None:
+        """Return the node called `name`."""
+        heard = self._heard.get(name)
+        return None if heard is None else heard.node
+
     def _lives(self, heard: _Heard, now: float) -> bool:
         near = heard.node.data_centre == self._me.data_centre
         period = NEAR_BEAT_SECONDS if near else FAR_BEAT_SECONDS
--- a/packages/core/src/fielddrift_core/roster.py
+++ b/packages/core/src/fielddrift_core/roster.py
@@ -33,7 +33,7 @@
 
 
 class Roster:
-    """The targets that are known, by service.  `version` only rises."""
+    """The targets that are known, by service."""
 
     def __init__(self) -> None:
         self._instances: dict[str, Instance] = {}
@@ -41,8 +41,8 @@
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._respite_until = 0.0
-        self.version = 0
-        self.heard_at = float("-inf")
+        self.serial = 0
+        """Rises with each change of what is listed."""
 
     def __len__(self) -> int:
         return len(self._instances)
@@ -95,6 +95,16 @@
             self._leaving.add(name)
             self._sort()
 
+    def copied(self, entries: Iterable[Instance], leaving: Iterable[str]) -> None:
+        """Take another node's whole list; it has waited out what lapsed."""
+        self._instances = {entry.name: entry for entry in entries}
+        self._lapsed.clear()
+        kept = self._leaving & self._instances.keys()
+        self._leaving = (
+            kept | set(leaving) | {e.name for e in self._instances.values() if e.leaving}
+        )
+        self._sort()
+
     def leaving(self) -> frozenset[str]:
         """Return the names of instances known to be leaving."""
         return frozenset(self._leaving)
@@ -111,6 +121,7 @@
         self._sort()
 
     def _sort(self) -> None:
+        self.serial += 1
         by_service: dict[str, list[Instance]] = {}
         for instance in self._instances.values():
             if instance.name not in self._leaving:
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -1,4 +1,8 @@
-"""Keep the views of what operators and targets wrote up to date."""
+"""Keep the views of what operators and targets wrote up to date.
+
+The data centre's reader has them from the platform, the other nodes from the
+reader; who reads is decided by `fielddrift_core.readers` at each turn.
+"""
 
 from __future__ import annotations
 
@@ -9,23 +13,30 @@
 
 import msgspec
 import structlog
+from fielddrift_core.catalog import Catalog
+from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.readers import READ_SECONDS, Reading, source
 
-from .ports import HistoryGone, OutOfReach, Platform
+from .ports import HistoryGone, NamedWeights, OutOfReach, Platform
+from .sharing import Peers
 from .views import Views
 
-__all__ = ["OperatorFeed", "TargetFeed"]
+__all__ = ["OperatorFeed", "Rests", "TargetFeed", "reader_of"]
 
-_WAIT_SECONDS = 4.0
-"""How long a call may wait for news: a call that a cut swallowed is noticed soon after."""
-_TARGET_SECONDS = 1.0
-"""Time between readings of the targets: half of what may pass until a leaving one gets no work."""
+READER_KEY = "platform"
+"""What the data centre's reader is chosen for."""
+_WAIT_SECONDS = 8.0
+"""How long a call may wait for news; what it misses in a cut, the readings of
+the targets notice."""
+_LISTEN_SECONDS = 0.05
+"""How soon a node that relies on a reader looks at its beats again."""
 _FIRST_REST = 0.15
 _LONGEST_REST = 1.0
 
 _log = structlog.get_logger()
 
 
-class _Rests:
+class Rests:
     """Rest longer after each failure, with jitter; log the loss and the return."""
 
     def __init__(self, *, what: str, rng: random.Random) -> None:
@@ -35,14 +46,17 @@
 
     @property
     def failing(self) -> bool:
+        """Return whether the last call failed."""
         return self._failures > 0
 
     def worked(self) -> None:
+        """Note a call that worked."""
         if self._failures:
             _log.info("dependency regained", what=self._what, failures=self._failures)
         self._failures = 0
 
     async def failed(self, error: Exception) -> None:
+        """Note a call that failed, and rest."""
         if not self._failures:
             _log.warning("dependency lost", what=self._what, error=str(error))
         self._failures += 1
@@ -50,22 +64,32 @@
         await asyncio.sleep(self._rng.uniform(span / 2, span))
 
 
+def reader_of(neighbours: Neighbours, key: str, now: float) -> Neighbour | None:
+    """Return the node that reads `key` for this one, None when it reads for itself."""
+    chosen = source(neighbours.me.name, key, neighbours.readings(now))
+    return neighbours.node(chosen.name) if chosen.name else None
+
+
 class OperatorFeed:
-    """Follow the operators' rows with one long poll."""
+    """Follow the operators' rows: with one long poll, or by the reader's beats."""
 
     def __init__(
         self,
         *,
         platform: Platform,
+        peers: Peers,
+        neighbours: Neighbours,
         views: Views,
         changed: Callable[[], None],
         rng: random.Random,
     ) -> None:
         self._platform = platform
+        self._peers = peers
+        self._neighbours = neighbours
         self._views = views
         self._changed = changed
         self._after: int | None = None
-        self._rests = _Rests(what="operators' rows", rng=rng)
+        self._rests = Rests(what="operators' rows", rng=rng)
         self._call: asyncio.Task[None] | None = None
         self._hurry = False
 
@@ -92,41 +116,92 @@
                 await self._rests.failed(error)
 
     async def _turn(self) -> None:
+        loop = asyncio.get_running_loop()
+        chosen = reader_of(self._neighbours, READER_KEY, loop.time())
+        if chosen is not None and not self._views.stale.is_set():
+            await self._listen(chosen)
+            return
         hurry, self._hurry = self._hurry, False
         wait = 0.0 if hurry or self._after is None or self._rests.failing else _WAIT_SECONDS
         news = await self._platform.operator_news(self._after, wait)
         self._rests.worked()
-        now = asyncio.get_running_loop().time()
         self._after = news.version
+        self._views.operators_row = max(self._views.operators_row, news.version)
+        self._take(news.catalog, news.weights, "platform")
+        self._views.current()
+
+    async def _listen(self, chosen: Neighbour) -> None:
+        """Fetch from the reader when its beats tell of something newer."""
+        readings = self._neighbours.readings(asyncio.get_running_loop().time())
+        reading = readings.get(chosen.name, Reading())
+        if reading.operators <= self._views.operators_row:
+            await asyncio.sleep(_LISTEN_SECONDS)
+            return
+        try:
+            copy = await self._peers.operators(chosen)
+        except OutOfReach as error:
+            _log.info("reader not reached", reader=chosen.name, error=str(error))
+            await self._read_once()
+            return
+        self._views.operators_row = max(self._views.operators_row, copy.row)
+        self._after = self._views.operators_row
+        weights = tuple(NamedWeights(model, version) for model, version in copy.named.items())
+        self._take(copy.catalog, weights, chosen.name)
+
+    async def _read_once(self) -> None:
+        news = await self._platform.operator_news(self._after, 0.0)
+        self._after = news.version
+        self._views.operators_row = max(self._views.operators_row, news.version)
+        self._take(news.catalog, news.weights, "platform")
+
+    def _take(
+        self, catalog: Catalog | None, weights: tuple[NamedWeights, ...], told_by: str
+    ) -> None:
+        views = self._views
+        now = asyncio.get_running_loop().time()
         changed = False
-        if news.catalog is not None and self._views.take_catalog(news.catalog):
-            _log.info("catalog taken", version=news.catalog.version, row=news.version)
+        if catalog is not None and views.take_catalog(catalog):
+            assert views.catalog is not None
+            _log.info(
+                "catalog taken",
+                version=views.catalog.version,
+                row=views.operators_row,
+                told_by=told_by,
+            )
             changed = True
-        for weights in news.weights:
-            if self._views.take_weights(weights, now):
-                _log.info("weights named", model=weights.model, version=weights.version)
+        for named in weights:
+            if views.take_weights(named, now):
+                _log.info(
+                    "weights named", model=named.model, version=named.version, told_by=told_by
+                )
                 changed = True
-        self._views.current(now)
         if changed:
             self._changed()
 
 
 class TargetFeed:
-    """Read what changed among the targets, once a second."""
+    """Follow the targets' entries: by reading now and then, or by the reader's beats."""
 
     def __init__(
         self,
         *,
         platform: Platform,
+        peers: Peers,
+        neighbours: Neighbours,
         views: Views,
+        changed: Callable[[], None],
         returned: Callable[[], None],
         rng: random.Random,
     ) -> None:
         self._platform = platform
+        self._peers = peers
+        self._neighbours = neighbours
         self._views = views
+        self._changed = changed
         self._returned = returned
         self._after: int | None = None
-        self._rests = _Rests(what="target entries", rng=rng)
+        self._copied: tuple[str, int] = ("", -1)
+        self._rests = Rests(what="target entries", rng=rng)
         self._wake = asyncio.Event()
 
     def again(self) -> None:
@@ -137,7 +212,7 @@
         """Read until cancelled."""
         while True:
             try:
-                await self._turn()
+                seconds = await self._turn()
             except HistoryGone:
                 _log.info("history gone", what="target entries", after=self._after)
                 self._after = None
@@ -147,9 +222,40 @@
                 continue
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), _TARGET_SECONDS)
+                await asyncio.wait_for(self._wake.wait(), seconds)
 
-    async def _turn(self) -> None:
+    async def _turn(self) -> float:
+        """Bring the list up to date; return the seconds until the next turn."""
+        loop = asyncio.get_running_loop()
+        chosen = reader_of(self._neighbours, READER_KEY, loop.time())
+        if chosen is not None and not self._views.stale.is_set():
+            reading = self._neighbours.readings(loop.time()).get(chosen.name, Reading())
+            if (chosen.name, reading.serial) == self._copied or (
+                reading.targets < self._views.targets_row
+            ):
+                return _LISTEN_SECONDS
+            if await self._copy(chosen):
+                return _LISTEN_SECONDS
+        await self._read()
+        return READ_SECONDS
+
+    async def _copy(self, chosen: Neighbour) -> bool:
+        try:
+            copy = await self._peers.targets(chosen)
+        except OutOfReach as error:
+            _log.info("reader not reached", reader=chosen.name, error=str(error))
+            return False
+        if copy.row < self._views.targets_row:
+            return False
+        before = self._views.roster.leaving()
+        self._views.roster.copied(copy.entries, copy.leaving)
+        self._views.targets_row = copy.row
+        self._after = copy.row
+        self._copied = (chosen.name, copy.serial)
+        self._log_leaving(before, chosen.name)
+        return True
+
+    async def _read(self) -> None:
         news = await self._platform.target_news(self._after)
         now = asyncio.get_running_loop().time()
         roster = self._views.roster
@@ -157,7 +263,7 @@
             roster.store_returned(now)
             self._returned()
         self._rests.worked()
-        before = set(roster.leaving())
+        serial, before = roster.serial, roster.leaving()
         if news.whole:
             roster.replaced(news.entries, now)
         else:
@@ -168,8 +274,15 @@
             for name in news.ended:
                 _log.info("target entry ended", target=name, row=news.version)
                 roster.gone(name, now)
-        for name in roster.leaving() - before:
-            _log.info("target leaving", target=name, row=news.version)
         roster.tick(now)
-        roster.heard_at = now
+        self._log_leaving(before, "platform")
         self._after = news.version
+        self._views.targets_row = max(self._views.targets_row, news.version)
+        self._views.targets_at = now
+        self._copied = ("", -1)
+        if roster.serial != serial:
+            self._changed()
+
+    def _log_leaving(self, before: frozenset[str], told_by: str) -> None:
+        for name in self._views.roster.leaving() - before:
+            _log.info("target leaving", target=name, row=self._views.targets_row, told_by=told_by)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -18,13 +18,14 @@
 from ..web.server import Limits, Server
 from .directory import EntryDialect, EntryDoor
 from .duty import Duty
-from .feeds import OperatorFeed, TargetFeed
+from .feeds import READER_KEY, OperatorFeed, TargetFeed, reader_of
 from .gateway import Gateway, Tools
 from .gossip import Gossip
 from .keeper import Keeper
 from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
 from .roller import Roller
 from .settings import NodeSettings
+from .sharing import PeerDoor, Peers
 from .views import Views
 
 __all__ = ["Dialects", "ServingNode"]
@@ -88,11 +89,24 @@
         )
         self._neighbours = Neighbours(me=me)
         self._gossip = Gossip(neighbours=self._neighbours, beat=self._beat, heard=self._heard)
+        self._peer_client = Client()
+        peers = Peers(client=self._peer_client)
         self._operators = OperatorFeed(
-            platform=platform, views=self._views, changed=self._operators_changed, rng=rng
+            platform=platform,
+            peers=peers,
+            neighbours=self._neighbours,
+            views=self._views,
+            changed=self._gossip.changed,
+            rng=rng,
         )
         self._targets = TargetFeed(
-            platform=platform, views=self._views, returned=self._operators.again, rng=rng
+            platform=platform,
+            peers=peers,
+            neighbours=self._neighbours,
+            views=self._views,
+            changed=self._gossip.changed,
+            returned=self._operators.again,
+            rng=rng,
         )
         self._keeper = Keeper(views=self._views, targets=dialects.targets, rng=rng)
         duty = Duty(
@@ -126,6 +140,7 @@
             keep=min(_ENTRY_KEEP_SECONDS, settings.bounds.entry_keep),
         )
         self._doors = Server(handler=door.handle, limits=Limits)
+        self._peer_door = Server(handler=PeerDoor(views=self._views).handle, limits=Limits)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -141,6 +156,7 @@
         await self._listen(self._doors, settings.ready)
         await self._listen(self._doors, settings.directory)
         await self._gossip.start(settings.host, settings.gossip_port)
+        await self._listen(self._peer_door, settings.peer)
         await self._listen(self._front, settings.entry)
         _log.info("started", entry=settings.entry, boot=self._boot)
         for work in (
@@ -197,9 +213,11 @@
             task.cancel()
         self._gossip.close()
         self._front.close()
-        self._doors.stop_accepting()
-        self._doors.close()
+        for door in (self._doors, self._peer_door):
+            door.stop_accepting()
+            door.close()
         self._client.close()
+        self._peer_client.close()
 
     # --- loops ------------------------------------------------------------------
 
@@ -255,9 +273,6 @@
 
     # --- what is told and heard ---------------------------------------------------
 
-    def _operators_changed(self) -> None:
-        self._gossip.changed()
-
     def _beat(self, near: bool) -> Beat:
         views = self._views
         now = asyncio.get_running_loop().time()
@@ -272,6 +287,7 @@
             left=tuple(sorted(views.roster.leaving()))[:8],
             loading=loading,
             weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
+            reading=views.reading(now),
         )
 
     def _heard(self, beat: Beat) -> None:
@@ -289,9 +305,17 @@
             if version > views.weights.get((instance, model), 0):
                 views.weights[(instance, model)] = version
                 views.loading.pop(instance, None)
+        if beat.node.data_centre != self._settings.data_centre:
+            self._heard_far(beat)
+
+    def _heard_far(self, beat: Beat) -> None:
+        """Read at once what nodes elsewhere have read already; nearer ones hand it on."""
+        views = self._views
         known = 0 if views.catalog is None else views.catalog.version
         newer = any(version > views.named.get(m, 0) for m, version in beat.named.items())
-        if beat.catalog > known or newer:
+        now = asyncio.get_running_loop().time()
+        mine = reader_of(self._neighbours, READER_KEY, now) is None
+        if mine and (beat.catalog > known or newer):
             self._operators.again()
 
     def _addresses(self, data_centre: str) -> list[str]:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -6,6 +6,7 @@
 import contextlib
 
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.readers import Reading
 from fielddrift_core.roster import Roster
 from fielddrift_core.shelf import Shelf
 from fielddrift_core.workload import TargetHealth, Workload
@@ -24,8 +25,12 @@
 
     def __init__(self) -> None:
         self.catalog: Catalog | None = None
-        self.catalog_at = float("-inf")
-        """Loop time at which the operators' rows were last known to be current."""
+        self.operators_row = 0
+        """Version of the operators' rows that were read, on the platform's counter."""
+        self.targets_row = 0
+        """The same of the targets' entries."""
+        self.targets_at = float("-inf")
+        """Loop time at which this node itself last read the targets' entries."""
         self.named: dict[str, int] = {}
         """The newest named weights by model."""
         self.named_at: dict[str, float] = {}
@@ -76,9 +81,13 @@
         self.named_at[weights.model] = now
         return True
 
-    def current(self, now: float) -> None:
+    def reading(self, now: float) -> Reading:
+        """Return how far this node itself has read."""
+        age = now - self.targets_at
+        return Reading(self.operators_row, self.targets_row, self.roster.serial, age)
+
+    def current(self) -> None:
         """Note that the operators' rows were just read."""
-        self.catalog_at = now
         self.stale.clear()
         self._refreshed.set()
 
