Log what becomes of each part of a prompt

From the parts' log: parts are read twice because two nodes begin their first read at once, or because a save was lost with its store; most late answers between seconds 16 and 20 have all their parts fetched, from the store host that is slow then (estimate 100 ms, first event 500 to 1,500 ms).

Conclusion: next, what a store's link carries must enter the estimate, and a fetch must end in time for reading instead.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -47,7 +47,8 @@
         self.reasons: list[str] = []
         self.unproved = 0
         """Sends that left, and of which no target proved that they did not run."""
-        self.fetched = 0
+        self.parts: list[str] = []
+        """Each shared part of the prompt, and whether it is fetched, saved or read."""
         self.weights: int | None = None
         self.estimate = 0.0
         self.first_event: float | None = None
@@ -225,7 +226,7 @@
             reasons=trail.reasons,
             catalog=call.catalog.version,
             weights=trail.weights,
-            fetched=trail.fetched,
+            parts=trail.parts,
             estimate_ms=round(trail.estimate * 1000),
             first_ms=None if first is None else round((first - call.began) * 1000),
             ms=round((now - call.began) * 1000),
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -241,7 +241,11 @@
         call.trail.weights = weights
         call.trail.estimate = choice.seconds
         sources = tuple("" if s is None else s.address for s in choice.recall.sources)
-        call.trail.fetched = sum(1 for source in sources if source)
+        saves = self._saves(prompt, salt, sources, now)
+        call.trail.parts = [
+            f"{part.id}:{part.tokens}:{'fetch' if source else 'save' if save else 'read'}"
+            for part, source, save in zip(prompt.shared, sources, saves, strict=False)
+        ]
         return Send(
             ask=call.ask,
             instance=choice.instance,
@@ -249,7 +253,7 @@
             customer=call.customer_name,
             salt=salt,
             weights=weights,
-            fetch=Fetch(sources, self._saves(prompt, salt, sources, now), views.until(now)),
+            fetch=Fetch(sources, saves, views.until(now)),
             resume_after=resume_after or call.ask.resume_after,
             urgency=self._urgency(call),
         )
