Price choices by what they cost an answer; let links and late fetches count

Ruled out: engines' queues (runs without a fetch came as estimated).

Change: moves under way at a store's link count in the estimate, own and told; a store whose fetches come later than the others' is priced so; a fetch ends in time for reading instead (`until`); an engine is taken to still have what it was lately sent; the choice is by late, read-again, far and old weights, each as a part of an answer's worth.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -50,7 +50,8 @@
     `catalog` and `named` are versions in force, `burdens` its own sends by
     target.  `left` are targets known to be leaving; `loading` gives the
     seconds for which an engine is taken to be loading; `weights` are versions
-    seen at engines, by (instance, model).  `reading` is how far it has read.
+    seen at engines, by (instance, model).  `reading` is how far it has read,
+    `lateness` the seconds by which fetches from stores came late.
     """
 
     node: Neighbour
@@ -63,6 +64,7 @@
     loading: Mapping[str, float] = {}
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
+    lateness: Mapping[str, float] = {}
 
 
 class _Heard(NamedTuple):
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -2,7 +2,9 @@
 
 For each engine the seconds to the first event are estimated from what is
 known to be there, from the parts that must be read, and from those that can
-be fetched.  Other costs are given as seconds too, so that one sum decides.
+be fetched.  What a choice costs is summed in parts of an answer's worth: that
+the answer comes late, tokens read although they are kept, bytes between data
+centres, weights that are no longer the newest.
 """
 
 from __future__ import annotations
@@ -21,7 +23,9 @@
     "READ_RATE",
     "EngineChoice",
     "EngineSight",
+    "Holder",
     "PlainSight",
+    "Prices",
     "Recall",
     "choose_engine",
     "choose_plain",
@@ -30,33 +34,58 @@
 
 READ_RATE = 50_000.0
 """Prompt tokens an engine reads a second; the users' sheet says 56,900."""
+_BASE_SECONDS = 0.02
+"""What every run waits for its first event: the engine's set-up and first step."""
 _RUN_SECONDS = 0.0015
 """What each run at an engine adds to the wait of others for their first event:
 a step of some 3 ms grows by about 0.1 ms a run, and a read waits for some steps."""
-_FAR_SECONDS = 0.05
-"""Price of an engine in another data centre: the bytes of a long prompt cost the
-users about a twentieth of what its answer earns; a tenth of the aim is as much."""
-_OLD_WEIGHTS_SECONDS = 0.25
-"""Price of weights that are older than the newest named: a fifth of an answer's worth."""
-_FAILURE_SECONDS = 2.0
-"""Price of a target all of whose recent answers failed."""
 _FETCH_MARGIN = 1.3
 """A fetch is taken to last so much longer than its link alone would need."""
 _FAR_LINK_FACTOR = 2.0
 """Moves between data centres take twice as long."""
-_LOADING_SECONDS = 30.0
-"""Price of an engine that is loading weights: it is used only when there is no other."""
+_LOADING_COST = 20.0
+"""An engine that is loading weights is used only when there is no other."""
+_LATE_FROM = 0.75
+_LATE_TO = 1.25
+"""Estimates between these parts of the aim grow from surely in time to surely late."""
+
+
+class Prices(NamedTuple):
+    """What matters beside time, each as a part of what an answer in time is worth.
+
+    From the users' sheets: an answer that is `late` loses four fifths; reading
+    a thousand kept tokens `again` costs about 0.37 credits of a long prompt's
+    2.6; the bytes of a long prompt to a `far` data centre cost a twentieth; an
+    answer on `old` weights loses a fifth.  `time` prefers the quicker of two
+    that are both in time, `failure` those whose answers did not fail.
+    """
+
+    late: float = 0.8
+    again: float = 0.14
+    far: float = 0.05
+    old: float = 0.2
+    time: float = 0.3
+    failure: float = 2.0
+
+
+class Holder(NamedTuple):
+    """A store that keeps a part, and the seconds until its link is free for a fetch."""
+
+    store: StoreTraits
+    wait: float = 0.0
 
 
 class Recall(NamedTuple):
     """Which kept parts a run fetches, and what it then must read itself.
 
-    `sources` has one store a part, None where the part is read.
+    `sources` has one store a part, None where the part is read; `again` counts
+    the tokens that are read although a store keeps them.
     """
 
     sources: tuple[StoreTraits | None, ...]
     unread: int
     fetch_seconds: float
+    again: int = 0
 
 
 class EngineChoice(NamedTuple):
@@ -66,6 +95,28 @@
     recall: Recall
     seconds: float
     cost: float
+    burden: Burden = Burden()
+
+
+class EngineSight(NamedTuple):
+    """What is known of one engine when a request is placed.
+
+    `behind` says that newer weights than its own were named, `loading` that
+    it is about to change them.  `memory` are ids of parts that it was sent
+    lately and so probably still has.
+    """
+
+    instance: Instance
+    burden: Burden
+    failures: float
+    behind: bool
+    loading: bool
+    memory: Collection[str] = ()
+
+
+_PRICES = Prices()
+
+Holders = Callable[[EngineSight, Part], Sequence[Holder]]
 
 
 def recall(
@@ -73,7 +124,9 @@
     *,
     traits: EngineTraits,
     data_centre: str,
-    holders: Callable[[Part], Sequence[StoreTraits]],
+    holders: Callable[[Part], Sequence[Holder]],
+    memory: Collection[str] = (),
+    fetching: bool = True,
 ) -> Recall:
     """Return what to fetch for `prompt` at an engine in `data_centre`.
 
@@ -82,87 +135,99 @@
     """
     sources: list[StoreTraits | None] = []
     seconds = 0.0
-    fetched = 0
+    ready = 0
+    again = 0
+    gap = False
     for part in prompt.shared:
-        best = _quickest(holders(part), part, traits, data_centre)
-        if best is None:
-            break
-        store, needed = best
-        if needed >= part.tokens / READ_RATE:
-            break
-        sources.append(store)
-        seconds += needed
-        fetched += part.tokens
+        best = None if gap else _quickest(holders(part), part, traits, data_centre)
+        if not gap and part.id in memory:
+            sources.append(best[0] if best is not None and fetching else None)
+            ready += part.tokens
+        elif best is not None and fetching:
+            sources.append(best[0])
+            seconds += best[1]
+            ready += part.tokens
+        else:
+            again += part.tokens if gap or best is not None else 0
+            gap = True
     sources += [None] * (len(prompt.parts) - len(sources))
-    return Recall(tuple(sources), max(0, prompt.tokens_in - fetched), seconds)
+    return Recall(tuple(sources), max(0, prompt.tokens_in - ready), seconds, again)
 
 
 def _quickest(
-    stores: Sequence[StoreTraits], part: Part, traits: EngineTraits, data_centre: str
+    holders: Sequence[Holder], part: Part, traits: EngineTraits, data_centre: str
 ) -> tuple[StoreTraits, float] | None:
     best: tuple[StoreTraits, float] | None = None
-    for store in stores:
+    for store, wait in holders:
         rate = min(store.link_rate, traits.link_rate) or store.link_rate
         needed = part.tokens * traits.token_bytes / rate * _FETCH_MARGIN
         if store.data_centre != data_centre:
             needed *= _FAR_LINK_FACTOR
-        needed += store.first_byte
+        needed += store.first_byte + wait
         if best is None or needed < best[1]:
             best = (store, needed)
     return best
 
 
-class EngineSight(NamedTuple):
-    """What is known of one engine when a request is placed.
-
-    `behind` says that newer weights than its own were named, `loading` that
-    it is about to change them.
-    """
-
-    instance: Instance
-    burden: Burden
-    failures: float
-    behind: bool
-    loading: bool
-
-
 def choose_engine(
     prompt: Prompt,
     sights: Iterable[EngineSight],
     *,
     traits: EngineTraits,
     data_centre: str,
-    holders: Callable[[EngineSight, Part], Sequence[StoreTraits]],
+    aim: float,
+    holders: Holders,
+    prices: Prices = _PRICES,
 ) -> EngineChoice | None:
-    """Return the cheapest engine for `prompt`, None when there is none."""
+    """Return the cheapest engine for `prompt`, None when there is none.
+
+    `aim` is the seconds in which the first event should come.
+    """
     best: EngineChoice | None = None
     for sight in sights:
-        instance = sight.instance
-        recalled = recall(
-            prompt,
-            traits=traits,
-            data_centre=instance.data_centre,
-            holders=partial(holders, sight),
-        )
-        reading = (sight.burden.unread + recalled.unread) / READ_RATE
-        crowd = sight.burden.running * _RUN_SECONDS
-        full = max(0, sight.burden.running + 1 - traits.slots)
-        seconds = reading + recalled.fetch_seconds + crowd + full * _RUN_SECONDS * 10
-        cost = seconds + _surcharge(sight, data_centre)
-        if best is None or cost < best.cost:
-            best = EngineChoice(instance, recalled, seconds, cost)
+        for fetching in (True, False):
+            recalled = recall(
+                prompt,
+                traits=traits,
+                data_centre=sight.instance.data_centre,
+                holders=partial(holders, sight),
+                memory=sight.memory,
+                fetching=fetching,
+            )
+            choice = _priced(sight, recalled, traits, data_centre, aim, prices)
+            if best is None or choice.cost < best.cost:
+                best = choice
+            if not any(recalled.sources):
+                # Nothing to fetch: reading everything is the same choice.
+                break
     return best
 
 
-def _surcharge(sight: EngineSight, data_centre: str) -> float:
-    cost = sight.failures * _FAILURE_SECONDS
-    if sight.instance.data_centre != data_centre:
-        cost += _FAR_SECONDS
-    if sight.behind:
-        cost += _OLD_WEIGHTS_SECONDS
-    if sight.loading:
-        cost += _LOADING_SECONDS
-    return cost
+def _priced(
+    sight: EngineSight,
+    recalled: Recall,
+    traits: EngineTraits,
+    data_centre: str,
+    aim: float,
+    prices: Prices,
+) -> EngineChoice:
+    burden = sight.burden
+    reading = (burden.unread + recalled.unread) / READ_RATE
+    waiting = max(0, burden.running + 1 - traits.slots) * _RUN_SECONDS * 10
+    seconds = _BASE_SECONDS + reading + recalled.fetch_seconds
+    seconds += burden.running * _RUN_SECONDS + waiting
+    cost = prices.late * _lateness(seconds / aim) + prices.time * seconds / aim
+    cost += prices.again * recalled.again / 1000
+    cost += prices.failure * sight.failures
+    cost += prices.far if sight.instance.data_centre != data_centre else 0.0
+    cost += prices.old if sight.behind else 0.0
+    cost += _LOADING_COST if sight.loading else 0.0
+    return EngineChoice(sight.instance, recalled, seconds, cost, burden)
+
+
+def _lateness(part: float) -> float:
+    """Return how sure it is that an estimate of `part` of the aim ends late."""
+    return min(1.0, max(0.0, (part - _LATE_FROM) / (_LATE_TO - _LATE_FROM)))
 
 
 class PlainSight(NamedTuple):
@@ -177,6 +242,8 @@
 """Work of a plain request on the users' sheets, less than its aim by a few times."""
 _PLAIN_FAR_SECONDS = 0.01
 """Price of a plain target in another data centre: its requests are short."""
+_PLAIN_FAILURE_SECONDS = 2.0
+"""Price of a plain target all of whose recent answers failed."""
 
 
 def choose_plain(
@@ -193,7 +260,7 @@
             continue
         slots = max(1, sight.instance.slots)
         cost = (sight.burden.running + 1) / slots * _PLAIN_WORK_SECONDS
-        cost += sight.failures * _FAILURE_SECONDS
+        cost += sight.failures * _PLAIN_FAILURE_SECONDS
         if sight.instance.data_centre != data_centre:
             cost += _PLAIN_FAR_SECONDS
         entry = (cost, rng.random(), sight.instance)
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-__all__ = ["TOLD_SECONDS", "Burden", "TargetHealth", "Workload"]
+__all__ = ["TOLD_SECONDS", "Burden", "Lateness", "TargetHealth", "Workload"]
 
 TOLD_SECONDS = 1.5
 """Age at which another node's word on its sends no longer counts: five of its beats."""
@@ -77,6 +77,49 @@
             self._told.pop(node, None)
 
 
+_LATE_WEIGHT = 0.4
+"""Weight of the newest fetch in a store's lateness: two or three tell of a slow link."""
+_LATE_FADE_SECONDS = 2.0
+"""Time in which a lateness halves: a link is tried again some seconds after it was slow."""
+
+
+class Lateness:
+    """By how many seconds fetches from a store came later than estimated, of late.
+
+    What all stores have in common is the engines' doing, not the links'.
+    """
+
+    def __init__(self) -> None:
+        self._late: dict[str, tuple[float, float]] = {}
+
+    def came(self, store: str, seconds: float, now: float) -> None:
+        """Count a fetch that took `seconds` longer than estimated."""
+        late = self._faded(store, now)
+        self._late[store] = (late + _LATE_WEIGHT * (max(0.0, seconds) - late), now)
+
+    def told(self, lateness: Mapping[str, float], now: float) -> None:
+        """Take what another node saw, where it is worse."""
+        for store, seconds in lateness.items():
+            if seconds > self._faded(store, now):
+                self._late[store] = (seconds, now)
+
+    def known(self, now: float) -> dict[str, float]:
+        """Return the lateness of each store, in seconds."""
+        return {store: self._faded(store, now) for store in self._late}
+
+    def of(self, store: str, now: float) -> float:
+        """Return by how much `store` is later than the quickest of the others."""
+        others = [self._faded(s, now) for s in self._late if s != store]
+        common = min(others) if others else 0.0
+        return max(0.0, self._faded(store, now) - common)
+
+    def _faded(self, store: str, now: float) -> float:
+        if store not in self._late:
+            return 0.0
+        late, at = self._late[store]
+        return late * 0.5 ** ((now - at) / _LATE_FADE_SECONDS)
+
+
 class TargetHealth:
     """Judge targets by their answers; a share of failures from 0 to 1 each."""
 
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 import structlog
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
 from fielddrift_core.errors import ANSWERS, Kind, Ran, Refusal
 from fielddrift_core.retries import WindowBudget
+from fielddrift_core.workload import Burden
 
 from ..web.client import Client
 from ..web.server import Request, Responder
@@ -51,6 +52,8 @@
         """Each shared part of the prompt, and whether it is fetched, saved or read."""
         self.weights: int | None = None
         self.estimate = 0.0
+        self.ahead = Burden()
+        """What was known to be at the engine when it was chosen."""
         self.first_event: float | None = None
 
 
@@ -82,6 +85,8 @@
     targets: TargetDialect
     budgets: dict[str, WindowBudget]
     rng: random.Random
+    told: Callable[[], None]
+    """Tells the nodes nearby soon what this one sends."""
 
     def budget(self, service: str) -> WindowBudget:
         """Return the budget of repeated sends to `service`."""
@@ -227,6 +232,7 @@
             catalog=call.catalog.version,
             weights=trail.weights,
             parts=trail.parts,
+            ahead=list(trail.ahead),
             estimate_ms=round(trail.estimate * 1000),
             first_ms=None if first is None else round((first - call.began) * 1000),
             ms=round((now - call.began) * 1000),
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -11,8 +11,14 @@
 from typing import NamedTuple
 
 import structlog
-from fielddrift_core.catalog import StoreTraits
-from fielddrift_core.placement import EngineChoice, EngineSight, choose_engine
+from fielddrift_core.catalog import EngineTraits, StoreTraits
+from fielddrift_core.placement import (
+    READ_RATE,
+    EngineChoice,
+    EngineSight,
+    Holder,
+    choose_engine,
+)
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.stream import EventCutter
 
@@ -22,11 +28,17 @@
 from .gateway import Call, Tools
 from .ports import Fetch, Send
 from .trying import Attempts, TryFailed, send_once
+from .views import FETCH_SECONDS
 
 __all__ = ["Generation", "salt_of"]
 
 _OLDEST_PART = 0.8
 """Part of the time within which requests may begin on older weights that is used."""
+_READ_SPARE_SECONDS = 0.06
+"""What is left of the aim beside reading, when a fetch is given up."""
+_LEAST_FETCH_SECONDS = 0.08
+"""The least time a fetch is given: an unhindered one takes half of it."""
+_FETCH_ESTIMATES = 1.5
 _AVOID_SECONDS = 0.3
 """How long an engine that turned a request away is avoided."""
 _FIRST_EVENT_AIMS = 2.0
@@ -100,7 +112,8 @@
         tools = self._tools
         send = self._send(call, choice, cutter.last)
         name = choice.instance.name
-        tools.views.workload.begin(name, call.ask.request_id, choice.recall.unread)
+        moves = self._begin(call, choice, send)
+        began = asyncio.get_running_loop().time()
         exchange: Exchange | None = None
         ok = False
         try:
@@ -115,6 +128,7 @@
         except ExchangeError as error:
             raise TryFailed(str(error), reason="cut", reached=True, not_run=False) from None
         finally:
+            self._moved(call, moves)
             if not ok:
                 tools.views.workload.end(name, call.ask.request_id)
                 if exchange is not None:
@@ -124,7 +138,7 @@
             exchange.cancel()
             detail = f"target {name}: status {head.status}"
             raise TryFailed(detail, reason="status", reached=True, not_run=False)
-        tools.views.workload.read(name, call.ask.request_id)
+        self._heard_first(call, choice, began)
         if head.status < 500:
             tools.views.health.worked(name, asyncio.get_running_loop().time())
         self._heard_weights(call, choice, head)
@@ -204,6 +218,7 @@
             behind = weights is not None and weights < named
             if weights is None or instance.name in tried or (behind and too_old):
                 continue
+            salt = self._salt(call, prompt, instance.name)
             sights.append(
                 EngineSight(
                     instance=instance,
@@ -211,6 +226,7 @@
                     failures=views.health.share(instance.name, now),
                     behind=behind,
                     loading=views.loading.get(instance.name, 0.0) > now,
+                    memory=views.memory.parts(instance.name, salt),
                 )
             )
         return choose_engine(
@@ -218,13 +234,27 @@
             sights,
             traits=traits,
             data_centre=self._tools.settings.data_centre,
-            holders=lambda sight, part: self._holders(call, prompt, sight, part),
+            aim=call.route.aim,
+            holders=lambda sight, part: self._holders(call, prompt, sight, part, now),
         )
 
     def _holders(
-        self, call: Call, prompt: Prompt, sight: EngineSight, part: Part
-    ) -> list[StoreTraits]:
-        return self._tools.views.shelf.holders(self._salt(call, prompt, sight.instance.name), part)
+        self, call: Call, prompt: Prompt, sight: EngineSight, part: Part, now: float
+    ) -> list[Holder]:
+        """Return the stores that keep `part`, each with the wait for its link."""
+        views = self._tools.views
+        traits = call.service.engine
+        assert traits is not None
+        salt = self._salt(call, prompt, sight.instance.name)
+        return [
+            Holder(store, self._link_wait(store, traits, now))
+            for store in views.shelf.holders(salt, part)
+        ]
+
+    def _link_wait(self, store: StoreTraits, traits: EngineTraits, now: float) -> float:
+        views = self._tools.views
+        moving = views.workload.at(store.address, now).unread * traits.token_bytes
+        return moving / store.link_rate + views.lateness.of(store.address, now)
 
     def _salt(self, call: Call, prompt: Prompt, instance: str) -> str:
         weights = self._tools.views.weights_of(instance, prompt.model) or 0
@@ -240,6 +270,7 @@
         weights = views.weights_of(choice.instance.name, prompt.model)
         call.trail.weights = weights
         call.trail.estimate = choice.seconds
+        call.trail.ahead = choice.burden
         sources = tuple("" if s is None else s.address for s in choice.recall.sources)
         saves = self._saves(prompt, salt, sources, now)
         call.trail.parts = [
@@ -253,11 +284,20 @@
             customer=call.customer_name,
             salt=salt,
             weights=weights,
-            fetch=Fetch(sources, saves, views.until(now)),
+            fetch=Fetch(sources, saves, self._until(call, choice, now)),
             resume_after=resume_after or call.ask.resume_after,
             urgency=self._urgency(call),
         )
 
+    def _until(self, call: Call, choice: EngineChoice, now: float) -> int | None:
+        """Return when a fetch should be given up, so that reading can still be in time."""
+        prompt = call.ask.prompt
+        assert prompt is not None
+        reading = (prompt.tokens_in + choice.burden.unread) / READ_RATE
+        spare = call.began + call.route.aim - reading - _READ_SPARE_SECONDS - now
+        patience = max(spare, _LEAST_FETCH_SECONDS, _FETCH_ESTIMATES * choice.recall.fetch_seconds)
+        return self._tools.views.until(now + min(FETCH_SECONDS, patience))
+
     def _saves(
         self, prompt: Prompt, salt: str, sources: tuple[str, ...], now: float
     ) -> tuple[str, ...]:
@@ -280,6 +320,40 @@
             rank = call.customer.rank
         return min(9, max(0, rank))
 
+    # --- counting -------------------------------------------------------------
+
+    def _begin(self, call: Call, choice: EngineChoice, send: Send) -> set[str]:
+        """Count the run, and its moves at the stores; return those stores."""
+        prompt, traits = call.ask.prompt, call.service.engine
+        assert prompt is not None and traits is not None
+        views = self._tools.views
+        views.workload.begin(choice.instance.name, call.ask.request_id, choice.recall.unread)
+        moving: dict[str, int] = {}
+        for part, source, save in zip(
+            prompt.parts, send.fetch.sources, send.fetch.saves, strict=True
+        ):
+            for store in filter(None, (source, save)):
+                moving[store] = moving.get(store, 0) + part.tokens
+        for store, tokens in moving.items():
+            views.workload.begin(store, call.ask.request_id, tokens)
+        views.memory.sent(choice.instance.name, send.salt, prompt.shared, traits.memory)
+        self._tools.told()
+        return set(moving)
+
+    def _moved(self, call: Call, stores: set[str]) -> None:
+        for store in stores:
+            self._tools.views.workload.end(store, call.ask.request_id)
+
+    def _heard_first(self, call: Call, choice: EngineChoice, began: float) -> None:
+        """Learn from the time that the first event took."""
+        views = self._tools.views
+        now = asyncio.get_running_loop().time()
+        views.workload.read(choice.instance.name, call.ask.request_id)
+        self._tools.told()
+        late = now - began - choice.seconds
+        for store in {s.address for s in choice.recall.sources if s is not None}:
+            views.lateness.came(store, late, now)
+
     # --- learning -------------------------------------------------------------
 
     def _learn(self, call: Call, choice: EngineChoice, failure: TryFailed) -> None:
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -131,6 +131,7 @@
             targets=dialects.targets,
             budgets={},
             rng=rng,
+            told=self._gossip.changed,
         )
         self._front = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
         door = EntryDoor(
@@ -288,6 +289,7 @@
             loading=loading,
             weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
             reading=views.reading(now),
+            lateness=views.lateness.known(now) if near else {},
         )
 
     def _heard(self, beat: Beat) -> None:
@@ -295,6 +297,7 @@
         now = asyncio.get_running_loop().time()
         burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
         views.workload.told(beat.node.name, burdens, now)
+        views.lateness.told(beat.lateness, now)
         for name in beat.left:
             if name not in views.roster.leaving() and views.roster.get(name) is not None:
                 _log.info("target leaving", target=name, told_by=beat.node.name)
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -6,10 +6,11 @@
 import contextlib
 
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
 from fielddrift_core.roster import Roster
 from fielddrift_core.shelf import Shelf
-from fielddrift_core.workload import TargetHealth, Workload
+from fielddrift_core.workload import Lateness, TargetHealth, Workload
 
 from .ports import NamedWeights
 
@@ -38,6 +39,8 @@
         self.workload = Workload()
         self.health = TargetHealth()
         self.shelf = Shelf()
+        self.lateness = Lateness()
+        self.memory = EngineMemory()
         self.loading: dict[str, float] = {}
         """Until when an engine is taken to be loading weights."""
         self.weights: dict[tuple[str, str], int] = {}
@@ -53,12 +56,12 @@
         if clock is not None:
             self._clock = (clock, now)
 
-    def until(self, now: float) -> int | None:
-        """Return the end of a fetch that begins at `now`, in ms on the engines' clock."""
+    def until(self, moment: float) -> int | None:
+        """Return the loop time `moment` in ms on the engines' clock, None when unknown."""
         if self._clock is None:
             return None
         clock, heard = self._clock
-        return clock + int((now - heard + FETCH_SECONDS) * 1000)
+        return clock + int((moment - heard) * 1000)
 
     @property
     def ready(self) -> bool:
