Let links' queues pass with time; keep small parts on quick stores

Change: `LinkQueue` adds the seconds of each move and lets them pass; a part takes at most a fiftieth of a store and prefers quick ones; saves avoid a store that is late.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -51,7 +51,8 @@
     target.  `left` are targets known to be leaving; `loading` gives the
     seconds for which an engine is taken to be loading; `weights` are versions
     seen at engines, by (instance, model).  `reading` is how far it has read,
-    `lateness` the seconds by which fetches from stores came late.
+    `moves` the seconds for which its own moves take stores' links, `lateness` the
+    seconds by which fetches from stores came late.
     """
 
     node: Neighbour
@@ -64,6 +65,7 @@
     loading: Mapping[str, float] = {}
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
+    moves: Mapping[str, float] = {}
     lateness: Mapping[str, float] = {}
 
 
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -29,6 +29,7 @@
     "Recall",
     "choose_engine",
     "choose_plain",
+    "move_seconds",
     "recall",
 ]
 
@@ -154,16 +155,22 @@
     return Recall(tuple(sources), max(0, prompt.tokens_in - ready), seconds, again)
 
 
+def move_seconds(
+    tokens: int, store: StoreTraits, *, traits: EngineTraits, data_centre: str
+) -> float:
+    """Return how long a move between a store and an engine in `data_centre` takes the link."""
+    rate = min(store.link_rate, traits.link_rate) or store.link_rate
+    seconds = tokens * traits.token_bytes / rate
+    return seconds if store.data_centre == data_centre else seconds * _FAR_LINK_FACTOR
+
+
 def _quickest(
     holders: Sequence[Holder], part: Part, traits: EngineTraits, data_centre: str
 ) -> tuple[StoreTraits, float] | None:
     best: tuple[StoreTraits, float] | None = None
     for store, wait in holders:
-        rate = min(store.link_rate, traits.link_rate) or store.link_rate
-        needed = part.tokens * traits.token_bytes / rate * _FETCH_MARGIN
-        if store.data_centre != data_centre:
-            needed *= _FAR_LINK_FACTOR
-        needed += store.first_byte + wait
+        needed = move_seconds(part.tokens, store, traits=traits, data_centre=data_centre)
+        needed = needed * _FETCH_MARGIN + store.first_byte + wait
         if best is None or needed < best[1]:
             best = (store, needed)
     return best
--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from .catalog import StoreTraits
@@ -19,6 +19,11 @@
 """Tokens that a store gives out at once."""
 _FILL_PART = 0.92
 """Part of a store that is filled; the rest is for saves that other nodes began."""
+_LARGEST_PART = 0.02
+"""Part of a store that one part of a prompt may take: the quick, small stores keep
+many small parts, for which the wait before a move counts most."""
+_LATE_SECONDS = 0.05
+"""Lateness of a store from which saves go elsewhere: twice what a large part's move takes."""
 _SAVING_SECONDS = 3.0
 """A save that was not told of after so long is taken for lost."""
 
@@ -120,20 +125,28 @@
         saving = self._saving.get((salt, part.id))
         return saving is not None and now < saving.until
 
-    def save(self, salt: str, part: Part, now: float) -> StoreTraits | None:
-        """Choose a store for `part` and note the save; None when there is no room."""
-        fitting = [
-            view
-            for view in self._views.values()
-            if view.known and view.used + room(part.tokens) <= _FILL_PART * view.traits.capacity
-        ]
+    def save(
+        self, salt: str, part: Part, now: float, *, late: Callable[[str], float] = lambda _: 0.0
+    ) -> StoreTraits | None:
+        """Choose a store for `part` and note the save; None when there is no room.
+
+        Of the stores for which the part is not too large the quick ones are
+        preferred; `late` tells by how many seconds a store is late now.
+        """
+        fitting = [view for view in self._views.values() if self._takes(view, part)]
+        suited = [v for v in fitting if part.tokens <= _LARGEST_PART * v.traits.capacity]
+        prompt_ones = [v for v in suited or fitting if late(v.traits.address) < _LATE_SECONDS]
+        fitting = prompt_ones or suited or fitting
         if not fitting:
             return None
-        weights = [(v.traits.address, float(v.traits.capacity)) for v in fitting]
+        weights = [(v.traits.address, v.traits.link_rate) for v in fitting]
         address = rank(part.id, weights)[0]
         self._saving[(salt, part.id)] = _Saving(address, now + _SAVING_SECONDS)
         return self._views[address].traits
 
+    def _takes(self, view: StoreView, part: Part) -> bool:
+        return view.known and view.used + room(part.tokens) <= _FILL_PART * view.traits.capacity
+
     def told_saving(self, salt: str, part: str, store: str, now: float) -> None:
         """Note a save that another node began."""
         self._saving[(salt, part)] = _Saving(store, now + _SAVING_SECONDS)
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -8,16 +8,17 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import NamedTuple
 
 import structlog
-from fielddrift_core.catalog import EngineTraits, StoreTraits
 from fielddrift_core.placement import (
     READ_RATE,
     EngineChoice,
     EngineSight,
     Holder,
     choose_engine,
+    move_seconds,
 )
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.stream import EventCutter
@@ -112,7 +113,7 @@
         tools = self._tools
         send = self._send(call, choice, cutter.last)
         name = choice.instance.name
-        moves = self._begin(call, choice, send)
+        self._begin(call, choice, send)
         began = asyncio.get_running_loop().time()
         exchange: Exchange | None = None
         ok = False
@@ -128,7 +129,6 @@
         except ExchangeError as error:
             raise TryFailed(str(error), reason="cut", reached=True, not_run=False) from None
         finally:
-            self._moved(call, moves)
             if not ok:
                 tools.views.workload.end(name, call.ask.request_id)
                 if exchange is not None:
@@ -243,19 +243,15 @@
     ) -> list[Holder]:
         """Return the stores that keep `part`, each with the wait for its link."""
         views = self._tools.views
-        traits = call.service.engine
-        assert traits is not None
         salt = self._salt(call, prompt, sight.instance.name)
         return [
-            Holder(store, self._link_wait(store, traits, now))
+            Holder(
+                store,
+                views.links.wait(store.address, now) + views.lateness.of(store.address, now),
+            )
             for store in views.shelf.holders(salt, part)
         ]
 
-    def _link_wait(self, store: StoreTraits, traits: EngineTraits, now: float) -> float:
-        views = self._tools.views
-        moving = views.workload.at(store.address, now).unread * traits.token_bytes
-        return moving / store.link_rate + views.lateness.of(store.address, now)
-
     def _salt(self, call: Call, prompt: Prompt, instance: str) -> str:
         weights = self._tools.views.weights_of(instance, prompt.model) or 0
         isolated = call.customer_name if call.customer and call.customer.isolated else ""
@@ -303,6 +299,7 @@
     ) -> tuple[str, ...]:
         """Return, for each part, the store that should keep it, empty for none."""
         shelf = self._tools.views.shelf
+        late = partial(self._tools.views.lateness.of, now=now)
         saves = []
         for part, source in zip(prompt.parts, sources, strict=True):
             shelf.used(salt, part, now)
@@ -310,7 +307,7 @@
             shared = part in prompt.shared
             if shared and not source and not shelf.saving(salt, part, now):
                 held = shelf.holders(salt, part)
-                store = None if held else shelf.save(salt, part, now)
+                store = None if held else shelf.save(salt, part, now, late=late)
             saves.append("" if store is None else store.address)
         return tuple(saves)
 
@@ -322,27 +319,27 @@
 
     # --- counting -------------------------------------------------------------
 
-    def _begin(self, call: Call, choice: EngineChoice, send: Send) -> set[str]:
-        """Count the run, and its moves at the stores; return those stores."""
+    def _begin(self, call: Call, choice: EngineChoice, send: Send) -> None:
+        """Count the run, and the moves that it causes."""
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
         views = self._tools.views
-        views.workload.begin(choice.instance.name, call.ask.request_id, choice.recall.unread)
-        moving: dict[str, int] = {}
+        engine = choice.instance
+        now = asyncio.get_running_loop().time()
+        views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread)
+        held = views.memory.parts(engine.name, send.salt)
         for part, source, save in zip(
             prompt.parts, send.fetch.sources, send.fetch.saves, strict=True
         ):
-            for store in filter(None, (source, save)):
-                moving[store] = moving.get(store, 0) + part.tokens
-        for store, tokens in moving.items():
-            views.workload.begin(store, call.ask.request_id, tokens)
-        views.memory.sent(choice.instance.name, send.salt, prompt.shared, traits.memory)
+            view = views.shelf.view(source or save)
+            if view is None or (source and part.id in held):
+                continue
+            seconds = move_seconds(
+                part.tokens, view.traits, traits=traits, data_centre=engine.data_centre
+            )
+            views.links.add(view.traits.address, seconds, now)
+        views.memory.sent(engine.name, send.salt, prompt.shared, traits.memory)
         self._tools.told()
-        return set(moving)
-
-    def _moved(self, call: Call, stores: set[str]) -> None:
-        for store in stores:
-            self._tools.views.workload.end(store, call.ask.request_id)
 
     def _heard_first(self, call: Call, choice: EngineChoice, began: float) -> None:
         """Learn from the time that the first event took."""
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -289,6 +289,7 @@
             loading=loading,
             weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
             reading=views.reading(now),
+            moves=views.links.own(now),
             lateness=views.lateness.known(now) if near else {},
         )
 
@@ -297,6 +298,7 @@
         now = asyncio.get_running_loop().time()
         burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
         views.workload.told(beat.node.name, burdens, now)
+        views.links.told(beat.node.name, beat.moves, now)
         views.lateness.told(beat.lateness, now)
         for name in beat.left:
             if name not in views.roster.leaving() and views.roster.get(name) is not None:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -6,6 +6,7 @@
 import contextlib
 
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
 from fielddrift_core.roster import Roster
@@ -39,6 +40,7 @@
         self.workload = Workload()
         self.health = TargetHealth()
         self.shelf = Shelf()
+        self.links = LinkQueue()
         self.lateness = Lateness()
         self.memory = EngineMemory()
         self.loading: dict[str, float] = {}
