--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -46,6 +46,10 @@
 """Moves between data centres take twice as long."""
 _LOADING_COST = 20.0
 """An engine that is loading weights is used only when there is no other."""
+_MEAN_READ_TOKENS = 4000
+"""Tokens that a run has to read in the mean, for the number that wait at an engine."""
+_MEAN_MOVE_SECONDS = 0.03
+"""How long a large part takes a link in the mean, for the moves that wait for it."""
 _LATE_FROM = 0.75
 _LATE_TO = 1.25
 """Estimates between these parts of the aim grow from surely in time to surely late."""
@@ -80,13 +84,15 @@
     """Which kept parts a run fetches, and what it then must read itself.
 
     `sources` has one store a part, None where the part is read; `again` counts
-    the tokens that are read although a store keeps them.
+    the tokens that are read although a store keeps them.  `delays` is how many
+    seconds the fetches add up to for other moves that wait for the same links.
     """
 
     sources: tuple[StoreTraits | None, ...]
     unread: int
     fetch_seconds: float
     again: int = 0
+    delays: float = 0.0
 
 
 class EngineChoice(NamedTuple):
@@ -136,23 +142,25 @@
     """
     sources: list[StoreTraits | None] = []
     seconds = 0.0
+    delays = 0.0
     ready = 0
     again = 0
     gap = False
     for part in prompt.shared:
         best = None if gap else _quickest(holders(part), part, traits, data_centre)
         if not gap and part.id in memory:
-            sources.append(best[0] if best is not None and fetching else None)
+            sources.append(best.store if best is not None and fetching else None)
             ready += part.tokens
         elif best is not None and fetching:
-            sources.append(best[0])
-            seconds += best[1]
+            sources.append(best.store)
+            seconds += best.seconds
+            delays += best.delays
             ready += part.tokens
         else:
             again += part.tokens if gap or best is not None else 0
             gap = True
     sources += [None] * (len(prompt.parts) - len(sources))
-    return Recall(tuple(sources), max(0, prompt.tokens_in - ready), seconds, again)
+    return Recall(tuple(sources), max(0, prompt.tokens_in - ready), seconds, again, delays)
 
 
 def move_seconds(
@@ -164,15 +172,21 @@
     return seconds if store.data_centre == data_centre else seconds * _FAR_LINK_FACTOR
 
 
+class _Fetch(NamedTuple):
+    store: StoreTraits
+    seconds: float
+    delays: float
+
+
 def _quickest(
     holders: Sequence[Holder], part: Part, traits: EngineTraits, data_centre: str
-) -> tuple[StoreTraits, float] | None:
-    best: tuple[StoreTraits, float] | None = None
+) -> _Fetch | None:
+    best: _Fetch | None = None
     for store, wait in holders:
-        needed = move_seconds(part.tokens, store, traits=traits, data_centre=data_centre)
-        needed = needed * _FETCH_MARGIN + store.first_byte + wait
-        if best is None or needed < best[1]:
-            best = (store, needed)
+        moving = move_seconds(part.tokens, store, traits=traits, data_centre=data_centre)
+        needed = moving * _FETCH_MARGIN + store.first_byte + wait
+        if best is None or needed < best.seconds:
+            best = _Fetch(store, needed, moving * wait / _MEAN_MOVE_SECONDS)
     return best
 
 
@@ -225,6 +239,10 @@
     seconds += burden.running * _RUN_SECONDS + waiting
     cost = prices.late * _lateness(seconds / aim) + prices.time * seconds / aim
     cost += prices.again * recalled.again / 1000
+    # What this run reads and moves delays the others that wait there.
+    waiting_runs = burden.unread / _MEAN_READ_TOKENS
+    delays = recalled.unread / READ_RATE * waiting_runs + recalled.delays
+    cost += prices.late * delays / aim
     cost += prices.failure * sight.failures
     cost += prices.far if sight.instance.data_centre != data_centre else 0.0
     cost += prices.old if sight.behind else 0.0
--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -24,6 +24,8 @@
 many small parts, for which the wait before a move counts most."""
 _LATE_SECONDS = 0.05
 """Lateness of a store from which saves go elsewhere: twice what a large part's move takes."""
+_NEAR_FACTOR = 4.0
+"""Preference for a store in the engine's data centre: moves there take half the time."""
 _SAVING_SECONDS = 3.0
 """A save that was not told of after so long is taken for lost."""
 
@@ -126,12 +128,19 @@
         return saving is not None and now < saving.until
 
     def save(
-        self, salt: str, part: Part, now: float, *, late: Callable[[str], float] = lambda _: 0.0
+        self,
+        salt: str,
+        part: Part,
+        now: float,
+        *,
+        data_centre: str = "",
+        late: Callable[[str], float] = lambda _: 0.0,
     ) -> StoreTraits | None:
         """Choose a store for `part` and note the save; None when there is no room.
 
         Of the stores for which the part is not too large the quick ones are
-        preferred; `late` tells by how many seconds a store is late now.
+        preferred, and those in `data_centre`, where the engine is; `late`
+        tells by how many seconds a store is late now.
         """
         fitting = [view for view in self._views.values() if self._takes(view, part)]
         suited = [v for v in fitting if part.tokens <= _LARGEST_PART * v.traits.capacity]
@@ -139,11 +148,16 @@
         fitting = prompt_ones or suited or fitting
         if not fitting:
             return None
-        weights = [(v.traits.address, v.traits.link_rate) for v in fitting]
+        weights = [
+            (v.traits.address, v.traits.link_rate * self._nearness(v, data_centre)) for v in fitting
+        ]
         address = rank(part.id, weights)[0]
         self._saving[(salt, part.id)] = _Saving(address, now + _SAVING_SECONDS)
         return self._views[address].traits
 
+    def _nearness(self, view: StoreView, data_centre: str) -> float:
+        return _NEAR_FACTOR if view.traits.data_centre == data_centre else 1.0
+
     def _takes(self, view: StoreView, part: Part) -> bool:
         return view.known and view.used + room(part.tokens) <= _FILL_PART * view.traits.capacity
 
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -268,7 +268,7 @@
         call.trail.estimate = choice.seconds
         call.trail.ahead = choice.burden
         sources = tuple("" if s is None else s.address for s in choice.recall.sources)
-        saves = self._saves(prompt, salt, sources, now)
+        saves = self._saves(prompt, salt, sources, choice.instance.data_centre, now)
         call.trail.parts = [
             f"{part.id}:{part.tokens}:{'fetch' if source else 'save' if save else 'read'}"
             for part, source, save in zip(prompt.shared, sources, saves, strict=False)
@@ -295,7 +295,12 @@
         return self._tools.views.until(now + min(FETCH_SECONDS, patience))
 
     def _saves(
-        self, prompt: Prompt, salt: str, sources: tuple[str, ...], now: float
+        self,
+        prompt: Prompt,
+        salt: str,
+        sources: tuple[str, ...],
+        data_centre: str,
+        now: float,
     ) -> tuple[str, ...]:
         """Return, for each part, the store that should keep it, empty for none."""
         shelf = self._tools.views.shelf
@@ -307,7 +312,11 @@
             shared = part in prompt.shared
             if shared and not source and not shelf.saving(salt, part, now):
                 held = shelf.holders(salt, part)
-                store = None if held else shelf.save(salt, part, now, late=late)
+                store = (
+                    None
+                    if held
+                    else shelf.save(salt, part, now, data_centre=data_centre, late=late)
+                )
             saves.append("" if store is None else store.address)
         return tuple(saves)
 
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 import structlog
@@ -35,13 +36,20 @@
         self._targets = targets
         self._rng = rng
         self._loops: dict[str, asyncio.Task[None]] = {}
+        self._wake = asyncio.Event()
+
+    def look(self) -> None:
+        """Look at once which stores the catalog names."""
+        self._wake.set()
 
     async def run(self) -> None:
         """Follow every store of the catalog until cancelled."""
         try:
             while True:
+                self._wake.clear()
                 self._match()
-                await asyncio.sleep(_LOOK_SECONDS)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._wake.wait(), _LOOK_SECONDS)
         finally:
             for task in self._loops.values():
                 task.cancel()
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -96,7 +96,7 @@
             peers=peers,
             neighbours=self._neighbours,
             views=self._views,
-            changed=self._gossip.changed,
+            changed=self._operators_changed,
             rng=rng,
         )
         self._targets = TargetFeed(
@@ -274,6 +274,10 @@
 
     # --- what is told and heard ---------------------------------------------------
 
+    def _operators_changed(self) -> None:
+        self._keeper.look()
+        self._gossip.changed()
+
     def _beat(self, near: bool) -> Beat:
         views = self._views
         now = asyncio.get_running_loop().time()
