--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -17,13 +17,18 @@
     "FAR_BEAT_SECONDS",
     "NEAR_BEAT_SECONDS",
     "Beat",
+    "KeptMark",
     "Neighbour",
     "Neighbours",
+    "Periods",
     "entry_addresses",
 ]
 
 NEAR_BEAT_SECONDS = 0.15
 FAR_BEAT_SECONDS = 0.3
+_BEAT_COST_SECONDS = 0.015
+"""Time between beats for each node that gets them: a node sends at most some
+seventy a second to either kind of neighbour, however many there are."""
 _MISSED_BEATS = 4
 """Beats in a row that datagrams may lose before a node counts as gone."""
 _SLACK_SECONDS = 0.3
@@ -44,6 +49,21 @@
     peer: str
 
 
+class KeptMark(NamedTuple):
+    """How far a node itself has heard a store host: its life, its events, their age."""
+
+    life: int
+    following: int
+    age: float
+
+
+class Periods(NamedTuple):
+    """Seconds between a node's beats to near and to far nodes."""
+
+    near: float = NEAR_BEAT_SECONDS
+    far: float = FAR_BEAT_SECONDS
+
+
 class Beat(NamedTuple):
     """What a node tells the others with each beat.
 
@@ -51,8 +71,9 @@
     target.  `left` are targets known to be leaving; `loading` gives the
     seconds for which an engine is taken to be loading; `weights` are versions
     seen at engines, by (instance, model).  `reading` is how far it has read,
-    `moves` the seconds for which its own moves take stores' links, `lateness` the
-    seconds by which fetches from stores came late.
+    `kept` how far it has itself heard store hosts,
+    `periods` tells when the next beats come.  `moves` are the seconds for which
+    its own moves take stores' links, `lateness` those by which fetches came late.
     """
 
     node: Neighbour
@@ -65,6 +86,8 @@
     loading: Mapping[str, float] = {}
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
+    periods: Periods = Periods()
+    kept: Mapping[str, KeptMark] = {}
     moves: Mapping[str, float] = {}
     lateness: Mapping[str, float] = {}
 
@@ -75,6 +98,8 @@
     leaving: bool
     at: float
     reading: Reading = Reading()
+    periods: Periods = Periods()
+    kept: Mapping[str, KeptMark] = {}
 
 
 class Neighbours:
@@ -104,9 +129,20 @@
         known = self._heard.get(node.name)
         if known is not None and known.node.boot > node.boot:
             return False
-        self._heard[node.name] = _Heard(node, beat.ready, beat.leaving, now, beat.reading)
+        self._heard[node.name] = _Heard(
+            node, beat.ready, beat.leaving, now, beat.reading, beat.periods, beat.kept
+        )
         return known is None or known.node.boot != node.boot
 
+    def periods(self, now: float) -> Periods:
+        """Return the seconds between this node's beats, longer where there are many nodes."""
+        near = len(self.near(now))
+        far = len(self.alive(now)) - near
+        return Periods(
+            max(NEAR_BEAT_SECONDS, near * _BEAT_COST_SECONDS),
+            max(FAR_BEAT_SECONDS, far * _BEAT_COST_SECONDS),
+        )
+
     def alive(self, now: float, *, data_centre: str | None = None) -> list[Neighbour]:
         """Return the nodes that are heard, the leaving ones too, by name."""
         return [
@@ -126,9 +162,10 @@
     def due(self, now: float) -> list[Neighbour]:
         """Return the nodes that should get a beat now, and note it."""
         chosen = []
+        periods = self.periods(now)
         for name, heard in self._heard.items():
             near = heard.node.data_centre == self._me.data_centre
-            period = NEAR_BEAT_SECONDS if near else FAR_BEAT_SECONDS
+            period = periods.near if near else periods.far
             if now - heard.at > _SILENT_SECONDS:
                 period = _SILENT_BEAT_SECONDS
             if now - self._sent.get(name, float("-inf")) >= period * 0.9:
@@ -149,6 +186,16 @@
                 found[name] = heard.reading._replace(age=heard.reading.age + now - heard.at)
         return found
 
+    def kept(self, store: str, now: float) -> dict[str, KeptMark]:
+        """Return how far the live nodes of this data centre have heard `store`."""
+        found = {}
+        for name, heard in self._heard.items():
+            near = heard.node.data_centre == self._me.data_centre
+            if near and not heard.leaving and self._lives(heard, now):
+                mark = heard.kept.get(store, KeptMark(0, 0, float("inf")))
+                found[name] = mark._replace(age=mark.age + now - heard.at)
+        return found
+
     def node(self, name: str) -> Neighbour | None:
         """Return the node called `name`."""
         heard = self._heard.get(name)
@@ -156,7 +203,7 @@
 
     def _lives(self, heard: _Heard, now: float) -> bool:
         near = heard.node.data_centre == self._me.data_centre
-        period = NEAR_BEAT_SECONDS if near else FAR_BEAT_SECONDS
+        period = heard.periods.near if near else heard.periods.far
         return now - heard.at <= period * _MISSED_BEATS + _SLACK_SECONDS
 
 
--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -11,6 +11,7 @@
 
 from .catalog import StoreTraits
 from .names import rank
+from .neighbours import KeptMark
 from .prompt import Part
 
 __all__ = ["Shelf", "StoreView"]
@@ -45,6 +46,7 @@
         self.held: dict[tuple[str, str], int] = {}
         self.used = 0
         self.heard_at = float("-inf")
+        """When this node itself last heard the store; -inf when others do."""
 
     @property
     def known(self) -> bool:
@@ -109,6 +111,14 @@
         """Return one store."""
         return self._views.get(address)
 
+    def marks(self, now: float) -> dict[str, KeptMark]:
+        """Return how far this node itself has heard each store."""
+        return {
+            address: KeptMark(view.life, view.following, now - view.heard_at)
+            for address, view in self._views.items()
+            if view.life is not None and view.heard_at > float("-inf")
+        }
+
     def holders(self, salt: str, part: Part) -> list[StoreTraits]:
         """Return the stores that keep `part` whole."""
         key = (salt, part.id)
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -15,6 +15,8 @@
 _TICK_SECONDS = 0.05
 _SOON_SECONDS = 0.02
 """Least time between beats that something new causes."""
+_SOON_PART = 0.3
+"""Part of the time between beats that passes between beats with news."""
 _MOST_BYTES = 1400
 """A datagram that fits into one packet."""
 
@@ -39,6 +41,7 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Beat)
         self._soon: asyncio.TimerHandle | None = None
+        self._soon_at = float("-inf")
         self._urgent = False
 
     async def start(self, host: str, port: int) -> None:
@@ -63,7 +66,10 @@
         """Beat soon: to the nodes of this data centre, or to all."""
         self._urgent = self._urgent or everywhere
         if self._soon is None:
-            self._soon = self._loop.call_later(_SOON_SECONDS, self._send_soon)
+            # Where there are many nodes, news waits for some more of it.
+            rest = self._neighbours.periods(self._loop.time()).near * _SOON_PART
+            wait = max(_SOON_SECONDS, self._soon_at + rest - self._loop.time())
+            self._soon = self._loop.call_later(wait, self._send_soon)
 
     def say_now(self) -> None:
         """Beat to all nodes at once."""
@@ -94,6 +100,7 @@
 
     def _send_soon(self) -> None:
         self._soon = None
+        self._soon_at = self._loop.time()
         now = self._loop.time()
         urgent, self._urgent = self._urgent, False
         self._send(self._neighbours.alive(now) if urgent else self._neighbours.near(now))
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -7,11 +7,14 @@
 import random
 
 import structlog
+from fielddrift_core.neighbours import Neighbours
 from fielddrift_core.prompt import Part
+from fielddrift_core.readers import reader
 from fielddrift_core.shelf import StoreView
 
 from .generation import salt_of
 from .ports import OutOfReach, TargetDialect
+from .sharing import Peers
 from .views import FETCH_SECONDS, Views
 
 __all__ = ["Keeper"]
@@ -19,6 +22,8 @@
 _WAIT_SECONDS = 1.0
 _PAUSE_SECONDS = 0.25
 """Rest between event calls: each carries what happened meanwhile."""
+_OLD_SECONDS = 2.5
+"""Age at which another node's view is too old to rely on: it missed two event calls."""
 _REST_SECONDS = 0.5
 _LOOK_SECONDS = 0.5
 _FREE_AFTER_SECONDS = FETCH_SECONDS + 3.0
@@ -31,9 +36,19 @@
 class Keeper:
     """Keep the shelf true to the stores."""
 
-    def __init__(self, *, views: Views, targets: TargetDialect, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        views: Views,
+        targets: TargetDialect,
+        neighbours: Neighbours,
+        peers: Peers,
+        rng: random.Random,
+    ) -> None:
         self._views = views
         self._targets = targets
+        self._neighbours = neighbours
+        self._peers = peers
         self._rng = rng
         self._loops: dict[str, asyncio.Task[None]] = {}
         self._wake = asyncio.Event()
@@ -67,6 +82,8 @@
         lost = False
         while True:
             try:
+                if await self._copied(view):
+                    continue
                 if not view.known:
                     await self._list(view)
                 await self._hear(view)
@@ -84,6 +101,32 @@
                 view.unknown()
                 await asyncio.sleep(self._rng.uniform(_REST_SECONDS / 2, _REST_SECONDS))
 
+    async def _copied(self, view: StoreView) -> bool:
+        """Have the view from the node that listens for this data centre; False to listen."""
+        now = asyncio.get_running_loop().time()
+        store = view.traits.address
+        marks = self._neighbours.kept(store, now)
+        chosen = reader(store, [self._neighbours.me.name, *marks])
+        node = self._neighbours.node(chosen)
+        if node is None or marks[chosen].age > _OLD_SECONDS:
+            return False
+        view.heard_at = float("-inf")
+        mark = marks[chosen]
+        if (view.life, view.following) == (mark.life, mark.following):
+            await asyncio.sleep(_PAUSE_SECONDS / 2)
+            return True
+        try:
+            copy = await self._peers.kept(node, store)
+        except OutOfReach as error:
+            _log.info("reader not reached", reader=chosen, store=store, error=str(error))
+            return False
+        if copy.life is None:
+            return False
+        view.listed(copy.life, copy.following, copy.held)
+        self._views.heard_clock(copy.clock, asyncio.get_running_loop().time())
+        await asyncio.sleep(_PAUSE_SECONDS)
+        return True
+
     async def _list(self, view: StoreView) -> None:
         listed = await self._targets.kept_list(view.traits)
         now = asyncio.get_running_loop().time()
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -108,7 +108,13 @@
             returned=self._operators.again,
             rng=rng,
         )
-        self._keeper = Keeper(views=self._views, targets=dialects.targets, rng=rng)
+        self._keeper = Keeper(
+            views=self._views,
+            targets=dialects.targets,
+            neighbours=self._neighbours,
+            peers=peers,
+            rng=rng,
+        )
         duty = Duty(
             name="weights",
             holder=f"{settings.name}@{settings.host}",
@@ -293,6 +299,8 @@
             loading=loading,
             weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
             reading=views.reading(now),
+            kept=views.shelf.marks(now) if near else {},
+            periods=self._neighbours.periods(now),
             moves=views.links.own(now),
             lateness=views.lateness.known(now) if near else {},
         )
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 from urllib.parse import parse_qs
@@ -48,11 +49,15 @@
 
 
 class KeptCopy(NamedTuple):
-    """What a node has of one store host: (salt, part, tokens) of each kept part."""
+    """What a node has of one store host: (salt, part, tokens) of each kept part.
+
+    `clock` is the engines' clock in ms when the answer was given.
+    """
 
     life: int | None
     following: int
     held: tuple[tuple[str, str, int], ...]
+    clock: int | None
 
 
 class PeerDoor:
@@ -90,7 +95,8 @@
         if view is None:
             return None
         held = tuple((salt, part, tokens) for (salt, part), tokens in view.held.items())
-        return KeptCopy(view.life, view.following, held)
+        clock = self._views.until(asyncio.get_running_loop().time())
+        return KeptCopy(view.life, view.following, held, clock)
 
 
 class Peers:
