Count the memory of engines in the estimate

Change: a run counts the tokens it needs of an engine's memory; what exceeds it waits for the runs there to make way.

--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -46,6 +46,9 @@
 """Moves between data centres take twice as long."""
 _LOADING_COST = 20.0
 """An engine that is loading weights is used only when there is no other."""
+_TURNOVER_SECONDS = 0.4
+"""Time in which the runs that fill an engine's memory make way for others: a long
+prompt is read in 0.2 s and its few tokens are made in as much."""
 _MEAN_READ_TOKENS = 4000
 """Tokens that a run has to read in the mean, for the number that wait at an engine."""
 _MEAN_MOVE_SECONDS = 0.03
@@ -215,7 +218,8 @@
                 memory=sight.memory,
                 fetching=fetching,
             )
-            choice = _priced(sight, recalled, traits, data_centre, aim, prices)
+            needs = prompt.tokens_in + prompt.tokens_out
+            choice = _priced(sight, recalled, needs, traits, data_centre, aim, prices)
             if best is None or choice.cost < best.cost:
                 best = choice
             if not any(recalled.sources):
@@ -227,6 +231,7 @@
 def _priced(
     sight: EngineSight,
     recalled: Recall,
+    needs: int,
     traits: EngineTraits,
     data_centre: str,
     aim: float,
@@ -235,6 +240,9 @@
     burden = sight.burden
     reading = (burden.unread + recalled.unread) / READ_RATE
     waiting = max(0, burden.running + 1 - traits.slots) * _RUN_SECONDS * 10
+    if traits.memory:
+        overfull = max(0, burden.memory + needs - traits.memory)
+        waiting += overfull / traits.memory * _TURNOVER_SECONDS
     seconds = _BASE_SECONDS + reading + recalled.fetch_seconds
     seconds += burden.running * _RUN_SECONDS + waiting
     cost = prices.late * _lateness(seconds / aim) + prices.time * seconds / aim
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -21,29 +21,35 @@
 
 
 class Burden(NamedTuple):
-    """Runs at a target, and the prompt tokens that it has yet to read for them."""
+    """Runs at a target, the prompt tokens that it has yet to read for them, and
+    the tokens that they need of its memory."""
 
     running: int = 0
     unread: int = 0
+    memory: int = 0
+
+
+class _Run(NamedTuple):
+    unread: int
+    memory: int
 
 
 class Workload:
     """Burdens by target.  Not safe for threads."""
 
     def __init__(self) -> None:
-        self._own: dict[str, dict[str, int]] = {}
+        self._own: dict[str, dict[str, _Run]] = {}
         self._told: dict[str, tuple[float, Mapping[str, Burden]]] = {}
-        self._sums: dict[str, Burden] = {}
 
-    def begin(self, target: str, run: str, unread: int) -> None:
+    def begin(self, target: str, run: str, unread: int, memory: int = 0) -> None:
         """Count a run that was sent to `target`."""
-        self._own.setdefault(target, {})[run] = unread
+        self._own.setdefault(target, {})[run] = _Run(unread, memory)
 
     def read(self, target: str, run: str) -> None:
         """Note that the prompt of `run` is read."""
         runs = self._own.get(target)
         if runs is not None and run in runs:
-            runs[run] = 0
+            runs[run] = runs[run]._replace(unread=0)
 
     def end(self, target: str, run: str) -> None:
         """Forget a run."""
@@ -55,7 +61,7 @@
 
     def own(self) -> dict[str, Burden]:
         """Return this node's own burdens, for the other nodes."""
-        return {t: Burden(len(runs), sum(runs.values())) for t, runs in self._own.items()}
+        return {target: _sum(runs) for target, runs in self._own.items()}
 
     def told(self, node: str, burdens: Mapping[str, Burden], now: float) -> None:
         """Take what another node says of its own sends."""
@@ -63,13 +69,16 @@
 
     def at(self, target: str, now: float) -> Burden:
         """Return everything known to be at `target`."""
-        runs = self._own.get(target, {})
-        running, unread = len(runs), sum(runs.values())
+        burden = _sum(self._own.get(target, {}))
         for heard, burdens in self._told.values():
             if now - heard <= TOLD_SECONDS and target in burdens:
-                running += burdens[target].running
-                unread += burdens[target].unread
-        return Burden(running, unread)
+                other = burdens[target]
+                burden = Burden(
+                    burden.running + other.running,
+                    burden.unread + other.unread,
+                    burden.memory + other.memory,
+                )
+        return burden
 
     def forget(self, nodes: Iterable[str]) -> None:
         """Drop what `nodes` told."""
@@ -77,6 +86,12 @@
             self._told.pop(node, None)
 
 
+def _sum(runs: Mapping[str, _Run]) -> Burden:
+    return Burden(
+        len(runs), sum(r.unread for r in runs.values()), sum(r.memory for r in runs.values())
+    )
+
+
 _LATE_WEIGHT = 0.4
 """Weight of the newest fetch in a store's lateness: two or three tell of a slow link."""
 _LATE_FADE_SECONDS = 2.0
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -335,7 +335,8 @@
         views = self._tools.views
         engine = choice.instance
         now = asyncio.get_running_loop().time()
-        views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread)
+        needs = prompt.tokens_in + prompt.tokens_out
+        views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread, needs)
         held = views.memory.parts(engine.name, send.salt)
         for part, source, save in zip(
             prompt.parts, send.fetch.sources, send.fetch.saves, strict=True
