--- a/packages/node/src/fielddrift_node/main.py
+++ b/packages/node/src/fielddrift_node/main.py
@@ -15,6 +15,8 @@
 __all__ = ["main"]
 
 _BAD_SETTINGS = 2
+_LAST_LINES_SECONDS = 0.5
+"""How long the last log lines may take at the end."""
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -29,7 +31,7 @@
 def run(settings: str) -> None:
     """Run a node with the SETTINGS file until SIGTERM."""
     checked = _load(settings)
-    configure(level=checked["log_level"], node=checked["node"]["peer"])
+    sink = configure(level=checked["log_level"], node=checked["node"]["peer"])
     stop = threading.Event()
     for number in _STOP_SIGNALS:
         signal.signal(number, lambda *_: stop.set())
@@ -41,6 +43,7 @@
     # in that moment would turn a clean stop into a killed process.
     for number in _STOP_SIGNALS:
         signal.signal(number, signal.SIG_IGN)
+    sink.close(seconds=_LAST_LINES_SECONDS)
     sys.exit(0)
 
 
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -15,6 +15,7 @@
 
 from ..web.client import Client
 from ..web.server import Request, Responder
+from .metrics import Metrics
 from .ports import Ask, BadAsk, CallerDialect, TargetDialect
 from .settings import NodeSettings
 from .views import Views
@@ -44,6 +45,7 @@
     """What happened to a request, for its log line."""
 
     def __init__(self) -> None:
+        self.status = 0
         self.targets: list[str] = []
         self.reasons: list[str] = []
         self.unproved = 0
@@ -85,6 +87,7 @@
     targets: TargetDialect
     budgets: dict[str, WindowBudget]
     rng: random.Random
+    metrics: Metrics
     told: Callable[[], None]
     """Tells the nodes nearby soon what this one sends."""
 
@@ -130,6 +133,7 @@
             refusal = Refusal(Kind.DEADLINE, "no answer in time", _ran(trail))
             self._refuse(responder, ask.request_id, refusal, trail)
         except asyncio.CancelledError:
+            self._tools.metrics.left.inc()
             _log.info("request left", request=ask.request_id, targets=trail.targets)
             raise
         except Exception:
@@ -196,7 +200,14 @@
         self, responder: Responder, request_id: str, refusal: Refusal, trail: Trail
     ) -> None:
         if responder.started:
-            _log.warning("answer cut", request=request_id, detail=refusal.detail)
+            self._tools.metrics.cut.inc()
+            _log.warning(
+                "answer cut",
+                request=request_id,
+                detail=refusal.detail,
+                targets=trail.targets,
+                reasons=trail.reasons,
+            )
             responder.cut()
             return
         status = ANSWERS[refusal.kind].status
@@ -207,6 +218,8 @@
         retry_after = refusal.retry_after
         if status == 503 and retry_after is None:
             retry_after = _RETURN_SECONDS
+        reason = refusal.reason or refusal.kind.value
+        self._tools.metrics.refusals.labels(reason).inc()
         headers = self._tools.callers.refusal_headers(request_id, retry_after)
         _log.info(
             "request refused",
@@ -214,6 +227,8 @@
             kind=refusal.kind.value,
             status=status,
             detail=refusal.detail,
+            retry_after=retry_after,
+            unproved=trail.unproved,
             targets=trail.targets,
             reasons=trail.reasons,
         )
@@ -222,10 +237,17 @@
     def _log_end(self, call: Call, outcome: str, now: float) -> None:
         trail = call.trail
         first = trail.first_event
+        metrics = self._tools.metrics
+        metrics.answers.labels(str(trail.status)).inc()
+        metrics.whole.observe(now - call.began)
+        if first is not None:
+            metrics.first_event.observe(first - call.began)
         _log.info(
             "request answered",
             request=call.ask.request_id,
             route=call.route.name,
+            customer=call.customer_name,
+            status=trail.status,
             outcome=outcome,
             targets=trail.targets,
             reasons=trail.reasons,
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -75,6 +75,7 @@
         cutter = EventCutter()
         run = await self._start(call, attempts, cutter)
         try:
+            call.trail.status = run.head.status
             call.trail.first_event = asyncio.get_running_loop().time()
             headers = self._tools.callers.answer_headers(run.head, call.ask.request_id)
             events = run.head.length is None and run.head.status == 200
@@ -338,9 +339,11 @@
         needs = prompt.tokens_in + prompt.tokens_out
         views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread, needs)
         held = views.memory.parts(engine.name, send.salt)
+        tokens = self._tools.metrics.tokens
         for part, source, save in zip(
             prompt.parts, send.fetch.sources, send.fetch.saves, strict=True
         ):
+            tokens.labels("fetch" if source else "save" if save else "read").inc(part.tokens)
             view = views.shelf.view(source or save)
             if view is None or (source and part.id in held):
                 continue
@@ -358,6 +361,7 @@
         views.workload.read(choice.instance.name, call.ask.request_id)
         self._tools.told()
         late = now - began - choice.seconds
+        self._tools.metrics.estimate_error.observe(max(0.0, late))
         for store in {s.address for s in choice.recall.sources if s is not None}:
             views.lateness.came(store, late, now)
 
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -13,6 +13,7 @@
 from fielddrift_core.shelf import StoreView
 
 from .generation import salt_of
+from .metrics import Metrics
 from .ports import OutOfReach, TargetDialect
 from .sharing import Peers
 from .views import FETCH_SECONDS, Views
@@ -43,8 +44,10 @@
         targets: TargetDialect,
         neighbours: Neighbours,
         peers: Peers,
+        metrics: Metrics,
         rng: random.Random,
     ) -> None:
+        self._metrics = metrics
         self._views = views
         self._targets = targets
         self._neighbours = neighbours
@@ -182,6 +185,7 @@
             batch = keys[:_FREED_AT_ONCE]
             parts = [(salt, Part(part, 0)) for salt, part in batch]
             done = await self._targets.free(view.traits, parts, view.life)
+            self._metrics.freed.inc(len(batch) if done else 0)
             _log.info("parts freed", store=address, parts=len(batch), done=done)
             if done:
                 for salt, part in batch:
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -22,6 +22,7 @@
 from .gateway import Gateway, Tools
 from .gossip import Gossip
 from .keeper import Keeper
+from .metrics import Metrics, MetricsDoor
 from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
 from .roller import Roller
 from .settings import NodeSettings
@@ -37,6 +38,8 @@
 """A tick that comes so much too late tells of a pause of this process."""
 _TICK_SECONDS = 0.1
 _JOIN_REST_SECONDS = 0.5
+_OLDEST_AGE_SECONDS = 1e6
+"""What the figures say of an age that is not known."""
 _FREE_SECONDS = 1.0
 _STOP_LOOK_SECONDS = 0.05
 _STOP_SPARE_SECONDS = 0.9
@@ -76,6 +79,7 @@
         self._rng = rng
         self._client = client
         self._views = Views()
+        self._metrics = Metrics()
         self._leaving = False
         self._boot = time.time_ns() // 1_000_000
         gossip_address = f"{settings.host}:{settings.gossip_port}"
@@ -113,6 +117,7 @@
             targets=dialects.targets,
             neighbours=self._neighbours,
             peers=peers,
+            metrics=self._metrics,
             rng=rng,
         )
         duty = Duty(
@@ -127,6 +132,7 @@
             targets=dialects.targets,
             duty=duty,
             weights_seconds=settings.bounds.weights,
+            metrics=self._metrics,
             announce=lambda: self._gossip.changed(everywhere=True),
         )
         tools = Tools(
@@ -137,6 +143,7 @@
             targets=dialects.targets,
             budgets={},
             rng=rng,
+            metrics=self._metrics,
             told=self._gossip.changed,
         )
         self._front = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
@@ -148,6 +155,9 @@
         )
         self._doors = Server(handler=door.handle, limits=Limits)
         self._peer_door = Server(handler=PeerDoor(views=self._views).handle, limits=Limits)
+        self._metrics_door = Server(
+            handler=MetricsDoor(metrics=self._metrics).handle, limits=Limits
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -164,6 +174,7 @@
         await self._listen(self._doors, settings.directory)
         await self._gossip.start(settings.host, settings.gossip_port)
         await self._listen(self._peer_door, settings.peer)
+        await self._listen(self._metrics_door, settings.metrics)
         await self._listen(self._front, settings.entry)
         _log.info("started", entry=settings.entry, boot=self._boot)
         for work in (
@@ -220,7 +231,7 @@
             task.cancel()
         self._gossip.close()
         self._front.close()
-        for door in (self._doors, self._peer_door):
+        for door in (self._doors, self._peer_door, self._metrics_door):
             door.stop_accepting()
             door.close()
         self._client.close()
@@ -266,6 +277,15 @@
                 self._operators.again()
                 self._targets.again()
             self._views.nodes = 1 + len(self._neighbours.alive(loop.time()))
+            self._gauge(loop.time())
+
+    def _gauge(self, now: float) -> None:
+        views, metrics = self._views, self._metrics
+        metrics.catalog.set(0 if views.catalog is None else views.catalog.version)
+        metrics.targets.set(len(views.roster))
+        metrics.nodes.set(views.nodes)
+        metrics.platform_calls.set(self._platform.calls)
+        metrics.targets_age.set(min(now - views.targets_at, _OLDEST_AGE_SECONDS))
 
     async def _free(self) -> None:
         """Free what is outdated, from the first node of the list only."""
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -40,6 +40,7 @@
             except TryFailed as failure:
                 attempts.failed(failure)
                 continue
+            call.trail.status = head.status
             headers = self._tools.callers.answer_headers(head, call.ask.request_id)
             responder.send(head.status, headers, body)
             return
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -116,7 +116,12 @@
 
 
 class Platform(Protocol):
-    """The platform's store, as far as the node uses it.  All may raise `OutOfReach`."""
+    """The platform's store, as far as the node uses it.  All may raise `OutOfReach`.
+
+    `calls` counts the calls made since the start, refused ones too.
+    """
+
+    calls: int
 
     async def operator_news(self, after: int | None, wait: float) -> OperatorNews:
         """Return what operators wrote after `after`, waiting up to `wait` seconds."""
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -12,6 +12,7 @@
 from fielddrift_core.rollout import EngineWeights, next_loads
 
 from .duty import Duty
+from .metrics import Metrics
 from .ports import EngineReport, OutOfReach, TargetDialect, WeightsOrder
 from .views import Views
 
@@ -55,8 +56,10 @@
         targets: TargetDialect,
         duty: Duty,
         weights_seconds: float,
+        metrics: Metrics,
         announce: Callable[[], None],
     ) -> None:
+        self._metrics = metrics
         self._views = views
         self._neighbours = neighbours
         self._targets = targets
@@ -203,8 +206,10 @@
         try:
             outcome = await self._targets.order(order)
         except OutOfReach as error:
+            self._metrics.orders.labels("unanswered").inc()
             _log.warning("order not answered", target=name, version=wanted, error=str(error))
             return
+        self._metrics.orders.labels("taken" if outcome.taken else "refused").inc()
         _log.info(
             "order given",
             target=name,
--- a/packages/node/src/fielddrift_node/serving/settings.py
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -43,6 +43,6 @@
     directory: str
     peer: str
     gossip_port: int
-    metrics_port: int
+    metrics: str
     seeds: tuple[str, ...]
     bounds: Bounds
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -65,6 +65,7 @@
             budget.first(now)
         elif not budget.take(now, nodes=self._tools.views.nodes):
             raise Refused(self._refusal("repeated sends are used up", None))
+        self._tools.metrics.sends.inc()
         self.tried.add(target)
         self._call.trail.targets.append(target)
 
@@ -72,6 +73,7 @@
         """Take a failure; raise `Refused` unless another sending may follow."""
         call = self._call
         call.trail.reasons.append(failure.reason)
+        self._tools.metrics.retries.labels(failure.reason).inc()
         _log.info(
             "send failed",
             request=call.ask.request_id,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -165,7 +165,7 @@
             directory=address[2],
             peer=address[3],
             gossip_port=free_port(),
-            metrics_port=free_port(),
+            metrics=f"{HOST}:{free_port()}",
             seeds=(),
             bounds=BOUNDS,
         )
