Serve the own interface from the event loop; test decisions, adapter and bytes

Cause: two HTTP paths: cheroot's threads for the own interface, which notice a caller's leaving only at a write, and the event loop on the platform.

Change: `ApplicationServer` reads and writes on the same HTTP path; the application, which blocks, runs on a bounded pool. cheroot and werkzeug's server are gone from the node (werkzeug's requests and rules stay). A request that cannot be read is refused in each interface's own words.

Found by hypothesis: after a resume that repeats events, `EventCutter` set its mark back and could hand an event on twice.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -146,14 +146,16 @@
             return ready
         if self._last.isdigit() and ids[0].isdigit() and int(ids[0]) <= int(self._last):
             ready = self._without_repeated(ready)
-        if ids[-1].isdigit() or not self._last:
-            self._last = ids[-1].decode("latin-1")
+        if ready:
+            # Of repeated events nothing is left; they must not set the mark back.
+            self._last = _ID_LINE.findall(ready)[-1].decode("latin-1")
         return ready
 
     def _without_repeated(self, ready: bytes) -> bytes:
         kept = []
         for event in ready.split(b"\n\n")[:-1]:
             found = _ID_LINE.search(event)
-            if found is None or int(found.group(1)) > int(self._last):
+            number = found.group(1) if found is not None else b""
+            if not number.isdigit() or int(number) > int(self._last):
                 kept.append(event + b"\n\n")
         return b"".join(kept)
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -34,7 +34,7 @@
 from .platform import HttpHostList, HttpObjectStore, HttpTable
 from .queries import Nodes
 from .runtime import Links, Places, RequestLog, Runtime
-from .servers import SERVERS
+from .servers import ApplicationServer
 from .settings import Settings
 from .sightings import Sightings
 from .stores import Stores
@@ -207,8 +207,14 @@
             )
             thread.start()
         host, _, port = self._settings["node"]["http"].rpartition(":")
-        start = SERVERS[self._settings["server"]]
-        self._server = start(self._app, host, int(port), self._settings["limits"]["threads"])
+        limits = self._settings["limits"]
+        self._server = ApplicationServer(
+            app=self._app,
+            host=host,
+            port=int(port),
+            threads=limits["threads"],
+            body=limits["prompt_bytes"],
+        )
         get().info("serving", http=self._settings["node"]["http"], revision=self._config.revision)
 
     def stop(self) -> None:
--- a/packages/node/src/fielddrift_node/settings.py
+++ b/packages/node/src/fielddrift_node/settings.py
@@ -69,7 +69,6 @@
     statsd: str
     limits: Limits
     policy: str
-    server: str
     log_level: str
     week_start: float
 
@@ -78,7 +77,6 @@
     "peers": [],
     "statsd": "",
     "policy": "cost",
-    "server": "cheroot",
     "log_level": "info",
     "week_start": 345_600.0,
     "limits": {
@@ -103,7 +101,6 @@
     "platform.hosts": _ADDRESS,
     "statsd": r"^$|" + _ADDRESS,
     "policy": "^(cost|cost-all|random|least-loaded|sticky|always-recompute|always-import)$",
-    "server": "^(cheroot|werkzeug)$",
     "log_level": "^(debug|info|warning|error)$",
 }
 
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -18,7 +18,16 @@
 
 from .messages import Headers, RequestHead, reason_phrase
 
-__all__ = ["Limits", "Request", "Responder", "Server", "prepare_socket"]
+__all__ = [
+    "Fault",
+    "FaultAnswer",
+    "Limits",
+    "Request",
+    "Responder",
+    "Server",
+    "plain_fault",
+    "prepare_socket",
+]
 
 _MOST_PIPELINED = 4
 _USER_TIMEOUT_MS = 4000
@@ -136,11 +145,37 @@
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
+class Fault(NamedTuple):
+    """A request that cannot be read: the status that says so, and what was expected."""
+
+    status: int
+    detail: str
+
+
+class FaultAnswer(NamedTuple):
+    """How a face of the node words a fault."""
+
+    content_type: bytes
+    body: bytes
+
+
+def plain_fault(fault: Fault) -> FaultAnswer:
+    """Word a fault as plain text."""
+    return FaultAnswer(b"text/plain; charset=utf-8", fault.detail.encode())
+
+
 class Server:
     """Listen on addresses and hand each request to `handler`."""
 
-    def __init__(self, *, handler: Handler, limits: Callable[[], Limits]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        word: Callable[[Fault], FaultAnswer] = plain_fault,
+    ) -> None:
         self._handler = handler
+        self._word = word
         self._limits = limits
         self._connections: set[_Connection] = set()
         self._listeners: list[asyncio.Server] = []
@@ -183,6 +218,10 @@
     def _connection(self) -> _Connection:
         return _Connection(server=self, handler=self._handler, limits=self._limits())
 
+    def word(self, fault: Fault) -> FaultAnswer:
+        """Return the answer to a request that cannot be read."""
+        return self._word(fault)
+
     def joined(self, connection: _Connection) -> None:
         """Note an open connection."""
         self._connections.add(connection)
@@ -387,9 +426,12 @@
         fault = self._fault
         if fault is None or self._transport is None:
             return
-        body = str(fault).encode()
-        head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
-        self.write(head % (fault.status, reason_phrase(fault.status), len(body)) + body)
+        content_type, body = self._server.word(Fault(fault.status, str(fault)))
+        head = (
+            b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
+        )
+        values = (fault.status, reason_phrase(fault.status), content_type, len(body))
+        self.write(head % values + body)
         self._transport.close()
 
     # --- writing and closing ------------------------------------------------
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,220 @@
+"""The adapter: decoding, settings, and that the platform's names stay inside it."""
+
+from __future__ import annotations
+
+import os
+import random
+import re
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from fielddrift_core.catalog import Repeat, Transport
+from fielddrift_node.log import LineSink
+from fielddrift_node.serving.ports import Ask, BadAsk
+from fielddrift_node.serving.settings import SettingsFault
+from fielddrift_node.web.messages import Headers, RequestHead
+from fielddrift_node.web.server import Request
+from fielddrift_platform.callers import PlatformCallers
+from fielddrift_platform.settings import load
+from fielddrift_platform.wire import decode_catalog, decode_instance
+from fielddrift_standins.worker import Worker
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .platform_fleet import FleetCase, eventually, get, send_raw
+
+ROOT = Path(__file__).resolve().parent.parent
+NAMES = re.compile(
+    r"X-(Expect-Instance|Not-Executed|Kv-|Cache-Salt|Deadline-Ms|Response-Seal|Credential)"
+    r"|rows-(tx|feed|get)|kv-(events|list|free)|target-latency-ms|api-keys|traffic-split",
+    re.IGNORECASE,
+)
+READ_HEADERS = [
+    b"X-Request-Id",
+    b"X-Deadline-Ms",
+    b"X-Model",
+    b"X-Token-Usage",
+    b"X-Prompt-Prefix",
+]
+MOST_ADAPTER_LINES = 1500
+
+SETTINGS = """
+node-name = "n1"
+ip = "10.1.0.1"
+zone = "a"
+port-range = [7000, 7010]
+unknown = 3
+[listen]
+front = "10.1.0.1:80"
+ready = "10.1.0.1:81"
+directory = "10.1.0.1:82"
+control = "10.1.0.1:83"
+[platform]
+address = "10.9.0.1:90"
+[bounds]
+drain-ms = 1500
+ttl_max_s = 4
+"""
+
+
+class TestBoundary(unittest.TestCase):
+    def test_no_name_of_the_wire_stands_outside_the_adapter(self) -> None:
+        found = []
+        for file in sorted(ROOT.glob("packages/*/src/**/*.py")):
+            if "standins" in file.parts[len(ROOT.parts) + 1]:
+                continue
+            for number, line in enumerate(file.read_text().splitlines(), 1):
+                if NAMES.search(line):
+                    found.append(f"{file.relative_to(ROOT)}:{number}: {line.strip()}")
+        self.assertEqual(found, [])
+
+    def test_the_adapter_stays_small(self) -> None:
+        files = list((ROOT / "platform").rglob("*.py"))
+        lines = sum(len(file.read_text().splitlines()) for file in files)
+        self.assertLess(lines, MOST_ADAPTER_LINES)
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+
+
+class TestSettings(unittest.TestCase):
+    def _file(self, text: str) -> str:
+        handle, name = tempfile.mkstemp(suffix=".toml")
+        os.write(handle, text.encode())
+        os.close(handle)
+        self.addCleanup(os.unlink, name)
+        return name
+
+    def test_settings_are_read_into_the_node_s_own(self) -> None:
+        found = load(self._file(SETTINGS))
+        self.assertEqual(found.store_address, "10.9.0.1:90")
+        self.assertEqual((found.node.name, found.node.gossip_port), ("n1", 7000))
+        self.assertEqual((found.node.bounds.drain, found.node.bounds.entry_keep), (1.5, 4))
+
+    def test_a_fault_names_its_place_and_what_was_expected(self) -> None:
+        for wrong, words in (
+            (SETTINGS.replace('"n1"', "7"), ("node-name", "str")),
+            (SETTINGS.replace("[7000, 7010]", '"x"'), ("port-range",)),
+            (SETTINGS.replace("front =", "fronts ="), ("listen", "front")),
+            ("node-name = [", ("Invalid value",)),
+        ):
+            name = self._file(wrong)
+            with self.assertRaises(SettingsFault) as caught:
+                load(name)
+            for word in (name, *words):
+                self.assertIn(word, str(caught.exception))
+
+    def test_check_says_what_is_wrong_without_starting(self) -> None:
+        for text, code in ((SETTINGS, 0), ("ip = 3", 2)):
+            command = [sys.executable, "-m", "fielddrift_platform.main", "check", self._file(text)]
+            done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+            self.assertEqual(done.returncode, code, done.stderr)
+
+
+class TestDecoding(unittest.TestCase):
+    def test_kinds_become_what_they_mean(self) -> None:
+        routes = ",".join(
+            f'{{"name":"{kind}{n}","host":"h","path-prefix":"/{kind}{n}/","kind":"{kind}",'
+            f'"timeout-ms":1000,"service":"s","allow-resume":{resume}}}'
+            for n, (kind, resume) in enumerate(
+                (
+                    ("safe", "false"),
+                    ("unsafe", "false"),
+                    ("streaming", "true"),
+                    ("streaming", "false"),
+                )
+            )
+        )
+        catalog = decode_catalog(f'{{"version":3,"routes":[{routes}],"services":[]}}'.encode())
+        found = {r.name: (r.transport, r.repeat) for r in catalog.routes["h"]}
+        self.assertEqual(found["safe0"], (Transport.WHOLE, Repeat.FREELY))
+        self.assertEqual(found["unsafe1"], (Transport.WHOLE, Repeat.ONCE))
+        self.assertEqual(found["streaming2"], (Transport.EVENTS, Repeat.FREELY))
+        self.assertEqual(found["streaming3"], (Transport.EVENTS, Repeat.ONCE))
+
+    def test_the_longest_prefix_is_the_route(self) -> None:
+        routes = ",".join(
+            f'{{"name":"{name}","host":"h","path-prefix":"{prefix}","kind":"safe",'
+            f'"timeout-ms":1,"service":"s"}}'
+            for name, prefix in (("short", "/a/"), ("long", "/a/b/"))
+        )
+        catalog = decode_catalog(f'{{"version":1,"routes":[{routes}],"services":[]}}'.encode())
+        found = [catalog.route("h", path) for path in ("/a/x", "/a/b/x", "/b/")]
+        names = [route.name if route else None for route in found]
+        self.assertEqual(names, ["short", "long", None])
+
+    def test_any_state_but_ready_is_leaving(self) -> None:
+        for state, leaving in (("ready", False), ("draining", True)):
+            entry = f'{{"service":"s","address":"a:1","state":"{state}"}}'.encode()
+            self.assertEqual(decode_instance("w", entry).leaving, leaving)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(
+                    [
+                        b"X-Request-Id",
+                        b"X-Deadline-Ms",
+                        b"X-Model",
+                        b"X-Token-Usage",
+                        b"X-Prompt-Prefix",
+                    ]
+                ),
+                st.binary(max_size=20),
+            ),
+            max_size=6,
+        )
+    )
+    def test_any_headers_are_read_or_refused(self, fields: list[tuple[bytes, bytes]]) -> None:
+        head = RequestHead(b"POST", b"/x", Headers(fields), True)
+        found = PlatformCallers().read(Request(head, b"", 0.0))
+        self.assertIsInstance(found, Ask | BadAsk)
+
+
+class TestBytes(FleetCase):
+    async def test_any_bytes_get_an_answer_or_a_close_and_nothing_is_sent_on(self) -> None:
+        # What looks like the beginning of a longer request is waited for only so long.
+        self.fleet.limits |= {"header-timeout-ms": 200, "idle-timeout-ms": 200}
+        self.fleet.configure()
+        worker = await self.fleet.worker(Worker(name="w1"), "plain")
+        node = await self.fleet.node()
+        rng = random.Random(11)
+        good = b"POST /safe/x HTTP/1.1\r\nHost: fleet.example\r\nContent-Length: 3\r\n\r\nabc"
+        for _ in range(150):
+            data = bytearray(good)
+            for _ in range(rng.randint(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            answer = await send_raw(node.settings.entry, bytes(data) + b"\r\n\r\n\x00\x00")
+            self.assertNotIn(b" 200 ", answer[:20])
+        self.assertEqual(worker.ran, [])
+
+    async def test_figures_are_served(self) -> None:
+        await self.fleet.worker(Worker(name="w1"), "plain")
+        node = await self.fleet.node()
+
+        async def told() -> bool:
+            answer = await get(node.settings.metrics, "/metrics")
+            return b"fielddrift_catalog_version 2" in answer.body
+
+        await eventually(told)
+
+
+class TestLog(unittest.TestCase):
+    def test_a_reader_that_stops_costs_lines_and_no_time(self) -> None:
+        reading, writing = os.pipe()
+        sink = LineSink(descriptor=writing)
+        for number in range(20_000):
+            sink.write(f"line {number} {'x' * 200}\n")
+        self.assertGreater(sink.lost, 0)
+        told = b""
+        until = time.monotonic() + 10
+        while b"log lines lost" not in told and time.monotonic() < until:
+            told += os.read(reading, 65536)
+            sink.write("one more\n")
+        self.assertIn(b"log lines lost", told)
+        os.close(reading)
+        sink.close(seconds=1.0)
+        os.close(writing)
