Split the call from the gateway; cap connections to a target; drop what is unused

Change: `serving/call.py`; `node/outside.py`; a node opens at most its part of a target's connections.

--- a/packages/core/src/fielddrift_core/memory.py
+++ b/packages/core/src/fielddrift_core/memory.py
@@ -38,7 +38,3 @@
     def parts(self, engine: str, salt: str) -> frozenset[str]:
         """Return the ids of parts that `engine` probably has under `salt`."""
         return frozenset(part for s, part in self._held.get(engine, ()) if s == salt)
-
-    def forget(self, engine: str) -> None:
-        """Take everything of `engine` for gone."""
-        self._held.pop(engine, None)
--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -89,7 +89,6 @@
     def __init__(self) -> None:
         self._views: dict[str, StoreView] = {}
         self._saving: dict[tuple[str, str], _Saving] = {}
-        self._used_at: dict[tuple[str, str], float] = {}
 
     def configure(self, stores: Iterable[StoreTraits]) -> None:
         """Follow exactly `stores`."""
@@ -124,14 +123,6 @@
         key = (salt, part.id)
         return [v.traits for v in self._views.values() if v.held.get(key, 0) >= part.tokens]
 
-    def used(self, salt: str, part: Part, now: float) -> None:
-        """Note that a request uses `part`."""
-        self._used_at[(salt, part.id)] = now
-
-    def last_use(self, salt: str, part: str) -> float:
-        """Return when a request last used a part, as far as this node saw."""
-        return self._used_at.get((salt, part), float("-inf"))
-
     def saving(self, salt: str, part: Part, now: float) -> bool:
         """Return whether a save of `part` is under way."""
         saving = self._saving.get((salt, part.id))
@@ -171,10 +162,6 @@
     def _takes(self, view: StoreView, part: Part) -> bool:
         return view.known and view.used + room(part.tokens) <= _FILL_PART * view.traits.capacity
 
-    def told_saving(self, salt: str, part: str, store: str, now: float) -> None:
-        """Note a save that another node began."""
-        self._saving[(salt, part)] = _Saving(store, now + _SAVING_SECONDS)
-
     def expire(self, now: float) -> None:
         """Forget saves that were told of, or are lost."""
         for key in [k for k, s in self._saving.items() if now >= s.until]:
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 __all__ = ["TOLD_SECONDS", "Burden", "Lateness", "TargetHealth", "Workload"]
@@ -80,11 +80,6 @@
                 )
         return burden
 
-    def forget(self, nodes: Iterable[str]) -> None:
-        """Drop what `nodes` told."""
-        for node in nodes:
-            self._told.pop(node, None)
-
 
 def _sum(runs: Mapping[str, _Run]) -> Burden:
     return Burden(
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -30,8 +30,8 @@
 from .log import get
 from .metrics import FLUSH_SECONDS, Metrics
 from .operators import Operators
+from .outside import HttpHostList, HttpObjectStore, HttpTable
 from .peers import Peers
-from .platform import HttpHostList, HttpObjectStore, HttpTable
 from .queries import Nodes
 from .runtime import Links, Places, RequestLog, Runtime
 from .servers import ApplicationServer
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -0,0 +1,88 @@
+"""Hold a request on its way: what is asked, under which catalog, what became of it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
+from fielddrift_core.errors import Refusal
+from fielddrift_core.retries import WindowBudget
+from fielddrift_core.workload import Burden
+
+from ..web.client import Client
+from .metrics import Metrics
+from .ports import Ask, CallerDialect, TargetDialect
+from .settings import NodeSettings
+from .views import Views
+
+__all__ = ["Call", "Refused", "Tools", "Trail"]
+
+
+class Refused(Exception):
+    """A request that ends with an answer of the node's own."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class Trail:
+    """What happened to a request, for its log line."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.targets: list[str] = []
+        self.reasons: list[str] = []
+        self.unproved = 0
+        """Sends that left, and of which no target proved that they did not run."""
+        self.parts: list[str] = []
+        """Each shared part of the prompt, and whether it is fetched, saved or read."""
+        self.weights: int | None = None
+        self.estimate = 0.0
+        self.ahead = Burden()
+        """What was known to be at the engine when it was chosen."""
+        self.first_event: float | None = None
+
+
+class Call(NamedTuple):
+    """A request that was judged: what it asks, under which catalog, until when."""
+
+    ask: Ask
+    catalog: Catalog
+    route: Route
+    service: Service
+    customer: CatalogCustomer | None
+    began: float
+    deadline: float
+    trail: Trail
+
+    @property
+    def customer_name(self) -> str:
+        """Return the customer's name, empty without one."""
+        return "" if self.customer is None else self.customer.name
+
+
+class Tools(NamedTuple):
+    """What the ways of a request share."""
+
+    settings: NodeSettings
+    views: Views
+    client: Client
+    callers: CallerDialect
+    targets: TargetDialect
+    budgets: dict[str, WindowBudget]
+    rng: random.Random
+    metrics: Metrics
+    told: Callable[[], None]
+    """Tells the nodes nearby soon what this one sends."""
+
+    def budget(self, service: str) -> WindowBudget:
+        """Return the budget of repeated sends to `service`."""
+        if service not in self.budgets:
+            bounds = self.settings.bounds
+            self.budgets[service] = WindowBudget(
+                ratio=bounds.retry_ratio, slack=bounds.retry_slack, window=bounds.retry_window
+            )
+        return self.budgets[service]
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -3,24 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Callable, Mapping
-from typing import NamedTuple
+from collections.abc import Mapping
 
 import structlog
-from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
+from fielddrift_core.catalog import Route
 from fielddrift_core.errors import ANSWERS, Kind, Ran, Refusal
-from fielddrift_core.retries import WindowBudget
-from fielddrift_core.workload import Burden
 
-from ..web.client import Client
 from ..web.server import Request, Responder
-from .metrics import Metrics
-from .ports import Ask, BadAsk, CallerDialect, TargetDialect
-from .settings import NodeSettings
-from .views import Views
+from .call import Call, Refused, Tools, Trail
+from .generation import Generation
+from .plain import PlainCalls
+from .ports import Ask, BadAsk
 
-__all__ = ["Call", "Gateway", "Refused", "Tools", "Trail"]
+__all__ = ["Gateway"]
 
 _STATUS_NOT_PROVED: Mapping[int, int] = {503: 502, 429: 502}
 """A refusal that would promise "has not run" becomes one that promises nothing."""
@@ -33,82 +28,10 @@
 _log = structlog.get_logger()
 
 
-class Refused(Exception):
-    """A request that ends with an answer of the node's own."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.detail)
-        self.refusal = refusal
-
-
-class Trail:
-    """What happened to a request, for its log line."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.targets: list[str] = []
-        self.reasons: list[str] = []
-        self.unproved = 0
-        """Sends that left, and of which no target proved that they did not run."""
-        self.parts: list[str] = []
-        """Each shared part of the prompt, and whether it is fetched, saved or read."""
-        self.weights: int | None = None
-        self.estimate = 0.0
-        self.ahead = Burden()
-        """What was known to be at the engine when it was chosen."""
-        self.first_event: float | None = None
-
-
-class Call(NamedTuple):
-    """A request that was judged: what it asks, under which catalog, until when."""
-
-    ask: Ask
-    catalog: Catalog
-    route: Route
-    service: Service
-    customer: CatalogCustomer | None
-    began: float
-    deadline: float
-    trail: Trail
-
-    @property
-    def customer_name(self) -> str:
-        """Return the customer's name, empty without one."""
-        return "" if self.customer is None else self.customer.name
-
-
-class Tools(NamedTuple):
-    """What the ways of a request share."""
-
-    settings: NodeSettings
-    views: Views
-    client: Client
-    callers: CallerDialect
-    targets: TargetDialect
-    budgets: dict[str, WindowBudget]
-    rng: random.Random
-    metrics: Metrics
-    told: Callable[[], None]
-    """Tells the nodes nearby soon what this one sends."""
-
-    def budget(self, service: str) -> WindowBudget:
-        """Return the budget of repeated sends to `service`."""
-        if service not in self.budgets:
-            bounds = self.settings.bounds
-            self.budgets[service] = WindowBudget(
-                ratio=bounds.retry_ratio, slack=bounds.retry_slack, window=bounds.retry_window
-            )
-        return self.budgets[service]
-
-
 class Gateway:
     """Judge each request, and hand it to the way that serves it."""
 
     def __init__(self, *, tools: Tools) -> None:
-        # Imported here, for the two ways need the types above.
-        from .generation import Generation
-        from .plain import PlainCalls
-
         self._tools = tools
         self._generation = Generation(tools=tools)
         self._plain = PlainCalls(tools=tools)
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -26,7 +26,7 @@
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
-from .gateway import Call, Tools
+from .call import Call, Tools
 from .ports import Fetch, Send
 from .trying import Attempts, TryFailed, send_once
 from .views import FETCH_SECONDS
@@ -308,7 +308,6 @@
         late = partial(self._tools.views.lateness.of, now=now)
         saves = []
         for part, source in zip(prompt.parts, sources, strict=True):
-            shelf.used(salt, part, now)
             store = None
             shared = part in prompt.shared
             if shared and not source and not shelf.saving(salt, part, now):
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -16,10 +16,11 @@
 
 from ..web.client import Client
 from ..web.server import Limits, Server
+from .call import Tools
 from .directory import EntryDialect, EntryDoor
 from .duty import Duty
 from .feeds import READER_KEY, OperatorFeed, TargetFeed, reader_of
-from .gateway import Gateway, Tools
+from .gateway import Gateway
 from .gossip import Gossip
 from .keeper import Keeper
 from .metrics import Metrics, MetricsDoor
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -10,7 +10,7 @@
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
-from .gateway import Call, Tools
+from .call import Call, Tools
 from .ports import Send
 from .trying import Attempts, TryFailed, send_once
 
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -20,7 +20,6 @@
     "Ask",
     "BadAsk",
     "CallerDialect",
-    "Delivery",
     "EngineReport",
     "Fetch",
     "HeldPart",
@@ -213,18 +212,10 @@
 
     not_started: bool
     elsewhere: bool
-    leaving: bool
     weights: int | None
     retry_after: float | None
 
 
-class Delivery(NamedTuple):
-    """An event of a stream: its id, and the bytes with the blank line at the end."""
-
-    id: str
-    data: bytes
-
-
 class WeightsOrder(NamedTuple):
     """An order to load weights, with the holder of the duty and its fence."""
 
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -9,7 +9,7 @@
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
-from .gateway import Call, Refused, Tools
+from .call import Call, Refused, Tools
 from .ports import Send
 
 __all__ = ["Attempts", "TryFailed", "send_once"]
@@ -18,6 +18,8 @@
 """Targets to which no connection came up, before a request is refused."""
 CONNECT_SECONDS = 0.35
 """A connection within a region takes some ms; a lost opening packet is sent again after 1 s."""
+_LEAST_CONNECTIONS = 4
+"""Connections to a target that a node may have, however many nodes there are."""
 _UNSAFE_MOST_IDLE = 0.4
 """A kept connection on which something came so recently is still served by its target."""
 
@@ -117,6 +119,7 @@
             data,
             connect_seconds=CONNECT_SECONDS,
             accepts=lambda head: tools.targets.answers(send, head),
+            most_open=_most_open(call, tools),
             most_idle=None if call.route.repeatable else _UNSAFE_MOST_IDLE,
         )
         # From here on the request may run, whatever becomes of this task.
@@ -144,6 +147,13 @@
     )
 
 
+def _most_open(call: Call, tools: Tools) -> int | None:
+    """Return this node's part of the connections that a target takes from all callers."""
+    if not call.service.connections:
+        return None
+    return max(_LEAST_CONNECTIONS, call.service.connections // tools.views.nodes)
+
+
 async def _drain(exchange: Exchange) -> None:
     """Read the rest of a short answer, so that its connection can be used again."""
     try:
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -310,10 +310,6 @@
         self._idle: dict[str, list[_Connection]] = {}
         self._open: dict[str, int] = {}
 
-    def connections(self, address: str) -> int:
-        """Return how many connections to `address` are open."""
-        return self._open.get(address, 0)
-
     async def begin(
         self,
         address: str,
@@ -322,15 +318,19 @@
         connect_seconds: float,
         accepts: Callable[[ResponseHead], bool] = lambda head: True,
         most_idle: float | None = None,
+        most_open: int | None = None,
     ) -> Exchange:
         """Send `data`, a whole request, and return its exchange.
 
         `most_idle` bounds for how many seconds a kept connection may have
-        rested; 0 asks for a new one.  Raise `ExchangeError` with `sent` False
-        when no connection came up.
+        rested, `most_open` how many connections to the address there may be.
+        Raise `ExchangeError` with `sent` False when no connection came up.
         """
         connection = self._take(address, most_idle)
         if connection is None:
+            if most_open is not None and self._open.get(address, 0) >= most_open:
+                detail = f"{address}: {most_open} connections are open"
+                raise ExchangeError(detail, sent=False, reason="connections")
             connection = await self._connect(address, connect_seconds)
         exchange = Exchange(accepts=accepts)
         exchange.bind(connection)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -176,7 +176,7 @@
             platform=PlatformStore(address=fleet.store_address, client=self.calls),
             dialects=Dialects(
                 callers=PlatformCallers(),
-                targets=PlatformTargets(client=self.client, calls=self.calls),
+                targets=PlatformTargets(client=self.calls),
                 entry=PlatformEntry(),
             ),
             client=self.client,
