Give up an instance whose address another one has

Change: who answered is read from the head; another instance means that the expected one is gone for good, the same one that its weights differ.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -370,11 +370,12 @@
         views = self._tools.views
         name = choice.instance.name
         now = asyncio.get_running_loop().time()
-        if failure.reason == "not-started":
-            views.loading[name] = max(views.loading.get(name, 0.0), now + _AVOID_SECONDS)
+        if failure.reason == "replaced":
+            # Another instance has the address: this one is gone for good.
+            views.roster.left(name)
             return
-        if failure.reason == "elsewhere":
-            views.loading[name] = now + _AVOID_SECONDS
+        if failure.reason in ("not-started", "other-weights"):
+            views.loading[name] = max(views.loading.get(name, 0.0), now + _AVOID_SECONDS)
             return
         views.health.failed(name, now)
 
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -76,7 +76,7 @@
             ) from None
         except TryFailed as failure:
             views.health.failed(instance.name, loop.time())
-            if failure.reason == "elsewhere":
+            if failure.reason == "replaced":
                 views.roster.left(instance.name)
             raise
         finally:
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -207,11 +207,13 @@
     """What an answer's head tells beside its status.
 
     `not_started` is proof that the request has not run and will not.
-    `elsewhere` says that another instance, or other weights, answered.
+    `misdirected` says that the target is not the instance, or has not the
+    weights, that were expected; `instance` is who answered, where it said so.
     """
 
     not_started: bool
-    elsewhere: bool
+    misdirected: bool
+    instance: str
     weights: int | None
     retry_after: float | None
 
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -10,7 +10,7 @@
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from .call import Call, Refused, Tools
-from .ports import Send
+from .ports import Send, Signs
 
 __all__ = ["Attempts", "TryFailed", "send_once"]
 
@@ -140,13 +140,21 @@
         return exchange, head
     call.trail.unproved -= 1
     await _drain(exchange)
-    reason = "elsewhere" if signs.elsewhere else "not-started"
+    reason = _not_run_reason(signs, send)
     detail = f"target {send.instance.name}: status {head.status}, not run"
     raise TryFailed(
         detail, reason=reason, reached=True, not_run=True, return_after=signs.retry_after
     )
 
 
+def _not_run_reason(signs: Signs, send: Send) -> str:
+    if not signs.misdirected:
+        return "not-started"
+    if signs.instance and signs.instance != send.instance.name:
+        return "replaced"
+    return "other-weights"
+
+
 def _most_open(call: Call, tools: Tools) -> int | None:
     """Return this node's part of the connections that a target takes from all callers."""
     if not call.service.connections:
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -215,6 +215,14 @@
         await ask(self.node, "/chat/x", **prompt())
         self.assertNotIn("x-kv-fetch", (self.one.ran + self.two.ran)[0].headers)
 
+    async def test_an_engine_whose_address_another_has_is_left_at_once(self) -> None:
+        self.one.name, self.two.name = "e8", "e9"
+        first = await ask(self.node, "/verdict/x", request_id="r1", **prompt())
+        second = await ask(self.node, "/verdict/x", request_id="r2", **prompt())
+        self.assertEqual((first.status, second.status), (503, 503))
+        self.assertEqual(self.node.node.views.roster.leaving(), {"e1", "e2"})
+        self.assertEqual(self.one.ran + self.two.ran, [])
+
 
 class TestWeights(FleetCase):
     async def asyncSetUp(self) -> None:
