Free a key at once when its request is proved not to have run

Cause: test_a_service_that_says_not_started_frees_the_key failed once beside a busy machine (409 for 200). The proof settled nothing in the node's book of attempts: the attempt stayed "sent" until its row was written, in the background, and a repeat that came sooner was told that it still runs.

Ruled out: the takeover losing against the background write (it tries again with the row that it finds).

Change: a proof settles the attempt as never run, so that whoever asks before the row is written may take the key over.

--- a/packages/core/src/fielddrift_core/claims.py
+++ b/packages/core/src/fielddrift_core/claims.py
@@ -238,6 +238,10 @@
         self._stages[attempt] = _Stage.NEVER
         return True
 
+    def proved_not_run(self, attempt: str) -> None:
+        """Settle `attempt` as never run: its target proved it, or nothing was sent."""
+        self._stages[attempt] = _Stage.NEVER
+
     def close(self, attempt: str) -> None:
         """Forget a sent `attempt` whose run has ended, known or not."""
         if self._stages.get(attempt) is _Stage.SENT:
--- a/packages/node/src/fielddrift_node/claims.py
+++ b/packages/node/src/fielddrift_node/claims.py
@@ -144,8 +144,9 @@
 
     def not_run(self, claim: Claim) -> None:
         """Free the key of a request that surely did not run."""
+        # The row follows in the background; whoever asks meanwhile must hear of it.
         with self._lock:
-            self._book.abandon(claim.row.attempt)
+            self._book.proved_not_run(claim.row.attempt)
         self._finish(claim, claim.row._replace(state=ClaimState.NOT_RUN))
 
     def unknown(self, claim: Claim) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -226,6 +226,16 @@
     def _unreadable(self, keys: Any) -> Any:
         raise OutsideError("table is down")
 
+    def test_a_key_proved_not_run_is_free_before_its_row_is_written(self) -> None:
+        """Found on a busy machine: the row follows in the background, and a quick repeat got 409."""
+        desk = self.desks["n1"]
+        claim = self._claim("n1")
+        assert isinstance(claim, Claim)
+        desk.begin_send(claim)
+        with mock.patch.object(desk, "_finish"):
+            desk.not_run(claim)
+        self.assertIsInstance(self._claim("n2"), Claim)
+
     def test_a_silent_claimant_keeps_its_claim(self) -> None:
         self._claim("n1")
         self.silent.add("n1")
