Break the circle of exchange, exporter, relay, runtime and settle

Cause: the exporter took whole exchanges and runs, so it needed the types of modules that need the runtime, which holds the exporter; only an import under TYPE_CHECKING hid the circle.

Change: the exporter is a bounded pool that runs what it is given; what is kept, and how, stands in `keeping.py`; a started run has its module.

--- a/packages/node/src/fielddrift_node/exporter.py
+++ b/packages/node/src/fielddrift_node/exporter.py
@@ -1,36 +1,21 @@
-"""Keep a prompt's prefix on a store host after its run."""
+"""Run exports in the background, on threads that look-ups do not wait for."""
 
 from __future__ import annotations
 
 import threading
-import uuid
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import TYPE_CHECKING
-
-import msgspec
-from fielddrift_core.holding import should_keep
-from fielddrift_core.interfaces import OutsideError
-from fielddrift_core.model import StoreHost
-from fielddrift_core.names import Manifest, Part, PrefixName, prefix_name
 
 from .log import get
-from .stores import placement
-
-if TYPE_CHECKING:
-    from .exchange import Exchange
-    from .relay import Started
 
 __all__ = ["Exporter"]
 
-BLOCKS_A_PART = 32
-BYTES_A_BLOCK = 4096
-_EXPORT_SECONDS = 30.0
 _THREADS = 4
 _MOST_WAITING = 32
 
 
 class Exporter:
-    """Export in the background, on threads that look-ups do not wait for.
+    """A bounded pool for exports.
 
     When too many exports are waiting, further ones are skipped: a prefix that
     is not kept costs time at its next return, and nothing else.
@@ -40,84 +25,21 @@
         self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix="export")
         self._room = threading.Semaphore(_MOST_WAITING)
 
-    def submit(self, exchange: Exchange, started: Started) -> None:
-        """Export the prefix of a finished run some time soon, if it is worth it."""
+    def submit(self, export: Callable[[], None], *, request_id: str) -> bool:
+        """Run `export` some time soon; False when too many are waiting."""
         if not self._room.acquire(blocking=False):
-            exchange.runtime.metrics.add("exports.skipped")
-            return
-        self._pool.submit(self._run, exchange, started)
+            return False
+        self._pool.submit(self._run, export, request_id)
+        return True
 
     def close(self) -> None:
         """Finish the exports under way, drop the waiting ones."""
         self._pool.shutdown(wait=True, cancel_futures=True)
 
-    def _run(self, exchange: Exchange, started: Started) -> None:
+    def _run(self, export: Callable[[], None], request_id: str) -> None:
         try:
-            _keep(exchange, started)
+            export()
         except Exception:
-            get().exception("export failed", request=exchange.request_id)
+            get().exception("export failed", request=request_id)
         finally:
             self._room.release()
-
-
-def _keep(exchange: Exchange, started: Started) -> None:
-    runtime = exchange.runtime
-    blocks = len(exchange.digests)
-    kept = exchange.found.manifest.blocks if exchange.found else 0
-    rule = exchange.configuration.holds.get(exchange.customer.name)
-    if runtime.watch.leaving or not should_keep(rule=rule, blocks=blocks, kept=kept):
-        runtime.metrics.add("exports.skipped")
-        return
-    name = prefix_name(
-        customer=exchange.customer.name,
-        model=exchange.deployment.model,
-        version=exchange.deployment.version,
-        digests=exchange.digests,
-        blocks=blocks,
-    )
-    for store in placement(exchange.configuration, name.folder):
-        if runtime.stores.usable(store) and _export(exchange, started, name, store):
-            return
-    runtime.metrics.add("exports.failed")
-
-
-def _export(exchange: Exchange, started: Started, name: PrefixName, store: StoreHost) -> bool:
-    """Write the parts, then the manifest; return whether the prefix is kept."""
-    runtime = exchange.runtime
-    size = name.blocks * BYTES_A_BLOCK
-    if not runtime.links.begin_export(store, size):
-        runtime.metrics.add("exports.skipped")
-        return True
-    try:
-        manifest = _write(exchange, started, name, store)
-    except OutsideError as error:
-        runtime.stores.note(store, worked=False)
-        get().info("export failed", request=exchange.request_id, error=str(error))
-        return False
-    finally:
-        runtime.links.end_export(store, size)
-    runtime.stores.note(store, worked=True)
-    runtime.metrics.add("exports.done")
-    runtime.metrics.add("link.exported", manifest.size)
-    return True
-
-
-def _write(exchange: Exchange, started: Started, name: PrefixName, store: StoreHost) -> Manifest:
-    attempt = uuid.uuid4().hex
-    order = {
-        "run": started.order.run,
-        "store": store.address,
-        "attempt": attempt,
-        "blocks": name.blocks,
-        "blocks_a_part": BLOCKS_A_PART,
-    }
-    runtime = exchange.runtime
-    raw = runtime.targets.export(started.choice.target, order, timeout=_EXPORT_SECONDS)
-    try:
-        parts = tuple(msgspec.convert(raw, list[Part]))
-    except msgspec.ValidationError as error:
-        raise OutsideError(f"parts of an export: {error}") from None
-    size = sum(part.length for part in parts)
-    manifest = Manifest(name.path, attempt, name.blocks, name.digest, size, parts)
-    runtime.stores.client(store).create(manifest)
-    return manifest
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -14,8 +14,9 @@
 
 from ..exchange import Answer, Exchange
 from ..http_client import Stream
-from ..relay import Broken, Relay, Started, whole_answer
+from ..relay import Broken, Relay, whole_answer
 from ..settle import TryFailed, begin, settle_refused
+from ..started import Started
 from ..targets import EngineHead, RunOrder, proved_not_started, read_head
 from ..underway import UnderWay
 from .admit import allows, choose, no_target
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -11,20 +11,19 @@
 import re
 import time
 from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from functools import partial
 
 import msgspec
 from fielddrift_core.errors import Kind, Ran, Refusal
 from fielddrift_core.interfaces import OutsideError
-from fielddrift_core.routing import Choice
 from fielddrift_core.stream import EventSequencer, StreamError
 
 from .exchange import Answer, Exchange
-from .http_client import Stream
+from .keeping import keep_prefix
 from .settle import settle_refused
-from .targets import EngineHead, RunOrder
+from .started import Started
 
-__all__ = ["Broken", "Relay", "Started", "whole_answer"]
+__all__ = ["Broken", "Relay", "whole_answer"]
 
 STALL_SECONDS = 3.0
 """A stream on which nothing comes for so long is taken for broken."""
@@ -36,15 +35,6 @@
 _TEXT = re.compile(rb'^data: (\{"choices".*\})$', re.MULTILINE)
 
 
-class Started(NamedTuple):
-    """A run whose head has come and was checked."""
-
-    choice: Choice
-    order: RunOrder
-    stream: Stream
-    head: EngineHead
-
-
 Resume = Callable[[Exchange, int], Started | None]
 
 
@@ -170,7 +160,9 @@
         runtime.metrics.add("answers.whole")
         if self._sequencer.reordered:
             runtime.metrics.add("streams.reordered")
-        runtime.exporter.submit(exchange, self._started)
+        export = partial(keep_prefix, exchange, self._started)
+        if not runtime.exporter.submit(export, request_id=exchange.request_id):
+            runtime.metrics.add("exports.skipped")
 
     def _cut_unknown(self) -> Refusal:
         return Refusal(Kind.CUT, "the stream was not brought to its end", Ran.UNKNOWN)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -227,7 +227,7 @@
         raise OutsideError("table is down")
 
     def test_a_key_proved_not_run_is_free_before_its_row_is_written(self) -> None:
-        """Found on a busy machine: the row follows in the background, and a quick repeat got 409."""
+        """Found on a busy machine: a repeat quicker than the row got 409."""
         desk = self.desks["n1"]
         claim = self._claim("n1")
         assert isinstance(claim, Claim)
