Keep a failure out of a resumed stream; give kept parts a module

Cause: found by reading: where an engine answered a resumed run with a failure, its body was written into the caller's stream, which then ended as complete.

Change: an answer to a resumed run that is not a stream is a failed send, and the caller's stream is cut where no other may follow.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -8,38 +8,29 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import NamedTuple
 
 import structlog
 from fielddrift_core.placement import (
-    READ_RATE,
     EngineChoice,
     EngineSight,
-    Holder,
     choose_engine,
     move_seconds,
 )
-from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.stream import EventCutter
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .call import Call, Tools
-from .ports import Fetch, Send
+from .kept import KeptParts
+from .ports import Send
 from .trying import Attempts, TryFailed, send_once
-from .views import FETCH_SECONDS
 
-__all__ = ["Generation", "salt_of"]
+__all__ = ["Generation"]
 
 _OLDEST_PART = 0.8
 """Part of the time within which requests may begin on older weights that is used."""
-_READ_SPARE_SECONDS = 0.06
-"""What is left of the aim beside reading, when a fetch is given up."""
-_LEAST_FETCH_SECONDS = 0.08
-"""The least time a fetch is given: an unhindered one takes half of it."""
-_FETCH_ESTIMATES = 1.5
 _AVOID_SECONDS = 0.3
 """How long an engine that turned a request away is avoided."""
 _FIRST_EVENT_AIMS = 2.0
@@ -58,9 +49,9 @@
     first: bytes
 
 
-def salt_of(model: str, weights: int, isolated: str = "") -> str:
-    """Return the text under which parts are shared: one a model, its weights and wall."""
-    return f"{model}.{weights}.{isolated}"
+def _streams(head: ResponseHead) -> bool:
+    """Return whether events follow `head`, not an answer that is none."""
+    return head.status == 200 and head.length is None
 
 
 class Generation:
@@ -68,6 +59,7 @@
 
     def __init__(self, *, tools: Tools) -> None:
         self._tools = tools
+        self._kept = KeptParts(views=tools.views)
 
     async def serve(self, call: Call, responder: Responder) -> None:
         """Answer `call`; raise `Refused`."""
@@ -78,10 +70,9 @@
             call.trail.status = run.head.status
             call.trail.first_event = asyncio.get_running_loop().time()
             headers = self._tools.callers.answer_headers(run.head, call.ask.request_id)
-            events = run.head.length is None and run.head.status == 200
             responder.start(run.head.status, headers, run.head.length)
             responder.write(run.first)
-            if not events:
+            if not _streams(run.head):
                 await self._relay_plain(run, responder)
                 return
             while not await self._relay(call, run, responder, cutter, attempts):
@@ -134,7 +125,8 @@
                 tools.views.workload.end(name, call.ask.request_id)
                 if exchange is not None:
                     exchange.cancel()
-        if head.status >= 500 and more and call.route.repeatable:
+        no_rest = cutter.last != "" and not _streams(head)
+        if no_rest or (head.status >= 500 and more and call.route.repeatable):
             tools.views.workload.end(name, call.ask.request_id)
             exchange.cancel()
             detail = f"target {name}: status {head.status}"
@@ -147,7 +139,7 @@
 
     async def _first(self, exchange: Exchange, head: ResponseHead, cutter: EventCutter) -> bytes:
         """Return the first whole events, or the first bytes of an answer that is none."""
-        if head.length is not None or head.status != 200:
+        if not _streams(head):
             return await exchange.piece()
         while True:
             data = await exchange.piece()
@@ -219,7 +211,7 @@
             behind = weights is not None and weights < named
             if weights is None or instance.name in tried or (behind and too_old):
                 continue
-            salt = self._salt(call, prompt, instance.name)
+            salt = self._kept.salt(call, prompt, instance.name)
             sights.append(
                 EngineSight(
                     instance=instance,
@@ -236,44 +228,19 @@
             traits=traits,
             data_centre=self._tools.settings.data_centre,
             aim=call.route.aim,
-            holders=lambda sight, part: self._holders(call, prompt, sight, part, now),
+            holders=lambda sight, part: self._kept.holders(call, prompt, sight, part, now),
         )
 
-    def _holders(
-        self, call: Call, prompt: Prompt, sight: EngineSight, part: Part, now: float
-    ) -> list[Holder]:
-        """Return the stores that keep `part`, each with the wait for its link."""
-        views = self._tools.views
-        salt = self._salt(call, prompt, sight.instance.name)
-        return [
-            Holder(
-                store,
-                views.links.wait(store.address, now) + views.lateness.of(store.address, now),
-            )
-            for store in views.shelf.holders(salt, part)
-        ]
-
-    def _salt(self, call: Call, prompt: Prompt, instance: str) -> str:
-        weights = self._tools.views.weights_of(instance, prompt.model) or 0
-        isolated = call.customer_name if call.customer and call.customer.isolated else ""
-        return salt_of(prompt.model, weights, isolated)
-
     def _send(self, call: Call, choice: EngineChoice, resume_after: str) -> Send:
         prompt = call.ask.prompt
         assert prompt is not None
         views = self._tools.views
         now = asyncio.get_running_loop().time()
-        salt = self._salt(call, prompt, choice.instance.name)
+        salt = self._kept.salt(call, prompt, choice.instance.name)
         weights = views.weights_of(choice.instance.name, prompt.model)
         call.trail.weights = weights
         call.trail.estimate = choice.seconds
         call.trail.ahead = choice.burden
-        sources = tuple("" if s is None else s.address for s in choice.recall.sources)
-        saves = self._saves(prompt, salt, sources, choice.instance.data_centre, now)
-        call.trail.parts = [
-            f"{part.id}:{part.tokens}:{'fetch' if source else 'save' if save else 'read'}"
-            for part, source, save in zip(prompt.shared, sources, saves, strict=False)
-        ]
         return Send(
             ask=call.ask,
             instance=choice.instance,
@@ -281,45 +248,11 @@
             customer=call.customer_name,
             salt=salt,
             weights=weights,
-            fetch=Fetch(sources, saves, self._until(call, choice, now)),
+            fetch=self._kept.fetch(call, choice, salt),
             resume_after=resume_after or call.ask.resume_after,
             urgency=self._urgency(call),
         )
 
-    def _until(self, call: Call, choice: EngineChoice, now: float) -> int | None:
-        """Return when a fetch should be given up, so that reading can still be in time."""
-        prompt = call.ask.prompt
-        assert prompt is not None
-        reading = (prompt.tokens_in + choice.burden.unread) / READ_RATE
-        spare = call.began + call.route.aim - reading - _READ_SPARE_SECONDS - now
-        patience = max(spare, _LEAST_FETCH_SECONDS, _FETCH_ESTIMATES * choice.recall.fetch_seconds)
-        return self._tools.views.until(now + min(FETCH_SECONDS, patience))
-
-    def _saves(
-        self,
-        prompt: Prompt,
-        salt: str,
-        sources: tuple[str, ...],
-        data_centre: str,
-        now: float,
-    ) -> tuple[str, ...]:
-        """Return, for each part, the store that should keep it, empty for none."""
-        shelf = self._tools.views.shelf
-        late = partial(self._tools.views.lateness.of, now=now)
-        saves = []
-        for part, source in zip(prompt.parts, sources, strict=True):
-            store = None
-            shared = part in prompt.shared
-            if shared and not source and not shelf.saving(salt, part, now):
-                held = shelf.holders(salt, part)
-                store = (
-                    None
-                    if held
-                    else shelf.save(salt, part, now, data_centre=data_centre, late=late)
-                )
-            saves.append("" if store is None else store.address)
-        return tuple(saves)
-
     def _urgency(self, call: Call) -> int:
         rank = call.route.rank
         if call.customer is not None and call.customer.rank is not None:
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -12,7 +12,7 @@
 from fielddrift_core.readers import reader
 from fielddrift_core.shelf import StoreView
 
-from .generation import salt_of
+from .kept import salt_of
 from .metrics import Metrics
 from .ports import OutOfReach, TargetDialect
 from .sharing import Peers
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/kept.py
@@ -0,0 +1,100 @@
+"""Decide what becomes of a prompt's shared parts: fetched, saved, or read."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+
+from fielddrift_core.placement import READ_RATE, EngineChoice, EngineSight, Holder
+from fielddrift_core.prompt import Part, Prompt
+
+from .call import Call
+from .ports import Fetch
+from .views import FETCH_SECONDS, Views
+
+__all__ = ["KeptParts", "salt_of"]
+
+_READ_SPARE_SECONDS = 0.06
+"""What is left of the aim beside reading, when a fetch is given up."""
+_LEAST_FETCH_SECONDS = 0.08
+"""The least time a fetch is given: an unhindered one takes half of it."""
+_FETCH_ESTIMATES = 1.5
+
+
+def salt_of(model: str, weights: int, isolated: str = "") -> str:
+    """Return the text under which parts are shared: one a model, its weights and wall."""
+    return f"{model}.{weights}.{isolated}"
+
+
+class KeptParts:
+    """What the stores keep of prompts, and what they should."""
+
+    def __init__(self, *, views: Views) -> None:
+        self._views = views
+
+    def salt(self, call: Call, prompt: Prompt, instance: str) -> str:
+        """Return the salt of `prompt` at an instance, by the weights that it has."""
+        weights = self._views.weights_of(instance, prompt.model) or 0
+        isolated = call.customer_name if call.customer and call.customer.isolated else ""
+        return salt_of(prompt.model, weights, isolated)
+
+    def holders(
+        self, call: Call, prompt: Prompt, sight: EngineSight, part: Part, now: float
+    ) -> list[Holder]:
+        """Return the stores that keep `part`, each with the wait for its link."""
+        views = self._views
+        salt = self.salt(call, prompt, sight.instance.name)
+        return [
+            Holder(
+                store,
+                views.links.wait(store.address, now) + views.lateness.of(store.address, now),
+            )
+            for store in views.shelf.holders(salt, part)
+        ]
+
+    def fetch(self, call: Call, choice: EngineChoice, salt: str) -> Fetch:
+        """Return the stores to fetch from and to save to, for each part of the prompt."""
+        prompt = call.ask.prompt
+        assert prompt is not None
+        now = asyncio.get_running_loop().time()
+        sources = tuple("" if s is None else s.address for s in choice.recall.sources)
+        saves = self._saves(prompt, salt, sources, choice.instance.data_centre, now)
+        call.trail.parts = [
+            f"{part.id}:{part.tokens}:{'fetch' if source else 'save' if save else 'read'}"
+            for part, source, save in zip(prompt.shared, sources, saves, strict=False)
+        ]
+        return Fetch(sources, saves, self._until(call, choice, now))
+
+    def _until(self, call: Call, choice: EngineChoice, now: float) -> int | None:
+        """Return when a fetch should be given up, so that reading can still be in time."""
+        prompt = call.ask.prompt
+        assert prompt is not None
+        reading = (prompt.tokens_in + choice.burden.unread) / READ_RATE
+        spare = call.began + call.route.aim - reading - _READ_SPARE_SECONDS - now
+        patience = max(spare, _LEAST_FETCH_SECONDS, _FETCH_ESTIMATES * choice.recall.fetch_seconds)
+        return self._views.until(now + min(FETCH_SECONDS, patience))
+
+    def _saves(
+        self,
+        prompt: Prompt,
+        salt: str,
+        sources: tuple[str, ...],
+        data_centre: str,
+        now: float,
+    ) -> tuple[str, ...]:
+        """Return, for each part, the store that should keep it, empty for none."""
+        shelf = self._views.shelf
+        late = partial(self._views.lateness.of, now=now)
+        saves = []
+        for part, source in zip(prompt.parts, sources, strict=True):
+            store = None
+            shared = part in prompt.shared
+            if shared and not source and not shelf.saving(salt, part, now):
+                held = shelf.holders(salt, part)
+                store = (
+                    None
+                    if held
+                    else shelf.save(salt, part, now, data_centre=data_centre, late=late)
+                )
+            saves.append("" if store is None else store.address)
+        return tuple(saves)
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -178,6 +178,16 @@
             self.assertEqual(self._events(answer.body), [1, 2, 3, 4, 5])
             self.assertEqual(answer.headers["whole"], "yes")
 
+    async def test_a_failure_instead_of_the_rest_never_gets_into_the_stream(self) -> None:
+        for number in range(4):
+            first, second = (self.one, self.two) if number % 2 else (self.two, self.one)
+            first.faults, second.faults = ["cut-event", "error"], ["error"]
+            data = request("/chat/x", request_id=f"r{number}", **prompt())
+            raw = await send_raw(self.node.settings.entry, data)
+            if b"id: 1" in raw:
+                self.assertNotIn(b"failed", raw)
+                self.assertNotIn(b"0\r\n\r\n", raw)
+
     async def test_a_cut_run_that_may_not_be_resumed_is_cut_for_the_caller_too(self) -> None:
         self.one.faults, self.two.faults = ["cut-event"], ["cut-event"]
         raw = await send_raw(self.node.settings.entry, request("/verdict/x", **prompt()))
