--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -77,7 +77,11 @@
         for address in [a for a in self._loops if a not in wanted]:
             self._loops.pop(address).cancel()
         for address, view in wanted.items():
-            if address not in self._loops:
+            loop = self._loops.get(address)
+            if loop is not None and loop.done() and not loop.cancelled():
+                # A fault of ours must not leave a store unheard for good.
+                _log.error("store loop failed", store=address, error=repr(loop.exception()))
+            if loop is None or loop.done():
                 self._loops[address] = asyncio.ensure_future(self._follow(view))
         self._views.shelf.expire(asyncio.get_running_loop().time())
 
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import time
 from collections.abc import Callable, Coroutine
@@ -214,8 +213,10 @@
         self._front.leave()
         self._gossip.say_now()
         _log.info("leaving", busy=self._front.busy)
-        with contextlib.suppress(OutOfReach):
+        try:
             await self._roller.stop()
+        except OutOfReach as error:
+            _log.warning("duty not given back", error=str(error))
         until = began + self._settings.bounds.grace - _STOP_SPARE_SECONDS
         quiet_since = loop.time()
         while loop.time() < until:
@@ -296,8 +297,10 @@
             others = [node.name for node in self._neighbours.serving(loop.time())]
             if self._leaving or any(name < self._settings.name for name in others):
                 continue
-            with contextlib.suppress(OutOfReach):
+            try:
                 await self._keeper.free_outdated()
+            except OutOfReach as error:
+                _log.warning("parts not freed", error=str(error))
 
     # --- what is told and heard ---------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -33,6 +33,8 @@
 _USER_TIMEOUT_MS = 4000
 """Unacknowledged bytes end a connection after so long: a peer without power never answers."""
 _BACKLOG = 1024
+_FIELD_EXTRA = 4
+"""Bytes of a header field beside its name and value: a colon, a blank, the line's end."""
 _WRITE_HIGH_WATER = 256 * 1024
 """Bytes buffered for a caller that reads slowly, before its target is read no further."""
 
@@ -267,6 +269,7 @@
     def _begin(self) -> None:
         self._url = b""
         self._fields = Headers()
+        self._fields_size = 0
         self._body: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
@@ -307,6 +310,7 @@
         self._head_size += 0 if self._head_done else len(data)
         try:
             self._parser.feed_data(data)
+            # A field that never ends is not seen by on_header.
             if not self._head_done and self._head_size > self._limits.header_bytes + len(data):
                 raise _BadRequest(431, "header: larger than the limit")
         except httptools.HttpParserCallbackError as error:
@@ -331,9 +335,9 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head_size = max(self._head_size, 0)
         self._fields.add(name, value)
-        size = sum(len(n) + len(v) + 4 for n, v in self._fields) + len(self._url)
+        self._fields_size += len(name) + len(value) + _FIELD_EXTRA
+        size = self._fields_size + len(self._url)
         if size > self._limits.header_bytes:
             raise _BadRequest(431, f"header: {size} bytes, at most {self._limits.header_bytes}")
 
