--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -199,13 +199,14 @@
             # Answered before the request was read whole: the rest must not
             # be taken for another request.
             self.close()
-        exchange.completed()
         self.idle_since = self._loop.time()
         if self._sound:
-            # Whatever follows in the bytes at hand is seen before the next use.
-            self._loop.call_soon(self._rested, self)
+            # It is at rest before whoever waits for the answer sends again; what
+            # else stands in the bytes at hand has spoilt it by then.
+            self._rested(self)
         elif self._transport is not None:
             self._transport.close()
+        exchange.completed()
 
     def _fail(self, detail: str, reason: str) -> None:
         exchange, self._exchange = self._exchange, None
