Count the time for older weights from when any node heard of newer ones

A node that was frozen or restarted while weights were named counted from when it woke, and sent to engines with older weights for too long; since loads are paced for longer, the last engines are ready about a second before the bound there.

Ruled out: the duty: its holder's freeze costs 0.6 s in the log, orders go on.

Change: beats carry for how long the named weights have been known; the oldest counts. Requests go to older engines for 0.7 of the time, not 0.8, for they may wait at an engine before they begin.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -67,13 +67,14 @@
 class Beat(NamedTuple):
     """What a node tells the others with each beat.
 
-    `catalog` and `named` are versions in force, `burdens` its own sends by
-    target.  `left` are targets known to be leaving; `loading` gives the
-    seconds for which an engine is taken to be loading; `weights` are versions
-    seen at engines, by (instance, model).  `reading` is how far it has read,
-    `kept` how far it has itself heard store hosts,
-    `periods` tells when the next beats come.  `moves` are the seconds for which
-    its own moves take stores' links, `lateness` those by which fetches came late.
+    `catalog` and `named` are versions in force, `named_ages` the seconds since
+    those weights were first known anywhere, `burdens` its own sends by target.
+    `left` are targets known to be leaving; `loading` gives the seconds for
+    which an engine is taken to be loading; `weights` are versions seen at
+    engines, by (instance, model).  `reading` is how far it has read, `kept` how
+    far it has itself heard store hosts.  `periods` tells when the next beats
+    come.  `moves` are the seconds for which its own moves take stores' links,
+    `lateness` those by which fetches came late.
     """
 
     node: Neighbour
@@ -86,6 +87,7 @@
     loading: Mapping[str, float] = {}
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
+    named_ages: Mapping[str, float] = {}
     periods: Periods = Periods()
     kept: Mapping[str, KeptMark] = {}
     moves: Mapping[str, float] = {}
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -29,8 +29,9 @@
 
 __all__ = ["Generation"]
 
-_OLDEST_PART = 0.8
-"""Part of the time within which requests may begin on older weights that is used."""
+_OLDEST_PART = 0.7
+"""Part of the time within which requests may begin on older weights that is used:
+one may wait for seconds at a crowded engine before it begins."""
 _AVOID_SECONDS = 0.3
 """How long an engine that turned a request away is avoided."""
 _FIRST_EVENT_AIMS = 2.0
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -323,6 +323,7 @@
             loading=loading,
             weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
             reading=views.reading(now),
+            named_ages={model: now - at for model, at in views.named_at.items()},
             kept=views.shelf.marks(now) if near else {},
             periods=self._neighbours.periods(now),
             moves=views.links.own(now),
@@ -334,6 +335,8 @@
         now = asyncio.get_running_loop().time()
         burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
         views.workload.told(beat.node.name, burdens, now)
+        for model, age in beat.named_ages.items():
+            views.heard_age(model, beat.named.get(model, 0), age, now)
         views.links.told(beat.node.name, beat.moves, now)
         views.lateness.told(beat.lateness, now)
         for name in beat.left:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -91,6 +91,14 @@
         age = now - self.targets_at
         return Reading(self.operators_row, self.targets_row, self.roster.serial, age)
 
+    def heard_age(self, model: str, version: int, age: float, now: float) -> None:
+        """Take for how long another node has known of the named weights.
+
+        What a node that was away hears late has been in force for longer.
+        """
+        if version == self.named.get(model):
+            self.named_at[model] = min(self.named_at[model], now - age)
+
     def current(self) -> None:
         """Note that the operators' rows were just read."""
         self.stale.clear()
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -18,6 +18,8 @@
 from fielddrift_core.shelf import Shelf
 from fielddrift_core.stream import EventCutter
 from fielddrift_core.workload import Burden, Lateness, TargetHealth, Workload
+from fielddrift_node.serving.ports import NamedWeights
+from fielddrift_node.serving.views import Views
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -120,6 +122,17 @@
         self.assertEqual(len(next_loads(engines, wanted=2, late=True)), 9)
 
 
+class TestNamedWeights(unittest.TestCase):
+    def test_a_node_that_was_away_counts_from_when_others_heard(self) -> None:
+        views = Views()
+        views.take_weights(NamedWeights("m", 3), 100.0)
+        views.heard_age("m", 3, 4.0, 100.2)
+        self.assertAlmostEqual(views.named_at["m"], 96.2)
+        views.heard_age("m", 3, 0.1, 100.3)
+        views.heard_age("m", 2, 50.0, 100.3)
+        self.assertAlmostEqual(views.named_at["m"], 96.2)
+
+
 class TestReaders(unittest.TestCase):
     def test_one_reads_for_all_and_when_it_grows_old_each_reads(self) -> None:
         names = ["n1", "n2", "n3"]
