Let a stopped node's threads end although the loop is gone

A thread of the own interface that hands a piece to the event loop waited for its answer without a bound; a loop that was stopped meanwhile never gives one, and the interpreter joins its threads before it ends.

Ruled out: load alone: the wait has no end, and the new test brings it about.

Change: the thread looks now and then whether its caller left or the server stopped, and ends.

Figures: without the change the new test does not end (stopped after 40 s), with it test_servers passes in 0.3 s, the demo exits 0.

--- a/packages/node/src/fielddrift_node/servers.py
+++ b/packages/node/src/fielddrift_node/servers.py
@@ -13,6 +13,7 @@
 import threading
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeout
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote_to_bytes
@@ -29,6 +30,8 @@
 _STOP_SECONDS = 5.0
 _BODY_SLACK = 1024 * 1024
 """Bytes beyond the longest prompt that a request may have: the application names the fault."""
+_LOOK_SECONDS = 0.2
+"""How often a thread that waits for the loop looks whether that still runs."""
 _QUEUED_PIECES = 64
 """Pieces of one answer that wait for a slow caller before the application is held up."""
 
@@ -65,6 +68,7 @@
         self._loop = asyncio.new_event_loop()
         self._server = Server(handler=self._handle, limits=lambda: limits, word=_problem)
         self._ready = threading.Event()
+        self._stopped = threading.Event()
         self._fault: OSError | None = None
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
         self._thread.start()
@@ -74,6 +78,7 @@
 
     def stop(self) -> None:
         """Stop serving."""
+        self._stopped.set()
         self._loop.call_soon_threadsafe(self._close)
         self._thread.join(_STOP_SECONDS)
         self._pool.shutdown(wait=False, cancel_futures=True)
@@ -135,7 +140,16 @@
         def put(piece: bytes | None) -> None:
             if left.is_set():
                 raise _CallerLeft
-            asyncio.run_coroutine_threadsafe(pieces.put(piece), self._loop).result()
+            placed = asyncio.run_coroutine_threadsafe(pieces.put(piece), self._loop)
+            while True:
+                try:
+                    placed.result(_LOOK_SECONDS)
+                    return
+                except FutureTimeout:
+                    # A loop that was stopped never answers; the thread must still end.
+                    if left.is_set() or self._stopped.is_set():
+                        placed.cancel()
+                        raise _CallerLeft from None
 
         body = self._app(_environ(request, self._host, self._port), head.start_response)
         try:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import Iterator
 from typing import Any
+from unittest import mock
 
 from fielddrift_node.servers import ApplicationServer
 
@@ -70,6 +71,15 @@
         caller.close()
         self.assertTrue(self.answers[0].closed.wait(WAIT_SECONDS))
 
+    def test_a_stop_ends_answers_that_wait_for_their_callers(self) -> None:
+        """Found beside load: a thread that waited for the stopped loop kept the process alive."""
+        caller = self._connect()
+        caller.sendall(b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"200", caller.recv(4096))
+        with mock.patch.object(self.server, "_unblock"):
+            self.server.stop()
+            self.assertTrue(self.answers[0].closed.wait(WAIT_SECONDS))
+
     def test_broken_framing_is_refused_in_the_interface_s_own_words(self) -> None:
         caller = self._connect()
         caller.sendall(b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 1x\r\n\r\n")
