--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -1,31 +1,42 @@
 """Know which nodes live, by the beats that each sends to the others.
 
-Nodes of one data centre beat often, and tell each other what they send to
-targets; farther nodes beat seldom, for bytes between data centres cost.
-Nothing safe rests on this view: it only steers work.
+Active nodes of one data centre beat often, and tell each other what they send
+to targets; farther nodes beat seldom, for bytes between data centres cost, and
+nodes that stand by only as often as their end must be noticed.  Nothing safe
+rests on this view: it only steers work.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+import itertools
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
+from .active import Candidate, active_names
 from .readers import Reading
 from .workload import Burden
 
 __all__ = [
-    "FAR_BEAT_SECONDS",
-    "NEAR_BEAT_SECONDS",
     "Beat",
     "KeptMark",
     "Neighbour",
     "Neighbours",
-    "Periods",
-    "entry_addresses",
+    "Standing",
 ]
 
-NEAR_BEAT_SECONDS = 0.15
-FAR_BEAT_SECONDS = 0.3
+_PERIODS = {
+    # (near, how many of the two nodes are active): seconds between beats.
+    (True, 2): 0.15,
+    (True, 1): 0.25,
+    (True, 0): 3.0,
+    (False, 2): 0.3,
+    (False, 1): 3.0,
+    (False, 0): 10.0,
+}
+"""Two active nodes need each other's sends while these are under way, some 0.3 s.  A
+node that stands by has to notice within about a second that an active one is gone, for
+it answers callers that ask for addresses; others matter to it only once it is active."""
 _BEAT_COST_SECONDS = 0.015
 """Time between beats for each node that gets them: a node sends at most some
 seventy a second to either kind of neighbour, however many there are."""
@@ -35,11 +46,19 @@
 _SILENT_SECONDS = 10.0
 """Silence after which a node gets a beat only now and then."""
 _SILENT_BEAT_SECONDS = 5.0
-_MOST_ADDRESSES = 16
+_MOST_ADDRESSES = 64
+"""Callers take no more addresses from one answer."""
+_SETTLED_SECONDS = 0.1
+"""How long the choice of the active nodes is kept: it costs a sort of all."""
+_DUE_PART = 0.9
+"""Part of a period after which a beat is due: the loop that looks runs in steps."""
 
 
 class Neighbour(NamedTuple):
-    """A node: its name, its addresses, its data centre and the life `boot` numbers."""
+    """A node: its name, its addresses, its data centre and the life `boot` numbers.
+
+    `capacity` is the requests a second that its host carries.
+    """
 
     name: str
     boot: int
@@ -47,6 +66,7 @@
     entry: str
     gossip: str
     peer: str
+    capacity: float = 1.0
 
 
 class KeptMark(NamedTuple):
@@ -57,24 +77,29 @@
     age: float
 
 
-class Periods(NamedTuple):
-    """Seconds between a node's beats to near and to far nodes."""
+class Standing(NamedTuple):
+    """How two nodes stand to each other, which decides what they tell and how often.
+
+    `theirs` says that the other node is active, `mine` that this one is.
+    """
 
-    near: float = NEAR_BEAT_SECONDS
-    far: float = FAR_BEAT_SECONDS
+    near: bool
+    mine: bool
+    theirs: bool
 
 
 class Beat(NamedTuple):
     """What a node tells the others with each beat.
 
+    `active` says that it takes callers' requests, `load` how many a second.
+    `period` is the seconds until its next beat to this receiver.
     `catalog` and `named` are versions in force, `named_ages` the seconds since
     those weights were first known anywhere, `burdens` its own sends by target.
     `left` are targets known to be leaving; `loading` gives the seconds for
     which an engine is taken to be loading; `weights` are versions seen at
     engines, by (instance, model).  `reading` is how far it has read, `kept` how
-    far it has itself heard store hosts.  `periods` tells when the next beats
-    come.  `moves` are the seconds for which its own moves take stores' links,
-    `lateness` those by which fetches came late.
+    far it has itself heard store hosts.  `moves` are the seconds for which its
+    own moves take stores' links, `lateness` those by which fetches came late.
     """
 
     node: Neighbour
@@ -88,7 +113,9 @@
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
     named_ages: Mapping[str, float] = {}
-    periods: Periods = Periods()
+    period: float = _PERIODS[(True, 2)]
+    active: bool = True
+    load: float = 0.0
     kept: Mapping[str, KeptMark] = {}
     moves: Mapping[str, float] = {}
     lateness: Mapping[str, float] = {}
@@ -96,32 +123,61 @@
 
 class _Heard(NamedTuple):
     node: Neighbour
-    ready: bool
-    leaving: bool
     at: float
+    ready: bool = False
+    leaving: bool = False
+    active: bool = False
+    load: float = 0.0
+    period: float = _PERIODS[(False, 0)]
     reading: Reading = Reading()
-    periods: Periods = Periods()
     kept: Mapping[str, KeptMark] = {}
 
+    @property
+    def serves(self) -> bool:
+        return self.ready and not self.leaving
+
+    def lives(self, now: float) -> bool:
+        """Return whether it was heard lately, by the times that it told itself."""
+        return now - self.at <= self.period * _MISSED_BEATS + _SLACK_SECONDS
+
+
+class _Sent(NamedTuple):
+    at: float
+    period: float
+
 
 class Neighbours:
-    """The other nodes.  Not safe for threads."""
+    """The other nodes, and which of all nodes are active.  Not safe for threads."""
 
     def __init__(self, *, me: Neighbour) -> None:
         self._me = me
         self._heard: dict[str, _Heard] = {}
-        self._sent: dict[str, float] = {}
+        self._sent: dict[str, _Sent] = {}
+        self._serving = False
+        self._load = 0.0
+        self._active: frozenset[str] = frozenset()
+        self._periods: dict[Standing, float] = {}
+        self._settled_at = float("-inf")
 
     @property
     def me(self) -> Neighbour:
         """Return this node."""
         return self._me
 
+    def report(self, *, serving: bool, load: float) -> None:
+        """Take whether this node can serve, and its requests a second."""
+        if serving != self._serving:
+            self._settled_at = float("-inf")
+        self._serving = serving
+        self._load = load
+
+    # --- hearing ----------------------------------------------------------------
+
     def introduce(self, node: Neighbour) -> None:
         """Take a node from a list, not yet heard."""
         known = self._heard.get(node.name)
         if node.name != self._me.name and (known is None or known.node.boot < node.boot):
-            self._heard[node.name] = _Heard(node, False, False, float("-inf"))
+            self._heard[node.name] = _Heard(node, float("-inf"))
 
     def hear(self, beat: Beat, now: float) -> bool:
         """Take a beat; True when the node was not known in this life."""
@@ -131,90 +187,172 @@
         known = self._heard.get(node.name)
         if known is not None and known.node.boot > node.boot:
             return False
-        self._heard[node.name] = _Heard(
-            node, beat.ready, beat.leaving, now, beat.reading, beat.periods, beat.kept
+        heard = _Heard(
+            node=node,
+            at=now,
+            ready=beat.ready,
+            leaving=beat.leaving,
+            active=beat.active,
+            load=beat.load,
+            period=beat.period,
+            reading=beat.reading,
+            kept=beat.kept,
         )
+        self._heard[node.name] = heard
+        if known is None or known.serves != heard.serves:
+            self._settled_at = float("-inf")
         return known is None or known.node.boot != node.boot
 
-    def periods(self, now: float) -> Periods:
-        """Return the seconds between this node's beats, longer where there are many nodes."""
-        near = len(self.near(now))
-        far = len(self.alive(now)) - near
-        return Periods(
-            max(NEAR_BEAT_SECONDS, near * _BEAT_COST_SECONDS),
-            max(FAR_BEAT_SECONDS, far * _BEAT_COST_SECONDS),
-        )
+    def node(self, name: str) -> Neighbour | None:
+        """Return the node called `name`."""
+        heard = self._heard.get(name)
+        return None if heard is None else heard.node
 
-    def alive(self, now: float, *, data_centre: str | None = None) -> list[Neighbour]:
-        """Return the nodes that are heard, the leaving ones too, by name."""
+    # --- who is active ----------------------------------------------------------
+
+    def active(self, now: float) -> frozenset[str]:
+        """Return the names of the active nodes of this data centre."""
+        self._settle(now)
+        return self._active
+
+    def is_active(self, now: float) -> bool:
+        """Return whether this node is active."""
+        return self._me.name in self.active(now)
+
+    def active_everywhere(self, now: float) -> list[Neighbour]:
+        """Return the other nodes that are active in any data centre, by name.
+
+        Those of other data centres are the ones that say so themselves.
+        """
+        self._settle(now)
         return [
             heard.node
             for _, heard in sorted(self._heard.items())
-            if self._lives(heard, now) and data_centre in (None, heard.node.data_centre)
+            if self._is_active(heard) and heard.serves and heard.lives(now)
         ]
 
-    def serving(self, now: float) -> list[Neighbour]:
-        """Return the nodes that are heard, ready and not leaving, by name."""
+    def sharing(self, now: float) -> int:
+        """Return the number of nodes among which what all may do is shared out.
+
+        Twice the active ones, as far as there are so many: others may take
+        their place within the time for which a share counts.
+        """
+        active = len(self.active_everywhere(now)) + self.is_active(now)
+        return max(1, min(2 * active, 1 + len(self.alive(now))))
+
+    def addresses(self, data_centre: str, now: float) -> list[str]:
+        """Return the addresses that a caller in `data_centre` should use.
+
+        Those of its own data centre, for bytes between data centres cost; all
+        active ones when there are none, or any node at all.
+        """
+        active = self.active_everywhere(now)
+        if self.is_active(now):
+            active.append(self._me)
+        near = [node for node in active if node.data_centre == data_centre]
+        return [node.entry for node in near or active or self._any(now)][:_MOST_ADDRESSES]
+
+    def _any(self, now: float) -> list[Neighbour]:
+        others = [h.node for _, h in sorted(self._heard.items()) if h.serves and h.lives(now)]
+        return [*others, self._me] if self._serving else others
+
+    def _candidates(self, now: float) -> Iterable[Candidate]:
+        for name, heard in self._heard.items():
+            if self._near(heard) and heard.serves and heard.lives(now):
+                yield Candidate(name, heard.node.capacity, heard.load)
+        if self._serving:
+            yield Candidate(self._me.name, self._me.capacity, self._load)
+
+    def _is_active(self, heard: _Heard) -> bool:
+        return heard.node.name in self._active if self._near(heard) else heard.active
+
+    def _near(self, heard: _Heard) -> bool:
+        return heard.node.data_centre == self._me.data_centre
+
+    # --- who is told ------------------------------------------------------------
+
+    def alive(self, now: float, *, data_centre: str | None = None) -> list[Neighbour]:
+        """Return the nodes that are heard, the leaving ones too, by name."""
         return [
             heard.node
             for _, heard in sorted(self._heard.items())
-            if self._lives(heard, now) and heard.ready and not heard.leaving
+            if heard.lives(now) and data_centre in (None, heard.node.data_centre)
         ]
 
+    def near(self, now: float) -> list[Neighbour]:
+        """Return the live nodes of this data centre."""
+        return self.alive(now, data_centre=self._me.data_centre)
+
+    def near_active(self, now: float) -> list[Neighbour]:
+        """Return the other active nodes of this data centre."""
+        names = self.active(now)
+        return [node for node in self.near(now) if node.name in names]
+
     def due(self, now: float) -> list[Neighbour]:
         """Return the nodes that should get a beat now, and note it."""
+        self._settle(now)
         chosen = []
-        periods = self.periods(now)
+        mine = self._me.name in self._active
         for name, heard in self._heard.items():
-            near = heard.node.data_centre == self._me.data_centre
-            period = periods.near if near else periods.far
-            if now - heard.at > _SILENT_SECONDS:
+            period = self._periods[Standing(self._near(heard), mine, self._is_active(heard))]
+            if now - heard.at > _SILENT_SECONDS and not heard.lives(now):
                 period = _SILENT_BEAT_SECONDS
-            if now - self._sent.get(name, float("-inf")) >= period * 0.9:
-                self._sent[name] = now
+            sent = self._sent.get(name, _Sent(float("-inf"), period))
+            # A longer period than was told must be told at once, or this node seems gone.
+            if period > sent.period or now - sent.at >= period * _DUE_PART:
+                self._sent[name] = _Sent(now, period)
                 chosen.append(heard.node)
         return chosen
 
-    def near(self, now: float) -> list[Neighbour]:
-        """Return the live nodes of this data centre."""
-        return self.alive(now, data_centre=self._me.data_centre)
+    def standing(self, node: Neighbour, now: float) -> Standing:
+        """Return how `node` stands to this one."""
+        self._settle(now)
+        heard = self._heard.get(node.name)
+        theirs = heard is not None and self._is_active(heard)
+        near = node.data_centre == self._me.data_centre
+        return Standing(near, self.is_active(now), theirs)
+
+    def period(self, standing: Standing, now: float) -> float:
+        """Return the seconds between beats to nodes that stand so to this one."""
+        self._settle(now)
+        return self._periods[standing]
+
+    def _settle(self, now: float) -> None:
+        """Choose the active nodes, and how often to beat, anew when that is some time old."""
+        if now - self._settled_at <= _SETTLED_SECONDS:
+            return
+        self._settled_at = now
+        self._active = active_names(self._candidates(now))
+        counts = Counter((self._near(h), self._is_active(h)) for h in self._heard.values())
+        for near, mine, theirs in itertools.product((True, False), repeat=3):
+            shortest = _PERIODS[(near, mine + theirs)]
+            period = max(shortest, counts[(near, theirs)] * _BEAT_COST_SECONDS)
+            self._periods[Standing(near, mine, theirs)] = period
+
+    # --- what they have read ----------------------------------------------------
 
     def readings(self, now: float) -> dict[str, Reading]:
         """Return how far the live nodes of this data centre have read, as of `now`."""
-        found = {}
-        for name, heard in self._heard.items():
-            near = heard.node.data_centre == self._me.data_centre
-            if near and not heard.leaving and self._lives(heard, now):
-                found[name] = heard.reading._replace(age=heard.reading.age + now - heard.at)
-        return found
-
-    def kept(self, store: str, now: float) -> dict[str, KeptMark]:
-        """Return how far the live nodes of this data centre have heard `store`."""
-        found = {}
-        for name, heard in self._heard.items():
-            near = heard.node.data_centre == self._me.data_centre
-            if near and not heard.leaving and self._lives(heard, now):
-                mark = heard.kept.get(store, KeptMark(0, 0, float("inf")))
-                found[name] = mark._replace(age=mark.age + now - heard.at)
-        return found
-
-    def node(self, name: str) -> Neighbour | None:
-        """Return the node called `name`."""
-        heard = self._heard.get(name)
-        return None if heard is None else heard.node
-
-    def _lives(self, heard: _Heard, now: float) -> bool:
-        near = heard.node.data_centre == self._me.data_centre
-        period = heard.periods.near if near else heard.periods.far
-        return now - heard.at <= period * _MISSED_BEATS + _SLACK_SECONDS
-
-
-def entry_addresses(nodes: Iterable[Neighbour], *, data_centre: str) -> list[str]:
-    """Return the addresses a caller in `data_centre` should use.
-
-    Those of its own data centre, for bytes between data centres cost; all
-    when there are none.
-    """
-    listed = list(nodes)
-    near = [node.entry for node in listed if node.data_centre == data_centre]
-    return (near or [node.entry for node in listed])[:_MOST_ADDRESSES]
+        return {
+            heard.node.name: heard.reading._replace(age=heard.reading.age + now - heard.at)
+            for heard in self._near_staying(now)
+        }
+
+    def kept(self, now: float) -> dict[str, dict[str, KeptMark]]:
+        """Return how far the live active nodes nearby have heard store hosts, by node."""
+        names: Collection[str] = self.active(now)
+        return {
+            heard.node.name: {
+                store: mark._replace(age=mark.age + now - heard.at)
+                for store, mark in heard.kept.items()
+            }
+            for heard in self._near_staying(now)
+            if heard.node.name in names
+        }
+
+    def _near_staying(self, now: float) -> list[_Heard]:
+        return [
+            heard
+            for heard in self._heard.values()
+            if self._near(heard) and not heard.leaving and heard.lives(now)
+        ]
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -8,18 +8,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from .names import rank
 
-__all__ = ["OLD_SECONDS", "READ_SECONDS", "Reading", "Source", "reader", "source"]
+__all__ = ["READ_SECONDS", "Reading", "Source", "reader", "source"]
 
 READ_SECONDS = 0.6
 """Time between a reader's readings of the targets: three fit into the time
 within which a leaving target may still get new work."""
-OLD_SECONDS = 1.0
+_OLD_SECONDS = 1.0
 """Age at which what a reader has is too old to rely on: it missed a reading."""
+_STANDBY_OLD_SECONDS = 2.0
+"""The same for a node that stands by: it takes hardly any requests, and an active
+node will have taken the reader's place before."""
 
 
 class Reading(NamedTuple):
@@ -47,12 +50,19 @@
     return ranked[0] if ranked else ""
 
 
-def source(me: str, key: str, readings: Mapping[str, Reading]) -> Source:
+def source(
+    me: str, key: str, readings: Mapping[str, Reading], *, active: Collection[str]
+) -> Source:
     """Return from whom `me` should have what `key` names.
 
     `readings` are those of the live nodes of this data centre, `me` left out.
+    The first active node by rank reads; where what it has is old, the next one.
     """
-    chosen = reader(key, [me, *readings])
-    if chosen == me or readings[chosen].age > OLD_SECONDS:
-        return Source("")
-    return Source(chosen)
+    candidates = [name for name in [me, *readings] if name in active] or [me, *readings]
+    for name in rank(key, [(candidate, 1.0) for candidate in candidates]):
+        if name == me:
+            return Source("")
+        if readings[name].age <= _OLD_SECONDS:
+            return Source(name)
+    freshest = min(candidates, key=lambda name: readings[name].age)
+    return Source(freshest if readings[freshest].age <= _STANDBY_OLD_SECONDS else "")
--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -14,7 +15,7 @@
 from .neighbours import KeptMark
 from .prompt import Part
 
-__all__ = ["Shelf", "StoreView"]
+__all__ = ["KeptChange", "Shelf", "StoreView"]
 
 _BLOCK = 16
 """Tokens that a store gives out at once."""
@@ -27,6 +28,8 @@
 """Lateness of a store from which saves go elsewhere: twice what a large part's move takes."""
 _NEAR_FACTOR = 4.0
 """Preference for a store in the engine's data centre: moves there take half the time."""
+_MOST_CHANGES = 200
+"""Changes that are remembered: some minutes' worth, at one in a second or so."""
 _SAVING_SECONDS = 3.0
 """A save that was not told of after so long is taken for lost."""
 
@@ -36,8 +39,21 @@
     return -(-tokens // _BLOCK) * _BLOCK
 
 
+class KeptChange(NamedTuple):
+    """What changed at a store between two numbers of its events.
+
+    `added` holds (salt, part, tokens) of parts that are whole now, `dropped`
+    (salt, part) of those that are gone.
+    """
+
+    since: int
+    following: int
+    added: tuple[tuple[str, str, int], ...]
+    dropped: tuple[tuple[str, str], ...]
+
+
 class StoreView:
-    """What is known of one store host."""
+    """What is known of one store host, and the latest changes for nodes that copy it."""
 
     def __init__(self, *, traits: StoreTraits) -> None:
         self.traits = traits
@@ -47,6 +63,7 @@
         self.used = 0
         self.heard_at = float("-inf")
         """When this node itself last heard the store; -inf when others do."""
+        self._changes: deque[KeptChange] = deque(maxlen=_MOST_CHANGES)
 
     @property
     def known(self) -> bool:
@@ -58,13 +75,37 @@
         self.life = None
         self.held.clear()
         self.used = 0
+        self._changes.clear()
 
     def listed(self, life: int, following: int, held: Iterable[tuple[str, str, int]]) -> None:
         """Take a whole list of (salt, part, tokens)."""
+        self._changes.clear()
         self.life, self.following = life, following
         self.held = {(salt, part): tokens for salt, part, tokens in held}
         self.used = sum(room(tokens) for tokens in self.held.values())
 
+    def take(self, change: KeptChange) -> bool:
+        """Take a change; False, and nothing is taken, when one before it is missing."""
+        if change.since != self.following:
+            return False
+        for salt, part, tokens in change.added:
+            self.add(salt, part, tokens)
+        for salt, part in change.dropped:
+            self.drop(salt, part)
+        self.following = change.following
+        if change.following != change.since:
+            self._changes.append(change)
+        return True
+
+    def changes(self, since: int) -> tuple[KeptChange, ...] | None:
+        """Return the changes after event number `since`, None when some are not known."""
+        if since == self.following:
+            return ()
+        found = [change for change in self._changes if change.since >= since]
+        if not found or found[0].since != since:
+            return None
+        return tuple(found)
+
     def add(self, salt: str, part: str, tokens: int) -> None:
         """Note a part that is whole."""
         if (salt, part) not in self.held:
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ["TOLD_SECONDS", "Burden", "Lateness", "TargetHealth", "Workload"]
+__all__ = ["TOLD_SECONDS", "Burden", "Lateness", "PeakRate", "TargetHealth", "Workload"]
 
 TOLD_SECONDS = 1.5
 """Age at which another node's word on its sends no longer counts: five of its beats."""
@@ -155,3 +155,25 @@
     def _add(self, target: str, value: float, now: float) -> None:
         share = self.share(target, now)
         self._shares[target] = (share + _FAILURE_WEIGHT * (value - share), now)
+
+
+_PEAK_SECONDS = 10
+"""How long a peak counts: longer than the waves of the users' traffic."""
+
+
+class PeakRate:
+    """Events a second, as of the busiest second of late."""
+
+    def __init__(self) -> None:
+        self._counts: dict[int, int] = {}
+
+    def add(self, now: float) -> None:
+        """Count an event."""
+        second = int(now)
+        self._counts[second] = self._counts.get(second, 0) + 1
+
+    def value(self, now: float) -> float:
+        """Return the most events in any whole or running second that still counts."""
+        for second in [s for s in self._counts if s < int(now) - _PEAK_SECONDS]:
+            del self._counts[second]
+        return float(max(self._counts.values(), default=0))
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -66,7 +66,8 @@
 
 def reader_of(neighbours: Neighbours, key: str, now: float) -> Neighbour | None:
     """Return the node that reads `key` for this one, None when it reads for itself."""
-    chosen = source(neighbours.me.name, key, neighbours.readings(now))
+    active = neighbours.active(now)
+    chosen = source(neighbours.me.name, key, neighbours.readings(now), active=active)
     return neighbours.node(chosen.name) if chosen.name else None
 
 
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -45,6 +45,7 @@
             return
         trail = Trail()
         loop = asyncio.get_running_loop()
+        self._tools.views.load.add(loop.time())
         try:
             call = await self._judge(ask, trail)
             async with asyncio.timeout_at(call.deadline):
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import IntEnum
 from typing import cast
 
 import msgspec
 import structlog
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours
+from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, Standing
 
-__all__ = ["Gossip"]
+__all__ = ["Gossip", "Reach"]
 
 _TICK_SECONDS = 0.05
 _SOON_SECONDS = 0.02
@@ -20,9 +21,20 @@
 _MOST_BYTES = 1400
 """A datagram that fits into one packet."""
 
+_UNKNOWN = Standing(near=False, mine=False, theirs=False)
+"""How a node stands of which nothing is known yet."""
+
 _log = structlog.get_logger()
 
 
+class Reach(IntEnum):
+    """Who must hear of something new, from the fewest to the most."""
+
+    ACTIVE_NEARBY = 0
+    NEARBY = 1
+    EVERYWHERE = 2
+
+
 class Gossip(asyncio.DatagramProtocol):
     """Send this node's beats, and hand on those of others."""
 
@@ -30,7 +42,7 @@
         self,
         *,
         neighbours: Neighbours,
-        beat: Callable[[bool], Beat],
+        beat: Callable[[Standing], Beat],
         heard: Callable[[Beat], None],
     ) -> None:
         self._neighbours = neighbours
@@ -42,7 +54,7 @@
         self._decoder = msgspec.msgpack.Decoder(Beat)
         self._soon: asyncio.TimerHandle | None = None
         self._soon_at = float("-inf")
-        self._urgent = False
+        self._reach = Reach.ACTIVE_NEARBY
 
     async def start(self, host: str, port: int) -> None:
         """Listen for datagrams."""
@@ -62,15 +74,20 @@
             self._transport.close()
             self._transport = None
 
-    def changed(self, *, everywhere: bool = False) -> None:
-        """Beat soon: to the nodes of this data centre, or to all."""
-        self._urgent = self._urgent or everywhere
+    def changed(self, reach: Reach = Reach.NEARBY) -> None:
+        """Beat soon to the nodes that something new concerns."""
+        self._reach = max(self._reach, reach)
         if self._soon is None:
+            now = self._loop.time()
             # Where there are many nodes, news waits for some more of it.
-            rest = self._neighbours.periods(self._loop.time()).near * _SOON_PART
-            wait = max(_SOON_SECONDS, self._soon_at + rest - self._loop.time())
+            rest = self._neighbours.period(Standing(True, True, True), now) * _SOON_PART
+            wait = max(_SOON_SECONDS, self._soon_at + rest - now)
             self._soon = self._loop.call_later(wait, self._send_soon)
 
+    def sends_changed(self) -> None:
+        """Tell the active nodes nearby soon what this one sends to targets."""
+        self.changed(Reach.ACTIVE_NEARBY)
+
     def say_now(self) -> None:
         """Beat to all nodes at once."""
         self._send(self._neighbours.alive(self._loop.time()))
@@ -78,7 +95,7 @@
     def greet(self, addresses: list[str]) -> None:
         """Send a beat to addresses of which no node is known."""
         for address in addresses:
-            self._send_to(address, self._encoder.encode(self._beat(False)))
+            self._send_to(address, self._encoder.encode(self._beat(_UNKNOWN)))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -100,19 +117,28 @@
 
     def _send_soon(self) -> None:
         self._soon = None
-        self._soon_at = self._loop.time()
-        now = self._loop.time()
-        urgent, self._urgent = self._urgent, False
-        self._send(self._neighbours.alive(now) if urgent else self._neighbours.near(now))
+        now = self._soon_at = self._loop.time()
+        reach, self._reach = self._reach, Reach.ACTIVE_NEARBY
+        self._send(self._concerned(reach, now))
+
+    def _concerned(self, reach: Reach, now: float) -> list[Neighbour]:
+        if reach is Reach.ACTIVE_NEARBY:
+            return self._neighbours.near_active(now)
+        near = self._neighbours.near(now)
+        if reach is Reach.NEARBY:
+            return near
+        names = {node.name for node in near}
+        far = [n for n in self._neighbours.active_everywhere(now) if n.name not in names]
+        return [*near, *far]
 
     def _send(self, nodes: list[Neighbour]) -> None:
-        data: dict[bool, bytes] = {}
-        here = self._neighbours.me.data_centre
+        data: dict[Standing, bytes] = {}
+        now = self._loop.time()
         for node in nodes:
-            near = node.data_centre == here
-            if near not in data:
-                data[near] = self._encoder.encode(self._beat(near))
-            self._send_to(node.gossip, data[near])
+            standing = self._neighbours.standing(node, now)
+            if standing not in data:
+                data[standing] = self._encoder.encode(self._beat(standing))
+            self._send_to(node.gossip, data[standing])
 
     def _send_to(self, address: str, data: bytes) -> None:
         if self._transport is None:
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -10,23 +10,27 @@
 from fielddrift_core.neighbours import Neighbours
 from fielddrift_core.prompt import Part
 from fielddrift_core.readers import reader
-from fielddrift_core.shelf import StoreView
+from fielddrift_core.shelf import KeptChange, StoreView
 
 from .kept import salt_of
 from .metrics import Metrics
 from .ports import OutOfReach, TargetDialect
-from .sharing import Peers
+from .sharing import KeptAsk, KeptCopy, Peers
 from .views import FETCH_SECONDS, Views
 
 __all__ = ["Keeper"]
 
 _WAIT_SECONDS = 1.0
 _PAUSE_SECONDS = 0.25
-"""Rest between event calls: each carries what happened meanwhile."""
+"""Rest between event calls, and between copies: each carries what happened meanwhile."""
 _OLD_SECONDS = 2.5
-"""Age at which another node's view is too old to rely on: it missed two event calls."""
+"""Age at which the listener's view is too old to rely on: it missed two event calls."""
 _REST_SECONDS = 0.5
-_LOOK_SECONDS = 0.5
+_STILL_LOAD = 3.0
+"""Requests a second from which a node that stands by follows the stores: callers use
+an old answer for some seconds; the operators' own checks are one or two a second."""
+_LISTENER_KEY = "stores"
+"""What a data centre's listener is chosen for: one node hears all store hosts."""
 _FREE_AFTER_SECONDS = FETCH_SECONDS + 3.0
 """Parts of older weights are freed when the last fetch of them is surely over."""
 _FREED_AT_ONCE = 200
@@ -54,26 +58,71 @@
         self._peers = peers
         self._rng = rng
         self._loops: dict[str, asyncio.Task[None]] = {}
+        self._listener = ""
+        self._missing: dict[str, float] = {}
+        """Since when the listener has told nothing of a store."""
         self._wake = asyncio.Event()
 
     def look(self) -> None:
-        """Look at once which stores the catalog names."""
+        """Look at once which stores the catalog names, and who listens to them."""
         self._wake.set()
 
     async def run(self) -> None:
-        """Follow every store of the catalog until cancelled."""
+        """Follow every store of the catalog while this node is active, until cancelled."""
+        loop = asyncio.get_running_loop()
         try:
             while True:
                 self._wake.clear()
-                self._match()
+                self._views.shelf.expire(loop.time())
+                if self._takes_requests(loop.time()):
+                    self._listen(self._copied_elsewhere(loop.time()))
+                    await self._copy(loop.time())
+                else:
+                    self._stand_by()
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._wake.wait(), _LOOK_SECONDS)
+                    await asyncio.wait_for(self._wake.wait(), _PAUSE_SECONDS)
         finally:
-            for task in self._loops.values():
-                task.cancel()
+            self._listen_to({})
 
-    def _match(self) -> None:
-        wanted = {view.traits.address: view for view in self._views.shelf.views}
+    def _takes_requests(self, now: float) -> bool:
+        """Return whether callers come here: because they are sent, or still."""
+        active = self._neighbours.is_active(now)
+        return active or self._views.load.value(now) >= _STILL_LOAD
+
+    def _stand_by(self) -> None:
+        """Follow nothing: a node that takes no requests needs no view."""
+        self._listen_to({})
+        self._missing.clear()
+        for view in self._views.shelf.views:
+            view.unknown()
+            view.heard_at = float("-inf")
+
+    # --- who listens ------------------------------------------------------------
+
+    def _copied_elsewhere(self, now: float) -> set[str]:
+        """Return the stores that another node listens to for this one."""
+        marks = self._neighbours.kept(now)
+        me = [self._neighbours.me.name] if self._neighbours.is_active(now) or not marks else []
+        self._listener = reader(_LISTENER_KEY, [*me, *marks])
+        if self._listener == self._neighbours.me.name:
+            return set()
+        heard = marks[self._listener]
+        copied = set()
+        for view in self._views.shelf.views:
+            store = view.traits.address
+            if store in heard and heard[store].age <= _OLD_SECONDS:
+                self._missing.pop(store, None)
+                copied.add(store)
+            elif now - self._missing.setdefault(store, now) <= _OLD_SECONDS:
+                # A listener that was just chosen needs a moment to hear the store.
+                copied.add(store)
+        return copied
+
+    def _listen(self, copied: set[str]) -> None:
+        views = {view.traits.address: view for view in self._views.shelf.views}
+        self._listen_to({store: view for store, view in views.items() if store not in copied})
+
+    def _listen_to(self, wanted: dict[str, StoreView]) -> None:
         for address in [a for a in self._loops if a not in wanted]:
             self._loops.pop(address).cancel()
         for address, view in wanted.items():
@@ -83,14 +132,11 @@
                 _log.error("store loop failed", store=address, error=repr(loop.exception()))
             if loop is None or loop.done():
                 self._loops[address] = asyncio.ensure_future(self._follow(view))
-        self._views.shelf.expire(asyncio.get_running_loop().time())
 
     async def _follow(self, view: StoreView) -> None:
         lost = False
         while True:
             try:
-                if await self._copied(view):
-                    continue
                 if not view.known:
                     await self._list(view)
                 await self._hear(view)
@@ -108,31 +154,40 @@
                 view.unknown()
                 await asyncio.sleep(self._rng.uniform(_REST_SECONDS / 2, _REST_SECONDS))
 
-    async def _copied(self, view: StoreView) -> bool:
-        """Have the view from the node that listens for this data centre; False to listen."""
-        now = asyncio.get_running_loop().time()
-        store = view.traits.address
-        marks = self._neighbours.kept(store, now)
-        chosen = reader(store, [self._neighbours.me.name, *marks])
-        node = self._neighbours.node(chosen)
-        if node is None or marks[chosen].age > _OLD_SECONDS:
-            return False
-        view.heard_at = float("-inf")
-        mark = marks[chosen]
-        if (view.life, view.following) == (mark.life, mark.following):
-            await asyncio.sleep(_PAUSE_SECONDS / 2)
-            return True
+    async def _copy(self, now: float) -> None:
+        """Have what changed from the node that listens for this data centre."""
+        node = self._neighbours.node(self._listener)
+        marks = self._neighbours.kept(now).get(self._listener, {})
+        asked = []
+        for view in self._views.shelf.views:
+            store = view.traits.address
+            mark = marks.get(store)
+            if node is None or mark is None or store in self._loops:
+                continue
+            view.heard_at = float("-inf")
+            if (view.life, view.following) != (mark.life, mark.following):
+                asked.append(KeptAsk(store, view.life, view.following))
+        if node is None or not asked:
+            return
         try:
-            copy = await self._peers.kept(node, store)
+            copies = await self._peers.kept(node, asked)
         except OutOfReach as error:
-            _log.info("reader not reached", reader=chosen, store=store, error=str(error))
-            return False
-        if copy.life is None:
-            return False
-        view.listed(copy.life, copy.following, copy.held)
+            _log.info("reader not reached", reader=node.name, error=str(error))
+            return
+        for copy in copies:
+            self._take(copy)
+
+    def _take(self, copy: KeptCopy) -> None:
+        view = self._views.shelf.view(copy.store)
+        if view is None or copy.store in self._loops:
+            return
+        if copy.held is not None:
+            view.listed(copy.life, copy.following, copy.held)
+        elif not all(view.take(change) for change in copy.changes):
+            view.unknown()
         self._views.heard_clock(copy.clock, asyncio.get_running_loop().time())
-        await asyncio.sleep(_PAUSE_SECONDS)
-        return True
+
+    # --- one store --------------------------------------------------------------
 
     async def _list(self, view: StoreView) -> None:
         listed = await self._targets.kept_list(view.traits)
@@ -165,11 +220,13 @@
             )
             view.unknown()
             return
-        for held in events.added:
-            view.add(held.salt, held.id, held.tokens)
-        for held in events.dropped:
-            view.drop(held.salt, held.id)
-        view.following = events.following
+        change = KeptChange(
+            since=view.following,
+            following=events.following,
+            added=tuple((held.salt, held.id, held.tokens) for held in events.added),
+            dropped=tuple((held.salt, held.id) for held in events.dropped),
+        )
+        view.take(change)
         view.heard_at = now
         self._views.heard_clock(events.clock, now)
 
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import structlog
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, entry_addresses
+from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, Standing
 from fielddrift_core.workload import Burden
 
 from ..web.client import Client
@@ -20,7 +20,7 @@
 from .duty import Duty
 from .feeds import READER_KEY, OperatorFeed, TargetFeed, reader_of
 from .gateway import Gateway
-from .gossip import Gossip
+from .gossip import Gossip, Reach
 from .keeper import Keeper
 from .metrics import Metrics, MetricsDoor
 from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
@@ -81,6 +81,7 @@
         self._views = Views()
         self._metrics = Metrics()
         self._leaving = False
+        self._active: bool | None = None
         self._boot = time.time_ns() // 1_000_000
         gossip_address = f"{settings.host}:{settings.gossip_port}"
         me = Neighbour(
@@ -90,6 +91,7 @@
             entry=settings.entry,
             gossip=gossip_address,
             peer=settings.peer,
+            capacity=settings.capacity,
         )
         self._neighbours = Neighbours(me=me)
         self._gossip = Gossip(neighbours=self._neighbours, beat=self._beat, heard=self._heard)
@@ -133,7 +135,7 @@
             duty=duty,
             weights_seconds=settings.bounds.weights,
             metrics=self._metrics,
-            announce=lambda: self._gossip.changed(everywhere=True),
+            announce=lambda: self._gossip.changed(Reach.EVERYWHERE),
         )
         tools = Tools(
             settings=settings,
@@ -144,13 +146,15 @@
             budgets={},
             rng=rng,
             metrics=self._metrics,
-            told=self._gossip.changed,
+            told=self._gossip.sends_changed,
         )
         self._front = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
         door = EntryDoor(
             dialect=dialects.entry,
-            addresses=self._addresses,
-            ready=lambda: self._views.ready and not self._leaving,
+            addresses=lambda data_centre: self._neighbours.addresses(
+                data_centre, asyncio.get_running_loop().time()
+            ),
+            ready=lambda: self._serving,
             keep=min(_ENTRY_KEEP_SECONDS, settings.bounds.entry_keep),
         )
         self._doors = Server(handler=door.handle, limits=Limits)
@@ -165,6 +169,10 @@
         """Return what the node believes."""
         return self._views
 
+    @property
+    def _serving(self) -> bool:
+        return self._views.ready and not self._leaving
+
     # --- life -----------------------------------------------------------------
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -210,6 +218,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         self._leaving = True
+        self._report()
         self._front.leave()
         self._gossip.say_now()
         _log.info("leaving", busy=self._front.busy)
@@ -278,9 +287,22 @@
                 self._views.stale.set()
                 self._operators.again()
                 self._targets.again()
-            self._views.nodes = 1 + len(self._neighbours.alive(loop.time()))
+            self._report()
+            self._views.nodes = self._neighbours.sharing(loop.time())
+            self._note_role(loop.time())
             self._gauge(loop.time())
 
+    def _report(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._neighbours.report(serving=self._serving, load=self._views.load.value(now))
+
+    def _note_role(self, now: float) -> None:
+        active = self._neighbours.is_active(now)
+        if active is not self._active:
+            self._active = active
+            _log.info("active" if active else "standing by", nodes=self._views.nodes)
+            self._keeper.look()
+
     def _gauge(self, now: float) -> None:
         views, metrics = self._views, self._metrics
         metrics.catalog.set(0 if views.catalog is None else views.catalog.version)
@@ -290,12 +312,16 @@
         metrics.targets_age.set(min(now - views.targets_at, _OLDEST_AGE_SECONDS))
 
     async def _free(self) -> None:
-        """Free what is outdated, from the first node of the list only."""
+        """Free what is outdated, from the first active node only."""
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_FREE_SECONDS)
-            others = [node.name for node in self._neighbours.serving(loop.time())]
-            if self._leaving or any(name < self._settings.name for name in others):
+            now = loop.time()
+            others = [node.name for node in self._neighbours.active_everywhere(now)]
+            first = self._neighbours.is_active(now) and self._settings.name < min(
+                others, default="~"
+            )
+            if self._leaving or not first:
                 continue
             try:
                 await self._keeper.free_outdated()
@@ -305,30 +331,39 @@
     # --- what is told and heard ---------------------------------------------------
 
     def _operators_changed(self) -> None:
+        self._report()
         self._keeper.look()
         self._gossip.changed()
 
-    def _beat(self, near: bool) -> Beat:
+    def _beat(self, standing: Standing) -> Beat:
         views = self._views
         now = asyncio.get_running_loop().time()
-        loading = {name: until - now for name, until in views.loading.items() if until > now}
-        return Beat(
+        beat = Beat(
             node=self._neighbours.me,
             ready=views.ready,
             leaving=self._leaving,
+            active=self._neighbours.is_active(now),
+            load=views.load.value(now),
+            period=self._neighbours.period(standing, now),
             catalog=0 if views.catalog is None else views.catalog.version,
             named=dict(views.named),
-            burdens=views.workload.own(),
+            named_ages={model: now - at for model, at in views.named_at.items()},
+            reading=views.reading(now),
             left=tuple(sorted(views.roster.leaving()))[:8],
+            burdens={},
+        )
+        if not standing.theirs:
+            return beat
+        loading = {name: until - now for name, until in views.loading.items() if until > now}
+        beat = beat._replace(
+            burdens=views.workload.own(),
             loading=loading,
             weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
-            reading=views.reading(now),
-            named_ages={model: now - at for model, at in views.named_at.items()},
-            kept=views.shelf.marks(now) if near else {},
-            periods=self._neighbours.periods(now),
             moves=views.links.own(now),
-            lateness=views.lateness.known(now) if near else {},
         )
+        if not standing.near:
+            return beat
+        return beat._replace(kept=views.shelf.marks(now), lateness=views.lateness.known(now))
 
     def _heard(self, beat: Beat) -> None:
         views = self._views
@@ -362,12 +397,6 @@
         if mine and (beat.catalog > known or newer):
             self._operators.again()
 
-    def _addresses(self, data_centre: str) -> list[str]:
-        nodes = self._neighbours.serving(asyncio.get_running_loop().time())
-        if self._views.ready and not self._leaving:
-            nodes.append(self._neighbours.me)
-        return entry_addresses(nodes, data_centre=data_centre)
-
     def _limits(self) -> Limits:
         catalog = self._views.catalog
         if catalog is None:
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -21,6 +21,9 @@
 _LOOK_SECONDS = 0.1
 _STAND_IN_SECONDS = 2.5
 """How long each node in line waits for those before it to do the work."""
+_MOST_BEFORE_STANDBY = 2
+"""Active nodes for which one that stands by waits: each is given `_STAND_IN_SECONDS`,
+and new weights have some ten seconds."""
 _ANNOUNCED_SECONDS = 1.0
 """How long an announcement that an engine loads is believed without another."""
 _ANNOUNCE_LEAD = 0.03
@@ -109,10 +112,18 @@
             self._begin(item, now)
 
     def _place(self) -> int:
-        """Return this node's place in the line of those that may do the work."""
-        loop = asyncio.get_running_loop()
-        names = [node.name for node in self._neighbours.serving(loop.time())]
-        return sum(name < self._neighbours.me.name for name in names)
+        """Return this node's place in the line of those that may do the work.
+
+        The active nodes come first, in one line for all data centres; a node that
+        stands by hears little of the others, so it counts those of its own only.
+        """
+        now = asyncio.get_running_loop().time()
+        me = self._neighbours.me.name
+        active = [node.name for node in self._neighbours.active_everywhere(now)]
+        if self._neighbours.is_active(now):
+            return sum(name < me for name in active)
+        before = sum(n.name < me and n.name not in active for n in self._neighbours.near(now))
+        return min(len(active), _MOST_BEFORE_STANDBY) + before
 
     def _work(self) -> list[_Work]:
         views = self._views
--- a/packages/node/src/fielddrift_node/serving/settings.py
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -32,7 +32,10 @@
 
 
 class NodeSettings(NamedTuple):
-    """Where a node is and listens.  Addresses are IP:PORT."""
+    """Where a node is and listens.  Addresses are IP:PORT.
+
+    `capacity` is the requests a second that its host carries.
+    """
 
     name: str
     host: str
@@ -46,3 +49,4 @@
     metrics: str
     seeds: tuple[str, ...]
     bounds: Bounds
+    capacity: float = 1.0
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -7,15 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, TypeVar
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, urlencode
 
 import msgspec
 import structlog
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.roster import Instance
+from fielddrift_core.shelf import KeptChange
 
 from ..web.client import Client, ExchangeError, Timeouts
 from ..web.messages import Headers
@@ -23,7 +24,7 @@
 from .ports import OutOfReach
 from .views import Views
 
-__all__ = ["KeptCopy", "OperatorCopy", "PeerDoor", "Peers", "TargetCopy"]
+__all__ = ["KeptAsk", "KeptCopy", "OperatorCopy", "PeerDoor", "Peers", "TargetCopy"]
 
 _FETCH = Timeouts(connect=0.2, whole=0.5)
 """A fetch within a data centre takes some ms."""
@@ -48,16 +49,27 @@
     serial: int
 
 
+class KeptAsk(NamedTuple):
+    """How far a node has copied a store host; `life` None when it has nothing."""
+
+    store: str
+    life: int | None
+    following: int
+
+
 class KeptCopy(NamedTuple):
-    """What a node has of one store host: (salt, part, tokens) of each kept part.
+    """What a node has of a store host: `changes` since the number asked from.
 
-    `clock` is the engines' clock in ms when the answer was given.
+    `held` is everything, as (salt, part, tokens), where the changes are not
+    known; else None.  `clock` is the engines' clock in ms when it was given.
     """
 
-    life: int | None
+    store: str
+    life: int
     following: int
-    held: tuple[tuple[str, str, int], ...]
     clock: int | None
+    changes: tuple[KeptChange, ...] = ()
+    held: tuple[tuple[str, str, int], ...] | None = None
 
 
 class PeerDoor:
@@ -65,7 +77,7 @@
 
     def __init__(self, *, views: Views) -> None:
         self._views = views
-        self._answers: dict[str, Callable[[str], object | None]] = {
+        self._answers: dict[str, Callable[[list[str]], object]] = {
             "/views/operators": self._operators,
             "/views/targets": self._targets,
             "/views/kept": self._kept,
@@ -75,28 +87,53 @@
         """Answer one question."""
         path, _, query = request.head.target.decode("latin-1").partition("?")
         answer = self._answers.get(path)
-        found = answer(parse_qs(query).get("of", [""])[0]) if answer is not None else None
-        if found is None:
-            responder.send(404, Headers(), b"")
+        if answer is None:
+            responder.send(404, Headers(), f"{path}: no such view".encode())
+            return
+        try:
+            found = answer(parse_qs(query).get("of", []))
+        except ValueError as error:
+            responder.send(400, Headers(), str(error).encode())
             return
         responder.send(200, Headers(), msgspec.msgpack.encode(found))
 
-    def _operators(self, _: str) -> OperatorCopy:
+    def _operators(self, _: list[str]) -> OperatorCopy:
         views = self._views
         return OperatorCopy(views.catalog, dict(views.named), views.operators_row)
 
-    def _targets(self, _: str) -> TargetCopy:
+    def _targets(self, _: list[str]) -> TargetCopy:
         roster = self._views.roster
         leaving = tuple(roster.leaving())
         return TargetCopy(tuple(roster.all()), leaving, self._views.targets_row, roster.serial)
 
-    def _kept(self, store: str) -> KeptCopy | None:
-        view = self._views.shelf.view(store)
-        if view is None:
+    def _kept(self, asked: list[str]) -> list[KeptCopy]:
+        clock = self._views.until(asyncio.get_running_loop().time())
+        copies = [self._kept_copy(_kept_ask(text), clock) for text in asked]
+        return [copy for copy in copies if copy is not None]
+
+    def _kept_copy(self, ask: KeptAsk, clock: int | None) -> KeptCopy | None:
+        view = self._views.shelf.view(ask.store)
+        if view is None or view.life is None:
             return None
+        copy = KeptCopy(ask.store, view.life, view.following, clock)
+        changes = view.changes(ask.following) if ask.life == view.life else None
+        if changes is not None:
+            return copy._replace(changes=changes)
         held = tuple((salt, part, tokens) for (salt, part), tokens in view.held.items())
-        clock = self._views.until(asyncio.get_running_loop().time())
-        return KeptCopy(view.life, view.following, held, clock)
+        return copy._replace(held=held)
+
+
+def _kept_ask(text: str) -> KeptAsk:
+    """Return the question in `text`; raise `ValueError` when it is none."""
+    fields = text.split("/")
+    if len(fields) != 3:
+        raise ValueError(f"{text!r}: expected STORE/LIFE/NUMBER")
+    store, life, following = fields
+    return KeptAsk(store, int(life) if life else None, int(following))
+
+
+def _kept_text(ask: KeptAsk) -> str:
+    return f"{ask.store}/{'' if ask.life is None else ask.life}/{ask.following}"
 
 
 class Peers:
@@ -113,9 +150,10 @@
         """Return what `node` has of the targets."""
         return await self._get(node, "/views/targets", TargetCopy)
 
-    async def kept(self, node: Neighbour, store: str) -> KeptCopy:
-        """Return what `node` has of a store host."""
-        return await self._get(node, f"/views/kept?of={store}", KeptCopy)
+    async def kept(self, node: Neighbour, asked: Sequence[KeptAsk]) -> list[KeptCopy]:
+        """Return what `node` has of the store hosts that are asked for, as far as it knows."""
+        query = urlencode([("of", _kept_text(ask)) for ask in asked])
+        return await self._get(node, f"/views/kept?{query}", list[KeptCopy])
 
     async def _get(self, node: Neighbour, path: str, kind: type[_T]) -> _T:
         request = f"GET {path} HTTP/1.1\r\nHost: {node.peer}\r\n\r\n".encode("ascii")
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -11,7 +11,7 @@
 from fielddrift_core.readers import Reading
 from fielddrift_core.roster import Roster
 from fielddrift_core.shelf import Shelf
-from fielddrift_core.workload import Lateness, TargetHealth, Workload
+from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
 from .ports import NamedWeights
 
@@ -50,6 +50,9 @@
         self.stale = asyncio.Event()
         """Set while this process woke from a pause and has not read anew."""
         self.nodes = 1
+        """Nodes among which what all of them may do is shared out."""
+        self.load = PeakRate()
+        """Callers' requests that this node takes."""
         self._refreshed = asyncio.Event()
         self._clock: tuple[int, float] | None = None
 
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -4,20 +4,23 @@
 
 import random
 import unittest
+from typing import ClassVar
 
+from fielddrift_core.active import Candidate, active_names
 from fielddrift_core.catalog import EngineTraits, StoreTraits
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, Periods, entry_addresses
+from fielddrift_core.names import rank
+from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, Standing
 from fielddrift_core.placement import EngineSight, Holder, choose_engine, recall
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.readers import Reading, source
 from fielddrift_core.retries import WindowBudget
 from fielddrift_core.rollout import DutyRow, EngineWeights, StoreClock, may_take, next_loads
 from fielddrift_core.roster import RESPITE_SECONDS, Instance, Roster
-from fielddrift_core.shelf import Shelf
+from fielddrift_core.shelf import KeptChange, Shelf, StoreView
 from fielddrift_core.stream import EventCutter
-from fielddrift_core.workload import Burden, Lateness, TargetHealth, Workload
+from fielddrift_core.workload import Burden, Lateness, PeakRate, TargetHealth, Workload
 from fielddrift_node.serving.ports import NamedWeights
 from fielddrift_node.serving.views import Views
 from hypothesis import given, settings
@@ -140,42 +143,191 @@
         readers = set()
         for name in names:
             others = {n: r for n, r in fresh.items() if n != name}
-            readers.add(source(name, "platform", others).name or name)
+            readers.add(source(name, "platform", others, active=names).name or name)
         self.assertEqual(len(readers), 1)
         (reader,) = readers
         old = {n: Reading(age=5.0) for n in names}
         for name in names:
             others = {n: r for n, r in old.items() if n != name}
-            self.assertEqual(source(name, "platform", others).name, "", reader)
+            self.assertEqual(source(name, "platform", others, active=names).name, "", reader)
+
+    def test_where_the_reader_is_cut_off_the_next_one_reads_for_the_others(self) -> None:
+        names = ["n1", "n2", "n3", "n4"]
+        active = names[:3]
+        order = rank("platform", [(name, 1.0) for name in active])
+        ages = {order[0]: 3.0, order[1]: 0.1, order[2]: 0.4, "n4": 0.4}
+        found = {}
+        for name in names:
+            others = {n: Reading(age=age) for n, age in ages.items() if n != name}
+            found[name] = source(name, "platform", others, active=active).name
+        self.assertEqual(found, {order[0]: "", order[1]: "", order[2]: order[1], "n4": order[1]})
+
+    def test_a_node_that_stands_by_never_reads_for_others_and_waits_longer(self) -> None:
+        late = {"n1": Reading(age=1.5), "n2": Reading(age=1.6)}
+        self.assertEqual(source("n3", "k", late, active=["n1", "n2"]).name, "n1")
+        lost = {"n1": Reading(age=2.5), "n2": Reading(age=2.6)}
+        self.assertEqual(source("n3", "k", lost, active=["n1", "n2"]).name, "")
 
 
 class TestNeighbours(unittest.TestCase):
     def setUp(self) -> None:
         self.view = Neighbours(me=neighbour("me"))
 
+    def _addresses(self, now: float, data_centre: str = "a") -> list[str]:
+        return self.view.addresses(data_centre, now)
+
     def test_a_silent_node_leaves_the_answers_and_a_heard_one_returns(self) -> None:
         self.view.hear(beat(neighbour("n1")), 0.0)
-        self.assertEqual([n.name for n in self.view.serving(0.5)], ["n1"])
-        self.assertEqual(self.view.serving(2.0), [])
+        self.assertEqual(self._addresses(0.5), ["n1:80"])
+        self.assertEqual(self._addresses(2.0), [])
         self.view.hear(beat(neighbour("n1")), 2.0)
-        self.assertEqual(len(self.view.serving(2.1)), 1)
+        self.assertEqual(len(self._addresses(2.1)), 1)
+
+    def test_a_leaving_node_leaves_the_answers_at_once(self) -> None:
+        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.assertEqual(len(self._addresses(0.01)), 1)
+        self.view.hear(beat(neighbour("n1"), leaving=True), 0.02)
+        self.assertEqual(self._addresses(0.03), [])
+        self.view.report(serving=True, load=0.0)
+        self.assertEqual(self._addresses(0.04), ["me:80"])
+        self.view.report(serving=False, load=0.0)
+        self.assertEqual(self._addresses(0.05), [])
 
     def test_a_beat_of_an_earlier_life_is_ignored(self) -> None:
         self.view.hear(beat(neighbour("n1", boot=2)), 0.0)
         self.view.hear(beat(neighbour("n1", boot=1), leaving=True), 0.1)
-        self.assertEqual(len(self.view.serving(0.2)), 1)
+        self.assertEqual(len(self._addresses(0.2)), 1)
 
     def test_callers_are_sent_to_their_own_data_centre_first(self) -> None:
-        nodes = [neighbour("n1", "a"), neighbour("n2", "b")]
-        self.assertEqual(entry_addresses(nodes, data_centre="b"), ["n2:80"])
-        self.assertEqual(entry_addresses(nodes, data_centre="c"), ["n1:80", "n2:80"])
+        self.view.hear(beat(neighbour("n1", "a")), 0.0)
+        self.view.hear(beat(neighbour("n2", "b")), 0.0)
+        self.assertEqual(self._addresses(0.1, "b"), ["n2:80"])
+        self.assertEqual(self._addresses(0.1, "c"), ["n1:80", "n2:80"])
 
     def test_beats_a_second_do_not_grow_without_bound(self) -> None:
         for number in range(200):
-            many = beat(neighbour(f"n{number}"))._replace(periods=Periods(3.0, 3.0))
+            many = beat(neighbour(f"n{number}"))._replace(period=3.0)
             self.view.hear(many, 0.0)
-        sent = sum(len(self.view.due(tick / 20)) for tick in range(20))
-        self.assertLessEqual(sent, 200)
+        self.assertEqual(len(self.view.due(0.0)), 200)
+        sent = sum(len(self.view.due(tick / 20)) for tick in range(1, 41))
+        self.assertLessEqual(sent, 150)
+
+    def test_a_longer_period_is_told_at_once(self) -> None:
+        self.view.report(serving=True, load=0.0)
+        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.assertEqual(len(self.view.due(0.0)), 1)
+        self.assertEqual(self.view.due(0.05), [])
+        self.view.report(serving=False, load=0.0)
+        self.assertEqual(len(self.view.due(0.06)), 1)
+
+
+class TestActive(unittest.TestCase):
+    """Which hosts are active, and what a host that stands by believes."""
+
+    HOSTS: ClassVar = [Candidate(f"small-{n}", 40.0) for n in range(20)]
+    LARGE: ClassVar = [Candidate(f"large-{n}", 500.0) for n in range(2)]
+
+    def test_large_hosts_come_first_and_three_at_least(self) -> None:
+        chosen = active_names([*self.HOSTS, *self.LARGE])
+        self.assertTrue({"large-0", "large-1"} <= chosen)
+        self.assertEqual(len(chosen), 4)
+        self.assertEqual(len(active_names(self.HOSTS[:2])), 2)
+
+    def test_more_hosts_become_active_as_the_load_grows(self) -> None:
+        loaded = [host._replace(load=10.0) for host in self.HOSTS]
+        chosen = active_names(loaded)
+        self.assertEqual(len(chosen), 15)
+        self.assertTrue(active_names(self.HOSTS) <= chosen)
+
+    @given(st.integers(0, 19))
+    @settings(max_examples=20, derandomize=True, deadline=None)
+    def test_a_host_that_goes_changes_at_most_one_place(self, gone: int) -> None:
+        before = active_names(self.HOSTS)
+        after = active_names([host for n, host in enumerate(self.HOSTS) if n != gone])
+        self.assertLessEqual(len(before - after), 1)
+        self.assertLessEqual(len(after - before), 1)
+
+    def _view(self, names: list[str]) -> Neighbours:
+        view = Neighbours(me=neighbour("n0"))
+        view.report(serving=True, load=0.0)
+        for name in names:
+            view.hear(beat(neighbour(name))._replace(period=0.25), 0.0)
+        return view
+
+    def test_a_host_that_stands_by_takes_the_place_of_one_that_fell_silent(self) -> None:
+        names = [f"n{number}" for number in range(1, 9)]
+        view = self._view(names)
+        chosen = view.active(0.1)
+        self.assertEqual(len(chosen), 3)
+        silent = min(chosen - {"n0"})
+        for name in names:
+            if name != silent:
+                view.hear(beat(neighbour(name))._replace(period=0.25), 1.2)
+        after = view.active(1.5)
+        self.assertNotIn(silent, after)
+        self.assertEqual(len(after), 3)
+        self.assertTrue(chosen - {silent} <= after)
+
+    def test_what_all_may_do_is_shared_out_with_room_for_those_that_step_in(self) -> None:
+        view = self._view([f"n{number}" for number in range(1, 9)])
+        self.assertEqual(view.sharing(0.1), 6)
+        self.assertEqual(self._view(["n1"]).sharing(0.1), 2)
+        self.assertEqual(self._view([]).sharing(0.1), 1)
+
+    def test_nodes_that_stand_by_beat_seldom_and_say_so(self) -> None:
+        view = self._view([f"n{number}" for number in range(1, 30)])
+        both = view.period(Standing(near=True, mine=True, theirs=True), 0.1)
+        none = view.period(Standing(near=True, mine=False, theirs=False), 0.1)
+        self.assertLess(both, 0.2)
+        self.assertGreaterEqual(none, 3.0)
+
+    def test_a_peak_counts_for_some_seconds(self) -> None:
+        rate = PeakRate()
+        for _ in range(7):
+            rate.add(100.2)
+        rate.add(101.5)
+        self.assertEqual(rate.value(105.0), 7.0)
+        self.assertEqual(rate.value(111.2), 1.0)
+        self.assertEqual(rate.value(120.0), 0.0)
+
+
+class TestKeptChanges(unittest.TestCase):
+    """Nodes copy what changed at a store from the one that listens to it."""
+
+    def setUp(self) -> None:
+        self.listener = StoreView(traits=SLOW)
+        self.listener.listed(7, 10, [("s", "aa", 100)])
+
+    def _hear(self, since: int, following: int, part: str) -> None:
+        change = KeptChange(since, following, (("s", part, 50),), ())
+        self.assertTrue(self.listener.take(change))
+
+    def test_a_copy_takes_the_changes_it_lacks(self) -> None:
+        copy = StoreView(traits=SLOW)
+        copy.listed(7, 10, [("s", "aa", 100)])
+        self._hear(10, 12, "bb")
+        self._hear(12, 15, "cc")
+        changes = self.listener.changes(copy.following)
+        assert changes is not None
+        for change in changes:
+            self.assertTrue(copy.take(change))
+        self.assertEqual((copy.held, copy.used), (self.listener.held, self.listener.used))
+        self.assertEqual(self.listener.changes(15), ())
+
+    def test_a_copy_with_a_gap_is_told_that_changes_are_not_known(self) -> None:
+        self._hear(10, 12, "bb")
+        self.assertIsNone(self.listener.changes(9))
+        self.assertIsNone(self.listener.changes(11))
+        copy = StoreView(traits=SLOW)
+        copy.listed(7, 9, [])
+        self.assertFalse(copy.take(KeptChange(10, 12, (), (("s", "aa"),))))
+        self.assertEqual((copy.following, copy.held), (9, {}))
+
+    def test_old_changes_are_forgotten_not_invented(self) -> None:
+        for number in range(10, 500):
+            self._hear(number, number + 1, f"p{number}")
+        self.assertIsNone(self.listener.changes(10))
+        self.assertEqual(len(self.listener.changes(499) or ()), 1)
 
 
 class TestPlacement(unittest.TestCase):
