Let nodes that stand by listen to nothing and look seldom

Change: a node is not active before it had time to hear the others; one that stands by only copies what an active node has. Its loops wake by news, not by looking twenty times a second; it beats to active nodes once a second.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -25,18 +25,6 @@
     "Standing",
 ]
 
-_PERIODS = {
-    # (near, how many of the two nodes are active): seconds between beats.
-    (True, 2): 0.15,
-    (True, 1): 0.25,
-    (True, 0): 3.0,
-    (False, 2): 0.3,
-    (False, 1): 3.0,
-    (False, 0): 10.0,
-}
-"""Two active nodes need each other's sends while these are under way, some 0.3 s.  A
-node that stands by has to notice within about a second that an active one is gone, for
-it answers callers that ask for addresses; others matter to it only once it is active."""
 _BEAT_COST_SECONDS = 0.015
 """Time between beats for each node that gets them: a node sends at most some
 seventy a second to either kind of neighbour, however many there are."""
@@ -48,7 +36,7 @@
 _SILENT_BEAT_SECONDS = 5.0
 _MOST_ADDRESSES = 64
 """Callers take no more addresses from one answer."""
-_SETTLED_SECONDS = 0.1
+_CHOSEN_SECONDS = 0.1
 """How long the choice of the active nodes is kept: it costs a sort of all."""
 _DUE_PART = 0.9
 """Part of a period after which a beat is due: the loop that looks runs in steps."""
@@ -88,6 +76,23 @@
     theirs: bool
 
 
+_PERIODS = {
+    Standing(near=True, mine=True, theirs=True): 0.15,
+    Standing(near=True, mine=True, theirs=False): 0.25,
+    Standing(near=True, mine=False, theirs=True): 1.0,
+    Standing(near=True, mine=False, theirs=False): 3.0,
+    Standing(near=False, mine=True, theirs=True): 0.3,
+    Standing(near=False, mine=True, theirs=False): 3.0,
+    Standing(near=False, mine=False, theirs=True): 5.0,
+    Standing(near=False, mine=False, theirs=False): 10.0,
+}
+"""Seconds between beats.  Two active nodes need each other's sends while these are
+under way, some 0.3 s.  A node that stands by has to notice within about a second that
+an active one is gone, for it answers callers that ask for addresses; others matter to
+it only once it is active."""
+_SHORTEST = 0.15
+
+
 class Beat(NamedTuple):
     """What a node tells the others with each beat.
 
@@ -113,7 +118,7 @@
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
     named_ages: Mapping[str, float] = {}
-    period: float = _PERIODS[(True, 2)]
+    period: float = _SHORTEST
     active: bool = True
     load: float = 0.0
     kept: Mapping[str, KeptMark] = {}
@@ -128,7 +133,7 @@
     leaving: bool = False
     active: bool = False
     load: float = 0.0
-    period: float = _PERIODS[(False, 0)]
+    period: float = 10.0
     reading: Reading = Reading()
     kept: Mapping[str, KeptMark] = {}
 
@@ -154,21 +159,26 @@
         self._heard: dict[str, _Heard] = {}
         self._sent: dict[str, _Sent] = {}
         self._serving = False
+        self._settled = False
         self._load = 0.0
         self._active: frozenset[str] = frozenset()
         self._periods: dict[Standing, float] = {}
-        self._settled_at = float("-inf")
+        self._chosen_at = float("-inf")
 
     @property
     def me(self) -> Neighbour:
         """Return this node."""
         return self._me
 
-    def report(self, *, serving: bool, load: float) -> None:
-        """Take whether this node can serve, and its requests a second."""
-        if serving != self._serving:
-            self._settled_at = float("-inf")
+    def report(self, *, serving: bool, load: float, settled: bool = True) -> None:
+        """Take whether this node can serve, and its requests a second.
+
+        Until it has `settled`, it has not heard the others and is not active.
+        """
+        if (serving, settled) != (self._serving, self._settled):
+            self._chosen_at = float("-inf")
         self._serving = serving
+        self._settled = settled
         self._load = load
 
     # --- hearing ----------------------------------------------------------------
@@ -200,7 +210,7 @@
         )
         self._heard[node.name] = heard
         if known is None or known.serves != heard.serves:
-            self._settled_at = float("-inf")
+            self._chosen_at = float("-inf")
         return known is None or known.node.boot != node.boot
 
     def node(self, name: str) -> Neighbour | None:
@@ -212,7 +222,7 @@
 
     def active(self, now: float) -> frozenset[str]:
         """Return the names of the active nodes of this data centre."""
-        self._settle(now)
+        self._choose(now)
         return self._active
 
     def is_active(self, now: float) -> bool:
@@ -224,7 +234,7 @@
 
         Those of other data centres are the ones that say so themselves.
         """
-        self._settle(now)
+        self._choose(now)
         return [
             heard.node
             for _, heard in sorted(self._heard.items())
@@ -260,7 +270,7 @@
         for name, heard in self._heard.items():
             if self._near(heard) and heard.serves and heard.lives(now):
                 yield Candidate(name, heard.node.capacity, heard.load)
-        if self._serving:
+        if self._serving and self._settled:
             yield Candidate(self._me.name, self._me.capacity, self._load)
 
     def _is_active(self, heard: _Heard) -> bool:
@@ -290,7 +300,7 @@
 
     def due(self, now: float) -> list[Neighbour]:
         """Return the nodes that should get a beat now, and note it."""
-        self._settle(now)
+        self._choose(now)
         chosen = []
         mine = self._me.name in self._active
         for name, heard in self._heard.items():
@@ -306,7 +316,7 @@
 
     def standing(self, node: Neighbour, now: float) -> Standing:
         """Return how `node` stands to this one."""
-        self._settle(now)
+        self._choose(now)
         heard = self._heard.get(node.name)
         theirs = heard is not None and self._is_active(heard)
         near = node.data_centre == self._me.data_centre
@@ -314,20 +324,20 @@
 
     def period(self, standing: Standing, now: float) -> float:
         """Return the seconds between beats to nodes that stand so to this one."""
-        self._settle(now)
+        self._choose(now)
         return self._periods[standing]
 
-    def _settle(self, now: float) -> None:
+    def _choose(self, now: float) -> None:
         """Choose the active nodes, and how often to beat, anew when that is some time old."""
-        if now - self._settled_at <= _SETTLED_SECONDS:
+        if now - self._chosen_at <= _CHOSEN_SECONDS:
             return
-        self._settled_at = now
+        self._chosen_at = now
         self._active = active_names(self._candidates(now))
         counts = Counter((self._near(h), self._is_active(h)) for h in self._heard.values())
         for near, mine, theirs in itertools.product((True, False), repeat=3):
-            shortest = _PERIODS[(near, mine + theirs)]
-            period = max(shortest, counts[(near, theirs)] * _BEAT_COST_SECONDS)
-            self._periods[Standing(near, mine, theirs)] = period
+            standing = Standing(near, mine, theirs)
+            crowd = counts[(near, theirs)] * _BEAT_COST_SECONDS
+            self._periods[standing] = max(_PERIODS[standing], crowd)
 
     # --- what they have read ----------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -28,8 +28,9 @@
 _WAIT_SECONDS = 8.0
 """How long a call may wait for news; what it misses in a cut, the readings of
 the targets notice."""
-_LISTEN_SECONDS = 0.05
-"""How soon a node that relies on a reader looks at its beats again."""
+_LISTEN_SECONDS = 0.3
+"""How soon a node that relies on a reader looks whether it is still there; news in the
+reader's beats wakes it at once."""
 _FIRST_REST = 0.15
 _LONGEST_REST = 1.0
 
@@ -93,6 +94,12 @@
         self._rests = Rests(what="operators' rows", rng=rng)
         self._call: asyncio.Task[None] | None = None
         self._hurry = False
+        self._news = asyncio.Event()
+
+    def heard(self, reading: Reading) -> None:
+        """Take how far another node of this data centre has read."""
+        if reading.operators > self._views.operators_row:
+            self._news.set()
 
     def again(self) -> None:
         """Read at once, leaving a call that may be lost."""
@@ -136,7 +143,9 @@
         readings = self._neighbours.readings(asyncio.get_running_loop().time())
         reading = readings.get(chosen.name, Reading())
         if reading.operators <= self._views.operators_row:
-            await asyncio.sleep(_LISTEN_SECONDS)
+            self._news.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._news.wait(), _LISTEN_SECONDS)
             return
         try:
             copy = await self._peers.operators(chosen)
@@ -205,6 +214,12 @@
         self._rests = Rests(what="target entries", rng=rng)
         self._wake = asyncio.Event()
 
+    def heard(self, name: str, reading: Reading) -> None:
+        """Take how far the node called `name` has read; look at once where it is the reader."""
+        copied_from, serial = self._copied
+        if name == copied_from and reading.serial != serial:
+            self._wake.set()
+
     def again(self) -> None:
         """Read at once."""
         self._wake.set()
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -26,9 +26,9 @@
 _OLD_SECONDS = 2.5
 """Age at which the listener's view is too old to rely on: it missed two event calls."""
 _REST_SECONDS = 0.5
-_STILL_LOAD = 3.0
-"""Requests a second from which a node that stands by follows the stores: callers use
-an old answer for some seconds; the operators' own checks are one or two a second."""
+_STILL_LOAD = 5.0
+"""Requests a second from which a node that stands by copies what is known of the stores:
+callers use an old answer for some seconds; the operators' own checks are fewer."""
 _LISTENER_KEY = "stores"
 """What a data centre's listener is chosen for: one node hears all store hosts."""
 _FREE_AFTER_SECONDS = FETCH_SECONDS + 3.0
@@ -100,16 +100,18 @@
     # --- who listens ------------------------------------------------------------
 
     def _copied_elsewhere(self, now: float) -> set[str]:
-        """Return the stores that another node listens to for this one."""
+        """Return the stores that another node listens to for this one, or nobody does."""
         marks = self._neighbours.kept(now)
-        me = [self._neighbours.me.name] if self._neighbours.is_active(now) or not marks else []
-        self._listener = reader(_LISTENER_KEY, [*me, *marks])
+        stores = {view.traits.address for view in self._views.shelf.views}
+        if not self._neighbours.is_active(now):
+            self._listener = reader(_LISTENER_KEY, marks)
+            return stores
+        self._listener = reader(_LISTENER_KEY, [self._neighbours.me.name, *marks])
         if self._listener == self._neighbours.me.name:
             return set()
         heard = marks[self._listener]
         copied = set()
-        for view in self._views.shelf.views:
-            store = view.traits.address
+        for store in stores:
             if store in heard and heard[store].age <= _OLD_SECONDS:
                 self._missing.pop(store, None)
                 copied.add(store)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -36,10 +36,12 @@
 """How long callers keep an entry answer: a lost node is out of use within about two seconds."""
 _PAUSE_SECONDS = 0.7
 """A tick that comes so much too late tells of a pause of this process."""
-_TICK_SECONDS = 0.1
+_TICK_SECONDS = 0.2
 _JOIN_REST_SECONDS = 0.5
 _OLDEST_AGE_SECONDS = 1e6
 """What the figures say of an age that is not known."""
+_SETTLE_SECONDS = 0.5
+"""Time after joining within which the other nodes answer a greeting, on slow links too."""
 _FREE_SECONDS = 1.0
 _STOP_LOOK_SECONDS = 0.05
 _STOP_SPARE_SECONDS = 0.9
@@ -82,6 +84,7 @@
         self._metrics = Metrics()
         self._leaving = False
         self._active: bool | None = None
+        self._joined_at = float("inf")
         self._boot = time.time_ns() // 1_000_000
         gossip_address = f"{settings.host}:{settings.gossip_port}"
         me = Neighbour(
@@ -273,6 +276,7 @@
                 _log.error("member row not understood", row=saved.key, error=str(error))
                 continue
             self._neighbours.introduce(node)
+        self._joined_at = asyncio.get_running_loop().time()
         _log.info("joined", listed=len(rows))
 
     async def _tick(self) -> None:
@@ -294,7 +298,11 @@
 
     def _report(self) -> None:
         now = asyncio.get_running_loop().time()
-        self._neighbours.report(serving=self._serving, load=self._views.load.value(now))
+        self._neighbours.report(
+            serving=self._serving,
+            load=self._views.load.value(now),
+            settled=now - self._joined_at > _SETTLE_SECONDS,
+        )
 
     def _note_role(self, now: float) -> None:
         active = self._neighbours.is_active(now)
@@ -384,7 +392,10 @@
             if version > views.weights.get((instance, model), 0):
                 views.weights[(instance, model)] = version
                 views.loading.pop(instance, None)
-        if beat.node.data_centre != self._settings.data_centre:
+        if beat.node.data_centre == self._settings.data_centre:
+            self._operators.heard(beat.reading)
+            self._targets.heard(beat.node.name, beat.reading)
+        else:
             self._heard_far(beat)
 
     def _heard_far(self, beat: Beat) -> None:
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -19,6 +19,7 @@
 __all__ = ["Roller"]
 
 _LOOK_SECONDS = 0.1
+_STANDBY_LOOK_SECONDS = 0.5
 _STAND_IN_SECONDS = 2.5
 """How long each node in line waits for those before it to do the work."""
 _MOST_BEFORE_STANDBY = 2
@@ -77,7 +78,7 @@
         """Look for work until cancelled."""
         try:
             while True:
-                await asyncio.sleep(_LOOK_SECONDS)
+                await asyncio.sleep(self._rest())
                 try:
                     await self._turn()
                 except OutOfReach as error:
@@ -87,6 +88,12 @@
             for task in self._under_way.values():
                 task.cancel()
 
+    def _rest(self) -> float:
+        """Return the seconds until the next look; a node that stands by is in no hurry."""
+        now = asyncio.get_running_loop().time()
+        busy = self._duty.held() or self._neighbours.is_active(now)
+        return _LOOK_SECONDS if busy else _STANDBY_LOOK_SECONDS
+
     async def stop(self) -> None:
         """Begin no more work, and give the duty back."""
         self._leaving = True
