Take newer configurations from whoever has them; finish a reading that was begun

Ruled out: a lost long poll (the same call was begun, not held); neighbours that were behind (all 19 had the version 0.1 s after its acknowledgement).

Change: a beat that tells of something newer makes the node ask its sender for it, beside its own reading. A node whose own readings fail relies on any neighbour that reads, for targets too.

--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -51,18 +51,26 @@
 
 
 def source(
-    me: str, key: str, readings: Mapping[str, Reading], *, active: Collection[str]
+    me: str,
+    key: str,
+    readings: Mapping[str, Reading],
+    *,
+    active: Collection[str],
+    failing: bool = False,
 ) -> Source:
     """Return from whom `me` should have what `key` names.
 
     `readings` are those of the live nodes of this data centre, `me` left out.
     The first active node by rank reads; where what it has is old, the next one.
+    While its own readings are `failing`, `me` relies on any other that reads.
     """
     candidates = [name for name in [me, *readings] if name in active] or [me, *readings]
     for name in rank(key, [(candidate, 1.0) for candidate in candidates]):
-        if name == me:
+        if name == me and not failing:
             return Source("")
-        if readings[name].age <= _OLD_SECONDS:
+        if name != me and readings[name].age <= _OLD_SECONDS:
             return Source(name)
+    if me in candidates:
+        return Source("")
     freshest = min(candidates, key=lambda name: readings[name].age)
     return Source(freshest if readings[freshest].age <= _STANDBY_OLD_SECONDS else "")
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -14,11 +14,11 @@
 import msgspec
 import structlog
 from fielddrift_core.catalog import Catalog
-from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.neighbours import Beat, Neighbour, Neighbours
 from fielddrift_core.readers import READ_SECONDS, Reading, source
 
 from .ports import HistoryGone, NamedWeights, OutOfReach, Platform
-from .sharing import Peers
+from .sharing import OperatorCopy, Peers
 from .views import Views
 
 __all__ = ["OperatorFeed", "Rests", "TargetFeed", "reader_of"]
@@ -65,15 +65,26 @@
         await asyncio.sleep(self._rng.uniform(span / 2, span))
 
 
-def reader_of(neighbours: Neighbours, key: str, now: float) -> Neighbour | None:
+def reader_of(
+    neighbours: Neighbours, key: str, now: float, *, failing: bool = False
+) -> Neighbour | None:
     """Return the node that reads `key` for this one, None when it reads for itself."""
-    active = neighbours.active(now)
-    chosen = source(neighbours.me.name, key, neighbours.readings(now), active=active)
+    chosen = source(
+        neighbours.me.name,
+        key,
+        neighbours.readings(now),
+        active=neighbours.active(now),
+        failing=failing,
+    )
     return neighbours.node(chosen.name) if chosen.name else None
 
 
 class OperatorFeed:
-    """Follow the operators' rows: with one long poll, or by the reader's beats."""
+    """Follow the operators' rows: with one long poll, and by what other nodes know.
+
+    Whoever has something newer is asked for it, reader or not, so that a node
+    that is cut off from the platform alone does not fall behind.
+    """
 
     def __init__(
         self,
@@ -94,12 +105,19 @@
         self._rests = Rests(what="operators' rows", rng=rng)
         self._call: asyncio.Task[None] | None = None
         self._hurry = False
-        self._news = asyncio.Event()
+        self._ahead: Neighbour | None = None
+        self._told = asyncio.Event()
+
+    def heard(self, beat: Beat) -> None:
+        """Take a beat: a node that knows something newer is asked for it.
 
-    def heard(self, reading: Reading) -> None:
-        """Take how far another node of this data centre has read."""
-        if reading.operators > self._views.operators_row:
-            self._news.set()
+        What nodes elsewhere know, only the reader asks for; it is nearer to the others.
+        """
+        node = beat.node
+        near = node.data_centre == self._neighbours.me.data_centre
+        if self._is_newer(beat) and (near or self._reader() is None):
+            self._ahead = node
+            self._told.set()
 
     def again(self) -> None:
         """Read at once, leaving a call that may be lost."""
@@ -109,25 +127,30 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        while True:
-            self._call = asyncio.ensure_future(self._turn())
-            try:
-                await self._call
-            except asyncio.CancelledError:
-                current = asyncio.current_task()
-                if current is not None and current.cancelling():
-                    raise
-            except HistoryGone:
-                _log.info("history gone", what="operators' rows", after=self._after)
-                self._after = None
-            except (OutOfReach, msgspec.DecodeError) as error:
-                await self._rests.failed(error)
+        spread = asyncio.ensure_future(self._spread())
+        try:
+            while True:
+                await self._read_on()
+        finally:
+            spread.cancel()
+
+    async def _read_on(self) -> None:
+        self._call = asyncio.ensure_future(self._turn())
+        try:
+            await self._call
+        except asyncio.CancelledError:
+            current = asyncio.current_task()
+            if current is not None and current.cancelling():
+                raise
+        except HistoryGone:
+            _log.info("history gone", what="operators' rows", after=self._after)
+            self._after = None
+        except (OutOfReach, msgspec.DecodeError) as error:
+            await self._rests.failed(error)
 
     async def _turn(self) -> None:
-        loop = asyncio.get_running_loop()
-        chosen = reader_of(self._neighbours, READER_KEY, loop.time())
-        if chosen is not None and not self._views.stale.is_set():
-            await self._listen(chosen)
+        if self._reader() is not None and not self._views.stale.is_set():
+            await asyncio.sleep(_LISTEN_SECONDS)
             return
         hurry, self._hurry = self._hurry, False
         wait = 0.0 if hurry or self._after is None or self._rests.failing else _WAIT_SECONDS
@@ -138,31 +161,36 @@
         self._take(news.catalog, news.weights, "platform")
         self._views.current()
 
-    async def _listen(self, chosen: Neighbour) -> None:
-        """Fetch from the reader when its beats tell of something newer."""
-        readings = self._neighbours.readings(asyncio.get_running_loop().time())
-        reading = readings.get(chosen.name, Reading())
-        if reading.operators <= self._views.operators_row:
-            self._news.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._news.wait(), _LISTEN_SECONDS)
-            return
-        try:
-            copy = await self._peers.operators(chosen)
-        except OutOfReach as error:
-            _log.info("reader not reached", reader=chosen.name, error=str(error))
-            await self._read_once()
-            return
+    def _reader(self) -> Neighbour | None:
+        now = asyncio.get_running_loop().time()
+        return reader_of(self._neighbours, READER_KEY, now, failing=self._rests.failing)
+
+    # --- what other nodes know ----------------------------------------------------
+
+    def _is_newer(self, beat: Beat) -> bool:
+        views = self._views
+        known = 0 if views.catalog is None else views.catalog.version
+        named = any(version > views.named.get(m, 0) for m, version in beat.named.items())
+        return beat.catalog > known or named
+
+    async def _spread(self) -> None:
+        """Copy from nodes that know something newer, until cancelled."""
+        while True:
+            await self._told.wait()
+            self._told.clear()
+            if self._ahead is None:
+                continue
+            try:
+                self._take_copy(await self._peers.operators(self._ahead), self._ahead.name)
+            except OutOfReach as error:
+                # Its next beat, or another node's, says the same again.
+                _log.info("node not reached", peer=self._ahead.name, error=str(error))
+
+    def _take_copy(self, copy: OperatorCopy, told_by: str) -> None:
         self._views.operators_row = max(self._views.operators_row, copy.row)
-        self._after = self._views.operators_row
+        self._after = max(self._after or 0, copy.row)
         weights = tuple(NamedWeights(model, version) for model, version in copy.named.items())
-        self._take(copy.catalog, weights, chosen.name)
-
-    async def _read_once(self) -> None:
-        news = await self._platform.operator_news(self._after, 0.0)
-        self._after = news.version
-        self._views.operators_row = max(self._views.operators_row, news.version)
-        self._take(news.catalog, news.weights, "platform")
+        self._take(copy.catalog, weights, told_by)
 
     def _take(
         self, catalog: Catalog | None, weights: tuple[NamedWeights, ...], told_by: str
@@ -243,7 +271,7 @@
     async def _turn(self) -> float:
         """Bring the list up to date; return the seconds until the next turn."""
         loop = asyncio.get_running_loop()
-        chosen = reader_of(self._neighbours, READER_KEY, loop.time())
+        chosen = reader_of(self._neighbours, READER_KEY, loop.time(), failing=self._rests.failing)
         if chosen is not None and not self._views.stale.is_set():
             reading = self._neighbours.readings(loop.time()).get(chosen.name, Reading())
             if (chosen.name, reading.serial) == self._copied or (
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -18,7 +18,7 @@
 from .call import Tools
 from .directory import EntryDialect, EntryDoor
 from .duty import Duty
-from .feeds import READER_KEY, OperatorFeed, TargetFeed, reader_of
+from .feeds import OperatorFeed, TargetFeed
 from .gateway import Gateway
 from .gossip import Gossip, Reach
 from .keeper import Keeper
@@ -392,21 +392,9 @@
             if version > views.weights.get((instance, model), 0):
                 views.weights[(instance, model)] = version
                 views.loading.pop(instance, None)
+        self._operators.heard(beat)
         if beat.node.data_centre == self._settings.data_centre:
-            self._operators.heard(beat.reading)
             self._targets.heard(beat.node.name, beat.reading)
-        else:
-            self._heard_far(beat)
-
-    def _heard_far(self, beat: Beat) -> None:
-        """Read at once what nodes elsewhere have read already; nearer ones hand it on."""
-        views = self._views
-        known = 0 if views.catalog is None else views.catalog.version
-        newer = any(version > views.named.get(m, 0) for m, version in beat.named.items())
-        now = asyncio.get_running_loop().time()
-        mine = reader_of(self._neighbours, READER_KEY, now) is None
-        if mine and (beat.catalog > known or newer):
-            self._operators.again()
 
     def _limits(self) -> Limits:
         catalog = self._views.catalog
--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -10,18 +10,46 @@
 import base64
 import json
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
 
 from fielddrift_node.web.messages import Headers
 from fielddrift_node.web.server import Limits, Request, Responder, Server
 
-__all__ = ["RowStore"]
+__all__ = ["RowStore", "StoreDoor"]
 
 _POLL_SECONDS = 0.01
 _JSON = Headers([(b"Content-Type", b"application/json")])
 
 
+class StoreDoor:
+    """Another address of a store; `turned_away` refuses every call, `held` answers none."""
+
+    def __init__(self, *, handler: Callable[[Request, Responder], Awaitable[None]]) -> None:
+        self._handler = handler
+        self._server = Server(handler=self._handle, limits=Limits)
+        self.turned_away = False
+        self.held = False
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        await self._server.start(host, port)
+
+    def close(self) -> None:
+        """Stop listening and drop connections."""
+        self._server.stop_accepting()
+        self._server.close()
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        if self.held:
+            await asyncio.sleep(3600)
+        if self.turned_away:
+            responder.send(503, Headers(), b"")
+            return
+        await self._handler(request, responder)
+
+
 class RowStore:
     """Rows by (table, key), in memory."""
 
@@ -41,6 +69,12 @@
         """Listen."""
         await self._server.start(host, port)
 
+    async def door(self, host: str, port: int) -> StoreDoor:
+        """Listen at another address too, which can refuse whoever comes there."""
+        door = StoreDoor(handler=self._handle)
+        await door.start(host, port)
+        return door
+
     def close(self) -> None:
         """Stop listening and drop connections."""
         self._server.stop_accepting()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -134,9 +134,9 @@
         entry = {"service": service, "address": self.addresses[name], "zone": "a", "slots": 4}
         self.store.put("servers", name, {**entry, "state": state, "models": models, "seq": 1})
 
-    async def node(self, name: str = "node-1") -> RunningNode:
-        """Start a node and wait until it is ready."""
-        node = RunningNode(name=name, fleet=self)
+    async def node(self, name: str = "node-1", *, store: str = "") -> RunningNode:
+        """Start a node and wait until it is ready; `store` is another way to the store."""
+        node = RunningNode(name=name, fleet=self, store=store)
         self.nodes.append(node)
         await node.start()
         return node
@@ -154,7 +154,7 @@
 class RunningNode:
     """One node of the fleet."""
 
-    def __init__(self, *, name: str, fleet: Fleet) -> None:
+    def __init__(self, *, name: str, fleet: Fleet, store: str = "") -> None:
         address = [f"{HOST}:{free_port()}" for _ in range(4)]
         self.settings = NodeSettings(
             name=name,
@@ -173,7 +173,7 @@
         self.client, self.calls = Client(), Client()
         self.node = ServingNode(
             settings=self.settings,
-            platform=PlatformStore(address=fleet.store_address, client=self.calls),
+            platform=PlatformStore(address=store or fleet.store_address, client=self.calls),
             dialects=Dialects(
                 callers=PlatformCallers(),
                 targets=PlatformTargets(client=self.calls),
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -5,13 +5,17 @@
 import asyncio
 import json
 
+from fielddrift_core.names import rank
+from fielddrift_node.serving.feeds import READER_KEY
 from fielddrift_standins.worker import Worker
 
 from .platform_fleet import (
+    HOST,
     FleetCase,
     RunningNode,
     ask,
     eventually,
+    free_port,
     get,
     prompt,
     request,
@@ -314,6 +318,54 @@
         self.assertEqual((await ask(self.node, "/safe/x")).status, 200)
 
 
+class TestCutOff(FleetCase):
+    """One node alone is cut off from the store; it lives by what its neighbours know."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.fleet.worker(Worker(name="w1"), "plain")
+        address = f"{HOST}:{free_port()}"
+        self.door = await self.fleet.store.door(HOST, int(address.rpartition(":")[2]))
+        # The node that is cut off is the one that reads for the others.
+        reader, *others = rank(READER_KEY, [(f"node-{n}", 1.0) for n in (1, 2, 3)])
+        self.cut = await self.fleet.node(reader, store=address)
+        self.others = [await self.fleet.node(name) for name in others]
+        await eventually(lambda: self.cut.node.views.nodes == 3)
+
+    async def asyncTearDown(self) -> None:
+        await super().asyncTearDown()
+        self.door.close()
+
+    async def _falls_not_behind(self) -> None:
+        # Long enough for what the node itself has read to grow old.
+        await asyncio.sleep(1.5)
+        self.fleet.configure()
+        version = self.fleet.version
+        async with asyncio.timeout(2.0):
+            await eventually(lambda: self.cut.node.views.catalog.version == version)
+        await self.fleet.worker(Worker(name="w2"), "plain")
+        async with asyncio.timeout(3.0):
+            await eventually(lambda: self.cut.node.views.roster.get("w2") is not None)
+
+    async def test_a_node_that_the_store_turns_away_takes_what_others_know(self) -> None:
+        self.door.turned_away = True
+        await self._falls_not_behind()
+
+    async def test_a_node_whose_calls_are_not_answered_takes_what_others_know(self) -> None:
+        self.door.held = True
+        await self._falls_not_behind()
+
+    async def test_it_reads_for_itself_again_when_the_others_are_gone(self) -> None:
+        self.door.turned_away = True
+        await self._falls_not_behind()
+        self.door.turned_away = False
+        for node in self.others:
+            await node.stop()
+        self.fleet.configure()
+        version = self.fleet.version
+        await eventually(lambda: self.cut.node.views.catalog.version == version)
+
+
 class TestEntry(FleetCase):
     async def test_a_node_without_a_configuration_refuses_and_is_not_ready(self) -> None:
         self.fleet.store.drop("op", "config")
