Draw test ports outside the range of outgoing connections; one copy of free_port

Cause: a test node found its address in use once: the kernel had given the port, free a moment ago, to an outgoing connection of the test itself.

Change: ports are drawn below the range that the system uses for outgoing connections, each once a process; the second copy of the function is gone.

--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -1,7 +1,7 @@
 """Start a small fleet of real processes on loopback, and end it.
 
 For the demo, the tests and the benches.  Every process is ended by its own
-id; ports are free ones picked by the kernel.
+id; ports are free ones, drawn anew for each.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 import contextlib
 import hashlib
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -22,18 +23,45 @@
 
 from .fetch import Fetched, fetch, fetch_json
 
-__all__ = ["Fleet", "NodeProcess", "Process", "free_port", "wait_until"]
+__all__ = ["HOST", "Fleet", "NodeProcess", "Process", "free_port", "wait_until"]
 
 OPERATOR_KEY = "operator-key-of-the-demo"
 PEER_KEY = "peer-key-of-the-demo-fleet"
+HOST = "127.0.0.1"
 _START_SECONDS = 30.0
+_LOWEST_PORT = 10_000
+_USUAL_EPHEMERAL_START = 32_768
+"""Where the range of outgoing connections begins on most systems."""
+_PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port that nobody listens on, and that no outgoing connection will take.
+
+    The system gives outgoing connections ports of a range of its own; one of those
+    could be taken between this call and its use.
+    """
+    while True:
+        port = random.randrange(_LOWEST_PORT, _ephemeral_start())
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
+
+
+def _ephemeral_start() -> int:
+    """Return the lowest port that the system gives outgoing connections."""
+    try:
+        return int(_PORT_RANGE.read_text(encoding="ascii").split()[0])
+    except (OSError, ValueError, IndexError):
+        return _USUAL_EPHEMERAL_START
 
 
 def wait_until(check: Callable[[], Any], what: str, seconds: float = 20.0) -> Any:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 import unittest
 from typing import NamedTuple
 
@@ -15,10 +14,10 @@
 from fielddrift_platform.entry import PlatformEntry
 from fielddrift_platform.store import PlatformStore
 from fielddrift_platform.targets import PlatformTargets
+from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.rowstore import RowStore
 from fielddrift_standins.worker import KvHost, Worker
 
-HOST = "127.0.0.1"
 KEY = "key-of-ana"
 BOUNDS = Bounds(
     drain=2.0,
@@ -33,13 +32,6 @@
 WAIT_SECONDS = 10.0
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
 def route(name: str, service: str, kind: str, **extra: object) -> dict[str, object]:
     """Return a route as the operators write it."""
     return {
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -7,15 +7,14 @@
 
 from fielddrift_core.names import rank
 from fielddrift_node.serving.feeds import READER_KEY
+from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
 
 from .platform_fleet import (
-    HOST,
     FleetCase,
     RunningNode,
     ask,
     eventually,
-    free_port,
     get,
     prompt,
     request,
