--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -11,6 +11,8 @@
 from typing import NamedTuple
 
 import structlog
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.overload import Overload
 from fielddrift_core.placement import (
     EngineChoice,
     EngineSight,
@@ -22,7 +24,7 @@
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
-from .call import Call, Tools
+from .call import Call, Refused, Tools
 from .kept import KeptParts
 from .ports import Send
 from .trying import Attempts, TryFailed, send_once
@@ -61,6 +63,7 @@
     def __init__(self, *, tools: Tools) -> None:
         self._tools = tools
         self._kept = KeptParts(views=tools.views)
+        self._overload = Overload(rng=tools.rng)
 
     async def serve(self, call: Call, responder: Responder) -> None:
         """Answer `call`; raise `Refused`."""
@@ -93,6 +96,8 @@
             choice = self._choose(call, attempts.tried)
             if choice is None:
                 raise attempts.exhausted()
+            if not attempts.tried:
+                self._admit(call, choice)
             attempts.begin(choice.instance.name)
             try:
                 return await self._try(call, choice, cutter, more=attempts.more())
@@ -100,6 +105,22 @@
                 self._learn(call, choice, failure)
                 attempts.failed(failure)
 
+    def _admit(self, call: Call, choice: EngineChoice) -> None:
+        """Raise `Refused` where even the best engine would answer too late."""
+        prompt, traits = call.ask.prompt, call.service.engine
+        assert prompt is not None and traits is not None
+        needs = choice.burden.memory + prompt.tokens_in + prompt.tokens_out
+        back = self._overload.come_back(
+            call.route.name,
+            patience=call.deadline - call.began,
+            estimate=choice.seconds,
+            aim=call.route.aim,
+            crowded=needs > traits.memory > 0,
+        )
+        if back is not None:
+            detail = f"first event in {choice.seconds:.2f} s, {call.route.aim:.2f} s is in time"
+            raise Refused(Refusal(Kind.OVERLOADED, detail, Ran.NO, back))
+
     async def _try(
         self, call: Call, choice: EngineChoice, cutter: EventCutter, *, more: bool
     ) -> _Run:
