--- a/packages/core/src/fielddrift_core/overload.py
+++ b/packages/core/src/fielddrift_core/overload.py
@@ -15,9 +15,9 @@
 _LATE_PART = 0.95
 """Estimate, in parts of the aim, from which an answer is taken to be late: on
 played days half of the first events came within a tenth of their estimate."""
-_FIRST_PART = 0.9
-"""Part of the longest patience of a route's callers from which a request is taken
-for its first try: one that came back has used up some of its time."""
+_CAME_BACK_SECONDS = 0.15
+"""Seconds less than the longest patience of a route's callers from which a request
+is taken to have come back: it waited at least the shortest time to do so."""
 _RETURN_ESTIMATES = 1.5
 """Time to come back in estimates: by then most of what waits has been answered."""
 _RETURN_PART = 1 / 3
@@ -46,7 +46,7 @@
         """
         longest = max(self._longest.get(route, 0.0), patience)
         self._longest[route] = longest
-        came_back = patience < _FIRST_PART * longest
+        came_back = patience < longest - _CAME_BACK_SECONDS
         if came_back or not crowded or estimate <= _LATE_PART * aim:
             return None
         most = min(estimate * _RETURN_ESTIMATES, patience * _RETURN_PART)
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -112,7 +112,7 @@
         needs = choice.burden.memory + prompt.tokens_in + prompt.tokens_out
         back = self._overload.come_back(
             call.route.name,
-            patience=call.deadline - call.began,
+            patience=call.ask.patience or call.deadline - call.began,
             estimate=choice.seconds,
             aim=call.route.aim,
             crowded=needs > traits.memory > 0,
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -359,8 +359,9 @@
         self.assertGreater(max(b or 0 for b in backs) - min(b or 0 for b in backs), 0.3)
 
     def test_one_that_has_come_back_is_taken(self) -> None:
-        self.assertIsNotNone(self._judge(1.2))
-        self.assertIsNone(self._judge(1.2, patience=3.2))
+        self.assertIsNotNone(self._judge(1.2, patience=12.0))
+        self.assertIsNotNone(self._judge(1.2, patience=11.99))
+        self.assertIsNone(self._judge(1.2, patience=11.8))
 
 
 class TestPlacement(unittest.TestCase):
