Judge those who come back as those who come first, and send them away for longer

Ruled out: wrong estimates (p50 1174 ms estimated, 1198 ms seen); reading as such.

Change: a prompt whose best estimate is over 0.95 of its aim at a crowded engine gets 503 at once and a time to come back, a third of its patience at most.

Conclusion: a crowd that is taken in stays a crowd; the own retries must be judged too.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -12,7 +12,7 @@
 
 import structlog
 from fielddrift_core.errors import Kind, Ran, Refusal
-from fielddrift_core.overload import Overload
+from fielddrift_core.overload import come_back
 from fielddrift_core.placement import (
     EngineChoice,
     EngineSight,
@@ -63,7 +63,6 @@
     def __init__(self, *, tools: Tools) -> None:
         self._tools = tools
         self._kept = KeptParts(views=tools.views)
-        self._overload = Overload(rng=tools.rng)
 
     async def serve(self, call: Call, responder: Responder) -> None:
         """Answer `call`; raise `Refused`."""
@@ -110,12 +109,12 @@
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
         needs = choice.burden.memory + prompt.tokens_in + prompt.tokens_out
-        back = self._overload.come_back(
-            call.route.name,
+        back = come_back(
             patience=call.ask.patience or call.deadline - call.began,
             estimate=choice.seconds,
             aim=call.route.aim,
             crowded=needs > traits.memory > 0,
+            rng=self._tools.rng,
         )
         if back is not None:
             detail = f"first event in {choice.seconds:.2f} s, {call.route.aim:.2f} s is in time"
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -6,6 +6,7 @@
 import json
 
 from fielddrift_core.names import rank
+from fielddrift_core.workload import Burden
 from fielddrift_node.serving.feeds import READER_KEY
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
@@ -172,6 +173,17 @@
         self.assertEqual(self._events(answer.body), [1, 2, 3, 4, 5])
         self.assertEqual(answer.headers["whole"], "yes")
 
+    async def test_what_cannot_be_in_time_is_sent_away_at_once_and_has_not_run(self) -> None:
+        crowd = {name: Burden(20, 200_000, 100_000) for name in ("e1", "e2")}
+        now = asyncio.get_running_loop().time()
+        self.node.node.views.workload.told("another-node", crowd, now)
+        answer = await ask(self.node, "/chat/x", **prompt())
+        self.assertEqual(answer.status, 503)
+        self.assertLessEqual(float(answer.headers["retry-after"]), 1.0)
+        self.assertEqual(self.one.ran + self.two.ran, [])
+        self.node.node.views.workload.told("another-node", {}, now)
+        self.assertEqual((await ask(self.node, "/chat/x", **prompt())).status, 200)
+
     async def test_a_cut_run_goes_on_elsewhere_behind_the_last_whole_event(self) -> None:
         self.one.faults, self.two.faults = ["cut-event"], []
         for number in range(4):
