Count the time for older weights from the first newer version, not the newest

The node counted from the newest version only, so a second naming gave the first one's engines its time once more.

Ruled out: a node that did not know (it logged both versions within 0.1 s).

Change: the times of all versions are kept and told to other nodes; weights are outdated from the first newer one. Engines with the oldest weights load first, and one that is outdated for too long loads whatever else loads.

Figures: the new test fails before (6.0 s for 10.0 s).

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -15,6 +15,7 @@
 
 from .active import Candidate, active_names
 from .readers import Reading
+from .rollout import VersionAge
 from .workload import Burden
 
 __all__ = [
@@ -98,8 +99,8 @@
 
     `active` says that it takes callers' requests, `load` how many a second.
     `period` is the seconds until its next beat to this receiver.
-    `catalog` and `named` are versions in force, `named_ages` the seconds since
-    those weights were first known anywhere, `burdens` its own sends by target.
+    `catalog` and `named` are versions in force, `named_ages` for how
+    long the newest weights were known anywhere, `burdens` its own sends by target.
     `left` are targets known to be leaving; `loading` gives the seconds for
     which an engine is taken to be loading; `weights` are versions seen at
     engines, by (instance, model).  `reading` is how far it has read, `kept` how
@@ -117,7 +118,7 @@
     loading: Mapping[str, float] = {}
     weights: tuple[tuple[str, str, int], ...] = ()
     reading: Reading = Reading()
-    named_ages: Mapping[str, float] = {}
+    named_ages: tuple[VersionAge, ...] = ()
     period: float = _SHORTEST
     active: bool = True
     load: float = 0.0
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -225,12 +225,12 @@
         now = asyncio.get_running_loop().time()
         named = views.named.get(prompt.model, 0)
         limit = self._tools.settings.bounds.weights * _OLDEST_PART
-        too_old = now - views.named_at.get(prompt.model, now) > limit
         sights = []
         for instance in views.roster.serving(call.service.name):
             weights = views.weights_of(instance.name, prompt.model)
-            behind = weights is not None and weights < named
-            if weights is None or instance.name in tried or (behind and too_old):
+            if weights is None or instance.name in tried:
+                continue
+            if views.outdated_seconds(prompt.model, weights, now) > limit:
                 continue
             salt = self._kept.salt(call, prompt, instance.name)
             sights.append(
@@ -238,7 +238,7 @@
                     instance=instance,
                     burden=views.workload.at(instance.name, now),
                     failures=views.health.share(instance.name, now),
-                    behind=behind,
+                    behind=weights < named,
                     loading=views.loading.get(instance.name, 0.0) > now,
                     memory=views.memory.parts(instance.name, salt),
                 )
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -266,7 +266,7 @@
                 named = views.named.get(model)
                 if named is None:
                     return None
-                if now - views.named_at.get(model, now) < _FREE_AFTER_SECONDS:
+                if views.outdated_seconds(model, named - 1, now) < _FREE_AFTER_SECONDS:
                     return None
                 for instance in views.roster.serving(service.name):
                     weights = views.weights_of(instance.name, model)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -355,7 +355,7 @@
             period=self._neighbours.period(standing, now),
             catalog=0 if views.catalog is None else views.catalog.version,
             named=dict(views.named),
-            named_ages={model: now - at for model, at in views.named_at.items()},
+            named_ages=views.named_times.ages(now),
             reading=views.reading(now),
             left=tuple(sorted(views.roster.leaving()))[:8],
             burdens={},
@@ -378,8 +378,7 @@
         now = asyncio.get_running_loop().time()
         burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
         views.workload.told(beat.node.name, burdens, now)
-        for model, age in beat.named_ages.items():
-            views.heard_age(model, beat.named.get(model, 0), age, now)
+        views.heard_ages(beat.named_ages, now)
         views.links.told(beat.node.name, beat.moves, now)
         views.lateness.told(beat.lateness, now)
         for name in beat.left:
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -37,8 +37,8 @@
 _UNTAKEN_SECONDS = 0.8
 """How long an order that was not answered may stay invisible in reports."""
 _LATE_PART = 0.7
-"""Part of the time for new weights after which all engines load at once: a last
-resort, for those that are left then carry all the work meanwhile."""
+"""Part of the time for new weights after which an engine loads however many others
+do: a last resort, for those that are left then carry all the work meanwhile."""
 
 _log = structlog.get_logger()
 
@@ -156,15 +156,17 @@
                 continue
             running = views.workload.at(instance.name, now).running
             loading = instance.name in self._under_way
+            outdated = views.outdated_seconds(model, weights, now)
             engines.append(
-                EngineWeights(instance.name, instance.data_centre, weights, running, loading)
+                EngineWeights(
+                    instance.name, instance.data_centre, weights, running, loading, outdated
+                )
             )
         return engines
 
     def _begin(self, work: _Work, now: float) -> None:
-        named_at = self._views.named_at.get(work.model, now)
-        late = now - named_at > _LATE_PART * self._weights_seconds
-        for name in next_loads(work.engines, wanted=work.wanted, late=late):
+        longest = _LATE_PART * self._weights_seconds
+        for name in next_loads(work.engines, wanted=work.wanted, longest=longest):
             task = asyncio.ensure_future(self._bring(name, work.model, work.wanted))
             self._under_way[name] = task
             task.add_done_callback(partial(self._ended, name))
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterable
 
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
+from fielddrift_core.rollout import NamedTimes, VersionAge
 from fielddrift_core.roster import Roster
 from fielddrift_core.shelf import Shelf
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
@@ -35,7 +37,7 @@
         """Loop time at which this node itself last read the targets' entries."""
         self.named: dict[str, int] = {}
         """The newest named weights by model."""
-        self.named_at: dict[str, float] = {}
+        self.named_times = NamedTimes()
         self.roster = Roster()
         self.workload = Workload()
         self.health = TargetHealth()
@@ -86,7 +88,7 @@
         if weights.version <= self.named.get(weights.model, 0):
             return False
         self.named[weights.model] = weights.version
-        self.named_at[weights.model] = now
+        self.named_times.heard(weights.model, weights.version, now)
         return True
 
     def reading(self, now: float) -> Reading:
@@ -94,13 +96,18 @@
         age = now - self.targets_at
         return Reading(self.operators_row, self.targets_row, self.roster.serial, age)
 
-    def heard_age(self, model: str, version: int, age: float, now: float) -> None:
-        """Take for how long another node has known of the named weights.
+    def heard_ages(self, ages: Iterable[VersionAge], now: float) -> None:
+        """Take for how long another node has known named weights.
 
         What a node that was away hears late has been in force for longer.
         """
-        if version == self.named.get(model):
-            self.named_at[model] = min(self.named_at[model], now - age)
+        for model, version, seconds in ages:
+            self.named_times.heard(model, version, now - seconds)
+
+    def outdated_seconds(self, model: str, weights: int, now: float) -> float:
+        """Return for how long `weights` have not been the newest, 0 when they are."""
+        since = self.named_times.outdated_at(model, weights)
+        return 0.0 if since is None else now - since
 
     def current(self) -> None:
         """Note that the operators' rows were just read."""
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -17,7 +17,15 @@
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.readers import Reading, source
 from fielddrift_core.retries import WindowBudget
-from fielddrift_core.rollout import DutyRow, EngineWeights, StoreClock, may_take, next_loads
+from fielddrift_core.rollout import (
+    DutyRow,
+    EngineWeights,
+    NamedTimes,
+    StoreClock,
+    VersionAge,
+    may_take,
+    next_loads,
+)
 from fielddrift_core.roster import RESPITE_SECONDS, Instance, Roster
 from fielddrift_core.shelf import KeptChange, Shelf, StoreView
 from fielddrift_core.stream import EventCutter
@@ -119,22 +127,47 @@
 
     def test_a_third_loads_at_once_over_all_data_centres(self) -> None:
         engines = [EngineWeights(f"e{n}", "abc"[n % 3], 1, n, False) for n in range(9)]
-        chosen = next_loads(engines, wanted=2, late=False)
+        chosen = next_loads(engines, wanted=2, longest=7.0)
         self.assertEqual(sorted(chosen), ["e0", "e1", "e2"])
         loading = [e._replace(loading=e.name in chosen) for e in engines]
-        self.assertEqual(next_loads(loading, wanted=2, late=False), [])
-        self.assertEqual(len(next_loads(engines, wanted=2, late=True)), 9)
+        self.assertEqual(next_loads(loading, wanted=2, longest=7.0), [])
+        late = [e._replace(outdated=7.1) for e in engines]
+        self.assertEqual(len(next_loads(late, wanted=2, longest=7.0)), 9)
+
+    def test_the_oldest_weights_are_replaced_first(self) -> None:
+        engines = [EngineWeights(f"e{n}", "abc"[n % 3], 2, n, False) for n in range(9)]
+        for n in (4, 7):
+            engines[n] = engines[n]._replace(weights=1)
+        chosen = next_loads(engines, wanted=3, longest=7.0)
+        self.assertEqual(len(chosen), 3)
+        self.assertTrue({"e4", "e7"} <= set(chosen))
 
 
 class TestNamedWeights(unittest.TestCase):
     def test_a_node_that_was_away_counts_from_when_others_heard(self) -> None:
         views = Views()
         views.take_weights(NamedWeights("m", 3), 100.0)
-        views.heard_age("m", 3, 4.0, 100.2)
-        self.assertAlmostEqual(views.named_at["m"], 96.2)
-        views.heard_age("m", 3, 0.1, 100.3)
-        views.heard_age("m", 2, 50.0, 100.3)
-        self.assertAlmostEqual(views.named_at["m"], 96.2)
+        views.heard_ages([VersionAge("m", 3, 4.0)], 100.2)
+        self.assertAlmostEqual(views.outdated_seconds("m", 2, 100.2), 4.0)
+        views.heard_ages([VersionAge("m", 3, 0.1)], 100.3)
+        self.assertAlmostEqual(views.outdated_seconds("m", 2, 100.3), 4.1)
+        self.assertEqual(views.outdated_seconds("m", 3, 100.3), 0.0)
+
+    def test_each_version_outdates_those_before_it_from_its_own_naming(self) -> None:
+        views = Views()
+        views.take_weights(NamedWeights("m", 2), 100.0)
+        views.take_weights(NamedWeights("m", 3), 104.0)
+        self.assertAlmostEqual(views.outdated_seconds("m", 1, 110.0), 10.0)
+        self.assertAlmostEqual(views.outdated_seconds("m", 2, 110.0), 6.0)
+
+    def test_a_version_that_was_missed_is_learned_from_others(self) -> None:
+        first, late = NamedTimes(), Views()
+        first.heard("m", 2, 100.0)
+        first.heard("m", 3, 104.0)
+        late.take_weights(NamedWeights("m", 3), 205.0)
+        late.heard_ages(first.ages(105.0), 205.0)
+        self.assertAlmostEqual(late.outdated_seconds("m", 1, 205.0), 5.0)
+        self.assertEqual(late.named, {"m": 3})
 
 
 class TestReaders(unittest.TestCase):
