Serve what a node believes, how old it is and from whom

For whoever is on call: the metrics address answers /beliefs with catalog, rows, reader, targets with their weights and burdens, store hosts and neighbours, each with its age.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -21,6 +21,7 @@
 __all__ = [
     "Beat",
     "KeptMark",
+    "KnownNode",
     "Neighbour",
     "Neighbours",
     "Standing",
@@ -127,6 +128,16 @@
     lateness: Mapping[str, float] = {}
 
 
+class KnownNode(NamedTuple):
+    """What is known of a neighbour; `silent_seconds` None when it was never heard."""
+
+    name: str
+    data_centre: str
+    silent_seconds: float | None
+    active: bool
+    serves: bool
+
+
 class _Heard(NamedTuple):
     node: Neighbour
     at: float
@@ -219,6 +230,20 @@
         heard = self._heard.get(name)
         return None if heard is None else heard.node
 
+    def known(self, now: float) -> list[KnownNode]:
+        """Return what is known of all neighbours, by name."""
+        self._choose(now)
+        return [
+            KnownNode(
+                name=name,
+                data_centre=heard.node.data_centre,
+                silent_seconds=None if heard.at == float("-inf") else now - heard.at,
+                active=self._is_active(heard),
+                serves=heard.serves and heard.lives(now),
+            )
+            for name, heard in sorted(self._heard.items())
+        ]
+
     # --- who is active ----------------------------------------------------------
 
     def active(self, now: float) -> frozenset[str]:
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -252,6 +252,11 @@
         """Read at once."""
         self._wake.set()
 
+    def reader(self) -> Neighbour | None:
+        """Return the node that reads for this one, None when it reads for itself."""
+        now = asyncio.get_running_loop().time()
+        return reader_of(self._neighbours, READER_KEY, now, failing=self._rests.failing)
+
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from ..web.messages import Headers
@@ -12,6 +14,7 @@
 _BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.7, 1.0, 1.5, 2.5, 4.0, 8.0)
 """Seconds; fine around the users' aims of 0.15 to 0.54 s."""
 _TEXT = Headers([(b"Content-Type", b"text/plain; version=0.0.4")])
+_JSON = Headers([(b"Content-Type", b"application/json")])
 
 
 class Metrics:
@@ -57,14 +60,19 @@
 
 
 class MetricsDoor:
-    """Answer whoever asks for the figures."""
+    """Answer whoever asks for the figures, or for what the node believes."""
 
-    def __init__(self, *, metrics: Metrics) -> None:
-        self._metrics = metrics
+    def __init__(self, *, metrics: Metrics, beliefs: Callable[[], bytes]) -> None:
+        self._pages: dict[bytes, tuple[Headers, Callable[[], bytes]]] = {
+            b"/metrics": (_TEXT, metrics.text),
+            b"/beliefs": (_JSON, beliefs),
+        }
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one question."""
-        if request.head.target.partition(b"?")[0] != b"/metrics":
-            responder.send(404, Headers(), b"the figures are at /metrics")
+        page = self._pages.get(request.head.target.partition(b"?")[0])
+        if page is None:
+            responder.send(404, Headers(), b"expected /metrics or /beliefs")
             return
-        responder.send(200, _TEXT, self._metrics.text())
+        headers, text = page
+        responder.send(200, headers, text())
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -15,6 +15,7 @@
 
 from ..web.client import Client
 from ..web.server import Limits, Server
+from .beliefs import beliefs_of, to_json
 from .call import Tools
 from .directory import EntryDialect, EntryDoor
 from .duty import Duty
@@ -164,7 +165,8 @@
         self._doors = Server(handler=door.handle, limits=Limits)
         self._peer_door = Server(handler=PeerDoor(views=self._views).handle, limits=Limits)
         self._metrics_door = Server(
-            handler=MetricsDoor(metrics=self._metrics).handle, limits=Limits
+            handler=MetricsDoor(metrics=self._metrics, beliefs=self._beliefs).handle,
+            limits=Limits,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -177,6 +179,11 @@
     def _serving(self) -> bool:
         return self._views.ready and not self._leaving
 
+    def _beliefs(self) -> bytes:
+        reader = self._targets.reader()
+        name = "" if reader is None else reader.name
+        return to_json(beliefs_of(self._views, self._neighbours, reader=name))
+
     # --- life -----------------------------------------------------------------
 
     async def run(self, stopping: asyncio.Event) -> None:
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -366,6 +366,16 @@
         self.door.held = True
         await self._falls_not_behind()
 
+    async def test_what_a_node_believes_tells_from_whom_and_how_old(self) -> None:
+        page = json.loads((await get(self.cut.settings.metrics, "/beliefs")).body)
+        self.assertEqual((page["node"], page["reader"]), (self.cut.settings.name, ""))
+        self.assertEqual(page["catalog"], self.fleet.version)
+        self.assertEqual([target["name"] for target in page["targets"]], ["w1"])
+        names = sorted(node.settings.name for node in self.others)
+        self.assertEqual([node["name"] for node in page["nodes"]], names)
+        other = json.loads((await get(self.others[0].settings.metrics, "/beliefs")).body)
+        self.assertEqual(other["reader"], self.cut.settings.name)
+
     async def test_it_reads_for_itself_again_when_the_others_are_gone(self) -> None:
         self.door.turned_away = True
         await self._falls_not_behind()
