Free kept parts as soon as no engine can use them, also during a rollout

Change: each salt that is held counts as in use while any engine has its weights or they are the newest; it is freed 5 s after that (a fetch lasts 2 s at most). What an engine reports of its weights is noted even if it is not the newest yet; without that the new test found an engine taken to have version 1 that had loaded 2.

--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/shelf.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from .catalog import StoreTraits
@@ -208,12 +208,15 @@
         for key in [k for k, s in self._saving.items() if now >= s.until]:
             del self._saving[key]
 
-    def outdated(self, current: Iterable[str]) -> dict[str, list[tuple[str, str]]]:
-        """Return, by store, kept parts whose salt does not begin with one of `current`."""
-        prefixes = tuple(current)
+    def salts(self) -> set[str]:
+        """Return the salts under which any store keeps parts."""
+        return {salt for view in self._views.values() for salt, _ in view.held}
+
+    def under(self, salts: Collection[str]) -> dict[str, list[tuple[str, str]]]:
+        """Return, by store, the (salt, part) that are kept under one of `salts`."""
         found: dict[str, list[tuple[str, str]]] = {}
         for address, view in self._views.items():
-            old = [key for key in view.held if not key[0].startswith(prefixes)]
-            if old:
-                found[address] = old
+            keys = [key for key in view.held if key[0] in salts]
+            if keys:
+                found[address] = keys
         return found
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -338,6 +338,4 @@
         prompt = call.ask.prompt
         if signs.weights is None or prompt is None:
             return
-        key = (choice.instance.name, prompt.model)
-        views = self._tools.views
-        views.weights[key] = max(views.weights.get(key, 0), signs.weights)
+        self._tools.views.saw_weights(choice.instance.name, prompt.model, signs.weights)
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -32,8 +32,10 @@
 _LISTENER_KEY = "stores"
 """What a data centre's listener is chosen for: one node hears all store hosts."""
 _FREE_AFTER_SECONDS = FETCH_SECONDS + 3.0
-"""Parts of older weights are freed when the last fetch of them is surely over."""
-_FREED_AT_ONCE = 200
+"""Parts are freed when no engine has had their weights for so long: the last fetch of
+them is surely over then."""
+_FREED_AT_ONCE = 500
+"""Parts named in one call, some 20 KB."""
 
 _log = structlog.get_logger()
 
@@ -61,6 +63,8 @@
         self._listener = ""
         self._missing: dict[str, float] = {}
         """Since when the listener has told nothing of a store."""
+        self._used_at: dict[str, float] = {}
+        """When each salt that is held could last be in use."""
         self._wake = asyncio.Event()
 
     def look(self) -> None:
@@ -234,14 +238,22 @@
 
     # --- freeing --------------------------------------------------------------
 
+    def note_use(self) -> None:
+        """Note which of the salts that stores hold parts of can still be in use."""
+        now = asyncio.get_running_loop().time()
+        held = self._views.shelf.salts()
+        used = self._salts_in_use()
+        self._used_at = {
+            salt: now if used is None or salt.startswith(used) else self._used_at.get(salt, now)
+            for salt in held
+        }
+
     async def free_outdated(self) -> None:
-        """Free parts of weights that are no longer in use anywhere."""
+        """Free parts of weights that no engine has had for some time."""
         views = self._views
         now = asyncio.get_running_loop().time()
-        current = self._current_salts(now)
-        if current is None:
-            return
-        for address, keys in views.shelf.outdated(current).items():
+        old = {salt for salt, at in self._used_at.items() if now - at > _FREE_AFTER_SECONDS}
+        for address, keys in views.shelf.under(old).items():
             view = views.shelf.view(address)
             if view is None or view.life is None:
                 continue
@@ -254,23 +266,19 @@
                 for salt, part in batch:
                     view.drop(salt, part)
 
-    def _current_salts(self, now: float) -> list[str] | None:
-        """Return the beginnings of salts in use; None while that is not sure."""
+    def _salts_in_use(self) -> tuple[str, ...] | None:
+        """Return the beginnings of salts that engines may use; None while that is not sure."""
         views = self._views
         if views.catalog is None or views.stale.is_set():
             return None
         salts = []
         for service in views.catalog.engines:
             assert service.engine is not None
+            engines = [engine for engine in views.roster.all() if engine.service == service.name]
             for model in service.engine.models:
                 named = views.named.get(model)
-                if named is None:
-                    return None
-                if views.outdated_seconds(model, named - 1, now) < _FREE_AFTER_SECONDS:
+                weights = {views.weights_of(engine.name, model) for engine in engines}
+                if named is None or None in weights:
                     return None
-                for instance in views.roster.serving(service.name):
-                    weights = views.weights_of(instance.name, model)
-                    if weights is None or weights < named:
-                        return None
-                salts.append(salt_of(model, named))
-        return salts
+                salts += [salt_of(model, version) for version in {named, *weights} if version]
+        return tuple(salts)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -332,6 +332,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_FREE_SECONDS)
+            self._keeper.note_use()
             now = loop.time()
             others = [node.name for node in self._neighbours.active_everywhere(now)]
             first = self._neighbours.is_active(now) and self._settings.name < min(
@@ -397,7 +398,7 @@
             views.loading[name] = max(views.loading.get(name, 0.0), now + min(seconds, 2.0))
         for instance, model, version in beat.weights:
             if version > views.weights.get((instance, model), 0):
-                views.weights[(instance, model)] = version
+                views.saw_weights(instance, model, version)
                 views.loading.pop(instance, None)
         self._operators.heard(beat)
         if beat.node.data_centre == self._settings.data_centre:
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -216,6 +216,8 @@
             _log.info("no report", target=name, error=str(error))
             return None
         self._views.heard_clock(report.clock, asyncio.get_running_loop().time())
+        for model, version in report.versions.items():
+            self._views.saw_weights(name, model, version)
         return report
 
     async def _order(self, name: str, model: str, wanted: int, orders: int | None) -> None:
@@ -242,7 +244,7 @@
         )
 
     def _arrived(self, name: str, model: str, version: int) -> None:
-        self._views.weights[(name, model)] = version
+        self._views.saw_weights(name, model, version)
         self._views.loading.pop(name, None)
         _log.info("weights loaded", target=name, model=model, version=version)
         self._announce()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -120,6 +120,11 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._refreshed.wait(), seconds)
 
+    def saw_weights(self, instance_name: str, model: str, version: int) -> None:
+        """Note weights that an instance was seen to have; they only become newer."""
+        key = (instance_name, model)
+        self.weights[key] = max(version, self.weights.get(key, 0))
+
     def weights_of(self, instance_name: str, model: str) -> int | None:
         """Return the version of `model` that an instance has, None when it has none."""
         instance = self.roster.get(instance_name)
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -485,12 +485,14 @@
         chosen = self.shelf.save("s", Part("p", 500), 0.0, late=lambda s: late.get(s, 0.0))
         self.assertEqual(chosen, SLOW)
 
-    def test_only_parts_of_older_weights_are_outdated(self) -> None:
+    def test_parts_are_found_by_their_salt_alone(self) -> None:
         view = self.shelf.views[0]
         view.add("m.1.", "old", 100)
         view.add("m.2.", "new", 100)
         view.add("m.2.ana", "own", 100)
-        self.assertEqual(self.shelf.outdated(["m.2."]), {view.traits.address: [("m.1.", "old")]})
+        self.assertEqual(self.shelf.salts(), {"m.1.", "m.2.", "m.2.ana"})
+        self.assertEqual(self.shelf.under({"m.1."}), {view.traits.address: [("m.1.", "old")]})
+        self.assertEqual(self.shelf.under({"m."}), {})
 
 
 class TestCounts(unittest.TestCase):
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -276,6 +276,17 @@
         self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
         await eventually(lambda: self.fleet.kv.freed == [["m.1.", "aa"]], 20.0)
 
+    async def test_parts_that_no_engine_can_use_are_freed_while_others_still_load(self) -> None:
+        self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
+        await eventually(lambda: self._versions() == [2, 2, 2, 2])
+        self.fleet.kv.keep("m.1.", "aa", 100)
+        self.fleet.kv.keep("m.2.", "bb", 100)
+        self.fleet.workers["e4"].faults = ["order-unanswered"] * 100
+        self.fleet.store.put("op", "version/m", {"model": "m", "version": 3})
+        await eventually(lambda: self._versions() == [3, 3, 3, 2])
+        await eventually(lambda: self.fleet.kv.freed == [["m.1.", "aa"]], 20.0)
+        self.assertEqual(self.fleet.workers["e4"].version, 2)
+
 
 class TestConfiguration(FleetCase):
     async def asyncSetUp(self) -> None:
