Give what is told and heard a module; tell the newest sightings of weights

node.py put beats together and took them apart beside everything else. While it was moved: beats told the sixteen engines whose weights were seen first, not last; with thirty engines and two names of weights those that had just loaded would not have been among them.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -10,8 +10,7 @@
 
 import msgspec
 import structlog
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, Standing
-from fielddrift_core.workload import Burden
+from fielddrift_core.neighbours import Beat, Neighbour, Neighbours
 
 from ..web.client import Client
 from ..web.server import Limits, Server
@@ -28,6 +27,7 @@
 from .roller import Roller
 from .settings import NodeSettings
 from .sharing import PeerDoor, Peers
+from .telling import Telling
 from .views import Views
 
 __all__ = ["Dialects", "ServingNode"]
@@ -99,7 +99,12 @@
             capacity=settings.capacity,
         )
         self._neighbours = Neighbours(me=me)
-        self._gossip = Gossip(neighbours=self._neighbours, beat=self._beat, heard=self._heard)
+        self._telling = Telling(views=self._views, neighbours=self._neighbours)
+        self._gossip = Gossip(
+            neighbours=self._neighbours,
+            beat=lambda standing: self._telling.beat(standing, leaving=self._leaving),
+            heard=self._heard,
+        )
         self._peer_client = Client()
         peers = Peers(client=self._peer_client)
         self._operators = OperatorFeed(
@@ -352,54 +357,8 @@
         self._keeper.look()
         self._gossip.changed()
 
-    def _beat(self, standing: Standing) -> Beat:
-        views = self._views
-        now = asyncio.get_running_loop().time()
-        beat = Beat(
-            node=self._neighbours.me,
-            ready=views.ready,
-            leaving=self._leaving,
-            active=self._neighbours.is_active(now),
-            load=views.load.value(now),
-            period=self._neighbours.period(standing, now),
-            catalog=0 if views.catalog is None else views.catalog.version,
-            named=dict(views.named),
-            named_ages=views.named_times.ages(now),
-            reading=views.reading(now),
-            left=tuple(sorted(views.roster.leaving()))[:8],
-            burdens={},
-        )
-        if not standing.theirs:
-            return beat
-        loading = {name: until - now for name, until in views.loading.items() if until > now}
-        beat = beat._replace(
-            burdens=views.workload.own(),
-            loading=loading,
-            weights=tuple((i, m, v) for (i, m), v in views.weights.items())[-16:],
-            moves=views.links.own(now),
-        )
-        if not standing.near:
-            return beat
-        return beat._replace(kept=views.shelf.marks(now), lateness=views.lateness.known(now))
-
     def _heard(self, beat: Beat) -> None:
-        views = self._views
-        now = asyncio.get_running_loop().time()
-        burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
-        views.workload.told(beat.node.name, burdens, now)
-        views.heard_ages(beat.named_ages, now)
-        views.links.told(beat.node.name, beat.moves, now)
-        views.lateness.told(beat.lateness, now)
-        for name in beat.left:
-            if name not in views.roster.leaving() and views.roster.get(name) is not None:
-                _log.info("target leaving", target=name, told_by=beat.node.name)
-                views.roster.left(name)
-        for name, seconds in beat.loading.items():
-            views.loading[name] = max(views.loading.get(name, 0.0), now + min(seconds, 2.0))
-        for instance, model, version in beat.weights:
-            if version > views.weights.get((instance, model), 0):
-                views.saw_weights(instance, model, version)
-                views.loading.pop(instance, None)
+        self._telling.heard(beat)
         self._operators.heard(beat)
         if beat.node.data_centre == self._settings.data_centre:
             self._targets.heard(beat.node.name, beat.reading)
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -123,7 +123,10 @@
     def saw_weights(self, instance_name: str, model: str, version: int) -> None:
         """Note weights that an instance was seen to have; they only become newer."""
         key = (instance_name, model)
-        self.weights[key] = max(version, self.weights.get(key, 0))
+        if version > self.weights.get(key, 0):
+            # The newest sighting stands last: beats tell the last ones.
+            self.weights.pop(key, None)
+            self.weights[key] = version
 
     def weights_of(self, instance_name: str, model: str) -> int | None:
         """Return the version of `model` that an instance has, None when it has none."""
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -160,6 +160,16 @@
         self.assertAlmostEqual(views.outdated_seconds("m", 1, 110.0), 10.0)
         self.assertAlmostEqual(views.outdated_seconds("m", 2, 110.0), 6.0)
 
+    def test_the_newest_sightings_of_weights_stand_last(self) -> None:
+        views = Views()
+        for version in (2, 3):
+            for engine in ("e1", "e2", "e3"):
+                views.saw_weights(engine, "m", version)
+        views.saw_weights("e1", "m", 4)
+        views.saw_weights("e2", "m", 2)
+        self.assertEqual(list(views.weights), [("e2", "m"), ("e3", "m"), ("e1", "m")])
+        self.assertEqual(views.weights[("e2", "m")], 3)
+
     def test_a_version_that_was_missed_is_learned_from_others(self) -> None:
         first, late = NamedTimes(), Views()
         first.heard("m", 2, 100.0)
