Give no respite to lapsed entries after relying on another node

Cause: found while reading the diff: a node whose own readings had failed kept counting that as an outage of the store while it copied from a neighbour.

Change: a copy from the reader ends the outage; the reader itself waited out what lapsed. The new test fails before (the target stays for the whole respite).

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -240,6 +240,8 @@
         self._after: int | None = None
         self._copied: tuple[str, int] = ("", -1)
         self._rests = Rests(what="target entries", rng=rng)
+        self._outage = False
+        """Whether entries may have lapsed unseen since they were last read or copied."""
         self._wake = asyncio.Event()
 
     def heard(self, name: str, reading: Reading) -> None:
@@ -267,6 +269,7 @@
                 self._after = None
                 continue
             except OutOfReach as error:
+                self._outage = True
                 await self._rests.failed(error)
                 continue
             self._wake.clear()
@@ -301,6 +304,8 @@
         self._views.targets_row = copy.row
         self._after = copy.row
         self._copied = (chosen.name, copy.serial)
+        # The reader has waited out what lapsed while the store was away, if it was.
+        self._outage = False
         self._log_leaving(before, chosen.name)
         return True
 
@@ -308,9 +313,10 @@
         news = await self._platform.target_news(self._after)
         now = asyncio.get_running_loop().time()
         roster = self._views.roster
-        if self._rests.failing:
+        if self._outage:
             roster.store_returned(now)
             self._returned()
+        self._outage = False
         self._rests.worked()
         serial, before = roster.serial, roster.leaving()
         if news.whole:
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -6,6 +6,7 @@
 import json
 
 from fielddrift_core.names import rank
+from fielddrift_core.roster import RESPITE_SECONDS
 from fielddrift_core.workload import Burden
 from fielddrift_node.serving.feeds import READER_KEY
 from fielddrift_standins.fleet import HOST, free_port
@@ -377,6 +378,17 @@
         self.door.held = True
         await self._falls_not_behind()
 
+    async def test_after_relying_on_others_a_target_that_went_gets_no_respite(self) -> None:
+        self.door.turned_away = True
+        await self._falls_not_behind()
+        self.door.turned_away = False
+        for node in self.others:
+            await node.stop()
+        # The first reading of its own finds the entry gone; that was no outage.
+        self.fleet.store.drop("servers", "w2")
+        roster = self.cut.node.views.roster
+        await eventually(lambda: roster.get("w2") is None, RESPITE_SECONDS / 2)
+
     async def test_what_a_node_believes_tells_from_whom_and_how_old(self) -> None:
         page = json.loads((await get(self.cut.settings.metrics, "/beliefs")).body)
         self.assertEqual((page["node"], page["reader"]), (self.cut.settings.name, ""))
