--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -29,7 +29,7 @@
 
 _BEAT_COST_SECONDS = 0.015
 """Time between beats for each node that gets them: a node sends at most some
-seventy a second to either kind of neighbour, however many there are."""
+seventy a second to each kind of neighbour, however many there are."""
 _MISSED_BEATS = 4
 """Beats in a row that datagrams may lose before a node counts as gone."""
 _SLACK_SECONDS = 0.3
@@ -93,6 +93,7 @@
 an active one is gone, for it answers callers that ask for addresses; others matter to
 it only once it is active."""
 _SHORTEST = 0.15
+"""Seconds; what a beat says that was put together without a receiver in mind."""
 
 
 class Beat(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -20,6 +20,7 @@
 
 _LOOK_SECONDS = 0.1
 _STANDBY_LOOK_SECONDS = 0.5
+"""Between looks of a node that stands by: it waits for seconds for others anyway."""
 _STAND_IN_SECONDS = 2.5
 """How long each node in line waits for those before it to do the work."""
 _MOST_BEFORE_STANDBY = 2
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -30,6 +30,7 @@
 HOST = "127.0.0.1"
 _START_SECONDS = 30.0
 _LOWEST_PORT = 10_000
+"""Above the ports that well-known services use."""
 _USUAL_EPHEMERAL_START = 32_768
 """Where the range of outgoing connections begins on most systems."""
 _PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
