Take stop signals without a handler; end calls under way when their client closes

The node that hung was the first of the fleet, which gets SIGTERM twice within microseconds. The handler called Event.set(), which takes a lock that the interrupted code may hold: Event.wait() on its way out, or the handler's own first run. Ruled out: threads of the pools (the exporter's and the pool's are waited for with calls that time out). Found beside it: calls under way when HttpClient closes were never ended. Change: signals are blocked and waited for with sigwait; the client ends what is under way; a node of a fleet that does not stop writes its threads' stacks (faulthandler on SIGABRT).

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -173,6 +173,8 @@
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._spare: list[pycurl.Curl] = []
         self._stopped = False
+        self._ended = False
+        self._todo_lock = threading.Lock()
         self._thread = threading.Thread(target=self._turn, name="http-client", daemon=True)
         self._thread.start()
 
@@ -189,7 +191,7 @@
         return Reply(head.status, head.headers, stream.read())
 
     def close(self) -> None:
-        """Stop the thread; calls on their way are cut."""
+        """Stop the thread; calls on their way fail, and so do later ones."""
         self._stopped = True
         os.write(self._writer, b".")
         self._thread.join(timeout=2 * _LOOP_SECONDS)
@@ -198,8 +200,14 @@
         self._wake("cancel", stream)
 
     def _wake(self, what: str, item: _Transfer | Stream) -> None:
-        self._todo.append((what, item))
-        os.write(self._writer, b".")
+        with self._todo_lock:
+            ended = self._ended
+            if not ended:
+                self._todo.append((what, item))
+        if not ended:
+            os.write(self._writer, b".")
+        elif isinstance(item, _Transfer):
+            item.stream.end(_closed(sure=True))
 
     # --- in the thread -----------------------------------------------------
 
@@ -219,6 +227,23 @@
         self._timer = None if milliseconds < 0 else time.monotonic() + milliseconds / 1000
 
     def _turn(self) -> None:
+        try:
+            self._turn_until_stopped()
+        finally:
+            # Whoever waits for an answer would wait for ever without this thread.
+            self._end_all()
+
+    def _end_all(self) -> None:
+        with self._todo_lock:
+            self._ended = True
+        while self._todo:
+            _, item = self._todo.popleft()
+            if isinstance(item, _Transfer):
+                item.stream.end(_closed(sure=True))
+        for transfer in self._transfers.values():
+            transfer.stream.end(_closed(sure=False))
+
+    def _turn_until_stopped(self) -> None:
         while not self._stopped:
             for key, events in self._selector.select(self._timeout()):
                 if key.fd == self._reader:
@@ -282,3 +307,7 @@
         if len(self._spare) < _MOST_IDLE:
             self._spare.append(curl)
         transfer.stream.end(error)
+
+
+def _closed(*, sure: bool) -> OutsideError:
+    return OutsideError("this process's client was closed", sure=sure)
--- a/packages/node/src/fielddrift_node/main.py
+++ b/packages/node/src/fielddrift_node/main.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-import signal
+import faulthandler
 import sys
-import threading
 
 import click
 
 from .daemon import Daemon
-from .log import configure
+from .log import configure, get
 from .settings import Settings, SettingsError, load
+from .stopping import StopSignals
 
 __all__ = ["main"]
 
 _BAD_SETTINGS = 2
 _LAST_LINES_SECONDS = 0.5
 """How long the last log lines may take at the end."""
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 @click.group()
@@ -30,19 +29,16 @@
 @click.argument("settings", type=click.Path())
 def run(settings: str) -> None:
     """Run a node with the SETTINGS file until SIGTERM."""
+    # Where every thread stands goes to standard error on SIGABRT.
+    faulthandler.enable()
+    signals = StopSignals()
     checked = _load(settings)
     sink = configure(level=checked["log_level"], node=checked["node"]["peer"])
-    stop = threading.Event()
-    for number in _STOP_SIGNALS:
-        signal.signal(number, lambda *_: stop.set())
     daemon = Daemon(settings=checked)
     daemon.start()
-    stop.wait()
+    received = signals.wait()
+    get().info("stopping", signal=received.name)
     daemon.stop()
-    # The interpreter gives its handlers up before it ends; a second signal
-    # in that moment would turn a clean stop into a killed process.
-    for number in _STOP_SIGNALS:
-        signal.signal(number, signal.SIG_IGN)
     sink.close(seconds=_LAST_LINES_SECONDS)
     sys.exit(0)
 
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -29,6 +29,10 @@
 PEER_KEY = "peer-key-of-the-demo-fleet"
 HOST = "127.0.0.1"
 _START_SECONDS = 30.0
+_ABORT_SECONDS = 5.0
+"""How long a process may take to write where its threads stand."""
+_LOG_TAIL = 8000
+"""Characters shown of a process that did not stop: some forty threads' stacks."""
 _LOWEST_PORT = 10_000
 """Above the ports that well-known services use."""
 _USUAL_EPHEMERAL_START = 32_768
@@ -122,9 +126,18 @@
         try:
             self._popen.wait(seconds)
         except subprocess.TimeoutExpired:
-            self._popen.kill()
+            self._abort()
         return self._close()
 
+    def _abort(self) -> None:
+        """End a process that does not stop, and show where its threads stand."""
+        self._popen.send_signal(signal.SIGABRT)
+        try:
+            self._popen.wait(_ABORT_SECONDS)
+        except subprocess.TimeoutExpired:
+            self._popen.kill()
+        print(f"process {self.pid} did not stop:\n{self.log[-_LOG_TAIL:]}", flush=True)
+
     def _close(self) -> int:
         code = self._popen.wait()
         if self._popen.stdout:
