Add a fault soak: real nodes, links that harm, signals, overlapping faults, promises checked from outside

Real processes of the platform's program at loopback addresses of their own; store, store host, workers and operator are the stand-ins, each behind a link that delays, refuses, resets, swallows one way or falls silent. 29 kinds of fault from a registry, begun at random times, overlapping; 13 promises checked each second and at the end from what callers, workers and the operator saw. The operators' part of the tests' fleet moved to the stand-ins, one copy for both. The stand-in worker kept orders without answer in the list of request faults, where a request took them: a counter of its own now.

--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -29,6 +29,8 @@
     headers: dict[str, str]
     body: bytes
     target: str
+    at: float
+    """The loop's time at which it began."""
 
 
 class _Exchange(NamedTuple):
@@ -70,6 +72,9 @@
         self.ran: list[Ran] = []
         self.left: list[str] = []
         self.orders: list[dict[str, Any]] = []
+        self.closed = False
+        self.unanswered_orders = 0
+        """Orders that are noted and get no answer; nothing is done about them."""
         self.version = version
         self.model = model
         self.load_seconds = 0.05
@@ -85,6 +90,7 @@
 
     def close(self) -> None:
         """Stop listening and drop connections."""
+        self.closed = True
         self._server.stop_accepting()
         self._server.close()
 
@@ -102,7 +108,9 @@
         """Note that a request runs; return its id."""
         fields = {n.decode().lower(): v.decode() for n, v in request.head.headers}
         request_id = fields.get("x-request-id", "")
-        self.ran.append(Ran(request_id, fields, request.body, request.head.target.decode()))
+        now = asyncio.get_running_loop().time()
+        target = request.head.target.decode()
+        self.ran.append(Ran(request_id, fields, request.body, target, now))
         return request_id
 
     async def _handle(self, request: Request, responder: Responder) -> None:
@@ -125,8 +133,8 @@
             responder.send(409, Headers(), b"")
             return
         self.orders.append(order)
-        if "order-unanswered" in self.faults:
-            self.faults.remove("order-unanswered")
+        if self.unanswered_orders > 0:
+            self.unanswered_orders -= 1
             responder.cut()
             return
         self._busy = True
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,66 @@
+"""Run soaks from the command line: `python -m soak --seeds 50`."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import shutil
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import click
+
+from .scene import Outcome, Size, run
+from .seeds import FAILED_ONCE
+
+_SEED_BITS = 32
+
+
+def _one(seed: int, size: Size) -> tuple[Outcome, str]:
+    """Run one seed; keep its logs only where something was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f"fielddrift-soak-{seed}-"))
+    outcome = asyncio.run(run(seed, size, folder))
+    if not outcome.broken:
+        shutil.rmtree(folder)
+    return outcome, str(folder)
+
+
+@click.command()
+@click.option("--seed", type=int, multiple=True, help="Seeds to run, in place of fresh ones.")
+@click.option("--seeds", default=4, show_default=True, help="How many fresh seeds.")
+@click.option("--kept", is_flag=True, help="The seeds that failed once.")
+@click.option("--nodes", default=Size().nodes, show_default=True)
+@click.option("--callers", default=Size().callers, show_default=True)
+@click.option("--seconds", default=Size().seconds, show_default=True, help="Time of faults.")
+@click.option("--jobs", default=1, show_default=True, help="Soaks side by side.")
+def main(
+    seed: tuple[int, ...],
+    seeds: int,
+    kept: bool,
+    nodes: int,
+    callers: int,
+    seconds: float,
+    jobs: int,
+) -> None:
+    """Soak fielddrift in faults; exit 1 where a promise was broken."""
+    if kept:
+        wanted = [failed.seed for failed in FAILED_ONCE]
+    else:
+        wanted = list(seed) or [secrets.randbits(_SEED_BITS) for _ in range(seeds)]
+    size = Size(nodes, callers, seconds)
+    bad = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for outcome, folder in pool.map(_one, wanted, [size] * len(wanted)):
+            verdict = f"BROKEN, logs in {folder}" if outcome.broken else "held"
+            click.echo(f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}")
+            for line in [*outcome.broken[:20], *(outcome.faults if outcome.broken else [])]:
+                click.echo(f"  {line}")
+            bad += bool(outcome.broken)
+    click.echo(f"{len(wanted)} seeds, {bad} with something broken")
+    sys.exit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,296 @@
+"""What may happen to a deployment.  Each fault happens, lasts, and is over when it returns."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from .links import Harm, Link
+
+if TYPE_CHECKING:
+    from .machines import Machine
+    from .scene import Scene
+
+__all__ = ["FAULTS", "Fault"]
+
+_Work = Callable[["Scene", random.Random], Awaitable[None]]
+
+
+class Fault(NamedTuple):
+    """A fault; planned work must not cost anyone an answer."""
+
+    work: _Work
+    planned: bool
+
+
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(name: str, *, planned: bool = False) -> Callable[[_Work], _Work]:
+    """Register the decorated function under `name`."""
+
+    def register(work: _Work) -> _Work:
+        FAULTS[name] = Fault(work, planned)
+        return work
+
+    return register
+
+
+async def _lasting(rng: random.Random, least: float = 0.5, most: float = 5.0) -> None:
+    await asyncio.sleep(rng.uniform(least, most))
+
+
+# --- processes --------------------------------------------------------------------
+
+
+async def _kill(machine: Machine, rest: float) -> None:
+    if machine.busy:
+        return
+    machine.busy = True
+    try:
+        await machine.kill()
+        await asyncio.sleep(rest)
+        machine.start()
+    finally:
+        machine.busy = False
+
+
+async def _pause(machine: Machine, seconds: float) -> None:
+    if machine.busy:
+        return
+    machine.busy = True
+    try:
+        machine.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        machine.send(signal.SIGCONT)
+    finally:
+        machine.busy = False
+
+
+async def _restart(machine: Machine) -> None:
+    if machine.busy:
+        return
+    machine.busy = True
+    try:
+        await machine.stop()
+        machine.start()
+    finally:
+        machine.busy = False
+
+
+@fault("one killed")
+async def _one_killed(scene: Scene, rng: random.Random) -> None:
+    await _kill(rng.choice(scene.machines), rng.uniform(0.1, 2.0))
+
+
+@fault("one killed again and again")
+async def _killed_often(scene: Scene, rng: random.Random) -> None:
+    machine = rng.choice(scene.machines)
+    for _ in range(rng.randint(2, 4)):
+        await _kill(machine, 0.1)
+        await _lasting(rng, 0.1, 1.0)
+
+
+@fault("all killed")
+async def _all_killed(scene: Scene, rng: random.Random) -> None:
+    rest = rng.uniform(0.1, 1.5)
+    await asyncio.gather(*(_kill(machine, rest) for machine in scene.machines))
+
+
+@fault("some paused")
+async def _some_paused(scene: Scene, rng: random.Random) -> None:
+    chosen = rng.sample(scene.machines, k=rng.randint(1, max(1, len(scene.machines) // 2)))
+    seconds = rng.uniform(0.3, 5.0)
+    await asyncio.gather(*(_pause(machine, seconds) for machine in chosen))
+
+
+@fault("one stopped", planned=True)
+async def _one_stopped(scene: Scene, rng: random.Random) -> None:
+    await _restart(rng.choice(scene.machines))
+
+
+@fault("all stopped in turn", planned=True)
+async def _rolled(scene: Scene, rng: random.Random) -> None:
+    for machine in list(scene.machines):
+        await _restart(machine)
+        await _lasting(rng, 0.5, 1.5)
+
+
+@fault("one added", planned=True)
+async def _one_added(scene: Scene, rng: random.Random) -> None:
+    await scene.add_machine()
+
+
+# --- the store ---------------------------------------------------------------------
+
+
+async def _harmed(links: list[Link], harm: Harm, rng: random.Random) -> None:
+    for link in links:
+        link.harm = harm
+    await _lasting(rng)
+    for link in links:
+        link.harm = Harm()
+
+
+@fault("store refuses")
+async def _store_down(scene: Scene, rng: random.Random) -> None:
+    scene.outside.store.down = True
+    await _lasting(rng)
+    scene.outside.store.down = False
+
+
+@fault("store silent")
+async def _store_silent(scene: Scene, rng: random.Random) -> None:
+    scene.outside.store.silent = True
+    await _lasting(rng)
+    scene.outside.store.silent = False
+
+
+@fault("store slow")
+async def _store_slow(scene: Scene, rng: random.Random) -> None:
+    await _harmed([m.store for m in scene.machines], Harm(delay=rng.uniform(0.1, 0.4)), rng)
+
+
+@fault("answers of writes lost")
+async def _writes_lost(scene: Scene, rng: random.Random) -> None:
+    scene.outside.store.lose_answers += rng.randint(1, 4)
+    await _lasting(rng)
+
+
+@fault("history forgotten")
+async def _forgotten(scene: Scene, rng: random.Random) -> None:
+    scene.outside.store.forget()
+    await _lasting(rng, 0.1, 0.5)
+
+
+@fault("one cut off from the store")
+async def _cut_off(scene: Scene, rng: random.Random) -> None:
+    link = rng.choice(scene.machines).store
+    if rng.random() < 0.5:
+        link.reset()
+        await _harmed([link], Harm(refuse=True), rng)
+    else:
+        await _harmed([link], Harm(lose_to_server=True, lose_to_client=True), rng)
+
+
+@fault("one cut off from the store one way")
+async def _cut_one_way(scene: Scene, rng: random.Random) -> None:
+    upwards = rng.random() < 0.5
+    harm = Harm(lose_to_server=upwards, lose_to_client=not upwards)
+    await _harmed([rng.choice(scene.machines).store], harm, rng)
+
+
+@fault("open connections to the store fall silent")
+async def _store_silenced(scene: Scene, rng: random.Random) -> None:
+    for machine in scene.machines:
+        machine.store.silence()
+    await _lasting(rng, 0.5, 2.0)
+
+
+# --- workers and the store host -------------------------------------------------------
+
+
+def _worker(scene: Scene, rng: random.Random) -> str:
+    service = rng.choice(["plain", "engines"])
+    return rng.choice(scene.outside.serving(service) or list(scene.outside.workers))
+
+
+@fault("a worker crashes")
+async def _crash(scene: Scene, rng: random.Random) -> None:
+    name = _worker(scene, rng)
+    if len(scene.outside.serving("plain")) > 1 and len(scene.outside.serving("engines")) > 1:
+        scene.outside.crash(name)
+    await _lasting(rng, 2.0, 3.0)
+
+
+@fault("a worker leaves", planned=True)
+async def _drain(scene: Scene, rng: random.Random) -> None:
+    name = _worker(scene, rng)
+    if name not in scene.outside.leaving_at:
+        scene.outside.drain(name)
+    await _lasting(rng, 3.0, 4.0)
+
+
+@fault("a worker fails")
+async def _worker_fails(scene: Scene, rng: random.Random) -> None:
+    name = _worker(scene, rng)
+    common = ["shed", "error", "lost", "hang", "garbage"]
+    own = ["cut-event"] if name.startswith("engines") else ["surplus", "extra"]
+    worker = scene.outside.workers[name]
+    worker.faults += [rng.choice([*common, *own]) for _ in range(rng.randint(1, 12))]
+    await _lasting(rng, 1.0, 3.0)
+    worker.faults.clear()
+
+
+@fault("orders get no answer")
+async def _orders_unanswered(scene: Scene, rng: random.Random) -> None:
+    for name in scene.outside.serving("engines"):
+        scene.outside.workers[name].unanswered_orders = 1
+    scene.outside.name_weights()
+    await _lasting(rng, 3.0, 5.0)
+    for worker in scene.outside.workers.values():
+        worker.unanswered_orders = 0
+
+
+@fault("a worker's link is harmed")
+async def _worker_link(scene: Scene, rng: random.Random) -> None:
+    link = scene.outside.links[_worker(scene, rng)]
+    harms = (
+        Harm(delay=rng.uniform(0.05, 0.5)),
+        Harm(refuse=True),
+        Harm(lose_to_server=True),
+        Harm(lose_to_client=True),
+    )
+    if rng.random() < 0.5:
+        link.reset()
+    await _harmed([link], rng.choice(harms), rng)
+
+
+@fault("open connections to workers fall silent")
+async def _workers_silenced(scene: Scene, rng: random.Random) -> None:
+    for link in scene.outside.links.values():
+        link.silence()
+    await _lasting(rng, 0.5, 2.0)
+
+
+@fault("open connections to workers are reset")
+async def _workers_reset(scene: Scene, rng: random.Random) -> None:
+    for link in scene.outside.links.values():
+        link.reset()
+    await _lasting(rng, 0.2, 1.0)
+
+
+@fault("the store host returns empty")
+async def _store_host_empty(scene: Scene, rng: random.Random) -> None:
+    scene.outside.kv.restart()
+    scene.outside.links["kept"].reset()
+    await _lasting(rng, 0.2, 1.0)
+
+
+# --- the operator ------------------------------------------------------------------
+
+
+@fault("weights are named", planned=True)
+async def _named(scene: Scene, rng: random.Random) -> None:
+    scene.outside.name_weights()
+    if rng.random() < 0.4:
+        await _lasting(rng, 0.2, 2.0)
+        scene.outside.name_weights()
+    await _lasting(rng, 0.5, 2.0)
+
+
+@fault("the configuration changes", planned=True)
+async def _changed(scene: Scene, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        scene.outside.change()
+        await _lasting(rng, 0.2, 2.0)
+
+
+@fault("many callers come at once", planned=True)
+async def _burst(scene: Scene, rng: random.Random) -> None:
+    scene.pace = 0.3
+    await _lasting(rng, 1.0, 3.0)
+    scene.pace = 1.0
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,129 @@
+"""Carry TCP connections between two addresses, and harm them on request."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import NamedTuple
+
+from fielddrift_standins.fleet import HOST, free_port
+
+__all__ = ["Harm", "Link"]
+
+_PIECE_BYTES = 65536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER that makes a close send a reset."""
+
+
+class Harm(NamedTuple):
+    """What a link does to bytes: hold them up for `delay` seconds, or swallow them one way."""
+
+    delay: float = 0.0
+    lose_to_server: bool = False
+    lose_to_client: bool = False
+    refuse: bool = False
+
+
+class _Pair:
+    """One carried connection."""
+
+    def __init__(self, *, writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]) -> None:
+        self.writers = writers
+        self.silent = False
+
+    def reset(self) -> None:
+        """Reset both ends."""
+        for writer in self.writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            writer.transport.abort()
+
+
+class Link:
+    """A loopback address that stands for `target`."""
+
+    def __init__(self, *, target: str) -> None:
+        self.address = f"{HOST}:{free_port()}"
+        self.harm = Harm()
+        self._target = target
+        self._pairs: set[_Pair] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Link:
+        """Listen."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+        return self
+
+    def close(self) -> None:
+        """Stop listening, and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for pair in list(self._pairs):
+            pair.reset()
+
+    def silence(self) -> None:
+        """Let open connections carry nothing any more, for good; new ones work."""
+        for pair in self._pairs:
+            pair.silent = True
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.harm.refuse:
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = _Pair(writers=(writer, far_writer))
+        self._pairs.add(pair)
+        pumps = [
+            asyncio.ensure_future(self._pump(pair, reader, far_writer, to_server=True)),
+            asyncio.ensure_future(self._pump(pair, far_reader, writer, to_server=False)),
+        ]
+        self._tasks.update(pumps)
+        try:
+            await asyncio.wait(pumps)
+        except asyncio.CancelledError:
+            # The soak ends; asyncio's own streams log what passes through here.
+            pair.reset()
+        finally:
+            self._pairs.discard(pair)
+            self._tasks.difference_update(pumps)
+            for end in pair.writers:
+                end.close()
+
+    async def _pump(
+        self,
+        pair: _Pair,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        to_server: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(_PIECE_BYTES):
+                if self.harm.delay:
+                    await asyncio.sleep(self.harm.delay)
+                harm = self.harm
+                lost = harm.lose_to_server if to_server else harm.lose_to_client
+                if pair.silent or lost:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if not pair.silent and writer.can_write_eof():
+                writer.write_eof()
+        except OSError:
+            # One end was reset: so is the other.
+            pair.reset()
--- /dev/null
+++ b/soak/outside.py
@@ -0,0 +1,163 @@
+"""Play the outside of the nodes, each of its addresses behind a link that can be harmed."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import NamedTuple
+
+from fielddrift_standins.deployment import KEY, Deployment, route
+from fielddrift_standins.fleet import HOST, free_port
+from fielddrift_standins.worker import Worker
+
+from .callers import EVENTS
+from .links import Link
+
+__all__ = ["Change", "Outside"]
+
+_LAPSE_SECONDS = 1.5
+"""Time after which the entry of a worker that crashed goes."""
+_SERVE_ON_SECONDS = 3.0
+"""How long a leaving worker serves on: the drain bound and a little."""
+_PLAIN, _ENGINES = "plain", "engines"
+
+
+class Change(NamedTuple):
+    """A change of the operator: when the store took it, and which path and key it ended."""
+
+    at: float
+    dropped_path: str
+    added_path: str
+    dropped_key: str
+
+
+class Outside(Deployment):
+    """The store, workers that come and go, and what the operator changes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.links: dict[str, Link] = {}
+        self.ended: list[Worker] = []
+        self.changes: list[Change] = []
+        self.leaving_at: dict[str, float] = {}
+        self.named = 1
+        self._numbers = itertools.count(1)
+        self._services: dict[str, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self, *, plain: int, engines: int) -> None:
+        """Start everything."""
+        kept = Link(target=self.kv_address)
+        self.links["kept"] = await kept.start()
+        behind, self.kv_address = self.kv_address, kept.address
+        host, _, port = self.store_address.rpartition(":")
+        await self.store.start(host, int(port))
+        host, _, port = behind.rpartition(":")
+        await self.kv.start(host, int(port))
+        self.configure()
+        for service, count in ((_PLAIN, plain), (_ENGINES, engines)):
+            for _ in range(count):
+                await self.begin_worker(service)
+
+    def end(self) -> None:
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        self.close()
+        for worker in self.ended:
+            worker.close()
+        for link in self.links.values():
+            link.close()
+
+    async def store_link(self) -> Link:
+        """Return a way to the store for one node."""
+        return await Link(target=self.store_address).start()
+
+    @property
+    def every_worker(self) -> list[Worker]:
+        """Return all workers that there have been."""
+        return [*self.workers.values(), *self.ended]
+
+    def serving(self, service: str) -> list[str]:
+        """Return the workers of a service that are not leaving."""
+        names = [name for name, found in self._services.items() if found == service]
+        return [name for name in names if name in self.workers and name not in self.leaving_at]
+
+    # --- workers ------------------------------------------------------------------
+
+    async def begin_worker(self, service: str) -> str:
+        """Start a worker under a new name; return it."""
+        engine = service == _ENGINES
+        worker = Worker(
+            name=f"{service}-{next(self._numbers)}",
+            events=EVENTS if engine else 0,
+            work_seconds=0.02,
+            pause_seconds=0.02 if engine else 0.0,
+            version=self.named,
+        )
+        address = f"{HOST}:{free_port()}"
+        host, _, port = address.rpartition(":")
+        await worker.start(host, int(port))
+        link = await Link(target=address).start()
+        self.links[worker.name] = link
+        self.workers[worker.name] = worker
+        self.addresses[worker.name] = link.address
+        self._services[worker.name] = service
+        self.enter(worker.name, service)
+        return worker.name
+
+    def crash(self, name: str) -> None:
+        """End a worker at once; its entry lapses, and another one comes."""
+        service = self._services[name]
+        self._gone(name)
+        self._later(self._lapse(name, service))
+
+    def drain(self, name: str) -> None:
+        """Let a worker say that it leaves, serve on and end; another one comes first."""
+        service = self._services[name]
+        self.leaving_at[name] = asyncio.get_running_loop().time()
+        self.enter(name, service, state="draining")
+        self._later(self._leave(name, service))
+
+    def _gone(self, name: str) -> None:
+        worker = self.workers.pop(name)
+        worker.close()
+        self.links[name].close()
+        self.ended.append(worker)
+
+    async def _lapse(self, name: str, service: str) -> None:
+        await asyncio.sleep(_LAPSE_SECONDS)
+        self.store.drop("servers", name)
+        await self.begin_worker(service)
+
+    async def _leave(self, name: str, service: str) -> None:
+        await self.begin_worker(service)
+        await asyncio.sleep(_SERVE_ON_SECONDS)
+        self._gone(name)
+        self.store.drop("servers", name)
+
+    def _later(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- the operator ---------------------------------------------------------------
+
+    def name_weights(self) -> None:
+        """Name newer weights."""
+        self.named += 1
+        self.store.put("op", "version/m", {"model": "m", "version": self.named})
+
+    def change(self) -> None:
+        """Add a route and a key, and drop those that the last change added."""
+        number = next(self._numbers)
+        last = self.changes[-1] if self.changes else Change(0.0, "", "", "")
+        path, key = f"/extra-{number}/", f"extra-key-{number}"
+        old = [r for r in self.routes if r["path-prefix"] == last.added_path]
+        self.routes = [r for r in self.routes if r not in old]
+        self.routes.append(route(f"extra-{number}", _PLAIN, "safe"))
+        dropped_key = self.keys[1] if len(self.keys) > 1 else ""
+        self.keys = [KEY, key]
+        self.configure()
+        now = asyncio.get_running_loop().time()
+        self.changes.append(Change(now, last.added_path, path, dropped_key))
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,242 @@
+"""What must hold, told from what callers, targets and the operator saw."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from fielddrift_standins.worker import Ran, Worker
+
+from .callers import EVENTS, Attempt
+from .outside import Change
+
+__all__ = ["PROMISES", "Evidence", "Probe", "Span", "broken"]
+
+_NOT_RUN = (408, 421, 429, 503)
+_NOT_ALLOWED = (401, 403, 404)
+_MOST_LEFT_OVER = 0.1
+"""Part of the requests of the calm end that may fail: the last faults' traces."""
+_LEAVING_SECONDS = 2.0
+_DRAIN_SLACK = 0.3
+"""Time that a send may be under way on a busy machine."""
+_EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
+_CROSSING_SECONDS = 0.3
+"""A request that nobody passed on, and whose connection closed so soon, crossed that close."""
+_TOUCH_SECONDS = 3.0
+"""Time without disturbance after which the bounds in seconds hold."""
+
+
+class Span(NamedTuple):
+    """A fault: from when to when, and whether it was planned work."""
+
+    name: str
+    began: float
+    ended: float
+    planned: bool
+
+
+class Probe(NamedTuple):
+    """A request sent straight to one node to see which configuration is in force there."""
+
+    at: float
+    node: str
+    status: int
+    expected: int
+    what: str
+
+
+class Evidence(NamedTuple):
+    """All that was seen."""
+
+    attempts: list[Attempt]
+    workers: list[Worker]
+    spans: list[Span]
+    changes: list[Change]
+    probes: list[Probe]
+    leaving_at: dict[str, float]
+    named: int
+    calm_since: float | None
+    faults_of_ours: list[str]
+
+    def ran(self) -> dict[str, list[tuple[Worker, Ran]]]:
+        """Return what ran, by request."""
+        found: dict[str, list[tuple[Worker, Ran]]] = defaultdict(list)
+        for worker in self.workers:
+            for ran in worker.ran:
+                found[ran.request_id].append((worker, ran))
+        return found
+
+    def disturbed(self, began: float, ended: float) -> bool:
+        """Return whether unplanned trouble, or its after-effects, touched the time."""
+        return any(
+            span.began <= ended and span.ended >= began - _TOUCH_SECONDS
+            for span in self.spans
+            if not span.planned
+        )
+
+
+_Check = Callable[[Evidence], Iterator[str]]
+PROMISES: dict[str, _Check] = {}
+
+
+def promise(name: str) -> Callable[[_Check], _Check]:
+    """Register the decorated check under `name`."""
+
+    def register(check: _Check) -> _Check:
+        PROMISES[name] = check
+        return check
+
+    return register
+
+
+def broken(evidence: Evidence) -> list[str]:
+    """Return a line for each thing that does not hold."""
+    return [f"{name}: {line}" for name, check in PROMISES.items() for line in check(evidence)]
+
+
+@promise("an answer is its request's own, whole and unchanged")
+def _own_answer(evidence: Evidence) -> Iterator[str]:
+    ran = evidence.ran()
+    for attempt in evidence.attempts:
+        if attempt.status != 200:
+            continue
+        workers = {worker.name for worker, _ in ran.get(attempt.id, [])}
+        sealed_by, _, sealed_for = attempt.seal.partition(".")
+        if sealed_for != attempt.id or sealed_by not in workers:
+            yield f"{attempt.id}: seal {attempt.seal!r}, ran at {sorted(workers)}"
+        plain = (f"answer of {sealed_by}".encode(), b"whole", b"the right answer")
+        if attempt.whole and not attempt.kind.streams and attempt.answer not in plain:
+            yield f"{attempt.id}: body {attempt.answer[:60]!r}"
+
+
+@promise("events come in order, none twice, none missing")
+def _events(evidence: Evidence) -> Iterator[str]:
+    for attempt in evidence.attempts:
+        if attempt.status != 200 or not attempt.kind.streams:
+            continue
+        numbers = [int(number) for number, _ in _EVENT.findall(attempt.answer)]
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield f"{attempt.id}: events {numbers}"
+        rest = _EVENT.sub(b"", attempt.answer)
+        if attempt.whole and (len(numbers) != EVENTS or rest):
+            yield f"{attempt.id}: complete with {len(numbers)} of {EVENTS} events, rest {rest!r}"
+
+
+@promise("work that may run once runs once")
+def _once(evidence: Evidence) -> Iterator[str]:
+    ran = evidence.ran()
+    for attempt in evidence.attempts:
+        runs = len(ran.get(attempt.id, []))
+        if not attempt.kind.repeatable and runs > 1:
+            yield f"{attempt.id}: ran {runs} times"
+
+
+@promise("what is said not to have run never ran")
+def _true_refusals(evidence: Evidence) -> Iterator[str]:
+    ran = evidence.ran()
+    for attempt in evidence.attempts:
+        refused = attempt.status in _NOT_RUN and not attempt.seal
+        if refused and not attempt.kind.repeatable and attempt.id in ran:
+            yield f"{attempt.id}: {attempt.status}, and ran at {ran[attempt.id][0][0].name}"
+
+
+@promise("nothing runs that was not asked for, nor otherwise than asked")
+def _asked(evidence: Evidence) -> Iterator[str]:
+    asked = {attempt.id: attempt for attempt in evidence.attempts}
+    for request_id, runs in evidence.ran().items():
+        attempt = asked.get(request_id)
+        for worker, ran in runs:
+            if attempt is None:
+                if not request_id.startswith("probe-"):
+                    yield f"{request_id!r}: ran at {worker.name}, sent by nobody"
+                continue
+            if (ran.target, ran.body) != (attempt.path, attempt.body):
+                yield f"{request_id}: ran as {ran.target} {ran.body!r}"
+            if ran.headers.get("x-tenant") != "ana" or "x-credential" in ran.headers:
+                yield f"{request_id}: ran for {ran.headers.get('x-tenant')!r}"
+            if worker.name.startswith("engines") != attempt.kind.streams:
+                yield f"{request_id}: {attempt.kind.route} ran at {worker.name}"
+
+
+@promise("nobody is refused what every configuration allows")
+def _allowed(evidence: Evidence) -> Iterator[str]:
+    for attempt in evidence.attempts:
+        if attempt.status in _NOT_ALLOWED and not attempt.seal:
+            yield f"{attempt.id}: {attempt.status} at {attempt.address}"
+
+
+@promise("planned work costs nobody an answer")
+def _planned(evidence: Evidence) -> Iterator[str]:
+    ran = evidence.ran()
+    planned = [span for span in evidence.spans if span.planned]
+    for attempt in evidence.attempts:
+        ended = attempt.ended_at
+        if ended is None or attempt.left or attempt.whole or not attempt.sent:
+            continue
+        if attempt.id not in ran and ended - attempt.sent_at < _CROSSING_SECONDS:
+            continue
+        during = [s for s in planned if s.began <= ended and s.ended >= attempt.sent_at]
+        if during and not evidence.disturbed(attempt.sent_at, ended):
+            yield f"{attempt.id}: no whole answer ({attempt.status}) during {during[0].name}"
+
+
+@promise("a configuration is in force everywhere within its bound")
+def _in_force(evidence: Evidence) -> Iterator[str]:
+    for probe in evidence.probes:
+        if probe.status and probe.status != probe.expected:
+            yield f"{probe.node}: {probe.what}: {probe.status}, expected {probe.expected}"
+
+
+@promise("a worker that leaves gets no new work")
+def _left_alone(evidence: Evidence) -> Iterator[str]:
+    for worker in evidence.workers:
+        at = evidence.leaving_at.get(worker.name)
+        if at is None:
+            continue
+        limit = at + _LEAVING_SECONDS + _DRAIN_SLACK
+        for ran in worker.ran:
+            if ran.at > limit and not evidence.disturbed(at, ran.at):
+                yield f"{ran.request_id}: at {worker.name} {ran.at - at:.2f} s after its word"
+
+
+@promise("one holder gives orders at a time")
+def _one_holder(evidence: Evidence) -> Iterator[str]:
+    holders: dict[int, str] = {}
+    for worker in evidence.workers:
+        highest = 0
+        for order in worker.orders:
+            fence, holder = order["fence"], order["holder"]
+            if holders.setdefault(fence, holder) != holder:
+                yield f"fence {fence}: {holders[fence]} and {holder}"
+            if fence < highest:
+                yield f"{worker.name}: fence {fence} after {highest}"
+            highest = max(highest, fence)
+
+
+@promise("new weights come everywhere")
+def _weights(evidence: Evidence) -> Iterator[str]:
+    if evidence.calm_since is None:
+        return
+    for worker in evidence.workers:
+        left = worker.name in evidence.leaving_at or worker.closed
+        if worker.name.startswith("engines") and not left and worker.version != evidence.named:
+            yield f"{worker.name}: version {worker.version}, named {evidence.named}"
+
+
+@promise("after the trouble all is served again")
+def _served_again(evidence: Evidence) -> Iterator[str]:
+    if evidence.calm_since is None:
+        return
+    late = [a for a in evidence.attempts if a.sent_at > evidence.calm_since and not a.left]
+    done = [a for a in late if a.ended_at is not None]
+    bad = [a for a in done if not (a.whole and a.status == 200)]
+    if not done or len(bad) > _MOST_LEFT_OVER * len(done):
+        counts = Counter(a.status for a in bad)
+        yield f"{len(bad)} of {len(done)} requests unserved: {dict(counts)}"
+
+
+@promise("no process ends or fails by itself")
+def _no_faults_of_ours(evidence: Evidence) -> Iterator[str]:
+    yield from evidence.faults_of_ours
--- /dev/null
+++ b/soak/scene.py
@@ -0,0 +1,244 @@
+"""Run one seeded soak: nodes, callers, overlapping faults, and the checks meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+from .callers import Attempt, Caller
+from .faults import FAULTS
+from .machines import Machine, Net
+from .outside import Outside
+from .promises import Evidence, Probe, Span, broken
+
+__all__ = ["Outcome", "Scene", "Size", "run"]
+
+_ZONES = ("a", "b", "c")
+_READY_SECONDS = 60.0
+_LOOK_SECONDS = 1.0
+_CALM_SECONDS = 14.0
+"""Time at the end without faults: the bound of weights, of recovery, and some requests."""
+_RECOVERY_SECONDS = 10.0
+_SETTLE_SECONDS = 3.0
+"""Time after which a node that was disturbed must know what is in force."""
+_IN_FORCE_SECONDS = 2.3
+"""The bound of a configuration, and time for the probe on a busy machine."""
+_FAULT_GAP_SECONDS = 2.2
+"""Mean time between the beginnings of faults; they last some two seconds each."""
+_CALLER_PAUSE_SECONDS = 0.15
+_PROBE_SECONDS = 2.0
+_OUR_FAILURES = ("loop failed", "request failed", "store loop failed")
+
+
+class Size(NamedTuple):
+    """How large and long a soak is; `seconds` is the time in which faults begin."""
+
+    nodes: int = 4
+    callers: int = 16
+    seconds: float = 20.0
+
+
+class Outcome(NamedTuple):
+    """What a soak showed."""
+
+    seed: int
+    broken: list[str]
+    attempts: int
+    answered: int
+    faults: list[str]
+
+
+class Scene:
+    """Everything that a soak runs."""
+
+    def __init__(self, *, seed: int, size: Size, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        self.machines: list[Machine] = []
+        self.outside = Outside()
+        self.pace = 1.0
+        """Callers' rests are this part of their usual ones."""
+        self._size = size
+        self._folder = folder
+        self._net = Net(rng=random.Random())
+        self._attempts: list[Attempt] = []
+        self._spans: list[Span] = []
+        self._probes: list[Probe] = []
+        self._calm_since: float | None = None
+        self._loop = asyncio.get_running_loop()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def open(self) -> None:
+        """Start everything, and wait until all nodes are ready."""
+        await self.outside.open(plain=3, engines=4)
+        for _ in range(self._size.nodes):
+            await self.add_machine()
+        async with asyncio.timeout(_READY_SECONDS):
+            for machine in self.machines:
+                while await _status(machine.ready, "/readyz") != 200:
+                    await asyncio.sleep(0.1)
+        for _ in range(self._size.callers):
+            caller = Caller(
+                directories=lambda: [m.directory for m in self._some_machines()],
+                rng=random.Random(self.rng.random()),
+                attempts=self._attempts,
+            )
+            pause = lambda: _CALLER_PAUSE_SECONDS * self.pace  # noqa: E731
+            self._tasks.append(asyncio.ensure_future(caller.run(pause)))
+        self._tasks.append(asyncio.ensure_future(self._watch()))
+        self._tasks.append(asyncio.ensure_future(self._probe_often()))
+
+    async def add_machine(self) -> None:
+        """Start one more node."""
+        number = len(self.machines)
+        machine = Machine(
+            name=f"n{number}",
+            ip=self._net.address(),
+            zone=_ZONES[number % len(_ZONES)],
+            folder=self._folder,
+            store=await self.outside.store_link(),
+        )
+        machine.start()
+        self.machines.append(machine)
+
+    async def trouble(self) -> None:
+        """Let faults begin at random times, overlapping, until the time is up."""
+        until = self._loop.time() + self._size.seconds
+        running = []
+        while self._loop.time() < until:
+            name = self.rng.choice(list(FAULTS))
+            own = random.Random(self.rng.random())
+            running.append(asyncio.ensure_future(self._fault(name, own)))
+            await asyncio.sleep(self.rng.expovariate(1 / _FAULT_GAP_SECONDS))
+        await asyncio.gather(*running)
+
+    async def calm(self) -> None:
+        """Let all recover, then watch what is served."""
+        await asyncio.sleep(_RECOVERY_SECONDS)
+        self._calm_since = self._loop.time()
+        await asyncio.sleep(_CALM_SECONDS - _RECOVERY_SECONDS)
+
+    def outcome(self, seed: int) -> Outcome:
+        """Return what was seen."""
+        answered = sum(1 for a in self._attempts if a.whole and a.status == 200)
+        names = [f"{span.began:.1f} {span.name}" for span in self._spans]
+        return Outcome(seed, broken(self.evidence()), len(self._attempts), answered, names)
+
+    def close(self) -> None:
+        """End everything that was started here."""
+        for task in self._tasks:
+            task.cancel()
+        for machine in self.machines:
+            machine.end()
+        self.outside.end()
+
+    def evidence(self) -> Evidence:
+        """Return all that was seen so far."""
+        failures = [line for m in self.machines for line in m.logged(*_OUR_FAILURES)]
+        return Evidence(
+            attempts=self._attempts,
+            workers=self.outside.every_worker,
+            spans=self._spans,
+            changes=self.outside.changes,
+            probes=self._probes,
+            leaving_at=self.outside.leaving_at,
+            named=self.outside.named,
+            calm_since=self._calm_since,
+            faults_of_ours=[*failures, *(f for m in self.machines for f in m.faults)],
+        )
+
+    # --- meanwhile ------------------------------------------------------------------
+
+    def _some_machines(self) -> list[Machine]:
+        return self.machines if len(self.machines) >= 3 else self.machines * 3
+
+    async def _fault(self, name: str, rng: random.Random) -> None:
+        fault = FAULTS[name]
+        began = self._loop.time()
+        # Until it is over it lasts for ever, for the checks that run meanwhile.
+        index = len(self._spans)
+        self._spans.append(Span(name, began, float("inf"), fault.planned))
+        await fault.work(self, rng)
+        self._spans[index] = Span(name, began, self._loop.time(), fault.planned)
+
+    async def _watch(self) -> None:
+        """Look after the processes and the promises while all goes on."""
+        told: Counter[str] = Counter()
+        while True:
+            await asyncio.sleep(_LOOK_SECONDS)
+            for machine in self.machines:
+                machine.look()
+            for line in broken(self.evidence()):
+                told[line] += 1
+                if told[line] == 1:
+                    print(f"  broken: {line}", flush=True)
+
+    async def _probe_often(self) -> None:
+        """Ask calm nodes what the last change must have changed."""
+        while True:
+            await asyncio.sleep(_PROBE_SECONDS)
+            changes = self.outside.changes
+            now = self._loop.time()
+            if not changes or now - changes[-1].at < _IN_FORCE_SECONDS:
+                continue
+            last = changes[-1]
+            for machine in self.machines:
+                if not self._calm(machine, now):
+                    continue
+                asks = [(last.added_path, "", 0)]
+                if last.dropped_path:
+                    asks.append((last.dropped_path, "", 404))
+                if last.dropped_key:
+                    asks.append(("/safe/", last.dropped_key, 401))
+                for path, key, expected in asks:
+                    await self._probe(machine, path, key, expected)
+
+    def _calm(self, machine: Machine, now: float) -> bool:
+        disturbed = now - machine.touched_at < _SETTLE_SECONDS or machine.busy
+        return not disturbed and not self.evidence().disturbed(now - _SETTLE_SECONDS, now)
+
+    async def _probe(self, machine: Machine, path: str, key: str, expected: int) -> None:
+        version = self.outside.version
+        status = await _status(machine.entry, path, key or self.outside.keys[0])
+        now = self._loop.time()
+        if version != self.outside.version or not self._calm(machine, now):
+            return
+        if expected == 0 and status not in (401, 404):
+            return
+        what = f"{path} {key}"
+        self._probes.append(Probe(now, machine.name, status, expected or 200, what))
+
+
+async def _status(address: str, path: str, key: str = "") -> int:
+    """Return the status of an answer, 0 where none comes."""
+    host, _, port = address.rpartition(":")
+    request_id = f"probe-{random.getrandbits(40):x}"
+    request = (
+        f"GET {path} HTTP/1.1\r\nHost: fleet.example\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: 1000\r\nX-Credential: {key}\r\nConnection: close\r\n\r\n"
+    )
+    try:
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(request.encode())
+                line = await reader.readline()
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        return 0
+    return int(line.split()[1]) if line.startswith(b"HTTP") else 0
+
+
+async def run(seed: int, size: Size, folder: Path) -> Outcome:
+    """Run one soak; its nodes' logs are in `folder`."""
+    scene = Scene(seed=seed, size=size, folder=folder)
+    try:
+        await scene.open()
+        await scene.trouble()
+        await scene.calm()
+        return scene.outcome(seed)
+    finally:
+        scene.close()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -14,11 +14,9 @@
 from fielddrift_platform.entry import PlatformEntry
 from fielddrift_platform.store import PlatformStore
 from fielddrift_platform.targets import PlatformTargets
+from fielddrift_standins.deployment import KEY, Deployment
 from fielddrift_standins.fleet import HOST, free_port
-from fielddrift_standins.rowstore import RowStore
-from fielddrift_standins.worker import KvHost, Worker
 
-KEY = "key-of-ana"
 BOUNDS = Bounds(
     drain=2.0,
     grace=1.4,
@@ -32,25 +30,6 @@
 WAIT_SECONDS = 10.0
 
 
-def route(name: str, service: str, kind: str, **extra: object) -> dict[str, object]:
-    """Return a route as the operators write it."""
-    return {
-        "name": name,
-        "host": "fleet.example",
-        "path-prefix": f"/{name}/",
-        "kind": kind,
-        "timeout-ms": 3000,
-        "target-latency-ms": 100,
-        "priority": 1,
-        "service": service,
-        "max-attempts": 2,
-        "allow-anonymous": False,
-        "sticky-sessions": False,
-        "gap-aim-ms": 100,
-        **extra,
-    }
-
-
 class Answer(NamedTuple):
     """What a caller got."""
 
@@ -59,72 +38,12 @@
     body: bytes
 
 
-class Fleet:
-    """The store, the workers and nodes."""
+class Fleet(Deployment):
+    """A deployment, and nodes before it in this process."""
 
     def __init__(self) -> None:
-        self.store = RowStore()
-        self.store_address = f"{HOST}:{free_port()}"
-        self.kv = KvHost()
-        self.kv_address = f"{HOST}:{free_port()}"
-        self.addresses: dict[str, str] = {}
-        self.workers: dict[str, Worker] = {}
+        super().__init__()
         self.nodes: list[RunningNode] = []
-        self.version = 1
-        self.keys = [KEY]
-        self.limits = {"max-header-bytes": 4096, "max-body-bytes": 65536}
-        self.routes = [
-            route("safe", "plain", "safe"),
-            route("unsafe", "plain", "unsafe"),
-            route("open", "plain", "safe", **{"allow-anonymous": True}),
-            route("chat", "engines", "streaming", **{"allow-resume": True}),
-            route("verdict", "engines", "streaming", **{"max-attempts": 1}),
-        ]
-
-    async def start(self) -> None:
-        """Start the store and the store host, and write the first configuration."""
-        host, _, port = self.store_address.rpartition(":")
-        await self.store.start(host, int(port))
-        host, _, port = self.kv_address.rpartition(":")
-        await self.kv.start(host, int(port))
-        self.configure()
-
-    def configure(self) -> None:
-        """Write the configuration under the next version."""
-        self.version += 1
-        engine = {"slots": 8, "kv-capacity": 40000, "kv-token-bytes": 10, "link-mbps": 1000.0}
-        engine |= {"max-inflight": 4, "models": [{"name": "m"}]}
-        kept = {"kv-store-addr": self.kv_address, "zone": "a", "kv-capacity": 100000}
-        services = [
-            {"name": "plain", "health-path": "/healthz", "max-conns": 50},
-            {"name": "engines", "health-path": "/healthz", "max-conns": 50, "engine": engine},
-            {"name": "kept", **kept, "link-mbps": 10000.0, "max-inflight": 4, "managed": True},
-        ]
-        config = {
-            "version": self.version,
-            "routes": self.routes,
-            "services": services,
-            "limits": self.limits,
-            "tenants": [{"name": "ana", "api-keys": self.keys, "priority": 1}],
-        }
-        self.store.put("op", "config", config)
-
-    async def worker(self, worker: Worker, service: str) -> Worker:
-        """Start a worker and write its entry."""
-        address = f"{HOST}:{free_port()}"
-        host, _, port = address.rpartition(":")
-        await worker.start(host, int(port))
-        self.addresses[worker.name] = address
-        self.workers[worker.name] = worker
-        self.enter(worker.name, service)
-        return worker
-
-    def enter(self, name: str, service: str, state: str = "ready") -> None:
-        """Write a worker's entry."""
-        worker = self.workers[name]
-        models = [{"name": worker.model, "version": worker.version}] if service == "engines" else []
-        entry = {"service": service, "address": self.addresses[name], "zone": "a", "slots": 4}
-        self.store.put("servers", name, {**entry, "state": state, "models": models, "seq": 1})
 
     async def node(self, name: str = "node-1", *, store: str = "") -> RunningNode:
         """Start a node and wait until it is ready; `store` is another way to the store."""
@@ -133,14 +52,11 @@
         await node.start()
         return node
 
-    async def close(self) -> None:
-        """Stop everything."""
+    async def end(self) -> None:
+        """Stop the nodes, then everything else."""
         for node in self.nodes:
             await node.stop()
-        self.store.close()
-        self.kv.close()
-        for worker in self.workers.values():
-            worker.close()
+        self.close()
 
 
 class RunningNode:
@@ -293,4 +209,4 @@
         await self.fleet.start()
 
     async def asyncTearDown(self) -> None:
-        await self.fleet.close()
+        await self.fleet.end()
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -268,7 +268,7 @@
         self.assertEqual({o["holder"] for o in orders}, {orders[0]["holder"]})
 
     async def test_an_order_that_was_not_answered_is_given_again(self) -> None:
-        self.fleet.workers["e2"].faults = ["order-unanswered"]
+        self.fleet.workers["e2"].unanswered_orders = 1
         self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
         await eventually(lambda: self._versions() == [2, 2, 2, 2])
 
@@ -282,7 +282,7 @@
         await eventually(lambda: self._versions() == [2, 2, 2, 2])
         self.fleet.kv.keep("m.1.", "aa", 100)
         self.fleet.kv.keep("m.2.", "bb", 100)
-        self.fleet.workers["e4"].faults = ["order-unanswered"] * 100
+        self.fleet.workers["e4"].unanswered_orders = 1 * 100
         self.fleet.store.put("op", "version/m", {"model": "m", "version": 3})
         await eventually(lambda: self._versions() == [3, 3, 3, 2])
         await eventually(lambda: self.fleet.kv.freed == [["m.1.", "aa"]], 20.0)
