--- /dev/null
+++ b/tests/test_kept_parts.py
@@ -0,0 +1,165 @@
+"""What stores keep, where parts are saved and from where they are fetched."""
+
+from __future__ import annotations
+
+import unittest
+
+from fielddrift_core.catalog import EngineTraits, StoreTraits
+from fielddrift_core.placement import EngineSight, Holder, choose_engine, recall
+from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.roster import Instance
+from fielddrift_core.shelf import KeptChange, Shelf, StoreView
+from fielddrift_core.workload import Burden
+
+ENGINE = EngineTraits(64, 40_000, 18_432, 16e9, ("m",), 12)
+SLOW = StoreTraits("slow:1", "a", 1_000_000, 3.6e9, 0.006, True, 12)
+QUICK = StoreTraits("quick:1", "a", 150_000, 12.5e9, 0.0005, True, 12)
+PROMPT = Prompt("m", (Part("top", 2500), Part("leaf", 5000), Part("own", 1500)), 9000, 10)
+
+
+def instance(name: str, data_centre: str = "a", **extra: object) -> Instance:
+    return Instance(name, "s", f"{name}:1", data_centre, **extra)  # type: ignore[arg-type]
+
+
+class TestKeptChanges(unittest.TestCase):
+    """Nodes copy what changed at a store from the one that listens to it."""
+
+    def setUp(self) -> None:
+        self.listener = StoreView(traits=SLOW)
+        self.listener.listed(7, 10, [("s", "aa", 100)])
+
+    def _hear(self, since: int, following: int, part: str) -> None:
+        change = KeptChange(since, following, (("s", part, 50),), ())
+        self.assertTrue(self.listener.take(change))
+
+    def test_a_copy_takes_the_changes_it_lacks(self) -> None:
+        copy = StoreView(traits=SLOW)
+        copy.listed(7, 10, [("s", "aa", 100)])
+        self._hear(10, 12, "bb")
+        self._hear(12, 15, "cc")
+        changes = self.listener.changes(copy.following)
+        assert changes is not None
+        for change in changes:
+            self.assertTrue(copy.take(change))
+        self.assertEqual((copy.held, copy.used), (self.listener.held, self.listener.used))
+        self.assertEqual(self.listener.changes(15), ())
+
+    def test_a_copy_with_a_gap_is_told_that_changes_are_not_known(self) -> None:
+        self._hear(10, 12, "bb")
+        self.assertIsNone(self.listener.changes(9))
+        self.assertIsNone(self.listener.changes(11))
+        copy = StoreView(traits=SLOW)
+        copy.listed(7, 9, [])
+        self.assertFalse(copy.take(KeptChange(10, 12, (), (("s", "aa"),))))
+        self.assertEqual((copy.following, copy.held), (9, {}))
+
+    def test_old_changes_are_forgotten_not_invented(self) -> None:
+        for number in range(10, 500):
+            self._hear(number, number + 1, f"p{number}")
+        self.assertIsNone(self.listener.changes(10))
+        self.assertEqual(len(self.listener.changes(499) or ()), 1)
+
+
+class TestPlacement(unittest.TestCase):
+    def _choose(self, sights: list[EngineSight], holders: dict[str, list[Holder]]) -> object:
+        choice = choose_engine(
+            PROMPT,
+            sights,
+            traits=ENGINE,
+            data_centre="a",
+            aim=0.5,
+            holders=lambda _, part: holders.get(part.id, []),
+        )
+        assert choice is not None
+        return choice
+
+    def _sight(self, name: str, **extra: object) -> EngineSight:
+        values: dict[str, object] = {
+            "instance": instance(name),
+            "burden": Burden(),
+            "failures": 0.0,
+            "behind": False,
+            "loading": False,
+        }
+        return EngineSight(**{**values, **extra})  # type: ignore[arg-type]
+
+    def test_parts_behind_a_gap_are_of_no_use(self) -> None:
+        found = recall(
+            PROMPT,
+            traits=ENGINE,
+            data_centre="a",
+            holders=lambda part: [Holder(SLOW)] if part.id == "leaf" else [],
+        )
+        self.assertEqual(found.sources, (None, None, None))
+        self.assertEqual((found.unread, found.again), (9000, 5000))
+
+    def test_the_link_that_is_free_sooner_serves(self) -> None:
+        holders = [Holder(SLOW, 0.0), Holder(QUICK, 0.5)]
+        found = recall(PROMPT, traits=ENGINE, data_centre="a", holders=lambda _: holders)
+        self.assertEqual(found.sources[:2], (SLOW, SLOW))
+
+    def test_the_lighter_engine_is_chosen_and_a_loading_one_only_alone(self) -> None:
+        light, heavy = self._sight("light"), self._sight("heavy", burden=Burden(3, 20_000))
+        self.assertEqual(self._choose([heavy, light], {}).instance.name, "light")  # type: ignore[attr-defined]
+        loading = self._sight("loading", loading=True)
+        self.assertEqual(self._choose([loading, heavy], {}).instance.name, "heavy")  # type: ignore[attr-defined]
+        self.assertEqual(self._choose([loading], {}).instance.name, "loading")  # type: ignore[attr-defined]
+
+    def test_an_engine_that_still_has_the_parts_is_preferred(self) -> None:
+        cold, warm = self._sight("cold"), self._sight("warm", memory={"top", "leaf"})
+        self.assertEqual(self._choose([cold, warm], {}).instance.name, "warm")  # type: ignore[attr-defined]
+
+    def test_a_fetch_that_would_be_late_gives_way_to_reading(self) -> None:
+        late = {"top": [Holder(SLOW, 1.0)], "leaf": [Holder(SLOW, 1.0)]}
+        choice = self._choose([self._sight("e")], late)
+        self.assertFalse(any(choice.recall.sources))  # type: ignore[attr-defined]
+
+    def test_a_full_memory_counts(self) -> None:
+        full = self._sight("full", burden=Burden(5, 0, 60_000))
+        some = self._sight("some", burden=Burden(5, 2_000, 10_000))
+        self.assertEqual(self._choose([full, some], {}).instance.name, "some")  # type: ignore[attr-defined]
+
+
+class TestShelf(unittest.TestCase):
+    def setUp(self) -> None:
+        self.shelf = Shelf()
+        self.shelf.configure([SLOW, QUICK])
+        for view in self.shelf.views:
+            view.listed(1, 0, [])
+
+    def test_small_parts_go_to_quick_stores_and_large_ones_to_large(self) -> None:
+        self.assertEqual(self.shelf.save("s", Part("large", 5000), 0.0), SLOW)
+        chosen = [self.shelf.save("s", Part(f"p{n}", 500), 0.0) for n in range(40)]
+        self.assertGreater(chosen.count(QUICK), chosen.count(SLOW))
+
+    def test_a_save_is_not_begun_twice_until_it_is_lost(self) -> None:
+        part = Part("p", 500)
+        self.shelf.save("s", part, 0.0)
+        self.assertTrue(self.shelf.saving("s", part, 1.0))
+        self.assertFalse(self.shelf.saving("s", part, 10.0))
+
+    def test_nothing_counts_as_kept_in_a_store_that_is_unknown(self) -> None:
+        view = self.shelf.views[0]
+        view.add("s", "p", 500)
+        self.assertEqual(len(self.shelf.holders("s", Part("p", 500))), 1)
+        view.unknown()
+        self.assertEqual(self.shelf.holders("s", Part("p", 500)), [])
+
+    def test_a_full_store_and_a_late_store_take_nothing(self) -> None:
+        for view in self.shelf.views:
+            view.listed(1, 0, [("s", "x", view.traits.capacity)])
+        self.assertIsNone(self.shelf.save("s", Part("p", 500), 0.0))
+        for view in self.shelf.views:
+            view.listed(1, 0, [])
+        late = {QUICK.address: 1.0}
+        chosen = self.shelf.save("s", Part("p", 500), 0.0, late=lambda s: late.get(s, 0.0))
+        self.assertEqual(chosen, SLOW)
+
+    def test_parts_are_found_by_their_salt_alone(self) -> None:
+        view = self.shelf.views[0]
+        view.add("m.1.", "old", 100)
+        view.add("m.2.", "new", 100)
+        view.add("m.2.ana", "own", 100)
+        self.assertEqual(self.shelf.salts(), {"m.1.", "m.2.", "m.2.ana"})
+        self.assertEqual(self.shelf.under({"m.1."}), {view.traits.address: [("m.1.", "old")]})
+        self.assertEqual(self.shelf.under({"m."}), {})
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,100 @@
+"""When weights count as outdated, who may order loads, and which engines load next."""
+
+from __future__ import annotations
+
+import unittest
+
+from fielddrift_core.rollout import (
+    DutyRow,
+    EngineWeights,
+    NamedTimes,
+    StoreClock,
+    VersionAge,
+    may_take,
+    next_loads,
+)
+from fielddrift_node.serving.ports import NamedWeights
+from fielddrift_node.serving.views import Views
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+class TestDuty(unittest.TestCase):
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        st.floats(-1000, 1000), st.floats(0, 2), st.floats(0, 2), st.floats(0, 5), st.floats(0, 30)
+    )
+    def test_a_successor_never_begins_within_a_turn_of_the_holder_s_last_order(
+        self, skew: float, out: float, back: float, until: float, later: float
+    ) -> None:
+        # Both read the platform's clock over calls that take any time each way.
+        holder = StoreClock(100.0, 50.0, 50.0 + out + back)
+        last_order_local = holder.local(100.0 + until)
+        # The platform's true clock at the holder's last order is at most `until`.
+        true_at_last = 100.0 + (last_order_local - (50.0 + out))
+        self.assertLessEqual(true_at_last, 100.0 + until + 1e-6)
+        read_at = 100.0 + later
+        other = StoreClock(read_at, skew, skew + out + back)
+        now = skew + out + back
+        row = DutyRow("holder", 100.0 + until)
+        if may_take(row, holder="other", clock=other, now=now, turn=3.0):
+            true_now = read_at + back
+            self.assertGreaterEqual(true_now + 1e-6, 100.0 + until + 3.0)
+
+    def test_the_holder_itself_need_not_wait(self) -> None:
+        clock = StoreClock(0.0, 0.0, 0.0)
+        self.assertTrue(may_take(DutyRow("me", 99.0), holder="me", clock=clock, now=0.0, turn=3.0))
+
+    def test_a_third_loads_at_once_over_all_data_centres(self) -> None:
+        engines = [EngineWeights(f"e{n}", "abc"[n % 3], 1, n, False) for n in range(9)]
+        chosen = next_loads(engines, wanted=2, longest=7.0)
+        self.assertEqual(sorted(chosen), ["e0", "e1", "e2"])
+        loading = [e._replace(loading=e.name in chosen) for e in engines]
+        self.assertEqual(next_loads(loading, wanted=2, longest=7.0), [])
+        late = [e._replace(outdated=7.1) for e in engines]
+        self.assertEqual(len(next_loads(late, wanted=2, longest=7.0)), 9)
+
+    def test_the_oldest_weights_are_replaced_first(self) -> None:
+        engines = [EngineWeights(f"e{n}", "abc"[n % 3], 2, n, False) for n in range(9)]
+        for n in (4, 7):
+            engines[n] = engines[n]._replace(weights=1)
+        chosen = next_loads(engines, wanted=3, longest=7.0)
+        self.assertEqual(len(chosen), 3)
+        self.assertTrue({"e4", "e7"} <= set(chosen))
+
+
+class TestNamedWeights(unittest.TestCase):
+    def test_a_node_that_was_away_counts_from_when_others_heard(self) -> None:
+        views = Views()
+        views.take_weights(NamedWeights("m", 3), 100.0)
+        views.heard_ages([VersionAge("m", 3, 4.0)], 100.2)
+        self.assertAlmostEqual(views.outdated_seconds("m", 2, 100.2), 4.0)
+        views.heard_ages([VersionAge("m", 3, 0.1)], 100.3)
+        self.assertAlmostEqual(views.outdated_seconds("m", 2, 100.3), 4.1)
+        self.assertEqual(views.outdated_seconds("m", 3, 100.3), 0.0)
+
+    def test_each_version_outdates_those_before_it_from_its_own_naming(self) -> None:
+        views = Views()
+        views.take_weights(NamedWeights("m", 2), 100.0)
+        views.take_weights(NamedWeights("m", 3), 104.0)
+        self.assertAlmostEqual(views.outdated_seconds("m", 1, 110.0), 10.0)
+        self.assertAlmostEqual(views.outdated_seconds("m", 2, 110.0), 6.0)
+
+    def test_the_newest_sightings_of_weights_stand_last(self) -> None:
+        views = Views()
+        for version in (2, 3):
+            for engine in ("e1", "e2", "e3"):
+                views.saw_weights(engine, "m", version)
+        views.saw_weights("e1", "m", 4)
+        views.saw_weights("e2", "m", 2)
+        self.assertEqual(list(views.weights), [("e2", "m"), ("e3", "m"), ("e1", "m")])
+        self.assertEqual(views.weights[("e2", "m")], 3)
+
+    def test_a_version_that_was_missed_is_learned_from_others(self) -> None:
+        first, late = NamedTimes(), Views()
+        first.heard("m", 2, 100.0)
+        first.heard("m", 3, 104.0)
+        late.take_weights(NamedWeights("m", 3), 205.0)
+        late.heard_ages(first.ages(105.0), 205.0)
+        self.assertAlmostEqual(late.outdated_seconds("m", 1, 205.0), 5.0)
+        self.assertEqual(late.named, {"m": 3})
