Know sooner after a start what stores keep, and send callers to the right nodes

A node that stands by never copied a view either, whatever its load: beats tell it nothing of stores. Ruled out: the starts themselves (35.70 to 35.96 for all), the estimate (right where the views are there). Change: entry answers of the first 1.5 s are kept for 0.3 s; each store's view is copied from whoever hears it; large hosts listen and read first; one that does not answer is not asked for 2 s; a node without any view waits 0.5 s, not 2.5; a node that stands by and takes a prompt asks an active one. The log says why a part was read (unknown, saving, full, quicker elsewhere).

--- a/packages/core/src/fielddrift_core/active.py
+++ b/packages/core/src/fielddrift_core/active.py
@@ -15,7 +15,7 @@
 
 from .names import rank
 
-__all__ = ["Candidate", "active_names", "capacity_of"]
+__all__ = ["Candidate", "active_names", "capacity_of", "size_class"]
 
 _REQUEST_SECONDS = 0.004
 """Processor time of a request with its stream: 0.036 of a core at ten a second
@@ -57,7 +57,7 @@
     """
     known = {candidate.name: candidate for candidate in candidates}
     ranked = rank(_RANK_KEY, [(name, 1.0) for name in known])
-    ranked.sort(key=lambda name: -_size(known[name].capacity))
+    ranked.sort(key=lambda name: -size_class(known[name].capacity))
     wanted = _HEADROOM * sum(candidate.load for candidate in known.values())
     least = max(_LEAST, math.ceil(len(known) / _PART))
     chosen: list[str] = []
@@ -70,6 +70,6 @@
     return frozenset(chosen)
 
 
-def _size(capacity: float) -> int:
+def size_class(capacity: float) -> int:
     """Return the power of two next to `capacity`: nearly equal hosts count as equal."""
     return round(math.log2(max(capacity, 1.0)))
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -231,6 +231,11 @@
         heard = self._heard.get(name)
         return None if heard is None else heard.node
 
+    def capacity(self, name: str) -> float:
+        """Return the requests a second that the host of the node called `name` carries."""
+        node = self._me if name == self._me.name else self.node(name)
+        return 1.0 if node is None else node.capacity
+
     def known(self, now: float) -> list[KnownNode]:
         """Return what is known of all neighbours, by name."""
         self._choose(now)
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -3,17 +3,29 @@
 Each call to the platform costs the users, whoever makes it.  So one node of a
 data centre reads, and tells the others, who fetch from it what is new.  When
 it falls silent, or what it has grows old, each of them reads for itself until
-a reader is heard again.
+a reader is heard again.  Reading and handing on takes a host's link and processor,
+so the largest hosts do it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import NamedTuple, Protocol
 
+from .active import size_class
 from .names import rank
 
-__all__ = ["READ_SECONDS", "Reading", "Source", "reader", "source"]
+__all__ = [
+    "OLD_MARK_SECONDS",
+    "READ_SECONDS",
+    "Mark",
+    "Reading",
+    "Source",
+    "in_order",
+    "reader",
+    "source",
+    "source_of_each",
+]
 
 READ_SECONDS = 0.6
 """Time between a reader's readings of the targets: three fit into the time
@@ -23,6 +35,17 @@
 _STANDBY_OLD_SECONDS = 2.0
 """The same for a node that stands by: it takes hardly any requests, and an active
 node will have taken the reader's place before."""
+OLD_MARK_SECONDS = 2.5
+"""Age at which a node's view of a store host is too old to rely on: it missed two calls
+for events."""
+
+
+class Mark(Protocol):
+    """How far a node has heard a store host, and how many seconds ago."""
+
+    @property
+    def age(self) -> float:
+        """Return the seconds since it heard."""
 
 
 class Reading(NamedTuple):
@@ -44,10 +67,19 @@
     name: str
 
 
-def reader(key: str, names: Iterable[str]) -> str:
-    """Return which of `names` reads what `key` names; empty when there are none."""
+def _alike(name: str) -> float:
+    return 1.0
+
+
+def in_order(key: str, names: Iterable[str], capacity: Callable[[str], float]) -> list[str]:
+    """Return who should read what `key` names, first choice first: large hosts before small."""
     ranked = rank(key, [(name, 1.0) for name in names])
-    return ranked[0] if ranked else ""
+    return sorted(ranked, key=lambda name: -size_class(capacity(name)))
+
+
+def reader(key: str, names: Iterable[str], *, capacity: Callable[[str], float] = _alike) -> str:
+    """Return which of `names` reads what `key` names; empty when there are none."""
+    return next(iter(in_order(key, names, capacity)), "")
 
 
 def source(
@@ -57,15 +89,16 @@
     *,
     active: Collection[str],
     failing: bool = False,
+    capacity: Callable[[str], float] = _alike,
 ) -> Source:
     """Return from whom `me` should have what `key` names.
 
     `readings` are those of the live nodes of this data centre, `me` left out.
-    The first active node by rank reads; where what it has is old, the next one.
+    The first active node in order reads; where what it has is old, the next one.
     While its own readings are `failing`, `me` relies on any other that reads.
     """
     candidates = [name for name in [me, *readings] if name in active] or [me, *readings]
-    for name in rank(key, [(candidate, 1.0) for candidate in candidates]):
+    for name in in_order(key, candidates, capacity):
         if name == me and not failing:
             return Source("")
         if name != me and readings[name].age <= _OLD_SECONDS:
@@ -74,3 +107,23 @@
         return Source("")
     freshest = min(candidates, key=lambda name: readings[name].age)
     return Source(freshest if readings[freshest].age <= _STANDBY_OLD_SECONDS else "")
+
+
+def source_of_each(
+    stores: Iterable[str], marks: Mapping[str, Mapping[str, Mark]], listener: str
+) -> dict[str, str]:
+    """Return, by store, the node to copy its view from; stores that nobody hears are left out.
+
+    `marks` tells by node how far it has heard each store.  The listener goes
+    before the others, then whoever heard the store last.
+    """
+    sources: dict[str, str] = {}
+    for store in stores:
+        heard = {
+            node: seen[store].age
+            for node, seen in marks.items()
+            if store in seen and seen[store].age <= OLD_MARK_SECONDS
+        }
+        if heard:
+            sources[store] = min(heard, key=lambda node: (node != listener, heard[node], node))
+    return sources
--- a/packages/node/src/fielddrift_node/serving/directory.py
+++ b/packages/node/src/fielddrift_node/serving/directory.py
@@ -40,7 +40,7 @@
         dialect: EntryDialect,
         addresses: Callable[[str], list[str]],
         ready: Callable[[], bool],
-        keep: float,
+        keep: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._addresses = addresses
@@ -62,4 +62,4 @@
             responder.send(503, Headers(), b"no node is known to be ready")
             return
         headers = Headers([(b"Content-Type", b"application/json")])
-        responder.send(200, headers, self._dialect.answer(addresses, self._keep))
+        responder.send(200, headers, self._dialect.answer(addresses, self._keep()))
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -75,6 +75,7 @@
         neighbours.readings(now),
         active=neighbours.active(now),
         failing=failing,
+        capacity=neighbours.capacity,
     )
     return neighbours.node(chosen.name) if chosen.name else None
 
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -67,6 +67,7 @@
 
     async def _serve(self, call: Call, responder: Responder) -> None:
         if call.service.engine is not None and call.ask.prompt is not None:
+            self._tools.views.prompts.add(asyncio.get_running_loop().time())
             await self._generation.serve(call, responder)
         else:
             await self._plain.serve(call, responder)
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/keeper.py
@@ -5,11 +5,12 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Mapping
 
 import structlog
-from fielddrift_core.neighbours import Neighbours
+from fielddrift_core.neighbours import KeptMark, Neighbours
 from fielddrift_core.prompt import Part
-from fielddrift_core.readers import reader
+from fielddrift_core.readers import OLD_MARK_SECONDS, reader, source_of_each
 from fielddrift_core.shelf import KeptChange, StoreView
 
 from .kept import salt_of
@@ -23,12 +24,14 @@
 _WAIT_SECONDS = 1.0
 _PAUSE_SECONDS = 0.25
 """Rest between event calls, and between copies: each carries what happened meanwhile."""
-_OLD_SECONDS = 2.5
-"""Age at which the listener's view is too old to rely on: it missed two event calls."""
 _REST_SECONDS = 0.5
-_STILL_LOAD = 5.0
-"""Requests a second from which a node that stands by copies what is known of the stores:
-callers use an old answer for some seconds; the operators' own checks are fewer."""
+_STANDBY_PAUSE_SECONDS = 1.0
+"""Rest between copies of a node that stands by and still takes a prompt now and then."""
+_UNREACHED_SECONDS = 2.0
+"""How long a node that did not answer is not asked: its link may be full."""
+_FIRST_PATIENCE_SECONDS = 0.5
+"""How long a node without any view of a store waits for whoever should hear it: prompts
+that come meanwhile are read anew."""
 _LISTENER_KEY = "stores"
 """What a data centre's listener is chosen for: one node hears all store hosts."""
 _FREE_AFTER_SECONDS = FETCH_SECONDS + 3.0
@@ -40,6 +43,11 @@
 _log = structlog.get_logger()
 
 
+def _patience(known: bool) -> float:
+    """Return how long a store's view may come from nobody before this node listens itself."""
+    return OLD_MARK_SECONDS if known else _FIRST_PATIENCE_SECONDS
+
+
 class Keeper:
     """Keep the shelf true to the stores."""
 
@@ -61,6 +69,10 @@
         self._rng = rng
         self._loops: dict[str, asyncio.Task[None]] = {}
         self._listener = ""
+        self._unreached: dict[str, float] = {}
+        """Until when a node that did not answer is not asked again."""
+        self._sources: dict[str, str] = {}
+        """The node that each store's view is copied from."""
         self._missing: dict[str, float] = {}
         """Since when the listener has told nothing of a store."""
         self._used_at: dict[str, float] = {}
@@ -72,26 +84,35 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Follow every store of the catalog while this node is active, until cancelled."""
+        """Follow every store of the catalog while prompts come here, until cancelled."""
         loop = asyncio.get_running_loop()
         try:
             while True:
                 self._wake.clear()
                 self._views.shelf.expire(loop.time())
-                if self._takes_requests(loop.time()):
+                if self._takes_prompts(loop.time()):
                     self._listen(self._copied_elsewhere(loop.time()))
                     await self._copy(loop.time())
                 else:
                     self._stand_by()
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._wake.wait(), _PAUSE_SECONDS)
+                    await asyncio.wait_for(self._wake.wait(), self._pause(loop.time()))
         finally:
             self._listen_to({})
 
-    def _takes_requests(self, now: float) -> bool:
-        """Return whether callers come here: because they are sent, or still."""
+    def _pause(self, now: float) -> float:
         active = self._neighbours.is_active(now)
-        return active or self._views.load.value(now) >= _STILL_LOAD
+        # A node that stands by looks often, but follows seldom.
+        following = not active and self._takes_prompts(now)
+        return _STANDBY_PAUSE_SECONDS if following else _PAUSE_SECONDS
+
+    def _takes_prompts(self, now: float) -> bool:
+        """Return whether prompts come here: because callers are sent, or still.
+
+        Callers keep an answer for some seconds, and just after a start they may be
+        sent to a node that then stands by.  What it does not know, it has read anew.
+        """
+        return self._neighbours.is_active(now) or self._views.prompts.value(now) > 0
 
     def _stand_by(self) -> None:
         """Follow nothing: a node that takes no requests needs no view."""
@@ -104,25 +125,39 @@
     # --- who listens ------------------------------------------------------------
 
     def _copied_elsewhere(self, now: float) -> set[str]:
-        """Return the stores that another node listens to for this one, or nobody does."""
-        marks = self._neighbours.kept(now)
-        stores = {view.traits.address for view in self._views.shelf.views}
+        """Return the stores that this node need not listen to; choose whom to ask for each.
+
+        The listener hears all stores, but one that was just chosen does not yet:
+        until then any other node that hears a store is as good.
+        """
+        marks = self._reached(self._neighbours.kept(now), now)
+        capacity = self._neighbours.capacity
+        known = {view.traits.address: view.known for view in self._views.shelf.views}
         if not self._neighbours.is_active(now):
-            self._listener = reader(_LISTENER_KEY, marks)
-            return stores
-        self._listener = reader(_LISTENER_KEY, [self._neighbours.me.name, *marks])
+            # Beats tell a node that stands by nothing of stores: it asks an active one.
+            self._listener = reader(_LISTENER_KEY, marks, capacity=capacity)
+            self._sources = dict.fromkeys(known, self._listener)
+            return set(known)
+        names = [self._neighbours.me.name, *marks]
+        self._listener = reader(_LISTENER_KEY, names, capacity=capacity)
+        self._sources = source_of_each(known, marks, self._listener)
         if self._listener == self._neighbours.me.name:
             return set()
-        heard = marks[self._listener]
-        copied = set()
-        for store in stores:
-            if store in heard and heard[store].age <= _OLD_SECONDS:
-                self._missing.pop(store, None)
-                copied.add(store)
-            elif now - self._missing.setdefault(store, now) <= _OLD_SECONDS:
-                # A listener that was just chosen needs a moment to hear the store.
-                copied.add(store)
-        return copied
+        for store in self._sources:
+            self._missing.pop(store, None)
+        # A listener that was just chosen needs a moment to hear a store.
+        return {
+            store
+            for store, view_known in known.items()
+            if store in self._sources
+            or now - self._missing.setdefault(store, now) <= _patience(view_known)
+        }
+
+    def _reached(
+        self, marks: Mapping[str, Mapping[str, KeptMark]], now: float
+    ) -> dict[str, Mapping[str, KeptMark]]:
+        """Leave out the nodes that did not answer lately."""
+        return {name: seen for name, seen in marks.items() if now >= self._unreached.get(name, now)}
 
     def _listen(self, copied: set[str]) -> None:
         views = {view.traits.address: view for view in self._views.shelf.views}
@@ -161,24 +196,30 @@
                 await asyncio.sleep(self._rng.uniform(_REST_SECONDS / 2, _REST_SECONDS))
 
     async def _copy(self, now: float) -> None:
-        """Have what changed from the node that listens for this data centre."""
-        node = self._neighbours.node(self._listener)
-        marks = self._neighbours.kept(now).get(self._listener, {})
-        asked = []
+        """Have what changed from the nodes that hear the stores."""
+        marks = self._neighbours.kept(now)
+        asked: dict[str, list[KeptAsk]] = {}
         for view in self._views.shelf.views:
             store = view.traits.address
-            mark = marks.get(store)
-            if node is None or mark is None or store in self._loops:
+            source = self._sources.get(store)
+            if source is None or store in self._loops:
                 continue
             view.heard_at = float("-inf")
-            if (view.life, view.following) != (mark.life, mark.following):
-                asked.append(KeptAsk(store, view.life, view.following))
-        if node is None or not asked:
+            mark = marks.get(source, {}).get(store)
+            if mark is None or (view.life, view.following) != (mark.life, mark.following):
+                asked.setdefault(source, []).append(KeptAsk(store, view.life, view.following))
+        for source, questions in asked.items():
+            await self._copy_from(source, questions)
+
+    async def _copy_from(self, source: str, questions: list[KeptAsk]) -> None:
+        node = self._neighbours.node(source)
+        if node is None:
             return
         try:
-            copies = await self._peers.kept(node, asked)
+            copies = await self._peers.kept(node, questions)
         except OutOfReach as error:
             _log.info("reader not reached", reader=node.name, error=str(error))
+            self._unreached[source] = asyncio.get_running_loop().time() + _UNREACHED_SECONDS
             return
         for copy in copies:
             self._take(copy)
--- a/packages/node/src/fielddrift_node/serving/kept.py
+++ b/packages/node/src/fielddrift_node/serving/kept.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from functools import partial
 
 from fielddrift_core.placement import READ_RATE, EngineChoice, EngineSight, Holder
@@ -59,12 +60,30 @@
         now = asyncio.get_running_loop().time()
         sources = tuple("" if s is None else s.address for s in choice.recall.sources)
         saves = self._saves(prompt, salt, sources, choice.instance.data_centre, now)
+        memory = self._views.memory.parts(choice.instance.name, salt)
         call.trail.parts = [
-            f"{part.id}:{part.tokens}:{'fetch' if source else 'save' if save else 'read'}"
+            f"{part.id}:{part.tokens}:{self._way(part, source, save, salt, memory, now)}"
             for part, source, save in zip(prompt.shared, sources, saves, strict=False)
         ]
         return Fetch(sources, saves, self._until(call, choice, now))
 
+    def _way(
+        self, part: Part, source: str, save: str, salt: str, memory: Collection[str], now: float
+    ) -> str:
+        """Return for the log what becomes of a part, and if it is just read, why."""
+        if source:
+            return "fetch"
+        if part.id in memory:
+            return "memory+save" if save else "memory"
+        if save:
+            return "save"
+        shelf = self._views.shelf
+        if shelf.holders(salt, part):
+            return "read-quicker"
+        if shelf.saving(salt, part, now):
+            return "read-saving"
+        return "read-full" if any(view.known for view in shelf.views) else "read-unknown"
+
     def _until(self, call: Call, choice: EngineChoice, now: float) -> int | None:
         """Return when a fetch should be given up, so that reading can still be in time."""
         prompt = call.ask.prompt
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -35,6 +35,11 @@
 MEMBERS = "members"
 _ENTRY_KEEP_SECONDS = 1.5
 """How long callers keep an entry answer: a lost node is out of use within about two seconds."""
+_EARLY_KEEP_SECONDS = 0.3
+"""The same while this node has just joined: after a loss of power the nodes come up within
+half a second of each other, and the first ones are not those that should be active."""
+_EARLY_SECONDS = 1.5
+"""Time after joining within which the choice of active nodes may still change much."""
 _PAUSE_SECONDS = 0.7
 """A tick that comes so much too late tells of a pause of this process."""
 _TICK_SECONDS = 0.2
@@ -165,7 +170,7 @@
                 data_centre, asyncio.get_running_loop().time()
             ),
             ready=lambda: self._serving,
-            keep=min(_ENTRY_KEEP_SECONDS, settings.bounds.entry_keep),
+            keep=self._entry_keep,
         )
         self._doors = Server(handler=door.handle, limits=Limits)
         self._peer_door = Server(handler=PeerDoor(views=self._views).handle, limits=Limits)
@@ -184,6 +189,12 @@
     def _serving(self) -> bool:
         return self._views.ready and not self._leaving
 
+    def _entry_keep(self) -> float:
+        """Return for how many seconds callers may keep an entry answer given now."""
+        early = asyncio.get_running_loop().time() - self._joined_at < _EARLY_SECONDS
+        keep = _EARLY_KEEP_SECONDS if early else _ENTRY_KEEP_SECONDS
+        return min(keep, self._settings.bounds.entry_keep)
+
     def _beliefs(self) -> bytes:
         reader = self._targets.reader()
         name = "" if reader is None else reader.name
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -55,6 +55,8 @@
         """Nodes among which what all of them may do is shared out."""
         self.load = PeakRate()
         """Callers' requests that this node takes."""
+        self.prompts = PeakRate()
+        """Those of them that engines serve."""
         self._refreshed = asyncio.Event()
         self._clock: tuple[int, float] | None = None
 
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,194 @@
+"""Who reads for others, who is known to live, and who takes callers' requests."""
+
+from __future__ import annotations
+
+import unittest
+from typing import ClassVar
+
+from fielddrift_core.active import Candidate, active_names
+from fielddrift_core.names import rank
+from fielddrift_core.neighbours import Beat, KeptMark, Neighbour, Neighbours, Standing
+from fielddrift_core.readers import Reading, reader, source, source_of_each
+from fielddrift_core.workload import PeakRate
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+def neighbour(name: str, data_centre: str = "a", boot: int = 1) -> Neighbour:
+    return Neighbour(name, boot, data_centre, f"{name}:80", f"{name}:81", f"{name}:82")
+
+
+def beat(node: Neighbour, *, ready: bool = True, leaving: bool = False) -> Beat:
+    return Beat(node, ready, leaving, 1, {}, {})
+
+
+class TestReaders(unittest.TestCase):
+    def test_one_reads_for_all_and_when_it_grows_old_each_reads(self) -> None:
+        names = ["n1", "n2", "n3"]
+        fresh = {name: Reading(age=0.1) for name in names}
+        readers = set()
+        for name in names:
+            others = {n: r for n, r in fresh.items() if n != name}
+            readers.add(source(name, "platform", others, active=names).name or name)
+        self.assertEqual(len(readers), 1)
+        (reader,) = readers
+        old = {n: Reading(age=5.0) for n in names}
+        for name in names:
+            others = {n: r for n, r in old.items() if n != name}
+            self.assertEqual(source(name, "platform", others, active=names).name, "", reader)
+
+    def test_where_the_reader_is_cut_off_the_next_one_reads_for_the_others(self) -> None:
+        names = ["n1", "n2", "n3", "n4"]
+        active = names[:3]
+        order = rank("platform", [(name, 1.0) for name in active])
+        ages = {order[0]: 3.0, order[1]: 0.1, order[2]: 0.4, "n4": 0.4}
+        found = {}
+        for name in names:
+            others = {n: Reading(age=age) for n, age in ages.items() if n != name}
+            found[name] = source(name, "platform", others, active=active).name
+        self.assertEqual(found, {order[0]: "", order[1]: "", order[2]: order[1], "n4": order[1]})
+
+    def test_a_node_that_stands_by_never_reads_for_others_and_waits_longer(self) -> None:
+        late = {"n1": Reading(age=1.5), "n2": Reading(age=1.6)}
+        self.assertEqual(source("n3", "k", late, active=["n1", "n2"]).name, "n1")
+        lost = {"n1": Reading(age=2.5), "n2": Reading(age=2.6)}
+        self.assertEqual(source("n3", "k", lost, active=["n1", "n2"]).name, "")
+
+    def test_large_hosts_read_for_small_ones(self) -> None:
+        sizes = {"n1": 20.0, "n2": 20.0, "n3": 500.0, "n4": 20.0}
+        for key in ("platform", "stores", "x", "y"):
+            self.assertEqual(reader(key, sizes, capacity=sizes.__getitem__), "n3")
+        readings = {name: Reading(age=0.1) for name in sizes if name != "n1"}
+        found = source("n1", "platform", readings, active=sizes, capacity=sizes.__getitem__)
+        self.assertEqual(found.name, "n3")
+
+    def test_each_store_is_copied_from_whoever_hears_it_while_a_new_listener_does_not(self) -> None:
+        marks = {
+            "listener": {"s1": KeptMark(1, 5, 0.1)},
+            "n2": {"s1": KeptMark(1, 5, 0.0), "s2": KeptMark(1, 5, 0.4), "s3": KeptMark(1, 5, 9.0)},
+            "n3": {"s2": KeptMark(1, 5, 0.2)},
+        }
+        found = source_of_each(["s1", "s2", "s3", "s4"], marks, "listener")
+        self.assertEqual(found, {"s1": "listener", "s2": "n3"})
+
+
+class TestNeighbours(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = Neighbours(me=neighbour("me"))
+
+    def _addresses(self, now: float, data_centre: str = "a") -> list[str]:
+        return self.view.addresses(data_centre, now)
+
+    def test_a_silent_node_leaves_the_answers_and_a_heard_one_returns(self) -> None:
+        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.assertEqual(self._addresses(0.5), ["n1:80"])
+        self.assertEqual(self._addresses(2.0), [])
+        self.view.hear(beat(neighbour("n1")), 2.0)
+        self.assertEqual(len(self._addresses(2.1)), 1)
+
+    def test_a_leaving_node_leaves_the_answers_at_once(self) -> None:
+        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.assertEqual(len(self._addresses(0.01)), 1)
+        self.view.hear(beat(neighbour("n1"), leaving=True), 0.02)
+        self.assertEqual(self._addresses(0.03), [])
+        self.view.report(serving=True, load=0.0)
+        self.assertEqual(self._addresses(0.04), ["me:80"])
+        self.view.report(serving=False, load=0.0)
+        self.assertEqual(self._addresses(0.05), [])
+
+    def test_a_beat_of_an_earlier_life_is_ignored(self) -> None:
+        self.view.hear(beat(neighbour("n1", boot=2)), 0.0)
+        self.view.hear(beat(neighbour("n1", boot=1), leaving=True), 0.1)
+        self.assertEqual(len(self._addresses(0.2)), 1)
+
+    def test_callers_are_sent_to_their_own_data_centre_first(self) -> None:
+        self.view.hear(beat(neighbour("n1", "a")), 0.0)
+        self.view.hear(beat(neighbour("n2", "b")), 0.0)
+        self.assertEqual(self._addresses(0.1, "b"), ["n2:80"])
+        self.assertEqual(self._addresses(0.1, "c"), ["n1:80", "n2:80"])
+
+    def test_beats_a_second_do_not_grow_without_bound(self) -> None:
+        for number in range(200):
+            many = beat(neighbour(f"n{number}"))._replace(period=3.0)
+            self.view.hear(many, 0.0)
+        self.assertEqual(len(self.view.due(0.0)), 200)
+        sent = sum(len(self.view.due(tick / 20)) for tick in range(1, 41))
+        self.assertLessEqual(sent, 150)
+
+    def test_a_longer_period_is_told_at_once(self) -> None:
+        self.view.report(serving=True, load=0.0)
+        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.assertEqual(len(self.view.due(0.0)), 1)
+        self.assertEqual(self.view.due(0.05), [])
+        self.view.report(serving=False, load=0.0)
+        self.assertEqual(len(self.view.due(0.06)), 1)
+
+
+class TestActive(unittest.TestCase):
+    """Which hosts are active, and what a host that stands by believes."""
+
+    HOSTS: ClassVar = [Candidate(f"small-{n}", 40.0) for n in range(20)]
+    LARGE: ClassVar = [Candidate(f"large-{n}", 500.0) for n in range(2)]
+
+    def test_large_hosts_come_first_and_three_at_least(self) -> None:
+        chosen = active_names([*self.HOSTS, *self.LARGE])
+        self.assertTrue({"large-0", "large-1"} <= chosen)
+        self.assertEqual(len(chosen), 4)
+        self.assertEqual(len(active_names(self.HOSTS[:2])), 2)
+
+    def test_more_hosts_become_active_as_the_load_grows(self) -> None:
+        loaded = [host._replace(load=10.0) for host in self.HOSTS]
+        chosen = active_names(loaded)
+        self.assertEqual(len(chosen), 15)
+        self.assertTrue(active_names(self.HOSTS) <= chosen)
+
+    @given(st.integers(0, 19))
+    @settings(max_examples=20, derandomize=True, deadline=None)
+    def test_a_host_that_goes_changes_at_most_one_place(self, gone: int) -> None:
+        before = active_names(self.HOSTS)
+        after = active_names([host for n, host in enumerate(self.HOSTS) if n != gone])
+        self.assertLessEqual(len(before - after), 1)
+        self.assertLessEqual(len(after - before), 1)
+
+    def _view(self, names: list[str]) -> Neighbours:
+        view = Neighbours(me=neighbour("n0"))
+        view.report(serving=True, load=0.0)
+        for name in names:
+            view.hear(beat(neighbour(name))._replace(period=0.25), 0.0)
+        return view
+
+    def test_a_host_that_stands_by_takes_the_place_of_one_that_fell_silent(self) -> None:
+        names = [f"n{number}" for number in range(1, 9)]
+        view = self._view(names)
+        chosen = view.active(0.1)
+        self.assertEqual(len(chosen), 3)
+        silent = min(chosen - {"n0"})
+        for name in names:
+            if name != silent:
+                view.hear(beat(neighbour(name))._replace(period=0.25), 1.2)
+        after = view.active(1.5)
+        self.assertNotIn(silent, after)
+        self.assertEqual(len(after), 3)
+        self.assertTrue(chosen - {silent} <= after)
+
+    def test_what_all_may_do_is_shared_out_with_room_for_those_that_step_in(self) -> None:
+        view = self._view([f"n{number}" for number in range(1, 9)])
+        self.assertEqual(view.sharing(0.1), 6)
+        self.assertEqual(self._view(["n1"]).sharing(0.1), 2)
+        self.assertEqual(self._view([]).sharing(0.1), 1)
+
+    def test_nodes_that_stand_by_beat_seldom_and_say_so(self) -> None:
+        view = self._view([f"n{number}" for number in range(1, 30)])
+        both = view.period(Standing(near=True, mine=True, theirs=True), 0.1)
+        none = view.period(Standing(near=True, mine=False, theirs=False), 0.1)
+        self.assertLess(both, 0.2)
+        self.assertGreaterEqual(none, 3.0)
+
+    def test_a_peak_counts_for_some_seconds(self) -> None:
+        rate = PeakRate()
+        for _ in range(7):
+            rate.add(100.2)
+        rate.add(101.5)
+        self.assertEqual(rate.value(105.0), 7.0)
+        self.assertEqual(rate.value(111.2), 1.0)
+        self.assertEqual(rate.value(120.0), 0.0)
