Keep long answers off engines that load weights next

A third of the engines is out of service for 6 s, while all prompts are read anew. Change: engines load in a line that every node works out alike (oldest weights, data centres in turn, then rank); long answers avoid those next in line. The quiet ones no longer load first: that order, nobody else could foresee.

--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -53,6 +53,8 @@
 """Tokens that a run has to read in the mean, for the number that wait at an engine."""
 _MEAN_MOVE_SECONDS = 0.03
 """How long a large part takes a link in the mean, for the moves that wait for it."""
+LONG_ANSWER_TOKENS = 40
+"""Tokens from which an answer counts as long: it takes over a second at some 30 ms each."""
 _LATE_FROM = 0.75
 _LATE_TO = 1.25
 """Estimates between these parts of the aim grow from surely in time to surely late."""
@@ -65,13 +67,16 @@
     a thousand kept tokens `again` costs about 0.37 credits of a long prompt's
     2.6; the bytes of a long prompt to a `far` data centre cost a twentieth; an
     answer on `old` weights loses a fifth.  `time` prefers the quicker of two
-    that are both in time, `failure` those whose answers did not fail.
+    that are both in time, `failure` those whose answers did not fail.  A long
+    answer at an engine that loads `soon` keeps it from loading for a second or two,
+    as long as some other engine is out of service.
     """
 
     late: float = 0.8
     again: float = 0.14
     far: float = 0.05
     old: float = 0.2
+    soon: float = 0.25
     time: float = 0.3
     failure: float = 2.0
 
@@ -112,7 +117,7 @@
     """What is known of one engine when a request is placed.
 
     `behind` says that newer weights than its own were named, `loading` that
-    it is about to change them.  `memory` are ids of parts that it was sent
+    it is changing them, `soon` that it does so next.  `memory` are ids of parts that it was sent
     lately and so probably still has.
     """
 
@@ -122,6 +127,7 @@
     behind: bool
     loading: bool
     memory: Collection[str] = ()
+    soon: bool = False
 
 
 _PRICES = Prices()
@@ -218,8 +224,7 @@
                 memory=sight.memory,
                 fetching=fetching,
             )
-            needs = prompt.tokens_in + prompt.tokens_out
-            choice = _priced(sight, recalled, needs, traits, data_centre, aim, prices)
+            choice = _priced(sight, recalled, prompt, traits, data_centre, aim, prices)
             if best is None or choice.cost < best.cost:
                 best = choice
             if not any(recalled.sources):
@@ -231,7 +236,7 @@
 def _priced(
     sight: EngineSight,
     recalled: Recall,
-    needs: int,
+    prompt: Prompt,
     traits: EngineTraits,
     data_centre: str,
     aim: float,
@@ -241,7 +246,7 @@
     reading = (burden.unread + recalled.unread) / READ_RATE
     waiting = max(0, burden.running + 1 - traits.slots) * _RUN_SECONDS * 10
     if traits.memory:
-        overfull = max(0, burden.memory + needs - traits.memory)
+        overfull = max(0, burden.memory + prompt.tokens - traits.memory)
         waiting += overfull / traits.memory * _TURNOVER_SECONDS
     seconds = _BASE_SECONDS + reading + recalled.fetch_seconds
     seconds += burden.running * _RUN_SECONDS + waiting
@@ -254,6 +259,7 @@
     cost += prices.failure * sight.failures
     cost += prices.far if sight.instance.data_centre != data_centre else 0.0
     cost += prices.old if sight.behind else 0.0
+    cost += prices.soon if sight.soon and prompt.tokens_out >= LONG_ANSWER_TOKENS else 0.0
     cost += _LOADING_COST if sight.loading else 0.0
     return EngineChoice(sight.instance, recalled, seconds, cost, burden)
 
--- a/packages/core/src/fielddrift_core/prompt.py
+++ b/packages/core/src/fielddrift_core/prompt.py
@@ -26,6 +26,11 @@
     tokens_in: int
     tokens_out: int
 
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that a run needs of an engine's memory at most."""
+        return self.tokens_in + self.tokens_out
+
     @property
     def shared(self) -> tuple[Part, ...]:
         """Return the parts that other requests may have in common with this one."""
--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
 from typing import NamedTuple
 
+from .names import rank
+
 __all__ = [
     "LEASE_SECONDS",
     "DutyRow",
@@ -20,6 +23,7 @@
     "VersionAge",
     "may_take",
     "next_loads",
+    "soon_loading",
 ]
 
 LEASE_SECONDS = 1.2
@@ -106,15 +110,13 @@
 
 
 class EngineWeights(NamedTuple):
-    """An engine as the rollout sees it; `running` orders the quiet ones first.
-
-    `outdated` is the seconds for which its weights have not been the newest.
+    """An engine as the rollout sees it; `outdated` is the seconds for which its weights
+    have not been the newest.
     """
 
     name: str
     data_centre: str
     weights: int
-    running: int
     loading: bool
     outdated: float = 0.0
 
@@ -122,24 +124,45 @@
 def next_loads(engines: Collection[EngineWeights], *, wanted: int, longest: float) -> list[str]:
     """Return the engines that should begin to load the weights `wanted`.
 
-    About a third loads at once, spread over the data centres, those with the
-    oldest weights first and of these the quiet ones.  Engines that have been
+    About a third loads at once, the first in line.  Engines that have been
     outdated for the `longest` seconds begin at once, however many load.
     """
-    behind = [e for e in engines if e.weights < wanted and not e.loading]
-    late = [e.name for e in behind if e.outdated > longest]
-    behind = [e for e in behind if e.outdated <= longest]
-    most = max(_LEAST_AT_ONCE, len(engines) // _LOADING_PART)
-    loading: dict[str, int] = {}
-    for engine in engines:
-        if engine.loading:
-            loading[engine.data_centre] = loading.get(engine.data_centre, 0) + 1
-    chosen = late
-    free = most - sum(loading.values())
-    waiting = sorted(behind, key=lambda e: (e.running, e.name))
-    while waiting and len(chosen) < free:
-        engine = min(waiting, key=lambda e: (e.weights, loading.get(e.data_centre, 0)))
-        waiting.remove(engine)
-        loading[engine.data_centre] = loading.get(engine.data_centre, 0) + 1
-        chosen.append(engine.name)
-    return chosen
+    late = [e.name for e in engines if _behind(e, wanted) and e.outdated > longest]
+    in_line = [name for name in _line(engines, wanted) if name not in late]
+    free = _at_once(engines) - sum(engine.loading for engine in engines)
+    return late + in_line[: max(0, free - len(late))]
+
+
+def soon_loading(engines: Collection[EngineWeights], *, wanted: int) -> frozenset[str]:
+    """Return the engines that load the weights `wanted` after those that load now.
+
+    Every node finds the same ones.  Long answers sent there would hold their
+    loads up: an engine ends what it runs before it loads, and takes nothing new
+    meanwhile.
+    """
+    return frozenset(_line(engines, wanted)[: _at_once(engines)])
+
+
+def _at_once(engines: Collection[EngineWeights]) -> int:
+    return max(_LEAST_AT_ONCE, len(engines) // _LOADING_PART)
+
+
+def _behind(engine: EngineWeights, wanted: int) -> bool:
+    return engine.weights < wanted and not engine.loading
+
+
+def _line(engines: Collection[EngineWeights], wanted: int) -> list[str]:
+    """Return the engines that are yet to load, in the order in which they should.
+
+    Those with the oldest weights come first, and the data centres take turns.
+    """
+    waiting = {engine.name: engine for engine in engines if _behind(engine, wanted)}
+    loading = Counter(engine.data_centre for engine in engines if engine.loading)
+    order = [waiting[name] for name in rank(str(wanted), [(name, 1.0) for name in waiting])]
+    line = []
+    while order:
+        engine = min(order, key=lambda e: (e.weights, loading[e.data_centre]))
+        order.remove(engine)
+        loading[engine.data_centre] += 1
+        line.append(engine.name)
+    return line
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -19,6 +19,7 @@
     choose_engine,
     move_seconds,
 )
+from fielddrift_core.rollout import soon_loading
 from fielddrift_core.stream import EventCutter
 
 from ..web.client import Exchange, ExchangeError
@@ -108,7 +109,7 @@
         """Raise `Refused` where even the best engine would answer too late."""
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
-        needs = choice.burden.memory + prompt.tokens_in + prompt.tokens_out
+        needs = choice.burden.memory + prompt.tokens
         back = come_back(
             patience=call.ask.patience or call.deadline - call.began,
             estimate=choice.seconds,
@@ -225,12 +226,14 @@
         now = asyncio.get_running_loop().time()
         named = views.named.get(prompt.model, 0)
         limit = self._tools.settings.bounds.weights * _OLDEST_PART
+        engines = views.engines(call.service.name, prompt.model, now)
+        soon = soon_loading(engines, wanted=named)
         sights = []
-        for instance in views.roster.serving(call.service.name):
-            weights = views.weights_of(instance.name, prompt.model)
-            if weights is None or instance.name in tried:
+        for engine in engines:
+            instance, weights = views.roster.get(engine.name), engine.weights
+            if instance is None or instance.name in tried:
                 continue
-            if views.outdated_seconds(prompt.model, weights, now) > limit:
+            if engine.outdated > limit:
                 continue
             salt = self._kept.salt(call, prompt, instance.name)
             sights.append(
@@ -239,8 +242,9 @@
                     burden=views.workload.at(instance.name, now),
                     failures=views.health.share(instance.name, now),
                     behind=weights < named,
-                    loading=views.loading.get(instance.name, 0.0) > now,
+                    loading=engine.loading,
                     memory=views.memory.parts(instance.name, salt),
+                    soon=instance.name in soon,
                 )
             )
         return choose_engine(
@@ -289,8 +293,7 @@
         views = self._tools.views
         engine = choice.instance
         now = asyncio.get_running_loop().time()
-        needs = prompt.tokens_in + prompt.tokens_out
-        views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread, needs)
+        views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread, prompt.tokens)
         held = views.memory.parts(engine.name, send.salt)
         tokens = self._tools.metrics.tokens
         for part, source, save in zip(
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/roller.py
@@ -149,21 +149,11 @@
         return found
 
     def _engines(self, service: str, model: str, now: float) -> list[EngineWeights]:
-        views = self._views
-        engines = []
-        for instance in views.roster.serving(service):
-            weights = views.weights_of(instance.name, model)
-            if weights is None:
-                continue
-            running = views.workload.at(instance.name, now).running
-            loading = instance.name in self._under_way
-            outdated = views.outdated_seconds(model, weights, now)
-            engines.append(
-                EngineWeights(
-                    instance.name, instance.data_centre, weights, running, loading, outdated
-                )
-            )
-        return engines
+        """Return the engines of a service; those load that are ordered to, here."""
+        return [
+            engine._replace(loading=engine.name in self._under_way)
+            for engine in self._views.engines(service, model, now)
+        ]
 
     def _begin(self, work: _Work, now: float) -> None:
         longest = _LATE_PART * self._weights_seconds
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -10,7 +10,7 @@
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
-from fielddrift_core.rollout import NamedTimes, VersionAge
+from fielddrift_core.rollout import EngineWeights, NamedTimes, VersionAge
 from fielddrift_core.roster import Roster
 from fielddrift_core.shelf import Shelf
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
@@ -111,6 +111,19 @@
         since = self.named_times.outdated_at(model, weights)
         return 0.0 if since is None else now - since
 
+    def engines(self, service: str, model: str, now: float) -> list[EngineWeights]:
+        """Return the engines of `service` that take new work and whose weights are known."""
+        found = []
+        for instance in self.roster.serving(service):
+            weights = self.weights_of(instance.name, model)
+            if weights is not None:
+                loading = self.loading.get(instance.name, 0.0) > now
+                outdated = self.outdated_seconds(model, weights, now)
+                found.append(
+                    EngineWeights(instance.name, instance.data_centre, weights, loading, outdated)
+                )
+        return found
+
     def current(self) -> None:
         """Note that the operators' rows were just read."""
         self.stale.clear()
