Let engines take late returners last for three seconds after a start

Change: what a caller says it waits, beside what is usual on its route, tells how long it has waited; within 3 s of a node's start a prompt that is late already comes last of its rank at the engines. The log tells waited_ms.

--- a/packages/core/src/fielddrift_core/catalog.py
+++ b/packages/core/src/fielddrift_core/catalog.py
@@ -148,6 +148,13 @@
         """Return who holds `key`, None when nobody does."""
         return self.customers.get(key)
 
+    @property
+    def ranks(self) -> list[int]:
+        """Return the ranks that prompts may have, the most urgent first."""
+        routes = {route.rank for entries in self.routes.values() for route in entries}
+        customers = {c.rank for c in self.customers.values() if c.rank is not None}
+        return sorted(routes | customers)
+
     @property
     def engines(self) -> list[Service]:
         """Return the services whose targets are engines."""
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -57,6 +57,13 @@
     began: float
     deadline: float
     trail: Trail
+    waited: float = 0.0
+    """Seconds for which the caller waited before this request, as far as that is known."""
+
+    @property
+    def late(self) -> bool:
+        """Return whether an answer cannot be in time any more."""
+        return self.waited >= self.route.aim
 
     @property
     def customer_name(self) -> str:
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -107,7 +107,8 @@
         patience = ask.patience if ask.patience is not None else _DEFAULT_PATIENCE
         began = ask.request.arrived
         deadline = began + min(patience, route.timeout)
-        return Call(ask, catalog, route, service, customer, began, deadline, trail)
+        waited = views.waits.waited(route.name, patience) if ask.patience is not None else 0.0
+        return Call(ask, catalog, route, service, customer, began, deadline, trail, waited)
 
     def _unsure(self, what: str) -> Refused:
         detail = f"this node was paused and does not know whether the {what} exists"
@@ -179,6 +180,7 @@
             catalog=call.catalog.version,
             weights=trail.weights,
             parts=trail.parts,
+            waited_ms=round(call.waited * 1000),
             ahead=list(trail.ahead),
             estimate_ms=round(trail.estimate * 1000),
             first_ms=None if first is None else round((first - call.began) * 1000),
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -21,6 +21,7 @@
 )
 from fielddrift_core.rollout import soon_loading
 from fielddrift_core.stream import EventCutter
+from fielddrift_core.urgency import urgency
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
@@ -279,10 +280,17 @@
         )
 
     def _urgency(self, call: Call) -> int:
+        """Return how urgent engines should take the prompt.
+
+        Just after a start those who come back are many and gone in a moment, and
+        late anyway.  In an overload that lasts, coming last would mean never.
+        """
         rank = call.route.rank
         if call.customer is not None and call.customer.rank is not None:
             rank = call.customer.rank
-        return min(9, max(0, rank))
+        now = asyncio.get_running_loop().time()
+        late = call.late and self._tools.views.just_started(now)
+        return urgency(rank, late=late, ranks=call.catalog.ranks)
 
     # --- counting -------------------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -87,7 +87,7 @@
         self._platform = platform
         self._rng = rng
         self._client = client
-        self._views = Views()
+        self._views = Views(began_at=asyncio.get_running_loop().time())
         self._metrics = Metrics()
         self._leaving = False
         self._active: bool | None = None
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -13,6 +13,7 @@
 from fielddrift_core.rollout import EngineWeights, NamedTimes, VersionAge
 from fielddrift_core.roster import Roster
 from fielddrift_core.shelf import Shelf
+from fielddrift_core.urgency import Waits
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
 from .ports import NamedWeights
@@ -22,12 +23,15 @@
 FETCH_SECONDS = 2.0
 """A fetch that took longer is thrown away by the engine, and the prompt read:
 no move is begun that would wait longer than that."""
+_RETURN_SECONDS = 3.0
+"""Time after a start in which callers come back who could not be served before: they
+wait at most a second or two between tries."""
 
 
 class Views:
     """The node's views; loops write them, requests read them."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, began_at: float = float("-inf")) -> None:
         self.catalog: Catalog | None = None
         self.operators_row = 0
         """Version of the operators' rows that were read, on the platform's counter."""
@@ -57,6 +61,9 @@
         """Callers' requests that this node takes."""
         self.prompts = PeakRate()
         """Those of them that engines serve."""
+        self.waits = Waits()
+        """How long callers have waited already."""
+        self._began_at = began_at
         self._refreshed = asyncio.Event()
         self._clock: tuple[int, float] | None = None
 
@@ -124,6 +131,10 @@
                 )
         return found
 
+    def just_started(self, now: float) -> bool:
+        """Return whether most callers may be some who waited for this node to start."""
+        return now - self._began_at < _RETURN_SECONDS
+
     def current(self) -> None:
         """Note that the operators' rows were just read."""
         self.stale.clear()
