--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core node cli standins
 
-.PHONY: demo test lint bench slopes proto golden
+.PHONY: demo test lint bench slopes proto golden soak
 
 $(STAMP): constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -23,7 +23,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages/core/src packages/node/src packages/cli/src packages/standins/src platform/fielddrift_platform bench
+	$(BIN)/mypy packages/core/src packages/node/src packages/cli/src packages/standins/src platform/fielddrift_platform bench soak
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.decisions
@@ -33,6 +33,11 @@
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 
+# Fresh seeds, and those that failed once.
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds 8 --jobs 4
+	$(BIN)/python -m soak --kept --jobs 4
+
 golden: $(STAMP)
 	FIELDDRIFT_RENEW_GOLDEN=1 $(BIN)/python -m unittest tests.test_golden
 
--- a/packages/standins/src/fielddrift_standins/deployment.py
+++ b/packages/standins/src/fielddrift_standins/deployment.py
@@ -66,7 +66,12 @@
     def configure(self) -> None:
         """Write the configuration under the next version."""
         self.version += 1
-        engine = {"slots": 8, "kv-capacity": 40000, "kv-token-bytes": 10, "link-mbps": 1000.0}
+        engine: dict[str, object] = {
+            "slots": 8,
+            "kv-capacity": 40000,
+            "kv-token-bytes": 10,
+            "link-mbps": 1000.0,
+        }
         engine |= {"max-inflight": 4, "models": [{"name": "m"}]}
         kept = {"kv-store-addr": self.kv_address, "zone": "a", "kv-capacity": 100000}
         services = [
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -14,4 +14,10 @@
     cause: str
 
 
-FAILED_ONCE: tuple[FailedSeed, ...] = ()
+_CROSSED = "a check of the soak's own: requests that crossed the close of a stopping node"
+
+FAILED_ONCE = (
+    FailedSeed(2966062626, _CROSSED),
+    FailedSeed(2859916874, _CROSSED),
+    FailedSeed(2393083761, _CROSSED),
+)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,173 @@
+"""The soak's checks see what they should, its links do harm, and a short seeded soak holds."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from fielddrift_standins.fleet import HOST, free_port
+from fielddrift_standins.worker import Ran, Worker
+
+from soak.callers import EVENTS, KINDS, Attempt, Kind
+from soak.faults import FAULTS
+from soak.links import Harm, Link
+from soak.promises import PROMISES, Evidence, Probe, Span, broken
+from soak.scene import Size, run
+from soak.seeds import FAILED_ONCE
+
+SEED = 7
+SHORT = Size(nodes=3, callers=8, seconds=6.0)
+SAFE, UNSAFE, CHAT, VERDICT = KINDS
+
+
+def attempt(kind: Kind, worker: str = "plain-1", **changes: object) -> Attempt:
+    """Return an attempt that was answered as it should be."""
+    made = Attempt(kind=kind, now=10.0)
+    made.ended_at, made.status, made.whole, made.sent = 10.1, 200, True, True
+    made.seal = f"{worker}.{made.id}"
+    made.answer = f"answer of {worker}".encode()
+    if kind.streams:
+        made.answer = events(range(1, EVENTS + 1))
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def events(numbers: object) -> bytes:
+    """Return the bytes of events."""
+    return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in numbers)  # type: ignore[attr-defined]
+
+
+def ran(made: Attempt, at: float = 10.05, **changes: str) -> Ran:
+    """Return the run of an attempt."""
+    headers = {"x-tenant": "ana", **changes}
+    return Ran(made.id, headers, made.body, made.path, at)
+
+
+def evidence(*attempts: Attempt, **changes: object) -> Evidence:
+    """Return evidence in which each attempt ran once where its kind runs."""
+    plain, engine = Worker(name="plain-1"), Worker(name="engines-1", version=1)
+    for made in attempts:
+        (engine if made.kind.streams else plain).ran.append(ran(made))
+    return Evidence(list(attempts), [plain, engine], [], [], [], {}, 1, None, [])._replace(
+        **changes  # type: ignore[arg-type]
+    )
+
+
+class PromisesTest(unittest.IsolatedAsyncioTestCase):
+    def seen(self, found: Evidence) -> set[str]:
+        """Return the promises that are broken."""
+        return {line.partition(":")[0] for line in broken(found)}
+
+    async def test_what_is_right_breaks_nothing(self) -> None:
+        found = evidence(attempt(SAFE), attempt(UNSAFE), attempt(CHAT, "engines-1"))
+        self.assertEqual(broken(found), [])
+
+    async def test_each_check_sees_its_fault(self) -> None:
+        own, order, once, refused, asked, allowed, planned, force, left, one, new, again, ours = (
+            PROMISES
+        )
+        foreign = evidence(attempt(SAFE, seal="plain-1.other"))
+        self.assertEqual(self.seen(foreign), {own})
+        self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
+        gap = attempt(CHAT, "engines-1", answer=events([1, 3]), whole=False)
+        self.assertEqual(self.seen(evidence(gap)), {order})
+        short = attempt(CHAT, "engines-1", answer=events(range(1, EVENTS)))
+        self.assertEqual(self.seen(evidence(short)), {order})
+        twice = evidence(attempt(UNSAFE))
+        twice.workers[0].ran.append(ran(twice.attempts[0]))
+        self.assertEqual(self.seen(twice), {once})
+        lie = attempt(VERDICT, "engines-1", status=503, seal="", answer=b"")
+        self.assertEqual(self.seen(evidence(lie)), {refused})
+        smuggled = evidence(attempt(SAFE))
+        smuggled.workers[0].ran.append(Ran("x9", {}, b"", "/", 1.0))
+        self.assertEqual(self.seen(smuggled), {asked})
+        forged = evidence(attempt(SAFE))
+        forged.workers[0].ran[0] = ran(forged.attempts[0], **{"x-tenant": "forged"})
+        self.assertEqual(self.seen(forged), {asked})
+        denied = evidence(attempt(SAFE, status=404, seal=""))
+        self.assertEqual(self.seen(denied), {allowed})
+        cut = evidence(attempt(SAFE, status=0, whole=False, ended_at=11.0))
+        stopped = cut._replace(spans=[Span("all stopped in turn", 9.0, 12.0, True)])
+        self.assertEqual(self.seen(stopped), {planned})
+        troubled = [*stopped.spans, Span("one killed", 9.5, 9.8, False)]
+        self.assertEqual(self.seen(stopped._replace(spans=troubled)), set())
+        late = evidence(probes=[Probe(1.0, "n1", 200, 404, "/extra-1/")])
+        self.assertEqual(self.seen(late), {force})
+        leaving = evidence(attempt(SAFE), leaving_at={"plain-1": 5.0})
+        self.assertEqual(self.seen(leaving), {left})
+        held = evidence()
+        held.workers[1].orders += [{"fence": 4, "holder": "a"}, {"fence": 4, "holder": "b"}]
+        self.assertEqual(self.seen(held), {one})
+        held.workers[1].orders[:] = [{"fence": 4, "holder": "a"}, {"fence": 3, "holder": "b"}]
+        self.assertEqual(self.seen(held), {one})
+        old = evidence(attempt(SAFE), named=2, calm_since=9.0)
+        self.assertEqual(self.seen(old), {new})
+        unserved = evidence(attempt(SAFE, status=502, seal=""), calm_since=9.0)
+        self.assertEqual(self.seen(unserved), {again})
+        self.assertEqual(self.seen(evidence(faults_of_ours=["n1 ended by itself"])), {ours})
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        address = f"{HOST}:{free_port()}"
+        self.server = await asyncio.start_server(self._echo, HOST, int(address.split(":")[1]))
+        self.link = await Link(target=address).start()
+        self.addCleanup(self.link.close)
+        self.addCleanup(self.server.close)
+
+    async def _echo(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(100):
+                writer.write(data)
+        except asyncio.CancelledError:
+            # The test ends; asyncio's own streams log what passes through here.
+            pass
+        writer.close()
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(HOST, int(self.link.address.split(":")[1]))
+        self.addCleanup(writer.close)
+        writer.write(b"one")
+        self.assertEqual(await reader.readexactly(3), b"one")
+        return reader, writer
+
+    async def test_a_silenced_connection_stays_silent_and_a_new_one_works(self) -> None:
+        reader, writer = await self._open()
+        self.link.silence()
+        writer.write(b"two")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.read(3)
+        await self._open()
+
+    async def test_bytes_are_lost_one_way_while_it_is_harmed(self) -> None:
+        reader, writer = await self._open()
+        self.link.harm = Harm(lose_to_client=True)
+        writer.write(b"two")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.read(3)
+        self.link.harm = Harm()
+        writer.write(b"six")
+        self.assertEqual(await reader.readexactly(3), b"six")
+
+    async def test_a_reset_is_seen_as_one(self) -> None:
+        reader, _ = await self._open()
+        self.link.reset()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read(3)
+
+
+class ShortSoakTest(unittest.TestCase):
+    def test_a_short_seeded_soak_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SEED, SHORT, Path(folder)))
+        self.assertEqual(outcome.broken, [], outcome.faults)
+        self.assertGreater(outcome.answered, 0)
+
+    def test_failed_seeds_have_a_cause_and_faults_of_both_kinds_are_known(self) -> None:
+        self.assertTrue(all(failed.cause for failed in FAILED_ONCE))
+        self.assertEqual({fault.planned for fault in FAULTS.values()}, {True, False})
