--- a/packages/core/src/fielddrift_core/linkqueue.py
+++ b/packages/core/src/fielddrift_core/linkqueue.py
@@ -2,7 +2,7 @@
 
 Nobody reports a link's queue.  Moves run one after the other, so each adds
 the time that it needs; what was added passes with time by itself.  Own moves
-are known at once, those of other nodes by their beats.
+are known at once, those of other nodes by their heartbeats.
 """
 
 from __future__ import annotations
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -1,7 +1,7 @@
-"""Know which nodes live, by the beats that each sends to the others.
+"""Know which nodes live, by the heartbeats that each sends to the others.
 
-Active nodes of one data centre beat often, and tell each other what they send
-to targets; farther nodes beat seldom, for bytes between data centres cost, and
+Active nodes of one data centre send heartbeats often, and tell each other what they
+send to targets; farther nodes seldom, for bytes between data centres cost, and
 nodes that stand by only as often as their end must be noticed.  Nothing safe
 rests on this view: it only steers work.
 """
@@ -19,7 +19,7 @@
 from .workload import Burden
 
 __all__ = [
-    "Beat",
+    "Heartbeat",
     "KeptMark",
     "KnownNode",
     "Neighbour",
@@ -27,21 +27,21 @@
     "Standing",
 ]
 
-_BEAT_COST_SECONDS = 0.015
-"""Time between beats for each node that gets them: a node sends at most some
+_HEARTBEAT_COST_SECONDS = 0.015
+"""Time between heartbeats for each node that gets them: a node sends at most some
 seventy a second to each kind of neighbour, however many there are."""
-_MISSED_BEATS = 4
-"""Beats in a row that datagrams may lose before a node counts as gone."""
+_MISSED_HEARTBEATS = 4
+"""Heartbeats in a row that datagrams may lose before a node counts as gone."""
 _SLACK_SECONDS = 0.3
 _SILENT_SECONDS = 10.0
-"""Silence after which a node gets a beat only now and then."""
-_SILENT_BEAT_SECONDS = 5.0
+"""Silence after which a node gets a heartbeat only now and then."""
+_SILENT_HEARTBEAT_SECONDS = 5.0
 _MOST_ADDRESSES = 64
 """Callers take no more addresses from one answer."""
 _CHOSEN_SECONDS = 0.1
 """How long the choice of the active nodes is kept: it costs a sort of all."""
 _DUE_PART = 0.9
-"""Part of a period after which a beat is due: the loop that looks runs in steps."""
+"""Part of a period after which a heartbeat is due: the loop that looks runs in steps."""
 
 
 class Neighbour(NamedTuple):
@@ -88,19 +88,19 @@
     Standing(near=False, mine=False, theirs=True): 5.0,
     Standing(near=False, mine=False, theirs=False): 10.0,
 }
-"""Seconds between beats.  Two active nodes need each other's sends while these are
+"""Seconds between heartbeats.  Two active nodes need each other's sends while these are
 under way, some 0.3 s.  A node that stands by has to notice within about a second that
 an active one is gone, for it answers callers that ask for addresses; others matter to
 it only once it is active."""
 _SHORTEST = 0.15
-"""Seconds; what a beat says that was put together without a receiver in mind."""
+"""Seconds; what a heartbeat says that was put together without a receiver in mind."""
 
 
-class Beat(NamedTuple):
-    """What a node tells the others with each beat.
+class Heartbeat(NamedTuple):
+    """What a node tells the others with each heartbeat.
 
     `active` says that it takes callers' requests, `load` how many a second.
-    `period` is the seconds until its next beat to this receiver.
+    `period` is the seconds until its next heartbeat to this receiver.
     `catalog` and `named` are versions in force, `named_ages` for how
     long the newest weights were known anywhere, `burdens` its own sends by target.
     `left` are targets known to be leaving; `loading` gives the seconds for
@@ -156,7 +156,7 @@
 
     def lives(self, now: float) -> bool:
         """Return whether it was heard lately, by the times that it told itself."""
-        return now - self.at <= self.period * _MISSED_BEATS + _SLACK_SECONDS
+        return now - self.at <= self.period * _MISSED_HEARTBEATS + _SLACK_SECONDS
 
 
 class _Sent(NamedTuple):
@@ -202,9 +202,9 @@
         if node.name != self._me.name and (known is None or known.node.boot < node.boot):
             self._heard[node.name] = _Heard(node, float("-inf"))
 
-    def hear(self, beat: Beat, now: float) -> bool:
-        """Take a beat; True when the node was not known in this life."""
-        node = beat.node
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat; True when the node was not known in this life."""
+        node = heartbeat.node
         if node.name == self._me.name:
             return False
         known = self._heard.get(node.name)
@@ -213,13 +213,13 @@
         heard = _Heard(
             node=node,
             at=now,
-            ready=beat.ready,
-            leaving=beat.leaving,
-            active=beat.active,
-            load=beat.load,
-            period=beat.period,
-            reading=beat.reading,
-            kept=beat.kept,
+            ready=heartbeat.ready,
+            leaving=heartbeat.leaving,
+            active=heartbeat.active,
+            load=heartbeat.load,
+            period=heartbeat.period,
+            reading=heartbeat.reading,
+            kept=heartbeat.kept,
         )
         self._heard[node.name] = heard
         if known is None or known.serves != heard.serves:
@@ -331,14 +331,14 @@
         return [node for node in self.near(now) if node.name in names]
 
     def due(self, now: float) -> list[Neighbour]:
-        """Return the nodes that should get a beat now, and note it."""
+        """Return the nodes that should get a heartbeat now, and note it."""
         self._choose(now)
         chosen = []
         mine = self._me.name in self._active
         for name, heard in self._heard.items():
             period = self._periods[Standing(self._near(heard), mine, self._is_active(heard))]
             if now - heard.at > _SILENT_SECONDS and not heard.lives(now):
-                period = _SILENT_BEAT_SECONDS
+                period = _SILENT_HEARTBEAT_SECONDS
             sent = self._sent.get(name, _Sent(float("-inf"), period))
             # A longer period than was told must be told at once, or this node seems gone.
             if period > sent.period or now - sent.at >= period * _DUE_PART:
@@ -355,12 +355,12 @@
         return Standing(near, self.is_active(now), theirs)
 
     def period(self, standing: Standing, now: float) -> float:
-        """Return the seconds between beats to nodes that stand so to this one."""
+        """Return the seconds between heartbeats to nodes that stand so to this one."""
         self._choose(now)
         return self._periods[standing]
 
     def _choose(self, now: float) -> None:
-        """Choose the active nodes, and how often to beat, anew when that is some time old."""
+        """Choose the active nodes and the periods of heartbeats anew when that is some time old."""
         if now - self._chosen_at <= _CHOSEN_SECONDS:
             return
         self._chosen_at = now
@@ -368,7 +368,7 @@
         counts = Counter((self._near(h), self._is_active(h)) for h in self._heard.values())
         for near, mine, theirs in itertools.product((True, False), repeat=3):
             standing = Standing(near, mine, theirs)
-            crowd = counts[(near, theirs)] * _BEAT_COST_SECONDS
+            crowd = counts[(near, theirs)] * _HEARTBEAT_COST_SECONDS
             self._periods[standing] = max(_PERIODS[standing], crowd)
 
     # --- what they have read ----------------------------------------------------
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -16,7 +16,7 @@
 
 from .catalog import EngineTraits, StoreTraits
 from .prompt import Part, Prompt
-from .roster import Instance
+from .target_registry import Instance
 from .workload import Burden
 
 __all__ = [
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -51,7 +51,7 @@
 class Reading(NamedTuple):
     """How far a node has read: the platform's row versions, and their age in seconds.
 
-    `serial` changes with the content of the targets' list, not with each beat
+    `serial` changes with the content of the targets' list, not with each heartbeat
     of a target.
     """
 
--- a/packages/core/src/fielddrift_core/shelf.py
+++ b/packages/core/src/fielddrift_core/store_index.py
@@ -15,7 +15,7 @@
 from .neighbours import KeptMark
 from .prompt import Part
 
-__all__ = ["KeptChange", "Shelf", "StoreView"]
+__all__ = ["KeptChange", "StoreIndex", "StoreView"]
 
 _BLOCK = 16
 """Tokens that a store gives out at once."""
@@ -124,7 +124,7 @@
     until: float
 
 
-class Shelf:
+class StoreIndex:
     """All store hosts.  Not safe for threads."""
 
     def __init__(self) -> None:
--- a/packages/core/src/fielddrift_core/roster.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-__all__ = ["RESPITE_SECONDS", "Instance", "Roster"]
+__all__ = ["RESPITE_SECONDS", "Instance", "TargetRegistry"]
 
 RESPITE_SECONDS = 2.3
 """Lapsed entries are back within about two seconds of the store's return."""
@@ -32,7 +32,7 @@
     warming: float = 0.0
 
 
-class Roster:
+class TargetRegistry:
     """The targets that are known, by service."""
 
     def __init__(self) -> None:
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -12,7 +12,7 @@
 __all__ = ["TOLD_SECONDS", "Burden", "Lateness", "PeakRate", "TargetHealth", "Workload"]
 
 TOLD_SECONDS = 1.5
-"""Age at which another node's word on its sends no longer counts: five of its beats."""
+"""Age at which another node's word on its sends no longer counts: five of its heartbeats."""
 
 _FAILURE_WEIGHT = 0.25
 """Weight of the newest answer in a target's share of failures: about eight answers count."""
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -86,7 +86,7 @@
 
 
 def _targets(views: Views, now: float) -> list[TargetBelief]:
-    leaving = views.roster.leaving()
+    leaving = views.registry.leaving()
     return [
         TargetBelief(
             name=target.name,
@@ -97,7 +97,7 @@
             failures=round(views.health.share(target.name, now), 3),
             loading=round(max(0.0, views.loading.get(target.name, 0.0) - now), 3),
         )
-        for target in views.roster.all()
+        for target in views.registry.all()
     ]
 
 
@@ -111,7 +111,7 @@
             tokens=view.used,
             heard_seconds=_age(view.heard_at, now),
         )
-        for view in views.shelf.views
+        for view in views.store_index.views
     ]
 
 
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -17,7 +17,7 @@
 from .settings import NodeSettings
 from .views import Views
 
-__all__ = ["Call", "Refused", "Tools", "Trail"]
+__all__ = ["Call", "Refused", "Tools", "Trace"]
 
 
 class Refused(Exception):
@@ -28,7 +28,7 @@
         self.refusal = refusal
 
 
-class Trail:
+class Trace:
     """What happened to a request, for its log line."""
 
     def __init__(self) -> None:
@@ -56,7 +56,7 @@
     customer: CatalogCustomer | None
     began: float
     deadline: float
-    trail: Trail
+    trace: Trace
     waited: float = 0.0
     """Seconds for which the caller waited before this request, as far as that is known."""
 
--- a/packages/node/src/fielddrift_node/serving/directory.py
+++ b/packages/node/src/fielddrift_node/serving/directory.py
@@ -9,7 +9,7 @@
 from ..web.messages import Headers
 from ..web.server import Request, Responder
 
-__all__ = ["EntryAsk", "EntryDialect", "EntryDoor"]
+__all__ = ["EntryAsk", "EntryDialect", "EntryHandler"]
 
 
 class EntryAsk(NamedTuple):
@@ -31,7 +31,7 @@
         """Return the body of an answer; `keep` is in seconds."""
 
 
-class EntryDoor:
+class EntryHandler:
     """Answer questions for addresses and for readiness."""
 
     def __init__(
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -14,7 +14,7 @@
 import msgspec
 import structlog
 from fielddrift_core.catalog import Catalog
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 from fielddrift_core.readers import READ_SECONDS, Reading, source
 
 from .ports import HistoryGone, NamedWeights, OutOfReach, Platform
@@ -30,7 +30,7 @@
 the targets notice."""
 _LISTEN_SECONDS = 0.3
 """How soon a node that relies on a reader looks whether it is still there; news in the
-reader's beats wakes it at once."""
+reader's heartbeats wakes it at once."""
 _FIRST_REST = 0.15
 _LONGEST_REST = 1.0
 
@@ -109,14 +109,14 @@
         self._ahead: Neighbour | None = None
         self._told = asyncio.Event()
 
-    def heard(self, beat: Beat) -> None:
-        """Take a beat: a node that knows something newer is asked for it.
+    def heard(self, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat: a node that knows something newer is asked for it.
 
         What nodes elsewhere know, only the reader asks for; it is nearer to the others.
         """
-        node = beat.node
+        node = heartbeat.node
         near = node.data_centre == self._neighbours.me.data_centre
-        if self._is_newer(beat) and (near or self._reader() is None):
+        if self._is_newer(heartbeat) and (near or self._reader() is None):
             self._ahead = node
             self._told.set()
 
@@ -168,11 +168,11 @@
 
     # --- what other nodes know ----------------------------------------------------
 
-    def _is_newer(self, beat: Beat) -> bool:
+    def _is_newer(self, heartbeat: Heartbeat) -> bool:
         views = self._views
         known = 0 if views.catalog is None else views.catalog.version
-        named = any(version > views.named.get(m, 0) for m, version in beat.named.items())
-        return beat.catalog > known or named
+        named = any(version > views.named.get(m, 0) for m, version in heartbeat.named.items())
+        return heartbeat.catalog > known or named
 
     async def _spread(self) -> None:
         """Copy from nodes that know something newer, until cancelled."""
@@ -184,7 +184,7 @@
             try:
                 self._take_copy(await self._peers.operators(self._ahead), self._ahead.name)
             except OutOfReach as error:
-                # Its next beat, or another node's, says the same again.
+                # Its next heartbeat, or another node's, says the same again.
                 _log.info("node not reached", peer=self._ahead.name, error=str(error))
 
     def _take_copy(self, copy: OperatorCopy, told_by: str) -> None:
@@ -219,7 +219,7 @@
 
 
 class TargetFeed:
-    """Follow the targets' entries: by reading now and then, or by the reader's beats."""
+    """Follow the targets' entries: by reading now and then, or by the reader's heartbeats."""
 
     def __init__(
         self,
@@ -300,8 +300,8 @@
             return False
         if copy.row < self._views.targets_row:
             return False
-        before = self._views.roster.leaving()
-        self._views.roster.copied(copy.entries, copy.leaving)
+        before = self._views.registry.leaving()
+        self._views.registry.copied(copy.entries, copy.leaving)
         self._views.targets_row = copy.row
         self._after = copy.row
         self._copied = (chosen.name, copy.serial)
@@ -313,32 +313,32 @@
     async def _read(self) -> None:
         news = await self._platform.target_news(self._after)
         now = asyncio.get_running_loop().time()
-        roster = self._views.roster
+        registry = self._views.registry
         if self._outage:
-            roster.store_returned(now)
+            registry.store_returned(now)
             self._returned()
         self._outage = False
         self._rests.worked()
-        serial, before = roster.serial, roster.leaving()
+        serial, before = registry.serial, registry.leaving()
         if news.whole:
-            roster.replaced(news.entries, now)
+            registry.replaced(news.entries, now)
         else:
             for entry in news.entries:
-                if roster.get(entry.name) is None:
+                if registry.get(entry.name) is None:
                     _log.info("target heard", target=entry.name, service=entry.service)
-                roster.heard(entry, now)
+                registry.heard(entry, now)
             for name in news.ended:
                 _log.info("target entry ended", target=name, row=news.version)
-                roster.gone(name, now)
-        roster.tick(now)
+                registry.gone(name, now)
+        registry.tick(now)
         self._log_leaving(before, "platform")
         self._after = news.version
         self._views.targets_row = max(self._views.targets_row, news.version)
         self._views.targets_at = now
         self._copied = ("", -1)
-        if roster.serial != serial:
+        if registry.serial != serial:
             self._changed()
 
     def _log_leaving(self, before: frozenset[str], told_by: str) -> None:
-        for name in self._views.roster.leaving() - before:
+        for name in self._views.registry.leaving() - before:
             _log.info("target leaving", target=name, row=self._views.targets_row, told_by=told_by)
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -10,7 +10,7 @@
 from fielddrift_core.errors import ANSWERS, Kind, Ran, Refusal
 
 from ..web.server import Request, Responder
-from .call import Call, Refused, Tools, Trail
+from .call import Call, Refused, Tools, Trace
 from .generation import Generation
 from .plain import PlainCalls
 from .ports import Ask, BadAsk
@@ -41,29 +41,29 @@
         ask = self._tools.callers.read(request)
         if isinstance(ask, BadAsk):
             refusal = Refusal(Kind.BAD_REQUEST, ask.detail, Ran.NO)
-            self._refuse(responder, "", refusal, Trail())
+            self._refuse(responder, "", refusal, Trace())
             return
-        trail = Trail()
+        trace = Trace()
         loop = asyncio.get_running_loop()
         self._tools.views.load.add(loop.time())
         try:
-            call = await self._judge(ask, trail)
+            call = await self._judge(ask, trace)
             async with asyncio.timeout_at(call.deadline):
                 await self._serve(call, responder)
             self._log_end(call, "answered", loop.time())
         except Refused as refused:
-            self._refuse(responder, ask.request_id, refused.refusal, trail)
+            self._refuse(responder, ask.request_id, refused.refusal, trace)
         except TimeoutError:
-            refusal = Refusal(Kind.DEADLINE, "no answer in time", _ran(trail))
-            self._refuse(responder, ask.request_id, refusal, trail)
+            refusal = Refusal(Kind.DEADLINE, "no answer in time", _ran(trace))
+            self._refuse(responder, ask.request_id, refusal, trace)
         except asyncio.CancelledError:
             self._tools.metrics.left.inc()
-            _log.info("request left", request=ask.request_id, targets=trail.targets)
+            _log.info("request left", request=ask.request_id, targets=trace.targets)
             raise
         except Exception:
             _log.exception("request failed", request=ask.request_id)
-            refusal = Refusal(Kind.INTERNAL, "the node failed", _ran(trail))
-            self._refuse(responder, ask.request_id, refusal, trail)
+            refusal = Refusal(Kind.INTERNAL, "the node failed", _ran(trace))
+            self._refuse(responder, ask.request_id, refusal, trace)
 
     async def _serve(self, call: Call, responder: Responder) -> None:
         if call.service.engine is not None and call.ask.prompt is not None:
@@ -74,17 +74,17 @@
 
     # --- judging ------------------------------------------------------------
 
-    async def _judge(self, ask: Ask, trail: Trail) -> Call:
+    async def _judge(self, ask: Ask, trace: Trace) -> Call:
         try:
-            return self._call(ask, trail)
+            return self._call(ask, trace)
         except Refused:
             if not self._tools.views.stale.is_set():
                 raise
         # This process was paused: what it believes may be long outdated.
         await self._tools.views.refreshed(_ASK_AGAIN_SECONDS)
-        return self._call(ask, trail)
+        return self._call(ask, trace)
 
-    def _call(self, ask: Ask, trail: Trail) -> Call:
+    def _call(self, ask: Ask, trace: Trace) -> Call:
         views = self._tools.views
         catalog = views.catalog
         if catalog is None:
@@ -108,7 +108,7 @@
         began = ask.request.arrived
         deadline = began + min(patience, route.timeout)
         waited = views.waits.waited(route.name, patience) if ask.patience is not None else 0.0
-        return Call(ask, catalog, route, service, customer, began, deadline, trail, waited)
+        return Call(ask, catalog, route, service, customer, began, deadline, trace, waited)
 
     def _unsure(self, what: str) -> Refused:
         detail = f"this node was paused and does not know whether the {what} exists"
@@ -123,7 +123,7 @@
     # --- ends ---------------------------------------------------------------
 
     def _refuse(
-        self, responder: Responder, request_id: str, refusal: Refusal, trail: Trail
+        self, responder: Responder, request_id: str, refusal: Refusal, trace: Trace
     ) -> None:
         if responder.started:
             self._tools.metrics.cut.inc()
@@ -131,8 +131,8 @@
                 "answer cut",
                 request=request_id,
                 detail=refusal.detail,
-                targets=trail.targets,
-                reasons=trail.reasons,
+                targets=trace.targets,
+                reasons=trace.reasons,
             )
             responder.cut()
             return
@@ -154,17 +154,17 @@
             status=status,
             detail=refusal.detail,
             retry_after=retry_after,
-            unproved=trail.unproved,
-            targets=trail.targets,
-            reasons=trail.reasons,
+            unproved=trace.unproved,
+            targets=trace.targets,
+            reasons=trace.reasons,
         )
         responder.send(status, headers, refusal.detail.encode("utf-8", "replace"))
 
     def _log_end(self, call: Call, outcome: str, now: float) -> None:
-        trail = call.trail
-        first = trail.first_event
+        trace = call.trace
+        first = trace.first_event
         metrics = self._tools.metrics
-        metrics.answers.inc(of=str(trail.status))
+        metrics.answers.inc(of=str(trace.status))
         metrics.whole.observe(now - call.began)
         if first is not None:
             metrics.first_event.observe(first - call.began)
@@ -173,20 +173,20 @@
             request=call.ask.request_id,
             route=call.route.name,
             customer=call.customer_name,
-            status=trail.status,
+            status=trace.status,
             outcome=outcome,
-            targets=trail.targets,
-            reasons=trail.reasons,
+            targets=trace.targets,
+            reasons=trace.reasons,
             catalog=call.catalog.version,
-            weights=trail.weights,
-            parts=trail.parts,
+            weights=trace.weights,
+            parts=trace.parts,
             waited_ms=round(call.waited * 1000),
-            ahead=list(trail.ahead),
-            estimate_ms=round(trail.estimate * 1000),
+            ahead=list(trace.ahead),
+            estimate_ms=round(trace.estimate * 1000),
             first_ms=None if first is None else round((first - call.began) * 1000),
             ms=round((now - call.began) * 1000),
         )
 
 
-def _ran(trail: Trail) -> Ran:
-    return Ran.UNKNOWN if trail.unproved else Ran.NO
+def _ran(trace: Trace) -> Ran:
+    return Ran.UNKNOWN if trace.unproved else Ran.NO
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -72,8 +72,8 @@
         cutter = EventCutter()
         run = await self._start(call, attempts, cutter)
         try:
-            call.trail.status = run.head.status
-            call.trail.first_event = asyncio.get_running_loop().time()
+            call.trace.status = run.head.status
+            call.trace.first_event = asyncio.get_running_loop().time()
             headers = self._tools.callers.answer_headers(run.head, call.ask.request_id)
             responder.start(run.head.status, headers, run.head.length)
             responder.write(run.first)
@@ -231,7 +231,7 @@
         soon = soon_loading(engines, wanted=named)
         sights = []
         for engine in engines:
-            instance, weights = views.roster.get(engine.name), engine.weights
+            instance, weights = views.registry.get(engine.name), engine.weights
             if instance is None or instance.name in tried:
                 continue
             if engine.outdated > limit:
@@ -264,9 +264,9 @@
         now = asyncio.get_running_loop().time()
         salt = self._kept.salt(call, prompt, choice.instance.name)
         weights = views.weights_of(choice.instance.name, prompt.model)
-        call.trail.weights = weights
-        call.trail.estimate = choice.seconds
-        call.trail.ahead = choice.burden
+        call.trace.weights = weights
+        call.trace.estimate = choice.seconds
+        call.trace.ahead = choice.burden
         return Send(
             ask=call.ask,
             instance=choice.instance,
@@ -309,7 +309,7 @@
         ):
             way = "fetch" if source else "save" if save else "read"
             tokens.inc(part.tokens, of=way)
-            view = views.shelf.view(source or save)
+            view = views.store_index.view(source or save)
             if view is None or (source and part.id in held):
                 continue
             seconds = move_seconds(
@@ -338,7 +338,7 @@
         now = asyncio.get_running_loop().time()
         if failure.reason == "replaced":
             # Another instance has the address: this one is gone for good.
-            views.roster.left(name)
+            views.registry.left(name)
             return
         if failure.reason in ("not-started", "other-weights"):
             views.loading[name] = max(views.loading.get(name, 0.0), now + _AVOID_SECONDS)
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -1,4 +1,4 @@
-"""Exchange beats with the other nodes, as datagrams."""
+"""Exchange heartbeats with the other nodes, as datagrams."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 import msgspec
 import structlog
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours, Standing
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Standing
 
 __all__ = ["Gossip", "Reach"]
 
 _TICK_SECONDS = 0.05
 _SOON_SECONDS = 0.02
-"""Least time between beats that something new causes."""
+"""Least time between heartbeats that something new causes."""
 _SOON_PART = 0.3
-"""Part of the time between beats that passes between beats with news."""
+"""Part of the time between heartbeats that passes between heartbeats with news."""
 _MOST_BYTES = 1400
 """A datagram that fits into one packet."""
 
@@ -36,22 +36,22 @@
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """Send this node's beats, and hand on those of others."""
+    """Send this node's heartbeats, and hand on those of others."""
 
     def __init__(
         self,
         *,
         neighbours: Neighbours,
-        beat: Callable[[Standing], Beat],
-        heard: Callable[[Beat], None],
+        heartbeat: Callable[[Standing], Heartbeat],
+        heard: Callable[[Heartbeat], None],
     ) -> None:
         self._neighbours = neighbours
-        self._beat = beat
+        self._heartbeat = heartbeat
         self._heard = heard
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Beat)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
         self._soon: asyncio.TimerHandle | None = None
         self._soon_at = float("-inf")
         self._reach = Reach.ACTIVE_NEARBY
@@ -61,7 +61,7 @@
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
 
     async def run(self) -> None:
-        """Beat until cancelled."""
+        """Send heartbeats until cancelled."""
         while True:
             self._send(self._neighbours.due(self._loop.time()))
             await asyncio.sleep(_TICK_SECONDS)
@@ -75,7 +75,7 @@
             self._transport = None
 
     def changed(self, reach: Reach = Reach.NEARBY) -> None:
-        """Beat soon to the nodes that something new concerns."""
+        """Send a heartbeat soon to the nodes that something new concerns."""
         self._reach = max(self._reach, reach)
         if self._soon is None:
             now = self._loop.time()
@@ -89,31 +89,31 @@
         self.changed(Reach.ACTIVE_NEARBY)
 
     def say_now(self) -> None:
-        """Beat to all nodes at once."""
+        """Send a heartbeat to all nodes at once."""
         self._send(self._neighbours.alive(self._loop.time()))
 
     def greet(self, addresses: list[str]) -> None:
-        """Send a beat to addresses of which no node is known."""
+        """Send a heartbeat to addresses of which no node is known."""
         for address in addresses:
-            self._send_to(address, self._encoder.encode(self._beat(_UNKNOWN)))
+            self._send_to(address, self._encoder.encode(self._heartbeat(_UNKNOWN)))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
         try:
-            beat = self._decoder.decode(data)
+            heartbeat = self._decoder.decode(data)
         except msgspec.DecodeError as error:
-            _log.warning("beat not understood", sender=str(addr), error=str(error))
+            _log.warning("heartbeat not understood", sender=str(addr), error=str(error))
             return
-        if self._neighbours.hear(beat, self._loop.time()):
-            _log.info("node heard", node=beat.node.name, boot=beat.node.boot)
-            self._send([beat.node])
-        self._heard(beat)
+        if self._neighbours.hear(heartbeat, self._loop.time()):
+            _log.info("node heard", node=heartbeat.node.name, boot=heartbeat.node.boot)
+            self._send([heartbeat.node])
+        self._heard(heartbeat)
 
     def error_received(self, exc: Exception) -> None:
         # A node that is not there; its silence says as much.
-        _log.debug("beat refused", error=str(exc))
+        _log.debug("heartbeat refused", error=str(exc))
 
     def _send_soon(self) -> None:
         self._soon = None
@@ -137,13 +137,13 @@
         for node in nodes:
             standing = self._neighbours.standing(node, now)
             if standing not in data:
-                data[standing] = self._encoder.encode(self._beat(standing))
+                data[standing] = self._encoder.encode(self._heartbeat(standing))
             self._send_to(node.gossip, data[standing])
 
     def _send_to(self, address: str, data: bytes) -> None:
         if self._transport is None:
             return
         if len(data) > _MOST_BYTES:
-            _log.debug("beat larger than a packet", size=len(data))
+            _log.debug("heartbeat larger than a packet", size=len(data))
         host, _, port = address.rpartition(":")
         self._transport.sendto(data, (host, int(port)))
--- a/packages/node/src/fielddrift_node/serving/telling.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -1,4 +1,4 @@
-"""Put what a node tells others into beats, and what others tell into its views.
+"""Put what a node tells others into heartbeats, and what others tell into its views.
 
 Everyone hears of what keeps them from falling behind; what is sent to targets
 concerns active nodes only, and what stores keep only those nearby.
@@ -9,72 +9,74 @@
 import asyncio
 
 import structlog
-from fielddrift_core.neighbours import Beat, Neighbours, Standing
+from fielddrift_core.neighbours import Heartbeat, Neighbours, Standing
 from fielddrift_core.workload import Burden
 
 from .views import Views
 
-__all__ = ["Telling"]
+__all__ = ["HeartbeatTranslator"]
 
 _MOST_LEFT = 16
-"""Leaving targets in one beat; a release replaces a few at a time."""
+"""Leaving targets in one heartbeat; a release replaces a few at a time."""
 _MOST_WEIGHTS = 16
-"""Engines whose new weights are told in one beat: more than load within one."""
+"""Engines whose new weights are told in one heartbeat: more than load within one."""
 _LONGEST_LOADING_SECONDS = 2.0
 """How long another node's word that an engine loads is believed at most."""
 
 _log = structlog.get_logger()
 
 
-class Telling:
-    """Translate between this node's views and beats."""
+class HeartbeatTranslator:
+    """Translate between this node's views and heartbeats."""
 
     def __init__(self, *, views: Views, neighbours: Neighbours) -> None:
         self._views = views
         self._neighbours = neighbours
 
-    def beat(self, standing: Standing, *, leaving: bool) -> Beat:
+    def heartbeat(self, standing: Standing, *, leaving: bool) -> Heartbeat:
         """Return what to tell a node that stands so to this one."""
-        beat = self._common(standing, leaving)
+        heartbeat = self._common(standing, leaving)
         if not standing.theirs:
-            return beat
+            return heartbeat
         views = self._views
         now = asyncio.get_running_loop().time()
         loading = {name: until - now for name, until in views.loading.items() if until > now}
         weights = list(views.weights.items())[-_MOST_WEIGHTS:]
-        beat = beat._replace(
+        heartbeat = heartbeat._replace(
             burdens=views.workload.own(),
             loading=loading,
             weights=tuple((instance, model, version) for (instance, model), version in weights),
             moves=views.links.own(now),
         )
         if not standing.near:
-            return beat
-        return beat._replace(kept=views.shelf.marks(now), lateness=views.lateness.known(now))
+            return heartbeat
+        return heartbeat._replace(
+            kept=views.store_index.marks(now), lateness=views.lateness.known(now)
+        )
 
-    def heard(self, beat: Beat) -> None:
+    def heard(self, heartbeat: Heartbeat) -> None:
         """Take what another node tells."""
         views = self._views
         now = asyncio.get_running_loop().time()
-        burdens = {target: Burden(*burden) for target, burden in beat.burdens.items()}
-        views.workload.told(beat.node.name, burdens, now)
-        views.heard_ages(beat.named_ages, now)
-        views.links.told(beat.node.name, beat.moves, now)
-        views.lateness.told(beat.lateness, now)
-        for name in beat.left:
-            self._heard_left(name, beat.node.name)
-        for name, seconds in beat.loading.items():
+        burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
+        views.workload.told(heartbeat.node.name, burdens, now)
+        views.heard_ages(heartbeat.named_ages, now)
+        views.links.told(heartbeat.node.name, heartbeat.moves, now)
+        views.lateness.told(heartbeat.lateness, now)
+        for name in heartbeat.left:
+            self._heard_left(name, heartbeat.node.name)
+        for name, seconds in heartbeat.loading.items():
             until = now + min(seconds, _LONGEST_LOADING_SECONDS)
             views.loading[name] = max(views.loading.get(name, 0.0), until)
-        for instance, model, version in beat.weights:
+        for instance, model, version in heartbeat.weights:
             if version > views.weights.get((instance, model), 0):
                 views.saw_weights(instance, model, version)
                 views.loading.pop(instance, None)
 
-    def _common(self, standing: Standing, leaving: bool) -> Beat:
+    def _common(self, standing: Standing, leaving: bool) -> Heartbeat:
         views = self._views
         now = asyncio.get_running_loop().time()
-        return Beat(
+        return Heartbeat(
             node=self._neighbours.me,
             ready=views.ready,
             leaving=leaving,
@@ -85,12 +87,12 @@
             named=dict(views.named),
             named_ages=views.named_times.ages(now),
             reading=views.reading(now),
-            left=tuple(sorted(views.roster.leaving()))[:_MOST_LEFT],
+            left=tuple(sorted(views.registry.leaving()))[:_MOST_LEFT],
             burdens={},
         )
 
     def _heard_left(self, name: str, told_by: str) -> None:
-        roster = self._views.roster
-        if name not in roster.leaving() and roster.get(name) is not None:
+        registry = self._views.registry
+        if name not in registry.leaving() and registry.get(name) is not None:
             _log.info("target leaving", target=name, told_by=told_by)
-            roster.left(name)
+            registry.left(name)
--- a/packages/node/src/fielddrift_node/serving/kept.py
+++ b/packages/node/src/fielddrift_node/serving/kept.py
@@ -50,7 +50,7 @@
                 store,
                 views.links.wait(store.address, now) + views.lateness.of(store.address, now),
             )
-            for store in views.shelf.holders(salt, part)
+            for store in views.store_index.holders(salt, part)
         ]
 
     def fetch(self, call: Call, choice: EngineChoice, salt: str) -> Fetch:
@@ -61,7 +61,7 @@
         sources = tuple("" if s is None else s.address for s in choice.recall.sources)
         saves = self._saves(prompt, salt, sources, choice.instance.data_centre, now)
         memory = self._views.memory.parts(choice.instance.name, salt)
-        call.trail.parts = [
+        call.trace.parts = [
             f"{part.id}:{part.tokens}:{self._way(part, source, save, salt, memory, now)}"
             for part, source, save in zip(prompt.shared, sources, saves, strict=False)
         ]
@@ -77,12 +77,12 @@
             return "memory+save" if save else "memory"
         if save:
             return "save"
-        shelf = self._views.shelf
-        if shelf.holders(salt, part):
+        store_index = self._views.store_index
+        if store_index.holders(salt, part):
             return "read-quicker"
-        if shelf.saving(salt, part, now):
+        if store_index.saving(salt, part, now):
             return "read-saving"
-        return "read-full" if any(view.known for view in shelf.views) else "read-unknown"
+        return "read-full" if any(view.known for view in store_index.views) else "read-unknown"
 
     def _until(self, call: Call, choice: EngineChoice, now: float) -> int | None:
         """Return when a fetch should be given up, so that reading can still be in time."""
@@ -102,18 +102,18 @@
         now: float,
     ) -> tuple[str, ...]:
         """Return, for each part, the store that should keep it, empty for none."""
-        shelf = self._views.shelf
+        store_index = self._views.store_index
         late = partial(self._views.lateness.of, now=now)
         saves = []
         for part, source in zip(prompt.parts, sources, strict=True):
             store = None
             shared = part in prompt.shared
-            if shared and not source and not shelf.saving(salt, part, now):
-                held = shelf.holders(salt, part)
+            if shared and not source and not store_index.saving(salt, part, now):
+                held = store_index.holders(salt, part)
                 store = (
                     None
                     if held
-                    else shelf.save(salt, part, now, data_centre=data_centre, late=late)
+                    else store_index.save(salt, part, now, data_centre=data_centre, late=late)
                 )
             saves.append("" if store is None else store.address)
         return tuple(saves)
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
 
-__all__ = ["Counter", "Gauge", "Histogram", "Metrics", "MetricsDoor"]
+__all__ = ["Counter", "Gauge", "Histogram", "Metrics", "MetricsHandler"]
 
 _BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.7, 1.0, 1.5, 2.5, 4.0, 8.0)
 """Seconds; fine around the users' aims of 0.15 to 0.54 s."""
@@ -150,7 +150,7 @@
         return histogram
 
 
-class MetricsDoor:
+class MetricsHandler:
     """Answer whoever asks for the figures, or for what the node believes."""
 
     def __init__(self, *, metrics: Metrics, beliefs: Callable[[], bytes]) -> None:
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -10,24 +10,24 @@
 
 import msgspec
 import structlog
-from fielddrift_core.neighbours import Beat, Neighbour, Neighbours
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 
 from ..web.client import Client
 from ..web.server import Limits, Server
 from .beliefs import beliefs_of, to_json
 from .call import Tools
-from .directory import EntryDialect, EntryDoor
+from .directory import EntryDialect, EntryHandler
 from .duty import Duty
 from .feeds import OperatorFeed, TargetFeed
 from .gateway import Gateway
 from .gossip import Gossip, Reach
-from .keeper import Keeper
-from .metrics import Metrics, MetricsDoor
+from .heartbeats import HeartbeatTranslator
+from .metrics import Metrics, MetricsHandler
 from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
-from .roller import Roller
+from .rollout_runner import RolloutRunner
 from .settings import NodeSettings
-from .sharing import PeerDoor, Peers
-from .telling import Telling
+from .sharing import PeerHandler, Peers
+from .store_tracker import StoreTracker
 from .views import Views
 
 __all__ = ["Dialects", "ServingNode"]
@@ -104,10 +104,10 @@
             capacity=settings.capacity,
         )
         self._neighbours = Neighbours(me=me)
-        self._telling = Telling(views=self._views, neighbours=self._neighbours)
+        self._heartbeats = HeartbeatTranslator(views=self._views, neighbours=self._neighbours)
         self._gossip = Gossip(
             neighbours=self._neighbours,
-            beat=lambda standing: self._telling.beat(standing, leaving=self._leaving),
+            heartbeat=lambda standing: self._heartbeats.heartbeat(standing, leaving=self._leaving),
             heard=self._heard,
         )
         self._peer_client = Client()
@@ -129,7 +129,7 @@
             returned=self._operators.again,
             rng=rng,
         )
-        self._keeper = Keeper(
+        self._store_tracker = StoreTracker(
             views=self._views,
             targets=dialects.targets,
             neighbours=self._neighbours,
@@ -143,7 +143,7 @@
             platform=platform,
             turn=settings.bounds.turn,
         )
-        self._roller = Roller(
+        self._rollout_runner = RolloutRunner(
             views=self._views,
             neighbours=self._neighbours,
             targets=dialects.targets,
@@ -164,7 +164,7 @@
             told=self._gossip.sends_changed,
         )
         self._front = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
-        door = EntryDoor(
+        door = EntryHandler(
             dialect=dialects.entry,
             addresses=lambda data_centre: self._neighbours.addresses(
                 data_centre, asyncio.get_running_loop().time()
@@ -173,9 +173,9 @@
             keep=self._entry_keep,
         )
         self._doors = Server(handler=door.handle, limits=Limits)
-        self._peer_door = Server(handler=PeerDoor(views=self._views).handle, limits=Limits)
+        self._peer_door = Server(handler=PeerHandler(views=self._views).handle, limits=Limits)
         self._metrics_door = Server(
-            handler=MetricsDoor(metrics=self._metrics, beliefs=self._beliefs).handle,
+            handler=MetricsHandler(metrics=self._metrics, beliefs=self._beliefs).handle,
             limits=Limits,
         )
         self._tasks: list[asyncio.Task[None]] = []
@@ -217,8 +217,8 @@
             self._targets.run,
             self._join,
             self._gossip.run,
-            self._keeper.run,
-            self._roller.run,
+            self._store_tracker.run,
+            self._rollout_runner.run,
             self._free,
             self._tick,
         ):
@@ -250,7 +250,7 @@
         self._gossip.say_now()
         _log.info("leaving", busy=self._front.busy)
         try:
-            await self._roller.stop()
+            await self._rollout_runner.stop()
         except OutOfReach as error:
             _log.warning("duty not given back", error=str(error))
         until = began + self._settings.bounds.grace - _STOP_SPARE_SECONDS
@@ -333,12 +333,12 @@
         if active is not self._active:
             self._active = active
             _log.info("active" if active else "standing by", nodes=self._views.nodes)
-            self._keeper.look()
+            self._store_tracker.look()
 
     def _gauge(self, now: float) -> None:
         views, metrics = self._views, self._metrics
         metrics.catalog.set(0 if views.catalog is None else views.catalog.version)
-        metrics.targets.set(len(views.roster))
+        metrics.targets.set(len(views.registry))
         metrics.nodes.set(views.nodes)
         metrics.platform_calls.set(self._platform.calls)
         metrics.targets_age.set(min(now - views.targets_at, _OLDEST_AGE_SECONDS))
@@ -348,7 +348,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_FREE_SECONDS)
-            self._keeper.note_use()
+            self._store_tracker.note_use()
             now = loop.time()
             others = [node.name for node in self._neighbours.active_everywhere(now)]
             first = self._neighbours.is_active(now) and self._settings.name < min(
@@ -357,7 +357,7 @@
             if self._leaving or not first:
                 continue
             try:
-                await self._keeper.free_outdated()
+                await self._store_tracker.free_outdated()
             except OutOfReach as error:
                 _log.warning("parts not freed", error=str(error))
 
@@ -365,14 +365,14 @@
 
     def _operators_changed(self) -> None:
         self._report()
-        self._keeper.look()
+        self._store_tracker.look()
         self._gossip.changed()
 
-    def _heard(self, beat: Beat) -> None:
-        self._telling.heard(beat)
-        self._operators.heard(beat)
-        if beat.node.data_centre == self._settings.data_centre:
-            self._targets.heard(beat.node.name, beat.reading)
+    def _heard(self, heartbeat: Heartbeat) -> None:
+        self._heartbeats.heard(heartbeat)
+        self._operators.heard(heartbeat)
+        if heartbeat.node.data_centre == self._settings.data_centre:
+            self._targets.heard(heartbeat.node.name, heartbeat.reading)
 
     def _limits(self) -> Limits:
         catalog = self._views.catalog
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from fielddrift_core.placement import PlainSight, choose_plain
-from fielddrift_core.roster import Instance
+from fielddrift_core.target_registry import Instance
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
@@ -40,7 +40,7 @@
             except TryFailed as failure:
                 attempts.failed(failure)
                 continue
-            call.trail.status = head.status
+            call.trace.status = head.status
             headers = self._tools.callers.answer_headers(head, call.ask.request_id)
             responder.send(head.status, headers, body)
             return
@@ -50,7 +50,7 @@
         now = asyncio.get_running_loop().time()
         sights = [
             PlainSight(i, views.workload.at(i.name, now), views.health.share(i.name, now))
-            for i in views.roster.serving(call.service.name)
+            for i in views.registry.serving(call.service.name)
         ]
         return choose_plain(
             sights,
@@ -77,7 +77,7 @@
         except TryFailed as failure:
             views.health.failed(instance.name, loop.time())
             if failure.reason == "replaced":
-                views.roster.left(instance.name)
+                views.registry.left(instance.name)
             raise
         finally:
             views.workload.end(instance.name, call.ask.request_id)
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -11,7 +11,7 @@
 
 from fielddrift_core.catalog import Catalog, StoreTraits
 from fielddrift_core.prompt import Part, Prompt
-from fielddrift_core.roster import Instance
+from fielddrift_core.target_registry import Instance
 
 from ..web.messages import Headers, ResponseHead
 from ..web.server import Request
--- a/packages/node/src/fielddrift_node/serving/roller.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -16,7 +16,7 @@
 from .ports import EngineReport, OutOfReach, TargetDialect, WeightsOrder
 from .views import Views
 
-__all__ = ["Roller"]
+__all__ = ["RolloutRunner"]
 
 _LOOK_SECONDS = 0.1
 _STANDBY_LOOK_SECONDS = 0.5
@@ -50,7 +50,7 @@
     engines: tuple[EngineWeights, ...]
 
 
-class Roller:
+class RolloutRunner:
     """Order loads while this node has the duty; one node at a time has it."""
 
     def __init__(
@@ -176,7 +176,7 @@
         orders: int | None = None
         ordered_at = float("-inf")
         while loop.time() < until:
-            instance = self._views.roster.get(name)
+            instance = self._views.registry.get(name)
             if instance is None or self._views.named.get(model, 0) != wanted:
                 return
             self._views.loading[name] = loop.time() + _ANNOUNCED_SECONDS
@@ -198,7 +198,7 @@
         _log.warning("weights not loaded", target=name, model=model, version=wanted)
 
     async def _report(self, name: str) -> EngineReport | None:
-        instance = self._views.roster.get(name)
+        instance = self._views.registry.get(name)
         if instance is None:
             return None
         try:
@@ -212,7 +212,7 @@
         return report
 
     async def _order(self, name: str, model: str, wanted: int, orders: int | None) -> None:
-        instance = self._views.roster.get(name)
+        instance = self._views.registry.get(name)
         if instance is None:
             return
         order = WeightsOrder(instance, model, wanted, self._duty.holder, self._duty.fence, orders)
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -1,6 +1,6 @@
 """Hand views on between the nodes of a data centre.
 
-A node tells in its beats how far it has read; another that relies on it
+A node tells in its heartbeats how far it has read; another that relies on it
 fetches what is new over the peers' address.
 """
 
@@ -15,8 +15,8 @@
 import structlog
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.neighbours import Neighbour
-from fielddrift_core.roster import Instance
-from fielddrift_core.shelf import KeptChange
+from fielddrift_core.store_index import KeptChange
+from fielddrift_core.target_registry import Instance
 
 from ..web.client import Client, ExchangeError, Timeouts
 from ..web.messages import Headers
@@ -24,7 +24,7 @@
 from .ports import OutOfReach
 from .views import Views
 
-__all__ = ["KeptAsk", "KeptCopy", "OperatorCopy", "PeerDoor", "Peers", "TargetCopy"]
+__all__ = ["KeptAsk", "KeptCopy", "OperatorCopy", "PeerHandler", "Peers", "TargetCopy"]
 
 _FETCH = Timeouts(connect=0.2, whole=0.5)
 """A fetch within a data centre takes some ms."""
@@ -72,7 +72,7 @@
     held: tuple[tuple[str, str, int], ...] | None = None
 
 
-class PeerDoor:
+class PeerHandler:
     """Answer other nodes that ask for views."""
 
     def __init__(self, *, views: Views) -> None:
@@ -102,9 +102,9 @@
         return OperatorCopy(views.catalog, dict(views.named), views.operators_row)
 
     def _targets(self, _: list[str]) -> TargetCopy:
-        roster = self._views.roster
-        leaving = tuple(roster.leaving())
-        return TargetCopy(tuple(roster.all()), leaving, self._views.targets_row, roster.serial)
+        registry = self._views.registry
+        leaving = tuple(registry.leaving())
+        return TargetCopy(tuple(registry.all()), leaving, self._views.targets_row, registry.serial)
 
     def _kept(self, asked: list[str]) -> list[KeptCopy]:
         clock = self._views.until(asyncio.get_running_loop().time())
@@ -112,7 +112,7 @@
         return [copy for copy in copies if copy is not None]
 
     def _kept_copy(self, ask: KeptAsk, clock: int | None) -> KeptCopy | None:
-        view = self._views.shelf.view(ask.store)
+        view = self._views.store_index.view(ask.store)
         if view is None or view.life is None:
             return None
         copy = KeptCopy(ask.store, view.life, view.following, clock)
--- a/packages/node/src/fielddrift_node/serving/keeper.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -11,7 +11,7 @@
 from fielddrift_core.neighbours import KeptMark, Neighbours
 from fielddrift_core.prompt import Part
 from fielddrift_core.readers import OLD_MARK_SECONDS, reader, source_of_each
-from fielddrift_core.shelf import KeptChange, StoreView
+from fielddrift_core.store_index import KeptChange, StoreView
 
 from .kept import salt_of
 from .metrics import Metrics
@@ -19,7 +19,7 @@
 from .sharing import KeptAsk, KeptCopy, Peers
 from .views import FETCH_SECONDS, Views
 
-__all__ = ["Keeper"]
+__all__ = ["StoreTracker"]
 
 _WAIT_SECONDS = 1.0
 _PAUSE_SECONDS = 0.25
@@ -48,8 +48,8 @@
     return OLD_MARK_SECONDS if known else _FIRST_PATIENCE_SECONDS
 
 
-class Keeper:
-    """Keep the shelf true to the stores."""
+class StoreTracker:
+    """Keep the store_index true to the stores."""
 
     def __init__(
         self,
@@ -89,7 +89,7 @@
         try:
             while True:
                 self._wake.clear()
-                self._views.shelf.expire(loop.time())
+                self._views.store_index.expire(loop.time())
                 if self._takes_prompts(loop.time()):
                     self._listen(self._copied_elsewhere(loop.time()))
                     await self._copy(loop.time())
@@ -118,7 +118,7 @@
         """Follow nothing: a node that takes no requests needs no view."""
         self._listen_to({})
         self._missing.clear()
-        for view in self._views.shelf.views:
+        for view in self._views.store_index.views:
             view.unknown()
             view.heard_at = float("-inf")
 
@@ -132,9 +132,9 @@
         """
         marks = self._reached(self._neighbours.kept(now), now)
         capacity = self._neighbours.capacity
-        known = {view.traits.address: view.known for view in self._views.shelf.views}
+        known = {view.traits.address: view.known for view in self._views.store_index.views}
         if not self._neighbours.is_active(now):
-            # Beats tell a node that stands by nothing of stores: it asks an active one.
+            # Heartbeats tell a node that stands by nothing of stores: it asks an active one.
             self._listener = reader(_LISTENER_KEY, marks, capacity=capacity)
             self._sources = dict.fromkeys(known, self._listener)
             return set(known)
@@ -160,7 +160,7 @@
         return {name: seen for name, seen in marks.items() if now >= self._unreached.get(name, now)}
 
     def _listen(self, copied: set[str]) -> None:
-        views = {view.traits.address: view for view in self._views.shelf.views}
+        views = {view.traits.address: view for view in self._views.store_index.views}
         self._listen_to({store: view for store, view in views.items() if store not in copied})
 
     def _listen_to(self, wanted: dict[str, StoreView]) -> None:
@@ -199,7 +199,7 @@
         """Have what changed from the nodes that hear the stores."""
         marks = self._neighbours.kept(now)
         asked: dict[str, list[KeptAsk]] = {}
-        for view in self._views.shelf.views:
+        for view in self._views.store_index.views:
             store = view.traits.address
             source = self._sources.get(store)
             if source is None or store in self._loops:
@@ -225,7 +225,7 @@
             self._take(copy)
 
     def _take(self, copy: KeptCopy) -> None:
-        view = self._views.shelf.view(copy.store)
+        view = self._views.store_index.view(copy.store)
         if view is None or copy.store in self._loops:
             return
         if copy.held is not None:
@@ -282,7 +282,7 @@
     def note_use(self) -> None:
         """Note which of the salts that stores hold parts of can still be in use."""
         now = asyncio.get_running_loop().time()
-        held = self._views.shelf.salts()
+        held = self._views.store_index.salts()
         used = self._salts_in_use()
         self._used_at = {
             salt: now if used is None or salt.startswith(used) else self._used_at.get(salt, now)
@@ -294,8 +294,8 @@
         views = self._views
         now = asyncio.get_running_loop().time()
         old = {salt for salt, at in self._used_at.items() if now - at > _FREE_AFTER_SECONDS}
-        for address, keys in views.shelf.under(old).items():
-            view = views.shelf.view(address)
+        for address, keys in views.store_index.under(old).items():
+            view = views.store_index.view(address)
             if view is None or view.life is None:
                 continue
             batch = keys[:_FREED_AT_ONCE]
@@ -315,7 +315,7 @@
         salts = []
         for service in views.catalog.engines:
             assert service.engine is not None
-            engines = [engine for engine in views.roster.all() if engine.service == service.name]
+            engines = [engine for engine in views.registry.all() if engine.service == service.name]
             for model in service.engine.models:
                 named = views.named.get(model)
                 weights = {views.weights_of(engine.name, model) for engine in engines}
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -69,17 +69,17 @@
             raise Refused(self._refusal("repeated sends are used up", None))
         self._tools.metrics.sends.inc()
         self.tried.add(target)
-        self._call.trail.targets.append(target)
+        self._call.trace.targets.append(target)
 
     def failed(self, failure: TryFailed) -> None:
         """Take a failure; raise `Refused` unless another sending may follow."""
         call = self._call
-        call.trail.reasons.append(failure.reason)
+        call.trace.reasons.append(failure.reason)
         self._tools.metrics.retries.inc(of=failure.reason)
         _log.info(
             "send failed",
             request=call.ask.request_id,
-            target=call.trail.targets[-1],
+            target=call.trace.targets[-1],
             reason=failure.reason,
             detail=str(failure),
             not_run=failure.not_run,
@@ -101,7 +101,7 @@
         return self._reached + 1 < self._call.route.attempts
 
     def _refusal(self, detail: str, return_after: float | None) -> Refusal:
-        ran = Ran.UNKNOWN if self._call.trail.unproved else Ran.NO
+        ran = Ran.UNKNOWN if self._call.trace.unproved else Ran.NO
         return Refusal(Kind.NO_TARGET, detail, ran, return_after)
 
 
@@ -123,7 +123,7 @@
             most_idle=None if call.route.repeatable else _UNSAFE_MOST_IDLE,
         )
         # From here on the request may run, whatever becomes of this task.
-        call.trail.unproved += 1
+        call.trace.unproved += 1
         head = await exchange.head()
     except ExchangeError as error:
         if exchange is not None:
@@ -138,7 +138,7 @@
     signs = tools.targets.signs(head)
     if not signs.not_started:
         return exchange, head
-    call.trail.unproved -= 1
+    call.trace.unproved -= 1
     await _drain(exchange)
     reason = _not_run_reason(signs, send)
     detail = f"target {send.instance.name}: status {head.status}, not run"
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -11,8 +11,8 @@
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
 from fielddrift_core.rollout import EngineWeights, NamedTimes, VersionAge
-from fielddrift_core.roster import Roster
-from fielddrift_core.shelf import Shelf
+from fielddrift_core.store_index import StoreIndex
+from fielddrift_core.target_registry import TargetRegistry
 from fielddrift_core.urgency import Waits
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
@@ -42,10 +42,10 @@
         self.named: dict[str, int] = {}
         """The newest named weights by model."""
         self.named_times = NamedTimes()
-        self.roster = Roster()
+        self.registry = TargetRegistry()
         self.workload = Workload()
         self.health = TargetHealth()
-        self.shelf = Shelf()
+        self.store_index = StoreIndex()
         self.links = LinkQueue()
         self.lateness = Lateness()
         self.memory = EngineMemory()
@@ -82,14 +82,14 @@
     @property
     def ready(self) -> bool:
         """Return whether requests can be served."""
-        return self.catalog is not None and len(self.roster) > 0
+        return self.catalog is not None and len(self.registry) > 0
 
     def take_catalog(self, catalog: Catalog) -> bool:
         """Take a newer catalog; an older one is ignored."""
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return False
         self.catalog = catalog
-        self.shelf.configure([s.store for s in catalog.stores if s.store is not None])
+        self.store_index.configure([s.store for s in catalog.stores if s.store is not None])
         return True
 
     def take_weights(self, weights: NamedWeights, now: float) -> bool:
@@ -103,7 +103,7 @@
     def reading(self, now: float) -> Reading:
         """Return how far this node itself has read."""
         age = now - self.targets_at
-        return Reading(self.operators_row, self.targets_row, self.roster.serial, age)
+        return Reading(self.operators_row, self.targets_row, self.registry.serial, age)
 
     def heard_ages(self, ages: Iterable[VersionAge], now: float) -> None:
         """Take for how long another node has known named weights.
@@ -121,7 +121,7 @@
     def engines(self, service: str, model: str, now: float) -> list[EngineWeights]:
         """Return the engines of `service` that take new work and whose weights are known."""
         found = []
-        for instance in self.roster.serving(service):
+        for instance in self.registry.serving(service):
             weights = self.weights_of(instance.name, model)
             if weights is not None:
                 loading = self.loading.get(instance.name, 0.0) > now
@@ -150,13 +150,13 @@
         """Note weights that an instance was seen to have; they only become newer."""
         key = (instance_name, model)
         if version > self.weights.get(key, 0):
-            # The newest sighting stands last: beats tell the last ones.
+            # The newest sighting stands last: heartbeats tell the last ones.
             self.weights.pop(key, None)
             self.weights[key] = version
 
     def weights_of(self, instance_name: str, model: str) -> int | None:
         """Return the version of `model` that an instance has, None when it has none."""
-        instance = self.roster.get(instance_name)
+        instance = self.registry.get(instance_name)
         listed = instance.versions.get(model) if instance is not None else None
         learned = self.weights.get((instance_name, model))
         if listed is None:
--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -17,13 +17,13 @@
 from fielddrift_node.web.messages import Headers
 from fielddrift_node.web.server import Limits, Request, Responder, Server
 
-__all__ = ["RowStore", "StoreDoor"]
+__all__ = ["RowStore", "StoreEndpoint"]
 
 _POLL_SECONDS = 0.01
 _JSON = Headers([(b"Content-Type", b"application/json")])
 
 
-class StoreDoor:
+class StoreEndpoint:
     """Another address of a store; `turned_away` refuses every call, `held` answers none."""
 
     def __init__(self, *, handler: Callable[[Request, Responder], Awaitable[None]]) -> None:
@@ -69,9 +69,9 @@
         """Listen."""
         await self._server.start(host, port)
 
-    async def door(self, host: str, port: int) -> StoreDoor:
+    async def door(self, host: str, port: int) -> StoreEndpoint:
         """Listen at another address too, which can refuse whoever comes there."""
-        door = StoreDoor(handler=self._handle)
+        door = StoreEndpoint(handler=self._handle)
         await door.start(host, port)
         return door
 
--- a/tests/test_kept_parts.py
+++ b/tests/test_kept_parts.py
@@ -7,8 +7,8 @@
 from fielddrift_core.catalog import EngineTraits, StoreTraits
 from fielddrift_core.placement import EngineSight, Holder, choose_engine, recall
 from fielddrift_core.prompt import Part, Prompt
-from fielddrift_core.roster import Instance
-from fielddrift_core.shelf import KeptChange, Shelf, StoreView
+from fielddrift_core.store_index import KeptChange, StoreIndex, StoreView
+from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 
 ENGINE = EngineTraits(64, 40_000, 18_432, 16e9, ("m",), 12)
@@ -127,46 +127,46 @@
         self.assertEqual(self._choose([full, some], {}).instance.name, "some")  # type: ignore[attr-defined]
 
 
-class TestShelf(unittest.TestCase):
+class TestStoreIndex(unittest.TestCase):
     def setUp(self) -> None:
-        self.shelf = Shelf()
-        self.shelf.configure([SLOW, QUICK])
-        for view in self.shelf.views:
+        self.store_index = StoreIndex()
+        self.store_index.configure([SLOW, QUICK])
+        for view in self.store_index.views:
             view.listed(1, 0, [])
 
     def test_small_parts_go_to_quick_stores_and_large_ones_to_large(self) -> None:
-        self.assertEqual(self.shelf.save("s", Part("large", 5000), 0.0), SLOW)
-        chosen = [self.shelf.save("s", Part(f"p{n}", 500), 0.0) for n in range(40)]
+        self.assertEqual(self.store_index.save("s", Part("large", 5000), 0.0), SLOW)
+        chosen = [self.store_index.save("s", Part(f"p{n}", 500), 0.0) for n in range(40)]
         self.assertGreater(chosen.count(QUICK), chosen.count(SLOW))
 
     def test_a_save_is_not_begun_twice_until_it_is_lost(self) -> None:
         part = Part("p", 500)
-        self.shelf.save("s", part, 0.0)
-        self.assertTrue(self.shelf.saving("s", part, 1.0))
-        self.assertFalse(self.shelf.saving("s", part, 10.0))
+        self.store_index.save("s", part, 0.0)
+        self.assertTrue(self.store_index.saving("s", part, 1.0))
+        self.assertFalse(self.store_index.saving("s", part, 10.0))
 
     def test_nothing_counts_as_kept_in_a_store_that_is_unknown(self) -> None:
-        view = self.shelf.views[0]
+        view = self.store_index.views[0]
         view.add("s", "p", 500)
-        self.assertEqual(len(self.shelf.holders("s", Part("p", 500))), 1)
+        self.assertEqual(len(self.store_index.holders("s", Part("p", 500))), 1)
         view.unknown()
-        self.assertEqual(self.shelf.holders("s", Part("p", 500)), [])
+        self.assertEqual(self.store_index.holders("s", Part("p", 500)), [])
 
     def test_a_full_store_and_a_late_store_take_nothing(self) -> None:
-        for view in self.shelf.views:
+        for view in self.store_index.views:
             view.listed(1, 0, [("s", "x", view.traits.capacity)])
-        self.assertIsNone(self.shelf.save("s", Part("p", 500), 0.0))
-        for view in self.shelf.views:
+        self.assertIsNone(self.store_index.save("s", Part("p", 500), 0.0))
+        for view in self.store_index.views:
             view.listed(1, 0, [])
         late = {QUICK.address: 1.0}
-        chosen = self.shelf.save("s", Part("p", 500), 0.0, late=lambda s: late.get(s, 0.0))
+        chosen = self.store_index.save("s", Part("p", 500), 0.0, late=lambda s: late.get(s, 0.0))
         self.assertEqual(chosen, SLOW)
 
     def test_parts_are_found_by_their_salt_alone(self) -> None:
-        view = self.shelf.views[0]
+        view = self.store_index.views[0]
         view.add("m.1.", "old", 100)
         view.add("m.2.", "new", 100)
         view.add("m.2.ana", "own", 100)
-        self.assertEqual(self.shelf.salts(), {"m.1.", "m.2.", "m.2.ana"})
-        self.assertEqual(self.shelf.under({"m.1."}), {view.traits.address: [("m.1.", "old")]})
-        self.assertEqual(self.shelf.under({"m."}), {})
+        self.assertEqual(self.store_index.salts(), {"m.1.", "m.2.", "m.2.ana"})
+        self.assertEqual(self.store_index.under({"m.1."}), {view.traits.address: [("m.1.", "old")]})
+        self.assertEqual(self.store_index.under({"m."}), {})
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -7,7 +7,7 @@
 
 from fielddrift_core.active import Candidate, active_names
 from fielddrift_core.names import rank
-from fielddrift_core.neighbours import Beat, KeptMark, Neighbour, Neighbours, Standing
+from fielddrift_core.neighbours import Heartbeat, KeptMark, Neighbour, Neighbours, Standing
 from fielddrift_core.readers import Reading, reader, source, source_of_each
 from fielddrift_core.workload import PeakRate
 from hypothesis import given, settings
@@ -18,8 +18,8 @@
     return Neighbour(name, boot, data_centre, f"{name}:80", f"{name}:81", f"{name}:82")
 
 
-def beat(node: Neighbour, *, ready: bool = True, leaving: bool = False) -> Beat:
-    return Beat(node, ready, leaving, 1, {}, {})
+def heartbeat(node: Neighbour, *, ready: bool = True, leaving: bool = False) -> Heartbeat:
+    return Heartbeat(node, ready, leaving, 1, {}, {})
 
 
 class TestReaders(unittest.TestCase):
@@ -80,16 +80,16 @@
         return self.view.addresses(data_centre, now)
 
     def test_a_silent_node_leaves_the_answers_and_a_heard_one_returns(self) -> None:
-        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.view.hear(heartbeat(neighbour("n1")), 0.0)
         self.assertEqual(self._addresses(0.5), ["n1:80"])
         self.assertEqual(self._addresses(2.0), [])
-        self.view.hear(beat(neighbour("n1")), 2.0)
+        self.view.hear(heartbeat(neighbour("n1")), 2.0)
         self.assertEqual(len(self._addresses(2.1)), 1)
 
     def test_a_leaving_node_leaves_the_answers_at_once(self) -> None:
-        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.view.hear(heartbeat(neighbour("n1")), 0.0)
         self.assertEqual(len(self._addresses(0.01)), 1)
-        self.view.hear(beat(neighbour("n1"), leaving=True), 0.02)
+        self.view.hear(heartbeat(neighbour("n1"), leaving=True), 0.02)
         self.assertEqual(self._addresses(0.03), [])
         self.view.report(serving=True, load=0.0)
         self.assertEqual(self._addresses(0.04), ["me:80"])
@@ -97,19 +97,19 @@
         self.assertEqual(self._addresses(0.05), [])
 
     def test_a_beat_of_an_earlier_life_is_ignored(self) -> None:
-        self.view.hear(beat(neighbour("n1", boot=2)), 0.0)
-        self.view.hear(beat(neighbour("n1", boot=1), leaving=True), 0.1)
+        self.view.hear(heartbeat(neighbour("n1", boot=2)), 0.0)
+        self.view.hear(heartbeat(neighbour("n1", boot=1), leaving=True), 0.1)
         self.assertEqual(len(self._addresses(0.2)), 1)
 
     def test_callers_are_sent_to_their_own_data_centre_first(self) -> None:
-        self.view.hear(beat(neighbour("n1", "a")), 0.0)
-        self.view.hear(beat(neighbour("n2", "b")), 0.0)
+        self.view.hear(heartbeat(neighbour("n1", "a")), 0.0)
+        self.view.hear(heartbeat(neighbour("n2", "b")), 0.0)
         self.assertEqual(self._addresses(0.1, "b"), ["n2:80"])
         self.assertEqual(self._addresses(0.1, "c"), ["n1:80", "n2:80"])
 
-    def test_beats_a_second_do_not_grow_without_bound(self) -> None:
+    def test_heartbeats_a_second_do_not_grow_without_bound(self) -> None:
         for number in range(200):
-            many = beat(neighbour(f"n{number}"))._replace(period=3.0)
+            many = heartbeat(neighbour(f"n{number}"))._replace(period=3.0)
             self.view.hear(many, 0.0)
         self.assertEqual(len(self.view.due(0.0)), 200)
         sent = sum(len(self.view.due(tick / 20)) for tick in range(1, 41))
@@ -117,7 +117,7 @@
 
     def test_a_longer_period_is_told_at_once(self) -> None:
         self.view.report(serving=True, load=0.0)
-        self.view.hear(beat(neighbour("n1")), 0.0)
+        self.view.hear(heartbeat(neighbour("n1")), 0.0)
         self.assertEqual(len(self.view.due(0.0)), 1)
         self.assertEqual(self.view.due(0.05), [])
         self.view.report(serving=False, load=0.0)
@@ -154,7 +154,7 @@
         view = Neighbours(me=neighbour("n0"))
         view.report(serving=True, load=0.0)
         for name in names:
-            view.hear(beat(neighbour(name))._replace(period=0.25), 0.0)
+            view.hear(heartbeat(neighbour(name))._replace(period=0.25), 0.0)
         return view
 
     def test_a_host_that_stands_by_takes_the_place_of_one_that_fell_silent(self) -> None:
@@ -165,7 +165,7 @@
         silent = min(chosen - {"n0"})
         for name in names:
             if name != silent:
-                view.hear(beat(neighbour(name))._replace(period=0.25), 1.2)
+                view.hear(heartbeat(neighbour(name))._replace(period=0.25), 1.2)
         after = view.active(1.5)
         self.assertNotIn(silent, after)
         self.assertEqual(len(after), 3)
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -10,8 +10,8 @@
 from fielddrift_core.overload import come_back
 from fielddrift_core.prompt import Part
 from fielddrift_core.retries import WindowBudget
-from fielddrift_core.roster import RESPITE_SECONDS, Instance, Roster
 from fielddrift_core.stream import EventCutter
+from fielddrift_core.target_registry import RESPITE_SECONDS, Instance, TargetRegistry
 from fielddrift_core.workload import Burden, Lateness, TargetHealth, Workload
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,29 +21,29 @@
     return Instance(name, "s", f"{name}:1", data_centre, **extra)  # type: ignore[arg-type]
 
 
-class TestRoster(unittest.TestCase):
+class TestTargetRegistry(unittest.TestCase):
     def test_a_lapse_in_an_outage_is_waited_out_and_then_taken_for_the_end(self) -> None:
-        roster = Roster()
-        roster.heard(instance("w"), 0.0)
-        roster.store_returned(10.0)
-        roster.gone("w", 10.1)
-        self.assertEqual(len(roster.serving("s")), 1)
-        roster.tick(10.0 + RESPITE_SECONDS)
-        self.assertEqual(roster.serving("s"), [])
+        registry = TargetRegistry()
+        registry.heard(instance("w"), 0.0)
+        registry.store_returned(10.0)
+        registry.gone("w", 10.1)
+        self.assertEqual(len(registry.serving("s")), 1)
+        registry.tick(10.0 + RESPITE_SECONDS)
+        self.assertEqual(registry.serving("s"), [])
 
     def test_an_end_in_fair_weather_holds_at_once(self) -> None:
-        roster = Roster()
-        roster.heard(instance("w"), 0.0)
-        roster.gone("w", 1.0)
-        self.assertEqual(len(roster), 0)
+        registry = TargetRegistry()
+        registry.heard(instance("w"), 0.0)
+        registry.gone("w", 1.0)
+        self.assertEqual(len(registry), 0)
 
     def test_leaving_is_final_whoever_said_it_first(self) -> None:
-        roster = Roster()
-        roster.heard(instance("w"), 0.0)
-        roster.left("w")
-        roster.heard(instance("w", warming=1.0), 1.0)
-        roster.copied([instance("w")], [])
-        self.assertEqual(roster.serving("s"), [])
+        registry = TargetRegistry()
+        registry.heard(instance("w"), 0.0)
+        registry.left("w")
+        registry.heard(instance("w", warming=1.0), 1.0)
+        registry.copied([instance("w")], [])
+        self.assertEqual(registry.serving("s"), [])
 
 
 class TestBudget(unittest.TestCase):
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -6,7 +6,7 @@
 import json
 
 from fielddrift_core.names import rank
-from fielddrift_core.roster import RESPITE_SECONDS
+from fielddrift_core.target_registry import RESPITE_SECONDS
 from fielddrift_core.workload import Burden
 from fielddrift_node.serving.feeds import READER_KEY
 from fielddrift_standins.fleet import HOST, free_port
@@ -77,7 +77,7 @@
 
     async def test_safe_work_goes_elsewhere_after_a_failure(self) -> None:
         other = await self.fleet.worker(Worker(name="w2"), "plain")
-        await eventually(lambda: len(self.node.node.views.roster) == 2)
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
         for fault in ("error", "lost", "garbage"):
             self.one.faults, other.faults = [fault], []
             first = await ask(self.node, "/safe/x")
@@ -164,7 +164,7 @@
         self.one = await self.fleet.worker(Worker(name="e1", events=5), "engines")
         self.two = await self.fleet.worker(Worker(name="e2", events=5), "engines")
         self.node = await self.fleet.node()
-        await eventually(lambda: len(self.node.node.views.roster) == 2)
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
 
     def _events(self, body: bytes) -> list[int]:
         return [int(e.split(b"\n")[0][4:]) for e in body.split(b"\n\n") if e]
@@ -217,15 +217,17 @@
         self.assertEqual(ran.headers["x-cache-salt"], "m.1.")
 
     async def test_shared_parts_are_saved_once_and_fetched_when_they_are_whole(self) -> None:
-        shelf = self.node.node.views.shelf
-        await eventually(lambda: all(view.known for view in shelf.views) and bool(shelf.views))
+        store_index = self.node.node.views.store_index
+        await eventually(
+            lambda: all(view.known for view in store_index.views) and bool(store_index.views)
+        )
         await ask(self.node, "/chat/x", **prompt())
         await ask(self.node, "/chat/x", request_id="r2", **prompt())
         saves = [r.headers.get("x-kv-save", "") for r in self.one.ran + self.two.ran]
         self.assertEqual(sorted(saves), ["", f"{self.fleet.kv_address},{self.fleet.kv_address},-"])
         self.fleet.kv.keep("m.1.", "aa", 100)
         self.fleet.kv.keep("m.1.", "bb", 200)
-        await eventually(lambda: len(shelf.views[0].held) == 2)
+        await eventually(lambda: len(store_index.views[0].held) == 2)
         await ask(self.node, "/chat/x", request_id="r3", **prompt())
         last = [r for r in self.one.ran + self.two.ran if r.request_id == "r3"][0]
         address = self.fleet.kv_address
@@ -233,11 +235,11 @@
         self.assertIn("x-kv-until", last.headers)
 
     async def test_a_restarted_store_is_listed_anew_before_anything_is_fetched(self) -> None:
-        shelf = self.node.node.views.shelf
+        store_index = self.node.node.views.store_index
         self.fleet.kv.keep("m.1.", "aa", 100)
-        await eventually(lambda: bool(shelf.views) and len(shelf.views[0].held) == 1)
+        await eventually(lambda: bool(store_index.views) and len(store_index.views[0].held) == 1)
         self.fleet.kv.restart()
-        await eventually(lambda: shelf.views[0].life == 2)
+        await eventually(lambda: store_index.views[0].life == 2)
         await ask(self.node, "/chat/x", **prompt())
         self.assertNotIn("x-kv-fetch", (self.one.ran + self.two.ran)[0].headers)
 
@@ -246,7 +248,7 @@
         first = await ask(self.node, "/verdict/x", request_id="r1", **prompt())
         second = await ask(self.node, "/verdict/x", request_id="r2", **prompt())
         self.assertEqual((first.status, second.status), (503, 503))
-        self.assertEqual(self.node.node.views.roster.leaving(), {"e1", "e2"})
+        self.assertEqual(self.node.node.views.registry.leaving(), {"e1", "e2"})
         self.assertEqual(self.one.ran + self.two.ran, [])
 
 
@@ -324,8 +326,8 @@
     async def test_a_leaving_target_gets_no_new_work(self) -> None:
         two = await self.fleet.worker(Worker(name="w2"), "plain")
         self.fleet.enter("w1", "plain", "draining")
-        await eventually(lambda: "w1" in self.node.node.views.roster.leaving())
-        await eventually(lambda: len(self.node.node.views.roster) == 2)
+        await eventually(lambda: "w1" in self.node.node.views.registry.leaving())
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
         before = len(self.one.ran)
         for number in range(6):
             await ask(self.node, "/safe/x", request_id=f"{number}")
@@ -368,7 +370,7 @@
             await eventually(lambda: self.cut.node.views.catalog.version == version)
         await self.fleet.worker(Worker(name="w2"), "plain")
         async with asyncio.timeout(3.0):
-            await eventually(lambda: self.cut.node.views.roster.get("w2") is not None)
+            await eventually(lambda: self.cut.node.views.registry.get("w2") is not None)
 
     async def test_a_node_that_the_store_turns_away_takes_what_others_know(self) -> None:
         self.door.turned_away = True
@@ -386,8 +388,8 @@
             await node.stop()
         # The first reading of its own finds the entry gone; that was no outage.
         self.fleet.store.drop("servers", "w2")
-        roster = self.cut.node.views.roster
-        await eventually(lambda: roster.get("w2") is None, RESPITE_SECONDS / 2)
+        registry = self.cut.node.views.registry
+        await eventually(lambda: registry.get("w2") is None, RESPITE_SECONDS / 2)
 
     async def test_what_a_node_believes_tells_from_whom_and_how_old(self) -> None:
         page = json.loads((await get(self.cut.settings.metrics, "/beliefs")).body)
