--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(STAMP): constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -c constraints.txt setuptools wheel ruff mypy hypothesis matplotlib \
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel ruff mypy hypothesis matplotlib unittest-parallel \
 	  types-protobuf types-tabulate types-jsonschema types-pycurl
 	$(BIN)/pip install -q -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
@@ -18,7 +18,7 @@
 	$(BIN)/python -m fielddrift_standins.demo
 
 test: $(STAMP)
-	$(BIN)/python -m unittest discover -s tests -t . -v
+	$(BIN)/unittest-parallel -s tests -t . -v --level module -j 4
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -39,28 +39,49 @@
 """Where the range of outgoing connections begins on most systems."""
 _PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
-_given_ports: set[int] = set()
+_BLOCK_PORTS = 100
+"""Ports claimed at once: a test module draws some dozens."""
+
+_ports_left: list[int] = []
+_held_locks: list[socket.socket] = []
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on, and that no outgoing connection will take.
+    """Return a port that nobody listens on, and that nobody else will take.
 
     The system gives outgoing connections ports of a range of its own; one of those
-    could be taken between this call and its use.
+    could be taken between this call and its use.  Other processes that draw ports
+    here at the same time draw from other blocks.
     """
     while True:
-        port = random.randrange(_LOWEST_PORT, _ephemeral_start())
-        if port in _given_ports:
-            continue
+        if not _ports_left:
+            _ports_left.extend(_claim_block())
+        port = _ports_left.pop()
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        _given_ports.add(port)
         return port
 
 
+def _claim_block() -> list[int]:
+    """Claim a block of ports by holding its first one; return the others, mixed."""
+    blocks = range(_LOWEST_PORT, _ephemeral_start() - _BLOCK_PORTS, _BLOCK_PORTS)
+    while True:
+        first = random.choice(blocks)
+        lock = socket.socket()
+        try:
+            lock.bind((HOST, first))
+        except OSError:
+            lock.close()
+            continue
+        _held_locks.append(lock)
+        ports = list(range(first + 1, first + _BLOCK_PORTS))
+        random.shuffle(ports)
+        return ports
+
+
 def _ephemeral_start() -> int:
     """Return the lowest port that the system gives outgoing connections."""
     try:
