--- a/packages/cli/src/fielddrift_cli/main.py
+++ b/packages/cli/src/fielddrift_cli/main.py
@@ -14,6 +14,7 @@
 from prompt_toolkit.history import FileHistory
 from tabulate import tabulate
 
+from . import beliefs
 from .client import Client, Outcome
 
 __all__ = ["main"]
@@ -30,6 +31,12 @@
 @click.option("--json", "as_json", is_flag=True, help="Print JSON, a line a statement.")
 @click.option("--wait", default=0.0, help="Seconds to wait until a change is in force.")
 @click.option("--since", type=int, help="The revision that a change was decided on.")
+@click.option(
+    "--beliefs",
+    "ask_beliefs",
+    is_flag=True,
+    help="Show what the nodes believe; --node then names metrics addresses, no key is needed.",
+)
 @click.version_option(package_name="fielddrift-cli")
 def main(
     statement: str | None,
@@ -39,11 +46,15 @@
     as_json: bool,
     wait: float,
     since: int | None,
+    ask_beliefs: bool,
 ) -> None:
     """Run STATEMENT, the statements of a file, or a prompt.
 
     The exit code tells the kind of the first failure.
     """
+    if ask_beliefs:
+        _beliefs(nodes, as_json)
+        return
     if not nodes or not key:
         raise click.UsageError("expected --node (or FIELDDRIFT_NODES) and --key (FIELDDRIFT_KEY)")
     client = Client(nodes=nodes, key=key)
@@ -58,6 +69,23 @@
             sys.exit(code)
 
 
+def _beliefs(nodes: tuple[str, ...], as_json: bool) -> None:
+    """Show what nodes believe; exit with a failure when one does not answer."""
+    if not nodes:
+        raise click.UsageError("expected --node (or FIELDDRIFT_NODES): IP:PORT of its metrics")
+    answers = [beliefs.ask(node) for node in nodes]
+    if as_json:
+        for answer in answers:
+            click.echo(json.dumps(answer._asdict(), sort_keys=True))
+    else:
+        click.echo(beliefs.tables(answers))
+    faults = [answer for answer in answers if answer.beliefs is None]
+    for answer in faults:
+        click.echo(f"{answer.address}: {answer.fault}", err=True)
+    if faults:
+        sys.exit(ANSWERS[Kind.NO_TARGET].exit_code)
+
+
 def _statements(file: str) -> Iterator[str]:
     """Yield the statements of a file: one a line, `#` begins a comment."""
     for line in Path(file).read_text().splitlines():
