Copy a store's view only from nodes that are ahead; give both feeds one base

A view is now copied from whoever hears the store, and two nodes hear it at different moments: a copy from the one behind brought back parts that were gone (read in code, not seen; a fetch of them is a miss). Its test is of the comparison. The feeds' constructors and choice of reader stood twice.

--- a/packages/core/src/fielddrift_core/store_index.py
+++ b/packages/core/src/fielddrift_core/store_index.py
@@ -84,6 +84,14 @@
         self.held = {(salt, part): tokens for salt, part, tokens in held}
         self.used = sum(room(tokens) for tokens in self.held.values())
 
+    def lacks(self, life: int, following: int) -> bool:
+        """Return whether a view as of event `following` of `life` tells more than this one.
+
+        Nodes hear a store one after the other: a copy from one that is behind would
+        bring back what is gone.
+        """
+        return self.life != life or self.following < following
+
     def take(self, change: KeptChange) -> bool:
         """Take a change; False, and nothing is taken, when one before it is missing."""
         if change.since != self.following:
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -10,6 +10,7 @@
 import contextlib
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 import structlog
@@ -21,7 +22,7 @@
 from .sharing import OperatorCopy, Peers
 from .views import Views
 
-__all__ = ["OperatorFeed", "Rests", "TargetFeed", "reader_of"]
+__all__ = ["FeedTools", "OperatorFeed", "Rests", "TargetFeed"]
 
 READER_KEY = "platform"
 """What the data centre's reader is chosen for."""
@@ -65,22 +66,50 @@
         await asyncio.sleep(self._rng.uniform(span / 2, span))
 
 
-def reader_of(
-    neighbours: Neighbours, key: str, now: float, *, failing: bool = False
-) -> Neighbour | None:
-    """Return the node that reads `key` for this one, None when it reads for itself."""
-    chosen = source(
-        neighbours.me.name,
-        key,
-        neighbours.readings(now),
-        active=neighbours.active(now),
-        failing=failing,
-        capacity=neighbours.capacity,
-    )
-    return neighbours.node(chosen.name) if chosen.name else None
+class FeedTools(NamedTuple):
+    """What both feeds work with."""
 
+    platform: Platform
+    peers: Peers
+    neighbours: Neighbours
+    views: Views
+    rng: random.Random
 
-class OperatorFeed:
+
+class _Feed:
+    """What both feeds have: where rows come from, and whom a change concerns."""
+
+    def __init__(
+        self,
+        *,
+        what: str,
+        tools: FeedTools,
+        changed: Callable[[], None],
+    ) -> None:
+        self._platform = tools.platform
+        self._peers = tools.peers
+        self._neighbours = tools.neighbours
+        self._views = tools.views
+        self._changed = changed
+        self._after: int | None = None
+        self._rests = Rests(what=what, rng=tools.rng)
+
+    def reader(self) -> Neighbour | None:
+        """Return the node that reads for this one, None when it reads for itself."""
+        now = asyncio.get_running_loop().time()
+        neighbours = self._neighbours
+        chosen = source(
+            neighbours.me.name,
+            READER_KEY,
+            neighbours.readings(now),
+            active=neighbours.active(now),
+            failing=self._rests.failing,
+            capacity=neighbours.capacity,
+        )
+        return neighbours.node(chosen.name) if chosen.name else None
+
+
+class OperatorFeed(_Feed):
     """Follow the operators' rows: with one long poll, and by what other nodes know.
 
     Whoever has something newer is asked for it, reader or not, so that a node
@@ -90,20 +119,10 @@
     def __init__(
         self,
         *,
-        platform: Platform,
-        peers: Peers,
-        neighbours: Neighbours,
-        views: Views,
+        tools: FeedTools,
         changed: Callable[[], None],
-        rng: random.Random,
     ) -> None:
-        self._platform = platform
-        self._peers = peers
-        self._neighbours = neighbours
-        self._views = views
-        self._changed = changed
-        self._after: int | None = None
-        self._rests = Rests(what="operators' rows", rng=rng)
+        super().__init__(what="operators' rows", tools=tools, changed=changed)
         self._call: asyncio.Task[None] | None = None
         self._hurry = False
         self._ahead: Neighbour | None = None
@@ -116,7 +135,7 @@
         """
         node = heartbeat.node
         near = node.data_centre == self._neighbours.me.data_centre
-        if self._is_newer(heartbeat) and (near or self._reader() is None):
+        if self._is_newer(heartbeat) and (near or self.reader() is None):
             self._ahead = node
             self._told.set()
 
@@ -150,7 +169,7 @@
             await self._rests.failed(error)
 
     async def _turn(self) -> None:
-        if self._reader() is not None and not self._views.stale.is_set():
+        if self.reader() is not None and not self._views.stale.is_set():
             await asyncio.sleep(_LISTEN_SECONDS)
             return
         hurry, self._hurry = self._hurry, False
@@ -162,10 +181,6 @@
         self._take(news.catalog, news.weights, "platform")
         self._views.current()
 
-    def _reader(self) -> Neighbour | None:
-        now = asyncio.get_running_loop().time()
-        return reader_of(self._neighbours, READER_KEY, now, failing=self._rests.failing)
-
     # --- what other nodes know ----------------------------------------------------
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
@@ -218,29 +233,19 @@
             self._changed()
 
 
-class TargetFeed:
+class TargetFeed(_Feed):
     """Follow the targets' entries: by reading now and then, or by the reader's heartbeats."""
 
     def __init__(
         self,
         *,
-        platform: Platform,
-        peers: Peers,
-        neighbours: Neighbours,
-        views: Views,
+        tools: FeedTools,
         changed: Callable[[], None],
         returned: Callable[[], None],
-        rng: random.Random,
     ) -> None:
-        self._platform = platform
-        self._peers = peers
-        self._neighbours = neighbours
-        self._views = views
-        self._changed = changed
+        super().__init__(what="target entries", tools=tools, changed=changed)
         self._returned = returned
-        self._after: int | None = None
         self._copied: tuple[str, int] = ("", -1)
-        self._rests = Rests(what="target entries", rng=rng)
         self._outage = False
         """Whether entries may have lapsed unseen since they were last read or copied."""
         self._wake = asyncio.Event()
@@ -255,11 +260,6 @@
         """Read at once."""
         self._wake.set()
 
-    def reader(self) -> Neighbour | None:
-        """Return the node that reads for this one, None when it reads for itself."""
-        now = asyncio.get_running_loop().time()
-        return reader_of(self._neighbours, READER_KEY, now, failing=self._rests.failing)
-
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
@@ -280,7 +280,7 @@
     async def _turn(self) -> float:
         """Bring the list up to date; return the seconds until the next turn."""
         loop = asyncio.get_running_loop()
-        chosen = reader_of(self._neighbours, READER_KEY, loop.time(), failing=self._rests.failing)
+        chosen = self.reader()
         if chosen is not None and not self._views.stale.is_set():
             reading = self._neighbours.readings(loop.time()).get(chosen.name, Reading())
             if (chosen.name, reading.serial) == self._copied or (
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -18,7 +18,7 @@
 from .call import Tools
 from .directory import EntryDialect, EntryHandler
 from .duty import Duty
-from .feeds import OperatorFeed, TargetFeed
+from .feeds import FeedTools, OperatorFeed, TargetFeed
 from .gateway import Gateway
 from .gossip import Gossip, Reach
 from .heartbeats import HeartbeatTranslator
@@ -112,22 +112,10 @@
         )
         self._peer_client = Client()
         peers = Peers(client=self._peer_client)
-        self._operators = OperatorFeed(
-            platform=platform,
-            peers=peers,
-            neighbours=self._neighbours,
-            views=self._views,
-            changed=self._operators_changed,
-            rng=rng,
-        )
+        feed_tools = FeedTools(platform, peers, self._neighbours, self._views, rng)
+        self._operators = OperatorFeed(tools=feed_tools, changed=self._operators_changed)
         self._targets = TargetFeed(
-            platform=platform,
-            peers=peers,
-            neighbours=self._neighbours,
-            views=self._views,
-            changed=self._gossip.changed,
-            returned=self._operators.again,
-            rng=rng,
+            tools=feed_tools, changed=self._gossip.changed, returned=self._operators.again
         )
         self._store_tracker = StoreTracker(
             views=self._views,
@@ -351,10 +339,8 @@
             self._store_tracker.note_use()
             now = loop.time()
             others = [node.name for node in self._neighbours.active_everywhere(now)]
-            first = self._neighbours.is_active(now) and self._settings.name < min(
-                others, default="~"
-            )
-            if self._leaving or not first:
+            first = all(self._settings.name < name for name in others)
+            if self._leaving or not first or not self._neighbours.is_active(now):
                 continue
             try:
                 await self._store_tracker.free_outdated()
--- a/packages/node/src/fielddrift_node/serving/store_tracker.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -206,7 +206,7 @@
                 continue
             view.heard_at = float("-inf")
             mark = marks.get(source, {}).get(store)
-            if mark is None or (view.life, view.following) != (mark.life, mark.following):
+            if mark is None or view.lacks(mark.life, mark.following):
                 asked.setdefault(source, []).append(KeptAsk(store, view.life, view.following))
         for source, questions in asked.items():
             await self._copy_from(source, questions)
@@ -228,6 +228,8 @@
         view = self._views.store_index.view(copy.store)
         if view is None or copy.store in self._loops:
             return
+        if not view.lacks(copy.life, copy.following):
+            return
         if copy.held is not None:
             view.listed(copy.life, copy.following, copy.held)
         elif not all(view.take(change) for change in copy.changes):
--- a/tests/test_kept_parts.py
+++ b/tests/test_kept_parts.py
@@ -53,6 +53,12 @@
         self.assertFalse(copy.take(KeptChange(10, 12, (), (("s", "aa"),))))
         self.assertEqual((copy.following, copy.held), (9, {}))
 
+    def test_a_view_takes_nothing_from_one_that_is_behind(self) -> None:
+        self.assertFalse(self.listener.lacks(7, 9))
+        self.assertFalse(self.listener.lacks(7, 10))
+        self.assertTrue(self.listener.lacks(7, 11))
+        self.assertTrue(self.listener.lacks(8, 1))
+
     def test_old_changes_are_forgotten_not_invented(self) -> None:
         for number in range(10, 500):
             self._hear(number, number + 1, f"p{number}")
