--- a/tests/test_store_view_walk.py
+++ b/tests/test_store_view_walk.py
@@ -111,6 +111,7 @@
         copy = source.handler._kept_copy(ask, None)
         if self.rng.random() < 0.3:
             self.rng.choice([self.keep, self.hear])()
+            self.check()
         if copy is not None:
             with mock.patch("asyncio.get_running_loop"):
                 copier.tracker._take(copy)
