--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(STAMP): constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -c constraints.txt setuptools wheel ruff mypy hypothesis matplotlib unittest-parallel \
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel ruff mypy hypothesis matplotlib pytest pytest-xdist \
 	  types-protobuf types-tabulate types-jsonschema types-pycurl
 	$(BIN)/pip install -q -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
@@ -18,7 +18,7 @@
 	$(BIN)/python -m fielddrift_standins.demo
 
 test: $(STAMP)
-	$(BIN)/unittest-parallel -s tests -t . -v --level module -j 4
+	$(BIN)/python -m pytest -n 4 --dist loadfile tests
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
