--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -47,3 +47,14 @@
         )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
         self.assertEqual(done.stdout.strip(), "[]", done.stderr)
+
+    def test_figures_can_still_be_worded_after_such_a_start(self) -> None:
+        code = (
+            "import sys; sys.argv = ['x', 'check', '/nowhere']\n"
+            "from fielddrift_platform.__main__ import start\n"
+            "try:\n    start()\nexcept SystemExit:\n    pass\n"
+            "from fielddrift_node.serving.metrics import Metrics\n"
+            "print(b'fielddrift_sends_total 0.0' in Metrics().text())\n"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+        self.assertEqual(done.stdout.strip(), "True", done.stderr)
