--- a/packages/node/src/fielddrift_node/servers.py
+++ b/packages/node/src/fielddrift_node/servers.py
@@ -138,7 +138,7 @@
         """Run the application, and pass its pieces to the loop."""
 
         def put(piece: bytes | None) -> None:
-            if left.is_set():
+            if left.is_set() or self._stopped.is_set():
                 raise _CallerLeft
             placed = asyncio.run_coroutine_threadsafe(pieces.put(piece), self._loop)
             while True:
