Take late requests at a stopping node only where they surely end in time

Change: from 2.5 s after the signal a request is taken only if the time it may last (its deadline, for streams also its tokens) ends before the node closes; else 503 at once, not run, to come back to another node in 0.05 s.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -8,6 +8,7 @@
 import structlog
 from fielddrift_core.catalog import Route
 from fielddrift_core.errors import ANSWERS, Kind, Ran, Refusal
+from fielddrift_core.leaving import longest_answer
 
 from ..web.server import Request, Responder
 from .call import Call, Refused, Tools, Trace
@@ -21,6 +22,8 @@
 """A refusal that would promise "has not run" becomes one that promises nothing."""
 _RETURN_SECONDS = 0.25
 """When to come back where nothing better is known: a tenth of the shortest deadline."""
+_ELSEWHERE_SECONDS = 0.05
+"""When to come back to another node: at once, but for the time of a new connection."""
 _DEFAULT_PATIENCE = 30.0
 _ASK_AGAIN_SECONDS = 0.4
 """How long a request that seems not allowed waits for a newer catalog after a pause."""
@@ -66,12 +69,27 @@
             self._refuse(responder, ask.request_id, refusal, trace)
 
     async def _serve(self, call: Call, responder: Responder) -> None:
+        self._check_leaving(call)
         if call.service.engine is not None and call.ask.prompt is not None:
             self._tools.views.prompts.add(asyncio.get_running_loop().time())
             await self._generation.serve(call, responder)
         else:
             await self._plain.serve(call, responder)
 
+    def _check_leaving(self, call: Call) -> None:
+        """Raise `Refused` where this node may end before the answer does."""
+        leaving = self._tools.views.leaving
+        if leaving is None:
+            return
+        now = asyncio.get_running_loop().time()
+        longest = call.deadline - now
+        if call.service.engine is not None and call.ask.prompt is not None:
+            tokens = call.ask.prompt.tokens_out
+            longest = min(longest, longest_answer(aim=call.route.aim, tokens=tokens))
+        if not leaving.takes(now, longest):
+            detail = f"this node stops in {leaving.closes - now:.2f} s, it may take {longest:.2f} s"
+            raise Refused(Refusal(Kind.STOPPING, detail, Ran.NO, _ELSEWHERE_SECONDS))
+
     # --- judging ------------------------------------------------------------
 
     async def _judge(self, ask: Ask, trace: Trace) -> Call:
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import structlog
+from fielddrift_core.leaving import Leaving
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 
 from ..web.client import Client
@@ -232,7 +233,9 @@
         """Go: off the entry answers at once, let requests end, close last."""
         loop = asyncio.get_running_loop()
         began = loop.time()
+        until = began + self._settings.bounds.grace - _STOP_SPARE_SECONDS
         self._leaving = True
+        self._views.leaving = Leaving(began, until)
         self._report()
         self._front.leave()
         self._gossip.say_now()
@@ -241,7 +244,6 @@
             await self._rollout_runner.stop()
         except OutOfReach as error:
             _log.warning("duty not given back", error=str(error))
-        until = began + self._settings.bounds.grace - _STOP_SPARE_SECONDS
         quiet_since = loop.time()
         while loop.time() < until:
             if self._front.busy:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.leaving import Leaving
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
@@ -64,6 +65,8 @@
         self.waits = Waits()
         """How long callers have waited already."""
         self._began_at = began_at
+        self.leaving: Leaving | None = None
+        """Set once this node was told to stop."""
         self._refreshed = asyncio.Event()
         self._clock: tuple[int, float] | None = None
 
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,56 @@
+"""A node that was told to stop takes late requests only where it can end them."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import mock
+
+from fielddrift_core import leaving
+from fielddrift_core.leaving import Leaving, longest_answer
+from fielddrift_standins.worker import Worker
+
+from .platform_fleet import BOUNDS, FleetCase, ask, prompt
+
+LATE = 0.1
+"""Seconds after the signal from which requests count as late, for a short test."""
+
+
+class TestLeaving(FleetCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        patch = mock.patch.object(leaving, "_TAKEN_SECONDS", LATE)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.engine = await self.fleet.worker(Worker(name="e1", events=3), "engines")
+        self.plain = await self.fleet.worker(Worker(name="w1"), "plain")
+        self.node = await self.fleet.node()
+
+    async def test_a_late_stream_that_may_be_cut_is_sent_elsewhere_at_once(self) -> None:
+        self.engine.events, self.engine.pause_seconds = 60, 0.1
+        self.node.stopping.set()
+        await asyncio.sleep(2 * LATE)
+        answer = await ask(self.node, "/chat/x", **prompt(X_Token_Usage="350,60"))
+        self.assertEqual(answer.status, 503)
+        self.assertLess(float(answer.headers["retry-after"]), BOUNDS.grace)
+        self.assertEqual(self.engine.ran, [])
+
+    async def test_a_late_stream_that_surely_ends_is_served(self) -> None:
+        self.node.stopping.set()
+        await asyncio.sleep(2 * LATE)
+        answer = await ask(self.node, "/chat/x", **prompt(X_Token_Usage="350,1"))
+        self.assertEqual((answer.status, answer.headers.get("whole")), (200, "yes"))
+
+    async def test_a_late_plain_request_is_taken_by_the_time_it_may_last(self) -> None:
+        self.node.stopping.set()
+        await asyncio.sleep(2 * LATE)
+        self.assertEqual((await ask(self.node, "/unsafe/x", deadline_ms=100)).status, 200)
+        refused = await ask(self.node, "/unsafe/x", request_id="r2", deadline_ms=3000)
+        self.assertEqual((refused.status, len(self.plain.ran)), (503, 1))
+
+
+class LeavingTest(FleetCase):
+    async def test_what_comes_soon_is_taken_whatever_it_needs(self) -> None:
+        stop = Leaving(began=100.0, closes=107.1)
+        self.assertTrue(stop.takes(102.4, 30.0))
+        self.assertFalse(stop.takes(103.4, longest_answer(aim=0.3, tokens=159)))
+        self.assertTrue(stop.takes(103.4, longest_answer(aim=0.5, tokens=9)))
