End a resumed stream as whole where no event was missing

The run was resumed elsewhere behind that event, ended cleanly with nothing more, which was taken for a failure; the caller had all events and got a cut answer. Ruled out: the stopping nodes of the same moments (the cuts were on nodes that went on). Change: a resumed run that ends cleanly at once ends the answer as whole. Test without the soak: failed before (no end), passes after.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -161,11 +161,17 @@
         return _Run(choice, exchange, head, first)
 
     async def _first(self, exchange: Exchange, head: ResponseHead, cutter: EventCutter) -> bytes:
-        """Return the first whole events, or the first bytes of an answer that is none."""
+        """Return the first whole events, or the first bytes of an answer that is none.
+
+        Nothing where a resumed run ends at once: every event had come before.
+        """
         if not _streams(head):
             return await exchange.piece()
         while True:
             data = await exchange.piece()
+            if not data and cutter.last and not cutter.partial:
+                # What broke off had lost no event, only its end.
+                return b""
             if not data:
                 raise ExchangeError("ended before its first event", sent=True, reason="cut")
             if ready := cutter.feed(data):
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -219,6 +219,15 @@
     exchange.responder.cut()
 
 
+@fault("cut-end")
+async def _cut_end(exchange: _Exchange) -> None:
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    await worker.stream(exchange.request, exchange.responder, exchange.request_id, worker.events)
+    await asyncio.sleep(0.02)
+    exchange.responder.cut()
+
+
 @fault("surplus")
 async def _surplus(exchange: _Exchange) -> None:
     worker = exchange.worker
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -16,8 +16,10 @@
 
 _CROSSED = "a check of the soak's own: requests that crossed the close of a stopping node"
 
+_ENDLESS = "a stream that broke off behind its last event was resumed, and cut for want of more"
+
 FAILED_ONCE = (
-    FailedSeed(2966062626, _CROSSED),
+    FailedSeed(2966062626, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
     FailedSeed(2859916874, f"{_CROSSED}; then a process that was stopped while it still loaded"),
-    FailedSeed(2393083761, _CROSSED),
+    FailedSeed(2393083761, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
 )
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -194,6 +194,15 @@
             self.assertEqual(self._events(answer.body), [1, 2, 3, 4, 5])
             self.assertEqual(answer.headers["whole"], "yes")
 
+    async def test_a_stream_cut_behind_its_last_event_ends_as_whole(self) -> None:
+        for number in range(6):
+            first, second = (self.one, self.two) if number % 2 else (self.two, self.one)
+            first.faults, second.faults = ["cut-end"], []
+            answer = await ask(self.node, "/chat/x", request_id=f"r{number}", **prompt())
+            self.assertEqual(self._events(answer.body), [1, 2, 3, 4, 5])
+            self.assertEqual(answer.headers.get("whole"), "yes")
+        self.assertGreater(len(self.one.ran + self.two.ran), 6)
+
     async def test_a_failure_instead_of_the_rest_never_gets_into_the_stream(self) -> None:
         for number in range(4):
             first, second = (self.one, self.two) if number % 2 else (self.two, self.one)
