Hear a node again whose time of day went back before it started anew

Cause: found while looking for beliefs that outlive what they rest on. A life's number is the time of day at its start, and neighbours dropped every heartbeat with a lower number than they knew. After a jump of the clock ahead and back, a node that started within it and again after it was never heard in its new life.

Ruled out: the members' row mends it; a lower number there is not taken either.

Change: a lower number counts as late only for 2 s after the higher one was heard. The new test failed before (the node stays unheard) and passes since.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -36,6 +36,9 @@
 _SILENT_SECONDS = 10.0
 """Silence after which a node gets a heartbeat only now and then."""
 _SILENT_HEARTBEAT_SECONDS = 5.0
+_FORMER_LIFE_SECONDS = 2.0
+"""How long a former life's heartbeats may still come after the first of a newer one:
+a restart takes about a second, and datagrams wait for less on any link."""
 _MOST_ADDRESSES = 64
 """Callers take no more addresses from one answer."""
 _CHOSEN_SECONDS = 0.1
@@ -208,7 +211,13 @@
         if node.name == self._me.name:
             return False
         known = self._heard.get(node.name)
-        if known is not None and known.node.boot > node.boot:
+        # A late datagram of a former life is dropped; but a host's time of day may have gone
+        # back before its node started again, which must not stay unheard for good.
+        if (
+            known is not None
+            and known.node.boot > node.boot
+            and now - known.at <= _FORMER_LIFE_SECONDS
+        ):
             return False
         heard = _Heard(
             node=node,
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -22,6 +22,25 @@
     return Heartbeat(node, ready, leaving, 1, {}, {})
 
 
+class TestLives(unittest.TestCase):
+    """A node that started again while its clock was behind its former life was never heard.
+
+    A host's time of day jumped ahead by two seconds, its node started, the clock went
+    back and the node was killed and started anew: the new life's number, taken from the
+    time of day, was lower than the former one's.  Neighbours dropped each of its
+    heartbeats as late ones of a former life; `known` showed it silent for good.
+    """
+
+    def test_a_lower_life_is_taken_once_the_higher_one_is_silent(self) -> None:
+        neighbours = Neighbours(me=neighbour("me"))
+        neighbours.hear(heartbeat(neighbour("n1", boot=9)), 0.0)
+        self.assertFalse(neighbours.hear(heartbeat(neighbour("n1", boot=7)), 0.5))
+        self.assertEqual(neighbours.node("n1"), neighbour("n1", boot=9))
+        self.assertTrue(neighbours.hear(heartbeat(neighbour("n1", boot=7)), 2.5))
+        self.assertEqual(neighbours.node("n1"), neighbour("n1", boot=7))
+        self.assertEqual([node.boot for node in neighbours.alive(2.6)], [7])
+
+
 class TestReaders(unittest.TestCase):
     def test_one_reads_for_all_and_when_it_grows_old_each_reads(self) -> None:
         names = ["n1", "n2", "n3"]
