Log entries held in their respite, what became of them, and each copy of the targets' list

Cause: a target got work 9.9 s after its entry ended, and the log could not tell whether its node had held the entry as lapsed, had copied it from a neighbour, or never read the end. A whole list and a copy logged no change at all.

Change: no logic. Each reading and each copy logs how it changed the list: `target entry lapsed` with the seconds for which it is held, `target entry returned`, `target entry given up`; `target heard`, `target leaving` and `target entry ended` also where a whole list or a copy brought it. `targets copied` says from whom, as of which row, how many entries, and how many of them are held as lapsed there; a copy carries that for the log only. A held end was logged as `target entry ended` before.

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -109,6 +109,10 @@
         """Return the names of instances known to be leaving."""
         return frozenset(self._leaving)
 
+    def lapsed(self, now: float) -> dict[str, float]:
+        """Return the seconds for which each lapsed entry is still held."""
+        return {name: until - now for name, until in self._lapsed.items()}
+
     def tick(self, now: float) -> None:
         """Give up lapsed entries whose respite is over."""
         for name in [n for n, until in self._lapsed.items() if now >= until]:
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -20,6 +20,7 @@
 
 from .ports import HistoryGone, NamedWeights, OutOfReach, Platform
 from .sharing import OperatorCopy, Peers
+from .target_listing import Listing
 from .views import Views
 
 __all__ = ["FeedTools", "OperatorFeed", "Rests", "TargetFeed"]
@@ -300,14 +301,22 @@
             return False
         if copy.row < self._views.targets_row:
             return False
-        before = self._views.registry.leaving()
+        now = asyncio.get_running_loop().time()
+        before = Listing.of(self._views.registry, now)
         self._views.registry.copied(copy.entries, copy.leaving)
         self._views.targets_row = copy.row
         self._after = copy.row
         self._copied = (chosen.name, copy.serial)
         # The reader has waited out what lapsed while the store was away, if it was.
         self._outage = False
-        self._log_leaving(before, chosen.name)
+        _log.info(
+            "targets copied",
+            told_by=chosen.name,
+            row=copy.row,
+            entries=len(copy.entries),
+            lapsed=len(copy.lapsed),
+        )
+        self._log_changes(before, chosen.name)
         return True
 
     async def _read(self) -> None:
@@ -319,26 +328,24 @@
             self._returned()
         self._outage = False
         self._rests.worked()
-        serial, before = registry.serial, registry.leaving()
+        serial, before = registry.serial, Listing.of(registry, now)
         if news.whole:
             registry.replaced(news.entries, now)
         else:
             for entry in news.entries:
-                if registry.get(entry.name) is None:
-                    _log.info("target heard", target=entry.name, service=entry.service)
                 registry.heard(entry, now)
             for name in news.ended:
-                _log.info("target entry ended", target=name, row=news.version)
                 registry.gone(name, now)
         registry.tick(now)
-        self._log_leaving(before, "platform")
         self._after = news.version
         self._views.targets_row = max(self._views.targets_row, news.version)
+        self._log_changes(before, "platform")
         self._views.targets_at = now
         self._copied = ("", -1)
         if registry.serial != serial:
             self._changed()
 
-    def _log_leaving(self, before: frozenset[str], told_by: str) -> None:
-        for name in self._views.registry.leaving() - before:
-            _log.info("target leaving", target=name, row=self._views.targets_row, told_by=told_by)
+    def _log_changes(self, before: Listing, told_by: str) -> None:
+        after = Listing.of(self._views.registry, asyncio.get_running_loop().time())
+        for change in after.changes_since(before):
+            _log.info(change.event, row=self._views.targets_row, told_by=told_by, **change.fields)
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -41,12 +41,17 @@
 
 
 class TargetCopy(NamedTuple):
-    """What a node has of the targets, as of row version `row`."""
+    """What a node has of the targets, as of row version `row`.
+
+    `lapsed` gives the seconds for which it still holds entries that ended unseen
+    while the store gave it no answer.
+    """
 
     entries: tuple[Instance, ...]
     leaving: tuple[str, ...]
     row: int
     serial: int
+    lapsed: dict[str, float] = {}
 
 
 class KeptAsk(NamedTuple):
@@ -103,8 +108,13 @@
 
     def _targets(self, _: list[str]) -> TargetCopy:
         registry = self._views.registry
-        leaving = tuple(registry.leaving())
-        return TargetCopy(tuple(registry.all()), leaving, self._views.targets_row, registry.serial)
+        return TargetCopy(
+            entries=tuple(registry.all()),
+            leaving=tuple(registry.leaving()),
+            row=self._views.targets_row,
+            serial=registry.serial,
+            lapsed=registry.lapsed(asyncio.get_running_loop().time()),
+        )
 
     def _kept(self, asked: list[str]) -> list[KeptCopy]:
         clock = self._views.until(asyncio.get_running_loop().time())
