Tell the age of the operators' rows, and when a long poll of them is given up

Cause: the two feeds are read in calls of their own, and the age that figures, beliefs and heartbeats told was that of the targets' entries only. A long poll of the operators' rows that hangs could be seen by nobody before it was given up, and a line 'dependency lost' did not say that it was one.

'catalog taken' and 'weights named' tell how old this node's own reading was and how long the answer was waited for; 'long poll given up' tells for how long one hung. 'node not reached' and told_by name the node that was asked: where another spoke meanwhile, they named that one.

--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -64,6 +64,7 @@
             "stale" if beliefs["stale"] else "",
             beliefs["catalog"],
             beliefs["operators_row"],
+            beliefs["operators_seconds"],
             beliefs["targets_row"],
             beliefs["targets_seconds"],
             beliefs["reader"] or "itself",
@@ -71,7 +72,7 @@
         ]
         for beliefs in found
     ]
-    headers = "node,role,view,catalog,operators' row,targets' row,age s,reads from,weights"
+    headers = "node,role,view,catalog,operators' row,age s,targets' row,age s,reads from,weights"
     return tabulate(rows, headers=headers.split(","), missingval=_UNKNOWN)
 
 
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -52,13 +52,19 @@
     """How far a node has read: the platform's row versions, and their age in seconds.
 
     `serial` changes with the content of the targets' list, not with each heartbeat
-    of a target.
+    of a target.  `age` is that of the targets' entries, `operators_age` that of the
+    operators' rows; each grows until the node itself has an answer again.
     """
 
     operators: int = 0
     targets: int = 0
     serial: int = 0
     age: float = float("inf")
+    operators_age: float = 0.0
+
+    def later(self, seconds: float) -> Reading:
+        """Return what the same reading is after so many more seconds."""
+        return self._replace(age=self.age + seconds, operators_age=self.operators_age + seconds)
 
 
 class Source(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -55,6 +55,7 @@
     sharing: int
     catalog: int | None
     operators_row: int
+    operators_seconds: float | None
     targets_row: int
     targets_seconds: float | None
     reader: str
@@ -74,6 +75,7 @@
         sharing=views.nodes,
         catalog=None if views.catalog is None else views.catalog.version,
         operators_row=views.operators_row,
+        operators_seconds=_age(views.operators_at, now),
         targets_row=views.targets_row,
         targets_seconds=_age(views.targets_at, now),
         reader=reader,
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -18,7 +18,7 @@
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 from fielddrift_core.readers import READ_SECONDS, Reading, source
 
-from .ports import HistoryGone, NamedWeights, OutOfReach, Platform
+from .ports import HistoryGone, NamedWeights, OperatorNews, OutOfReach, Platform
 from .sharing import OperatorCopy, Peers
 from .target_listing import Listing
 from .views import Views
@@ -39,6 +39,18 @@
 _log = structlog.get_logger()
 
 
+class _Origin(NamedTuple):
+    """Who told of operators' rows; `seconds` for which the platform's answer was waited for."""
+
+    name: str
+    seconds: float | None = None
+
+
+def _rounded(seconds: float | None) -> float | None:
+    """Return `seconds` as a log line tells them; None for none and for never."""
+    return None if seconds is None or seconds == float("inf") else round(seconds, 3)
+
+
 class Rests:
     """Rest longer after each failure, with jitter; log the loss and the return."""
 
@@ -175,13 +187,27 @@
             return
         hurry, self._hurry = self._hurry, False
         wait = 0.0 if hurry or self._after is None or self._rests.failing else _WAIT_SECONDS
-        news = await self._platform.operator_news(self._after, wait)
+        news, seconds = await self._ask(wait)
         self._rests.worked()
         self._after = news.version
         self._views.operators_row = max(self._views.operators_row, news.version)
-        self._take(news.catalog, news.weights, "platform")
+        self._take(news.catalog, news.weights, _Origin("platform", seconds))
+        self._views.operators_at = asyncio.get_running_loop().time()
         self._views.current()
 
+    async def _ask(self, wait: float) -> tuple[OperatorNews, float]:
+        """Return what the platform tells, and for how many seconds it was waited for."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            news = await self._platform.operator_news(self._after, wait)
+        except OutOfReach as error:
+            if wait and not error.sure:
+                seconds = round(loop.time() - began, 3)
+                _log.warning("long poll given up", seconds=seconds, error=str(error))
+            raise
+        return news, loop.time() - began
+
     # --- what other nodes know ----------------------------------------------------
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
@@ -197,23 +223,29 @@
             self._told.clear()
             if self._ahead is None:
                 continue
+            node = self._ahead
             try:
-                self._take_copy(await self._peers.operators(self._ahead), self._ahead.name)
+                self._take_copy(await self._peers.operators(node), node.name)
             except OutOfReach as error:
                 # Its next heartbeat, or another node's, says the same again.
-                _log.info("node not reached", peer=self._ahead.name, error=str(error))
+                _log.info("node not reached", peer=node.name, error=str(error))
 
     def _take_copy(self, copy: OperatorCopy, told_by: str) -> None:
         self._views.operators_row = max(self._views.operators_row, copy.row)
         self._after = max(self._after or 0, copy.row)
         weights = tuple(NamedWeights(model, version) for model, version in copy.named.items())
-        self._take(copy.catalog, weights, told_by)
+        self._take(copy.catalog, weights, _Origin(told_by))
 
     def _take(
-        self, catalog: Catalog | None, weights: tuple[NamedWeights, ...], told_by: str
+        self, catalog: Catalog | None, weights: tuple[NamedWeights, ...], origin: _Origin
     ) -> None:
         views = self._views
         now = asyncio.get_running_loop().time()
+        sight = {
+            "told_by": origin.name,
+            "polled": _rounded(origin.seconds),
+            "age": _rounded(now - views.operators_at),
+        }
         changed = False
         if catalog is not None and views.take_catalog(catalog):
             assert views.catalog is not None
@@ -221,14 +253,12 @@
                 "catalog taken",
                 version=views.catalog.version,
                 row=views.operators_row,
-                told_by=told_by,
+                **sight,
             )
             changed = True
         for named in weights:
             if views.take_weights(named, now):
-                _log.info(
-                    "weights named", model=named.model, version=named.version, told_by=told_by
-                )
+                _log.info("weights named", model=named.model, version=named.version, **sight)
                 changed = True
         if changed:
             self._changed()
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -119,6 +119,9 @@
         self.targets = self._gauge("targets", "targets that are known")
         self.nodes = self._gauge("nodes", "live nodes, this one included")
         self.platform_calls = self._gauge("platform_calls", "calls to the platform since the start")
+        self.operators_age = self._gauge(
+            "operators_age_seconds", "age of the operators' own reading"
+        )
         self.targets_age = self._gauge("targets_age_seconds", "age of the targets' own reading")
 
     def collect(self) -> Iterator[Metric]:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -36,6 +36,8 @@
         self.catalog: Catalog | None = None
         self.operators_row = 0
         """Version of the operators' rows that were read, on the platform's counter."""
+        self.operators_at = float("-inf")
+        """Loop time at which this node itself last had an answer about the operators' rows."""
         self.targets_row = 0
         """The same of the targets' entries."""
         self.targets_at = float("-inf")
@@ -105,8 +107,13 @@
 
     def reading(self, now: float) -> Reading:
         """Return how far this node itself has read."""
-        age = now - self.targets_at
-        return Reading(self.operators_row, self.targets_row, self.registry.serial, age)
+        return Reading(
+            operators=self.operators_row,
+            targets=self.targets_row,
+            serial=self.registry.serial,
+            age=now - self.targets_at,
+            operators_age=now - self.operators_at,
+        )
 
     def heard_ages(self, ages: Iterable[VersionAge], now: float) -> None:
         """Take for how long another node has known named weights.
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -404,11 +404,14 @@
         page = json.loads((await get(self.cut.settings.metrics, "/beliefs")).body)
         self.assertEqual((page["node"], page["reader"]), (self.cut.settings.name, ""))
         self.assertEqual(page["catalog"], self.fleet.version)
+        self.assertGreaterEqual(page["operators_seconds"], 0.0)
         self.assertEqual([target["name"] for target in page["targets"]], ["w1"])
         names = sorted(node.settings.name for node in self.others)
         self.assertEqual([node["name"] for node in page["nodes"]], names)
         other = json.loads((await get(self.others[0].settings.metrics, "/beliefs")).body)
         self.assertEqual(other["reader"], self.cut.settings.name)
+        text = (await get(self.cut.settings.metrics, "/metrics")).body.decode()
+        self.assertIn("fielddrift_operators_age_seconds", text)
 
     async def test_it_reads_for_itself_again_when_the_others_are_gone(self) -> None:
         self.door.turned_away = True
