Tell for how long weights were outdated at a send, and for how long a name was known

Cause: three explanations of a prompt that began on weights outdated for longer than may be look alike in the log: a node that counts from a later name, one that counts from its own start, and a send that waited at its engine. Ruled out: nothing yet; no logic is changed. Change: `request answered` has `outdated_ms` and `outdated_by`, `weights named` has `known_seconds`, and a counter tells of sends to older weights.

--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -20,6 +20,7 @@
     "DutyRow",
     "EngineWeights",
     "NamedTimes",
+    "Naming",
     "StoreClock",
     "VersionAge",
     "may_take",
@@ -83,6 +84,13 @@
     seconds: float
 
 
+class Naming(NamedTuple):
+    """When a weight version was named, as far as anyone knows (seconds)."""
+
+    version: int
+    at: float
+
+
 class NamedTimes:
     """When each named weight version became known, here or to whoever told of it.
 
@@ -98,10 +106,15 @@
         times = self._times.setdefault(model, {})
         times[version] = min(at, times.get(version, at))
 
-    def outdated_at(self, model: str, weights: int) -> float | None:
-        """Return since when `weights` are outdated, None when nothing newer was named."""
-        newer = [at for version, at in self._times.get(model, {}).items() if version > weights]
-        return min(newer, default=None)
+    def at(self, model: str, version: int) -> float | None:
+        """Return when `version` became known, None when it is not."""
+        return self._times.get(model, {}).get(version)
+
+    def outdating(self, model: str, weights: int) -> Naming | None:
+        """Return the first naming that outdated `weights`, None when nothing newer was named."""
+        times = self._times.get(model, {})
+        newer = [Naming(version, at) for version, at in times.items() if version > weights]
+        return min(newer, key=lambda naming: naming.at, default=None)
 
     def ages(self, now: float) -> tuple[VersionAge, ...]:
         """Return the ages of the newest versions of each model."""
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -40,6 +40,10 @@
         self.parts: list[str] = []
         """Each shared part of the prompt, and whether it is fetched, saved or read."""
         self.weights: int | None = None
+        self.outdated_seconds = 0.0
+        """For how long these weights had not been the newest at the last send."""
+        self.outdated_by: int | None = None
+        """The first newer version, None when there was none."""
         self.estimate = 0.0
         self.ahead = Burden()
         """What was known to be at the engine when it was chosen."""
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -258,7 +258,14 @@
             changed = True
         for named in weights:
             if views.take_weights(named, now):
-                _log.info("weights named", model=named.model, version=named.version, **sight)
+                known = views.known_seconds(named.model, named.version, now)
+                _log.info(
+                    "weights named",
+                    model=named.model,
+                    version=named.version,
+                    known_seconds=round(known, 3),
+                    **sight,
+                )
                 changed = True
         if changed:
             self._changed()
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -197,6 +197,8 @@
             reasons=trace.reasons,
             catalog=call.catalog.version,
             weights=trace.weights,
+            outdated_ms=round(trace.outdated_seconds * 1000),
+            outdated_by=trace.outdated_by,
             parts=trace.parts,
             waited_ms=round(call.waited * 1000),
             ahead=list(trace.ahead),
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -270,7 +270,7 @@
         now = asyncio.get_running_loop().time()
         salt = self._kept.salt(call, prompt, choice.instance.name)
         weights = views.weights_of(choice.instance.name, prompt.model)
-        call.trace.weights = weights
+        self._note_weights(call, prompt.model, weights, now)
         call.trace.estimate = choice.seconds
         call.trace.ahead = choice.burden
         return Send(
@@ -285,6 +285,16 @@
             urgency=self._urgency(call),
         )
 
+    def _note_weights(self, call: Call, model: str, weights: int | None, now: float) -> None:
+        """Note for the log on which weights a send runs, and how outdated they are."""
+        trace = call.trace
+        naming = None if weights is None else self._tools.views.outdating(model, weights)
+        trace.weights = weights
+        trace.outdated_by = None if naming is None else naming.version
+        trace.outdated_seconds = 0.0 if naming is None else now - naming.at
+        if naming is not None:
+            self._tools.metrics.outdated_sends.inc()
+
     def _urgency(self, call: Call) -> int:
         """Return how urgent engines should take the prompt.
 
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -106,6 +106,7 @@
         self.left = self._counter("left", "requests whose caller left")
         self.cut = self._counter("cut", "answers broken off")
         self.sends = self._counter("sends", "requests sent to targets")
+        self.outdated_sends = self._counter("outdated_sends", "prompts sent to older weights")
         self.retries = self._counter("retries", "sends that failed, by reason", "reason")
         self.tokens = self._counter("prompt_tokens", "tokens of shared parts", "way")
         self.orders = self._counter("orders", "orders of weights", "outcome")
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -11,7 +11,7 @@
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import Reading
-from fielddrift_core.rollout import EngineWeights, NamedTimes, VersionAge
+from fielddrift_core.rollout import EngineWeights, NamedTimes, Naming, VersionAge
 from fielddrift_core.store_index import StoreIndex
 from fielddrift_core.target_registry import TargetRegistry
 from fielddrift_core.urgency import Waits
@@ -125,8 +125,17 @@
 
     def outdated_seconds(self, model: str, weights: int, now: float) -> float:
         """Return for how long `weights` have not been the newest, 0 when they are."""
-        since = self.named_times.outdated_at(model, weights)
-        return 0.0 if since is None else now - since
+        naming = self.outdating(model, weights)
+        return 0.0 if naming is None else now - naming.at
+
+    def outdating(self, model: str, weights: int) -> Naming | None:
+        """Return the first naming that outdated `weights`, None when they are the newest."""
+        return self.named_times.outdating(model, weights)
+
+    def known_seconds(self, model: str, version: int, now: float) -> float:
+        """Return for how long `version` has been known to anyone, 0 when it is not."""
+        at = self.named_times.at(model, version)
+        return 0.0 if at is None else now - at
 
     def engines(self, service: str, model: str, now: float) -> list[EngineWeights]:
         """Return the engines of `service` that take new work and whose weights are known."""
