Show that an end copied in its respite is forgotten (fails)

Cause: after an outage the reader holds entries that ended unseen for 2.3 s. A neighbour that copies its list meanwhile takes them for settled, and its own feed stands behind their end. Once it reads on for itself it is never told again.

Ruled out: the lapse alone passes nothing on, for it does not change the list's serial, and nobody copies; it takes the change of another entry in the respite.

--- /dev/null
+++ b/tests/target_views.py
@@ -0,0 +1,222 @@
+"""Let nodes follow the targets' entries in virtual time: a store, heartbeats, copies, no sockets.
+
+Each node runs its real feed, its real heartbeats and its real answers to neighbours;
+what lies between them is a function call that takes some time or fails.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
+
+import msgspec
+from fielddrift_core.names import rank
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Standing
+from fielddrift_core.target_registry import RESPITE_SECONDS, Instance
+from fielddrift_node.serving.feeds import READER_KEY, FeedTools, TargetFeed
+from fielddrift_node.serving.heartbeats import HeartbeatTranslator
+from fielddrift_node.serving.ports import HistoryGone, OutOfReach, TargetNews
+from fielddrift_node.serving.sharing import PeerHandler, TargetCopy
+from fielddrift_node.serving.views import Views
+
+from .virtual_time import VirtualLoop
+
+__all__ = ["NAMES", "SERVICE", "TargetFleet", "ToldEnd", "ViewNode"]
+
+SERVICE = "s"
+NAMES = rank(READER_KEY, [(f"node-{number}", 1.0) for number in (1, 2, 3)])
+"""The first reads for the others."""
+_CALL_SECONDS = 0.02
+_HEARTBEAT_SECONDS = 0.15
+
+
+class ToldEnd(NamedTuple):
+    """When a reading of a node's own told the end of an entry, as of which row."""
+
+    at: float
+    row: int
+
+
+class TargetStore:
+    """The store's table of targets, with its history."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Instance] = {}
+        self.rows: dict[str, int] = {}
+        """The row version of each target's last change."""
+        self.down = False
+        self._version = 0
+        self._forgotten = 0
+
+    def enter(self, name: str, *, leaving: bool = False) -> None:
+        """Write a target's entry."""
+        self.entries[name] = Instance(name, SERVICE, f"{name}:1", "a", leaving)
+        self._changed(name)
+
+    def end(self, name: str) -> None:
+        """Remove a target's entry."""
+        del self.entries[name]
+        self._changed(name)
+
+    def forget(self) -> None:
+        """Forget the history."""
+        self._forgotten = self._version
+
+    def news(self, after: int | None) -> TargetNews:
+        """Return what changed after `after`."""
+        if after is None:
+            return TargetNews(tuple(self.entries.values()), (), self._version, whole=True)
+        if after < self._forgotten:
+            raise HistoryGone("targets")
+        changed = [name for name, row in self.rows.items() if row > after]
+        entries = tuple(self.entries[name] for name in changed if name in self.entries)
+        ended = tuple(name for name in changed if name not in self.entries)
+        return TargetNews(entries, ended, self._version, whole=False)
+
+    def _changed(self, name: str) -> None:
+        self._version += 1
+        self.rows[name] = self._version
+
+
+class ViewNode:
+    """One node: its feed, its heartbeats, and what it may reach."""
+
+    def __init__(self, *, name: str, boot: int, fleet: TargetFleet) -> None:
+        self.name = name
+        self.fleet = fleet
+        self.cut_off = False
+        """The store answers others, but not this node."""
+        self.mute = False
+        """Neighbours that ask this node get no answer, though they hear its heartbeats."""
+        self.told_ends: dict[str, ToldEnd] = {}
+        """Ends that readings of its own told, where no call of late had failed."""
+        self.failed_at = float("-inf")
+        self.views = Views()
+        me = Neighbour(name, boot, "a", f"{name}:1", f"{name}:2", f"{name}:3")
+        self.neighbours = Neighbours(me=me)
+        self.neighbours.report(serving=True, load=0.0)
+        self.handler = PeerHandler(views=self.views)
+        self.translator = HeartbeatTranslator(views=self.views, neighbours=self.neighbours)
+        tools = FeedTools(
+            platform=self,  # type: ignore[arg-type]
+            peers=self,  # type: ignore[arg-type]
+            neighbours=self.neighbours,
+            views=self.views,
+            rng=random.Random(boot),
+        )
+        self.feed = TargetFeed(tools=tools, changed=lambda: None, returned=lambda: None)
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def lists(self) -> set[str]:
+        """Return the names of the targets that it lists."""
+        return {target.name for target in self.views.registry.all()}
+
+    @property
+    def sends_to(self) -> set[str]:
+        """Return the names of the targets that get new work."""
+        return {target.name for target in self.views.registry.serving(SERVICE)}
+
+    async def target_news(self, after: int | None) -> TargetNews:
+        """Answer in place of the platform."""
+        await asyncio.sleep(_CALL_SECONDS)
+        now = asyncio.get_running_loop().time()
+        if self.fleet.store.down or self.cut_off:
+            self.failed_at = now
+            raise OutOfReach("store: status 503")
+        before = self.lists
+        news = self.fleet.store.news(after)
+        gone = before - {e.name for e in news.entries} if news.whole else before & {*news.ended}
+        if now - self.failed_at > RESPITE_SECONDS + 2.0:
+            for name in gone:
+                self.told_ends[name] = ToldEnd(now, self.fleet.store.rows[name])
+        return news
+
+    async def targets(self, node: Neighbour) -> TargetCopy:
+        """Ask a neighbour in place of the peers' address."""
+        await asyncio.sleep(_CALL_SECONDS)
+        other = self.fleet.nodes.get(node.name)
+        if other is None or other.mute or self.fleet.apart(self.name, node.name):
+            raise OutOfReach(f"node {node.name}: no answer")
+        data = msgspec.msgpack.encode(other.handler._targets([]))
+        await asyncio.sleep(self.fleet.copy_seconds())
+        return msgspec.msgpack.decode(data, type=TargetCopy)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what it tells others now, as it arrives there."""
+        told = self.translator.heartbeat(Standing(True, True, True), leaving=False)
+        # Ready means a catalog besides, which nothing here needs.
+        told = told._replace(ready=True)
+        return msgspec.msgpack.decode(msgspec.msgpack.encode(told), type=Heartbeat)
+
+    def hear(self, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat, as a serving node does."""
+        self.neighbours.hear(heartbeat, asyncio.get_running_loop().time())
+        self.translator.heard(heartbeat)
+        self.feed.heard(heartbeat.node.name, heartbeat.reading)
+
+
+class TargetFleet:
+    """Some nodes of a data centre, and the store."""
+
+    def __init__(self, *, loop: VirtualLoop, rng: random.Random) -> None:
+        self.loop = loop
+        self.rng = rng
+        self.store = TargetStore()
+        self.nodes: dict[str, ViewNode] = {}
+        self.parted: set[frozenset[str]] = set()
+        """Pairs of nodes that do not reach each other."""
+        self._boots = 0
+        self._tasks: list[asyncio.Task[None]] = [loop.create_task(self._tell())]
+
+    def copy_seconds(self) -> float:
+        """Return how long the next copy is on its way."""
+        return self.rng.choice((_CALL_SECONDS, _CALL_SECONDS, 0.3))
+
+    def apart(self, one: str, other: str) -> bool:
+        """Return whether two nodes do not reach each other."""
+        return frozenset((one, other)) in self.parted
+
+    def start(self, name: str) -> ViewNode:
+        """Start a node anew."""
+        self._boots += 1
+        node = self.nodes[name] = ViewNode(name=name, boot=self._boots, fleet=self)
+        node.task = self.loop.create_task(node.feed.run())
+        return node
+
+    def stop(self, name: str) -> None:
+        """End a node at once."""
+        task = self.nodes.pop(name).task
+        assert task is not None
+        task.cancel()
+        self._tasks.append(task)
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self._run(asyncio.sleep(seconds))
+        for node in self.nodes.values():
+            assert node.task is not None
+            if node.task.done():
+                node.task.result()
+
+    def close(self) -> None:
+        """End everything."""
+        for name in list(self.nodes):
+            self.stop(name)
+        for task in self._tasks:
+            task.cancel()
+        self._run(asyncio.gather(*self._tasks, return_exceptions=True))
+
+    async def _tell(self) -> None:
+        while True:
+            for name, node in list(self.nodes.items()):
+                heartbeat = node.heartbeat()
+                for other in list(self.nodes.values()):
+                    if other is not node and not self.apart(name, other.name):
+                        other.hear(heartbeat)
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    def _run(self, work: Coroutine[Any, Any, Any] | asyncio.Future[Any]) -> None:
+        self.loop.run_until_complete(work)
--- /dev/null
+++ b/tests/test_target_views.py
@@ -0,0 +1,74 @@
+"""What nodes believe of targets after the store was away, read, copied and read on."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from structlog.testing import capture_logs
+
+from .target_views import NAMES, TargetFleet
+from .virtual_time import VirtualLoop
+
+FIRST, SECOND, THIRD = NAMES
+_SETTLED_SECONDS = 8.0
+"""Longer than a respite and the turns after it."""
+
+
+class TargetViewCase(unittest.TestCase):
+    """Nodes that list the targets x and y."""
+
+    def setUp(self) -> None:
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+        self.fleet = TargetFleet(loop=loop, rng=random.Random(1))
+        self.addCleanup(self.fleet.close)
+        self.lines = self.enterContext(capture_logs())
+        for target in ("x", "y"):
+            self.fleet.store.enter(target)
+        for name in NAMES:
+            self.fleet.start(name)
+        self.fleet.wait(_SETTLED_SECONDS)
+
+    def events(self, target: str) -> list[tuple[str, str]]:
+        """Return the events of a target's log lines, and who told of them, in order."""
+        return [(e["event"], e["told_by"]) for e in self.lines if e.get("target") == target]
+
+    def end_in_outage(self, target: str) -> None:
+        """End a target while the store is away; the first node alone has it back first."""
+        fleet = self.fleet
+        fleet.store.down = True
+        fleet.wait(2.5)
+        fleet.store.end(target)
+        for name in (SECOND, THIRD):
+            fleet.nodes[name].cut_off = True
+        fleet.store.down = False
+        fleet.wait(1.0)
+
+    def lists(self) -> dict[str, set[str]]:
+        """Return what each node lists."""
+        return {name: node.lists for name, node in self.fleet.nodes.items()}
+
+
+class TestEndAfterOutage(TargetViewCase):
+    """An entry that ended in an outage got work for ten seconds after its end.
+
+    Sequence: the reader lost the store, read the end once it was back, and held the
+    entry as lapsed (`target entry lapsed`, 2.3 s).  Another target's entry changed, so
+    others copied its list meanwhile, as of a row behind the end (`targets copied`).
+    Then they read on for themselves from that row, and were never told of the end again.
+    Cause: a copy did not say which entries were held, so they were settled for good.
+    """
+
+    def test_an_end_that_was_copied_in_its_respite_is_not_forgotten(self) -> None:
+        self.end_in_outage("x")
+        self.assertIn(("target entry lapsed", "platform"), self.events("x"))
+        self.fleet.store.enter("z")
+        self.fleet.wait(1.0)
+        self.assertIn(("target heard", FIRST), self.events("z"), "nobody has copied it")
+        self.fleet.stop(FIRST)
+        for name in (SECOND, THIRD):
+            self.fleet.nodes[name].cut_off = False
+        self.fleet.wait(_SETTLED_SECONDS)
+        listed = {"y", "z"}
+        self.assertEqual(self.lists(), {SECOND: listed, THIRD: listed})
