--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -1,7 +1,9 @@
 """Stand in for the platform's store: rows with versions, feeds, transactions.
 
 Faults are switches: `down` refuses, `silent` never answers, `lose_answers`
-does writes without answering, `forget` drops the history.
+does writes without answering, `lose_news` loses the answers of so many long
+polls that would bring rows, `forget` drops the history.  With `keeps` off it
+closes a connection after each answer.
 """
 
 from __future__ import annotations
@@ -21,6 +23,7 @@
 
 _POLL_SECONDS = 0.01
 _JSON = Headers([(b"Content-Type", b"application/json")])
+_JSON_LAST = Headers([*_JSON, (b"Connection", b"close")])
 
 
 class StoreEndpoint:
@@ -63,6 +66,8 @@
         self.down = False
         self.silent = False
         self.lose_answers = 0
+        self.lose_news = 0
+        self.keeps = True
         self.calls: list[str] = []
 
     async def start(self, host: str, port: int) -> None:
@@ -98,6 +103,10 @@
         self._forgotten = self._version
         self._history.clear()
 
+    @property
+    def _headers(self) -> Headers:
+        return _JSON if self.keeps else _JSON_LAST
+
     # --- rows -----------------------------------------------------------------
 
     def _set(self, table: str, key: str, value: bytes) -> int:
@@ -136,7 +145,7 @@
         asked = {name: values[0] for name, values in parse_qs(query).items()}
         if path == "/rows-get":
             rows = [self._row(t, k) for t, k in sorted(self._rows) if t == asked["table"]]
-            responder.send(200, _JSON, self._answer(rows))
+            responder.send(200, self._headers, self._answer(rows))
         elif path == "/rows-feed":
             await self._feed(asked, responder)
         elif path == "/rows-tx":
@@ -155,8 +164,11 @@
                 key: None for v, t, key in self._history if v > after and t == asked["table"]
             }
             if changed or time.monotonic() >= until:
+                if changed and self.lose_news > 0 and int(asked.get("wait-ms", "0")):
+                    self.lose_news -= 1
+                    await asyncio.sleep(3600)
                 rows = [self._row(asked["table"], key) for key in changed]
-                responder.send(200, _JSON, self._answer(rows))
+                responder.send(200, self._headers, self._answer(rows))
                 return
             await asyncio.sleep(_POLL_SECONDS)
 
@@ -166,7 +178,7 @@
             held = self._rows.get((row["table"], row["key"]))
             if (held[1] if held else 0) != row["ver"]:
                 rows = [self._row(r["table"], r["key"]) for r in expected]
-                responder.send(412, _JSON, self._answer(rows))
+                responder.send(412, self._headers, self._answer(rows))
                 return
         for row in asked.get("set-keys", []):
             self._set(row["table"], row["key"], base64.b64decode(row["value"]))
@@ -176,4 +188,4 @@
             self.lose_answers -= 1
             responder.cut()
             return
-        responder.send(200, _JSON, self._answer([]))
+        responder.send(200, self._headers, self._answer([]))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -45,9 +45,11 @@
         super().__init__()
         self.nodes: list[RunningNode] = []
 
-    async def node(self, name: str = "node-1", *, store: str = "") -> RunningNode:
+    async def node(
+        self, name: str = "node-1", *, store: str = "", data_centre: str = "a"
+    ) -> RunningNode:
         """Start a node and wait until it is ready; `store` is another way to the store."""
-        node = RunningNode(name=name, fleet=self, store=store)
+        node = RunningNode(name=name, fleet=self, store=store, data_centre=data_centre)
         self.nodes.append(node)
         await node.start()
         return node
@@ -62,12 +64,12 @@
 class RunningNode:
     """One node of the fleet."""
 
-    def __init__(self, *, name: str, fleet: Fleet, store: str = "") -> None:
+    def __init__(self, *, name: str, fleet: Fleet, store: str = "", data_centre: str = "a") -> None:
         address = [f"{HOST}:{free_port()}" for _ in range(4)]
         self.settings = NodeSettings(
             name=name,
             host=HOST,
-            data_centre="a",
+            data_centre=data_centre,
             region="r",
             entry=address[0],
             ready=address[1],
