Give a silent long poll up within 2 s, and judge readers by the older of what they read

Cause: the reader's long poll of the operators' rows waited 8 s and was given up after 9.5 s, while a change is to be in force 2 s after it was acknowledged, and 3 s after connections fell silent or an answer was lost. Its age was not among what neighbours judge a reader by.

Weighed: keep-alive probes of TCP (no calls; the kernel at the other end, or of a relay between, answers them while nothing passes; nor do they show a lost answer or a stuck process); the version of all rows that each reading of the targets brings (no calls of its own; it rises with the targets' and nodes' own rows too, so it asks for a reading as often as the targets' readings come, 1.7 a second); a failed reading of the targets (already taken as a hint, but a lost answer and a new connection a reading do not show by it); a shorter wait: taken.

Change: a wait of 1.2 s and 0.7 s of patience. A long poll that was silent for its whole time is read anew at once and does not count as a failure of the store; one that was reset rests as before. Neighbours judge a reader by the older of the targets' age and the operators' rows' age less the wait, in which that grows in good health.

--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "OLD_MARK_SECONDS",
+    "OPERATORS_WAIT_SECONDS",
     "READ_SECONDS",
     "Mark",
     "Reading",
@@ -30,6 +31,10 @@
 READ_SECONDS = 0.6
 """Time between a reader's readings of the targets: three fit into the time
 within which a leaving target may still get new work."""
+OPERATORS_WAIT_SECONDS = 1.2
+"""How long a reader's call waits for news of the operators' rows, and so how old they
+grow in good health.  A silent call hides a change until it is given up, some 0.7 s
+later: a change holds 2 s after it was acknowledged, 3 s after connections fell silent."""
 _OLD_SECONDS = 1.0
 """Age at which what a reader has is too old to rely on: it missed a reading."""
 _STANDBY_OLD_SECONDS = 2.0
@@ -66,6 +71,11 @@
         """Return what the same reading is after so many more seconds."""
         return self._replace(age=self.age + seconds, operators_age=self.operators_age + seconds)
 
+    @property
+    def overdue(self) -> float:
+        """Return the age of the older of both, less what is due to a call that waits."""
+        return max(self.age, self.operators_age - OPERATORS_WAIT_SECONDS)
+
 
 class Source(NamedTuple):
     """From whom a node has its views; an empty name is the platform itself."""
@@ -100,19 +110,19 @@
     """Return from whom `me` should have what `key` names.
 
     `readings` are those of the live nodes of this data centre, `me` left out.
-    The first active node in order reads; where what it has is old, the next one.
+    The first active node in order reads; where either thing that it has is old, the next one.
     While its own readings are `failing`, `me` relies on any other that reads.
     """
     candidates = [name for name in [me, *readings] if name in active] or [me, *readings]
     for name in in_order(key, candidates, capacity):
         if name == me and not failing:
             return Source("")
-        if name != me and readings[name].age <= _OLD_SECONDS:
+        if name != me and readings[name].overdue <= _OLD_SECONDS:
             return Source(name)
     if me in candidates:
         return Source("")
-    freshest = min(candidates, key=lambda name: readings[name].age)
-    return Source(freshest if readings[freshest].age <= _STANDBY_OLD_SECONDS else "")
+    freshest = min(candidates, key=lambda name: readings[name].overdue)
+    return Source(freshest if readings[freshest].overdue <= _STANDBY_OLD_SECONDS else "")
 
 
 def source_of_each(
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -16,7 +16,7 @@
 import structlog
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
-from fielddrift_core.readers import READ_SECONDS, Reading, source
+from fielddrift_core.readers import OPERATORS_WAIT_SECONDS, READ_SECONDS, Reading, source
 
 from .ports import HistoryGone, NamedWeights, OperatorNews, OutOfReach, Platform
 from .sharing import OperatorCopy, Peers
@@ -27,9 +27,6 @@
 
 READER_KEY = "platform"
 """What the data centre's reader is chosen for."""
-_WAIT_SECONDS = 8.0
-"""How long a call may wait for news; what it misses in a cut, the readings of
-the targets notice."""
 _LISTEN_SECONDS = 0.3
 """How soon a node that relies on a reader looks whether it is still there; news in the
 reader's heartbeats wakes it at once."""
@@ -186,27 +183,36 @@
             await asyncio.sleep(_LISTEN_SECONDS)
             return
         hurry, self._hurry = self._hurry, False
-        wait = 0.0 if hurry or self._after is None or self._rests.failing else _WAIT_SECONDS
-        news, seconds = await self._ask(wait)
+        at_once = hurry or self._after is None or self._rests.failing
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        news = await self._ask(0.0 if at_once else OPERATORS_WAIT_SECONDS)
+        if news is None:
+            # What it should have told stands there to be read, over a new connection.
+            self._hurry = True
+            return
         self._rests.worked()
         self._after = news.version
         self._views.operators_row = max(self._views.operators_row, news.version)
-        self._take(news.catalog, news.weights, _Origin("platform", seconds))
-        self._views.operators_at = asyncio.get_running_loop().time()
+        self._take(news.catalog, news.weights, _Origin("platform", loop.time() - began))
+        self._views.operators_at = loop.time()
         self._views.current()
 
-    async def _ask(self, wait: float) -> tuple[OperatorNews, float]:
-        """Return what the platform tells, and for how many seconds it was waited for."""
+    async def _ask(self, wait: float) -> OperatorNews | None:
+        """Return what the platform tells, None for a long poll that fell silent."""
         loop = asyncio.get_running_loop()
         began = loop.time()
         try:
-            news = await self._platform.operator_news(self._after, wait)
+            return await self._platform.operator_news(self._after, wait)
         except OutOfReach as error:
-            if wait and not error.sure:
-                seconds = round(loop.time() - began, 3)
-                _log.warning("long poll given up", seconds=seconds, error=str(error))
-            raise
-        return news, loop.time() - began
+            seconds = loop.time() - began
+            if not wait or error.sure:
+                raise
+            _log.warning("long poll given up", seconds=round(seconds, 3), error=str(error))
+            if seconds < wait:
+                # Reset, not silent: without a rest it could be so again and again.
+                raise
+            return None
 
     # --- what other nodes know ----------------------------------------------------
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -67,6 +67,17 @@
             found[name] = source(name, "platform", others, active=active).name
         self.assertEqual(found, {order[0]: "", order[1]: "", order[2]: order[1], "n4": order[1]})
 
+    def test_a_reader_whose_operators_rows_grow_old_is_not_relied_on(self) -> None:
+        names = ["n1", "n2", "n3"]
+        first, second, third = rank("platform", [(name, 1.0) for name in names])
+        fresh = {first: Reading(age=0.1, operators_age=1.7), second: Reading(age=0.1)}
+        self.assertEqual(source(third, "platform", fresh, active=names).name, first)
+        # Its view of the targets is fresh, the call for the other rows hangs.
+        hung = {first: Reading(age=0.1, operators_age=2.3), second: Reading(age=0.1)}
+        self.assertEqual(source(third, "platform", hung, active=names).name, second)
+        hung = {name: reading.later(2.3) for name, reading in fresh.items()}
+        self.assertEqual(source(third, "platform", hung, active=names).name, "")
+
     def test_a_node_that_stands_by_never_reads_for_others_and_waits_longer(self) -> None:
         late = {"n1": Reading(age=1.5), "n2": Reading(age=1.6)}
         self.assertEqual(source("n3", "k", late, active=["n1", "n2"]).name, "n1")
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -24,6 +24,8 @@
 
 APPLY_SECONDS = 2.0
 """A change is in force everywhere so long after it was acknowledged."""
+CONTACT_SECONDS = 3.0
+"""It is in force so long after the last answer was lost, whenever it was acknowledged."""
 
 
 class TestSilence(FleetCase):
@@ -45,12 +47,12 @@
         await super().asyncTearDown()
         self.relay.close()
 
-    async def _in_force_everywhere(self) -> None:
+    async def _in_force_everywhere(self, seconds: float = APPLY_SECONDS) -> None:
         """See the newest catalog in force at all nodes in the time for it."""
         version = self.fleet.version
         await eventually(
             lambda: all(node.node.views.catalog.version == version for node in self.nodes),
-            APPLY_SECONDS,
+            seconds,
         )
 
     async def test_silent_long_polls_keep_no_catalog_away(self) -> None:
@@ -61,3 +63,17 @@
         await asyncio.sleep(1.0)
         self.fleet.configure()
         await self._in_force_everywhere()
+
+    async def test_silent_connections_keep_no_catalog_away(self) -> None:
+        # The targets' connections are kept, and fall silent too.
+        self.assertGreaterEqual(self.relay.silence(), 3)
+        await asyncio.sleep(1.0)
+        self.fleet.configure()
+        await self._in_force_everywhere()
+
+    async def test_a_catalog_whose_answers_are_lost_is_read_anew(self) -> None:
+        await asyncio.sleep(1.0)
+        self.fleet.store.lose_news = 3
+        self.fleet.configure()
+        await self._in_force_everywhere(CONTACT_SECONDS)
+        self.assertEqual(self.fleet.store.lose_news, 0)
