Show that a call takes another silent connection after one has timed out

A test that fails: three kept connections fall silent together; the call after the one that timed out is not answered either ('no answer in 2.0 s'), though new connections work.

--- a/packages/standins/src/fielddrift_standins/relay.py
+++ b/packages/standins/src/fielddrift_standins/relay.py
@@ -21,6 +21,8 @@
         self._paths: set[_Path] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener: asyncio.Server | None = None
+        self.opened = 0
+        """Connections accepted since the start."""
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
@@ -40,6 +42,7 @@
             task.cancel()
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
         host, _, port = self._address.rpartition(":")
         there_reader, there_writer = await asyncio.open_connection(host, int(port))
         path = _Path()
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -9,6 +9,7 @@
 import unittest
 
 from fielddrift_node.web.client import Client, ExchangeError, Timeouts
+from fielddrift_standins.relay import Relay
 
 from .platform_fleet import HOST, free_port
 
@@ -113,3 +114,62 @@
                 await self.client.call(self.address, REQUEST, timeouts=short, most_idle=0.0)
             except ExchangeError as error:
                 self.assertTrue(error.sent)
+
+
+class SilentTest(unittest.IsolatedAsyncioTestCase):
+    """Kept connections fall silent together, without a reset; new ones work.
+
+    Symptom: after the connections to the store had fallen silent, a long poll was given
+    up and its reading repeated, and that was not answered either (`long poll given up
+    seconds=1.901`, the catalog taken at an age of 2.3 s and not 1.9 s).  Sequence: the
+    call that timed out closed its own connection; the next call took another one that
+    had rested since before, which was as silent.  Cause: a call without an answer cast no
+    doubt on the connections kept beside it.
+    """
+
+    async def asyncSetUp(self) -> None:
+        address = f"{HOST}:{free_port()}"
+        self.server = await asyncio.start_server(self._serve, HOST, int(address.split(":")[1]))
+        self.relay = Relay(address=address)
+        self.address = f"{HOST}:{free_port()}"
+        await self.relay.start(HOST, int(self.address.split(":")[1]))
+        self.client = Client()
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        self.relay.close()
+        self.server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(GOOD)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _call(self, seconds: float = 2.0) -> bytes:
+        timeouts = Timeouts(connect=2.0, whole=seconds)
+        return (await self.client.call(self.address, REQUEST, timeouts=timeouts)).body
+
+    async def test_a_call_without_an_answer_casts_doubt_on_connections_kept_beside_it(self) -> None:
+        self.assertEqual(await asyncio.gather(*(self._call() for _ in range(3))), [BODY] * 3)
+        self.assertEqual(self.relay.silence(), 3)
+        with self.assertRaises(ExchangeError) as caught:
+            await self._call(0.3)
+        self.assertEqual(caught.exception.reason, "timeout")
+        self.assertEqual(await self._call(), BODY)
+
+    async def test_a_connection_that_has_answered_since_is_kept(self) -> None:
+        await asyncio.gather(self._call(), self._call())
+        self.relay.silence()
+        hung = asyncio.ensure_future(self._call(0.5))
+        await asyncio.sleep(0.05)
+        self.client.forget(self.address)
+        await self._call()
+        opened = self.relay.opened
+        with self.assertRaises(ExchangeError):
+            await hung
+        self.assertEqual(await self._call(), BODY)
+        self.assertEqual(self.relay.opened, opened)
