Close connections that rested beside one whose call was not answered

Cause: kept connections fall silent together. A call that timed out closed its own, and the next call took another that had rested since before, for a whole patience more: the reading after a silent long poll, a retry of a copy from a neighbour, a duty's reading after a lost write.

Ruled out: handing a connection back after its own call timed out; the client never did (a call that is not whole closes its connection).

Change: a call without an answer closes the idle connections to that address which have carried nothing since it began; one that has answered since is kept.

Seen failing ('no answer in 2.0 s') and passing: test_a_call_without_an_answer_casts_doubt_on_connections_kept_beside_it.

Conclusion: one wait bounds the silence of a path, however many connections were kept.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -343,6 +343,7 @@
     ) -> Reply:
         """Send a whole request and return its whole answer; raise `ExchangeError`."""
         exchange: Exchange | None = None
+        began = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeouts.whole):
                 exchange = await self.begin(
@@ -351,6 +352,8 @@
                 return Reply(await exchange.head(), await exchange.body())
         except TimeoutError:
             sent = exchange is not None
+            # Connections fall silent together: one kept since before would hang as long.
+            self._close_idle(address, rested_before=began)
             detail = f"{address}: no answer in {timeouts.whole} s"
             raise ExchangeError(detail, sent=sent, reason="timeout") from None
         finally:
@@ -359,14 +362,23 @@
 
     def forget(self, address: str) -> None:
         """Close the idle connections to `address`."""
-        for connection in self._idle.pop(address, []):
-            connection.close()
+        self._close_idle(address, rested_before=float("inf"))
 
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
             self.forget(address)
 
+    def _close_idle(self, address: str, *, rested_before: float) -> None:
+        """Close the connections to `address` that have carried nothing since `rested_before`."""
+        idle = self._idle.pop(address, [])
+        kept = [connection for connection in idle if connection.idle_since >= rested_before]
+        if kept:
+            self._idle[address] = kept
+        for connection in idle:
+            if connection not in kept:
+                connection.close()
+
     def _take(self, address: str, most_idle: float | None) -> _Connection | None:
         idle = self._idle.get(address, [])
         now = asyncio.get_running_loop().time()
