Ask all neighbours that are ahead, in turn

Cause: one place held whoever was ahead, and the last heartbeat took it. A neighbour that went on telling and answered no copy was asked over and over, for 0.5 s each, while another had what was new; and of two that told of different versions the earlier was forgotten.

Ruled out: asking the highest version first; one that hangs and tells of it would come back to the front each time.

Change: told nodes stand in line by name, each is asked once for what it told, and only while that is still newer.

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -135,7 +135,8 @@
         super().__init__(what="operators' rows", tools=tools, changed=changed)
         self._call: asyncio.Task[None] | None = None
         self._hurry = False
-        self._ahead: Neighbour | None = None
+        self._ahead: dict[str, Heartbeat] = {}
+        """Nodes that told of something newer, by name, the first to be asked first."""
         self._told = asyncio.Event()
 
     def heard(self, heartbeat: Heartbeat) -> None:
@@ -143,10 +144,9 @@
 
         What nodes elsewhere know, only the reader asks for; it is nearer to the others.
         """
-        node = heartbeat.node
-        near = node.data_centre == self._neighbours.me.data_centre
+        near = heartbeat.node.data_centre == self._neighbours.me.data_centre
         if self._is_newer(heartbeat) and (near or self.reader() is None):
-            self._ahead = node
+            self._ahead[heartbeat.node.name] = heartbeat
             self._told.set()
 
     def again(self) -> None:
@@ -227,14 +227,18 @@
         while True:
             await self._told.wait()
             self._told.clear()
-            if self._ahead is None:
-                continue
-            node = self._ahead
-            try:
-                self._take_copy(await self._peers.operators(node), node.name)
-            except OutOfReach as error:
-                # Its next heartbeat, or another node's, says the same again.
-                _log.info("node not reached", peer=node.name, error=str(error))
+            while self._ahead:
+                # In turn: one that hangs and goes on telling must not hide the others.
+                heartbeat = self._ahead.pop(next(iter(self._ahead)))
+                if self._is_newer(heartbeat):
+                    await self._copy(heartbeat.node)
+
+    async def _copy(self, node: Neighbour) -> None:
+        try:
+            self._take_copy(await self._peers.operators(node), node.name)
+        except OutOfReach as error:
+            # Its next heartbeat, or another node's, says the same again.
+            _log.info("node not reached", peer=node.name, error=str(error))
 
     def _take_copy(self, copy: OperatorCopy, told_by: str) -> None:
         self._views.operators_row = max(self._views.operators_row, copy.row)
--- a/tests/test_operator_copies.py
+++ b/tests/test_operator_copies.py
@@ -102,3 +102,12 @@
         self._tell("good", "better")
         await self._settle()
         self.assertEqual(self.views.named, {"m": 8})
+
+    async def test_a_copy_that_is_no_longer_newer_is_not_asked_for(self) -> None:
+        self._tell("better", "good")
+        await self._settle()
+        self.assertEqual(self.views.named, {"m": 8})
+        asked = len(self.peers.asked)
+        self._tell("good")
+        await self._settle()
+        self.assertEqual(len(self.peers.asked), asked)
