Show that each neighbour's silent connection costs a patience of its own

A test that fails: connections to two neighbours fall silent together; after the copy from one of them timed out, that from the other is not answered either ('node n1: ...: no answer in 0.5 s').

--- a/tests/test_operator_copies.py
+++ b/tests/test_operator_copies.py
@@ -10,8 +10,13 @@
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 from fielddrift_node.serving.feeds import FeedTools, OperatorFeed
 from fielddrift_node.serving.ports import OutOfReach
-from fielddrift_node.serving.sharing import OperatorCopy
+from fielddrift_node.serving.sharing import OperatorCopy, PeerHandler, Peers
 from fielddrift_node.serving.views import Views
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.server import Limits, Server
+from fielddrift_standins.relay import Relay
+
+from .platform_fleet import HOST, free_port
 
 MOST_ASKED = 10
 """Copies asked for before the test gives up."""
@@ -111,3 +116,44 @@
         self._tell("good")
         await self._settle()
         self.assertEqual(len(self.peers.asked), asked)
+
+
+class TestSilentPaths(unittest.IsolatedAsyncioTestCase):
+    """Connections between nodes fall silent together, without a reset; new ones work.
+
+    Symptom: a copy from the first neighbour times out, and so does that from the next one,
+    0.5 s each, one for every neighbour with a kept connection.  Cause: what was learned of
+    one neighbour's connection was kept to that neighbour.  Worked out, not seen in a day:
+    a catalog that the reader finds 1.9 s after a silence, twice 0.5 s and a heartbeat's
+    0.15 s make 3.05 s, and 3 s is when it is to be in force.
+    """
+
+    async def asyncSetUp(self) -> None:
+        views = Views()
+        views.named["m"] = 7
+        self.server = Server(handler=PeerHandler(views=views).handle, limits=Limits)
+        address = f"{HOST}:{free_port()}"
+        await self.server.start(HOST, int(address.split(":")[1]))
+        self.relays = [Relay(address=address) for _ in range(2)]
+        self.nodes = []
+        for number, relay in enumerate(self.relays):
+            peer = f"{HOST}:{free_port()}"
+            await relay.start(HOST, int(peer.split(":")[1]))
+            self.nodes.append(neighbour(f"n{number}")._replace(peer=peer))
+        self.client = Client()
+        self.peers = Peers(client=self.client)
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        for relay in self.relays:
+            relay.close()
+        self.server.close()
+
+    async def test_after_one_silent_neighbour_the_next_is_asked_over_a_new_connection(self) -> None:
+        for node in self.nodes:
+            await self.peers.operators(node)
+        self.assertEqual([relay.silence() for relay in self.relays], [1, 1])
+        with self.assertRaises(OutOfReach):
+            await self.peers.operators(self.nodes[0])
+        for node in reversed(self.nodes):
+            self.assertEqual((await self.peers.operators(node)).named, {"m": 7})
