Show that hurrying the reading of the operators' rows can call it off for ever

A test that fails: a slow store, and readings of the targets that work now and then; each calls off the plain reading of the operators' rows that it wants to hurry (0 readings of ten hurries ended). hurry() is split from again() without a change of what it does.

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -149,6 +149,10 @@
             self._ahead[heartbeat.node.name] = heartbeat
             self._told.set()
 
+    def hurry(self) -> None:
+        """Read at once, for a call that waits may be lost."""
+        self.again()
+
     def again(self) -> None:
         """Read at once, leaving a call that may be lost."""
         self._hurry = True
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -116,7 +116,7 @@
         feed_tools = FeedTools(platform, peers, self._neighbours, self._views, rng)
         self._operators = OperatorFeed(tools=feed_tools, changed=self._operators_changed)
         self._targets = TargetFeed(
-            tools=feed_tools, changed=self._gossip.changed, returned=self._operators.again
+            tools=feed_tools, changed=self._gossip.changed, returned=self._operators.hurry
         )
         self._store_tracker = StoreTracker(
             views=self._views,
--- a/tests/test_operator_copies.py
+++ b/tests/test_operator_feed.py
@@ -1,4 +1,4 @@
-"""A node copies the operators' rows from whoever is ahead, also when one of those hangs."""
+"""A node has the operators' rows from whoever is ahead, or by a reading that it lets end."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 from fielddrift_node.serving.feeds import FeedTools, OperatorFeed
-from fielddrift_node.serving.ports import OutOfReach
+from fielddrift_node.serving.ports import NamedWeights, OperatorNews, OutOfReach
 from fielddrift_node.serving.sharing import OperatorCopy, PeerHandler, Peers
 from fielddrift_node.serving.views import Views
 from fielddrift_node.web.client import Client
@@ -20,6 +20,8 @@
 
 MOST_ASKED = 10
 """Copies asked for before the test gives up."""
+SLOW_TURNS = 40
+"""Turns of the event loop that a slow store takes for an answer."""
 
 
 def neighbour(name: str) -> Neighbour:
@@ -157,3 +159,76 @@
             await self.peers.operators(self.nodes[0])
         for node in reversed(self.nodes):
             self.assertEqual((await self.peers.operators(node)).named, {"m": 7})
+
+
+class SlowPlatform:
+    """A store that answers a plain reading after some turns of the loop, a long poll never."""
+
+    calls = 0
+
+    def __init__(self) -> None:
+        self.ended = 0
+
+    async def operator_news(self, after: int | None, wait: float) -> OperatorNews:
+        """Answer, slowly."""
+        if wait:
+            await asyncio.sleep(3600)
+        for _ in range(SLOW_TURNS):
+            await asyncio.sleep(0)
+        self.ended += 1
+        return OperatorNews(None, (NamedWeights("m", self.ended),), self.ended)
+
+
+class TestHurry(unittest.IsolatedAsyncioTestCase):
+    """The store is slow and answers the targets' readings now and then.
+
+    Symptom: the operators' rows grow old while the targets' entries are fresh again and
+    again.  Sequence: a targets' reading fails, the next one works and hurries the reading
+    of the operators' rows; that is still under way when the next pair has failed and
+    worked, and is called off to be hurried.  Cause: a hurry called off whatever was under
+    way, also the plain reading that it wants.  Settled by the readings that ended: none.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.platform = SlowPlatform()
+        tools = FeedTools(
+            platform=self.platform,  # type: ignore[arg-type]
+            peers=HungPeers(hung=set(), rows={}),  # type: ignore[arg-type]
+            neighbours=Neighbours(me=neighbour("me")),
+            views=Views(),
+            rng=random.Random(1),
+        )
+        self.views = tools.views
+        self.feed = OperatorFeed(tools=tools, changed=lambda: None)
+        self.task = asyncio.ensure_future(self.feed.run())
+        await self._turns(2)
+
+    async def asyncTearDown(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _turns(self, count: int) -> None:
+        for _ in range(count):
+            await asyncio.sleep(0)
+
+    async def test_a_plain_reading_is_not_called_off_to_hurry_it(self) -> None:
+        for _ in range(10):
+            self.feed.hurry()
+            await self._turns(SLOW_TURNS // 2)
+        self.assertGreater(self.platform.ended, 0)
+
+    async def test_a_long_poll_is_called_off_for_a_plain_reading(self) -> None:
+        await self._turns(4 * SLOW_TURNS)
+        self.assertEqual(self.platform.ended, 1)
+        self.feed.hurry()
+        await self._turns(4 * SLOW_TURNS)
+        self.assertEqual(self.platform.ended, 2)
+
+    async def test_after_a_pause_a_plain_reading_from_before_does_not_count(self) -> None:
+        await self._turns(SLOW_TURNS - 4)
+        self.views.stale.set()
+        self.feed.again()
+        await self._turns(SLOW_TURNS - 4)
+        self.assertEqual((self.platform.ended, self.views.stale.is_set()), (0, True))
+        await self._turns(2 * SLOW_TURNS)
+        self.assertFalse(self.views.stale.is_set())
