Hurry the reading of the operators' rows without calling off a plain one

Cause: a reading of the targets that works after one that failed hurries the reading of the operators' rows, and called off whatever was under way, also the plain reading that it wanted.

Ruled out: the same after a pause of the process; an answer from before it would pass for a new one, so that call is still left.

Change: hurry() calls off a long poll only; a plain reading ends, and another follows it.

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -135,6 +135,8 @@
         super().__init__(what="operators' rows", tools=tools, changed=changed)
         self._call: asyncio.Task[None] | None = None
         self._hurry = False
+        self._waiting = False
+        """Whether the call under way is a long poll."""
         self._ahead: dict[str, Heartbeat] = {}
         """Nodes that told of something newer, by name, the first to be asked first."""
         self._told = asyncio.Event()
@@ -150,11 +152,14 @@
             self._told.set()
 
     def hurry(self) -> None:
-        """Read at once, for a call that waits may be lost."""
-        self.again()
+        """Read at once, for a long poll may be lost."""
+        self._hurry = True
+        # A plain reading ends by itself: called off at each hint, it might never.
+        if self._call is not None and self._waiting:
+            self._call.cancel()
 
     def again(self) -> None:
-        """Read at once, leaving a call that may be lost."""
+        """Read at once, leaving any call: its answer may be from before a pause."""
         self._hurry = True
         if self._call is not None:
             self._call.cancel()
@@ -206,6 +211,7 @@
         """Return what the platform tells, None for a long poll that fell silent."""
         loop = asyncio.get_running_loop()
         began = loop.time()
+        self._waiting = wait > 0
         try:
             return await self._platform.operator_news(self._after, wait)
         except OutOfReach as error:
@@ -217,6 +223,8 @@
                 # Reset, not silent: without a rest it could be so again and again.
                 raise
             return None
+        finally:
+            self._waiting = False
 
     # --- what other nodes know ----------------------------------------------------
 
