Guard when nodes that stand by read for themselves; say how silence is noticed

Worked out by walking heartbeats in made-up time, with all active nodes of a data centre ended at once: 1.05 s until one of those that stand by reads for itself at 4 nodes and at 9 of 18, 1.75 s at 31 of 41 (longer periods between heartbeats). A look takes up to 0.3 s more. The bounds are 2 s, and 3 s in large deployments: no fault found.

--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from typing import ClassVar
 
@@ -102,6 +103,53 @@
         self.assertEqual(found, {"s1": "listener", "s2": "n3"})
 
 
+class TestStandIn(unittest.TestCase):
+    """All active nodes of a data centre end at once: when do those that stand by read?"""
+
+    STEP = 0.05
+    END = 5.0
+
+    def _seconds(self, near: int, far: int) -> float:
+        """Return how long nobody that is left in the data centre reads for itself."""
+        everyone = [neighbour(f"n{n:02}") for n in range(near)]
+        everyone += [neighbour(f"f{n:02}", "b") for n in range(far)]
+        views = {node.name: Neighbours(me=node) for node in everyone}
+        for view, node in itertools.product(views.values(), everyone):
+            view.introduce(node)
+        read: dict[str, float] = {}
+        ended: frozenset[str] = frozenset()
+        for step in itertools.count():
+            now = step * self.STEP
+            if now >= self.END and not ended:
+                ended = views["n00"].active(now)
+            for name in [name for name in views if name not in ended]:
+                view = views[name]
+                view.report(serving=True, load=1.0)
+                seen, active = view.readings(now), view.active(now)
+                if not source(name, "platform", seen, active=active).name:
+                    read[name] = now
+                    if ended and name.startswith("n"):
+                        return now - self.END
+                self._tell(views, name, now - read.get(name, float("-inf")), now)
+        raise AssertionError("not reached")
+
+    def _tell(self, views: dict[str, Neighbours], name: str, age: float, now: float) -> None:
+        view = views[name]
+        for node in view.due(now):
+            told = heartbeat(view.me)._replace(
+                reading=Reading(age=age, operators_age=age),
+                active=view.is_active(now),
+                period=view.period(view.standing(node, now), now),
+            )
+            views[node.name].hear(told, now)
+
+    def test_those_that_stand_by_read_in_time_for_a_new_catalog(self) -> None:
+        # A look each 0.3 s, a call and a copy come after it: a catalog is in force 2 s after
+        # it was acknowledged, 3 s in large deployments, whose heartbeats are further apart.
+        for near, far, seconds in ((4, 0, 1.5), (9, 9, 1.5), (31, 10, 2.5)):
+            self.assertLessEqual(self._seconds(near, far), seconds, (near, far))
+
+
 class TestNeighbours(unittest.TestCase):
     def setUp(self) -> None:
         self.view = Neighbours(me=neighbour("me"))
