Say in a copy which entries are held, and until when

Cause: an entry that ended while the store gave its reader no answer is held for a respite of 2.3 s, but a copy of the reader's list did not say so. The neighbour took it for settled, cleared what it held itself, and its own feed stood behind the end. Three ways led to an entry that stayed for good or came back: reading on after the copy; two nodes that copied it from each other; and copying it back from who held it, after the own reading had told the end.

Ruled out: an end that is never read (each test's log has the lapse at the reader); copies of equal row that lack newer knowledge otherwise, for rows are compared.

Change: a copy gives the seconds left of each held entry. The copier counts them from when it asked, so that handing on never prolongs them, holds an entry no longer than it did already, and gives it up by its own clock while it relies on others. It holds only what it lists, and only if the store gave it no answer either since what it knew last: for any other node the entry has ended. A lapse and a return change the serial, or who copied an entry as held would not hear that it is back.

Weighed: a node that lost nothing could hold what its reader holds. It would send to a target for up to 2.3 s after the reader's return though the store was up all the while; the price is that in an outage which only the reader noticed (under about 1.3 s) the others lack lapsed entries until they are back.

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -42,7 +42,7 @@
         self._by_service: dict[str, list[Instance]] = {}
         self._respite_until = 0.0
         self.serial = 0
-        """Rises with each change of what is listed."""
+        """Rises with each change of what is listed or lapsed."""
 
     def __len__(self) -> int:
         return len(self._instances)
@@ -65,19 +65,21 @@
 
     def heard(self, instance: Instance, now: float) -> None:
         """Take an entry."""
-        self._lapsed.pop(instance.name, None)
+        returned = self._lapsed.pop(instance.name, None) is not None
         if instance.leaving:
             self._leaving.add(instance.name)
-        if self._instances.get(instance.name) != instance:
+        # Who copied the entry as lapsed gives it up unless it hears of the return.
+        if returned or self._instances.get(instance.name) != instance:
             self._instances[instance.name] = instance
             self._sort()
 
     def gone(self, name: str, now: float) -> None:
         """Take the end of an entry; during a respite, wait for its return first."""
-        if name not in self._instances:
+        if name not in self._instances or name in self._lapsed:
             return
         if now < self._respite_until:
-            self._lapsed.setdefault(name, self._respite_until)
+            self._lapsed[name] = self._respite_until
+            self._sort()
             return
         self._remove(name)
 
@@ -95,14 +97,29 @@
             self._leaving.add(name)
             self._sort()
 
-    def copied(self, entries: Iterable[Instance], leaving: Iterable[str]) -> None:
-        """Take another node's whole list; it has waited out what lapsed."""
-        self._instances = {entry.name: entry for entry in entries}
-        self._lapsed.clear()
-        kept = self._leaving & self._instances.keys()
-        self._leaving = (
-            kept | set(leaving) | {e.name for e in self._instances.values() if e.leaving}
-        )
+    def copied(
+        self,
+        entries: Iterable[Instance],
+        leaving: Iterable[str],
+        lapsed: Mapping[str, float] = {},
+        *,
+        lost: bool = False,
+    ) -> None:
+        """Take another node's whole list; `lapsed` gives until when it holds what has ended.
+
+        This node holds such an entry no longer than either of them, and only if it lists
+        it and has `lost` the store too: for a node that has not, the entry has ended.
+        """
+        # A held entry that was taken for settled would stay: its end lies behind this list.
+        held = {
+            name: min(until, self._lapsed.get(name, until))
+            for name, until in lapsed.items()
+            if name in self._lapsed or (lost and name in self._instances)
+        }
+        self._instances = {e.name: e for e in entries if e.name in held or e.name not in lapsed}
+        self._lapsed = held
+        told = {*leaving, *(e.name for e in self._instances.values() if e.leaving)}
+        self._leaving = (self._leaving | told) & self._instances.keys()
         self._sort()
 
     def leaving(self) -> frozenset[str]:
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -306,8 +306,9 @@
         super().__init__(what="target entries", tools=tools, changed=changed)
         self._returned = returned
         self._copied: tuple[str, int] = ("", -1)
-        self._outage = False
-        """Whether entries may have lapsed unseen since they were last read or copied."""
+        self._lost_at: float | None = None
+        """When the store last gave no answer, None once the list is known as of later:
+        entries may have lapsed unseen since."""
         self._wake = asyncio.Event()
 
     def heard(self, name: str, reading: Reading) -> None:
@@ -330,7 +331,7 @@
                 self._after = None
                 continue
             except OutOfReach as error:
-                self._outage = True
+                self._lost_at = asyncio.get_running_loop().time()
                 await self._rests.failed(error)
                 continue
             self._wake.clear()
@@ -339,20 +340,34 @@
 
     async def _turn(self) -> float:
         """Bring the list up to date; return the seconds until the next turn."""
-        loop = asyncio.get_running_loop()
         chosen = self.reader()
-        if chosen is not None and not self._views.stale.is_set():
-            reading = self._neighbours.readings(loop.time()).get(chosen.name, Reading())
-            if (chosen.name, reading.serial) == self._copied or (
-                reading.targets < self._views.targets_row
-            ):
-                return _LISTEN_SECONDS
-            if await self._copy(chosen):
-                return _LISTEN_SECONDS
+        if chosen is not None and not self._views.stale.is_set() and await self._rely_on(chosen):
+            return _LISTEN_SECONDS
         await self._read()
         return READ_SECONDS
 
+    async def _rely_on(self, chosen: Neighbour) -> bool:
+        """Follow what another node lists; return whether it could be asked."""
+        now = asyncio.get_running_loop().time()
+        reading = self._neighbours.readings(now).get(chosen.name, Reading())
+        if reading.targets >= self._views.targets_row:
+            if (chosen.name, reading.serial) != self._copied and not await self._copy(chosen):
+                return False
+            if self._lost_at is not None and now - reading.age > self._lost_at:
+                self._lost_at = None
+        self._give_up(chosen.name)
+        return True
+
+    def _give_up(self, told_by: str) -> None:
+        """Give up entries whose respite is over, as a reading does."""
+        now = asyncio.get_running_loop().time()
+        before = Listing.of(self._views.registry, now)
+        if before.lapsed:
+            self._views.registry.tick(now)
+            self._log_changes(before, told_by)
+
     async def _copy(self, chosen: Neighbour) -> bool:
+        asked_at = asyncio.get_running_loop().time()
         try:
             copy = await self._peers.targets(chosen)
         except OutOfReach as error:
@@ -360,14 +375,14 @@
             return False
         if copy.row < self._views.targets_row:
             return False
-        now = asyncio.get_running_loop().time()
-        before = Listing.of(self._views.registry, now)
-        self._views.registry.copied(copy.entries, copy.leaving)
+        before = Listing.of(self._views.registry, asyncio.get_running_loop().time())
+        # Counted from the question: no respite grows longer by being handed on.
+        lapsed = {name: asked_at + seconds for name, seconds in copy.lapsed.items()}
+        lost = self._lost_at is not None
+        self._views.registry.copied(copy.entries, copy.leaving, lapsed, lost=lost)
         self._views.targets_row = copy.row
         self._after = copy.row
         self._copied = (chosen.name, copy.serial)
-        # The reader has waited out what lapsed while the store was away, if it was.
-        self._outage = False
         _log.info(
             "targets copied",
             told_by=chosen.name,
@@ -382,10 +397,10 @@
         news = await self._platform.target_news(self._after)
         now = asyncio.get_running_loop().time()
         registry = self._views.registry
-        if self._outage:
+        if self._lost_at is not None:
             registry.store_returned(now)
             self._returned()
-        self._outage = False
+        self._lost_at = None
         self._rests.worked()
         serial, before = registry.serial, Listing.of(registry, now)
         if news.whole:
--- a/tests/test_target_views.py
+++ b/tests/test_target_views.py
@@ -72,3 +72,65 @@
         self.fleet.wait(_SETTLED_SECONDS)
         listed = {"y", "z"}
         self.assertEqual(self.lists(), {SECOND: listed, THIRD: listed})
+
+    def test_an_end_that_was_read_is_not_taken_back_from_who_holds_it(self) -> None:
+        fleet = self.fleet
+        others = [frozenset((FIRST, name)) for name in (SECOND, THIRD)]
+        fleet.nodes[FIRST].cut_off = True
+        fleet.wait(1.0)
+        # The first node alone lost the store, and reaches nobody either.
+        fleet.parted.update(others)
+        fleet.wait(1.5)
+        fleet.store.end("x")
+        fleet.wait(1.0)
+        self.assertEqual(fleet.nodes[SECOND].lists, {"y"})
+        fleet.nodes[FIRST].cut_off = False
+        fleet.wait(1.0)
+        self.assertIn(("target entry lapsed", "platform"), self.events("x"))
+        fleet.parted.clear()
+        for _ in range(20):
+            fleet.wait(0.1)
+            self.assertEqual(fleet.nodes[SECOND].lists, {"y"})
+            self.assertEqual(fleet.nodes[THIRD].lists, {"y"})
+        copies = [e["told_by"] for e in self.lines[-20:] if e["event"] == "targets copied"]
+        self.assertIn(FIRST, copies, "nobody has copied it")
+
+    def test_nodes_that_copy_from_each_other_do_not_hand_an_end_round(self) -> None:
+        self.end_in_outage("x")
+        self.fleet.store.enter("z")
+        self.fleet.wait(1.0)
+        # The node that holds the entry loses the store anew, and relies on those that copied it.
+        self.fleet.nodes[FIRST].cut_off = True
+        for name in (SECOND, THIRD):
+            self.fleet.nodes[name].cut_off = False
+        self.fleet.wait(_SETTLED_SECONDS)
+        self.fleet.store.forget()
+        self.fleet.nodes[FIRST].cut_off = False
+        self.fleet.wait(_SETTLED_SECONDS)
+        self.assertEqual(self.lists(), dict.fromkeys(NAMES, {"y", "z"}))
+
+    def test_a_node_that_lost_nothing_holds_no_end(self) -> None:
+        fleet = self.fleet
+        # The first node is away for less than the others notice.
+        fleet.nodes[FIRST].cut_off = True
+        while not self._lost(FIRST):
+            fleet.wait(0.05)
+        fleet.store.end("x")
+        fleet.nodes[FIRST].cut_off = False
+        fleet.wait(0.5)
+        self.assertIn(("target entry lapsed", "platform"), self.events("x"))
+        fleet.store.enter("z")
+        fleet.wait(1.2)
+        self.assertEqual(fleet.nodes[SECOND].lists, {"y", "z"})
+
+    def test_an_entry_that_lapsed_and_returned_is_kept_by_those_who_copied_it(self) -> None:
+        self.end_in_outage("x")
+        self.fleet.store.enter("z")
+        self.fleet.wait(0.5)
+        self.fleet.store.enter("x")
+        for _ in range(50):
+            self.fleet.wait(0.1)
+            self.assertEqual([n for n, listed in self.lists().items() if "x" not in listed], [])
+
+    def _lost(self, name: str) -> bool:
+        return self.fleet.nodes[name].failed_at > 0
