Keep in the platform's table when weights were named

Cause: only living nodes knew since when weights were outdated. Where all began anew in the middle of a rollout each counted from its own start, sent to older weights for up to 7 s more, and the order of loads and the last resort of loading many at once were late by as much. Change: a row a model in a table of its own, on the platform's steady clock. The first node in line for the duty writes it, with the duty or without, once a version; a node reads all rows once after its start, and only where weights were named before it began. A reading that fails is repeated while the node serves. Of two writers the earliest times stand; an answer lost is found by the next reading; a row keeps four versions; rows that are not understood are replaced. Errors of the clock make a naming earlier, never later. Calls in `test_named_rows`: one reading and one write for a node's first version, one write for each later one, one reading for a start. Conclusion: time for older weights counts from the naming through any number of starts. Until its reading has come through, a node that begins alone counts from its start: that takes an outage of the table besides.

--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -26,6 +26,7 @@
     "may_take",
     "next_loads",
     "soon_loading",
+    "times_to_save",
 ]
 
 LEASE_SECONDS = 1.2
@@ -40,8 +41,11 @@
 _REMEMBERED_PLACES = 16
 """Rollouts whose order is remembered: some models at a time, each with a few sets of engines."""
 _MOST_TOLD = 4
-"""Versions of a model whose ages are told: the time for older weights is over before
-operators name a fifth."""
+"""Versions of a model whose ages are told and saved: the time for older weights is over
+before operators name a fifth."""
+_SAVED_ERROR_SECONDS = 0.5
+"""Seconds by which a saved naming may be later than a node knows it to be: reading the
+platform's clock is off by as much as the call takes."""
 
 
 class DutyRow(NamedTuple):
@@ -116,14 +120,43 @@
         newer = [Naming(version, at) for version, at in times.items() if version > weights]
         return min(newer, key=lambda naming: naming.at, default=None)
 
+    def newest(self, model: str) -> dict[int, float]:
+        """Return when the newest versions of `model` became known."""
+        return _newest(self._times.get(model, {}))
+
     def ages(self, now: float) -> tuple[VersionAge, ...]:
         """Return the ages of the newest versions of each model."""
         return tuple(
-            VersionAge(model, version, now - times[version])
-            for model, times in self._times.items()
-            for version in sorted(times)[-_MOST_TOLD:]
+            VersionAge(model, version, now - at)
+            for model in self._times
+            for version, at in self.newest(model).items()
         )
 
+    def restored(self, model: str, saved: Mapping[int, float], clock: StoreClock) -> None:
+        """Take when versions of `model` were named on the platform's clock."""
+        for version, moment in saved.items():
+            self.heard(model, version, clock.local(moment))
+
+
+def times_to_save(
+    own: Mapping[int, float], *, saved: Mapping[int, float], clock: StoreClock
+) -> dict[int, float] | None:
+    """Return when versions were named on the platform's clock, None when `saved` says it.
+
+    `own` are local times.  Of each version the earliest time counts.
+    """
+    times = dict(saved)
+    for version, at in own.items():
+        moment = clock.earliest(at)
+        if moment < times.get(version, float("inf")) - _SAVED_ERROR_SECONDS:
+            times[version] = moment
+    times = _newest(times)
+    return None if times == saved else times
+
+
+def _newest(times: Mapping[int, float]) -> dict[int, float]:
+    return {version: times[version] for version in sorted(times)[-_MOST_TOLD:]}
+
 
 class EngineWeights(NamedTuple):
     """An engine as the rollout sees it; `outdated` is the seconds for which its weights
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -0,0 +1,118 @@
+"""Keep in the platform's table when weights were named, beyond the life of every node.
+
+A row a model, timed by the platform's steady clock.  Every error of a reading
+makes a naming earlier, so that no node sends to older weights for longer than
+it may.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import NamedTuple, TypedDict
+
+import msgspec
+import structlog
+from fielddrift_core.rollout import StoreClock, times_to_save
+
+from .feeds import Rests
+from .ports import OutOfReach, Platform, RowWrite, SavedRow
+from .views import Views
+
+__all__ = ["NamedRows"]
+
+TABLE = "namings"
+_MOST_TRIES = 3
+"""Writes of one row in a row that another node's write may come before."""
+
+_log = structlog.get_logger()
+
+
+class _NamedRow(TypedDict):
+    """When versions were named, on the platform's clock in seconds; fields may be added."""
+
+    times: dict[int, float]
+
+
+class _Saved(NamedTuple):
+    times: Mapping[int, float]
+    version: int
+
+
+_ABSENT = _Saved({}, 0)
+
+
+class NamedRows:
+    """Read at the start when weights were named, and save it once a version."""
+
+    def __init__(self, *, platform: Platform, views: Views, rng: random.Random) -> None:
+        self._platform = platform
+        self._views = views
+        self._saved: dict[str, _Saved] = {}
+        self._clock: StoreClock | None = None
+        self._operators_read = asyncio.Event()
+        self._rests = Rests(what="rows of named weights", rng=rng)
+
+    def look(self) -> None:
+        """Take that the operators' rows may have been read for the first time."""
+        if self._views.catalog is not None:
+            self._operators_read.set()
+
+    async def run(self) -> None:
+        """Read the rows once, if weights were named before this node began.
+
+        The node serves meanwhile, and counts from its own reading.
+        """
+        await self._operators_read.wait()
+        while self._views.named and self._clock is None:
+            try:
+                await self._read()
+                self._rests.worked()
+            except OutOfReach as error:
+                await self._rests.failed(error)
+
+    async def save(self, model: str) -> None:
+        """Save when versions of `model` were named, unless that is done; raise `OutOfReach`."""
+        for _ in range(_MOST_TRIES):
+            clock = self._clock or await self._read()
+            saved = self._saved.get(model, _ABSENT)
+            own = self._views.named_times.newest(model)
+            times = times_to_save(own, saved=saved.times, clock=clock)
+            if times is None or await self._write(model, times, saved.version):
+                return
+            # Another node has written: its row tells what is missing now.
+            self._clock = None
+        _log.warning("namings not saved", model=model, tries=_MOST_TRIES)
+
+    async def _write(self, model: str, times: dict[int, float], expect: int) -> bool:
+        loop = asyncio.get_running_loop()
+        value = msgspec.json.encode(_NamedRow(times=times))
+        sent = loop.time()
+        outcome = await self._platform.write(TABLE, [RowWrite(model, value, expect)])
+        if not outcome.done:
+            return False
+        self._clock = StoreClock(outcome.clock, sent, loop.time())
+        self._saved[model] = _Saved(times, outcome.version)
+        _log.info("namings saved", model=model, versions=sorted(times), row=outcome.version)
+        return True
+
+    async def _read(self) -> StoreClock:
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        rows, moment = await self._platform.rows(TABLE)
+        self._clock = clock = StoreClock(moment, sent, loop.time())
+        for row in rows:
+            self._take(row, clock)
+        return clock
+
+    def _take(self, row: SavedRow, clock: StoreClock) -> None:
+        try:
+            times = msgspec.json.decode(row.value, type=_NamedRow)["times"]
+        except msgspec.DecodeError as error:
+            _log.error("row of named weights not understood", row=row.key, error=str(error))
+            times = {}
+        self._saved[row.key] = _Saved(times, row.version)
+        self._views.named_times.restored(row.key, times, clock)
+        ages = {str(version): round(clock.clock - at, 3) for version, at in times.items()}
+        _log.info("namings read", model=row.key, seconds=ages, row=row.version)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -24,6 +24,7 @@
 from .gossip import Gossip, Reach
 from .heartbeats import HeartbeatTranslator
 from .metrics import Metrics, MetricsHandler
+from .named_rows import NamedRows
 from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
 from .rollout_runner import RolloutRunner
 from .settings import NodeSettings
@@ -126,6 +127,7 @@
             metrics=self._metrics,
             rng=rng,
         )
+        self._named_rows = NamedRows(platform=platform, views=self._views, rng=rng)
         duty = Duty(
             name="weights",
             holder=f"{settings.name}@{settings.host}",
@@ -137,6 +139,7 @@
             neighbours=self._neighbours,
             targets=dialects.targets,
             duty=duty,
+            named_rows=self._named_rows,
             weights_seconds=settings.bounds.weights,
             metrics=self._metrics,
             announce=lambda: self._gossip.changed(Reach.EVERYWHERE),
@@ -205,6 +208,7 @@
             self._operators.run,
             self._targets.run,
             self._join,
+            self._named_rows.run,
             self._gossip.run,
             self._store_tracker.run,
             self._rollout_runner.run,
@@ -354,6 +358,7 @@
 
     def _operators_changed(self) -> None:
         self._report()
+        self._named_rows.look()
         self._store_tracker.look()
         self._gossip.changed()
 
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -13,6 +13,7 @@
 
 from .duty import Duty
 from .metrics import Metrics
+from .named_rows import NamedRows
 from .ports import EngineReport, OutOfReach, TargetDialect, WeightsOrder
 from .views import Views
 
@@ -60,6 +61,7 @@
         neighbours: Neighbours,
         targets: TargetDialect,
         duty: Duty,
+        named_rows: NamedRows,
         weights_seconds: float,
         metrics: Metrics,
         announce: Callable[[], None],
@@ -69,6 +71,7 @@
         self._neighbours = neighbours
         self._targets = targets
         self._duty = duty
+        self._named_rows = named_rows
         self._weights_seconds = weights_seconds
         self._announce = announce
         self._under_way: dict[str, asyncio.Task[None]] = {}
@@ -114,10 +117,13 @@
             self._since = now
         if not self._duty.held() and now - self._since < self._place() * _STAND_IN_SECONDS:
             return
-        if not await self._duty.take():
-            return
+        if await self._duty.take():
+            for item in work:
+                self._begin(item, now)
+        # Without the duty too: a last holder's turn may take seconds, and until it is
+        # over only living nodes would know since when weights are outdated.
         for item in work:
-            self._begin(item, now)
+            await self._named_rows.save(item.model)
 
     def _place(self) -> int:
         """Return this node's place in the line of those that may do the work.
--- /dev/null
+++ b/tests/test_named_rows.py
@@ -0,0 +1,233 @@
+"""The rows that keep when weights were named: read once, written once a version, never late."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+from fielddrift_core.catalog import Catalog
+from fielddrift_core.rollout import NamedTimes, StoreClock, times_to_save
+from fielddrift_node.serving.named_rows import TABLE, NamedRows
+from fielddrift_node.serving.ports import NamedWeights, Outcome, OutOfReach, RowWrite, SavedRow
+from fielddrift_node.serving.views import Views
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+_CLOCK_AHEAD = 5000.0
+"""Seconds by which the table's clock is ahead of the nodes'."""
+_CALL = st.floats(0, 0.7)
+
+
+class Table:
+    """The table `namings`, whose clock runs with the loop's; `down` refuses every call."""
+
+    def __init__(self) -> None:
+        self.rows_by_key: dict[str, SavedRow] = {}
+        self.calls: list[str] = []
+        self.down = False
+        self.lose_answers = 0
+        self._version = 0
+
+    def put(self, key: str, value: bytes) -> None:
+        self._version += 1
+        self.rows_by_key[key] = SavedRow(key, value, self._version)
+
+    def times(self, model: str) -> dict[int, float]:
+        kept: dict[int, float] = msgspec.json.decode(
+            self.rows_by_key[model].value, type=dict[str, dict[int, float]]
+        )["times"]
+        return kept
+
+    async def rows(self, table: str) -> tuple[list[SavedRow], float]:
+        self._called(table, "read")
+        return list(self.rows_by_key.values()), _platform_now()
+
+    async def write(self, table: str, writes: list[RowWrite]) -> Outcome:
+        self._called(table, "write")
+        (write,) = writes
+        held = self.rows_by_key.get(write.key, SavedRow(write.key, b"", 0))
+        if held.version != write.expect:
+            return Outcome(False, self._version, _platform_now())
+        assert write.value is not None
+        self.put(write.key, write.value)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise OutOfReach("answer lost")
+        return Outcome(True, self._version, _platform_now())
+
+    def _called(self, table: str, what: str) -> None:
+        assert table == TABLE, table
+        self.calls.append(what)
+        if self.down:
+            raise OutOfReach("refused", sure=True)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _platform_now() -> float:
+    return _now() + _CLOCK_AHEAD
+
+
+def _catalog() -> Catalog:
+    return mock.Mock(spec=Catalog, version=1, stores=[])
+
+
+class Node:
+    """What a node knows of namings, and its rows."""
+
+    def __init__(self, table: Table) -> None:
+        self.views = Views()
+        self.rows = NamedRows(platform=table, views=self.views, rng=random.Random(1))  # type: ignore[arg-type]
+
+    def hears(self, version: int, seconds_ago: float = 0.0) -> None:
+        self.views.take_weights(NamedWeights("m", version), _now() - seconds_ago)
+
+    def begins(self) -> asyncio.Task[None]:
+        """Start reading, as a node does whose operators' rows were read."""
+        self.views.take_catalog(_catalog())
+        self.rows.look()
+        return asyncio.ensure_future(self.rows.run())
+
+    def outdated(self, weights: int) -> float:
+        return self.views.outdated_seconds("m", weights, _now())
+
+
+@mock.patch("fielddrift_node.serving.named_rows._log", mock.Mock())
+class TestNamedRows(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.table = Table()
+
+    async def test_a_node_that_begins_anew_counts_from_what_was_saved(self) -> None:
+        first, second = Node(self.table), Node(self.table)
+        first.hears(2, seconds_ago=5.0)
+        await first.rows.save("m")
+        second.hears(2)
+        await second.begins()
+        self.assertGreaterEqual(second.outdated(1), 5.0)
+        self.assertLess(second.outdated(1), 6.0)
+
+    async def test_a_version_is_written_once_and_a_start_reads_once(self) -> None:
+        first, second = Node(self.table), Node(self.table)
+        first.hears(2)
+        for _ in range(5):
+            await first.rows.save("m")
+        self.assertEqual(self.table.calls, ["read", "write"])
+        first.hears(3)
+        for _ in range(5):
+            await first.rows.save("m")
+        self.assertEqual(self.table.calls, ["read", "write", "write"])
+        second.hears(3)
+        await second.begins()
+        await second.rows.save("m")
+        self.assertEqual(self.table.calls, ["read", "write", "write", "read"])
+
+    async def test_nothing_is_read_where_nothing_was_named(self) -> None:
+        await Node(self.table).begins()
+        self.assertEqual(self.table.calls, [])
+
+    async def test_of_two_writers_the_earliest_times_and_all_versions_stand(self) -> None:
+        one, two = Node(self.table), Node(self.table)
+        one.hears(2, seconds_ago=4.0)
+        two.hears(2, seconds_ago=1.0)
+        two.hears(3, seconds_ago=1.0)
+        for node in (one, two):
+            # Both have read before either writes.
+            await node.rows._read()
+        await two.rows.save("m")
+        await one.rows.save("m")
+        await two.rows.save("m")
+        times = self.table.times("m")
+        self.assertEqual(sorted(times), [2, 3])
+        self.assertGreaterEqual(_platform_now() - times[2], 4.0)
+        self.assertLess(_platform_now() - times[3], 2.0)
+
+    async def test_a_write_whose_answer_is_lost_is_found_done(self) -> None:
+        node = Node(self.table)
+        node.hears(2, seconds_ago=3.0)
+        self.table.lose_answers = 1
+        with self.assertRaises(OutOfReach):
+            await node.rows.save("m")
+        kept = self.table.rows_by_key["m"]
+        await node.rows.save("m")
+        self.assertEqual(self.table.rows_by_key["m"], kept)
+
+    async def test_a_table_out_of_reach_at_the_start_is_read_later(self) -> None:
+        first, second = Node(self.table), Node(self.table)
+        first.hears(2, seconds_ago=5.0)
+        await first.rows.save("m")
+        self.table.down = True
+        second.hears(2)
+        reading = second.begins()
+        while self.table.calls.count("read") < 3:
+            await asyncio.sleep(0)
+            await asyncio.sleep(0.01)
+        self.assertLess(second.outdated(1), 5.0)
+        self.table.down = False
+        await reading
+        self.assertGreaterEqual(second.outdated(1), 5.0)
+
+    async def test_a_row_that_is_not_understood_is_replaced(self) -> None:
+        for value in (b"", b"[]", b'{"other": 1}', b'{"times": {"x": 1}}'):
+            with self.subTest(value=value):
+                self.table.put("m", value)
+                node = Node(self.table)
+                node.hears(2)
+                await node.begins()
+                await node.rows.save("m")
+                self.assertEqual(list(self.table.times("m")), [2])
+
+    async def test_a_row_with_more_fields_than_known_is_understood(self) -> None:
+        self.table.put("m", b'{"times": {"2": %d}, "more": [1]}' % int(_platform_now() - 7.0))
+        node = Node(self.table)
+        node.hears(2)
+        await node.begins()
+        self.assertGreaterEqual(node.outdated(1), 7.0)
+
+    async def test_a_row_does_not_grow_with_the_versions(self) -> None:
+        node = Node(self.table)
+        for version in range(2, 30):
+            node.hears(version)
+            await node.rows.save("m")
+        self.assertEqual(sorted(self.table.times("m")), [26, 27, 28, 29])
+
+
+class TestSavedTimes(unittest.TestCase):
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.floats(0, 100), _CALL, _CALL, _CALL, _CALL, st.floats(0, 30), st.floats(-50, 50))
+    def test_no_call_however_slow_makes_a_naming_later(
+        self,
+        named: float,
+        out: float,
+        back: float,
+        later_out: float,
+        later_back: float,
+        later: float,
+        skew: float,
+    ) -> None:
+        # The platform's clock shows the true time; the second node's clock is skewed.
+        clock = StoreClock(named + out, named, named + out + back)
+        saved = times_to_save({2: named}, saved={}, clock=clock)
+        assert saved is not None
+        self.assertLessEqual(saved[2], named + 1e-6)
+        asked = named + later
+        other = StoreClock(asked + later_out, asked + skew, asked + skew + later_out + later_back)
+        times = NamedTimes()
+        times.restored("m", saved, other)
+        at = times.at("m", 2)
+        assert at is not None
+        self.assertLessEqual(at - skew, named + 1e-6)
+        self.assertGreaterEqual(at - skew, named - back - later_out - 1e-6)
+
+    def test_nothing_is_saved_that_stands_there_already(self) -> None:
+        clock = StoreClock(100.0, 10.0, 10.2)
+        saved = times_to_save({2: 9.0, 3: 10.0}, saved={}, clock=clock)
+        assert saved is not None
+        self.assertIsNone(times_to_save({2: 9.0, 3: 10.0}, saved=saved, clock=clock))
+        self.assertIsNone(times_to_save({2: 8.8, 3: 10.0}, saved=saved, clock=clock))
+        self.assertIsNotNone(times_to_save({2: 8.0, 3: 10.0}, saved=saved, clock=clock))
+        self.assertIsNone(times_to_save({}, saved=saved, clock=clock))
