Show that a prompt waits at its engine beyond the time for older weights

Cause: prompts go to older weights for seven tenths of the time and may wait as long as they like: what may be repeated for four estimates or two aims, work that may run only once, and a last attempt, until the deadline. Ruled out: the moment that a node counts from (it is right here).

--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -209,6 +209,16 @@
         raise
 
 
+@fault("queue")
+async def _queue(exchange: _Exchange) -> None:
+    # It never begins, and so stands in `left` only.
+    try:
+        await asyncio.sleep(3600)
+    except asyncio.CancelledError:
+        exchange.worker.left.append(exchange.request_id)
+        raise
+
+
 @fault("cut-event")
 async def _cut_event(exchange: _Exchange) -> None:
     worker = exchange.worker
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -46,10 +46,17 @@
         self.nodes: list[RunningNode] = []
 
     async def node(
-        self, name: str = "node-1", *, store: str = "", data_centre: str = "a"
+        self,
+        name: str = "node-1",
+        *,
+        store: str = "",
+        data_centre: str = "a",
+        bounds: Bounds = BOUNDS,
     ) -> RunningNode:
         """Start a node and wait until it is ready; `store` is another way to the store."""
-        node = RunningNode(name=name, fleet=self, store=store, data_centre=data_centre)
+        node = RunningNode(
+            name=name, fleet=self, store=store, data_centre=data_centre, bounds=bounds
+        )
         self.nodes.append(node)
         await node.start()
         return node
@@ -64,7 +71,15 @@
 class RunningNode:
     """One node of the fleet."""
 
-    def __init__(self, *, name: str, fleet: Fleet, store: str = "", data_centre: str = "a") -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        fleet: Fleet,
+        store: str = "",
+        data_centre: str = "a",
+        bounds: Bounds = BOUNDS,
+    ) -> None:
         address = [f"{HOST}:{free_port()}" for _ in range(4)]
         self.settings = NodeSettings(
             name=name,
@@ -78,7 +93,7 @@
             gossip_port=free_port(),
             metrics=f"{HOST}:{free_port()}",
             seeds=(),
-            bounds=BOUNDS,
+            bounds=bounds,
         )
         self.client, self.calls = Client(), Client()
         self.node = ServingNode(
--- a/tests/test_weights_naming.py
+++ b/tests/test_weights_naming.py
@@ -1,4 +1,4 @@
-"""Since when weights are outdated is remembered beyond the life of every node.
+"""No prompt begins on weights that were outdated for longer than may be.
 
 What happened: prompts began on weights that were outdated for longer than may
 be.  A node counted from when it or a living neighbour had heard of the newer
@@ -6,6 +6,11 @@
 power) nobody remembered, and each sent to older weights for its whole time
 again.  It shows in `weights named`: `known_seconds` near 0 on every node, for a
 version that was named before they began.
+
+A prompt that was sent in time waited at its engine: one for 2.4 s, which the
+margin of 3 s covered.  Nothing bounded the wait but the route's patience, and for
+work that may run only once nothing but the deadline: `outdated_ms` and `first_ms`
+of `request answered` then add up to more than the time for older weights.
 """
 
 from __future__ import annotations
@@ -14,9 +19,12 @@
 
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import FleetCase, RunningNode, eventually
+from .platform_fleet import BOUNDS, FleetCase, RunningNode, ask, eventually, prompt
 
 _NEVER_DONE = 1000
+_SHORT = BOUNDS._replace(weights=2.0)
+_DEADLINE_MS = 6000
+"""Longer than any request may wait to begin on older weights."""
 
 
 class TestAllNodesAnew(FleetCase):
@@ -46,3 +54,40 @@
             await eventually(lambda views=views: views.outdating("m", 1).at <= heard_at)
             # Nor is time lost: what the calls to the store took is all the error.
             self.assertGreater(views.outdating("m", 1).at, named_at - 1.0)
+
+
+class TestWaiting(FleetCase):
+    """Engine e1 has older weights, never loads, and lets what comes wait."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for route in self.fleet.routes:
+            # In time for long, so that silence alone does not move a run.
+            route["target-latency-ms"] = _DEADLINE_MS
+            route["timeout-ms"] = _DEADLINE_MS
+        self.fleet.configure()
+        self.old = await self.fleet.worker(Worker(name="e1", events=3), "engines")
+        self.old.unanswered_orders = _NEVER_DONE
+        self.node = await self.fleet.node(bounds=_SHORT)
+
+    async def _name(self) -> None:
+        self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
+        await eventually(lambda: self.node.node.views.named == {"m": 2})
+
+    async def _left(self) -> float:
+        """Return for how long the weights were outdated when e1 was left."""
+        await eventually(lambda: bool(self.old.left))
+        now = asyncio.get_running_loop().time()
+        return self.node.node.views.outdated_seconds("m", 1, now)
+
+    async def test_what_may_run_once_only_is_called_off_and_promises_nothing(self) -> None:
+        await self._name()
+        self.old.faults = ["queue"]
+        asked = asyncio.ensure_future(
+            ask(self.node, "/verdict/x", deadline_ms=_DEADLINE_MS, **prompt())
+        )
+        await eventually(lambda: not self.old.faults)
+        await self.fleet.worker(Worker(name="e2", events=3, version=2), "engines")
+        self.assertLess(await self._left(), _SHORT.weights)
+        self.assertEqual((await asked).status, 502)
+        self.assertEqual(self.fleet.workers["e2"].ran, [])
