Show that nodes in line for a duty read its row ten times a second

Cause: a node whose turn in line has come asks for the row at every look until it may take the duty: for the rest of a rollout beside a holder that lives, for 4.5 s after a holder's death. Ruled out: that so many readings make the duty move on sooner: what they can find is known from the first one on. Conclusion: calls to the store are shared by all nodes, and those beyond its rate are refused to everyone, in the middle of a rollout.

--- a/tests/test_duty_walk.py
+++ b/tests/test_duty_walk.py
@@ -37,6 +37,7 @@
     calls = 0
 
     def __init__(self, walk: DutyWalk) -> None:
+        self.readings = 0
         self._walk = walk
         self._row = SavedRow("weights", b"", 0)
         self._version = 0
@@ -44,6 +45,7 @@
 
     async def rows(self, table: str) -> tuple[list[SavedRow], float]:
         """Return the row and the store's clock."""
+        self.readings += 1
         self._travel()
         found = [self._row] if self._row.version else []
         clock = self._walk.now
@@ -132,6 +134,12 @@
                 assert gap >= TURN, f"{before} and {after} lie {gap:.2f} s apart"
                 assert after.fence > before.fence, f"{after} after {before}"
 
+    def ask(self, number: int) -> bool:
+        """Let node `number` try to take the duty; return whether it holds it then."""
+        self._drive(number, lambda duty: duty.take())
+        held: bool = self._at(number, self.duties[number].held)
+        return held
+
     def _duty(self, number: int) -> Duty:
         holder = f"n{number}"
         return Duty(name="weights", holder=holder, platform=self.table, turn=self.turn)  # type: ignore[arg-type]
@@ -168,3 +176,38 @@
     def test_without_the_turn_the_walk_finds_it(self) -> None:
         with self.assertRaises(AssertionError):
             explore(_HastyWalk, examples=EXAMPLES)
+
+
+class _SureRandom(random.Random):
+    """Calls that take no time and are never lost."""
+
+    def random(self) -> float:
+        return 1.0
+
+    def uniform(self, a: float, b: float) -> float:
+        return 0.0
+
+
+@mock.patch("fielddrift_node.serving.duty._log", mock.Mock())
+class WaitingTest(unittest.TestCase):
+    """A node that waits for another's duty asks the store for it seldom, and takes it in time.
+
+    What happened: the second in line read the row ten times a second from when it
+    stood in until the rollout was over or a dead holder's turn was: 46 readings
+    for one holder that died, as many for each node in line.
+    """
+
+    def setUp(self) -> None:
+        self.walk = DutyWalk(_SureRandom())
+
+    def _until_taken(self, number: int) -> float:
+        began = self.walk.now
+        while not self.walk.ask(number):
+            self.walk.now += 0.1
+            self.assertLess(self.walk.now, began + 2 * (LEASE_SECONDS + TURN))
+        return self.walk.now - began
+
+    def test_after_a_holder_s_death_it_is_taken_as_soon_as_the_turn_is_over(self) -> None:
+        self.walk.ask(0)
+        self.assertAlmostEqual(self._until_taken(1), LEASE_SECONDS + TURN + 0.3, delta=0.11)
+        self.assertLessEqual(self.walk.table.readings, 1 + 3)
