Move joining out of the node into a class of its own

Cause: node.py wrote and read the list of nodes itself, beside putting the node together. Change: serving/membership.py has it, with the same calls in the same order.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
-import msgspec
 import structlog
 from fielddrift_core.leaving import Leaving
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
@@ -23,9 +22,10 @@
 from .gateway import Gateway
 from .gossip import Gossip, Reach
 from .heartbeats import HeartbeatTranslator
+from .membership import Membership
 from .metrics import Metrics, MetricsHandler
 from .named_rows import NamedRows
-from .ports import CallerDialect, OutOfReach, Platform, RowWrite, TargetDialect
+from .ports import CallerDialect, OutOfReach, Platform, TargetDialect
 from .rollout_runner import RolloutRunner
 from .settings import NodeSettings
 from .sharing import PeerHandler, Peers
@@ -34,7 +34,6 @@
 
 __all__ = ["Dialects", "ServingNode"]
 
-MEMBERS = "members"
 _ENTRY_KEEP_SECONDS = 1.5
 """How long callers keep an entry answer: a lost node is out of use within about two seconds."""
 _EARLY_KEEP_SECONDS = 0.3
@@ -45,7 +44,8 @@
 _PAUSE_SECONDS = 0.7
 """A tick that comes so much too late tells of a pause of this process."""
 _TICK_SECONDS = 0.2
-_JOIN_REST_SECONDS = 0.5
+_REST_SECONDS = 0.5
+"""Rest before a loop that failed runs again."""
 _OLDEST_AGE_SECONDS = 1e6
 """What the figures say of an age that is not known."""
 _SETTLE_SECONDS = 0.15
@@ -69,10 +69,6 @@
     entry: EntryDialect
 
 
-class _MemberRow(NamedTuple):
-    node: Neighbour
-
-
 class ServingNode:
     """One node."""
 
@@ -93,7 +89,6 @@
         self._metrics = Metrics()
         self._leaving = False
         self._active: bool | None = None
-        self._joined_at = float("inf")
         self._boot = time.time_ns() // 1_000_000
         gossip_address = f"{settings.host}:{settings.gossip_port}"
         me = Neighbour(
@@ -112,6 +107,12 @@
             heartbeat=lambda standing: self._heartbeats.heartbeat(standing, leaving=self._leaving),
             heard=self._heard,
         )
+        self._membership = Membership(
+            settings=settings,
+            platform=platform,
+            neighbours=self._neighbours,
+            gossip=self._gossip,
+        )
         self._peer_client = Client()
         peers = Peers(client=self._peer_client)
         feed_tools = FeedTools(platform, peers, self._neighbours, self._views, rng)
@@ -183,7 +184,7 @@
 
     def _entry_keep(self) -> float:
         """Return for how many seconds callers may keep an entry answer given now."""
-        early = asyncio.get_running_loop().time() - self._joined_at < _EARLY_SECONDS
+        early = asyncio.get_running_loop().time() - self._membership.joined_at < _EARLY_SECONDS
         keep = _EARLY_KEEP_SECONDS if early else _ENTRY_KEEP_SECONDS
         return min(keep, self._settings.bounds.entry_keep)
 
@@ -207,7 +208,7 @@
         for work in (
             self._operators.run,
             self._targets.run,
-            self._join,
+            self._membership.run,
             self._named_rows.run,
             self._gossip.run,
             self._store_tracker.run,
@@ -231,7 +232,7 @@
                 return
             except Exception:
                 _log.exception("loop failed", loop=work.__qualname__)
-                await asyncio.sleep(_JOIN_REST_SECONDS)
+                await asyncio.sleep(_REST_SECONDS)
 
     async def _leave(self) -> None:
         """Go: off the entry answers at once, let requests end, close last."""
@@ -271,32 +272,6 @@
 
     # --- loops ------------------------------------------------------------------
 
-    async def _join(self) -> None:
-        """Write this node's row, and greet the nodes that are listed."""
-        for seed in self._settings.seeds:
-            host = seed.rpartition(":")[0]
-            if host != self._settings.host:
-                self._gossip.greet([f"{host}:{self._settings.gossip_port}"])
-        me = self._neighbours.me
-        row = RowWrite(me.name, msgspec.json.encode(_MemberRow(me)))
-        while True:
-            try:
-                await self._platform.write(MEMBERS, [row])
-                rows, _ = await self._platform.rows(MEMBERS)
-                break
-            except OutOfReach as error:
-                _log.warning("not joined yet", error=str(error))
-                await asyncio.sleep(_JOIN_REST_SECONDS)
-        for saved in rows:
-            try:
-                node = msgspec.json.decode(saved.value, type=_MemberRow).node
-            except msgspec.DecodeError as error:
-                _log.error("member row not understood", row=saved.key, error=str(error))
-                continue
-            self._neighbours.introduce(node)
-        self._joined_at = asyncio.get_running_loop().time()
-        _log.info("joined", listed=len(rows))
-
     async def _tick(self) -> None:
         """Notice pauses of this process."""
         loop = asyncio.get_running_loop()
@@ -319,7 +294,7 @@
         self._neighbours.report(
             serving=self._serving,
             load=self._views.load.value(now),
-            settled=now - self._joined_at > _SETTLE_SECONDS,
+            settled=now - self._membership.joined_at > _SETTLE_SECONDS,
         )
 
     def _note_role(self, now: float) -> None:
