Drop the rows of nodes that are gone, and forget nodes that answer nothing

Cause: each start wrote a row of `members` and nothing removed it. A host replaced under a new name left its row for ever; each node that started read it, introduced it to itself and sent it a heartbeat every 5 s from then on, and none was forgotten. Ruled out: rows that a leaving node removes itself (lost hosts never would, and a removal may cross the next start's write); rows with a time (the store's clock would need a write a node and period).

Change: every node reads the list now and then (the first active node after 120 s, another after 30 s for each live node, 120 s at least: by calculation about 2.5 calls a minute over all nodes, however many). It adds itself and those that it hears where they are missing, under the condition that they are. The first active node drops a row whose node was not heard at five of its looks in a row, under the version that it read, so a start at that moment keeps its row; looks and unanswered heartbeats are counted, not seconds, so a paused process takes nobody for gone. A node that hears nobody drops no rows. A node forgets one that left 120 heartbeats (ten minutes) unanswered. One that was cut off, dropped and forgotten finds itself missing at its next look: within 144 s where it hears nobody, for then it is first.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-import itertools
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from .active import Candidate, active_names
+from .heartbeat_schedule import SentHeartbeats, Standing, periods
 from .readers import Reading
 from .rollout import VersionAge
 from .workload import Burden
@@ -27,9 +27,6 @@
     "Standing",
 ]
 
-_HEARTBEAT_COST_SECONDS = 0.015
-"""Time between heartbeats for each node that gets them: a node sends at most some
-seventy a second to each kind of neighbour, however many there are."""
 _MISSED_HEARTBEATS = 4
 """Heartbeats in a row that datagrams may lose before a node counts as gone."""
 _SLACK_SECONDS = 0.3
@@ -43,8 +40,9 @@
 """Callers take no more addresses from one answer."""
 _CHOSEN_SECONDS = 0.1
 """How long the choice of the active nodes is kept: it costs a sort of all."""
-_DUE_PART = 0.9
-"""Part of a period after which a heartbeat is due: the loop that looks runs in steps."""
+_MOST_UNANSWERED = 120
+"""Heartbeats to a silent node, ten minutes' worth, after which it is forgotten.  They are
+counted, not seconds: a process that was paused must not forget everyone."""
 
 
 class Neighbour(NamedTuple):
@@ -70,31 +68,6 @@
     age: float
 
 
-class Standing(NamedTuple):
-    """How two nodes stand to each other, which decides what they tell and how often.
-
-    `theirs` says that the other node is active, `mine` that this one is.
-    """
-
-    near: bool
-    mine: bool
-    theirs: bool
-
-
-_PERIODS = {
-    Standing(near=True, mine=True, theirs=True): 0.15,
-    Standing(near=True, mine=True, theirs=False): 0.25,
-    Standing(near=True, mine=False, theirs=True): 1.0,
-    Standing(near=True, mine=False, theirs=False): 3.0,
-    Standing(near=False, mine=True, theirs=True): 0.3,
-    Standing(near=False, mine=True, theirs=False): 3.0,
-    Standing(near=False, mine=False, theirs=True): 5.0,
-    Standing(near=False, mine=False, theirs=False): 10.0,
-}
-"""Seconds between heartbeats.  Two active nodes need each other's sends while these are
-under way, some 0.3 s.  A node that stands by has to notice within about a second that
-an active one is gone, for it answers callers that ask for addresses; others matter to
-it only once it is active."""
 _SHORTEST = 0.15
 """Seconds; what a heartbeat says that was put together without a receiver in mind."""
 
@@ -162,18 +135,13 @@
         return now - self.at <= self.period * _MISSED_HEARTBEATS + _SLACK_SECONDS
 
 
-class _Sent(NamedTuple):
-    at: float
-    period: float
-
-
 class Neighbours:
     """The other nodes, and which of all nodes are active.  Not safe for threads."""
 
     def __init__(self, *, me: Neighbour) -> None:
         self._me = me
         self._heard: dict[str, _Heard] = {}
-        self._sent: dict[str, _Sent] = {}
+        self._sent = SentHeartbeats()
         self._serving = False
         self._settled = False
         self._load = 0.0
@@ -270,6 +238,11 @@
         """Return whether this node is active."""
         return self._me.name in self.active(now)
 
+    def is_first(self, now: float) -> bool:
+        """Return whether this node does what one does for all: it is active, and first by name."""
+        others = self.active_everywhere(now)
+        return self.is_active(now) and all(self._me.name < node.name for node in others)
+
     def active_everywhere(self, now: float) -> list[Neighbour]:
         """Return the other nodes that are active in any data centre, by name.
 
@@ -340,21 +313,30 @@
         return [node for node in self.near(now) if node.name in names]
 
     def due(self, now: float) -> list[Neighbour]:
-        """Return the nodes that should get a heartbeat now, and note it."""
+        """Return the nodes that should get a heartbeat now, and note it.
+
+        Nodes that answered none for minutes are forgotten.
+        """
         self._choose(now)
         chosen = []
         mine = self._me.name in self._active
-        for name, heard in self._heard.items():
+        for name, heard in list(self._heard.items()):
             period = self._periods[Standing(self._near(heard), mine, self._is_active(heard))]
-            if now - heard.at > _SILENT_SECONDS and not heard.lives(now):
+            silent = now - heard.at > _SILENT_SECONDS and not heard.lives(now)
+            if silent:
                 period = _SILENT_HEARTBEAT_SECONDS
-            sent = self._sent.get(name, _Sent(float("-inf"), period))
-            # A longer period than was told must be told at once, or this node seems gone.
-            if period > sent.period or now - sent.at >= period * _DUE_PART:
-                self._sent[name] = _Sent(now, period)
+            if not self._sent.is_due(name, period=period, silent=silent, now=now):
+                continue
+            if self._sent.unanswered(name) > _MOST_UNANSWERED:
+                self._forget(name)
+            else:
                 chosen.append(heard.node)
         return chosen
 
+    def _forget(self, name: str) -> None:
+        del self._heard[name]
+        self._sent.forget(name)
+
     def standing(self, node: Neighbour, now: float) -> Standing:
         """Return how `node` stands to this one."""
         self._choose(now)
@@ -374,11 +356,9 @@
             return
         self._chosen_at = now
         self._active = active_names(self._candidates(now))
-        counts = Counter((self._near(h), self._is_active(h)) for h in self._heard.values())
-        for near, mine, theirs in itertools.product((True, False), repeat=3):
-            standing = Standing(near, mine, theirs)
-            crowd = counts[(near, theirs)] * _HEARTBEAT_COST_SECONDS
-            self._periods[standing] = max(_PERIODS[standing], crowd)
+        self._periods = periods(
+            Counter((self._near(h), self._is_active(h)) for h in self._heard.values())
+        )
 
     # --- what they have read ----------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/membership.py
+++ b/packages/node/src/fielddrift_node/serving/membership.py
@@ -3,20 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
 import structlog
 from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.silent_rows import SilentRows
 
 from .gossip import Gossip
-from .ports import OutOfReach, Platform, RowWrite
+from .ports import OutOfReach, Platform, RowWrite, SavedRow
 from .settings import NodeSettings
 
 __all__ = ["Membership"]
 
 TABLE = "members"
 _JOIN_REST_SECONDS = 0.5
+_LOOK_SECONDS = 120.0
+"""Rest between looks at the list, for the node that looks on behalf of all."""
+_LOOK_SECONDS_A_NODE = 30.0
+"""The same for each live node, for the others: together they look about twice a minute."""
+_LOOK_SPREAD = 1.2
+"""Rests differ by up to this factor, so that nodes that start together look apart."""
+_MOST_WRITES = 40
+"""Writes of one call, each under a condition: the platform takes 100 entries a call."""
 
 _log = structlog.get_logger()
 
@@ -26,7 +37,12 @@
 
 
 class Membership:
-    """This node's place among all nodes, which are listed in the platform's table."""
+    """This node's place among all nodes, which are listed in the platform's table.
+
+    Each node looks at the list now and then.  It adds itself and those that it hears where
+    they are missing, so one that was cut off for long, and dropped and forgotten by the
+    others, is listed and greeted again.  The first active node drops those long silent.
+    """
 
     def __init__(
         self,
@@ -35,11 +51,14 @@
         platform: Platform,
         neighbours: Neighbours,
         gossip: Gossip,
+        rng: random.Random,
     ) -> None:
         self._settings = settings
         self._platform = platform
         self._neighbours = neighbours
         self._gossip = gossip
+        self._rng = rng
+        self._silent_rows = SilentRows()
         self._joined_at = float("inf")
 
     @property
@@ -48,21 +67,70 @@
         return self._joined_at
 
     async def run(self) -> None:
+        """Join, then look at the list now and then, until cancelled."""
+        if self._joined_at == float("inf"):
+            await self._join()
+        while True:
+            await asyncio.sleep(self._rest())
+            try:
+                await self._look()
+            except OutOfReach as error:
+                _log.warning("list of nodes not read", error=str(error))
+
+    async def _join(self) -> None:
         """Write this node's row, and greet the nodes that are listed."""
         for seed in self._settings.seeds:
             host = seed.rpartition(":")[0]
             if host != self._settings.host:
                 self._gossip.greet([f"{host}:{self._settings.gossip_port}"])
-        me = self._neighbours.me
-        row = RowWrite(me.name, msgspec.json.encode(_MemberRow(me)))
         while True:
             try:
-                await self._platform.write(TABLE, [row])
+                await self._platform.write(TABLE, [_write(self._neighbours.me)])
                 rows, _ = await self._platform.rows(TABLE)
                 break
             except OutOfReach as error:
                 _log.warning("not joined yet", error=str(error))
                 await asyncio.sleep(_JOIN_REST_SECONDS)
+        self._introduce(rows)
+        self._joined_at = asyncio.get_running_loop().time()
+        _log.info("joined", listed=len(rows))
+
+    def _rest(self) -> float:
+        now = asyncio.get_running_loop().time()
+        nodes = 1 if self._neighbours.is_first(now) else 1 + len(self._neighbours.alive(now))
+        rest = max(_LOOK_SECONDS, nodes * _LOOK_SECONDS_A_NODE)
+        return rest * self._rng.uniform(1.0, _LOOK_SPREAD)
+
+    async def _look(self) -> None:
+        """Read the list, and mend it: add nodes that live, and drop those long silent."""
+        rows, _ = await self._platform.rows(TABLE)
+        now = asyncio.get_running_loop().time()
+        me = self._neighbours.me
+        alive = {node.name: node for node in self._neighbours.alive(now)}
+        self._introduce(rows)
+        others = {saved.key: saved.version for saved in rows if saved.key != me.name}
+        self._silent_rows.look(others, alive)
+        listed = {saved.key for saved in rows}
+        missing = [node for name, node in {**alive, me.name: me}.items() if name not in listed]
+        gone = self._silent_rows.left_behind() if self._neighbours.is_first(now) else {}
+        await self._mend(missing, gone)
+
+    async def _mend(self, missing: list[Neighbour], gone: Mapping[str, int]) -> None:
+        # Under the versions that were read, for a node that starts just now writes its own row.
+        writes = [_write(node, expect=0) for node in missing]
+        writes += [RowWrite(name, None, version) for name, version in gone.items()]
+        if not writes:
+            return
+        writes = writes[:_MOST_WRITES]
+        outcome = await self._platform.write(TABLE, writes)
+        _log.info(
+            "list of nodes mended",
+            done=outcome.done,
+            added=[write.key for write in writes if write.value is not None],
+            removed=[write.key for write in writes if write.value is None],
+        )
+
+    def _introduce(self, rows: list[SavedRow]) -> None:
         for saved in rows:
             try:
                 node = msgspec.json.decode(saved.value, type=_MemberRow).node
@@ -70,5 +138,7 @@
                 _log.error("member row not understood", row=saved.key, error=str(error))
                 continue
             self._neighbours.introduce(node)
-        self._joined_at = asyncio.get_running_loop().time()
-        _log.info("joined", listed=len(rows))
+
+
+def _write(node: Neighbour, *, expect: int | None = None) -> RowWrite:
+    return RowWrite(node.name, msgspec.json.encode(_MemberRow(node)), expect)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -112,6 +112,7 @@
             platform=platform,
             neighbours=self._neighbours,
             gossip=self._gossip,
+            rng=rng,
         )
         self._peer_client = Client()
         peers = Peers(client=self._peer_client)
@@ -319,10 +320,7 @@
         while True:
             await asyncio.sleep(_FREE_SECONDS)
             self._store_tracker.note_use()
-            now = loop.time()
-            others = [node.name for node in self._neighbours.active_everywhere(now)]
-            first = all(self._settings.name < name for name in others)
-            if self._leaving or not first or not self._neighbours.is_active(now):
+            if self._leaving or not self._neighbours.is_first(loop.time()):
                 continue
             try:
                 await self._store_tracker.free_outdated()
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -193,6 +193,42 @@
         sent = sum(len(self.view.due(tick / 20)) for tick in range(1, 41))
         self.assertLessEqual(sent, 150)
 
+    def _sent_to_silent_ones(self, began: float, seconds: int) -> int:
+        return sum(len(self.view.due(began + tick)) for tick in range(0, seconds, 5))
+
+    def test_a_node_that_is_never_heard_or_silent_for_minutes_is_forgotten(self) -> None:
+        self.view.introduce(neighbour("n1"))
+        self.view.hear(heartbeat(neighbour("n2")), 0.0)
+        self.assertGreater(self._sent_to_silent_ones(20.0, 60), 20)
+        self.assertEqual(len(self.view.known(100.0)), 2)
+        self._sent_to_silent_ones(100.0, 900)
+        self.assertEqual(self.view.known(1000.0), [])
+        self.assertEqual(self._sent_to_silent_ones(1000.0, 60), 0)
+        self.view.introduce(neighbour("n1"))
+        self.assertTrue(self.view.hear(heartbeat(neighbour("n2")), 1100.0))
+        self.assertEqual(len(self.view.due(1100.0)), 2)
+
+    def test_a_process_that_was_paused_for_long_forgets_nobody(self) -> None:
+        self.view.hear(heartbeat(neighbour("n1")), 0.0)
+        self.view.due(0.1)
+        self.assertEqual(len(self.view.due(7200.0)), 1)
+        self.assertEqual(len(self.view.known(7200.1)), 1)
+
+    def test_a_node_that_answers_now_and_then_is_not_forgotten(self) -> None:
+        for minute in range(60):
+            self.view.hear(heartbeat(neighbour("n1")), minute * 60.0)
+            self._sent_to_silent_ones(minute * 60.0, 60)
+        self.assertEqual(len(self.view.known(3600.0)), 1)
+
+    def test_the_first_of_the_active_nodes_does_what_one_does_for_all(self) -> None:
+        self.view.report(serving=True, load=0.0)
+        self.view.hear(heartbeat(neighbour("n1")), 0.0)
+        self.assertTrue(self.view.is_first(0.1))
+        self.view.hear(heartbeat(neighbour("a1")), 0.2)
+        self.assertFalse(self.view.is_first(0.3))
+        self.view.report(serving=False, load=0.0)
+        self.assertFalse(self.view.is_first(9.0))
+
     def test_a_longer_period_is_told_at_once(self) -> None:
         self.view.report(serving=True, load=0.0)
         self.view.hear(heartbeat(neighbour("n1")), 0.0)
