Name the node's servers after what they serve

Cause: node.py called them doors and a front, a word of ours for a server. Change: _entry_server, _directory_server, _peer_server, _metrics_server; a variable of the stand-ins likewise. No change of behaviour. RowStore.door keeps its name, for tests that are being written use it.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -157,8 +157,8 @@
             metrics=self._metrics,
             told=self._gossip.sends_changed,
         )
-        self._front = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
-        door = EntryHandler(
+        self._entry_server = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
+        directory = EntryHandler(
             dialect=dialects.entry,
             addresses=lambda data_centre: self._neighbours.addresses(
                 data_centre, asyncio.get_running_loop().time()
@@ -166,9 +166,9 @@
             ready=lambda: self._serving,
             keep=self._entry_keep,
         )
-        self._doors = Server(handler=door.handle, limits=Limits)
-        self._peer_door = Server(handler=PeerHandler(views=self._views).handle, limits=Limits)
-        self._metrics_door = Server(
+        self._directory_server = Server(handler=directory.handle, limits=Limits)
+        self._peer_server = Server(handler=PeerHandler(views=self._views).handle, limits=Limits)
+        self._metrics_server = Server(
             handler=MetricsHandler(metrics=self._metrics, beliefs=self._beliefs).handle,
             limits=Limits,
         )
@@ -199,12 +199,12 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until `stopping` is set, then leave."""
         settings = self._settings
-        await self._listen(self._doors, settings.ready)
-        await self._listen(self._doors, settings.directory)
+        await self._listen(self._directory_server, settings.ready)
+        await self._listen(self._directory_server, settings.directory)
         await self._gossip.start(settings.host, settings.gossip_port)
-        await self._listen(self._peer_door, settings.peer)
-        await self._listen(self._metrics_door, settings.metrics)
-        await self._listen(self._front, settings.entry)
+        await self._listen(self._peer_server, settings.peer)
+        await self._listen(self._metrics_server, settings.metrics)
+        await self._listen(self._entry_server, settings.entry)
         _log.info("started", entry=settings.entry, boot=self._boot)
         for work in (
             self._operators.run,
@@ -243,31 +243,31 @@
         self._leaving = True
         self._views.leaving = Leaving(began, until)
         self._report()
-        self._front.leave()
+        self._entry_server.leave()
         self._gossip.say_now()
-        _log.info("leaving", busy=self._front.busy)
+        _log.info("leaving", busy=self._entry_server.busy)
         try:
             await self._rollout_runner.stop()
         except OutOfReach as error:
             _log.warning("duty not given back", error=str(error))
         quiet_since = loop.time()
         while loop.time() < until:
-            if self._front.busy:
+            if self._entry_server.busy:
                 quiet_since = loop.time()
             if loop.time() - quiet_since > _QUIET_SECONDS:
                 break
             await asyncio.sleep(_STOP_LOOK_SECONDS)
-        self._front.stop_accepting()
-        while self._front.busy and loop.time() < until + _STOP_SPARE_SECONDS / 2:
+        self._entry_server.stop_accepting()
+        while self._entry_server.busy and loop.time() < until + _STOP_SPARE_SECONDS / 2:
             await asyncio.sleep(_STOP_LOOK_SECONDS)
-        _log.info("stopped", cut=self._front.busy, seconds=round(loop.time() - began, 2))
+        _log.info("stopped", cut=self._entry_server.busy, seconds=round(loop.time() - began, 2))
         for task in self._tasks:
             task.cancel()
         self._gossip.close()
-        self._front.close()
-        for door in (self._doors, self._peer_door, self._metrics_door):
-            door.stop_accepting()
-            door.close()
+        self._entry_server.close()
+        for server in (self._directory_server, self._peer_server, self._metrics_server):
+            server.stop_accepting()
+            server.close()
         self._client.close()
         self._peer_client.close()
 
--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -76,9 +76,9 @@
 
     async def door(self, host: str, port: int) -> StoreEndpoint:
         """Listen at another address too, which can refuse whoever comes there."""
-        door = StoreEndpoint(handler=self._handle)
-        await door.start(host, port)
-        return door
+        endpoint = StoreEndpoint(handler=self._handle)
+        await endpoint.start(host, port)
+        return endpoint
 
     def close(self) -> None:
         """Stop listening and drop connections."""
