Give the soak's faults a site to work on

Cause: faults.py and scene.py imported each other. Change: site.py holds the nodes and what is outside them, which is all that faults touch; the scene keeps callers, times and checks.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,17 +6,15 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from .links import Harm, Link
-
-if TYPE_CHECKING:
-    from .machines import Machine
-    from .scene import Scene
+from .machines import Machine
+from .site import Site
 
 __all__ = ["FAULTS", "Fault"]
 
-_Work = Callable[["Scene", random.Random], Awaitable[None]]
+_Work = Callable[[Site, random.Random], Awaitable[None]]
 
 
 class Fault(NamedTuple):
@@ -82,46 +80,46 @@
 
 
 @fault("one killed")
-async def _one_killed(scene: Scene, rng: random.Random) -> None:
-    await _kill(rng.choice(scene.machines), rng.uniform(0.1, 2.0))
+async def _one_killed(site: Site, rng: random.Random) -> None:
+    await _kill(rng.choice(site.machines), rng.uniform(0.1, 2.0))
 
 
 @fault("one killed again and again")
-async def _killed_often(scene: Scene, rng: random.Random) -> None:
-    machine = rng.choice(scene.machines)
+async def _killed_often(site: Site, rng: random.Random) -> None:
+    machine = rng.choice(site.machines)
     for _ in range(rng.randint(2, 4)):
         await _kill(machine, 0.1)
         await _lasting(rng, 0.1, 1.0)
 
 
 @fault("all killed")
-async def _all_killed(scene: Scene, rng: random.Random) -> None:
+async def _all_killed(site: Site, rng: random.Random) -> None:
     rest = rng.uniform(0.1, 1.5)
-    await asyncio.gather(*(_kill(machine, rest) for machine in scene.machines))
+    await asyncio.gather(*(_kill(machine, rest) for machine in site.machines))
 
 
 @fault("some paused")
-async def _some_paused(scene: Scene, rng: random.Random) -> None:
-    chosen = rng.sample(scene.machines, k=rng.randint(1, max(1, len(scene.machines) // 2)))
+async def _some_paused(site: Site, rng: random.Random) -> None:
+    chosen = rng.sample(site.machines, k=rng.randint(1, max(1, len(site.machines) // 2)))
     seconds = rng.uniform(0.3, 5.0)
     await asyncio.gather(*(_pause(machine, seconds) for machine in chosen))
 
 
 @fault("one stopped", planned=True)
-async def _one_stopped(scene: Scene, rng: random.Random) -> None:
-    await _restart(rng.choice(scene.machines))
+async def _one_stopped(site: Site, rng: random.Random) -> None:
+    await _restart(rng.choice(site.machines))
 
 
 @fault("all stopped in turn", planned=True)
-async def _rolled(scene: Scene, rng: random.Random) -> None:
-    for machine in list(scene.machines):
+async def _rolled(site: Site, rng: random.Random) -> None:
+    for machine in list(site.machines):
         await _restart(machine)
         await _lasting(rng, 0.5, 1.5)
 
 
 @fault("one added", planned=True)
-async def _one_added(scene: Scene, rng: random.Random) -> None:
-    await scene.add_machine()
+async def _one_added(site: Site, rng: random.Random) -> None:
+    await site.add_machine()
 
 
 # --- the store ---------------------------------------------------------------------
@@ -136,39 +134,39 @@
 
 
 @fault("store refuses")
-async def _store_down(scene: Scene, rng: random.Random) -> None:
-    scene.outside.store.down = True
+async def _store_down(site: Site, rng: random.Random) -> None:
+    site.outside.store.down = True
     await _lasting(rng)
-    scene.outside.store.down = False
+    site.outside.store.down = False
 
 
 @fault("store silent")
-async def _store_silent(scene: Scene, rng: random.Random) -> None:
-    scene.outside.store.silent = True
+async def _store_silent(site: Site, rng: random.Random) -> None:
+    site.outside.store.silent = True
     await _lasting(rng)
-    scene.outside.store.silent = False
+    site.outside.store.silent = False
 
 
 @fault("store slow")
-async def _store_slow(scene: Scene, rng: random.Random) -> None:
-    await _harmed([m.store for m in scene.machines], Harm(delay=rng.uniform(0.1, 0.4)), rng)
+async def _store_slow(site: Site, rng: random.Random) -> None:
+    await _harmed([m.store for m in site.machines], Harm(delay=rng.uniform(0.1, 0.4)), rng)
 
 
 @fault("answers of writes lost")
-async def _writes_lost(scene: Scene, rng: random.Random) -> None:
-    scene.outside.store.lose_answers += rng.randint(1, 4)
+async def _writes_lost(site: Site, rng: random.Random) -> None:
+    site.outside.store.lose_answers += rng.randint(1, 4)
     await _lasting(rng)
 
 
 @fault("history forgotten")
-async def _forgotten(scene: Scene, rng: random.Random) -> None:
-    scene.outside.store.forget()
+async def _forgotten(site: Site, rng: random.Random) -> None:
+    site.outside.store.forget()
     await _lasting(rng, 0.1, 0.5)
 
 
 @fault("one cut off from the store")
-async def _cut_off(scene: Scene, rng: random.Random) -> None:
-    link = rng.choice(scene.machines).store
+async def _cut_off(site: Site, rng: random.Random) -> None:
+    link = rng.choice(site.machines).store
     if rng.random() < 0.5:
         link.reset()
         await _harmed([link], Harm(refuse=True), rng)
@@ -177,15 +175,15 @@
 
 
 @fault("one cut off from the store one way")
-async def _cut_one_way(scene: Scene, rng: random.Random) -> None:
+async def _cut_one_way(site: Site, rng: random.Random) -> None:
     upwards = rng.random() < 0.5
     harm = Harm(lose_to_server=upwards, lose_to_client=not upwards)
-    await _harmed([rng.choice(scene.machines).store], harm, rng)
+    await _harmed([rng.choice(site.machines).store], harm, rng)
 
 
 @fault("open connections to the store fall silent")
-async def _store_silenced(scene: Scene, rng: random.Random) -> None:
-    for machine in scene.machines:
+async def _store_silenced(site: Site, rng: random.Random) -> None:
+    for machine in site.machines:
         machine.store.silence()
     await _lasting(rng, 0.5, 2.0)
 
@@ -193,51 +191,51 @@
 # --- workers and the store host -------------------------------------------------------
 
 
-def _worker(scene: Scene, rng: random.Random) -> str:
+def _worker(site: Site, rng: random.Random) -> str:
     service = rng.choice(["plain", "engines"])
-    return rng.choice(scene.outside.serving(service) or list(scene.outside.workers))
+    return rng.choice(site.outside.serving(service) or list(site.outside.workers))
 
 
 @fault("a worker crashes")
-async def _crash(scene: Scene, rng: random.Random) -> None:
-    name = _worker(scene, rng)
-    if len(scene.outside.serving("plain")) > 1 and len(scene.outside.serving("engines")) > 1:
-        scene.outside.crash(name)
+async def _crash(site: Site, rng: random.Random) -> None:
+    name = _worker(site, rng)
+    if len(site.outside.serving("plain")) > 1 and len(site.outside.serving("engines")) > 1:
+        site.outside.crash(name)
     await _lasting(rng, 2.0, 3.0)
 
 
 @fault("a worker leaves", planned=True)
-async def _drain(scene: Scene, rng: random.Random) -> None:
-    name = _worker(scene, rng)
-    if name not in scene.outside.leaving_at:
-        scene.outside.drain(name)
+async def _drain(site: Site, rng: random.Random) -> None:
+    name = _worker(site, rng)
+    if name not in site.outside.leaving_at:
+        site.outside.drain(name)
     await _lasting(rng, 3.0, 4.0)
 
 
 @fault("a worker fails")
-async def _worker_fails(scene: Scene, rng: random.Random) -> None:
-    name = _worker(scene, rng)
+async def _worker_fails(site: Site, rng: random.Random) -> None:
+    name = _worker(site, rng)
     common = ["shed", "error", "lost", "hang", "garbage"]
     own = ["cut-event"] if name.startswith("engines") else ["surplus", "extra"]
-    worker = scene.outside.workers[name]
+    worker = site.outside.workers[name]
     worker.faults += [rng.choice([*common, *own]) for _ in range(rng.randint(1, 12))]
     await _lasting(rng, 1.0, 3.0)
     worker.faults.clear()
 
 
 @fault("orders get no answer")
-async def _orders_unanswered(scene: Scene, rng: random.Random) -> None:
-    for name in scene.outside.serving("engines"):
-        scene.outside.workers[name].unanswered_orders = 1
-    scene.outside.name_weights()
+async def _orders_unanswered(site: Site, rng: random.Random) -> None:
+    for name in site.outside.serving("engines"):
+        site.outside.workers[name].unanswered_orders = 1
+    site.outside.name_weights()
     await _lasting(rng, 3.0, 5.0)
-    for worker in scene.outside.workers.values():
+    for worker in site.outside.workers.values():
         worker.unanswered_orders = 0
 
 
 @fault("a worker's link is harmed")
-async def _worker_link(scene: Scene, rng: random.Random) -> None:
-    link = scene.outside.links[_worker(scene, rng)]
+async def _worker_link(site: Site, rng: random.Random) -> None:
+    link = site.outside.links[_worker(site, rng)]
     harms = (
         Harm(delay=rng.uniform(0.05, 0.5)),
         Harm(refuse=True),
@@ -250,23 +248,23 @@
 
 
 @fault("open connections to workers fall silent")
-async def _workers_silenced(scene: Scene, rng: random.Random) -> None:
-    for link in scene.outside.links.values():
+async def _workers_silenced(site: Site, rng: random.Random) -> None:
+    for link in site.outside.links.values():
         link.silence()
     await _lasting(rng, 0.5, 2.0)
 
 
 @fault("open connections to workers are reset")
-async def _workers_reset(scene: Scene, rng: random.Random) -> None:
-    for link in scene.outside.links.values():
+async def _workers_reset(site: Site, rng: random.Random) -> None:
+    for link in site.outside.links.values():
         link.reset()
     await _lasting(rng, 0.2, 1.0)
 
 
 @fault("the store host returns empty")
-async def _store_host_empty(scene: Scene, rng: random.Random) -> None:
-    scene.outside.kv.restart()
-    scene.outside.links["kept"].reset()
+async def _store_host_empty(site: Site, rng: random.Random) -> None:
+    site.outside.kv.restart()
+    site.outside.links["kept"].reset()
     await _lasting(rng, 0.2, 1.0)
 
 
@@ -274,23 +272,23 @@
 
 
 @fault("weights are named", planned=True)
-async def _named(scene: Scene, rng: random.Random) -> None:
-    scene.outside.name_weights()
+async def _named(site: Site, rng: random.Random) -> None:
+    site.outside.name_weights()
     if rng.random() < 0.4:
         await _lasting(rng, 0.2, 2.0)
-        scene.outside.name_weights()
+        site.outside.name_weights()
     await _lasting(rng, 0.5, 2.0)
 
 
 @fault("the configuration changes", planned=True)
-async def _changed(scene: Scene, rng: random.Random) -> None:
+async def _changed(site: Site, rng: random.Random) -> None:
     for _ in range(rng.randint(1, 3)):
-        scene.outside.change()
+        site.outside.change()
         await _lasting(rng, 0.2, 2.0)
 
 
 @fault("many callers come at once", planned=True)
-async def _burst(scene: Scene, rng: random.Random) -> None:
-    scene.pace = 0.3
+async def _burst(site: Site, rng: random.Random) -> None:
+    site.pace = 0.3
     await _lasting(rng, 1.0, 3.0)
-    scene.pace = 1.0
+    site.pace = 1.0
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -10,14 +10,12 @@
 
 from .callers import Attempt, Caller
 from .faults import FAULTS
-from .machines import Machine, Net
-from .outside import Outside
+from .machines import Machine
 from .promises import Evidence, Probe, Span, broken
+from .site import Site, status_of
 
 __all__ = ["Outcome", "Scene", "Size", "run"]
 
-_ZONES = ("a", "b", "c")
-_READY_SECONDS = 60.0
 _LOOK_SECONDS = 1.0
 _CALM_SECONDS = 14.0
 """Time at the end without faults: the bound of weights, of recovery, and some requests."""
@@ -52,17 +50,12 @@
 
 
 class Scene:
-    """Everything that a soak runs."""
+    """One soak: a site, its callers, its faults, and what was seen."""
 
     def __init__(self, *, seed: int, size: Size, folder: Path) -> None:
-        self.rng = random.Random(seed)
-        self.machines: list[Machine] = []
-        self.outside = Outside()
-        self.pace = 1.0
-        """Callers' rests are this part of their usual ones."""
+        self._rng = random.Random(seed)
+        self._site = Site(folder=folder)
         self._size = size
-        self._folder = folder
-        self._net = Net(rng=random.Random())
         self._attempts: list[Attempt] = []
         self._spans: list[Span] = []
         self._probes: list[Probe] = []
@@ -72,46 +65,27 @@
 
     async def open(self) -> None:
         """Start everything, and wait until all nodes are ready."""
-        await self.outside.open(plain=3, engines=4)
-        for _ in range(self._size.nodes):
-            await self.add_machine()
-        async with asyncio.timeout(_READY_SECONDS):
-            for machine in self.machines:
-                while await _status(machine.ready, "/readyz") != 200:
-                    await asyncio.sleep(0.1)
+        await self._site.open(self._size.nodes)
         for _ in range(self._size.callers):
             caller = Caller(
                 directories=lambda: [m.directory for m in self._some_machines()],
-                rng=random.Random(self.rng.random()),
+                rng=random.Random(self._rng.random()),
                 attempts=self._attempts,
             )
-            pause = lambda: _CALLER_PAUSE_SECONDS * self.pace  # noqa: E731
+            pause = lambda: _CALLER_PAUSE_SECONDS * self._site.pace  # noqa: E731
             self._tasks.append(asyncio.ensure_future(caller.run(pause)))
         self._tasks.append(asyncio.ensure_future(self._watch()))
         self._tasks.append(asyncio.ensure_future(self._probe_often()))
 
-    async def add_machine(self) -> None:
-        """Start one more node."""
-        number = len(self.machines)
-        machine = Machine(
-            name=f"n{number}",
-            ip=self._net.address(),
-            zone=_ZONES[number % len(_ZONES)],
-            folder=self._folder,
-            store=await self.outside.store_link(),
-        )
-        machine.start()
-        self.machines.append(machine)
-
     async def trouble(self) -> None:
         """Let faults begin at random times, overlapping, until the time is up."""
         until = self._loop.time() + self._size.seconds
         running = []
         while self._loop.time() < until:
-            name = self.rng.choice(list(FAULTS))
-            own = random.Random(self.rng.random())
+            name = self._rng.choice(list(FAULTS))
+            own = random.Random(self._rng.random())
             running.append(asyncio.ensure_future(self._fault(name, own)))
-            await asyncio.sleep(self.rng.expovariate(1 / _FAULT_GAP_SECONDS))
+            await asyncio.sleep(self._rng.expovariate(1 / _FAULT_GAP_SECONDS))
         await asyncio.gather(*running)
 
     async def calm(self) -> None:
@@ -130,31 +104,29 @@
         """End everything that was started here."""
         for task in self._tasks:
             task.cancel()
-        for machine in self.machines:
-            machine.end()
-        self.outside.end()
+        self._site.close()
 
     def evidence(self) -> Evidence:
         """Return all that was seen so far."""
         failures = [
-            line for m in self.machines for line in [*m.logged(*_OUR_FAILURES), *m.strays()]
+            line for m in self._site.machines for line in [*m.logged(*_OUR_FAILURES), *m.strays()]
         ]
         return Evidence(
             attempts=self._attempts,
-            workers=self.outside.every_worker,
+            workers=self._site.outside.every_worker,
             spans=self._spans,
-            changes=self.outside.changes,
+            changes=self._site.outside.changes,
             probes=self._probes,
-            leaving_at=self.outside.leaving_at,
-            named=self.outside.named,
+            leaving_at=self._site.outside.leaving_at,
+            named=self._site.outside.named,
             calm_since=self._calm_since,
-            faults_of_ours=[*failures, *(f for m in self.machines for f in m.faults)],
+            faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
 
     # --- meanwhile ------------------------------------------------------------------
 
     def _some_machines(self) -> list[Machine]:
-        return self.machines if len(self.machines) >= 3 else self.machines * 3
+        return self._site.machines if len(self._site.machines) >= 3 else self._site.machines * 3
 
     async def _fault(self, name: str, rng: random.Random) -> None:
         fault = FAULTS[name]
@@ -162,7 +134,7 @@
         # Until it is over it lasts for ever, for the checks that run meanwhile.
         index = len(self._spans)
         self._spans.append(Span(name, began, float("inf"), fault.planned))
-        await fault.work(self, rng)
+        await fault.work(self._site, rng)
         self._spans[index] = Span(name, began, self._loop.time(), fault.planned)
 
     async def _watch(self) -> None:
@@ -170,7 +142,7 @@
         told: Counter[str] = Counter()
         while True:
             await asyncio.sleep(_LOOK_SECONDS)
-            for machine in self.machines:
+            for machine in self._site.machines:
                 machine.look()
             for line in broken(self.evidence()):
                 told[line] += 1
@@ -181,12 +153,12 @@
         """Ask calm nodes what the last change must have changed."""
         while True:
             await asyncio.sleep(_PROBE_SECONDS)
-            changes = self.outside.changes
+            changes = self._site.outside.changes
             now = self._loop.time()
             if not changes or now - changes[-1].at < _IN_FORCE_SECONDS:
                 continue
             last = changes[-1]
-            for machine in self.machines:
+            for machine in self._site.machines:
                 if not self._calm(machine, now):
                     continue
                 asks = [(last.added_path, "", 0)]
@@ -202,10 +174,10 @@
         return not disturbed and not self.evidence().disturbed(now - _SETTLE_SECONDS, now)
 
     async def _probe(self, machine: Machine, path: str, key: str, expected: int) -> None:
-        version = self.outside.version
-        status = await _status(machine.entry, path, key or self.outside.keys[0])
+        version = self._site.outside.version
+        status = await status_of(machine.entry, path, key or self._site.outside.keys[0])
         now = self._loop.time()
-        if version != self.outside.version or not self._calm(machine, now):
+        if version != self._site.outside.version or not self._calm(machine, now):
             return
         if expected == 0 and status not in (401, 404):
             return
@@ -213,27 +185,6 @@
         self._probes.append(Probe(now, machine.name, status, expected or 200, what))
 
 
-async def _status(address: str, path: str, key: str = "") -> int:
-    """Return the status of an answer, 0 where none comes."""
-    host, _, port = address.rpartition(":")
-    request_id = f"probe-{random.getrandbits(40):x}"
-    request = (
-        f"GET {path} HTTP/1.1\r\nHost: fleet.example\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: 1000\r\nX-Credential: {key}\r\nConnection: close\r\n\r\n"
-    )
-    try:
-        async with asyncio.timeout(2.0):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            try:
-                writer.write(request.encode())
-                line = await reader.readline()
-            finally:
-                writer.transport.abort()
-    except (OSError, TimeoutError):
-        return 0
-    return int(line.split()[1]) if line.startswith(b"HTTP") else 0
-
-
 async def run(seed: int, size: Size, folder: Path) -> Outcome:
     """Run one soak; its nodes' logs are in `folder`."""
     scene = Scene(seed=seed, size=size, folder=folder)
