--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -31,6 +31,8 @@
     target: str
     at: float
     """The loop's time at which it began."""
+    version: int = 0
+    """The version of the weights on which it began."""
 
 
 class _Exchange(NamedTuple):
@@ -110,7 +112,7 @@
         request_id = fields.get("x-request-id", "")
         now = asyncio.get_running_loop().time()
         target = request.head.target.decode()
-        self.ran.append(Ran(request_id, fields, request.body, target, now))
+        self.ran.append(Ran(request_id, fields, request.body, target, now, self.version))
         return request_id
 
     async def _handle(self, request: Request, responder: Responder) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import click
 
+from .faults import FAULTS
 from .scene import Outcome, Size, run
 from .seeds import FAILED_ONCE
 
@@ -31,6 +32,7 @@
 @click.option("--seed", type=int, multiple=True, help="Seeds to run, in place of fresh ones.")
 @click.option("--seeds", default=4, show_default=True, help="How many fresh seeds.")
 @click.option("--kept", is_flag=True, help="The seeds that failed once.")
+@click.option("--fault", type=click.Choice(list(FAULTS)), multiple=True, help="Only these kinds.")
 @click.option("--nodes", default=Size().nodes, show_default=True)
 @click.option("--callers", default=Size().callers, show_default=True)
 @click.option("--seconds", default=Size().seconds, show_default=True, help="Time of faults.")
@@ -39,20 +41,23 @@
     seed: tuple[int, ...],
     seeds: int,
     kept: bool,
+    fault: tuple[str, ...],
     nodes: int,
     callers: int,
     seconds: float,
     jobs: int,
 ) -> None:
     """Soak fielddrift in faults; exit 1 where a promise was broken."""
+    size = Size(nodes, callers, seconds, fault or tuple(FAULTS))
     if kept:
         wanted = [failed.seed for failed in FAILED_ONCE]
+        sizes = [size._replace(kinds=f.kinds, seconds=f.seconds) for f in FAILED_ONCE]
     else:
         wanted = list(seed) or [secrets.randbits(_SEED_BITS) for _ in range(seeds)]
-    size = Size(nodes, callers, seconds)
+        sizes = [size] * len(wanted)
     bad = 0
     with ProcessPoolExecutor(jobs) as pool:
-        for outcome, folder in pool.map(_one, wanted, [size] * len(wanted)):
+        for outcome, folder in pool.map(_one, wanted, sizes):
             verdict = f"BROKEN, logs in {folder}" if outcome.broken else "held"
             click.echo(f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}")
             for line in [*outcome.broken[:20], *(outcome.faults if outcome.broken else [])]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -18,20 +19,24 @@
 
 
 class Fault(NamedTuple):
-    """A fault; planned work must not cost anyone an answer."""
+    """A fault; planned work must not cost anyone an answer.
+
+    `processes` says that it touches nothing but nodes' processes.
+    """
 
     work: _Work
     planned: bool
+    processes: bool
 
 
 FAULTS: dict[str, Fault] = {}
 
 
-def fault(name: str, *, planned: bool = False) -> Callable[[_Work], _Work]:
+def fault(name: str, *, planned: bool = False, processes: bool = False) -> Callable[[_Work], _Work]:
     """Register the decorated function under `name`."""
 
     def register(work: _Work) -> _Work:
-        FAULTS[name] = Fault(work, planned)
+        FAULTS[name] = Fault(work, planned, processes)
         return work
 
     return register
@@ -79,12 +84,12 @@
         machine.busy = False
 
 
-@fault("one killed")
+@fault("one killed", processes=True)
 async def _one_killed(site: Site, rng: random.Random) -> None:
     await _kill(rng.choice(site.machines), rng.uniform(0.1, 2.0))
 
 
-@fault("one killed again and again")
+@fault("one killed again and again", processes=True)
 async def _killed_often(site: Site, rng: random.Random) -> None:
     machine = rng.choice(site.machines)
     for _ in range(rng.randint(2, 4)):
@@ -92,13 +97,13 @@
         await _lasting(rng, 0.1, 1.0)
 
 
-@fault("all killed")
+@fault("all killed", processes=True)
 async def _all_killed(site: Site, rng: random.Random) -> None:
     rest = rng.uniform(0.1, 1.5)
     await asyncio.gather(*(_kill(machine, rest) for machine in site.machines))
 
 
-@fault("some paused")
+@fault("some paused", processes=True)
 async def _some_paused(site: Site, rng: random.Random) -> None:
     chosen = rng.sample(site.machines, k=rng.randint(1, max(1, len(site.machines) // 2)))
     seconds = rng.uniform(0.3, 5.0)
@@ -292,3 +297,60 @@
     site.pace = 0.3
     await _lasting(rng, 1.0, 3.0)
     site.pace = 1.0
+
+
+# --- several things at once -----------------------------------------------------------
+# Registered last: earlier seeds choose among the kinds before these.
+
+
+@fault("all killed while new weights load", processes=True)
+async def _killed_in_rollout(site: Site, rng: random.Random) -> None:
+    site.outside.load_slowly(rng.uniform(1.0, 4.0))
+    site.outside.name_weights()
+    await _lasting(rng, 0.3, 3.0)
+    if rng.random() < 0.5:
+        site.outside.name_weights()
+        await _lasting(rng, 0.1, 1.0)
+    await _all_killed(site, rng)
+
+
+@fault("open connections to the store fall silent before a change")
+async def _silenced_before_change(site: Site, rng: random.Random) -> None:
+    for machine in site.machines:
+        machine.store.silence()
+    site.outside.change()
+
+
+@fault("some cut off while a worker leaves, then their neighbours killed")
+async def _cut_off_then_killed(site: Site, rng: random.Random) -> None:
+    zones = Counter(machine.zone for machine in site.machines)
+    one = rng.choice([m for m in site.machines if zones[m.zone] > 1] or site.machines)
+    neighbours = [m for m in site.machines if m.zone == one.zone and m is not one]
+    cut = [one, *neighbours] if rng.random() < 0.7 else [one]
+    for machine in cut:
+        machine.store.reset()
+        machine.store.harm = Harm(refuse=True)
+    await _lasting(rng, 0.1, 1.5)
+    leave = rng.choice([site.outside.drain, site.outside.dismiss])
+    name = _worker(site, rng)
+    if name not in site.outside.leaving_at:
+        leave(name)
+    await _lasting(rng, 0.1, 4.0)
+    if rng.random() < 0.3:
+        site.outside.store.forget()
+    # Those that start again copy what the first one believes just after its return.
+    for machine in cut:
+        machine.store.harm = Harm()
+    await _lasting(rng, 0.0, 0.5)
+    await asyncio.gather(*(_kill(machine, 0.1) for machine in neighbours))
+    await _lasting(rng, 0.5, 2.0)
+    if rng.random() < 0.5:
+        await _kill(one, 0.1)
+
+
+@fault("a worker's entry goes without a word", planned=True)
+async def _dismissed(site: Site, rng: random.Random) -> None:
+    name = _worker(site, rng)
+    if name not in site.outside.leaving_at:
+        site.outside.dismiss(name)
+    await _lasting(rng, 2.0, 3.0)
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -63,6 +63,7 @@
 
     def __init__(self, *, name: str, ip: str, zone: str, folder: Path, store: Link) -> None:
         self.name = name
+        self.zone = zone
         self.store = store
         self.entry, self.ready, self.directory, self.peer = (
             f"{ip}:{free_port()}" for _ in range(4)
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -6,6 +6,7 @@
 import itertools
 from typing import NamedTuple
 
+from fielddrift_node.web.server import Limits, Request, Responder, Server
 from fielddrift_standins.deployment import KEY, Deployment, route
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
@@ -13,12 +14,15 @@
 from .callers import EVENTS
 from .links import Link
 
-__all__ = ["Change", "Outside"]
+__all__ = ["Arrival", "Change", "Outside"]
 
 _LAPSE_SECONDS = 1.5
 """Time after which the entry of a worker that crashed goes."""
 _SERVE_ON_SECONDS = 3.0
 """How long a leaving worker serves on: the drain bound and a little."""
+_LOAD_SECONDS = 0.05
+_SLOW_SECONDS = 10.0
+"""How long engines load slowly, once they do."""
 _PLAIN, _ENGINES = "plain", "engines"
 
 
@@ -31,6 +35,14 @@
     dropped_key: str
 
 
+class Arrival(NamedTuple):
+    """A request that reached the address of a worker after its end."""
+
+    worker: str
+    request_id: str
+    at: float
+
+
 class Outside(Deployment):
     """The store, workers that come and go, and what the operator changes."""
 
@@ -40,9 +52,13 @@
         self.ended: list[Worker] = []
         self.changes: list[Change] = []
         self.leaving_at: dict[str, float] = {}
-        self.named = 1
+        self.named_at = {1: float("-inf")}
+        """When the store took each version of the weights."""
+        self.arrivals: list[Arrival] = []
         self._numbers = itertools.count(1)
         self._services: dict[str, str] = {}
+        self._targets: dict[str, str] = {}
+        self._witnesses: list[Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self, *, plain: int, engines: int) -> None:
@@ -66,6 +82,9 @@
         self.close()
         for worker in self.ended:
             worker.close()
+        for server in self._witnesses:
+            server.stop_accepting()
+            server.close()
         for link in self.links.values():
             link.close()
 
@@ -73,6 +92,11 @@
         """Return a way to the store for one node."""
         return await Link(target=self.store_address).start()
 
+    @property
+    def named(self) -> int:
+        """Return the newest version that was named."""
+        return max(self.named_at)
+
     @property
     def every_worker(self) -> list[Worker]:
         """Return all workers that there have been."""
@@ -95,9 +119,11 @@
             pause_seconds=0.02 if engine else 0.0,
             version=self.named,
         )
+        worker.load_seconds = _LOAD_SECONDS
         address = f"{HOST}:{free_port()}"
         host, _, port = address.rpartition(":")
         await worker.start(host, int(port))
+        self._targets[worker.name] = address
         link = await Link(target=address).start()
         self.links[worker.name] = link
         self.workers[worker.name] = worker
@@ -110,6 +136,7 @@
         """End a worker at once; its entry lapses, and another one comes."""
         service = self._services[name]
         self._gone(name)
+        self.links[name].close()
         self._later(self._lapse(name, service))
 
     def drain(self, name: str) -> None:
@@ -119,10 +146,18 @@
         self.enter(name, service, state="draining")
         self._later(self._leave(name, service))
 
+    def dismiss(self, name: str) -> None:
+        """Let a worker's entry go without a word; another one comes.
+
+        It serves on to the soak's end, so that whoever still sends to it is seen.
+        """
+        self.leaving_at[name] = asyncio.get_running_loop().time()
+        self.store.drop("servers", name)
+        self._later(self.begin_worker(self._services[name]))
+
     def _gone(self, name: str) -> None:
         worker = self.workers.pop(name)
         worker.close()
-        self.links[name].close()
         self.ended.append(worker)
 
     async def _lapse(self, name: str, service: str) -> None:
@@ -135,6 +170,23 @@
         await asyncio.sleep(_SERVE_ON_SECONDS)
         self._gone(name)
         self.store.drop("servers", name)
+        await self._witness(name)
+
+    async def _witness(self, name: str) -> None:
+        """Note who still comes to a worker that left; nobody is answered."""
+
+        async def note(request: Request, responder: Responder) -> None:
+            request_id = request.head.headers.text(b"x-request-id")
+            if request_id:
+                now = asyncio.get_running_loop().time()
+                self.arrivals.append(Arrival(name, request_id, now))
+            responder.cut()
+
+        self.links[name].reset()
+        server = Server(handler=note, limits=Limits)
+        host, _, port = self._targets[name].rpartition(":")
+        await server.start(host, int(port))
+        self._witnesses.append(server)
 
     def _later(self, work: object) -> None:
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
@@ -145,8 +197,17 @@
 
     def name_weights(self) -> None:
         """Name newer weights."""
-        self.named += 1
-        self.store.put("op", "version/m", {"model": "m", "version": self.named})
+        version = self.named + 1
+        self.store.put("op", "version/m", {"model": "m", "version": version})
+        self.named_at[version] = asyncio.get_running_loop().time()
+
+    def load_slowly(self, seconds: float) -> None:
+        """Let each load that the engines of now begin take `seconds`, for some time."""
+        loop = asyncio.get_running_loop()
+        for name in self.serving(_ENGINES):
+            worker = self.workers[name]
+            worker.load_seconds = seconds
+            loop.call_later(_SLOW_SECONDS, setattr, worker, "load_seconds", _LOAD_SECONDS)
 
     def change(self) -> None:
         """Add a route and a key, and drop those that the last change added."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,7 +10,7 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
-from .outside import Change
+from .outside import Arrival, Change
 
 __all__ = ["PROMISES", "Evidence", "Probe", "Span", "broken"]
 
@@ -21,6 +21,10 @@
 _LEAVING_SECONDS = 2.0
 _DRAIN_SLACK = 0.3
 """Time that a send may be under way on a busy machine."""
+_WEIGHTS_SECONDS = 6.0
+"""Time after which nothing may begin on outdated weights: `version-ms` of the nodes' settings."""
+_WEIGHTS_SLACK = 0.3
+"""Time that a send may be under way on a busy machine."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
 _CROSSING_SECONDS = 0.3
 """A request that nobody passed on, and whose connection closed so soon, crossed that close."""
@@ -29,12 +33,15 @@
 
 
 class Span(NamedTuple):
-    """A fault: from when to when, and whether it was planned work."""
+    """A fault: from when to when, whether it was planned work, and whether it touched
+    nothing but nodes' processes.
+    """
 
     name: str
     began: float
     ended: float
     planned: bool
+    processes: bool = False
 
 
 class Probe(NamedTuple):
@@ -56,7 +63,8 @@
     changes: list[Change]
     probes: list[Probe]
     leaving_at: dict[str, float]
-    named: int
+    named_at: dict[int, float]
+    arrivals: list[Arrival]
     calm_since: float | None
     faults_of_ours: list[str]
 
@@ -76,6 +84,19 @@
             if not span.planned
         )
 
+    def sound_since(self, at: float) -> float:
+        """Return since when the store and all links had been sound at the time `at`.
+
+        What befalls nodes' processes does not count: weights grow old meanwhile.
+        """
+        harms = [s for s in self.spans if not s.planned and not s.processes and s.began <= at]
+        return max((span.ended + _TOUCH_SECONDS for span in harms), default=float("-inf"))
+
+    def outdated_at(self, version: int) -> float:
+        """Return since when a version of the weights is outdated."""
+        newer = (at for named, at in self.named_at.items() if named > version)
+        return min(newer, default=float("inf"))
+
 
 _Check = Callable[[Evidence], Iterator[str]]
 PROMISES: dict[str, _Check] = {}
@@ -196,9 +217,13 @@
         if at is None:
             continue
         limit = at + _LEAVING_SECONDS + _DRAIN_SLACK
-        for ran in worker.ran:
-            if ran.at > limit and not evidence.disturbed(at, ran.at):
-                yield f"{ran.request_id}: at {worker.name} {ran.at - at:.2f} s after its word"
+        came = [(ran.request_id, ran.at) for ran in worker.ran]
+        came += [(a.request_id, a.at) for a in evidence.arrivals if a.worker == worker.name]
+        for request_id, came_at in came:
+            # Trouble before the bound's own time excuses nothing: an entry may stay for good.
+            since = max(at, came_at - _LEAVING_SECONDS - _DRAIN_SLACK)
+            if came_at > limit and not evidence.disturbed(since, came_at):
+                yield f"{request_id}: at {worker.name} {came_at - at:.2f} s after its word"
 
 
 @promise("one holder gives orders at a time")
@@ -215,14 +240,27 @@
             highest = max(highest, fence)
 
 
+@promise("nothing begins on weights that are outdated for long")
+def _outdated(evidence: Evidence) -> Iterator[str]:
+    for worker in evidence.workers:
+        for ran in worker.ran if worker.name.startswith("engines") else ():
+            outdated = evidence.outdated_at(ran.version)
+            since = max(outdated, evidence.sound_since(ran.at))
+            late = ran.at - since > _WEIGHTS_SECONDS + _WEIGHTS_SLACK
+            if late and not evidence.disturbed(ran.at, ran.at):
+                after = f"{ran.at - outdated:.2f} s after a newer version"
+                yield f"{ran.request_id}: on {ran.version} at {worker.name} {after}"
+
+
 @promise("new weights come everywhere")
 def _weights(evidence: Evidence) -> Iterator[str]:
     if evidence.calm_since is None:
         return
+    named = max(evidence.named_at)
     for worker in evidence.workers:
         left = worker.name in evidence.leaving_at or worker.closed
-        if worker.name.startswith("engines") and not left and worker.version != evidence.named:
-            yield f"{worker.name}: version {worker.version}, named {evidence.named}"
+        if worker.name.startswith("engines") and not left and worker.version != named:
+            yield f"{worker.name}: version {worker.version}, named {named}"
 
 
 @promise("after the trouble all is served again")
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -32,11 +32,12 @@
 
 
 class Size(NamedTuple):
-    """How large and long a soak is; `seconds` is the time in which faults begin."""
+    """How large and long a soak is; `seconds` is the time in which faults of `kinds` begin."""
 
     nodes: int = 4
     callers: int = 16
     seconds: float = 20.0
+    kinds: tuple[str, ...] = tuple(FAULTS)
 
 
 class Outcome(NamedTuple):
@@ -82,7 +83,7 @@
         until = self._loop.time() + self._size.seconds
         running = []
         while self._loop.time() < until:
-            name = self._rng.choice(list(FAULTS))
+            name = self._rng.choice(self._size.kinds)
             own = random.Random(self._rng.random())
             running.append(asyncio.ensure_future(self._fault(name, own)))
             await asyncio.sleep(self._rng.expovariate(1 / _FAULT_GAP_SECONDS))
@@ -118,7 +119,8 @@
             changes=self._site.outside.changes,
             probes=self._probes,
             leaving_at=self._site.outside.leaving_at,
-            named=self._site.outside.named,
+            named_at=self._site.outside.named_at,
+            arrivals=self._site.outside.arrivals,
             calm_since=self._calm_since,
             faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
@@ -133,9 +135,10 @@
         began = self._loop.time()
         # Until it is over it lasts for ever, for the checks that run meanwhile.
         index = len(self._spans)
-        self._spans.append(Span(name, began, float("inf"), fault.planned))
+        span = Span(name, began, float("inf"), fault.planned, fault.processes)
+        self._spans.append(span)
         await fault.work(self._site, rng)
-        self._spans[index] = Span(name, began, self._loop.time(), fault.planned)
+        self._spans[index] = span._replace(ended=self._loop.time())
 
     async def _watch(self) -> None:
         """Look after the processes and the promises while all goes on."""
@@ -171,7 +174,7 @@
 
     def _calm(self, machine: Machine, now: float) -> bool:
         disturbed = now - machine.touched_at < _SETTLE_SECONDS or machine.busy
-        return not disturbed and not self.evidence().disturbed(now - _SETTLE_SECONDS, now)
+        return not disturbed and not self.evidence().disturbed(now, now)
 
     async def _probe(self, machine: Machine, path: str, key: str, expected: int) -> None:
         version = self._site.outside.version
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -4,22 +4,36 @@
 
 from typing import NamedTuple
 
+from .faults import FAULTS
+
 __all__ = ["FAILED_ONCE", "FailedSeed"]
 
 
+_FIRST_KINDS = tuple(FAULTS)[:26]
+"""Those that there were at first: a seed names other faults where there are more kinds."""
+
+
 class FailedSeed(NamedTuple):
-    """A seed, and why it failed."""
+    """A seed, why it failed, the kinds of fault that it chose from, and their time in seconds."""
 
     seed: int
     cause: str
+    kinds: tuple[str, ...] = _FIRST_KINDS
+    seconds: float = 20.0
 
 
 _CROSSED = "a check of the soak's own: requests that crossed the close of a stopping node"
 
+_KILLED_LOADING = ("all killed while new weights load",)
+_COUNTED_ANEW = (
+    "processes that started anew counted the time for older weights from their own start"
+)
+
 _ENDLESS = "a stream that broke off behind its last event was resumed, and cut for want of more"
 
 FAILED_ONCE = (
     FailedSeed(2966062626, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
     FailedSeed(2859916874, f"{_CROSSED}; then a process that was stopped while it still loaded"),
     FailedSeed(2393083761, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
+    FailedSeed(3074321362, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from soak.callers import EVENTS, KINDS, Attempt, Kind
 from soak.faults import FAULTS
 from soak.links import Harm, Link
+from soak.outside import Arrival
 from soak.promises import PROMISES, Evidence, Probe, Span, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
@@ -43,7 +44,7 @@
 def ran(made: Attempt, at: float = 10.05, **changes: str) -> Ran:
     """Return the run of an attempt."""
     headers = {"x-tenant": "ana", **changes}
-    return Ran(made.id, headers, made.body, made.path, at)
+    return Ran(made.id, headers, made.body, made.path, at, 1)
 
 
 def evidence(*attempts: Attempt, **changes: object) -> Evidence:
@@ -51,7 +52,9 @@
     plain, engine = Worker(name="plain-1"), Worker(name="engines-1", version=1)
     for made in attempts:
         (engine if made.kind.streams else plain).ran.append(ran(made))
-    return Evidence(list(attempts), [plain, engine], [], [], [], {}, 1, None, [])._replace(
+    return Evidence(
+        list(attempts), [plain, engine], [], [], [], {}, {1: 0.0}, [], None, []
+    )._replace(
         **changes  # type: ignore[arg-type]
     )
 
@@ -66,9 +69,8 @@
         self.assertEqual(broken(found), [])
 
     async def test_each_check_sees_its_fault(self) -> None:
-        own, order, once, refused, asked, allowed, planned, force, left, one, new, again, ours = (
-            PROMISES
-        )
+        own, order, once, refused, asked, allowed, planned, *later = PROMISES
+        force, left, one, outdated, new, again, ours = later
         foreign = evidence(attempt(SAFE, seal="plain-1.other"))
         self.assertEqual(self.seen(foreign), {own})
         self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
@@ -98,12 +100,28 @@
         self.assertEqual(self.seen(late), {force})
         leaving = evidence(attempt(SAFE), leaving_at={"plain-1": 5.0})
         self.assertEqual(self.seen(leaving), {left})
+        gone = [Arrival("plain-1", "r1", 30.0)]
+        staying = evidence(leaving_at={"plain-1": 5.0}, arrivals=gone)
+        self.assertEqual(self.seen(staying), {left})
+        cut_off = Span("one cut off from the store", 4.0, 24.0, False)
+        self.assertEqual(self.seen(staying._replace(spans=[cut_off])), {left})
+        cut_off = cut_off._replace(ended=25.0)
+        self.assertEqual(self.seen(staying._replace(spans=[cut_off])), set())
         held = evidence()
         held.workers[1].orders += [{"fence": 4, "holder": "a"}, {"fence": 4, "holder": "b"}]
         self.assertEqual(self.seen(held), {one})
         held.workers[1].orders[:] = [{"fence": 4, "holder": "a"}, {"fence": 3, "holder": "b"}]
         self.assertEqual(self.seen(held), {one})
-        old = evidence(attempt(SAFE), named=2, calm_since=9.0)
+        since = {1: 0.0, 2: 3.0, 3: 9.0}
+        behind = evidence(attempt(CHAT, "engines-1"), named_at=since)
+        self.assertEqual(self.seen(behind), {outdated})
+        killed = Span("all killed", 5.0, 6.9, False, True)
+        self.assertEqual(self.seen(behind._replace(spans=[killed])), {outdated})
+        just_killed = killed._replace(ended=7.1)
+        self.assertEqual(self.seen(behind._replace(spans=[just_killed])), set())
+        down = Span("store refuses", 0.5, 1.0, False)
+        self.assertEqual(self.seen(behind._replace(spans=[down])), set())
+        old = evidence(attempt(SAFE), named_at={1: 0.0, 2: 9.0}, calm_since=9.0)
         self.assertEqual(self.seen(old), {new})
         unserved = evidence(attempt(SAFE, status=502, seal=""), calm_since=9.0)
         self.assertEqual(self.seen(unserved), {again})
