Make the command line's requests in one place

Cause: client.py and beliefs.py each set up, made and closed a request with pycurl. Change: exchange.py does, and raises NoAnswer.

--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import io
 import json
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-import pycurl
 from tabulate import tabulate
 
+from .exchange import NoAnswer, exchange
+
 __all__ = ["Answer", "ask", "tables"]
 
-_CONNECT_SECONDS = 2
 _ANSWER_SECONDS = 5
 _OK = 200
 _UNKNOWN = "-"
@@ -28,23 +27,14 @@
 
 def ask(address: str) -> Answer:
     """Ask the node whose metrics address is `address`."""
-    out = io.BytesIO()
-    curl = pycurl.Curl()
-    curl.setopt(pycurl.URL, f"http://{address}/beliefs")
-    curl.setopt(pycurl.CONNECTTIMEOUT, _CONNECT_SECONDS)
-    curl.setopt(pycurl.TIMEOUT, _ANSWER_SECONDS)
-    curl.setopt(pycurl.WRITEDATA, out)
     try:
-        curl.perform()
-        status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-    except pycurl.error as error:
+        status, body = exchange(f"http://{address}/beliefs", seconds=_ANSWER_SECONDS)
+    except NoAnswer as error:
         return Answer(address, None, str(error))
-    finally:
-        curl.close()
     if status != _OK:
         return Answer(address, None, f"status {status}, expected {_OK}")
     try:
-        return Answer(address, json.loads(out.getvalue()))
+        return Answer(address, json.loads(body))
     except ValueError as error:
         return Answer(address, None, f"answer is no JSON: {error}")
 
--- a/packages/cli/src/fielddrift_cli/client.py
+++ b/packages/cli/src/fielddrift_cli/client.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import io
 import json
 import uuid
 from typing import Any, NamedTuple
 
-import pycurl
 from fielddrift_core.errors import Kind
 
+from .exchange import NoAnswer, exchange
+
 __all__ = ["Client", "Outcome"]
 
-_CONNECT_SECONDS = 2
 _ANSWER_SECONDS = 90
 _OK = 200
 
@@ -53,24 +52,12 @@
         return Outcome(None, {"type": f"urn:fielddrift:{Kind.NO_TARGET}", "detail": detail})
 
     def _post(self, node: str, body: bytes) -> tuple[int, bytes]:
-        out = io.BytesIO()
-        curl = pycurl.Curl()
-        curl.setopt(pycurl.URL, f"http://{node}/v1/operators/statements")
-        curl.setopt(pycurl.POSTFIELDS, body)
-        curl.setopt(pycurl.CONNECTTIMEOUT, _CONNECT_SECONDS)
-        curl.setopt(pycurl.TIMEOUT, _ANSWER_SECONDS)
-        curl.setopt(
-            pycurl.HTTPHEADER,
-            [f"Authorization: Bearer {self._key}", "Content-Type: application/json"],
-        )
-        curl.setopt(pycurl.WRITEDATA, out)
+        headers = [f"Authorization: Bearer {self._key}", "Content-Type: application/json"]
+        url = f"http://{node}/v1/operators/statements"
         try:
-            curl.perform()
-            return int(curl.getinfo(pycurl.RESPONSE_CODE)), out.getvalue()
-        except pycurl.error:
+            return exchange(url, seconds=_ANSWER_SECONDS, body=body, headers=headers)
+        except NoAnswer:
             return 0, b""
-        finally:
-            curl.close()
 
 
 def _outcome(status: int, raw: bytes) -> Outcome:
