Show that a reader's new life is taken for the old one under an equal serial (fails)

Cause: who copies a list remembers the reader's name and serial. A reader that was killed and is back before its neighbours miss it counts anew, and may reach the same serial with another list.

Ruled out: with other serials, or after a silence, the list is copied.

It fails, 8 s after the start: AssertionError: {'node-3': {'y', 'x'}, 'node-1': {'y', 'x'}, 'node-2': {'y', 'z'}} != {'node-2': {'y', 'z'}, 'node-3': {'y', 'z'}, 'node-1': {'y', 'z'}}

--- a/tests/test_target_views.py
+++ b/tests/test_target_views.py
@@ -134,3 +134,23 @@
 
     def _lost(self, name: str) -> bool:
         return self.fleet.nodes[name].failed_at > 0
+
+
+class TestReaderStartedAnew(TargetViewCase):
+    """A reader that started anew looked as if its list were the one copied before.
+
+    Sequence: the reader was killed and back before its neighbours missed it; meanwhile
+    one target ended and another came.  Its new list had as many changes behind it, so
+    the same serial, and nobody copied it.
+    Cause: a serial was compared without the life of the node that counted it.
+    """
+
+    def test_the_list_of_a_new_life_is_copied_under_an_equal_serial(self) -> None:
+        serial = self.fleet.nodes[FIRST].views.registry.serial
+        self.fleet.stop(FIRST)
+        self.fleet.store.end("x")
+        self.fleet.store.enter("z")
+        self.fleet.start(FIRST)
+        self.fleet.wait(_SETTLED_SECONDS)
+        self.assertEqual(self.fleet.nodes[FIRST].views.registry.serial, serial)
+        self.assertEqual(self.lists(), dict.fromkeys(NAMES, {"y", "z"}))
