Compare the life of the reader too before its list is taken for the one copied

Cause: a node that was killed and back before its neighbours missed it counts its serial anew; with an equal serial its new list was never copied.

Ruled out: leaving in order, and a silence of over 0.9 s: both make neighbours look elsewhere, and copy anew afterwards.

Change: what was copied is known by name, life and serial.

Before: the listed test failed ('x' stays on two of three nodes, 8 s after the start).

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -293,6 +293,18 @@
             self._changed()
 
 
+class _CopyMark(NamedTuple):
+    """Whose list was copied; a node counts its serial anew in each of its lives."""
+
+    name: str
+    boot: int
+    serial: int
+
+
+def _mark(node: Neighbour, reading: Reading) -> _CopyMark:
+    return _CopyMark(node.name, node.boot, reading.serial)
+
+
 class TargetFeed(_Feed):
     """Follow the targets' entries: by reading now and then, or by the reader's heartbeats."""
 
@@ -305,16 +317,16 @@
     ) -> None:
         super().__init__(what="target entries", tools=tools, changed=changed)
         self._returned = returned
-        self._copied: tuple[str, int] = ("", -1)
+        self._copied: _CopyMark | None = None
         self._lost_at: float | None = None
         """When the store last gave no answer, None once the list is known as of later:
         entries may have lapsed unseen since."""
         self._wake = asyncio.Event()
 
-    def heard(self, name: str, reading: Reading) -> None:
-        """Take how far the node called `name` has read; look at once where it is the reader."""
-        copied_from, serial = self._copied
-        if name == copied_from and reading.serial != serial:
+    def heard(self, node: Neighbour, reading: Reading) -> None:
+        """Take how far `node` has read; look at once where it is the reader."""
+        copied = self._copied
+        if copied is not None and copied.name == node.name and copied != _mark(node, reading):
             self._wake.set()
 
     def again(self) -> None:
@@ -351,7 +363,7 @@
         now = asyncio.get_running_loop().time()
         reading = self._neighbours.readings(now).get(chosen.name, Reading())
         if reading.targets >= self._views.targets_row:
-            if (chosen.name, reading.serial) != self._copied and not await self._copy(chosen):
+            if _mark(chosen, reading) != self._copied and not await self._copy(chosen):
                 return False
             if self._lost_at is not None and now - reading.age > self._lost_at:
                 self._lost_at = None
@@ -382,7 +394,7 @@
         self._views.registry.copied(copy.entries, copy.leaving, lapsed, lost=lost)
         self._views.targets_row = copy.row
         self._after = copy.row
-        self._copied = (chosen.name, copy.serial)
+        self._copied = _CopyMark(chosen.name, chosen.boot, copy.serial)
         _log.info(
             "targets copied",
             told_by=chosen.name,
@@ -415,7 +427,7 @@
         self._views.targets_row = max(self._views.targets_row, news.version)
         self._log_changes(before, "platform")
         self._views.targets_at = now
-        self._copied = ("", -1)
+        self._copied = None
         if registry.serial != serial:
             self._changed()
 
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -339,7 +339,7 @@
         self._heartbeats.heard(heartbeat)
         self._operators.heard(heartbeat)
         if heartbeat.node.data_centre == self._settings.data_centre:
-            self._targets.heard(heartbeat.node.name, heartbeat.reading)
+            self._targets.heard(heartbeat.node, heartbeat.reading)
 
     def _limits(self) -> Limits:
         catalog = self._views.catalog
--- a/tests/target_views.py
+++ b/tests/target_views.py
@@ -155,7 +155,7 @@
         """Take a heartbeat, as a serving node does."""
         self.neighbours.hear(heartbeat, asyncio.get_running_loop().time())
         self.translator.heard(heartbeat)
-        self.feed.heard(heartbeat.node.name, heartbeat.reading)
+        self.feed.heard(heartbeat.node, heartbeat.reading)
 
 
 class TargetFleet:
