Lose no cancel that comes together with what a task waits for

Cause: asyncio.wait_for of Python 3.11 returns a result that comes in the same turn as a cancel and drops the cancel. Found when the walk of views hung. On the way of a request a caller's close is such a cancel.

Ruled out: the peers' calls of the own interface (peers.py) stay: there nothing cancels the waiting side but the end of its loop.

Change: asyncio.timeout in the three places on the platform's way.

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -348,7 +348,8 @@
                 continue
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), seconds)
+                async with asyncio.timeout(seconds):
+                    await self._wake.wait()
 
     async def _turn(self) -> float:
         """Bring the list up to date; return the seconds until the next turn."""
--- a/packages/node/src/fielddrift_node/serving/store_tracker.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -96,7 +96,8 @@
                 else:
                     self._stand_by()
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._wake.wait(), self._pause(loop.time()))
+                    async with asyncio.timeout(self._pause(loop.time())):
+                        await self._wake.wait()
         finally:
             self._listen_to({})
 
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -163,7 +163,9 @@
         """Wait up to `seconds` for the operators' rows to be read again."""
         self._refreshed.clear()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._refreshed.wait(), seconds)
+            # Unlike wait_for, this loses no cancel that comes with the news.
+            async with asyncio.timeout(seconds):
+                await self._refreshed.wait()
 
     def saw_weights(self, instance_name: str, model: str, version: int) -> None:
         """Note weights that an instance was seen to have; they only become newer."""
