Keep two more seeds of the soak; kill neighbours within the respite

The neighbours of a node that was cut off are now killed 0.2 to 2.2 s after the store's return, within the respite of lapsed entries, where they were killed within 0.5 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -338,13 +338,13 @@
     await _lasting(rng, 0.1, 4.0)
     if rng.random() < 0.3:
         site.outside.store.forget()
-    # Those that start again copy what the first one believes just after its return.
+    # Those that are left may have copied what others had not yet given up.
     for machine in cut:
         machine.store.harm = Harm()
-    await _lasting(rng, 0.0, 0.5)
+    await _lasting(rng, 0.2, 2.2)
     await asyncio.gather(*(_kill(machine, 0.1) for machine in neighbours))
     await _lasting(rng, 0.5, 2.0)
-    if rng.random() < 0.5:
+    if rng.random() < 0.3:
         await _kill(one, 0.1)
 
 
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -36,4 +36,6 @@
     FailedSeed(2859916874, f"{_CROSSED}; then a process that was stopped while it still loaded"),
     FailedSeed(2393083761, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
     FailedSeed(3074321362, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
+    FailedSeed(198707910, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
+    FailedSeed(3692809491, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
 )
