--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -60,12 +60,9 @@
         Raise `StreamError` for an event without a number, an end mark that
         contradicts the events, or too many held out of order.
         """
-        data = self._rest + data
-        cut = data.rfind(b"\n\n") + 2
-        if cut < 2:
-            self._rest = data
+        ready, self._rest = _whole_events(self._rest + data)
+        if not ready:
             return b""
-        ready, self._rest = data[:cut], data[cut:]
         numbers = [int(n) for n in _NUMBER.findall(ready)]
         if numbers == list(range(self._next, self._next + ready.count(b"\n\n"))):
             self._check_end(ready, numbers[-1])
@@ -135,12 +132,9 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that `data` completes, without any handed on before."""
-        data = self._rest + data
-        cut = data.rfind(b"\n\n") + 2
-        if cut < 2:
-            self._rest = data
+        ready, self._rest = _whole_events(self._rest + data)
+        if not ready:
             return b""
-        ready, self._rest = data[:cut], data[cut:]
         ids = _ID_LINE.findall(ready)
         if not ids:
             return ready
@@ -159,3 +153,9 @@
             if not number.isdigit() or int(number) > int(self._last):
                 kept.append(event + b"\n\n")
         return b"".join(kept)
+
+
+def _whole_events(data: bytes) -> tuple[bytes, bytes]:
+    """Return the whole events at the beginning of `data`, and the rest."""
+    cut = data.rfind(b"\n\n") + 2
+    return (data[:cut], data[cut:]) if cut >= 2 else (b"", data)
