Tell on only what a node knows itself of loads and late stores

Each hop counted the time anew from its hearing, so that a load and a lateness outlived their ends.

Change: what is told and what is known are kept apart; heartbeats carry the latter.

Before: seven nodes of which each heartbeat takes 30 ms to be heard believed a load of 1 s after 1.3 s, and a lateness had not faded as it does alone after 4 s.

--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -93,41 +93,52 @@
 """Time in which a lateness halves: a link is tried again some seconds after it was slow."""
 
 
+class _Late(NamedTuple):
+    seconds: float
+    at: float
+
+    def faded(self, now: float) -> float:
+        return float(self.seconds * 0.5 ** ((now - self.at) / _LATE_FADE_SECONDS))
+
+
+_IN_TIME = _Late(0.0, 0.0)
+
+
 class Lateness:
     """By how many seconds fetches from a store came later than estimated, of late.
 
-    What all stores have in common is the engines' doing, not the links'.
+    What all stores have in common is the engines' doing, not the links'.  Only what
+    this node saw itself is told on, or it would be renewed at each hop and never fade.
     """
 
     def __init__(self) -> None:
-        self._late: dict[str, tuple[float, float]] = {}
+        self._seen: dict[str, _Late] = {}
+        self._told: dict[str, _Late] = {}
 
     def came(self, store: str, seconds: float, now: float) -> None:
         """Count a fetch that took `seconds` longer than estimated."""
-        late = self._faded(store, now)
-        self._late[store] = (late + _LATE_WEIGHT * (max(0.0, seconds) - late), now)
+        late = self._seen.get(store, _IN_TIME).faded(now)
+        self._seen[store] = _Late(late + _LATE_WEIGHT * (max(0.0, seconds) - late), now)
 
     def told(self, lateness: Mapping[str, float], now: float) -> None:
         """Take what another node saw, where it is worse."""
         for store, seconds in lateness.items():
-            if seconds > self._faded(store, now):
-                self._late[store] = (seconds, now)
+            if seconds > self._told.get(store, _IN_TIME).faded(now):
+                self._told[store] = _Late(seconds, now)
 
     def known(self, now: float) -> dict[str, float]:
-        """Return the lateness of each store, in seconds."""
-        return {store: self._faded(store, now) for store in self._late}
+        """Return the lateness of each store that this node saw itself, in seconds."""
+        return {store: late.faded(now) for store, late in self._seen.items()}
 
     def of(self, store: str, now: float) -> float:
         """Return by how much `store` is later than the quickest of the others."""
-        others = [self._faded(s, now) for s in self._late if s != store]
+        stores = self._seen.keys() | self._told.keys()
+        others = [self._worst(other, now) for other in stores if other != store]
         common = min(others) if others else 0.0
-        return max(0.0, self._faded(store, now) - common)
+        return max(0.0, self._worst(store, now) - common)
 
-    def _faded(self, store: str, now: float) -> float:
-        if store not in self._late:
-            return 0.0
-        late, at = self._late[store]
-        return late * 0.5 ** ((now - at) / _LATE_FADE_SECONDS)
+    def _worst(self, store: str, now: float) -> float:
+        return max(late.get(store, _IN_TIME).faded(now) for late in (self._seen, self._told))
 
 
 class TargetHealth:
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -97,7 +97,7 @@
             weights={model: views.weights_of(target.name, model) for model in target.versions},
             burden=views.workload.at(target.name, now),
             failures=round(views.health.share(target.name, now), 3),
-            loading=round(max(0.0, views.loading.get(target.name, 0.0) - now), 3),
+            loading=round(views.loading.seconds(target.name, now), 3),
         )
         for target in views.registry.all()
     ]
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -377,7 +377,7 @@
             # It was this node that gave up.
             return
         if failure.reason in ("not-started", "other-weights"):
-            views.loading[name] = max(views.loading.get(name, 0.0), now + _AVOID_SECONDS)
+            views.loading.note(name, now + _AVOID_SECONDS)
             return
         views.health.failed(name, now)
 
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -40,11 +40,10 @@
             return heartbeat
         views = self._views
         now = asyncio.get_running_loop().time()
-        loading = {name: until - now for name, until in views.loading.items() if until > now}
         weights = list(views.weights.items())[-_MOST_WEIGHTS:]
         heartbeat = heartbeat._replace(
             burdens=views.workload.own(),
-            loading=loading,
+            loading=views.loading.own(now),
             weights=tuple((instance, model, version) for (instance, model), version in weights),
             moves=views.links.own(now),
         )
@@ -66,12 +65,11 @@
         for name in heartbeat.left:
             self._heard_left(name, heartbeat.node.name)
         for name, seconds in heartbeat.loading.items():
-            until = now + min(seconds, _LONGEST_LOADING_SECONDS)
-            views.loading[name] = max(views.loading.get(name, 0.0), until)
+            views.loading.told(name, now + min(seconds, _LONGEST_LOADING_SECONDS))
         for instance, model, version in heartbeat.weights:
             if version > views.weights.get((instance, model), 0):
                 views.saw_weights(instance, model, version)
-                views.loading.pop(instance, None)
+                views.loading.ended(instance)
 
     def _common(self, standing: Standing, leaving: bool) -> Heartbeat:
         views = self._views
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -185,7 +185,7 @@
             instance = self._views.registry.get(name)
             if instance is None or self._views.named.get(model, 0) != wanted:
                 return
-            self._views.loading[name] = loop.time() + _ANNOUNCED_SECONDS
+            self._views.loading.note(name, loop.time() + _ANNOUNCED_SECONDS)
             self._announce()
             await asyncio.sleep(_ANNOUNCE_LEAD)
             report = await self._report(name)
@@ -242,6 +242,6 @@
 
     def _arrived(self, name: str, model: str, version: int) -> None:
         self._views.saw_weights(name, model, version)
-        self._views.loading.pop(name, None)
+        self._views.loading.ended(name)
         _log.info("weights loaded", target=name, model=model, version=version)
         self._announce()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -9,6 +9,7 @@
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.leaving import Leaving
 from fielddrift_core.linkqueue import LinkQueue
+from fielddrift_core.loading import LoadingEngines
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS, Reading
 from fielddrift_core.rollout import EngineWeights, NamedTimes, Naming, VersionAge
@@ -52,8 +53,7 @@
         self.links = LinkQueue()
         self.lateness = Lateness()
         self.memory = EngineMemory()
-        self.loading: dict[str, float] = {}
-        """Until when an engine is taken to be loading weights."""
+        self.loading = LoadingEngines()
         self.weights: dict[tuple[str, str], int] = {}
         """Weights by (instance, model), where newer than the instance's entry."""
         self.stale = asyncio.Event()
@@ -139,7 +139,7 @@
         for instance in self.registry.serving(service):
             weights = self.weights_of(instance.name, model)
             if weights is not None:
-                loading = self.loading.get(instance.name, 0.0) > now
+                loading = self.loading.seconds(instance.name, now) > 0
                 outdated = self.outdated_seconds(model, weights, now)
                 found.append(
                     EngineWeights(instance.name, instance.data_centre, weights, loading, outdated)
