Let a respite end by the clock, and last as long for whoever lost the store

Change: respites end also while readings fail, except for a service all of whose entries have lapsed: giving these up would leave callers without any target, and none of them can write its entry anew; their respite begins again with the store's return. Another's reading tells of the return like one of its own, and whoever lost the store holds what a copy says is held until a respite after that. After a pause a node relies on others once its own reading has failed.

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -60,8 +60,16 @@
         return self._instances.values()
 
     def store_returned(self, now: float) -> None:
-        """Note that the store answers again after it was away."""
+        """Note that the store answers again, at `now`, after it was away."""
         self._respite_until = now + RESPITE_SECONDS
+        for name, until in self._lapsed.items():
+            if until <= now:
+                # Spared while the store was away once more: it may be back by now too.
+                self._lapsed[name] = self._respite_until
+
+    def in_respite(self, now: float) -> bool:
+        """Return whether entries may still have lapsed unseen, and so be back soon."""
+        return now < self._respite_until
 
     def heard(self, instance: Instance, now: float) -> None:
         """Take an entry."""
@@ -77,7 +85,7 @@
         """Take the end of an entry; during a respite, wait for its return first."""
         if name not in self._instances or name in self._lapsed:
             return
-        if now < self._respite_until:
+        if self.in_respite(now):
             self._lapsed[name] = self._respite_until
             self._sort()
             return
@@ -130,10 +138,21 @@
         """Return the seconds for which each lapsed entry is still held."""
         return {name: until - now for name, until in self._lapsed.items()}
 
-    def tick(self, now: float) -> None:
-        """Give up lapsed entries whose respite is over."""
+    def tick(self, now: float, *, away: bool = False) -> None:
+        """Give up lapsed entries whose respite is over.
+
+        While the store is `away`, those of a service all of whose entries have lapsed are
+        spared: where a whole service seems to be gone, it is the store that lost it.
+        """
         for name in [n for n, until in self._lapsed.items() if now >= until]:
-            self._remove(name)
+            if not away or self._has_settled(self._instances[name].service):
+                self._remove(name)
+
+    def _has_settled(self, service: str) -> bool:
+        return any(
+            instance.service == service and instance.name not in self._lapsed
+            for instance in self._instances.values()
+        )
 
     def _remove(self, name: str) -> None:
         self._lapsed.pop(name, None)
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -71,6 +71,7 @@
                 continue
             except OutOfReach as error:
                 self._lost_at = asyncio.get_running_loop().time()
+                self._give_up("nobody", away=True)
                 await self._rests.failed(error)
                 continue
             self._wake.clear()
@@ -81,7 +82,9 @@
     async def _turn(self) -> float:
         """Bring the list up to date; return the seconds until the next turn."""
         chosen = self.reader()
-        if chosen is not None and not self._views.stale.is_set() and await self._rely_on(chosen):
+        # After a pause it reads for itself first, and relies on others only if that fails.
+        relies = not self._views.stale.is_set() or self._rests.failing
+        if chosen is not None and relies and await self._rely_on(chosen):
             return LISTEN_SECONDS
         await self._read()
         return READ_SECONDS
@@ -90,20 +93,25 @@
         """Follow what another node lists; return whether it could be asked."""
         now = asyncio.get_running_loop().time()
         reading = self._neighbours.readings(now).get(chosen.name, Reading())
-        if reading.targets >= self._views.targets_row:
-            if _mark(chosen, reading) != self._copied and not await self._copy(chosen):
-                return False
-            if self._lost_at is not None and now - reading.age > self._lost_at:
-                self._lost_at = None
+        if self._lost_at is not None and now - reading.age > self._lost_at:
+            # The other's reading tells of the store's return as well as one of its own.
+            self._views.registry.store_returned(now - reading.age)
+            self._lost_at = None
+        if (
+            reading.targets >= self._views.targets_row
+            and _mark(chosen, reading) != self._copied
+            and not await self._copy(chosen)
+        ):
+            return False
         self._give_up(chosen.name)
         return True
 
-    def _give_up(self, told_by: str) -> None:
+    def _give_up(self, told_by: str, *, away: bool = False) -> None:
         """Give up entries whose respite is over, as a reading does."""
         now = asyncio.get_running_loop().time()
         before = Listing.of(self._views.registry, now)
         if before.lapsed:
-            self._views.registry.tick(now)
+            self._views.registry.tick(now, away=away)
             self._log_changes(before, told_by)
 
     async def _copy(self, chosen: Neighbour) -> bool:
@@ -118,7 +126,7 @@
         before = Listing.of(self._views.registry, asyncio.get_running_loop().time())
         # Counted from the question: no respite grows longer by being handed on.
         lapsed = {name: asked_at + seconds for name, seconds in copy.lapsed.items()}
-        lost = self._lost_at is not None
+        lost = self._lost_at is not None or self._views.registry.in_respite(asked_at)
         self._views.registry.copied(copy.entries, copy.leaving, lapsed, lost=lost)
         self._views.targets_row = copy.row
         self._after = copy.row
