--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -173,20 +173,24 @@
         if node.name != self._me.name and (known is None or known.node.boot < node.boot):
             self._heard[node.name] = _Heard(node, float("-inf"))
 
+    def is_former(self, node: Neighbour, now: float) -> bool:
+        """Return whether `node` is a former life of a node or of this one, late on its way.
+
+        A host's time of day may have gone back before its node started again, and that
+        must not stay unheard for good.
+        """
+        if node.name == self._me.name:
+            return True
+        known = self._heard.get(node.name)
+        newer = known is not None and known.node.boot > node.boot
+        return newer and known is not None and now - known.at <= _FORMER_LIFE_SECONDS
+
     def hear(self, heartbeat: Heartbeat, now: float) -> bool:
         """Take a heartbeat; True when the node was not known in this life."""
         node = heartbeat.node
-        if node.name == self._me.name:
+        if self.is_former(node, now):
             return False
         known = self._heard.get(node.name)
-        # A late datagram of a former life is dropped; but a host's time of day may have gone
-        # back before its node started again, which must not stay unheard for good.
-        if (
-            known is not None
-            and known.node.boot > node.boot
-            and now - known.at <= _FORMER_LIFE_SECONDS
-        ):
-            return False
         heard = _Heard(
             node=node,
             at=now,
--- a/packages/node/src/fielddrift_node/serving/begin_watch.py
+++ b/packages/node/src/fielddrift_node/serving/begin_watch.py
@@ -45,6 +45,10 @@
     def _look(self, limit: asyncio.Timeout) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
+        patience_ends = limit.when()
+        if patience_ends is not None and patience_ends <= now:
+            # The route's patience is over in this moment: that is why the send ends.
+            return
         outdated = self._views.outdated_seconds(self._model, self._weights, now)
         left = seconds_to_begin(outdated, bound=self._bound)
         if left <= 0:
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -106,7 +106,10 @@
         except msgspec.DecodeError as error:
             _log.warning("heartbeat not understood", sender=str(addr), error=str(error))
             return
-        if self._neighbours.hear(heartbeat, self._loop.time()):
+        now = self._loop.time()
+        if self._neighbours.is_former(heartbeat.node, now):
+            return
+        if self._neighbours.hear(heartbeat, now):
             _log.info("node heard", node=heartbeat.node.name, boot=heartbeat.node.boot)
             self._send([heartbeat.node])
         self._heard(heartbeat)
--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -26,6 +26,10 @@
 _CLOCK_SECONDS = 60.0
 """Age up to which a reading of the platform's clock is counted on from: two hosts' steady
 clocks drift apart by some 50 ppm, 3 ms in this time and 4 s in a day."""
+_UNSAVED_SECONDS = 2.5
+"""Age that a version has at least which a node finds at its start and nobody saved: it was
+named while no node lived, or just before they all ended; back after a loss of power are
+they within that time."""
 _MOST_TRIES = 3
 """Writes of one row in a row that another node's write may come before."""
 
@@ -87,12 +91,21 @@
         The node serves meanwhile, and counts from its own reading.
         """
         await self._news.wait()
-        while self._views.named and self._clock is None:
+        found = dict(self._views.named)
+        while found and self._clock is None:
             try:
                 await self._read()
                 self._rests.worked()
             except OutOfReach as error:
                 await self._rests.failed(error)
+        self._age_unsaved(found)
+
+    def _age_unsaved(self, found: Mapping[str, int]) -> None:
+        """Take versions that were found at the start, and that nobody saved, for older."""
+        now = asyncio.get_running_loop().time()
+        for model, version in found.items():
+            if version not in self._saved.get(model, _ABSENT).times:
+                self._views.named_times.heard(model, version, now - _UNSAVED_SECONDS)
 
     async def _save_own(self) -> None:
         """Save at once what this node has from the platform itself.
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -18,6 +18,10 @@
 
 __all__ = ["OperatorFeed"]
 
+_OLD_SECONDS = 2 * OPERATORS_WAIT_SECONDS
+"""Age of a node's own reading from which it first reads without waiting: in good health
+it grows up to one wait."""
+
 _log = structlog.get_logger()
 
 
@@ -106,9 +110,11 @@
             await asyncio.sleep(LISTEN_SECONDS)
             return
         hurry, self._hurry = self._hurry, False
-        at_once = hurry or self._after is None or self._rests.failing
         loop = asyncio.get_running_loop()
         began = loop.time()
+        # Whose own reading is old seems to hang: others rely on it once it has read.
+        old = began - self._views.operators_at > _OLD_SECONDS
+        at_once = hurry or old or self._after is None or self._rests.failing
         news = await self._ask(0.0 if at_once else OPERATORS_WAIT_SECONDS)
         if news is None:
             # What it should have told stands there to be read, over a new connection.
--- a/tests/test_named_rows.py
+++ b/tests/test_named_rows.py
@@ -148,6 +148,15 @@
         self.assertEqual(sorted(self.table.times("m")), [2])
         self.assertEqual(self.table.calls, ["read", "read", "write"])
 
+    async def test_a_version_that_nobody_saved_counts_as_named_before_the_start(self) -> None:
+        # It was named while no node lived: counted from the start, prompts would be sent to
+        # older weights for as much longer as the nodes were away.
+        node = Node(self.table)
+        node.hears(2)
+        await node.begins()
+        self.assertGreaterEqual(node.outdated(1), 2.5)
+        self.assertLess(node.outdated(1), 3.5)
+
     async def test_a_saving_that_fails_is_repeated(self) -> None:
         node = Node(self.table, reads=True)
         node.views.take_catalog(_catalog())
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -49,6 +49,16 @@
         self.assertEqual(neighbours.node("n1"), neighbour("n1", boot=7))
         self.assertEqual([node.boot for node in neighbours.alive(2.6)], [7])
 
+    def test_what_a_former_life_tells_is_not_taken(self) -> None:
+        # Its sends and leaving targets would stand beside those of the new life.
+        me = neighbour("me")
+        neighbours = Neighbours(me=me)
+        neighbours.hear(heartbeat(neighbour("n1", boot=9)), 0.0)
+        self.assertTrue(neighbours.is_former(neighbour("n1", boot=7), 0.5))
+        self.assertTrue(neighbours.is_former(me._replace(boot=0), 0.5))
+        self.assertFalse(neighbours.is_former(neighbour("n1", boot=9), 0.5))
+        self.assertFalse(neighbours.is_former(neighbour("n2"), 0.5))
+
 
 class TestReaders(unittest.TestCase):
     def test_one_reads_for_all_and_when_it_grows_old_each_reads(self) -> None:
