Ask elsewhere for what the reader has not after a while

Change: a node that has heard of something newer for 0.6 s asks whoever tells of it.

Before: the new test failed ({} != {'m': 7} after 0.9 s of telling); after: it passes, and that the reader is given time first.

--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -18,6 +18,9 @@
 
 __all__ = ["OperatorFeed"]
 
+_READER_SECONDS = 0.6
+"""How long the reader is given for what nodes elsewhere have: it takes some 0.1 s in good
+health, and 2 s after a change it must be in force."""
 _OLD_SECONDS = 2 * OPERATORS_WAIT_SECONDS
 """Age of a node's own reading from which it first reads without waiting: in good health
 it grows up to one wait."""
@@ -58,14 +61,23 @@
         self._ahead: dict[str, Heartbeat] = {}
         """Nodes that told of something newer, by name, the first to be asked first."""
         self._told = asyncio.Event()
+        self._behind_since: float | None = None
+        """When this node first heard of something newer than it has."""
 
     def heard(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat: a node that knows something newer is asked for it.
 
-        What nodes elsewhere know, only the reader asks for; it is nearer to the others.
+        What nodes elsewhere know, the reader asks for; it is nearer to the others, which
+        ask for themselves once it should have had it.
         """
+        if not self._is_newer(heartbeat):
+            return
+        now = asyncio.get_running_loop().time()
+        if self._behind_since is None:
+            self._behind_since = now
+        late = now - self._behind_since > _READER_SECONDS
         near = heartbeat.node.data_centre == self._neighbours.me.data_centre
-        if self._is_newer(heartbeat) and (near or self.reader() is None):
+        if near or late or self.reader() is None:
             self._ahead[heartbeat.node.name] = heartbeat
             self._told.set()
 
@@ -210,4 +222,5 @@
                 )
                 changed = True
         if changed:
+            self._behind_since = None
             self._changed()
--- a/tests/test_operator_feed.py
+++ b/tests/test_operator_feed.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
+from fielddrift_core.readers import Reading
 from fielddrift_node.serving.feeds import FeedTools
 from fielddrift_node.serving.operator_feed import OperatorFeed
 from fielddrift_node.serving.ports import NamedWeights, OperatorNews, OutOfReach
@@ -18,6 +19,7 @@
 from fielddrift_standins.relay import Relay
 
 from .platform_fleet import HOST, free_port
+from .virtual_time import VirtualLoop
 
 MOST_ASKED = 10
 """Copies asked for before the test gives up."""
@@ -233,3 +235,51 @@
         self.assertEqual((self.platform.ended, self.views.stale.is_set()), (0, True))
         await self._turns(2 * SLOW_TURNS)
         self.assertFalse(self.views.stale.is_set())
+
+
+class TestLateReader(unittest.TestCase):
+    """A reader that is heard, but reads slowly, must not keep what nodes elsewhere know away.
+
+    Sequence: the reader's connection to the store crawls while its heartbeats pass; its age
+    shows only after a whole wait and patience, and a node that relies on it took nothing
+    newer from other data centres: some 2.5 s, where a change is to be in force after 2 s.
+    Cause: whether to rely on the reader was judged by what it tells alone.
+    """
+
+    def setUp(self) -> None:
+        self.loop = VirtualLoop()
+        self.addCleanup(self.loop.close)
+        self.views = Views()
+        self.peers = HungPeers(hung=set(), rows={"far": 7})
+        neighbours = Neighbours(me=neighbour("me"))
+        # A larger host reads for this one, and tells that all is well.
+        reader = neighbour("reader")._replace(capacity=100.0)
+        told = Heartbeat(reader, True, False, 0, {}, {}, reading=Reading(1, 1, 1, 0.0), period=9.0)
+        neighbours.hear(told, self.loop.time())
+        neighbours.report(serving=True, load=0.0)
+        tools = FeedTools(
+            platform=CutOffPlatform(),  # type: ignore[arg-type]
+            peers=self.peers,  # type: ignore[arg-type]
+            neighbours=neighbours,
+            views=self.views,
+            rng=random.Random(1),
+        )
+        self.feed = OperatorFeed(tools=tools, changed=lambda: None)
+
+    async def _told_for(self, seconds: float) -> None:
+        task = asyncio.ensure_future(self.feed.run())
+        far = neighbour("far")._replace(data_centre="b")
+        end = self.loop.time() + seconds
+        while self.loop.time() <= end:
+            self.feed.heard(Heartbeat(far, True, False, 0, {"m": 7}, {}))
+            await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def test_what_the_reader_has_not_after_a_while_is_asked_for_elsewhere(self) -> None:
+        self.loop.run_until_complete(self._told_for(0.9))
+        self.assertEqual(self.views.named, {"m": 7})
+
+    def test_the_reader_is_given_time_first(self) -> None:
+        self.loop.run_until_complete(self._told_for(0.3))
+        self.assertEqual(self.peers.asked, [])
