--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -182,8 +182,9 @@
         if node.name == self._me.name:
             return True
         known = self._heard.get(node.name)
-        newer = known is not None and known.node.boot > node.boot
-        return newer and known is not None and now - known.at <= _FORMER_LIFE_SECONDS
+        if known is None or known.node.boot <= node.boot:
+            return False
+        return now - known.at <= _FORMER_LIFE_SECONDS
 
     def hear(self, heartbeat: Heartbeat, now: float) -> bool:
         """Take a heartbeat; True when the node was not known in this life."""
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -59,7 +59,8 @@
     `serial` changes with the content of the targets' list, not with each heartbeat
     of a target.  `age` is that of what is older, the targets' entries or the operators'
     rows less the wait that is due to a call for these; it grows until the node itself
-    has an answer again.  Nodes of the release before refuse an array with more fields.
+    has an answer again.  A field more would cut nodes of earlier releases off: they
+    refuse a longer array, and the whole heartbeat with it.
     """
 
     operators: int = 0
--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -27,9 +27,8 @@
 """Age up to which a reading of the platform's clock is counted on from: two hosts' steady
 clocks drift apart by some 50 ppm, 3 ms in this time and 4 s in a day."""
 _UNSAVED_SECONDS = 2.5
-"""Age that a version has at least which a node finds at its start and nobody saved: it was
-named while no node lived, or just before they all ended; back after a loss of power are
-they within that time."""
+"""Least age of a version that a node finds at its start and nobody saved: it was named while
+no node lived, or just before they all ended.  After a loss of power they are back in time."""
 _MOST_TRIES = 3
 """Writes of one row in a row that another node's write may come before."""
 
