Let prompts wait at the nodes for room in an engine's memory

The most urgent push the long prompts out, each of which reads its 12,000 tokens anew: 50 to 91 preempted runs account for most of the 0.8 to 1.3 million tokens read again. Change: no engine is knowingly sent more than its memory holds; what finds no room waits at its node, the urgent first, then whoever would be late first; whoever cannot be in time by the learned turnover of memory is refused at once; retries wait too; an engine that just failed or loads is not taken for an empty one; 15% are kept for the most urgent.

--- /dev/null
+++ b/bench/lab/dialects.py
@@ -0,0 +1,165 @@
+"""Stand between a serving node and the laboratory: what callers, targets and links say."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import TYPE_CHECKING
+
+from fielddrift_core.catalog import StoreTraits
+from fielddrift_core.prompt import Part
+from fielddrift_core.target_registry import Instance
+from fielddrift_node.serving.ports import (
+    Ask,
+    EngineReport,
+    KeptEvents,
+    KeptList,
+    OrderOutcome,
+    OutOfReach,
+    Send,
+    Signs,
+    WeightsOrder,
+)
+from fielddrift_node.web.client import Client, Exchange, ExchangeError
+from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_node.web.server import Request, Responder
+
+if TYPE_CHECKING:
+    from .engine import Engine
+
+__all__ = ["Answer", "LabCallers", "LabClient", "LabTargets"]
+
+_CONNECT_SECONDS = 0.002
+
+
+class LabCallers:
+    """Callers that hand their question over as it is."""
+
+    def __init__(self) -> None:
+        self.asks: dict[bytes, Ask] = {}
+
+    def read(self, request: Request) -> Ask:
+        """Return what is asked."""
+        return self.asks.pop(request.head.target)
+
+    def answer_headers(self, head: ResponseHead, request_id: str) -> Headers:
+        """Return no headers: nobody reads them."""
+        return Headers()
+
+    def refusal_headers(self, request_id: str, retry_after: float | None) -> Headers:
+        """Return the time to come back."""
+        if retry_after is None:
+            return Headers()
+        return Headers([(b"retry-after", str(retry_after).encode())])
+
+
+class LabTargets:
+    """Engines that take a send as it is."""
+
+    def __init__(self) -> None:
+        self.sends: dict[bytes, Send] = {}
+
+    def request(self, send: Send) -> bytes:
+        """Return a name under which the send is found."""
+        name = f"{send.ask.request_id}@{send.instance.name}".encode()
+        self.sends[name] = send
+        return name
+
+    def answers(self, send: Send, head: ResponseHead) -> bool:
+        """Return that every answer is the one that is due."""
+        return True
+
+    def signs(self, head: ResponseHead) -> Signs:
+        """Return what a head tells: engines here refuse only what they have not run."""
+        return Signs(head.status == 503, False, "", 1, None)
+
+    async def order(self, order: WeightsOrder) -> OrderOutcome:
+        """Refuse: no weights change here."""
+        raise OutOfReach("no orders in the laboratory", sure=True)
+
+    async def report(self, instance: Instance) -> EngineReport:
+        """Tell nothing."""
+        raise OutOfReach("no reports in the laboratory", sure=True)
+
+    async def kept_events(self, store: StoreTraits, since: int, wait: float) -> KeptEvents:
+        """Tell nothing: the laboratory writes the views of stores itself."""
+        raise OutOfReach("no events in the laboratory", sure=True)
+
+    async def kept_list(self, store: StoreTraits) -> KeptList:
+        """Tell nothing, as `kept_events`."""
+        raise OutOfReach("no lists in the laboratory", sure=True)
+
+    async def free(self, store: StoreTraits, parts: Sequence[tuple[str, Part]], life: int) -> bool:
+        """Free nothing."""
+        return False
+
+
+class LabClient(Client):
+    """Exchanges with modelled engines, by their addresses."""
+
+    def __init__(self, *, engines: Mapping[str, Engine], targets: LabTargets) -> None:
+        super().__init__()
+        self._engines = engines
+        self._targets = targets
+
+    async def begin(
+        self,
+        address: str,
+        data: bytes,
+        *,
+        connect_seconds: float,
+        accepts: Callable[[ResponseHead], bool] = lambda head: True,
+        most_idle: float | None = None,
+        most_open: int | None = None,
+    ) -> Exchange:
+        """Hand a send to its engine."""
+        send = self._targets.sends.pop(data)
+        await asyncio.sleep(_CONNECT_SECONDS)
+        engine = self._engines[address]
+        if not engine.up:
+            raise ExchangeError(f"{address}: refused", sent=False, reason="connect")
+        exchange = Exchange(accepts=accepts)
+        engine.take(send, exchange)
+        return exchange
+
+
+class Answer(Responder):
+    """Note what a caller gets, and when."""
+
+    def __init__(self) -> None:
+        self.status: int | None = None
+        self.retry_after: float | None = None
+        self.first_at: float | None = None
+        self.whole = False
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def started(self) -> bool:
+        """Return whether the head was written."""
+        return self.status is not None
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Take the head."""
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        """Take a piece."""
+        if self.first_at is None:
+            self.first_at = self._loop.time()
+
+    async def drained(self) -> None:
+        """Callers here read at once."""
+
+    def end(self) -> None:
+        """Take the end."""
+        self.whole = True
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Take a whole answer of the node's own."""
+        self.status, self.whole = status, True
+        value = headers.get(b"retry-after")
+        self.retry_after = None if value is None else float(value)
+
+    def cut(self) -> None:
+        """Take a break."""
+        self.whole = False
--- /dev/null
+++ b/bench/lab/node.py
@@ -0,0 +1,148 @@
+"""Run a serving node's decisions: its gateway, its views, its heartbeats, and nothing else."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from fielddrift_core.catalog import Catalog
+from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.prompt import Part
+from fielddrift_core.store_index import KeptChange
+from fielddrift_core.target_registry import Instance
+from fielddrift_node.serving.call import Tools
+from fielddrift_node.serving.gateway import Gateway
+from fielddrift_node.serving.gossip import Gossip
+from fielddrift_node.serving.heartbeats import HeartbeatTranslator
+from fielddrift_node.serving.metrics import Metrics
+from fielddrift_node.serving.ports import NamedWeights
+from fielddrift_node.serving.settings import Bounds, NodeSettings
+from fielddrift_node.serving.views import Views
+
+from .dialects import LabCallers, LabClient, LabTargets
+from .engine import Engine
+
+__all__ = ["LabNode"]
+
+_BOUNDS = Bounds(
+    drain=2.0,
+    grace=8.0,
+    retry_ratio=0.2,
+    retry_window=10.0,
+    retry_slack=50.0,
+    turn=3.0,
+    weights=10.0,
+    entry_keep=5.0,
+)
+_TICK_SECONDS = 0.2
+_PORT = 1
+_CAPACITY = 400.0
+"""Requests a second that a host carries: far more than it gets."""
+
+
+class _Datagrams(asyncio.DatagramTransport):
+    """Heartbeats on their way."""
+
+    def __init__(self, deliver: Callable[[str, bytes], None]) -> None:
+        super().__init__()
+        self._deliver = deliver
+
+    def sendto(self, data: bytes, addr: tuple[str, int] | None = None) -> None:  # type: ignore[override]
+        assert addr is not None
+        self._deliver(addr[0], data)
+
+    def close(self) -> None:
+        pass
+
+
+class LabNode:
+    """One node of the laboratory."""
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        data_centre: str,
+        engines: Mapping[str, Engine],
+        deliver: Callable[[str, bytes], None],
+        seed: int,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.name = f"node-{number}"
+        address = f"{self.name}:{_PORT}"
+        self.views = Views()
+        self.callers = LabCallers()
+        self.metrics = Metrics()
+        targets = LabTargets()
+        me = Neighbour(self.name, 1, data_centre, address, address, address, _CAPACITY)
+        self.me = me
+        self._neighbours = Neighbours(me=me)
+        self._neighbours.report(serving=True, load=0.0)
+        self._translator = HeartbeatTranslator(views=self.views, neighbours=self._neighbours)
+        self.gossip = Gossip(
+            neighbours=self._neighbours,
+            heartbeat=lambda standing: self._translator.heartbeat(standing, leaving=False),
+            heard=self._translator.heard,
+        )
+        self.gossip.connection_made(_Datagrams(deliver))
+        settings = NodeSettings(
+            self.name, self.name, data_centre, "r", address, address, address, address, _PORT,
+            address, (), _BOUNDS, _CAPACITY,
+        )  # fmt: skip
+        tools = Tools(
+            settings=settings,
+            views=self.views,
+            client=LabClient(engines=engines, targets=targets),
+            callers=self.callers,
+            targets=targets,
+            budgets={},
+            rng=random.Random(f"{self.name} {seed}"),
+            metrics=self.metrics,
+            told=self.gossip.sends_changed,
+        )
+        self.gateway = Gateway(tools=tools)
+        self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
+
+    def introduce(self, nodes: list[Neighbour]) -> None:
+        """Know the other nodes."""
+        for node in nodes:
+            self._neighbours.introduce(node)
+
+    def configure(self, catalog: Catalog, instances: list[Instance], model: str) -> None:
+        """Know the catalog and the targets."""
+        now = asyncio.get_running_loop().time()
+        self.views.take_catalog(catalog)
+        self.views.take_weights(NamedWeights(model, 1), now)
+        self.views.heard_clock(0, now)
+        for instance in instances:
+            self.views.registry.heard(instance, now)
+        for view in self.views.store_index.views:
+            view.listed(1, 0, [])
+
+    def part_kept(self, store: str, salt: str, part: Part) -> None:
+        """Hear that a store keeps a part."""
+        view = self.views.store_index.view(store)
+        if view is not None:
+            added = ((salt, part.id, part.tokens),)
+            view.take(KeptChange(view.following, view.following + 1, added, ()))
+
+    def store_emptied(self, store: str, life: int) -> None:
+        """Hear that a store began anew."""
+        view = self.views.store_index.view(store)
+        if view is not None:
+            view.listed(life, 0, [])
+
+    def close(self) -> None:
+        """End what runs by itself."""
+        self.gossip.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            now = loop.time()
+            self._neighbours.report(serving=True, load=self.views.load.value(now))
+            self.views.nodes = self._neighbours.sharing(now)
--- a/packages/core/src/fielddrift_core/overload.py
+++ b/packages/core/src/fielddrift_core/overload.py
@@ -10,9 +10,9 @@
 
 import random
 
-__all__ = ["come_back"]
+__all__ = ["LATE_PART", "come_back", "return_after"]
 
-_LATE_PART = 0.95
+LATE_PART = 0.95
 """Estimate, in parts of the aim, from which an answer is taken to be late: on
 played days half of the first events came within a tenth of their estimate."""
 _RETURN_PART = 1 / 3
@@ -30,6 +30,11 @@
     `estimate` is when its answer would begin, `crowded` whether prompts already
     wait at the engine that would take it, `patience` how long the caller waits.
     """
-    if not crowded or estimate <= _LATE_PART * aim:
+    if not crowded or estimate <= LATE_PART * aim:
         return None
-    return patience * _RETURN_PART * rng.uniform(_SPREAD, 1.0)
+    return return_after(patience=patience, rng=rng)
+
+
+def return_after(*, patience: float, rng: random.Random) -> float:
+    """Return the seconds after which a caller that waits for `patience` should return."""
+    return max(0.0, patience) * _RETURN_PART * rng.uniform(_SPREAD, 1.0)
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -29,6 +29,7 @@
     "Recall",
     "choose_engine",
     "choose_plain",
+    "has_room",
     "move_seconds",
     "recall",
 ]
@@ -55,6 +56,9 @@
 """How long a large part takes a link in the mean, for the moves that wait for it."""
 LONG_ANSWER_TOKENS = 40
 """Tokens from which an answer counts as long: it takes over a second at some 30 ms each."""
+FAILING_SHARE = 0.2
+"""Share of failures from which an engine counts as not working, the first failure of some
+included: one that is gone holds nothing, and would draw everyone who waits for room."""
 _LATE_FROM = 0.75
 _LATE_TO = 1.25
 """Estimates between these parts of the aim grow from surely in time to surely late."""
@@ -210,12 +214,17 @@
     aim: float,
     holders: Holders,
     prices: Prices = _PRICES,
+    room_part: float | None = None,
 ) -> EngineChoice | None:
     """Return the cheapest engine for `prompt`, None when there is none in time.
 
-    `aim` is the seconds in which the first event should come.
+    `aim` is the seconds in which the first event should come.  With `room_part`
+    only engines count that have room for the prompt in that part of their memory, and
+    none that does not work while another does.
     """
     best: EngineChoice | None = None
+    if room_part is not None:
+        sights = _fitting(list(sights), prompt, traits, room_part)
     for sight in sights:
         for fetching in (True, False):
             recalled = recall(
@@ -236,6 +245,23 @@
     return best
 
 
+def _fitting(
+    sights: Sequence[EngineSight], prompt: Prompt, traits: EngineTraits, part: float
+) -> list[EngineSight]:
+    working = [s for s in sights if not s.loading and s.failures < FAILING_SHARE]
+    return [s for s in working or sights if has_room(s.burden, prompt, traits, part)]
+
+
+def has_room(burden: Burden, prompt: Prompt, traits: EngineTraits, part: float) -> bool:
+    """Return whether `part` of an engine's memory holds `prompt` beside what is there.
+
+    An idle engine takes any prompt; an engine of unknown memory too.
+    """
+    if not traits.memory or not burden.memory:
+        return True
+    return burden.memory + prompt.tokens <= part * traits.memory
+
+
 def _priced(
     sight: EngineSight,
     recalled: Recall,
--- /dev/null
+++ b/packages/core/src/fielddrift_core/waiting.py
@@ -0,0 +1,98 @@
+"""Order the prompts that wait at a node until an engine's memory has room for them.
+
+Load pattern: more prompts come than the engines' memory holds.  An engine that
+is sent more takes them all: the most urgent push out runs that are under way,
+and those read their whole prompt again.  What waits here costs an engine
+nothing, and goes to whichever engine has room first.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from typing import NamedTuple
+
+__all__ = ["Line", "Turnover", "Waiter", "line_name", "room_part"]
+
+_START_HOLD_SECONDS = 1.0
+"""How long a run is taken to keep its memory until some have ended: a second's answer."""
+_HOLD_TOKENS = 60_000
+"""Tokens of ended runs after which the seconds before them count a third: about what
+one engine holds, so that a crowd shows within one turn of its memory."""
+_ROOM_PART = 1.0
+"""Part of an engine's memory that the most urgent prompts may fill."""
+_RESERVED_PART = 0.15
+"""Part of it that is kept for them: what other nodes send is known some 0.3 s late, and
+where less urgent prompts fill the rest, an urgent one would push them out."""
+
+
+def line_name(service: str, rank: int) -> str:
+    """Return the name under which nodes tell each other what waits for `service`."""
+    return f"line:{service}:{rank}"
+
+
+def room_part(rank: int, ranks: Sequence[int]) -> float:
+    """Return the part of an engine's memory that prompts of `rank` may fill.
+
+    `ranks` are all that there are.
+    """
+    return _ROOM_PART if rank <= min(ranks, default=rank) else _ROOM_PART - _RESERVED_PART
+
+
+class Waiter(NamedTuple):
+    """A prompt that waits: after `due` (loop time) its answer would be late."""
+
+    request: str
+    rank: int
+    due: float
+    tokens: int
+
+
+class Line:
+    """The prompts of one service that wait at this node.  Not safe for threads.
+
+    The more urgent rank comes first, within a rank whoever would be late first.
+    """
+
+    def __init__(self) -> None:
+        self._waiters: dict[str, Waiter] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def add(self, waiter: Waiter) -> None:
+        """Put a prompt in line."""
+        self._waiters[waiter.request] = waiter
+
+    def remove(self, request: str) -> None:
+        """Take a prompt out."""
+        self._waiters.pop(request, None)
+
+    def first(self) -> Waiter | None:
+        """Return whose turn it is, None when nobody waits."""
+        return min(self._waiters.values(), key=lambda w: (w.rank, w.due), default=None)
+
+    def before(self, rank: int) -> int:
+        """Return how many prompts that wait come before a new one of `rank`."""
+        return sum(waiter.rank <= rank for waiter in self._waiters.values())
+
+
+class Turnover:
+    """How long runs keep an engine's memory, by the tokens that they keep, in seconds."""
+
+    def __init__(self) -> None:
+        self._seconds = _START_HOLD_SECONDS
+
+    @property
+    def seconds(self) -> float:
+        """Return for how long a token was kept of late."""
+        return self._seconds
+
+    def ended(self, tokens: int, seconds: float) -> None:
+        """Count a run that kept `tokens` for `seconds`."""
+        weight = 1.0 - math.exp(-tokens / _HOLD_TOKENS)
+        self._seconds += weight * (max(0.0, seconds) - self._seconds)
+
+    def wait(self, tokens: int, memory: int) -> float:
+        """Return the seconds until `tokens` are free at engines that keep `memory` in all."""
+        return tokens / memory * self._seconds if memory > 0 else 0.0
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -45,6 +45,8 @@
         self.outdated_by: int | None = None
         """The first newer version, None when there was none."""
         self.estimate = 0.0
+        self.held = 0.0
+        """Seconds for which the prompt waited at this node for room at an engine."""
         self.ahead = Burden()
         """What was known to be at the engine when it was chosen."""
         self.first_event: float | None = None
@@ -69,6 +71,13 @@
         """Return whether an answer cannot be in time any more."""
         return self.waited >= self.route.aim
 
+    @property
+    def rank(self) -> int:
+        """Return how urgent the request is, 0 first: the customer's rank before the route's."""
+        if self.customer is not None and self.customer.rank is not None:
+            return self.customer.rank
+        return self.route.rank
+
     @property
     def customer_name(self) -> str:
         """Return the customer's name, empty without one."""
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -202,6 +202,7 @@
             parts=trace.parts,
             waited_ms=round(call.waited * 1000),
             ahead=list(trace.ahead),
+            held_ms=round(trace.held * 1000),
             estimate_ms=round(trace.estimate * 1000),
             first_ms=None if first is None else round((first - call.began) * 1000),
             ms=round((now - call.began) * 1000),
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -11,15 +11,7 @@
 from typing import NamedTuple
 
 import structlog
-from fielddrift_core.errors import Kind, Ran, Refusal
-from fielddrift_core.overload import come_back
-from fielddrift_core.placement import (
-    EngineChoice,
-    EngineSight,
-    choose_engine,
-    move_seconds,
-)
-from fielddrift_core.rollout import seconds_to_begin, soon_loading
+from fielddrift_core.placement import EngineChoice, move_seconds
 from fielddrift_core.stream import EventCutter
 from fielddrift_core.urgency import urgency
 
@@ -27,21 +19,17 @@
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .begin_watch import BeginWatch
-from .call import Call, Refused, Tools
+from .call import Call, Tools
 from .kept import KeptParts
+from .placing import FIRST_EVENT_ESTIMATES, Placing
 from .ports import Send
 from .trying import Attempts, TryFailed, send_once
 
 __all__ = ["Generation"]
 
-_OLDEST_PART = 0.7
-"""Part of the time within which requests may begin on older weights in which they are
-sent: the rest, of some 3 s, lets nearly all begin that wait at a crowded engine (2.4 s
-at most so far), and `BeginWatch` calls off who waits longer."""
 _AVOID_SECONDS = 0.3
 """How long an engine that turned a request away is avoided."""
 _FIRST_EVENT_AIMS = 2.0
-_FIRST_EVENT_ESTIMATES = 4.0
 """Silence before the first event, in aims and estimates, after which a run is moved."""
 _PAUSE_AIMS = 3.0
 """Silence between events, in the longest pause allowed, after which a run is moved."""
@@ -54,6 +42,8 @@
     exchange: Exchange
     head: ResponseHead
     first: bytes
+    began: float
+    ended: list[bool]
 
 
 def _streams(head: ResponseHead) -> bool:
@@ -67,6 +57,7 @@
     def __init__(self, *, tools: Tools) -> None:
         self._tools = tools
         self._kept = KeptParts(views=tools.views)
+        self._placing = Placing(tools=tools, kept=self._kept)
 
     async def serve(self, call: Call, responder: Responder) -> None:
         """Answer `call`; raise `Refused`."""
@@ -96,11 +87,7 @@
     async def _start(self, call: Call, attempts: Attempts, cutter: EventCutter) -> _Run:
         """Return a run whose first whole event has come; raise `Refused`."""
         while True:
-            choice = self._choose(call, attempts.tried)
-            if choice is None:
-                raise attempts.exhausted()
-            if not attempts.tried:
-                self._admit(call, choice)
+            choice = await self._placing.place(call, attempts, resumes=cutter.last != "")
             attempts.begin(choice.instance.name)
             try:
                 return await self._try(call, choice, cutter, more=attempts.more())
@@ -108,22 +95,6 @@
                 self._learn(call, choice, failure)
                 attempts.failed(failure)
 
-    def _admit(self, call: Call, choice: EngineChoice) -> None:
-        """Raise `Refused` where even the best engine would answer too late."""
-        prompt, traits = call.ask.prompt, call.service.engine
-        assert prompt is not None and traits is not None
-        needs = choice.burden.memory + prompt.tokens
-        back = come_back(
-            patience=call.ask.patience or call.deadline - call.began,
-            estimate=choice.seconds,
-            aim=call.route.aim,
-            crowded=needs > traits.memory > 0,
-            rng=self._tools.rng,
-        )
-        if back is not None:
-            detail = f"first event in {choice.seconds:.2f} s, {call.route.aim:.2f} s is in time"
-            raise Refused(Refusal(Kind.OVERLOADED, detail, Ran.NO, back))
-
     async def _try(
         self, call: Call, choice: EngineChoice, cutter: EventCutter, *, more: bool
     ) -> _Run:
@@ -162,7 +133,7 @@
         if head.status < 500:
             tools.views.health.worked(name, asyncio.get_running_loop().time())
         self._heard_weights(call, choice, head)
-        return _Run(choice, exchange, head, first)
+        return _Run(choice, exchange, head, first, began, [])
 
     async def _first(self, exchange: Exchange, head: ResponseHead, cutter: EventCutter) -> bytes:
         """Return the first whole events, or the first bytes of an answer that is none.
@@ -194,7 +165,7 @@
     def _patience(self, call: Call, choice: EngineChoice) -> float | None:
         if not call.route.repeatable:
             return None
-        return max(_FIRST_EVENT_AIMS * call.route.aim, _FIRST_EVENT_ESTIMATES * choice.seconds)
+        return max(_FIRST_EVENT_AIMS * call.route.aim, FIRST_EVENT_ESTIMATES * choice.seconds)
 
     # --- relaying -------------------------------------------------------------
 
@@ -235,50 +206,19 @@
 
     def _ended(self, call: Call, run: _Run) -> None:
         run.exchange.cancel()
-        self._tools.views.workload.end(run.choice.instance.name, call.ask.request_id)
-
-    # --- choosing -------------------------------------------------------------
-
-    def _choose(self, call: Call, tried: set[str]) -> EngineChoice | None:
-        prompt = call.ask.prompt
-        traits = call.service.engine
-        assert prompt is not None and traits is not None
         views = self._tools.views
+        views.workload.end(run.choice.instance.name, call.ask.request_id)
         now = asyncio.get_running_loop().time()
-        named = views.named.get(prompt.model, 0)
-        bound = self._tools.settings.bounds.weights
-        # A send of what may run once only cannot be made up for when it is called off.
-        spare = 1.0 if call.route.repeatable else _FIRST_EVENT_ESTIMATES
-        engines = views.engines(call.service.name, prompt.model, now)
-        soon = soon_loading(engines, wanted=named)
-        sights = []
-        for engine in engines:
-            instance, weights = views.registry.get(engine.name), engine.weights
-            if instance is None or instance.name in tried:
-                continue
-            if engine.outdated > bound * _OLDEST_PART:
-                continue
-            salt = self._kept.salt(call, prompt, instance.name)
-            sights.append(
-                EngineSight(
-                    instance=instance,
-                    burden=views.workload.at(instance.name, now),
-                    failures=views.health.share(instance.name, now),
-                    behind=weights < named,
-                    loading=engine.loading,
-                    memory=views.memory.parts(instance.name, salt),
-                    soon=instance.name in soon,
-                    left=seconds_to_begin(engine.outdated, bound=bound) / spare,
-                )
+        assert call.ask.prompt is not None
+        if not run.ended:
+            run.ended.append(True)
+            views.rooms.of(call.service.name).turnover.ended(
+                call.ask.prompt.tokens, now - run.began
             )
-        return choose_engine(
-            prompt,
-            sights,
-            traits=traits,
-            data_centre=self._tools.settings.data_centre,
-            aim=call.route.aim,
-            holders=lambda sight, part: self._kept.holders(call, prompt, sight, part, now),
-        )
+        views.rooms.changed()
+        self._tools.told()
+
+    # --- sending ---------------------------------------------------------------
 
     def _send(self, call: Call, choice: EngineChoice, resume_after: str) -> Send:
         prompt = call.ask.prompt
@@ -318,12 +258,9 @@
         Just after a start those who come back are many and gone in a moment, and
         late anyway.  In an overload that lasts, coming last would mean never.
         """
-        rank = call.route.rank
-        if call.customer is not None and call.customer.rank is not None:
-            rank = call.customer.rank
         now = asyncio.get_running_loop().time()
         late = call.late and self._tools.views.just_started(now)
-        return urgency(rank, late=late, ranks=call.catalog.ranks)
+        return urgency(call.rank, late=late, ranks=call.catalog.ranks)
 
     # --- counting -------------------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -59,6 +59,7 @@
         now = asyncio.get_running_loop().time()
         burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
         views.workload.told(heartbeat.node.name, burdens, now)
+        views.rooms.changed()
         views.heard_ages(heartbeat.named_ages, now)
         views.links.told(heartbeat.node.name, heartbeat.moves, now)
         views.lateness.told(heartbeat.lateness, now)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -0,0 +1,184 @@
+"""Choose the engine of a prompt, and let prompts wait until one has room.
+
+No engine is knowingly sent more than its memory holds.  What finds no room
+waits here, where it costs an engine nothing, unless the estimate says that it
+cannot be in time: then its caller is told at once when to come back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.overload import LATE_PART, come_back, return_after
+from fielddrift_core.placement import EngineChoice, EngineSight, choose_engine
+from fielddrift_core.prompt import Prompt
+from fielddrift_core.rollout import seconds_to_begin, soon_loading
+from fielddrift_core.waiting import Waiter, line_name, room_part
+
+from .call import Call, Refused, Tools
+from .kept import KeptParts
+from .rooms import Room
+from .trying import Attempts
+
+__all__ = ["FIRST_EVENT_ESTIMATES", "Placing"]
+
+FIRST_EVENT_ESTIMATES = 4.0
+"""Silence before the first event, in estimates, after which a run is moved."""
+_OLDEST_PART = 0.7
+"""Part of the time within which requests may begin on older weights in which they are
+sent: the rest, of some 3 s, lets nearly all begin that wait at a crowded engine (2.4 s
+at most so far), and `BeginWatch` calls off who waits longer."""
+_LEAST_WAIT_PART = 0.25
+"""Part of the aim for which a prompt may wait even if it will then be late: engines that
+are slow serve everyone late, and still serve."""
+_LOOK_SECONDS = 0.05
+"""Whoever is first in line looks for room so often, whatever was heard meanwhile: what
+other nodes told fades without a sign."""
+_RESUME_RANK = -1
+"""Runs that broke off come before all others: their callers are reading already."""
+
+
+class Placing:
+    """Choose engines for prompts."""
+
+    def __init__(self, *, tools: Tools, kept: KeptParts) -> None:
+        self._tools = tools
+        self._kept = kept
+
+    async def place(self, call: Call, attempts: Attempts, *, resumes: bool) -> EngineChoice:
+        """Return the engine to send to now; raise `Refused`."""
+        best = self._choose(call, attempts.tried)
+        if best is None:
+            raise attempts.exhausted()
+        room = self._tools.views.rooms.of(call.service.name)
+        rank = _RESUME_RANK if resumes else call.rank
+        fitting = None
+        if room.line.before(rank) == 0:
+            fitting = self._fitting(call, attempts.tried)
+        if not attempts.tried:
+            self._admit(call, fitting or best, 0.0 if fitting else self._wait(call, room))
+        return fitting or await self._in_line(call, attempts, best, room, rank)
+
+    # --- waiting ----------------------------------------------------------------
+
+    def _wait(self, call: Call, room: Room) -> float:
+        """Return the seconds until there is room behind all that wait for it anywhere."""
+        prompt, traits = call.ask.prompt, call.service.engine
+        assert prompt is not None and traits is not None
+        views = self._tools.views
+        now = asyncio.get_running_loop().time()
+        names = [line_name(call.service.name, r) for r in call.catalog.ranks if r <= call.rank]
+        ahead = sum(views.workload.at(name, now).memory for name in names)
+        engines = len(views.registry.serving(call.service.name))
+        return room.turnover.wait(ahead + prompt.tokens, engines * traits.memory)
+
+    def _admit(self, call: Call, choice: EngineChoice, wait: float) -> None:
+        """Raise `Refused` where even the best engine would answer too late."""
+        back = come_back(
+            patience=call.ask.patience or call.deadline - call.began,
+            estimate=wait + choice.seconds,
+            aim=call.route.aim,
+            crowded=wait > 0 or choice.burden.unread > 0,
+            rng=self._tools.rng,
+        )
+        if back is None:
+            return
+        detail = f"room in {wait:.2f} s, first event {choice.seconds:.2f} s later"
+        detail += f", {call.route.aim:.2f} s is in time"
+        raise Refused(Refusal(Kind.OVERLOADED, detail, Ran.NO, back))
+
+    async def _in_line(
+        self, call: Call, attempts: Attempts, best: EngineChoice, room: Room, rank: int
+    ) -> EngineChoice:
+        """Return an engine once one has room; raise `Refused` when that comes too late."""
+        loop = asyncio.get_running_loop()
+        prompt = call.ask.prompt
+        assert prompt is not None
+        aim, began = call.route.aim, loop.time()
+        due = max(call.began + LATE_PART * aim - best.seconds, began + _LEAST_WAIT_PART * aim)
+        waiter = Waiter(call.ask.request_id, rank, due, prompt.tokens)
+        workload, name = self._tools.views.workload, line_name(call.service.name, rank)
+        room.line.add(waiter)
+        workload.begin(name, waiter.request, 0, prompt.tokens)
+        self._tools.told()
+        try:
+            while (left := due - loop.time()) > 0:
+                await room.turn(waiter.request, min(left, _LOOK_SECONDS))
+                if room.line.first() is not waiter:
+                    continue
+                fitting = self._fitting(call, attempts.tried)
+                if fitting is not None:
+                    return fitting
+        finally:
+            call.trace.held += loop.time() - began
+            room.line.remove(waiter.request)
+            workload.end(name, waiter.request)
+            room.wake()
+        return self._waited_in_vain(call, attempts, loop.time() - began)
+
+    def _waited_in_vain(self, call: Call, attempts: Attempts, seconds: float) -> EngineChoice:
+        """Return an engine for a run that broke off; raise `Refused` for others."""
+        if attempts.tried:
+            best = self._choose(call, attempts.tried)
+            if best is None:
+                raise attempts.exhausted()
+            return best
+        patience = call.deadline - asyncio.get_running_loop().time()
+        back = return_after(patience=patience, rng=self._tools.rng)
+        detail = f"no engine had room for {seconds:.2f} s"
+        raise Refused(Refusal(Kind.OVERLOADED, detail, Ran.NO, back, "no-room"))
+
+    # --- choosing ---------------------------------------------------------------
+
+    def _fitting(self, call: Call, tried: set[str]) -> EngineChoice | None:
+        """Return the best engine that works and has room, None when there is none."""
+        part = room_part(call.rank, call.catalog.ranks)
+        return self._choose(call, tried, part=part)
+
+    def _choose(
+        self, call: Call, tried: set[str], *, part: float | None = None
+    ) -> EngineChoice | None:
+        prompt, traits = call.ask.prompt, call.service.engine
+        assert prompt is not None and traits is not None
+        now = asyncio.get_running_loop().time()
+        return choose_engine(
+            prompt,
+            self._sights(call, prompt, tried, now),
+            traits=traits,
+            data_centre=self._tools.settings.data_centre,
+            aim=call.route.aim,
+            holders=lambda sight, part: self._kept.holders(call, prompt, sight, part, now),
+            room_part=part,
+        )
+
+    def _sights(self, call: Call, prompt: Prompt, tried: set[str], now: float) -> list[EngineSight]:
+        """Return what is known of each engine that may be sent the prompt."""
+        views = self._tools.views
+        named = views.named.get(prompt.model, 0)
+        bound = self._tools.settings.bounds.weights
+        # A send of what may run once only cannot be made up for when it is called off.
+        spare = 1.0 if call.route.repeatable else FIRST_EVENT_ESTIMATES
+        engines = views.engines(call.service.name, prompt.model, now)
+        soon = soon_loading(engines, wanted=named)
+        sights = []
+        for engine in engines:
+            instance, weights = views.registry.get(engine.name), engine.weights
+            if instance is None or instance.name in tried:
+                continue
+            if engine.outdated > bound * _OLDEST_PART:
+                continue
+            salt = self._kept.salt(call, prompt, instance.name)
+            sights.append(
+                EngineSight(
+                    instance=instance,
+                    burden=views.workload.at(instance.name, now),
+                    failures=views.health.share(instance.name, now),
+                    behind=weights < named,
+                    loading=engine.loading,
+                    memory=views.memory.parts(instance.name, salt),
+                    soon=instance.name in soon,
+                    left=seconds_to_begin(engine.outdated, bound=bound) / spare,
+                )
+            )
+        return sights
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/rooms.py
@@ -0,0 +1,52 @@
+"""Let prompts wait at this node until an engine has room for them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from fielddrift_core.waiting import Line, Turnover
+
+__all__ = ["Room", "Rooms"]
+
+
+class Room:
+    """The line before one service's engines, and how fast their memory turns over."""
+
+    def __init__(self) -> None:
+        self.line = Line()
+        self.turnover = Turnover()
+        self._woken: dict[str, asyncio.Event] = {}
+
+    async def turn(self, request: str, seconds: float) -> None:
+        """Wait until it may be the turn of `request`, for `seconds` at most."""
+        event = self._woken.setdefault(request, asyncio.Event())
+        event.clear()
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await event.wait()
+        finally:
+            self._woken.pop(request, None)
+
+    def wake(self) -> None:
+        """Let whoever is first look for room."""
+        first = self.line.first()
+        if first is not None and first.request in self._woken:
+            self._woken[first.request].set()
+
+
+class Rooms:
+    """The lines of all services."""
+
+    def __init__(self) -> None:
+        self._rooms: dict[str, Room] = {}
+
+    def of(self, service: str) -> Room:
+        """Return the line before the engines of `service`."""
+        return self._rooms.setdefault(service, Room())
+
+    def changed(self) -> None:
+        """Note that some engine may have room."""
+        for room in self._rooms.values():
+            room.wake()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -19,6 +19,7 @@
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
 from .ports import NamedWeights
+from .rooms import Rooms
 
 __all__ = ["Views"]
 
@@ -54,6 +55,7 @@
         self.lateness = Lateness()
         self.memory = EngineMemory()
         self.loading = LoadingEngines()
+        self.rooms = Rooms()
         self.weights: dict[tuple[str, str], int] = {}
         """Weights by (instance, model), where newer than the instance's entry."""
         self.stale = asyncio.Event()
--- /dev/null
+++ b/tests/test_room_line.py
@@ -0,0 +1,102 @@
+"""Prompts wait at the nodes, not at engines whose memory is full."""
+
+from __future__ import annotations
+
+import unittest
+
+from fielddrift_core.catalog import EngineTraits
+from fielddrift_core.placement import EngineChoice, EngineSight, choose_engine
+from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.target_registry import Instance
+from fielddrift_core.waiting import Line, Turnover, Waiter, room_part
+from fielddrift_core.workload import Burden
+
+TRAITS = EngineTraits(64, 70_000, 18_432, 1e9, ("m",), 4)
+PROMPT = Prompt("m", (Part("a", 9000), Part("own", 3000)), 12_000, 100)
+
+
+def sight(name: str, memory: int, **known: object) -> EngineSight:
+    values = {"failures": 0.0, "behind": False, "loading": False, **known}
+    instance = Instance(name, "s", f"{name}:1", "a")
+    return EngineSight(instance, Burden(3, 0, memory), **values)  # type: ignore[arg-type]
+
+
+def choose(*sights: EngineSight, part: float | None = 1.0) -> EngineChoice | None:
+    return choose_engine(
+        PROMPT,
+        sights,
+        traits=TRAITS,
+        data_centre="a",
+        aim=1.2,
+        holders=lambda sight, part: [],
+        room_part=part,
+    )
+
+
+class TestRoom(unittest.TestCase):
+    def test_no_engine_is_sent_more_than_its_memory_holds(self) -> None:
+        full, other = sight("full", 60_000), sight("other", 50_000)
+        choice = choose(full, other)
+        assert choice is not None
+        self.assertEqual(choice.instance.name, "other")
+        self.assertIsNone(choose(full))
+
+    def test_an_idle_engine_takes_what_is_larger_than_its_memory(self) -> None:
+        self.assertIsNotNone(choose(sight("idle", 0), part=0.1))
+
+    def test_an_engine_that_fails_is_not_taken_for_an_empty_one(self) -> None:
+        gone, full = sight("gone", 0, failures=0.25), sight("full", 60_000)
+        self.assertIsNone(choose(gone, full))
+        self.assertIsNotNone(choose(gone))
+
+    def test_an_engine_that_loads_is_not_taken_for_an_empty_one(self) -> None:
+        self.assertIsNone(choose(sight("loads", 0, loading=True), sight("full", 60_000)))
+
+    def test_room_is_kept_for_the_most_urgent(self) -> None:
+        self.assertGreater(room_part(0, [0, 1]), room_part(1, [0, 1]))
+        self.assertEqual(room_part(1, [1]), room_part(0, [0, 1]))
+
+
+class TestLine(unittest.TestCase):
+    def test_the_urgent_come_first_then_who_would_be_late_first(self) -> None:
+        line = Line()
+        for waiter in (
+            Waiter("late", 1, 5.0, 10),
+            Waiter("soon", 1, 4.0, 10),
+            Waiter("urgent", 0, 9.0, 10),
+        ):
+            line.add(waiter)
+        order = []
+        while (first := line.first()) is not None:
+            order.append(first.request)
+            line.remove(first.request)
+        self.assertEqual(order, ["urgent", "soon", "late"])
+
+    def test_a_newcomer_counts_those_before_it(self) -> None:
+        line = Line()
+        line.add(Waiter("a", 1, 5.0, 10))
+        self.assertEqual(line.before(0), 0)
+        self.assertEqual(line.before(1), 1)
+
+
+class TestTurnover(unittest.TestCase):
+    def test_the_time_that_memory_is_kept_is_learned_from_runs(self) -> None:
+        turnover = Turnover()
+        for _ in range(40):
+            turnover.ended(12_000, 2.5)
+        self.assertAlmostEqual(turnover.seconds, 2.5, places=2)
+        self.assertAlmostEqual(turnover.wait(70_000, 350_000), 0.5, places=2)
+
+    def test_small_runs_say_little_of_how_long_memory_is_kept(self) -> None:
+        turnover = Turnover()
+        turnover.ended(12_000, 2.0)
+        before = turnover.seconds
+        turnover.ended(500, 0.1)
+        self.assertLess(before - turnover.seconds, 0.02)
+
+    def test_engines_of_unknown_memory_keep_nobody_waiting(self) -> None:
+        self.assertEqual(Turnover().wait(70_000, 0), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
