Send engines what takes the place of runs that end, and keep no reserve

Change: the room is the memory times 1 + 0.06 s / the learned turnover, for all ranks alike.

Held times and estimates stand in histograms.

--- a/bench/lab/laboratory.py
+++ b/bench/lab/laboratory.py
@@ -277,8 +277,15 @@
         held = loop.time() - began
         self._outcomes.append(Outcome(arrival, first, whole, tries, told, held))
 
+    def _entry(self, number: int) -> LabNode:
+        """Return the node to which a caller is sent: an active one of the data centre."""
+        now = asyncio.get_running_loop().time()
+        node = self._nodes[f"node-{number}"]
+        active = sorted(node.neighbours.active(now))
+        return self._nodes[active[number % len(active)]] if active else node
+
     async def _ask(self, arrival: Arrival, node_number: int, patience: float) -> Answer:
-        node = self._nodes[f"node-{node_number}"]
+        node = self._entry(node_number)
         self._ids += 1
         name = f"r{self._ids}"
         path = f"/{'urgent' if arrival.urgent else 'long'}/{name}"
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -77,11 +77,11 @@
         targets = LabTargets()
         me = Neighbour(self.name, 1, data_centre, address, address, address, _CAPACITY)
         self.me = me
-        self._neighbours = Neighbours(me=me)
-        self._neighbours.report(serving=True, load=0.0)
-        self._translator = HeartbeatTranslator(views=self.views, neighbours=self._neighbours)
+        self.neighbours = Neighbours(me=me)
+        self.neighbours.report(serving=True, load=0.0)
+        self._translator = HeartbeatTranslator(views=self.views, neighbours=self.neighbours)
         self.gossip = Gossip(
-            neighbours=self._neighbours,
+            neighbours=self.neighbours,
             heartbeat=lambda standing: self._translator.heartbeat(standing, leaving=False),
             heard=self._translator.heard,
         )
@@ -107,7 +107,7 @@
     def introduce(self, nodes: list[Neighbour]) -> None:
         """Know the other nodes."""
         for node in nodes:
-            self._neighbours.introduce(node)
+            self.neighbours.introduce(node)
 
     def configure(self, catalog: Catalog, instances: list[Instance], model: str) -> None:
         """Know the catalog and the targets."""
@@ -144,5 +144,5 @@
         while True:
             await asyncio.sleep(_TICK_SECONDS)
             now = loop.time()
-            self._neighbours.report(serving=True, load=self.views.load.value(now))
-            self.views.nodes = self._neighbours.sharing(now)
+            self.neighbours.report(serving=True, load=self.views.load.value(now))
+            self.views.nodes = self.neighbours.sharing(now)
--- a/packages/core/src/fielddrift_core/waiting.py
+++ b/packages/core/src/fielddrift_core/waiting.py
@@ -9,21 +9,20 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
 from typing import NamedTuple
 
-__all__ = ["Line", "Turnover", "Waiter", "line_name", "room_part"]
+__all__ = ["Line", "Turnover", "Waiter", "line_name"]
 
 _START_HOLD_SECONDS = 1.0
 """How long a run is taken to keep its memory until some have ended: a second's answer."""
 _HOLD_TOKENS = 60_000
 """Tokens of ended runs after which the seconds before them count a third: about what
 one engine holds, so that a crowd shows within one turn of its memory."""
-_ROOM_PART = 1.0
-"""Part of an engine's memory that the most urgent prompts may fill."""
-_RESERVED_PART = 0.15
-"""Part of it that is kept for them: what other nodes send is known some 0.3 s late, and
-where less urgent prompts fill the rest, an urgent one would push them out."""
+_HANDOVER_SECONDS = 0.06
+"""Time from the end of a run until a prompt that waits at a node reaches the engine: the
+news of it, a look, a connection."""
+_LEAST_HOLD_SECONDS = 0.1
+"""Runs that are shorter are taken to keep their memory for so long."""
 
 
 def line_name(service: str, rank: int) -> str:
@@ -31,14 +30,6 @@
     return f"line:{service}:{rank}"
 
 
-def room_part(rank: int, ranks: Sequence[int]) -> float:
-    """Return the part of an engine's memory that prompts of `rank` may fill.
-
-    `ranks` are all that there are.
-    """
-    return _ROOM_PART if rank <= min(ranks, default=rank) else _ROOM_PART - _RESERVED_PART
-
-
 class Waiter(NamedTuple):
     """A prompt that waits: after `due` (loop time) its answer would be late."""
 
@@ -93,6 +84,16 @@
         weight = 1.0 - math.exp(-tokens / _HOLD_TOKENS)
         self._seconds += weight * (max(0.0, seconds) - self._seconds)
 
+    @property
+    def room_part(self) -> float:
+        """Return how much an engine may be sent, in parts of its memory.
+
+        Beside what its memory holds, an engine needs what takes the place of the runs that
+        end before the next prompt can come from a node; without it, where runs are short,
+        engines rest while prompts wait.
+        """
+        return 1.0 + _HANDOVER_SECONDS / max(_LEAST_HOLD_SECONDS, self._seconds)
+
     def wait(self, tokens: int, memory: int) -> float:
         """Return the seconds until `tokens` are free at engines that keep `memory` in all."""
         return tokens / memory * self._seconds if memory > 0 else 0.0
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -186,6 +186,8 @@
         metrics.whole.observe(now - call.began)
         if first is not None:
             metrics.first_event.observe(first - call.began)
+            metrics.estimate.observe(trace.estimate)
+            metrics.held.observe(trace.held)
         _log.info(
             "request answered",
             request=call.ask.request_id,
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -113,6 +113,12 @@
         self.freed = self._counter("freed_parts", "kept parts that were freed")
         self.first_event = self._histogram("first_event", "seconds to a stream's first event")
         self.whole = self._histogram("whole", "seconds to an answer's end")
+        self.held = self._histogram(
+            "held", "seconds that a prompt waited at the node for room at an engine"
+        )
+        self.estimate = self._histogram(
+            "estimate", "seconds from the last send to a first event, as they were estimated"
+        )
         self.estimate_error = self._histogram(
             "estimate_error", "seconds that a first event came later than estimated"
         )
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -14,7 +14,7 @@
 from fielddrift_core.placement import EngineChoice, EngineSight, choose_engine
 from fielddrift_core.prompt import Prompt
 from fielddrift_core.rollout import seconds_to_begin, soon_loading
-from fielddrift_core.waiting import Waiter, line_name, room_part
+from fielddrift_core.waiting import Waiter, line_name
 
 from .call import Call, Refused, Tools
 from .kept import KeptParts
@@ -133,8 +133,8 @@
 
     def _fitting(self, call: Call, tried: set[str]) -> EngineChoice | None:
         """Return the best engine that works and has room, None when there is none."""
-        part = room_part(call.rank, call.catalog.ranks)
-        return self._choose(call, tried, part=part)
+        turnover = self._tools.views.rooms.of(call.service.name).turnover
+        return self._choose(call, tried, part=turnover.room_part)
 
     def _choose(
         self, call: Call, tried: set[str], *, part: float | None = None
