--- a/bench/lab/switches.py
+++ b/bench/lab/switches.py
@@ -7,7 +7,7 @@
 from typing import Any
 from unittest import mock
 
-from fielddrift_core import placement
+from fielddrift_core import placement, waiting
 from fielddrift_core.waiting import Turnover
 from fielddrift_core.workload import Lateness
 from fielddrift_node.serving import placing
@@ -30,13 +30,19 @@
 @_switch("room")
 def _room() -> Sequence[Any]:
     """Send on whatever an engine's memory holds."""
-    return [mock.patch.object(Turnover, "room_part", float("inf"))]
+    return [mock.patch.object(Turnover, "room_part", lambda *_: float("inf"))]
 
 
 @_switch("handover")
 def _handover() -> Sequence[Any]:
     """Send no more than an engine's memory holds, however short its runs are."""
-    return [mock.patch.object(Turnover, "room_part", 1.0)]
+    return [mock.patch.object(waiting, "_HANDOVER_SECONDS", 0.0)]
+
+
+@_switch("reserve")
+def _reserve() -> Sequence[Any]:
+    """Keep no room for the most urgent."""
+    return [mock.patch.object(waiting, "_RESERVED_PART", 0.0)]
 
 
 @_switch("turnover")
--- a/packages/core/src/fielddrift_core/waiting.py
+++ b/packages/core/src/fielddrift_core/waiting.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from typing import NamedTuple
 
 __all__ = ["Line", "Turnover", "Waiter", "line_name"]
@@ -18,6 +19,9 @@
 _HOLD_TOKENS = 60_000
 """Tokens of ended runs after which the seconds before them count a third: about what
 one engine holds, so that a crowd shows within one turn of its memory."""
+_RESERVED_PART = 0.15
+"""Part of an engine's memory that is kept for the most urgent: what finds no room there
+pushes less urgent runs out, and each of these reads its whole prompt anew."""
 _HANDOVER_SECONDS = 0.06
 """Time from the end of a run until a prompt that waits at a node reaches the engine: the
 news of it, a look, a connection."""
@@ -84,15 +88,15 @@
         weight = 1.0 - math.exp(-tokens / _HOLD_TOKENS)
         self._seconds += weight * (max(0.0, seconds) - self._seconds)
 
-    @property
-    def room_part(self) -> float:
-        """Return how much an engine may be sent, in parts of its memory.
+    def room_part(self, rank: int, ranks: Sequence[int]) -> float:
+        """Return how much an engine may be sent for a prompt of `rank`, in parts of its memory.
 
         Beside what its memory holds, an engine needs what takes the place of the runs that
         end before the next prompt can come from a node; without it, where runs are short,
         engines rest while prompts wait.
         """
-        return 1.0 + _HANDOVER_SECONDS / max(_LEAST_HOLD_SECONDS, self._seconds)
+        part = 1.0 + _HANDOVER_SECONDS / max(_LEAST_HOLD_SECONDS, self._seconds)
+        return part if rank <= min(ranks, default=rank) else part - _RESERVED_PART
 
     def wait(self, tokens: int, memory: int) -> float:
         """Return the seconds until `tokens` are free at engines that keep `memory` in all."""
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -134,7 +134,8 @@
     def _fitting(self, call: Call, tried: set[str]) -> EngineChoice | None:
         """Return the best engine that works and has room, None when there is none."""
         turnover = self._tools.views.rooms.of(call.service.name).turnover
-        return self._choose(call, tried, part=turnover.room_part)
+        part = turnover.room_part(call.rank, call.catalog.ranks)
+        return self._choose(call, tried, part=part)
 
     def _choose(
         self, call: Call, tried: set[str], *, part: float | None = None
--- a/tests/test_room_line.py
+++ b/tests/test_room_line.py
@@ -95,14 +95,20 @@
         for _ in range(60):
             short.ended(9_000, 0.2)
             long.ended(12_000, 2.5)
-        self.assertGreater(short.room_part, 1.2)
-        self.assertLess(long.room_part, 1.05)
+        self.assertGreater(short.room_part(0, [0, 1]), 1.2)
+        self.assertLess(long.room_part(0, [0, 1]), 1.05)
+
+    def test_room_is_kept_for_the_most_urgent(self) -> None:
+        turnover = Turnover()
+        urgent, other = turnover.room_part(0, [0, 1]), turnover.room_part(1, [0, 1])
+        self.assertGreater(urgent, other + 0.1)
+        self.assertEqual(turnover.room_part(1, [1]), urgent)
 
     def test_runs_without_length_do_not_fill_engines_without_bound(self) -> None:
         turnover = Turnover()
         for _ in range(100):
             turnover.ended(50_000, 0.0)
-        self.assertLess(turnover.room_part, 2.0)
+        self.assertLess(turnover.room_part(0, [0]), 2.0)
 
     def test_engines_of_unknown_memory_keep_nobody_waiting(self) -> None:
         self.assertEqual(Turnover().wait(70_000, 0), 0.0)
