Take prompts that are late by themselves; send away only whom others keep waiting

Found reading the diff: a prompt whose own reading takes most of the aim was refused wherever anything else was being read, each time it came back. Now others must take a fifth of the aim first.

--- a/packages/core/src/fielddrift_core/overload.py
+++ b/packages/core/src/fielddrift_core/overload.py
@@ -10,7 +10,7 @@
 
 import random
 
-__all__ = ["LATE_PART", "come_back", "return_after"]
+__all__ = ["LATE_PART", "come_back", "is_crowded", "return_after"]
 
 LATE_PART = 0.95
 """Estimate, in parts of the aim, from which an answer is taken to be late: on
@@ -20,6 +20,14 @@
 _SPREAD = 0.7
 """Times to come back lie between this part of the longest one and all of it, so
 that those who are sent away together do not return together."""
+_CROWDED_PART = 0.2
+"""Part of the aim that others must take before a prompt is sent away because of them:
+one that takes long by itself is late whenever it comes, and would never be taken."""
+
+
+def is_crowded(*, queue: float, aim: float) -> bool:
+    """Return whether others keep a prompt waiting: `queue` is the seconds that they take."""
+    return queue > _CROWDED_PART * aim
 
 
 def come_back(
@@ -27,8 +35,8 @@
 ) -> float | None:
     """Return the seconds after which a caller should return; None to take its request.
 
-    `estimate` is when its answer would begin, `crowded` whether prompts already
-    wait at the engine that would take it, `patience` how long the caller waits.
+    `estimate` is when its answer would begin, `crowded` whether others
+    keep it waiting, `patience` how long the caller waits.
     """
     if not crowded or estimate <= LATE_PART * aim:
         return None
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -10,8 +10,8 @@
 import asyncio
 
 from fielddrift_core.errors import Kind, Ran, Refusal
-from fielddrift_core.overload import LATE_PART, come_back, return_after
-from fielddrift_core.placement import EngineChoice, EngineSight, choose_engine
+from fielddrift_core.overload import LATE_PART, come_back, is_crowded, return_after
+from fielddrift_core.placement import READ_RATE, EngineChoice, EngineSight, choose_engine
 from fielddrift_core.prompt import Prompt
 from fielddrift_core.rollout import seconds_to_begin, soon_loading
 from fielddrift_core.waiting import Waiter, line_name
@@ -74,12 +74,16 @@
         return room.turnover.wait(ahead + prompt.tokens, engines * traits.memory)
 
     def _admit(self, call: Call, choice: EngineChoice, wait: float) -> None:
-        """Raise `Refused` where even the best engine would answer too late."""
+        """Raise `Refused` where even the best engine would answer too late.
+
+        A prompt that takes long by itself is late at any time, and is taken all the same.
+        """
+        queue = wait + choice.burden.unread / READ_RATE
         back = come_back(
             patience=call.ask.patience or call.deadline - call.began,
             estimate=wait + choice.seconds,
             aim=call.route.aim,
-            crowded=wait > 0 or choice.burden.unread > 0,
+            crowded=is_crowded(queue=queue, aim=call.route.aim),
             rng=self._tools.rng,
         )
         if back is None:
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -7,7 +7,7 @@
 
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.memory import EngineMemory
-from fielddrift_core.overload import come_back
+from fielddrift_core.overload import come_back, is_crowded
 from fielddrift_core.prompt import Part
 from fielddrift_core.retries import WindowBudget
 from fielddrift_core.stream import EventCutter
@@ -86,6 +86,10 @@
     def test_a_long_prompt_is_taken_where_nobody_waits(self) -> None:
         self.assertIsNone(self._judge(0.9, crowded=False))
 
+    def test_a_prompt_that_is_late_by_itself_is_not_sent_away_for_a_few_others(self) -> None:
+        self.assertFalse(is_crowded(queue=0.05, aim=0.5))
+        self.assertTrue(is_crowded(queue=0.3, aim=0.5))
+
     def test_one_that_would_be_late_comes_back_within_its_patience(self) -> None:
         backs = [self._judge(1.2) or 0.0 for _ in range(50)]
         self.assertLessEqual(max(backs), 4.0 / 3)
