--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -48,17 +48,21 @@
 
     async def place(self, call: Call, attempts: Attempts, *, resumes: bool) -> EngineChoice:
         """Return the engine to send to now; raise `Refused`."""
-        best = self._choose(call, attempts.tried)
-        if best is None:
-            raise attempts.exhausted()
         room = self._tools.views.rooms.of(call.service.name)
         rank = _RESUME_RANK if resumes else call.rank
-        fitting = None
         if room.line.before(rank) == 0:
             fitting = self._fitting(call, attempts.tried)
+            if fitting is not None:
+                if not attempts.tried:
+                    self._admit(call, fitting, 0.0)
+                return fitting
+        # A choice weighs every engine: the second is made only where there is no room.
+        best = self._choose(call, attempts.tried)
+        if best is None:
+            raise attempts.exhausted()
         if not attempts.tried:
-            self._admit(call, fitting or best, 0.0 if fitting else self._wait(call, room))
-        return fitting or await self._in_line(call, attempts, best, room, rank)
+            self._admit(call, best, self._wait(call, room))
+        return await self._in_line(call, attempts, best, room, rank)
 
     # --- waiting ----------------------------------------------------------------
 
