--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -47,6 +47,12 @@
                 self.assertGreater(figures.before, 0.95)
                 self.assertGreaterEqual(figures.after, figures.before - _RECOVERED_WITHIN)
 
+    def test_short_answers_on_a_small_deployment_recover_too(self) -> None:
+        sizes = Sizes(nodes=2, data_centres=1, engines=3, stores=2, seconds=14.0, load=0.6)
+        for load in ("burst", "repeats", "engines-lost", "stores-emptied"):
+            figures = played(load, sizes=sizes)
+            self.assertGreaterEqual(figures.after, figures.before - _RECOVERED_WITHIN, load)
+
     def test_in_a_burst_full_engines_push_fewer_runs_out(self) -> None:
         # The edge of the loop: what is pushed out is read anew, and keeps engines full.
         self.assertLess(mean("preempted", "burst"), 0.8 * mean("preempted", "burst", "room"))
