Choose engines at a cost that nodes and stores do not raise

Cause: at 62 engines and 28 store hosts each engine asked for the wait of each store that keeps each part; a store's lateness compared it with all others, each link added up all nodes' moves, each engine's load all nodes' words. 43 ms of processor time a request on the large deployment. Ruled out: the pricing itself (1 ms for 32 engines).

--- /dev/null
+++ b/bench/choice.py
@@ -0,0 +1,190 @@
+"""Measure what one choice of an engine costs a node, by engines, stores and nodes.
+
+Each size has a node that knows `engines` engines, `stores` store hosts that keep the
+prompt's parts, and what `nodes` other nodes tell of their sends and moves.  The figure is
+processor time a choice, in microseconds, as `time.process_time` counts it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+from fielddrift_core.catalog import (
+    Catalog,
+    EngineTraits,
+    Repeat,
+    Route,
+    Service,
+    Share,
+    StoreTraits,
+    Transport,
+)
+from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.target_registry import Instance
+from fielddrift_core.workload import Burden
+from fielddrift_node.serving.call import Call, Tools, Trace
+from fielddrift_node.serving.kept import KeptParts, salt_of
+from fielddrift_node.serving.metrics import Metrics
+from fielddrift_node.serving.placing import Placing
+from fielddrift_node.serving.ports import Ask, NamedWeights
+from fielddrift_node.serving.settings import Bounds, NodeSettings
+from fielddrift_node.serving.trying import Attempts
+from fielddrift_node.serving.views import Views
+from fielddrift_node.web.messages import Headers, RequestHead
+from fielddrift_node.web.server import Request
+
+from .lab.dialects import LabCallers, LabClient, LabTargets
+
+__all__ = ["Fleet", "measure", "placing_of"]
+
+MODEL = "m"
+_SERVICE = "engines"
+_CENTRES = 5
+_MEMORY = 40_000
+"""Tokens of an engine: some five long prompts."""
+_PROMPT = Prompt(MODEL, (Part("top", 2500), Part("leaf", 5000), Part("own", 1700)), 9200, 9)
+_KEPT_COPIES = 3
+"""Stores that keep each part."""
+_BUSY_ENGINES = 4
+"""Engines that each other node has sends at."""
+_TRIES = 200
+_BOUNDS = Bounds(
+    drain=2.0,
+    grace=8.0,
+    retry_ratio=0.2,
+    retry_window=10.0,
+    retry_slack=50.0,
+    turn=3.0,
+    weights=10.0,
+    entry_keep=5.0,
+)
+
+
+class Fleet(NamedTuple):
+    """How many engines, store hosts and other nodes a node knows."""
+
+    engines: int
+    stores: int
+    nodes: int
+
+
+_SIZES = (
+    Fleet(10, 2, 9),
+    Fleet(60, 28, 9),
+    Fleet(60, 28, 80),
+    Fleet(400, 28, 80),
+    Fleet(400, 28, 400),
+    Fleet(800, 28, 400),
+)
+
+
+def _store(number: int) -> Service:
+    traits = StoreTraits(f"10.9.0.{number}:1", _centre(number), 1_700_000, 3.6e9, 0.006, True, 12)
+    return Service(f"store-{number}", store=traits)
+
+
+def _centre(number: int) -> str:
+    return f"dc-{number % _CENTRES}"
+
+
+def _catalog(fleet: Fleet) -> Catalog:
+    traits = EngineTraits(24, _MEMORY, 18_432, 16e9, (MODEL,), 12)
+    services = [Service(_SERVICE, 1300, engine=traits)]
+    services += [_store(number) for number in range(fleet.stores)]
+    route = Route(
+        "r", "h", "/", Transport.EVENTS, Repeat.FREELY, 12.0, 0.5, 0,
+        (Share(_SERVICE, 1),), 2, True, True, 0.25,
+    )  # fmt: skip
+    by_name = {service.name: service for service in services}
+    return Catalog(1, {"h": (route,)}, by_name, {}, 16_384, 1 << 22, 3.0, 15.0)
+
+
+def _views(fleet: Fleet, catalog: Catalog, rng: random.Random) -> Views:
+    now = asyncio.get_running_loop().time()
+    views = Views()
+    views.take_catalog(catalog)
+    views.take_weights(NamedWeights(MODEL, 1), now)
+    names = [f"engine-{number}" for number in range(fleet.engines)]
+    entries = [
+        Instance(name, _SERVICE, f"10.1.0.{n}:1", _centre(n), slots=24, versions={MODEL: 1})
+        for n, name in enumerate(names)
+    ]
+    views.registry.replaced(entries, now)
+    salt = salt_of(MODEL, 1)
+    for number, view in enumerate(views.store_index.views):
+        kept = _PROMPT.shared if number < _KEPT_COPIES else ()
+        view.listed(1, 0, [(salt, part.id, part.tokens) for part in kept])
+        views.lateness.came(view.traits.address, 0.001, now)
+    for node in range(fleet.nodes):
+        busy = rng.sample(names, min(_BUSY_ENGINES, len(names)))
+        views.workload.told(f"node-{node}", {name: Burden(1, 500, 900) for name in busy}, now)
+        views.links.told(f"node-{node}", {"10.9.0.0:1": 0.01}, now)
+    return views
+
+
+def placing_of(fleet: Fleet, *, seed: int = 1) -> tuple[Placing, Tools, Call]:
+    """Return what chooses at a node of `fleet`, its tools, and a call to choose for."""
+    loop = asyncio.get_running_loop()
+    catalog = _catalog(fleet)
+    views = _views(fleet, catalog, random.Random(seed))
+    address = "10.0.0.1:1"
+    settings = NodeSettings(
+        "me", "me", _centre(0), "r", address, address, address, address, 1, address, (), _BOUNDS,
+        400.0,
+    )  # fmt: skip
+    targets = LabTargets()
+    tools = Tools(
+        settings=settings,
+        views=views,
+        client=LabClient(engines={}, targets=targets),
+        callers=LabCallers(),
+        targets=targets,
+        budgets={},
+        rng=random.Random(seed),
+        metrics=Metrics(),
+        told=lambda: None,
+    )
+    request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
+    ask = Ask("id", "h", "/", "", 4.0, _PROMPT, "", request)
+    route, service = catalog.routes["h"][0], catalog.services[_SERVICE]
+    now = loop.time()
+    call = Call(ask, catalog, route, service, None, now, now + 4.0, Trace())
+    return Placing(tools=tools, kept=KeptParts(views=views)), tools, call
+
+
+async def measure(fleet: Fleet) -> float:
+    """Return the microseconds of processor time that a choice takes in `fleet`."""
+    placing, tools, call = placing_of(fleet)
+    began = time.process_time()
+    for _ in range(_TRIES):
+        now = asyncio.get_running_loop().time()
+        await placing.place(
+            call._replace(began=now), Attempts(call=call, tools=tools), resumes=False
+        )
+    return (time.process_time() - began) / _TRIES * 1e6
+
+
+@click.command()
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="write the figures here")
+def main(json_file: Path | None) -> None:
+    """Print the cost of a choice at each size."""
+    rows: list[dict[str, Any]] = []
+    for fleet in _SIZES:
+        microseconds = asyncio.run(measure(fleet))
+        rows.append({**fleet._asdict(), "microseconds": round(microseconds, 1)})
+        click.echo(
+            f"{fleet.engines:4} engines {fleet.stores:3} stores {fleet.nodes:4} nodes: "
+            f"{microseconds:9.1f} us a choice"
+        )
+    if json_file is not None:
+        json_file.write_text(json.dumps(rows, indent=2) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/lab/switches.py
+++ b/bench/lab/switches.py
@@ -60,7 +60,7 @@
 @_switch("lateness")
 def _lateness() -> Sequence[Any]:
     """Take every store to be as quick as its link."""
-    return [mock.patch.object(Lateness, "of", lambda self, store, now: 0.0)]
+    return [mock.patch.object(Lateness, "of_each", lambda self, now: {})]
 
 
 @_switch("failing")
--- a/packages/core/src/fielddrift_core/linkqueue.py
+++ b/packages/core/src/fielddrift_core/linkqueue.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 __all__ = ["LinkQueue"]
 
@@ -15,12 +16,21 @@
 """Age at which another node's word is forgotten: moves that wait longer aren't begun."""
 
 
+class _Moves(NamedTuple):
+    told_at: float
+    until: float
+
+    def left(self, now: float) -> float:
+        return self.until - now if now - self.told_at <= _TOLD_SECONDS else 0.0
+
+
 class LinkQueue:
     """Seconds until each link is free.  Not safe for threads."""
 
     def __init__(self) -> None:
         self._free_at: dict[str, float] = {}
-        self._told: dict[str, tuple[float, Mapping[str, float]]] = {}
+        self._told: dict[str, dict[str, _Moves]] = {}
+        """What nodes told of their moves, by store: a node that has none there is not looked at."""
 
     def add(self, store: str, seconds: float, now: float) -> None:
         """Count a move of this node that takes the link for `seconds`."""
@@ -32,13 +42,16 @@
 
     def told(self, node: str, waits: Mapping[str, float], now: float) -> None:
         """Take what another node says of its own moves."""
-        self._told[node] = (now, waits)
+        for store, moves in self._told.items():
+            if store not in waits:
+                moves.pop(node, None)
+        for store, seconds in waits.items():
+            self._told.setdefault(store, {})[node] = _Moves(now, now + seconds)
 
     def wait(self, store: str, now: float) -> float:
         """Return the seconds until the link of `store` is free."""
         left = max(0.0, self._free_at.get(store, now) - now)
-        for heard, waits in self._told.values():
-            age = now - heard
-            if age <= _TOLD_SECONDS:
-                left += max(0.0, waits.get(store, 0.0) - age)
-        return left
+        told = self._told.get(store, {})
+        for node in [node for node, moves in told.items() if moves.left(now) <= 0]:
+            del told[node]
+        return left + sum(moves.left(now) for moves in told.values())
--- a/packages/core/src/fielddrift_core/loading.py
+++ b/packages/core/src/fielddrift_core/loading.py
@@ -16,10 +16,13 @@
     def __init__(self) -> None:
         self._own: dict[str, float] = {}
         self._told: dict[str, float] = {}
+        self.changes = 0
+        """Rises with what this node itself learns, which must count at once."""
 
     def note(self, engine: str, until: float) -> None:
         """Take that `engine` loads until then, by this node's own knowledge."""
         self._own[engine] = max(until, self._own.get(engine, until))
+        self.changes += 1
 
     def told(self, engine: str, until: float) -> None:
         """Take that `engine` loads until then, by another node's word."""
@@ -29,6 +32,7 @@
         """Take that `engine` has loaded."""
         self._own.pop(engine, None)
         self._told.pop(engine, None)
+        self.changes += 1
 
     def seconds(self, engine: str, now: float) -> float:
         """Return for how long `engine` is still taken to be loading, 0 when it is not."""
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -123,7 +123,7 @@
     `behind` says that newer weights than its own were named, `loading` that
     it is changing them, `soon` that it does so next.  `left` is the seconds in which a first
     event must come from it.  `memory` are ids of parts that it was sent lately and so
-    probably still has.
+    probably still has.  `weights` is the version that it has.
     """
 
     instance: Instance
@@ -134,6 +134,7 @@
     memory: Collection[str] = ()
     soon: bool = False
     left: float = float("inf")
+    weights: int = 0
 
 
 _PRICES = Prices()
--- a/packages/core/src/fielddrift_core/store_index.py
+++ b/packages/core/src/fielddrift_core/store_index.py
@@ -34,6 +34,9 @@
 """A save that was not told of after so long is taken for lost."""
 
 
+_KeptAt = dict[tuple[str, str], dict[str, int]]
+
+
 def room(tokens: int) -> int:
     """Return the tokens of room that a part of `tokens` takes."""
     return -(-tokens // _BLOCK) * _BLOCK
@@ -53,10 +56,14 @@
 
 
 class StoreView:
-    """What is known of one store host, and the latest changes for nodes that copy it."""
+    """What is known of one store host, and the latest changes for nodes that copy it.
+
+    `kept_at` is shared by all views of an index: by (salt, part) the tokens kept, by store.
+    """
 
-    def __init__(self, *, traits: StoreTraits) -> None:
+    def __init__(self, *, traits: StoreTraits, kept_at: _KeptAt | None = None) -> None:
         self.traits = traits
+        self._kept_at: _KeptAt = {} if kept_at is None else kept_at
         self.life: int | None = None
         self.following = 0
         self.held: dict[tuple[str, str], int] = {}
@@ -73,16 +80,16 @@
     def unknown(self) -> None:
         """Forget everything: it must be listed again."""
         self.life = None
-        self.held.clear()
-        self.used = 0
+        self._clear()
         self._changes.clear()
 
     def listed(self, life: int, following: int, held: Iterable[tuple[str, str, int]]) -> None:
         """Take a whole list of (salt, part, tokens)."""
         self._changes.clear()
         self.life, self.following = life, following
-        self.held = {(salt, part): tokens for salt, part, tokens in held}
-        self.used = sum(room(tokens) for tokens in self.held.values())
+        self._clear()
+        for salt, part, tokens in held:
+            self.add(salt, part, tokens)
 
     def lacks(self, life: int, following: int) -> bool:
         """Return whether a view as of event `following` of `life` tells more than this one.
@@ -119,12 +126,26 @@
         if (salt, part) not in self.held:
             self.used += room(tokens)
         self.held[(salt, part)] = tokens
+        self._kept_at.setdefault((salt, part), {})[self.traits.address] = tokens
 
     def drop(self, salt: str, part: str) -> None:
         """Note a part that is gone."""
         tokens = self.held.pop((salt, part), None)
         if tokens is not None:
             self.used -= room(tokens)
+            self._forget((salt, part))
+
+    def _clear(self) -> None:
+        for key in self.held:
+            self._forget(key)
+        self.held.clear()
+        self.used = 0
+
+    def _forget(self, key: tuple[str, str]) -> None:
+        stores = self._kept_at.get(key, {})
+        stores.pop(self.traits.address, None)
+        if not stores:
+            self._kept_at.pop(key, None)
 
 
 class _Saving(NamedTuple):
@@ -137,18 +158,19 @@
 
     def __init__(self) -> None:
         self._views: dict[str, StoreView] = {}
+        self._kept_at: _KeptAt = {}
         self._saving: dict[tuple[str, str], _Saving] = {}
 
     def configure(self, stores: Iterable[StoreTraits]) -> None:
         """Follow exactly `stores`."""
         wanted = {store.address: store for store in stores}
         for address in [a for a in self._views if a not in wanted]:
-            del self._views[address]
+            self._views.pop(address).unknown()
         for address, traits in wanted.items():
             if address in self._views:
                 self._views[address].traits = traits
             else:
-                self._views[address] = StoreView(traits=traits)
+                self._views[address] = StoreView(traits=traits, kept_at=self._kept_at)
 
     @property
     def views(self) -> list[StoreView]:
@@ -169,8 +191,8 @@
 
     def holders(self, salt: str, part: Part) -> list[StoreTraits]:
         """Return the stores that keep `part` whole."""
-        key = (salt, part.id)
-        return [v.traits for v in self._views.values() if v.held.get(key, 0) >= part.tokens]
+        kept = self._kept_at.get((salt, part.id), {})
+        return [self._views[store].traits for store, held in kept.items() if held >= part.tokens]
 
     def saving(self, salt: str, part: Part, now: float) -> bool:
         """Return whether a save of `part` is under way."""
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -28,63 +28,106 @@
     unread: int = 0
     memory: int = 0
 
+    def __add__(self, other: object) -> Burden:
+        if not isinstance(other, Burden):
+            return NotImplemented
+        return Burden(
+            self.running + other.running, self.unread + other.unread, self.memory + other.memory
+        )
 
-class _Run(NamedTuple):
-    unread: int
-    memory: int
+    def __sub__(self, other: Burden) -> Burden:
+        return Burden(
+            self.running - other.running, self.unread - other.unread, self.memory - other.memory
+        )
+
+
+_IDLE = Burden()
+
+
+class _Told(NamedTuple):
+    at: float
+    burdens: Mapping[str, Burden]
 
 
 class Workload:
-    """Burdens by target.  Not safe for threads."""
+    """Burdens by target.  Not safe for threads.
+
+    Totals are kept as runs begin and end and as nodes tell of theirs: a choice that
+    weighs all targets must not add up all nodes for each of them.
+    """
 
     def __init__(self) -> None:
-        self._own: dict[str, dict[str, _Run]] = {}
-        self._told: dict[str, tuple[float, Mapping[str, Burden]]] = {}
+        self._runs: dict[str, dict[str, Burden]] = {}
+        self._own: dict[str, Burden] = {}
+        self._told: dict[str, _Told] = {}
+        """What each node told last, the oldest first."""
+        self._others: dict[str, Burden] = {}
 
     def begin(self, target: str, run: str, unread: int, memory: int = 0) -> None:
         """Count a run that was sent to `target`."""
-        self._own.setdefault(target, {})[run] = _Run(unread, memory)
+        self._set(target, run, Burden(1, unread, memory))
 
     def read(self, target: str, run: str) -> None:
         """Note that the prompt of `run` is read."""
-        runs = self._own.get(target)
-        if runs is not None and run in runs:
-            runs[run] = runs[run]._replace(unread=0)
+        known = self._runs.get(target, {}).get(run)
+        if known is not None:
+            self._set(target, run, known._replace(unread=0))
 
     def end(self, target: str, run: str) -> None:
         """Forget a run."""
-        runs = self._own.get(target)
-        if runs is not None:
-            runs.pop(run, None)
+        runs = self._runs.get(target, {})
+        if run in runs:
+            _add(self._own, target, _IDLE - runs.pop(run))
             if not runs:
-                del self._own[target]
+                del self._runs[target]
 
     def own(self) -> dict[str, Burden]:
         """Return this node's own burdens, for the other nodes."""
-        return {target: _sum(runs) for target, runs in self._own.items()}
-
-    def told(self, node: str, burdens: Mapping[str, Burden], now: float) -> None:
-        """Take what another node says of its own sends."""
-        self._told[node] = (now, burdens)
+        return dict(self._own)
+
+    def told(self, node: str, burdens: Mapping[str, Burden], now: float) -> bool:
+        """Take what another node says of its own sends; True when some target has less to do."""
+        before = self._forget(node)
+        for target, burden in burdens.items():
+            _add(self._others, target, burden)
+        self._told[node] = _Told(now, burdens)
+        return any(
+            burdens.get(target, _IDLE).memory < burden.memory for target, burden in before.items()
+        )
 
     def at(self, target: str, now: float) -> Burden:
         """Return everything known to be at `target`."""
-        burden = _sum(self._own.get(target, {}))
-        for heard, burdens in self._told.values():
-            if now - heard <= TOLD_SECONDS and target in burdens:
-                other = burdens[target]
-                burden = Burden(
-                    burden.running + other.running,
-                    burden.unread + other.unread,
-                    burden.memory + other.memory,
-                )
-        return burden
-
-
-def _sum(runs: Mapping[str, _Run]) -> Burden:
-    return Burden(
-        len(runs), sum(r.unread for r in runs.values()), sum(r.memory for r in runs.values())
-    )
+        self._expire(now)
+        return self._own.get(target, _IDLE) + self._others.get(target, _IDLE)
+
+    def _set(self, target: str, run: str, burden: Burden) -> None:
+        runs = self._runs.setdefault(target, {})
+        _add(self._own, target, burden - runs.get(run, _IDLE))
+        runs[run] = burden
+
+    def _forget(self, node: str) -> Mapping[str, Burden]:
+        told = self._told.pop(node, None)
+        if told is None:
+            return {}
+        for target, burden in told.burdens.items():
+            _add(self._others, target, _IDLE - burden)
+        return told.burdens
+
+    def _expire(self, now: float) -> None:
+        """Forget the nodes that fell silent: only the oldest words are looked at."""
+        while self._told:
+            node, told = next(iter(self._told.items()))
+            if now - told.at <= TOLD_SECONDS:
+                return
+            self._forget(node)
+
+
+def _add(totals: dict[str, Burden], target: str, burden: Burden) -> None:
+    total = totals.get(target, _IDLE) + burden
+    if total == _IDLE:
+        totals.pop(target, None)
+    else:
+        totals[target] = total
 
 
 _LATE_WEIGHT = 0.4
@@ -132,10 +175,19 @@
 
     def of(self, store: str, now: float) -> float:
         """Return by how much `store` is later than the quickest of the others."""
-        stores = self._seen.keys() | self._told.keys()
-        others = [self._worst(other, now) for other in stores if other != store]
-        common = min(others) if others else 0.0
-        return max(0.0, self._worst(store, now) - common)
+        return self.of_each(now).get(store, 0.0)
+
+    def of_each(self, now: float) -> dict[str, float]:
+        """Return by how much each store is later than the quickest of the others, in seconds."""
+        worst = {store: self._worst(store, now) for store in self._seen.keys() | self._told.keys()}
+        if len(worst) < 2:
+            return worst
+        quickest, second = sorted(worst.values())[:2]
+        # The quickest store itself is compared with the second; it is never later.
+        return {
+            store: max(0.0, late - (quickest if late > quickest else second))
+            for store, late in worst.items()
+        }
 
     def _worst(self, store: str, now: float) -> float:
         return max(late.get(store, _IN_TIME).faded(now) for late in (self._seen, self._told))
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -58,8 +58,9 @@
         views = self._views
         now = asyncio.get_running_loop().time()
         burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
-        views.workload.told(heartbeat.node.name, burdens, now)
-        views.rooms.changed()
+        if views.workload.told(heartbeat.node.name, burdens, now):
+            # Only then is there more room than before: who waits weighs all engines anew.
+            views.rooms.changed()
         views.heard_ages(heartbeat.named_ages, now)
         views.links.told(heartbeat.node.name, heartbeat.moves, now)
         views.lateness.told(heartbeat.lateness, now)
--- a/packages/node/src/fielddrift_node/serving/kept.py
+++ b/packages/node/src/fielddrift_node/serving/kept.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
-from functools import partial
+from collections.abc import Collection, Mapping
 
 from fielddrift_core.placement import READ_RATE, EngineChoice, EngineSight, Holder
 from fielddrift_core.prompt import Part, Prompt
@@ -13,7 +12,7 @@
 from .ports import Fetch
 from .views import FETCH_SECONDS, Views
 
-__all__ = ["KeptParts", "salt_of"]
+__all__ = ["KeptLookup", "KeptParts", "salt_of"]
 
 _READ_SPARE_SECONDS = 0.06
 """What is left of the aim beside reading, when a fetch is given up."""
@@ -27,6 +26,48 @@
     return f"{model}.{weights}.{isolated}"
 
 
+class KeptLookup:
+    """Where parts are kept, as of one choice.
+
+    A choice weighs many engines, which ask for the same parts: each store's wait, and
+    who keeps a part under one salt, are worked out once.
+    """
+
+    def __init__(self, *, views: Views, model: str, isolated: str, now: float) -> None:
+        self._views = views
+        self._model = model
+        self._isolated = isolated
+        self._now = now
+        self._lateness: Mapping[str, float] | None = None
+        self._waits: dict[str, float] = {}
+        self._holders: dict[tuple[str, Part], list[Holder]] = {}
+        self._salts: dict[int, str] = {}
+
+    def salt(self, weights: int) -> str:
+        """Return the salt of the prompt at engines that have `weights`."""
+        if weights not in self._salts:
+            self._salts[weights] = salt_of(self._model, weights, self._isolated)
+        return self._salts[weights]
+
+    def holders(self, sight: EngineSight, part: Part) -> list[Holder]:
+        """Return the stores that keep `part` for an engine, each with the wait for its link."""
+        salt = self.salt(sight.weights)
+        found = self._holders.get((salt, part))
+        if found is None:
+            stores = self._views.store_index.holders(salt, part)
+            found = [Holder(store, self._wait(store.address)) for store in stores]
+            self._holders[(salt, part)] = found
+        return found
+
+    def _wait(self, store: str) -> float:
+        if store not in self._waits:
+            if self._lateness is None:
+                self._lateness = self._views.lateness.of_each(self._now)
+            queue = self._views.links.wait(store, self._now)
+            self._waits[store] = queue + self._lateness.get(store, 0.0)
+        return self._waits[store]
+
+
 class KeptParts:
     """What the stores keep of prompts, and what they should."""
 
@@ -39,19 +80,10 @@
         isolated = call.customer_name if call.customer and call.customer.isolated else ""
         return salt_of(prompt.model, weights, isolated)
 
-    def holders(
-        self, call: Call, prompt: Prompt, sight: EngineSight, part: Part, now: float
-    ) -> list[Holder]:
-        """Return the stores that keep `part`, each with the wait for its link."""
-        views = self._views
-        salt = self.salt(call, prompt, sight.instance.name)
-        return [
-            Holder(
-                store,
-                views.links.wait(store.address, now) + views.lateness.of(store.address, now),
-            )
-            for store in views.store_index.holders(salt, part)
-        ]
+    def lookup(self, call: Call, prompt: Prompt, now: float) -> KeptLookup:
+        """Return what one choice asks about kept parts."""
+        isolated = call.customer_name if call.customer and call.customer.isolated else ""
+        return KeptLookup(views=self._views, model=prompt.model, isolated=isolated, now=now)
 
     def fetch(self, call: Call, choice: EngineChoice, salt: str) -> Fetch:
         """Return the stores to fetch from and to save to, for each part of the prompt."""
@@ -103,7 +135,7 @@
     ) -> tuple[str, ...]:
         """Return, for each part, the store that should keep it, empty for none."""
         store_index = self._views.store_index
-        late = partial(self._views.lateness.of, now=now)
+        lateness = self._views.lateness.of_each(now)
         saves = []
         for part, source in zip(prompt.parts, sources, strict=True):
             store = None
@@ -113,7 +145,13 @@
                 store = (
                     None
                     if held
-                    else store_index.save(salt, part, now, data_centre=data_centre, late=late)
+                    else store_index.save(
+                        salt,
+                        part,
+                        now,
+                        data_centre=data_centre,
+                        late=lambda store: lateness.get(store, 0.0),
+                    )
                 )
             saves.append("" if store is None else store.address)
         return tuple(saves)
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -8,16 +8,26 @@
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
+from fielddrift_core.candidates import MOST_WEIGHED, sample
 from fielddrift_core.errors import Kind, Ran, Refusal
 from fielddrift_core.overload import LATE_PART, come_back, is_crowded, return_after
-from fielddrift_core.placement import READ_RATE, EngineChoice, EngineSight, choose_engine
-from fielddrift_core.prompt import Prompt
-from fielddrift_core.rollout import seconds_to_begin, soon_loading
+from fielddrift_core.placement import (
+    FAILING_SHARE,
+    READ_RATE,
+    EngineChoice,
+    EngineSight,
+    choose_engine,
+    has_room,
+)
+from fielddrift_core.rollout import EngineWeights, seconds_to_begin
+from fielddrift_core.target_registry import Instance
 from fielddrift_core.waiting import Waiter, line_name
+from fielddrift_core.workload import Burden
 
 from .call import Call, Refused, Tools
-from .kept import KeptParts
+from .kept import KeptLookup, KeptParts
 from .rooms import Room
 from .trying import Attempts
 
@@ -39,6 +49,16 @@
 """Runs that broke off come before all others: their callers are reading already."""
 
 
+class _Candidate(NamedTuple):
+    engine: EngineWeights
+    instance: Instance
+    burden: Burden
+
+    @property
+    def data_centre(self) -> str:
+        return self.instance.data_centre
+
+
 class Placing:
     """Choose engines for prompts."""
 
@@ -151,43 +171,81 @@
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
         now = asyncio.get_running_loop().time()
+        lookup = self._kept.lookup(call, prompt, now)
         return choose_engine(
             prompt,
-            self._sights(call, prompt, tried, now),
+            self._sights(call, tried, lookup, part, now),
             traits=traits,
             data_centre=self._tools.settings.data_centre,
             aim=call.route.aim,
-            holders=lambda sight, part: self._kept.holders(call, prompt, sight, part, now),
+            holders=lookup.holders,
             room_part=part,
         )
 
-    def _sights(self, call: Call, prompt: Prompt, tried: set[str], now: float) -> list[EngineSight]:
-        """Return what is known of each engine that may be sent the prompt."""
+    def _sights(
+        self, call: Call, tried: set[str], lookup: KeptLookup, part: float | None, now: float
+    ) -> list[EngineSight]:
+        """Return what is known of the engines that are weighed for a prompt.
+
+        With `part` only those that have room for it in that part of their memory.
+        """
+        prompt, traits = call.ask.prompt, call.service.engine
+        assert prompt is not None and traits is not None
         views = self._tools.views
-        named = views.named.get(prompt.model, 0)
-        bound = self._tools.settings.bounds.weights
+        placeable = views.placeable(call.service.name, prompt.model, now)
+        oldest = self._tools.settings.bounds.weights * _OLDEST_PART
+        candidates = [
+            _Candidate(engine, instance, views.workload.at(engine.name, now))
+            for engine in placeable.engines
+            if engine.name not in tried and engine.outdated <= oldest
+            if (instance := views.registry.get(engine.name)) is not None
+        ]
+        if part is not None:
+            working = self._working(candidates, now)
+            candidates = [c for c in working if has_room(c.burden, prompt, traits, part)]
+        elif len(candidates) > MOST_WEIGHED:
+            candidates = self._working(candidates, now)
+        weighed = sample(
+            candidates,
+            data_centre=self._tools.settings.data_centre,
+            rng=self._tools.rng,
+        )
+        return [self._sight(call, c, lookup, placeable.soon, now) for c in weighed]
+
+    def _working(self, candidates: list[_Candidate], now: float) -> list[_Candidate]:
+        """Return the engines that work; all of them where none does."""
+        health = self._tools.views.health
+        working = [
+            candidate
+            for candidate in candidates
+            if not candidate.engine.loading
+            and health.share(candidate.instance.name, now) < FAILING_SHARE
+        ]
+        return working or candidates
+
+    def _sight(
+        self,
+        call: Call,
+        candidate: _Candidate,
+        lookup: KeptLookup,
+        soon: frozenset[str],
+        now: float,
+    ) -> EngineSight:
+        views = self._tools.views
+        prompt = call.ask.prompt
+        assert prompt is not None
+        engine, instance = candidate.engine, candidate.instance
         # A send of what may run once only cannot be made up for when it is called off.
         spare = 1.0 if call.route.repeatable else FIRST_EVENT_ESTIMATES
-        engines = views.engines(call.service.name, prompt.model, now)
-        soon = soon_loading(engines, wanted=named)
-        sights = []
-        for engine in engines:
-            instance, weights = views.registry.get(engine.name), engine.weights
-            if instance is None or instance.name in tried:
-                continue
-            if engine.outdated > bound * _OLDEST_PART:
-                continue
-            salt = self._kept.salt(call, prompt, instance.name)
-            sights.append(
-                EngineSight(
-                    instance=instance,
-                    burden=views.workload.at(instance.name, now),
-                    failures=views.health.share(instance.name, now),
-                    behind=weights < named,
-                    loading=engine.loading,
-                    memory=views.memory.parts(instance.name, salt),
-                    soon=instance.name in soon,
-                    left=seconds_to_begin(engine.outdated, bound=bound) / spare,
-                )
-            )
-        return sights
+        left = seconds_to_begin(engine.outdated, bound=self._tools.settings.bounds.weights)
+        return EngineSight(
+            instance=instance,
+            burden=candidate.burden,
+            failures=views.health.share(instance.name, now),
+            behind=engine.weights < views.named.get(prompt.model, 0),
+            loading=engine.loading,
+            memory=views.memory.parts(instance.name, lookup.salt(engine.weights)),
+            soon=instance.name in soon,
+            left=left / spare,
+            weights=engine.weights,
+        )
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.leaving import Leaving
@@ -12,7 +13,7 @@
 from fielddrift_core.loading import LoadingEngines
 from fielddrift_core.memory import EngineMemory
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS, Reading
-from fielddrift_core.rollout import EngineWeights, NamedTimes, Naming, VersionAge
+from fielddrift_core.rollout import EngineWeights, NamedTimes, Naming, VersionAge, soon_loading
 from fielddrift_core.store_index import StoreIndex
 from fielddrift_core.target_registry import TargetRegistry
 from fielddrift_core.urgency import Waits
@@ -21,16 +22,28 @@
 from .ports import NamedWeights
 from .rooms import Rooms
 
-__all__ = ["Views"]
+__all__ = ["Placeable", "Views"]
 
 FETCH_SECONDS = 2.0
 """A fetch that took longer is thrown away by the engine, and the prompt read:
 no move is begun that would wait longer than that."""
+_PLACEABLE_SECONDS = 0.05
+"""How long the list of a service's engines is kept: each request needs it, it costs some
+microseconds an engine, and loads that others tell of last for a second and more."""
 _RETURN_SECONDS = 3.0
 """Time after a start in which callers come back who could not be served before: they
 wait at most a second or two between tries."""
 
 
+class Placeable(NamedTuple):
+    """The engines of a service for one model, as known `at` a moment; `soon` load next."""
+
+    state: tuple[int, int, int, int]
+    at: float
+    engines: Sequence[EngineWeights]
+    soon: frozenset[str]
+
+
 class Views:
     """The node's views; loops write them, requests read them."""
 
@@ -68,6 +81,8 @@
         """Those of them that engines serve."""
         self.waits = Waits()
         """How long callers have waited already."""
+        self._weights_seen = 0
+        self._placeable: dict[tuple[str, str], Placeable] = {}
         self._began_at = began_at
         self.leaving: Leaving | None = None
         """Set once this node was told to stop."""
@@ -148,6 +163,17 @@
                 )
         return found
 
+    def placeable(self, service: str, model: str, now: float) -> Placeable:
+        """Return the engines that new work is chosen among, and which of them load next."""
+        named = self.named.get(model, 0)
+        state = (self.registry.serial, self._weights_seen, self.loading.changes, named)
+        known = self._placeable.get((service, model))
+        if known is None or known.state != state or now - known.at > _PLACEABLE_SECONDS:
+            engines = self.engines(service, model, now)
+            soon = soon_loading(engines, wanted=named)
+            known = self._placeable[(service, model)] = Placeable(state, now, engines, soon)
+        return known
+
     def just_started(self, now: float) -> bool:
         """Return whether most callers may be some who waited for this node to start."""
         return now - self._began_at < _RETURN_SECONDS
@@ -172,6 +198,7 @@
             # The newest sighting stands last: heartbeats tell the last ones.
             self.weights.pop(key, None)
             self.weights[key] = version
+            self._weights_seen += 1
 
     def weights_of(self, instance_name: str, model: str) -> int | None:
         """Return the version of `model` that an instance has, None when it has none."""
--- /dev/null
+++ b/tests/test_choice_cost.py
@@ -0,0 +1,160 @@
+"""What a choice of an engine costs must not grow with nodes and stores.
+
+Load: 60 engines and 28 store hosts before 80 nodes, some hundred requests a second.  Each
+engine asked for each store's lateness, which asked for all stores', and for what each
+node had told: 43 ms a request, and answers late from the first second on.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest import mock
+
+from fielddrift_core import placement
+from fielddrift_core.candidates import MOST_WEIGHED, sample
+from fielddrift_core.linkqueue import LinkQueue
+from fielddrift_core.placement import EngineChoice
+from fielddrift_core.target_registry import Instance
+from fielddrift_core.workload import TOLD_SECONDS, Burden, Lateness, Workload
+from fielddrift_node.serving.trying import Attempts
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bench.choice import Fleet, placing_of
+
+_LARGE = Fleet(engines=60, stores=28, nodes=80)
+
+
+async def _choose(fleet: Fleet) -> EngineChoice:
+    placing, tools, call = placing_of(fleet)
+    return await placing.place(call, Attempts(call=call, tools=tools), resumes=False)
+
+
+class TestChoice(unittest.IsolatedAsyncioTestCase):
+    async def test_lateness_is_worked_out_once(self) -> None:
+        with mock.patch.object(
+            Lateness, "of_each", autospec=True, side_effect=Lateness.of_each
+        ) as asked:
+            await _choose(_LARGE)
+        self.assertEqual(asked.call_count, 1)
+
+    async def test_each_link_is_asked_once(self) -> None:
+        with mock.patch.object(
+            LinkQueue, "wait", autospec=True, side_effect=LinkQueue.wait
+        ) as asked:
+            await _choose(_LARGE)
+        self.assertLessEqual(asked.call_count, _LARGE.stores)
+
+    async def test_no_more_engines_are_weighed_where_there_are_more(self) -> None:
+        for engines in (60, 400, 800):
+            with (
+                self.subTest(engines=engines),
+                mock.patch.object(placement, "_priced", side_effect=placement._priced) as priced,
+            ):
+                await _choose(_LARGE._replace(engines=engines))
+                # With what stores keep, and without.
+                self.assertLessEqual(priced.call_count, 2 * MOST_WEIGHED)
+
+    async def test_an_engine_far_from_all_others_is_found_when_only_it_has_room(self) -> None:
+        placing, tools, call = placing_of(_LARGE)
+        assert call.ask.prompt is not None
+        for engine in tools.views.registry.all():
+            if engine.name != "engine-59":
+                tools.views.workload.begin(engine.name, "run", 0, 40_000)
+        choice = await placing.place(call, Attempts(call=call, tools=tools), resumes=False)
+        self.assertEqual(choice.instance.name, "engine-59")
+
+    async def test_failing_engines_with_room_are_not_taken_for_working_ones(self) -> None:
+        placing, tools, call = placing_of(_LARGE)
+        now = call.began
+        for number, engine in enumerate(tools.views.registry.all()):
+            if number < 10:
+                tools.views.health.failed(engine.name, now)
+            else:
+                tools.views.workload.begin(engine.name, "run", 0, 40_000)
+        self.assertIsNone(placing._fitting(call, set()))
+
+
+class TestSample(unittest.TestCase):
+    def test_few_engines_are_all_weighed(self) -> None:
+        engines = [Instance(f"e{n}", "s", "h:1", "a") for n in range(MOST_WEIGHED)]
+        self.assertEqual(sample(engines, data_centre="a", rng=mock.Mock()), engines)
+
+    def test_most_are_near_and_none_comes_twice(self) -> None:
+        engines = [Instance(f"e{n}", "s", "h:1", f"dc{n % 4}") for n in range(400)]
+        chosen = sample(engines, data_centre="dc1", rng=random.Random(1))
+        self.assertEqual(len({e.name for e in chosen}), MOST_WEIGHED)
+        near = sum(e.data_centre == "dc1" for e in chosen)
+        self.assertEqual(near, MOST_WEIGHED * 3 // 4)
+
+    def test_where_all_are_far_the_sample_is_full(self) -> None:
+        engines = [Instance(f"e{n}", "s", "h:1", "b") for n in range(100)]
+        chosen = sample(engines, data_centre="a", rng=random.Random(1))
+        self.assertEqual(len(chosen), MOST_WEIGHED)
+
+
+_NODES = st.sampled_from(["n1", "n2", "n3"])
+_TARGETS = st.sampled_from(["e1", "e2"])
+_BURDENS = st.builds(Burden, st.integers(0, 3), st.integers(0, 9), st.integers(0, 9))
+_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("told"), _NODES, st.dictionaries(_TARGETS, _BURDENS)),
+        st.tuples(st.just("begin"), _TARGETS, st.sampled_from(["r1", "r2"])),
+        st.tuples(st.just("end"), _TARGETS, st.sampled_from(["r1", "r2"])),
+        st.tuples(st.just("pass"), st.floats(0, 2 * TOLD_SECONDS), st.none()),
+    ),
+    max_size=30,
+)
+
+
+class TestTotals(unittest.TestCase):
+    @given(_STEPS)
+    def test_totals_are_what_adding_up_all_nodes_gives(self, steps: list[tuple]) -> None:  # type: ignore[type-arg]
+        workload, now = Workload(), 0.0
+        told: dict[str, tuple[float, dict[str, Burden]]] = {}
+        runs: set[tuple[str, str]] = set()
+        for kind, first, second in steps:
+            if kind == "told":
+                workload.told(first, second, now)
+                told[first] = (now, second)
+            elif kind == "begin":
+                workload.begin(first, second, 2, 5)
+                runs.add((first, second))
+            elif kind == "end":
+                workload.end(first, second)
+                runs.discard((first, second))
+            else:
+                now += first
+            for target in ("e1", "e2"):
+                own = sum(name == target for name, _ in runs)
+                expected = Burden(own, 2 * own, 5 * own)
+                for at, burdens in told.values():
+                    if now - at <= TOLD_SECONDS:
+                        expected = expected + burdens.get(target, Burden())
+                self.assertEqual(workload.at(target, now), expected)
+
+    def test_a_target_with_less_to_do_is_noticed(self) -> None:
+        workload = Workload()
+        self.assertFalse(workload.told("n", {"e": Burden(1, 0, 900)}, 0.0))
+        self.assertFalse(workload.told("n", {"e": Burden(2, 0, 950)}, 0.1))
+        self.assertTrue(workload.told("n", {"e": Burden(1, 0, 50)}, 0.2))
+        self.assertTrue(workload.told("n", {}, 0.3))
+
+    @given(st.dictionaries(st.sampled_from("abcd"), st.floats(0, 2), min_size=0, max_size=4))
+    def test_lateness_is_what_comparing_each_with_the_others_gives(
+        self, seen: dict[str, float]
+    ) -> None:
+        lateness = Lateness()
+        for store, seconds in seen.items():
+            lateness.came(store, seconds, 0.0)
+        known = lateness.known(0.0)
+        for store in seen:
+            others = [late for other, late in known.items() if other != store]
+            expected = max(0.0, known[store] - min(others, default=0.0))
+            self.assertAlmostEqual(lateness.of_each(0.0)[store], expected)
+            self.assertAlmostEqual(lateness.of(store, 0.0), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
