Tell the lives of a target apart, and take rows of other writers for none

Cause: a target may start again under its id; leaving, weights, health, load and orders were kept by id, so a new life of a draining engine got no work and one with older weights prompts that it refuses. A row that could not be read held up all rows read with it, or its target was held for the time after the store's return. Change: a target goes by the name of its life (id and start) everywhere within; the adapter gives ids on the wire, and takes no report of another life.

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -1,5 +1,9 @@
 """Follow which targets live, from the platform's feed of their entries.
 
+A target may start again under the id that it had.  Everything that is known of a target
+goes by the name of its life, which no other life has, so nothing known of an earlier
+one is taken for true of a later one.
+
 Entries may lapse while the platform's store is away, although their targets
 live; those get a short respite after its return.  A target that is leaving
 gets no new work from the first word on.
@@ -10,14 +14,32 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-__all__ = ["RESPITE_SECONDS", "Instance", "TargetRegistry"]
+__all__ = ["RESPITE_SECONDS", "Instance", "TargetRegistry", "life_name", "target_id"]
+
+_LIFE_MARK = "#"
 
 RESPITE_SECONDS = 2.3
 """Lapsed entries are back within about two seconds of the store's return."""
 
 
+def life_name(target: str, born: int | None) -> str:
+    """Return the name of one life of the target with the id `target`.
+
+    `born` is the Unix time of its start in ms, None for a target that does not tell.
+    """
+    if born is None and target_id(target) == target:
+        return target
+    return f"{target}{_LIFE_MARK}{'' if born is None else born}"
+
+
+def target_id(name: str) -> str:
+    """Return the id that a target gives itself, from the name of one of its lives."""
+    target, mark, born = name.rpartition(_LIFE_MARK)
+    return target if mark and (not born or born.isdigit()) else name
+
+
 class Instance(NamedTuple):
-    """One life of a target, under its own id.
+    """One life of a target; `name` is the life's, as `life_name` gives it.
 
     `versions` are the weight versions that it said to have, by model.
     """
@@ -31,12 +53,19 @@
     versions: Mapping[str, int] = {}
     warming: float = 0.0
 
+    @property
+    def target(self) -> str:
+        """Return the id that the target gives itself."""
+        return target_id(self.name)
+
 
 class TargetRegistry:
     """The targets that are known, by service."""
 
     def __init__(self) -> None:
         self._instances: dict[str, Instance] = {}
+        self._lives: dict[str, str] = {}
+        """The name of the life that is listed, by target id."""
         self._leaving: set[str] = set()
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
@@ -72,17 +101,22 @@
         return now < self._respite_until
 
     def heard(self, instance: Instance, now: float) -> None:
-        """Take an entry."""
+        """Take an entry; what another life of the same target had there has ended."""
+        former = self._lives.get(instance.target)
+        if former is not None and former != instance.name:
+            self._remove(former)
         returned = self._lapsed.pop(instance.name, None) is not None
         if instance.leaving:
             self._leaving.add(instance.name)
         # Who copied the entry as lapsed gives it up unless it hears of the return.
         if returned or self._instances.get(instance.name) != instance:
             self._instances[instance.name] = instance
+            self._lives[instance.target] = instance.name
             self._sort()
 
-    def gone(self, name: str, now: float) -> None:
-        """Take the end of an entry; during a respite, wait for its return first."""
+    def gone(self, target: str, now: float) -> None:
+        """Take the end of a target's entry; during a respite, wait for its return first."""
+        name = self._lives.get(target, target)
         if name not in self._instances or name in self._lapsed:
             return
         if self.in_respite(now):
@@ -91,13 +125,19 @@
             return
         self._remove(name)
 
+    def drop(self, target: str) -> None:
+        """Take that a target's entry names none, whatever its end would be."""
+        name = self._lives.get(target)
+        if name is not None:
+            self._remove(name)
+
     def replaced(self, entries: Iterable[Instance], now: float) -> None:
         """Take a whole list of entries."""
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
             self.heard(entry, now)
         for name in [n for n in self._instances if n not in listed]:
-            self.gone(name, now)
+            self.gone(target_id(name), now)
 
     def left(self, name: str) -> None:
         """Note a first sign that an instance is leaving, from whoever had it."""
@@ -125,6 +165,7 @@
             if name in self._lapsed or (lost and name in self._instances)
         }
         self._instances = {e.name: e for e in entries if e.name in held or e.name not in lapsed}
+        self._lives = {e.target: name for name, e in self._instances.items()}
         self._lapsed = held
         told = {*leaving, *(e.name for e in self._instances.values() if e.leaving)}
         self._leaving = (self._leaving | told) & self._instances.keys()
@@ -157,6 +198,8 @@
     def _remove(self, name: str) -> None:
         self._lapsed.pop(name, None)
         self._instances.pop(name, None)
+        if self._lives.get(target_id(name)) == name:
+            del self._lives[target_id(name)]
         self._leaving.discard(name)
         self._sort()
 
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -78,13 +78,15 @@
 class TargetNews(NamedTuple):
     """Entries of targets that changed, and the names of those that ended.
 
-    With `whole` the entries are all that there are.
+    With `whole` the entries are all that there are.  `unreadable` are ids whose entries came
+    from another writer: they name no target to use, now or while the store was away.
     """
 
     entries: tuple[Instance, ...]
     ended: tuple[str, ...]
     version: int
     whole: bool
+    unreadable: tuple[str, ...] = ()
 
 
 class SavedRow(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -161,6 +161,8 @@
                 registry.heard(entry, now)
             for name in news.ended:
                 registry.gone(name, now)
+        for name in news.unreadable:
+            registry.drop(name)
         registry.tick(now)
         self._after = news.version
         self._views.targets_row = max(self._views.targets_row, news.version)
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -150,7 +150,7 @@
 def _not_run_reason(signs: Signs, send: Send) -> str:
     if not signs.misdirected:
         return "not-started"
-    if signs.instance and signs.instance != send.instance.name:
+    if signs.instance and signs.instance != send.instance.target:
         return "replaced"
     return "other-weights"
 
