--- a/packages/core/src/fielddrift_core/names.py
+++ b/packages/core/src/fielddrift_core/names.py
@@ -10,6 +10,7 @@
 import hashlib
 import math
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from typing import NamedTuple
 
 __all__ = ["BLOCK_BYTES", "Manifest", "Part", "PrefixName", "chain", "prefix_name", "rank"]
@@ -18,6 +19,8 @@
 """Bytes of prompt text in one block."""
 
 _DIGEST_BYTES = 16
+_REMEMBERED_SCORES = 8192
+"""Scores that are remembered: the same nodes are ranked some times a second."""
 
 
 class PrefixName(NamedTuple):
@@ -107,6 +110,7 @@
     return [name for _, name in scored]
 
 
+@lru_cache(maxsize=_REMEMBERED_SCORES)
 def _score(key: str, name: str, weight: float) -> float:
     raw = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
     unit = (int.from_bytes(raw, "big") + 1) / (2**64 + 1)
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -14,6 +14,9 @@
 __all__ = ["Gossip", "Reach"]
 
 _TICK_SECONDS = 0.05
+_STANDBY_TICK_SECONDS = 0.25
+"""The same for a node that stands by: its heartbeats are a second and more apart, and the
+processor time of looking whom they are due to is that of most nodes of a large fleet."""
 _SOON_SECONDS = 0.02
 """Least time between heartbeats that something new causes."""
 _SOON_PART = 0.3
@@ -68,8 +71,10 @@
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
-            self._send(self._neighbours.due(self._loop.time()))
-            await asyncio.sleep(_TICK_SECONDS)
+            now = self._loop.time()
+            self._send(self._neighbours.due(now))
+            active = self._neighbours.is_active(now)
+            await asyncio.sleep(_TICK_SECONDS if active else _STANDBY_TICK_SECONDS)
 
     def close(self) -> None:
         """Send and hear no more."""
