Ask for the store's return from the relays, and rest longer elsewhere

Cause: in an outage each node's two feeds asked about once a second, standing by or not; calls are paid for, refused ones too. Change: a node that is no relay rests for up to 6 s between calls that fail, and any heartbeat of a node that reads again ends the rest. Test: twelve nodes in virtual time, at most 5 calls in 6 s for all but the relays (7 before), and all know a change 2 s after the return.

--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -34,6 +35,9 @@
 reader's heartbeats wakes it at once."""
 _FIRST_REST = 0.15
 _LONGEST_REST = 1.0
+_OTHERS_LONGEST_REST = 6.0
+"""The same for a node that is no relay: in an outage of the store the relays notice its return,
+and the others need not ask as well.  Their heartbeats end the rest."""
 
 _log = structlog.get_logger()
 
@@ -45,6 +49,7 @@
         self._what = what
         self._rng = rng
         self._failures = 0
+        self._news = asyncio.Event()
 
     @property
     def failing(self) -> bool:
@@ -57,13 +62,20 @@
             _log.info("dependency regained", what=self._what, failures=self._failures)
         self._failures = 0
 
-    async def failed(self, error: Exception) -> None:
-        """Note a call that failed, and rest."""
+    def wake(self) -> None:
+        """End the rest: another node has what the call should have brought."""
+        self._news.set()
+
+    async def failed(self, error: Exception, *, longest: float = _LONGEST_REST) -> None:
+        """Note a call that failed, and rest; `longest` is what a rest grows to, in seconds."""
         if not self._failures:
             _log.warning("dependency lost", what=self._what, error=str(error))
         self._failures += 1
-        span = min(_LONGEST_REST, _FIRST_REST * 2 ** min(self._failures, 6))
-        await asyncio.sleep(self._rng.uniform(span / 2, span))
+        span = min(longest, _FIRST_REST * 2 ** min(self._failures, 6))
+        self._news.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._rng.uniform(span / 2, span)):
+                await self._news.wait()
 
 
 class FeedTools(NamedTuple):
@@ -129,6 +141,17 @@
             capacity=neighbours.capacity,
         )
 
+    def returned(self) -> None:
+        """Look whether another node reads again, after calls of this one failed."""
+        if self._rests.failing and self.reader() is not None:
+            self._rests.wake()
+
+    async def _rest(self, error: Exception) -> None:
+        """Rest after a call that failed."""
+        relay = self._neighbours.is_relay(asyncio.get_running_loop().time())
+        longest = _LONGEST_REST if relay else _OTHERS_LONGEST_REST
+        await self._rests.failed(error, longest=longest)
+
     def _reading(self, chosen: Neighbour, now: float) -> Reading:
         """Return how far the node has read that this one relies on."""
         near = self.is_near(chosen)
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -70,6 +70,7 @@
         What nodes elsewhere know, the reader asks the one for that it relies on; it is nearer
         to the others, which ask for themselves once it should have had it.
         """
+        self.returned()
         if not self._is_newer(heartbeat):
             return
         now = asyncio.get_running_loop().time()
@@ -116,7 +117,7 @@
             _log.info("history gone", what="operators' rows", after=self._after)
             self._after = None
         except (OutOfReach, msgspec.DecodeError) as error:
-            await self._rests.failed(error)
+            await self._rest(error)
 
     async def _turn(self) -> None:
         reader = self.reader()
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -52,6 +52,7 @@
 
     def heard(self, node: Neighbour, reading: Reading) -> None:
         """Take how far `node` has read; look at once where it is the reader."""
+        self.returned()
         copied = self._copied
         if copied is not None and copied.name == node.name and copied != _mark(node, reading):
             self._wake.set()
@@ -72,7 +73,7 @@
             except OutOfReach as error:
                 self._lost_at = asyncio.get_running_loop().time()
                 self._give_up("nobody", away=True)
-                await self._rests.failed(error)
+                await self._rest(error)
                 continue
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
