--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -126,6 +126,9 @@
         self.targets = self._gauge("targets", "targets that are known")
         self.nodes = self._gauge("nodes", "live nodes, this one included")
         self.platform_calls = self._gauge("platform_calls", "calls to the platform since the start")
+        self.unreadable_rows = self._gauge(
+            "unreadable_rows", "versions of the platform's rows that were not understood"
+        )
         self.operators_age = self._gauge(
             "operators_age_seconds", "age of the operators' own reading"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -322,6 +322,7 @@
         metrics.targets.set(len(views.registry))
         metrics.nodes.set(views.nodes)
         metrics.platform_calls.set(self._platform.calls)
+        metrics.unreadable_rows.set(self._platform.unreadable)
         metrics.operators_age.set(min(now - views.operators_at, _OLDEST_AGE_SECONDS))
         metrics.targets_age.set(min(now - views.targets_at, _OLDEST_AGE_SECONDS))
 
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -119,10 +119,12 @@
 class Platform(Protocol):
     """The platform's store, as far as the node uses it.  All may raise `OutOfReach`.
 
-    `calls` counts the calls made since the start, refused ones too.
+    `calls` counts the calls made since the start, refused ones too, `unreadable` the versions
+    of rows that were not understood.
     """
 
     calls: int
+    unreadable: int
 
     async def operator_news(self, after: int | None, wait: float) -> OperatorNews:
         """Return what operators wrote after `after`, waiting up to `wait` seconds."""
