--- a/packages/core/src/fielddrift_core/heartbeat.py
+++ b/packages/core/src/fielddrift_core/heartbeat.py
@@ -1,4 +1,4 @@
-"""What nodes tell each other with each heartbeat."""
+"""What nodes tell each other with each heartbeat, and what is kept of it."""
 
 from __future__ import annotations
 
@@ -9,7 +9,14 @@
 from .rollout import VersionAge
 from .workload import Burden
 
-__all__ = ["Heartbeat", "KeptMark", "Neighbour"]
+__all__ = ["HeardNode", "Heartbeat", "KeptMark", "KnownNode", "Neighbour"]
+
+_MISSED_HEARTBEATS = 4
+"""Heartbeats in a row that datagrams may lose before a node counts as gone."""
+_SLACK_SECONDS = 0.3
+"""Silence that is borne besides: heartbeats come late on slow links and busy hosts."""
+_SHORTEST = 0.15
+"""Seconds; what a heartbeat says that was put together without a receiver in mind."""
 
 
 class Neighbour(NamedTuple):
@@ -35,10 +42,6 @@
     age: float
 
 
-_SHORTEST = 0.15
-"""Seconds; what a heartbeat says that was put together without a receiver in mind."""
-
-
 class Heartbeat(NamedTuple):
     """What a node tells the others with each heartbeat.
 
@@ -70,3 +73,35 @@
     kept: Mapping[str, KeptMark] = {}
     moves: Mapping[str, float] = {}
     lateness: Mapping[str, float] = {}
+
+
+class KnownNode(NamedTuple):
+    """What is known of a neighbour; `silent_seconds` None when it was never heard."""
+
+    name: str
+    data_centre: str
+    silent_seconds: float | None
+    active: bool
+    serves: bool
+
+
+class HeardNode(NamedTuple):
+    """A node and what its last heartbeat told, `at` when; -inf before the first."""
+
+    node: Neighbour
+    at: float
+    ready: bool = False
+    leaving: bool = False
+    active: bool = False
+    load: float = 0.0
+    period: float = 10.0
+    reading: Reading = Reading()
+    kept: Mapping[str, KeptMark] = {}
+
+    @property
+    def serves(self) -> bool:
+        return self.ready and not self.leaving
+
+    def lives(self, now: float) -> bool:
+        """Return whether it was heard lately, by the times that it told itself."""
+        return now - self.at <= self.period * _MISSED_HEARTBEATS + _SLACK_SECONDS
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -9,11 +9,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Collection, Iterable
 
 from .active import Candidate, active_names
-from .heartbeat import Heartbeat, KeptMark, Neighbour
+from .heartbeat import HeardNode, Heartbeat, KeptMark, KnownNode, Neighbour
 from .heartbeat_schedule import SentHeartbeats, Standing, periods
 from .readers import Reading
 from .relays import CentreSize, Contact, FarNode, contacts, relays
@@ -27,9 +26,6 @@
     "Standing",
 ]
 
-_MISSED_HEARTBEATS = 4
-"""Heartbeats in a row that datagrams may lose before a node counts as gone."""
-_SLACK_SECONDS = 0.3
 _SILENT_SECONDS = 10.0
 """Silence after which a node gets a heartbeat only now and then."""
 _SILENT_HEARTBEAT_SECONDS = 5.0
@@ -45,43 +41,13 @@
 counted, not seconds: a process that was paused must not forget everyone."""
 
 
-class KnownNode(NamedTuple):
-    """What is known of a neighbour; `silent_seconds` None when it was never heard."""
-
-    name: str
-    data_centre: str
-    silent_seconds: float | None
-    active: bool
-    serves: bool
-
-
-class _Heard(NamedTuple):
-    node: Neighbour
-    at: float
-    ready: bool = False
-    leaving: bool = False
-    active: bool = False
-    load: float = 0.0
-    period: float = 10.0
-    reading: Reading = Reading()
-    kept: Mapping[str, KeptMark] = {}
-
-    @property
-    def serves(self) -> bool:
-        return self.ready and not self.leaving
-
-    def lives(self, now: float) -> bool:
-        """Return whether it was heard lately, by the times that it told itself."""
-        return now - self.at <= self.period * _MISSED_HEARTBEATS + _SLACK_SECONDS
-
-
 class Neighbours:
     """The other nodes, and which of all nodes are active.  Not safe for threads."""
 
     def __init__(self, *, me: Neighbour) -> None:
         self._me = me
-        self._heard: dict[str, _Heard] = {}
-        self._nearby: dict[str, _Heard] = {}
+        self._heard: dict[str, HeardNode] = {}
+        self._nearby: dict[str, HeardNode] = {}
         """Those of them in this data centre."""
         self._sizes: dict[str, CentreSize] = {}
         self._contacts: dict[str, Contact] = {}
@@ -116,7 +82,7 @@
         """Take a node from a list, not yet heard."""
         known = self._heard.get(node.name)
         if node.name != self._me.name and (known is None or known.node.boot < node.boot):
-            self._set(_Heard(node, float("-inf")))
+            self._set(HeardNode(node, float("-inf")))
 
     def is_former(self, node: Neighbour, now: float) -> bool:
         """Return whether `node` is a former life of a node or of this one, late on its way.
@@ -137,7 +103,7 @@
         if self.is_former(node, now):
             return False
         known = self._heard.get(node.name)
-        heard = _Heard(
+        heard = HeardNode(
             node=node,
             at=now,
             ready=heartbeat.ready,
@@ -153,7 +119,7 @@
             self._chosen_at = float("-inf")
         return known is None or known.node.boot != node.boot
 
-    def _set(self, heard: _Heard) -> None:
+    def _set(self, heard: HeardNode) -> None:
         name = heard.node.name
         self._heard[name] = heard
         if self._near(heard):
@@ -252,7 +218,7 @@
             if count
         ]
 
-    def _far(self) -> list[_Heard]:
+    def _far(self) -> list[HeardNode]:
         return [heard for heard in self._heard.values() if not self._near(heard)]
 
     def addresses(self, data_centre: str, now: float) -> list[str]:
@@ -278,10 +244,10 @@
         if self._serving and self._settled:
             yield Candidate(self._me.name, self._me.capacity, self._load)
 
-    def _is_active(self, heard: _Heard) -> bool:
+    def _is_active(self, heard: HeardNode) -> bool:
         return heard.node.name in self._active if self._near(heard) else heard.active
 
-    def _near(self, heard: _Heard) -> bool:
+    def _near(self, heard: HeardNode) -> bool:
         return heard.node.data_centre == self._me.data_centre
 
     # --- who is told ------------------------------------------------------------
@@ -346,9 +312,9 @@
         self._choose(now)
         heard = self._heard.get(node.name)
         mine = self._me.name in self._active
-        return self._standing(heard or _Heard(node, float("-inf")), mine)
+        return self._standing(heard or HeardNode(node, float("-inf")), mine)
 
-    def _standing(self, heard: _Heard, mine: bool) -> Standing:
+    def _standing(self, heard: HeardNode, mine: bool) -> Standing:
         theirs = self._is_active(heard)
         if self._near(heard):
             return Standing(True, mine, theirs)
@@ -417,5 +383,5 @@
             if heard.node.name in names
         }
 
-    def _near_staying(self, now: float) -> list[_Heard]:
+    def _near_staying(self, now: float) -> list[HeardNode]:
         return [heard for heard in self._nearby.values() if not heard.leaving and heard.lives(now)]
