--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.decisions
+	$(BIN)/python -m bench.choice
 	$(BIN)/python -m bench.relay
 	$(BIN)/python -m bench.promises
 
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -33,13 +33,14 @@
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.placing import Placing
 from fielddrift_node.serving.ports import Ask, NamedWeights
-from fielddrift_node.serving.settings import Bounds, NodeSettings
+from fielddrift_node.serving.settings import NodeSettings
 from fielddrift_node.serving.trying import Attempts
 from fielddrift_node.serving.views import Views
 from fielddrift_node.web.messages import Headers, RequestHead
 from fielddrift_node.web.server import Request
 
 from .lab.dialects import LabCallers, LabClient, LabTargets
+from .lab.node import BOUNDS
 
 __all__ = ["Fleet", "measure", "placing_of"]
 
@@ -54,16 +55,6 @@
 _BUSY_ENGINES = 4
 """Engines that each other node has sends at."""
 _TRIES = 200
-_BOUNDS = Bounds(
-    drain=2.0,
-    grace=8.0,
-    retry_ratio=0.2,
-    retry_window=10.0,
-    retry_slack=50.0,
-    turn=3.0,
-    weights=10.0,
-    entry_keep=5.0,
-)
 
 
 class Fleet(NamedTuple):
@@ -135,7 +126,7 @@
     views = _views(fleet, catalog, random.Random(seed))
     address = "10.0.0.1:1"
     settings = NodeSettings(
-        "me", "me", _centre(0), "r", address, address, address, address, 1, address, (), _BOUNDS,
+        "me", "me", _centre(0), "r", address, address, address, address, 1, address, (), BOUNDS,
         400.0,
     )  # fmt: skip
     targets = LabTargets()
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -23,9 +23,9 @@
 from .dialects import LabCallers, LabClient, LabTargets
 from .engine import Engine
 
-__all__ = ["LabNode"]
+__all__ = ["BOUNDS", "LabNode"]
 
-_BOUNDS = Bounds(
+BOUNDS = Bounds(
     drain=2.0,
     grace=8.0,
     retry_ratio=0.2,
@@ -88,7 +88,7 @@
         self.gossip.connection_made(_Datagrams(deliver))
         settings = NodeSettings(
             self.name, self.name, data_centre, "r", address, address, address, address, _PORT,
-            address, (), _BOUNDS, _CAPACITY,
+            address, (), BOUNDS, _CAPACITY,
         )  # fmt: skip
         tools = Tools(
             settings=settings,
