Scale the age up to which nodes that stand by rely on a reader

Cause, by reading: the time between readings follows from the time for leaving targets, 0.8 s of 4 s; this bound stayed at 2 s, which one lost datagram passes, and each node that stands by then read for itself. Change: three quarters of that time, 2 s at least.

--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -47,9 +47,11 @@
 _OLD_PART = 0.5
 """Part of the time within which a leaving target may still get new work, at which what a
 reader has is too old to rely on: it missed a reading, and half of the time is left."""
-_STANDBY_OLD_SECONDS = 2.0
+_STANDBY_OLD_PART = 0.75
 """The same for a node that stands by: it takes hardly any requests, and an active
 node will have taken the reader's place before."""
+_STANDBY_LEAST_OLD_SECONDS = 2.0
+"""The least of it: heartbeats to nodes that stand by are up to a second apart."""
 OLD_MARK_SECONDS = 2.5
 """Age at which a node's view of a store host is too old to rely on: it missed two calls
 for events."""
@@ -139,7 +141,8 @@
     if me in candidates:
         return Source("")
     freshest = min(candidates, key=lambda name: readings[name].age)
-    return Source(freshest if readings[freshest].age <= _STANDBY_OLD_SECONDS else "")
+    oldest = max(_STANDBY_LEAST_OLD_SECONDS, drain * _STANDBY_OLD_PART)
+    return Source(freshest if readings[freshest].age <= oldest else "")
 
 
 def source_abroad(
