Let the stricter of two bounds decide how fresh views must be

Readings of the targets and the ages of readers followed from the time for leaving targets alone; a deployment whose changes must be in force sooner would have been read too seldom.

--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -35,8 +35,8 @@
 READER_KEY = "platform"
 """What the readers of the platform's rows are chosen for."""
 _READ_PART = 0.2
-"""Part of the time within which a leaving target may still get new work that passes between
-readings of the targets.  What is read reaches the last node two heartbeats later."""
+"""Part of the time within which nodes must know what was written that passes between readings
+of the targets.  What is read reaches the last node two heartbeats later."""
 _OLD_ABROAD_PART = 0.4
 """The same for the age at which another data centre's reader is too old to rely on: it is
 less than what nodes nearby bear, so that one node reads in its place, not all of them."""
@@ -45,8 +45,8 @@
 grow in good health.  A silent call hides a change until it is given up, some 0.7 s
 later: a change holds 2 s after it was acknowledged, 3 s after connections fell silent."""
 _OLD_PART = 0.5
-"""Part of the time within which a leaving target may still get new work, at which what a
-reader has is too old to rely on: it missed a reading, and half of the time is left."""
+"""Part of that time at which what a reader has is too old to rely on: it missed a reading, and
+half of the time is left."""
 _STANDBY_OLD_PART = 0.75
 """The same for a node that stands by: it takes hardly any requests, and an active
 node will have taken the reader's place before."""
@@ -97,17 +97,17 @@
     return sorted(ranked, key=lambda name: -size_class(capacity(name)))
 
 
-def read_seconds(drain: float) -> float:
+def read_seconds(bound: float) -> float:
     """Return the seconds between readings of the targets.
 
-    `drain` is the seconds within which a leaving target may still get new work.
+    `bound` is the seconds within which a node must know what operators and targets wrote.
     """
-    return drain * _READ_PART
+    return bound * _READ_PART
 
 
-def old_seconds(drain: float) -> float:
-    """Return the age at which a reader nearby is too old to rely on; `drain` as above."""
-    return drain * _OLD_PART
+def old_seconds(bound: float) -> float:
+    """Return the age at which a reader nearby is too old to rely on; `bound` as above."""
+    return bound * _OLD_PART
 
 
 def reader(key: str, names: Iterable[str], *, capacity: Callable[[str], float] = _alike) -> str:
@@ -123,25 +123,25 @@
     active: Collection[str],
     failing: bool = False,
     capacity: Callable[[str], float] = _alike,
-    drain: float = 2.0,
+    bound: float = 2.0,
 ) -> Source:
     """Return from whom `me` should have what `key` names.
 
     `readings` are those of the live nodes of this data centre, `me` left out.
     The first active node in order reads; where either thing that it has is old, the next one.
-    While its own readings are `failing`, `me` relies on any other that reads.  `drain` is
+    While its own readings are `failing`, `me` relies on any other that reads.  `bound` is
     as in `read_seconds`.
     """
     candidates = [name for name in [me, *readings] if name in active] or [me, *readings]
     for name in in_order(key, candidates, capacity):
         if name == me and not failing:
             return Source("")
-        if name != me and readings[name].age <= old_seconds(drain):
+        if name != me and readings[name].age <= old_seconds(bound):
             return Source(name)
     if me in candidates:
         return Source("")
     freshest = min(candidates, key=lambda name: readings[name].age)
-    oldest = max(_STANDBY_LEAST_OLD_SECONDS, drain * _STANDBY_OLD_PART)
+    oldest = max(_STANDBY_LEAST_OLD_SECONDS, bound * _STANDBY_OLD_PART)
     return Source(freshest if readings[freshest].age <= oldest else "")
 
 
@@ -149,7 +149,7 @@
     me: str,
     readings: Mapping[str, Reading],
     *,
-    drain: float,
+    bound: float,
     failing: bool = False,
     capacity: Callable[[str], float] = _alike,
 ) -> Source:
@@ -157,9 +157,9 @@
 
     `readings` are those of relays in other data centres.  One reader reads for all that it
     reaches: each call is paid for, whoever makes it.  A reader relies only on those before
-    it in order, so that two never rely on each other.  `drain` is as in `read_seconds`.
+    it in order, so that two never rely on each other.  `bound` is as in `read_seconds`.
     """
-    oldest = drain * _OLD_ABROAD_PART
+    oldest = bound * _OLD_ABROAD_PART
     fresh = [name for name, reading in readings.items() if reading.age <= oldest]
     if failing and fresh:
         return Source(min(fresh, key=lambda name: readings[name].age))
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -86,8 +86,8 @@
     neighbours: Neighbours
     views: Views
     rng: random.Random
-    drain: float = 2.0
-    """Seconds within which a leaving target may still get new work."""
+    bound: float = 2.0
+    """Seconds within which a node must know what operators and targets wrote."""
 
 
 class Feed:
@@ -104,7 +104,7 @@
         self._peers = tools.peers
         self._neighbours = tools.neighbours
         self._views = tools.views
-        self._drain = tools.drain
+        self._bound = tools.bound
         self._changed = changed
         self._after: int | None = None
         self._rests = Rests(what=what, rng=tools.rng)
@@ -120,7 +120,7 @@
             active=neighbours.active(now),
             failing=self._rests.failing,
             capacity=neighbours.capacity,
-            drain=self._drain,
+            bound=self._bound,
         )
         if not chosen.name:
             chosen = self._abroad(now)
@@ -129,14 +129,14 @@
     def _abroad(self, now: float) -> Source:
         """Return who in another data centre reads for this node, which reads for its own."""
         neighbours = self._neighbours
-        oldest = old_seconds(self._drain)
+        oldest = old_seconds(self._bound)
         if self._views.reading(now).age > oldest and not self._rests.failing:
             # What came from the other reader is not taken in: those who rely on this node wait.
             return Source("")
         return source_abroad(
             neighbours.me.name,
             neighbours.readings_abroad(now),
-            drain=self._drain,
+            bound=self._bound,
             failing=self._rests.failing,
             capacity=neighbours.capacity,
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -119,7 +119,7 @@
         self._peer_client = Client()
         peers = Peers(client=self._peer_client)
         feed_tools = FeedTools(
-            platform, peers, self._neighbours, self._views, rng, settings.bounds.drain
+            platform, peers, self._neighbours, self._views, rng, settings.bounds.staleness
         )
         self._operators = OperatorFeed(tools=feed_tools, changed=self._operators_changed)
         self._targets = TargetFeed(
--- a/packages/node/src/fielddrift_node/serving/settings.py
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -18,7 +18,8 @@
     how long a stop may take, `turn` the pause between orders of two holders,
     `weights` how long requests may begin on older weights, `entry_keep` how
     long callers keep an entry answer.  Repeated sends within `retry_window`
-    are at most `retry_ratio` of the requests and `retry_slack`.
+    are at most `retry_ratio` of the requests and `retry_slack`.  `change` is the time
+    after which a change of the configuration must be in force.
     """
 
     drain: float
@@ -29,6 +30,12 @@
     turn: float
     weights: float
     entry_keep: float
+    change: float = 2.0
+
+    @property
+    def staleness(self) -> float:
+        """Return the seconds within which a node must know what operators and targets wrote."""
+        return min(self.drain, self.change)
 
 
 class NodeSettings(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -88,7 +88,7 @@
         if chosen is not None and relies and await self._rely_on(chosen):
             return LISTEN_SECONDS
         await self._read()
-        return read_seconds(self._drain)
+        return read_seconds(self._bound)
 
     async def _rely_on(self, chosen: Neighbour) -> bool:
         """Follow what another node lists; return whether it could be asked."""
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -103,9 +103,9 @@
         lost = {"n1": Reading(age=2.5), "n2": Reading(age=2.6)}
         self.assertEqual(source("n3", "k", lost, active=["n1", "n2"]).name, "")
         # Where more time is given, readings are further apart.
-        self.assertEqual(source("n3", "k", lost, active=["n1", "n2"], drain=4.0).name, "n1")
+        self.assertEqual(source("n3", "k", lost, active=["n1", "n2"], bound=4.0).name, "n1")
         lost = {name: Reading(age=3.1) for name in ("n1", "n2")}
-        self.assertEqual(source("n3", "k", lost, active=["n1", "n2"], drain=4.0).name, "")
+        self.assertEqual(source("n3", "k", lost, active=["n1", "n2"], bound=4.0).name, "")
 
     def test_large_hosts_read_for_small_ones(self) -> None:
         sizes = {"n1": 20.0, "n2": 20.0, "n3": 500.0, "n4": 20.0}
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -57,6 +57,7 @@
 address = "10.9.0.1:90"
 [bounds]
 drain-ms = 1500
+config-apply-ms = 1200
 ttl_max_s = 4
 """
 
@@ -92,6 +93,8 @@
         self.assertEqual(found.store_address, "10.9.0.1:90")
         self.assertEqual((found.node.name, found.node.gossip_port), ("n1", 7000))
         self.assertEqual((found.node.bounds.drain, found.node.bounds.entry_keep), (1.5, 4))
+        # Views must be as fresh as the stricter of both asks.
+        self.assertEqual((found.node.bounds.change, found.node.bounds.staleness), (1.2, 1.2))
 
     def test_a_fault_names_its_place_and_what_was_expected(self) -> None:
         for wrong, words in (
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -26,7 +26,7 @@
 from .virtual_time import VirtualLoop
 
 _STEP = 0.05
-_DRAIN = 2.0
+_BOUND = 2.0
 _CENTRES = 5
 
 
@@ -53,10 +53,10 @@
         view = self.neighbours
         near = view.readings(now)
         active = view.active(now)
-        found = source(self.me.name, "platform", near, active=active, drain=_DRAIN).name
-        if found or now - self.read_at > old_seconds(_DRAIN):
+        found = source(self.me.name, "platform", near, active=active, bound=_BOUND).name
+        if found or now - self.read_at > old_seconds(_BOUND):
             return found
-        return source_abroad(self.me.name, view.readings_abroad(now), drain=_DRAIN).name
+        return source_abroad(self.me.name, view.readings_abroad(now), bound=_BOUND).name
 
     def read(self, now: float, sent: Sent) -> None:
         """Take rows from whoever this node relies on."""
@@ -66,7 +66,7 @@
             if abroad is not None:
                 self.read_at = max(self.read_at, now - abroad.age)
         elif now >= self.next_read:
-            self.read_at, self.next_read = now, now + read_seconds(_DRAIN)
+            self.read_at, self.next_read = now, now + read_seconds(_BOUND)
             sent.readers[self.me.name] += 1
 
     def heartbeat(self, node: Neighbour, now: float) -> Heartbeat:
@@ -126,7 +126,7 @@
             if name not in self.ended:
                 near = node.neighbours.readings(self.now)
                 active = node.neighbours.active(self.now)
-                found = source(name, "platform", near, active=active, drain=_DRAIN).name
+                found = source(name, "platform", near, active=active, bound=_BOUND).name
                 at = self.nodes[found].read_at if found else node.read_at
                 ages.append(self.now - at)
         return max(ages)
@@ -146,7 +146,7 @@
             with self.subTest(size=size):
                 self.assertLessEqual(far / 2.0, 20 * 10)
                 self.assertEqual(readers, 1)
-                self.assertLessEqual(readings / 2.0, 1.2 / read_seconds(_DRAIN))
+                self.assertLessEqual(readings / 2.0, 1.2 / read_seconds(_BOUND))
 
     def test_where_the_reader_ends_another_one_reads_before_half_of_the_time_is_over(self) -> None:
         network = Network(20)
@@ -156,7 +156,7 @@
         network.ended.add(reader)
         ages: list[float] = []
         network.run(4.0, watch=lambda: ages.append(network.oldest()))
-        self.assertLessEqual(max(ages), _DRAIN / 2 + 2 * _STEP)
+        self.assertLessEqual(max(ages), _BOUND / 2 + 2 * _STEP)
         self.assertEqual(len(network.run(2.0).readers), 1)
 
     def test_a_data_centre_that_loses_the_others_reads_for_itself(self) -> None:
@@ -165,7 +165,7 @@
         network.ended = {n for n, node in network.nodes.items() if node.me.data_centre != "dc1"}
         ages: list[float] = []
         sent = network.run(4.0, watch=lambda: ages.append(network.oldest()))
-        self.assertLessEqual(max(ages), _DRAIN / 2 + 2 * _STEP)
+        self.assertLessEqual(max(ages), _BOUND / 2 + 2 * _STEP)
         self.assertLessEqual(len(sent.readers), 2)
 
     def test_what_all_may_do_is_shared_out_among_all_data_centres(self) -> None:
@@ -198,7 +198,7 @@
         relies = {}
         for me in ages:
             others = {name: Reading(age=age) for name, age in ages.items() if name != me}
-            relies[me] = source_abroad(me, others, drain=_DRAIN).name
+            relies[me] = source_abroad(me, others, bound=_BOUND).name
         for name, other in relies.items():
             if other:
                 self.assertNotEqual(relies[other], name)
@@ -208,8 +208,8 @@
         self,
     ) -> None:
         old = {"a": Reading(age=1.0), "b": Reading(age=1.1)}
-        self.assertEqual(source_abroad("me", old, drain=_DRAIN).name, "")
-        self.assertEqual(source_abroad("me", old, drain=2 * _DRAIN, failing=True).name, "a")
+        self.assertEqual(source_abroad("me", old, bound=_BOUND).name, "")
+        self.assertEqual(source_abroad("me", old, bound=2 * _BOUND, failing=True).name, "a")
 
 
 class TestToldAbroad(unittest.TestCase):
