Let nodes that stand by choose and listen less often

Change: the choice is kept for 0.3 s there, and readers are looked for each 0.6 s; leaving, new lives and news count at once as before.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -36,6 +36,9 @@
 """Callers take no more addresses from one answer."""
 _CHOSEN_SECONDS = 0.1
 """How long the choice of the active nodes is kept: it costs a sort of all."""
+_STANDBY_CHOSEN_SECONDS = 0.3
+"""The same at a node that stands by: the choice is most of what such a node does, and they are
+most nodes.  A node that leaves, or is heard anew, counts at once all the same."""
 _MOST_UNANSWERED = 120
 """Heartbeats to a silent node, ten minutes' worth, after which it is forgotten.  They are
 counted, not seconds: a process that was paused must not forget everyone."""
@@ -329,7 +332,8 @@
 
     def _choose(self, now: float) -> None:
         """Choose the active nodes and the periods of heartbeats anew when that is some time old."""
-        if now - self._chosen_at <= _CHOSEN_SECONDS:
+        active = self._me.name in self._active
+        if now - self._chosen_at <= (_CHOSEN_SECONDS if active else _STANDBY_CHOSEN_SECONDS):
             return
         self._chosen_at = now
         self._active = active_names(self._candidates(now))
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -28,11 +28,13 @@
 from .sharing import Peers
 from .views import Views
 
-__all__ = ["LISTEN_SECONDS", "Feed", "FeedTools", "Rests"]
+__all__ = ["Feed", "FeedTools", "Rests"]
 
-LISTEN_SECONDS = 0.3
+_LISTEN_SECONDS = 0.3
 """How soon a node that relies on a reader looks whether it is still there; news in the
 reader's heartbeats wakes it at once."""
+_STANDBY_LISTEN_SECONDS = 0.6
+"""The same for a node that stands by: it bears an older reader than active nodes do."""
 _FIRST_REST = 0.15
 _LONGEST_REST = 1.0
 _OTHERS_LONGEST_REST = 6.0
@@ -141,6 +143,11 @@
             capacity=neighbours.capacity,
         )
 
+    def _listen_seconds(self) -> float:
+        """Return how soon to look again whether the reader is still there."""
+        active = self._neighbours.is_active(asyncio.get_running_loop().time())
+        return _LISTEN_SECONDS if active else _STANDBY_LISTEN_SECONDS
+
     def returned(self) -> None:
         """Look whether another node reads again, after calls of this one failed."""
         if self._rests.failing and self.reader() is not None:
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -12,7 +12,7 @@
 from fielddrift_core.neighbours import Heartbeat, Neighbour
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS
 
-from .feeds import LISTEN_SECONDS, Feed, FeedTools
+from .feeds import Feed, FeedTools
 from .ports import HistoryGone, NamedWeights, OperatorNews, OutOfReach
 from .sharing import OperatorCopy
 
@@ -123,7 +123,7 @@
         reader = self.reader()
         if reader is not None and not self._views.stale.is_set():
             self._rely_on(reader)
-            await asyncio.sleep(LISTEN_SECONDS)
+            await asyncio.sleep(self._listen_seconds())
             return
         hurry, self._hurry = self._hurry, False
         loop = asyncio.get_running_loop()
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -11,7 +11,7 @@
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.readers import Reading, read_seconds
 
-from .feeds import LISTEN_SECONDS, Feed, FeedTools
+from .feeds import Feed, FeedTools
 from .ports import HistoryGone, OutOfReach
 from .target_listing import Listing
 
@@ -86,7 +86,7 @@
         # After a pause it reads for itself first, and relies on others only if that fails.
         relies = not self._views.stale.is_set() or self._rests.failing
         if chosen is not None and relies and await self._rely_on(chosen):
-            return LISTEN_SECONDS
+            return self._listen_seconds()
         await self._read()
         return read_seconds(self._bound)
 
