--- a/packages/core/src/fielddrift_core/heartbeat.py
+++ b/packages/core/src/fielddrift_core/heartbeat.py
@@ -48,7 +48,8 @@
     `active` says that it takes callers' requests, `load` how many a second.
     `period` is the seconds until its next heartbeat to this receiver.
     `catalog` and `named` are versions in force, `named_ages` for how
-    long the newest weights were known anywhere, `burdens` its own sends by target.
+    long the newest weights were known anywhere, `burdens` its own sends by target,
+    and to another data centre those of its whole data centre, as its loads and moves.
     `left` are targets known to be leaving; `loading` gives the seconds for
     which an engine is taken to be loading; `weights` are versions seen at
     engines, by (instance, model).  `reading` is how far it has read, `kept` how
--- a/packages/core/src/fielddrift_core/loading.py
+++ b/packages/core/src/fielddrift_core/loading.py
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         self._own: dict[str, float] = {}
         self._told: dict[str, float] = {}
-        self._told_afar: dict[str, float] = {}
+        self._told_remote: dict[str, float] = {}
         self.changes = 0
         """Rises with what this node itself learns, which must count at once."""
 
@@ -25,16 +25,19 @@
         self._own[engine] = max(until, self._own.get(engine, until))
         self.changes += 1
 
-    def told(self, engine: str, until: float, *, afar: bool = False) -> None:
-        """Take that `engine` loads until then, by the word of a node nearby or `afar`."""
-        told = self._told_afar if afar else self._told
+    def told(self, engine: str, until: float, *, remote: bool = False) -> None:
+        """Take that `engine` loads until then, by another node's word.
+
+        `remote` says that the node is in another data centre.
+        """
+        told = self._told_remote if remote else self._told
         told[engine] = max(until, told.get(engine, until))
 
     def ended(self, engine: str) -> None:
         """Take that `engine` has loaded."""
         self._own.pop(engine, None)
         self._told.pop(engine, None)
-        self._told_afar.pop(engine, None)
+        self._told_remote.pop(engine, None)
         self.changes += 1
 
     def seconds(self, engine: str, now: float) -> float:
@@ -56,7 +59,7 @@
         return {engine: until - now for engine, until in longest.items()}
 
     def _all(self) -> tuple[dict[str, float], ...]:
-        return self._own, self._told, self._told_afar
+        return self._own, self._told, self._told_remote
 
     def _expire(self, now: float) -> None:
         for times in self._all():
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -15,7 +15,7 @@
 from .heartbeat import HeardNode, Heartbeat, KeptMark, KnownNode, Neighbour
 from .heartbeat_schedule import SentHeartbeats, Standing, periods
 from .readers import Reading
-from .relays import CentreSize, Contact, FarNode, contacts, relays
+from .relays import CentreSize, Contact, RemoteNode, contacts, relays
 
 __all__ = [
     "Heartbeat",
@@ -206,13 +206,13 @@
         Twice the active ones, as far as there are so many: others may take
         their place within the time for which a share counts.
         """
-        sizes = [self.size(now), *self._far_sizes(now)]
+        sizes = [self.size(now), *self._remote_sizes(now)]
         active = sum(size.active for size in sizes)
         return max(1, min(2 * active, sum(size.alive for size in sizes)))
 
-    def _far_sizes(self, now: float) -> list[CentreSize]:
+    def _remote_sizes(self, now: float) -> list[CentreSize]:
         heard: Counter[str] = Counter()
-        for heard_node in self._far():
+        for heard_node in self._remote():
             heard[heard_node.node.data_centre] += heard_node.serves and heard_node.lives(now)
         # Until a relay has told, those that are heard are all that is known.
         return [
@@ -221,7 +221,7 @@
             if count
         ]
 
-    def _far(self) -> list[HeardNode]:
+    def _remote(self) -> list[HeardNode]:
         return [heard for heard in self._heard.values() if not self._near(heard)]
 
     def addresses(self, data_centre: str, now: float) -> list[str]:
@@ -276,7 +276,7 @@
         """Return whether this node exchanges heartbeats with other data centres."""
         return self._place(now) is not None
 
-    def far_contacts(self, now: float) -> list[Neighbour]:
+    def remote_contacts(self, now: float) -> list[Neighbour]:
         """Return the nodes in other data centres that get this node's heartbeats."""
         self._choose(now)
         return [self._heard[name].node for name in self._contacts if name in self._heard]
@@ -347,14 +347,14 @@
         chosen = relays(self.active(now), self.capacity)
         return chosen.index(self._me.name) if self._me.name in chosen else None
 
-    def _centres(self, now: float) -> dict[str, list[FarNode]]:
-        centres: dict[str, list[FarNode]] = {}
-        for heard in self._far():
+    def _centres(self, now: float) -> dict[str, list[RemoteNode]]:
+        centres: dict[str, list[RemoteNode]] = {}
+        for heard in self._remote():
             node = heard.node
             lives = heard.active and heard.lives(now)
             greeted = self._sent.unanswered(node.name)
             centres.setdefault(node.data_centre, []).append(
-                FarNode(node.name, node.capacity, lives, greeted)
+                RemoteNode(node.name, node.capacity, lives, greeted)
             )
         return centres
 
@@ -367,11 +367,11 @@
             for heard in self._near_staying(now)
         }
 
-    def readings_abroad(self, now: float) -> dict[str, Reading]:
+    def remote_readings(self, now: float) -> dict[str, Reading]:
         """Return how far the live relays of other data centres have read, as of `now`."""
         return {
             heard.node.name: heard.reading._replace(age=heard.reading.age + now - heard.at)
-            for heard in self._far()
+            for heard in self._remote()
             if heard.active and not heard.leaving and heard.lives(now)
         }
 
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -28,7 +28,7 @@
     "read_seconds",
     "reader",
     "source",
-    "source_abroad",
+    "remote_source",
     "source_of_each",
 ]
 
@@ -37,7 +37,7 @@
 _READ_PART = 0.2
 """Part of the time within which nodes must know what was written that passes between readings
 of the targets.  What is read reaches the last node two heartbeats later."""
-_OLD_ABROAD_PART = 0.4
+_OLD_REMOTE_PART = 0.4
 """The same for the age at which another data centre's reader is too old to rely on: it is
 less than what nodes nearby bear, so that one node reads in its place, not all of them."""
 OPERATORS_WAIT_SECONDS = 1.2
@@ -145,7 +145,7 @@
     return Source(freshest if readings[freshest].age <= oldest else "")
 
 
-def source_abroad(
+def remote_source(
     me: str,
     readings: Mapping[str, Reading],
     *,
@@ -159,7 +159,7 @@
     reaches: each call is paid for, whoever makes it.  A reader relies only on those before
     it in order, so that two never rely on each other.  `bound` is as in `read_seconds`.
     """
-    oldest = bound * _OLD_ABROAD_PART
+    oldest = bound * _OLD_REMOTE_PART
     fresh = [name for name, reading in readings.items() if reading.age <= oldest]
     if failing and fresh:
         return Source(min(fresh, key=lambda name: readings[name].age))
--- a/packages/core/src/fielddrift_core/relays.py
+++ b/packages/core/src/fielddrift_core/relays.py
@@ -13,7 +13,7 @@
 
 from .readers import READER_KEY, in_order
 
-__all__ = ["CentreSize", "Contact", "FarNode", "contacts", "nodes_name", "relays"]
+__all__ = ["CentreSize", "Contact", "RemoteNode", "contacts", "nodes_name", "relays"]
 
 _RELAYS = 2
 """Relays of a data centre: one, and its successor."""
@@ -28,7 +28,7 @@
     alive: int = 0
 
 
-class FarNode(NamedTuple):
+class RemoteNode(NamedTuple):
     """A node of another data centre; `heard` says that it lives and is active.
 
     `greeted` counts the greetings that it left unanswered.
@@ -41,7 +41,7 @@
 
 
 class Contact(NamedTuple):
-    """A node that gets heartbeats from afar; `seldom` for a successor, or from one."""
+    """A node of another data centre that gets heartbeats; `seldom` for a successor, or from one."""
 
     name: str
     seldom: bool
@@ -60,7 +60,7 @@
     return in_order(READER_KEY, names, capacity)[:_RELAYS]
 
 
-def contacts(place: int, centres: Mapping[str, Collection[FarNode]]) -> list[Contact]:
+def contacts(place: int, centres: Mapping[str, Collection[RemoteNode]]) -> list[Contact]:
     """Return whom the relay at `place` sends heartbeats to in the other data centres.
 
     Where nobody is heard those known are greeted, the least greeted first.
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -20,8 +20,8 @@
     Reading,
     Source,
     old_seconds,
+    remote_source,
     source,
-    source_abroad,
 )
 
 from .ports import Platform
@@ -125,19 +125,19 @@
             bound=self._bound,
         )
         if not chosen.name:
-            chosen = self._abroad(now)
+            chosen = self._remote_source(now)
         return neighbours.node(chosen.name) if chosen.name else None
 
-    def _abroad(self, now: float) -> Source:
+    def _remote_source(self, now: float) -> Source:
         """Return who in another data centre reads for this node, which reads for its own."""
         neighbours = self._neighbours
         oldest = old_seconds(self._bound)
         if self._views.reading(now).age > oldest and not self._rests.failing:
             # What came from the other reader is not taken in: those who rely on this node wait.
             return Source("")
-        return source_abroad(
+        return remote_source(
             neighbours.me.name,
-            neighbours.readings_abroad(now),
+            neighbours.remote_readings(now),
             bound=self._bound,
             failing=self._rests.failing,
             capacity=neighbours.capacity,
@@ -162,7 +162,7 @@
     def _reading(self, chosen: Neighbour, now: float) -> Reading:
         """Return how far the node has read that this one relies on."""
         near = self.is_near(chosen)
-        readings = self._neighbours.readings if near else self._neighbours.readings_abroad
+        readings = self._neighbours.readings if near else self._neighbours.remote_readings
         return readings(now).get(chosen.name, Reading())
 
     def is_near(self, node: Neighbour) -> bool:
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -22,7 +22,7 @@
 _SOON_PART = 0.3
 """Part of the time between heartbeats that passes between heartbeats with news."""
 _PASS_ON_SECONDS = 2.0
-"""Time between heartbeats from afar that nodes which stand by get: they need to know whom
+"""Time between remote heartbeats that nodes which stand by get: they need to know whom
 to send callers to when their own data centre has no active node."""
 _MOST_BYTES = 1400
 """A datagram that fits into one packet."""
@@ -160,7 +160,7 @@
         near = self._neighbours.near(now)
         if reach is Reach.NEARBY:
             return near
-        return [*near, *self._neighbours.far_contacts(now)]
+        return [*near, *self._neighbours.remote_contacts(now)]
 
     def _send(self, nodes: list[Neighbour]) -> None:
         data: dict[Standing, bytes] = {}
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -47,7 +47,7 @@
             weights=tuple((instance, model, version) for (instance, model), version in weights),
         )
         if not standing.near:
-            return self._for_afar(heartbeat, now)
+            return self._for_remote(heartbeat, now)
         return heartbeat._replace(
             burdens=views.workload.own(),
             loading=views.loading.own(now),
@@ -56,7 +56,7 @@
             lateness=views.lateness.known(now),
         )
 
-    def _for_afar(self, heartbeat: Heartbeat, now: float) -> Heartbeat:
+    def _for_remote(self, heartbeat: Heartbeat, now: float) -> Heartbeat:
         """Return `heartbeat` with what this node's whole data centre tells others."""
         views, neighbours = self._views, self._neighbours
         nodes = [node.name for node in neighbours.near_active(now)]
@@ -75,9 +75,9 @@
         views = self._views
         now = asyncio.get_running_loop().time()
         centre = heartbeat.node.data_centre
-        afar = centre != self._neighbours.me.data_centre
+        remote = centre != self._neighbours.me.data_centre
         # Both relays of a data centre tell of the same sends.
-        teller = centre if afar else heartbeat.node.name
+        teller = centre if remote else heartbeat.node.name
         burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
         size = burdens.pop(nodes_name(centre), None)
         if size is not None:
@@ -92,7 +92,7 @@
             self._heard_left(name, heartbeat.node.name)
         for name, seconds in heartbeat.loading.items():
             until = now + min(seconds, _LONGEST_LOADING_SECONDS)
-            views.loading.told(name, until, afar=afar)
+            views.loading.told(name, until, remote=remote)
         for instance, model, version in heartbeat.weights:
             if version > views.weights.get((instance, model), 0):
                 views.saw_weights(instance, model, version)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -15,8 +15,8 @@
 
 from fielddrift_core.loading import LoadingEngines
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
-from fielddrift_core.readers import Reading, old_seconds, read_seconds, source, source_abroad
-from fielddrift_core.relays import CentreSize, Contact, FarNode, contacts
+from fielddrift_core.readers import Reading, old_seconds, read_seconds, remote_source, source
+from fielddrift_core.relays import CentreSize, Contact, RemoteNode, contacts
 from fielddrift_core.workload import Burden, Workload
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
 from fielddrift_node.serving.views import Views
@@ -56,15 +56,15 @@
         found = source(self.me.name, "platform", near, active=active, bound=_BOUND).name
         if found or now - self.read_at > old_seconds(_BOUND):
             return found
-        return source_abroad(self.me.name, view.readings_abroad(now), bound=_BOUND).name
+        return remote_source(self.me.name, view.remote_readings(now), bound=_BOUND).name
 
     def read(self, now: float, sent: Sent) -> None:
         """Take rows from whoever this node relies on."""
         found = self.source(now)
         if found:
-            abroad = self.neighbours.readings_abroad(now).get(found)
-            if abroad is not None:
-                self.read_at = max(self.read_at, now - abroad.age)
+            remote = self.neighbours.remote_readings(now).get(found)
+            if remote is not None:
+                self.read_at = max(self.read_at, now - remote.age)
         elif now >= self.next_read:
             self.read_at, self.next_read = now, now + read_seconds(_BOUND)
             sent.readers[self.me.name] += 1
@@ -133,7 +133,7 @@
 
 
 class TestSizes(unittest.TestCase):
-    def test_neither_heartbeats_from_afar_nor_readings_grow_with_the_nodes(self) -> None:
+    def test_neither_remote_heartbeats_nor_readings_grow_with_the_nodes(self) -> None:
         found = {}
         for size in (20, 100):
             network = Network(size)
@@ -179,26 +179,26 @@
 
 
 class TestContacts(unittest.TestCase):
-    HEARD: ClassVar = {"b": [FarNode("b1", 10.0, True), FarNode("b2", 900.0, True)]}
+    HEARD: ClassVar = {"b": [RemoteNode("b1", 10.0, True), RemoteNode("b2", 900.0, True)]}
 
     def test_first_relays_talk_often_and_successors_seldom(self) -> None:
         self.assertEqual(contacts(0, self.HEARD), [Contact("b2", False), Contact("b1", True)])
         self.assertEqual(contacts(1, self.HEARD), [Contact("b2", True), Contact("b1", True)])
 
     def test_where_nobody_is_heard_some_are_greeted_in_turn(self) -> None:
-        silent = [FarNode(f"b{n}", 1.0, False, greeted=n % 2) for n in range(9)]
+        silent = [RemoteNode(f"b{n}", 1.0, False, greeted=n % 2) for n in range(9)]
         found = contacts(0, {"b": silent})
         self.assertEqual([contact.name for contact in found], ["b0", "b2", "b4"])
 
 
-class TestAbroad(unittest.TestCase):
+class TestRemoteSource(unittest.TestCase):
     @given(st.dictionaries(st.sampled_from("abcdef"), st.floats(0, 3), min_size=2))
     @settings(max_examples=200, derandomize=True, deadline=None)
     def test_no_two_readers_rely_on_each_other(self, ages: dict[str, float]) -> None:
         relies = {}
         for me in ages:
             others = {name: Reading(age=age) for name, age in ages.items() if name != me}
-            relies[me] = source_abroad(me, others, bound=_BOUND).name
+            relies[me] = remote_source(me, others, bound=_BOUND).name
         for name, other in relies.items():
             if other:
                 self.assertNotEqual(relies[other], name)
@@ -208,11 +208,11 @@
         self,
     ) -> None:
         old = {"a": Reading(age=1.0), "b": Reading(age=1.1)}
-        self.assertEqual(source_abroad("me", old, bound=_BOUND).name, "")
-        self.assertEqual(source_abroad("me", old, bound=2 * _BOUND, failing=True).name, "a")
+        self.assertEqual(remote_source("me", old, bound=_BOUND).name, "")
+        self.assertEqual(remote_source("me", old, bound=2 * _BOUND, failing=True).name, "a")
 
 
-class TestToldAbroad(unittest.TestCase):
+class TestToldRemotely(unittest.TestCase):
     """A relay tells other data centres what its own sends, and both relays' words count once."""
 
     def setUp(self) -> None:
@@ -236,7 +236,7 @@
             own.workload.begin("e", f"r{number}", 10, 100)
             own.workload.told(other.name, {"e": Burden(1, 10, 100)}, now)
             own.loading.told("engine", now + 1.0)
-            own.loading.told("other", now + 1.0, afar=True)
+            own.loading.told("other", now + 1.0, remote=True)
             standing = neighbours.standing(far._neighbours.me, now)
             heartbeat = near.heartbeat(standing, leaving=False)
             self.assertEqual(set(heartbeat.loading), {"engine"})
@@ -249,9 +249,9 @@
     def test_sums_of_a_data_centre_are_told(self) -> None:
         self.loop.run_until_complete(self._exchange())
 
-    def test_what_came_from_afar_is_not_told_on(self) -> None:
+    def test_what_came_from_elsewhere_is_not_told_on(self) -> None:
         loading = LoadingEngines()
-        loading.told("engine", 5.0, afar=True)
+        loading.told("engine", 5.0, remote=True)
         self.assertEqual(loading.nearby(1.0), {})
         self.assertEqual(loading.seconds("engine", 1.0), 4.0)
 
