--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -141,7 +141,7 @@
             sent = network.run(2.0)
             found[size] = (sent.far, sum(sent.readers.values()), len(sent.readers))
         # Of twenty pairs of data centres each has a first relay's 3.3 to 4 a second, and three
-        # rarer ones.  All active nodes of 20 told each other 1066 a second.
+        # rarer ones.  Were all active nodes of 20 to tell each other, it would be 1066 a second.
         for size, (far, readings, readers) in found.items():
             with self.subTest(size=size):
                 self.assertLessEqual(far / 2.0, 20 * 10)
