--- a/packages/core/src/fielddrift_core/active.py
+++ b/packages/core/src/fielddrift_core/active.py
@@ -18,8 +18,8 @@
 __all__ = ["Candidate", "active_names", "capacity_of", "size_class"]
 
 _REQUEST_SECONDS = 0.004
-"""Processor time of a request with its stream: 0.036 of a core at ten a second
-was measured on played days (docs/CAPACITY.md)."""
+"""Processor time of a request with its stream on a reference core (docs/CAPACITY.md): with less,
+callers would be sent to fewer hosts than carry them."""
 _REQUEST_BYTES = 30_000
 """Bytes that a request takes of a host's link: a long prompt of 9 KB comes in and
 goes out, and so does its answer."""
--- a/packages/core/src/fielddrift_core/leaving.py
+++ b/packages/core/src/fielddrift_core/leaving.py
@@ -15,7 +15,8 @@
 """Time after the signal within which everything is taken: a cut by the end of the grace is
 excused for requests sent within 3 s of the signal, and their way takes some of it."""
 _TOKEN_SECONDS = 0.08
-"""Time of a token at a crowded engine; on played days some 35 ms, rarely twice that."""
+"""Time of a token at a crowded engine, twice the usual one and more: an answer that a stop
+would cut is better refused at once."""
 
 
 class Leaving(NamedTuple):
--- a/packages/core/src/fielddrift_core/overload.py
+++ b/packages/core/src/fielddrift_core/overload.py
@@ -13,8 +13,8 @@
 __all__ = ["LATE_PART", "come_back", "is_crowded", "return_after"]
 
 LATE_PART = 0.95
-"""Estimate, in parts of the aim, from which an answer is taken to be late: on
-played days half of the first events came within a tenth of their estimate."""
+"""Estimate, in parts of the aim, from which an answer is taken to be late: estimates
+are off by a tenth in the median, and a refusal costs a caller less than a late answer."""
 _RETURN_PART = 1 / 3
 """Callers wait at most such a part of the time that they have left."""
 _SPREAD = 0.7
