--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -22,20 +22,20 @@
 """Lapsed entries are back within about two seconds of the store's return."""
 
 
-def life_name(target: str, born: int | None) -> str:
+def life_name(target: str, started: int | None) -> str:
     """Return the name of one life of the target with the id `target`.
 
-    `born` is the Unix time of its start in ms, None for a target that does not tell.
+    `started` is the Unix time of its start in ms, None for a target that does not tell.
     """
-    if born is None and target_id(target) == target:
+    if started is None and target_id(target) == target:
         return target
-    return f"{target}{_LIFE_MARK}{'' if born is None else born}"
+    return f"{target}{_LIFE_MARK}{'' if started is None else started}"
 
 
 def target_id(name: str) -> str:
     """Return the id that a target gives itself, from the name of one of its lives."""
-    target, mark, born = name.rpartition(_LIFE_MARK)
-    return target if mark and (not born or born.isdigit()) else name
+    target, mark, started = name.rpartition(_LIFE_MARK)
+    return target if mark and (not started or started.isdigit()) else name
 
 
 class Instance(NamedTuple):
