--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -231,6 +231,19 @@
     exchange.responder.cut()
 
 
+@fault("cut-first")
+async def _cut_first(exchange: _Exchange) -> None:
+    """Break off inside the first event of this run, be it a fresh one or one that resumes."""
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    after = int(exchange.request.head.headers.text(b"last-event-id") or 0)
+    # No further events than up to there: only the head goes out.
+    await worker.stream(exchange.request, exchange.responder, exchange.request_id, after)
+    exchange.responder.write(f"id: {after + 1}\ndata: tok".encode())
+    await asyncio.sleep(0.02)
+    exchange.responder.cut()
+
+
 @fault("cut-end")
 async def _cut_end(exchange: _Exchange) -> None:
     worker = exchange.worker
