--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -234,14 +234,30 @@
 @fault("cut-first")
 async def _cut_first(exchange: _Exchange) -> None:
     """Break off inside the first event of this run, be it a fresh one or one that resumes."""
+    await _begin_event(exchange)
+    await asyncio.sleep(0.02)
+    exchange.responder.cut()
+
+
+@fault("silent-first")
+async def _silent_first(exchange: _Exchange) -> None:
+    """Fall silent inside the first event of this run."""
+    await _begin_event(exchange)
+    try:
+        await asyncio.sleep(3600)
+    except asyncio.CancelledError:
+        exchange.worker.left.append(exchange.request_id)
+        raise
+
+
+async def _begin_event(exchange: _Exchange) -> None:
+    """Send the head of an answer, and a part of the run's first event."""
     worker = exchange.worker
     worker.begin(exchange.request)
     after = int(exchange.request.head.headers.text(b"last-event-id") or 0)
     # No further events than up to there: only the head goes out.
     await worker.stream(exchange.request, exchange.responder, exchange.request_id, after)
     exchange.responder.write(f"id: {after + 1}\ndata: tok".encode())
-    await asyncio.sleep(0.02)
-    exchange.responder.cut()
 
 
 @fault("cut-end")
