Tell where a run broke off, what is held of it, and what follows it

No logic is changed: what is held is only read.

Platform's path: "send failed" tells kept or new connection, whether the caller's answer has begun, and with "request answered" and "answer cut" the events handed on, the last id, bytes of a begun event, and runs. "run resumed" comes once for a run behind another that may have run: behind which event, its first id, and bytes held from before (must be 0). Counters cut_events and mixed_runs; the second is one to alert on.

Own interface: "send failed", "run broke off", "run resumed" and "answer cut", which had no lines; streams.cut_events and streams.mixed_runs. Texts of events stay out of the lines, ids are cut at 40 characters.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -9,7 +9,7 @@
 
 import re
 
-__all__ = ["EventCutter", "EventSequencer", "StreamError"]
+__all__ = ["EventCutter", "EventSequencer", "StreamError", "first_id"]
 
 _NUMBER = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
 _END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
@@ -44,6 +44,11 @@
         """Return the number of the next event to hand on."""
         return self._next
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an event that has not ended are held."""
+        return len(self._rest)
+
     @property
     def whole(self) -> bool:
         """Return whether the marked end was handed on."""
@@ -105,6 +110,12 @@
 _ID_LINE = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
+def first_id(events: bytes) -> str:
+    """Return the id of the first of `events` that has one, empty where none has."""
+    found = _ID_LINE.search(events)
+    return "" if found is None else found.group(1).decode("latin-1")
+
+
 class EventCutter:
     """Cut a target's bytes into whole events, each handed on once.
 
@@ -115,17 +126,28 @@
     def __init__(self) -> None:
         self._rest = b""
         self._last = ""
+        self._events = 0
 
     @property
     def last(self) -> str:
         """Return the id of the last event handed on, empty before the first."""
         return self._last
 
+    @property
+    def events(self) -> int:
+        """Return how many events were handed on."""
+        return self._events
+
     @property
     def partial(self) -> bool:
         """Return whether an event has begun and not ended."""
         return bool(self._rest)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an event that has not ended are held."""
+        return len(self._rest)
+
     def restart(self) -> None:
         """Forget a part of an event, before a resumed stream."""
         self._rest = b""
@@ -137,12 +159,14 @@
             return b""
         ids = _ID_LINE.findall(ready)
         if not ids:
+            self._events += ready.count(b"\n\n")
             return ready
         if self._last.isdigit() and ids[0].isdigit() and int(ids[0]) <= int(self._last):
             ready = self._without_repeated(ready)
         if ready:
             # Of repeated events nothing is left; they must not set the mark back.
             self._last = _ID_LINE.findall(ready)[-1].decode("latin-1")
+            self._events += ready.count(b"\n\n")
         return ready
 
     def _without_repeated(self, ready: bytes) -> bytes:
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -14,6 +14,7 @@
 
 from ..exchange import Answer, Exchange
 from ..http_client import Stream
+from ..log import get
 from ..relay import Broken, Relay, whole_answer
 from ..settle import TryFailed, begin, settle_refused
 from ..started import Started
@@ -80,6 +81,15 @@
             return _Tried(_try_one(exchange, choice, f"{attempt}", resume_at))
         except TryFailed as failure:
             last = str(failure)
+            get().info(
+                "send failed",
+                request=exchange.request_id,
+                target=choice.target.name,
+                reason=failure.reason,
+                detail=last,
+                not_run=failure.sure,
+                after=resume_at - 1,
+            )
             sure = sure and failure.sure
             exchange.failed.add(choice.target.name)
             wait = backoff(attempt, rng=runtime.rng, left=exchange.left)
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable, Iterator
 from functools import partial
+from typing import Any
 
 import msgspec
 from fielddrift_core.errors import Kind, Ran, Refusal
@@ -20,6 +21,7 @@
 
 from .exchange import Answer, Exchange
 from .keeping import keep_prefix
+from .log import get
 from .settle import settle_refused
 from .started import Started
 
@@ -106,13 +108,17 @@
                     return
         except (OutsideError, StreamError) as error:
             self._fault = str(error)
+            # The detail of wrong events names their text, which stays out of the log.
+            self._reason = "cut" if isinstance(error, OutsideError) else "wrong-events"
         else:
             self._fault = "the stream ended without its end mark"
+            self._reason = "no-end-mark"
 
     def _take_up_again(self) -> None:
         name = self._started.choice.target.name
         exchange = self._exchange
         self._stop_run()
+        self._log_broken()
         exchange.runtime.board.failed(name)
         exchange.failed.add(name)
         self._resumes += 1
@@ -123,13 +129,38 @@
             exchange.deadline = max(exchange.deadline, time.monotonic() + RESUME_SECONDS)
             started = self._resume(exchange, self._sequencer.following)
         if started is None:
+            get().warning("answer cut", reason=self._reason, **self._progress())
             raise Broken(self._cut())
         self._started = started
+        self._log_resumed()
 
     def _cut(self) -> Refusal:
         detail = f"cut after event {self._sequencer.following - 1}: {self._fault}"
         return Refusal(Kind.CUT, detail, Ran.UNKNOWN, 0.5)
 
+    # --- telling ------------------------------------------------------------
+
+    def _progress(self) -> dict[str, Any]:
+        """Return what each line on this answer tells."""
+        return {
+            "request": self._exchange.request_id,
+            "target": self._started.choice.target.name,
+            "run": self._started.order.run,
+            "after": self._sequencer.following - 1,
+            "partial_bytes": self._sequencer.partial_bytes,
+            "resumes": self._resumes,
+        }
+
+    def _log_broken(self) -> None:
+        if self._sequencer.partial_bytes:
+            self._exchange.runtime.metrics.add("streams.cut_events")
+        get().info("run broke off", reason=self._reason, **self._progress())
+
+    def _log_resumed(self) -> None:
+        if self._sequencer.partial_bytes:
+            self._exchange.runtime.metrics.add("streams.mixed_runs")
+        get().info("run resumed", **self._progress())
+
     # --- accounting --------------------------------------------------------
 
     def _note_start(self, ttft: float) -> None:
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -4,11 +4,12 @@
 
 import random
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
 from fielddrift_core.errors import Refusal
 from fielddrift_core.retries import WindowBudget
+from fielddrift_core.stream import EventCutter
 from fielddrift_core.workload import Burden
 
 from ..web.client import Client
@@ -17,7 +18,15 @@
 from .settings import NodeSettings
 from .views import Views
 
-__all__ = ["Call", "Refused", "Tools", "Trace"]
+__all__ = ["Call", "HandedOn", "Refused", "Tools", "Trace", "short_id"]
+
+_MOST_ID = 40
+"""Characters of an event's id in a log line: a target may name any, a line must stay short."""
+
+
+def short_id(event_id: str) -> str:
+    """Return an event's id as log lines have it."""
+    return event_id[:_MOST_ID]
 
 
 class Refused(Exception):
@@ -28,6 +37,19 @@
         self.refusal = refusal
 
 
+class HandedOn(TypedDict, total=False):
+    """What a log line tells of a streaming answer."""
+
+    events: int
+    """Events handed on."""
+    last: str
+    """The id of the last of them, cut at a length; empty for none."""
+    partial_bytes: int
+    """Bytes of an event that has begun and not ended."""
+    runs: int
+    """Runs that gave something to hand on."""
+
+
 class Trace:
     """What happened to a request, for its log line."""
 
@@ -50,6 +72,38 @@
         self.ahead = Burden()
         """What was known to be at the engine when it was chosen."""
         self.first_event: float | None = None
+        self.connection = ""
+        """Whether the last send went over a kept connection or a new one, empty for none."""
+        self.runs = 0
+        self.cutter: EventCutter | None = None
+        """What cuts the answer of a prompt into events, None for a plain request."""
+        self.resume_after = ""
+        """The id behind which the last send asked to go on."""
+        self.events_before = 0
+        """Events that were handed on before the last send."""
+        self.partial_before = 0
+        """Bytes of an event that were held from earlier runs when the last send began."""
+
+    @property
+    def broke_inside(self) -> bool:
+        """Return whether bytes of an event that has not ended came of the last send."""
+        cutter = self.cutter
+        if cutter is None or not cutter.partial:
+            return False
+        before = (self.events_before, self.partial_before)
+        return (cutter.events, cutter.partial_bytes) != before
+
+    def handed_on(self) -> HandedOn:
+        """Return what has been handed on so far, nothing for a plain request."""
+        cutter = self.cutter
+        if cutter is None:
+            return {}
+        return {
+            "events": cutter.events,
+            "last": short_id(cutter.last),
+            "partial_bytes": cutter.partial_bytes,
+            "runs": self.runs,
+        }
 
 
 class Call(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -151,6 +151,7 @@
                 detail=refusal.detail,
                 targets=trace.targets,
                 reasons=trace.reasons,
+                **trace.handed_on(),
             )
             responder.cut()
             return
@@ -208,6 +209,7 @@
             estimate_ms=round(trace.estimate * 1000),
             first_ms=None if first is None else round((first - call.began) * 1000),
             ms=round((now - call.began) * 1000),
+            **trace.handed_on(),
         )
 
 
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -12,14 +12,14 @@
 
 import structlog
 from fielddrift_core.placement import EngineChoice, move_seconds
-from fielddrift_core.stream import EventCutter
+from fielddrift_core.stream import EventCutter, first_id
 from fielddrift_core.urgency import urgency
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .begin_watch import BeginWatch
-from .call import Call, Tools
+from .call import Call, Tools, short_id
 from .kept import KeptParts
 from .placing import FIRST_EVENT_ESTIMATES, Placing
 from .ports import Send
@@ -62,7 +62,7 @@
     async def serve(self, call: Call, responder: Responder) -> None:
         """Answer `call`; raise `Refused`."""
         attempts = Attempts(call=call, tools=self._tools)
-        cutter = EventCutter()
+        cutter = call.trace.cutter = EventCutter()
         run = await self._start(call, attempts, cutter)
         try:
             call.trace.status = run.head.status
@@ -90,16 +90,20 @@
             choice = await self._placing.place(call, attempts, resumes=cutter.last != "")
             attempts.begin(choice.instance.name)
             try:
-                return await self._try(call, choice, cutter, more=attempts.more())
+                run = await self._try(call, choice, cutter, more=attempts.more())
             except TryFailed as failure:
                 self._learn(call, choice, failure)
                 attempts.failed(failure)
+            else:
+                self._note_run(call, run)
+                return run
 
     async def _try(
         self, call: Call, choice: EngineChoice, cutter: EventCutter, *, more: bool
     ) -> _Run:
         tools = self._tools
         send = self._send(call, choice, cutter.last)
+        self._note_held(call, cutter, send)
         name = choice.instance.name
         self._begin(call, choice, send)
         began = asyncio.get_running_loop().time()
@@ -252,6 +256,34 @@
         if naming is not None:
             self._tools.metrics.outdated_sends.inc()
 
+    def _note_held(self, call: Call, cutter: EventCutter, send: Send) -> None:
+        """Note for the log what is held of earlier runs when a send begins."""
+        trace = call.trace
+        trace.resume_after = send.resume_after
+        trace.events_before = cutter.events
+        trace.partial_before = cutter.partial_bytes
+
+    def _note_run(self, call: Call, run: _Run) -> None:
+        """Count a run that gives something, and tell where one that may have run came before it."""
+        trace = call.trace
+        trace.runs += 1
+        if trace.partial_before and _streams(run.head):
+            self._tools.metrics.mixed_runs.inc()
+        if trace.unproved < 2:
+            return
+        _log.info(
+            "run resumed",
+            request=call.ask.request_id,
+            target=run.choice.instance.name,
+            connection=trace.connection,
+            weights=trace.weights,
+            after=short_id(trace.resume_after),
+            first=short_id(first_id(run.first)) if _streams(run.head) else "",
+            events_before=trace.events_before,
+            partial_before=trace.partial_before,
+            runs=trace.runs,
+        )
+
     def _urgency(self, call: Call) -> int:
         """Return how urgent engines should take the prompt.
 
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -108,6 +108,10 @@
         self.sends = self._counter("sends", "requests sent to targets")
         self.outdated_sends = self._counter("outdated_sends", "prompts sent to older weights")
         self.retries = self._counter("retries", "sends that failed, by reason", "reason")
+        self.cut_events = self._counter("cut_events", "runs that broke off inside an event")
+        self.mixed_runs = self._counter(
+            "mixed_runs", "runs handed on behind bytes of another run's event: a fault of the node"
+        )
         self.tokens = self._counter("prompt_tokens", "tokens of shared parts", "way")
         self.orders = self._counter("orders", "orders of weights", "outcome")
         self.freed = self._counter("freed_parts", "kept parts that were freed")
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -70,12 +70,15 @@
         self._tools.metrics.sends.inc()
         self.tried.add(target)
         self._call.trace.targets.append(target)
+        self._call.trace.connection = ""
 
     def failed(self, failure: TryFailed) -> None:
         """Take a failure; raise `Refused` unless another sending may follow."""
         call = self._call
         call.trace.reasons.append(failure.reason)
         self._tools.metrics.retries.inc(of=failure.reason)
+        if call.trace.broke_inside:
+            self._tools.metrics.cut_events.inc()
         _log.info(
             "send failed",
             request=call.ask.request_id,
@@ -83,6 +86,9 @@
             reason=failure.reason,
             detail=str(failure),
             not_run=failure.not_run,
+            connection=call.trace.connection,
+            answer_begun=call.trace.first_event is not None,
+            **call.trace.handed_on(),
         )
         if failure.reached:
             self._reached += 1
@@ -122,6 +128,7 @@
             most_open=_most_open(call, tools),
             most_idle=None if call.route.repeatable else _UNSAFE_MOST_IDLE,
         )
+        call.trace.connection = "kept" if exchange.kept else "new"
         # From here on the request may run, whatever becomes of this task.
         call.trace.unproved += 1
         head = await exchange.head()
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -228,15 +228,22 @@
         self._error: ExchangeError | None = None
         self._changed = asyncio.Event()
         self._connection: _Connection | None = None
+        self._kept = False
+
+    @property
+    def kept(self) -> bool:
+        """Return whether the connection had carried an exchange before this one."""
+        return self._kept
 
     @property
     def complete(self) -> bool:
         """Return whether the whole answer has arrived."""
         return self._complete
 
-    def bind(self, connection: _Connection) -> None:
-        """Note which connection carries the exchange."""
+    def bind(self, connection: _Connection, *, kept: bool = False) -> None:
+        """Note which connection carries the exchange, and whether it is one that was kept."""
         self._connection = connection
+        self._kept = kept
 
     def accepts(self, head: ResponseHead) -> bool:
         """Return whether `head` answers this request."""
@@ -328,13 +335,14 @@
         Raise `ExchangeError` with `sent` False when no connection came up.
         """
         connection = self._take(address, most_idle)
+        kept = connection is not None
         if connection is None:
             if most_open is not None and self._open.get(address, 0) >= most_open:
                 detail = f"{address}: {most_open} connections are open"
                 raise ExchangeError(detail, sent=False, reason="connections")
             connection = await self._connect(address, connect_seconds)
         exchange = Exchange(accepts=accepts)
-        exchange.bind(connection)
+        exchange.bind(connection, kept=kept)
         connection.begin(exchange, data)
         return exchange
 
--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -1,12 +1,20 @@
-"""The figures of a serving node, and what its start loads."""
+"""The figures and lines of a serving node, and what its start loads."""
 
 from __future__ import annotations
 
 import subprocess
 import sys
 import unittest
+from typing import Any
+from unittest import mock
 
+from fielddrift_core.stream import EventCutter
+from fielddrift_node.serving.call import Trace
 from fielddrift_node.serving.metrics import Metrics
+from fielddrift_standins.worker import Worker
+from structlog.testing import capture_logs
+
+from .platform_fleet import Answer, FleetCase, ask, eventually, get, prompt
 
 NEEDLESS = ("prometheus_client", "ssl", "http.server")
 """Loaded by nothing that a node needs to serve: a quarter of its start."""
@@ -58,3 +66,92 @@
         )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
         self.assertEqual(done.stdout.strip(), "True", done.stderr)
+
+
+class RunLinesTest(FleetCase):
+    """What the lines and figures tell of a run that broke off, and of the one behind it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.one = await self.fleet.worker(Worker(name="e1", events=5), "engines")
+        self.two = await self.fleet.worker(Worker(name="e2", events=5), "engines")
+        self.node = await self.fleet.node()
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
+
+    async def _ask(self, fault: str, path: str = "/chat/x") -> Answer:
+        # Whichever engine is chosen first has the fault.
+        self.one.faults = self.two.faults = [fault]
+        with capture_logs() as lines:
+            answer = await ask(self.node, path, **prompt())
+        self.lines = [line for line in lines if line.get("request") == "r1"]
+        return answer
+
+    def _line(self, event: str) -> dict[str, Any]:
+        (line,) = [line for line in self.lines if line["event"] == event]
+        return line
+
+    def _told(self, event: str, **fields: object) -> None:
+        line = self._line(event)
+        self.assertEqual({name: line[name] for name in fields}, fields)
+
+    async def _figures(self) -> list[str]:
+        return (await get(self.node.settings.metrics, "/metrics")).body.decode().splitlines()
+
+    async def test_a_run_that_breaks_off_and_the_one_behind_it_are_told(self) -> None:
+        await self._ask("cut-event")
+        self._told(
+            "send failed", connection="new", answer_begun=True, events=2, last="2", runs=1,
+            partial_bytes=len(b"id: 3\ndata: tok"), reason="cut",
+        )  # fmt: skip
+        first, second = self._line("request answered")["targets"]
+        self.assertEqual(self._line("send failed")["target"], first)
+        self._told(
+            "run resumed", target=second, connection="new", after="2", first="3", weights=1,
+            events_before=2, partial_before=0, runs=2,
+        )  # fmt: skip
+        self._told("request answered", events=5, last="5", runs=2, partial_bytes=0)
+        self.assertIn("fielddrift_cut_events_total 1.0", await self._figures())
+        self.assertIn("fielddrift_mixed_runs_total 0.0", await self._figures())
+
+    async def test_a_run_that_breaks_off_inside_its_first_event_is_told(self) -> None:
+        await self._ask("cut-first")
+        self._told(
+            "send failed", answer_begun=False, events=0, last="", runs=0,
+            partial_bytes=len(b"id: 1\ndata: tok"),
+        )  # fmt: skip
+        self._told("run resumed", after="", first="1", events_before=0, runs=1)
+        self.assertIn("fielddrift_cut_events_total 1.0", await self._figures())
+
+    async def test_a_run_behind_bytes_of_another_is_counted(self) -> None:
+        with mock.patch.object(EventCutter, "restart"):
+            await self._ask("cut-event")
+        self._told("run resumed", after="2", partial_before=len(b"id: 3\ndata: tok"))
+        self.assertIn("fielddrift_mixed_runs_total 1.0", await self._figures())
+
+    async def test_an_answer_that_is_cut_tells_how_far_it_came(self) -> None:
+        await self._ask("cut-event", "/verdict/x")
+        self._told("answer cut", events=2, last="2", runs=1, partial_bytes=15)
+
+    async def test_a_run_that_breaks_off_between_events_is_not_counted(self) -> None:
+        await self._ask("cut-end")
+        self._told("send failed", events=5, last="5", partial_bytes=0)
+        self.assertIn("fielddrift_cut_events_total 0.0", await self._figures())
+
+    async def test_whole_answers_and_plain_ones_tell_of_no_other_run(self) -> None:
+        self.one.faults = self.two.faults = []
+        with capture_logs() as lines:
+            await ask(self.node, "/chat/x", **prompt())
+        self.assertEqual([n["event"] for n in lines if "request" in n], ["request answered"])
+        await self.fleet.worker(Worker(name="w1"), "plain")
+        await eventually(lambda: self.node.node.views.registry.get("w1") is not None)
+        with capture_logs() as lines:
+            await ask(self.node, "/safe/x")
+        (line,) = [n for n in lines if "request" in n]
+        self.assertNotIn("events", line)
+
+    async def test_a_long_id_is_cut_in_lines(self) -> None:
+        cutter = EventCutter()
+        cutter.feed(b"id: " + b"7" * 5000 + b"\ndata: x\n\n")
+        trace = Trace()
+        trace.cutter = cutter
+        self.assertEqual(trace.handed_on()["last"], "7" * 40)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import random
+import time
 import unittest
+from collections.abc import Iterator
+from types import SimpleNamespace
+from unittest import mock
 
+from fielddrift_core.interfaces import OutsideError
 from fielddrift_core.stream import EventSequencer, StreamError
+from fielddrift_node.metrics import Metrics
+from fielddrift_node.relay import Relay
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 
 def event(number: int) -> bytes:
@@ -67,3 +75,77 @@
         self.assertEqual(sequencer.following, 2)
         self.assertEqual(sequencer.feed(event(2) + end(2)), event(2) + end(2))
         self.assertTrue(sequencer.whole)
+
+
+class FakeRun:
+    """A run whose stream gives some data, and breaks off unless it is whole."""
+
+    def __init__(self, target: str, data: bytes) -> None:
+        self.choice = SimpleNamespace(target=SimpleNamespace(name=target))
+        self.order = SimpleNamespace(run=f"r.{target}")
+        self.head = SimpleNamespace(memory=0, imported=0, recomputed=0)
+        self.stream = self
+        self._data = data
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self._data
+        raise OutsideError("reset")
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+class RelayLinesTest(unittest.TestCase):
+    """What the node's own interface tells of a run that broke off, and of the next one."""
+
+    def setUp(self) -> None:
+        self.metrics = Metrics(address="")
+        self.exchange = mock.MagicMock()
+        self.exchange.runtime.metrics = self.metrics
+        self.exchange.request_id, self.exchange.failed = "r1", set()
+        self.exchange.began_at = self.exchange.deadline = time.monotonic()
+
+    def _relay(self, first: bytes, *others: bytes) -> list[dict[str, object]]:
+        resumed = iter([FakeRun(f"e{n}", data) for n, data in enumerate(others, 2)])
+        relay = Relay(
+            exchange=self.exchange,
+            started=FakeRun("e1", first),  # type: ignore[arg-type]
+            resume=lambda exchange, at: next(resumed, None),  # type: ignore[arg-type,return-value]
+        )
+        with capture_logs() as lines:
+            self.body = b"".join(relay)
+        return [dict(line) for line in lines]
+
+    def test_a_run_that_breaks_off_and_the_one_behind_it_are_told(self) -> None:
+        sent = whole(3)
+        broke, resumed = self._relay(sent[0] + sent[1][:9], b"".join(sent[1:]))
+        self.assertEqual(self.body, b"".join(sent))
+        self.assertEqual(
+            broke,
+            {
+                "event": "run broke off", "log_level": "info", "request": "r1", "target": "e1",
+                "run": "r.e1", "after": 1, "partial_bytes": 9, "resumes": 0, "reason": "cut",
+            },
+        )  # fmt: skip
+        self.assertEqual(
+            resumed,
+            {
+                "event": "run resumed", "log_level": "info", "request": "r1", "target": "e2",
+                "run": "r.e2", "after": 1, "partial_bytes": 0, "resumes": 1,
+            },
+        )  # fmt: skip
+        self.assertEqual(self.metrics.totals["streams.cut_events"], 1)
+        self.assertNotIn("streams.mixed_runs", self.metrics.totals)
+
+    def test_a_run_behind_bytes_of_another_is_counted(self) -> None:
+        sent = whole(3)
+        with mock.patch.object(EventSequencer, "restart"):
+            self._relay(sent[0] + sent[1][:9], b"".join(sent[1:]))
+        self.assertEqual(self.metrics.totals["streams.mixed_runs"], 1)
+
+    def test_an_answer_that_no_run_goes_on_with_is_told(self) -> None:
+        broke, cut = self._relay(whole(3)[0])
+        self.assertEqual((broke["event"], cut["event"]), ("run broke off", "answer cut"))
+        self.assertEqual((cut["after"], cut["resumes"], cut["reason"]), (1, 1, "cut"))
+        self.assertIn(b"event: error", self.body)
+        self.assertNotIn("streams.cut_events", self.metrics.totals)
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -89,6 +89,15 @@
             self.assertEqual(await self._call(GOOD), BODY)
         self.assertEqual(self.accepted, 1)
 
+    async def test_an_exchange_tells_whether_its_connection_was_kept(self) -> None:
+        found = []
+        self.answers = [GOOD, GOOD]
+        for _ in range(2):
+            exchange = await self.client.begin(self.address, REQUEST, connect_seconds=2.0)
+            found.append(exchange.kept)
+            await exchange.body()
+        self.assertEqual(found, [False, True])
+
     async def test_no_connection_means_that_nothing_was_sent(self) -> None:
         with self.assertRaises(ExchangeError) as caught:
             await self.client.call(f"{HOST}:{free_port()}", REQUEST, timeouts=TIMEOUTS)
