Show that a run which breaks off inside its first event spoils the next, failing

What came of the event stays in the request's EventCutter: Generation.serve forgets it between runs that gave events, the loop of sends in _start does not.

--- /dev/null
+++ b/tests/test_runs_broken_off.py
@@ -0,0 +1,64 @@
+"""A run that breaks off inside its first event leaves nothing to the run that follows.
+
+A caller got an event that no run had made.  An engine's answer had broken off
+inside its first event; the request was sent to a second engine, whose run was
+whole.  What had come of the first engine's event was kept with the request,
+and the second engine's first event was put behind it, so that both went out as
+one.  A run that resumes an answer behind its last event did the same when it
+broke off inside its own first event.
+
+The node's lines of one such answer, from its log: the event that went out has
+the id of the first engine's event and, in the same line, that of the second's.
+
+    send failed       partial_bytes=6  events=0  answer_begun=false  reason=cut
+    run resumed       partial_before=6  after=38  first="39id: 39"
+    request answered  status=200  events=1  last="39id: 39"
+"""
+
+from __future__ import annotations
+
+from fielddrift_standins.deployment import route
+from fielddrift_standins.worker import Worker
+
+from .platform_fleet import Answer, FleetCase, ask, eventually, prompt
+
+_EVENTS = 5
+_MADE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, _EVENTS + 1))
+
+
+class RunsBrokenOff(FleetCase):
+    """Three engines that fail by one list: run by run, whichever of them it reaches."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        more = {"allow-resume": True, "max-attempts": 4}
+        self.fleet.routes.append(route("long", "engines", "streaming", **more))
+        self.fleet.configure()
+        self.faults: list[str] = []
+        self.workers = [Worker(name=f"e{n}", events=_EVENTS) for n in range(1, 4)]
+        for worker in self.workers:
+            worker.faults = self.faults
+            await self.fleet.worker(worker, "engines")
+        self.node = await self.fleet.node()
+        await eventually(lambda: len(self.node.node.views.registry) == len(self.workers))
+
+    async def _ask(self, path: str, *faults: str) -> Answer:
+        """Return the answer to a request whose runs fail as `faults` say, then no more."""
+        before = self._runs()
+        self.faults[:] = faults
+        answer = await ask(self.node, path, **prompt())
+        self.assertEqual(self._runs() - before, len(faults) + 1)
+        return answer
+
+    def _runs(self) -> int:
+        return sum(len(worker.ran) for worker in self.workers)
+
+    def _assert_as_made(self, answer: Answer) -> None:
+        self.assertEqual(answer.body, _MADE)
+        self.assertEqual(answer.headers["whole"], "yes")
+
+    async def test_a_fresh_run_cut_inside_its_first_event_leaves_nothing(self) -> None:
+        self._assert_as_made(await self._ask("/chat/x", "cut-first"))
+
+    async def test_a_resuming_run_cut_inside_its_first_event_leaves_nothing(self) -> None:
+        self._assert_as_made(await self._ask("/long/x", "cut-event", "cut-first"))
