--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import unittest
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -16,6 +17,7 @@
 
 from .platform_fleet import Answer, FleetCase, ask, eventually, get, prompt
 
+ROOT = Path(__file__).parent.parent
 NEEDLESS = ("prometheus_client", "ssl", "http.server")
 """Loaded by nothing that a node needs to serve: a quarter of its start."""
 
@@ -44,6 +46,18 @@
         ):
             self.assertIn(line, lines)
 
+    def test_every_figure_is_in_the_docs_and_none_besides(self) -> None:
+        rows = [
+            line.strip("| ").split(" | ")
+            for line in (ROOT / "docs" / "METRICS.md").read_text().splitlines()
+            if line.startswith("| fielddrift_")
+        ]
+        figures = {
+            family.name + ("_total" if family.type == "counter" else ""): family.documentation
+            for family in Metrics().collect()
+        }
+        self.assertEqual(dict(rows), figures)
+
 
 class StartTest(unittest.TestCase):
     def test_a_start_loads_nothing_that_serving_does_not_need(self) -> None:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -11,8 +11,10 @@
 
 from fielddrift_core.interfaces import OutsideError
 from fielddrift_core.stream import EventSequencer, StreamError
+from fielddrift_node.filters import run
 from fielddrift_node.metrics import Metrics
 from fielddrift_node.relay import Relay
+from fielddrift_node.settle import TryFailed
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
@@ -149,3 +151,15 @@
         self.assertEqual((cut["after"], cut["resumes"], cut["reason"]), (1, 1, "cut"))
         self.assertIn(b"event: error", self.body)
         self.assertNotIn("streams.cut_events", self.metrics.totals)
+
+    def test_a_send_that_fails_before_any_event_is_told(self) -> None:
+        self.exchange.choice.target.name, self.exchange.left = "e1", -1.0
+        self.exchange.runtime.rng = random.Random(1)
+        failure = TryFailed("e1: refused", "connect", sure=True)
+        with mock.patch.object(run, "_try_one", side_effect=failure), capture_logs() as lines:
+            run._resume(self.exchange, 3)
+        expected = {
+            "event": "send failed", "log_level": "info", "request": "r1", "target": "e1",
+            "reason": "connect", "detail": "e1: refused", "not_run": True, "after": 2,
+        }  # fmt: skip
+        self.assertEqual([dict(line) for line in lines], [expected])
