Give each run of a prompt its own event cutter, so that a broken run leaves nothing

Cause: one EventCutter served a whole request. Generation.serve forgot the begun event between runs that had given events; the loop of sends in _start did not, so what came of a first event that broke off stood before the first event of the next run. Class: what belongs to one try was kept with the request and cleared by whoever thought of it.

Change: a cutter belongs to a run. Generation carries only the id of the last event handed on, and a cutter cannot be begun anew. A run that gave events without ids is not followed by another one, which would repeat them (seen failing without the change).

Checks: the counter mixed_runs can't rise any more by design; joined_events takes its place, which looks at what goes out, whatever the cause: ids handed on beyond one an event.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -117,27 +117,36 @@
 
 
 class EventCutter:
-    """Cut a target's bytes into whole events, each handed on once.
+    """Cut the bytes of one run into whole events, each handed on once.
 
-    Ids rise but need not follow on each other.  What is not whole stays here,
-    so that a run that broke off can be resumed behind the last whole event.
+    Ids rise but need not follow on each other.  Events up to the id `after`,
+    which an earlier run of the same answer gave, are left out.
     """
 
-    def __init__(self) -> None:
+    # One cutter a run: what is not whole when a run breaks off must go with it,
+    # or it would be joined to the first event of the next run.
+
+    def __init__(self, *, after: str = "") -> None:
         self._rest = b""
-        self._last = ""
+        self._last = after
         self._events = 0
+        self._joined = 0
 
     @property
     def last(self) -> str:
-        """Return the id of the last event handed on, empty before the first."""
+        """Return the id of the last event handed on, by this run or before; empty for none."""
         return self._last
 
     @property
     def events(self) -> int:
-        """Return how many events were handed on."""
+        """Return how many events of this run were handed on."""
         return self._events
 
+    @property
+    def joined(self) -> int:
+        """Return how many ids more than events were handed on: no engine makes such events."""
+        return self._joined
+
     @property
     def partial(self) -> bool:
         """Return whether an event has begun and not ended."""
@@ -148,25 +157,21 @@
         """Return how many bytes of an event that has not ended are held."""
         return len(self._rest)
 
-    def restart(self) -> None:
-        """Forget a part of an event, before a resumed stream."""
-        self._rest = b""
-
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that `data` completes, without any handed on before."""
         ready, self._rest = _whole_events(self._rest + data)
         if not ready:
             return b""
         ids = _ID_LINE.findall(ready)
-        if not ids:
-            self._events += ready.count(b"\n\n")
-            return ready
-        if self._last.isdigit() and ids[0].isdigit() and int(ids[0]) <= int(self._last):
+        if ids and self._last.isdigit() and ids[0].isdigit() and int(ids[0]) <= int(self._last):
             ready = self._without_repeated(ready)
-        if ready:
+            ids = _ID_LINE.findall(ready)
+        events = ready.count(b"\n\n")
+        self._events += events
+        self._joined += max(0, len(ids) - events)
+        if ids:
             # Of repeated events nothing is left; they must not set the mark back.
-            self._last = _ID_LINE.findall(ready)[-1].decode("latin-1")
-            self._events += ready.count(b"\n\n")
+            self._last = ids[-1].decode("latin-1")
         return ready
 
     def _without_repeated(self, ready: bytes) -> bytes:
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -42,6 +42,8 @@
 
     events: int
     """Events handed on."""
+    joined: int
+    """Ids among them that are too many: bytes of two events went out as one."""
     last: str
     """The id of the last of them, cut at a length; empty for none."""
     partial_bytes: int
@@ -76,22 +78,24 @@
         """Whether the last send went over a kept connection or a new one, empty for none."""
         self.runs = 0
         self.cutter: EventCutter | None = None
-        """What cuts the answer of a prompt into events, None for a plain request."""
-        self.resume_after = ""
-        """The id behind which the last send asked to go on."""
+        """What cuts the answer of the last send into events, None for a plain request."""
         self.events_before = 0
         """Events that were handed on before the last send."""
-        self.partial_before = 0
-        """Bytes of an event that were held from earlier runs when the last send began."""
+        self.joined_before = 0
+        """The ids among them that are too many."""
 
     @property
     def broke_inside(self) -> bool:
         """Return whether bytes of an event that has not ended came of the last send."""
-        cutter = self.cutter
-        if cutter is None or not cutter.partial:
-            return False
-        before = (self.events_before, self.partial_before)
-        return (cutter.events, cutter.partial_bytes) != before
+        return self.cutter is not None and self.cutter.partial
+
+    def send_events(self, *, after: str) -> EventCutter:
+        """Return what cuts the answer of the next send into events, behind the id `after`."""
+        if self.cutter is not None:
+            self.events_before += self.cutter.events
+            self.joined_before += self.cutter.joined
+        self.cutter = EventCutter(after=after)
+        return self.cutter
 
     def handed_on(self) -> HandedOn:
         """Return what has been handed on so far, nothing for a plain request."""
@@ -99,7 +103,8 @@
         if cutter is None:
             return {}
         return {
-            "events": cutter.events,
+            "events": self.events_before + cutter.events,
+            "joined": self.joined_before + cutter.joined,
             "last": short_id(cutter.last),
             "partial_bytes": cutter.partial_bytes,
             "runs": self.runs,
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -42,6 +42,7 @@
     exchange: Exchange
     head: ResponseHead
     first: bytes
+    cutter: EventCutter
     began: float
     ended: list[bool]
 
@@ -62,8 +63,7 @@
     async def serve(self, call: Call, responder: Responder) -> None:
         """Answer `call`; raise `Refused`."""
         attempts = Attempts(call=call, tools=self._tools)
-        cutter = call.trace.cutter = EventCutter()
-        run = await self._start(call, attempts, cutter)
+        run = await self._start(call, attempts, after="")
         try:
             call.trace.status = run.head.status
             call.trace.first_event = asyncio.get_running_loop().time()
@@ -73,10 +73,9 @@
             if not _streams(run.head):
                 await self._relay_plain(run, responder)
                 return
-            while not await self._relay(call, run, responder, cutter, attempts):
-                cutter.restart()
+            while not await self._relay(call, run, responder, attempts):
                 self._ended(call, run)
-                run = await self._start(call, attempts, cutter)
+                run = await self._start(call, attempts, after=run.cutter.last)
                 responder.write(run.first)
             responder.end()
         finally:
@@ -84,26 +83,27 @@
 
     # --- starting -------------------------------------------------------------
 
-    async def _start(self, call: Call, attempts: Attempts, cutter: EventCutter) -> _Run:
-        """Return a run whose first whole event has come; raise `Refused`."""
+    async def _start(self, call: Call, attempts: Attempts, *, after: str) -> _Run:
+        """Return a run whose first whole event has come; raise `Refused`.
+
+        `after` is the id of the last event that the caller got, empty before the first.
+        """
         while True:
-            choice = await self._placing.place(call, attempts, resumes=cutter.last != "")
+            choice = await self._placing.place(call, attempts, resumes=after != "")
             attempts.begin(choice.instance.name)
             try:
-                run = await self._try(call, choice, cutter, more=attempts.more())
+                run = await self._try(call, choice, after=after, more=attempts.more())
             except TryFailed as failure:
                 self._learn(call, choice, failure)
                 attempts.failed(failure)
             else:
-                self._note_run(call, run)
+                self._note_run(call, run, after)
                 return run
 
-    async def _try(
-        self, call: Call, choice: EngineChoice, cutter: EventCutter, *, more: bool
-    ) -> _Run:
+    async def _try(self, call: Call, choice: EngineChoice, *, after: str, more: bool) -> _Run:
         tools = self._tools
-        send = self._send(call, choice, cutter.last)
-        self._note_held(call, cutter, send)
+        send = self._send(call, choice, after)
+        cutter = call.trace.send_events(after=after)
         name = choice.instance.name
         self._begin(call, choice, send)
         began = asyncio.get_running_loop().time()
@@ -127,7 +127,7 @@
                 tools.views.workload.end(name, call.ask.request_id)
                 if exchange is not None:
                     exchange.cancel()
-        no_rest = cutter.last != "" and not _streams(head)
+        no_rest = after != "" and not _streams(head)
         if no_rest or (head.status >= 500 and more and call.route.repeatable):
             tools.views.workload.end(name, call.ask.request_id)
             exchange.cancel()
@@ -137,7 +137,7 @@
         if head.status < 500:
             tools.views.health.worked(name, asyncio.get_running_loop().time())
         self._heard_weights(call, choice, head)
-        return _Run(choice, exchange, head, first, began, [])
+        return _Run(choice, exchange, head, first, cutter, began, [])
 
     async def _first(self, exchange: Exchange, head: ResponseHead, cutter: EventCutter) -> bytes:
         """Return the first whole events, or the first bytes of an answer that is none.
@@ -179,10 +179,9 @@
             await responder.drained()
         responder.end()
 
-    async def _relay(
-        self, call: Call, run: _Run, responder: Responder, cutter: EventCutter, attempts: Attempts
-    ) -> bool:
+    async def _relay(self, call: Call, run: _Run, responder: Responder, attempts: Attempts) -> bool:
         """Pass events on; True at the end, False to resume elsewhere."""
+        cutter = run.cutter
         movable = call.route.resumable and attempts.more() and cutter.last != ""
         try:
             while True:
@@ -203,6 +202,9 @@
         self._learn(call, run.choice, failure)
         run.exchange.cancel()
         attempts.failed(failure)
+        if not cutter.last:
+            # A run that began anew would repeat what the caller got.
+            raise attempts.exhausted("events without an id, no run can go on behind them")
         return False
 
     def _pause(self, call: Call) -> float:
@@ -210,6 +212,7 @@
 
     def _ended(self, call: Call, run: _Run) -> None:
         run.exchange.cancel()
+        self._tools.metrics.joined_events.inc(run.cutter.joined)
         views = self._tools.views
         views.workload.end(run.choice.instance.name, call.ask.request_id)
         now = asyncio.get_running_loop().time()
@@ -256,19 +259,10 @@
         if naming is not None:
             self._tools.metrics.outdated_sends.inc()
 
-    def _note_held(self, call: Call, cutter: EventCutter, send: Send) -> None:
-        """Note for the log what is held of earlier runs when a send begins."""
-        trace = call.trace
-        trace.resume_after = send.resume_after
-        trace.events_before = cutter.events
-        trace.partial_before = cutter.partial_bytes
-
-    def _note_run(self, call: Call, run: _Run) -> None:
-        """Count a run that gives something, and tell where one that may have run came before it."""
+    def _note_run(self, call: Call, run: _Run, after: str) -> None:
+        """Note a run that gives something; log it where another that may have run came before."""
         trace = call.trace
         trace.runs += 1
-        if trace.partial_before and _streams(run.head):
-            self._tools.metrics.mixed_runs.inc()
         if trace.unproved < 2:
             return
         _log.info(
@@ -277,10 +271,9 @@
             target=run.choice.instance.name,
             connection=trace.connection,
             weights=trace.weights,
-            after=short_id(trace.resume_after),
+            after=short_id(after or call.ask.resume_after),
             first=short_id(first_id(run.first)) if _streams(run.head) else "",
             events_before=trace.events_before,
-            partial_before=trace.partial_before,
             runs=trace.runs,
         )
 
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -98,9 +98,9 @@
         if not may or self._reached >= call.route.attempts or self._connects >= MOST_CONNECTS:
             raise Refused(self._refusal(str(failure), failure.return_after))
 
-    def exhausted(self) -> Refused:
-        """Return the end of a request for which no target is left."""
-        return Refused(self._refusal("no target can take it", None))
+    def exhausted(self, detail: str = "no target can take it") -> Refused:
+        """Return the end of a request that no target can serve, or go on with."""
+        return Refused(self._refusal(detail, None))
 
     def more(self) -> bool:
         """Return whether the route allows another sending."""
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -260,6 +260,26 @@
     exchange.responder.write(f"id: {after + 1}\ndata: tok".encode())
 
 
+@fault("two-ids")
+async def _two_ids(exchange: _Exchange) -> None:
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    await worker.stream(exchange.request, exchange.responder, exchange.request_id, 1)
+    exchange.responder.write(b"id: 2\ndata: tok\nid: 2\ndata: token 2\n\n")
+    exchange.responder.end()
+
+
+@fault("no-ids")
+async def _no_ids(exchange: _Exchange) -> None:
+    """Send two events without ids, and break off."""
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    exchange.responder.start(200, Headers([*worker.head(exchange.request_id), *_EVENTS]), None)
+    exchange.responder.write(b"data: token 1\n\ndata: token 2\n\n")
+    await asyncio.sleep(0.02)
+    exchange.responder.cut()
+
+
 @fault("cut-end")
 async def _cut_end(exchange: _Exchange) -> None:
     worker = exchange.worker
--- a/tests/test_runs_broken_off.py
+++ b/tests/test_runs_broken_off.py
@@ -20,7 +20,7 @@
 from fielddrift_standins.deployment import route
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import Answer, FleetCase, ask, eventually, prompt
+from .platform_fleet import Answer, FleetCase, ask, eventually, prompt, request, send_raw
 
 _EVENTS = 5
 _MADE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, _EVENTS + 1))
@@ -62,3 +62,17 @@
 
     async def test_a_resuming_run_cut_inside_its_first_event_leaves_nothing(self) -> None:
         self._assert_as_made(await self._ask("/long/x", "cut-event", "cut-first"))
+
+    async def test_a_run_silent_inside_its_first_event_leaves_nothing(self) -> None:
+        self._assert_as_made(await self._ask("/chat/x", "silent-first"))
+
+    async def test_a_resuming_run_silent_inside_its_first_event_leaves_nothing(self) -> None:
+        self._assert_as_made(await self._ask("/long/x", "cut-event", "silent-first"))
+
+    async def test_events_without_ids_are_not_gone_on_with(self) -> None:
+        """A run that began anew behind them would repeat what the caller has."""
+        self.faults[:] = ["no-ids"]
+        raw = await send_raw(self.node.settings.entry, request("/long/x", **prompt()))
+        self.assertEqual(raw.count(b"data: token 1"), 1)
+        self.assertNotIn(b"0\r\n\r\n", raw)
+        self.assertEqual(self._runs(), 1)
