Show that an end mark which is refused still ends an answer of the own interface, failing

The same class in another place: the count of a run's end mark is kept in the answer's sequencer before it is checked, and is not forgotten with the run.

--- a/packages/standins/src/fielddrift_standins/engine.py
+++ b/packages/standins/src/fielddrift_standins/engine.py
@@ -2,9 +2,10 @@
 
 Prefills go one at a time, by priority; decodes share the slots.  Switches:
 `down`, `slow`, `hang` (seconds before the first token), `cut_after` (events
-before each stream is cut), `double`, `reorder`, `leaving`, `gap` (cache events
-are lost), `short` (the end comes early without its mark), `wrong_version`,
-`trusting` (imports are not checked).
+before each stream is cut), `cut_inside` (the same, and half of the next event
+comes too), `early_end` (events before an end mark that tells of fewer), `double`,
+`reorder`, `leaving`, `gap` (cache events are lost), `short` (the end comes early
+without its mark), `wrong_version`, `trusting` (imports are not checked).
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 __all__ = ["EngineStandIn", "main"]
 
 _EVENT = b'id: %d\ndata: {"choices": [{"index": 0, "text": "%s "}]}\n\n'
+_END = b'event: end\nid: %d\ndata: {"count": %d}\n\n'
 _THREADS = 260
 _KEPT_RUNS = 500
 _LONGEST_QUEUE = 64
@@ -222,15 +224,22 @@
             yield _EVENT % (number, word.encode())
             time.sleep(self._step)
         if not self.app.faults.get("short"):
-            yield b'event: end\nid: %d\ndata: {"count": %d}\n\n' % (len(words) + 1, len(words))
+            yield _END % (len(words) + 1, len(words))
 
     def _faulty(self, events: Iterator[bytes]) -> Iterator[bytes]:
         faults = self.app.faults
-        cut_after = faults.get("cut_after")
+        cut_after, cut_inside = faults.get("cut_after"), faults.get("cut_inside")
+        early_end = faults.get("early_end")
         held = b""
         for number, event in enumerate(events, 1):
             if cut_after is not None and number > cut_after:
                 raise ConnectionAbortedError
+            if cut_inside is not None and number > cut_inside:
+                yield event[: len(event) // 2]
+                raise ConnectionAbortedError
+            if early_end is not None and number > early_end:
+                yield _END % (number, number - 2)
+                return
             if faults.get("reorder") and number % 3 == 1:
                 held = event
                 continue
--- a/tests/test_promise_answers.py
+++ b/tests/test_promise_answers.py
@@ -42,6 +42,33 @@
         self.assert_whole(self._stream(prompt), prompt)
         self.assertEqual(self.counter("retried.resume"), before + 2)
 
+    def test_a_run_cut_inside_an_event_leaves_nothing_to_the_next(self) -> None:
+        """The first run is cut inside its first event, and so are those that resume."""
+        for events in (0, 3):
+            prompt = self.prompt(2)
+            self._engines(cut_inside=events)
+            self.addCleanup(self._engines, cut_inside=None)
+            got = self._stream(prompt)
+            for event in got.body.split(b"\n\n"):
+                self.assertLessEqual(event.count(b"id: "), 1, got.body)
+            if events:
+                self.assert_whole(got, prompt)
+
+    def test_an_end_mark_too_early_never_passes_for_the_end(self) -> None:
+        """An engine's end mark told of fewer events than it had sent.
+
+        The run was given up for that, but the count of its end mark stayed with the
+        answer and fitted the events handed on: the answer passed for whole after
+        three of eight events, and nothing was resumed.
+        """
+        self._engines(early_end=3)
+        self.addCleanup(self._engines, early_end=None)
+        before = self.counter("retried.resume")
+        prompt = self.prompt(2)
+        self.assert_whole(self._stream(prompt), prompt)
+        self.assertEqual(self.counter("retried.resume"), before + 2)
+        self.assert_right(self.fleet.complete(CUSTOMER, prompt), prompt)
+
     def test_a_run_cut_after_its_deadline_is_resumed_all_the_same(self) -> None:
         """Found by reading: the deadline for the first token once ended the resuming."""
         prompt = self.prompt(1)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -66,6 +66,13 @@
         with self.assertRaises(StreamError):
             EventSequencer().feed(event(1) + end(5).replace(b"id: 6", b"id: 2"))
 
+    def test_an_end_mark_that_contradicts_the_events_ends_nothing(self) -> None:
+        sequencer = EventSequencer()
+        sequencer.feed(event(1) + event(2) + event(3))
+        with self.assertRaises(StreamError):
+            sequencer.feed(end(2).replace(b"id: 3", b"id: 4"))
+        self.assertFalse(sequencer.whole)
+
     def test_an_event_without_a_number_is_an_error(self) -> None:
         with self.assertRaises(StreamError):
             EventSequencer().feed(b"data: x\n\n")
