--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -212,13 +212,13 @@
 
     def _ended(self, call: Call, run: _Run) -> None:
         run.exchange.cancel()
-        self._tools.metrics.joined_events.inc(run.cutter.joined)
         views = self._tools.views
         views.workload.end(run.choice.instance.name, call.ask.request_id)
         now = asyncio.get_running_loop().time()
         assert call.ask.prompt is not None
         if not run.ended:
             run.ended.append(True)
+            self._tools.metrics.joined_events.inc(run.cutter.joined)
             views.rooms.of(call.service.name).turnover.ended(
                 call.ask.prompt.tokens, now - run.began
             )
