Give each run of the own interface its own sequencer, which keeps only what was handed on

Cause: one EventSequencer served a whole answer. restart() forgot the begun event and the events held, not the count of an end mark; and the count was kept before it was checked. An end mark that told of fewer events than had come made the answer pass for whole: 3 of 8 events, with status 200 where the caller asked for the whole text. Found beside it: events put right in the same bytes as a wrong end mark counted as handed on and were not, so the run that resumed left them out.

Change: a sequencer a run, begun behind the last event handed on; what feed() refuses changes nothing. An event with two numbers is refused, which is how joined events would look. streams.mixed_runs can't rise by design and goes, with its test, which took restart() away; the test of two numbers takes its place.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -21,12 +21,15 @@
 
 
 class EventSequencer:
-    """Pass server-sent events on in order, each once.
+    """Pass the server-sent events of one run on in order, each once, from `following` on.
 
     Events are numbered from 1; the end mark is `event: end` with the count of
     events in its data, and carries the number after the last one.
     """
 
+    # One sequencer a run, and state is kept only of what was handed on: what a run
+    # that broke off left would decide over the next one's events, or its end.
+
     def __init__(self, *, following: int = 1) -> None:
         self._next = following
         self._rest = b""
@@ -54,23 +57,19 @@
         """Return whether the marked end was handed on."""
         return self._count is not None and self._next == self._count + 2
 
-    def restart(self) -> None:
-        """Forget what arrived but was not handed on, before a resumed stream."""
-        self._rest = b""
-        self._held.clear()
-
     def feed(self, data: bytes) -> bytes:
         """Return what can be handed on now that `data` arrived.
 
-        Raise `StreamError` for an event without a number, an end mark that
-        contradicts the events, or too many held out of order.
+        Raise `StreamError` for an event without a number or with two, an end mark
+        that contradicts the events, or too many held out of order.  Nothing of
+        `data` counts as handed on then.
         """
         ready, self._rest = _whole_events(self._rest + data)
         if not ready:
             return b""
         numbers = [int(n) for n in _NUMBER.findall(ready)]
         if numbers == list(range(self._next, self._next + ready.count(b"\n\n"))):
-            self._check_end(ready, numbers[-1])
+            self._count = self._checked_end(ready, numbers[-1])
             self._next += len(numbers)
             return ready
         return self._put_right(ready)
@@ -78,10 +77,10 @@
     def _put_right(self, ready: bytes) -> bytes:
         self._reordered = True
         for event in ready.split(b"\n\n")[:-1]:
-            found = _NUMBER.search(event)
-            if found is None:
-                raise StreamError(f"event {event[:60]!r}: expected an id line with a number")
-            number = int(found.group(1))
+            found = _NUMBER.findall(event)
+            if len(found) != 1:
+                raise StreamError(f"event {event[:60]!r}: expected one id line with a number")
+            number = int(found[0])
             if number >= self._next:
                 self._held.setdefault(number, event + b"\n\n")
         if len(self._held) > _MOST_HELD:
@@ -90,21 +89,27 @@
 
     def _release(self) -> bytes:
         out = []
-        while (event := self._held.pop(self._next, None)) is not None:
-            self._check_end(event, self._next)
+        following, count = self._next, self._count
+        while (event := self._held.get(following)) is not None:
+            count = self._checked_end(event, following)
             out.append(event)
-            self._next += 1
+            following += 1
+        for number in range(self._next, following):
+            del self._held[number]
+        self._next, self._count = following, count
         return b"".join(out)
 
-    def _check_end(self, ready: bytes, last: int) -> None:
+    def _checked_end(self, ready: bytes, last: int) -> int | None:
+        """Return the count of the end mark in `ready`, None when there is none."""
         if self._count is not None:
             raise StreamError(f"event {last}: comes after the end mark")
         found = _END.search(ready)
         if found is None:
-            return
-        self._count = int(found.group(1))
-        if last != self._count + 1:
-            raise StreamError(f"end mark: count {self._count}, but its number is {last}")
+            return None
+        count = int(found.group(1))
+        if last != count + 1:
+            raise StreamError(f"end mark: count {count}, but its number is {last}")
+        return count
 
 
 _ID_LINE = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
--- a/packages/node/src/fielddrift_node/metrics.py
+++ b/packages/node/src/fielddrift_node/metrics.py
@@ -27,7 +27,6 @@
     "requests.open": "gauge: requests in progress now",
     "streams.reordered": "streams whose events had to be put right",
     "streams.cut_events": "runs that broke off inside an event",
-    "streams.mixed_runs": "runs begun behind bytes of another run's event: a fault of the node",
     "ttft": "timer: milliseconds from a request's arrival to its first token",
     "locate": "timer: milliseconds to look up kept context",
     "blocks.memory": "prompt blocks found in a target's memory",
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -56,6 +56,7 @@
         self._started = started
         self._resume = resume
         self._sequencer = EventSequencer()
+        self._reordered = False
         self._resumes = 0
         self._ended = False
         self._ttft = time.monotonic() - exchange.began_at
@@ -122,7 +123,7 @@
         exchange.runtime.board.failed(name)
         exchange.failed.add(name)
         self._resumes += 1
-        self._sequencer.restart()
+        self._reordered |= self._sequencer.reordered
         started = None
         if self._resumes <= _MOST_RESUMES:
             # The deadline was for the first token, which has come.
@@ -132,7 +133,8 @@
             get().warning("answer cut", reason=self._reason, **self._progress())
             raise Broken(self._cut())
         self._started = started
-        self._log_resumed()
+        self._sequencer = EventSequencer(following=self._sequencer.following)
+        get().info("run resumed", **self._progress())
 
     def _cut(self) -> Refusal:
         detail = f"cut after event {self._sequencer.following - 1}: {self._fault}"
@@ -156,11 +158,6 @@
             self._exchange.runtime.metrics.add("streams.cut_events")
         get().info("run broke off", reason=self._reason, **self._progress())
 
-    def _log_resumed(self) -> None:
-        if self._sequencer.partial_bytes:
-            self._exchange.runtime.metrics.add("streams.mixed_runs")
-        get().info("run resumed", **self._progress())
-
     # --- accounting --------------------------------------------------------
 
     def _note_start(self, ttft: float) -> None:
@@ -189,7 +186,7 @@
             return
         runtime.requests.note(exchange.request_id, exchange.customer.name, "ran")
         runtime.metrics.add("answers.whole")
-        if self._sequencer.reordered:
+        if self._reordered or self._sequencer.reordered:
             runtime.metrics.add("streams.reordered")
         export = partial(keep_prefix, exchange, self._started)
         if not runtime.exporter.submit(export, request_id=exchange.request_id):
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -73,6 +73,18 @@
             sequencer.feed(end(2).replace(b"id: 3", b"id: 4"))
         self.assertFalse(sequencer.whole)
 
+    def test_events_before_a_wrong_end_mark_are_not_lost(self) -> None:
+        sequencer = EventSequencer()
+        sequencer.feed(event(1))
+        with self.assertRaises(StreamError):
+            sequencer.feed(event(3) + event(2) + end(1).replace(b"id: 2", b"id: 4"))
+        self.assertEqual(sequencer.following, 2)
+
+    def test_an_event_with_two_numbers_is_an_error(self) -> None:
+        for joined in (event(1)[:20] + b"\n" + event(1), event(1)[:20] + b"\n" + event(2)):
+            with self.assertRaises(StreamError):
+                EventSequencer().feed(joined)
+
     def test_an_event_without_a_number_is_an_error(self) -> None:
         with self.assertRaises(StreamError):
             EventSequencer().feed(b"data: x\n\n")
@@ -80,7 +92,7 @@
     def test_a_resumed_stream_goes_on_at_the_next_event(self) -> None:
         sequencer = EventSequencer()
         sequencer.feed(event(1) + event(2)[:10])
-        sequencer.restart()
+        sequencer = EventSequencer(following=sequencer.following)
         self.assertEqual(sequencer.following, 2)
         self.assertEqual(sequencer.feed(event(2) + end(2)), event(2) + end(2))
         self.assertTrue(sequencer.whole)
@@ -144,13 +156,12 @@
             },
         )  # fmt: skip
         self.assertEqual(self.metrics.totals["streams.cut_events"], 1)
-        self.assertNotIn("streams.mixed_runs", self.metrics.totals)
 
-    def test_a_run_behind_bytes_of_another_is_counted(self) -> None:
+    def test_events_put_right_in_a_run_that_broke_off_are_counted(self) -> None:
         sent = whole(3)
-        with mock.patch.object(EventSequencer, "restart"):
-            self._relay(sent[0] + sent[1][:9], b"".join(sent[1:]))
-        self.assertEqual(self.metrics.totals["streams.mixed_runs"], 1)
+        self._relay(sent[1] + sent[0] + sent[2][:9], b"".join(sent[2:]))
+        self.assertEqual(self.body, b"".join(sent))
+        self.assertEqual(self.metrics.totals["streams.reordered"], 1)
 
     def test_an_answer_that_no_run_goes_on_with_is_told(self) -> None:
         broke, cut = self._relay(whole(3)[0])
