Let the soak break runs off inside their first event, and see what comes of it

The stand-in's engine broke off behind two whole events only, so no soak had a run that breaks inside its first event and is followed by another. Three kinds of fault are added, registered last: fresh runs and resuming ones, by an early end, silence, a reset or the engine's end. While they last, most chats go to a second resumable route with four attempts; earlier seeds choose as before, and the short seed of the tests is held to the kinds that it was chosen with.

The check of events let an event with bytes before it pass in a cut answer, and could not tell whose an event was. Events now say so, and each answer must be nothing but whole events of its own runs, each run begun behind the last event.

--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -20,6 +20,8 @@
 
 _EVENTS = Headers([(b"Content-Type", b"text/event-stream")])
 _JSON = Headers([(b"Content-Type", b"application/json")])
+_BEGUN_BYTES = 15
+"""Bytes of an event that a run begins and never ends: up to the middle of its data."""
 
 
 class Ran(NamedTuple):
@@ -73,6 +75,8 @@
         self.faults: list[str] = []
         self.ran: list[Ran] = []
         self.left: list[str] = []
+        self.begun: list[Ran] = []
+        """Runs that came no further than into their first event."""
         self.orders: list[dict[str, Any]] = []
         self.closed = False
         self.unanswered_orders = 0
@@ -83,6 +87,9 @@
         self.events = events
         self.work_seconds = work_seconds
         self.pause_seconds = pause_seconds
+        self.signed = False
+        """Whether each event says whose it is, and where it was made."""
+        self.begun_bytes = _BEGUN_BYTES
         self._busy = False
         self._server = Server(handler=self._handle, limits=Limits)
 
@@ -171,6 +178,11 @@
             self.left.append(request_id)
             raise
 
+    def event(self, number: int, request_id: str) -> bytes:
+        """Return an event."""
+        sign = f" of {request_id} at {self.name}" if self.signed else ""
+        return f"id: {number}\ndata: token {number}{sign}\n\n".encode()
+
     async def stream(
         self, request: Request, responder: Responder, request_id: str, last: int
     ) -> None:
@@ -179,7 +191,7 @@
         fields = Headers([*self.head(request_id), *_EVENTS])
         responder.start(200, fields, None)
         for number in range(int(after or 0) + 1, last + 1):
-            responder.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            responder.write(self.event(number, request_id))
             await asyncio.sleep(self.pause_seconds)
 
 
@@ -226,7 +238,7 @@
     worker = exchange.worker
     worker.begin(exchange.request)
     await worker.stream(exchange.request, exchange.responder, exchange.request_id, 2)
-    exchange.responder.write(b"id: 3\ndata: tok")
+    exchange.responder.write(worker.event(3, exchange.request_id)[:_BEGUN_BYTES])
     await asyncio.sleep(0.02)
     exchange.responder.cut()
 
@@ -250,14 +262,23 @@
         raise
 
 
+@fault("end-first")
+async def _end_first(exchange: _Exchange) -> None:
+    """End the answer, as if it were complete, inside the first event of this run."""
+    await _begin_event(exchange)
+    exchange.responder.end()
+
+
 async def _begin_event(exchange: _Exchange) -> None:
     """Send the head of an answer, and a part of the run's first event."""
     worker = exchange.worker
     worker.begin(exchange.request)
+    worker.begun.append(worker.ran[-1])
     after = int(exchange.request.head.headers.text(b"last-event-id") or 0)
     # No further events than up to there: only the head goes out.
     await worker.stream(exchange.request, exchange.responder, exchange.request_id, after)
-    exchange.responder.write(f"id: {after + 1}\ndata: tok".encode())
+    event = worker.event(after + 1, exchange.request_id)
+    exchange.responder.write(event[: worker.begun_bytes])
 
 
 @fault("two-ids")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,8 +58,12 @@
     bad = 0
     with ProcessPoolExecutor(jobs) as pool:
         for outcome, folder in pool.map(_one, wanted, sizes):
+            fresh, resumed = outcome.followed
             verdict = f"BROKEN, logs in {folder}" if outcome.broken else "held"
-            click.echo(f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}")
+            click.echo(
+                f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}, "
+                f"followed when cut in a first event: {fresh} fresh, {resumed} resumed"
+            )
             for line in [*outcome.broken[:20], *(outcome.faults if outcome.broken else [])]:
                 click.echo(f"  {line}")
             bad += bool(outcome.broken)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 
 from fielddrift_standins.deployment import KEY
 
-__all__ = ["EVENTS", "KINDS", "Attempt", "Caller", "Kind"]
+__all__ = ["EVENTS", "KINDS", "TALK", "Attempt", "Caller", "Kind"]
 
 EVENTS = 12
 """Events of each stream."""
@@ -43,6 +43,8 @@
     Kind("chat", repeatable=True, streams=True),
     Kind("verdict", repeatable=False, streams=True),
 )
+TALK = Kind("talk", repeatable=True, streams=True)
+"""As a chat, with more attempts; in place of some where a fault asks, so that draws stay."""
 
 
 class Attempt:
@@ -98,7 +100,10 @@
         directories: Callable[[], Sequence[str]],
         rng: random.Random,
         attempts: list[Attempt],
+        talks: Callable[[], bool],
     ) -> None:
+        self._talks = talks
+        self._chats = 0
         self._directories = directories
         self._rng = rng
         self._attempts = attempts
@@ -112,7 +117,7 @@
         """Send until cancelled."""
         while True:
             await asyncio.sleep(self._rng.expovariate(1 / pause()))
-            attempt = Attempt(kind=self._rng.choice(KINDS), now=self._loop.time())
+            attempt = Attempt(kind=self._kind(), now=self._loop.time())
             self._attempts.append(attempt)
             try:
                 async with asyncio.timeout(_PATIENCE_MS / 1000 + 1.0):
@@ -122,6 +127,13 @@
             finally:
                 attempt.ended_at = self._loop.time()
 
+    def _kind(self) -> Kind:
+        kind = self._rng.choice(KINDS)
+        if kind.route != "chat" or not self._talks():
+            return kind
+        self._chats += 1
+        return kind if self._chats % 3 == 0 else TALK
+
     async def _send(self, attempt: Attempt) -> None:
         connection = await self._connection()
         attempt.address = connection.address
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,12 +9,16 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from fielddrift_standins.worker import Worker
+
 from .links import Harm, Link
 from .machines import Machine
 from .site import Site
 
 __all__ = ["FAULTS", "Fault"]
 
+_BEGIN_LOOK_SECONDS = 0.01
+"""Time between looks for a run that has begun its first event."""
 _Work = Callable[[Site, random.Random], Awaitable[None]]
 
 
@@ -354,3 +358,71 @@
     if name not in site.outside.leaving_at:
         site.outside.dismiss(name)
     await _lasting(rng, 2.0, 3.0)
+
+
+# --- runs that break off inside their first event ---------------------------------------
+
+
+def _some_engines(site: Site, rng: random.Random, least: int = 1) -> list[Worker]:
+    """Return some of the engines, one less than all at most."""
+    names = site.outside.serving("engines")
+    count = rng.randint(least, max(least, len(names) - 1))
+    return [site.outside.workers[name] for name in rng.sample(names, k=min(count, len(names)))]
+
+
+async def _first_event_lost(site: Site, rng: random.Random, engines: list[Worker]) -> None:
+    """Let engines that were given faults meet chats with some attempts more."""
+    site.talks += 1
+    for engine in engines:
+        engine.begun_bytes = rng.randint(1, 24)
+    await _lasting(rng, 1.0, 3.0)
+    for engine in engines:
+        engine.faults.clear()
+    site.talks -= 1
+
+
+@fault("engines break off inside their first event")
+async def _cut_first(site: Site, rng: random.Random) -> None:
+    engines = _some_engines(site, rng)
+    for engine in engines:
+        ways = ["cut-first", "cut-first", "end-first", "silent-first"]
+        engine.faults += [rng.choice(ways) for _ in range(rng.randint(3, 12))]
+    await _first_event_lost(site, rng, engines)
+
+
+@fault("engines that resume break off inside their first event")
+async def _cut_resumed(site: Site, rng: random.Random) -> None:
+    engines = _some_engines(site, rng, least=2)
+    for engine in engines:
+        ways = ["cut-event", "cut-event", "cut-first", "end-first", "silent-first"]
+        engine.faults += [rng.choice(ways) for _ in range(rng.randint(6, 12))]
+    await _first_event_lost(site, rng, engines)
+
+
+@fault("engines go down or lose their links inside a first event")
+async def _lost_first(site: Site, rng: random.Random) -> None:
+    engines = _some_engines(site, rng)
+    for engine in engines:
+        engine.faults += ["silent-first"] * rng.randint(2, 6)
+    losses = [asyncio.ensure_future(_lose_in_event(site, rng, engine)) for engine in engines]
+    await _first_event_lost(site, rng, engines)
+    for loss in losses:
+        loss.cancel()
+
+
+async def _lose_in_event(site: Site, rng: random.Random, engine: Worker) -> None:
+    """Harm an engine while a run there is inside its first event."""
+    link = site.outside.links[engine.name]
+    while not engine.closed:
+        seen = len(engine.begun)
+        while len(engine.begun) == seen:
+            await asyncio.sleep(_BEGIN_LOOK_SECONDS)
+        await asyncio.sleep(rng.uniform(0.0, 0.15))
+        loss = rng.choice(["reset", "silence", "crash"])
+        others = [name for name in site.outside.serving("engines") if name != engine.name]
+        if loss == "reset":
+            link.reset()
+        elif loss == "silence":
+            link.silence()
+        elif len(others) > 1 and not engine.closed and engine.name not in site.outside.leaving_at:
+            site.outside.crash(engine.name)
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -48,6 +48,8 @@
 
     def __init__(self) -> None:
         super().__init__()
+        more = {"allow-resume": True, "max-attempts": 4}
+        self.routes.append(route("talk", _ENGINES, "streaming", **more))
         self.links: dict[str, Link] = {}
         self.ended: list[Worker] = []
         self.changes: list[Change] = []
@@ -120,6 +122,7 @@
             version=self.named,
         )
         worker.load_seconds = _LOAD_SECONDS
+        worker.signed = True
         address = f"{HOST}:{free_port()}"
         host, _, port = address.rpartition(":")
         await worker.start(host, int(port))
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,7 +12,7 @@
 from .callers import EVENTS, Attempt
 from .outside import Arrival, Change
 
-__all__ = ["PROMISES", "Evidence", "Probe", "Span", "broken"]
+__all__ = ["PROMISES", "Evidence", "Followed", "Probe", "Span", "broken"]
 
 _NOT_RUN = (408, 421, 429, 503)
 _NOT_ALLOWED = (401, 403, 404)
@@ -25,7 +25,7 @@
 """Time after which nothing may begin on outdated weights: `version-ms` of the nodes' settings."""
 _WEIGHTS_SLACK = 0.3
 """Time that a send may be under way on a busy machine."""
-_EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: token \1 of (\S+) at (\S+)\n\n")
 _CROSSING_SECONDS = 0.3
 """A request that nobody passed on, and whose connection closed so soon, crossed that close."""
 _TOUCH_SECONDS = 3.0
@@ -54,6 +54,13 @@
     what: str
 
 
+class Followed(NamedTuple):
+    """Runs that broke off inside their first event, and that another run followed."""
+
+    fresh: int
+    resumed: int
+
+
 class Evidence(NamedTuple):
     """All that was seen."""
 
@@ -76,6 +83,14 @@
                 found[ran.request_id].append((worker, ran))
         return found
 
+    def followed(self) -> Followed:
+        """Return how many runs broke off inside their first event and were followed."""
+        ran = self.ran()
+        begun = [run for worker in self.workers for run in worker.begun]
+        runs = [run for run in begun if any(r.at > run.at for _, r in ran[run.request_id])]
+        resumed = sum("last-event-id" in run.headers for run in runs)
+        return Followed(len(runs) - resumed, resumed)
+
     def disturbed(self, began: float, ended: float) -> bool:
         """Return whether unplanned trouble, or its after-effects, touched the time."""
         return any(
@@ -132,17 +147,40 @@
             yield f"{attempt.id}: body {attempt.answer[:60]!r}"
 
 
-@promise("events come in order, none twice, none missing")
+@promise("events come in order, none twice, none missing, each as one run made it")
 def _events(evidence: Evidence) -> Iterator[str]:
+    ran = evidence.ran()
     for attempt in evidence.attempts:
         if attempt.status != 200 or not attempt.kind.streams:
             continue
-        numbers = [int(number) for number, _ in _EVENT.findall(attempt.answer)]
+        made = _EVENT.findall(attempt.answer)
+        numbers = [int(number) for number, _, _ in made]
         if numbers != list(range(1, len(numbers) + 1)):
             yield f"{attempt.id}: events {numbers}"
-        rest = _EVENT.sub(b"", attempt.answer)
-        if attempt.whole and (len(numbers) != EVENTS or rest):
-            yield f"{attempt.id}: complete with {len(numbers)} of {EVENTS} events, rest {rest!r}"
+        # An answer that is cut is no excuse: only whole events are handed on.
+        if rest := _EVENT.sub(b"", attempt.answer):
+            yield f"{attempt.id}: bytes that are no event of a run: {rest[:60]!r}"
+        if attempt.whole and len(numbers) != EVENTS:
+            yield f"{attempt.id}: complete with {len(numbers)} of {EVENTS} events"
+        yield from _runs_of(attempt, made, ran.get(attempt.id, []))
+
+
+def _runs_of(
+    attempt: Attempt, made: list[tuple[bytes, bytes, bytes]], runs: list[tuple[Worker, Ran]]
+) -> Iterator[str]:
+    """Compare where an answer's events were made with where its runs began."""
+    begins = Counter((w.name, int(r.headers.get("last-event-id") or 0)) for w, r in runs)
+    before = ""
+    for number, of, at in made:
+        name = at.decode("latin-1")
+        if of.decode("latin-1") != attempt.id:
+            yield f"{attempt.id}: event {int(number)} is of {of!r}"
+        if name != before:
+            begin = (name, int(number) - 1)
+            if not begins[begin]:
+                yield f"{attempt.id}: no run at {name} began with event {int(number)}"
+            begins[begin] -= 1
+        before = name
 
 
 @promise("work that may run once runs once")
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -11,7 +11,7 @@
 from .callers import Attempt, Caller
 from .faults import FAULTS
 from .machines import Machine
-from .promises import Evidence, Probe, Span, broken
+from .promises import Evidence, Followed, Probe, Span, broken
 from .site import Site, status_of
 
 __all__ = ["Outcome", "Scene", "Size", "run"]
@@ -47,6 +47,7 @@
     broken: list[str]
     attempts: int
     answered: int
+    followed: Followed
     faults: list[str]
 
 
@@ -72,6 +73,7 @@
                 directories=lambda: [m.directory for m in self._some_machines()],
                 rng=random.Random(self._rng.random()),
                 attempts=self._attempts,
+                talks=lambda: self._site.talks > 0,
             )
             pause = lambda: _CALLER_PAUSE_SECONDS * self._site.pace  # noqa: E731
             self._tasks.append(asyncio.ensure_future(caller.run(pause)))
@@ -99,7 +101,8 @@
         """Return what was seen."""
         answered = sum(1 for a in self._attempts if a.whole and a.status == 200)
         names = [f"{span.began:.1f} {span.name}" for span in self._spans]
-        return Outcome(seed, broken(self.evidence()), len(self._attempts), answered, names)
+        seen = self.evidence()
+        return Outcome(seed, broken(seen), len(self._attempts), answered, seen.followed(), names)
 
     def close(self) -> None:
         """End everything that was started here."""
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -31,6 +31,11 @@
 
 _ENDLESS = "a stream that broke off behind its last event was resumed, and cut for want of more"
 
+_CUT_FIRST = ("engines break off inside their first event",)
+_CUT_RESUMED = ("engines that resume break off inside their first event",)
+_LOST_FIRST = ("engines go down or lose their links inside a first event",)
+_JOINED = "a run that broke off inside its first event left bytes, which the next run's were put to"
+
 FAILED_ONCE = (
     FailedSeed(2966062626, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
     FailedSeed(2859916874, f"{_CROSSED}; then a process that was stopped while it still loaded"),
@@ -38,4 +43,11 @@
     FailedSeed(3074321362, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
     FailedSeed(198707910, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
     FailedSeed(3692809491, _COUNTED_ANEW, _KILLED_LOADING, 3.0),
+    FailedSeed(492340097, _JOINED, _CUT_FIRST),
+    FailedSeed(3576124957, _JOINED, _CUT_FIRST),
+    FailedSeed(2717481123, _JOINED, _CUT_FIRST),
+    FailedSeed(4100735038, _JOINED, _CUT_RESUMED),
+    FailedSeed(4117352822, _JOINED, _CUT_RESUMED),
+    FailedSeed(692747074, _JOINED, _LOST_FIRST),
+    FailedSeed(510775832, _JOINED, _LOST_FIRST),
 )
--- a/soak/site.py
+++ b/soak/site.py
@@ -23,6 +23,8 @@
         self.outside = Outside()
         self.pace = 1.0
         """Callers' rests are this part of their usual ones."""
+        self.talks = 0
+        """Faults under way that send most chats to the route with more attempts."""
         self._folder = folder
         self._net = Net(rng=random.Random())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,21 +5,26 @@
 import asyncio
 import tempfile
 import unittest
+from collections.abc import Iterable
 from pathlib import Path
 
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Ran, Worker
 
-from soak.callers import EVENTS, KINDS, Attempt, Kind
+from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind
 from soak.faults import FAULTS
 from soak.links import Harm, Link
 from soak.outside import Arrival
-from soak.promises import PROMISES, Evidence, Probe, Span, broken
+from soak.promises import PROMISES, Evidence, Followed, Probe, Span, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
 
 SEED = 7
-SHORT = Size(nodes=3, callers=8, seconds=6.0)
+SHORT = Size(nodes=3, callers=8, seconds=6.0, kinds=tuple(FAULTS)[:30])
+"""With the kinds that there were when its seed was chosen."""
+CUT_RESUMED = SHORT._replace(
+    callers=16, seconds=8.0, kinds=("engines that resume break off inside their first event",)
+)
 SAFE, UNSAFE, CHAT, VERDICT = KINDS
 
 
@@ -30,15 +35,26 @@
     made.seal = f"{worker}.{made.id}"
     made.answer = f"answer of {worker}".encode()
     if kind.streams:
-        made.answer = events(range(1, EVENTS + 1))
+        made.answer = events(made.id, worker, range(1, EVENTS + 1))
     for name, value in changes.items():
         setattr(made, name, value)
     return made
 
 
-def events(numbers: object) -> bytes:
+def events(request_id: str, worker: str, numbers: Iterable[int]) -> bytes:
     """Return the bytes of events."""
-    return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in numbers)  # type: ignore[attr-defined]
+    signed = Worker(name=worker)
+    signed.signed = True
+    return b"".join(signed.event(number, request_id) for number in numbers)
+
+
+def stream(*runs: Iterable[int], kind: Kind = CHAT, **changes: object) -> Attempt:
+    """Return an attempt whose events were made by `engines-1` and `engines-2` in turn."""
+    made = attempt(kind, "engines-1", **changes)
+    made.answer = b""
+    for turn, numbers in enumerate(runs):
+        made.answer += events(made.id, f"engines-{turn % 2 + 1}", numbers)
+    return made
 
 
 def ran(made: Attempt, at: float = 10.05, **changes: str) -> Ran:
@@ -74,9 +90,9 @@
         foreign = evidence(attempt(SAFE, seal="plain-1.other"))
         self.assertEqual(self.seen(foreign), {own})
         self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
-        gap = attempt(CHAT, "engines-1", answer=events([1, 3]), whole=False)
+        gap = stream([1, 3], whole=False)
         self.assertEqual(self.seen(evidence(gap)), {order})
-        short = attempt(CHAT, "engines-1", answer=events(range(1, EVENTS)))
+        short = stream(range(1, EVENTS))
         self.assertEqual(self.seen(evidence(short)), {order})
         twice = evidence(attempt(UNSAFE))
         twice.workers[0].ran.append(ran(twice.attempts[0]))
@@ -127,6 +143,59 @@
         self.assertEqual(self.seen(unserved), {again})
         self.assertEqual(self.seen(evidence(faults_of_ours=["n1 ended by itself"])), {ours})
 
+    async def test_an_event_that_no_run_made_is_seen(self) -> None:
+        order = list(PROMISES)[1]
+        for kind, whole in ((CHAT, True), (CHAT, False), (TALK, True), (TALK, False)):
+            made = attempt(kind, "engines-1", whole=whole)
+            one, rest = events(made.id, "engines-1", [1]), made.answer
+            wrong = {
+                "joined": one[:15] + rest,
+                "joined within the lines' ends": one[:-1] + rest,
+                "joined behind whole ones": rest.replace(b"id: 3\n", b"id: 3\ndata: tokid: 3\n"),
+                "a part at the end": rest + one[:15],
+                "changed": rest.replace(b"token 5 ", b"token 6 "),
+                "doubled": one + rest,
+                "missing": rest.replace(one, b""),
+                "out of order": events(made.id, "engines-1", [2, 1]),
+                "of another request": rest.replace(one, events("r0", "engines-1", [1])),
+                "made where it did not run": rest.replace(one, events(made.id, "engines-9", [1])),
+            }
+            for name, answer in wrong.items():
+                made.answer = answer
+                with self.subTest(name, route=kind.route, whole=whole):
+                    self.assertEqual(self.seen(evidence(made)), {order})
+
+    async def test_runs_must_go_on_behind_the_last_event(self) -> None:
+        order = list(PROMISES)[1]
+        rest = range(4, EVENTS + 1)
+        for kind, runs, after, expected in (
+            (CHAT, ([1, 2, 3], rest), "3", set()),
+            (TALK, ([1, 2, 3], rest), "3", set()),
+            (TALK, ([], range(1, EVENTS + 1)), "", set()),
+            (CHAT, ([1, 2, 3], rest), "2", {order}),
+            (TALK, ([1, 2, 3], rest), "", {order}),
+            (TALK, ([1, 2, 3], [4], range(5, EVENTS + 1)), "3", {order}),
+        ):
+            made = stream(*runs, kind=kind)
+            found = evidence(made)
+            second = Worker(name="engines-2")
+            second.ran.append(ran(made, **{"last-event-id": after}))
+            found.workers.append(second)
+            with self.subTest(route=kind.route, runs=runs, after=after):
+                self.assertEqual(self.seen(found), expected)
+
+    async def test_a_cut_answer_of_whole_events_breaks_nothing(self) -> None:
+        for kind in (CHAT, TALK):
+            self.assertEqual(broken(evidence(stream([1, 2], kind=kind, whole=False))), [])
+
+    async def test_runs_that_were_followed_are_counted(self) -> None:
+        fresh, resumed, last = attempt(CHAT), attempt(TALK), attempt(TALK)
+        found = evidence(fresh, resumed, last)
+        engine = found.workers[1]
+        engine.begun += [ran(fresh, 10.01), ran(resumed, 10.02, **{"last-event-id": "2"})]
+        engine.begun.append(ran(last, 10.06))
+        self.assertEqual(found.followed(), Followed(fresh=1, resumed=1))
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -186,6 +255,12 @@
         self.assertEqual(outcome.broken, [], outcome.faults)
         self.assertGreater(outcome.answered, 0)
 
+    def test_a_short_soak_of_runs_cut_in_their_first_event_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SEED, CUT_RESUMED, Path(folder)))
+        self.assertEqual(outcome.broken, [], outcome.faults)
+        self.assertGreater(sum(outcome.followed), 0)
+
     def test_failed_seeds_have_a_cause_and_faults_of_both_kinds_are_known(self) -> None:
         self.assertTrue(all(failed.cause for failed in FAILED_ONCE))
         self.assertEqual({fault.planned for fault in FAULTS.values()}, {True, False})
