Take a caller that lacks only an answer's end for what it is

Cause: only events of this answer set the mark behind which a run goes on; the id with which the caller came back did not. An engine that had nothing left to send was taken for one that broke off: the request was sent as often as its route allows and refused with 502, and each engine counted as failing. The mark is also what leaves out events that an engine repeats. Both tests were seen failing without the change.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -52,6 +52,15 @@
     return head.status == 200 and head.length is None
 
 
+def _mark(call: Call) -> str:
+    """Return the id of the last event that the caller has of an earlier answer, empty for none.
+
+    Without it, a caller that lacks only the end of an answer would be refused: the
+    empty rest looks like a run that broke off.
+    """
+    return call.ask.resume_after if call.route.resumable else ""
+
+
 class Generation:
     """Serve prompts on engines."""
 
@@ -103,7 +112,7 @@
     async def _try(self, call: Call, choice: EngineChoice, *, after: str, more: bool) -> _Run:
         tools = self._tools
         send = self._send(call, choice, after)
-        cutter = call.trace.send_events(after=after)
+        cutter = call.trace.send_events(after=after or _mark(call))
         name = choice.instance.name
         self._begin(call, choice, send)
         began = asyncio.get_running_loop().time()
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -301,6 +301,17 @@
     exchange.responder.cut()
 
 
+@fault("repeat")
+async def _repeat(exchange: _Exchange) -> None:
+    """Answer with all events, also those behind which the request asks to go on."""
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    exchange.responder.start(200, Headers([*worker.head(exchange.request_id), *_EVENTS]), None)
+    for number in range(1, worker.events + 1):
+        exchange.responder.write(worker.event(number, exchange.request_id))
+    exchange.responder.end()
+
+
 @fault("cut-end")
 async def _cut_end(exchange: _Exchange) -> None:
     worker = exchange.worker
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -203,6 +203,19 @@
             self.assertEqual(answer.headers.get("whole"), "yes")
         self.assertGreater(len(self.one.ran + self.two.ran), 6)
 
+    async def test_a_caller_that_lacks_only_the_end_gets_it(self) -> None:
+        """Each engine ended such an answer well, and counted as failing for it."""
+        answer = await ask(self.node, "/chat/x", Last_Event_Id="5", **prompt())
+        self.assertEqual((answer.status, answer.body), (200, b""))
+        self.assertEqual(answer.headers.get("whole"), "yes")
+        self.assertEqual(len(self.one.ran + self.two.ran), 1)
+
+    async def test_an_engine_that_repeats_what_a_caller_has_is_not_passed_on(self) -> None:
+        self.one.faults = self.two.faults = ["repeat"]
+        answer = await ask(self.node, "/chat/x", Last_Event_Id="3", **prompt())
+        self.assertEqual(self._events(answer.body), [4, 5])
+        self.assertEqual(answer.headers.get("whole"), "yes")
+
     async def test_a_failure_instead_of_the_rest_never_gets_into_the_stream(self) -> None:
         for number in range(4):
             first, second = (self.one, self.two) if number % 2 else (self.two, self.one)
