Read a kept connection on after a slow reader, and count a given-up connect once

A reader that was slower than its target paused the connection; the answer came whole, the connection was at rest, and the next exchange on it got nothing. And a connect that was given up in the moment in which it came up was counted off twice, so that a target got more connections than it takes.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -200,6 +200,8 @@
             # be taken for another request.
             self.close()
         self.idle_since = self._loop.time()
+        # Its reader may have held it up; the next exchange must not wait for that one.
+        self.resume_reading()
         if self._sound:
             # It is at rest before whoever waits for the answer sends again; what
             # else stands in the bytes at hand has spoilt it by then.
@@ -265,6 +267,8 @@
     def completed(self) -> None:
         """Note the end of a whole answer."""
         self._complete = True
+        # The connection may carry another exchange from now on.
+        self._connection = None
         self._changed.set()
 
     def failed(self, error: ExchangeError) -> None:
@@ -402,24 +406,27 @@
         loop = asyncio.get_running_loop()
         self._open[address] = self._open.get(address, 0) + 1
         self._opened(address)
+        connection: _Connection | None = None
+
+        def made() -> _Connection:
+            nonlocal connection
+            connection = _Connection(
+                rested=lambda c: self._rested(address, c),
+                lost=lambda c: self._lost(address, c),
+            )
+            return connection
+
         try:
             async with asyncio.timeout(seconds):
-                _, connection = await loop.create_connection(
-                    lambda: _Connection(
-                        rested=lambda c: self._rested(address, c),
-                        lost=lambda c: self._lost(address, c),
-                    ),
-                    host,
-                    int(port),
-                )
+                _, found = await loop.create_connection(made, host, int(port))
         except (OSError, TimeoutError) as error:
-            self._drop(address)
             detail = f"{address}: no connection: {error or 'timeout'}"
             raise ExchangeError(detail, sent=False, reason="connect") from None
-        except asyncio.CancelledError:
-            self._drop(address)
-            raise
-        return connection
+        finally:
+            # One that was made, and then given up, is counted off when it is lost.
+            if connection is None:
+                self._drop(address)
+        return found
 
     def _rested(self, address: str, connection: _Connection) -> None:
         if connection.usable:
