Write no word for the next request into an answer that is under way

A caller that sent a second request with `Expect: 100-continue` on its connection got `100 Continue` between the chunks of the first answer, which no parser takes. It is sent once the answers before it are out. The test was seen failing.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -252,6 +252,8 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._in_message = False
+        self._expects = False
+        """Whether the request that is being read waits for a word before its body."""
         self._begin()
 
     # --- state --------------------------------------------------------------
@@ -359,8 +361,8 @@
             raise _BadRequest(413, f"body: {int(length)} bytes announced")
         if not self._url.startswith(b"/"):
             raise _BadRequest(400, f"request target {self._url[:40]!r}: expected a path")
-        if (fields.get(b"expect") or b"").lower() == b"100-continue":
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._expects = (fields.get(b"expect") or b"").lower() == b"100-continue"
+        self._go_on()
 
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
@@ -378,6 +380,7 @@
             http_1_0=http_1_0,
         )
         self._in_message = False
+        self._expects = False
         self._head_size = 0
         self._head_done = False
         self._queue.append(Request(head, b"".join(self._body), self._arrived))
@@ -389,6 +392,15 @@
 
     # --- handling -----------------------------------------------------------
 
+    def _go_on(self) -> None:
+        """Tell the caller to send the body that it holds back, once that would stand alone.
+
+        Written while an earlier request is answered, it would be taken for a part of that answer.
+        """
+        if self._expects and self._task is None and not self._queue:
+            self._expects = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _next(self) -> None:
         if self._task is not None or not self._queue or self._transport is None:
             return
@@ -418,6 +430,7 @@
         elif self._close_soon or (self.closing and not self._queue and not self._in_message):
             self._transport.close()
         else:
+            self._go_on()
             self._next()
 
     def _fail(self, fault: _BadRequest) -> None:
