Let what wakes the reader of targets during a reading lead to another one

The event was cleared behind the reading. So after a pause of the process a reading that was under way before it counted as the one that was asked for after it: a leaving target could get work for another turn. The test was seen failing.

--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -64,6 +64,9 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
+            # Cleared before the turn: what it is woken for meanwhile, such as the end of
+            # a pause of this process, is no concern of the reading under way.
+            self._wake.clear()
             try:
                 seconds = await self._turn()
             except HistoryGone:
@@ -75,7 +78,6 @@
                 self._give_up("nobody", away=True)
                 await self._rest(error)
                 continue
-            self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds):
                     await self._wake.wait()
