Tell prompts that wait apart, also where callers chose one id for two

The second took the first one's place in line; the first looked in vain until it was refused, and whichever left took the other along.

--- a/packages/core/src/fielddrift_core/waiting.py
+++ b/packages/core/src/fielddrift_core/waiting.py
@@ -47,21 +47,22 @@
     """The prompts of one service that wait at this node.  Not safe for threads.
 
     The more urgent rank comes first, within a rank whoever would be late first.
+    Callers choose the ids of their requests, so two that wait may have the same one.
     """
 
     def __init__(self) -> None:
-        self._waiters: dict[str, Waiter] = {}
+        self._waiters: dict[int, Waiter] = {}
 
     def __len__(self) -> int:
         return len(self._waiters)
 
     def add(self, waiter: Waiter) -> None:
         """Put a prompt in line."""
-        self._waiters[waiter.request] = waiter
+        self._waiters[id(waiter)] = waiter
 
-    def remove(self, request: str) -> None:
+    def remove(self, waiter: Waiter) -> None:
         """Take a prompt out."""
-        self._waiters.pop(request, None)
+        self._waiters.pop(id(waiter), None)
 
     def first(self) -> Waiter | None:
         """Return whose turn it is, None when nobody waits."""
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -132,7 +132,7 @@
         self._tools.told()
         try:
             while (left := due - loop.time()) > 0:
-                await room.turn(waiter.request, min(left, _LOOK_SECONDS))
+                await room.turn(waiter, min(left, _LOOK_SECONDS))
                 if room.line.first() is not waiter:
                     continue
                 fitting = self._fitting(call, attempts.tried)
@@ -140,7 +140,7 @@
                     return fitting
         finally:
             call.trace.held += loop.time() - began
-            room.line.remove(waiter.request)
+            room.line.remove(waiter)
             workload.end(name, waiter.request)
             room.wake()
         return self._waited_in_vain(call, attempts, loop.time() - began)
--- a/packages/node/src/fielddrift_node/serving/rooms.py
+++ b/packages/node/src/fielddrift_node/serving/rooms.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 
-from fielddrift_core.waiting import Line, Turnover
+from fielddrift_core.waiting import Line, Turnover, Waiter
 
 __all__ = ["Room", "Rooms"]
 
@@ -16,24 +16,23 @@
     def __init__(self) -> None:
         self.line = Line()
         self.turnover = Turnover()
-        self._woken: dict[str, asyncio.Event] = {}
+        self._woken: dict[int, asyncio.Event] = {}
 
-    async def turn(self, request: str, seconds: float) -> None:
-        """Wait until it may be the turn of `request`, for `seconds` at most."""
-        event = self._woken.setdefault(request, asyncio.Event())
-        event.clear()
+    async def turn(self, waiter: Waiter, seconds: float) -> None:
+        """Wait until it may be the turn of `waiter`, for `seconds` at most."""
+        event = self._woken[id(waiter)] = asyncio.Event()
         try:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds):
                     await event.wait()
         finally:
-            self._woken.pop(request, None)
+            del self._woken[id(waiter)]
 
     def wake(self) -> None:
         """Let whoever is first look for room."""
         first = self.line.first()
-        if first is not None and first.request in self._woken:
-            self._woken[first.request].set()
+        if first is not None and id(first) in self._woken:
+            self._woken[id(first)].set()
 
 
 class Rooms:
--- a/tests/test_room_line.py
+++ b/tests/test_room_line.py
@@ -65,7 +65,7 @@
         order = []
         while (first := line.first()) is not None:
             order.append(first.request)
-            line.remove(first.request)
+            line.remove(first)
         self.assertEqual(order, ["urgent", "soon", "late"])
 
     def test_a_newcomer_counts_those_before_it(self) -> None:
