Take back what an engine that turned a prompt away was to keep and to save

The part counted as being saved for seconds, so the engine that read it saved nothing; and the first engine was taken to hold it. Found with it: an answer that is no stream and breaks off was logged as a fault of the node, and its engine did not count as failing. Odd events are counted by all that shows in an event's lines: the incident's own bytes, joined inside the id or the data, went uncounted.

--- a/packages/core/src/fielddrift_core/memory.py
+++ b/packages/core/src/fielddrift_core/memory.py
@@ -35,6 +35,12 @@
             _, tokens = held.popitem(last=False)
             total -= tokens
 
+    def not_sent(self, engine: str, salt: str, parts: Iterable[str]) -> None:
+        """Forget `parts`, by id, of a prompt that `engine` turned away."""
+        held = self._held.get(engine, OrderedDict())
+        for part in parts:
+            held.pop((salt, part), None)
+
     def parts(self, engine: str, salt: str) -> frozenset[str]:
         """Return the ids of parts that `engine` probably has under `salt`."""
         return frozenset(part for s, part in self._held.get(engine, ()) if s == salt)
--- a/packages/core/src/fielddrift_core/store_index.py
+++ b/packages/core/src/fielddrift_core/store_index.py
@@ -227,6 +227,10 @@
         self._saving[(salt, part.id)] = _Saving(address, now + _SAVING_SECONDS)
         return self._views[address].traits
 
+    def not_saved(self, salt: str, part: str) -> None:
+        """Forget the save of a part, by id: the engine that was to make it turned it away."""
+        self._saving.pop((salt, part), None)
+
     def _nearness(self, view: StoreView, data_centre: str) -> float:
         return _NEAR_FACTOR if view.traits.data_centre == data_centre else 1.0
 
--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -135,7 +135,7 @@
         self._rest = b""
         self._last = after
         self._events = 0
-        self._joined = 0
+        self._odd = 0
         self._marked = True
 
     @property
@@ -149,9 +149,12 @@
         return self._events
 
     @property
-    def joined(self) -> int:
-        """Return how many ids more than events were handed on: no engine makes such events."""
-        return self._joined
+    def odd(self) -> int:
+        """Return how many events, at least, had not just one numbered id and one line of data.
+
+        Where bytes of two events went out as one, it is so, unless they fit in one line.
+        """
+        return self._odd
 
     @property
     def marked(self) -> bool:
@@ -179,7 +182,9 @@
             ids = _ID_LINE.findall(ready)
         events = ready.count(b"\n\n")
         self._events += events
-        self._joined += max(0, len(ids) - events)
+        lines = ready.count(b"\ndata:") + ready.startswith(b"data:")
+        unnumbered = sum(not number.isdigit() for number in ids)
+        self._odd += max(abs(len(ids) - events), abs(lines - events), unnumbered)
         self._marked = self._marked and len(ids) >= events
         if ids:
             # Of repeated events nothing is left; they must not set the mark back.
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -42,8 +42,8 @@
 
     events: int
     """Events handed on."""
-    joined: int
-    """Ids among them that are too many: bytes of two events went out as one."""
+    odd: int
+    """Those of them that have not just one numbered id and one line of data."""
     last: str
     """The id of the last of them, cut at a length; empty for none."""
     partial_bytes: int
@@ -81,8 +81,8 @@
         """What cuts the answer of the last send into events, None for a plain request."""
         self.events_before = 0
         """Events that were handed on before the last send."""
-        self.joined_before = 0
-        """The ids among them that are too many."""
+        self.odd_before = 0
+        """Those of them that are odd."""
 
     @property
     def broke_inside(self) -> bool:
@@ -93,7 +93,7 @@
         """Return what cuts the answer of the next send into events, behind the id `after`."""
         if self.cutter is not None:
             self.events_before += self.cutter.events
-            self.joined_before += self.cutter.joined
+            self.odd_before += self.cutter.odd
         self.cutter = EventCutter(after=after)
         return self.cutter
 
@@ -104,7 +104,7 @@
             return {}
         return {
             "events": self.events_before + cutter.events,
-            "joined": self.joined_before + cutter.joined,
+            "odd": self.odd_before + cutter.odd,
             "last": short_id(cutter.last),
             "partial_bytes": cutter.partial_bytes,
             "runs": self.runs,
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -37,6 +37,14 @@
 _log = structlog.get_logger()
 
 
+class _Ordered(NamedTuple):
+    """What a send gives its engine to keep and to save, by the ids of parts."""
+
+    salt: str
+    kept: list[str]
+    saved: list[str]
+
+
 class _Run(NamedTuple):
     choice: EngineChoice
     exchange: Exchange
@@ -80,7 +88,7 @@
             responder.start(run.head.status, headers, run.head.length)
             responder.write(run.first)
             if not _streams(run.head):
-                await self._relay_plain(run, responder)
+                await self._relay_plain(call, run, responder, attempts)
                 return
             while not await self._relay(call, run, responder, attempts):
                 self._ended(call, run)
@@ -114,7 +122,7 @@
         send = self._send(call, choice, after)
         cutter = call.trace.send_events(after=after or _mark(call))
         name = choice.instance.name
-        self._begin(call, choice, send)
+        ordered = self._begin(call, choice, send)
         began = asyncio.get_running_loop().time()
         watch = self._watch(call, send)
         exchange: Exchange | None = None
@@ -131,6 +139,10 @@
             raise TryFailed(detail, reason=reason, reached=True, not_run=False) from None
         except ExchangeError as error:
             raise TryFailed(str(error), reason="cut", reached=True, not_run=False) from None
+        except TryFailed as failure:
+            if failure.not_run:
+                self._take_back(name, ordered)
+            raise
         finally:
             if not ok:
                 tools.views.workload.end(name, call.ask.request_id)
@@ -182,10 +194,20 @@
 
     # --- relaying -------------------------------------------------------------
 
-    async def _relay_plain(self, run: _Run, responder: Responder) -> None:
-        while data := await run.exchange.piece():
-            responder.write(data)
-            await responder.drained()
+    async def _relay_plain(
+        self, call: Call, run: _Run, responder: Responder, attempts: Attempts
+    ) -> None:
+        """Pass an answer on that is no stream; raise `Refused` where it breaks off."""
+        try:
+            while data := await run.exchange.piece():
+                responder.write(data)
+                await responder.drained()
+        except ExchangeError as error:
+            failure = TryFailed(str(error), reason="cut", reached=True, not_run=False)
+            self._learn(call, run.choice, failure)
+            attempts.failed(failure)
+            # A part of it went out: no other answer may follow.
+            raise attempts.exhausted(str(failure)) from None
         responder.end()
 
     async def _relay(self, call: Call, run: _Run, responder: Responder, attempts: Attempts) -> bool:
@@ -227,7 +249,7 @@
         assert call.ask.prompt is not None
         if not run.ended:
             run.ended.append(True)
-            self._tools.metrics.joined_events.inc(run.cutter.joined)
+            self._tools.metrics.odd_events.inc(run.cutter.odd)
             views.rooms.of(call.service.name).turnover.ended(
                 call.ask.prompt.tokens, now - run.began
             )
@@ -298,8 +320,8 @@
 
     # --- counting -------------------------------------------------------------
 
-    def _begin(self, call: Call, choice: EngineChoice, send: Send) -> None:
-        """Count the run, and the moves that it causes."""
+    def _begin(self, call: Call, choice: EngineChoice, send: Send) -> _Ordered:
+        """Count the run, and the moves that it causes; return what the engine is to keep."""
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
         views = self._tools.views
@@ -322,6 +344,19 @@
             views.links.add(view.traits.address, seconds, now)
         views.memory.sent(engine.name, send.salt, prompt.shared, traits.memory)
         self._tools.told()
+        kept = [part.id for part in prompt.shared if part.id not in held]
+        saves = zip(prompt.parts, send.fetch.saves, strict=True)
+        return _Ordered(send.salt, kept, [part.id for part, save in saves if save])
+
+    def _take_back(self, engine: str, ordered: _Ordered) -> None:
+        """Forget what an engine that turned a prompt away was to keep and to save.
+
+        Else the parts are read by the next engine and saved by none, for seconds.
+        """
+        views = self._tools.views
+        views.memory.not_sent(engine, ordered.salt, ordered.kept)
+        for part in ordered.saved:
+            views.store_index.not_saved(ordered.salt, part)
 
     def _heard_first(self, call: Call, choice: EngineChoice, began: float) -> None:
         """Learn from the time that the first event took."""
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -109,9 +109,9 @@
         self.outdated_sends = self._counter("outdated_sends", "prompts sent to older weights")
         self.retries = self._counter("retries", "sends that failed, by reason", "reason")
         self.cut_events = self._counter("cut_events", "runs that broke off inside an event")
-        self.joined_events = self._counter(
-            "joined_events",
-            "ids handed on beyond one an event: bytes of two events went out as one",
+        self.odd_events = self._counter(
+            "odd_events",
+            "events handed on with not just one numbered id and one line of data",
         )
         self.tokens = self._counter("prompt_tokens", "tokens of shared parts", "way")
         self.orders = self._counter("orders", "orders of weights", "outcome")
--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -121,9 +121,9 @@
             "run resumed", target=second, connection="new", after="2", first="3", weights=1,
             events_before=2, runs=2,
         )  # fmt: skip
-        self._told("request answered", events=5, joined=0, last="5", runs=2, partial_bytes=0)
+        self._told("request answered", events=5, odd=0, last="5", runs=2, partial_bytes=0)
         self.assertIn("fielddrift_cut_events_total 1.0", await self._figures())
-        self.assertIn("fielddrift_joined_events_total 0.0", await self._figures())
+        self.assertIn("fielddrift_odd_events_total 0.0", await self._figures())
 
     async def test_a_run_that_breaks_off_inside_its_first_event_is_told(self) -> None:
         await self._ask("cut-first")
@@ -136,8 +136,8 @@
 
     async def test_an_event_with_two_ids_is_counted(self) -> None:
         await self._ask("two-ids")
-        self._told("request answered", events=2, joined=1, last="2", runs=1)
-        self.assertIn("fielddrift_joined_events_total 1.0", await self._figures())
+        self._told("request answered", events=2, odd=1, last="2", runs=1)
+        self.assertIn("fielddrift_odd_events_total 1.0", await self._figures())
 
     async def test_an_answer_that_is_cut_tells_how_far_it_came(self) -> None:
         await self._ask("cut-event", "/verdict/x")
