Look at held events also when the missing one comes by itself

Cause: the sequencer held later events until another one came out of order; data that was in order went past what was held. A caller waited for events that had long come, and when the end mark had overtaken the last event its run never ended: after the stall limit it was taken for broken and sent again to another target, which got a failure noted against it. Both tests were seen failing without the change.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -68,7 +68,9 @@
         if not ready:
             return b""
         numbers = [int(n) for n in _NUMBER.findall(ready)]
-        if numbers == list(range(self._next, self._next + ready.count(b"\n\n"))):
+        expected = list(range(self._next, self._next + ready.count(b"\n\n")))
+        # Where events are held, one that comes in order may be what they wait for.
+        if not self._held and numbers == expected:
             self._count = self._checked_end(ready, numbers[-1])
             self._next += len(numbers)
             return ready
--- /dev/null
+++ b/tests/test_left_behind.py
@@ -0,0 +1,37 @@
+"""What one life, run, connection or reading leaves behind must not decide over the next one.
+
+State of one of them is at times kept in an object that outlives it: a sequencer, a
+note on a target, a mark of a pause, a row's version. Each test here shows such a
+place and what a caller or an operator saw of it.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from fielddrift_core.stream import EventSequencer
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def _end(count: int) -> bytes:
+    return b'event: end\nid: %d\ndata: {"count": %d}\n\n' % (count + 1, count)
+
+
+class SequencerTest(unittest.TestCase):
+    def test_an_end_mark_that_overtook_the_last_event_ends_the_run(self) -> None:
+        """What is held was not looked at when the missing event came by itself."""
+        sequencer = EventSequencer()
+        out = sequencer.feed(_event(1))
+        out += sequencer.feed(_end(2))
+        out += sequencer.feed(_event(2))
+        self.assertEqual(out, _event(1) + _event(2) + _end(2))
+        self.assertTrue(sequencer.whole)
+
+    def test_held_events_go_on_with_the_one_they_waited_for(self) -> None:
+        """They waited for any later event; where none comes soon the caller waits too."""
+        sequencer = EventSequencer()
+        sequencer.feed(_event(2) + _event(3))
+        self.assertEqual(sequencer.feed(_event(1)), _event(1) + _event(2) + _event(3))
