Refuse a held event behind the end mark

Cause: when several held events were released at once, each was checked against the end mark of the feeds before and not against one among them. A caller got an event behind its end mark, and the run counted as not ended and was resumed. Nothing of such a feed is handed on now. The test was seen failing without the change.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -71,7 +71,7 @@
         expected = list(range(self._next, self._next + ready.count(b"\n\n")))
         # Where events are held, one that comes in order may be what they wait for.
         if not self._held and numbers == expected:
-            self._count = self._checked_end(ready, numbers[-1])
+            self._count = _checked_end(ready, numbers[-1], self._count)
             self._next += len(numbers)
             return ready
         return self._put_right(ready)
@@ -93,7 +93,7 @@
         out = []
         following, count = self._next, self._count
         while (event := self._held.get(following)) is not None:
-            count = self._checked_end(event, following)
+            count = _checked_end(event, following, count)
             out.append(event)
             following += 1
         for number in range(self._next, following):
@@ -101,17 +101,21 @@
         self._next, self._count = following, count
         return b"".join(out)
 
-    def _checked_end(self, ready: bytes, last: int) -> int | None:
-        """Return the count of the end mark in `ready`, None when there is none."""
-        if self._count is not None:
-            raise StreamError(f"event {last}: comes after the end mark")
-        found = _END.search(ready)
-        if found is None:
-            return None
-        count = int(found.group(1))
-        if last != count + 1:
-            raise StreamError(f"end mark: count {count}, but its number is {last}")
-        return count
+
+def _checked_end(ready: bytes, last: int, before: int | None) -> int | None:
+    """Return the count of the end mark in `ready`, None when there is none.
+
+    `before` is the count of an end mark that came already.
+    """
+    if before is not None:
+        raise StreamError(f"event {last}: comes after the end mark")
+    found = _END.search(ready)
+    if found is None:
+        return None
+    count = int(found.group(1))
+    if last != count + 1:
+        raise StreamError(f"end mark: count {count}, but its number is {last}")
+    return count
 
 
 _ID_LINE = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -80,6 +80,13 @@
             sequencer.feed(event(3) + event(2) + end(1).replace(b"id: 2", b"id: 4"))
         self.assertEqual(sequencer.following, 2)
 
+    def test_a_held_event_behind_the_end_mark_is_an_error(self) -> None:
+        sequencer = EventSequencer()
+        sequencer.feed(end(1) + event(3))
+        with self.assertRaises(StreamError):
+            sequencer.feed(event(1))
+        self.assertEqual((sequencer.following, sequencer.whole), (1, False))
+
     def test_an_event_with_two_numbers_is_an_error(self) -> None:
         for joined in (event(1)[:20] + b"\n" + event(1), event(1)[:20] + b"\n" + event(2)):
             with self.assertRaises(StreamError):
