Note what serves a name with the revision in which it was found

Cause: the revision and the list found in it were read from the object in several steps. A thread that had looked at an older revision could note its targets among those of a newer one, and they stayed until the next change: an operator would have seen a node send to targets that no longer serve a model, or none to new ones. The pair is taken once now. The test was seen failing without the change.

--- a/packages/node/src/fielddrift_node/configuration.py
+++ b/packages/node/src/fielddrift_node/configuration.py
@@ -113,9 +113,12 @@
     def serving(self, role: TargetRole, name: str) -> tuple[Target, ...]:
         """Return the targets of `role` that serve `name`, found once a revision."""
         configuration = self.current
-        if self._serving[0] != configuration.revision:
-            self._serving = (configuration.revision, {})
-        found = self._serving[1]
+        # Taken once: another thread may put a later revision's in place meanwhile,
+        # and what is found in this revision must not be noted there.
+        revision, found = self._serving
+        if revision != configuration.revision:
+            found = {}
+            self._serving = (configuration.revision, found)
         if (role, name) not in found:
             found[(role, name)] = configuration.serving(role, name)
         return found[(role, name)]
--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -7,9 +7,16 @@
 
 from __future__ import annotations
 
+import threading
 import unittest
+from types import SimpleNamespace
 
+from fielddrift_core.model import TargetRole
 from fielddrift_core.stream import EventSequencer
+from fielddrift_node.configuration import ConfigSync
+from fielddrift_node.metrics import Metrics
+
+from .fakes import FakeObjects, FakeTable
 
 
 def _event(number: int) -> bytes:
@@ -35,3 +42,33 @@
         sequencer = EventSequencer()
         sequencer.feed(_event(2) + _event(3))
         self.assertEqual(sequencer.feed(_event(1)), _event(1) + _event(2) + _event(3))
+
+
+class ServingListTest(unittest.TestCase):
+    def test_a_reading_of_an_older_revision_is_not_kept_for_the_newer(self) -> None:
+        """A thread was between its look at the revision and its note of what it found."""
+        sync = ConfigSync(
+            table=FakeTable(),
+            objects=FakeObjects(),
+            metrics=Metrics(address=""),
+            on_change=lambda revision: None,
+        )
+        newer = SimpleNamespace(revision=2, serving=lambda role, name: ("new",))
+        other = threading.Thread(target=lambda: sync.serving(TargetRole.ENGINE, "n"))
+
+        class Older:
+            def serving(self, role: TargetRole, name: str) -> tuple[str, ...]:
+                return ("old",)
+
+            @property
+            def revision(self) -> int:
+                if sync._view.configuration is not newer:
+                    sync._view = SimpleNamespace(configuration=newer)  # type: ignore[assignment]
+                    other.start()
+                    other.join()
+                return 1
+
+        sync._serving = (1, {})
+        sync._view = SimpleNamespace(configuration=Older())  # type: ignore[assignment]
+        sync.serving(TargetRole.ENGINE, "m")
+        self.assertEqual(sync.serving(TargetRole.ENGINE, "m"), ("new",))
