Ask a target's new life for its cache events from the first on

Cause: the number of the last event heard outlived the target's life. A restarted engine numbers its events from 1, and a node asked for those behind the old life's last: it heard of no eviction until the engine had made as many, and went on sending prompts for prefixes that were no longer in memory. An operator would have seen fewer blocks from memory than the node expected.

A poll that was under way while another answer told of the new life would set the mark too high again: events that do not go on from what was heard are left out. The first test was seen failing without the change, the second with only the mark set back.

--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -65,15 +65,32 @@
             note = self._note(name)
             if epoch > note.epoch:
                 note.epoch = epoch
+                # Each life numbers its cache events from 1 on.
+                note.sequence = 0
                 self._drop_hints(name)
             note.load = load
             note.versions = tuple(versions)
 
-    def heard_events(self, name: str, sequence: int, gone: Iterable[str]) -> None:
-        """Take cache events in; a gap drops every hint on that target."""
+    def heard_events(
+        self,
+        name: str,
+        sequence: int,
+        gone: Iterable[str],
+        *,
+        after: int | None = None,
+        epoch: int | None = None,
+    ) -> None:
+        """Take cache events in; a gap drops every hint on that target.
+
+        Given the number `after` which they were asked for and the life `epoch` that
+        answered, events are left out that do not go on from what was heard.
+        """
         gone = list(gone)
         with self._lock:
             note = self._note(name)
+            if after not in (None, note.sequence) or epoch not in (None, note.epoch):
+                # Asked before a new life was heard of: they would set its mark too high.
+                return
             if sequence - note.sequence > len(gone):
                 self._drop_hints(name)
             note.sequence = sequence
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -300,8 +300,15 @@
             board.failed(target.name)
             return
         board.worked(target.name)
-        board.heard_events(target.name, report.sequence, [name for _, name in report.events])
+        # First the life that answers, then its events.
         self._heard_report(target.name, report)
+        board.heard_events(
+            target.name,
+            report.sequence,
+            [name for _, name in report.events],
+            after=after,
+            epoch=report.epoch,
+        )
 
     def _turn_leases(self) -> None:
         if self._stopping.is_set():
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -39,6 +39,18 @@
         self.board.heard_load("t", Load(), 7, ["v1"])
         self.assertEqual(self.board.warm(PROMPT), {})
 
+    def test_events_asked_for_behind_an_older_life_are_left_out(self) -> None:
+        """A poll was under way while the head of a run told of the new life."""
+        self.board.heard_load("t", Load(), 1, ["v1"])
+        self.board.heard_events("t", 500, [], after=0, epoch=1)
+        self.board.heard_load("t", Load(), 2, ["v1"])
+        self.board.heard_events("t", 500, [], after=500, epoch=2)
+        self.assertEqual(self.board.event_sequence("t"), 0)
+        self.board.heard_events("t", 30, [], after=0, epoch=1)
+        self.assertEqual(self.board.event_sequence("t"), 0)
+        self.board.heard_events("t", 3, ["x", "y", "z"], after=0, epoch=2)
+        self.assertEqual(self.board.event_sequence("t"), 3)
+
     def test_a_load_heard_later_counts_what_was_sent_before_it(self) -> None:
         self.board.sent("t", "run", 500)
         self.now += 1.0
--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -12,7 +12,9 @@
 from types import SimpleNamespace
 
 from fielddrift_core.model import TargetRole
+from fielddrift_core.routing import Load
 from fielddrift_core.stream import EventSequencer
+from fielddrift_node.board import Board
 from fielddrift_node.configuration import ConfigSync
 from fielddrift_node.metrics import Metrics
 
@@ -72,3 +74,13 @@
         sync._view = SimpleNamespace(configuration=Older())  # type: ignore[assignment]
         sync.serving(TargetRole.ENGINE, "m")
         self.assertEqual(sync.serving(TargetRole.ENGINE, "m"), ("new",))
+
+
+class NewLifeTest(unittest.TestCase):
+    def test_the_events_of_a_new_life_are_asked_for_from_the_first_on(self) -> None:
+        """They were asked for behind the old life's last: its evictions were never heard of."""
+        board = Board(data_centre="a")
+        board.heard_load("e1", Load(), 1, ())
+        board.heard_events("e1", 500, [])
+        board.heard_load("e1", Load(), 2, ())
+        self.assertEqual(board.event_sequence("e1"), 0)
