Take a head that cannot be read for the target's failure

Cause: of all ways in which a try ends before its first token, only this one told the breaker nothing. When the try was a probe it counted as under way until something else was heard of the target, by a poll of its load: the node sent it no request meanwhile. Engines with such heads were never rested by tries alone. An operator would have seen the target's breaker open after its rest was over.

--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -162,6 +162,8 @@
     try:
         head = read_head(stream.head.result())
     except OutsideError as error:
+        # The breaker takes a probe for under way until it hears how it ended.
+        exchange.runtime.board.failed(name)
         raise TryFailed(f"target {name}: {error}", "wrong-head", sure=False) from None
     if (head.version, head.customer) != (order.version, order.customer):
         exchange.runtime.board.failed(name)
--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -10,13 +10,17 @@
 import threading
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
+from fielddrift_core.interfaces import OutsideError
 from fielddrift_core.model import TargetRole
 from fielddrift_core.routing import Load
 from fielddrift_core.stream import EventSequencer
 from fielddrift_node.board import Board
 from fielddrift_node.configuration import ConfigSync
+from fielddrift_node.filters import run as run_filter
 from fielddrift_node.metrics import Metrics
+from fielddrift_node.settle import TryFailed
 
 from .fakes import FakeObjects, FakeTable
 
@@ -84,3 +88,26 @@
         board.heard_events("e1", 500, [])
         board.heard_load("e1", Load(), 2, ())
         self.assertEqual(board.event_sequence("e1"), 0)
+
+
+class ProbeTest(unittest.TestCase):
+    def test_a_probe_whose_head_cannot_be_read_has_ended(self) -> None:
+        """The breaker took the probe for under way, and let no other request through."""
+        now = 0.0
+        board = Board(data_centre="a", clock=lambda: now)
+        target = SimpleNamespace(name="e1")
+        for _ in range(3):
+            board.failed("e1")
+        now = 100.0
+        board.sent("e1", "r.1.1", 10)
+        exchange = mock.MagicMock()
+        exchange.runtime.board = board
+        choice, stream = SimpleNamespace(target=target), mock.MagicMock()
+        with (
+            mock.patch.object(run_filter, "read_head", side_effect=OutsideError("no head")),
+            self.assertRaises(TryFailed),
+        ):
+            run_filter._check_head(exchange, choice, mock.Mock(), stream)  # type: ignore[arg-type]
+        board.ended("e1", "r.1.1")
+        now = 200.0
+        self.assertTrue(board.takes(target, ""))  # type: ignore[arg-type]
