Catch up once more after a pause while the node catches up

Cause: one mark told of every pause, and the end of a reading cleared it, also for a pause that was noticed while the reading was under way. Requests were then taken with what was read before that pause: a caller could be served by a configuration that had been changed meanwhile. What counts now is whether the last reading began after the last pause. The test was seen failing without the change.

--- a/packages/node/src/fielddrift_node/watch.py
+++ b/packages/node/src/fielddrift_node/watch.py
@@ -27,8 +27,7 @@
     ) -> None:
         self._refresh = refresh
         self._clock = clock
-        self._seen_at = clock()
-        self._stale = False
+        self._seen_at = self._paused_at = self._fresh_since = clock()
         self._refreshing = threading.Lock()
         self._refuse = threading.Event()
         self._leaving = threading.Event()
@@ -55,7 +54,8 @@
         """Note that the process runs; return whether it had been paused."""
         now = self._clock()
         paused = now - self._seen_at > PAUSE_SECONDS
-        self._stale = self._stale or paused
+        if paused:
+            self._paused_at = now
         self._seen_at = now
         return paused
 
@@ -66,9 +66,15 @@
         no table.
         """
         self.tick()
-        if not self._stale:
+        if not self._stale():
             return
         with self._refreshing:
-            if self._stale:
+            while self._stale():
+                # The time of its beginning counts: a pause during it makes old what it read.
+                began = self._clock()
                 self._refresh()
-                self._stale = False
+                self._fresh_since = began
+
+    def _stale(self) -> bool:
+        """Return whether what is known was read before the last pause."""
+        return self._paused_at > self._fresh_since
--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -21,6 +21,7 @@
 from fielddrift_node.filters import run as run_filter
 from fielddrift_node.metrics import Metrics
 from fielddrift_node.settle import TryFailed
+from fielddrift_node.watch import Watch
 
 from .fakes import FakeObjects, FakeTable
 
@@ -90,6 +91,27 @@
         self.assertEqual(board.event_sequence("e1"), 0)
 
 
+class PauseTest(unittest.TestCase):
+    def test_a_pause_while_the_node_catches_up_is_not_forgotten(self) -> None:
+        """What was read before the second pause counted as read after it."""
+        now = 0.0
+        caught_up: list[float] = []
+
+        def refresh() -> bool:
+            nonlocal now
+            caught_up.append(now)
+            if len(caught_up) == 1:
+                now += 10.0
+                watch.tick()
+            return True
+
+        watch = Watch(refresh=refresh, clock=lambda: now)
+        now += 10.0
+        watch.ensure_fresh()
+        watch.ensure_fresh()
+        self.assertEqual(len(caught_up), 2)
+
+
 class ProbeTest(unittest.TestCase):
     def test_a_probe_whose_head_cannot_be_read_has_ended(self) -> None:
         """The breaker took the probe for under way, and let no other request through."""
