Cut an answer whose application fails

Cause: the thread that failed told nobody; the loop waited for the next part of the answer. The caller's connection hung until it gave up, without an end or an error, and counted as busy; only the log told of it. An application that failed before its head hung in the same way, without a line. The end of an answer now says whether it is whole, and one that is not is cut. Both tests were seen failing without the change.

--- a/packages/node/src/fielddrift_node/servers.py
+++ b/packages/node/src/fielddrift_node/servers.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import io
 import json
 import threading
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeout
+from enum import Enum
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote_to_bytes
@@ -44,6 +46,16 @@
     """The caller closed its connection before its answer was whole."""
 
 
+class _Ended(Enum):
+    """How an application's answer ended, behind its last piece."""
+
+    WHOLE = "whole"
+    FAILED = "failed"
+
+
+_Pieces = asyncio.Queue[bytes | _Ended]
+
+
 class _Head:
     """The head that the application gave, once it did."""
 
@@ -112,27 +124,30 @@
         self._loop.call_soon(self._loop.stop)
 
     async def _handle(self, request: Request, responder: Responder) -> None:
-        pieces: asyncio.Queue[bytes | None] = asyncio.Queue(_QUEUED_PIECES)
+        pieces: _Pieces = asyncio.Queue(_QUEUED_PIECES)
         head, left = _Head(), threading.Event()
         work = self._loop.run_in_executor(self._pool, self._apply, request, head, pieces, left)
         try:
-            first = await pieces.get()
-            headers = Headers([(n.encode(), v.encode("latin-1")) for n, v in head.headers])
-            length = headers.text(b"content-length")
-            kept = Headers(headers.without_hop_by_hop())
-            responder.start(head.status, kept, int(length) if length else None)
-            piece = first
-            while piece is not None:
+            piece = await pieces.get()
+            if isinstance(piece, bytes):
+                headers = Headers([(n.encode(), v.encode("latin-1")) for n, v in head.headers])
+                length = headers.text(b"content-length")
+                kept = Headers(headers.without_hop_by_hop())
+                responder.start(head.status, kept, int(length) if length else None)
+            while isinstance(piece, bytes):
                 responder.write(piece)
                 await responder.drained()
                 piece = await pieces.get()
-            responder.end()
+            if piece is _Ended.WHOLE:
+                responder.end()
+            else:
+                responder.cut()
         finally:
             left.set()
             self._unblock(pieces)
         await work
 
-    def _unblock(self, pieces: asyncio.Queue[bytes | None]) -> None:
+    def _unblock(self, pieces: _Pieces) -> None:
         """Let the application run on to where it hears that its caller left."""
         while not pieces.empty():
             pieces.get_nowait()
@@ -143,12 +158,12 @@
         self,
         request: Request,
         head: _Head,
-        pieces: asyncio.Queue[bytes | None],
+        pieces: _Pieces,
         left: threading.Event,
     ) -> None:
         """Run the application, and pass its pieces to the loop."""
 
-        def put(piece: bytes | None) -> None:
+        def put(piece: bytes | _Ended) -> None:
             if left.is_set() or self._stopped.is_set():
                 raise _CallerLeft
             placed = asyncio.run_coroutine_threadsafe(pieces.put(piece), self._loop)
@@ -162,8 +177,9 @@
                         placed.cancel()
                         raise _CallerLeft from None
 
-        body = self._app(_environ(request, self._host, self._port), head.start_response)
+        body: Iterable[bytes] = ()
         try:
+            body = self._app(_environ(request, self._host, self._port), head.start_response)
             empty = True
             for piece in body:
                 if piece:
@@ -171,13 +187,14 @@
                     empty = False
             if empty:
                 put(b"")
-            put(None)
+            put(_Ended.WHOLE)
         except _CallerLeft:
             get().info("caller left", path=request.head.target.decode("latin-1"))
         except Exception:
             get().exception("answer failed", path=request.head.target.decode("latin-1"))
-            self._loop.call_soon_threadsafe(left.set)
-            raise
+            # The loop waits for the next piece and would do so for ever.
+            with contextlib.suppress(_CallerLeft):
+                put(_Ended.FAILED)
         finally:
             close = getattr(body, "close", None)
             if close is not None:
--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -7,9 +7,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import threading
 import unittest
+from collections.abc import Iterator
 from types import SimpleNamespace
+from typing import Any
 from unittest import mock
 
 from fielddrift_core.interfaces import OutsideError
@@ -20,10 +24,14 @@
 from fielddrift_node.configuration import ConfigSync
 from fielddrift_node.filters import run as run_filter
 from fielddrift_node.metrics import Metrics
+from fielddrift_node.servers import ApplicationServer
 from fielddrift_node.settle import TryFailed
 from fielddrift_node.watch import Watch
 
 from .fakes import FakeObjects, FakeTable
+from .platform_fleet import HOST, free_port
+
+_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 def _event(number: int) -> bytes:
@@ -112,6 +120,27 @@
         self.assertEqual(len(caught_up), 2)
 
 
+class FailedAnswerTest(unittest.TestCase):
+    def test_an_answer_whose_application_fails_is_cut(self) -> None:
+        """Beside the class: the caller waited for a piece that would never come."""
+
+        def app(environ: Any, start_response: Any) -> Iterator[bytes]:
+            start_response("200 OK", [("Content-Type", "text/event-stream")])
+            yield _event(1)
+            raise ValueError("a fault of the node")
+
+        port = free_port()
+        server = ApplicationServer(app=app, host=HOST, port=port, threads=1, body=1000)
+        self.addCleanup(server.stop)
+        with socket.create_connection((HOST, port), timeout=2.0) as connection:
+            connection.sendall(_REQUEST)
+            got = b""
+            with contextlib.suppress(ConnectionResetError):
+                while data := connection.recv(4096):
+                    got += data
+        self.assertNotIn(b"0\r\n\r\n", got)
+
+
 class ProbeTest(unittest.TestCase):
     def test_a_probe_whose_head_cannot_be_read_has_ended(self) -> None:
         """The breaker took the probe for under way, and let no other request through."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 import threading
@@ -12,6 +13,7 @@
 from unittest import mock
 
 from fielddrift_node.servers import ApplicationServer
+from structlog.testing import capture_logs
 
 from .platform_fleet import HOST, free_port
 
@@ -44,6 +46,8 @@
         self.addCleanup(self.server.stop)
 
     def _app(self, environ: Any, start_response: Any) -> Any:
+        if environ["PATH_INFO"] == "/fault":
+            raise ValueError("a fault of the node")
         if environ["PATH_INFO"] == "/echo":
             body = environ["wsgi.input"].read()
             start_response("200 OK", [("Content-Length", str(len(body)))])
@@ -72,6 +76,14 @@
         caller.close()
         self.assertTrue(self.answers[0].closed.wait(WAIT_SECONDS))
 
+    def test_a_call_that_fails_before_its_head_is_cut(self) -> None:
+        caller = self._connect()
+        with capture_logs() as lines:
+            caller.sendall(b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n")
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(caller.recv(4096), b"")
+        self.assertEqual([line["event"] for line in lines], ["answer failed"])
+
     def test_a_stop_ends_answers_that_wait_for_their_callers(self) -> None:
         """Found beside load: a thread that waited for the stopped loop kept the process alive."""
         caller = self._connect()
