Write a row of named weights anew after the table lost it

Cause: a reading of the table replaced the rows that it found and kept the versions of those that were gone. Every later write of such a row expected the old version and was refused: an operator would have seen "namings not saved" at each naming, and nodes that began anew did not know how old the weights were. The test was seen failing without the change.

--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -152,6 +152,8 @@
         sent = loop.time()
         rows, moment = await self._platform.rows(TABLE)
         self._clock = clock = StoreClock(moment, sent, loop.time())
+        # A row that is gone must be forgotten: a write that expects its version never succeeds.
+        self._saved = {}
         for row in rows:
             self._take(row, clock)
         return clock
--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -30,6 +30,7 @@
 
 from .fakes import FakeObjects, FakeTable
 from .platform_fleet import HOST, free_port
+from .test_named_rows import Node, Table
 
 _REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -42,6 +43,20 @@
     return b'event: end\nid: %d\ndata: {"count": %d}\n\n' % (count + 1, count)
 
 
+@mock.patch("fielddrift_node.serving.named_rows._log", mock.Mock())
+class RowsOfALostTableTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_row_that_the_table_lost_is_written_anew(self) -> None:
+        """The row's version of before was expected for ever, so no naming was saved again."""
+        table = Table()
+        node = Node(table)
+        node.hears(2)
+        await node.rows.save("m")
+        table.rows_by_key.clear()
+        node.hears(3)
+        await node.rows.save("m")
+        self.assertEqual(sorted(table.rows_by_key), ["m"])
+
+
 class SequencerTest(unittest.TestCase):
     def test_an_end_mark_that_overtook_the_last_event_ends_the_run(self) -> None:
         """What is held was not looked at when the missing event came by itself."""
