Count requests of one id apart, and take back only what the refused send brought

Runs and prompts in line were counted under the caller's id: with two of one id, the end of one took the other's load away, and engines were sent more than they hold. And what an engine turned away was forgotten also where another prompt had brought the same part meanwhile.

--- a/packages/core/src/fielddrift_core/memory.py
+++ b/packages/core/src/fielddrift_core/memory.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from .prompt import Part
 
@@ -18,28 +19,46 @@
 under way and other nodes' prompts take the rest."""
 
 
+class _Kept(NamedTuple):
+    """A part of so many tokens, by the last send that brought or used it."""
+
+    tokens: int
+    send: int
+
+
 class EngineMemory:
     """Parts by engine, newest use last.  Not safe for threads."""
 
     def __init__(self) -> None:
-        self._held: dict[str, OrderedDict[tuple[str, str], int]] = {}
+        self._held: dict[str, OrderedDict[tuple[str, str], _Kept]] = {}
+        self._sends = 0
 
-    def sent(self, engine: str, salt: str, parts: Iterable[Part], capacity: int) -> None:
-        """Note that `engine` was sent a prompt with `parts`; `capacity` is in tokens."""
+    def sent(self, engine: str, salt: str, parts: Iterable[Part], capacity: int) -> int:
+        """Note that `engine` was sent a prompt with `parts`; return the number of the send.
+
+        `capacity` is in tokens.
+        """
+        self._sends += 1
         held = self._held.setdefault(engine, OrderedDict())
         for part in parts:
             held.pop((salt, part.id), None)
-            held[(salt, part.id)] = part.tokens
-        total = sum(held.values())
+            held[(salt, part.id)] = _Kept(part.tokens, self._sends)
+        total = sum(kept.tokens for kept in held.values())
         while held and total > capacity * _OWN_PART:
-            _, tokens = held.popitem(last=False)
-            total -= tokens
+            _, kept = held.popitem(last=False)
+            total -= kept.tokens
+        return self._sends
+
+    def not_sent(self, engine: str, salt: str, parts: Iterable[str], *, send: int) -> None:
+        """Forget `parts`, by id, of the send numbered `send`, which `engine` turned away.
 
-    def not_sent(self, engine: str, salt: str, parts: Iterable[str]) -> None:
-        """Forget `parts`, by id, of a prompt that `engine` turned away."""
+        What another prompt brought there meanwhile stays.
+        """
         held = self._held.get(engine, OrderedDict())
         for part in parts:
-            held.pop((salt, part), None)
+            kept = held.get((salt, part))
+            if kept is not None and kept.send == send:
+                del held[(salt, part)]
 
     def parts(self, engine: str, salt: str) -> frozenset[str]:
         """Return the ids of parts that `engine` probably has under `salt`."""
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 from typing import NamedTuple, TypedDict
@@ -24,6 +25,9 @@
 """Characters of an event's id in a log line: a target may name any, a line must stay short."""
 
 
+_keys = itertools.count(1)
+
+
 def short_id(event_id: str) -> str:
     """Return an event's id as log lines have it."""
     return event_id[:_MOST_ID]
@@ -56,6 +60,8 @@
     """What happened to a request, for its log line."""
 
     def __init__(self) -> None:
+        self.key = str(next(_keys))
+        """Tells the request apart at this node: callers choose ids, and may choose one for two."""
         self.status = 0
         self.targets: list[str] = []
         self.reasons: list[str] = []
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -40,6 +40,7 @@
 class _Ordered(NamedTuple):
     """What a send gives its engine to keep and to save, by the ids of parts."""
 
+    send: int
     salt: str
     kept: list[str]
     saved: list[str]
@@ -145,12 +146,12 @@
             raise
         finally:
             if not ok:
-                tools.views.workload.end(name, call.ask.request_id)
+                tools.views.workload.end(name, call.trace.key)
                 if exchange is not None:
                     exchange.cancel()
         no_rest = after != "" and not _streams(head)
         if no_rest or (head.status >= 500 and more and call.route.repeatable):
-            tools.views.workload.end(name, call.ask.request_id)
+            tools.views.workload.end(name, call.trace.key)
             exchange.cancel()
             detail = f"target {name}: status {head.status}"
             raise TryFailed(detail, reason="status", reached=True, not_run=False)
@@ -244,7 +245,7 @@
     def _ended(self, call: Call, run: _Run) -> None:
         run.exchange.cancel()
         views = self._tools.views
-        views.workload.end(run.choice.instance.name, call.ask.request_id)
+        views.workload.end(run.choice.instance.name, call.trace.key)
         now = asyncio.get_running_loop().time()
         assert call.ask.prompt is not None
         if not run.ended:
@@ -327,7 +328,7 @@
         views = self._tools.views
         engine = choice.instance
         now = asyncio.get_running_loop().time()
-        views.workload.begin(engine.name, call.ask.request_id, choice.recall.unread, prompt.tokens)
+        views.workload.begin(engine.name, call.trace.key, choice.recall.unread, prompt.tokens)
         held = views.memory.parts(engine.name, send.salt)
         tokens = self._tools.metrics.tokens
         for part, source, save in zip(
@@ -342,11 +343,11 @@
                 part.tokens, view.traits, traits=traits, data_centre=engine.data_centre
             )
             views.links.add(view.traits.address, seconds, now)
-        views.memory.sent(engine.name, send.salt, prompt.shared, traits.memory)
+        number = views.memory.sent(engine.name, send.salt, prompt.shared, traits.memory)
         self._tools.told()
         kept = [part.id for part in prompt.shared if part.id not in held]
         saves = zip(prompt.parts, send.fetch.saves, strict=True)
-        return _Ordered(send.salt, kept, [part.id for part, save in saves if save])
+        return _Ordered(number, send.salt, kept, [part.id for part, save in saves if save])
 
     def _take_back(self, engine: str, ordered: _Ordered) -> None:
         """Forget what an engine that turned a prompt away was to keep and to save.
@@ -354,7 +355,7 @@
         Else the parts are read by the next engine and saved by none, for seconds.
         """
         views = self._tools.views
-        views.memory.not_sent(engine, ordered.salt, ordered.kept)
+        views.memory.not_sent(engine, ordered.salt, ordered.kept, send=ordered.send)
         for part in ordered.saved:
             views.store_index.not_saved(ordered.salt, part)
 
@@ -362,7 +363,7 @@
         """Learn from the time that the first event took."""
         views = self._tools.views
         now = asyncio.get_running_loop().time()
-        views.workload.read(choice.instance.name, call.ask.request_id)
+        views.workload.read(choice.instance.name, call.trace.key)
         self._tools.told()
         late = now - began - choice.seconds
         self._tools.metrics.estimate_error.observe(max(0.0, late))
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -125,7 +125,7 @@
         assert prompt is not None
         aim, began = call.route.aim, loop.time()
         due = max(call.began + LATE_PART * aim - best.seconds, began + _LEAST_WAIT_PART * aim)
-        waiter = Waiter(call.ask.request_id, rank, due, prompt.tokens)
+        waiter = Waiter(call.trace.key, rank, due, prompt.tokens)
         workload, name = self._tools.views.workload, line_name(call.service.name, rank)
         room.line.add(waiter)
         workload.begin(name, waiter.request, 0, prompt.tokens)
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -65,7 +65,7 @@
         views = self._tools.views
         loop = asyncio.get_running_loop()
         send = Send(call.ask, instance, call.deadline - loop.time(), call.customer_name)
-        views.workload.begin(instance.name, call.ask.request_id, 0)
+        views.workload.begin(instance.name, call.trace.key, 0)
         try:
             async with asyncio.timeout(self._patience(call) if more else None):
                 head, body = await self._exchange(call, send)
@@ -80,7 +80,7 @@
                 views.registry.left(instance.name)
             raise
         finally:
-            views.workload.end(instance.name, call.ask.request_id)
+            views.workload.end(instance.name, call.trace.key)
         if head.status >= 500:
             views.health.failed(instance.name, loop.time())
             if more and call.route.repeatable:
--- a/tests/test_left_from_a_try.py
+++ b/tests/test_left_from_a_try.py
@@ -15,6 +15,8 @@
 from typing import Any
 from unittest import mock
 
+from fielddrift_core.memory import EngineMemory
+from fielddrift_core.prompt import Part
 from fielddrift_core.stream import EventCutter
 from fielddrift_core.waiting import Line, Waiter
 from fielddrift_node.serving.ports import TargetNews
@@ -169,6 +171,34 @@
         self.assertEqual(self.node.node.views.memory.parts(shed, "m.1."), frozenset())
 
 
+class SameIdTest(EnginesCase):
+    async def test_two_requests_of_one_id_are_counted_apart(self) -> None:
+        """Callers choose ids: the end of one took the other's load away."""
+        self.fleet.enter("e2", "engines", state="draining")
+        views = self.node.node.views
+        await eventually(lambda: [i.name for i in views.registry.serving("engines")] == ["e1"])
+        self.workers[0].pause_seconds = 0.1
+        asked = []
+        for number in (1, 2):
+            asked.append(asyncio.ensure_future(ask(self.node, "/long/x", **prompt())))
+            await eventually(lambda number=number: len(self._runs()) == number)
+            await asyncio.sleep(0.2)
+        await asked[0]
+        self.assertFalse(asked[1].done())
+        (burden,) = views.workload.own().values()
+        self.assertEqual(burden.running, 1)
+        await asked[1]
+
+
+class RefusedSendTest(unittest.TestCase):
+    def test_what_another_prompt_brought_is_not_taken_back(self) -> None:
+        """One prompt was turned away; the other, sent meanwhile, runs and holds the part."""
+        memory, part = EngineMemory(), Part("aa", 100)
+        first, _ = (memory.sent("e1", "m.1.", [part], 40_000) for _ in range(2))
+        memory.not_sent("e1", "m.1.", ["aa"], send=first)
+        self.assertEqual(memory.parts("e1", "m.1."), {"aa"})
+
+
 class JoinedEventsTest(unittest.TestCase):
     """What counts as bytes of two events that went out as one: METRICS.md says to alert on it."""
 
