Let long polls fall silent in a test once they, and nothing else, are under way

Cause: `test_silent_long_polls_keep_no_catalog_away` slept 1 s and asked that three connections were open, for three nodes that each read. One node reads for all since, and has one long poll up; the others counted were idle connections from before. Whether there were three was up to when those ended, and a long poll that is just being renewed was not told from one that hangs. The nodes are not at fault. Change: the store's stand-in tells which calls are under way. The test waits until each node that reads for itself has a long poll up and nothing else is asked (a reading of the targets would fail and tell of the silence), and silences all of them. How soon the catalog must be in force is as before.

--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -3,7 +3,8 @@
 Faults are switches: `down` refuses, `silent` never answers, `lose_answers`
 does writes without answering, `lose_news` loses the answers of so many long
 polls that would bring rows, `forget` drops the history.  With `keeps` off it
-closes a connection after each answer.
+closes a connection after each answer.  `under_way` names the calls that have
+no answer yet, so that a fault can be set in while nothing else is asked.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import base64
 import json
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -69,6 +71,12 @@
         self.lose_news = 0
         self.keeps = True
         self.calls: list[str] = []
+        self._under_way = Counter[str]()
+
+    @property
+    def under_way(self) -> list[str]:
+        """Return the paths of the calls under way; those of long polls end in `?wait`."""
+        return sorted(self._under_way.elements())
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
@@ -137,12 +145,22 @@
     async def _handle(self, request: Request, responder: Responder) -> None:
         path, _, query = request.head.target.decode().partition("?")
         self.calls.append(path)
+        asked = {name: values[0] for name, values in parse_qs(query).items()}
+        name = f"{path}?wait" if int(asked.get("wait-ms", "0")) else path
+        self._under_way[name] += 1
+        try:
+            await self._answered(path, asked, request, responder)
+        finally:
+            self._under_way[name] -= 1
+
+    async def _answered(
+        self, path: str, asked: dict[str, str], request: Request, responder: Responder
+    ) -> None:
         if self.silent:
             await asyncio.sleep(3600)
         if self.down:
             responder.send(503, Headers(), b"")
             return
-        asked = {name: values[0] for name, values in parse_qs(query).items()}
         if path == "/rows-get":
             rows = [self._row(t, k) for t, k in sorted(self._rows) if t == asked["table"]]
             responder.send(200, self._headers, self._answer(rows))
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -55,11 +55,21 @@
             seconds,
         )
 
+    def _only_long_polls(self) -> bool:
+        """Return whether each node that reads for itself has a long poll up, and nothing else.
+
+        A reading of the targets under way would fail, and would tell of the silence at once.
+        """
+        readers = [node for node in self.nodes if node.node._operators.reader() is None]
+        return self.fleet.store.under_way == ["/rows-feed?wait"] * len(readers)
+
     async def test_silent_long_polls_keep_no_catalog_away(self) -> None:
         # The targets' readings find nothing wrong where each has a new connection.
         self.fleet.store.keeps = False
-        await asyncio.sleep(1.0)
-        self.assertGreaterEqual(self.relay.silence(), 3)
+        await eventually(self._only_long_polls)
+        polls = self.fleet.store.under_way
+        self.assertGreaterEqual(self.relay.silence(), len(polls))
+        self.assertGreaterEqual(len(polls), 1)
         await asyncio.sleep(1.0)
         self.fleet.configure()
         await self._in_force_everywhere()
