--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "LEASE_SECONDS",
+    "SAVED_ERROR_SECONDS",
     "DutyRow",
     "EngineWeights",
     "NamedTimes",
@@ -45,7 +46,7 @@
 _MOST_TOLD = 4
 """Versions of a model whose ages are told and saved: the time for older weights is over
 before operators name a fifth."""
-_SAVED_ERROR_SECONDS = 0.5
+SAVED_ERROR_SECONDS = 0.5
 """Seconds by which a saved naming may be later than a node knows it to be, beside what the
 node's own reading of the platform's clock may be off: other nodes' readings are too."""
 _BEGIN_MARGIN = 0.5
@@ -169,7 +170,7 @@
     `own` are local times.  Of each version the earliest time counts.
     """
     times = dict(saved)
-    error = _SAVED_ERROR_SECONDS + clock.heard - clock.sent
+    error = SAVED_ERROR_SECONDS + clock.heard - clock.sent
     for version, at in own.items():
         moment = clock.earliest(at)
         if moment < times.get(version, float("inf")) - error:
