--- a/soak/links.py
+++ b/soak/links.py
@@ -83,7 +83,8 @@
         host, _, port = self._target.rpartition(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # Cancelled, the soak ends; asyncio's own streams log what passes through here.
             writer.transport.abort()
             return
         pair = _Pair(writers=(writer, far_writer))
