--- a/soak/scene.py
+++ b/soak/scene.py
@@ -150,7 +150,7 @@
             await asyncio.sleep(_LOOK_SECONDS)
             for machine in self._site.machines:
                 machine.look()
-            # What is served again is judged at the end: of the calm's first moments nothing has come.
+            # What is served again is judged at the end: nothing has come of the calm's beginning.
             for line in broken(self.evidence()._replace(calm_since=None)):
                 told[line] += 1
                 if told[line] == 1:
