Count an event's numbers event by event on the own interface

Two numbers of one event stood for those of two where the next one had none: joined bytes passed for whole. The test was seen failing. 3.4 -> 4.7 us an event that comes alone, 1.2 -> 2.4 us in pieces of 100, single runs on a busy machine.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -12,6 +12,8 @@
 __all__ = ["EventCutter", "EventSequencer", "StreamError", "first_id"]
 
 _NUMBER = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
+_NUMBER_OR_BREAK = re.compile(rb"^id: ?(\d+)$|\n\n", re.MULTILINE)
+"""An event's number, or with an empty group the blank line behind the event."""
 _END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
 _MOST_HELD = 10_000
 
@@ -67,12 +69,11 @@
         ready, self._rest = _whole_events(self._rest + data)
         if not ready:
             return b""
-        numbers = [int(n) for n in _NUMBER.findall(ready)]
-        expected = list(range(self._next, self._next + ready.count(b"\n\n")))
+        following = self._next + ready.count(b"\n\n")
         # Where events are held, one that comes in order may be what they wait for.
-        if not self._held and numbers == expected:
-            self._count = _checked_end(ready, numbers[-1], self._count)
-            self._next += len(numbers)
+        if not self._held and _has_one_each(ready, range(self._next, following)):
+            self._count = _checked_end(ready, following - 1, self._count)
+            self._next = following
             return ready
         return self._put_right(ready)
 
@@ -102,6 +103,13 @@
         return b"".join(out)
 
 
+def _has_one_each(ready: bytes, numbers: range) -> bool:
+    """Return whether the events of `ready` have one number each, and just these in turn."""
+    found = _NUMBER_OR_BREAK.findall(ready)
+    in_turn = [mark for number in numbers for mark in (b"%d" % number, b"")]
+    return found == in_turn
+
+
 def _checked_end(ready: bytes, last: int, before: int | None) -> int | None:
     """Return the count of the end mark in `ready`, None when there is none.
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -92,6 +92,11 @@
             with self.assertRaises(StreamError):
                 EventSequencer().feed(joined)
 
+    def test_two_numbers_of_one_event_do_not_stand_for_those_of_two(self) -> None:
+        joined = event(1)[:20] + b"\n" + event(2) + b"data: x\n\n"
+        with self.assertRaises(StreamError):
+            EventSequencer().feed(joined)
+
     def test_an_event_without_a_number_is_an_error(self) -> None:
         with self.assertRaises(StreamError):
             EventSequencer().feed(b"data: x\n\n")
