Say in plain words what cutters, sequencers, keys and held-back bodies are for

Comments, docstrings and private names only: `_expects_continue`, `_continue`, `_callers_last_id`, `_MOST_ID_CHARACTERS`.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -27,8 +27,8 @@
     events in its data, and carries the number after the last one.
     """
 
-    # One sequencer a run, and state is kept only of what was handed on: what a run
-    # that broke off left would decide over the next one's events, or its end.
+    # One sequencer a run, and the next begins at `following`: what arrived of a run that
+    # broke off and was not handed on must not decide over the next one's events, or its end.
 
     def __init__(self, *, following: int = 1) -> None:
         self._next = following
@@ -158,7 +158,8 @@
     def odd(self) -> int:
         """Return how many events, at least, had not just one numbered id and one line of data.
 
-        Where bytes of two events went out as one, it is so, unless they fit in one line.
+        An event joined of the bytes of two is counted, unless the first one's end inside
+        the name of its data field.
         """
         return self._odd
 
@@ -193,7 +194,7 @@
         self._odd += max(abs(len(ids) - events), abs(lines - events), unnumbered)
         self._marked = self._marked and len(ids) >= events
         if ids:
-            # Of repeated events nothing is left; they must not set the mark back.
+            # Where all were repeated none is left, and the last id stays.
             self._last = ids[-1].decode("latin-1")
         return ready
 
--- a/packages/core/src/fielddrift_core/waiting.py
+++ b/packages/core/src/fielddrift_core/waiting.py
@@ -35,7 +35,10 @@
 
 
 class Waiter(NamedTuple):
-    """A prompt that waits: after `due` (loop time) its answer would be late."""
+    """A prompt that waits: after `due` (loop time) its answer would be late.
+
+    `request` names it in the load that nodes tell each other; `tokens` are the prompt's.
+    """
 
     request: str
     rank: int
--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -82,14 +82,15 @@
     ) -> None:
         """Take cache events in; a gap drops every hint on that target.
 
-        Given the number `after` which they were asked for and the life `epoch` that
-        answered, events are left out that do not go on from what was heard.
+        `after` is the number behind which the events were asked for, `epoch` the life
+        that answered, None for unknown.  Events that do not follow on those heard of this
+        life are left out.
         """
         gone = list(gone)
         with self._lock:
             note = self._note(name)
             if after not in (None, note.sequence) or epoch not in (None, note.epoch):
-                # Asked before a new life was heard of: they would set its mark too high.
+                # Asked for before a new life was heard of: its first events would be skipped.
                 return
             if sequence - note.sequence > len(gone):
                 self._drop_hints(name)
--- a/packages/node/src/fielddrift_node/configuration.py
+++ b/packages/node/src/fielddrift_node/configuration.py
@@ -113,8 +113,8 @@
     def serving(self, role: TargetRole, name: str) -> tuple[Target, ...]:
         """Return the targets of `role` that serve `name`, found once a revision."""
         configuration = self.current
-        # Taken once: another thread may put a later revision's in place meanwhile,
-        # and what is found in this revision must not be noted there.
+        # Read once: another thread may replace the pair by that of a later revision, where
+        # what is found in this one must not be noted.
         revision, found = self._serving
         if revision != configuration.revision:
             found = {}
--- a/packages/node/src/fielddrift_node/servers.py
+++ b/packages/node/src/fielddrift_node/servers.py
@@ -47,7 +47,7 @@
 
 
 class _Ended(Enum):
-    """How an application's answer ended, behind its last piece."""
+    """How an application's answer ended; put behind its last piece."""
 
     WHOLE = "whole"
     FAILED = "failed"
@@ -192,7 +192,7 @@
             get().info("caller left", path=request.head.target.decode("latin-1"))
         except Exception:
             get().exception("answer failed", path=request.head.target.decode("latin-1"))
-            # The loop waits for the next piece and would do so for ever.
+            # The loop would wait for the next piece for ever.
             with contextlib.suppress(_CallerLeft):
                 put(_Ended.FAILED)
         finally:
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -21,16 +21,16 @@
 
 __all__ = ["Call", "HandedOn", "Refused", "Tools", "Trace", "short_id"]
 
-_MOST_ID = 40
-"""Characters of an event's id in a log line: a target may name any, a line must stay short."""
-
+_MOST_ID_CHARACTERS = 40
+"""What a log line has of an event's id: a target may send any, a line must stay short."""
 
 _keys = itertools.count(1)
+"""Keys of the requests of this process, see `Trace.key`."""
 
 
 def short_id(event_id: str) -> str:
-    """Return an event's id as log lines have it."""
-    return event_id[:_MOST_ID]
+    """Return an event's id as log lines have it, cut at 40 characters."""
+    return event_id[:_MOST_ID_CHARACTERS]
 
 
 class Refused(Exception):
@@ -42,14 +42,14 @@
 
 
 class HandedOn(TypedDict, total=False):
-    """What a log line tells of a streaming answer."""
+    """What a log line tells of a streaming answer, from all of its runs together."""
 
     events: int
     """Events handed on."""
     odd: int
     """Those of them that have not just one numbered id and one line of data."""
     last: str
-    """The id of the last of them, cut at a length; empty for none."""
+    """The id of the last of them, cut at 40 characters; empty for none."""
     partial_bytes: int
     """Bytes of an event that has begun and not ended."""
     runs: int
@@ -81,14 +81,14 @@
         """What was known to be at the engine when it was chosen."""
         self.first_event: float | None = None
         self.connection = ""
-        """Whether the last send went over a kept connection or a new one, empty for none."""
+        """`kept` or `new`, as the last send's was; empty where none came up."""
         self.runs = 0
         self.cutter: EventCutter | None = None
         """What cuts the answer of the last send into events, None for a plain request."""
         self.events_before = 0
         """Events that were handed on before the last send."""
         self.odd_before = 0
-        """Those of them that are odd."""
+        """Those of them that are odd, see `EventCutter.odd`."""
 
     @property
     def broke_inside(self) -> bool:
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -38,7 +38,7 @@
 
 
 class _Ordered(NamedTuple):
-    """What a send gives its engine to keep and to save, by the ids of parts."""
+    """What an engine is to keep and to save of a send, by the ids of parts."""
 
     send: int
     salt: str
@@ -61,7 +61,7 @@
     return head.status == 200 and head.length is None
 
 
-def _mark(call: Call) -> str:
+def _callers_last_id(call: Call) -> str:
     """Return the id of the last event that the caller has of an earlier answer, empty for none.
 
     Without it, a caller that lacks only the end of an answer would be refused: the
@@ -121,7 +121,7 @@
     async def _try(self, call: Call, choice: EngineChoice, *, after: str, more: bool) -> _Run:
         tools = self._tools
         send = self._send(call, choice, after)
-        cutter = call.trace.send_events(after=after or _mark(call))
+        cutter = call.trace.send_events(after=after or _callers_last_id(call))
         name = choice.instance.name
         ordered = self._begin(call, choice, send)
         began = asyncio.get_running_loop().time()
@@ -295,6 +295,7 @@
         """Note a run that gives something; log it where another that may have run came before."""
         trace = call.trace
         trace.runs += 1
+        # This run is one of those that may have run.
         if trace.unproved < 2:
             return
         _log.info(
@@ -352,7 +353,8 @@
     def _take_back(self, engine: str, ordered: _Ordered) -> None:
         """Forget what an engine that turned a prompt away was to keep and to save.
 
-        Else the parts are read by the next engine and saved by none, for seconds.
+        Otherwise the parts would count as being saved for some seconds, and the engine
+        that reads them next would save none of them.
         """
         views = self._tools.views
         views.memory.not_sent(engine, ordered.salt, ordered.kept, send=ordered.send)
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -64,8 +64,8 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            # Cleared before the turn: what it is woken for meanwhile, such as the end of
-            # a pause of this process, is no concern of the reading under way.
+            # Cleared before the turn: what wakes it during a reading, such as the end of
+            # a pause of this process, asks for another reading after it.
             self._wake.clear()
             try:
                 seconds = await self._turn()
--- a/packages/node/src/fielddrift_node/watch.py
+++ b/packages/node/src/fielddrift_node/watch.py
@@ -70,7 +70,7 @@
             return
         with self._refreshing:
             while self._stale():
-                # The time of its beginning counts: a pause during it makes old what it read.
+                # What was read before a pause during the refresh is old, so its beginning counts.
                 began = self._clock()
                 self._refresh()
                 self._fresh_since = began
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -423,7 +423,7 @@
             detail = f"{address}: no connection: {error or 'timeout'}"
             raise ExchangeError(detail, sent=False, reason="connect") from None
         finally:
-            # One that was made, and then given up, is counted off when it is lost.
+            # One that came up and was given up is counted off by `_lost`.
             if connection is None:
                 self._drop(address)
         return found
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -252,8 +252,9 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._in_message = False
-        self._expects = False
-        """Whether the request that is being read waits for a word before its body."""
+        self._expects_continue = False
+        """Whether the caller holds the body of the request that is being read back until
+        it gets `100 Continue`."""
         self._begin()
 
     # --- state --------------------------------------------------------------
@@ -361,8 +362,8 @@
             raise _BadRequest(413, f"body: {int(length)} bytes announced")
         if not self._url.startswith(b"/"):
             raise _BadRequest(400, f"request target {self._url[:40]!r}: expected a path")
-        self._expects = (fields.get(b"expect") or b"").lower() == b"100-continue"
-        self._go_on()
+        self._expects_continue = (fields.get(b"expect") or b"").lower() == b"100-continue"
+        self._continue()
 
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
@@ -380,7 +381,7 @@
             http_1_0=http_1_0,
         )
         self._in_message = False
-        self._expects = False
+        self._expects_continue = False
         self._head_size = 0
         self._head_done = False
         self._queue.append(Request(head, b"".join(self._body), self._arrived))
@@ -392,13 +393,13 @@
 
     # --- handling -----------------------------------------------------------
 
-    def _go_on(self) -> None:
-        """Tell the caller to send the body that it holds back, once that would stand alone.
+    def _continue(self) -> None:
+        """Send `100 Continue` to a caller that waits for it, once no earlier answer is due.
 
-        Written while an earlier request is answered, it would be taken for a part of that answer.
+        Sent while an earlier request is answered, it would be taken for a part of that answer.
         """
-        if self._expects and self._task is None and not self._queue:
-            self._expects = False
+        if self._expects_continue and self._task is None and not self._queue:
+            self._expects_continue = False
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _next(self) -> None:
@@ -430,7 +431,7 @@
         elif self._close_soon or (self.closing and not self._queue and not self._in_message):
             self._transport.close()
         else:
-            self._go_on()
+            self._continue()
             self._next()
 
     def _fail(self, fault: _BadRequest) -> None:
