--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -4,7 +4,7 @@
 does writes without answering, `lose_news` loses the answers of so many long
 polls that would bring rows, `forget` drops the history.  With `keeps` off it
 closes a connection after each answer.  `under_way` names the calls that have
-no answer yet, so that a fault can be set in while nothing else is asked.
+no answer yet, so that a test can set a fault while just those are asked.
 """
 
 from __future__ import annotations
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -78,7 +78,7 @@
         self.ran: list[Ran] = []
         self.left: list[str] = []
         self.begun: list[Ran] = []
-        """Runs that came no further than into their first event."""
+        """Runs that ended or fell silent inside their first event."""
         self.orders: list[dict[str, Any]] = []
         self.closed = False
         self.unanswered_orders = 0
@@ -181,7 +181,7 @@
             raise
 
     def event(self, number: int, request_id: str) -> bytes:
-        """Return an event."""
+        """Return the bytes of event `number`, which say whose it is where `signed` is set."""
         sign = f" of {request_id} at {self.name}" if self.signed else ""
         return f"id: {number}\ndata: token {number}{sign}\n\n".encode()
 
@@ -274,7 +274,7 @@
     worker.begin(exchange.request)
     worker.begun.append(worker.ran[-1])
     after = int(exchange.request.head.headers.text(b"last-event-id") or 0)
-    # No further events than up to there: only the head goes out.
+    # Events up to the one that the request names are not sent: only the head goes out.
     await worker.stream(exchange.request, exchange.responder, exchange.request_id, after)
     event = worker.event(after + 1, exchange.request_id)
     exchange.responder.write(event[: worker.begun_bytes])
@@ -282,6 +282,7 @@
 
 @fault("two-ids")
 async def _two_ids(exchange: _Exchange) -> None:
+    """Send a whole event, then one with two ids and two lines of data, and end."""
     worker = exchange.worker
     worker.begin(exchange.request)
     await worker.stream(exchange.request, exchange.responder, exchange.request_id, 1)
@@ -302,7 +303,7 @@
 
 @fault("repeat")
 async def _repeat(exchange: _Exchange) -> None:
-    """Answer with all events, also those behind which the request asks to go on."""
+    """Answer with all events, also those that the request names as received."""
     worker = exchange.worker
     worker.begin(exchange.request)
     exchange.responder.start(200, Headers([*worker.head(exchange.request_id), *_EVENTS]), None)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -44,7 +44,8 @@
     Kind("verdict", repeatable=False, streams=True),
 )
 TALK = Kind("talk", repeatable=True, streams=True)
-"""As a chat, with more attempts; in place of some where a fault asks, so that draws stay."""
+"""As a chat, with more attempts.  It takes the place of drawn chats while a fault asks for it:
+were it one of `KINDS`, seeds that failed once would draw other requests."""
 
 
 class Attempt:
@@ -103,7 +104,9 @@
         talks: Callable[[], bool],
     ) -> None:
         self._talks = talks
+        """Tells whether most chats are to be sent as talks."""
         self._chats = 0
+        """Chats drawn while they were."""
         self._directories = directories
         self._rng = rng
         self._attempts = attempts
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -364,14 +364,14 @@
 
 
 def _some_engines(site: Site, rng: random.Random, least: int = 1) -> list[Worker]:
-    """Return some of the engines, one less than all at most."""
+    """Return `least` engines or more, but not all where there are more than `least`."""
     names = site.outside.serving("engines")
     count = rng.randint(least, max(least, len(names) - 1))
     return [site.outside.workers[name] for name in rng.sample(names, k=min(count, len(names)))]
 
 
 async def _first_event_lost(site: Site, rng: random.Random, engines: list[Worker]) -> None:
-    """Let engines that were given faults meet chats with some attempts more."""
+    """Send talks to engines that were given faults, for some time; then clear the faults."""
     site.talks += 1
     for engine in engines:
         engine.begun_bytes = rng.randint(1, 24)
@@ -411,7 +411,7 @@
 
 
 async def _lose_in_event(site: Site, rng: random.Random, engine: Worker) -> None:
-    """Harm an engine while a run there is inside its first event."""
+    """Harm an engine, or its link, each time a run there is inside its first event."""
     link = site.outside.links[engine.name]
     while not engine.closed:
         seen = len(engine.begun)
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -34,7 +34,7 @@
 _CUT_FIRST = ("engines break off inside their first event",)
 _CUT_RESUMED = ("engines that resume break off inside their first event",)
 _LOST_FIRST = ("engines go down or lose their links inside a first event",)
-_JOINED = "a run that broke off inside its first event left bytes, which the next run's were put to"
+_JOINED = "bytes of a run that broke off inside its first event were put before the next run's"
 
 FAILED_ONCE = (
     FailedSeed(2966062626, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
--- a/soak/site.py
+++ b/soak/site.py
@@ -24,7 +24,7 @@
         self.pace = 1.0
         """Callers' rests are this part of their usual ones."""
         self.talks = 0
-        """Faults under way that send most chats to the route with more attempts."""
+        """Faults under way that ask for talks in place of most chats."""
         self._folder = folder
         self._net = Net(rng=random.Random())
 
