Let test headers tell what was seen, without a field that does not exist

`partial_before` is no field of `run resumed`; two files had nearly one header and each now says which interface it is of. The fault of a test that replaced the stand-in's `repeat` has a name of its own, and a class ends in Test as the others.

--- a/tests/test_left_behind.py
+++ b/tests/test_left_behind.py
@@ -1,8 +1,9 @@
-"""What one life, run, connection or reading leaves behind must not decide over the next one.
+"""State of one run, life of a target, pause or reading does not decide over the next one.
 
-State of one of them is at times kept in an object that outlives it: a sequencer, a
-note on a target, a mark of a pause, a row's version. Each test here shows such a
-place and what a caller or an operator saw of it.
+It was kept in an object that outlives it: a sequencer, a note on a target, a mark of a
+pause, a row's version.  Most of the places here are of the node's own interface;
+`test_left_from_a_try.py` has those of the platform's.  Each test tells what a caller or
+an operator saw.
 """
 
 from __future__ import annotations
@@ -137,7 +138,7 @@
 
 class FailedAnswerTest(unittest.TestCase):
     def test_an_answer_whose_application_fails_is_cut(self) -> None:
-        """Beside the class: the caller waited for a piece that would never come."""
+        """The caller waited for the rest of the answer until it gave up."""
 
         def app(environ: Any, start_response: Any) -> Iterator[bytes]:
             start_response("200 OK", [("Content-Type", "text/event-stream")])
--- a/tests/test_left_from_a_try.py
+++ b/tests/test_left_from_a_try.py
@@ -1,9 +1,8 @@
-"""What one try, run, connection or reading leaves behind must not decide over the next one.
+"""State of one try, connection or request on the platform does not decide over the next one.
 
-Each test here shows state that is kept in an object which outlives what the state
-is of: a sequencer, a kept connection, a caller's connection, a feed, a line, a count.
-They were written by reading, against code on which they fail; each tells what a
-caller or operator sees of it.
+It was kept in an object that outlives it: a cutter of events, a kept connection, a
+caller's connection, a feed, a line, a count.  Each test tells what a caller or an
+operator saw.  `test_left_behind.py` has such places of the node's own interface.
 """
 
 from __future__ import annotations
@@ -49,7 +48,7 @@
 # --- faults of engines that only these tests need ------------------------------
 
 
-async def _repeat(exchange: Any) -> None:
+async def _repeat_named(exchange: Any) -> None:
     """Send the event that the request names once more, then go on behind it."""
     worker = exchange.worker
     worker.begin(exchange.request)
@@ -85,7 +84,7 @@
 
 
 _FAULTS: dict[str, Callable[[Any], Any]] = {
-    "repeat": _repeat,
+    "repeat-named": _repeat_named,
     "cut-plain": _cut_plain,
     "late-without-id": _late_without_id,
 }
@@ -133,7 +132,7 @@
         self.assertEqual([views.health.share(w.name, now) for w in self.workers], [0.0, 0.0])
 
     async def test_an_event_that_the_caller_named_does_not_come_again(self) -> None:
-        self.faults[:] = ["repeat"]
+        self.faults[:] = ["repeat-named"]
         answer = await ask(self.node, "/long/x", Last_Event_Id="2", **prompt())
         self.assertEqual(answer.body, b"".join(_event(n) for n in range(3, _EVENTS + 1)))
 
@@ -200,10 +199,10 @@
 
 
 class JoinedEventsTest(unittest.TestCase):
-    """What counts as bytes of two events that went out as one: METRICS.md says to alert on it."""
+    """Events joined of the bytes of two are counted: docs/METRICS.md says to alert on it."""
 
     def test_an_event_joined_inside_its_id_is_counted(self) -> None:
-        """The bytes of the incident: 6 of one run's event, then the next run's."""
+        """A run broke off behind 6 bytes of its event; the next run's event came behind them."""
         cutter = EventCutter()
         cutter.feed(b"id: 39" + b"id: 39\ndata: token 39\n\n")
         self.assertEqual(cutter.odd, 1)
@@ -314,7 +313,7 @@
 
 class ReadingBeforeAPauseTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_reading_from_before_a_pause_is_not_the_one_after_it(self) -> None:
-        """`again` asks to read at once; it was forgotten when the call before it ended."""
+        """`again` asks for a reading at once; the end of the one under way cleared that."""
         node = ViewNode(name="node-1", boot=1, fleet=mock.Mock(spec=TargetFleet))
         calls: list[asyncio.Future[TargetNews]] = []
 
--- a/tests/test_runs_broken_off.py
+++ b/tests/test_runs_broken_off.py
@@ -11,7 +11,7 @@
 the id of the first engine's event and, in the same line, that of the second's.
 
     send failed       partial_bytes=6  events=0  answer_begun=false  reason=cut
-    run resumed       partial_before=6  after=38  first="39id: 39"
+    run resumed       after=38  first="39id: 39"
     request answered  status=200  events=1  last="39id: 39"
 """
 
@@ -26,7 +26,7 @@
 _MADE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, _EVENTS + 1))
 
 
-class RunsBrokenOff(FleetCase):
+class RunsBrokenOffTest(FleetCase):
     """Three engines that fail by one list: run by run, whichever of them it reaches."""
 
     async def asyncSetUp(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,7 @@
 
 SEED = 7
 SHORT = Size(nodes=3, callers=8, seconds=6.0, kinds=tuple(FAULTS)[:30])
-"""With the kinds that there were when its seed was chosen."""
+"""Without the kinds registered last: `SEED` would draw other faults with them."""
 CUT_RESUMED = SHORT._replace(
     callers=16, seconds=8.0, kinds=("engines that resume break off inside their first event",)
 )
--- a/tests/test_weights_naming.py
+++ b/tests/test_weights_naming.py
@@ -26,7 +26,8 @@
 _NEVER_DONE = 1000
 _SHORT = BOUNDS._replace(weights=2.0)
 _HEARD_BEFORE_SECONDS = 0.4
-"""By how much another node may have heard of a version before the one that saves it."""
+"""How much earlier another node heard of a version than the one that saves it: less than
+`SAVED_ERROR_SECONDS`, for which the row is not written anew."""
 _DEADLINE_MS = 6000
 """Longer than any request may wait to begin on older weights."""
 
@@ -39,7 +40,7 @@
             # Loads are ordered and never come about: the rollout stays in its middle.
             worker.unanswered_orders = _NEVER_DONE
         self.clocks: list[StoreClock] = []
-        """All readings of the platform's clock that namings were counted by."""
+        """All readings of the platform's clock by which namings were dated."""
 
         def read(clock: float, sent: float, heard: float) -> StoreClock:
             self.clocks.append(StoreClock(clock, sent, heard))
@@ -65,12 +66,12 @@
             views = node.node.views
             await eventually(lambda views=views: views.named == {"m": 2})
             await eventually(lambda views=views: views.outdating("m", 1).at <= heard_at)
-            # Nor is time lost: what the calls to the store took is all the error.
+            # Nor does it count from much before the naming: calls to the store are all the error.
             calls = sum(clock.heard - clock.sent for clock in self.clocks)
             self.assertGreater(views.outdating("m", 1).at, named_at - calls)
 
     async def test_they_count_from_the_naming_not_from_their_start(self) -> None:
-        # One node has heard of it: what it knows is what was saved, to the last bit.
+        # Only one node has heard of it: what it knows is exactly what was saved.
         before = await self.fleet.node("node-1")
         named_at = asyncio.get_running_loop().time()
         await self._named([before])
@@ -79,7 +80,7 @@
         await self._count_from(heard_at, named_at)
 
     async def test_they_count_from_whoever_heard_of_it_first(self) -> None:
-        # Who saves it may have heard of it later, by what a row is not written anew for.
+        # The node that saved it may have heard of it later, by `SAVED_ERROR_SECONDS` at most.
         before = await self._nodes()
         named_at = asyncio.get_running_loop().time()
         await self._named(before)
