--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -119,7 +119,7 @@
         name = self._started.choice.target.name
         exchange = self._exchange
         self._stop_run()
-        self._log_broken()
+        self._note_broken()
         exchange.runtime.board.failed(name)
         exchange.failed.add(name)
         self._resumes += 1
@@ -153,7 +153,7 @@
             "resumes": self._resumes,
         }
 
-    def _log_broken(self) -> None:
+    def _note_broken(self) -> None:
         if self._sequencer.partial_bytes:
             self._exchange.runtime.metrics.add("streams.cut_events")
         get().info("run broke off", reason=self._reason, **self._progress())
