Let the walk over broken runs use its own repeating fault, and leave the stand-in's in place

Cause: `setdefault` kept the stand-in's `repeat`, which gives a whole run: of 15 draws in the walk none was the test's own, which breaks off. The clean-up then took the stand-in's fault away for every later test of the process; there a run that names it ends by KeyError, and `test_an_engine_that_repeats_what_a_caller_has_is_not_passed_on` passes all the same. The walk has both now, under names of their own.

--- a/tests/test_any_break.py
+++ b/tests/test_any_break.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from fielddrift_node.web.messages import Headers
 from fielddrift_standins import worker as standin
@@ -23,11 +24,11 @@
 _REQUESTS = 60
 _FAULTS = (
     "cut-event", "cut-first", "silent-first", "cut-end", "lost", "error", "shed", "garbage",
-    "hang", "repeat", "ends-at-once",
+    "hang", "repeat", "repeat-and-cut", "ends-at-once",
 )  # fmt: skip
 
 
-async def _repeat(exchange: standin._Exchange) -> None:
+async def _repeat_and_cut(exchange: standin._Exchange) -> None:
     """Give the run from its first event on, whatever the request names, and break off."""
     worker = exchange.worker
     worker.begin(exchange.request)
@@ -55,10 +56,10 @@
 class AnyBreakTest(FleetCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        standin.FAULTS.setdefault("repeat", _repeat)
-        standin.FAULTS.setdefault("ends-at-once", _ends_at_once)
-        for name in ("repeat", "ends-at-once"):
-            self.addCleanup(standin.FAULTS.pop, name, None)
+        own = {"repeat-and-cut": _repeat_and_cut, "ends-at-once": _ends_at_once}
+        faults = mock.patch.dict(standin.FAULTS, own)
+        faults.start()
+        self.addCleanup(faults.stop)
         more = {"allow-resume": True, "max-attempts": 4}
         self.fleet.routes.append(route("long", "engines", "streaming", **more))
         self.fleet.configure()
