--- a/soak/faults.py
+++ b/soak/faults.py
@@ -375,10 +375,12 @@
     site.talks += 1
     for engine in engines:
         engine.begun_bytes = rng.randint(1, 24)
-    await _lasting(rng, 1.0, 3.0)
-    for engine in engines:
-        engine.faults.clear()
-    site.talks -= 1
+    try:
+        await _lasting(rng, 1.0, 3.0)
+    finally:
+        for engine in engines:
+            engine.faults.clear()
+        site.talks -= 1
 
 
 @fault("engines break off inside their first event")
@@ -408,6 +410,9 @@
     await _first_event_lost(site, rng, engines)
     for loss in losses:
         loss.cancel()
+    for ended in await asyncio.gather(*losses, return_exceptions=True):
+        if isinstance(ended, Exception):
+            raise ended
 
 
 async def _lose_in_event(site: Site, rng: random.Random, engine: Worker) -> None:
--- a/tests/test_left_from_a_try.py
+++ b/tests/test_left_from_a_try.py
@@ -289,6 +289,7 @@
             )
             await asyncio.gather(begun, return_exceptions=True)
             await asyncio.sleep(0.05)
+        self.assertTrue(begun.cancelled())
         self.assertEqual(self.client._open, {self.address: 1})
         held.cancel()
 
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -215,6 +215,7 @@
         answer = await ask(self.node, "/chat/x", Last_Event_Id="3", **prompt())
         self.assertEqual(self._events(answer.body), [4, 5])
         self.assertEqual(answer.headers.get("whole"), "yes")
+        self.assertEqual((self.one.faults, len(self.one.ran + self.two.ran)), ([], 1))
 
     async def test_a_failure_instead_of_the_rest_never_gets_into_the_stream(self) -> None:
         for number in range(4):
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -61,7 +61,8 @@
         A reading of the targets under way would fail, and would tell of the silence at once.
         """
         readers = [node for node in self.nodes if node.node._operators.reader() is None]
-        return self.fleet.store.under_way == ["/rows-feed?wait"] * len(readers)
+        polls = ["/rows-feed?wait"] * len(readers)
+        return bool(readers) and self.fleet.store.under_way == polls
 
     async def test_silent_long_polls_keep_no_catalog_away(self) -> None:
         # The targets' readings find nothing wrong where each has a new connection.
--- a/tests/test_promise_answers.py
+++ b/tests/test_promise_answers.py
@@ -53,6 +53,9 @@
                 self.assertLessEqual(event.count(b"id: "), 1, got.body)
             if events:
                 self.assert_whole(got, prompt)
+            else:
+                self.assertFalse(is_whole(got), got.body)
+                self.assertIn(b"event: error", got.body)
 
     def test_an_end_mark_too_early_never_passes_for_the_end(self) -> None:
         """An engine's end mark told of fewer events than it had sent.
