Let pauses of a test's process move no request, and let an outage be over before its end is judged

Both causes were brought about: a send is moved after 0.2 s of silence or 0.35 s without a connection, and the tests' process, which plays all sides, paused for longer; and a node whose fetch from a neighbour failed counts the store as lost until its next reading, by design.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 from typing import NamedTuple
+from unittest import mock
 
 from fielddrift_node.serving.node import Dialects, ServingNode
 from fielddrift_node.serving.settings import Bounds, NodeSettings
@@ -227,3 +228,13 @@
 
     async def asyncTearDown(self) -> None:
         await self.fleet.end()
+
+    def bear_pauses(self, seconds: float) -> None:
+        """Let no pause of this process up to `seconds` move a request to another target."""
+        for each in self.fleet.routes:
+            # A send is given up for silence after twice the route's aim.
+            each["target-latency-ms"] = round(seconds * 500)
+        self.fleet.configure()
+        connects = mock.patch("fielddrift_node.serving.trying.CONNECT_SECONDS", seconds)
+        connects.start()
+        self.addCleanup(connects.stop)
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -411,6 +411,10 @@
         # The reading that failed at first counts as an outage until others have read for long.
         await eventually(lambda: not registry.in_respite(loop.time()))
         self.door.turned_away = False
+        # A fetch from another node may have failed meanwhile, and a reading in its place: the
+        # next reading, its own or another's, is the end of that outage and begins a respite.
+        feed = self.cut.node._targets
+        await eventually(lambda: feed._lost_at is None and not registry.in_respite(loop.time()))
         for node in self.others:
             await node.stop()
         # The first reading of its own finds the entry gone; that was no outage.
--- a/tests/test_runs_broken_off.py
+++ b/tests/test_runs_broken_off.py
@@ -33,7 +33,7 @@
         await super().asyncSetUp()
         more = {"allow-resume": True, "max-attempts": 4}
         self.fleet.routes.append(route("long", "engines", "streaming", **more))
-        self.fleet.configure()
+        self.bear_pauses(1.0)
         self.faults: list[str] = []
         self.workers = [Worker(name=f"e{n}", events=_EVENTS) for n in range(1, 4)]
         for worker in self.workers:
--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -85,6 +85,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
+        self.bear_pauses(2.0)
         self.one = await self.fleet.worker(Worker(name="e1", events=5), "engines")
         self.two = await self.fleet.worker(Worker(name="e2", events=5), "engines")
         self.node = await self.fleet.node()
