--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -9,6 +9,7 @@
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
 from fielddrift_core.errors import Refusal
+from fielddrift_core.fingerprint import fingerprint
 from fielddrift_core.retries import WindowBudget
 from fielddrift_core.stream import EventCutter
 from fielddrift_core.workload import Burden
@@ -148,6 +149,21 @@
         """Return the customer's name, empty without one."""
         return "" if self.customer is None else self.customer.name
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what all tries of the same request have in common: caller, place and body.
+
+        A prompt that comes without a body is told by its parts.
+        """
+        head, body = self.ask.request.head, self.ask.request.body
+        prompt = self.ask.prompt
+        if not body and prompt is not None:
+            body = repr((prompt.model, prompt.parts)).encode()
+        customer = self.customer_name or self.ask.key
+        return fingerprint(
+            (customer.encode(), self.ask.host.encode(), head.method, head.target, body)
+        )
+
 
 class Tools(NamedTuple):
     """What the ways of a request share."""
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -192,6 +192,7 @@
         _log.info(
             "request answered",
             request=call.ask.request_id,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             customer=call.customer_name,
             status=trace.status,
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -57,6 +57,8 @@
         self._tools = tools
         self._reached = 0
         self._connects = 0
+        self._sent_at = 0.0
+        """Loop time at which the last sending began."""
         self.tried: set[str] = set()
 
     def begin(self, target: str) -> None:
@@ -68,6 +70,7 @@
         elif not budget.take(now, nodes=self._tools.views.nodes):
             raise Refused(self._refusal("repeated sends are used up", None))
         self._tools.metrics.sends.inc()
+        self._sent_at = now
         self.tried.add(target)
         self._call.trace.targets.append(target)
         self._call.trace.connection = ""
@@ -82,10 +85,12 @@
         _log.info(
             "send failed",
             request=call.ask.request_id,
+            fingerprint=call.fingerprint,
             target=call.trace.targets[-1],
             reason=failure.reason,
             detail=str(failure),
             not_run=failure.not_run,
+            after_ms=round((asyncio.get_running_loop().time() - self._sent_at) * 1000),
             connection=call.trace.connection,
             answer_begun=call.trace.first_event is not None,
             **call.trace.handed_on(),
