--- a/packages/standins/src/fielddrift_standins/deployment.py
+++ b/packages/standins/src/fielddrift_standins/deployment.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from .fleet import HOST, free_port
 from .rowstore import RowStore
 from .worker import KvHost, Worker
@@ -43,6 +45,9 @@
         self.kv = KvHost()
         self.kv_address = f"{HOST}:{free_port()}"
         self.addresses: dict[str, str] = {}
+        self.crashes: list[tuple[float, str]] = []
+        """When workers crashed, on the loop's clock, and their names."""
+        self._reviving: set[asyncio.Task[None]] = set()
         self.workers: dict[str, Worker] = {}
         self.version = 1
         self.keys = [KEY]
@@ -105,8 +110,37 @@
         entry = {"service": service, "address": self.addresses[name], "zone": "a", "slots": 4}
         self.store.put("servers", name, {**entry, "state": state, "models": models, "seq": 1})
 
+    def revive(
+        self, worker: Worker, service: str, *, entry_seconds: float, back_seconds: float
+    ) -> None:
+        """Let `worker` come back under a new id when it has crashed.
+
+        Its entry goes `entry_seconds` after the crash, the new one comes after `back_seconds`.
+        """
+
+        def crashed(worker: Worker) -> None:
+            self.crashes.append((asyncio.get_running_loop().time(), worker.name))
+            task = asyncio.ensure_future(come_back(worker))
+            self._reviving.add(task)
+            task.add_done_callback(self._reviving.discard)
+
+        async def come_back(worker: Worker) -> None:
+            await asyncio.sleep(min(entry_seconds, back_seconds))
+            if entry_seconds <= back_seconds:
+                self.store.drop("servers", worker.name)
+            await asyncio.sleep(abs(back_seconds - entry_seconds))
+            if entry_seconds > back_seconds:
+                self.store.drop("servers", worker.name)
+            again = worker.successor()
+            await self.worker(again, service)
+            self.revive(again, service, entry_seconds=entry_seconds, back_seconds=back_seconds)
+
+        worker.crashed = crashed
+
     def close(self) -> None:
         """Stop everything."""
+        for task in self._reviving:
+            task.cancel()
         self.store.close()
         self.kv.close()
         for worker in self.workers.values():
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -75,6 +75,12 @@
     ) -> None:
         self.name = name
         self.faults: list[str] = []
+        self.fatal: frozenset[bytes] = frozenset()
+        """Bodies whose run ends the worker's process."""
+        self.fatal_seconds = 0.02
+        """How long such a run lasts."""
+        self.crashed: Callable[[Worker], None] = lambda worker: None
+        """Called once such a run has ended the worker."""
         self.ran: list[Ran] = []
         self.left: list[str] = []
         self.begun: list[Ran] = []
@@ -105,6 +111,26 @@
         self._server.stop_accepting()
         self._server.close()
 
+    def crash(self) -> None:
+        """End as a process that dies: its port and all its connections are gone."""
+        if not self.closed:
+            self.close()
+            self.crashed(self)
+
+    def successor(self) -> Worker:
+        """Return a worker as this one was at its start, under another id."""
+        name, _, life = self.name.partition("~")
+        again = Worker(
+            name=f"{name}~{int(life or 0) + 1}",
+            events=self.events,
+            work_seconds=self.work_seconds,
+            pause_seconds=self.pause_seconds,
+            model=self.model,
+            version=self.version,
+        )
+        again.fatal, again.fatal_seconds = self.fatal, self.fatal_seconds
+        return again
+
     def head(self, request_id: str) -> Headers:
         """Return the headers that every answer carries."""
         return Headers(
@@ -164,6 +190,11 @@
         if (expected and expected != self.name) or (weights and int(weights) != self.version):
             responder.send(421, self.head(request_id), b"")
             return
+        if request.body in self.fatal:
+            self.begin(request)
+            await asyncio.sleep(self.fatal_seconds)
+            self.crash()
+            return
         if self.faults:
             exchange = _Exchange(self, request, responder, request_id)
             await FAULTS[self.faults.pop(0)](exchange)
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,43 @@
+"""A request that ends the targets that run it is held back once it has ended three.
+
+A request of one caller, with one path and one body, came back again and again under new
+ids, at any node, and ended each engine that began to run it: nine and eleven of them in
+two spells of fifteen seconds, each back after some seconds and ended again.  Requests that
+stood beside were cut or failed.  All that a node knew of a request ended with its answer, so
+each try was sent to a sound target like a new one.  The lines that settled it are those of
+`send failed` with one `fingerprint`, another request id and another target each time:
+
+    send failed fingerprint=F request=f1 target=plain-2 reason=reset after_ms=21
+    send failed fingerprint=F request=f2 target=plain-5 reason=reset after_ms=22
+
+Six targets, three nodes, asked ten times a second for six seconds: 10 to 12 runs later than
+one second after the third crash, where three may be.
+"""
+
+from __future__ import annotations
+
+from .crashing_fleet import ALLOWED, CrashingCase
+
+_SECONDS = 6.0
+
+
+class TestHeldBack(CrashingCase):
+    """Whatever its kind, and wherever it comes in."""
+
+    async def _hold(self, service: str, path: str, **headers: str) -> None:
+        await self.targets(service, 6)
+        nodes = await self.nodes(3)
+        answers = await self.insist(nodes, path, seconds=_SECONDS, **headers)
+        self.assertLessEqual(len(self.late_runs()), ALLOWED)
+        last = answers[-1]
+        self.assertEqual(last.status, 503)
+        self.assertGreater(float(last.headers["retry-after"]), 1.0)
+
+    async def test_a_request_that_may_be_repeated(self) -> None:
+        await self._hold("plain", "/safe/x")
+
+    async def test_at_one_node_alone(self) -> None:
+        await self.targets("plain", 6)
+        nodes = await self.nodes(1)
+        await self.insist(nodes, "/safe/x", seconds=_SECONDS)
+        self.assertLessEqual(len(self.late_runs()), ALLOWED)
