Hold back a request that ends the targets that run it

Cause: all that a node knew of a request ended with its answer, and that of a target's end with its entry: no record joined the two, at one node or between nodes. So each try of a request that ends its targets went to a sound one. Change: a run broken off by its target's side counts against the request, told by caller, place and body, once the target is known to have ended (its port refuses, another instance has its address, its entry went unannounced). Three such ends that no other request explains hold it back for 120 s, doubling; a whole answer, a target that lives after all, or an operator clears it. Nodes tell each other in datagrams of their own; the first node keeps it in the platform's table, a start reads it.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -25,10 +25,12 @@
     StoreTraits,
     Transport,
 )
+from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 from fielddrift_node.serving.call import Call, Tools, Trace
+from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.kept import KeptParts, salt_of
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.placing import Placing
@@ -140,6 +142,14 @@
         rng=random.Random(seed),
         metrics=Metrics(),
         told=lambda: None,
+        crashes=CrashWatch(
+            views=views,
+            client=LabClient(engines={}, targets=targets),
+            neighbours=Neighbours(me=Neighbour("me", 1, _centre(0), address, address, address)),
+            metrics=Metrics(),
+            rng=random.Random(seed),
+            tell=lambda news, nodes: None,
+        ),
     )
     request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
     ask = Ask("id", "h", "/", "", 4.0, _PROMPT, "", request)
--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -114,14 +114,18 @@
     ) -> Exchange:
         """Hand a send to its engine."""
         send = self._targets.sends.pop(data)
-        await asyncio.sleep(_CONNECT_SECONDS)
+        await self.connect(address, seconds=connect_seconds)
         engine = self._engines[address]
-        if not engine.up:
-            raise ExchangeError(f"{address}: refused", sent=False, reason="connect")
         exchange = Exchange(accepts=accepts)
         engine.take(send, exchange)
         return exchange
 
+    async def connect(self, address: str, *, seconds: float) -> None:
+        """Find that an engine listens, or does not."""
+        await asyncio.sleep(_CONNECT_SECONDS)
+        if not self._engines[address].up:
+            raise ExchangeError(f"{address}: refused", sent=False, reason="connect", refused=True)
+
 
 class Answer(Responder):
     """Note what a caller gets, and when."""
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -12,6 +12,7 @@
 from fielddrift_core.store_index import KeptChange
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.call import Tools
+from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.gateway import Gateway
 from fielddrift_node.serving.gossip import Gossip
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
@@ -90,16 +91,27 @@
             self.name, self.name, data_centre, "r", address, address, address, address, _PORT,
             address, (), BOUNDS, _CAPACITY,
         )  # fmt: skip
+        client = LabClient(engines=engines, targets=targets)
+        rng = random.Random(f"{self.name} {seed}")
+        crashes = CrashWatch(
+            views=self.views,
+            client=client,
+            neighbours=self.neighbours,
+            metrics=self.metrics,
+            rng=rng,
+            tell=self.gossip.tell_crashes,
+        )
         tools = Tools(
             settings=settings,
             views=self.views,
-            client=LabClient(engines=engines, targets=targets),
+            client=client,
             callers=self.callers,
             targets=targets,
             budgets={},
-            rng=random.Random(f"{self.name} {seed}"),
+            rng=rng,
             metrics=self.metrics,
             told=self.gossip.sends_changed,
+            crashes=crashes,
         )
         self.gateway = Gateway(tools=tools)
         self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -94,14 +94,21 @@
         ]
         for node in beliefs["nodes"]
     ]
+    held = [
+        [each["fingerprint"], each["seconds"], ", ".join(each["targets"])]
+        for each in beliefs.get("held", [])
+    ]
     parts = [
+        ("held back request,s left,targets that ended under it", held),
         ("target,service,leaving,weights,runs,unread,failures,loading s", targets),
         ("store,life,parts,tokens,heard s ago", stores),
         ("neighbour,data centre,silent s,role,serves", nodes),
     ]
     text = [f"{beliefs['node']} believes:"]
     text += [
-        tabulate(rows, headers=headers.split(","), missingval=_UNKNOWN) for headers, rows in parts
+        tabulate(rows, headers=headers.split(","), missingval=_UNKNOWN)
+        for headers, rows in parts
+        if rows or rows is not held
     ]
     return "\n".join(text)
 
--- a/packages/cli/src/fielddrift_cli/main.py
+++ b/packages/cli/src/fielddrift_cli/main.py
@@ -4,7 +4,7 @@
 
 import json
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +14,7 @@
 from prompt_toolkit.history import FileHistory
 from tabulate import tabulate
 
-from . import beliefs
+from . import beliefs, held
 from .client import Client, Outcome
 
 __all__ = ["main"]
@@ -37,6 +37,17 @@
     is_flag=True,
     help="Show what the nodes believe; --node then names metrics addresses, no key is needed.",
 )
+@click.option(
+    "--held",
+    "ask_held",
+    is_flag=True,
+    help="Show the requests that the nodes hold back; --node names metrics addresses.",
+)
+@click.option(
+    "--lift",
+    metavar="FINGERPRINT",
+    help="Let a request go that is held back; --node names metrics addresses, one is enough.",
+)
 @click.version_option(package_name="fielddrift-cli")
 def main(
     statement: str | None,
@@ -47,13 +58,18 @@
     wait: float,
     since: int | None,
     ask_beliefs: bool,
+    ask_held: bool,
+    lift: str | None,
 ) -> None:
     """Run STATEMENT, the statements of a file, or a prompt.
 
     The exit code tells the kind of the first failure.
     """
-    if ask_beliefs:
-        _beliefs(nodes, as_json)
+    if ask_beliefs or ask_held:
+        _beliefs(nodes, as_json, show=held.table if ask_held else beliefs.tables)
+        return
+    if lift is not None:
+        _lift(nodes, lift)
         return
     if not nodes or not key:
         raise click.UsageError("expected --node (or FIELDDRIFT_NODES) and --key (FIELDDRIFT_KEY)")
@@ -69,16 +85,32 @@
             sys.exit(code)
 
 
-def _beliefs(nodes: tuple[str, ...], as_json: bool) -> None:
-    """Show what nodes believe; exit with a failure when one does not answer."""
+def _lift(nodes: tuple[str, ...], fingerprint: str) -> None:
+    """Let a request go; exit with a failure when no node did."""
+    _check_metrics(nodes)
+    outcomes = [held.lift(node, fingerprint) for node in nodes]
+    for outcome in outcomes:
+        click.echo(f"{outcome.address}: {outcome.fault or 'let go'}", err=bool(outcome.fault))
+    if all(outcome.fault for outcome in outcomes):
+        sys.exit(ANSWERS[Kind.NOT_FOUND].exit_code)
+
+
+def _check_metrics(nodes: tuple[str, ...]) -> None:
     if not nodes:
         raise click.UsageError("expected --node (or FIELDDRIFT_NODES): IP:PORT of its metrics")
+
+
+def _beliefs(
+    nodes: tuple[str, ...], as_json: bool, *, show: Callable[[Iterable[beliefs.Answer]], str]
+) -> None:
+    """Show what nodes believe; exit with a failure when one does not answer."""
+    _check_metrics(nodes)
     answers = [beliefs.ask(node) for node in nodes]
     if as_json:
         for answer in answers:
             click.echo(json.dumps(answer._asdict(), sort_keys=True))
     else:
-        click.echo(beliefs.tables(answers))
+        click.echo(show(answers))
     faults = [answer for answer in answers if answer.beliefs is None]
     for answer in faults:
         click.echo(f"{answer.address}: {answer.fault}", err=True)
--- a/packages/core/src/fielddrift_core/errors.py
+++ b/packages/core/src/fielddrift_core/errors.py
@@ -30,6 +30,7 @@
     OVERLOADED = "overloaded"
     OVER_SHARE = "over-share"
     NO_TARGET = "no-target"
+    HELD_BACK = "held-back"
     TARGET_FAILED = "target-failed"
     CUT = "cut"
     PLATFORM_DOWN = "platform-down"
@@ -73,6 +74,7 @@
     Kind.OVERLOADED: Answer(503, 6, True, "All targets are busy"),
     Kind.OVER_SHARE: Answer(429, 6, True, "The customer is over its share"),
     Kind.NO_TARGET: Answer(503, 6, True, "No target can take the request"),
+    Kind.HELD_BACK: Answer(503, 6, True, "The request ended the targets that ran it"),
     Kind.TARGET_FAILED: Answer(502, 6, True, "The target failed"),
     Kind.CUT: Answer(502, 6, True, "The answer was cut"),
     Kind.PLATFORM_DOWN: Answer(503, 7, True, "The platform's table is out of reach"),
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -11,7 +11,7 @@
 
 from .views import Views
 
-__all__ = ["Beliefs", "StoreBelief", "TargetBelief", "beliefs_of", "to_json"]
+__all__ = ["Beliefs", "HeldBelief", "StoreBelief", "TargetBelief", "beliefs_of", "to_json"]
 
 
 class TargetBelief(NamedTuple):
@@ -43,6 +43,14 @@
     heard_seconds: float | None
 
 
+class HeldBelief(NamedTuple):
+    """A request that is held back for `seconds` more, and the targets that ended under it."""
+
+    fingerprint: str
+    targets: tuple[str, ...]
+    seconds: float
+
+
 class Beliefs(NamedTuple):
     """Everything that decides where a node sends requests, as of now; ages in seconds.
 
@@ -64,6 +72,7 @@
     targets: list[TargetBelief]
     stores: list[StoreBelief]
     nodes: list[KnownNode]
+    held: list[HeldBelief]
 
 
 def beliefs_of(views: Views, neighbours: Neighbours, *, reader: str) -> Beliefs:
@@ -84,6 +93,10 @@
         targets=_targets(views, now),
         stores=_stores(views, now),
         nodes=neighbours.known(now),
+        held=[
+            HeldBelief(held.fingerprint, held.targets, round(held.until - now, 3))
+            for held in views.crashes.all_held(now)
+        ],
     )
 
 
@@ -130,6 +143,6 @@
 def _named(value: object) -> object:
     if isinstance(value, tuple) and hasattr(value, "_asdict"):
         return {name: _named(member) for name, member in value._asdict().items()}
-    if isinstance(value, list):
+    if isinstance(value, list | tuple):
         return [_named(member) for member in value]
     return value
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -5,13 +5,14 @@
 import itertools
 import random
 from collections.abc import Callable
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, Protocol, TypedDict
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
 from fielddrift_core.errors import Refusal
 from fielddrift_core.fingerprint import fingerprint
 from fielddrift_core.retries import WindowBudget
 from fielddrift_core.stream import EventCutter
+from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 
 from ..web.client import Client
@@ -81,6 +82,10 @@
         self.ahead = Burden()
         """What was known to be at the engine when it was chosen."""
         self.first_event: float | None = None
+        self.sent_at = 0.0
+        """Loop time of the last send."""
+        self.framed = False
+        """Whether the end of the answer was marked, not told by the end of its connection."""
         self.connection = ""
         """`kept` or `new`, as the last send's was; empty where none came up."""
         self.runs = 0
@@ -165,6 +170,25 @@
         )
 
 
+class CrashCheck(Protocol):
+    """What requests ask, and tell, of those that end their targets."""
+
+    def check(self, call: Call) -> None:
+        """Raise `Refused` for a request that is held back."""
+
+    def begin(self, call: Call) -> None:
+        """Take that a request is about to be sent; raise `Refused` for one that is held back."""
+
+    def failed(self, call: Call, instance: Instance, reason: str, sent_at: float) -> None:
+        """Take a send that failed once it had left."""
+
+    def refused(self, instance: Instance) -> None:
+        """Take that a connection to a target was refused."""
+
+    def answered(self, call: Call, target: str, sent_at: float) -> None:
+        """Take that a target answered a request whole."""
+
+
 class Tools(NamedTuple):
     """What the ways of a request share."""
 
@@ -178,6 +202,8 @@
     metrics: Metrics
     told: Callable[[], None]
     """Tells the nodes nearby soon what this one sends."""
+    crashes: CrashCheck
+    """Refuses requests that end their targets, and learns which do."""
 
     def budget(self, service: str) -> WindowBudget:
         """Return the budget of repeated sends to `service`."""
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -53,6 +53,7 @@
             call = await self._judge(ask, trace)
             async with asyncio.timeout_at(call.deadline):
                 await self._serve(call, responder)
+            self._note_whole(call)
             self._log_end(call, "answered", loop.time())
         except Refused as refused:
             self._refuse(responder, ask.request_id, refused.refusal, trace)
@@ -70,12 +71,19 @@
 
     async def _serve(self, call: Call, responder: Responder) -> None:
         self._check_leaving(call)
+        self._tools.crashes.check(call)
         if call.service.engine is not None and call.ask.prompt is not None:
             self._tools.views.prompts.add(asyncio.get_running_loop().time())
             await self._generation.serve(call, responder)
         else:
             await self._plain.serve(call, responder)
 
+    def _note_whole(self, call: Call) -> None:
+        """Note that a target answered: so this request did not end it."""
+        trace = call.trace
+        if trace.framed and trace.status < 500:
+            self._tools.crashes.answered(call, trace.targets[-1], trace.sent_at)
+
     def _check_leaving(self, call: Call) -> None:
         """Raise `Refused` where this node may end before the answer does."""
         leaving = self._tools.views.leaving
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -108,7 +108,7 @@
         """
         while True:
             choice = await self._placing.place(call, attempts, resumes=after != "")
-            attempts.begin(choice.instance.name)
+            attempts.begin(choice.instance)
             try:
                 run = await self._try(call, choice, after=after, more=attempts.more())
             except TryFailed as failure:
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import IntEnum
-from typing import cast
+from typing import Protocol, cast
 
 import msgspec
 import structlog
+from fielddrift_core.crashes import CrashNews
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Standing
 
-__all__ = ["Gossip", "Reach"]
+__all__ = ["CrashTalk", "Gossip", "Reach"]
 
 _TICK_SECONDS = 0.05
 _STANDBY_TICK_SECONDS = 0.25
@@ -30,9 +31,22 @@
 _UNKNOWN = Standing(near=False, mine=False, theirs=False)
 """How a node stands of which nothing is known yet."""
 
+_CRASHES_MARK = b"\xc1"
+"""Begins a datagram with news of crashes: no value in MessagePack, so no heartbeat, begins so."""
+
 _log = structlog.get_logger()
 
 
+class CrashTalk(Protocol):
+    """Who hears of crashes, and greets nodes with what is known of them."""
+
+    def heard(self, news: CrashNews) -> None:
+        """Take what another node tells."""
+
+    def greet(self, node: Neighbour) -> None:
+        """Tell a node that is heard for the first time in its life."""
+
+
 class Reach(IntEnum):
     """Who must hear of something new, from the fewest to the most."""
 
@@ -50,14 +64,17 @@
         neighbours: Neighbours,
         heartbeat: Callable[[Standing], Heartbeat],
         heard: Callable[[Heartbeat], None],
+        crashes: CrashTalk | None = None,
     ) -> None:
         self._neighbours = neighbours
         self._heartbeat = heartbeat
         self._heard = heard
+        self._crashes = crashes
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._crash_decoder = msgspec.msgpack.Decoder(CrashNews)
         self._soon: asyncio.TimerHandle | None = None
         self._soon_at = float("-inf")
         self._reach = Reach.ACTIVE_NEARBY
@@ -102,6 +119,12 @@
         """Send a heartbeat to all nodes at once."""
         self._send(self._concerned(Reach.EVERYWHERE, self._loop.time()))
 
+    def tell_crashes(self, news: CrashNews, nodes: Sequence[Neighbour]) -> None:
+        """Tell `nodes` of crashes."""
+        data = _CRASHES_MARK + self._encoder.encode(news)
+        for node in nodes:
+            self._send_to(node.gossip, data)
+
     def greet(self, addresses: list[str]) -> None:
         """Send a heartbeat to addresses of which no node is known."""
         for address in addresses:
@@ -111,6 +134,9 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
+        if data.startswith(_CRASHES_MARK):
+            self._hear_crashes(data[len(_CRASHES_MARK) :], addr)
+            return
         try:
             heartbeat = self._decoder.decode(data)
         except msgspec.DecodeError as error:
@@ -124,10 +150,22 @@
             _log.info("node heard", node=heartbeat.node.name, boot=heartbeat.node.boot)
             if not far or self._neighbours.is_relay(now):
                 self._send([heartbeat.node])
+            if self._crashes is not None:
+                self._crashes.greet(heartbeat.node)
         self._heard(heartbeat)
         if far and addr[0] == heartbeat.node.gossip.rpartition(":")[0]:
             self._pass_on(heartbeat, data, now)
 
+    def _hear_crashes(self, data: bytes, addr: tuple[str | object, int]) -> None:
+        if self._crashes is None:
+            return
+        try:
+            news = self._crash_decoder.decode(data)
+        except msgspec.DecodeError as error:
+            _log.warning("news of crashes not understood", sender=str(addr), error=str(error))
+            return
+        self._crashes.heard(news)
+
     def error_received(self, exc: Exception) -> None:
         # A node that is not there; its silence says as much.
         _log.debug("heartbeat refused", error=str(exc))
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -23,6 +23,7 @@
 _BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.7, 1.0, 1.5, 2.5, 4.0, 8.0)
 """Seconds; fine around the users' aims of 0.15 to 0.54 s."""
 _TEXT = Headers([(b"Content-Type", b"text/plain; version=0.0.4")])
+_LIFT = b"/lift/"
 _JSON = Headers([(b"Content-Type", b"application/json")])
 
 
@@ -113,6 +114,12 @@
             "odd_events",
             "events handed on with not just one numbered id and one line of data",
         )
+        self.crashes = self._counter(
+            "crashes", "runs that broke off because their target ended, once a request and target"
+        )
+        self.held_back = self._gauge(
+            "held_back_requests", "requests that are held back because their targets ended"
+        )
         self.tokens = self._counter("prompt_tokens", "tokens of shared parts", "way")
         self.orders = self._counter("orders", "orders of weights", "outcome")
         self.freed = self._counter("freed_parts", "kept parts that were freed")
@@ -169,9 +176,16 @@
 
 
 class MetricsHandler:
-    """Answer whoever asks for the figures, or for what the node believes."""
+    """Answer whoever asks for the figures, or for what the node believes.
 
-    def __init__(self, *, metrics: Metrics, beliefs: Callable[[], bytes]) -> None:
+    An operator lets a request go that is held back by `POST /lift/FINGERPRINT`; `lift` says
+    whether it was known.
+    """
+
+    def __init__(
+        self, *, metrics: Metrics, beliefs: Callable[[], bytes], lift: Callable[[str], bool]
+    ) -> None:
+        self._lift = lift
         self._pages: dict[bytes, tuple[Headers, Callable[[], bytes]]] = {
             b"/metrics": (_TEXT, metrics.text),
             b"/beliefs": (_JSON, beliefs),
@@ -179,9 +193,22 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one question."""
-        page = self._pages.get(request.head.target.partition(b"?")[0])
+        path = request.head.target.partition(b"?")[0]
+        if path.startswith(_LIFT):
+            self._answer_lift(request, path[len(_LIFT) :], responder)
+            return
+        page = self._pages.get(path)
         if page is None:
-            responder.send(404, Headers(), b"expected /metrics or /beliefs")
+            responder.send(404, Headers(), b"expected /metrics, /beliefs or /lift/FINGERPRINT")
             return
         headers, text = page
         responder.send(200, headers, text())
+
+    def _answer_lift(self, request: Request, fingerprint: bytes, responder: Responder) -> None:
+        if request.head.method != b"POST":
+            responder.send(405, Headers([(b"Allow", b"POST")]), b"expected POST")
+            return
+        if not self._lift(fingerprint.decode("latin-1")):
+            responder.send(404, Headers(), b"no target ended under such a request")
+            return
+        responder.send(200, _JSON, b"{}")
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -16,6 +16,8 @@
 from ..web.server import Limits, Server
 from .beliefs import beliefs_of, to_json
 from .call import Tools
+from .crash_rows import CrashRows
+from .crash_watch import CrashWatch
 from .directory import EntryDialect, EntryHandler
 from .duty import Duty
 from .feeds import FeedTools
@@ -104,10 +106,19 @@
         )
         self._neighbours = Neighbours(me=me)
         self._heartbeats = HeartbeatTranslator(views=self._views, neighbours=self._neighbours)
+        self._crashes = CrashWatch(
+            views=self._views,
+            client=client,
+            neighbours=self._neighbours,
+            metrics=self._metrics,
+            rng=rng,
+            tell=lambda news, nodes: self._gossip.tell_crashes(news, nodes),
+        )
         self._gossip = Gossip(
             neighbours=self._neighbours,
             heartbeat=lambda standing: self._heartbeats.heartbeat(standing, leaving=self._leaving),
             heard=self._heard,
+            crashes=self._crashes,
         )
         self._membership = Membership(
             settings=settings,
@@ -141,6 +152,12 @@
             reads=lambda: self._operators.reader() is None,
             rng=rng,
         )
+        self._crash_rows = CrashRows(
+            platform=platform,
+            views=self._views,
+            first=lambda: self._neighbours.is_first(asyncio.get_running_loop().time()),
+            rng=rng,
+        )
         duty = Duty(
             name="weights",
             holder=f"{settings.name}@{settings.host}",
@@ -167,6 +184,7 @@
             rng=rng,
             metrics=self._metrics,
             told=self._gossip.sends_changed,
+            crashes=self._crashes,
         )
         self._entry_server = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
         directory = EntryHandler(
@@ -180,7 +198,9 @@
         self._directory_server = Server(handler=directory.handle, limits=Limits)
         self._peer_server = Server(handler=PeerHandler(views=self._views).handle, limits=Limits)
         self._metrics_server = Server(
-            handler=MetricsHandler(metrics=self._metrics, beliefs=self._beliefs).handle,
+            handler=MetricsHandler(
+                metrics=self._metrics, beliefs=self._beliefs, lift=self._crashes.lift
+            ).handle,
             limits=Limits,
         )
         self._tasks: list[asyncio.Task[None]] = []
@@ -222,6 +242,8 @@
             self._targets.run,
             self._membership.run,
             self._named_rows.run,
+            self._crashes.run,
+            self._crash_rows.run,
             self._gossip.run,
             self._store_tracker.run,
             self._rollout_runner.run,
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -34,7 +34,7 @@
             instance = self._choose(call, attempts.tried)
             if instance is None:
                 raise attempts.exhausted()
-            attempts.begin(instance.name)
+            attempts.begin(instance)
             try:
                 head, body = await self._try(call, instance, more=attempts.more())
             except TryFailed as failure:
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -6,6 +6,7 @@
 
 import structlog
 from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.target_registry import Instance
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
@@ -30,7 +31,8 @@
     """One sending that gave no answer to deliver.
 
     `reached` is False when no byte left; `not_run` is proof that it did not
-    run.  `return_after` is when the target wants to be asked again, in seconds.
+    run.  `return_after` is when the target wants to be asked again, in seconds;
+    `refused` says that nobody listened at its address.
     """
 
     def __init__(
@@ -41,12 +43,14 @@
         reached: bool,
         not_run: bool,
         return_after: float | None = None,
+        refused: bool = False,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.reached = reached
         self.not_run = not_run
         self.return_after = return_after
+        self.refused = refused
 
 
 class Attempts:
@@ -57,12 +61,17 @@
         self._tools = tools
         self._reached = 0
         self._connects = 0
-        self._sent_at = 0.0
-        """Loop time at which the last sending began."""
+        self._instance: Instance | None = None
+        """The target of the last sending."""
         self.tried: set[str] = set()
 
-    def begin(self, target: str) -> None:
-        """Note a sending to `target`; raise `Refused` when the budget has no room for it."""
+    def begin(self, instance: Instance) -> None:
+        """Note a sending to a target.
+
+        Raise `Refused` when the budget has no room for it, or the request is held back.
+        """
+        # Since it came in, it may have ended its targets: at other nodes too.
+        self._tools.crashes.begin(self._call)
         now = asyncio.get_running_loop().time()
         budget = self._tools.budget(self._call.service.name)
         if self._reached == 0:
@@ -70,9 +79,10 @@
         elif not budget.take(now, nodes=self._tools.views.nodes):
             raise Refused(self._refusal("repeated sends are used up", None))
         self._tools.metrics.sends.inc()
-        self._sent_at = now
-        self.tried.add(target)
-        self._call.trace.targets.append(target)
+        self._instance = instance
+        self._call.trace.sent_at = now
+        self.tried.add(instance.name)
+        self._call.trace.targets.append(instance.name)
         self._call.trace.connection = ""
 
     def failed(self, failure: TryFailed) -> None:
@@ -90,11 +100,12 @@
             reason=failure.reason,
             detail=str(failure),
             not_run=failure.not_run,
-            after_ms=round((asyncio.get_running_loop().time() - self._sent_at) * 1000),
+            after_ms=round((asyncio.get_running_loop().time() - call.trace.sent_at) * 1000),
             connection=call.trace.connection,
             answer_begun=call.trace.first_event is not None,
             **call.trace.handed_on(),
         )
+        self._watch(failure)
         if failure.reached:
             self._reached += 1
         else:
@@ -103,6 +114,16 @@
         if not may or self._reached >= call.route.attempts or self._connects >= MOST_CONNECTS:
             raise Refused(self._refusal(str(failure), failure.return_after))
 
+    def _watch(self, failure: TryFailed) -> None:
+        """Tell whoever watches for requests that end their targets."""
+        instance = self._instance
+        assert instance is not None
+        if failure.reached:
+            sent_at = self._call.trace.sent_at
+            self._tools.crashes.failed(self._call, instance, failure.reason, sent_at)
+        elif failure.refused:
+            self._tools.crashes.refused(instance)
+
     def exhausted(self, detail: str = "no target can take it") -> Refused:
         """Return the end of a request that no target can serve, or go on with."""
         return Refused(self._refusal(detail, None))
@@ -141,12 +162,17 @@
         if exchange is not None:
             exchange.cancel()
         raise TryFailed(
-            str(error), reason=error.reason, reached=error.sent, not_run=not error.sent
+            str(error),
+            reason=error.reason,
+            reached=error.sent,
+            not_run=not error.sent,
+            refused=error.refused,
         ) from None
     except asyncio.CancelledError:
         if exchange is not None:
             exchange.cancel()
         raise
+    call.trace.framed = head.framed
     signs = tools.targets.signs(head)
     if not signs.not_started:
         return exchange, head
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.crashes import CrashHistory
 from fielddrift_core.leaving import Leaving
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.loading import LoadingEngines
@@ -69,6 +70,7 @@
         self.memory = EngineMemory()
         self.loading = LoadingEngines()
         self.rooms = Rooms()
+        self.crashes = CrashHistory()
         self.weights: dict[tuple[str, str], int] = {}
         """Weights by (instance, model), where newer than the instance's entry."""
         self.stale = asyncio.Event()
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -33,13 +33,14 @@
     """An exchange that did not end with a whole answer.
 
     `sent` is False when surely no byte of the request left; `reason` is a
-    short word for the counters.
+    short word for the counters.  `refused` is True when nobody listens there.
     """
 
-    def __init__(self, detail: str, *, sent: bool, reason: str) -> None:
+    def __init__(self, detail: str, *, sent: bool, reason: str, refused: bool = False) -> None:
         super().__init__(detail)
         self.sent = sent
         self.reason = reason
+        self.refused = refused
 
 
 class Timeouts(NamedTuple):
@@ -372,6 +373,10 @@
             if exchange is not None:
                 exchange.cancel()
 
+    async def connect(self, address: str, *, seconds: float) -> None:
+        """Open a connection and keep it for an exchange to come; raise `ExchangeError`."""
+        self._rested(address, await self._connect(address, seconds))
+
     def forget(self, address: str) -> None:
         """Close the idle connections to `address`."""
         self._close_idle(address, rested_before=float("inf"))
@@ -421,7 +426,8 @@
                 _, found = await loop.create_connection(made, host, int(port))
         except (OSError, TimeoutError) as error:
             detail = f"{address}: no connection: {error or 'timeout'}"
-            raise ExchangeError(detail, sent=False, reason="connect") from None
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ExchangeError(detail, sent=False, reason="connect", refused=refused) from None
         finally:
             # One that came up and was given up is counted off by `_lost`.
             if connection is None:
--- a/packages/node/src/fielddrift_node/web/messages.py
+++ b/packages/node/src/fielddrift_node/web/messages.py
@@ -106,3 +106,9 @@
     headers: Headers
     length: int | None
     keep_alive: bool
+
+    @property
+    def framed(self) -> bool:
+        """Return whether the body's end is marked, not told by the end of the connection."""
+        chunked = self.headers.get(b"transfer-encoding") is not None
+        return self.length is not None or chunked or self.status in (204, 304)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -16,7 +16,8 @@
 
 from __future__ import annotations
 
-from .crashing_fleet import ALLOWED, CrashingCase
+from .crashing_fleet import ALLOWED, FATAL, CrashingCase, chat
+from .platform_fleet import ask
 
 _SECONDS = 6.0
 
@@ -36,8 +37,47 @@
     async def test_a_request_that_may_be_repeated(self) -> None:
         await self._hold("plain", "/safe/x")
 
+    async def test_a_request_that_may_run_once(self) -> None:
+        await self._hold("plain", "/unsafe/x")
+
+    async def test_a_prompt(self) -> None:
+        await self._hold("engines", "/chat/x", **chat())
+
+    async def test_a_prompt_that_may_run_once(self) -> None:
+        await self._hold("engines", "/verdict/x", **chat())
+
+    async def test_a_prompt_that_its_caller_takes_up_again(self) -> None:
+        await self._hold("engines", "/chat/x", **chat(), Last_Event_Id="1")
+
     async def test_at_one_node_alone(self) -> None:
         await self.targets("plain", 6)
         nodes = await self.nodes(1)
         await self.insist(nodes, "/safe/x", seconds=_SECONDS)
         self.assertLessEqual(len(self.late_runs()), ALLOWED)
+
+    async def test_a_node_begun_anew_learns_it(self) -> None:
+        await self.targets("plain", 6)
+        nodes = await self.nodes(2)
+        await self.insist(nodes, "/safe/x", seconds=3.0)
+        late = await self.fleet.node("node-late")
+        await self.insist([late], "/safe/x", seconds=2.0)
+        self.assertLessEqual(len(self.late_runs()), ALLOWED)
+
+    async def test_it_outlives_all_nodes(self) -> None:
+        await self.targets("plain", 6)
+        (node,) = await self.nodes(1)
+        await self.insist([node], "/safe/x", seconds=3.0)
+        await node.stop()
+        again = await self.fleet.node("node-again")
+        await self.insist([again], "/safe/x", seconds=2.0)
+        self.assertLessEqual(len(self.late_runs()), ALLOWED)
+
+    async def test_others_of_the_same_caller_and_path_are_served(self) -> None:
+        await self.targets("plain", 6)
+        nodes = await self.nodes(1)
+        await self.insist(nodes, "/safe/x", seconds=3.0)
+        self.assertEqual((await ask(nodes[0], "/safe/x", body=FATAL)).status, 503)
+        for number in range(5):
+            body = b"another body %d" % number
+            answer = await ask(nodes[0], "/safe/x", request_id=f"o{number}", body=body)
+            self.assertEqual(answer.status, 200)
