Hold back on the own interface too what ends its targets

Cause: the same as on the platform's path, in the other half of the code. Beside it: on a kept connection that was dead libcurl sends a request a second time by itself; where that connection was refused, a request that had left counted as surely not run, and the crash was not seen. What had been sent before is not sure, and counts as broken off. Change: `CrashDesk` on the same history and doubts as the platform's watch; peers tell each other with each probe, a row in the table outlives all nodes, `show crashes` and `lift` for operators. A claimed request is refused behind its claim, which may have an answer for it, and its key is free then.

--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -15,6 +15,9 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from .errors import Kind, Ran, Refusal
+from .target_registry import target_id
+
 __all__ = ["CRASHES_TO_HOLD", "Crash", "CrashHistory", "CrashNews", "Held"]
 
 CRASHES_TO_HOLD = 3
@@ -71,6 +74,15 @@
     targets: tuple[str, ...]
     until: float
 
+    def refusal(self, now: float, ran: Ran) -> Refusal:
+        """Return what a caller is told that asks at `now`."""
+        left = max(0.0, self.until - now)
+        detail = (
+            f"request {self.fingerprint} is held back for {left:.1f} s: "
+            f"{len(self.targets)} targets ended while they ran it: {', '.join(self.targets)}"
+        )
+        return Refusal(Kind.HELD_BACK, detail, ran, left)
+
 
 class CrashHistory:
     """The crashes that are remembered, and the requests held back for them.
@@ -145,6 +157,10 @@
         """Return the requests that are held back, or were and may be again."""
         return frozenset(self._held)
 
+    def ended_lives(self, target: str) -> int:
+        """Return how many lives of the target with the id `target` are taken to have ended."""
+        return sum(target_id(life) == target for life in self._targets)
+
     def concerns(self, fingerprint: str) -> bool:
         """Return whether a crash is laid to a request."""
         return fingerprint in self._crashes
--- a/packages/core/src/fielddrift_core/grammar.py
+++ b/packages/core/src/fielddrift_core/grammar.py
@@ -33,7 +33,7 @@
 from .errors import Kind, Refusal
 from .model import HoldRule, StoreHost, Target, TargetRole, Weights
 
-__all__ = ["Condition", "Fresh", "Query", "key_digest", "parse"]
+__all__ = ["Condition", "Fresh", "Lift", "Query", "key_digest", "parse"]
 
 _LONGEST_STATEMENT = 4096
 
@@ -60,12 +60,18 @@
     by: tuple[str, ...] = ()
 
 
+class Lift(NamedTuple):
+    """A `lift` statement: a request that is held back is to be sent again."""
+
+    fingerprint: str
+
+
 def key_digest(key: str) -> str:
     """Return the digest under which a bearer key is kept."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def parse(statement: str, *, fresh: Fresh) -> Command | Query:
+def parse(statement: str, *, fresh: Fresh) -> Command | Lift | Query:
     """Return what `statement` asks for.
 
     Raise `Rejected` naming the place and what was expected there.
@@ -98,9 +104,12 @@
         super().__init__()
         self._fresh = fresh
 
-    def start(self, statement: Command | Query) -> Command | Query:
+    def start(self, statement: Command | Lift | Query) -> Command | Lift | Query:
         return statement
 
+    def lift(self, fingerprint: str) -> Lift:
+        return Lift(fingerprint)
+
     def name(self, token: str) -> str:
         return token[1:-1] if token.startswith('"') else str(token)
 
--- a/packages/core/src/fielddrift_core/interfaces.py
+++ b/packages/core/src/fielddrift_core/interfaces.py
@@ -24,11 +24,19 @@
 
 
 class OutsideError(Exception):
-    """An outside system failed; `sure` when the call surely had no effect."""
+    """An outside system failed; `sure` when the call surely had no effect.
 
-    def __init__(self, detail: str, *, sure: bool = False) -> None:
+    `refused` says that nobody listened, `broken` that the other side closed the connection
+    before its answer was whole.
+    """
+
+    def __init__(
+        self, detail: str, *, sure: bool = False, refused: bool = False, broken: bool = False
+    ) -> None:
         super().__init__(detail)
         self.sure = sure
+        self.refused = refused
+        self.broken = broken
 
 
 class Row(NamedTuple):
--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -98,6 +98,11 @@
             evicted = set(gone)
             self._drop_hints(name, evicted)
 
+    def epoch(self, name: str) -> int:
+        """Return the number of a target's life, 0 until it was heard."""
+        with self._lock:
+            return self._note(name).epoch
+
     def event_sequence(self, name: str) -> int:
         """Return the number of the last cache event heard from a target."""
         with self._lock:
--- a/packages/node/src/fielddrift_node/cluster.py
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -12,23 +12,35 @@
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Protocol
 
 from fielddrift_core.claims import Word
+from fielddrift_core.crashes import CrashNews
 from fielddrift_core.entry import SPREAD, EntryAnswer, audience, order
 from fielddrift_core.interfaces import HostEntry, OutsideError
 from fielddrift_core.membership import Member, Membership, Status, TargetWord
 
 from . import peer_pb2 as pb
 from .configuration import ConfigSync
-from .peers import Peers, member_from, member_to, word_from, word_to
+from .peers import Peers, crashes_from, crashes_to, member_from, member_to, word_from, word_to
 
-__all__ = ["Cluster"]
+__all__ = ["Cluster", "CrashTalk"]
 
 _SPREAD_TO = 3
 _MOST_FOUND = 512
 _ENTRY_KIND = "entry"
 
 
+class CrashTalk(Protocol):
+    """What is known of crashes, as peers tell it each other."""
+
+    def take(self, news: CrashNews) -> bool:
+        """Take what a peer tells; return whether any of it is news."""
+
+    def recent(self) -> CrashNews:
+        """Return what a peer may lack."""
+
+
 class Cluster:
     """One node's part in the fleet of nodes.  Safe for threads.
 
@@ -45,6 +57,7 @@
         pool: ThreadPoolExecutor,
         claim_word: Callable[[str, str], Word],
         request_state: Callable[[str, str], str],
+        crashes: CrashTalk,
     ) -> None:
         self._membership = Membership(me=me, rng=rng)
         self._rng = rng
@@ -52,6 +65,7 @@
         self._pool = pool
         self._claim_word = claim_word
         self._request_state = request_state
+        self._crashes = crashes
         self._lock = threading.Lock()
         self._catching_up = threading.Lock()
         self._peers: Peers | None = None
@@ -268,6 +282,7 @@
             heard=self._config.heard,
             members=[member_to(m) for m in members],
             words=[word_to(w) for w in words],
+            **crashes_to(self._crashes.recent()),
         )
 
     def _hear(self, message: pb.Gossip) -> None:
@@ -275,6 +290,7 @@
         self._take_members(message.members)
         with self._lock:
             news = self._membership.hear((), words, time.monotonic())
+        news |= self._crashes.take(crashes_from(message))
         if news:
             self.spread()
         if self._config.hear(message.heard):
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -23,6 +23,7 @@
 from .claims import ClaimDesk
 from .cluster import Cluster
 from .configuration import ConfigSync, poll_seconds
+from .crash_desk import CRASH_TURN_SECONDS, CrashDesk
 from .duties import Duties, StoreTender, TargetTender, duty_names
 from .exporter import Exporter
 from .http_client import HttpClient
@@ -100,6 +101,12 @@
             metrics=self._metrics,
             on_change=self._changed,
         )
+        self._crashes = CrashDesk(
+            table=self._table,
+            pool=self._pool,
+            metrics=self._metrics,
+            changed=lambda: self._cluster.spread(),
+        )
         self._cluster = Cluster(
             me=Member(node["peer"], node["http"], node["data_centre"], time.time_ns() // 10**6),
             rng=rng,
@@ -107,6 +114,7 @@
             pool=self._pool,
             claim_word=lambda claimant, attempt: self._claims.word(claimant, attempt),
             request_state=self._requests.state,
+            crashes=self._crashes,
         )
         self._claims = ClaimDesk(
             table=self._table,
@@ -135,6 +143,7 @@
             stores=Stores(http=self._http, pool=self._pool),
             links=Links(),
             claims=self._claims,
+            crashes=self._crashes,
             admission=Admission(),
             admission_lock=threading.Lock(),
             requests=self._requests,
@@ -200,6 +209,7 @@
             ("leases", self._turn_leases, lambda: LEASE_TURN_SECONDS),
             ("metrics", self._metrics.flush, lambda: FLUSH_SECONDS),
             ("duties", self._turn_duties, lambda: DUTY_SECONDS),
+            ("crashes", self._crashes.turn, lambda: CRASH_TURN_SECONDS),
         ]
         for name, work, seconds in rounds:
             thread = threading.Thread(
@@ -262,6 +272,7 @@
         self._cluster.join(a for a in dict.fromkeys(addresses) if a != mine)
         try:
             self._config.poll()
+            self._crashes.restore()
         except OutsideError as error:
             get().warning("table out of reach", error=str(error))
 
@@ -353,6 +364,7 @@
     def _heard_report(self, target: str, report: LoadReport) -> None:
         board = self._runtime.board
         board.heard_load(target, report.load(), report.epoch, report.versions)
+        self._crashes.heard_life(target, self._crashes.life(target, board.epoch(target)))
         if report.leaving:
             self._cluster.hear_target(TargetWord(target, report.epoch, True))
 
--- a/packages/node/src/fielddrift_node/exchange.py
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -7,6 +7,9 @@
 from typing import NamedTuple
 
 from fielddrift_core.errors import Refusal
+from fielddrift_core.fingerprint import fingerprint
+from fielddrift_core.interfaces import OutsideError
+from fielddrift_core.lost_runs import LostRun
 from fielddrift_core.model import Configuration, Customer, Deployment, Target
 from fielddrift_core.routing import Choice, Need
 from result import Result
@@ -75,6 +78,10 @@
         self.choice: Choice | None = None
         self.claim: Claim | None = None
         self.failed: set[str] = set()
+        self.life = ""
+        """The life of the target of the last send, as far as it is known."""
+        self.sent_at = 0.0
+        """When it went out, on the clock of `time.monotonic`."""
         self.answer: Answer | None = None
 
     @property
@@ -82,6 +89,36 @@
         """Return the seconds left to the deadline."""
         return self.deadline - time.monotonic()
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what all tries of the same request have in common: caller, place and body.
+
+        Its key is none of it: who tries again under another key asks the same.
+        """
+        fields = self.call or self.completion or ()
+        asked = (field if isinstance(field, bytes) else repr(field).encode() for field in fields)
+        return fingerprint((self.customer.name.encode(), *asked))
+
+    def begin_send(self, target: Target) -> None:
+        """Note a send that is about to go out."""
+        self.life = self.runtime.crashes.life(target.name, self.runtime.board.epoch(target.name))
+        self.sent_at = time.monotonic()
+
+    def broke_off(self, target: Target, error: OutsideError) -> None:
+        """Tell whoever watches for requests that end their targets how the last send failed."""
+        crashes = self.runtime.crashes
+        if error.broken and not target.draining and not self.runtime.leaving(target.name):
+            now = time.monotonic()
+            ran = now - self.sent_at
+            run = LostRun(self.request_id, self.fingerprint, self.life, now, ran)
+            crashes.broke_off(run, target)
+        if error.refused:
+            crashes.refused(self.life)
+
+    def answered(self) -> None:
+        """Tell them that the target of the last send answered whole."""
+        self.runtime.crashes.answered(self.fingerprint, self.life, self.sent_at)
+
 
 Filter = Callable[[Exchange], Result[Exchange, Refusal]]
 
--- a/packages/node/src/fielddrift_node/filters/__init__.py
+++ b/packages/node/src/fielddrift_node/filters/__init__.py
@@ -9,6 +9,7 @@
 from .admit import admit
 from .call import call_service
 from .claim import claim
+from .hold_back import hold_back
 from .identify import identify
 from .locate import locate
 from .parse import parse_completion, parse_service
@@ -21,6 +22,7 @@
     identify,
     parse_completion,
     pin_completion,
+    hold_back,
     locate,
     admit,
     claim,
@@ -31,6 +33,7 @@
     identify,
     parse_service,
     pin_service,
+    hold_back,
     claim,
     call_service,
 )
--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from http import HTTPStatus
 
 from fielddrift_core.errors import Kind, Ran, Refusal
 from fielddrift_core.interfaces import OutsideError
@@ -49,6 +50,9 @@
         target = _choose(exchange)
         if target is None:
             return no_target(exchange, Ran.NO if sure else Ran.UNKNOWN)
+        # A try of it, here or at another node, may have ended its third target meanwhile.
+        if held := runtime.crashes.check(exchange.fingerprint, sending=True, sure=sure):
+            return held
         try:
             return _try_one(exchange, target)
         except TryFailed as failure:
@@ -77,10 +81,12 @@
 def _try_one(exchange: Exchange, target: Target) -> Reply:
     runtime = exchange.runtime
     runtime.board.sent(target.name, exchange.request_id, 0)
+    exchange.begin_send(target)
     try:
         reply = runtime.targets.call(target, _call(exchange, target))
     except OutsideError as error:
         runtime.board.failed(target.name)
+        exchange.broke_off(target, error)
         reason = "connect" if error.sure else "cut-before-head"
         raise TryFailed(str(error), reason, sure=error.sure) from None
     finally:
@@ -89,6 +95,8 @@
     runtime.board.worked(target.name)
     if proved_not_started(reply):
         raise TryFailed(f"target {target.name}: did not start it", "not-started", sure=True)
+    if reply.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        exchange.answered()
     return reply
 
 
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -77,6 +77,9 @@
         exchange.choice = None
         if choice is None:
             return _Tried(None, no_target(exchange, Ran.NO if sure else Ran.UNKNOWN))
+        # A try of it, here or at another node, may have ended its third target meanwhile.
+        if held := runtime.crashes.check(exchange.fingerprint, sending=True, sure=sure):
+            return _Tried(None, held)
         try:
             return _Tried(_try_one(exchange, choice, f"{attempt}", resume_at))
         except TryFailed as failure:
@@ -107,6 +110,7 @@
     assert exchange.need is not None
     computed = int(exchange.need.tokens * choice.recomputed)
     runtime.board.sent(choice.target.name, order.run, computed)
+    exchange.begin_send(choice.target)
     stream = runtime.targets.run(choice.target, order, timeout=_run_seconds(exchange))
     under_way = UnderWay.begin(exchange, choice, order)
     try:
@@ -133,6 +137,7 @@
         raise TryFailed(f"target {name}: no first token", "cut-before-head", sure=False) from None
     except OutsideError as error:
         runtime.board.failed(name)
+        exchange.broke_off(choice.target, error)
         reason = "connect" if error.sure else "cut-before-head"
         raise TryFailed(str(error), reason, sure=error.sure) from None
     runtime.heard_headers(name, head.headers)
--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import os
 import queue
 import selectors
@@ -24,6 +25,15 @@
 
 _MOST_IDLE = 256
 _LOOP_SECONDS = 1.0
+_BROKEN_OFF = frozenset(
+    {
+        pycurl.E_GOT_NOTHING,
+        pycurl.E_PARTIAL_FILE,
+        pycurl.E_RECV_ERROR,
+        pycurl.E_SEND_ERROR,
+    }
+)
+"""Codes of connections that the other side closed before an answer was whole."""
 
 
 class Call(NamedTuple):
@@ -292,12 +302,15 @@
                 return
 
     def _error(self, curl: pycurl.Curl, code: int, message: str) -> OutsideError:
-        # Nothing can have run where no connection came to stand.
-        sure = code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST) or (
-            code == pycurl.E_OPERATION_TIMEDOUT and curl.getinfo(pycurl.REQUEST_SIZE) == 0
-        )
+        # Nothing can have run where no connection came to stand.  On a kept one that was dead
+        # libcurl has sent the request before, whatever became of the connection after it.
+        sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+        no_connection = code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+        refused = no_connection and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
+        sure = not sent and (no_connection or code == pycurl.E_OPERATION_TIMEDOUT)
+        broken = code in _BROKEN_OFF or (sent and no_connection)
         url = self._transfers[curl].call.url
-        return OutsideError(f"{url}: {message or code}", sure=sure)
+        return OutsideError(f"{url}: {message or code}", sure=sure, refused=refused, broken=broken)
 
     def _finish(self, curl: pycurl.Curl, error: OutsideError | None) -> None:
         transfer = self._transfers.pop(curl)
--- a/packages/node/src/fielddrift_node/metrics.py
+++ b/packages/node/src/fielddrift_node/metrics.py
@@ -26,6 +26,8 @@
     "answers.whole": "answers given whole",
     "requests.open": "gauge: requests in progress now",
     "streams.reordered": "streams whose events had to be put right",
+    "crashes": "runs that broke off because their target ended, once a request and target",
+    "crashes.held_back": "gauge: requests that are held back because their targets ended",
     "streams.cut_events": "runs that broke off inside an event",
     "ttft": "timer: milliseconds from a request's arrival to its first token",
     "locate": "timer: milliseconds to look up kept context",
--- a/packages/node/src/fielddrift_node/operators.py
+++ b/packages/node/src/fielddrift_node/operators.py
@@ -13,7 +13,7 @@
 import msgspec
 from fielddrift_core.commands import Command, CreateCustomer, Rejected, RotateKey
 from fielddrift_core.errors import Kind, Refusal
-from fielddrift_core.grammar import Fresh, Query, parse
+from fielddrift_core.grammar import Fresh, Lift, Query, parse
 from fielddrift_core.membership import Status
 
 from .configuration import Accepted
@@ -60,6 +60,11 @@
             parsed = parse(asked.statement, fresh=fresh)
         except Rejected as rejected:
             return rejected.refusal
+        if isinstance(parsed, Lift):
+            if not self._runtime.crashes.lift(parsed.fingerprint):
+                detail = f"request: {parsed.fingerprint!r}: no target ended under it"
+                return Refusal(Kind.NOT_FOUND, detail)
+            return {"let_go": parsed.fingerprint}
         if isinstance(parsed, Query):
             shown = answer(parsed, self._runtime, self._nodes)
             return shown if isinstance(shown, Refusal) else dict(shown)
--- a/packages/node/src/fielddrift_node/peers.py
+++ b/packages/node/src/fielddrift_node/peers.py
@@ -11,9 +11,10 @@
 import threading
 from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import Future
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol, TypedDict, TypeVar
 
 from fielddrift_core.claims import ClaimRow, Word
+from fielddrift_core.crashes import Crash, CrashNews
 from fielddrift_core.interfaces import OutsideError
 from fielddrift_core.membership import Member, Status, TargetWord
 from grpclib.client import Channel
@@ -26,7 +27,16 @@
 from .metrics import Metrics
 from .peer_grpc import PeerBase, PeerStub
 
-__all__ = ["PeerAnswers", "Peers", "member_from", "member_to", "word_from", "word_to"]
+__all__ = [
+    "PeerAnswers",
+    "Peers",
+    "crashes_from",
+    "crashes_to",
+    "member_from",
+    "member_to",
+    "word_from",
+    "word_to",
+]
 
 _KEY_HEADER = "fielddrift-key"
 _CALL_SECONDS = 0.5
@@ -99,6 +109,35 @@
 # --- serving ---------------------------------------------------------------
 
 
+class CrashFields(TypedDict):
+    """What a message says of crashes."""
+
+    crashes: list[pb.Crash]
+    cleared: list[pb.Since]
+    living: list[pb.Since]
+
+
+def crashes_to(news: CrashNews) -> CrashFields:
+    """Return the message's fields for news of crashes."""
+    return CrashFields(
+        crashes=[
+            pb.Crash(fingerprint=c.fingerprint, target=c.target, ago=c.at, ran=c.ran)
+            for c in news.crashes
+        ],
+        cleared=[pb.Since(name=name, ago=ago) for name, ago in news.cleared],
+        living=[pb.Since(name=name, ago=ago) for name, ago in news.living],
+    )
+
+
+def crashes_from(message: pb.Gossip) -> CrashNews:
+    """Return the news of crashes in a message."""
+    return CrashNews(
+        crashes=tuple(Crash(c.fingerprint, c.target, c.ago, c.ran) for c in message.crashes),
+        cleared=tuple((each.name, each.ago) for each in message.cleared),
+        living=tuple((each.name, each.ago) for each in message.living),
+    )
+
+
 class _PeerServer(PeerBase):
     """Answer peers; blocking answers run in the loop's default executor."""
 
--- a/packages/node/src/fielddrift_node/queries.py
+++ b/packages/node/src/fielddrift_node/queries.py
@@ -225,6 +225,18 @@
     return [{"duty": x.duty, "holder": x.holder, "fence": x.fence} for x in leases]
 
 
+@shows("crashes")
+def _crashes(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
+    return [
+        {
+            "request": held.fingerprint,
+            "seconds": round(seconds, 1),
+            "targets": " ".join(held.targets),
+        }
+        for held, seconds in runtime.crashes.held()
+    ]
+
+
 @shows("counters")
 def _counters(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
     totals = sorted(runtime.metrics.totals.items())
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -111,6 +111,8 @@
             self._fault = str(error)
             # The detail of wrong events names their text, which stays out of the log.
             self._reason = "cut" if isinstance(error, OutsideError) else "wrong-events"
+            if isinstance(error, OutsideError):
+                self._exchange.broke_off(self._started.choice.target, error)
         else:
             self._fault = "the stream ended without its end mark"
             self._reason = "no-end-mark"
@@ -186,6 +188,7 @@
             return
         runtime.requests.note(exchange.request_id, exchange.customer.name, "ran")
         runtime.metrics.add("answers.whole")
+        exchange.answered()
         if self._reordered or self._sequencer.reordered:
             runtime.metrics.add("streams.reordered")
         export = partial(keep_prefix, exchange, self._started)
--- a/packages/node/src/fielddrift_node/runtime.py
+++ b/packages/node/src/fielddrift_node/runtime.py
@@ -18,6 +18,7 @@
 from .board import Board
 from .claims import ClaimDesk
 from .configuration import ConfigSync
+from .crash_desk import CrashDesk
 from .exporter import Exporter
 from .metrics import Metrics
 from .settings import Settings
@@ -139,6 +140,7 @@
     stores: Stores
     links: Links
     claims: ClaimDesk
+    crashes: CrashDesk
     admission: Admission
     admission_lock: threading.Lock
     requests: RequestLog
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -10,11 +10,11 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
 
 import structlog
-from fielddrift_core.crashes import Crash, CrashNews, Held
-from fielddrift_core.errors import Kind, Ran, Refusal
+from fielddrift_core.crashes import CrashNews, Held
+from fielddrift_core.errors import Ran
+from fielddrift_core.lost_runs import LostRun, LostRuns
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
@@ -23,7 +23,7 @@
 from .metrics import Metrics
 from .views import Views
 
-__all__ = ["CrashWatch", "LostRun"]
+__all__ = ["CrashWatch"]
 
 BROKEN_OFF = frozenset({"reset", "cut"})
 """Reasons of failed sends that an end of their target may explain."""
@@ -32,11 +32,6 @@
 """Rest before a target is connected to: a process that ends closes its port within that time."""
 _PROBE_SECONDS = 0.35
 """A connection within a region takes some ms; a lost opening packet is sent again after 1 s."""
-_DOUBT_SECONDS = 5.0
-"""How long the end of a target may explain a run that broke off: an entry is gone after three
-heartbeats of silence, and read within a second."""
-_ENDED_SECONDS = 10.0
-"""How long runs at a target known to have ended may still break off, on slow links."""
 _TICK_SECONDS = 0.25
 _TELL_SECONDS = 1.0
 """Rest between what one random node is told: what datagrams lost, or a node that was cut off
@@ -49,23 +44,6 @@
 _log = structlog.get_logger()
 
 
-class LostRun(NamedTuple):
-    """A run that broke off on its target's side, `at` when; `ran` the seconds since its send."""
-
-    request_id: str
-    fingerprint: str
-    at: float
-    ran: float
-
-
-class _Doubt(NamedTuple):
-    """A target that may have ended, and the runs that broke off there."""
-
-    instance: Instance
-    since: float
-    runs: list[LostRun]
-
-
 class CrashWatch:
     """What this node knows of requests that end targets; the loop's thread only."""
 
@@ -87,9 +65,7 @@
         self._rng = rng
         self._tell = tell
         self._loop = asyncio.get_running_loop()
-        self._doubts: dict[str, _Doubt] = {}
-        self._ended: dict[str, float] = {}
-        """When targets are known to have ended, by the names of their lives."""
+        self._lost = LostRuns()
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._known: dict[str, Held] = {}
         self._told_at = float("-inf")
@@ -109,13 +85,8 @@
     def _refuse(self, call: Call, held: Held | None) -> None:
         if held is None:
             return
-        left = held.until - self._loop.time()
-        detail = (
-            f"request {held.fingerprint} is held back for {left:.1f} s: "
-            f"{len(held.targets)} targets ended while they ran it: {', '.join(held.targets)}"
-        )
         ran = Ran.UNKNOWN if call.trace.unproved else Ran.NO
-        raise Refused(Refusal(Kind.HELD_BACK, detail, ran, max(0.0, left)))
+        raise Refused(held.refusal(self._loop.time(), ran))
 
     def failed(self, call: Call, instance: Instance, reason: str, sent_at: float) -> None:
         """Take a send that failed once it had left."""
@@ -127,16 +98,10 @@
             # One that said it would leave ends as planned.
             return
         now = self._loop.time()
-        run = LostRun(call.ask.request_id, call.fingerprint, now, now - sent_at)
-        if name in self._ended:
-            self._count(name, [run], "ended before")
-            return
-        if registry.get(name) is None:
-            # Its entry went while it still served: it left without a word.
-            return
-        doubt = self._doubts.setdefault(name, _Doubt(instance, now, []))
-        doubt.runs.append(run)
-        if name not in self._probes:
+        run = LostRun(call.ask.request_id, call.fingerprint, name, now, now - sent_at)
+        if self._lost.broke_off(run):
+            self._count([run], "ended before")
+        elif name not in self._probes:
             self._probes[name] = self._loop.create_task(self._probe(instance))
 
     def refused(self, instance: Instance) -> None:
@@ -153,7 +118,7 @@
         # It was sent after the target had been taken for ended.
         if self._history.ended_before(target, sent_at):
             self._history.lives(target, sent_at)
-            self._ended.pop(target, None)
+            self._lost.lives(target)
             self._changed(CrashNews(living=((target, now - sent_at),)))
 
     def lift(self, fingerprint: str) -> bool:
@@ -171,7 +136,7 @@
         """Look whether anybody listens at the target's address."""
         try:
             await asyncio.sleep(_PROBE_REST_SECONDS)
-            if instance.name in self._doubts:
+            if instance.name in self._lost:
                 # One that comes up is kept for a request to come.
                 await self._client.connect(instance.address, seconds=_PROBE_SECONDS)
         except ExchangeError as error:
@@ -181,26 +146,23 @@
             self._probes.pop(instance.name, None)
 
     def _target_ended(self, name: str, evidence: str) -> None:
-        doubt = self._doubts.pop(name, None)
-        if doubt is not None:
-            self._ended[name] = self._loop.time()
-            self._count(name, doubt.runs, evidence)
+        if runs := self._lost.ended(name, self._loop.time()):
+            self._count(runs, evidence)
 
-    def _count(self, target: str, runs: list[LostRun], evidence: str) -> None:
-        """Lay the end of `target` to the runs that broke off there, and tell the others."""
+    def _count(self, runs: list[LostRun], evidence: str) -> None:
+        """Lay the end of a target to the runs that broke off there, and tell the others."""
         now = self._loop.time()
         crashes = []
         for run in runs:
-            crash = Crash(run.fingerprint, target, run.at, run.ran)
-            if not self._history.crashed(crash):
+            if not self._history.crashed(run.crash):
                 continue
-            crashes.append(crash._replace(at=now - run.at))
+            crashes.append(run.crash._replace(at=now - run.at))
             self._metrics.crashes.inc()
             _log.info(
                 "target ended under a request",
                 request=run.request_id,
                 fingerprint=run.fingerprint,
-                target=target,
+                target=run.target,
                 evidence=evidence,
                 ran_ms=round(run.ran * 1000),
                 ended=len(self._history.crashes_of(run.fingerprint)),
@@ -253,19 +215,16 @@
             await asyncio.sleep(_TICK_SECONDS)
             now = self._loop.time()
             self._settle(now)
-            for name in [n for n, at in self._ended.items() if now - at > _ENDED_SECONDS]:
-                del self._ended[name]
             if not self._history.is_empty:
                 self._history.expire(now)
                 self._note_held()
                 self._tell_one(now)
 
     def _settle(self, now: float) -> None:
-        for name, doubt in list(self._doubts.items()):
+        for name in self._lost.targets:
             if self._views.registry.get(name) is None:
                 self._target_ended(name, "entry ended")
-            elif now - doubt.since > _DOUBT_SECONDS:
-                del self._doubts[name]
+        self._lost.expire(now)
 
     def _tell_one(self, now: float) -> None:
         if now - self._told_at < _TELL_SECONDS:
--- a/packages/standins/src/fielddrift_standins/engine.py
+++ b/packages/standins/src/fielddrift_standins/engine.py
@@ -182,6 +182,7 @@
             self._slots.enter(order.get("priority", 0))
         finally:
             self._count(order["version"], 0, -(len(prompt) // TOKEN_BYTES))
+        self.app.end_if_fatal(order["prompt"])
         try:
             blocks, used = self._context(order, prompt)
         except BaseException:
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -122,6 +122,11 @@
         """Return what the process wrote to standard error."""
         return self._log.read_text()
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the process has ended by itself."""
+        return self._popen.poll() is not None
+
     def first_line(self) -> str:
         """Return the first line of output; raise RuntimeError when there is none."""
         assert self._popen.stdout is not None
--- a/packages/standins/src/fielddrift_standins/service.py
+++ b/packages/standins/src/fielddrift_standins/service.py
@@ -39,6 +39,7 @@
         if self.app.faults.take("cut_before"):
             return lost()
         time.sleep(self._seconds)
+        self.app.end_if_fatal(request.get_data(as_text=True))
         entry = {
             "method": request.method,
             "path": path,
--- a/packages/standins/src/fielddrift_standins/web.py
+++ b/packages/standins/src/fielddrift_standins/web.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import sys
 import threading
@@ -19,6 +20,8 @@
 __all__ = ["App", "Faults", "json_response", "listen_options", "lost", "run"]
 
 _THREADS = 48
+_CRASHED = 70
+"""The exit code of a stand-in that a request has ended."""
 Handler = Callable[..., Response]
 
 
@@ -46,7 +49,10 @@
 
 
 class App:
-    """A WSGI application of URL rules; `down` and `slow` work for all of them."""
+    """A WSGI application of URL rules; `down` and `slow` work for all of them.
+
+    `fatal` is a text that ends the process when a request that runs has it in its body.
+    """
 
     def __init__(self, *, rules: list[tuple[str, str, Handler]]) -> None:
         self.faults = Faults()
@@ -72,6 +78,12 @@
             time.sleep(slow)
         return lost() if self.faults.get("down") else None
 
+    def end_if_fatal(self, body: str) -> None:
+        """End this process, as a crash does, where `body` has the text of the switch `fatal`."""
+        fatal = self.faults.get("fatal")
+        if fatal and fatal in body:
+            os._exit(_CRASHED)
+
     def _set_faults(self, request: Request) -> Response:
         self.faults.set(request.get_json())
         return json_response({})
