--- a/soak/callers.py
+++ b/soak/callers.py
@@ -101,7 +101,7 @@
         directories: Callable[[], Sequence[str]],
         rng: random.Random,
         attempts: list[Attempt],
-        talks: Callable[[], bool],
+        talks: Callable[[], bool] = lambda: False,
     ) -> None:
         self._talks = talks
         """Tells whether most chats are to be sent as talks."""
@@ -120,15 +120,18 @@
         """Send until cancelled."""
         while True:
             await asyncio.sleep(self._rng.expovariate(1 / pause()))
-            attempt = Attempt(kind=self._kind(), now=self._loop.time())
-            self._attempts.append(attempt)
-            try:
-                async with asyncio.timeout(_PATIENCE_MS / 1000 + 1.0):
-                    await self._send(attempt)
-            except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-                self._drop()
-            finally:
-                attempt.ended_at = self._loop.time()
+            await self.ask(Attempt(kind=self._kind(), now=self._loop.time()))
+
+    async def ask(self, attempt: Attempt) -> None:
+        """Send a request, and note what comes of it."""
+        self._attempts.append(attempt)
+        try:
+            async with asyncio.timeout(_PATIENCE_MS / 1000 + 1.0):
+                await self._send(attempt)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            self._drop()
+        finally:
+            attempt.ended_at = self._loop.time()
 
     def _kind(self) -> Kind:
         kind = self._rng.choice(KINDS)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,14 +11,19 @@
 
 from fielddrift_standins.worker import Worker
 
+from .callers import KINDS, Attempt
 from .links import Harm, Link
 from .machines import Machine
+from .promises import ENDING
 from .site import Site
 
 __all__ = ["FAULTS", "Fault"]
 
 _BEGIN_LOOK_SECONDS = 0.01
 """Time between looks for a run that has begun its first event."""
+_ENDING_SECONDS = (6.0, 10.0)
+"""How long a request that ends workers comes again: beyond when it must be held back."""
+_ENDING_PAUSE_SECONDS = (0.1, 0.5)
 _Work = Callable[[Site, random.Random], Awaitable[None]]
 
 
@@ -431,3 +436,20 @@
             link.silence()
         elif len(others) > 1 and not engine.closed and engine.name not in site.outside.leaving_at:
             site.outside.crash(engine.name)
+
+
+@fault(ENDING)
+async def _ends_workers(site: Site, rng: random.Random) -> None:
+    """Let one request come again and again, and end each worker that runs it."""
+    kind = rng.choice(KINDS)
+    service = "engines" if kind.streams else "plain"
+    first = Attempt(kind=kind, now=0.0)
+    site.outside.make_fatal(service, first.body)
+    caller = site.caller(rng)
+    loop = asyncio.get_running_loop()
+    until = loop.time() + rng.uniform(*_ENDING_SECONDS)
+    while loop.time() < until:
+        attempt = Attempt(kind=kind, now=loop.time())
+        attempt.path, attempt.body = first.path, first.body
+        await caller.ask(attempt)
+        await asyncio.sleep(rng.uniform(*_ENDING_PAUSE_SECONDS))
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -14,7 +14,7 @@
 from .callers import EVENTS
 from .links import Link
 
-__all__ = ["Arrival", "Change", "Outside"]
+__all__ = ["Arrival", "Change", "End", "Outside"]
 
 _LAPSE_SECONDS = 1.5
 """Time after which the entry of a worker that crashed goes."""
@@ -43,6 +43,14 @@
     at: float
 
 
+class End(NamedTuple):
+    """The end of a worker that ran a request with the body `body`."""
+
+    body: bytes
+    worker: str
+    at: float
+
+
 class Outside(Deployment):
     """The store, workers that come and go, and what the operator changes."""
 
@@ -52,6 +60,9 @@
         self.routes.append(route("talk", _ENGINES, "streaming", **more))
         self.links: dict[str, Link] = {}
         self.ended: list[Worker] = []
+        self.ends: list[End] = []
+        self._fatal: dict[str, frozenset[bytes]] = {}
+        """Bodies that end the workers of a service."""
         self.changes: list[Change] = []
         self.leaving_at: dict[str, float] = {}
         self.named_at = {1: float("-inf")}
@@ -123,6 +134,8 @@
         )
         worker.load_seconds = _LOAD_SECONDS
         worker.signed = True
+        worker.fatal = self._fatal.get(service, frozenset())
+        worker.crashed = self._crashed
         address = f"{HOST}:{free_port()}"
         host, _, port = address.rpartition(":")
         await worker.start(host, int(port))
@@ -142,6 +155,18 @@
         self.links[name].close()
         self._later(self._lapse(name, service))
 
+    def make_fatal(self, service: str, body: bytes) -> None:
+        """Let `body` end each worker of `service` that runs it from now on."""
+        self._fatal[service] = self._fatal.get(service, frozenset()) | {body}
+        for name in self.serving(service):
+            self.workers[name].fatal = self._fatal[service]
+
+    def _crashed(self, worker: Worker) -> None:
+        now = asyncio.get_running_loop().time()
+        self.ends.append(End(worker.ran[-1].body, worker.name, now))
+        if worker.name in self.workers:
+            self.crash(worker.name)
+
     def drain(self, name: str) -> None:
         """Let a worker say that it leaves, serve on and end; another one comes first."""
         service = self._services[name]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,9 +10,9 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
-from .outside import Arrival, Change
+from .outside import Arrival, Change, End
 
-__all__ = ["PROMISES", "Evidence", "Followed", "Probe", "Span", "broken"]
+__all__ = ["ENDING", "PROMISES", "Evidence", "Followed", "Probe", "Span", "broken"]
 
 _NOT_RUN = (408, 421, 429, 503)
 _NOT_ALLOWED = (401, 403, 404)
@@ -25,6 +25,12 @@
 """Time after which nothing may begin on outdated weights: `version-ms` of the nodes' settings."""
 _WEIGHTS_SLACK = 0.3
 """Time that a send may be under way on a busy machine."""
+_ENDS = 3
+"""Workers that a request may end before it must be held back."""
+_MOST_LATE = 3
+"""Runs of it that are borne once it must be known everywhere."""
+ENDING = "a request ends the workers that run it"
+"""The name of the fault that brings this about."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: token \1 of (\S+) at (\S+)\n\n")
 _CROSSING_SECONDS = 0.3
 """A request that nobody passed on, and whose connection closed so soon, crossed that close."""
@@ -74,6 +80,7 @@
     arrivals: list[Arrival]
     calm_since: float | None
     faults_of_ours: list[str]
+    ends: list[End] = []
 
     def ran(self) -> dict[str, list[tuple[Worker, Ran]]]:
         """Return what ran, by request."""
@@ -99,6 +106,11 @@
             if not span.planned
         )
 
+    def others(self, name: str, began: float, ended: float) -> bool:
+        """Return whether unplanned trouble other than `name` touched the time."""
+        spans = [span for span in self.spans if span.name != name]
+        return self._replace(spans=spans).disturbed(began, ended)
+
     def sound_since(self, at: float) -> float:
         """Return since when the store and all links had been sound at the time `at`.
 
@@ -313,6 +325,22 @@
         yield f"{len(bad)} of {len(done)} requests unserved: {dict(counts)}"
 
 
+@promise("a request that ends its workers is held back")
+def _held_back(evidence: Evidence) -> Iterator[str]:
+    ends: dict[bytes, list[float]] = defaultdict(list)
+    for end in evidence.ends:
+        ends[end.body].append(end.at)
+    for body, times in ends.items():
+        if len(times) < _ENDS:
+            continue
+        known = sorted(times)[_ENDS - 1] + _TOUCH_SECONDS
+        runs = [ran for worker in evidence.workers for ran in worker.ran if ran.body == body]
+        # Nodes that other trouble touches just then may not know it yet.
+        late = [r for r in runs if r.at > known and not evidence.others(ENDING, known, r.at)]
+        if len(late) > _MOST_LATE:
+            yield f"{body!r}: ended {len(times)} workers, ran {len(late)} times after the third"
+
+
 @promise("no process ends or fails by itself")
 def _no_faults_of_ours(evidence: Evidence) -> Iterator[str]:
     yield from evidence.faults_of_ours
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from .callers import Attempt, Caller
 from .faults import FAULTS
 from .machines import Machine
 from .promises import Evidence, Followed, Probe, Span, broken
@@ -58,7 +57,7 @@
         self._rng = random.Random(seed)
         self._site = Site(folder=folder)
         self._size = size
-        self._attempts: list[Attempt] = []
+        self._attempts = self._site.attempts
         self._spans: list[Span] = []
         self._probes: list[Probe] = []
         self._calm_since: float | None = None
@@ -69,12 +68,7 @@
         """Start everything, and wait until all nodes are ready."""
         await self._site.open(self._size.nodes)
         for _ in range(self._size.callers):
-            caller = Caller(
-                directories=lambda: [m.directory for m in self._some_machines()],
-                rng=random.Random(self._rng.random()),
-                attempts=self._attempts,
-                talks=lambda: self._site.talks > 0,
-            )
+            caller = self._site.caller(random.Random(self._rng.random()))
             pause = lambda: _CALLER_PAUSE_SECONDS * self._site.pace  # noqa: E731
             self._tasks.append(asyncio.ensure_future(caller.run(pause)))
         self._tasks.append(asyncio.ensure_future(self._watch()))
@@ -125,14 +119,12 @@
             named_at=self._site.outside.named_at,
             arrivals=self._site.outside.arrivals,
             calm_since=self._calm_since,
+            ends=self._site.outside.ends,
             faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
 
     # --- meanwhile ------------------------------------------------------------------
 
-    def _some_machines(self) -> list[Machine]:
-        return self._site.machines if len(self._site.machines) >= 3 else self._site.machines * 3
-
     async def _fault(self, name: str, rng: random.Random) -> None:
         fault = FAULTS[name]
         began = self._loop.time()
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,6 +6,7 @@
 import random
 from pathlib import Path
 
+from .callers import Attempt, Caller
 from .machines import Machine, Net
 from .outside import Outside
 
@@ -23,6 +24,8 @@
         self.outside = Outside()
         self.pace = 1.0
         """Callers' rests are this part of their usual ones."""
+        self.attempts: list[Attempt] = []
+        """All requests of callers."""
         self.talks = 0
         """Faults under way that ask for talks in place of most chats."""
         self._folder = folder
@@ -51,6 +54,19 @@
         machine.start()
         self.machines.append(machine)
 
+    def caller(self, rng: random.Random) -> Caller:
+        """Return a caller of its own, whose requests a fault chooses."""
+        return Caller(
+            directories=lambda: [m.directory for m in self.some_machines()],
+            rng=rng,
+            attempts=self.attempts,
+            talks=lambda: self.talks > 0,
+        )
+
+    def some_machines(self) -> list[Machine]:
+        """Return the nodes, some twice where they are fewer than a caller asks."""
+        return self.machines if len(self.machines) >= 3 else self.machines * 3
+
     def close(self) -> None:
         """End everything that was started here."""
         for machine in self.machines:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,12 +14,13 @@
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind
 from soak.faults import FAULTS
 from soak.links import Harm, Link
-from soak.outside import Arrival
-from soak.promises import PROMISES, Evidence, Followed, Probe, Span, broken
+from soak.outside import Arrival, End
+from soak.promises import ENDING, PROMISES, Evidence, Followed, Probe, Span, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
 
 SEED = 7
+ENDS_WORKERS = Size(nodes=3, callers=6, seconds=3.0, kinds=(ENDING,))
 SHORT = Size(nodes=3, callers=8, seconds=6.0, kinds=tuple(FAULTS)[:30])
 """Without the kinds registered last: `SEED` would draw other faults with them."""
 CUT_RESUMED = SHORT._replace(
@@ -86,7 +87,7 @@
 
     async def test_each_check_sees_its_fault(self) -> None:
         own, order, once, refused, asked, allowed, planned, *later = PROMISES
-        force, left, one, outdated, new, again, ours = later
+        force, left, one, outdated, new, again, _, ours = later
         foreign = evidence(attempt(SAFE, seal="plain-1.other"))
         self.assertEqual(self.seen(foreign), {own})
         self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
@@ -143,6 +144,14 @@
         self.assertEqual(self.seen(unserved), {again})
         self.assertEqual(self.seen(evidence(faults_of_ours=["n1 ended by itself"])), {ours})
 
+    async def test_runs_of_a_request_that_has_ended_three_workers_are_seen(self) -> None:
+        fatal = attempt(SAFE)
+        ends = [End(fatal.body, f"plain-{n}", 10.0 + n) for n in range(3)]
+        for late, broke in ((3, False), (4, True)):
+            found = evidence(ends=ends)
+            found.workers[0].ran += [ran(fatal, at=16.0 + n) for n in range(late)]
+            self.assertEqual(list(PROMISES)[-2] in self.seen(found), broke)
+
     async def test_an_event_that_no_run_made_is_seen(self) -> None:
         order = list(PROMISES)[1]
         for kind, whole in ((CHAT, True), (CHAT, False), (TALK, True), (TALK, False)):
@@ -261,6 +270,12 @@
         self.assertEqual(outcome.broken, [], outcome.faults)
         self.assertGreater(sum(outcome.followed), 0)
 
+    def test_a_short_soak_of_a_request_that_ends_workers_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SEED, ENDS_WORKERS, Path(folder)))
+        self.assertEqual(outcome.broken, [], outcome.faults)
+        self.assertGreater(outcome.answered, 0)
+
     def test_failed_seeds_have_a_cause_and_faults_of_both_kinds_are_known(self) -> None:
         self.assertTrue(all(failed.cause for failed in FAILED_ONCE))
         self.assertEqual({fault.planned for fault in FAULTS.values()}, {True, False})
