--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -99,6 +99,8 @@
         """As they were noted: what is remembered too long, or beyond the most, goes first."""
         self._cleared: dict[str, float] = {}
         self._living: dict[str, float] = {}
+        self._frequent: set[str] = set()
+        """Requests with as many crashes as it takes to be held back."""
         self._held: dict[str, Held] = {}
         self._trials: dict[str, float] = {}
 
@@ -119,7 +121,9 @@
         self._order.append(crash)
         if len(self._order) > _MOST_CRASHES:
             self._drop_oldest()
-        self._judge()
+        if len(self._crashes[crash.fingerprint]) >= CRASHES_TO_HOLD:
+            self._frequent.add(crash.fingerprint)
+            self._judge()
         return True
 
     def clear(self, fingerprint: str, at: float) -> bool:
@@ -227,7 +231,7 @@
         found = list(crashes)
         for crash in found:
             self._drop(crash)
-        if found:
+        if any(crash.fingerprint in self._frequent for crash in found):
             self._judge()
 
     def _drop(self, crash: Crash) -> None:
@@ -250,7 +254,9 @@
 
     def _judge(self) -> None:
         """Lay the crashes to as few requests as explain them, and hold those back."""
-        suspects = [name for name, by in self._crashes.items() if len(by) >= CRASHES_TO_HOLD]
+        counts = {name: len(self._crashes.get(name, {})) for name in self._frequent}
+        suspects = {name for name, count in counts.items() if count >= CRASHES_TO_HOLD}
+        self._frequent = suspects
         explained: set[str] = set()
         held: dict[str, Held] = {}
         for name in sorted(suspects, key=self._order_of_suspicion):
