--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -2,7 +2,8 @@
 
 Faults are switches: `down` refuses, `silent` never answers, `lose_answers`
 does writes without answering, `lose_news` loses the answers of so many long
-polls that would bring rows, `forget` drops the history.  With `keeps` off it
+polls that would bring rows, `forget` drops the history, `go_back` brings a
+`copy` back.  With `keeps` off it
 closes a connection after each answer.  `under_way` names the calls that have
 no answer yet, so that a test can set a fault while just those are asked.
 """
@@ -15,19 +16,27 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 from fielddrift_node.web.messages import Headers
 from fielddrift_node.web.server import Limits, Request, Responder, Server
 
-__all__ = ["RowStore", "StoreEndpoint"]
+__all__ = ["RowStore", "StoreCopy", "StoreEndpoint"]
 
 _POLL_SECONDS = 0.01
 _JSON = Headers([(b"Content-Type", b"application/json")])
 _JSON_LAST = Headers([*_JSON, (b"Connection", b"close")])
 
 
+class StoreCopy(NamedTuple):
+    """What a store held at a moment."""
+
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    history: list[tuple[int, str, str]]
+    version: int
+
+
 class StoreEndpoint:
     """Another address of a store; `turned_away` refuses every call, `held` answers none."""
 
@@ -62,6 +71,8 @@
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: list[tuple[int, str, str]] = []
         self._version = 0
+        self.era = 1
+        """Rises each time the store comes back from a copy."""
         self._forgotten = 0
         self._server = Server(handler=self._handle, limits=Limits)
         self._started = time.monotonic()
@@ -111,9 +122,23 @@
         self._forgotten = self._version
         self._history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to go back to."""
+        return StoreCopy(dict(self._rows), list(self._history), self._version)
+
+    def go_back(self, copy: StoreCopy) -> None:
+        """Come back from `copy`: what was written since is lost, its versions are given anew."""
+        self._rows, self._history = dict(copy.rows), list(copy.history)
+        self._version = copy.version
+        self.era += 1
+
     @property
     def _headers(self) -> Headers:
-        return _JSON if self.keeps else _JSON_LAST
+        return Headers([*(_JSON if self.keeps else _JSON_LAST), *self._era])
+
+    @property
+    def _era(self) -> Headers:
+        return Headers([(b"Store-Era", str(self.era).encode())])
 
     # --- rows -----------------------------------------------------------------
 
@@ -159,7 +184,7 @@
         if self.silent:
             await asyncio.sleep(3600)
         if self.down:
-            responder.send(503, Headers(), b"")
+            responder.send(503, self._era, b"")
             return
         if path == "/rows-get":
             rows = [self._row(t, k) for t, k in sorted(self._rows) if t == asked["table"]]
@@ -169,14 +194,14 @@
         elif path == "/rows-tx":
             self._transact(json.loads(request.body), responder)
         else:
-            responder.send(404, Headers(), b"")
+            responder.send(404, self._era, b"")
 
     async def _feed(self, asked: dict[str, str], responder: Responder) -> None:
         after = int(asked["after"])
         until = time.monotonic() + int(asked.get("wait-ms", "0")) / 1000
         while True:
-            if after < self._forgotten:
-                responder.send(410, Headers(), b"{}")
+            if after < self._forgotten or after > self._version:
+                responder.send(410, self._era, b"{}")
                 return
             changed = {
                 key: None for v, t, key in self._history if v > after and t == asked["table"]
