Follow a store that comes back from an older copy of itself

Cause: versions of rows were taken to rise only; where they were given out again a node asked behind a version that is another's, and kept what it had. Change: a version and the era it is of are one mark, decoded in the adapter, so that what is compared, kept and told between nodes is of an era; an answer of an older era is refused, a reading behind a mark of another era is the whole; a condition of an older era does not hold. Entries that the copy lacks are held for the usual respite, those that had ended and stand in it are doubted for 4.5 s. The duty is not taken, nor held, by rows of another era; nodes' own rows are written again by those who wrote them. One line, a counter and the era as a gauge tell of a return. By the rows alone the duty's walk finds two holders. Nodes of the release before get plain versions.

--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -24,6 +24,7 @@
     "Naming",
     "StoreClock",
     "VersionAge",
+    "first_take",
     "may_take",
     "next_look",
     "next_loads",
@@ -55,10 +56,11 @@
 
 
 class DutyRow(NamedTuple):
-    """Who holds a duty, and until when on the platform's clock (seconds)."""
+    """Who holds a duty, until when on the platform's clock (seconds), written in which era."""
 
     holder: str
     until: float
+    era: int = 0
 
 
 class StoreClock(NamedTuple):
@@ -119,6 +121,15 @@
     return bound - _BEGIN_MARGIN - outdated if outdated > 0 else float("inf")
 
 
+def first_take(era_since: float, *, turn: float) -> float:
+    """Return the first local time at which a duty may be taken that no row of this era names.
+
+    `era_since` is when the era was first met.  The store may have lost the row of a holder
+    whose lease ran then, and who gave its last order just before that ended.
+    """
+    return era_since + LEASE_SECONDS + turn + _TURN_MARGIN
+
+
 class NamedTimes:
     """When each named weight version became known, here or to whoever told of it.
 
--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -20,6 +20,11 @@
 
 RESPITE_SECONDS = 2.3
 """Lapsed entries are back within about two seconds of the store's return."""
+DOUBT_SECONDS = 4.5
+"""How long an entry that had ended here is doubted when it stands in a copy that the store came
+back from: one that nobody renews goes after three heartbeats, some four seconds."""
+_MOST_ENDED = 1000
+"""Ends that are remembered: those of an hour in which each target of a large fleet is replaced."""
 
 
 def life_name(target: str, started: int | None) -> str:
@@ -70,6 +75,11 @@
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._respite_until = 0.0
+        self._ended: dict[str, None] = {}
+        """Names of lives that have ended, the last ones last."""
+        self._doubted: dict[str, Instance] = {}
+        """Entries of a copy that the store came back from, whose lives had ended here."""
+        self._doubted_until = 0.0
         self.serial = 0
         """Rises with each change of what is listed or lapsed."""
 
@@ -96,12 +106,23 @@
                 # Spared while the store was away once more: it may be back by now too.
                 self._lapsed[name] = self._respite_until
 
+    def store_went_back(self, now: float) -> None:
+        """Note that the store has come back from an older copy of itself, before it is read.
+
+        Entries that it lacks may have been written since the copy: their targets write them
+        again.  Those that had ended here may stand in it: they go when nobody renews them.
+        """
+        self.store_returned(now)
+        self._doubted_until = now + DOUBT_SECONDS
+
     def in_respite(self, now: float) -> bool:
         """Return whether entries may still have lapsed unseen, and so be back soon."""
         return now < self._respite_until
 
     def heard(self, instance: Instance, now: float) -> None:
         """Take an entry; what another life of the same target had there has ended."""
+        self._ended.pop(instance.name, None)
+        self._doubted.pop(instance.name, None)
         former = self._lives.get(instance.target)
         if former is not None and former != instance.name:
             self._remove(former)
@@ -116,6 +137,8 @@
 
     def gone(self, target: str, now: float) -> None:
         """Take the end of a target's entry; during a respite, wait for its return first."""
+        for doubted in [n for n in self._doubted if target_id(n) == target]:
+            del self._doubted[doubted]
         name = self._lives.get(target, target)
         if name not in self._instances or name in self._lapsed:
             return
@@ -135,7 +158,10 @@
         """Take a whole list of entries."""
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
-            self.heard(entry, now)
+            if now < self._doubted_until and entry.name in self._ended:
+                self._doubted[entry.name] = entry
+            else:
+                self.heard(entry, now)
         for name in [n for n in self._instances if n not in listed]:
             self.gone(target_id(name), now)
 
@@ -164,7 +190,12 @@
             for name, until in lapsed.items()
             if name in self._lapsed or (lost and name in self._instances)
         }
+        before = self._instances
         self._instances = {e.name: e for e in entries if e.name in held or e.name not in lapsed}
+        for name in before.keys() - self._instances.keys():
+            self._note_ended(name)
+        for name in self._instances:
+            self._ended.pop(name, None)
         self._lives = {e.target: name for name, e in self._instances.items()}
         self._lapsed = held
         told = {*leaving, *(e.name for e in self._instances.values() if e.leaving)}
@@ -185,6 +216,10 @@
         While the store is `away`, those of a service all of whose entries have lapsed are
         spared: where a whole service seems to be gone, it is the store that lost it.
         """
+        if self._doubted and now >= self._doubted_until:
+            # Nobody has ended them since: their targets live.
+            for instance in list(self._doubted.values()):
+                self.heard(instance, now)
         for name in [n for n, until in self._lapsed.items() if now >= until]:
             if not away or self._has_settled(self._instances[name].service):
                 self._remove(name)
@@ -197,12 +232,18 @@
 
     def _remove(self, name: str) -> None:
         self._lapsed.pop(name, None)
-        self._instances.pop(name, None)
+        if self._instances.pop(name, None) is not None:
+            self._note_ended(name)
         if self._lives.get(target_id(name)) == name:
             del self._lives[target_id(name)]
         self._leaving.discard(name)
         self._sort()
 
+    def _note_ended(self, name: str) -> None:
+        self._ended[name] = None
+        if len(self._ended) > _MOST_ENDED:
+            del self._ended[next(iter(self._ended))]
+
     def _sort(self) -> None:
         self.serial += 1
         by_service: dict[str, list[Instance]] = {}
--- a/packages/node/src/fielddrift_node/serving/crash_rows.py
+++ b/packages/node/src/fielddrift_node/serving/crash_rows.py
@@ -61,15 +61,23 @@
         self._clock: StoreClock | None = None
         self._current = False
         """Whether the rows are known as this node left them: no other has written since."""
+        self._went_back = False
         self._rests = Rests(what="rows of crashes", rng=rng)
 
+    def again(self) -> None:
+        """Take that the store went back: what was saved since its copy must be written again."""
+        self._went_back = True
+
     async def run(self) -> None:
         """Read the rows, then save what changes, until cancelled."""
         await self._retried(self._read)
         while True:
             await asyncio.sleep(_LOOK_SECONDS)
             if not self._first():
-                self._current = False
+                self._current = self._went_back = False
+            elif self._went_back:
+                self._went_back = False
+                await self._retried(self._read)
             elif self._changes():
                 await self._retried(self._save)
 
--- a/packages/node/src/fielddrift_node/serving/duty.py
+++ b/packages/node/src/fielddrift_node/serving/duty.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 import structlog
-from fielddrift_core.rollout import LEASE_SECONDS, DutyRow, StoreClock, may_take, next_look
+from fielddrift_core.rollout import (
+    LEASE_SECONDS,
+    DutyRow,
+    StoreClock,
+    first_take,
+    may_take,
+    next_look,
+)
 
 from .ports import OutOfReach, Platform, RowWrite
 
@@ -24,11 +32,23 @@
 class Duty:
     """One duty, from the view of one node; `holder` names the machine."""
 
-    def __init__(self, *, name: str, holder: str, platform: Platform, turn: float) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        holder: str,
+        platform: Platform,
+        turn: float,
+        era_since: Callable[[], float] = lambda: float("-inf"),
+    ) -> None:
         self._name = name
         self._holder = holder
         self._platform = platform
         self._turn = turn
+        self._era_since = era_since
+        """Tells when this node first met the era that the store is in."""
+        self._era = 0
+        """The era in which the lease was granted."""
         self._row_version = 0
         self._clock: StoreClock | None = None
         self._until = float("-inf")
@@ -48,7 +68,9 @@
 
     def held(self) -> bool:
         """Return whether orders may be given now."""
-        return asyncio.get_running_loop().time() < self._until - _ORDER_MARGIN
+        # A store that went back knows nothing of the lease, and may grant it to another.
+        same_era = self._era == self._platform.era
+        return same_era and asyncio.get_running_loop().time() < self._until - _ORDER_MARGIN
 
     async def take(self) -> bool:
         """Take or renew the lease; raise `OutOfReach`."""
@@ -62,6 +84,12 @@
             assert self._clock is not None
             now = loop.time()
             clock = self._clock
+            if (row is None or row.era != self._platform.era) and self._platform.era:
+                # What was granted before the return stands in no row.
+                first = first_take(self._era_since(), turn=self._turn)
+                if now < first:
+                    self._look_at = first
+                    return False
             if not may_take(row, holder=self._holder, clock=clock, now=now, turn=self._turn):
                 assert row is not None
                 # Readings until then would find the same, and take calls from all nodes.
@@ -74,7 +102,8 @@
         if not self.held() or self._clock is None:
             return
         now = asyncio.get_running_loop().time()
-        row = DutyRow(self._holder, self._clock.clock + (now - self._clock.sent))
+        until = self._clock.clock + (now - self._clock.sent)
+        row = DutyRow(self._holder, until, self._platform.era)
         self._until = float("-inf")
         await self._put(row)
         _log.info("duty given back", duty=self._name, fence=self._fence)
@@ -98,7 +127,7 @@
         until = self._clock.earliest(sent) + LEASE_SECONDS
         was_held = self.held()
         try:
-            done = await self._put(DutyRow(self._holder, until))
+            done = await self._put(DutyRow(self._holder, until, self._platform.era))
         except OutOfReach:
             # The write may have been done; the row tells at the next reading.
             self._until = float("-inf")
@@ -106,6 +135,7 @@
         if not done:
             self._until = float("-inf")
             return False
+        self._era = self._platform.era
         self._until = self._clock.local(until)
         self._renew_at = sent + LEASE_SECONDS * _RENEW_PART
         if not was_held:
--- a/packages/node/src/fielddrift_node/serving/membership.py
+++ b/packages/node/src/fielddrift_node/serving/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -61,6 +62,12 @@
         self._rng = rng
         self._silent_rows = SilentRows()
         self._joined_at = float("inf")
+        self._went_back = asyncio.Event()
+
+    def again(self) -> None:
+        """Take that the store went back: the first node nearby mends the list at once."""
+        if self._neighbours.is_first_nearby(asyncio.get_running_loop().time()):
+            self._went_back.set()
 
     @property
     def joined_at(self) -> float:
@@ -72,7 +79,10 @@
         if self._joined_at == float("inf"):
             await self._join()
         while True:
-            await asyncio.sleep(self._rest())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._rest()):
+                    await self._went_back.wait()
+            self._went_back.clear()
             try:
                 await self._look()
             except OutOfReach as error:
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -138,6 +138,10 @@
         self.targets = self._gauge("targets", "targets that are known")
         self.nodes = self._gauge("nodes", "live nodes, this one included")
         self.platform_calls = self._gauge("platform_calls", "calls to the platform since the start")
+        self.store_returns = self._counter(
+            "store_returns", "returns of the platform's store from an older copy"
+        )
+        self.store_era = self._gauge("store_era", "era of the platform's store, 0 for none told")
         self.unreadable_rows = self._gauge(
             "unreadable_rows", "versions of the platform's rows that were not understood"
         )
--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -71,6 +71,12 @@
         if self._views.catalog is not None:
             self._news.set()
 
+    def again(self) -> None:
+        """Take that the store went back: what was saved since its copy must be written again."""
+        self._clock = None
+        self._saved = {}
+        self.look()
+
     async def run(self) -> None:
         """Read the rows once, then save what is new, until cancelled."""
         await self.restore()
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 import structlog
+from fielddrift_core.eras import era_of
 from fielddrift_core.leaving import Leaving
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 
@@ -93,6 +94,9 @@
         self._metrics = Metrics()
         self._leaving = False
         self._active: bool | None = None
+        self._era: int | None = None
+        """The newest era of the platform's store that this node knows of, None for none yet."""
+        self._era_since = asyncio.get_running_loop().time()
         self._boot = time.time_ns() // 1_000_000
         gossip_address = f"{settings.host}:{settings.gossip_port}"
         me = Neighbour(
@@ -163,6 +167,7 @@
             holder=f"{settings.name}@{settings.host}",
             platform=platform,
             turn=settings.bounds.turn,
+            era_since=lambda: self._era_since,
         )
         self._rollout_runner = RolloutRunner(
             views=self._views,
@@ -318,6 +323,7 @@
                 self._views.stale.set()
                 self._operators.again()
                 self._targets.again()
+            self._note_era(loop.time())
             self._report()
             self._views.nodes = self._neighbours.sharing(loop.time())
             self._note_role(loop.time())
@@ -331,6 +337,24 @@
             settled=now - self._membership.joined_at > _SETTLE_SECONDS,
         )
 
+    def _note_era(self, now: float) -> None:
+        """Notice that the platform's store came back from a copy, and have its rows mended."""
+        views = self._views
+        row = max(views.operators_row, views.targets_row)
+        era = max(era_of(row), self._platform.era)
+        if not row or era == self._era:
+            return
+        former, self._era = self._era, era
+        if former is None:
+            return
+        self._era_since = now
+        by = "platform" if self._platform.era == era else "neighbours"
+        _log.warning("store went back", era=era, before=former, told_by=by)
+        self._metrics.store_returns.inc()
+        self._membership.again()
+        self._named_rows.again()
+        self._crash_rows.again()
+
     def _note_role(self, now: float) -> None:
         active = self._neighbours.is_active(now)
         if active is not self._active:
@@ -344,6 +368,7 @@
         metrics.targets.set(len(views.registry))
         metrics.nodes.set(views.nodes)
         metrics.platform_calls.set(self._platform.calls)
+        metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
         metrics.operators_age.set(min(now - views.operators_at, _OLDEST_AGE_SECONDS))
         metrics.targets_age.set(min(now - views.targets_at, _OLDEST_AGE_SECONDS))
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -51,7 +51,14 @@
 
 
 class HistoryGone(Exception):
-    """Changes after the version asked for are no longer kept; read the whole."""
+    """Changes after the version asked for are no longer kept; read the whole.
+
+    `went_back` says that the store has come back from a copy: that version is of an older era.
+    """
+
+    def __init__(self, table: str, *, went_back: bool = False) -> None:
+        super().__init__(table)
+        self.went_back = went_back
 
 
 # --- the platform ------------------------------------------------------------
@@ -119,12 +126,14 @@
 class Platform(Protocol):
     """The platform's store, as far as the node uses it.  All may raise `OutOfReach`.
 
-    `calls` counts the calls made since the start, refused ones too, `unreadable` the versions
-    of rows that were not understood.
+    Versions are marks, see `fielddrift_core.eras`.  `calls` counts the calls made since the
+    start, refused ones too, `unreadable` the versions of rows that were not understood; `era`
+    is the newest era that an answer has told, 0 where none does.
     """
 
     calls: int
     unreadable: int
+    era: int
 
     async def operator_news(self, after: int | None, wait: float) -> OperatorNews:
         """Return what operators wrote after `after`, waiting up to `wait` seconds."""
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -14,6 +14,7 @@
 import msgspec
 import structlog
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.eras import version_of
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.store_index import KeptChange
 from fielddrift_core.target_registry import Instance
@@ -87,6 +88,7 @@
             "/views/targets": self._targets,
             "/views/kept": self._kept,
         }
+        """Questions of the release before have no `marks`: it knows no eras."""
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one question."""
@@ -97,6 +99,8 @@
             return
         try:
             found = answer(parse_qs(query).get("of", []))
+            if "marks" not in query and isinstance(found, OperatorCopy | TargetCopy):
+                found = found._replace(row=version_of(found.row))
         except ValueError as error:
             responder.send(400, Headers(), str(error).encode())
             return
@@ -154,11 +158,11 @@
 
     async def operators(self, node: Neighbour) -> OperatorCopy:
         """Return what `node` has of the operators' rows."""
-        return await self._get(node, "/views/operators", OperatorCopy)
+        return await self._get(node, "/views/operators?marks=era", OperatorCopy)
 
     async def targets(self, node: Neighbour) -> TargetCopy:
         """Return what `node` has of the targets."""
-        return await self._get(node, "/views/targets", TargetCopy)
+        return await self._get(node, "/views/targets?marks=era", TargetCopy)
 
     async def kept(self, node: Neighbour, asked: Sequence[KeptAsk]) -> list[KeptCopy]:
         """Return what `node` has of the store hosts that are asked for, as far as it knows."""
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import structlog
+from fielddrift_core.eras import era_of
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.readers import Reading, read_seconds
 
@@ -69,9 +70,13 @@
             self._wake.clear()
             try:
                 seconds = await self._turn()
-            except HistoryGone:
+            except HistoryGone as gone:
                 _log.info("history gone", what="target entries", after=self._after)
                 self._after = None
+                if gone.went_back:
+                    now = asyncio.get_running_loop().time()
+                    self._views.registry.store_went_back(now)
+                    self._lost_at = now
                 continue
             except OutOfReach as error:
                 self._lost_at = asyncio.get_running_loop().time()
@@ -132,7 +137,11 @@
         before = Listing.of(self._views.registry, asyncio.get_running_loop().time())
         # Counted from the question: no respite grows longer by being handed on.
         lapsed = {name: asked_at + seconds for name, seconds in copy.lapsed.items()}
-        lost = self._lost_at is not None or self._views.registry.in_respite(asked_at)
+        # An entry that the store has lost is held, until its target has written it again.
+        row = self._views.targets_row
+        went_back = row > 0 and era_of(copy.row) > era_of(row)
+        lost = went_back or self._lost_at is not None
+        lost = lost or self._views.registry.in_respite(asked_at)
         self._views.registry.copied(copy.entries, copy.leaving, lapsed, lost=lost)
         self._views.targets_row = copy.row
         self._after = copy.row
--- /dev/null
+++ b/tests/test_duty_eras.py
@@ -0,0 +1,146 @@
+"""The duty of new weights while the store comes back from older copies of itself.
+
+The row of a holder whose lease runs may be lost with the return, or an older one stand in
+its place, and its version is given out again.  Taken by the row alone, the duty went to a
+second holder while the first still gave orders, and fences were given twice.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from fielddrift_core.eras import era_of, mark, version_of
+from fielddrift_core.rollout import LEASE_SECONDS
+from fielddrift_node.serving.duty import Duty
+from fielddrift_node.serving.ports import Outcome, OutOfReach, RowWrite, SavedRow
+
+from .machines import explore
+from .test_duty_walk import EXAMPLES, NODES, TURN, DutyWalk, SlowTable
+
+
+class _Table(SlowTable):
+    """The table of a store that goes back; versions are given out again."""
+
+    def __init__(self, walk: DutyWalk) -> None:
+        super().__init__(walk)
+        self.store_era = 1
+        self._copy = (self._row, self._version)
+
+    def copy(self) -> None:
+        """Keep a copy to go back to."""
+        self._copy = (self._row, self._version)
+
+    def go_back(self) -> None:
+        """Come back from the copy."""
+        self._row, self._version = self._copy
+        self.store_era += 1
+
+
+class _View:
+    """The store as one node meets it: versions with their eras, as the adapter has them."""
+
+    def __init__(self, table: _Table) -> None:
+        self._table = table
+        self.era = 0
+        self.calls = self.unreadable = 0
+
+    async def rows(self, table: str) -> tuple[list[SavedRow], float]:
+        found, clock = await self._table.rows(table)
+        self.era = self._table.store_era
+        return [r._replace(version=mark(self.era, r.version)) for r in found], clock
+
+    async def write(self, table: str, writes: list[RowWrite]) -> Outcome:
+        (write,) = writes
+        assert write.expect is not None
+        if write.expect and era_of(write.expect) != self.era:
+            return Outcome(False, 0, 0.0)
+        before = self.era
+        plain = write._replace(expect=version_of(write.expect))
+        outcome = await self._table.write(table, [plain])
+        self.era = self._table.store_era
+        if write.expect and self.era != before:
+            raise OutOfReach("a write under a condition met a new era")
+        return outcome._replace(version=mark(self.era, outcome.version))
+
+
+class DutyEraWalk(DutyWalk):
+    """Three nodes want the duty while the store keeps copies and goes back to them."""
+
+    waits = True
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self.table: _Table = _Table(self)
+        self.views = [_View(self.table) for _ in range(NODES)]
+        self.met: list[tuple[int, float]] = [(1, self.now)] * NODES
+        self.duties = [self._duty(n) for n in range(NODES)]
+
+    def moves(self) -> list[Callable[[], None]]:
+        return [*super().moves(), self.copy, self.go_back]
+
+    def copy(self) -> None:
+        self.table.copy()
+
+    def go_back(self) -> None:
+        self.table.go_back()
+
+    def kill(self) -> None:
+        number = self.rng.randrange(NODES)
+        self.views[number] = _View(self.table)
+        self.met[number] = (self.table.store_era, self.now)
+        self.duties[number] = self._duty(number)
+
+    def _era_since(self, number: int) -> float:
+        era, since = self.met[number]
+        view = self.views[number]
+        if view.era > era:
+            self.met[number] = (view.era, since := self.now)
+        return since + self.skew[number]
+
+    def _duty(self, number: int) -> Duty:
+        if not hasattr(self, "views"):
+            return super()._duty(number)
+        since = (lambda: self._era_since(number)) if self.waits else (lambda: float("-inf"))
+        return Duty(
+            name="weights",
+            holder=f"n{number}",
+            platform=self.views[number],  # type: ignore[arg-type]
+            turn=self.turn,
+            era_since=since,
+        )
+
+
+class _RowsAlone(DutyEraWalk):
+    waits = False
+
+
+@mock.patch("fielddrift_node.serving.duty._log", mock.Mock())
+class DutyEraTest(unittest.TestCase):
+    def test_orders_of_two_holders_lie_a_turn_apart_and_fences_rise(self) -> None:
+        explore(DutyEraWalk, examples=2 * EXAMPLES)
+
+    def test_by_the_rows_alone_the_walk_finds_two_holders(self) -> None:
+        with self.assertRaises(AssertionError):
+            explore(_RowsAlone, examples=2 * EXAMPLES)
+
+    def test_the_duty_is_taken_again_soon_after_a_return(self) -> None:
+        walk = DutyEraWalk(_Sure())
+        walk.ask(0)
+        walk.go_back()
+        began = walk.now
+        while not walk.ask(1):
+            walk.now += 0.1
+            self.assertLess(walk.now, began + 2 * (LEASE_SECONDS + TURN))
+
+
+class _Sure(random.Random):
+    """Calls that take no time and are never lost."""
+
+    def random(self) -> float:
+        return 1.0
+
+    def uniform(self, a: float, b: float) -> float:
+        return 0.0
--- a/tests/test_duty_walk.py
+++ b/tests/test_duty_walk.py
@@ -35,6 +35,7 @@
     """The store's table: calls take time each way, get lost, or are carried out late."""
 
     calls = 0
+    era = 0
 
     def __init__(self, walk: DutyWalk) -> None:
         self.readings = 0
