--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -25,6 +25,8 @@
 __all__ = ["RowStore", "StoreCopy", "StoreEndpoint"]
 
 _POLL_SECONDS = 0.01
+_OTHERS = ("op", "servers")
+"""Tables that operators and targets write."""
 _JSON = Headers([(b"Content-Type", b"application/json")])
 _JSON_LAST = Headers([*_JSON, (b"Connection", b"close")])
 
@@ -132,6 +134,22 @@
         self._version = copy.version
         self.era += 1
 
+    def write_again(self, lost: StoreCopy, copy: StoreCopy) -> None:
+        """Let operators and targets write again what they wrote between `copy` and `lost`.
+
+        What somebody has written since the return stays.
+        """
+        for table, key in lost.rows.keys() | copy.rows.keys():
+            name = (table, key)
+            before, after = (side.rows.get(name, (None, 0))[0] for side in (copy, lost))
+            now = self._rows.get(name, (None, 0))[0]
+            if table not in _OTHERS or before == after or now != before:
+                continue
+            if after is None:
+                self._remove(table, key)
+            else:
+                self._set(table, key, after)
+
     @property
     def _headers(self) -> Headers:
         return Headers([*(_JSON if self.keeps else _JSON_LAST), *self._era])
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,8 @@
 _ENDING_SECONDS = (6.0, 10.0)
 """How long a request that ends workers comes again: beyond when it must be held back."""
 _ENDING_PAUSE_SECONDS = (0.1, 0.5)
+_COPY_SECONDS = (0.5, 5.0)
+"""How old the copy is that the store comes back from."""
 _Work = Callable[[Site, random.Random], Awaitable[None]]
 
 
@@ -453,3 +455,36 @@
         attempt.path, attempt.body = first.path, first.body
         await caller.ask(attempt)
         await asyncio.sleep(rng.uniform(*_ENDING_PAUSE_SECONDS))
+
+
+async def _store_returns(site: Site, rng: random.Random) -> None:
+    """Let the store be away for a moment, and come back from a copy some seconds old."""
+    store = site.outside.store
+    copy = store.copy()
+    await _lasting(rng, *_COPY_SECONDS)
+    links = [machine.store for machine in site.machines]
+    for link in links:
+        link.harm = Harm(refuse=True)
+        link.reset()
+    await _lasting(rng, 0.2, 1.5)
+    lost = store.copy()
+    store.go_back(copy)
+    for link in links:
+        link.harm = Harm()
+    await _lasting(rng, 0.1, 1.5)
+    store.write_again(lost, copy)
+
+
+@fault("the store comes back from an older copy")
+async def _store_goes_back(site: Site, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 2)):
+        await _store_returns(site, rng)
+
+
+@fault("the store comes back from an older copy while new weights load")
+async def _store_goes_back_loading(site: Site, rng: random.Random) -> None:
+    site.outside.load_slowly(rng.uniform(0.5, 1.5))
+    returning = asyncio.ensure_future(_store_returns(site, rng))
+    await _lasting(rng, 0.5, 3.0)
+    site.outside.name_weights()
+    await returning
