Measure durations by a clock that counts suspensions, and let beliefs name the store's era

Cause: the steady clock stands still while a host is suspended, so a lease, an entry's age or a request's time was believed to be left, and no tick told of a pause.

--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -53,6 +53,7 @@
             "active" if beliefs["active"] else "standing by",
             "stale" if beliefs["stale"] else "",
             beliefs["catalog"],
+            beliefs.get("era"),
             beliefs["operators_row"],
             beliefs["operators_seconds"],
             beliefs["targets_row"],
@@ -62,7 +63,9 @@
         ]
         for beliefs in found
     ]
-    headers = "node,role,view,catalog,operators' row,age s,targets' row,age s,reads from,weights"
+    headers = (
+        "node,role,view,catalog,era,operators' row,age s,targets' row,age s,reads from,weights"
+    )
     return tabulate(rows, headers=headers.split(","), missingval=_UNKNOWN)
 
 
--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -16,6 +15,8 @@
 from fielddrift_core.retries import Breaker, RetryBudget
 from fielddrift_core.routing import Load, TargetView
 
+from . import clock
+
 __all__ = ["HINT_DIGITS", "Board", "TargetNote"]
 
 HINT_DIGITS = 16
@@ -49,7 +50,7 @@
 class Board:
     """Keep a note per target, and hints per prompt.  Safe for threads."""
 
-    def __init__(self, *, data_centre: str, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, *, data_centre: str, clock: Callable[[], float] = clock.now) -> None:
         self._data_centre = data_centre
         self._clock = clock
         self._notes: dict[str, TargetNote] = {}
--- a/packages/node/src/fielddrift_node/claims.py
+++ b/packages/node/src/fielddrift_node/claims.py
@@ -10,7 +10,6 @@
 import base64
 import queue
 import threading
-import time
 import uuid
 from collections.abc import Callable
 from concurrent.futures import Future
@@ -39,6 +38,7 @@
 from fielddrift_core.interfaces import OutsideError, Row, Table, Transaction, Write
 from fielddrift_core.retries import Breaker
 
+from . import clock
 from .log import get
 from .metrics import Metrics
 
@@ -121,7 +121,7 @@
         A refusal that says "not run" is given only after the attempt was
         abandoned.
         """
-        if not self._breaker.allows(time.monotonic()):
+        if not self._breaker.allows(clock.now()):
             return table_down("the table failed a moment ago")
         row = ClaimRow(customer, key, self._claimant, self._address, uuid.uuid4().hex, digest)
         outcome = self._drive(claiming(row, self._book))
@@ -202,7 +202,7 @@
             kept = write()
         except FutureTimeout:
             with self._lock:
-                self._breaker.failed(time.monotonic())
+                self._breaker.failed(clock.now())
         except OutsideError as error:
             get().info("claim not confirmed", key=row.key, error=str(error))
         else:
@@ -237,8 +237,8 @@
     def _group(self) -> None:
         while (first := self._inbox.get()) is not None:
             group = [first]
-            until = time.monotonic() + self._group_seconds
-            while len(group) < _MOST_IN_GROUP and (left := until - time.monotonic()) > 0:
+            until = clock.now() + self._group_seconds
+            while len(group) < _MOST_IN_GROUP and (left := until - clock.now()) > 0:
                 try:
                     pending = self._inbox.get(timeout=left)
                 except queue.Empty:
@@ -279,7 +279,7 @@
             rows = self._table.read([p.write.key for p in group])
         except OutsideError:
             with self._lock:
-                self._breaker.failed(time.monotonic())
+                self._breaker.failed(clock.now())
             rows = [Row(p.write.key, "", 0) for p in group]
         for pending, row in zip(group, rows, strict=True):
             if row.version:
@@ -307,7 +307,7 @@
 
     def _note_unclean(self, row: ClaimRow) -> None:
         # By attempt: two attempts on one key may both be unsettled in an outage.
-        self._unclean[row.attempt] = _Unclean(row, time.monotonic())
+        self._unclean[row.attempt] = _Unclean(row, clock.now())
 
     def _clean(self) -> None:
         while not self._stopped.wait(_CLEAN_SECONDS):
@@ -315,7 +315,7 @@
 
     def _clean_once(self, *, age: float) -> None:
         """Write the outcomes that have not reached the table for `age` seconds."""
-        now = time.monotonic()
+        now = clock.now()
         for attempt, unclean in list(self._unclean.items()):
             if now - unclean.since < age:
                 continue
--- a/packages/node/src/fielddrift_node/cluster.py
+++ b/packages/node/src/fielddrift_node/cluster.py
@@ -9,7 +9,6 @@
 import itertools
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
@@ -20,6 +19,7 @@
 from fielddrift_core.interfaces import HostEntry, OutsideError
 from fielddrift_core.membership import Member, Membership, Status, TargetWord
 
+from . import clock
 from . import peer_pb2 as pb
 from .configuration import ConfigSync
 from .peers import Peers, crashes_from, crashes_to, member_from, member_to, word_from, word_to
@@ -176,7 +176,7 @@
 
     def turn(self) -> None:
         """Probe one peer; suspect it when neither it nor helpers reach it."""
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             self._membership.expire(now)
             member = self._membership.next_probe()
@@ -186,7 +186,7 @@
             helpers = self._membership.helpers(member.name)
         if not any(self._helped(helper, member) for helper in helpers):
             with self._lock:
-                self._membership.probe_failed(member.name, time.monotonic())
+                self._membership.probe_failed(member.name, clock.now())
 
     def spread(self) -> None:
         """Tell a few random peers at once, in the background."""
@@ -199,7 +199,7 @@
     def leave(self) -> None:
         """Say to the others that this node is leaving."""
         with self._lock:
-            self._membership.leave(time.monotonic())
+            self._membership.leave(clock.now())
         self.spread()
 
     def join(self, addresses: Iterable[str]) -> bool:
@@ -218,7 +218,7 @@
     def hear_hosts(self, hosts: Iterable[HostEntry]) -> None:
         """Take the host list in: leaving entry hosts, and ones not met yet."""
         entries = [h for h in hosts if h.kind == _ENTRY_KIND and "peer" in h.labels]
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             known = {m.name: m for m in self._membership.present()}
             for host in entries:
@@ -289,7 +289,7 @@
         words = [word_from(w) for w in message.words]
         self._take_members(message.members)
         with self._lock:
-            news = self._membership.hear((), words, time.monotonic())
+            news = self._membership.hear((), words, clock.now())
         news |= self._crashes.take(crashes_from(message))
         if news:
             self.spread()
@@ -299,4 +299,4 @@
     def _take_members(self, messages: Iterable[pb.Member]) -> None:
         members = [member_from(m) for m in messages]
         with self._lock:
-            self._membership.hear(members, (), time.monotonic())
+            self._membership.hear(members, (), clock.now())
--- a/packages/node/src/fielddrift_node/crash_desk.py
+++ b/packages/node/src/fielddrift_node/crash_desk.py
@@ -21,6 +21,7 @@
 from fielddrift_core.model import Target
 from fielddrift_core.target_registry import life_name, target_id
 
+from . import clock
 from .log import get
 from .metrics import Metrics
 
@@ -58,7 +59,7 @@
         pool: ThreadPoolExecutor,
         metrics: Metrics,
         changed: Callable[[], None],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clock.now,
     ) -> None:
         self._table = table
         self._pool = pool
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -18,6 +18,7 @@
 from fielddrift_core.model import Target
 from fielddrift_core.routing import POLICIES
 
+from . import clock
 from .board import Board
 from .callers import CallersApp
 from .claims import ClaimDesk
@@ -237,8 +238,8 @@
         self._give_back_leases()
         time.sleep(limits["entry_seconds"])
         self._runtime.watch.refuse()
-        until = time.monotonic() + limits["stop_seconds"]
-        while self._requests.running() and time.monotonic() < until:
+        until = clock.now() + limits["stop_seconds"]
+        while self._requests.running() and clock.now() < until:
             time.sleep(_STOP_LOOK_SECONDS)
         self._exporter.close()
         self._pool.shutdown(wait=True, cancel_futures=True)
--- a/packages/node/src/fielddrift_node/duties.py
+++ b/packages/node/src/fielddrift_node/duties.py
@@ -14,6 +14,7 @@
 from fielddrift_core.interfaces import OutsideError
 from fielddrift_core.model import Configuration, Deployment, StoreHost, Target, TargetRole
 
+from . import clock
 from .leasing import Leases
 from .log import get
 from .metrics import Metrics
@@ -72,7 +73,7 @@
 
     def _wanted(self, deployment: Deployment) -> tuple[str, ...]:
         """Return the versions to order; the previous one stays for a while after a swap."""
-        now = time.monotonic()
+        now = clock.now()
         version, since = self._in_force.get(deployment.model, ("", now))
         if version != deployment.version:
             since = now
@@ -188,7 +189,7 @@
 
     def _due(self, store: str) -> bool:
         """Return whether it is time to list a store host again: its list is long."""
-        now = time.monotonic()
+        now = clock.now()
         if now - self._tended_at.get(store, float("-inf")) < STORE_SECONDS:
             return False
         self._tended_at[store] = now
@@ -197,6 +198,6 @@
     def _tend_store(self, store: StoreHost, configuration: Configuration) -> None:
         week_second = (self._wall_clock() - self._week_start) % WEEK_SECONDS
         try:
-            self._store_tender.tend(store, configuration, week_second, time.monotonic())
+            self._store_tender.tend(store, configuration, week_second, clock.now())
         except OutsideError as error:
             get().info("store host not tended", store=store.name, error=str(error))
--- a/packages/node/src/fielddrift_node/exchange.py
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -15,6 +14,7 @@
 from result import Result
 from werkzeug.wrappers import Request
 
+from . import clock
 from .claims import Claim
 from .runtime import Runtime
 from .stores import Found
@@ -62,7 +62,7 @@
         self.request = request
         self.request_id = request_id
         self.path = path
-        self.began_at = time.monotonic()
+        self.began_at = clock.now()
         self.deadline = 0.0
         self.key = ""
         self.repeatable = True
@@ -81,13 +81,13 @@
         self.life = ""
         """The life of the target of the last send, as far as it is known."""
         self.sent_at = 0.0
-        """When it went out, on the clock of `time.monotonic`."""
+        """When it went out, on the clock of `clock.now`."""
         self.answer: Answer | None = None
 
     @property
     def left(self) -> float:
         """Return the seconds left to the deadline."""
-        return self.deadline - time.monotonic()
+        return self.deadline - clock.now()
 
     @property
     def fingerprint(self) -> str:
@@ -102,13 +102,13 @@
     def begin_send(self, target: Target) -> None:
         """Note a send that is about to go out."""
         self.life = self.runtime.crashes.life(target.name, self.runtime.board.epoch(target.name))
-        self.sent_at = time.monotonic()
+        self.sent_at = clock.now()
 
     def broke_off(self, target: Target, error: OutsideError) -> None:
         """Tell whoever watches for requests that end their targets how the last send failed."""
         crashes = self.runtime.crashes
         if error.broken and not target.draining and not self.runtime.leaving(target.name):
-            now = time.monotonic()
+            now = clock.now()
             ran = now - self.sent_at
             run = LostRun(self.request_id, self.fingerprint, self.life, now, ran)
             crashes.broke_off(run, target)
--- a/packages/node/src/fielddrift_node/filters/admit.py
+++ b/packages/node/src/fielddrift_node/filters/admit.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import time
-
 from fielddrift_core.errors import Kind, Ran, Refusal
 from fielddrift_core.model import Target
 from fielddrift_core.routing import Choice, draw
 from result import Err, Ok, Result
 
+from .. import clock
 from ..exchange import Exchange
 from ..tickets import TICKET_HEADER
 
@@ -62,7 +61,7 @@
             wait=choice.wait,
             patience=exchange.left,
             room_rate=choice.target.prefill_rate * len(exchange.targets),
-            now=time.monotonic(),
+            now=clock.now(),
             returning=runtime.tickets.counts(
                 exchange.request.headers.get(TICKET_HEADER, ""), exchange.customer.name
             ),
--- a/packages/node/src/fielddrift_node/filters/locate.py
+++ b/packages/node/src/fielddrift_node/filters/locate.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import time
-
 from fielddrift_core.errors import Refusal
 from fielddrift_core.names import chain, prefix_name
 from fielddrift_core.routing import Kept, Need
 from result import Ok, Result
 
+from .. import clock
 from ..exchange import Exchange
 from ..stores import Found
 
@@ -27,9 +26,9 @@
     prompt = exchange.completion.prompt.encode()
     exchange.digests = chain(prompt, salt=exchange.customer.salt)
     if exchange.digests and exchange.configuration.stores:
-        began = time.monotonic()
+        began = clock.now()
         exchange.found = _find(exchange)
-        runtime.metrics.time("locate", time.monotonic() - began)
+        runtime.metrics.time("locate", clock.now() - began)
     exchange.need = Need(
         tokens=len(prompt) // BYTES_A_TOKEN,
         blocks=len(exchange.digests),
--- a/packages/node/src/fielddrift_node/filters/parse.py
+++ b/packages/node/src/fielddrift_node/filters/parse.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import time
 from typing import Any
 
 import msgspec
@@ -12,6 +11,7 @@
 from werkzeug.exceptions import ClientDisconnected, RequestEntityTooLarge
 from werkzeug.wrappers import Request
 
+from .. import clock
 from ..exchange import CompletionAsk, Exchange, ServiceAsk
 from ..settle import KEY_HEADER
 
@@ -120,7 +120,7 @@
     mark = headers.get(NOT_REPEATABLE_HEADER, "false").lower()
     _check(NOT_REPEATABLE_HEADER, mark, mark in ("true", "false"), "true or false")
     exchange.repeatable = mark == "false"
-    exchange.deadline = time.monotonic() + _deadline(exchange)
+    exchange.deadline = clock.now() + _deadline(exchange)
 
 
 def _deadline(exchange: Exchange) -> float:
--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -12,7 +12,6 @@
 import queue
 import selectors
 import threading
-import time
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future
@@ -21,6 +20,8 @@
 import pycurl
 from fielddrift_core.interfaces import OutsideError
 
+from . import clock
+
 __all__ = ["Call", "Head", "HttpClient", "Reply", "Stream"]
 
 _MOST_IDLE = 256
@@ -234,7 +235,7 @@
             self._selector.register(fd, events)
 
     def _on_timer(self, milliseconds: int) -> None:
-        self._timer = None if milliseconds < 0 else time.monotonic() + milliseconds / 1000
+        self._timer = None if milliseconds < 0 else clock.now() + milliseconds / 1000
 
     def _turn(self) -> None:
         try:
@@ -261,7 +262,7 @@
                 else:
                     self._act(key.fd, events)
             self._take_todo()
-            if self._timer is not None and time.monotonic() >= self._timer:
+            if self._timer is not None and clock.now() >= self._timer:
                 self._timer = None
                 self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
             self._collect()
@@ -269,7 +270,7 @@
     def _timeout(self) -> float:
         if self._timer is None:
             return _LOOP_SECONDS
-        return max(0.0, min(_LOOP_SECONDS, self._timer - time.monotonic()))
+        return max(0.0, min(_LOOP_SECONDS, self._timer - clock.now()))
 
     def _act(self, fd: int, events: int) -> None:
         mask = pycurl.CSELECT_IN if events & selectors.EVENT_READ else 0
--- a/packages/node/src/fielddrift_node/leasing.py
+++ b/packages/node/src/fielddrift_node/leasing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Sequence
 
 import msgspec
@@ -11,6 +10,8 @@
 from fielddrift_core.leases import Lease, LeaseRow
 from fielddrift_core.names import rank
 
+from . import clock
+
 __all__ = ["LEASE_PREFIX", "Leases", "candidates", "decode_lease"]
 
 LEASE_PREFIX = "lease/"
@@ -51,7 +52,7 @@
     def fence(self, duty: str) -> int | None:
         """Return the fence of a duty held now, None when it is not held."""
         lease = self._leases.get(duty)
-        if lease is None or not lease.held(time.monotonic()):
+        if lease is None or not lease.held(clock.now()):
             return None
         return lease.fence
 
@@ -70,7 +71,7 @@
                     self._write(row, lease.give_back())
 
     def _try(self, lease: Lease, row: Row) -> None:
-        now = time.monotonic()
+        now = clock.now()
         wish = lease.wish(decode_lease(row) if row.version else None, now)
         if wish is not None and self._write(row, wish):
             lease.granted(wish, now)
--- a/packages/node/src/fielddrift_node/log.py
+++ b/packages/node/src/fielddrift_node/log.py
@@ -12,12 +12,13 @@
 import os
 import sys
 import threading
-import time
 from collections import deque
 from typing import Any
 
 import structlog
 
+from . import clock
+
 __all__ = ["LineSink", "configure", "get"]
 
 _MOST_LINES = 2000
@@ -36,7 +37,7 @@
         self._descriptor = descriptor
         self._lines: deque[str] = deque()
         self._allowance = float(_BURST_LINES)
-        self._counted_at = time.monotonic()
+        self._counted_at = clock.now()
         self._lost = 0
         self._lock = threading.Lock()
         self._thread: threading.Thread | None = None
@@ -68,7 +69,7 @@
             self._thread.join(seconds)
 
     def _allowed(self) -> bool:
-        now = time.monotonic()
+        now = clock.now()
         gained = (now - self._counted_at) * _LINES_A_SECOND
         self._allowance = min(_BURST_LINES, self._allowance + gained)
         self._counted_at = now
--- a/packages/node/src/fielddrift_node/operators.py
+++ b/packages/node/src/fielddrift_node/operators.py
@@ -16,6 +16,7 @@
 from fielddrift_core.grammar import Fresh, Lift, Query, parse
 from fielddrift_core.membership import Status
 
+from . import clock
 from .configuration import Accepted
 from .filters.identify import bearer
 from .queries import Nodes, answer
@@ -97,13 +98,13 @@
 
     def _in_force(self, accepted: Accepted, wait: float) -> dict[str, Any]:
         """Wait until every node has confirmed; name those that have not."""
-        until = time.monotonic() + wait
-        began = time.monotonic()
+        until = clock.now() + wait
+        began = clock.now()
         pending = self._pending(accepted.revision)
-        while pending and time.monotonic() < until:
+        while pending and clock.now() < until:
             time.sleep(_LOOK_SECONDS)
             pending = self._pending(accepted.revision)
-        seconds = round(time.monotonic() - began, 3)
+        seconds = round(clock.now() - began, 3)
         return {"in_force": not pending, "pending": pending, "seconds": seconds}
 
     def _pending(self, revision: int) -> list[str]:
--- a/packages/node/src/fielddrift_node/peers.py
+++ b/packages/node/src/fielddrift_node/peers.py
@@ -23,6 +23,7 @@
 from grpclib.server import Server
 
 from . import peer_pb2 as pb
+from .clock import SuspendAwareLoop
 from .log import get
 from .metrics import Metrics
 from .peer_grpc import PeerBase, PeerStub
@@ -212,7 +213,7 @@
         self._key = key
         self._metrics = metrics
         self._channels: dict[str, Channel] = {}
-        self._loop = asyncio.new_event_loop()
+        self._loop = SuspendAwareLoop()
         self._server = _PeerServer(answers=answers, key=key, metrics=metrics)
         self._thread = threading.Thread(target=self._loop.run_forever, name="peers", daemon=True)
         self._thread.start()
--- a/packages/node/src/fielddrift_node/queries.py
+++ b/packages/node/src/fielddrift_node/queries.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, TypedDict
@@ -18,6 +17,7 @@
 from fielddrift_core.membership import Membership, Status
 from fielddrift_core.model import TargetRole
 
+from . import clock
 from .leasing import LEASE_PREFIX, decode_lease
 from .peers import Peers
 from .runtime import Runtime
@@ -155,7 +155,7 @@
 
 @shows("load")
 def _load(runtime: Runtime, nodes: Nodes, partial: list[str]) -> Rows:
-    now = time.monotonic()
+    now = clock.now()
     rows = []
     for target in runtime.config.current.targets.values():
         load, own, breaker = runtime.board.load(target.name)
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -9,7 +9,6 @@
 
 import json
 import re
-import time
 from collections.abc import Callable, Iterator
 from functools import partial
 from typing import Any
@@ -19,6 +18,7 @@
 from fielddrift_core.interfaces import OutsideError
 from fielddrift_core.stream import EventSequencer, StreamError
 
+from . import clock
 from .exchange import Answer, Exchange
 from .keeping import keep_prefix
 from .log import get
@@ -59,7 +59,7 @@
         self._reordered = False
         self._resumes = 0
         self._ended = False
-        self._ttft = time.monotonic() - exchange.began_at
+        self._ttft = clock.now() - exchange.began_at
         self._note_start(self._ttft)
 
     @property
@@ -129,7 +129,7 @@
         started = None
         if self._resumes <= _MOST_RESUMES:
             # The deadline was for the first token, which has come.
-            exchange.deadline = max(exchange.deadline, time.monotonic() + RESUME_SECONDS)
+            exchange.deadline = max(exchange.deadline, clock.now() + RESUME_SECONDS)
             started = self._resume(exchange, self._sequencer.following)
         if started is None:
             get().warning("answer cut", reason=self._reason, **self._progress())
--- a/packages/node/src/fielddrift_node/runtime.py
+++ b/packages/node/src/fielddrift_node/runtime.py
@@ -4,7 +4,6 @@
 
 import random
 import threading
-import time
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -15,6 +14,7 @@
 from fielddrift_core.model import StoreHost
 from fielddrift_core.routing import Policy
 
+from . import clock
 from .board import Board
 from .claims import ClaimDesk
 from .configuration import ConfigSync
@@ -63,7 +63,7 @@
 class Links:
     """Keep one `Link` per store host.  Safe for threads."""
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, *, clock: Callable[[], float] = clock.now) -> None:
         self._clock = clock
         self._links: dict[str, Link] = {}
         self._lock = threading.Lock()
--- a/packages/node/src/fielddrift_node/servers.py
+++ b/packages/node/src/fielddrift_node/servers.py
@@ -22,6 +22,7 @@
 
 from fielddrift_core.errors import Kind, Ran, Refusal
 
+from .clock import SuspendAwareLoop
 from .log import get
 from .web.messages import Headers
 from .web.server import Fault, FaultAnswer, Limits, Request, Responder, Server
@@ -79,7 +80,7 @@
         self._host, self._port = host, port
         self._pool = ThreadPoolExecutor(threads, thread_name_prefix="caller")
         limits = Limits(body_bytes=body + _BODY_SLACK, header_bytes=64 * 1024, idle_seconds=60.0)
-        self._loop = asyncio.new_event_loop()
+        self._loop = SuspendAwareLoop()
         self._server = Server(handler=self._handle, limits=lambda: limits, word=_problem)
         self._ready = threading.Event()
         self._stopped = threading.Event()
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import msgspec
+from fielddrift_core.eras import era_of, version_of
 from fielddrift_core.neighbours import KnownNode, Neighbours
 from fielddrift_core.workload import Burden
 
@@ -55,7 +56,8 @@
     """Everything that decides where a node sends requests, as of now; ages in seconds.
 
     `reader` names the node that reads from the platform for this one, empty
-    for itself.  `named` gives the newest weights by model.
+    for itself.  `named` gives the newest weights by model, `era` that of the platform's store
+    in which the rows' versions are.
     """
 
     node: str
@@ -73,6 +75,7 @@
     stores: list[StoreBelief]
     nodes: list[KnownNode]
     held: list[HeldBelief]
+    era: int
 
 
 def beliefs_of(views: Views, neighbours: Neighbours, *, reader: str) -> Beliefs:
@@ -83,9 +86,9 @@
         active=neighbours.is_active(now),
         sharing=views.nodes,
         catalog=None if views.catalog is None else views.catalog.version,
-        operators_row=views.operators_row,
+        operators_row=version_of(views.operators_row),
         operators_seconds=_age(views.operators_at, now),
-        targets_row=views.targets_row,
+        targets_row=version_of(views.targets_row),
         targets_seconds=_age(views.targets_at, now),
         reader=reader,
         named=dict(views.named),
@@ -93,6 +96,7 @@
         targets=_targets(views, now),
         stores=_stores(views, now),
         nodes=neighbours.known(now),
+        era=era_of(max(views.operators_row, views.targets_row)),
         held=[
             HeldBelief(held.fingerprint, held.targets, round(held.until - now, 3))
             for held in views.crashes.all_held(now)
--- a/packages/node/src/fielddrift_node/serving/duty.py
+++ b/packages/node/src/fielddrift_node/serving/duty.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import structlog
+from fielddrift_core.eras import version_of
 from fielddrift_core.rollout import (
     LEASE_SECONDS,
     DutyRow,
@@ -146,7 +147,7 @@
         write = RowWrite(self._name, msgspec.json.encode(row), self._row_version)
         outcome = await self._platform.write(TABLE, [write])
         if not outcome.done:
-            _log.info("duty lost", duty=self._name, row=self._row_version)
+            _log.info("duty lost", duty=self._name, row=version_of(self._row_version))
             return False
         self._row_version = outcome.version
         self._fence = outcome.version
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -48,6 +48,7 @@
             return
         trace = Trace()
         loop = asyncio.get_running_loop()
+        self._tools.views.look(loop.time())
         self._tools.views.load.add(loop.time())
         try:
             call = await self._judge(ask, trace)
--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -14,6 +14,7 @@
 
 import msgspec
 import structlog
+from fielddrift_core.eras import version_of
 from fielddrift_core.rollout import StoreClock, times_to_save
 
 from .feeds import Rests
@@ -150,7 +151,9 @@
             return False
         self._clock = StoreClock(outcome.clock, sent, loop.time())
         self._saved[model] = _Saved(times, outcome.version)
-        _log.info("namings saved", model=model, versions=sorted(times), row=outcome.version)
+        _log.info(
+            "namings saved", model=model, versions=sorted(times), row=version_of(outcome.version)
+        )
         return True
 
     async def _read(self) -> StoreClock:
@@ -173,4 +176,4 @@
         self._saved[row.key] = _Saved(times, row.version)
         self._views.named_times.restored(row.key, times, clock)
         ages = {str(version): round(clock.clock - at, 3) for version, at in times.items()}
-        _log.info("namings read", model=row.key, seconds=ages, row=row.version)
+        _log.info("namings read", model=row.key, seconds=ages, row=version_of(row.version))
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -35,7 +35,7 @@
 from .sharing import PeerHandler, Peers
 from .store_tracker import StoreTracker
 from .target_feed import TargetFeed
-from .views import Views
+from .views import PAUSE_SECONDS, Views
 
 __all__ = ["Dialects", "ServingNode"]
 
@@ -46,8 +46,6 @@
 half a second of each other, and the first ones are not those that should be active."""
 _EARLY_SECONDS = 1.5
 """Time after joining within which the choice of active nodes may still change much."""
-_PAUSE_SECONDS = 0.7
-"""A tick that comes so much too late tells of a pause of this process."""
 _TICK_SECONDS = 0.2
 _REST_SECONDS = 0.5
 """Rest before a loop that failed runs again."""
@@ -315,12 +313,10 @@
         """Notice pauses of this process."""
         loop = asyncio.get_running_loop()
         while True:
-            before = loop.time()
             await asyncio.sleep(_TICK_SECONDS)
-            late = loop.time() - before - _TICK_SECONDS
-            if late > _PAUSE_SECONDS:
+            late = self._views.tick(loop.time(), rest=_TICK_SECONDS)
+            if late > PAUSE_SECONDS:
                 _log.warning("this process was paused", seconds=round(late, 2))
-                self._views.stale.set()
                 self._operators.again()
                 self._targets.again()
             self._note_era(loop.time())
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.eras import version_of
 from fielddrift_core.neighbours import Heartbeat, Neighbour
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS
 
@@ -219,7 +220,7 @@
             _log.info(
                 "catalog taken",
                 version=views.catalog.version,
-                row=views.operators_row,
+                row=version_of(views.operators_row),
                 **sight,
             )
             changed = True
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 import structlog
-from fielddrift_core.eras import era_of
+from fielddrift_core.eras import era_of, version_of
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.readers import Reading, read_seconds
 
@@ -149,7 +149,7 @@
         _log.info(
             "targets copied",
             told_by=chosen.name,
-            row=copy.row,
+            row=version_of(copy.row),
             entries=len(copy.entries),
             lapsed=len(copy.lapsed),
         )
@@ -187,4 +187,9 @@
     def _log_changes(self, before: Listing, told_by: str) -> None:
         after = Listing.of(self._views.registry, asyncio.get_running_loop().time())
         for change in after.changes_since(before):
-            _log.info(change.event, row=self._views.targets_row, told_by=told_by, **change.fields)
+            _log.info(
+                change.event,
+                row=version_of(self._views.targets_row),
+                told_by=told_by,
+                **change.fields,
+            )
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -23,11 +23,13 @@
 from .ports import NamedWeights
 from .rooms import Rooms
 
-__all__ = ["Placeable", "Views"]
+__all__ = ["PAUSE_SECONDS", "Placeable", "Views"]
 
 FETCH_SECONDS = 2.0
 """A fetch that took longer is thrown away by the engine, and the prompt read:
 no move is begun that would wait longer than that."""
+PAUSE_SECONDS = 0.7
+"""A tick that comes so much too late tells of a pause of this process or its host."""
 _PLACEABLE_SECONDS = 0.05
 """How long the list of a service's engines is kept: each request needs it, it costs some
 microseconds an engine, and loads that others tell of last for a second and more."""
@@ -75,6 +77,7 @@
         """Weights by (instance, model), where newer than the instance's entry."""
         self.stale = asyncio.Event()
         """Set while this process woke from a pause and has not read anew."""
+        self._ticked_at: float | None = None if began_at == float("-inf") else began_at
         self.nodes = 1
         """Nodes among which what all of them may do is shared out."""
         self.load = PeakRate()
@@ -180,6 +183,22 @@
         """Return whether most callers may be some who waited for this node to start."""
         return now - self._began_at < _RETURN_SECONDS
 
+    def tick(self, now: float, *, rest: float) -> float:
+        """Note that this process runs, as it does each `rest` seconds; return how late it is.
+
+        So late that it must have been paused, what it believes is stale until it is read anew.
+        """
+        late = 0.0 if self._ticked_at is None else now - self._ticked_at - rest
+        self._ticked_at = now
+        if late > PAUSE_SECONDS:
+            self.stale.set()
+        return late
+
+    def look(self, now: float) -> None:
+        """Notice a pause of this process before its next tick does: a request came first."""
+        if self._ticked_at is not None and now - self._ticked_at > 2 * PAUSE_SECONDS:
+            self.stale.set()
+
     def current(self) -> None:
         """Note that the operators' rows were just read."""
         self.stale.clear()
--- a/packages/node/src/fielddrift_node/sightings.py
+++ b/packages/node/src/fielddrift_node/sightings.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from . import clock
 from .log import get
 from .metrics import Metrics
 
@@ -90,10 +91,10 @@
     def __init__(self, rate: float) -> None:
         self._rate = rate
         self._left = 2 * rate
-        self._at = time.monotonic()
+        self._at = clock.now()
 
     def take(self, size: int) -> bool:
-        now = time.monotonic()
+        now = clock.now()
         self._left = min(2 * self._rate, self._left + (now - self._at) * self._rate)
         self._at = now
         if size > self._left:
--- a/packages/node/src/fielddrift_node/stores.py
+++ b/packages/node/src/fielddrift_node/stores.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeout
 from concurrent.futures import wait as wait_for
@@ -19,6 +18,7 @@
 from fielddrift_core.names import Manifest, Part, PrefixName, rank
 from fielddrift_core.retries import Breaker
 
+from . import clock
 from .http_client import Call, HttpClient
 
 __all__ = ["Found", "StoreClient", "Stores", "placement"]
@@ -136,7 +136,7 @@
 
     def usable(self, store: StoreHost) -> bool:
         """Return whether a store host may be asked now."""
-        return self._breaker(store).allows(time.monotonic())
+        return self._breaker(store).allows(clock.now())
 
     def note(self, store: StoreHost, *, worked: bool) -> None:
         """Note how a call to a store host went."""
@@ -144,7 +144,7 @@
         if worked:
             breaker.succeeded()
         else:
-            breaker.failed(time.monotonic())
+            breaker.failed(clock.now())
 
     def find(
         self, configuration: Configuration, name: PrefixName, digests: list[str]
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -11,6 +10,7 @@
 from fielddrift_core.model import Target
 from fielddrift_core.routing import Load
 
+from . import clock
 from .http_client import Call, Head, HttpClient, Reply, Stream
 
 __all__ = [
@@ -70,7 +70,7 @@
 
     def load(self) -> Load:
         """Return the load as routing takes it, heard now."""
-        return Load(self.running, self.queued, self.backlog, time.monotonic())
+        return Load(self.running, self.queued, self.backlog, clock.now())
 
 
 class Order(NamedTuple):
--- a/packages/node/src/fielddrift_node/watch.py
+++ b/packages/node/src/fielddrift_node/watch.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
+from . import clock
+
 __all__ = ["PAUSE_SECONDS", "Watch"]
 
 PAUSE_SECONDS = 2.0
@@ -23,7 +24,7 @@
     """
 
     def __init__(
-        self, *, refresh: Callable[[], bool], clock: Callable[[], float] = time.monotonic
+        self, *, refresh: Callable[[], bool], clock: Callable[[], float] = clock.now
     ) -> None:
         self._refresh = refresh
         self._clock = clock
