Blame no request for a target whose entry went first, and tell what was cleared to nodes that were cut off for long

Found by reading the diff cold: a run that broke off at a target that had left without a word counted as a crash (the check was lost in splitting the doubts off), and a lift or a clearing older than 30 s never reached a node that had been cut off. Both tests seen failing.

--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -156,6 +156,11 @@
         """Return whether nothing is remembered."""
         return not self._crashes
 
+    @property
+    def remembers(self) -> bool:
+        """Return whether there is anything that another node may lack."""
+        return bool(self._crashes or self._cleared or self._living)
+
     @property
     def suspects(self) -> frozenset[str]:
         """Return the requests that are held back, or were and may be again."""
--- a/packages/node/src/fielddrift_node/crash_desk.py
+++ b/packages/node/src/fielddrift_node/crash_desk.py
@@ -36,7 +36,9 @@
 _MOST_TOLD = 20
 """Entries of one message to a peer, some 60 bytes each."""
 _YOUNG_SECONDS = 30.0
-"""Age up to which news of requests that are not held back is told again."""
+"""Age up to which news of requests that are not held back is told again with each probe."""
+_WHOLE_SECONDS = 10.0
+"""Rest between what is told whatever its age, to nodes that were cut off for longer."""
 _MOST_ROWS = 1000
 
 
@@ -71,6 +73,7 @@
         self._known: dict[str, Held] = {}
         self._unsaved: set[str] = set()
         """Requests whose rows this node is to write, or to remove."""
+        self._whole_at = float("-inf")
         self._lock = threading.Lock()
 
     # --- requests -------------------------------------------------------------
@@ -206,8 +209,13 @@
 
     def recent(self) -> CrashNews:
         """Return what a peer may lack."""
+        now = self._clock()
+        young = _YOUNG_SECONDS
+        if now - self._whole_at > _WHOLE_SECONDS:
+            # Who was cut off for longer than that.
+            self._whole_at, young = now, float("inf")
         with self._lock:
-            return self._history.news(self._clock(), most=_MOST_TOLD, young=_YOUNG_SECONDS)
+            return self._history.news(now, most=_MOST_TOLD, young=young)
 
     # --- rounds ---------------------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -39,7 +39,9 @@
 _MOST_TOLD = 20
 """Entries of one datagram, some 60 bytes each."""
 _YOUNG_SECONDS = 30.0
-"""Age up to which news of requests that are not held back is told again."""
+"""Age up to which news of requests that are not held back is told again each second."""
+_WHOLE_SECONDS = 10.0
+"""Rest between what is told whatever its age, to nodes that were cut off for longer."""
 
 _log = structlog.get_logger()
 
@@ -69,6 +71,7 @@
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._known: dict[str, Held] = {}
         self._told_at = float("-inf")
+        self._whole_at = float("-inf")
 
     # --- requests -------------------------------------------------------------------
 
@@ -94,8 +97,8 @@
         if reason == _REPLACED:
             self._target_ended(name, "replaced")
         registry = self._views.registry
-        if reason not in BROKEN_OFF or name in registry.leaving():
-            # One that said it would leave ends as planned.
+        if reason not in BROKEN_OFF or name in registry.leaving() or registry.get(name) is None:
+            # One that is leaving, or whose entry went while it still served, ends as planned.
             return
         now = self._loop.time()
         run = LostRun(call.ask.request_id, call.fingerprint, name, now, now - sent_at)
@@ -185,7 +188,11 @@
     def recent(self) -> CrashNews:
         """Return what a node that was away may lack."""
         now = self._loop.time()
-        return self._history.news(now, most=_MOST_TOLD, young=_YOUNG_SECONDS)
+        young = _YOUNG_SECONDS
+        if now - self._whole_at > _WHOLE_SECONDS:
+            # Who was cut off for longer than that.
+            self._whole_at, young = now, float("inf")
+        return self._history.news(now, most=_MOST_TOLD, young=young)
 
     def greet(self, node: Neighbour) -> None:
         """Tell a node that is heard for the first time in its life."""
@@ -215,7 +222,7 @@
             await asyncio.sleep(_TICK_SECONDS)
             now = self._loop.time()
             self._settle(now)
-            if not self._history.is_empty:
+            if self._history.remembers:
                 self._history.expire(now)
                 self._note_held()
                 self._tell_one(now)
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -11,6 +11,7 @@
 
 from click.testing import CliRunner, Result
 from fielddrift_cli.main import main
+from fielddrift_core.crashes import Crash
 from fielddrift_standins.worker import Worker
 
 from soak.links import Link
@@ -111,6 +112,46 @@
             await asked
         self.assertEqual(len(node.node.views.crashes), 0)
 
+    async def test_targets_whose_entries_went_without_a_word(self) -> None:
+        workers = await self.targets("plain", 5)
+        for worker in workers:
+            worker.work_seconds = 0.6
+        (node,) = await self.nodes(1)
+        for number in range(4):
+            asked = asyncio.ensure_future(
+                ask(node, "/unsafe/x", request_id=f"b{number}", body=_BESIDE)
+            )
+            busy = await self._running(workers, f"b{number}")
+            self.fleet.store.drop("servers", busy.name)
+            await eventually(lambda busy=busy: node.node.views.registry.get(busy.name) is None)
+            busy.crash()
+            await asked
+        self.assertEqual(len(node.node.views.crashes), 0)
+
+    async def _running(self, workers: list[Worker], request_id: str) -> Worker:
+        def runs(worker: Worker) -> bool:
+            return any(ran.request_id == request_id for ran in worker.ran)
+
+        await eventually(lambda: any(map(runs, workers)))
+        return next(filter(runs, workers))
+
+
+class TestForgotten(CrashingCase):
+    """What a node missed that was cut off for long reaches it, and does not come back from it."""
+
+    async def test_a_lift_reaches_a_node_that_was_cut_off_for_long(self) -> None:
+        await self.targets("plain", 1)
+        nodes = await self.nodes(2)
+        now = asyncio.get_running_loop().time()
+        for node in nodes:
+            for number in range(3):
+                crash = Crash("f" * 16, f"t{number}", now - 100.0, 0.1)
+                node.node.views.crashes.crashed(crash)
+        # The other one is not told: its datagrams were lost then.
+        nodes[0].node.views.crashes.clear("f" * 16, now - 60.0)
+        await eventually(lambda: not nodes[1].node.views.crashes.all_held(0.0), 15.0)
+        self.assertEqual(nodes[0].node.views.crashes.all_held(0.0), [])
+
 
 class TestCommandLine(CrashingCase):
     async def _run(self, *arguments: str) -> Result:
