Look after each run that breaks off on the own interface, however soon after another

A second one within five seconds was not looked after, for the first was still in doubt: a crash soon after a lost answer was missed. Seen failing (test_crash_desk.py).

--- a/packages/node/src/fielddrift_node/crash_desk.py
+++ b/packages/node/src/fielddrift_node/crash_desk.py
@@ -70,6 +70,8 @@
         self._clock = clock
         self._history = CrashHistory()
         self._lost = LostRuns()
+        self._probed: set[str] = set()
+        """Targets that are about to be looked at."""
         self._known: dict[str, Held] = {}
         self._unsaved: set[str] = set()
         """Requests whose rows this node is to write, or to remove."""
@@ -102,11 +104,14 @@
     def broke_off(self, run: LostRun, target: Target) -> None:
         """Take a run that its target's side broke off."""
         with self._lock:
-            doubted = run.target in self._lost
             ended = self._lost.broke_off(run)
+            # One that is under way will tell of this run as well.
+            looks = ended or run.target in self._probed
+            if not looks:
+                self._probed.add(run.target)
         if ended:
             self._count([run], "ended before")
-        elif not doubted:
+        elif not looks:
             self._pool.submit(self._probe, run.target, target.address)
 
     def refused(self, life: str) -> None:
@@ -161,6 +166,9 @@
     def _probe(self, life: str, address: str) -> None:
         """Look whether anybody listens at the target's address."""
         time.sleep(_PROBE_REST_SECONDS)
+        with self._lock:
+            # A run that breaks off from here on asks for a look of its own.
+            self._probed.discard(life)
         host, _, port = address.rpartition(":")
         try:
             socket.create_connection((host, int(port)), timeout=_PROBE_SECONDS).close()
