--- a/soak/links.py
+++ b/soak/links.py
@@ -76,7 +76,14 @@
         for pair in self._pairs:
             pair.silent = True
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # A task of asyncio's own streams that is cancelled before its first step is logged as
+        # a fault: so this one is ours.
+        task = asyncio.ensure_future(self._carry(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.harm.refuse:
             writer.transport.abort()
             return
