Digest no prompt on the own interface while no crash is remembered, and remove rows of requests that are held back no more

Read cold: each request was digested several times though nothing was held back; a whole answer to a request that was never saved cost a write, and a row stayed where a target was found alive or another request explained the crashes.

--- a/packages/node/src/fielddrift_node/crash_desk.py
+++ b/packages/node/src/fielddrift_node/crash_desk.py
@@ -74,12 +74,19 @@
         """Targets that are about to be looked at."""
         self._known: dict[str, Held] = {}
         self._unsaved: set[str] = set()
-        """Requests whose rows this node is to write, or to remove."""
+        """Requests whose rows this node is to write."""
+        self._rows: set[str] = set()
+        """Requests whose rows this node has written or read."""
         self._whole_at = float("-inf")
         self._lock = threading.Lock()
 
     # --- requests -------------------------------------------------------------
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no crash is remembered."""
+        return self._history.is_empty
+
     def check(
         self, fingerprint: str, *, sending: bool = False, sure: bool = True
     ) -> Refusal | None:
@@ -125,13 +132,10 @@
             history = self._history
             if history.is_empty:
                 return
-            known = history.concerns(fingerprint)
-            news = known and history.clear(fingerprint, now)
+            news = history.concerns(fingerprint) and history.clear(fingerprint, now)
             if history.ended_before(life, sent_at):
                 self._lost.lives(life)
                 news |= history.lives(life, sent_at)
-            if known:
-                self._unsaved.add(fingerprint)
         if news:
             self._note_held()
             self._changed()
@@ -142,7 +146,6 @@
             if not self._history.concerns(fingerprint):
                 return False
             self._history.clear(fingerprint, self._clock())
-            self._unsaved.add(fingerprint)
         get().info("request let go by an operator", fingerprint=fingerprint)
         self._note_held()
         self._changed()
@@ -233,7 +236,8 @@
         with self._lock:
             self._lost.expire(now)
             self._history.expire(now)
-            unsaved = sorted(self._unsaved)
+            over = self._rows - self._history.suspects
+            unsaved = sorted(self._unsaved | over)
         self._note_held()
         for fingerprint in unsaved:
             self._save(fingerprint)
@@ -241,6 +245,7 @@
     def _save(self, fingerprint: str) -> None:
         with self._lock:
             self._unsaved.discard(fingerprint)
+            self._rows.discard(fingerprint)
             suspect = fingerprint in self._history.suspects
             crashes = self._history.crashes_of(fingerprint) if suspect else ()
             ago = self._clock()
@@ -253,6 +258,9 @@
             with self._lock:
                 self._unsaved.add(fingerprint)
             raise
+        if saved:
+            with self._lock:
+                self._rows.add(fingerprint)
         get().info("crashes saved", fingerprint=fingerprint, crashes=len(saved))
 
     def restore(self) -> None:
@@ -276,9 +284,8 @@
             for target, at, ran in saved:
                 self._history.crashed(Crash(fingerprint, target, now - (day - at), ran))
             self._history.expire(now)
-            if fingerprint not in self._history.suspects:
-                # What is over, or was never whole, goes.
-                self._unsaved.add(fingerprint)
+            # What is over, or was never whole, goes with the next turn.
+            self._rows.add(fingerprint)
 
     def _note_held(self) -> None:
         """Log which requests are held back anew, for longer, or no more."""
--- a/packages/node/src/fielddrift_node/exchange.py
+++ b/packages/node/src/fielddrift_node/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import cached_property
 from typing import NamedTuple
 
 from fielddrift_core.errors import Refusal
@@ -89,7 +90,15 @@
         """Return the seconds left to the deadline."""
         return self.deadline - clock.now()
 
-    @property
+    def held_back(self, *, sending: bool = False, sure: bool = True) -> Refusal | None:
+        """Return the refusal of a request that is held back, as `CrashDesk.check` tells it."""
+        crashes = self.runtime.crashes
+        # Nearly always nothing is, and a long prompt takes some time to digest.
+        if crashes.is_empty:
+            return None
+        return crashes.check(self.fingerprint, sending=sending, sure=sure)
+
+    @cached_property
     def fingerprint(self) -> str:
         """Return what all tries of the same request have in common: caller, place and body.
 
@@ -117,7 +126,8 @@
 
     def answered(self) -> None:
         """Tell them that the target of the last send answered whole."""
-        self.runtime.crashes.answered(self.fingerprint, self.life, self.sent_at)
+        if not self.runtime.crashes.is_empty:
+            self.runtime.crashes.answered(self.fingerprint, self.life, self.sent_at)
 
 
 Filter = Callable[[Exchange], Result[Exchange, Refusal]]
--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -51,7 +51,7 @@
         if target is None:
             return no_target(exchange, Ran.NO if sure else Ran.UNKNOWN)
         # A try of it, here or at another node, may have ended its third target meanwhile.
-        if held := runtime.crashes.check(exchange.fingerprint, sending=True, sure=sure):
+        if held := exchange.held_back(sending=True, sure=sure):
             return held
         try:
             return _try_one(exchange, target)
--- a/packages/node/src/fielddrift_node/filters/hold_back.py
+++ b/packages/node/src/fielddrift_node/filters/hold_back.py
@@ -17,5 +17,5 @@
     """
     if not exchange.repeatable:
         return Ok(exchange)
-    refusal = exchange.runtime.crashes.check(exchange.fingerprint)
+    refusal = exchange.held_back()
     return Err(refusal) if refusal else Ok(exchange)
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -78,7 +78,7 @@
         if choice is None:
             return _Tried(None, no_target(exchange, Ran.NO if sure else Ran.UNKNOWN))
         # A try of it, here or at another node, may have ended its third target meanwhile.
-        if held := runtime.crashes.check(exchange.fingerprint, sending=True, sure=sure):
+        if held := exchange.held_back(sending=True, sure=sure):
             return _Tried(None, held)
         try:
             return _Tried(_try_one(exchange, choice, f"{attempt}", resume_at))
--- a/packages/node/src/fielddrift_node/settle.py
+++ b/packages/node/src/fielddrift_node/settle.py
@@ -56,7 +56,7 @@
     refusal = None
     if exchange.left <= 0:
         refusal = Refusal(Kind.DEADLINE, "the deadline passed before it was sent", Ran.NO, 0.5)
-    elif held := runtime.crashes.check(exchange.fingerprint):
+    elif held := exchange.held_back():
         refusal = held
     elif exchange.claim and not runtime.claims.begin_send(exchange.claim):
         refusal = Refusal(Kind.PLATFORM_DOWN, "the claim was given up", Ran.NO, 1.0)
--- a/tests/test_crash_desk.py
+++ b/tests/test_crash_desk.py
@@ -70,6 +70,21 @@
         self.desk.turn()
         self.assertEqual(self.table.scan(CRASH_PREFIX, CRASH_PREFIX, 10), [])
 
+    def test_a_row_is_removed_once_a_target_answers_the_request(self) -> None:
+        self._hold()
+        self.desk.turn()
+        self.desk.answered("f", "t#4", clock.now())
+        self.desk.turn()
+        self.assertEqual(self.table.scan(CRASH_PREFIX, CRASH_PREFIX, 10), [])
+
+    def test_an_answer_to_a_request_that_was_never_saved_writes_nothing(self) -> None:
+        self.listener.close()
+        self._break_off()
+        wait_until(lambda: self.desk.recent().crashes, "the crash is seen", 2.0)
+        self.desk.answered("f", "t#4", clock.now())
+        self.desk.turn()
+        self.assertEqual(self.table.commits, 0)
+
     def test_a_write_that_failed_is_tried_again(self) -> None:
         self._hold()
         with mock.patch.object(self.table, "commit", side_effect=OutsideError("down")):
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -185,7 +185,7 @@
     def test_a_send_that_fails_before_any_event_is_told(self) -> None:
         self.exchange.choice.target.name, self.exchange.left = "e1", -1.0
         self.exchange.runtime.rng = random.Random(1)
-        self.exchange.runtime.crashes.check.return_value = None
+        self.exchange.held_back.return_value = None
         failure = TryFailed("e1: refused", "connect", sure=True)
         with mock.patch.object(run, "_try_one", side_effect=failure), capture_logs() as lines:
             run._resume(self.exchange, 3)
