--- a/tests/test_promise_blocks.py
+++ b/tests/test_promise_blocks.py
@@ -10,7 +10,8 @@
 from fielddrift_node.duties import GRACE_SECONDS, ORPHAN_SECONDS, StoreTender
 from fielddrift_node.metrics import Metrics
 from fielddrift_standins.check import expected_text, problem, text_of
-from fielddrift_standins.fetch import fetch, fetch_json
+from fielddrift_standins.fetch import Fetched, fetch, fetch_json
+from fielddrift_standins.fleet import wait_until
 
 from .fleets import CUSTOMER, FleetTest, together
 
@@ -51,9 +52,19 @@
         for number in range(self.engines):
             self.fleet.faults(f"engine-{number}", trusting=True)
             self.addCleanup(self.fleet.faults, f"engine-{number}", trusting=False)
+        # A look-up that takes over 0.1 s is left, and the prompt computed: that proves nothing.
+        got = wait_until(lambda: self._imported(prompt), "the prompt is imported")
+        self.assertNotEqual(text_of(got), expected_text(self.fleet, CUSTOMER, prompt, "v1", 8))
+
+    def _imported(self, prompt: str) -> Fetched | None:
+        """Ask for `prompt`; return the answer if blocks were imported for it."""
+        before = self._blocks_imported()
         got = self.fleet.complete(CUSTOMER, prompt)
         self.clear_engines()
-        self.assertNotEqual(text_of(got), expected_text(self.fleet, CUSTOMER, prompt, "v1", 8))
+        return got if self._blocks_imported() > before else None
+
+    def _blocks_imported(self) -> float:
+        return sum(self.counter("blocks.imported", node) for node in self.fleet.nodes)
 
     def test_parts_freed_after_they_were_found_are_recomputed(self) -> None:
         prompt = self.prompt()
