--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,13 +2,16 @@
 
 A request of one caller, with one path and one body, came back again and again under new
 ids, at any node, and ended each engine that began to run it: nine and eleven of them in
-two spells of fifteen seconds, each back after some seconds and ended again.  Requests that
+two spells of some fifteen seconds, each back after some seconds and ended again.  Requests that
 stood beside were cut or failed.  All that a node knew of a request ended with its answer, so
 each try was sent to a sound target like a new one.  The lines that settled it are those of
-`send failed` with one `fingerprint`, another request id and another target each time:
+`send failed`, of stand-ins: one `fingerprint`, another request id with each try of the caller,
+another target with each send.
 
-    send failed fingerprint=F request=f1 target=plain-2 reason=reset after_ms=21
-    send failed fingerprint=F request=f2 target=plain-5 reason=reset after_ms=22
+    send failed fingerprint=0bcec8a28cda7e1d request=f1 target=plain-5 reason=reset after_ms=31
+    send failed fingerprint=0bcec8a28cda7e1d request=f1 target=plain-1 reason=reset after_ms=27
+    send failed fingerprint=0bcec8a28cda7e1d request=f2 target=plain-3 reason=reset after_ms=30
+    send failed fingerprint=0bcec8a28cda7e1d request=f2 target=plain-4 reason=reset after_ms=34
 
 Six targets, three nodes, asked ten times a second for six seconds: 10 to 12 runs later than
 one second after the third crash, where three may be.
