Send nothing to the targets of a data centre that operators evacuate

The reader takes them with its long poll, heartbeats tell under a name of their own at which row the last change showed, and whoever has an older one copies the whole state, with the row it is as of. The registry leaves an evacuated data centre's targets out of what serves, so every way of a request is covered by one place: first and second sends, resumed streams, prompts in line, plain requests; orders of weights and reports stop too, and go on when it is taken back. Ruled out: a field of its own in heartbeats (the release before refuses a longer one) and the operators' row as the sign of a change (it rises with every row of the store).

--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -60,12 +60,12 @@
             beliefs["targets_seconds"],
             beliefs["reader"] or "itself",
             _pairs(beliefs["named"]),
+            ", ".join(beliefs.get("evacuated", [])),
         ]
         for beliefs in found
     ]
-    headers = (
-        "node,role,view,catalog,era,operators' row,age s,targets' row,age s,reads from,weights"
-    )
+    headers = "node,role,view,catalog,era,operators' row,age s,targets' row,age s,reads from"
+    headers += ",weights,evacuated"
     return tabulate(rows, headers=headers.split(","), missingval=_UNKNOWN)
 
 
--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -75,6 +75,7 @@
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._respite_until = 0.0
+        self._evacuated: frozenset[str] = frozenset()
         self._ended: dict[str, None] = {}
         """Names of lives that have ended, the last ones last."""
         self._doubted: dict[str, Instance] = {}
@@ -94,8 +95,18 @@
         """Return the instances of `service` that take new work."""
         return self._by_service.get(service, [])
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose targets get no new work."""
+        return self._evacuated
+
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Take the data centres, all of them, whose targets get no new work."""
+        self._evacuated = data_centres
+        self._index()
+
     def all(self) -> Iterable[Instance]:
-        """Return every instance that is known, leaving ones too."""
+        """Return every instance that is known, leaving and evacuated ones too."""
         return self._instances.values()
 
     def store_returned(self, now: float) -> None:
@@ -246,8 +257,11 @@
 
     def _sort(self) -> None:
         self.serial += 1
+        self._index()
+
+    def _index(self) -> None:
         by_service: dict[str, list[Instance]] = {}
         for instance in self._instances.values():
-            if instance.name not in self._leaving:
+            if instance.name not in self._leaving and instance.data_centre not in self._evacuated:
                 by_service.setdefault(instance.service, []).append(instance)
         self._by_service = by_service
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -57,7 +57,7 @@
 
     `reader` names the node that reads from the platform for this one, empty
     for itself.  `named` gives the newest weights by model, `era` that of the platform's store
-    in which the rows' versions are.
+    in which the rows' versions are, `evacuated` the data centres whose targets get nothing.
     """
 
     node: str
@@ -76,6 +76,7 @@
     nodes: list[KnownNode]
     held: list[HeldBelief]
     era: int
+    evacuated: list[str]
 
 
 def beliefs_of(views: Views, neighbours: Neighbours, *, reader: str) -> Beliefs:
@@ -97,6 +98,7 @@
         stores=_stores(views, now),
         nodes=neighbours.known(now),
         era=era_of(max(views.operators_row, views.targets_row)),
+        evacuated=sorted(views.registry.evacuated),
         held=[
             HeldBelief(held.fingerprint, held.targets, round(held.until - now, 3))
             for held in views.crashes.all_held(now)
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -10,6 +10,7 @@
 import asyncio
 
 import structlog
+from fielddrift_core.evacuations import EVACUATIONS_NAME
 from fielddrift_core.neighbours import Heartbeat, Neighbours, Standing
 from fielddrift_core.relays import CentreSize, nodes_name
 from fielddrift_core.workload import Burden
@@ -49,7 +50,7 @@
         if not standing.near:
             return self._for_remote(heartbeat, now)
         return heartbeat._replace(
-            burdens=views.workload.own(),
+            burdens=views.workload.own() | self._marks(),
             loading=views.loading.own(now),
             moves=views.links.own(now),
             kept=views.store_index.marks(now),
@@ -64,6 +65,7 @@
         burdens = views.workload.together(nodes, now)
         name = nodes_name(neighbours.me.data_centre)
         burdens[name] = Burden(running=size.active, memory=size.alive)
+        burdens |= self._marks()
         return heartbeat._replace(
             burdens=burdens,
             loading=views.loading.nearby(now),
@@ -79,6 +81,7 @@
         # Both relays of a data centre tell of the same sends.
         teller = centre if remote else heartbeat.node.name
         burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
+        burdens.pop(EVACUATIONS_NAME, None)
         size = burdens.pop(nodes_name(centre), None)
         if size is not None:
             self._neighbours.sized(centre, CentreSize(size.running, size.memory))
@@ -113,9 +116,14 @@
             named_ages=views.named_times.ages(now),
             reading=views.reading(now),
             left=tuple(sorted(views.registry.leaving()))[:_MOST_LEFT],
-            burdens={},
+            burdens=self._marks(),
         )
 
+    def _marks(self) -> dict[str, Burden]:
+        """Return how far this node knows evacuations, under the name kept for it."""
+        row = self._views.evacuations.row
+        return {EVACUATIONS_NAME: Burden(memory=row)} if row else {}
+
     def _heard_left(self, name: str, told_by: str) -> None:
         registry = self._views.registry
         if name not in registry.leaving() and registry.get(name) is not None:
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -136,6 +136,9 @@
         )
         self.catalog = self._gauge("catalog_version", "version of the catalog in force")
         self.targets = self._gauge("targets", "targets that are known")
+        self.evacuated = self._gauge(
+            "evacuated_data_centres", "data centres whose targets get nothing"
+        )
         self.nodes = self._gauge("nodes", "live nodes, this one included")
         self.platform_calls = self._gauge("platform_calls", "calls to the platform since the start")
         self.store_returns = self._counter(
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -10,6 +10,7 @@
 import structlog
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.eras import version_of
+from fielddrift_core.evacuations import EVACUATIONS_NAME
 from fielddrift_core.neighbours import Heartbeat, Neighbour
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS
 
@@ -140,6 +141,7 @@
         self._rests.worked()
         self._after = news.version
         self._views.operators_row = max(self._views.operators_row, news.version)
+        self._views.evacuations.read(news.evacuations, news.version, loop.time())
         self._take(news.catalog, news.weights, _Origin("platform", loop.time() - began))
         self._views.operators_at = loop.time()
         self._views.current()
@@ -178,7 +180,9 @@
         views = self._views
         known = 0 if views.catalog is None else views.catalog.version
         named = any(version > views.named.get(m, 0) for m, version in heartbeat.named.items())
-        return heartbeat.catalog > known or named
+        told = heartbeat.burdens.get(EVACUATIONS_NAME)
+        evacuated = told is not None and told.memory > views.evacuations.row
+        return heartbeat.catalog > known or named or evacuated
 
     async def _spread(self) -> None:
         """Copy from nodes that know something newer, until cancelled."""
@@ -199,6 +203,13 @@
             _log.info("node not reached", peer=node.name, error=str(error))
 
     def _take_copy(self, copy: OperatorCopy, told_by: str) -> None:
+        if copy.evacuations is not None:
+            self._views.evacuations.copied(
+                copy.evacuations,
+                read=copy.row,
+                known=self._views.operators_row,
+                now=asyncio.get_running_loop().time(),
+            )
         self._views.operators_row = max(self._views.operators_row, copy.row)
         self._after = max(self._after or 0, copy.row)
         weights = tuple(NamedWeights(model, version) for model, version in copy.named.items())
@@ -235,6 +246,13 @@
                     **sight,
                 )
                 changed = True
+        evacuations = views.note_evacuations(now)
+        for data_centre in evacuations.begun:
+            _log.warning("data centre evacuated", data_centre=data_centre, **sight)
+            changed = True
+        for data_centre in evacuations.ended:
+            _log.warning("evacuation over", data_centre=data_centre, **sight)
+            changed = True
         if changed:
             self._behind_since = None
             self._changed()
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple, Protocol
 
 from fielddrift_core.catalog import Catalog, StoreTraits
+from fielddrift_core.evacuations import EvacuationNews
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.target_registry import Instance
 
@@ -72,7 +73,7 @@
 
 
 class OperatorNews(NamedTuple):
-    """What operators wrote: a whole catalog if it changed, and named weights.
+    """What operators wrote: a whole catalog if it changed, named weights, evacuations.
 
     `version` is where the next reading goes on.
     """
@@ -80,6 +81,7 @@
     catalog: Catalog | None
     weights: tuple[NamedWeights, ...]
     version: int
+    evacuations: EvacuationNews = EvacuationNews()
 
 
 class TargetNews(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -185,6 +185,8 @@
             instance = self._views.registry.get(name)
             if instance is None or self._views.named.get(model, 0) != wanted:
                 return
+            if instance.data_centre in self._views.registry.evacuated:
+                return
             self._views.loading.note(name, loop.time() + _ANNOUNCED_SECONDS)
             self._announce()
             await asyncio.sleep(_ANNOUNCE_LEAD)
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -15,6 +15,7 @@
 import structlog
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.eras import version_of
+from fielddrift_core.evacuations import EvacuationState
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.store_index import KeptChange
 from fielddrift_core.target_registry import Instance
@@ -34,11 +35,19 @@
 
 
 class OperatorCopy(NamedTuple):
-    """What a node has of the operators' rows, as of row version `row`."""
+    """What a node has of the operators' rows, as of row version `row`.
+
+    The release before knows no `evacuations`: None says that nothing is known of them.
+    """
 
     catalog: Catalog | None
     named: dict[str, int]
     row: int
+    evacuations: EvacuationState | None = None
+
+
+_FORMER_FIELDS = 3
+"""Fields of an `OperatorCopy` that the release before understands: it refuses a longer array."""
 
 
 class TargetCopy(NamedTuple):
@@ -101,6 +110,8 @@
             found = answer(parse_qs(query).get("of", []))
             if "marks" not in query and isinstance(found, OperatorCopy | TargetCopy):
                 found = found._replace(row=version_of(found.row))
+            if "evacuations" not in query and isinstance(found, OperatorCopy):
+                found = found[:_FORMER_FIELDS]
         except ValueError as error:
             responder.send(400, Headers(), str(error).encode())
             return
@@ -108,7 +119,8 @@
 
     def _operators(self, _: list[str]) -> OperatorCopy:
         views = self._views
-        return OperatorCopy(views.catalog, dict(views.named), views.operators_row)
+        evacuations = views.evacuations.state(asyncio.get_running_loop().time())
+        return OperatorCopy(views.catalog, dict(views.named), views.operators_row, evacuations)
 
     def _targets(self, _: list[str]) -> TargetCopy:
         registry = self._views.registry
@@ -158,7 +170,7 @@
 
     async def operators(self, node: Neighbour) -> OperatorCopy:
         """Return what `node` has of the operators' rows."""
-        return await self._get(node, "/views/operators?marks=era", OperatorCopy)
+        return await self._get(node, "/views/operators?marks=era&evacuations=all", OperatorCopy)
 
     async def targets(self, node: Neighbour) -> TargetCopy:
         """Return what `node` has of the targets."""
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -9,6 +9,7 @@
 
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.crashes import CrashHistory
+from fielddrift_core.evacuations import Evacuations
 from fielddrift_core.leaving import Leaving
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.loading import LoadingEngines
@@ -23,7 +24,7 @@
 from .ports import NamedWeights
 from .rooms import Rooms
 
-__all__ = ["PAUSE_SECONDS", "Placeable", "Views"]
+__all__ = ["PAUSE_SECONDS", "EvacuationChange", "Placeable", "Views"]
 
 FETCH_SECONDS = 2.0
 """A fetch that took longer is thrown away by the engine, and the prompt read:
@@ -41,12 +42,19 @@
 class Placeable(NamedTuple):
     """The engines of a service for one model, as known `at` a moment; `soon` load next."""
 
-    state: tuple[int, int, int, int]
+    state: tuple[object, ...]
     at: float
     engines: Sequence[EngineWeights]
     soon: frozenset[str]
 
 
+class EvacuationChange(NamedTuple):
+    """Data centres whose evacuation has begun, or is over, since the last look."""
+
+    begun: frozenset[str]
+    ended: frozenset[str]
+
+
 class Views:
     """The node's views; loops write them, requests read them."""
 
@@ -64,6 +72,7 @@
         """The newest named weights by model."""
         self.named_times = NamedTimes()
         self.registry = TargetRegistry()
+        self.evacuations = Evacuations()
         self.workload = Workload()
         self.health = TargetHealth()
         self.store_index = StoreIndex()
@@ -119,6 +128,14 @@
         self.store_index.configure([s.store for s in catalog.stores if s.store is not None])
         return True
 
+    def note_evacuations(self, now: float) -> EvacuationChange:
+        """Bring the evacuations that are known into force; return what changed."""
+        before, after = self.registry.evacuated, self.evacuations.current(now)
+        change = EvacuationChange(after - before, before - after)
+        if after != before:
+            self.registry.evacuate(after)
+        return change
+
     def take_weights(self, weights: NamedWeights, now: float) -> bool:
         """Take newer named weights; older ones are ignored."""
         if weights.version <= self.named.get(weights.model, 0):
@@ -171,7 +188,14 @@
     def placeable(self, service: str, model: str, now: float) -> Placeable:
         """Return the engines that new work is chosen among, and which of them load next."""
         named = self.named.get(model, 0)
-        state = (self.registry.serial, self._weights_seen, self.loading.changes, named)
+        registry = self.registry
+        state = (
+            registry.serial,
+            registry.evacuated,
+            self._weights_seen,
+            self.loading.changes,
+            named,
+        )
         known = self._placeable.get((service, model))
         if known is None or known.state != state or now - known.at > _PLACEABLE_SECONDS:
             engines = self.engines(service, model, now)
--- a/packages/standins/src/fielddrift_standins/deployment.py
+++ b/packages/standins/src/fielddrift_standins/deployment.py
@@ -49,6 +49,8 @@
         """When workers crashed, on the loop's clock, and their names."""
         self._reviving: set[asyncio.Task[None]] = set()
         self.workers: dict[str, Worker] = {}
+        self._centres: dict[str, str] = {}
+        """The data centre of each worker."""
         self.version = 1
         self.keys = [KEY]
         self.limits = {"max-header-bytes": 4096, "max-body-bytes": 65536}
@@ -81,7 +83,12 @@
         kept = {"kv-store-addr": self.kv_address, "zone": "a", "kv-capacity": 100000}
         services = [
             {"name": "plain", "health-path": "/healthz", "max-conns": 50},
-            {"name": "engines", "health-path": "/healthz", "max-conns": 50, "engine": engine},
+            {
+                "name": "engines",
+                "health-path": "/healthz",
+                "max-conns": 50,
+                "engine": engine,
+            },
             {"name": "kept", **kept, "link-mbps": 10000.0, "max-inflight": 4, "managed": True},
         ]
         config = {
@@ -93,13 +100,22 @@
         }
         self.store.put("op", "config", config)
 
-    async def worker(self, worker: Worker, service: str) -> Worker:
+    def evacuate(self, data_centre: str) -> None:
+        """Ask that the targets of a data centre get nothing."""
+        self.store.put("op", f"evacuate/{data_centre}", {})
+
+    def take_back(self, data_centre: str) -> None:
+        """Take an evacuation back."""
+        self.store.drop("op", f"evacuate/{data_centre}")
+
+    async def worker(self, worker: Worker, service: str, *, data_centre: str = "a") -> Worker:
         """Start a worker and write its entry."""
         address = f"{HOST}:{free_port()}"
         host, _, port = address.rpartition(":")
         await worker.start(host, int(port))
         self.addresses[worker.name] = address
         self.workers[worker.name] = worker
+        self._centres[worker.name] = data_centre
         self.enter(worker.name, service)
         return worker
 
@@ -107,7 +123,8 @@
         """Write a worker's entry."""
         worker = self.workers[name]
         models = [{"name": worker.model, "version": worker.version}] if service == "engines" else []
-        entry = {"service": service, "address": self.addresses[name], "zone": "a", "slots": 4}
+        entry = {"service": service, "address": self.addresses[name], "slots": 4}
+        entry |= {"zone": self._centres[name]}
         self.store.put("servers", name, {**entry, "state": state, "models": models, "seq": 1})
 
     def revive(
