Send a cold target no more than it bears from all nodes together

A few of the data centre's nodes own a cold target, by rendezvous among those that were active in the last 20 s, heard or not, and each counts its own sends within any second. The parts leave room for one owner more; a part grows only once a former list of nodes has ceased to bind; who has heard no majority of late, or has just started, sends nothing. Other data centres leave cold targets to the near nodes. After an evacuation all targets there are taken for cold at first.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -30,6 +30,7 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 from fielddrift_node.serving.call import Call, Tools, Trace
+from fielddrift_node.serving.cold_gate import ColdGate
 from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.kept import KeptParts, salt_of
 from fielddrift_node.serving.metrics import Metrics
@@ -132,6 +133,7 @@
         400.0,
     )  # fmt: skip
     targets = LabTargets()
+    neighbours = Neighbours(me=Neighbour("me", 1, _centre(0), address, address, address))
     tools = Tools(
         settings=settings,
         views=views,
@@ -145,11 +147,12 @@
         crashes=CrashWatch(
             views=views,
             client=LabClient(engines={}, targets=targets),
-            neighbours=Neighbours(me=Neighbour("me", 1, _centre(0), address, address, address)),
+            neighbours=neighbours,
             metrics=Metrics(),
             rng=random.Random(seed),
             tell=lambda news, nodes: None,
         ),
+        cold=ColdGate(views=views, neighbours=neighbours, bounds=BOUNDS),
     )
     request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
     ask = Ask("id", "h", "/", "", 4.0, _PROMPT, "", request)
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -12,6 +12,7 @@
 from fielddrift_core.store_index import KeptChange
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.call import Tools
+from fielddrift_node.serving.cold_gate import ColdGate
 from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.gateway import Gateway
 from fielddrift_node.serving.gossip import Gossip
@@ -112,6 +113,7 @@
             metrics=self.metrics,
             told=self.gossip.sends_changed,
             crashes=crashes,
+            cold=ColdGate(views=self.views, neighbours=self.neighbours, bounds=BOUNDS),
         )
         self.gateway = Gateway(tools=tools)
         self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -80,6 +80,7 @@
             target["burden"]["unread"],
             target["failures"],
             target["loading"],
+            "cold" if target.get("cold") else "",
         ]
         for target in beliefs["targets"]
     ]
@@ -103,7 +104,7 @@
     ]
     parts = [
         ("held back request,s left,targets that ended under it", held),
-        ("target,service,leaving,weights,runs,unread,failures,loading s", targets),
+        ("target,service,leaving,weights,runs,unread,failures,loading s,cold", targets),
         ("store,life,parts,tokens,heard s ago", stores),
         ("neighbour,data centre,silent s,role,serves", nodes),
     ]
--- a/packages/core/src/fielddrift_core/catalog.py
+++ b/packages/core/src/fielddrift_core/catalog.py
@@ -107,7 +107,8 @@
 class Service(NamedTuple):
     """A group of targets, or one store host.
 
-    `connections` bounds the connections a target takes from all callers.
+    `connections` bounds the connections a target takes from all callers.  A target that
+    has started is cold for `cold_seconds` and bears `cold_rate` requests a second meanwhile.
     """
 
     name: str
@@ -115,6 +116,8 @@
     health_path: str = ""
     engine: EngineTraits | None = None
     store: StoreTraits | None = None
+    cold_rate: float = 0.0
+    cold_seconds: float = 0.0
 
 
 class CatalogCustomer(NamedTuple):
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -39,6 +39,8 @@
 _STANDBY_CHOSEN_SECONDS = 0.3
 """The same at a node that stands by: the choice is most of what such a node does, and they are
 most nodes.  A node that leaves, or is heard anew, counts at once all the same."""
+_LATELY_SECONDS = 20.0
+"""How long a node counts as active of late, heard or not: longer than most cuts."""
 _MOST_UNANSWERED = 120
 """Heartbeats to a silent node, ten minutes' worth, after which it is forgotten.  They are
 counted, not seconds: a process that was paused must not forget everyone."""
@@ -60,6 +62,10 @@
         self._settled = False
         self._load = 0.0
         self._active: frozenset[str] = frozenset()
+        self._lately: dict[str, float] = {}
+        """When each node of this data centre was last known to be active."""
+        self._heard_most_at = float("-inf")
+        """When this node last heard more than half of its data centre's, itself included."""
         self._periods: dict[Standing, float] = {}
         self._chosen_at = float("-inf")
 
@@ -170,6 +176,22 @@
         self._choose(now)
         return self._active
 
+    def active_lately(self, now: float) -> frozenset[str]:
+        """Return the names of the nodes of this data centre that were active of late.
+
+        Also those that are not heard now: they may be alive behind a cut.
+        """
+        self._choose(now)
+        return frozenset(self._lately)
+
+    def knows_active(self, now: float) -> bool:
+        """Return whether `active_lately` holds: this node has heard most nodes nearby of late.
+
+        One that starts behind a cut, or has been behind it for long, knows nobody active.
+        """
+        self._choose(now)
+        return now - self._heard_most_at <= _LATELY_SECONDS
+
     def is_active(self, now: float) -> bool:
         """Return whether this node is active."""
         return self._me.name in self.active(now)
@@ -337,6 +359,12 @@
             return
         self._chosen_at = now
         self._active = active_names(self._candidates(now))
+        heard = sum(node.lives(now) for node in self._nearby.values())
+        if 2 * (heard + 1) > len(self._nearby) + 1:
+            self._heard_most_at = now
+        self._lately |= dict.fromkeys(self._active, now)
+        for name in [n for n, at in self._lately.items() if now - at > _LATELY_SECONDS]:
+            del self._lately[name]
         self._periods = periods(Counter(name in self._active for name in self._nearby))
         place = self._place(now)
         found = [] if place is None else contacts(place, self._centres(now))
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -18,7 +18,8 @@
 class TargetBelief(NamedTuple):
     """A target: whether it takes new work, its weights, and what is known to be there.
 
-    `loading` is the seconds for which it is still taken to load weights.
+    `loading` is the seconds for which it is still taken to load weights, `cold` says that it
+    is taken for cold.
     """
 
     name: str
@@ -28,6 +29,7 @@
     burden: Burden
     failures: float
     loading: float
+    cold: bool
 
 
 class StoreBelief(NamedTuple):
@@ -117,6 +119,7 @@
             burden=views.workload.at(target.name, now),
             failures=round(views.health.share(target.name, now), 3),
             loading=round(views.loading.seconds(target.name, now), 3),
+            cold=views.cold.is_cold(target.name, now),
         )
         for target in views.registry.all()
     ]
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -189,6 +189,16 @@
         """Take that a target answered a request whole."""
 
 
+class ColdCheck(Protocol):
+    """What requests ask of targets that may be cold."""
+
+    def allows(self, service: Service, instance: Instance, now: float) -> bool:
+        """Return whether this node may send to `instance` now."""
+
+    def sent(self, instance: Instance, now: float) -> None:
+        """Take that a request is about to be sent."""
+
+
 class Tools(NamedTuple):
     """What the ways of a request share."""
 
@@ -204,6 +214,8 @@
     """Tells the nodes nearby soon what this one sends."""
     crashes: CrashCheck
     """Refuses requests that end their targets, and learns which do."""
+    cold: ColdCheck
+    """Keeps what cold targets are sent within what they bear."""
 
     def budget(self, service: str) -> WindowBudget:
         """Return the budget of repeated sends to `service`."""
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/cold_gate.py
@@ -0,0 +1,55 @@
+"""Keep what this node sends to cold targets within its part of what they bear."""
+
+from __future__ import annotations
+
+from fielddrift_core.catalog import Service
+from fielddrift_core.cold_targets import ColdLimits, Part
+from fielddrift_core.neighbours import Neighbours
+from fielddrift_core.target_registry import Instance
+
+from .settings import Bounds
+from .views import Views
+
+__all__ = ["ColdGate"]
+
+_SETTLE_SECONDS = 2.0
+"""Age from which a node uses its part: until it has heard who else is active, it would
+take itself for the only owner."""
+
+
+class ColdGate:
+    """Say whether a target may be sent to, and count what was sent to it."""
+
+    def __init__(self, *, views: Views, neighbours: Neighbours, bounds: Bounds) -> None:
+        self._views = views
+        self._neighbours = neighbours
+        self._bounds = bounds
+        self._part = Part(node=neighbours.me.name)
+
+    def allows(self, service: Service, instance: Instance, now: float) -> bool:
+        """Return whether this node may send to `instance`, which is of `service`, now."""
+        cold = self._views.cold
+        if service.cold_rate <= 0 or not cold.is_cold(instance.name, now):
+            return True
+        me = self._neighbours.me
+        # Whom other data centres have active is not known here, so they leave it to the near ones.
+        if instance.data_centre != me.data_centre or not self._knows_owners(now):
+            return False
+        nodes = self._neighbours.active_lately(now)
+        sends = self._part.sends(instance.name, nodes, self._limits(service).bound, now)
+        return cold.has_room(instance.name, sends, now)
+
+    def sent(self, instance: Instance, now: float) -> None:
+        """Count a request that is about to be sent."""
+        if self._views.cold.is_cold(instance.name, now):
+            self._views.cold.sent(instance.name, now)
+
+    def _knows_owners(self, now: float) -> bool:
+        """Return whether this node knows who was active of late, also of those it cannot hear."""
+        return self._views.age(now) >= _SETTLE_SECONDS and self._neighbours.knows_active(now)
+
+    def _limits(self, service: Service) -> ColdLimits:
+        bounds = self._bounds
+        return ColdLimits(
+            service.cold_rate, service.cold_seconds, bounds.cold_overage, bounds.cold_slack
+        )
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -136,6 +136,7 @@
         )
         self.catalog = self._gauge("catalog_version", "version of the catalog in force")
         self.targets = self._gauge("targets", "targets that are known")
+        self.cold_targets = self._gauge("cold_targets", "targets that are taken for cold")
         self.evacuated = self._gauge(
             "evacuated_data_centres", "data centres whose targets get nothing"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -17,6 +17,7 @@
 from ..web.server import Limits, Server
 from .beliefs import beliefs_of, to_json
 from .call import Tools
+from .cold_gate import ColdGate
 from .crash_rows import CrashRows
 from .crash_watch import CrashWatch
 from .directory import EntryDialect, EntryHandler
@@ -188,6 +189,7 @@
             metrics=self._metrics,
             told=self._gossip.sends_changed,
             crashes=self._crashes,
+            cold=ColdGate(views=self._views, neighbours=self._neighbours, bounds=settings.bounds),
         )
         self._entry_server = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
         directory = EntryHandler(
@@ -365,6 +367,8 @@
         metrics.targets.set(len(views.registry))
         metrics.nodes.set(views.nodes)
         metrics.evacuated.set(len(views.registry.evacuated))
+        names = {target.name for target in views.registry.all()}
+        metrics.cold_targets.set(views.cold.settle(names, now))
         metrics.platform_calls.set(self._platform.calls)
         metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -59,6 +59,14 @@
         return self.instance.data_centre
 
 
+class _Wanted(NamedTuple):
+    """Which engines are weighed: with `part` those with room for the prompt in that part of
+    their memory, with `sends` those that this node may send to now."""
+
+    part: float | None
+    sends: bool
+
+
 class Placing:
     """Choose engines for prompts."""
 
@@ -148,7 +156,7 @@
     def _waited_in_vain(self, call: Call, attempts: Attempts, seconds: float) -> EngineChoice:
         """Return an engine for a run that broke off; raise `Refused` for others."""
         if attempts.tried:
-            best = self._choose(call, attempts.tried)
+            best = self._choose(call, attempts.tried, sends=True)
             if best is None:
                 raise attempts.exhausted()
             return best
@@ -163,18 +171,19 @@
         """Return the best engine that works and has room, None when there is none."""
         turnover = self._tools.views.rooms.of(call.service.name).turnover
         part = turnover.room_part(call.rank, call.catalog.ranks)
-        return self._choose(call, tried, part=part)
+        return self._choose(call, tried, part=part, sends=True)
 
     def _choose(
-        self, call: Call, tried: set[str], *, part: float | None = None
+        self, call: Call, tried: set[str], *, part: float | None = None, sends: bool = False
     ) -> EngineChoice | None:
+        """Return the best engine; with `sends` only of those that may be sent to now."""
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
         now = asyncio.get_running_loop().time()
         lookup = self._kept.lookup(call, prompt, now)
         return choose_engine(
             prompt,
-            self._sights(call, tried, lookup, part, now),
+            self._sights(call, tried, lookup, _Wanted(part, sends), now),
             traits=traits,
             data_centre=self._tools.settings.data_centre,
             aim=call.route.aim,
@@ -183,12 +192,9 @@
         )
 
     def _sights(
-        self, call: Call, tried: set[str], lookup: KeptLookup, part: float | None, now: float
+        self, call: Call, tried: set[str], lookup: KeptLookup, wanted: _Wanted, now: float
     ) -> list[EngineSight]:
-        """Return what is known of the engines that are weighed for a prompt.
-
-        With `part` only those that have room for it in that part of their memory.
-        """
+        """Return what is known of the engines that are weighed for a prompt."""
         prompt, traits = call.ask.prompt, call.service.engine
         assert prompt is not None and traits is not None
         views = self._tools.views
@@ -199,7 +205,9 @@
             for engine in placeable.engines
             if engine.name not in tried and engine.outdated <= oldest
             if (instance := views.registry.get(engine.name)) is not None
+            if not wanted.sends or self._tools.cold.allows(call.service, instance, now)
         ]
+        part = wanted.part
         if part is not None:
             working = self._working(candidates, now)
             candidates = [c for c in working if has_room(c.burden, prompt, traits, part)]
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -51,6 +51,7 @@
         sights = [
             PlainSight(i, views.workload.at(i.name, now), views.health.share(i.name, now))
             for i in views.registry.serving(call.service.name)
+            if self._tools.cold.allows(call.service, i, now)
         ]
         return choose_plain(
             sights,
--- a/packages/node/src/fielddrift_node/serving/settings.py
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -19,7 +19,8 @@
     `weights` how long requests may begin on older weights, `entry_keep` how
     long callers keep an entry answer.  Repeated sends within `retry_window`
     are at most `retry_ratio` of the requests and `retry_slack`.  `change` is the time
-    after which a change of the configuration must be in force.
+    after which a change of the configuration must be in force.  A cold target gets at most
+    `cold_overage` times the requests a second that it bears, and `cold_slack`.
     """
 
     drain: float
@@ -31,6 +32,8 @@
     weights: float
     entry_keep: float
     change: float = 2.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
     @property
     def staleness(self) -> float:
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import structlog
 from fielddrift_core.eras import era_of, version_of
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.readers import Reading, read_seconds
+from fielddrift_core.target_registry import Instance
 
 from .feeds import Feed, FeedTools
 from .ports import HistoryGone, OutOfReach
@@ -142,6 +143,7 @@
         went_back = row > 0 and era_of(copy.row) > era_of(row)
         lost = went_back or self._lost_at is not None
         lost = lost or self._views.registry.in_respite(asked_at)
+        self._note_cold(copy.entries, asked_at)
         self._views.registry.copied(copy.entries, copy.leaving, lapsed, lost=lost)
         self._views.targets_row = copy.row
         self._after = copy.row
@@ -166,6 +168,7 @@
         self._lost_at = None
         self._rests.worked()
         serial, before = registry.serial, Listing.of(registry, now)
+        self._note_cold(news.entries, now)
         if news.whole:
             registry.replaced(news.entries, now)
         else:
@@ -184,6 +187,12 @@
         if registry.serial != serial:
             self._changed()
 
+    def _note_cold(self, entries: Iterable[Instance], now: float) -> None:
+        """Note which of `entries`, as far as they are new, tell of targets that are cold."""
+        for entry in entries:
+            if self._views.registry.get(entry.name) != entry:
+                self._views.cold.told(entry.name, entry.warming, now)
+
     def _log_changes(self, before: Listing, told_by: str) -> None:
         after = Listing.of(self._views.registry, asyncio.get_running_loop().time())
         for change in after.changes_since(before):
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -78,6 +78,7 @@
             budget.first(now)
         elif not budget.take(now, nodes=self._tools.views.nodes):
             raise Refused(self._refusal("repeated sends are used up", None))
+        self._tools.cold.sent(instance, now)
         self._tools.metrics.sends.inc()
         self._instance = instance
         self._call.trace.sent_at = now
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from fielddrift_core.catalog import Catalog
+from fielddrift_core.cold_targets import ColdSends
 from fielddrift_core.crashes import CrashHistory
 from fielddrift_core.evacuations import Evacuations
 from fielddrift_core.leaving import Leaving
@@ -73,6 +74,7 @@
         self.named_times = NamedTimes()
         self.registry = TargetRegistry()
         self.evacuations = Evacuations()
+        self.cold = ColdSends()
         self.workload = Workload()
         self.health = TargetHealth()
         self.store_index = StoreIndex()
@@ -129,11 +131,19 @@
         return True
 
     def note_evacuations(self, now: float) -> EvacuationChange:
-        """Bring the evacuations that are known into force; return what changed."""
+        """Bring the evacuations that are known into force; return what changed.
+
+        Targets of a data centre that is back are taken for cold: they may have turned cold
+        shortly before, which their entries tell only later.
+        """
         before, after = self.registry.evacuated, self.evacuations.current(now)
         change = EvacuationChange(after - before, before - after)
         if after != before:
             self.registry.evacuate(after)
+        for instance in self.registry.all() if change.ended else ():
+            service = None if self.catalog is None else self.catalog.services.get(instance.service)
+            if service is not None and instance.data_centre in change.ended:
+                self.cold.presume(instance.name, service.cold_seconds, now)
         return change
 
     def take_weights(self, weights: NamedWeights, now: float) -> bool:
@@ -203,6 +213,10 @@
             known = self._placeable[(service, model)] = Placeable(state, now, engines, soon)
         return known
 
+    def age(self, now: float) -> float:
+        """Return the seconds since this node's start, without end where it is not known."""
+        return now - self._began_at
+
     def just_started(self, now: float) -> bool:
         """Return whether most callers may be some who waited for this node to start."""
         return now - self._began_at < _RETURN_SECONDS
--- a/packages/standins/src/fielddrift_standins/deployment.py
+++ b/packages/standins/src/fielddrift_standins/deployment.py
@@ -51,6 +51,9 @@
         self.workers: dict[str, Worker] = {}
         self._centres: dict[str, str] = {}
         """The data centre of each worker."""
+        self.cold_rate = 0.0
+        """Requests a second that a cold engine bears, 0 for any number."""
+        self.cold_seconds = 3.0
         self.version = 1
         self.keys = [KEY]
         self.limits = {"max-header-bytes": 4096, "max-body-bytes": 65536}
@@ -87,6 +90,8 @@
                 "name": "engines",
                 "health-path": "/healthz",
                 "max-conns": 50,
+                "cold-per-s": self.cold_rate,
+                "cold-start-s": self.cold_seconds,
                 "engine": engine,
             },
             {"name": "kept", **kept, "link-mbps": 10000.0, "max-inflight": 4, "managed": True},
@@ -119,12 +124,14 @@
         self.enter(worker.name, service)
         return worker
 
-    def enter(self, name: str, service: str, state: str = "ready") -> None:
-        """Write a worker's entry."""
+    def enter(
+        self, name: str, service: str, state: str = "ready", *, cold_seconds: float = 0.0
+    ) -> None:
+        """Write a worker's entry; it says to stay cold for `cold_seconds` more."""
         worker = self.workers[name]
         models = [{"name": worker.model, "version": worker.version}] if service == "engines" else []
         entry = {"service": service, "address": self.addresses[name], "slots": 4}
-        entry |= {"zone": self._centres[name]}
+        entry |= {"zone": self._centres[name], "cold-left-ms": cold_seconds * 1000}
         self.store.put("servers", name, {**entry, "state": state, "models": models, "seq": 1})
 
     def revive(
