Let a node use its part of a cold target 1.1 s after its start

The wait must outlast the second within which a node that started first may have taken itself for the only one.

--- a/packages/node/src/fielddrift_node/serving/cold_gate.py
+++ b/packages/node/src/fielddrift_node/serving/cold_gate.py
@@ -12,7 +12,7 @@
 
 __all__ = ["ColdGate"]
 
-_SETTLE_SECONDS = 2.0
+_SETTLE_SECONDS = 1.1
 """Age from which a node uses its part: until it has heard who else is active, it would
 take itself for the only owner."""
 
