--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,7 +14,7 @@
 from .callers import KINDS, Attempt
 from .links import Harm, Link
 from .machines import Machine
-from .promises import ENDING
+from .promises import COLD, ENDING
 from .site import Site
 
 __all__ = ["FAULTS", "Fault"]
@@ -488,3 +488,42 @@
     await _lasting(rng, 0.5, 3.0)
     site.outside.name_weights()
     await returning
+
+
+# --- data centres ---------------------------------------------------------------------
+
+_EVACUATED_SECONDS = (5.5, 8.0)
+"""How long an evacuation lasts: some longer than the time within which it must be in force."""
+_COLD_SECONDS = 3.0
+
+
+@fault("a data centre is evacuated", planned=True)
+async def _evacuated(site: Site, rng: random.Random) -> None:
+    outside = site.outside
+    centre = f"evacuated-{rng.getrandbits(20):x}"
+    for service in ("plain", "engines", "engines"):
+        await outside.begin_worker(service, data_centre=centre)
+    await _lasting(rng, 0.5, 1.5)
+    if rng.random() < 0.3:
+        # Taken back at once, and begun again.
+        outside.evacuate(centre)
+        outside.take_back(centre)
+    outside.evacuate(centre)
+    began = asyncio.get_running_loop().time()
+    await _lasting(rng, *_EVACUATED_SECONDS)
+    outside.end_evacuation(centre, began)
+    await _lasting(rng, 0.5, 1.5)
+
+
+@fault(COLD)
+async def _cold(site: Site, rng: random.Random) -> None:
+    outside = site.outside
+    for name in outside.serving("engines")[1:]:
+        outside.crash(name)
+    await _lasting(rng, 0.2, 1.0)
+    for _ in range(rng.randint(1, 3)):
+        zone = rng.choice(site.machines).zone
+        await outside.begin_worker("engines", data_centre=zone, cold_seconds=_COLD_SECONDS)
+    site.pace = 0.3
+    await _lasting(rng, 1.0, _COLD_SECONDS)
+    site.pace = 1.0
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -41,6 +41,8 @@
 budget-slack = 54
 lease-ms = 1000
 version-ms = 6000
+cold-overage = 1.5
+cold-slack = 2
 ttl_max_s = 5
 """
 
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -14,8 +14,10 @@
 from .callers import EVENTS
 from .links import Link
 
-__all__ = ["Arrival", "Change", "End", "Outside"]
+__all__ = ["Arrival", "Change", "Cold", "End", "Evacuation", "Outside"]
 
+COLD_RATE = 4.0
+"""Requests a second that a cold engine bears."""
 _LAPSE_SECONDS = 1.5
 """Time after which the entry of a worker that crashed goes."""
 _SERVE_ON_SECONDS = 3.0
@@ -51,6 +53,21 @@
     at: float
 
 
+class Evacuation(NamedTuple):
+    """A data centre whose targets were to get nothing: from when, and until when."""
+
+    data_centre: str
+    began: float
+    ended: float
+
+
+class Cold(NamedTuple):
+    """A worker that began cold, and until when it was."""
+
+    worker: str
+    until: float
+
+
 class Outside(Deployment):
     """The store, workers that come and go, and what the operator changes."""
 
@@ -64,6 +81,9 @@
         self._fatal: dict[str, frozenset[bytes]] = {}
         """Bodies that end the workers of a service."""
         self.changes: list[Change] = []
+        self.evacuations: list[Evacuation] = []
+        self.cold: list[Cold] = []
+        self.cold_rate = COLD_RATE
         self.leaving_at: dict[str, float] = {}
         self.named_at = {1: float("-inf")}
         """When the store took each version of the weights."""
@@ -122,8 +142,10 @@
 
     # --- workers ------------------------------------------------------------------
 
-    async def begin_worker(self, service: str) -> str:
-        """Start a worker under a new name; return it."""
+    async def begin_worker(
+        self, service: str, *, data_centre: str = "a", cold_seconds: float = 0.0
+    ) -> str:
+        """Start a worker under a new name, cold for some time where that is said; return it."""
         engine = service == _ENGINES
         worker = Worker(
             name=f"{service}-{next(self._numbers)}",
@@ -145,9 +167,18 @@
         self.workers[worker.name] = worker
         self.addresses[worker.name] = link.address
         self._services[worker.name] = service
-        self.enter(worker.name, service)
+        self._centres[worker.name] = data_centre
+        if cold_seconds:
+            until = asyncio.get_running_loop().time() + cold_seconds
+            self.cold.append(Cold(worker.name, until))
+        self.enter(worker.name, service, cold_seconds=cold_seconds)
         return worker.name
 
+    @property
+    def centres(self) -> dict[str, str]:
+        """Return the data centre of each worker that there has been."""
+        return self._centres
+
     def crash(self, name: str) -> None:
         """End a worker at once; its entry lapses, and another one comes."""
         service = self._services[name]
@@ -221,6 +252,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def end_evacuation(self, data_centre: str, began: float) -> None:
+        """Take an evacuation back, and note from when until when it was in force."""
+        now = asyncio.get_running_loop().time()
+        self.evacuations.append(Evacuation(data_centre, began, now))
+        self.take_back(data_centre)
+
     # --- the operator ---------------------------------------------------------------
 
     def name_weights(self) -> None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,9 +10,9 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
-from .outside import Arrival, Change, End
+from .outside import COLD_RATE, Arrival, Change, Cold, End, Evacuation
 
-__all__ = ["ENDING", "PROMISES", "Evidence", "Followed", "Probe", "Span", "broken"]
+__all__ = ["COLD", "ENDING", "PROMISES", "Evidence", "Followed", "Probe", "Span", "broken"]
 
 _NOT_RUN = (408, 421, 429, 503)
 _NOT_ALLOWED = (401, 403, 404)
@@ -31,6 +31,12 @@
 """Runs of it that are borne once it must be known everywhere."""
 ENDING = "a request ends the workers that run it"
 """The name of the fault that brings this about."""
+COLD = "engines come back cold"
+"""The name of the fault that brings cold workers about."""
+_COLD_BOUND = int(COLD_RATE * 1.5 + 2)
+"""`cold-overage` and `cold-slack` of the nodes' settings."""
+_EVACUATE_SECONDS = 5.0
+"""Time after which an evacuation must be in force."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: token \1 of (\S+) at (\S+)\n\n")
 _CROSSING_SECONDS = 0.3
 """A request that nobody passed on, and whose connection closed so soon, crossed that close."""
@@ -81,6 +87,10 @@
     calm_since: float | None
     faults_of_ours: list[str]
     ends: list[End] = []
+    evacuations: list[Evacuation] = []
+    cold: list[Cold] = []
+    centres: dict[str, str] = {}
+    """The data centre of each worker."""
 
     def ran(self) -> dict[str, list[tuple[Worker, Ran]]]:
         """Return what ran, by request."""
@@ -325,6 +335,32 @@
         yield f"{len(bad)} of {len(done)} requests unserved: {dict(counts)}"
 
 
+@promise("an evacuated data centre's workers get nothing")
+def _evacuated(evidence: Evidence) -> Iterator[str]:
+    for data_centre, began, ended in evidence.evacuations:
+        for worker in evidence.workers:
+            if evidence.centres.get(worker.name) != data_centre:
+                continue
+            for ran in worker.ran:
+                late = began + _EVACUATE_SECONDS < ran.at < ended
+                if late and not evidence.disturbed(ran.at - _TOUCH_SECONDS, ran.at):
+                    seconds = f"{ran.at - began:.2f} s"
+                    yield f"{ran.request_id}: at {worker.name} {seconds} after its word"
+
+
+@promise("a cold worker gets no more than it bears")
+def _cold(evidence: Evidence) -> Iterator[str]:
+    until = {cold.worker: cold.until for cold in evidence.cold}
+    for worker in evidence.workers:
+        times = [ran.at for ran in worker.ran if ran.at < until.get(worker.name, 0.0)]
+        for first in times:
+            last = first + 1.0
+            number = sum(first <= at < last for at in times)
+            # What was held up on a harmed link may arrive together.
+            if number > _COLD_BOUND and not evidence.others(COLD, first, last):
+                yield f"{worker.name}: {number} in a second, expected {_COLD_BOUND} at most"
+
+
 @promise("a request that ends its workers is held back")
 def _held_back(evidence: Evidence) -> Iterator[str]:
     ends: dict[bytes, list[float]] = defaultdict(list)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -120,6 +120,9 @@
             arrivals=self._site.outside.arrivals,
             calm_since=self._calm_since,
             ends=self._site.outside.ends,
+            evacuations=self._site.outside.evacuations,
+            cold=self._site.outside.cold,
+            centres=self._site.outside.centres,
             faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind
 from soak.faults import FAULTS
 from soak.links import Harm, Link
-from soak.outside import Arrival, End
+from soak.outside import Arrival, Cold, End, Evacuation
 from soak.promises import ENDING, PROMISES, Evidence, Followed, Probe, Span, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
@@ -87,7 +87,7 @@
 
     async def test_each_check_sees_its_fault(self) -> None:
         own, order, once, refused, asked, allowed, planned, *later = PROMISES
-        force, left, one, outdated, new, again, _, ours = later
+        force, left, one, outdated, new, again, _, _, _, ours = later
         foreign = evidence(attempt(SAFE, seal="plain-1.other"))
         self.assertEqual(self.seen(foreign), {own})
         self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
@@ -144,6 +144,25 @@
         self.assertEqual(self.seen(unserved), {again})
         self.assertEqual(self.seen(evidence(faults_of_ours=["n1 ended by itself"])), {ours})
 
+    async def test_work_at_evacuated_and_cold_workers_is_seen(self) -> None:
+        evacuated, cold = list(PROMISES)[-4:-2]
+        found = evidence(
+            attempt(SAFE),
+            evacuations=[Evacuation("b", 4.0, 20.0)],
+            centres={"plain-1": "b"},
+        )
+        self.assertEqual(self.seen(found), {evacuated})
+        for span, came in (
+            (Evacuation("b", 5.1, 20.0), "soon"),
+            (Evacuation("b", 1.0, 9.0), "back"),
+        ):
+            with self.subTest(came=came):
+                self.assertEqual(self.seen(found._replace(evacuations=[span])), set())
+        for number, broke in ((8, False), (9, True)):
+            made = [attempt(CHAT, "engines-1") for _ in range(number)]
+            found = evidence(*made, cold=[Cold("engines-1", 12.0)])
+            self.assertEqual(cold in self.seen(found), broke)
+
     async def test_runs_of_a_request_that_has_ended_three_workers_are_seen(self) -> None:
         fatal = attempt(SAFE)
         ends = [End(fatal.body, f"plain-{n}", 10.0 + n) for n in range(3)]
