Learn how quick engines are from the first events that they give

Cause: estimates take every engine to be as quick as one sheet says.

A service's pace and each engine's own are means of logarithms of seen over estimated, clipped, from the node's own first events; they stretch the engine's part of estimates, what others take of an aim, what a reading delays, and when a fetch is given up.

--- a/bench/lab/switches.py
+++ b/bench/lab/switches.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from fielddrift_core import placement, waiting
+from fielddrift_core.pace import Pace
 from fielddrift_core.waiting import Turnover
 from fielddrift_core.workload import Lateness
 from fielddrift_node.serving import placing
@@ -63,6 +64,12 @@
     return [mock.patch.object(Lateness, "of_each", lambda self, now: {})]
 
 
+@_switch("pace")
+def _pace() -> Sequence[Any]:
+    """Take every engine to be as quick as usual ones."""
+    return [mock.patch.object(Pace, "of", lambda self, service, engine: 1.0)]
+
+
 @_switch("failing")
 def _failing() -> Sequence[Any]:
     """Take an engine that fails for an empty one."""
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -108,13 +108,22 @@
 
 
 class EngineChoice(NamedTuple):
-    """An engine, and what its run fetches; `seconds` to the first event, estimated."""
+    """An engine, and what its run fetches; `seconds` to the first event, estimated.
+
+    `work` is the engine's part of them at the usual pace, `pace` how much longer this one takes.
+    """
 
     instance: Instance
     recall: Recall
     seconds: float
     cost: float
     burden: Burden = Burden()
+    work: float = 0.0
+    pace: float = 1.0
+
+    def reading(self, tokens: int) -> float:
+        """Return the seconds in which the engine reads `tokens`."""
+        return tokens / READ_RATE * self.pace
 
 
 class EngineSight(NamedTuple):
@@ -123,7 +132,8 @@
     `behind` says that newer weights than its own were named, `loading` that
     it is changing them, `soon` that it does so next.  `left` is the seconds in which a first
     event must come from it.  `memory` are ids of parts that it was sent lately and so
-    probably still has.  `weights` is the version that it has.
+    probably still has.  `weights` is the version that it has, `pace` how long it takes in parts
+    of what a usual one does.
     """
 
     instance: Instance
@@ -135,6 +145,7 @@
     soon: bool = False
     left: float = float("inf")
     weights: int = 0
+    pace: float = 1.0
 
 
 _PRICES = Prices()
@@ -278,20 +289,20 @@
     if traits.memory:
         overfull = max(0, burden.memory + prompt.tokens - traits.memory)
         waiting += overfull / traits.memory * _TURNOVER_SECONDS
-    seconds = _BASE_SECONDS + reading + recalled.fetch_seconds
-    seconds += burden.running * _RUN_SECONDS + waiting
+    work = _BASE_SECONDS + reading + burden.running * _RUN_SECONDS + waiting
+    seconds = work * sight.pace + recalled.fetch_seconds
     cost = prices.late * _lateness(seconds / aim) + prices.time * seconds / aim
     cost += prices.again * recalled.again / 1000
     # What this run reads and moves delays the others that wait there.
     waiting_runs = burden.unread / _MEAN_READ_TOKENS
-    delays = recalled.unread / READ_RATE * waiting_runs + recalled.delays
+    delays = recalled.unread / READ_RATE * sight.pace * waiting_runs + recalled.delays
     cost += prices.late * delays / aim
     cost += prices.failure * sight.failures
     cost += prices.far if sight.instance.data_centre != data_centre else 0.0
     cost += prices.old if sight.behind else 0.0
     cost += prices.soon if sight.soon and prompt.tokens_out >= LONG_ANSWER_TOKENS else 0.0
     cost += _LOADING_COST if sight.loading else 0.0
-    return EngineChoice(sight.instance, recalled, seconds, cost, burden)
+    return EngineChoice(sight.instance, recalled, seconds, cost, burden, work, sight.pace)
 
 
 def _lateness(part: float) -> float:
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -367,7 +367,14 @@
         now = asyncio.get_running_loop().time()
         views.workload.read(choice.instance.name, call.trace.key)
         self._tools.told()
-        late = now - began - choice.seconds
+        taken = now - began
+        views.pace.saw(
+            call.service.name,
+            choice.instance.name,
+            estimate=choice.work,
+            seconds=taken - choice.recall.fetch_seconds,
+        )
+        late = taken - choice.seconds
         self._tools.metrics.estimate_error.observe(max(0.0, late))
         for store in {s.address for s in choice.recall.sources if s is not None}:
             views.lateness.came(store, late, now)
--- a/packages/node/src/fielddrift_node/serving/kept.py
+++ b/packages/node/src/fielddrift_node/serving/kept.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Collection, Mapping
 
-from fielddrift_core.placement import READ_RATE, EngineChoice, EngineSight, Holder
+from fielddrift_core.placement import EngineChoice, EngineSight, Holder
 from fielddrift_core.prompt import Part, Prompt
 
 from .call import Call
@@ -120,7 +120,7 @@
         """Return when a fetch should be given up, so that reading can still be in time."""
         prompt = call.ask.prompt
         assert prompt is not None
-        reading = (prompt.tokens_in + choice.burden.unread) / READ_RATE
+        reading = choice.reading(prompt.tokens_in + choice.burden.unread)
         spare = call.began + call.route.aim - reading - _READ_SPARE_SECONDS - now
         patience = max(spare, _LEAST_FETCH_SECONDS, _FETCH_ESTIMATES * choice.recall.fetch_seconds)
         return self._views.until(now + min(FETCH_SECONDS, patience))
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -15,7 +15,6 @@
 from fielddrift_core.overload import LATE_PART, come_back, is_crowded, return_after
 from fielddrift_core.placement import (
     FAILING_SHARE,
-    READ_RATE,
     EngineChoice,
     EngineSight,
     choose_engine,
@@ -110,7 +109,7 @@
 
         A prompt that takes long by itself is late at any time, and is taken all the same.
         """
-        queue = wait + choice.burden.unread / READ_RATE
+        queue = wait + choice.reading(choice.burden.unread)
         back = come_back(
             patience=call.ask.patience or call.deadline - call.began,
             estimate=wait + choice.seconds,
@@ -256,4 +255,5 @@
             soon=instance.name in soon,
             left=left / spare,
             weights=engine.weights,
+            pace=views.pace.of(call.service.name, instance.name),
         )
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -15,6 +15,7 @@
 from fielddrift_core.linkqueue import LinkQueue
 from fielddrift_core.loading import LoadingEngines
 from fielddrift_core.memory import EngineMemory
+from fielddrift_core.pace import Pace
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS, Reading
 from fielddrift_core.rollout import EngineWeights, NamedTimes, Naming, VersionAge, soon_loading
 from fielddrift_core.store_index import StoreIndex
@@ -81,6 +82,7 @@
         self.links = LinkQueue()
         self.lateness = Lateness()
         self.memory = EngineMemory()
+        self.pace = Pace()
         self.loading = LoadingEngines()
         self.rooms = Rooms()
         self.crashes = CrashHistory()
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,93 @@
+"""How quick engines are is learned, and what is estimated, fetched and refused follows it."""
+
+from __future__ import annotations
+
+import math
+import random
+import unittest
+
+from fielddrift_core.catalog import EngineTraits
+from fielddrift_core.pace import Pace
+from fielddrift_core.placement import READ_RATE, EngineSight, choose_engine
+from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.target_registry import Instance
+from fielddrift_core.workload import Burden
+
+from bench.lab.sizes import Sizes
+
+from .test_lab import mean
+
+_TRAITS = EngineTraits(64, 40_000, 18_432, 16e9, ("m",), 12)
+_SLOW = Sizes(
+    engines=6,
+    read_rate=28_000.0,
+    step_seconds=0.0062,
+    step_run_seconds=0.0002,
+    chunk=1024,
+    memory=41_554,
+    aim=0.5,
+    patience=4.0,
+    load=0.8,
+    urgent_part=0.55,
+    short_part=0.1,
+    shared_tokens=7520,
+    own_tokens=1670,
+    answer_tokens=9,
+    seconds=16.0,
+)
+"""Engines at half of the speed that the estimates take for usual, from the first second on."""
+
+
+class TestPace(unittest.TestCase):
+    def test_nothing_seen_is_the_usual_pace(self) -> None:
+        self.assertEqual(Pace().of("s", "e"), 1.0)
+
+    def test_a_service_that_is_slow_as_a_whole_is_known_for_engines_never_seen(self) -> None:
+        pace = Pace()
+        for number in range(150):
+            pace.saw("s", f"e{number % 10}", estimate=0.1, seconds=0.2)
+        self.assertAlmostEqual(pace.of("s", "new"), 2.0, delta=0.4)
+        self.assertEqual(pace.of("other", "e"), 1.0)
+
+    def test_one_slow_engine_among_usual_ones_is_told_apart(self) -> None:
+        pace, rng = Pace(), random.Random(1)
+        for _ in range(1500):
+            number = rng.randrange(10)
+            noise = math.exp(rng.gauss(0.0, 0.5))
+            pace.saw("s", f"e{number}", estimate=0.1, seconds=noise * (0.3 if number == 0 else 0.1))
+        self.assertGreater(pace.of("s", "e0"), 1.9 * pace.of("s", "e1"))
+        self.assertAlmostEqual(pace.of("s", "e1"), 1.0, delta=0.4)
+
+    def test_one_that_hung_counts_little(self) -> None:
+        pace = Pace()
+        pace.saw("s", "e", estimate=0.05, seconds=30.0)
+        self.assertLess(pace.of("s", "e"), 1.3)
+
+    def test_an_engine_at_half_speed_is_estimated_and_avoided_so(self) -> None:
+        prompt = Prompt("m", (Part("a", 9000), Part("own", 1000)), 10_000, 20)
+        sights = [
+            EngineSight(
+                Instance(name, "s", f"{name}:1", "a"), Burden(), 0.0, False, False, pace=pace
+            )
+            for name, pace in (("slow", 2.0), ("usual", 1.0))
+        ]
+        options = {"traits": _TRAITS, "data_centre": "a", "aim": 0.5, "holders": lambda *_: ()}
+        slow = choose_engine(prompt, sights[:1], **options)
+        assert slow is not None
+        self.assertGreater(slow.seconds, 2 * 10_000 / READ_RATE)
+        best = choose_engine(prompt, sights, **options)
+        assert best is not None
+        self.assertEqual(best.instance.name, "usual")
+
+
+class TestSlowEngines(unittest.TestCase):
+    """All engines work at half of their speed from the first second on.
+
+    Without a learned pace a fourth of the worth was in time, and engines held twice what
+    they could read in time.
+    """
+
+    def test_more_is_in_time_than_with_the_speeds_taken_for_granted(self) -> None:
+        learned = mean("during", "steady", sizes=_SLOW, seeds=3)
+        fixed = mean("during", "steady", "pace", sizes=_SLOW, seeds=3)
+        self.assertGreater(learned, fixed + 0.1)
