Take evacuations whole from nodes that tell of them, whatever the release before passes over

Cause, by reading: a node that copied the operators' rows from one of the release before moved its own place in the feed past rows of evacuations that it had not seen; and one that copied what changed nothing for it counted as behind for good, so it never took the age of a far reader's rows.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -322,7 +322,8 @@
                 self._operators.again()
                 self._targets.again()
             self._note_era(loop.time())
-            self._views.note_evacuations(loop.time())
+            for data_centre in self._views.note_evacuations(loop.time()).ended:
+                _log.warning("evacuation held no longer", data_centre=data_centre)
             self._report()
             self._views.nodes = self._neighbours.sharing(loop.time())
             self._note_role(loop.time())
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -10,7 +10,7 @@
 import structlog
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.eras import version_of
-from fielddrift_core.evacuations import EVACUATIONS_NAME
+from fielddrift_core.evacuations import EVACUATIONS_NAME, EvacuationState
 from fielddrift_core.neighbours import Heartbeat, Neighbour
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS
 
@@ -65,6 +65,8 @@
         self._told = asyncio.Event()
         self._behind_since: float | None = None
         """When this node first heard of something newer than it has."""
+        self._evacuations_row = 0
+        """The operators' row up to which evacuations are known."""
 
     def heard(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat: a node that knows something newer is asked for it.
@@ -142,6 +144,7 @@
         self._after = news.version
         self._views.operators_row = max(self._views.operators_row, news.version)
         self._views.evacuations.read(news.evacuations, news.version, loop.time())
+        self._evacuations_row = max(self._evacuations_row, news.version)
         self._take(news.catalog, news.weights, _Origin("platform", loop.time() - began))
         self._views.operators_at = loop.time()
         self._views.current()
@@ -203,17 +206,21 @@
             _log.info("node not reached", peer=node.name, error=str(error))
 
     def _take_copy(self, copy: OperatorCopy, told_by: str) -> None:
-        if copy.evacuations is not None:
-            self._views.evacuations.copied(
-                copy.evacuations,
-                read=copy.row,
-                known=self._views.operators_row,
-                now=asyncio.get_running_loop().time(),
-            )
         self._views.operators_row = max(self._views.operators_row, copy.row)
-        self._after = max(self._after or 0, copy.row)
+        if copy.evacuations is not None:
+            self._take_evacuations(copy.evacuations, copy.row)
+            # Who does not tell of evacuations may have passed over rows that do.
+            self._after = max(self._after or 0, copy.row)
         weights = tuple(NamedWeights(model, version) for model, version in copy.named.items())
         self._take(copy.catalog, weights, _Origin(told_by))
+        # Even where nothing changed: it may have been told of under a later row.
+        self._behind_since = None
+
+    def _take_evacuations(self, state: EvacuationState, row: int) -> None:
+        now = asyncio.get_running_loop().time()
+        known = self._evacuations_row
+        self._views.evacuations.copied(state, read=row, known=known, now=now)
+        self._evacuations_row = max(known, row)
 
     def _take(
         self, catalog: Catalog | None, weights: tuple[NamedWeights, ...], origin: _Origin
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 from fielddrift_core.eras import mark
 from fielddrift_core.evacuations import EvacuationNews, Evacuations, EvacuationState
 from fielddrift_core.target_registry import Instance, TargetRegistry
+from fielddrift_node.serving.feeds import Feed
 from fielddrift_node.serving.sharing import OperatorCopy, Peers
 from fielddrift_node.web.client import Client, Timeouts
 from fielddrift_standins.worker import Worker
@@ -188,10 +190,21 @@
         self.fleet.evacuate("a")
         await self.known(reader, "a")
         await self.known(other, "a")
+        self.assertIsNone(other.node._operators._behind_since)
         self.fleet.take_back("a")
         await self.known(other)
         door.close()
 
+    async def test_who_copied_from_the_release_before_still_reads_what_it_passed_over(self) -> None:
+        node = await self.fleet.node()
+        feed = node.node._operators
+        with mock.patch.object(Feed, "reader", return_value=None):
+            before = feed._after
+            feed._take_copy(OperatorCopy(None, {}, (before or 0) + 1000), "former")
+            self.assertEqual(feed._after, before)
+            self.fleet.evacuate("a")
+            await self.known(node, "a")
+
     async def test_a_prompt_that_waits_for_room_goes_elsewhere(self) -> None:
         node = await self.fleet.node()
         views = node.node.views
