--- a/bench/cold.py
+++ b/bench/cold.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from fielddrift_core.cold_targets import ColdSends, Part, share_of
+from fielddrift_core.cold_targets import ColdSends, OwnShare, share_of
 from fielddrift_core.names import rank
 from tabulate import tabulate
 
@@ -64,13 +64,13 @@
 
 @_way("few owners")
 def _few() -> _Way:
-    parts: dict[str, Part] = {}
+    shares: dict[str, OwnShare] = {}
 
     def sends(
         node: str, target: str, hears: frozenset[str], late: frozenset[str], now: float
     ) -> int:
-        part = parts.setdefault(node, Part(node=node))
-        return part.sends(target, late, _BOUND, now)
+        share = shares.setdefault(node, OwnShare(node=node))
+        return share.sends(target, late, _BOUND, now)
 
     return sends
 
--- a/packages/core/src/fielddrift_core/cold_targets.py
+++ b/packages/core/src/fielddrift_core/cold_targets.py
@@ -20,7 +20,7 @@
 
 from .names import rank
 
-__all__ = ["ColdLimits", "ColdSends", "Part", "Share", "share_of"]
+__all__ = ["ColdSends", "OwnShare", "Share", "share_of"]
 
 _WINDOW_SECONDS = 1.05
 """A second, and by how much less two sends may be apart on their way than here."""
@@ -33,23 +33,6 @@
 """Shares that are remembered: some targets' that are cold at once, by sets of nodes."""
 
 
-class ColdLimits(NamedTuple):
-    """What a cold target may be sent a second: `rate` times `overage`, and `slack`.
-
-    It stays cold for `seconds` after its start.  Without a `rate` there is no limit.
-    """
-
-    rate: float = 0.0
-    seconds: float = 0.0
-    overage: float = 1.0
-    slack: float = 0.0
-
-    @property
-    def bound(self) -> float:
-        """Return the most requests within any second, from all nodes together."""
-        return self.rate * self.overage + self.slack
-
-
 class Share(NamedTuple):
     """Who may send to a cold target, and how often each within any second."""
 
@@ -72,8 +55,8 @@
     return Share(frozenset(ranked[:count]), total // count)
 
 
-class Part:
-    """How much of what a cold target bears one node may send, while the list of nodes changes.
+class OwnShare:
+    """How much of what a cold target bears this node may send, while the list of nodes changes.
 
     A list binds for some time after the next one: a part that grew at once would add to what
     former owners still send.
--- a/packages/node/src/fielddrift_node/serving/cold_gate.py
+++ b/packages/node/src/fielddrift_node/serving/cold_gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fielddrift_core.catalog import Service
-from fielddrift_core.cold_targets import ColdLimits, Part
+from fielddrift_core.cold_targets import OwnShare
 from fielddrift_core.neighbours import Neighbours
 from fielddrift_core.target_registry import Instance
 
@@ -24,7 +24,7 @@
         self._views = views
         self._neighbours = neighbours
         self._bounds = bounds
-        self._part = Part(node=neighbours.me.name)
+        self._share = OwnShare(node=neighbours.me.name)
 
     def allows(self, service: Service, instance: Instance, now: float) -> bool:
         """Return whether this node may send to `instance`, which is of `service`, now."""
@@ -36,7 +36,7 @@
         if instance.data_centre != me.data_centre or not self._knows_owners(now):
             return False
         nodes = self._neighbours.active_lately(now)
-        sends = self._part.sends(instance.name, nodes, self._limits(service).bound, now)
+        sends = self._share.sends(instance.name, nodes, self._bound(service), now)
         return cold.has_room(instance.name, sends, now)
 
     def sent(self, instance: Instance, now: float) -> None:
@@ -48,8 +48,6 @@
         """Return whether this node knows who was active of late, also of those it cannot hear."""
         return self._views.age(now) >= _SETTLE_SECONDS and self._neighbours.knows_active(now)
 
-    def _limits(self, service: Service) -> ColdLimits:
-        bounds = self._bounds
-        return ColdLimits(
-            service.cold_rate, service.cold_seconds, bounds.cold_overage, bounds.cold_slack
-        )
+    def _bound(self, service: Service) -> float:
+        """Return the most requests that a cold target gets within a second, from all nodes."""
+        return service.cold_rate * self._bounds.cold_overage + self._bounds.cold_slack
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -7,7 +7,7 @@
 import unittest
 from collections import deque
 
-from fielddrift_core.cold_targets import ColdLimits, ColdSends, Part, share_of
+from fielddrift_core.cold_targets import ColdSends, OwnShare, share_of
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 from fielddrift_node.serving.settings import Bounds
 from fielddrift_standins.worker import Worker
@@ -16,8 +16,8 @@
 
 from .platform_fleet import BOUNDS, FleetCase, ask, eventually, prompt
 
-LIMITS = ColdLimits(rate=11.0, seconds=3.0, overage=1.5, slack=5.0)
-"""What engines of a deployment bear: 21.5 within any second."""
+BOUND = 21.5
+"""What a cold engine of a deployment bears within any second."""
 _STEP_SECONDS = 0.05
 _HEARTBEAT_SECONDS = 0.15
 _COLD = 3600.0
@@ -34,14 +34,14 @@
 
     def test_most_of_the_bound_is_used(self) -> None:
         for count in (3, 4, 9, 71, 400):
-            share = share_of("t", frozenset(f"n{i}" for i in range(count)), LIMITS.bound)
-            self.assertGreaterEqual(len(share.owners) * share.sends / LIMITS.bound, 0.69)
+            share = share_of("t", frozenset(f"n{i}" for i in range(count)), BOUND)
+            self.assertGreaterEqual(len(share.owners) * share.sends / BOUND, 0.69)
 
     def test_owners_of_targets_differ(self) -> None:
         nodes = frozenset(f"n{i}" for i in range(71))
         owned: dict[str, int] = {}
         for target in range(60):
-            for name in share_of(f"t{target}", nodes, LIMITS.bound).owners:
+            for name in share_of(f"t{target}", nodes, BOUND).owners:
                 owned[name] = owned.get(name, 0) + 1
         self.assertGreater(len(owned), 55)
         self.assertLess(max(owned.values()), 20)
@@ -105,7 +105,7 @@
         self.begun: dict[int, float] = {}
         self.nodes: dict[int, Neighbours] = {}
         self.sends: dict[int, ColdSends] = {}
-        self.parts: dict[int, Part] = {}
+        self.shares: dict[int, OwnShare] = {}
         self.arrivals = {name: deque[float]() for name in _TARGETS}
         self.worst = 0
         self.boots = 0
@@ -119,7 +119,7 @@
         self.nodes[number] = Neighbours(me=me)
         self.nodes[number].report(serving=True, load=40.0)
         self.sends[number] = ColdSends()
-        self.parts[number] = Part(node=me.name)
+        self.shares[number] = OwnShare(node=me.name)
         for target in _TARGETS:
             self.sends[number].told(target, _COLD, self.now)
         self.begun[number] = self.now
@@ -153,7 +153,7 @@
             return
         nodes = self.nodes[number].active_lately(self.now)
         for target in _TARGETS:
-            sends = self.parts[number].sends(target, nodes, LIMITS.bound, self.now)
+            sends = self.shares[number].sends(target, nodes, BOUND, self.now)
             while self.sends[number].has_room(target, sends, self.now):
                 self.sends[number].sent(target, self.now)
                 self._arrive(target)
@@ -203,15 +203,15 @@
             else:
                 site.lost = 0.3 if kind == "lose" else 0.0
             site.run(seconds)
-        self.assertLessEqual(site.worst, LIMITS.bound)
+        self.assertLessEqual(site.worst, BOUND)
 
     def test_each_cut_off_by_itself_takes_no_more_than_its_part(self) -> None:
         site = Site(1)
         site.run(4.0)
         site.cut = set(range(_NODES))
         site.run(10.0)
-        self.assertLessEqual(site.worst, LIMITS.bound)
-        self.assertGreaterEqual(site.worst, 0.7 * LIMITS.bound)
+        self.assertLessEqual(site.worst, BOUND)
+        self.assertGreaterEqual(site.worst, 0.7 * BOUND)
 
 
 class ColdFleet(FleetCase):
