Answer nodes of the release before with the catalog in the form that they know

Cause, by reading: services have gained two fields, and a node of the release before refuses a longer array: while releases are mixed it would have got no catalog from a new reader on which it relies.

--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -46,8 +46,18 @@
     evacuations: EvacuationState | None = None
 
 
-_FORMER_FIELDS = 3
-"""Fields of an `OperatorCopy` that the release before understands: it refuses a longer array."""
+_FORMER_FIELDS, _FORMER_SERVICE_FIELDS = 3, 5
+"""Fields of an `OperatorCopy`, and of a `Service` in it, that the release before knows."""
+
+
+def _former(copy: OperatorCopy) -> tuple[object, ...]:
+    """Return `copy` as the release before understands it, which refuses longer arrays."""
+    catalog: object = copy.catalog
+    if copy.catalog is not None:
+        services = copy.catalog.services.items()
+        former = {name: service[:_FORMER_SERVICE_FIELDS] for name, service in services}
+        catalog = (*copy.catalog[:2], former, *copy.catalog[3:])
+    return (catalog, *copy[1:_FORMER_FIELDS])
 
 
 class TargetCopy(NamedTuple):
@@ -111,7 +121,7 @@
             if "marks" not in query and isinstance(found, OperatorCopy | TargetCopy):
                 found = found._replace(row=version_of(found.row))
             if "evacuations" not in query and isinstance(found, OperatorCopy):
-                found = found[:_FORMER_FIELDS]
+                found = _former(found)
         except ValueError as error:
             responder.send(400, Headers(), str(error).encode())
             return
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import unittest
+from typing import NamedTuple
 from unittest import mock
 
 import msgspec
+from fielddrift_core.catalog import CatalogCustomer, EngineTraits, Route, StoreTraits
 from fielddrift_core.eras import mark
 from fielddrift_core.evacuations import EvacuationNews, Evacuations, EvacuationState
 from fielddrift_core.target_registry import Instance, TargetRegistry
@@ -242,6 +244,37 @@
         await eventually(lambda: b"fielddrift_evacuated_data_centres" in text.body)
 
 
+class _FormerService(NamedTuple):
+    """`Service` as the release before has it."""
+
+    name: str
+    connections: int = 0
+    health_path: str = ""
+    engine: EngineTraits | None = None
+    store: StoreTraits | None = None
+
+
+class _FormerCatalog(NamedTuple):
+    """`Catalog` as the release before has it."""
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, _FormerService]
+    customers: dict[str, CatalogCustomer]
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+class _FormerCopy(NamedTuple):
+    """`OperatorCopy` as the release before has it."""
+
+    catalog: _FormerCatalog
+    named: dict[str, int]
+    row: int
+
+
 class TestReleaseBefore(FleetCase):
     """Nodes of the release before ask, and answer, without evacuations."""
 
@@ -251,9 +284,10 @@
         client = Client()
         request = b"GET /views/operators?marks=era HTTP/1.1\r\nHost: x\r\n\r\n"
         reply = await client.call(node.settings.peer, request, timeouts=Timeouts())
-        self.assertEqual(len(msgspec.msgpack.decode(reply.body)), 3)
-        copy = await Peers(client=client).operators(node.node._neighbours.me)
-        self.assertEqual(copy.evacuations, EvacuationState())
+        copy = msgspec.msgpack.decode(reply.body, type=_FormerCopy)
+        self.assertEqual(set(copy.catalog.services), {"plain", "engines", "kept"})
+        now = await Peers(client=client).operators(node.node._neighbours.me)
+        self.assertEqual(now.evacuations, EvacuationState())
         client.close()
 
     def test_a_former_copy_says_nothing_of_evacuations(self) -> None:
