Log what targets say of themselves in answers, and show it among beliefs

Heads of answers, reports and orders' answers are read for it now; nothing is decided by it yet. A 421, or an answer of another instance, says nothing of the target that was asked.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -34,6 +34,7 @@
 from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.kept import KeptParts, salt_of
 from fielddrift_node.serving.metrics import Metrics
+from fielddrift_node.serving.notices import Notices
 from fielddrift_node.serving.placing import Placing
 from fielddrift_node.serving.ports import Ask, NamedWeights
 from fielddrift_node.serving.settings import NodeSettings
@@ -153,6 +154,7 @@
             tell=lambda news, nodes: None,
         ),
         cold=ColdGate(views=views, neighbours=neighbours, bounds=BOUNDS),
+        notices=Notices(views=views),
     )
     request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
     ask = Ask("id", "h", "/", "", 4.0, _PROMPT, "", request)
--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -69,9 +69,9 @@
         """Return that every answer is the one that is due."""
         return True
 
-    def signs(self, head: ResponseHead) -> Signs:
+    def signs(self, send: Send, head: ResponseHead) -> Signs:
         """Return what a head tells: engines here refuse only what they have not run."""
-        return Signs(head.status == 503, False, "", 1, None)
+        return Signs(head.status == 503, False, "", 1)
 
     async def order(self, order: WeightsOrder) -> OrderOutcome:
         """Refuse: no weights change here."""
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -18,6 +18,7 @@
 from fielddrift_node.serving.gossip import Gossip
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
 from fielddrift_node.serving.metrics import Metrics
+from fielddrift_node.serving.notices import Notices
 from fielddrift_node.serving.ports import NamedWeights
 from fielddrift_node.serving.settings import Bounds, NodeSettings
 from fielddrift_node.serving.views import Views
@@ -114,6 +115,7 @@
             told=self.gossip.sends_changed,
             crashes=crashes,
             cold=ColdGate(views=self.views, neighbours=self.neighbours, bounds=BOUNDS),
+            notices=Notices(views=self.views),
         )
         self.gateway = Gateway(tools=tools)
         self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -81,6 +81,8 @@
             target["failures"],
             target["loading"],
             "cold" if target.get("cold") else "",
+            target.get("limit"),
+            target.get("paused") or "",
         ]
         for target in beliefs["targets"]
     ]
@@ -104,7 +106,10 @@
     ]
     parts = [
         ("held back request,s left,targets that ended under it", held),
-        ("target,service,leaving,weights,runs,unread,failures,loading s,cold", targets),
+        (
+            "target,service,leaving,weights,runs,unread,failures,loading s,cold,limit,paused s",
+            targets,
+        ),
         ("store,life,parts,tokens,heard s ago", stores),
         ("neighbour,data centre,silent s,role,serves", nodes),
     ]
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -19,7 +19,8 @@
     """A target: whether it takes new work, its weights, and what is known to be there.
 
     `loading` is the seconds for which it is still taken to load weights, `cold` says that it
-    is taken for cold.
+    is taken for cold.  `limit` is the requests a second that it takes from all nodes together,
+    None for any number; `paused` the seconds for which it still wants nothing from this node.
     """
 
     name: str
@@ -30,6 +31,8 @@
     failures: float
     loading: float
     cold: bool
+    limit: float | None
+    paused: float
 
 
 class StoreBelief(NamedTuple):
@@ -120,6 +123,8 @@
             failures=round(views.health.share(target.name, now), 3),
             loading=round(views.loading.seconds(target.name, now), 3),
             cold=views.cold.is_cold(target.name, now),
+            limit=views.limits.rate(target.name),
+            paused=round(views.pauses.left(target.name, now), 3),
         )
         for target in views.registry.all()
     ]
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -17,6 +17,7 @@
 
 from ..web.client import Client
 from .metrics import Metrics
+from .notices import Notices
 from .ports import Ask, CallerDialect, TargetDialect
 from .settings import NodeSettings
 from .views import Views
@@ -216,6 +217,8 @@
     """Refuses requests that end their targets, and learns which do."""
     cold: ColdCheck
     """Keeps what cold targets are sent within what they bear."""
+    notices: Notices
+    """Takes what targets say of themselves."""
 
     def budget(self, service: str) -> WindowBudget:
         """Return the budget of repeated sends to `service`."""
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -158,7 +158,7 @@
         self._heard_first(call, choice, began)
         if head.status < 500:
             tools.views.health.worked(name, asyncio.get_running_loop().time())
-        self._heard_weights(call, choice, head)
+        self._heard_weights(call, send, head)
         return _Run(choice, exchange, head, first, cutter, began, [])
 
     async def _first(self, exchange: Exchange, head: ResponseHead, cutter: EventCutter) -> bytes:
@@ -397,9 +397,9 @@
             return
         views.health.failed(name, now)
 
-    def _heard_weights(self, call: Call, choice: EngineChoice, head: ResponseHead) -> None:
-        signs = self._tools.targets.signs(head)
+    def _heard_weights(self, call: Call, send: Send, head: ResponseHead) -> None:
+        signs = self._tools.targets.signs(send, head)
         prompt = call.ask.prompt
         if signs.weights is None or prompt is None:
             return
-        self._tools.views.saw_weights(choice.instance.name, prompt.model, signs.weights)
+        self._tools.views.saw_weights(send.instance.name, prompt.model, signs.weights)
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -137,6 +137,12 @@
         self.catalog = self._gauge("catalog_version", "version of the catalog in force")
         self.targets = self._gauge("targets", "targets that are known")
         self.cold_targets = self._gauge("cold_targets", "targets that are taken for cold")
+        self.limited_targets = self._gauge(
+            "limited_targets", "targets that name a limit for all nodes together"
+        )
+        self.paused_targets = self._gauge(
+            "paused_targets", "targets that want nothing from this node for a time"
+        )
         self.evacuated = self._gauge(
             "evacuated_data_centres", "data centres whose targets get nothing"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -29,6 +29,7 @@
 from .membership import Membership
 from .metrics import Metrics, MetricsHandler
 from .named_rows import NamedRows
+from .notices import Notices
 from .operator_feed import OperatorFeed
 from .ports import CallerDialect, OutOfReach, Platform, TargetDialect
 from .rollout_runner import RolloutRunner
@@ -168,10 +169,12 @@
             turn=settings.bounds.turn,
             era_since=lambda: self._era_since,
         )
+        notices = Notices(views=self._views)
         self._rollout_runner = RolloutRunner(
             views=self._views,
             neighbours=self._neighbours,
             targets=dialects.targets,
+            notices=notices,
             duty=duty,
             named_rows=self._named_rows,
             weights_seconds=settings.bounds.weights,
@@ -190,6 +193,7 @@
             told=self._gossip.sends_changed,
             crashes=self._crashes,
             cold=ColdGate(views=self._views, neighbours=self._neighbours, bounds=settings.bounds),
+            notices=notices,
         )
         self._entry_server = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
         directory = EntryHandler(
@@ -370,6 +374,8 @@
         metrics.evacuated.set(len(views.registry.evacuated))
         names = {target.name for target in views.registry.all()}
         metrics.cold_targets.set(views.cold.settle(names, now))
+        metrics.limited_targets.set(views.limits.settle(names, now))
+        metrics.paused_targets.set(views.pauses.settle(now))
         metrics.platform_calls.set(self._platform.calls)
         metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -12,6 +12,7 @@
 from fielddrift_core.catalog import Catalog, StoreTraits
 from fielddrift_core.evacuations import EvacuationNews
 from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.target_notices import TargetNotice
 from fielddrift_core.target_registry import Instance
 
 from ..web.messages import Headers, ResponseHead
@@ -43,12 +44,21 @@
 ]
 
 
+_NO_NOTICE = TargetNotice()
+
+
 class OutOfReach(Exception):
-    """The platform gave no usable answer; `sure` when the call surely did nothing."""
+    """The platform, or a target, gave no usable answer; `sure` when the call surely did nothing.
+
+    `notice` is what the other side said of itself beside.
+    """
 
-    def __init__(self, detail: str, *, sure: bool = False) -> None:
+    def __init__(
+        self, detail: str, *, sure: bool = False, notice: TargetNotice = _NO_NOTICE
+    ) -> None:
         super().__init__(detail)
         self.sure = sure
+        self.notice = notice
 
 
 class HistoryGone(Exception):
@@ -224,13 +234,14 @@
     `not_started` is proof that the request has not run and will not.
     `misdirected` says that the target is not the instance, or has not the
     weights, that were expected; `instance` is who answered, where it said so.
+    `notice` is what it says of itself.
     """
 
     not_started: bool
     misdirected: bool
     instance: str
     weights: int | None
-    retry_after: float | None
+    notice: TargetNotice = _NO_NOTICE
 
 
 class WeightsOrder(NamedTuple):
@@ -245,18 +256,23 @@
 
 
 class OrderOutcome(NamedTuple):
-    """How an engine took an order: `taken` or `holds` already; else why not."""
+    """How an engine took an order: `taken` or `holds` already; else why not.
+
+    `notice` is what it says of itself beside.
+    """
 
     taken: bool
     holds: bool
     busy: bool
     detail: str
+    notice: TargetNotice = _NO_NOTICE
 
 
 class EngineReport(NamedTuple):
     """What an engine says of itself; a view some hundred ms old.
 
     `orders` counts the orders it took, `clock` is the engines' clock in ms.
+    `notice` has what both the report and its answer's head tell.
     """
 
     versions: Mapping[str, int]
@@ -265,6 +281,7 @@
     waiting: int
     running: int
     clock: int | None
+    notice: TargetNotice = _NO_NOTICE
 
 
 class HeldPart(NamedTuple):
@@ -309,8 +326,8 @@
     def answers(self, send: Send, head: ResponseHead) -> bool:
         """Return whether `head` answers `send`, not an earlier request."""
 
-    def signs(self, head: ResponseHead) -> Signs:
-        """Return what the head tells."""
+    def signs(self, send: Send, head: ResponseHead) -> Signs:
+        """Return what the head of an answer to `send` tells."""
 
     async def order(self, order: WeightsOrder) -> OrderOutcome:
         """Give an order."""
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -15,6 +15,7 @@
 from .duty import Duty
 from .metrics import Metrics
 from .named_rows import NamedRows
+from .notices import Notices
 from .ports import EngineReport, OutOfReach, TargetDialect, WeightsOrder
 from .views import Views
 
@@ -61,6 +62,7 @@
         views: Views,
         neighbours: Neighbours,
         targets: TargetDialect,
+        notices: Notices,
         duty: Duty,
         named_rows: NamedRows,
         weights_seconds: float,
@@ -71,6 +73,7 @@
         self._views = views
         self._neighbours = neighbours
         self._targets = targets
+        self._notices = notices
         self._duty = duty
         self._named_rows = named_rows
         self._weights_seconds = weights_seconds
@@ -215,7 +218,9 @@
             report = await self._targets.report(instance)
         except OutOfReach as error:
             _log.info("no report", target=name, error=str(error))
+            self._notices.heard(instance, error.notice)
             return None
+        self._notices.heard(instance, report.notice)
         self._views.heard_clock(report.clock, asyncio.get_running_loop().time())
         for model, version in report.versions.items():
             self._views.saw_weights(name, model, version)
@@ -232,6 +237,7 @@
             self._metrics.orders.inc(of="unanswered")
             _log.warning("order not answered", target=name, version=wanted, error=str(error))
             return
+        self._notices.heard(instance, outcome.notice)
         self._metrics.orders.inc(of="taken" if outcome.taken else "refused")
         _log.info(
             "order given",
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -21,6 +21,8 @@
 """A connection within a region takes some ms; a lost opening packet is sent again after 1 s."""
 _LEAST_CONNECTIONS = 4
 """Connections to a target that a node may have, however many nodes there are."""
+_FAILED = 500
+"""The least status that tells that a target failed."""
 _UNSAFE_MOST_IDLE = 0.4
 """A kept connection on which something came so recently is still served by its target."""
 
@@ -174,7 +176,11 @@
             exchange.cancel()
         raise
     call.trace.framed = head.framed
-    signs = tools.targets.signs(head)
+    signs = tools.targets.signs(send, head)
+    served = not signs.not_started and head.status < _FAILED
+    tools.notices.heard(
+        send.instance, signs.notice, served_at=call.trace.sent_at if served else None
+    )
     if not signs.not_started:
         return exchange, head
     call.trace.unproved -= 1
@@ -182,7 +188,7 @@
     reason = _not_run_reason(signs, send)
     detail = f"target {send.instance.name}: status {head.status}, not run"
     raise TryFailed(
-        detail, reason=reason, reached=True, not_run=True, return_after=signs.retry_after
+        detail, reason=reason, reached=True, not_run=True, return_after=signs.notice.pause or None
     )
 
 
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -19,6 +19,7 @@
 from fielddrift_core.readers import OPERATORS_WAIT_SECONDS, Reading
 from fielddrift_core.rollout import EngineWeights, NamedTimes, Naming, VersionAge, soon_loading
 from fielddrift_core.store_index import StoreIndex
+from fielddrift_core.target_notices import TargetLimits, TargetPauses
 from fielddrift_core.target_registry import Instance, TargetRegistry
 from fielddrift_core.urgency import Waits
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
@@ -76,6 +77,8 @@
         self.registry = TargetRegistry()
         self.evacuations = Evacuations()
         self.cold = ColdSends()
+        self.limits = TargetLimits()
+        self.pauses = TargetPauses()
         self.workload = Workload()
         self.health = TargetHealth()
         self.store_index = StoreIndex()
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -95,6 +95,14 @@
         self.events = events
         self.work_seconds = work_seconds
         self.pause_seconds = pause_seconds
+        self.arrivals: list[tuple[float, str]] = []
+        """When each request came, on the loop's clock, and its id; refused ones too."""
+        self.limit: float | None = None
+        """The requests a second that every answer names as this worker's limit."""
+        self.leaving = False
+        """Whether every answer says that this worker leaves."""
+        self.pause = 0.0
+        """While above 0, every request is turned away with this `Retry-After`, in seconds."""
         self.signed = False
         """Whether each event says whose it is, and where it was made."""
         self.begun_bytes = _BEGUN_BYTES
@@ -138,9 +146,21 @@
                 (b"X-Request-Id", request_id.encode()),
                 (b"X-Response-Seal", f"{self.name}.{request_id}".encode()),
                 (b"X-Instance-Id", self.name.encode()),
+                *self.notice(),
             ]
         )
 
+    def notice(self) -> Headers:
+        """Return the headers by which this worker speaks of itself."""
+        fields = Headers()
+        if self.limit is not None:
+            fields.add(b"Server-Limit", str(self.limit).encode())
+        if self.leaving:
+            fields.add(b"Server-Leaving", b"1")
+        if self.pause > 0:
+            fields.add(b"Retry-After", str(self.pause).encode())
+        return fields
+
     def begin(self, request: Request) -> str:
         """Note that a request runs; return its id."""
         fields = {n.decode().lower(): v.decode() for n, v in request.head.headers}
@@ -185,11 +205,16 @@
     async def _run(self, request: Request, responder: Responder) -> None:
         fields = request.head.headers
         request_id = fields.text(b"x-request-id")
+        self.arrivals.append((asyncio.get_running_loop().time(), request_id))
         expected = fields.text(b"x-expect-instance")
         weights = fields.text(b"x-expect-version")
         if (expected and expected != self.name) or (weights and int(weights) != self.version):
             responder.send(421, self.head(request_id), b"")
             return
+        if self.pause > 0:
+            refusal = Headers([*self.head(request_id), (b"X-Not-Executed", b"1")])
+            responder.send(503, refusal, b"")
+            return
         if request.body in self.fatal:
             self.begin(request)
             await asyncio.sleep(self.fatal_seconds)
