Keep the limits that targets name, from all nodes together

Callers saw nothing yet: a target in need, which had named 1.4 requests a second, went on getting what it had got, 18 in 4 s where 13 are allowed.

Cause: no code read what an answer says of its target beside the answer. Ruled out: that each node kept the limit by itself (no node's sends fell), and that only what had been chosen before came late (22 requests in 4.2 s at an unchanged rate).

Now a few nodes of the target's data centre own it, by rendezvous among those active of late, heard or not, as with cold targets, and space their sends evenly. The limit travels among the loads of heartbeats with its age, so nodes that never sent there know it, and its end. An end counts only from an answer to a request that was sent after the limit was heard of. Where nobody may send, a prompt is refused at once instead of waiting in line.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -30,13 +30,13 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 from fielddrift_node.serving.call import Call, Tools, Trace
-from fielddrift_node.serving.cold_gate import ColdGate
 from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.kept import KeptParts, salt_of
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.notices import Notices
 from fielddrift_node.serving.placing import Placing
 from fielddrift_node.serving.ports import Ask, NamedWeights
+from fielddrift_node.serving.send_gate import SendGate
 from fielddrift_node.serving.settings import NodeSettings
 from fielddrift_node.serving.trying import Attempts
 from fielddrift_node.serving.views import Views
@@ -153,8 +153,8 @@
             rng=random.Random(seed),
             tell=lambda news, nodes: None,
         ),
-        cold=ColdGate(views=views, neighbours=neighbours, bounds=BOUNDS),
-        notices=Notices(views=views),
+        gate=SendGate(views=views, neighbours=neighbours, bounds=BOUNDS),
+        notices=Notices(views=views, changed=lambda: None),
     )
     request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
     ask = Ask("id", "h", "/", "", 4.0, _PROMPT, "", request)
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -12,7 +12,6 @@
 from fielddrift_core.store_index import KeptChange
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.call import Tools
-from fielddrift_node.serving.cold_gate import ColdGate
 from fielddrift_node.serving.crash_watch import CrashWatch
 from fielddrift_node.serving.gateway import Gateway
 from fielddrift_node.serving.gossip import Gossip
@@ -20,6 +19,7 @@
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.notices import Notices
 from fielddrift_node.serving.ports import NamedWeights
+from fielddrift_node.serving.send_gate import SendGate
 from fielddrift_node.serving.settings import Bounds, NodeSettings
 from fielddrift_node.serving.views import Views
 
@@ -114,8 +114,8 @@
             metrics=self.metrics,
             told=self.gossip.sends_changed,
             crashes=crashes,
-            cold=ColdGate(views=self.views, neighbours=self.neighbours, bounds=BOUNDS),
-            notices=Notices(views=self.views),
+            gate=SendGate(views=self.views, neighbours=self.neighbours, bounds=BOUNDS),
+            notices=Notices(views=self.views, changed=self.gossip.sends_changed),
         )
         self.gateway = Gateway(tools=tools)
         self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
--- a/packages/core/src/fielddrift_core/cold_targets.py
+++ b/packages/core/src/fielddrift_core/cold_targets.py
@@ -19,6 +19,7 @@
 from typing import NamedTuple
 
 from .names import rank
+from .recent_nodes import RecentNodes
 
 __all__ = ["ColdSends", "OwnShare", "Share", "share_of"]
 
@@ -64,21 +65,14 @@
 
     def __init__(self, *, node: str) -> None:
         self._node = node
-        self._nodes: frozenset[str] | None = None
-        self._former: deque[tuple[float, frozenset[str]]] = deque()
-        """Former lists, and until when each binds."""
+        self._recent = RecentNodes(hold=_HANDOVER_SECONDS)
 
     def sends(self, target: str, nodes: frozenset[str], bound: float, now: float) -> int:
         """Return how often the node may send to `target` within any second.
 
         `nodes` are those that were active of late.
         """
-        if self._nodes is not None and nodes != self._nodes:
-            self._former.append((now + _HANDOVER_SECONDS, self._nodes))
-        self._nodes = nodes
-        while self._former and self._former[0][0] <= now:
-            self._former.popleft()
-        lists = {nodes, *(former for _, former in self._former)}
+        lists = self._recent.lists(nodes, now)
         return min(self._share(target, each, bound) for each in lists)
 
     def _share(self, target: str, nodes: frozenset[str], bound: float) -> int:
--- a/packages/core/src/fielddrift_core/target_notices.py
+++ b/packages/core/src/fielddrift_core/target_notices.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
@@ -98,9 +99,12 @@
         return [LimitWord(name, limit.rate, now - limit.at) for name, limit in newest]
 
     def wait(self, target: str, spacing: float, now: float) -> float:
-        """Return the seconds until this node may send, if its sends are `spacing` seconds apart."""
-        sent_at = self._sent_at.get(target)
-        return 0.0 if sent_at is None else max(0.0, sent_at + spacing - now)
+        """Return the seconds until this node may send, if its sends are `spacing` seconds apart.
+
+        Without end where `spacing` is: this node sends nothing.
+        """
+        sent_at = self._sent_at.get(target, -math.inf)
+        return spacing if math.isinf(spacing) else max(0.0, sent_at + spacing - now)
 
     def sent(self, target: str, now: float) -> None:
         """Take that a request is about to be sent."""
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol, TypedDict
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
@@ -190,8 +190,8 @@
         """Take that a target answered a request whole."""
 
 
-class ColdCheck(Protocol):
-    """What requests ask of targets that may be cold."""
+class SendCheck(Protocol):
+    """What requests ask of targets that bear, or want, few of them."""
 
     def allows(self, service: Service, instance: Instance, now: float) -> bool:
         """Return whether this node may send to `instance` now."""
@@ -199,6 +199,9 @@
     def sent(self, instance: Instance, now: float) -> None:
         """Take that a request is about to be sent."""
 
+    def soonest(self, instances: Iterable[Instance], now: float) -> float | None:
+        """Return the seconds until one of `instances` may be sent to, None where none is known."""
+
 
 class Tools(NamedTuple):
     """What the ways of a request share."""
@@ -215,8 +218,8 @@
     """Tells the nodes nearby soon what this one sends."""
     crashes: CrashCheck
     """Refuses requests that end their targets, and learns which do."""
-    cold: ColdCheck
-    """Keeps what cold targets are sent within what they bear."""
+    gate: SendCheck
+    """Keeps what targets are sent within what they bear, and want."""
     notices: Notices
     """Takes what targets say of themselves."""
 
--- a/packages/node/src/fielddrift_node/serving/cold_gate.py
+++ b/packages/node/src/fielddrift_node/serving/cold_gate.py
@@ -7,15 +7,12 @@
 from fielddrift_core.neighbours import Neighbours
 from fielddrift_core.target_registry import Instance
 
+from .owners import knows_owners
 from .settings import Bounds
 from .views import Views
 
 __all__ = ["ColdGate"]
 
-_SETTLE_SECONDS = 1.1
-"""Age from which a node uses its part: until it has heard who else is active, it would
-take itself for the only owner."""
-
 
 class ColdGate:
     """Say whether a target may be sent to, and count what was sent to it."""
@@ -33,7 +30,9 @@
             return True
         me = self._neighbours.me
         # Whom other data centres have active is not known here, so they leave it to the near ones.
-        if instance.data_centre != me.data_centre or not self._knows_owners(now):
+        if instance.data_centre != me.data_centre:
+            return False
+        if not knows_owners(self._views, self._neighbours, now):
             return False
         nodes = self._neighbours.active_lately(now)
         sends = self._share.sends(instance.name, nodes, self._bound(service), now)
@@ -44,10 +43,6 @@
         if self._views.cold.is_cold(instance.name, now):
             self._views.cold.sent(instance.name, now)
 
-    def _knows_owners(self, now: float) -> bool:
-        """Return whether this node knows who was active of late, also of those it cannot hear."""
-        return self._views.age(now) >= _SETTLE_SECONDS and self._neighbours.knows_active(now)
-
     def _bound(self, service: Service) -> float:
         """Return the most requests that a cold target gets within a second, from all nodes."""
         return service.cold_rate * self._bounds.cold_overage + self._bounds.cold_slack
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -13,8 +13,10 @@
 from fielddrift_core.evacuations import EVACUATIONS_NAME
 from fielddrift_core.neighbours import Heartbeat, Neighbours, Standing
 from fielddrift_core.relays import CentreSize, nodes_name
+from fielddrift_core.target_notices import LimitWord
 from fielddrift_core.workload import Burden
 
+from .notices import log_limit
 from .views import Views
 
 __all__ = ["HeartbeatTranslator"]
@@ -23,6 +25,11 @@
 """Leaving targets in one heartbeat; a release replaces a few at a time."""
 _MOST_WEIGHTS = 16
 """Engines whose new weights are told in one heartbeat: more than load within one."""
+_MOST_LIMITS = 16
+"""Limits of targets in one heartbeat, the newest words: owners renew them with each answer."""
+_LIMIT_PREFIX = "limit:"
+"""Begins the names among the loads of targets under which heartbeats tell of limits: a field of
+its own would have nodes of the release before refuse the whole heartbeat."""
 _LONGEST_LOADING_SECONDS = 2.0
 """How long another node's word that an engine loads is believed at most."""
 
@@ -82,6 +89,8 @@
         teller = centre if remote else heartbeat.node.name
         burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
         burdens.pop(EVACUATIONS_NAME, None)
+        for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
+            self._heard_limit(name, burdens.pop(name), heartbeat.node.name)
         size = burdens.pop(nodes_name(centre), None)
         if size is not None:
             self._neighbours.sized(centre, CentreSize(size.running, size.memory))
@@ -120,12 +129,40 @@
         )
 
     def _marks(self) -> dict[str, Burden]:
-        """Return how far this node knows evacuations, under the name kept for it."""
+        """Return how far this node knows evacuations, and limits, under names kept for them."""
         row = self._views.evacuations.row
-        return {EVACUATIONS_NAME: Burden(memory=row)} if row else {}
+        marks = {EVACUATIONS_NAME: Burden(memory=row)} if row else {}
+        now = asyncio.get_running_loop().time()
+        for word in self._views.limits.words(now, _MOST_LIMITS):
+            marks[_LIMIT_PREFIX + word.target] = _limit_mark(word)
+        return marks
+
+    def _heard_limit(self, name: str, mark: Burden, told_by: str) -> None:
+        word = _limit_word(name, mark)
+        now = asyncio.get_running_loop().time()
+        if word is not None and self._views.limits.told(word, now):
+            log_limit(word.target, word.rate, told_by)
 
     def _heard_left(self, name: str, told_by: str) -> None:
         registry = self._views.registry
         if name not in registry.leaving() and registry.get(name) is not None:
             _log.info("target leaving", target=name, told_by=told_by)
             registry.left(name)
+
+
+def _limit_mark(word: LimitWord) -> Burden:
+    """Return a word as a load: its age in ms, and a thousandth of a request a second more than
+    the rate, 0 for none."""
+    rate = 0 if word.rate is None else 1 + round(word.rate * 1000)
+    return Burden(running=1, unread=round(word.age * 1000), memory=rate)
+
+
+def _limit_word(name: str, mark: Burden) -> LimitWord | None:
+    """Return the word in a load, None for the sum of several nodes' words.
+
+    A relay of the release before takes words for loads, and adds up its neighbours'.
+    """
+    if mark.running != 1:
+        return None
+    rate = (mark.memory - 1) / 1000 if mark.memory else None
+    return LimitWord(name.removeprefix(_LIMIT_PREFIX), rate, mark.unread / 1000)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -17,7 +17,6 @@
 from ..web.server import Limits, Server
 from .beliefs import beliefs_of, to_json
 from .call import Tools
-from .cold_gate import ColdGate
 from .crash_rows import CrashRows
 from .crash_watch import CrashWatch
 from .directory import EntryDialect, EntryHandler
@@ -33,6 +32,7 @@
 from .operator_feed import OperatorFeed
 from .ports import CallerDialect, OutOfReach, Platform, TargetDialect
 from .rollout_runner import RolloutRunner
+from .send_gate import SendGate
 from .settings import NodeSettings
 from .sharing import PeerHandler, Peers
 from .store_tracker import StoreTracker
@@ -169,7 +169,7 @@
             turn=settings.bounds.turn,
             era_since=lambda: self._era_since,
         )
-        notices = Notices(views=self._views)
+        notices = Notices(views=self._views, changed=lambda: self._gossip.changed(Reach.EVERYWHERE))
         self._rollout_runner = RolloutRunner(
             views=self._views,
             neighbours=self._neighbours,
@@ -192,7 +192,7 @@
             metrics=self._metrics,
             told=self._gossip.sends_changed,
             crashes=self._crashes,
-            cold=ColdGate(views=self._views, neighbours=self._neighbours, bounds=settings.bounds),
+            gate=SendGate(views=self._views, neighbours=self._neighbours, bounds=settings.bounds),
             notices=notices,
         )
         self._entry_server = Server(handler=Gateway(tools=tools).handle, limits=self._limits)
--- a/packages/node/src/fielddrift_node/serving/notices.py
+++ b/packages/node/src/fielddrift_node/serving/notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 from fielddrift_core.target_notices import TargetNotice
@@ -10,16 +11,17 @@
 
 from .views import Views
 
-__all__ = ["Notices"]
+__all__ = ["Notices", "log_limit"]
 
 _log = structlog.get_logger()
 
 
 class Notices:
-    """Note the limits and pauses that targets name, and log what they say anew."""
+    """Note what targets say; `changed` is called when other nodes should hear of it soon."""
 
-    def __init__(self, *, views: Views) -> None:
+    def __init__(self, *, views: Views, changed: Callable[[], None]) -> None:
         self._views = views
+        self._changed = changed
 
     def heard(
         self, instance: Instance, notice: TargetNotice, *, served_at: float | None = None
@@ -32,16 +34,28 @@
         now = asyncio.get_running_loop().time()
         if notice.leaving:
             self._leaves(instance)
-        if notice.limit is not None:
-            if self._views.limits.named(instance.name, notice.limit, now):
-                _log.info("target limited", target=instance.name, rate=notice.limit)
-        elif served_at is not None and self._views.limits.unnamed(
-            instance.name, sent_at=served_at, now=now
-        ):
-            _log.info("target limited no longer", target=instance.name)
+        self._limits(instance.name, notice.limit, served_at, now)
         if notice.pause > 0 and self._views.pauses.asked(instance.name, notice.pause, now):
             _log.info("target asks for a pause", target=instance.name, seconds=notice.pause)
 
+    def _limits(self, name: str, rate: float | None, served_at: float | None, now: float) -> None:
+        limits = self._views.limits
+        if rate is not None:
+            changed = limits.named(name, rate, now)
+        else:
+            changed = served_at is not None and limits.unnamed(name, sent_at=served_at, now=now)
+        if changed:
+            log_limit(name, rate, "itself")
+            self._changed()
+
     def _leaves(self, instance: Instance) -> None:
         if instance.name not in self._views.registry.leaving():
             _log.info("target says that it leaves", target=instance.name)
+
+
+def log_limit(target: str, rate: float | None, told_by: str) -> None:
+    """Log that a target names another limit, None for none any more."""
+    if rate is None:
+        _log.info("target limited no longer", target=target, told_by=told_by)
+    else:
+        _log.info("target limited", target=target, rate=rate, told_by=told_by)
--- a/packages/node/src/fielddrift_node/serving/placing.py
+++ b/packages/node/src/fielddrift_node/serving/placing.py
@@ -89,7 +89,7 @@
         if best is None:
             raise attempts.exhausted()
         if not attempts.tried:
-            self._admit(call, best, self._wait(call, room))
+            self._admit(call, best, max(self._wait(call, room), self._closed(call)))
         return await self._in_line(call, attempts, best, room, rank)
 
     # --- waiting ----------------------------------------------------------------
@@ -105,6 +105,20 @@
         engines = len(views.registry.serving(call.service.name))
         return room.turnover.wait(ahead + prompt.tokens, engines * traits.memory)
 
+    def _closed(self, call: Call) -> float:
+        """Return the seconds until this node may send to some engine; raise `Refused` for never.
+
+        Engines that want nothing of this node have no room for it, however empty they are.
+        """
+        now = asyncio.get_running_loop().time()
+        serving = self._tools.views.registry.serving(call.service.name)
+        closed = self._tools.gate.soonest(serving, now)
+        if closed is None:
+            back = return_after(patience=call.deadline - now, rng=self._tools.rng)
+            detail = "no engine takes requests of this node"
+            raise Refused(Refusal(Kind.OVERLOADED, detail, Ran.NO, back, "closed"))
+        return closed
+
     def _admit(self, call: Call, choice: EngineChoice, wait: float) -> None:
         """Raise `Refused` where even the best engine would answer too late.
 
@@ -205,7 +219,7 @@
             for engine in placeable.engines
             if engine.name not in tried and engine.outdated <= oldest
             if (instance := views.registry.get(engine.name)) is not None
-            if not wanted.sends or self._tools.cold.allows(call.service, instance, now)
+            if not wanted.sends or self._tools.gate.allows(call.service, instance, now)
         ]
         part = wanted.part
         if part is not None:
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -33,7 +33,7 @@
         while True:
             instance = self._choose(call, attempts.tried)
             if instance is None:
-                raise attempts.exhausted()
+                raise attempts.exhausted(return_after=self._soonest(call))
             attempts.begin(instance)
             try:
                 head, body = await self._try(call, instance, more=attempts.more())
@@ -51,7 +51,7 @@
         sights = [
             PlainSight(i, views.workload.at(i.name, now), views.health.share(i.name, now))
             for i in views.registry.serving(call.service.name)
-            if self._tools.cold.allows(call.service, i, now)
+            if self._tools.gate.allows(call.service, i, now)
         ]
         return choose_plain(
             sights,
@@ -60,6 +60,12 @@
             rng=self._tools.rng,
         )
 
+    def _soonest(self, call: Call) -> float | None:
+        """Return the seconds until some target may be sent to, None where that is not known."""
+        now = asyncio.get_running_loop().time()
+        serving = self._tools.views.registry.serving(call.service.name)
+        return self._tools.gate.soonest(serving, now) or None
+
     async def _try(
         self, call: Call, instance: Instance, *, more: bool
     ) -> tuple[ResponseHead, bytes]:
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -0,0 +1,43 @@
+"""Say which targets this node may send to now, by what they say of themselves."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from fielddrift_core.catalog import Service
+from fielddrift_core.neighbours import Neighbours
+from fielddrift_core.target_registry import Instance
+
+from .cold_gate import ColdGate
+from .limit_gate import LimitGate
+from .settings import Bounds
+from .views import Views
+
+__all__ = ["SendGate"]
+
+
+class SendGate:
+    """The one place that every sender asks, and tells what it sends."""
+
+    def __init__(self, *, views: Views, neighbours: Neighbours, bounds: Bounds) -> None:
+        self._views = views
+        self._cold = ColdGate(views=views, neighbours=neighbours, bounds=bounds)
+        self._limits = LimitGate(views=views, neighbours=neighbours)
+
+    def allows(self, service: Service, instance: Instance, now: float) -> bool:
+        """Return whether this node may send to `instance`, which is of `service`, now."""
+        return self._wait(instance, now) <= 0 and self._cold.allows(service, instance, now)
+
+    def sent(self, instance: Instance, now: float) -> None:
+        """Count a request that is about to be sent."""
+        self._cold.sent(instance, now)
+        self._limits.sent(instance, now)
+
+    def soonest(self, instances: Iterable[Instance], now: float) -> float | None:
+        """Return the seconds until one of `instances` may be sent to, None where none is known."""
+        waits = [self._wait(instance, now) for instance in instances]
+        return min((wait for wait in waits if math.isfinite(wait)), default=None)
+
+    def _wait(self, instance: Instance, now: float) -> float:
+        return self._limits.wait(instance, now)
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -80,7 +80,7 @@
             budget.first(now)
         elif not budget.take(now, nodes=self._tools.views.nodes):
             raise Refused(self._refusal("repeated sends are used up", None))
-        self._tools.cold.sent(instance, now)
+        self._tools.gate.sent(instance, now)
         self._tools.metrics.sends.inc()
         self._instance = instance
         self._call.trace.sent_at = now
@@ -127,9 +127,11 @@
         elif failure.refused:
             self._tools.crashes.refused(instance)
 
-    def exhausted(self, detail: str = "no target can take it") -> Refused:
+    def exhausted(
+        self, detail: str = "no target can take it", *, return_after: float | None = None
+    ) -> Refused:
         """Return the end of a request that no target can serve, or go on with."""
-        return Refused(self._refusal(detail, None))
+        return Refused(self._refusal(detail, return_after))
 
     def more(self) -> bool:
         """Return whether the route allows another sending."""
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -21,8 +21,8 @@
 _STEP_SECONDS = 0.05
 _HEARTBEAT_SECONDS = 0.15
 _COLD = 3600.0
-_NODES = 6
-_TARGETS = ("t0", "t1", "t2")
+NODES = 6
+TARGETS = ("t0", "t1", "t2")
 
 
 class TestShares(unittest.TestCase):
@@ -106,11 +106,11 @@
         self.nodes: dict[int, Neighbours] = {}
         self.sends: dict[int, ColdSends] = {}
         self.shares: dict[int, OwnShare] = {}
-        self.arrivals = {name: deque[float]() for name in _TARGETS}
+        self.arrivals = {name: deque[float]() for name in TARGETS}
         self.worst = 0
         self.boots = 0
         self._told_at: dict[int, float] = {}
-        for number in range(_NODES):
+        for number in range(NODES):
             self.start(number)
 
     def start(self, number: int) -> None:
@@ -120,7 +120,7 @@
         self.nodes[number].report(serving=True, load=40.0)
         self.sends[number] = ColdSends()
         self.shares[number] = OwnShare(node=me.name)
-        for target in _TARGETS:
+        for target in TARGETS:
             self.sends[number].told(target, _COLD, self.now)
         self.begun[number] = self.now
         self.frozen.discard(number)
@@ -136,6 +136,24 @@
             for number in sorted(self.nodes.keys() - self.frozen):
                 self._send(number)
 
+    def walk(self, steps: list[tuple[str, int, float]]) -> None:
+        """Take `steps`, each of which names a node and how long it lasts."""
+        self.run(4.0)
+        for kind, number, seconds in steps:
+            if kind == "cut":
+                self.cut.add(number)
+            elif kind == "heal":
+                self.cut.discard(number)
+            elif kind == "freeze":
+                self.frozen.add(number)
+            elif kind == "wake":
+                self.frozen.discard(number)
+            elif kind == "restart":
+                self.start(number)
+            else:
+                self.lost = 0.3 if kind == "lose" else 0.0
+            self.run(seconds)
+
     def _tell(self, number: int) -> None:
         if self.now - self._told_at.get(number, 0.0) < _HEARTBEAT_SECONDS:
             return
@@ -152,7 +170,7 @@
         if age < 1.1 or not self.nodes[number].knows_active(self.now):
             return
         nodes = self.nodes[number].active_lately(self.now)
-        for target in _TARGETS:
+        for target in TARGETS:
             sends = self.shares[number].sends(target, nodes, BOUND, self.now)
             while self.sends[number].has_room(target, sends, self.now):
                 self.sends[number].sent(target, self.now)
@@ -166,10 +184,10 @@
         self.worst = max(self.worst, len(arrivals))
 
 
-_STEPS = st.lists(
+STEPS = st.lists(
     st.tuples(
         st.sampled_from(["cut", "heal", "freeze", "wake", "restart", "lose", "find"]),
-        st.integers(0, _NODES - 1),
+        st.integers(0, NODES - 1),
         st.floats(0.1, 8.0),
     ),
     min_size=1,
@@ -185,30 +203,16 @@
     )
     @example([("cut", 0, 1.0), ("restart", 0, 2.0)], 0)
     @example([("cut", 0, seconds) for seconds in (1.0, 2.0, 6.0, 6.0, 6.0)], 0)
-    @given(_STEPS, st.integers(0, 5))
+    @given(STEPS, st.integers(0, 5))
     def test_no_target_gets_more_than_it_bears(self, steps: list, seed: int) -> None:
         site = Site(seed)
-        site.run(4.0)
-        for kind, number, seconds in steps:
-            if kind == "cut":
-                site.cut.add(number)
-            elif kind == "heal":
-                site.cut.discard(number)
-            elif kind == "freeze":
-                site.frozen.add(number)
-            elif kind == "wake":
-                site.frozen.discard(number)
-            elif kind == "restart":
-                site.start(number)
-            else:
-                site.lost = 0.3 if kind == "lose" else 0.0
-            site.run(seconds)
+        site.walk(steps)
         self.assertLessEqual(site.worst, BOUND)
 
     def test_each_cut_off_by_itself_takes_no_more_than_its_part(self) -> None:
         site = Site(1)
         site.run(4.0)
-        site.cut = set(range(_NODES))
+        site.cut = set(range(NODES))
         site.run(10.0)
         self.assertLessEqual(site.worst, BOUND)
         self.assertGreaterEqual(site.worst, 0.7 * BOUND)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,13 +13,16 @@
 from pathlib import Path
 
 from fielddrift_core.catalog import Repeat, Transport
+from fielddrift_core.target_notices import TargetNotice
+from fielddrift_core.target_registry import Instance
 from fielddrift_node.log import LineSink
-from fielddrift_node.serving.ports import Ask, BadAsk
+from fielddrift_node.serving.ports import Ask, BadAsk, Send
 from fielddrift_node.serving.settings import SettingsFault
-from fielddrift_node.web.messages import Headers, RequestHead
+from fielddrift_node.web.messages import Headers, RequestHead, ResponseHead
 from fielddrift_node.web.server import Request
 from fielddrift_platform.callers import PlatformCallers
 from fielddrift_platform.settings import load
+from fielddrift_platform.targets import PlatformTargets
 from fielddrift_platform.wire import decode_catalog, decode_instance
 from fielddrift_standins.worker import Worker
 from hypothesis import given, settings
@@ -27,9 +30,10 @@
 
 from .platform_fleet import FleetCase, eventually, get, send_raw
 
+_INSTANCE = Instance("i-1", "engines", "127.0.0.1:1", "a")
 ROOT = Path(__file__).resolve().parent.parent
 NAMES = re.compile(
-    r"X-(Expect-Instance|Not-Executed|Kv-|Cache-Salt|Deadline-Ms|Response-Seal|Credential)"
+    r"Server-(Limit|Leaving)|X-(Expect-Instance|Not-Executed|Kv-|Cache-Salt|Deadline-Ms|Response-Seal|Credential)"
     r"|rows-(tx|feed|get)|kv-(events|list|free)|target-latency-ms|api-keys|traffic-split",
     re.IGNORECASE,
 )
@@ -177,6 +181,45 @@
         self.assertIsInstance(found, Ask | BadAsk)
 
 
+class TestNotices(unittest.TestCase):
+    """What a target says of itself, in the head of any answer to a send."""
+
+    def signs(self, status: int, *fields: tuple[bytes, bytes]) -> TargetNotice:
+        send = Send(ask=None, instance=_INSTANCE, seconds=1.0, customer="")  # type: ignore[arg-type]
+        head = ResponseHead(status, Headers(fields), 0, True)
+        return PlatformTargets(client=None).signs(send, head).notice  # type: ignore[arg-type]
+
+    def test_each_header_is_read(self) -> None:
+        self.assertEqual(self.signs(200, (b"Server-Limit", b"1.5")).limit, 1.5)
+        self.assertEqual(self.signs(503, (b"Server-Limit", b"0")).limit, 0.0)
+        self.assertTrue(self.signs(200, (b"Server-Leaving", b"1")).leaving)
+        self.assertEqual(self.signs(503, (b"Retry-After", b"3")).pause, 3.0)
+        self.assertEqual(self.signs(429, (b"Retry-After", b"0.25")).pause, 0.25)
+
+    def test_a_success_asks_for_no_pause(self) -> None:
+        self.assertEqual(self.signs(200, (b"Retry-After", b"3")), TargetNotice())
+
+    def test_what_is_no_number_says_nothing(self) -> None:
+        for text in (
+            b"",
+            b"nan",
+            b"inf",
+            b"-1",
+            b"1e999",
+            b"soon",
+            b"Wed, 21 Oct 2026 07:28:00 GMT",
+        ):
+            fields = ((b"Server-Limit", text), (b"Retry-After", text), (b"Server-Leaving", text))
+            self.assertEqual(self.signs(503, *fields), TargetNotice(), text)
+
+    def test_another_target_at_the_address_speaks_of_itself(self) -> None:
+        said = (b"Server-Leaving", b"1")
+        self.assertFalse(self.signs(421, said).leaving)
+        self.assertFalse(self.signs(421, said, (b"X-Instance-Id", b"other")).leaving)
+        self.assertFalse(self.signs(200, said, (b"X-Instance-Id", b"other")).leaving)
+        self.assertTrue(self.signs(421, said, (b"X-Instance-Id", b"i-1")).leaving)
+
+
 class TestBytes(FleetCase):
     async def test_any_bytes_get_an_answer_or_a_close_and_nothing_is_sent_on(self) -> None:
         # What looks like the beginning of a longer request is waited for only so long.
