Show that targets get requests after they have said that they leave

Two nodes before a target that says so in its answers and one that stays: of 20 requests 10 go to the one that leaves, at both nodes, while the store is away as well as while it is there.

--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -101,6 +101,8 @@
         """The requests a second that every answer names as this worker's limit."""
         self.leaving = False
         """Whether every answer says that this worker leaves."""
+        self.state = ""
+        """The state that reports name, empty for none."""
         self.pause = 0.0
         """While above 0, every request is turned away with this `Retry-After`, in seconds."""
         self.signed = False
@@ -173,7 +175,7 @@
     async def _handle(self, request: Request, responder: Responder) -> None:
         path = request.head.target.decode().partition("?")[0]
         if path == "/report":
-            responder.send(200, _JSON, self._report())
+            responder.send(200, Headers([*_JSON, *self.notice()]), self._report())
             return
         if path == "/order":
             self._order(json.loads(request.body), responder)
@@ -183,11 +185,13 @@
     def _report(self) -> bytes:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         answer = {"stage": "combined", "models": models, "busy": self._busy}
+        if self.state:
+            answer["state"] = self.state
         return json.dumps({**answer, "seq": len(self.orders), "clock_ms": 1000.0}).encode()
 
     def _order(self, order: dict[str, Any], responder: Responder) -> None:
         if self._busy or order.get("expected", len(self.orders)) != len(self.orders):
-            responder.send(409, Headers(), b"")
+            responder.send(409, self.notice(), b"")
             return
         self.orders.append(order)
         if self.unanswered_orders > 0:
@@ -196,7 +200,7 @@
             return
         self._busy = True
         asyncio.get_running_loop().call_later(self.load_seconds, self._loaded, order["version"])
-        responder.send(202, Headers(), b"")
+        responder.send(202, self.notice(), b"")
 
     def _loaded(self, version: int) -> None:
         self.version = version
