Send nothing to targets that say in an answer that they leave

Callers' requests reached a target 2.8 s after one of its answers had told the node that it leaves; while the platform's store was away its entry could not say so.

Cause: the same as with limits: only a target's entry was read, not what its answers say beside the answer (H1: no node had a line, and sends went on unchanged). Found with it: an entry that lapses with the store and comes back, a whole list or a copy from a node that has not heard made a target ready again (H2), so what is known of a life is remembered apart from its entry; reports name the state too, and were not read for it; orders went on to a target that leaves; of a data centre's targets that leave at once heartbeats told 16, the same ones each time. Repeats, resumed runs and prompts in line choose among the same targets as first sends, and needed nothing (H3 ruled out).

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -24,7 +24,8 @@
 """How long an entry that had ended here is doubted when it stands in a copy that the store came
 back from: one that nobody renews goes after three heartbeats, some four seconds."""
 _MOST_ENDED = 1000
-"""Ends that are remembered: those of an hour in which each target of a large fleet is replaced."""
+"""Lives that are remembered which have ended, or said that they leave: those of an hour in which
+each target of a large fleet is replaced."""
 
 
 def life_name(target: str, started: int | None) -> str:
@@ -72,6 +73,9 @@
         self._lives: dict[str, str] = {}
         """The name of the life that is listed, by target id."""
         self._leaving: set[str] = set()
+        self._left: dict[str, None] = {}
+        """Names of lives that have said that they leave, listed or not, the last ones last: an
+        entry that lapses with the store and returns, or a copy, must not make them ready."""
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._respite_until = 0.0
@@ -149,6 +153,8 @@
             self._remove(former)
         returned = self._lapsed.pop(instance.name, None) is not None
         if instance.leaving:
+            _remember(self._left, instance.name)
+        if instance.name in self._left:
             self._leaving.add(instance.name)
         # Who copied the entry as lapsed gives it up unless it hears of the return.
         if returned or self._instances.get(instance.name) != instance:
@@ -188,6 +194,7 @@
 
     def left(self, name: str) -> None:
         """Note a first sign that an instance is leaving, from whoever had it."""
+        _remember(self._left, name)
         if name in self._instances and name not in self._leaving:
             self._leaving.add(name)
             self._sort()
@@ -220,7 +227,9 @@
         self._lives = {e.target: name for name, e in self._instances.items()}
         self._lapsed = held
         told = {*leaving, *(e.name for e in self._instances.values() if e.leaving)}
-        self._leaving = (self._leaving | told) & self._instances.keys()
+        for name in told - self._left.keys():
+            _remember(self._left, name)
+        self._leaving = self._left.keys() & self._instances.keys()
         self._sort()
 
     def leaving(self) -> frozenset[str]:
@@ -261,9 +270,7 @@
         self._sort()
 
     def _note_ended(self, name: str) -> None:
-        self._ended[name] = None
-        if len(self._ended) > _MOST_ENDED:
-            del self._ended[next(iter(self._ended))]
+        _remember(self._ended, name)
 
     def _sort(self) -> None:
         self.serial += 1
@@ -275,3 +282,9 @@
             if instance.name not in self._leaving and instance.data_centre not in self._evacuated:
                 by_service.setdefault(instance.service, []).append(instance)
         self._by_service = by_service
+
+
+def _remember(names: dict[str, None], name: str) -> None:
+    names[name] = None
+    if len(names) > _MOST_ENDED:
+        del names[next(iter(names))]
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -22,7 +22,8 @@
 __all__ = ["HeartbeatTranslator"]
 
 _MOST_LEFT = 16
-"""Leaving targets in one heartbeat; a release replaces a few at a time."""
+"""Leaving targets in one heartbeat: a release replaces a few at a time.  Where more leave, as
+with a whole data centre, heartbeats tell of them in turn."""
 _MOST_WEIGHTS = 16
 """Engines whose new weights are told in one heartbeat: more than load within one."""
 _MOST_LIMITS = 16
@@ -42,6 +43,8 @@
     def __init__(self, *, views: Views, neighbours: Neighbours) -> None:
         self._views = views
         self._neighbours = neighbours
+        self._next_left = 0
+        """Where the next heartbeat goes on among the leaving targets."""
 
     def heartbeat(self, standing: Standing, *, leaving: bool) -> Heartbeat:
         """Return what to tell a node that stands so to this one."""
@@ -124,10 +127,19 @@
             named=dict(views.named),
             named_ages=views.named_times.ages(now),
             reading=views.reading(now),
-            left=tuple(sorted(views.registry.leaving()))[:_MOST_LEFT],
+            left=self._left(),
             burdens=self._marks(),
         )
 
+    def _left(self) -> tuple[str, ...]:
+        """Return the leaving targets that the next heartbeat tells of."""
+        leaving = sorted(self._views.registry.leaving())
+        if len(leaving) <= _MOST_LEFT:
+            return tuple(leaving)
+        first = self._next_left % len(leaving)
+        self._next_left = first + _MOST_LEFT
+        return tuple((leaving + leaving)[first : first + _MOST_LEFT])
+
     def _marks(self) -> dict[str, Burden]:
         """Return how far this node knows evacuations, and limits, under names kept for them."""
         row = self._views.evacuations.row
@@ -147,7 +159,8 @@
         registry = self._views.registry
         if name not in registry.leaving() and registry.get(name) is not None:
             _log.info("target leaving", target=name, told_by=told_by)
-            registry.left(name)
+        # Also where this node has not read its entry yet.
+        registry.left(name)
 
 
 def _limit_mark(word: LimitWord) -> Burden:
--- a/packages/node/src/fielddrift_node/serving/notices.py
+++ b/packages/node/src/fielddrift_node/serving/notices.py
@@ -49,8 +49,12 @@
             self._changed()
 
     def _leaves(self, instance: Instance) -> None:
-        if instance.name not in self._views.registry.leaving():
-            _log.info("target says that it leaves", target=instance.name)
+        registry = self._views.registry
+        known = instance.name in registry.leaving()
+        registry.left(instance.name)
+        if not known and registry.get(instance.name) is not None:
+            _log.info("target leaving", target=instance.name, told_by="itself")
+            self._changed()
 
 
 def log_limit(target: str, rate: float | None, told_by: str) -> None:
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -190,7 +190,9 @@
         ordered_at = float("-inf")
         while loop.time() < until:
             instance = self._views.registry.get(name)
-            if instance is None or self._views.named.get(model, 0) != wanted:
+            if instance is None or name in self._views.registry.leaving():
+                return
+            if self._views.named.get(model, 0) != wanted:
                 return
             self._views.loading.note(name, loop.time() + _ANNOUNCED_SECONDS)
             self._announce()
