Leave targets alone for as long as they ask for

A target that had turned a node away with a time to wait got 5 requests from it within that time, where two are allowed, and callers were told to wait that time as well while other targets served.

First sends, repeats, resumed runs and prompts in line ask one gate now, which knows the pause; orders, reports and calls to store hosts wait for its end too, and ask for one as well as requests do. Callers hear when the first target takes requests again; where all have asked for a pause they hear it at once, without a wait in line. Nodes nearby are told that such an engine has no room, two seconds at most.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -28,7 +28,10 @@
 __all__ = ["Generation"]
 
 _AVOID_SECONDS = 0.3
-"""How long an engine that turned a request away is avoided."""
+"""How long an engine that turned a request away is avoided, at least."""
+_MOST_AVOID_SECONDS = 2.0
+"""The same at most, where the engine asks for a longer pause: nodes that it has not turned
+away send to it again then."""
 _FIRST_EVENT_AIMS = 2.0
 """Silence before the first event, in aims and estimates, after which a run is moved."""
 _PAUSE_AIMS = 3.0
@@ -393,7 +396,9 @@
             # It was this node that gave up.
             return
         if failure.reason in ("not-started", "other-weights"):
-            views.loading.note(name, now + _AVOID_SECONDS)
+            # Nodes nearby are told, so that they send elsewhere before they are turned away too.
+            pause = min(views.pauses.left(name, now), _MOST_AVOID_SECONDS)
+            views.loading.note(name, now + max(pause, _AVOID_SECONDS))
             return
         views.health.failed(name, now)
 
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -141,7 +141,7 @@
             "limited_targets", "targets that name a limit for all nodes together"
         )
         self.paused_targets = self._gauge(
-            "paused_targets", "targets that want nothing from this node for a time"
+            "paused_targets", "targets and store hosts that want nothing from this node for a time"
         )
         self.evacuated = self._gauge(
             "evacuated_data_centres", "data centres whose targets get nothing"
--- a/packages/node/src/fielddrift_node/serving/plain.py
+++ b/packages/node/src/fielddrift_node/serving/plain.py
@@ -33,7 +33,7 @@
         while True:
             instance = self._choose(call, attempts.tried)
             if instance is None:
-                raise attempts.exhausted(return_after=self._soonest(call))
+                raise attempts.exhausted()
             attempts.begin(instance)
             try:
                 head, body = await self._try(call, instance, more=attempts.more())
@@ -60,12 +60,6 @@
             rng=self._tools.rng,
         )
 
-    def _soonest(self, call: Call) -> float | None:
-        """Return the seconds until some target may be sent to, None where that is not known."""
-        now = asyncio.get_running_loop().time()
-        serving = self._tools.views.registry.serving(call.service.name)
-        return self._tools.gate.soonest(serving, now) or None
-
     async def _try(
         self, call: Call, instance: Instance, *, more: bool
     ) -> tuple[ResponseHead, bytes]:
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -162,10 +162,14 @@
         return found
 
     def _engines(self, group: list[Instance], model: str, now: float) -> tuple[EngineWeights, ...]:
-        """Return the engines among `group`; those load that are ordered to, here."""
+        """Return the engines among `group`; those load that are ordered to, here.
+
+        Those that want nothing from this node are left out: another one may order them.
+        """
         return tuple(
             engine._replace(loading=engine.name in self._under_way)
             for engine in self._views.with_weights(group, model, now)
+            if not self._views.pauses.left(engine.name, now)
         )
 
     def _begin(self, work: _Work, now: float) -> None:
@@ -194,6 +198,9 @@
                 return
             if self._views.named.get(model, 0) != wanted:
                 return
+            if self._views.pauses.left(name, loop.time()):
+                await asyncio.sleep(_REPORT_SECONDS)
+                continue
             self._views.loading.note(name, loop.time() + _ANNOUNCED_SECONDS)
             self._announce()
             await asyncio.sleep(_ANNOUNCE_LEAD)
--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -40,4 +40,4 @@
         return min((wait for wait in waits if math.isfinite(wait)), default=None)
 
     def _wait(self, instance: Instance, now: float) -> float:
-        return self._limits.wait(instance, now)
+        return max(self._views.pauses.left(instance.name, now), self._limits.wait(instance, now))
--- a/packages/node/src/fielddrift_node/serving/store_tracker.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -194,7 +194,16 @@
                     )
                 lost = True
                 view.unknown()
-                await asyncio.sleep(self._rng.uniform(_REST_SECONDS / 2, _REST_SECONDS))
+                rest = self._rng.uniform(_REST_SECONDS / 2, _REST_SECONDS)
+                await asyncio.sleep(max(rest, self._paused(view, error)))
+
+    def _paused(self, view: StoreView, error: OutOfReach | None = None) -> float:
+        """Return the seconds for which a store wants no call, by what `error` says too."""
+        now = asyncio.get_running_loop().time()
+        address, pauses = view.traits.address, self._views.pauses
+        if error is not None and error.notice.pause > 0:
+            pauses.asked(address, error.notice.pause, now)
+        return pauses.left(address, now)
 
     async def _copy(self, now: float) -> None:
         """Have what changed from the nodes that hear the stores."""
@@ -299,11 +308,15 @@
         old = {salt for salt, at in self._used_at.items() if now - at > _FREE_AFTER_SECONDS}
         for address, keys in views.store_index.under(old).items():
             view = views.store_index.view(address)
-            if view is None or view.life is None:
+            if view is None or view.life is None or self._paused(view):
                 continue
             batch = keys[:_FREED_AT_ONCE]
             parts = [(salt, Part(part, 0)) for salt, part in batch]
-            done = await self._targets.free(view.traits, parts, view.life)
+            try:
+                done = await self._targets.free(view.traits, parts, view.life)
+            except OutOfReach as error:
+                self._paused(view, error)
+                raise
             self._metrics.freed.inc(len(batch) if done else 0)
             _log.info("parts freed", store=address, parts=len(batch), done=done)
             if done:
--- a/packages/node/src/fielddrift_node/serving/trying.py
+++ b/packages/node/src/fielddrift_node/serving/trying.py
@@ -33,8 +33,7 @@
     """One sending that gave no answer to deliver.
 
     `reached` is False when no byte left; `not_run` is proof that it did not
-    run.  `return_after` is when the target wants to be asked again, in seconds;
-    `refused` says that nobody listened at its address.
+    run.  `refused` says that nobody listened at its address.
     """
 
     def __init__(
@@ -44,14 +43,12 @@
         reason: str,
         reached: bool,
         not_run: bool,
-        return_after: float | None = None,
         refused: bool = False,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.reached = reached
         self.not_run = not_run
-        self.return_after = return_after
         self.refused = refused
 
 
@@ -115,7 +112,7 @@
             self._connects += 1
         may = failure.not_run or call.route.repeatable
         if not may or self._reached >= call.route.attempts or self._connects >= MOST_CONNECTS:
-            raise Refused(self._refusal(str(failure), failure.return_after))
+            raise self.exhausted(str(failure))
 
     def _watch(self, failure: TryFailed) -> None:
         """Tell whoever watches for requests that end their targets."""
@@ -127,11 +124,15 @@
         elif failure.refused:
             self._tools.crashes.refused(instance)
 
-    def exhausted(
-        self, detail: str = "no target can take it", *, return_after: float | None = None
-    ) -> Refused:
-        """Return the end of a request that no target can serve, or go on with."""
-        return Refused(self._refusal(detail, return_after))
+    def exhausted(self, detail: str = "no target can take it") -> Refused:
+        """Return the end of a request that no target can serve, or go on with.
+
+        Its caller may come back as soon as any target takes requests: what one target asked
+        of this node keeps nobody from the others.
+        """
+        now = asyncio.get_running_loop().time()
+        serving = self._tools.views.registry.serving(self._call.service.name)
+        return Refused(self._refusal(detail, self._tools.gate.soonest(serving, now) or None))
 
     def more(self) -> bool:
         """Return whether the route allows another sending."""
@@ -189,9 +190,7 @@
     await _drain(exchange)
     reason = _not_run_reason(signs, send)
     detail = f"target {send.instance.name}: status {head.status}, not run"
-    raise TryFailed(
-        detail, reason=reason, reached=True, not_run=True, return_after=signs.notice.pause or None
-    )
+    raise TryFailed(detail, reason=reason, reached=True, not_run=True)
 
 
 def _not_run_reason(signs: Signs, send: Send) -> str:
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -97,6 +97,8 @@
         self.pause_seconds = pause_seconds
         self.arrivals: list[tuple[float, str]] = []
         """When each request came, on the loop's clock, and its id; refused ones too."""
+        self.calls: list[tuple[float, str]] = []
+        """When each report was asked for, and each order came, and its path."""
         self.limit: float | None = None
         """The requests a second that every answer names as this worker's limit."""
         self.leaving = False
@@ -174,6 +176,8 @@
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         path = request.head.target.decode().partition("?")[0]
+        if path in ("/report", "/order"):
+            self.calls.append((asyncio.get_running_loop().time(), path))
         if path == "/report":
             responder.send(200, Headers([*_JSON, *self.notice()]), self._report())
             return
@@ -190,6 +194,9 @@
         return json.dumps({**answer, "seq": len(self.orders), "clock_ms": 1000.0}).encode()
 
     def _order(self, order: dict[str, Any], responder: Responder) -> None:
+        if self.pause > 0:
+            responder.send(503, self.notice(), b"")
+            return
         if self._busy or order.get("expected", len(self.orders)) != len(self.orders):
             responder.send(409, self.notice(), b"")
             return
@@ -413,6 +420,10 @@
         self.life = 1
         self.held: dict[tuple[str, str], int] = {}
         self.freed: list[list[str]] = []
+        self.calls: list[float] = []
+        """When each call came, on the loop's clock."""
+        self.pause = 0.0
+        """While above 0, every call is turned away with this `Retry-After`, in seconds."""
         self._events: list[list[Any]] = []
         self._server = Server(handler=self._handle, limits=Limits)
 
@@ -438,6 +449,10 @@
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         path, _, query = request.head.target.decode().partition("?")
+        self.calls.append(asyncio.get_running_loop().time())
+        if self.pause > 0:
+            responder.send(429, Headers([(b"Retry-After", str(self.pause).encode())]), b"")
+            return
         common = {"boot-epoch": self.life, "next-token": len(self._events), "clock_ms": 1000.0}
         if path == "/kv-list":
             held = [[salt, part, tokens, "m"] for (salt, part), tokens in self.held.items()]
