--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -239,6 +239,8 @@
         instance = self._views.registry.get(name)
         if instance is None:
             return
+        # Work for the engine as well, where it takes only so many requests a second.
+        self._views.limits.sent(name, asyncio.get_running_loop().time())
         order = WeightsOrder(instance, model, wanted, self._duty.holder, self._duty.fence, orders)
         try:
             outcome = await self._targets.order(order)
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -103,6 +103,10 @@
         """The requests a second that every answer names as this worker's limit."""
         self.leaving = False
         """Whether every answer says that this worker leaves."""
+        self.said_leaving_at = float("inf")
+        """When the first answer said so, on the loop's clock."""
+        self.turned_away: list[tuple[float, str, float]] = []
+        """When a request was turned away, its id, and for how long it was to stay away."""
         self.state = ""
         """The state that reports name, empty for none."""
         self.pause = 0.0
@@ -161,6 +165,7 @@
             fields.add(b"Server-Limit", str(self.limit).encode())
         if self.leaving:
             fields.add(b"Server-Leaving", b"1")
+            self.said_leaving_at = min(self.said_leaving_at, asyncio.get_running_loop().time())
         if self.pause > 0:
             fields.add(b"Retry-After", str(self.pause).encode())
         return fields
@@ -224,6 +229,8 @@
             return
         if self.pause > 0:
             refusal = Headers([*self.head(request_id), (b"X-Not-Executed", b"1")])
+            now = asyncio.get_running_loop().time()
+            self.turned_away.append((now, request_id, self.pause))
             responder.send(503, refusal, b"")
             return
         if request.body in self.fatal:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,7 +14,8 @@
 from .callers import KINDS, Attempt
 from .links import Harm, Link
 from .machines import Machine
-from .promises import COLD, ENDING
+from .outside import Limit
+from .promises import COLD, ENDING, LEAVING, LIMITED, PAUSING
 from .site import Site
 
 __all__ = ["FAULTS", "Fault"]
@@ -527,3 +528,45 @@
     site.pace = 0.3
     await _lasting(rng, 1.0, _COLD_SECONDS)
     site.pace = 1.0
+
+
+# --- what workers say of themselves ---------------------------------------------------
+
+
+def _any_worker(site: Site, rng: random.Random) -> Worker:
+    return site.outside.workers[rng.choice(site.outside.serving(rng.choice(["plain", "engines"])))]
+
+
+@fault(LIMITED)
+async def _limited(site: Site, rng: random.Random) -> None:
+    loop = asyncio.get_running_loop()
+    worker, rate = _any_worker(site, rng), rng.choice([0.0, rng.uniform(0.5, 3.0)])
+    if worker.limit is not None:
+        return
+    worker.limit = rate
+    index = len(site.outside.named_limits)
+    site.outside.named_limits.append(Limit(worker.name, rate, loop.time(), float("inf")))
+    await _lasting(rng, 4.0, 9.0)
+    site.outside.named_limits[index] = site.outside.named_limits[index]._replace(ended=loop.time())
+    worker.limit = None
+
+
+@fault(LEAVING)
+async def _says_that_it_leaves(site: Site, rng: random.Random) -> None:
+    worker = _any_worker(site, rng)
+    if worker.leaving:
+        return
+    worker.leaving = True
+    await _lasting(rng, 2.5, 5.0)
+    if worker.name in site.outside.serving("plain") + site.outside.serving("engines"):
+        site.outside.drain(worker.name)
+
+
+@fault(PAUSING)
+async def _asks_for_pauses(site: Site, rng: random.Random) -> None:
+    worker = _any_worker(site, rng)
+    if worker.pause:
+        return
+    worker.pause = rng.uniform(1.0, 3.0)
+    await _lasting(rng, 1.0, 5.0)
+    worker.pause = 0.0
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -14,7 +14,7 @@
 from .callers import EVENTS
 from .links import Link
 
-__all__ = ["Arrival", "Change", "Cold", "End", "Evacuation", "Outside"]
+__all__ = ["Arrival", "Change", "Cold", "End", "Evacuation", "Limit", "Outside"]
 
 COLD_RATE = 4.0
 """Requests a second that a cold engine bears."""
@@ -68,6 +68,15 @@
     until: float
 
 
+class Limit(NamedTuple):
+    """A worker that named a limit of `rate` requests a second: from when, and until when."""
+
+    worker: str
+    rate: float
+    began: float
+    ended: float
+
+
 class Outside(Deployment):
     """The store, workers that come and go, and what the operator changes."""
 
@@ -83,6 +92,7 @@
         self.changes: list[Change] = []
         self.evacuations: list[Evacuation] = []
         self.cold: list[Cold] = []
+        self.named_limits: list[Limit] = []
         self.cold_rate = COLD_RATE
         self.leaving_at: dict[str, float] = {}
         self.named_at = {1: float("-inf")}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,9 +10,21 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
-from .outside import COLD_RATE, Arrival, Change, Cold, End, Evacuation
-
-__all__ = ["COLD", "ENDING", "PROMISES", "Evidence", "Followed", "Probe", "Span", "broken"]
+from .outside import COLD_RATE, Arrival, Change, Cold, End, Evacuation, Limit
+
+__all__ = [
+    "COLD",
+    "ENDING",
+    "LEAVING",
+    "LIMITED",
+    "PAUSING",
+    "PROMISES",
+    "Evidence",
+    "Followed",
+    "Probe",
+    "Span",
+    "broken",
+]
 
 _NOT_RUN = (408, 421, 429, 503)
 _NOT_ALLOWED = (401, 403, 404)
@@ -33,6 +45,18 @@
 """The name of the fault that brings this about."""
 COLD = "engines come back cold"
 """The name of the fault that brings cold workers about."""
+LIMITED = "a worker names a limit"
+LEAVING = "a worker says in its answers that it leaves"
+PAUSING = "a worker asks nodes for pauses"
+"""The names of the faults in which workers speak of themselves."""
+_LIMIT_SECONDS = 4.0
+"""The time within which what a limited worker gets is counted."""
+_LIMIT_OVERAGE = 1.5
+_LIMIT_SLACK = 5
+_TOLD_SECONDS = 0.5
+"""Time after which a node must go by what a worker has told it."""
+_MOST_IN_A_PAUSE = 2
+"""Requests that a node may send to a worker within a pause that it asked it for."""
 _COLD_BOUND = int(COLD_RATE * 1.5 + 2)
 """`cold-overage` and `cold-slack` of the nodes' settings."""
 _EVACUATE_SECONDS = 5.0
@@ -89,6 +113,7 @@
     ends: list[End] = []
     evacuations: list[Evacuation] = []
     cold: list[Cold] = []
+    limits: list[Limit] = []
     centres: dict[str, str] = {}
     """The data centre of each worker."""
 
@@ -361,6 +386,45 @@
                 yield f"{worker.name}: {number} in a second, expected {_COLD_BOUND} at most"
 
 
+@promise("a limited worker gets no more than its limit allows")
+def _limited(evidence: Evidence) -> Iterator[str]:
+    for limit in evidence.limits:
+        for worker in (w for w in evidence.workers if w.name == limit.worker):
+            began = limit.began + _TOLD_SECONDS
+            times = [at for at, _ in worker.arrivals if began <= at < limit.ended]
+            allowed = limit.rate * _LIMIT_SECONDS * _LIMIT_OVERAGE + _LIMIT_SLACK
+            for first in times:
+                last = first + _LIMIT_SECONDS
+                number = sum(first <= at < last for at in times)
+                bound = last > limit.began + _TOUCH_SECONDS
+                if number > allowed and bound and not evidence.others(LIMITED, began, last):
+                    yield f"{worker.name}: {number} in 4 s, limit {limit.rate:.1f} a second"
+
+
+@promise("a worker that said that it leaves gets nothing more")
+def _said_leaving(evidence: Evidence) -> Iterator[str]:
+    for worker in evidence.workers:
+        until = worker.said_leaving_at + _LEAVING_SECONDS + _DRAIN_SLACK
+        for at, request_id in worker.arrivals:
+            if at > until and not evidence.others(LEAVING, worker.said_leaving_at, at):
+                seconds = f"{at - worker.said_leaving_at:.2f} s"
+                yield f"{request_id}: at {worker.name} {seconds} after it said so"
+
+
+@promise("a worker that asked a node for a pause gets nothing from it")
+def _paused(evidence: Evidence) -> Iterator[str]:
+    nodes = {attempt.id: attempt.address for attempt in evidence.attempts}
+    for worker in evidence.workers:
+        for began, request_id, seconds in worker.turned_away:
+            node, ended = nodes.get(request_id), began + seconds
+            number = sum(
+                began + _TOLD_SECONDS < at < ended and nodes.get(other) == node
+                for at, other in worker.arrivals
+            )
+            if number > _MOST_IN_A_PAUSE and not evidence.others(PAUSING, began, ended):
+                yield f"{worker.name}: {number} from {node} within a pause of {seconds:.1f} s"
+
+
 @promise("a request that ends its workers is held back")
 def _held_back(evidence: Evidence) -> Iterator[str]:
     ends: dict[bytes, list[float]] = defaultdict(list)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -122,6 +122,7 @@
             ends=self._site.outside.ends,
             evacuations=self._site.outside.evacuations,
             cold=self._site.outside.cold,
+            limits=self._site.outside.named_limits,
             centres=self._site.outside.centres,
             faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind
 from soak.faults import FAULTS
 from soak.links import Harm, Link
-from soak.outside import Arrival, Cold, End, Evacuation
+from soak.outside import Arrival, Cold, End, Evacuation, Limit
 from soak.promises import ENDING, PROMISES, Evidence, Followed, Probe, Span, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
@@ -87,7 +87,7 @@
 
     async def test_each_check_sees_its_fault(self) -> None:
         own, order, once, refused, asked, allowed, planned, *later = PROMISES
-        force, left, one, outdated, new, again, _, _, _, ours = later
+        force, left, one, outdated, new, again, *_, ours = later
         foreign = evidence(attempt(SAFE, seal="plain-1.other"))
         self.assertEqual(self.seen(foreign), {own})
         self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
@@ -144,8 +144,31 @@
         self.assertEqual(self.seen(unserved), {again})
         self.assertEqual(self.seen(evidence(faults_of_ours=["n1 ended by itself"])), {ours})
 
+    async def test_work_at_workers_that_spoke_for_themselves_is_seen(self) -> None:
+        limited, left, paused = list(PROMISES)[-5:-2]
+        made = attempt(SAFE)
+        made.address = "node-1"
+        found = evidence(made, limits=[Limit("plain-1", 1.0, 2.0, 60.0)])
+        worker = found.workers[0]
+        worker.arrivals = [(10.0 + number / 10, "r") for number in range(11)]
+        self.assertEqual(self.seen(found), set())
+        worker.arrivals.append((11.5, "r"))
+        self.assertEqual(self.seen(found), {limited})
+        # What comes within half a second of the limit's naming is on its way.
+        named = [Limit("plain-1", 1.0, 9.9, 60.0)]
+        self.assertEqual(self.seen(found._replace(limits=named)), set())
+        worker.said_leaving_at = 9.0
+        self.assertEqual(self.seen(found._replace(limits=[])), {left})
+        worker.said_leaving_at = float("inf")
+        worker.turned_away = [(9.0, made.id, 3.0)]
+        self.assertEqual(self.seen(found._replace(limits=[])), set())
+        worker.arrivals = [(at, made.id) for at in (9.2, 9.6, 10.0, 12.5)]
+        self.assertEqual(self.seen(found._replace(limits=[])), set())
+        worker.arrivals.append((11.9, made.id))
+        self.assertEqual(self.seen(found._replace(limits=[])), {paused})
+
     async def test_work_at_evacuated_and_cold_workers_is_seen(self) -> None:
-        evacuated, cold = list(PROMISES)[-4:-2]
+        evacuated, cold = list(PROMISES)[-7:-5]
         found = evidence(
             attempt(SAFE),
             evacuations=[Evacuation("b", 4.0, 20.0)],
