Leave targets alone for as long as they ask for on the own interface too

The same cause: a target that proved that it had not started a request was asked again at once, whatever time it named, and callers were told half a second. A target's pause is one node's; polls of its load wait for its end too. Seen failing (each call reached the service) without the change.

--- a/packages/node/src/fielddrift_node/board.py
+++ b/packages/node/src/fielddrift_node/board.py
@@ -14,6 +14,7 @@
 from fielddrift_core.model import Configuration, Target, TargetRole
 from fielddrift_core.retries import Breaker, RetryBudget
 from fielddrift_core.routing import Load, TargetView
+from fielddrift_core.target_notices import TargetPauses
 
 from . import clock
 
@@ -54,6 +55,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self._notes: dict[str, TargetNote] = {}
+        self._pauses = TargetPauses()
         self._hints: OrderedDict[str, dict[str, tuple[int, str]]] = OrderedDict()
         self._active: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -167,6 +169,20 @@
         with self._lock:
             self._note(name).breaker.failed(self._clock())
 
+    def asked_for_pause(self, name: str, seconds: float) -> None:
+        """Note that target `name` wants nothing from this node for `seconds`, 0 for no time."""
+        if not seconds:
+            return
+        now = self._clock()
+        with self._lock:
+            self._pauses.settle(now)
+            self._pauses.asked(name, seconds, now)
+
+    def soonest(self, targets: Iterable[Target]) -> float:
+        """Return the seconds until the first of `targets` is over its pause."""
+        with self._lock:
+            return self._pauses.soonest([target.name for target in targets], self._clock())
+
     def may_retry(self, name: str) -> bool:
         """Spend a retry on account of target `name`'s failure."""
         with self._lock:
@@ -178,8 +194,10 @@
         """Return whether a target may get a request for `version` now, as far as is known."""
         with self._lock:
             note = self._note(target.name)
+            now = self._clock()
             loaded = not version or note.versions is None or version in note.versions
-            return loaded and note.breaker.allows(self._clock())
+            paused = self._pauses.left(target.name, now) > 0
+            return loaded and not paused and note.breaker.allows(now)
 
     def warm(self, digests: Sequence[str]) -> dict[str, int]:
         """Return the longest prefix of a prompt that each target may have in memory."""
@@ -214,6 +232,7 @@
                 (self._note(t.name).load.heard_at, t.name)
                 for t in configuration.targets.values()
                 if t.serves in models and t.role is TargetRole.ENGINE
+                if not self._pauses.left(t.name, now)
             ]
         due = sorted((at, name) for at, name in old if now - at >= _VIEW_AGE_SECONDS)
         return [configuration.targets[name] for _, name in due]
--- a/packages/node/src/fielddrift_node/filters/admit.py
+++ b/packages/node/src/fielddrift_node/filters/admit.py
@@ -75,4 +75,5 @@
     what = exchange.deployment.model or (exchange.call.service if exchange.call else "")
     version = f" version {exchange.deployment.version}" if exchange.deployment.version else ""
     detail = f"{what}{version}: none of {len(exchange.targets)} targets can take it now"
-    return Refusal(Kind.NO_TARGET, detail, ran, _RETRY_AFTER)
+    paused = exchange.runtime.board.soonest(exchange.targets)
+    return Refusal(Kind.NO_TARGET, detail, ran, max(_RETRY_AFTER, paused))
--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -14,7 +14,7 @@
 from ..exchange import Answer, Exchange
 from ..http_client import Call, Reply
 from ..settle import TryFailed, begin, settle_refused
-from ..targets import proved_not_started
+from ..targets import pause_seconds, proved_not_started
 from .admit import allows, no_target
 
 __all__ = ["call_service"]
@@ -94,6 +94,7 @@
     runtime.heard_headers(target.name, reply.headers)
     runtime.board.worked(target.name)
     if proved_not_started(reply):
+        runtime.board.asked_for_pause(target.name, pause_seconds(reply))
         raise TryFailed(f"target {target.name}: did not start it", "not-started", sure=True)
     if reply.status < HTTPStatus.INTERNAL_SERVER_ERROR:
         exchange.answered()
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -18,7 +18,7 @@
 from ..relay import Broken, Relay, whole_answer
 from ..settle import TryFailed, begin, settle_refused
 from ..started import Started
-from ..targets import EngineHead, RunOrder, proved_not_started, read_head
+from ..targets import EngineHead, RunOrder, pause_seconds, proved_not_started, read_head
 from ..underway import UnderWay
 from .admit import allows, choose, no_target
 
@@ -143,6 +143,7 @@
     runtime.heard_headers(name, head.headers)
     if proved_not_started(head):
         runtime.board.worked(name)
+        runtime.board.asked_for_pause(name, pause_seconds(head))
         raise TryFailed(f"target {name}: did not start it", "not-started", sure=True)
     if head.status != 200:
         runtime.board.failed(name)
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -19,6 +20,7 @@
     "Order",
     "RunOrder",
     "TargetClient",
+    "pause_seconds",
     "proved_not_started",
     "read_head",
 ]
@@ -100,6 +102,15 @@
     return reply.status >= 400 and reply.headers.get("x-started") == "no"
 
 
+def pause_seconds(reply: Head | Reply) -> float:
+    """Return for how long a target that did not start a request wants none, 0 for no time named."""
+    try:
+        seconds = float(reply.headers.get("retry-after", "0"))
+    except ValueError:
+        return 0.0
+    return seconds if proved_not_started(reply) and 0 < seconds < math.inf else 0.0
+
+
 class TargetClient:
     """Call targets; raise `OutsideError`."""
 
--- a/packages/standins/src/fielddrift_standins/fleet.py
+++ b/packages/standins/src/fielddrift_standins/fleet.py
@@ -327,6 +327,11 @@
         """Return a stand-in's statistics."""
         return fetch_json("GET", f"http://{self.addresses[name]}/stats")
 
+    def turned_away(self, name: str) -> int:
+        """Return how many calls a service has told to wait."""
+        answer = fetch_json("GET", f"http://{self.addresses[name]}/journal")
+        return int(answer["turned_away"])
+
     def journal(self, name: str) -> list[dict[str, str]]:
         """Return what ran on a plain service."""
         journal: list[dict[str, str]] = fetch_json("GET", f"http://{self.addresses[name]}/journal")[
--- a/packages/standins/src/fielddrift_standins/service.py
+++ b/packages/standins/src/fielddrift_standins/service.py
@@ -2,7 +2,8 @@
 
 It keeps a journal of every call that ran.  Switches: `down`, `slow`,
 `cut_before` (so many calls are cut before they run), `cut_after` (so many run
-but go unanswered), `busy` (so many are refused unstarted), `leaving`.
+but go unanswered), `busy` (so many are refused unstarted), `pause` (all are refused
+unstarted, with so many seconds to wait), `leaving`.
 """
 
 from __future__ import annotations
@@ -24,6 +25,8 @@
     def __init__(self, *, seconds: float) -> None:
         self._seconds = seconds
         self._journal: list[dict[str, str]] = []
+        self._turned_away = 0
+        """Calls that were told to wait."""
         self._lock = threading.Lock()
         self._epoch = int(time.time() * 1000)
         rules = [(m, "/call/<path:path>", self._call) for m in ("GET", "POST", "PUT", "DELETE")]
@@ -34,6 +37,10 @@
     def _call(self, request: Request, path: str) -> Response:
         if self.app.faults.get("leaving"):
             return json_response({}, 503, X_Started="no", X_Leaving=str(self._epoch))
+        if pause := self.app.faults.get("pause"):
+            with self._lock:
+                self._turned_away += 1
+            return json_response({}, 503, X_Started="no", Retry_After=str(pause))
         if self.app.faults.take("busy"):
             return json_response({}, 429, X_Started="no")
         if self.app.faults.take("cut_before"):
@@ -57,7 +64,7 @@
 
     def _get_journal(self, request: Request) -> Response:
         with self._lock:
-            return json_response({"journal": self._journal})
+            return json_response({"journal": self._journal, "turned_away": self._turned_away})
 
     def _load(self, request: Request) -> Response:
         leaving = bool(self.app.faults.get("leaving"))
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -24,6 +24,16 @@
         self.assertEqual(self.board.warm(PROMPT), {"t": 2})
         self.assertEqual(self.board.warm(PROMPT[:1]), {"t": 1})
 
+    def test_a_target_that_asked_for_a_pause_takes_nothing_until_it_is_over(self) -> None:
+        self.board.asked_for_pause("t", 3.0)
+        self.now += 2.9
+        self.assertFalse(self.board.takes(TARGET, ""))
+        self.assertAlmostEqual(self.board.soonest([TARGET]), 0.1)
+        self.now += 0.2
+        self.assertTrue(self.board.takes(TARGET, ""))
+        self.board.asked_for_pause("t", 0.0)
+        self.assertTrue(self.board.takes(TARGET, ""))
+
     def test_an_eviction_ends_its_hint_and_no_other(self) -> None:
         self.board.remember("t", "c" * 32, 1, "root-2")
         self.board.heard_events("t", 1, ["root-1"])
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -62,6 +62,23 @@
         self.assertEqual(self._call("not-started").status, 200)
         self.assertEqual(self.ran("not-started"), 1)
 
+    def test_a_service_that_asks_for_a_pause_gets_nothing_from_that_node(self) -> None:
+        self.fleet.faults("mercato", pause=3.0)
+        self.addCleanup(self.fleet.faults, "mercato", pause=0)
+        node = self.fleet.nodes[0]
+        first = self._call("pause", node)
+        self.assertEqual((first.status, problem(first)["ran"]), (503, "no"))
+        before = self.fleet.turned_away("mercato")
+        for _ in range(5):
+            again = self._call("pause", node)
+            self.assertEqual((again.status, problem(again)["ran"]), (503, "no"))
+            # In whole seconds: a caller that comes back then finds the service again.
+            self.assertGreaterEqual(int(again.headers["retry-after"]), 2)
+        self.assertEqual(self.fleet.turned_away("mercato"), before)
+        self.fleet.faults("mercato", pause=0)
+        time.sleep(3.0)
+        self.assertEqual(self._call("pause", node).status, 200)
+
     def test_a_key_of_another_request_is_refused(self) -> None:
         self._call("twice")
         got = self.fleet.call(CUSTOMER, "transfers", b"other", key="twice")
