--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -27,7 +27,11 @@
 
     def allows(self, service: Service, instance: Instance, now: float) -> bool:
         """Return whether this node may send to `instance`, which is of `service`, now."""
-        return self._wait(instance, now) <= 0 and self._cold.allows(service, instance, now)
+        # A choice asks this of every engine: it must cost little where none has said anything.
+        spoke = self._views.limits or self._views.pauses
+        if spoke and self._wait(instance, now) > 0:
+            return False
+        return self._cold.allows(service, instance, now)
 
     def sent(self, instance: Instance, now: float) -> None:
         """Count a request that is about to be sent."""
