Bound the limits that are told, and take each for the same wherever it was heard

A target that named an absurd limit would have kept heartbeats from being encoded; a third of a request a second came back from a heartbeat as another limit, and each answer would have been news again. Found reading the diff.

--- a/packages/core/src/fielddrift_core/limit_share.py
+++ b/packages/core/src/fielddrift_core/limit_share.py
@@ -27,18 +27,22 @@
 would learn that it names none any more."""
 _HANDOVER_SECONDS = 4.5
 """How long a former list binds: what former owners have sent counts against the limit."""
-_REMEMBERED = 512
-"""Owners that are remembered: some targets' that are limited at once, by sets of nodes."""
+_REMEMBERED_RANKS = 512
+"""Orders of nodes that are remembered: some targets' that are limited at once, by sets of nodes."""
 
 
-@lru_cache(maxsize=_REMEMBERED)
 def owners_of(target: str, rate: float, nodes: frozenset[str]) -> frozenset[str]:
     """Return who of `nodes` may send to `target`, which takes `rate` requests a second.
 
     More owners where the rate is higher: each has only so many requests to send.
     """
     count = max(_LEAST_OWNERS, math.ceil(rate))
-    return frozenset(rank(target, [(name, 1.0) for name in sorted(nodes)])[:count])
+    return frozenset(_ranked(target, nodes)[:count])
+
+
+@lru_cache(maxsize=_REMEMBERED_RANKS)
+def _ranked(target: str, nodes: frozenset[str]) -> tuple[str, ...]:
+    return tuple(rank(target, [(name, 1.0) for name in sorted(nodes)]))
 
 
 class LimitShare:
--- a/packages/core/src/fielddrift_core/target_notices.py
+++ b/packages/core/src/fielddrift_core/target_notices.py
@@ -21,6 +21,12 @@
 a word to and fro would renew it for ever by the time that they take."""
 
 
+_MOST_RATE = 1e6
+"""Requests a second of the highest limit that is told: more than any target serves."""
+_RATE_DIGITS = 3
+"""Decimal places of a limit, as heartbeats tell it."""
+
+
 class TargetNotice(NamedTuple):
     """What a target says of itself in an answer.
 
@@ -65,6 +71,7 @@
 
     def named(self, target: str, rate: float, now: float) -> bool:
         """Take a limit that a target named to this node; True when it is another one."""
+        rate = round(min(rate, _MOST_RATE), _RATE_DIGITS)
         changed = self.rate(target) != rate
         self._set(target, _Limit(rate, now))
         return changed
--- a/tests/test_limit_share.py
+++ b/tests/test_limit_share.py
@@ -8,8 +8,9 @@
 from collections import deque
 from typing import NamedTuple
 
+import msgspec
 from fielddrift_core.limit_share import LimitShare, owners_of
-from fielddrift_core.neighbours import Neighbour, Neighbours, Standing
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Standing
 from fielddrift_core.target_notices import LimitWord, TargetLimits, TargetPauses
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
 from fielddrift_node.serving.views import Views
@@ -200,6 +201,17 @@
         self.hearer.translator.heard(heartbeat)
         self.assertIsNone(self.hearer.views.limits.rate("t"))
 
+    async def test_any_limit_can_be_told_and_comes_back_as_the_same(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for rate in (0.0, 0.0001, 1 / 3, 1e300):
+            limits = self.teller.views.limits
+            limits.named("t", rate, now)
+            heartbeat = self.teller.translator.heartbeat(Standing(True, True, True), leaving=False)
+            data = msgspec.msgpack.encode(heartbeat)
+            self.hearer.translator.heard(msgspec.msgpack.decode(data, type=Heartbeat))
+            self.assertEqual(self.hearer.views.limits.rate("t"), limits.rate("t"))
+            self.hearer.views.limits = TargetLimits()
+
     async def test_a_limit_is_no_load(self) -> None:
         heartbeat = self.teller.translator.heartbeat(Standing(True, True, True), leaving=False)
         self.hearer.translator.heard(heartbeat)
