Share the fleet of the tests of targets that speak of themselves

Three files each had their own; the checks and what they ask stand. The least that a limited target gets is asked of one that is alone, as before. A target is reached by having the other one turn a request away: asking on until chance sends one there never ended once (a run was ended by hand after ten minutes; the engine choice has no reason to change).

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -17,6 +17,7 @@
 from fielddrift_platform.targets import PlatformTargets
 from fielddrift_standins.deployment import KEY, Deployment
 from fielddrift_standins.fleet import HOST, free_port
+from fielddrift_standins.worker import Worker
 
 BOUNDS = Bounds(
     drain=2.0,
@@ -238,3 +239,45 @@
         connects = mock.patch("fielddrift_node.serving.trying.CONNECT_SECONDS", seconds)
         connects.start()
         self.addCleanup(connects.stop)
+
+
+class TwoTargets(FleetCase):
+    """Nodes before two targets of one service, of which the first one speaks of itself."""
+
+    async def start(self, service: str, *, nodes: int = 1, alone: bool = False) -> None:
+        """Start the targets, the second one unless the first is `alone`, and the nodes."""
+        events = 4 if service == "engines" else 0
+        self.path = "/chat/1" if events else "/safe/1"
+        self.speaker = await self.fleet.worker(Worker(name="speaker", events=events), service)
+        self.other: Worker | None = None
+        if not alone:
+            self.other = await self.fleet.worker(Worker(name="other", events=events), service)
+        self.nodes = [await self.fleet.node(f"node-{number}") for number in range(nodes)]
+        self.number = 0
+
+    async def ask(self, path: str = "") -> Answer:
+        """Ask the next node in turn."""
+        path = path or self.path
+        self.number += 1
+        node = self.nodes[self.number % len(self.nodes)]
+        extra = prompt() if path.startswith(("/chat", "/verdict")) else {}
+        return await ask(node, path, request_id=f"r{self.number}", **extra)
+
+    async def press(self, number: int, seconds: float, path: str = "") -> list[int]:
+        """Ask so often within `seconds`; return the statuses of the answers."""
+        asks = []
+        for _ in range(number):
+            asks.append(asyncio.ensure_future(self.ask(path)))
+            await asyncio.sleep(seconds / number)
+        return [answer.status for answer in await asyncio.gather(*asks)]
+
+    async def reach(self, path: str = "") -> None:
+        """Ask until the speaker has got a request more: the other one turns the first away."""
+        before = len(self.speaker.arrivals)
+        async with asyncio.timeout(WAIT_SECONDS):
+            while len(self.speaker.arrivals) == before:
+                if self.other is not None:
+                    self.other.faults = ["shed"]
+                await self.ask(path)
+        if self.other is not None:
+            self.other.faults = []
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -96,6 +96,9 @@
     Each node sends whenever it may: the most that any load brings about.
     """
 
+    window = 1.0
+    """Seconds within which what a target gets is counted."""
+
     def __init__(self, seed: int) -> None:
         self.now = 0.0
         self.rng = random.Random(seed)
@@ -108,6 +111,8 @@
         self.shares: dict[int, OwnShare] = {}
         self.arrivals = {name: deque[float]() for name in TARGETS}
         self.worst = 0
+        """The most that a target got within a window."""
+        self.total = 0
         self.boots = 0
         self._told_at: dict[int, float] = {}
         for number in range(NODES):
@@ -177,9 +182,10 @@
                 self._arrive(target)
 
     def _arrive(self, target: str) -> None:
+        self.total += 1
         arrivals = self.arrivals[target]
         arrivals.append(self.now)
-        while arrivals and self.now - arrivals[0] >= 1.0:
+        while arrivals and self.now - arrivals[0] >= self.window:
             arrivals.popleft()
         self.worst = max(self.worst, len(arrivals))
 
--- a/tests/test_limit_share.py
+++ b/tests/test_limit_share.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import unittest
-from collections import deque
 from typing import NamedTuple
 
 import msgspec
@@ -32,11 +31,12 @@
 class LimitSite(Site):
     """The same nodes before targets that name a limit; each sends whenever it may."""
 
+    window = _WINDOW_SECONDS
+
     def __init__(self, seed: int, rate: float) -> None:
         self._rate = rate
         self._limits: dict[int, LimitShare] = {}
         self._sent: dict[int, TargetLimits] = {}
-        self.total = 0
         super().__init__(seed)
 
     def start(self, number: int) -> None:
@@ -58,14 +58,6 @@
                 self._sent[number].sent(target, self.now)
                 self._arrive(target)
 
-    def _arrive(self, target: str) -> None:
-        self.total += 1
-        arrivals: deque[float] = self.arrivals[target]
-        arrivals.append(self.now)
-        while arrivals and self.now - arrivals[0] > _WINDOW_SECONDS:
-            arrivals.popleft()
-        self.worst = max(self.worst, len(arrivals))
-
 
 def most_allowed(rate: float) -> float:
     return 1.5 * rate * _WINDOW_SECONDS + 5
--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import unittest
 
 from fielddrift_core.neighbours import Neighbour, Neighbours, Standing
 from fielddrift_core.target_registry import Instance, TargetRegistry
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
 from fielddrift_node.serving.views import Views
-from fielddrift_standins.worker import Worker
 
-from .platform_fleet import FleetCase, ask, eventually, prompt
+from .platform_fleet import TwoTargets, eventually
 
 _ON_ITS_WAY_SECONDS = 0.3
 """Time after a node has heard that a target leaves in which what it sent before may come."""
@@ -78,97 +76,76 @@
         self.assertEqual(hearer.registry.leaving(), names)
 
 
-class LeavingFleet(FleetCase):
-    """Two nodes before a target that leaves and one that stays."""
+class TestLeaving(TwoTargets):
+    """Two nodes, in turn."""
 
-    async def start(self, service: str, events: int = 0) -> None:
-        self.leaver = await self.fleet.worker(Worker(name="leaver", events=events), service)
-        self.stayer = await self.fleet.worker(Worker(name="stayer", events=events), service)
-        self.nodes = [await self.fleet.node(f"node-{number}") for number in (1, 2)]
-        self.ids = itertools.count()
-
-    async def press(self, path: str, number: int) -> list[int]:
-        answers = []
-        for count in range(number):
-            extra = prompt() if path.startswith(("/chat", "/verdict")) else {}
-            node = self.nodes[count % 2]
-            answers.append(await ask(node, path, request_id=f"r{next(self.ids)}", **extra))
-        return [answer.status for answer in answers]
+    async def left(self, service: str) -> None:
+        """Let the speaker say that it leaves, to one node."""
+        if not hasattr(self, "speaker"):
+            await self.start(service, nodes=2)
+        self.speaker.leaving = True
+        await self.reach()
+        await asyncio.sleep(_ON_ITS_WAY_SECONDS)
 
-    async def check_left(self, path: str) -> None:
-        before = len(self.leaver.arrivals)
-        statuses = await self.press(path, 20)
-        self.assertEqual(len(self.leaver.arrivals), before)
+    async def check_left(self, path: str = "") -> None:
+        before = len(self.speaker.arrivals)
+        statuses = await self.press(20, 0.4, path)
+        self.assertEqual(len(self.speaker.arrivals), before)
         self.assertEqual(set(statuses), {200})
 
-
-class TestLeaving(LeavingFleet):
-    async def reach(self, path: str) -> None:
-        """Ask until the leaver has answered once, which says that it leaves."""
-        self.leaver.leaving = True
-        before = len(self.leaver.arrivals)
-        while len(self.leaver.arrivals) == before:
-            await self.press(path, 1)
-        await asyncio.sleep(_ON_ITS_WAY_SECONDS)
-
     async def test_a_service_that_leaves_gets_nothing_more(self) -> None:
-        await self.start("plain")
-        await self.reach("/safe/1")
-        await self.check_left("/safe/1")
+        await self.left("plain")
+        await self.check_left()
         await self.check_left("/unsafe/1")
 
     async def test_an_engine_that_leaves_gets_nothing_more(self) -> None:
-        await self.start("engines", events=2)
-        await self.reach("/chat/1")
-        await self.check_left("/chat/1")
+        await self.left("engines")
+        await self.check_left()
 
     async def test_a_refusal_tells_it_too(self) -> None:
-        await self.start("plain")
-        self.leaver.faults = ["shed"]
-        await self.reach("/safe/1")
-        await self.check_left("/safe/1")
+        await self.start("plain", nodes=2)
+        self.speaker.faults = ["shed"]
+        await self.left("plain")
+        await self.check_left()
 
     async def test_a_failure_tells_it_too(self) -> None:
-        await self.start("engines", events=2)
-        self.leaver.faults = ["error"]
-        await self.reach("/chat/1")
-        await self.check_left("/chat/1")
+        await self.start("engines", nodes=2)
+        self.speaker.faults = ["error"]
+        await self.left("engines")
+        await self.check_left()
 
     async def test_a_run_that_breaks_off_is_not_resumed_there(self) -> None:
-        await self.start("engines", events=4)
-        await self.reach("/chat/1")
-        self.stayer.faults = ["cut-event"]
-        before = len(self.leaver.arrivals)
-        answer = await ask(self.nodes[0], "/chat/1", request_id="broken", **prompt())
-        self.assertEqual(len(self.leaver.arrivals), before)
-        self.assertNotIn("whole", answer.headers)
+        await self.left("engines")
+        self.other.faults = ["cut-event"]
+        before = len(self.speaker.arrivals)
+        self.assertNotIn("whole", (await self.ask()).headers)
+        self.assertEqual(len(self.speaker.arrivals), before)
 
     async def test_it_is_known_while_the_store_is_away_and_when_it_is_back(self) -> None:
-        await self.start("plain")
+        await self.start("plain", nodes=2)
         self.fleet.store.down = True
-        await self.reach("/safe/1")
-        await self.check_left("/safe/1")
-        self.fleet.store.drop("servers", "leaver")
+        await self.left("plain")
+        await self.check_left()
+        self.fleet.store.drop("servers", "speaker")
         self.fleet.store.down = False
         registries = [node.node.views.registry for node in self.nodes]
-        await eventually(lambda: all(each.get("leaver") is None for each in registries))
-        self.fleet.enter("leaver", "plain")
-        await eventually(lambda: all(each.get("leaver") is not None for each in registries))
-        await self.check_left("/safe/1")
+        await eventually(lambda: all(each.get("speaker") is None for each in registries))
+        self.fleet.enter("speaker", "plain")
+        await eventually(lambda: all(each.get("speaker") is not None for each in registries))
+        await self.check_left()
 
     async def test_a_report_tells_it_too(self) -> None:
         """The state that a report names may change before the target's entry does."""
-        await self.start("engines", events=2)
-        self.leaver.state = "draining"
+        await self.start("engines", nodes=2)
+        self.speaker.state = "draining"
         self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
         views = [node.node.views for node in self.nodes]
-        await eventually(lambda: all(each.weights_of("stayer", "m") == 2 for each in views))
-        await self.check_left("/chat/1")
+        await eventually(lambda: all(each.weights_of("other", "m") == 2 for each in views))
+        await self.check_left()
 
     async def test_a_target_that_leaves_is_ordered_nothing_more(self) -> None:
-        await self.start("engines", events=2)
-        await self.reach("/chat/1")
+        await self.left("engines")
         self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
-        await eventually(lambda: self.stayer.version == 2)
+        await eventually(lambda: self.other.version == 2)
         await asyncio.sleep(0.5)
-        self.assertEqual(self.leaver.orders, [])
+        self.assertEqual(self.speaker.orders, [])
