--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -141,6 +141,8 @@
         self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
         registries = [node.node.views.registry for node in self.nodes]
         await eventually(lambda: all("speaker" in each.leaving() for each in registries))
+        views = [node.node.views for node in self.nodes]
+        await eventually(lambda: all(each.weights_of("other", "m") == 2 for each in views))
         await self.check_left()
 
     async def test_a_target_that_leaves_is_ordered_nothing_more(self) -> None:
