--- a/tests/test_limit_share.py
+++ b/tests/test_limit_share.py
@@ -11,7 +11,9 @@
 from fielddrift_core.limit_share import LimitShare, owners_of
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Standing
 from fielddrift_core.target_notices import LimitWord, TargetLimits, TargetPauses
+from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
+from fielddrift_node.serving.limit_gate import LimitGate
 from fielddrift_node.serving.views import Views
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
@@ -119,6 +121,44 @@
         self.assertEqual(share.spacing("t", 1.0, nodes - {lost}, 5.6), 3.0)
 
 
+class TestLimitGate(unittest.TestCase):
+    """A data centre without a node that is heard leaves its limited targets to another one's."""
+
+    def setUp(self) -> None:
+        self.views = Views(began_at=0.0)
+        me = Neighbour("n1", 1, "b", "h:1", "h:2", "h:3")
+        self.neighbours = Neighbours(me=me)
+        self.neighbours.report(serving=True, load=1.0)
+        self.gate = LimitGate(views=self.views, neighbours=self.neighbours)
+        self.views.limits.named("t", 1.0, 9.0)
+
+    def wait(self, data_centre: str) -> float:
+        return self.gate.wait(Instance("t", "s", "10.0.0.1:80", data_centre), 10.0)
+
+    def hear(self, data_centre: str) -> None:
+        node = Neighbour(f"n-{data_centre}", 1, data_centre, "g:1", "g:2", "g:3")
+        self.neighbours.hear(Heartbeat(node, True, False, 1, {}, {}, active=True), 9.9)
+
+    def test_other_data_centres_leave_a_target_to_the_nodes_of_its_own(self) -> None:
+        self.hear("c")
+        self.assertEqual((self.wait("b"), self.wait("c")), (0.0, float("inf")))
+
+    def test_the_first_one_by_name_stands_in_with_half_of_the_limit(self) -> None:
+        self.hear("c")
+        self.assertEqual(self.wait("d"), 0.0)
+        self.gate.sent(Instance("t", "s", "10.0.0.1:80", "d"), 10.0)
+        # One owner: each second in its own data centre, each two seconds elsewhere.
+        self.assertEqual((self.wait("b"), self.wait("d")), (1.0, 2.0))
+        self.hear("a")
+        self.assertEqual(self.wait("d"), float("inf"))
+
+    def test_a_node_that_has_just_started_owns_nothing(self) -> None:
+        self.views = Views(began_at=9.5)
+        self.views.limits.named("t", 1.0, 9.0)
+        self.gate = LimitGate(views=self.views, neighbours=self.neighbours)
+        self.assertEqual(self.wait("b"), float("inf"))
+
+
 class TestLimitWords(unittest.TestCase):
     def test_an_answer_to_a_request_of_before_does_not_end_a_limit(
         self,
