--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -18,7 +18,7 @@
 
 
 class SendGate:
-    """The one place that every sender asks, and tells what it sends."""
+    """What every sender of requests asks, and tells what it sends."""
 
     def __init__(self, *, views: Views, neighbours: Neighbours, bounds: Bounds) -> None:
         self._views = views
