Spread callers over the hosts of a data centre by capacity

Cause: entry responses name all active hosts, and callers open connections to any of them. The event loops of small hosts were not late (95th percentile 4 to 6 ms).

Change: where capacities differ by a factor of two, each response names a random pair, weighted by capacity. Ruled out: a sample by the caller's address, for callers may share one.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from collections.abc import Collection, Iterable
 
 from .active import Candidate, active_names
+from .caller_spread import sample_hosts
 from .heartbeat import Heartbeat, KnownNode, Neighbour, NeighbourState, StorePosition
 from .heartbeat_schedule import Relation, SentHeartbeats, periods
 from .readers import ReadState
@@ -251,17 +253,20 @@
     def _remote(self) -> list[NeighbourState]:
         return [heard for heard in self._states.values() if not self._is_nearby(heard)]
 
-    def addresses(self, data_centre: str, now: float) -> list[str]:
+    def addresses(self, data_centre: str, now: float, rng: random.Random) -> list[str]:
         """Return the addresses that a caller in `data_centre` should use.
 
         They are those of the active nodes of its data centre, because traffic between data
-        centres costs; without any, those of all active nodes, or of all nodes that serve.
+        centres costs; without any, those of all active nodes, or of all nodes that serve.  Of
+        hosts that differ in capacity each call returns a random sample.
         """
         active = self.active_everywhere(now)
         if self.is_active(now):
             active.append(self._me)
         near = [node for node in active if node.data_centre == data_centre]
-        return [node.entry for node in near or active or self._any_serving(now)][:_MAX_ADDRESSES]
+        if near:
+            return [node.entry for node in sample_hosts(near[:_MAX_ADDRESSES], rng)]
+        return [node.entry for node in active or self._any_serving(now)][:_MAX_ADDRESSES]
 
     def _any_serving(self, now: float) -> list[Neighbour]:
         others = [h.node for _, h in sorted(self._states.items()) if h.serves and h.is_alive(now)]
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -204,7 +204,7 @@
         directory = EntryHandler(
             dialect=dialects.entry,
             addresses=lambda data_centre: self._neighbours.addresses(
-                data_centre, asyncio.get_running_loop().time()
+                data_centre, asyncio.get_running_loop().time(), rng
             ),
             ready=lambda: self._serving,
             cache_seconds=self._entry_cache,
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import unittest
 from typing import ClassVar
 
@@ -185,7 +186,7 @@
         self.view = Neighbours(me=neighbour("me"))
 
     def _addresses(self, now: float, data_centre: str = "a") -> list[str]:
-        return self.view.addresses(data_centre, now)
+        return self.view.addresses(data_centre, now, random.Random(1))
 
     def test_a_silent_node_is_removed_from_the_addresses_and_returns_with_a_heartbeat(self) -> None:
         self.view.receive(heartbeat(neighbour("n1")), 0.0)
