Do not name hosts to callers that have been silent for four seconds

Change: entry responses name only nodes whose last heartbeat is at most 4 s old. A node that hears nobody names itself, if it serves, else none. Who counts as alive is unchanged.

The new test fails on the code before.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -36,6 +36,10 @@
 a restart takes about a second, and datagrams are queued for less on any link."""
 _MAX_ADDRESSES = 64
 """Callers use at most this many addresses of a response."""
+_MAX_NAMED_SILENCE_SECONDS = 4.0
+"""Silence after which a node is not named to callers, longer than any period between the
+heartbeats of nodes of one data centre.  A standby node counts as alive for three times as long:
+it may be selected as active after it has ended."""
 _SELECTION_SECONDS = 0.1
 """How long the selection of the active nodes is cached: it sorts all nodes."""
 _STANDBY_SELECTION_SECONDS = 0.3
@@ -260,7 +264,7 @@
         centres costs; without any, those of all active nodes, or of all nodes that serve.  Of
         hosts that differ in capacity each call returns a random sample.
         """
-        active = self.active_everywhere(now)
+        active = [node for node in self.active_everywhere(now) if self._heard_lately(node, now)]
         if self.is_active(now):
             active.append(self._me)
         near = [node for node in active if node.data_centre == data_centre]
@@ -270,7 +274,11 @@
 
     def _any_serving(self, now: float) -> list[Neighbour]:
         others = [h.node for _, h in sorted(self._states.items()) if h.serves and h.is_alive(now)]
-        return [*others, self._me] if self._serving else others
+        heard = [node for node in others if self._heard_lately(node, now)]
+        return [*heard, self._me] if self._serving else heard
+
+    def _heard_lately(self, node: Neighbour, now: float) -> bool:
+        return now - self._states[node.name].received_at <= _MAX_NAMED_SILENCE_SECONDS
 
     def _candidates(self, now: float) -> Iterable[Candidate]:
         for name, heard in self._nearby.items():
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -195,6 +195,14 @@
         self.view.receive(heartbeat(neighbour("n1")), 2.0)
         self.assertEqual(len(self._addresses(2.1)), 1)
 
+    def test_a_standby_node_that_ended_is_not_named_for_as_long_as_it_counts_as_alive(self) -> None:
+        # It was selected as active after its end: callers were sent to it for 10 s.
+        ended = heartbeat(neighbour("n1"))._replace(period=3.0, active=False)
+        self.view.receive(ended, 0.0)
+        self.assertEqual(self._addresses(3.3), ["n1:80"])
+        self.assertEqual(self._addresses(4.5), [])
+        self.assertEqual([node.name for node in self.view.alive(4.5)], ["n1"])
+
     def test_a_leaving_node_is_removed_from_the_addresses_at_once(self) -> None:
         self.view.receive(heartbeat(neighbour("n1")), 0.0)
         self.assertEqual(len(self._addresses(0.01)), 1)
