Select active hosts by their joint peak where capacities differ

Cause: each host reports its busiest second of the last ten, and the active hosts are chosen for three times the sum.

Change: where capacities differ by a factor of two, the peaks are combined as those of independent arrivals. Hosts of like capacity are selected as before, as test_more_hosts_become_active_as_the_load_grows holds.

--- a/packages/core/src/fielddrift_core/active.py
+++ b/packages/core/src/fielddrift_core/active.py
@@ -14,7 +14,7 @@
 
 from .names import rank
 
-__all__ = ["Candidate", "active_names", "capacity_of", "size_class"]
+__all__ = ["Candidate", "active_names", "capacity_of", "differ", "joint_peak", "size_class"]
 
 _CPU_SECONDS_PER_REQUEST = 0.004
 """Processor time of a request with its stream on a reference core (docs/CAPACITY.md).  With a
@@ -30,6 +30,11 @@
 _HOSTS_PER_ACTIVE_HOST = 6
 """At least one host in this many is active, so that a sudden increase of the load does not
 arrive at three hosts out of a hundred."""
+_MAX_EVEN_RATIO = 2.0
+"""Ratio of the largest to the smallest capacity below which hosts are treated alike.  Hosts have
+enough headroom for load that is uneven by this factor."""
+_PEAK_DEVIATIONS = 2.5
+"""Standard deviations by which the busiest of ten seconds exceeds the mean of random arrivals."""
 _RANK_KEY = "active"
 
 
@@ -53,12 +58,15 @@
     """Return the names of the hosts of one data centre that should be active.
 
     Large hosts come first.  Among hosts of one size class every node uses the same order, which
-    changes little when a host is added or removed.
+    changes little when a host is added or removed.  Where capacities differ, most small hosts
+    have little load, and their peaks are not simply added up.
     """
     known = {candidate.name: candidate for candidate in candidates}
     ranked = rank(_RANK_KEY, [(name, 1.0) for name in known])
     ranked.sort(key=lambda name: -size_class(known[name].capacity))
-    wanted = _HEADROOM_FACTOR * sum(candidate.load for candidate in known.values())
+    loads = [candidate.load for candidate in known.values()]
+    uneven = differ(candidate.capacity for candidate in known.values())
+    wanted = _HEADROOM_FACTOR * (joint_peak(loads) if uneven else sum(loads))
     min_count = max(_MIN_ACTIVE_HOSTS, math.ceil(len(known) / _HOSTS_PER_ACTIVE_HOST))
     chosen: list[str] = []
     capacity = 0.0
@@ -70,6 +78,27 @@
     return frozenset(chosen)
 
 
+def differ(capacities: Iterable[float]) -> bool:
+    """Return whether the capacities of hosts differ so much that their load should, too."""
+    known = list(capacities)
+    return bool(known) and max(known) >= _MAX_EVEN_RATIO * min(known)
+
+
+def joint_peak(peaks: Iterable[float]) -> float:
+    """Return the peak rate of several streams of requests together, from their own peak rates.
+
+    Streams have their busiest seconds at different times, so the sum of the peaks is too high,
+    the more so the more of them there are.  Added up, the peaks of a hundred hosts with a request
+    per second each would make all of them active, and their traffic smaller still.
+    """
+    # The peak of a mean rate m is m + d * sqrt(m), for d deviations.
+    deviations = _PEAK_DEVIATIONS
+    mean = sum(
+        ((math.sqrt(deviations**2 + 4 * max(0.0, peak)) - deviations) / 2) ** 2 for peak in peaks
+    )
+    return mean + deviations * math.sqrt(mean)
+
+
 def size_class(capacity: float) -> int:
     """Return the binary logarithm of `capacity`, rounded: similar hosts count as equal."""
     return round(math.log2(max(capacity, 1.0)))
--- a/packages/core/src/fielddrift_core/caller_spread.py
+++ b/packages/core/src/fielddrift_core/caller_spread.py
@@ -15,14 +15,13 @@
 from collections.abc import Sequence
 from typing import Protocol, TypeVar
 
+from .active import differ
+
 __all__ = ["sample_hosts"]
 
 _SAMPLE_COUNT = 2
 """Hosts per response: a caller needs a second address until it learns that the first failed.
 With more, most samples would include small hosts, and those would get more than their share."""
-_MAX_EVEN_RATIO = 2.0
-"""Ratio of the largest to the smallest capacity up to which all hosts are named.  Hosts have
-enough headroom for load that is uneven by this factor."""
 
 
 class HasCapacity(Protocol):
@@ -42,7 +41,7 @@
     All are returned if their capacities are similar.
     """
     capacities = [host.capacity for host in hosts]
-    if len(hosts) <= _SAMPLE_COUNT or max(capacities) < _MAX_EVEN_RATIO * min(capacities):
+    if len(hosts) <= _SAMPLE_COUNT or not differ(capacities):
         return list(hosts)
     # Weighted sampling without replacement: the largest of `u ** (1 / weight)` for uniform `u`.
     scores = [rng.random() ** (1 / max(1.0, capacity)) for capacity in capacities]
--- a/tests/test_caller_spread.py
+++ b/tests/test_caller_spread.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from fielddrift_core.active import Candidate as ActiveCandidate
-from fielddrift_core.active import active_names, capacity_of
+from fielddrift_core.active import active_names, capacity_of, joint_peak
 from fielddrift_core.caller_spread import sample_hosts
 
 _LARGE = capacity_of(cores=2.15, link_rate=100e6 / 8)
@@ -68,3 +68,29 @@
     def test_two_hosts_are_both_named_whatever_their_capacity(self) -> None:
         hosts = [_Host("large", _LARGE), _Host("small", _SMALL)]
         self.assertEqual(sample_hosts(hosts, self.rng), hosts)
+
+
+class TestJointPeak(unittest.TestCase):
+    """The active hosts must not multiply because each of them reports its own busiest second."""
+
+    def _peaks(self, count: int, rate: float) -> list[float]:
+        rng = random.Random(3)
+        seconds = [Counter(rng.randrange(count) for _ in range(int(rate))) for _ in range(10)]
+        return [float(max(second[host] for second in seconds)) for host in range(count)]
+
+    def test_one_host_keeps_its_own_peak(self) -> None:
+        self.assertAlmostEqual(joint_peak([70.0]), 70.0)
+
+    def test_the_peak_of_many_hosts_does_not_grow_with_their_number(self) -> None:
+        for count in (6, 34, 100):
+            with self.subTest(hosts=count):
+                self.assertLess(joint_peak(self._peaks(count, _RATE)), 1.5 * _RATE)
+                self.assertGreater(joint_peak(self._peaks(count, _RATE)), 0.9 * _RATE)
+
+    def test_hosts_that_became_active_for_a_burst_stand_by_again(self) -> None:
+        # With the sum of the peaks the large hosts' capacity never sufficed again.
+        rate = 230.0
+        peaks = [*self._peaks(2, 0.8 * rate), *self._peaks(32, 0.2 * rate)]
+        hosts = [ActiveCandidate(f"n{i}", _LARGE if i < 2 else _SMALL, peaks[i]) for i in range(34)]
+        self.assertGreater(3 * sum(peaks), 2 * _LARGE)
+        self.assertEqual(len(active_names(hosts)), 6)
