Rank prompts by latency goal within a priority, and learn the reserve for urgent ones

Cause: where customers' priorities replace those of the routes, short prompts due in 0.5 s and long ones due in 1.5 s share one rank.

Change: requests of one priority whose goals differ by a factor of two have ranks of their own; the queue, the wait, the reserve, the prefill rule and the urgency at engines follow these. The reserve that lower ranks leave grows while prompts of higher rank wait at any node, from 0.15 to at most 0.5, and is released within seconds. Where goals are closer the ranks are the priorities, and only the reserve can differ.

--- a/bench/lab/switches.py
+++ b/bench/lab/switches.py
@@ -10,6 +10,7 @@
 from fielddrift_core import placement, prompt_queue
 from fielddrift_core.engine_slowdown import EngineSlowdowns
 from fielddrift_core.prompt_queue import MemoryTurnover
+from fielddrift_core.rank_reserve import RankReserve
 from fielddrift_core.workload import Lateness
 from fielddrift_node.serving import prompt_placement
 
@@ -31,7 +32,7 @@
 @_switch("room")
 def _room() -> Sequence[Any]:
     """Send on whatever an engine's memory holds."""
-    return [mock.patch.object(MemoryTurnover, "send_limit", lambda *_: float("inf"))]
+    return [mock.patch.object(MemoryTurnover, "send_limit", lambda *_, **__: float("inf"))]
 
 
 @_switch("handover")
@@ -43,7 +44,10 @@
 @_switch("reserve")
 def _reserve() -> Sequence[Any]:
     """Keep no room for the most urgent."""
-    return [mock.patch.object(prompt_queue, "_RESERVED_FRACTION", 0.0)]
+    return [
+        mock.patch.object(RankReserve, "fraction", 0.0),
+        mock.patch.object(RankReserve, "observe", lambda *_: 0.0),
+    ]
 
 
 @_switch("turnover")
--- a/packages/core/src/fielddrift_core/prompt_queue.py
+++ b/packages/core/src/fielddrift_core/prompt_queue.py
@@ -12,6 +12,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from .rank_reserve import MIN_RESERVE_FRACTION
+
 __all__ = ["MemoryTurnover", "PromptQueue", "WaitingPrompt", "queue_name"]
 
 _INITIAL_HOLD_SECONDS = 1.0
@@ -19,9 +21,6 @@
 _HOLD_DECAY_TOKENS = 60_000
 """Tokens of ended runs after which the weight of the previous estimate falls to 1/e.  It is
 about what one engine holds, so that congestion shows within one turnover of its memory."""
-_RESERVED_FRACTION = 0.15
-"""Fraction of an engine's memory reserved for the most urgent prompts.  A prompt without
-room preempts less urgent runs, each of which has to prefill its whole prompt again."""
 _HANDOVER_SECONDS = 0.06
 """Time from the end of a run until a prompt that waits at a node reaches the engine: the
 report of the end, the choice of an engine, and a connection."""
@@ -92,15 +91,19 @@
         weight = 1.0 - math.exp(-tokens / _HOLD_DECAY_TOKENS)
         self._seconds += weight * (max(0.0, seconds) - self._seconds)
 
-    def send_limit(self, rank: int, ranks: Sequence[int]) -> float:
+    def send_limit(
+        self, rank: int, ranks: Sequence[int], *, reserve: float = MIN_RESERVE_FRACTION
+    ) -> float:
         """Return up to which fraction of its memory an engine is sent prompts of `rank`.
 
+        `reserve` is the fraction that is kept free for prompts of higher rank.
+
         The fraction may exceed 1: beside what its memory holds, an engine needs prompts that
         replace the runs which end before the next prompt can arrive from a node.  Without
         them engines would idle while prompts wait if runs are short.
         """
         part = 1.0 + _HANDOVER_SECONDS / max(_MIN_HOLD_SECONDS, self._seconds)
-        return part if rank <= min(ranks, default=rank) else part - _RESERVED_FRACTION
+        return part if rank <= min(ranks, default=rank) else part - reserve
 
     def wait(self, tokens: int, memory: int) -> float:
         """Return the expected seconds until `tokens` are free.
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -11,6 +11,7 @@
 from fielddrift_core.errors import Refusal
 from fielddrift_core.fingerprint import fingerprint
 from fielddrift_core.retries import WindowBudget
+from fielddrift_core.service_ranks import ServiceRanks
 from fielddrift_core.stream import EventFramer
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
@@ -140,6 +141,8 @@
     trace: Trace
     waited_seconds: float = 0.0
     """Estimated seconds for which the caller had waited before it sent this request."""
+    ranks: ServiceRanks = ServiceRanks()
+    """The ranks of the requests for the service."""
 
     @property
     def late(self) -> bool:
@@ -153,6 +156,11 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def rank(self) -> int:
+        """Return the rank among the requests for the service, the lowest for the most urgent."""
+        return self.ranks.rank(self.priority, self.route.latency_goal)
+
     @property
     def customer_name(self) -> str:
         """Return the customer's name, empty for none."""
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -153,7 +153,16 @@
             else 0.0
         )
         return Call(
-            parsed, catalog, route, service, customer, arrived_at, deadline, trace, waited_seconds
+            parsed=parsed,
+            catalog=catalog,
+            route=route,
+            service=service,
+            customer=customer,
+            arrived_at=arrived_at,
+            deadline=deadline,
+            trace=trace,
+            waited_seconds=waited_seconds,
+            ranks=views.ranks(catalog, service.name),
         )
 
     def _unknown_after_pause(self, what: str) -> Refused:
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -338,7 +338,7 @@
         """
         now = asyncio.get_running_loop().time()
         late = call.late and self._context.views.just_started(now)
-        return urgency(call.priority, late=late, ranks=call.catalog.priorities)
+        return urgency(call.rank, late=late, ranks=call.ranks.ranks)
 
     # --- accounting -----------------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from fielddrift_core.candidates import MAX_CANDIDATES, sample
@@ -77,7 +78,7 @@
     async def place(self, call: Call, attempts: Attempts, *, resumes: bool) -> EngineChoice:
         """Return the engine to send to, once it has room; raise `Refused` if none is in time."""
         service_queue = self._context.views.service_queues.of(call.service.name)
-        priority = _RESUME_PRIORITY if resumes else call.priority
+        priority = _RESUME_PRIORITY if resumes else call.rank
         if service_queue.queue.count_ahead(priority) == 0:
             choice = self._choose_with_room(call, attempts.tried)
             if choice is not None:
@@ -98,16 +99,12 @@
 
     def _queue_wait(self, call: Call, service_queue: ServiceQueue) -> float:
         """Return the seconds until there is room after all prompts that wait at any node."""
-        prompt, traits = call.parsed.prompt, call.service.engine
-        assert prompt is not None and traits is not None
-        views = self._context.views
+        prompt = call.parsed.prompt
+        assert prompt is not None
         now = asyncio.get_running_loop().time()
-        names = [
-            queue_name(call.service.name, r) for r in call.catalog.priorities if r <= call.priority
-        ]
-        ahead = sum(views.workload.burden_of(name, now).memory for name in names)
-        engines = len(views.registry.serving(call.service.name))
-        return service_queue.turnover.wait(ahead + prompt.tokens, engines * traits.memory)
+        ranks = [rank for rank in call.ranks.ranks if rank <= call.rank]
+        ahead = self._waiting_tokens(call, ranks, now)
+        return service_queue.turnover.wait(ahead + prompt.tokens, self._total_memory(call))
 
     def _send_wait(self, call: Call) -> float:
         """Return the seconds until this node may send to some engine; raise `Refused` if never.
@@ -195,10 +192,36 @@
 
     def _choose_with_room(self, call: Call, tried: set[str]) -> EngineChoice | None:
         """Return the best healthy engine that has room, None if there is none."""
-        turnover = self._context.views.service_queues.of(call.service.name).turnover
-        memory_fraction = turnover.send_limit(call.priority, call.catalog.priorities)
+        service_queue = self._context.views.service_queues.of(call.service.name)
+        memory_fraction = service_queue.turnover.send_limit(
+            call.rank,
+            call.ranks.ranks,
+            reserve=self._reserve(call, service_queue),
+        )
         return self._choose(call, tried, memory_fraction=memory_fraction, sends=True)
 
+    def _reserve(self, call: Call, service_queue: ServiceQueue) -> float:
+        """Return the fraction of memory that `call` leaves to prompts of higher rank."""
+        reserve = service_queue.reserve(call.rank)
+        now = asyncio.get_running_loop().time()
+        higher = [rank for rank in call.ranks.ranks if rank < call.rank]
+        memory = self._total_memory(call)
+        if not higher or not memory:
+            return reserve.fraction
+        return reserve.observe(self._waiting_tokens(call, higher, now) / memory, now)
+
+    def _total_memory(self, call: Call) -> int:
+        """Return the memory of all engines of the service, in tokens."""
+        traits = call.service.engine
+        assert traits is not None
+        return len(self._context.views.registry.serving(call.service.name)) * traits.memory
+
+    def _waiting_tokens(self, call: Call, ranks: Iterable[int], now: float) -> int:
+        """Return the tokens of the prompts of `ranks` that wait at any node."""
+        workload = self._context.views.workload
+        names = [queue_name(call.service.name, rank) for rank in ranks]
+        return sum(workload.burden_of(name, now).memory for name in names)
+
     def _choose(
         self,
         call: Call,
@@ -247,7 +270,7 @@
         if memory_fraction is not None:
             healthy = self._healthy(candidates, now)
             candidates = [c for c in healthy if has_room(c.burden, prompt, traits, memory_fraction)]
-            if call.priority > min(call.catalog.priorities, default=call.priority):
+            if call.rank > min(call.ranks.ranks, default=call.rank):
                 # Prompts of lower priority leave prefill capacity to more urgent prompts.
                 candidates = [c for c in candidates if self._can_prefill_soon(call, c)]
         elif len(candidates) > MAX_CANDIDATES:
--- a/packages/node/src/fielddrift_node/serving/service_queues.py
+++ b/packages/node/src/fielddrift_node/serving/service_queues.py
@@ -6,6 +6,7 @@
 import contextlib
 
 from fielddrift_core.prompt_queue import MemoryTurnover, PromptQueue, WaitingPrompt
+from fielddrift_core.rank_reserve import RankReserve
 
 __all__ = ["ServiceQueue", "ServiceQueues"]
 
@@ -16,8 +17,13 @@
     def __init__(self) -> None:
         self.queue = PromptQueue()
         self.turnover = MemoryTurnover()
+        self._reserves: dict[int, RankReserve] = {}
         self._wakeups: dict[int, asyncio.Event] = {}
 
+    def reserve(self, rank: int) -> RankReserve:
+        """Return the reserve that prompts of `rank` leave to higher ranks."""
+        return self._reserves.setdefault(rank, RankReserve())
+
     async def wait_turn(self, waiter: WaitingPrompt, seconds: float) -> None:
         """Wait until `waiter` may be first in the queue, for at most `seconds`."""
         event = self._wakeups[id(waiter)] = asyncio.Event()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -18,6 +18,7 @@
 from fielddrift_core.loading_engines import LoadingEngines
 from fielddrift_core.readers import OPERATORS_POLL_SECONDS, ReadState
 from fielddrift_core.rollout import EngineWeights, Naming, NamingTimes, VersionAge, upcoming_loads
+from fielddrift_core.service_ranks import ServiceRanks
 from fielddrift_core.store_index import StoreIndex
 from fielddrift_core.target_notices import TargetLimits, TargetPauses
 from fielddrift_core.target_registry import Instance, TargetRegistry
@@ -104,6 +105,8 @@
         self.waits = CallerWaits()
         """How long callers have been waiting."""
         self._weights_change_count = 0
+        self._ranks: dict[str, ServiceRanks] = {}
+        self._ranked_version = 0
         self._candidates: dict[tuple[str, str], CandidateEngines] = {}
         self._started_at = started_at
         self.leaving: DrainWindow | None = None
@@ -137,6 +140,15 @@
         self.store_index.configure([s.store for s in catalog.stores if s.store is not None])
         return True
 
+    def ranks(self, catalog: Catalog, service: str) -> ServiceRanks:
+        """Return the ranks of the requests for `service` under `catalog`."""
+        if catalog.version != self._ranked_version:
+            self._ranks.clear()
+            self._ranked_version = catalog.version
+        if service not in self._ranks:
+            self._ranks[service] = ServiceRanks.of(catalog, service)
+        return self._ranks[service]
+
     def apply_evacuations(self, now: float) -> EvacuationChange:
         """Apply the known evacuations and return what changed.
 
