--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -234,6 +234,7 @@
             fingerprint=call.fingerprint,
             route=call.route.name,
             customer=call.customer_name,
+            rank=call.rank,
             status=trace.status,
             outcome=outcome,
             targets=trace.targets,
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -124,6 +124,9 @@
         self.held_back = self._gauge(
             "held_back_requests", "requests that are held back because their targets ended"
         )
+        self.reserved = self._gauge(
+            "reserved_memory", "largest part of engines' memory kept for prompts of higher rank"
+        )
         self.tokens = self._counter("prompt_tokens", "tokens of shared parts", "way")
         self.orders = self._counter("orders", "orders of weights", "outcome")
         self.freed = self._counter("freed_parts", "kept parts that were freed")
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -385,6 +385,7 @@
         metrics.cold_targets.set(views.cold.expire(names, now))
         metrics.limited_targets.set(views.limits.expire(names, now))
         metrics.paused_targets.set(views.pauses.expire(now))
+        metrics.reserved.set(views.service_queues.largest_reserve)
         metrics.platform_calls.set(self._platform.calls)
         metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
