Bound what a node holds for its callers by the memory of its host

Cause: bounds applied to each buffer alone. 256 KB of unsent response and 256 KB read from the target for each slow reader, and the bodies of requests besides, are more than a host with 152 MB has for 400 of them. Above its limit the process is killed with the requests of all callers.

Change: core/memory_budget.py keeps one account of bodies, unsent responses and bytes read from targets, by connection. Beyond a soft bound a connection may hold less the fuller the account is; near the hard bound connections without progress are closed, and bodies that do not fit are refused with 503 before they are read. web/host_memory.py applies it to the server and the client. The limit is the platform's limits.memory-mb; without it the bounds per connection apply as before. Targets are read in pieces of 16 KB, so that the first reads for many callers do not fill the account. Where a limit is known, the kernel's buffers are bounded, and TCP_USER_TIMEOUT is raised for callers that were seen to take part of a response.

Tests: tests/test_memory_budget.py replays 400 slow readers: the account stays under its bound, where the former bounds pass the limit of the host. Over loopback quick callers get whole responses beside 24 slow ones, a body that does not fit is refused, stalled connections are closed, a steady one is kept.

--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -151,6 +151,15 @@
             "evacuated_data_centres", "data centres whose targets get nothing"
         )
         self.nodes = self._gauge("nodes", "live nodes, this one included")
+        self.held_bytes = self._gauge(
+            "caller_held_bytes", "bytes of requests and responses held for callers"
+        )
+        self.memory_closed = self._counter(
+            "memory_closed", "callers' connections closed because memory was short"
+        )
+        self.bodies_refused = self._counter(
+            "bodies_refused", "requests refused before their body was read, for memory"
+        )
         self.platform_calls = self._gauge("platform_calls", "calls to the platform since the start")
         self.store_returns = self._counter(
             "store_returns", "returns of the platform's store from an older copy"
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -14,6 +14,7 @@
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
 
 from ..web.client import Client
+from ..web.host_memory import HostMemory
 from ..web.server import Limits, Server
 from .beliefs import cluster_state, to_json
 from .call import ServingContext
@@ -198,8 +199,15 @@
             gate=SendGate(views=self._views, neighbours=self._neighbours, bounds=settings.bounds),
             notices=notices,
         )
+        self._memory = HostMemory(
+            limit_bytes=settings.memory_limit,
+            on_closed=self._metrics.memory_closed.inc,
+            on_refused=self._record_refused_body,
+        )
         self._entry_server = Server(
-            handler=Gateway(context=context).handle, limits=self._server_limits
+            handler=Gateway(context=context).handle,
+            limits=self._server_limits,
+            memory=self._memory,
         )
         directory = EntryHandler(
             dialect=dialects.entry,
@@ -385,6 +393,8 @@
         metrics.cold_targets.set(views.cold.expire(names, now))
         metrics.limited_targets.set(views.limits.expire(names, now))
         metrics.paused_targets.set(views.pauses.expire(now))
+        self._memory.refresh()
+        metrics.held_bytes.set(self._memory.budget.held)
         metrics.platform_calls.set(self._platform.calls)
         metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
@@ -406,6 +416,10 @@
 
     # --- callbacks ----------------------------------------------------------------
 
+    def _record_refused_body(self) -> None:
+        self._metrics.bodies_refused.inc()
+        self._metrics.refusals.inc(label_value="memory")
+
     def _on_operators_changed(self) -> None:
         self._update_status()
         self._named_rows.schedule_save()
--- a/packages/node/src/fielddrift_node/serving/settings.py
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -44,7 +44,8 @@
 class NodeSettings(NamedTuple):
     """Location and listening addresses (IP:PORT) of a node.
 
-    `capacity` is the number of requests per second that its host can handle.
+    `capacity` is the number of requests per second that its host can handle, `memory_limit` the
+    memory in bytes above which the process is killed, 0 if that is unknown.
     """
 
     name: str
@@ -60,3 +61,4 @@
     seeds: tuple[str, ...]
     bounds: Bounds
     capacity: float = 1.0
+    memory_limit: int = 0
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -13,7 +13,9 @@
 from typing import NamedTuple, cast
 
 import httptools
+from fielddrift_core.memory_budget import MAX_READ_BYTES
 
+from .host_memory import HeldBytes, bound_receive_buffer, held_for_caller
 from .messages import Headers, ResponseHead
 from .server import prepare_socket
 
@@ -57,15 +59,21 @@
     body: bytes
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One connection to a server; it carries one exchange at a time.
 
-    `released` is called when the connection may be reused, `lost` when it is closed.
+    `released` is called when the connection may be reused, `lost` when it is closed.  Bytes are
+    read into `read_buffer`, which bounds a read and may be shared with other connections.
     """
 
     def __init__(
-        self, *, released: Callable[[_Connection], None], lost: Callable[[_Connection], None]
+        self,
+        *,
+        released: Callable[[_Connection], None],
+        lost: Callable[[_Connection], None],
+        read_buffer: memoryview,
     ) -> None:
+        self._read_buffer = read_buffer
         self._release = released
         self._lost = lost
         self._loop = asyncio.get_running_loop()
@@ -119,7 +127,13 @@
         self._transport = cast(asyncio.Transport, transport)
         prepare_socket(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._data_received(self._read_buffer[:nbytes])
+
+    def _data_received(self, data: memoryview) -> None:
         if self._exchange is None:
             # No request is pending, so these bytes answer none.
             self.close()
@@ -149,6 +163,11 @@
         if self._transport is not None:
             self._transport.pause_reading()
 
+    def bound_receive_buffer(self) -> None:
+        """Keep the kernel from growing the receive buffer."""
+        if self._transport is not None:
+            bound_receive_buffer(self._transport)
+
     def resume_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
@@ -229,10 +248,17 @@
 
 
 class Exchange:
-    """One request and its response, which is read as it arrives."""
+    """One request and its response, which is read as it arrives.
+
+    `held` counts the bytes for the caller on whose behalf the response is read, and may pause it.
+    """
 
-    def __init__(self, *, accepts: Callable[[ResponseHead], bool]) -> None:
+    def __init__(
+        self, *, accepts: Callable[[ResponseHead], bool], held: HeldBytes | None = None
+    ) -> None:
         self._accepts = accepts
+        self._held = held
+        self._paused = False
         self._loop = asyncio.get_running_loop()
         self._head: ResponseHead | None = None
         self._buffer: deque[bytes] = deque()
@@ -257,6 +283,8 @@
         """Set the connection that carries the exchange, and whether it is a reused one."""
         self._connection = connection
         self._kept = kept
+        if self._held is not None:
+            self._held.add_source(self)
 
     def accepts(self, head: ResponseHead) -> bool:
         """Return whether `head` belongs to the response to this request."""
@@ -271,20 +299,42 @@
         """Append `data` to the body; pause the connection while too much is buffered."""
         self._buffer.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._connection is not None:
-            self._connection.pause_reading()
+        held = self._held
+        may_read = held is None or held.read_from_target(self, len(data))
+        if not may_read or self._buffered_bytes > _MAX_BUFFERED_BYTES:
+            self.pause()
         self._changed.set()
 
+    def pause(self) -> None:
+        """Pause reading from the connection."""
+        if self._connection is not None and not self._paused:
+            self._paused = True
+            self._connection.pause_reading()
+
+    def resume_if_allowed(self) -> None:
+        """Resume reading from the connection unless too much is buffered."""
+        held = self._held
+        if (
+            self._paused
+            and self._connection is not None
+            and self._buffered_bytes <= _MAX_BUFFERED_BYTES
+            and (held is None or held.record.may_resume)
+        ):
+            self._paused = False
+            self._connection.resume_reading()
+
     def completed(self) -> None:
         """Mark the response as complete."""
         self._complete = True
         # From now on the connection may carry another exchange.
         self._connection = None
+        self._reading_ended()
         self._changed.set()
 
     def failed(self, error: ExchangeError) -> None:
         """Mark the response as ended by `error`."""
         self._error = error
+        self._reading_ended()
         self._changed.set()
 
     async def head(self) -> ResponseHead:
@@ -310,9 +360,11 @@
             await self._changed.wait()
         data = b"".join(self._buffer)
         self._buffer.clear()
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._connection is not None:
-            self._connection.resume_reading()
         self._buffered_bytes = 0
+        if self._held is not None:
+            self._held.record.release_read(len(data))
+        if self._paused:
+            self.resume_if_allowed()
         return data
 
     async def body(self) -> bytes:
@@ -321,14 +373,31 @@
         Raise `ExchangeError` if the exchange fails.
         """
         chunks = []
-        while data := await self.read():
-            chunks.append(data)
-        return b"".join(chunks)
+        record = None if self._held is None else self._held.record
+        collected = 0
+        try:
+            while data := await self.read():
+                chunks.append(data)
+                if record is not None:
+                    record.collect(len(data))
+                    collected += len(data)
+            return b"".join(chunks)
+        finally:
+            if record is not None:
+                record.release_collected(collected)
 
     def cancel(self) -> None:
         """Abort the connection unless the response is complete."""
         if not self._complete and self._connection is not None:
             self._connection.close()
+        self._reading_ended()
+        if self._held is not None:
+            self._held.record.release_read(self._buffered_bytes)
+            self._held = None
+
+    def _reading_ended(self) -> None:
+        if self._held is not None:
+            self._held.remove_source(self)
 
 
 class Client:
@@ -339,6 +408,7 @@
 
     def __init__(self, *, on_connect: Callable[[str], None] = lambda address: None) -> None:
         self._on_connect = on_connect
+        self._read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._idle: dict[str, list[_Connection]] = {}
         self._open_counts: dict[str, int] = {}
 
@@ -358,6 +428,7 @@
         `max_connections` the number of open connections to the address.  Raise
         `ExchangeError` with `sent` False if there is no connection to send it on.
         """
+        held = held_for_caller.get()
         connection = self._take_idle(address, max_idle_seconds)
         kept = connection is not None
         if connection is None:
@@ -365,7 +436,9 @@
                 detail = f"{address}: {max_connections} connections are open"
                 raise ExchangeError(detail, sent=False, reason="connections")
             connection = await self._connect(address, connect_seconds)
-        exchange = Exchange(accepts=accepts)
+            if held is not None and held.limited:
+                connection.bound_receive_buffer()
+        exchange = Exchange(accepts=accepts, held=held)
         exchange.bind(connection, kept=kept)
         connection.begin(exchange, data)
         return exchange
@@ -449,6 +522,7 @@
             connection = _Connection(
                 released=lambda c: self._release(address, c),
                 lost=lambda c: self._lost(address, c),
+                read_buffer=self._read_buffer,
             )
             return connection
 
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from .host_memory import HeldBytes, HostMemory, held_for_caller
 from .messages import Headers, RequestHead, reason_phrase
 
 __all__ = [
@@ -41,6 +42,13 @@
 """Bytes of a header field besides its name and value: colon, space and line end."""
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
 """Bytes buffered for a slow caller before reading from its target pauses."""
+_MEMORY_STATUS = 503
+"""Status of requests that are refused because their bodies would take too much memory."""
+_MEMORY_RETRY_SECONDS = 0.25
+"""Their `Retry-After`, as that of other refusals: the caller may reach another node at once."""
+_LINGER_SECONDS = 1.0
+"""Time for which the rest of a refused body is read and dropped.  A connection that is closed
+with unread bytes is reset, and the client may lose the response."""
 
 
 class Limits(NamedTuple):
@@ -179,7 +187,8 @@
 class Server:
     """Listens on addresses and passes each request to `handler`.
 
-    `limits` is read for each new connection; `format_fault` formats error responses.
+    `limits` is read for each new connection; `format_fault` formats error responses.  `memory`
+    counts and bounds what is held for the connections.
     """
 
     def __init__(
@@ -188,10 +197,12 @@
         handler: Handler,
         limits: Callable[[], Limits],
         format_fault: Callable[[Fault], FaultAnswer] = plain_text_fault,
+        memory: HostMemory | None = None,
     ) -> None:
         self._handler = handler
         self._format_fault = format_fault
         self._limits = limits
+        self._memory = memory
         self._connections: set[_Connection] = set()
         self._listeners: list[asyncio.Server] = []
         self._leaving = False
@@ -231,7 +242,9 @@
             connection.abort()
 
     def _connection(self) -> _Connection:
-        return _Connection(server=self, handler=self._handler, limits=self._limits())
+        return _Connection(
+            server=self, handler=self._handler, limits=self._limits(), memory=self._memory
+        )
 
     def format_fault(self, fault: Fault) -> FaultAnswer:
         """Return the body of the response to an invalid request."""
@@ -249,8 +262,12 @@
 class _Connection(asyncio.Protocol):
     """Parses the requests of one connection and handles them in order."""
 
-    def __init__(self, *, server: Server, handler: Handler, limits: Limits) -> None:
+    def __init__(
+        self, *, server: Server, handler: Handler, limits: Limits, memory: HostMemory | None
+    ) -> None:
         self._server = server
+        self._memory = memory
+        self._held: HeldBytes | None = None
         self._handler = handler
         self._limits = limits
         self._loop = asyncio.get_running_loop()
@@ -288,6 +305,8 @@
         self._fields_bytes = 0
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        self._reserved_bytes = 0
+        """Bytes of the memory budget that are reserved for the body."""
         self._head_bytes = 0
         self._head_complete = False
         self._arrived = 0.0
@@ -298,12 +317,16 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         prepare_socket(transport)
+        if self._memory is not None:
+            self._held = self._memory.open(self._transport)
         self._server.joined(self)
         self._check_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.left(self)
         self._transport = None
+        if self._held is not None:
+            self._held.close()
         self._writable.set()
         if self._timer is not None:
             self._timer.cancel()
@@ -319,6 +342,8 @@
 
     def resume_writing(self) -> None:
         self._writable.set()
+        if self._held is not None:
+            self._held.refresh()
 
     def data_received(self, data: bytes) -> None:
         if self._fault is not None or self._close_after_answer:
@@ -375,6 +400,8 @@
             raise _BadRequest(413, f"body: {int(length)} bytes announced")
         if not self._url.startswith(b"/"):
             raise _BadRequest(400, f"request target {self._url[:40]!r}: expected a path")
+        if length is not None:
+            self._reserve_body(int(length))
         self._expects_continue = (fields.get(b"expect") or b"").lower() == b"100-continue"
         self._send_continue()
 
@@ -383,6 +410,10 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
             raise _BadRequest(413, f"body: more than {self._limits.body_bytes} bytes")
+        if self._held is not None:
+            if self._body_bytes > self._reserved_bytes:
+                self._reserve_body(self._body_bytes - self._reserved_bytes)
+            self._held.record.body_arrived(self._loop.time())
 
     def on_message_complete(self) -> None:
         http_1_0 = self._parser.get_http_version() == "1.0"
@@ -397,6 +428,8 @@
         self._expects_continue = False
         self._head_bytes = 0
         self._head_complete = False
+        if self._held is not None:
+            self._held.record.body_complete()
         self._queue.append(Request(head, b"".join(self._body_chunks), self._arrived))
         self._body_chunks = []
         self._deadline = self._loop.time() + self._limits.idle_seconds
@@ -404,6 +437,14 @@
             self._transport.pause_reading()
         self._handle_next()
 
+    def _reserve_body(self, size: int) -> None:
+        """Reserve memory for the body, or a further part of it; fail the request without it."""
+        if self._held is None or not size:
+            return
+        if not self._held.take_body(size):
+            raise _BadRequest(_MEMORY_STATUS, "body: the node holds too much for other requests")
+        self._reserved_bytes += size
+
     # --- handling -----------------------------------------------------------
 
     def _send_continue(self) -> None:
@@ -426,10 +467,16 @@
         self._task = self._loop.create_task(self._handle(request, responder))
 
     async def _handle(self, request: Request, responder: Responder) -> None:
+        held = self._held
+        if held is not None:
+            held_for_caller.set(held)
+            held.record.begin_response()
         try:
             await self._handler(request, responder)
         finally:
             self._task = None
+            if held is not None:
+                held.record.end_response(len(request.body))
             if not responder.ended:
                 self.abort()
             else:
@@ -452,6 +499,11 @@
     def _fail(self, fault: _BadRequest) -> None:
         self._fault = fault
         self._in_message = False
+        self._body_chunks = []
+        if self._held is not None:
+            self._held.record.body_complete()
+            self._held.record.release_body(self._reserved_bytes)
+            self._reserved_bytes = 0
         if self._task is None and not self._queue:
             self._answer_fault()
 
@@ -460,21 +512,31 @@
         if fault is None or self._transport is None:
             return
         content_type, body = self._server.format_fault(Fault(fault.status, str(fault)))
-        head = (
-            b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
-        )
+        head = b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n"
         values = (fault.status, reason_phrase(fault.status), content_type, len(body))
-        self.write(head % values + body)
-        self._transport.close()
+        if fault.status != _MEMORY_STATUS:
+            self.write(head % values + b"\r\n" + body)
+            self._transport.close()
+            return
+        retry_after = b"Retry-After: %.3f\r\n\r\n" % _MEMORY_RETRY_SECONDS
+        self.write(head % values + retry_after + body)
+        self._transport.write_eof()
+        self._loop.call_later(_LINGER_SECONDS, self._close_transport)
 
     # --- writing and closing ------------------------------------------------
 
     def write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._held is None:
             self._transport.write(data)
+        else:
+            self._held.write(data)
 
     async def drain(self) -> None:
         await self._writable.wait()
+        if self._held is not None:
+            await self._held.drain()
 
     def close_after_answer(self) -> None:
         self._close_after_answer = True
@@ -487,6 +549,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _close_transport(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
     def _check_timeout(self) -> None:
         now = self._loop.time()
         if self._task is not None:
