Learn the reserve only where ranks follow from latency goals

The ratio from which goals count as different is 1.8: operators add the time on the network to both.

--- a/packages/core/src/fielddrift_core/service_ranks.py
+++ b/packages/core/src/fielddrift_core/service_ranks.py
@@ -14,9 +14,10 @@
 
 __all__ = ["ServiceRanks"]
 
-_MIN_GOAL_RATIO = 2.0
-"""Ratio of latency goals from which requests of one priority have different ranks.  Requests with
-closer goals can wait for each other, in the order in which they are due."""
+_MIN_GOAL_RATIO = 1.8
+"""Ratio of latency goals from which requests of one priority have different ranks: about twice, as
+operators add the time on the network to each.  Requests with closer goals can wait for each
+other, in the order in which they are due."""
 
 
 class ServiceRanks:
@@ -45,14 +46,19 @@
     @property
     def ranks(self) -> Sequence[int]:
         """Return all ranks, the most urgent first."""
-        if len(self._band_starts) < 2:
+        if not self.by_goal:
             return self._priorities
         return range(len(self._priorities) * len(self._band_starts))
 
+    @property
+    def by_goal(self) -> bool:
+        """Return whether requests of one priority have different ranks."""
+        return len(self._band_starts) > 1
+
     def rank(self, priority: int, latency_goal: float) -> int:
         """Return the rank of a request; `latency_goal` is in seconds."""
         bands = len(self._band_starts)
-        if bands < 2 or priority not in self._priorities:
+        if not self.by_goal or priority not in self._priorities:
             return priority
         band = sum(start <= latency_goal for start in self._band_starts) - 1
         return self._priorities.index(priority) * bands + max(0, band)
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -201,12 +201,16 @@
         return self._choose(call, tried, memory_fraction=memory_fraction, sends=True)
 
     def _reserve(self, call: Call, service_queue: ServiceQueue) -> float:
-        """Return the fraction of memory that `call` leaves to prompts of higher rank."""
+        """Return the fraction of memory that `call` leaves to prompts of higher rank.
+
+        It is learned where requests of one priority have different ranks, since priorities do
+        not then keep long prompts from taking the memory of urgent ones.
+        """
         reserve = service_queue.reserve(call.rank)
         now = asyncio.get_running_loop().time()
         higher = [rank for rank in call.ranks.ranks if rank < call.rank]
         memory = self._total_memory(call)
-        if not higher or not memory:
+        if not call.ranks.by_goal or not higher or not memory:
             return reserve.fraction
         return reserve.observe(self._waiting_tokens(call, higher, now) / memory, now)
 
