Apply heartbeats without work for what is empty or unchanged

A standby node receives some 65 heartbeats a second, most without loads, and an active one reports that mostly repeat the previous ones. Each report was subtracted and added again target by target as tuples, and the transfers of all stores were searched for the sender.

Only targets whose load changed are now added up, as integers; a node's former transfers are found by its own list of stores; lateness that a report exceeds without decay is not decayed first. The resulting state is the same.

--- a/packages/core/src/fielddrift_core/link_queue.py
+++ b/packages/core/src/fielddrift_core/link_queue.py
@@ -31,6 +31,8 @@
         self._free_at: dict[str, float] = {}
         self._reported: dict[str, dict[str, _ReportedTransfers]] = {}
         """Reported transfers by store, then by node; nodes without any have no entry."""
+        self._stores: dict[str, Collection[str]] = {}
+        """The stores in the last report of each node, unless that was empty."""
 
     def add(self, store: str, seconds: float, now: float) -> None:
         """Add a transfer of this node that takes the link for `seconds`."""
@@ -51,9 +53,12 @@
 
     def update_node(self, node: str, waits: Mapping[str, float], now: float) -> None:
         """Replace the report of `node`: `waits` is the seconds of its transfers, by store."""
-        for store, transfers in self._reported.items():
+        for store in self._stores.pop(node, ()):
             if store not in waits:
-                transfers.pop(node, None)
+                self._reported[store].pop(node, None)
+        if not waits:
+            return
+        self._stores[node] = waits.keys()
         for store, seconds in waits.items():
             self._reported.setdefault(store, {})[node] = _ReportedTransfers(now, now + seconds)
 
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -120,15 +120,15 @@
             return False
         known = self._states.get(node.name)
         heard = NeighbourState(
-            node=node,
-            received_at=now,
-            ready=heartbeat.ready,
-            leaving=heartbeat.leaving,
-            active=heartbeat.active,
-            load=heartbeat.load,
-            period=heartbeat.period,
-            reading=heartbeat.reading,
-            kept=heartbeat.kept,
+            node,
+            now,
+            heartbeat.ready,
+            heartbeat.leaving,
+            heartbeat.active,
+            heartbeat.load,
+            heartbeat.period,
+            heartbeat.reading,
+            heartbeat.kept,
         )
         self._set(heard)
         if known is None or known.serves != heard.serves:
--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -155,7 +155,9 @@
     def heard(self, model: str, version: int, at: float) -> None:
         """Record that `version` was known at local time `at`; the earliest time counts."""
         times = self._times.setdefault(model, {})
-        times[version] = min(at, times.get(version, at))
+        known = times.get(version)
+        if known is None or at < known:
+            times[version] = at
 
     def named_at(self, model: str, version: int) -> float | None:
         """Return the local time at which `version` became known, or None if it is unknown."""
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -63,7 +63,7 @@
         self._runs: dict[str, dict[str, Burden]] = {}
         self._own: dict[str, Burden] = {}
         self._reports: dict[str, _NodeReport] = {}
-        """The last report of each node, the oldest first."""
+        """The last report of each node, the oldest first; empty reports are left out."""
         self._others: dict[str, Burden] = {}
 
     def begin(self, target: str, run: str, unread: int, memory: int = 0) -> None:
@@ -80,7 +80,7 @@
         """Remove a run; one that is not known is ignored."""
         runs = self._runs.get(target, {})
         if run in runs:
-            _add(self._own, target, _IDLE - runs.pop(run))
+            _change(self._own, target, runs.pop(run), _IDLE)
             if not runs:
                 del self._runs[target]
 
@@ -90,13 +90,23 @@
 
     def update_node(self, node: str, burdens: Mapping[str, Burden], now: float) -> bool:
         """Replace the report of `node`; return whether it needs less memory of some target."""
-        before = self._forget(node)
+        report = self._reports.pop(node, None)
+        before: Mapping[str, Burden] = {} if report is None else report.burdens
+        if not before and not burdens:
+            return False
+        freed = False
         for target, burden in burdens.items():
-            _add(self._others, target, burden)
-        self._reports[node] = _NodeReport(now, burdens)
-        return any(
-            burdens.get(target, _IDLE).memory < burden.memory for target, burden in before.items()
-        )
+            known = before.get(target, _IDLE)
+            if burden != known:
+                _change(self._others, target, known, burden)
+                freed = freed or burden.memory < known.memory
+        for target, known in before.items():
+            if target not in burdens:
+                _change(self._others, target, known, _IDLE)
+                freed = freed or known.memory > 0
+        if burdens:
+            self._reports[node] = _NodeReport(now, burdens)
+        return freed
 
     def total(self, nodes: Iterable[str], now: float) -> dict[str, Burden]:
         """Return the summed burdens of this node and of `nodes`, by target."""
@@ -105,42 +115,44 @@
         for node in nodes:
             report = self._reports.get(node)
             for target, burden in report.burdens.items() if report is not None else ():
-                _add(totals, target, burden)
+                _change(totals, target, _IDLE, burden)
         return totals
 
     def burden_of(self, target: str, now: float) -> Burden:
         """Return the total burden of `target`, of all nodes."""
         self._expire(now)
-        return self._own.get(target, _IDLE) + self._others.get(target, _IDLE)
+        own, others = self._own.get(target), self._others.get(target)
+        if own is None or others is None:
+            return own or others or _IDLE
+        return own + others
 
     def _set(self, target: str, run: str, burden: Burden) -> None:
         runs = self._runs.setdefault(target, {})
-        _add(self._own, target, burden - runs.get(run, _IDLE))
+        _change(self._own, target, runs.get(run, _IDLE), burden)
         runs[run] = burden
 
-    def _forget(self, node: str) -> Mapping[str, Burden]:
-        report = self._reports.pop(node, None)
-        if report is None:
-            return {}
-        for target, burden in report.burdens.items():
-            _add(self._others, target, _IDLE - burden)
-        return report.burdens
-
     def _expire(self, now: float) -> None:
         """Remove expired reports; only the oldest ones are checked."""
         while self._reports:
             node, report = next(iter(self._reports.items()))
             if now - report.received_at <= REPORT_TTL_SECONDS:
                 return
-            self._forget(node)
-
-
-def _add(totals: dict[str, Burden], target: str, burden: Burden) -> None:
-    total = totals.get(target, _IDLE) + burden
-    if total == _IDLE:
-        totals.pop(target, None)
+            del self._reports[node]
+            for target, burden in report.burdens.items():
+                _change(self._others, target, burden, _IDLE)
+
+
+def _change(totals: dict[str, Burden], target: str, before: Burden, after: Burden) -> None:
+    """Replace the summand `before` of the total of `target` by `after`."""
+    # Computed from integers, as this runs for each target of each heartbeat.
+    running, unread, memory = totals.get(target, _IDLE)
+    running += after[0] - before[0]
+    unread += after[1] - before[1]
+    memory += after[2] - before[2]
+    if running or unread or memory:
+        totals[target] = Burden(running, unread, memory)
     else:
-        totals[target] = total
+        totals.pop(target, None)
 
 
 _LATENESS_WEIGHT = 0.4
@@ -181,9 +193,12 @@
 
     def merge_reported(self, lateness: Mapping[str, float], now: float) -> None:
         """Merge another node's report, in seconds by store; the higher value counts."""
+        reported = self._reported
         for store, seconds in lateness.items():
-            if seconds > self._reported.get(store, _NO_LATENESS).decayed(now):
-                self._reported[store] = _DecayingLateness(seconds, now)
+            known = reported.get(store, _NO_LATENESS)
+            # A lateness only decays, so it need not be computed where the report exceeds it.
+            if seconds > known.seconds or (seconds > 0 and seconds > known.decayed(now)):
+                reported[store] = _DecayingLateness(seconds, now)
 
     def own(self, now: float) -> dict[str, float]:
         """Return the lateness of each store that this node itself observed, in seconds."""
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -90,7 +90,7 @@
         is_remote = data_centre != self._neighbours.me.data_centre
         # Both relays of a data centre report the same sends.
         reporter = data_centre if is_remote else heartbeat.node.name
-        burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
+        burdens = dict(heartbeat.burdens)
         burdens.pop(EVACUATIONS_NAME, None)
         for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
             self._apply_limit(name, burdens.pop(name), heartbeat.node.name)
@@ -108,8 +108,9 @@
         for name, seconds in heartbeat.loading.items():
             until = now + min(seconds, _MAX_LOADING_SECONDS)
             views.loading.record_reported(name, until, remote=is_remote)
+        known_weights = views.weights
         for instance, model, version in heartbeat.weights:
-            if version > views.weights.get((instance, model), 0):
+            if version > known_weights.get((instance, model), 0):
                 views.record_weights(instance, model, version)
                 views.loading.ended(instance)
 
--- a/packages/node/src/fielddrift_node/serving/operator_feed.py
+++ b/packages/node/src/fielddrift_node/serving/operator_feed.py
@@ -186,10 +186,13 @@
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
         views = self._views
         known = 0 if views.catalog is None else views.catalog.version
-        named = any(version > views.named.get(m, 0) for m, version in heartbeat.named.items())
+        if heartbeat.catalog > known:
+            return True
+        for model, version in heartbeat.named.items():
+            if version > views.named.get(model, 0):
+                return True
         reported = heartbeat.burdens.get(EVACUATIONS_NAME)
-        evacuated = reported is not None and reported.memory > views.evacuations.row
-        return heartbeat.catalog > known or named or evacuated
+        return reported is not None and reported.memory > views.evacuations.row
 
     async def _copy_newer(self) -> None:
         """Copy rows from nodes that have newer ones, until cancelled."""
