Scan nodes and engines at standby nodes only where something may have changed

A standby node looked through all engines twice a second for each model, as rollouts do, although no weights were behind; sorted all known nodes for each question about active ones; and built the read states of all nodes to choose among the few active ones. These scans cost more than the heartbeats received.

Whether any engine may need weights is now kept until an engine, its weights or the named weights change. Nodes are kept by data centre, filtered before they are sorted, and the orders of hosts by capacity are cached. The coordinator is looked for by active nodes only. Choices and periods are the same; the source of rows among nodes whose age is exactly equal is now the first by name.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -46,7 +46,7 @@
 from .lab.dialects import LabCallers, LabClient, LabTargets
 from .lab.node import BOUNDS
 
-__all__ = ["Fleet", "measure", "placing_of"]
+__all__ = ["MODEL", "Fleet", "catalog_of", "measure", "placing_of"]
 
 MODEL = "m"
 _SERVICE = "engines"
@@ -88,7 +88,7 @@
     return f"dc-{number % _CENTRES}"
 
 
-def _catalog(fleet: Fleet) -> Catalog:
+def catalog_of(fleet: Fleet) -> Catalog:
     traits = EngineTraits(24, _MEMORY, 18_432, 16e9, (MODEL,), 12)
     services = [Service(_SERVICE, 1300, engine=traits)]
     services += [_store(number) for number in range(fleet.stores)]
@@ -128,7 +128,7 @@
 def placing_of(fleet: Fleet, *, seed: int = 1) -> tuple[Placement, ServingContext, Call]:
     """Return what chooses at a node of `fleet`, its tools, and a call to choose for."""
     loop = asyncio.get_running_loop()
-    catalog = _catalog(fleet)
+    catalog = catalog_of(fleet)
     views = _views(fleet, catalog, random.Random(seed))
     address = "10.0.0.1:1"
     settings = NodeSettings(
--- a/packages/core/src/fielddrift_core/active.py
+++ b/packages/core/src/fielddrift_core/active.py
@@ -10,6 +10,7 @@
 
 import math
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 from .names import rank
@@ -36,6 +37,8 @@
 _PEAK_DEVIATIONS = 2.5
 """Standard deviations by which the busiest of ten seconds exceeds the mean of random arrivals."""
 _RANK_KEY = "active"
+_ORDER_CACHE_SIZE = 8
+"""Orders of hosts that are cached: a node selects among the same hosts several times a second."""
 
 
 class Candidate(NamedTuple):
@@ -62,10 +65,9 @@
     have little load, and their peaks are not simply added up.
     """
     known = {candidate.name: candidate for candidate in candidates}
-    ranked = rank(_RANK_KEY, [(name, 1.0) for name in known])
-    ranked.sort(key=lambda name: -size_class(known[name].capacity))
+    ranked = _selection_order(tuple([(c.name, c.capacity) for c in known.values()]))
     loads = [candidate.load for candidate in known.values()]
-    uneven = differ(candidate.capacity for candidate in known.values())
+    uneven = differ([candidate.capacity for candidate in known.values()])
     wanted = _HEADROOM_FACTOR * (joint_peak(loads) if uneven else sum(loads))
     min_count = max(_MIN_ACTIVE_HOSTS, math.ceil(len(known) / _HOSTS_PER_ACTIVE_HOST))
     chosen: list[str] = []
@@ -78,6 +80,14 @@
     return frozenset(chosen)
 
 
+@lru_cache(maxsize=_ORDER_CACHE_SIZE)
+def _selection_order(capacities: tuple[tuple[str, float], ...]) -> tuple[str, ...]:
+    """Return the names of hosts, each with its capacity, in the order in which they are chosen."""
+    classes = {name: size_class(capacity) for name, capacity in capacities}
+    ranked = rank(_RANK_KEY, [(name, 1.0) for name in classes])
+    return tuple(sorted(ranked, key=lambda name: -classes[name]))
+
+
 def differ(capacities: Iterable[float]) -> bool:
     """Return whether the capacities of hosts differ so much that their load should, too."""
     known = list(capacities)
@@ -93,8 +103,9 @@
     """
     # The peak of a mean rate m is m + d * sqrt(m), for d deviations.
     deviations = _PEAK_DEVIATIONS
+    # Most hosts are on standby, without any load, and add nothing.
     mean = sum(
-        ((math.sqrt(deviations**2 + 4 * max(0.0, peak)) - deviations) / 2) ** 2 for peak in peaks
+        ((math.sqrt(deviations**2 + 4 * peak) - deviations) / 2) ** 2 for peak in peaks if peak > 0
     )
     return mean + deviations * math.sqrt(mean)
 
--- a/packages/core/src/fielddrift_core/heartbeat_schedule.py
+++ b/packages/core/src/fielddrift_core/heartbeat_schedule.py
@@ -63,6 +63,9 @@
     unanswered: int
 
 
+_NEVER_SENT = _Sent(float("-inf"), 0.0, 0)
+
+
 class SentHeartbeats:
     """The last heartbeat sent to each receiver.  Not thread-safe."""
 
@@ -74,7 +77,7 @@
 
         `silent`: the node is not alive, so this heartbeat counts as unanswered.
         """
-        sent = self._sent.get(name, _Sent(float("-inf"), period, 0))
+        sent = self._sent.get(name, _NEVER_SENT)
         # A longer period is announced at once: the receiver would take this node for dead.
         due = period > sent.period or now - sent.at >= period * _DUE_FRACTION
         if due:
--- a/packages/core/src/fielddrift_core/loading_engines.py
+++ b/packages/core/src/fielddrift_core/loading_engines.py
@@ -46,6 +46,10 @@
         until = max(times.get(engine, now) for times in self._all())
         return max(0.0, until - now)
 
+    def names(self, now: float) -> set[str]:
+        """Return the engines that are expected to be loading."""
+        return {name for times in self._all() for name, until in times.items() if until > now}
+
     def own(self, now: float) -> dict[str, float]:
         """Return the remaining seconds of the loads that this node itself observed, by engine."""
         self._expire(now)
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import Counter
 from collections.abc import Collection, Iterable
@@ -60,6 +61,8 @@
         self._states: dict[str, NeighbourState] = {}
         self._nearby: dict[str, NeighbourState] = {}
         """The states of the nodes in this data centre."""
+        self._remote: dict[str, NeighbourState] = {}
+        """The states of the nodes in other data centres."""
         self._sizes: dict[str, DataCentreSize] = {}
         self._contacts: dict[str, Contact] = {}
         """The nodes of other data centres to which this node sends heartbeats."""
@@ -138,9 +141,11 @@
     def _set(self, heard: NeighbourState) -> None:
         name = heard.node.name
         self._states[name] = heard
-        if self._is_nearby(heard):
+        if heard.node.data_centre == self._me.data_centre:
             self._nearby[name] = heard
+            self._remote.pop(name, None)
         else:
+            self._remote[name] = heard
             self._nearby.pop(name, None)
 
     def set_size(self, data_centre: str, size: DataCentreSize) -> None:
@@ -149,8 +154,10 @@
 
     def size(self, now: float) -> DataCentreSize:
         """Return the numbers of nodes of this data centre."""
-        me = self.is_active(now)
-        return DataCentreSize(len(self.nearby_active(now)) + me, len(self.nearby(now)) + 1)
+        active = self.active(now)
+        alive = [name for name, heard in self._nearby.items() if heard.is_alive(now)]
+        count = sum(name in active for name in alive) + (self._me.name in active)
+        return DataCentreSize(count, len(alive) + 1)
 
     def node(self, name: str) -> Neighbour | None:
         """Return the node called `name`, or None."""
@@ -212,9 +219,12 @@
         It is the first active node by name, in the first data centre by name that is reachable.
         More than one node may be the coordinator during a partition.
         """
-        others = self.active_everywhere(now)
+        if not self.is_active(now):
+            return False
         mine = (self._me.data_centre, self._me.name)
-        return self.is_active(now) and all(mine < (n.data_centre, n.name) for n in others)
+        return not any(
+            (heard.node.data_centre, name) < mine for name, heard in self._active_states(now)
+        )
 
     def is_local_coordinator(self, now: float) -> bool:
         """Return whether this node performs the tasks of a single node for its data centre."""
@@ -226,11 +236,16 @@
 
         Of other data centres only the nodes that send heartbeats here are known: their relays.
         """
+        return [heard.node for _, heard in sorted(self._active_states(now))]
+
+    def _active_states(self, now: float) -> list[tuple[str, NeighbourState]]:
         self._refresh(now)
+        near = ((name, self._nearby[name]) for name in self._active if name in self._nearby)
+        remote = ((name, heard) for name, heard in self._remote.items() if heard.active)
         return [
-            heard.node
-            for _, heard in sorted(self._states.items())
-            if self._is_active(heard) and heard.serves and heard.is_alive(now)
+            (name, heard)
+            for name, heard in itertools.chain(near, remote)
+            if heard.serves and heard.is_alive(now)
         ]
 
     def sharing(self, now: float) -> int:
@@ -245,7 +260,7 @@
 
     def _remote_sizes(self, now: float) -> list[DataCentreSize]:
         heard: Counter[str] = Counter()
-        for state in self._remote():
+        for state in self._remote.values():
             heard[state.node.data_centre] += state.serves and state.is_alive(now)
         # Until a relay has reported the size, only the nodes that are alive are known.
         return [
@@ -254,9 +269,6 @@
             if count
         ]
 
-    def _remote(self) -> list[NeighbourState]:
-        return [heard for heard in self._states.values() if not self._is_nearby(heard)]
-
     def addresses(self, data_centre: str, now: float, rng: random.Random) -> list[str]:
         """Return the addresses that a caller in `data_centre` should use.
 
@@ -273,7 +285,7 @@
         return [node.entry for node in active or self._any_serving(now)][:_MAX_ADDRESSES]
 
     def _any_serving(self, now: float) -> list[Neighbour]:
-        others = [h.node for _, h in sorted(self._states.items()) if h.serves and h.is_alive(now)]
+        others = [node for node in self.alive(now) if self._states[node.name].serves]
         heard = [node for node in others if self._heard_lately(node, now)]
         return [*heard, self._me] if self._serving else heard
 
@@ -288,29 +300,30 @@
             yield Candidate(self._me.name, self._me.capacity, self._load)
 
     def _is_active(self, heard: NeighbourState) -> bool:
-        return heard.node.name in self._active if self._is_nearby(heard) else heard.active
-
-    def _is_nearby(self, heard: NeighbourState) -> bool:
-        return heard.node.data_centre == self._me.data_centre
+        name = heard.node.name
+        return name in self._active if name in self._nearby else heard.active
 
     # --- Receivers of heartbeats ----------------------------------------------------
 
     def alive(self, now: float, *, data_centre: str | None = None) -> list[Neighbour]:
         """Return the live nodes, including leaving ones, sorted by name."""
-        return [
+        found = [
             heard.node
-            for _, heard in sorted(self._states.items())
+            for heard in self._states.values()
             if heard.is_alive(now) and data_centre in (None, heard.node.data_centre)
         ]
+        return sorted(found, key=_name_of)
 
     def nearby(self, now: float) -> list[Neighbour]:
         """Return the other live nodes of this data centre."""
-        return [heard.node for _, heard in sorted(self._nearby.items()) if heard.is_alive(now)]
+        found = [heard.node for heard in self._nearby.values() if heard.is_alive(now)]
+        return sorted(found, key=_name_of)
 
     def nearby_active(self, now: float) -> list[Neighbour]:
         """Return the other active nodes of this data centre."""
-        names = self.active(now)
-        return [node for node in self.nearby(now) if node.name in names]
+        nearby = self._nearby
+        found = [nearby[name] for name in self.active(now) if name in nearby]
+        return sorted((heard.node for heard in found if heard.is_alive(now)), key=_name_of)
 
     def is_relay(self, now: float) -> bool:
         """Return whether this node exchanges heartbeats with other data centres."""
@@ -329,10 +342,16 @@
         self._refresh(now)
         chosen = []
         self_active = self._me.name in self._active
-        far = [self._states[name] for name in self._contacts if name in self._states]
-        for heard in [*self._nearby.values(), *far]:
+        active_period = self._periods[Relation(True, self_active, True)]
+        standby_period = self._periods[Relation(True, self_active, False)]
+        receivers = [
+            (heard, active_period if name in self._active else standby_period)
+            for name, heard in self._nearby.items()
+        ]
+        remote = [self._remote[name] for name in self._contacts if name in self._remote]
+        receivers += [(h, self._periods[self._relation(h, self_active)]) for h in remote]
+        for heard, period in receivers:
             name = heard.node.name
-            period = self._periods[self._relation(heard, self_active)]
             silent = now - heard.received_at > _SILENT_SECONDS and not heard.is_alive(now)
             if silent:
                 period = _SILENT_HEARTBEAT_SECONDS
@@ -347,6 +366,7 @@
     def _remove(self, name: str) -> None:
         del self._states[name]
         self._nearby.pop(name, None)
+        self._remote.pop(name, None)
         self._contacts.pop(name, None)
         self._sent.forget(name)
 
@@ -359,7 +379,7 @@
 
     def _relation(self, heard: NeighbourState, self_active: bool) -> Relation:
         peer_active = self._is_active(heard)
-        if self._is_nearby(heard):
+        if heard.node.data_centre == self._me.data_centre:
             return Relation(True, self_active, peer_active)
         contact = self._contacts.get(heard.node.name)
         infrequent = self_active and peer_active and contact is not None and contact.infrequent
@@ -400,7 +420,7 @@
     def _remote_nodes(self, now: float) -> dict[str, list[RemoteNode]]:
         """Return the nodes of other data centres, by data centre."""
         found: dict[str, list[RemoteNode]] = {}
-        for heard in self._remote():
+        for heard in self._remote.values():
             node = heard.node
             is_alive = heard.active and heard.is_alive(now)
             unanswered = self._sent.unanswered(node.name)
@@ -411,34 +431,46 @@
 
     # --- Row versions and store positions -------------------------------------------
 
-    def read_states(self, now: float) -> dict[str, ReadState]:
-        """Return the row versions read by the live nodes of this data centre, aged to `now`."""
+    def read_states(self, now: float, names: Collection[str] | None = None) -> dict[str, ReadState]:
+        """Return the row versions read by the live nodes of this data centre, aged to `now`.
+
+        With `names`, only those of these nodes.
+        """
         return {
-            heard.node.name: heard.reading._replace(age=heard.reading.age + now - heard.received_at)
-            for heard in self._nearby_staying(now)
+            name: _aged_reading(self._nearby[name], now)
+            for name in (self._nearby if names is None else sorted(names))
+            if name in self._nearby and self._is_staying(self._nearby[name], now)
         }
 
     def remote_read_states(self, now: float) -> dict[str, ReadState]:
         """Return the row versions read by the live relays of other data centres."""
         return {
-            heard.node.name: heard.reading._replace(age=heard.reading.age + now - heard.received_at)
-            for heard in self._remote()
-            if heard.active and not heard.leaving and heard.is_alive(now)
+            name: _aged_reading(heard, now)
+            for name, heard in self._remote.items()
+            if heard.active and self._is_staying(heard, now)
         }
 
     def kept(self, now: float) -> dict[str, dict[str, StorePosition]]:
         """Return the store positions of the other active nodes nearby, by node and store."""
-        names: Collection[str] = self.active(now)
+        names = self.active(now)
         return {
-            heard.node.name: {
+            name: {
                 store: mark._replace(age=mark.age + now - heard.received_at)
                 for store, mark in heard.kept.items()
             }
-            for heard in self._nearby_staying(now)
-            if heard.node.name in names
+            for name, heard in self._nearby.items()
+            if name in names and self._is_staying(heard, now)
         }
 
-    def _nearby_staying(self, now: float) -> list[NeighbourState]:
-        return [
-            heard for heard in self._nearby.values() if not heard.leaving and heard.is_alive(now)
-        ]
+    def _is_staying(self, heard: NeighbourState, now: float) -> bool:
+        return not heard.leaving and heard.is_alive(now)
+
+
+def _name_of(node: Neighbour) -> str:
+    return node.name
+
+
+def _aged_reading(heard: NeighbourState, now: float) -> ReadState:
+    reading = heard.reading
+    age = reading.age + now - heard.received_at
+    return ReadState(reading.operators, reading.targets, reading.serial, age)
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Mapping
+from functools import lru_cache
 from typing import NamedTuple, Protocol
 
 from .active import size_class
@@ -53,6 +54,8 @@
 reader earlier."""
 _MIN_STANDBY_STALE_SECONDS = 2.0
 """Lower bound of that age: heartbeats to standby nodes are up to a second apart."""
+_ORDER_CACHE_SIZE = 32
+"""Orders of nodes that are cached: a node asks for the same few several times a second."""
 STALE_POSITION_SECONDS = 2.5
 """Age at which a node's view of a store host is stale: it has missed two calls for events."""
 
@@ -93,8 +96,14 @@
 
 def reader_order(key: str, names: Iterable[str], capacity: Callable[[str], float]) -> list[str]:
     """Return the candidates for reading what `key` names, in order: large hosts first."""
-    ranked = rank(key, [(name, 1.0) for name in names])
-    return sorted(ranked, key=lambda name: -size_class(capacity(name)))
+    return list(_reader_order(key, tuple([(name, capacity(name)) for name in names])))
+
+
+@lru_cache(maxsize=_ORDER_CACHE_SIZE)
+def _reader_order(key: str, capacities: tuple[tuple[str, float], ...]) -> tuple[str, ...]:
+    classes = {name: size_class(capacity) for name, capacity in capacities}
+    ranked = rank(key, [(name, 1.0) for name in classes])
+    return tuple(sorted(ranked, key=lambda name: -classes[name]))
 
 
 def read_interval_seconds(bound: float) -> float:
--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -165,9 +165,11 @@
 
     def first_newer(self, model: str, weights: int) -> Naming | None:
         """Return the first naming of a version newer than `weights`, or None if there is none."""
-        times = self._times.get(model, {})
-        newer = [Naming(version, at) for version, at in times.items() if version > weights]
-        return min(newer, key=lambda naming: naming.at, default=None)
+        first: Naming | None = None
+        for version, at in self._times.get(model, {}).items():
+            if version > weights and (first is None or at < first.at):
+                first = Naming(version, at)
+        return first
 
     def newest(self, model: str) -> dict[int, float]:
         """Return the local times at which the newest versions of `model` became known."""
--- a/packages/node/src/fielddrift_node/serving/feeds.py
+++ b/packages/node/src/fielddrift_node/serving/feeds.py
@@ -115,11 +115,16 @@
         """Return the node to copy the rows from, None if this node reads from the platform."""
         now = asyncio.get_running_loop().time()
         neighbours = self._neighbours
+        active = neighbours.active(now)
+        read_states = neighbours.read_states(now, active)
+        if not read_states and neighbours.me.name not in active:
+            # No active node can be asked, so any node may be.
+            read_states = neighbours.read_states(now)
         chosen = source(
             neighbours.me.name,
             READER_KEY,
-            neighbours.read_states(now),
-            active=neighbours.active(now),
+            read_states,
+            active=active,
             failing=self._backoff.failing,
             capacity=neighbours.capacity,
             bound=self._max_staleness_seconds,
@@ -162,9 +167,11 @@
 
     def _reading_of(self, chosen: Neighbour, now: float) -> ReadState:
         """Return how far `chosen`, the node that this one copies from, has read."""
-        is_local = self.is_local(chosen)
-        readings = self._neighbours.read_states if is_local else self._neighbours.remote_read_states
-        return readings(now).get(chosen.name, ReadState())
+        if self.is_local(chosen):
+            read_states = self._neighbours.read_states(now, [chosen.name])
+        else:
+            read_states = self._neighbours.remote_read_states(now)
+        return read_states.get(chosen.name, ReadState())
 
     def is_local(self, node: Neighbour) -> bool:
         """Return whether `node` is in this node's data centre."""
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from enum import IntEnum
+from functools import lru_cache
 from typing import Protocol, cast
 
 import msgspec
@@ -28,6 +29,9 @@
 _MAX_DATAGRAM_BYTES = 1400
 """Largest datagram that fits into one packet."""
 
+_ADDRESS_CACHE_SIZE = 1024
+"""Addresses that are kept in parsed form: those of a large fleet."""
+
 _UNKNOWN_RELATION = Relation(near=False, self_active=False, peer_active=False)
 """Relation to a node about which nothing is known yet."""
 
@@ -217,5 +221,10 @@
             return
         if len(data) > _MAX_DATAGRAM_BYTES:
             _log.debug("heartbeat exceeds the packet size", size=len(data))
-        host, _, port = address.rpartition(":")
-        self._transport.sendto(data, (host, int(port)))
+        self._transport.sendto(data, _split_address(address))
+
+
+@lru_cache(maxsize=_ADDRESS_CACHE_SIZE)
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -148,7 +148,7 @@
 
     def _find_work(self) -> list[_ModelRollout]:
         views = self._views
-        if views.catalog is None or views.stale.is_set():
+        if views.catalog is None or views.stale.is_set() or not views.may_need_loads():
             return []
         now = asyncio.get_running_loop().time()
         found = []
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -105,6 +105,8 @@
         """How long callers have been waiting."""
         self._weights_change_count = 0
         self._candidates: dict[tuple[str, str], CandidateEngines] = {}
+        self._loads_needed: tuple[tuple[object, ...], bool] | None = None
+        """Whether some engine needs new weights, and the state of which that is true."""
         self._started_at = started_at
         self.leaving: DrainWindow | None = None
         """Set once this node was asked to stop."""
@@ -198,16 +200,49 @@
     ) -> list[EngineWeights]:
         """Return those of `instances` whose weights are known."""
         known_engines = []
+        loading = self.loading.names(now)
+        outdated: dict[int, float] = {}
         for instance in instances:
-            weights = self.weights_of(instance.name, model)
-            if weights is not None:
-                loading = self.loading.seconds(instance.name, now) > 0
-                outdated = self.outdated_seconds(model, weights, now)
-                known_engines.append(
-                    EngineWeights(instance.name, instance.data_centre, weights, loading, outdated)
+            name = instance.name
+            weights = self.weights_of(name, model)
+            if weights is None:
+                continue
+            if weights not in outdated:
+                outdated[weights] = self.outdated_seconds(model, weights, now)
+            known_engines.append(
+                EngineWeights(
+                    name, instance.data_centre, weights, name in loading, outdated[weights]
                 )
+            )
         return known_engines
 
+    def may_need_loads(self) -> bool:
+        """Return whether any engine, in use or not, has older weights than the newest named ones.
+
+        All engines are looked through only after a change of them, of their weights or of the
+        named weights.
+        """
+        if self.catalog is None:
+            return False
+        state = (
+            self.catalog.version,
+            self.registry.serial,
+            self._weights_change_count,
+            tuple(self.named.items()),
+        )
+        if self._loads_needed is None or self._loads_needed[0] != state:
+            self._loads_needed = (state, self._has_outdated_engines(self.catalog))
+        return self._loads_needed[1]
+
+    def _has_outdated_engines(self, catalog: Catalog) -> bool:
+        models = {s.name: s.engine.models for s in catalog.engines if s.engine is not None}
+        for instance in self.registry.all():
+            for model in models.get(instance.service, ()):
+                weights = self.weights_of(instance.name, model)
+                if weights is not None and weights < self.named.get(model, 0):
+                    return True
+        return False
+
     def candidates(self, service: str, model: str, now: float) -> CandidateEngines:
         """Return the engines that may receive new work, and which of them load next."""
         named = self.named.get(model, 0)
