Let the log thread sleep while there is nothing to write

It woke ten times a second at each node, also at standby nodes that log a few lines a minute. It now waits for a line after an interval without any; lines are still written in batches, at most 0.1 s after the first.

--- a/packages/node/src/fielddrift_node/log.py
+++ b/packages/node/src/fielddrift_node/log.py
@@ -42,6 +42,8 @@
         self._lock = threading.Lock()
         self._thread: threading.Thread | None = None
         self._closing = threading.Event()
+        self._pending = threading.Event()
+        """Set while there may be something to write."""
 
     @property
     def lost(self) -> int:
@@ -54,6 +56,8 @@
             if self._thread is None:
                 self._thread = threading.Thread(target=self._run, name="log", daemon=True)
                 self._thread.start()
+            if not self._pending.is_set():
+                self._pending.set()
             if len(self._lines) >= _MAX_BUFFERED_LINE_COUNT or not self._allowed():
                 self._dropped += 1
                 return
@@ -65,6 +69,7 @@
     def close(self, *, seconds: float) -> None:
         """Write the buffered lines, for at most `seconds`."""
         self._closing.set()
+        self._pending.set()
         if self._thread is not None:
             self._thread.join(seconds)
 
@@ -82,6 +87,7 @@
         while True:
             closing = self._closing.wait(_WRITE_INTERVAL_SECONDS)
             data = self._take()
+            idle = not data
             try:
                 while data:
                     data = data[os.write(self._descriptor, data) :]
@@ -90,12 +96,16 @@
                 return
             if closing and not self._lines:
                 return
+            if idle and not self._closing.is_set():
+                # A wake-up every interval without any line costs an idle node processor time.
+                self._pending.wait()
 
     def _take(self) -> bytes:
         with self._lock:
             lines = list(self._lines)
             self._lines.clear()
             lost, self._dropped = self._dropped, 0
+            self._pending.clear()
         if lost:
             lines.append(json.dumps({"event": "log lines lost", "lines": lost}) + "\n")
         return "".join(lines).encode("utf-8", "replace")
