Plan the fetches of a prompt once for engines that do not differ in them

Plans are now shared, only the chosen engine's result is built, only the prompt's own parts are looked for in an engine's memory, and expiry is checked when the oldest report may have expired.

--- a/packages/core/src/fielddrift_core/engine_memory.py
+++ b/packages/core/src/fielddrift_core/engine_memory.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from .prompt import Part
@@ -60,6 +60,11 @@
             if kept is not None and kept.send == send:
                 del held[(salt, part)]
 
+    def parts_of(self, engine: str, salt: str, parts: Iterable[Part]) -> Collection[str]:
+        """Return the ids of those of `parts` that `engine` probably has under `salt`."""
+        held = self._held.get(engine)
+        return [part.id for part in parts if (salt, part.id) in held] if held else ()
+
     def parts(self, engine: str, salt: str) -> frozenset[str]:
         """Return the ids of parts that `engine` probably has under `salt`."""
         return frozenset(part for s, part in self._held.get(engine, ()) if s == salt)
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -300,8 +300,9 @@
             yield Candidate(self._me.name, self._me.capacity, self._load)
 
     def _is_active(self, heard: NeighbourState) -> bool:
-        name = heard.node.name
-        return name in self._active if name in self._nearby else heard.active
+        if heard.node.data_centre == self._me.data_centre:
+            return heard.node.name in self._active
+        return heard.active
 
     # --- Receivers of heartbeats ----------------------------------------------------
 
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -162,6 +162,7 @@
 _DEFAULT_COSTS = PlacementCosts()
 
 HolderLookup = Callable[[EngineState, Part], Sequence[Holder]]
+"""Returns the stores that hold a part for an engine, which depends on its weights only."""
 
 
 def plan_fetch(
@@ -250,27 +251,48 @@
     `memory_fraction`, only engines count that have room for the prompt within that fraction
     of their memory; engines that are loading or failing count only if all of them are.
     """
-    best: EngineChoice | None = None
+    best: tuple[EngineState, FetchPlan, _Estimate] | None = None
     if memory_fraction is not None:
         engines = _with_room(list(engines), prompt, traits, memory_fraction)
+    shared = [part.id for part in prompt.shared]
+    plans_by_key: dict[tuple[object, ...], list[FetchPlan]] = {}
     for engine in engines:
-        for fetching in (True, False):
-            plan = plan_fetch(
-                prompt,
-                traits=traits,
-                data_centre=engine.instance.data_centre,
-                holders=partial(holders, engine),
-                memory=engine.memory,
-                fetching=fetching,
-            )
-            choice = _evaluate(engine, plan, prompt, traits, data_centre, latency_goal, costs)
-            in_time = choice.seconds <= engine.left
-            if in_time and (best is None or choice.cost < best.cost):
-                best = choice
-            if not any(plan.sources):
-                # Nothing to fetch: the plan without fetching is the same.
-                break
-    return best
+        memory = engine.memory
+        cached = tuple([part in memory for part in shared]) if memory else ()
+        # Engines that differ in nothing of this have the same plans.
+        key = (engine.weights, engine.instance.data_centre, cached)
+        plans = plans_by_key.get(key)
+        if plans is None:
+            plans = plans_by_key[key] = _plans(engine, prompt, traits, holders)
+        for plan in plans:
+            estimate = _evaluate(engine, plan, prompt, traits, data_centre, latency_goal, costs)
+            in_time = estimate.seconds <= engine.left
+            if in_time and (best is None or estimate.cost < best[2].cost):
+                best = (engine, plan, estimate)
+    if best is None:
+        return None
+    engine, plan, (seconds, cost, work) = best
+    return EngineChoice(engine.instance, plan, seconds, cost, engine.burden, work, engine.slowdown)
+
+
+def _plans(
+    engine: EngineState, prompt: Prompt, traits: EngineTraits, holders: HolderLookup
+) -> list[FetchPlan]:
+    """Return the plans of a run at `engine`: with fetches, and without any if that differs."""
+    plans = []
+    for fetching in (True, False):
+        plan = plan_fetch(
+            prompt,
+            traits=traits,
+            data_centre=engine.instance.data_centre,
+            holders=partial(holders, engine),
+            memory=engine.memory,
+            fetching=fetching,
+        )
+        plans.append(plan)
+        if not any(plan.sources):
+            break
+    return plans
 
 
 def _with_room(
@@ -296,6 +318,14 @@
     return burden.unread / PREFILL_TOKENS_PER_SECOND * slowdown <= _MAX_PREFILL_QUEUE_SECONDS
 
 
+class _Estimate(NamedTuple):
+    """The estimated time to the first event, the cost, and the engine's share of the time."""
+
+    seconds: float
+    cost: float
+    work: float
+
+
 def _evaluate(
     engine: EngineState,
     plan: FetchPlan,
@@ -304,7 +334,7 @@
     data_centre: str,
     latency_goal: float,
     costs: PlacementCosts,
-) -> EngineChoice:
+) -> _Estimate:
     burden = engine.burden
     prefill = (burden.unread + plan.unread) / PREFILL_TOKENS_PER_SECOND
     waiting = max(0, burden.running + 1 - traits.slots) * _PER_RUN_DELAY_SECONDS * 10
@@ -331,7 +361,7 @@
         costs.loads_next if engine.loads_next and prompt.tokens_out >= LONG_ANSWER_TOKENS else 0.0
     )
     cost += _LOADING_COST if engine.loading else 0.0
-    return EngineChoice(engine.instance, plan, seconds, cost, burden, work, engine.slowdown)
+    return _Estimate(seconds, cost, work)
 
 
 def _late_probability(part: float) -> float:
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -65,6 +65,8 @@
         self._reports: dict[str, _NodeReport] = {}
         """The last report of each node, the oldest first; empty reports are left out."""
         self._others: dict[str, Burden] = {}
+        self._next_expiry = float("-inf")
+        """Time until which no report expires; a choice asks for the burdens of many targets."""
 
     def begin(self, target: str, run: str, unread: int, memory: int = 0) -> None:
         """Count a run that was sent to `target`."""
@@ -133,9 +135,12 @@
 
     def _expire(self, now: float) -> None:
         """Remove expired reports; only the oldest ones are checked."""
+        if now <= self._next_expiry:
+            return
         while self._reports:
             node, report = next(iter(self._reports.items()))
             if now - report.received_at <= REPORT_TTL_SECONDS:
+                self._next_expiry = report.received_at + REPORT_TTL_SECONDS
                 return
             del self._reports[node]
             for target, burden in report.burdens.items():
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -295,7 +295,7 @@
             failures=views.health.share(instance.name, now),
             is_outdated=engine.weights < views.named.get(prompt.model, 0),
             loading=engine.loading,
-            memory=views.memory.parts(instance.name, lookup.salt(engine.weights)),
+            memory=views.memory.parts_of(instance.name, lookup.salt(engine.weights), prompt.shared),
             loads_next=instance.name in loading_next,
             left=left / margin,
             weights=engine.weights,
