Skip timers and copies that streams, heartbeats and choices do not need

A chunk of a stream that cannot be resumed is read without a timeout object; a heartbeat to a nearby active node is built with one copy instead of two, and its reserved entries are encoded once; a standby node clears only the views of stores that have any content; an estimate skips terms that are zero.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -48,6 +48,11 @@
 are standby nodes.  A node that starts to leave, or becomes known, still counts at once."""
 _RECENTLY_ACTIVE_SECONDS = 20.0
 """How long a node counts as recently active, alive or not: longer than most partitions."""
+_NEAR_RELATIONS = tuple(
+    tuple(Relation(True, self_active, peer_active) for peer_active in (False, True))
+    for self_active in (False, True)
+)
+"""Relations to nodes of this data centre, by whether this node and the other one are active."""
 _MAX_UNANSWERED = 120
 """Heartbeats to a silent node, over ten minutes, after which it is removed.  They are counted
 instead of seconds because a process that was paused must not remove all nodes."""
@@ -343,8 +348,9 @@
         self._refresh(now)
         chosen = []
         self_active = self._me.name in self._active
-        active_period = self._periods[Relation(True, self_active, True)]
-        standby_period = self._periods[Relation(True, self_active, False)]
+        standby_period, active_period = (
+            self._periods[relation] for relation in _NEAR_RELATIONS[self_active]
+        )
         receivers = [
             (heard, active_period if name in self._active else standby_period)
             for name, heard in self._nearby.items()
@@ -381,7 +387,7 @@
     def _relation(self, heard: NeighbourState, self_active: bool) -> Relation:
         peer_active = self._is_active(heard)
         if heard.node.data_centre == self._me.data_centre:
-            return Relation(True, self_active, peer_active)
+            return _NEAR_RELATIONS[self_active][peer_active]
         contact = self._contacts.get(heard.node.name)
         infrequent = self_active and peer_active and contact is not None and contact.infrequent
         return Relation(False, self_active, peer_active, infrequent)
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -336,19 +336,24 @@
     costs: PlacementCosts,
 ) -> _Estimate:
     burden = engine.burden
-    prefill = (burden.unread + plan.unread) / PREFILL_TOKENS_PER_SECOND
-    waiting = max(0, burden.running + 1 - traits.slots) * _PER_RUN_DELAY_SECONDS * 10
+    running, unread, memory = burden
+    prefill = (unread + plan.unread) / PREFILL_TOKENS_PER_SECOND
+    waiting = 0.0
+    if running >= traits.slots:
+        waiting = (running + 1 - traits.slots) * _PER_RUN_DELAY_SECONDS * 10
     if traits.memory:
-        overfull = max(0, burden.memory + prompt.tokens - traits.memory)
-        waiting += overfull / traits.memory * _TURNOVER_SECONDS
-    work = _BASE_SECONDS + prefill + burden.running * _PER_RUN_DELAY_SECONDS + waiting
+        overfull = memory + prompt.tokens_in + prompt.tokens_out - traits.memory
+        if overfull > 0:
+            waiting += overfull / traits.memory * _TURNOVER_SECONDS
+    work = _BASE_SECONDS + prefill + running * _PER_RUN_DELAY_SECONDS + waiting
     seconds = work * engine.slowdown + plan.fetch_seconds
-    cost = (
-        costs.late * _late_probability(seconds / latency_goal) + costs.time * seconds / latency_goal
-    )
+    cost = costs.time * seconds / latency_goal
+    ratio = seconds / latency_goal
+    if ratio > _LATE_RAMP_START:
+        cost += costs.late * _late_probability(ratio)
     cost += costs.recomputed * plan.recomputed / 1000
     # The prefill and the transfers of this run delay the others that wait for them.
-    waiting_runs = burden.unread / _MEAN_PREFILL_TOKENS
+    waiting_runs = unread / _MEAN_PREFILL_TOKENS
     delays = (
         plan.unread / PREFILL_TOKENS_PER_SECOND * engine.slowdown * waiting_runs
         + plan.delay_seconds
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -207,7 +207,10 @@
 
     def own(self, now: float) -> dict[str, float]:
         """Return the lateness of each store that this node itself observed, in seconds."""
-        return {store: late.decayed(now) for store, late in self._own.items()}
+        return {
+            store: seconds * 0.5 ** ((now - at) / _LATENESS_HALF_LIFE_SECONDS)
+            for store, (seconds, at) in self._own.items()
+        }
 
     def for_store(self, store: str, now: float) -> float:
         """Return by how many seconds `store` is later than the fastest of the others."""
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -228,9 +228,13 @@
         """Relay events; return True at the end of the stream, False to resume elsewhere."""
         framer = run.framer
         can_resume = call.route.resumable and attempts.may_retry() and framer.last != ""
+        gap_timeout = self._gap_timeout(call) if can_resume else None
         try:
             while True:
-                async with asyncio.timeout(self._gap_timeout(call) if can_resume else None):
+                if gap_timeout is not None:
+                    async with asyncio.timeout(gap_timeout):
+                        data = await run.exchange.read()
+                else:
                     data = await run.exchange.read()
                 if not data:
                     break
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -53,14 +53,13 @@
             return heartbeat
         views = self._views
         now = asyncio.get_running_loop().time()
-        weights = list(views.weights.items())[-_MAX_WEIGHTS_COUNT:]
-        heartbeat = heartbeat._replace(
-            weights=tuple((instance, model, version) for (instance, model), version in weights),
-        )
+        newest = list(views.weights.items())[-_MAX_WEIGHTS_COUNT:]
+        weights = tuple([(instance, model, version) for (instance, model), version in newest])
         if not relation.near:
-            return self._add_data_centre_totals(heartbeat, now)
+            return self._add_data_centre_totals(heartbeat._replace(weights=weights), now)
         return heartbeat._replace(
-            burdens=views.workload.own() | self._extra_entries(),
+            weights=weights,
+            burdens=views.workload.own() | dict(heartbeat.burdens),
             loading=views.loading.own(now),
             moves=views.links.own(now),
             kept=views.store_index.marks(now),
@@ -75,7 +74,7 @@
         burdens = views.workload.total(nodes, now)
         name = size_entry_name(neighbours.me.data_centre)
         burdens[name] = Burden(running=size.active, memory=size.alive)
-        burdens |= self._extra_entries()
+        burdens |= heartbeat.burdens
         return heartbeat._replace(
             burdens=burdens,
             loading=views.loading.in_data_centre(now),
--- a/packages/node/src/fielddrift_node/serving/store_tracker.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -122,7 +122,8 @@
         self._set_followed({})
         self._missing_since.clear()
         for view in self._views.store_index.views:
-            view.unknown()
+            if view.is_known or view.held:
+                view.unknown()
             view.received_at = float("-inf")
 
     # --- choice of sources --------------------------------------------------------
