Allocate less for each read from a connection

asyncio allocates 256 KB for each read of a connection, which the C library maps from the system and returns each time. Callers' and targets' connections now read at most 64 KB at a time, so less is also held per connection.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -12,7 +12,7 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, cast
+from typing import Any, NamedTuple, cast
 
 import httptools
 
@@ -31,6 +31,9 @@
 
 _MAX_PIPELINED_COUNT = 4
 """Pipelined requests of a connection that may be queued before reading from it pauses."""
+_MAX_READ_BYTES = 65_536
+"""Bytes read from a connection at a time. asyncio allocates a buffer of this size for each read;
+its default of 256 KB is mapped from the system each time, which costs as much as the read."""
 _TCP_USER_TIMEOUT_MS = 4000
 """A connection is closed if sent bytes stay unacknowledged for this long.
 
@@ -67,10 +70,15 @@
 
 
 def prepare_socket(transport: asyncio.BaseTransport) -> None:
-    """Disable Nagle's algorithm, and bound the time for a peer to acknowledge sent bytes."""
+    """Disable Nagle's algorithm, and bound the time for a peer to acknowledge sent bytes.
+
+    Also bound what is read at a time.
+    """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
+    # An attribute of asyncio's transports without a method to set it.
+    cast(Any, transport).max_size = _MAX_READ_BYTES
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
