--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -53,14 +53,13 @@
             return heartbeat
         views = self._views
         now = asyncio.get_running_loop().time()
-        weights = list(views.weights.items())[-_MAX_WEIGHTS_COUNT:]
-        heartbeat = heartbeat._replace(
-            weights=tuple((instance, model, version) for (instance, model), version in weights),
-        )
+        newest = list(views.weights.items())[-_MAX_WEIGHTS_COUNT:]
+        weights = tuple([(instance, model, version) for (instance, model), version in newest])
         if not relation.near:
-            return self._add_data_centre_totals(heartbeat, now)
+            return self._add_data_centre_totals(heartbeat._replace(weights=weights), now)
         return heartbeat._replace(
-            burdens=views.workload.own() | self._extra_entries(),
+            weights=weights,
+            burdens=views.workload.own() | dict(heartbeat.burdens),
             loading=views.loading.own(now),
             moves=views.links.own(now),
             kept=views.store_index.marks(now),
@@ -75,7 +74,7 @@
         burdens = views.workload.total(nodes, now)
         name = size_entry_name(neighbours.me.data_centre)
         burdens[name] = Burden(running=size.active, memory=size.alive)
-        burdens |= self._extra_entries()
+        burdens |= heartbeat.burdens
         return heartbeat._replace(
             burdens=burdens,
             loading=views.loading.in_data_centre(now),
@@ -90,7 +89,7 @@
         is_remote = data_centre != self._neighbours.me.data_centre
         # Both relays of a data centre report the same sends.
         reporter = data_centre if is_remote else heartbeat.node.name
-        burdens = {target: Burden(*burden) for target, burden in heartbeat.burdens.items()}
+        burdens = dict(heartbeat.burdens)
         burdens.pop(EVACUATIONS_NAME, None)
         for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
             self._apply_limit(name, burdens.pop(name), heartbeat.node.name)
@@ -108,8 +107,9 @@
         for name, seconds in heartbeat.loading.items():
             until = now + min(seconds, _MAX_LOADING_SECONDS)
             views.loading.record_reported(name, until, remote=is_remote)
+        known_weights = views.weights
         for instance, model, version in heartbeat.weights:
-            if version > views.weights.get((instance, model), 0):
+            if version > known_weights.get((instance, model), 0):
                 views.record_weights(instance, model, version)
                 views.loading.ended(instance)
 
