Do not count bytes in the kernel as taken by a slow caller

When a sample found nothing unsent, all that was written counted as taken, including what the kernel still held. A caller that took this steadily made no progress by the account until the kernel's bytes (some 40 KB) were acknowledged, so it counted as stalled after 4 s and could be closed. The bytes in the kernel are now always subtracted.

--- a/packages/node/src/fielddrift_node/web/host_memory.py
+++ b/packages/node/src/fielddrift_node/web/host_memory.py
@@ -175,7 +175,9 @@
         if transport is None or not record.unsent:
             return
         unsent = transport.get_write_buffer_size()
-        in_kernel = _unacknowledged_bytes(transport) if unsent else 0
+        # Also without unsent bytes: what the kernel holds then would otherwise count as taken, and
+        # a caller that takes it slowly would seem to make no progress.
+        in_kernel = _unacknowledged_bytes(transport)
         progressed = record.sample(unsent=unsent, in_kernel=in_kernel, now=now)
         if progressed and unsent and self.limited and not self._is_slow:
             self._is_slow = True
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -10,6 +10,7 @@
 
 from fielddrift_core import memory_budget
 from fielddrift_core.memory_budget import MAX_CONNECTION_BYTES, ConnectionBytes, MemoryBudget
+from fielddrift_node.web import host_memory
 from fielddrift_node.web.client import Client
 from fielddrift_node.web.host_memory import HostMemory
 from fielddrift_node.web.messages import Headers
@@ -129,6 +130,42 @@
                 self.assertEqual(load(file.name).node.memory_limit, limit)
 
 
+class _Transport(mock.Mock):
+    """The write buffer of a caller's connection; no socket."""
+
+    unsent = 0
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+
+class TestProgress(unittest.IsolatedAsyncioTestCase):
+    """A reader that takes its response slowly but steadily must not count as stalled."""
+
+    def setUp(self) -> None:
+        self.transport = _Transport()
+        self.memory = HostMemory(limit_bytes=LIMIT)
+
+    async def test_bytes_in_the_kernel_do_not_count_as_taken(self) -> None:
+        held = self.memory.open(self.transport)
+        now, in_kernel = asyncio.get_running_loop().time(), 40_000
+        with mock.patch.object(host_memory, "_unacknowledged_bytes", lambda _: in_kernel):
+            self.transport.unsent = 20_000
+            held.write(b"x" * 60_000)
+            self.transport.unsent = 0
+            held.sample(now)
+            self.transport.unsent = 100_000
+            held.write(b"x" * 100_000)
+            held.sample(now)
+            for _ in range(10):
+                now, in_kernel = now + 2.0, in_kernel - 1000
+                held.sample(now)
+                self.assertEqual(held.record.stalled_seconds(now + 1.9), 0.0)
+
+
 ANSWER = b"x" * 1_500_000
 SLOW_COUNT = 24
 
