Keep a request's body in the account until it is answered

Bytes after a request with `Connection: close` are a fault of the connection. It released the bytes reserved for the body that was being read, which were still those of the complete request: its body was held and not counted.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -430,6 +430,8 @@
         self._head_complete = False
         if self._held is not None:
             self._held.record.body_complete()
+        # `_handle` releases the complete body; a later fault must not release it as well.
+        self._reserved_bytes = 0
         self._queue.append(Request(head, b"".join(self._body_chunks), self._arrived))
         self._body_chunks = []
         self._deadline = self._loop.time() + self._limits.idle_seconds
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -243,6 +243,18 @@
         writer.write(b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % len(ANSWER))
         return reader, writer
 
+    async def test_bytes_after_the_last_request_do_not_release_its_body(self) -> None:
+        host, port = self.address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(_post(100_000))
+        await eventually(lambda: self.memory.budget.held == 100_000, 2.0)
+        writer.write(b"GET / HTTP/1.1\r\n")
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.memory.budget.held, 100_000, "the body is still held")
+        self.posted.set()
+        await eventually(lambda: not self.memory.budget.held, 2.0)
+        writer.close()
+
     async def _read_steadily(self, reader: asyncio.StreamReader) -> None:
         while data := await reader.read(4096):
             self.taken += len(data)
