Close the connection of a rejected send that is cancelled

A response which says that the request did not run is read to its end, so that its connection can be reused. When the request's deadline passed or its caller left in that time, the exchange was not cancelled: the connection counted as open, and what arrived on it as held for the caller, until the target ended it.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -223,4 +223,7 @@
         async with asyncio.timeout(0.05):
             await exchange.body()
     except (ExchangeError, TimeoutError):
+        pass
+    finally:
+        # Also if this task is cancelled: the connection would stay open and count for ever.
         exchange.cancel()
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -7,7 +7,9 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
+from fielddrift_node.serving.attempts import send_once
 from fielddrift_node.web.client import Client, ExchangeError, Timeouts
 from fielddrift_standins.relay import Relay
 
@@ -98,6 +100,21 @@
             await exchange.body()
         self.assertEqual(reused, [False, True])
 
+    async def test_a_response_that_is_given_up_at_the_deadline_leaves_no_connection(self) -> None:
+        # It counted as open for ever, so that none was left for the target in time.
+        self.answers = [b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nfu", WITH_LENGTH]
+        context, outgoing, call = mock.Mock(client=self.client), mock.Mock(), mock.Mock()
+        outgoing.instance.address = self.address
+        context.targets.request.return_value = REQUEST
+        context.targets.response_info.return_value.not_started = True
+        call.trace.unproved = call.service.connections = 0
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.03):
+                await send_once(context, outgoing, call)
+        self.assertEqual(call.trace.unproved, 0, "the rest of the response was being read")
+        await asyncio.sleep(0.02)
+        await self.client.begin(self.address, REQUEST, connect_seconds=1.0, max_connections=1)
+
     async def test_a_failed_connect_sends_nothing(self) -> None:
         with self.assertRaises(ExchangeError) as caught:
             await self.client.call(f"{HOST}:{free_port()}", REQUEST, timeouts=TIMEOUTS)
