Sample hosts by capacity from all active ones, not from the first 64

The list of active hosts was cut to 64 by name before the sample was taken. With more active hosts, a large one whose name comes late was never named, and small ones got all requests.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -269,7 +269,7 @@
             active.append(self._me)
         near = [node for node in active if node.data_centre == data_centre]
         if near:
-            return [node.entry for node in sample_hosts(near[:_MAX_ADDRESSES], rng)]
+            return [node.entry for node in sample_hosts(near, rng)][:_MAX_ADDRESSES]
         return [node.entry for node in active or self._any_serving(now)][:_MAX_ADDRESSES]
 
     def _any_serving(self, now: float) -> list[Neighbour]:
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -224,6 +224,17 @@
         self.assertEqual(self._addresses(0.1, "b"), ["n2:80"])
         self.assertEqual(self._addresses(0.1, "c"), ["n1:80", "n2:80"])
 
+    def test_a_large_host_is_named_also_after_more_hosts_than_a_response_has_room_for(self) -> None:
+        # The list was cut to 64 hosts by name before the sample was taken.
+        for number in range(80):
+            small = neighbour(f"a{number:02}")._replace(capacity=20.0)
+            self.view.receive(heartbeat(small)._replace(load=14.0), 0.0)
+        large = neighbour("z")._replace(capacity=400.0)
+        self.view.receive(heartbeat(large)._replace(load=200.0), 0.0)
+        rng = random.Random(1)
+        named = sum("z:80" in self.view.addresses("a", 0.1, rng) for _ in range(200))
+        self.assertGreater(named, 40)
+
     def test_the_heartbeat_rate_is_bounded(self) -> None:
         for number in range(200):
             many = heartbeat(neighbour(f"n{number}"))._replace(period=3.0)
