Release the reserve for urgent prompts by the time that has passed

The release counted at most half a second for each prompt of the rank, so that a node with few of them kept its reserve: 0.44 of 0.5 a minute after a burst. Only the growth is bounded now. The metric shows the reserve at the time that it is read; it showed that of the last prompt of the rank, for as long as no other came.

--- a/packages/core/src/fielddrift_core/rank_reserve.py
+++ b/packages/core/src/fielddrift_core/rank_reserve.py
@@ -30,7 +30,8 @@
 """Fraction of memory up to which waiting prompts are not a shortage: a few always wait for a
 heartbeat."""
 _MAX_STEP_SECONDS = 0.5
-"""Longest time that one observation stands for; a node with few prompts looks seldom."""
+"""Longest time for which one observation makes the reserve grow; a node with few prompts looks
+seldom."""
 
 
 class RankReserve:
@@ -42,19 +43,25 @@
 
     @property
     def fraction(self) -> float:
-        """Return the reserved fraction, from 0 to 1."""
+        """Return the reserved fraction, from 0 to 1, at the last observation."""
         return self._fraction
 
+    def fraction_at(self, now: float) -> float:
+        """Return the reserved fraction at `now`, if nothing waited since the last observation."""
+        before = now if self._observed_at is None else self._observed_at
+        halvings = max(0.0, now - before) / _HALF_LIFE_SECONDS
+        return MIN_RESERVE_FRACTION + (self._fraction - MIN_RESERVE_FRACTION) * 0.5**halvings
+
     def observe(self, waiting_fraction: float, now: float) -> float:
         """Record what prompts of higher rank wait for at all nodes, and return the new reserve.
 
         `waiting_fraction` is relative to the memory of all engines, `now` in seconds.
         """
         before = now if self._observed_at is None else self._observed_at
-        seconds = min(_MAX_STEP_SECONDS, max(0.0, now - before))
-        self._observed_at = now
-        excess = (self._fraction - MIN_RESERVE_FRACTION) * 0.5 ** (seconds / _HALF_LIFE_SECONDS)
+        fraction = self.fraction_at(now)
         if waiting_fraction > _MIN_WAITING_FRACTION:
-            excess += _GROWTH_PER_SECOND * waiting_fraction * seconds
-        self._fraction = min(_MAX_FRACTION, MIN_RESERVE_FRACTION + excess)
+            seconds = min(_MAX_STEP_SECONDS, max(0.0, now - before))
+            fraction += _GROWTH_PER_SECOND * waiting_fraction * seconds
+        self._observed_at = now
+        self._fraction = min(_MAX_FRACTION, fraction)
         return self._fraction
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -393,7 +393,7 @@
         metrics.cold_targets.set(views.cold.expire(names, now))
         metrics.limited_targets.set(views.limits.expire(names, now))
         metrics.paused_targets.set(views.pauses.expire(now))
-        metrics.reserved.set(views.service_queues.largest_reserve)
+        metrics.reserved.set(views.service_queues.largest_reserve(now))
         self._memory.refresh()
         metrics.held_bytes.set(self._memory.budget.held)
         metrics.platform_calls.set(self._platform.calls)
--- a/packages/node/src/fielddrift_node/serving/service_queues.py
+++ b/packages/node/src/fielddrift_node/serving/service_queues.py
@@ -20,10 +20,9 @@
         self._reserves: dict[int, RankReserve] = {}
         self._wakeups: dict[int, asyncio.Event] = {}
 
-    @property
-    def largest_reserve(self) -> float:
+    def largest_reserve(self, now: float) -> float:
         """Return the largest fraction of memory that any rank leaves to higher ones."""
-        return max((reserve.fraction for reserve in self._reserves.values()), default=0.0)
+        return max((each.fraction_at(now) for each in self._reserves.values()), default=0.0)
 
     def reserve(self, rank: int) -> RankReserve:
         """Return the reserve that prompts of `rank` leave to higher ranks."""
@@ -56,10 +55,9 @@
         """Return the queue for the engines of `service`; create it if needed."""
         return self._queues.setdefault(service, ServiceQueue())
 
-    @property
-    def largest_reserve(self) -> float:
+    def largest_reserve(self, now: float) -> float:
         """Return the largest fraction of memory reserved for higher ranks, of all services."""
-        return max((queue.largest_reserve for queue in self._queues.values()), default=0.0)
+        return max((queue.largest_reserve(now) for queue in self._queues.values()), default=0.0)
 
     def wake_all(self) -> None:
         """Wake the first prompt of each queue: some engine may have memory again."""
--- a/tests/test_rank_reserve.py
+++ b/tests/test_rank_reserve.py
@@ -76,6 +76,15 @@
             reserve.observe(0.001, step * _STEP_SECONDS)
         self.assertEqual(reserve.fraction, MIN_RESERVE_FRACTION)
 
+    def test_the_reserve_ends_also_without_a_look(self) -> None:
+        # A minute after a burst a node that saw no prompt of the rank still kept 0.44, and its
+        # metric showed the reserve of the last look for as long as none came.
+        reserve = RankReserve()
+        for step in range(400):
+            reserve.observe(0.5, step * _STEP_SECONDS)
+        self.assertAlmostEqual(reserve.fraction_at(80.0), MIN_RESERVE_FRACTION, 3)
+        self.assertAlmostEqual(reserve.observe(0.0, 80.0), MIN_RESERVE_FRACTION, 3)
+
     def test_a_long_time_without_a_look_counts_as_a_short_one(self) -> None:
         reserve = RankReserve()
         reserve.observe(0.0, 0.0)
