--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -203,6 +203,13 @@
         self.assertEqual(self._addresses(4.5), [])
         self.assertEqual([node.name for node in self.view.alive(4.5)], ["n1"])
 
+    def test_a_node_is_named_until_its_next_heartbeat_is_due(self) -> None:
+        # With 300 standby nodes an active one sends to each every 4.5 s; after 4 s a standby node
+        # named only itself to callers.
+        self.view.receive(heartbeat(neighbour("n1"))._replace(period=4.5), 0.0)
+        self.assertEqual(self._addresses(4.6), ["n1:80"])
+        self.assertEqual(self._addresses(5.6), [])
+
     def test_a_leaving_node_is_removed_from_the_addresses_at_once(self) -> None:
         self.view.receive(heartbeat(neighbour("n1")), 0.0)
         self.assertEqual(len(self._addresses(0.01)), 1)
@@ -224,6 +231,17 @@
         self.assertEqual(self._addresses(0.1, "b"), ["n2:80"])
         self.assertEqual(self._addresses(0.1, "c"), ["n1:80", "n2:80"])
 
+    def test_a_large_host_is_named_also_after_more_hosts_than_a_response_has_room_for(self) -> None:
+        # The list was cut to 64 hosts by name before the sample was taken.
+        for number in range(80):
+            small = neighbour(f"a{number:02}")._replace(capacity=20.0)
+            self.view.receive(heartbeat(small)._replace(load=14.0), 0.0)
+        large = neighbour("z")._replace(capacity=400.0)
+        self.view.receive(heartbeat(large)._replace(load=200.0), 0.0)
+        rng = random.Random(1)
+        named = sum("z:80" in self.view.addresses("a", 0.1, rng) for _ in range(200))
+        self.assertGreater(named, 40)
+
     def test_the_heartbeat_rate_is_bounded(self) -> None:
         for number in range(200):
             many = heartbeat(neighbour(f"n{number}"))._replace(period=3.0)
