Avoid targets that stop responding, and move the requests that wait there

Cause: an engine that goes silent looks idle until its entry lapses, 3.6 s or more. Each node finds out alone, after twice the latency goal; prompts that may run only once are lost there. A refusal that proves that a request did not run counted as a failure of a plain target, which then got nothing for some seconds after its pause.

Change: a target is unresponsive when a send has been outstanding for longer than twice its estimate (at least 0.25 s) and no byte has come from the target for as long, or when a connect times out. Nodes tell each other in heartbeats (`silent:TARGET`). Such a target gets single probes, and only of requests that may be repeated; those that wait there are sent elsewhere within the route's attempts and the retry budget. A pause of the node itself does not count. Proved refusals are no failures of health any more.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -109,6 +109,7 @@
         *,
         connect_seconds: float,
         accepts: Callable[[ResponseHead], bool] = lambda head: True,
+        on_bytes: Callable[[], None] = lambda: None,
         max_idle_seconds: float | None = None,
         max_connections: int | None = None,
     ) -> Exchange:
@@ -116,7 +117,7 @@
         send = self._targets.sends.pop(data)
         await self.connect(address, seconds=connect_seconds)
         engine = self._engines[address]
-        exchange = Exchange(accepts=accepts)
+        exchange = Exchange(accepts=accepts, on_bytes=on_bytes)
         engine.take(send, exchange)
         return exchange
 
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -61,6 +61,7 @@
         self._context = context
         self._reached = 0
         self._connect_failures = 0
+        self._retry_reserved = False
         self._instance: Instance | None = None
         """The target of the last send."""
         self.tried: set[str] = set()
@@ -76,8 +77,9 @@
         budget = self._context.budget(self._call.service.name)
         if self._reached == 0:
             budget.record_first(now)
-        elif not budget.spend(now, nodes=self._context.views.nodes):
+        elif not self._retry_reserved and not budget.spend(now, nodes=self._context.views.nodes):
             raise Refused(self._refusal("the budget for repeated sends is exhausted", None))
+        self._retry_reserved = False
         self._context.gate.sent(instance, now)
         self._context.metrics.sends.inc()
         self._instance = instance
@@ -141,6 +143,25 @@
             self._refusal(detail, self._context.gate.shortest_wait(serving, now) or None)
         )
 
+    def reserve_retry(self) -> bool:
+        """Return whether a send that waits may be repeated at another target instead.
+
+        If so, the repeated send is taken from the budget now: if the send were cancelled first,
+        the request might be refused although its response could still arrive.
+        """
+        call, views, now = self._call, self._context.views, asyncio.get_running_loop().time()
+        if not call.route.repeatable or not self.may_retry():
+            return False
+        has_other = any(
+            instance.name not in self.tried
+            and not views.responsiveness.is_unresponsive(instance.name)
+            and self._context.gate.allows(call.service, instance, now, repeatable=True)
+            for instance in views.registry.serving(call.service.name)
+        )
+        budget = self._context.budget(call.service.name)
+        self._retry_reserved = has_other and budget.spend(now, nodes=views.nodes)
+        return self._retry_reserved
+
     def may_retry(self) -> bool:
         """Return whether the route allows another send."""
         return self._reached + 1 < self._call.route.attempts
@@ -157,8 +178,9 @@
 
     A response which proves that the request did not run is a failure.
     """
-    address = outgoing.instance.address
+    address, name = outgoing.instance.address, outgoing.instance.name
     data = context.targets.request(outgoing)
+    responsiveness, loop = context.views.responsiveness, asyncio.get_running_loop()
     exchange: Exchange | None = None
     try:
         exchange = await context.client.begin(
@@ -166,6 +188,7 @@
             data,
             connect_seconds=CONNECT_TIMEOUT_SECONDS,
             accepts=lambda head: context.targets.answers(outgoing, head),
+            on_bytes=lambda: responsiveness.heard(name, loop.time()),
             max_connections=_max_connections(call, context),
             max_idle_seconds=None if call.route.repeatable else _NOT_REPEATABLE_MAX_IDLE_SECONDS,
         )
@@ -176,6 +199,8 @@
     except ExchangeError as error:
         if exchange is not None:
             exchange.cancel()
+        if error.connect_timed_out:
+            responsiveness.connect_timed_out(name, call.trace.key, loop.time())
         raise AttemptFailed(
             str(error),
             reason=error.reason,
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -28,6 +28,7 @@
     `loading` is the remaining seconds for which it is assumed to load weights.  `cold` says
     whether it is assumed to be cold.  `limit` is its limit in requests per second for all nodes
     together, None for no limit.  `paused` is the remaining seconds of a pause that it asked for.
+    `silent` is the seconds for which an unresponsive target has been silent, None for any other.
     """
 
     name: str
@@ -40,6 +41,7 @@
     cold: bool
     limit: float | None
     paused: float
+    silent: float | None
 
 
 class StoreState(NamedTuple):
@@ -133,6 +135,7 @@
             cold=views.cold.is_cold(target.name, now),
             limit=views.limits.rate(target.name),
             paused=round(views.pauses.left(target.name, now), 3),
+            silent=_rounded(views.responsiveness.silent_seconds(target.name, now)),
         )
         for target in views.registry.all()
     ]
@@ -152,6 +155,10 @@
     ]
 
 
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
 def _age(at: float, now: float) -> float | None:
     """Return the seconds since `at`; None for never, since JSON has no infinity."""
     return None if at == float("-inf") else round(now - at, 3)
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -194,10 +194,15 @@
 
 
 class SendCheck(Protocol):
-    """Limits what is sent to targets that are cold, limited or paused."""
+    """Limits what is sent to targets that are cold, limited, paused or unresponsive."""
 
-    def allows(self, service: Service, instance: Instance, now: float) -> bool:
-        """Return whether this node may send to `instance` now."""
+    def allows(
+        self, service: Service, instance: Instance, now: float, *, repeatable: bool = False
+    ) -> bool:
+        """Return whether this node may send to `instance` now.
+
+        `repeatable` says whether the request may be sent again after it may have run.
+        """
 
     def sent(self, instance: Instance, now: float) -> None:
         """Record that a request is about to be sent."""
@@ -222,7 +227,7 @@
     crashes: CrashCheck
     """Detects and refuses requests that crash their targets."""
     gate: SendCheck
-    """Limits what is sent to cold, limited and paused targets."""
+    """Limits what is sent to cold, limited, paused and unresponsive targets."""
     notices: NoticeHandler
     """Handles what targets report about themselves."""
 
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -22,6 +22,7 @@
 from .part_transfers import PartTransferPlanner
 from .ports import OutgoingRequest
 from .prompt_placement import FIRST_EVENT_TIMEOUT_ESTIMATES, Placement
+from .send_watch import SendWatch
 from .stale_weights import StaleWeightsTimeout
 
 __all__ = ["Generation"]
@@ -114,7 +115,7 @@
             choice = await self._placement.place(call, attempts, resumes=after != "")
             attempts.begin(choice.instance)
             try:
-                run = await self._attempt(call, choice, after=after, may_retry=attempts.may_retry())
+                run = await self._attempt(call, choice, attempts, after=after)
             except AttemptFailed as failure:
                 self._record_failure(call, choice, failure)
                 attempts.failed(failure)
@@ -123,27 +124,36 @@
                 return run
 
     async def _attempt(
-        self, call: Call, choice: EngineChoice, *, after: str, may_retry: bool
+        self, call: Call, choice: EngineChoice, attempts: Attempts, *, after: str
     ) -> _Run:
-        context = self._context
+        context, may_retry = self._context, attempts.may_retry()
         outgoing = self._build_request(call, choice, after)
         framer = call.trace.begin_event_stream(after=after or _callers_last_event_id(call))
         name = choice.instance.name
         effects = self._record_send(call, choice, outgoing)
         started_at = asyncio.get_running_loop().time()
         weights_timeout = self._stale_weights_timeout(call, outgoing)
+        watch = SendWatch(
+            views=context.views,
+            metrics=context.metrics,
+            target=name,
+            request=call.trace.key,
+            estimate=choice.seconds,
+            reserve_retry=attempts.reserve_retry,
+        )
         exchange: Exchange | None = None
         ok = False
         try:
             async with asyncio.timeout(
                 self._first_event_timeout(call, choice) if may_retry else None
             ) as limit:
-                with weights_timeout.over(limit):
+                with weights_timeout.over(limit), watch.over(limit):
                     exchange, head = await send_once(context, outgoing, call)
                     first = await self._read_first_events(exchange, head, framer)
             ok = True
         except TimeoutError:
             reason = "outdated" if weights_timeout.expired else "silent"
+            reason = "unresponsive" if watch.moved else reason
             detail = f"target {name}: no event, {reason}"
             raise AttemptFailed(detail, reason=reason, reached=True, not_run=False) from None
         except ExchangeError as error:
@@ -411,8 +421,9 @@
             # Another instance uses the address, so this one has ended.
             views.registry.left(name)
             return
-        if failure.reason == "outdated":
-            # This node cancelled the send; the engine did not fail.
+        if failure.reason in ("outdated", "unresponsive"):
+            # This node cancelled the send. An engine that does not respond is avoided until it
+            # sends a byte, and its failure rate would keep it out of use for longer.
             return
         if failure.reason in ("not-started", "other-weights"):
             # Shared with nearby nodes, so that they avoid the engine before it rejects them too.
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -13,6 +13,7 @@
 from fielddrift_core.evacuations import EVACUATIONS_NAME
 from fielddrift_core.neighbours import Heartbeat, Neighbours, Relation
 from fielddrift_core.relays import DataCentreSize, size_entry_name
+from fielddrift_core.responsiveness import SilenceReport
 from fielddrift_core.target_notices import LimitReport
 from fielddrift_core.workload import Burden
 
@@ -31,6 +32,11 @@
 _LIMIT_PREFIX = "limit:"
 """Prefix of the names under which limits are sent among the loads of targets. Nodes of the previous
 release would reject the whole heartbeat if it had an additional field."""
+_MAX_SILENT_COUNT = 16
+"""Unresponsive targets per heartbeat; successive heartbeats list any further ones in turn."""
+_SILENT_PREFIX = "silent:"
+"""Prefix of the names under which unresponsive targets are sent among the loads of targets, as for
+limits."""
 _MAX_LOADING_SECONDS = 2.0
 """Maximum time for which another node's report that an engine is loading is trusted."""
 
@@ -94,6 +100,10 @@
         burdens.pop(EVACUATIONS_NAME, None)
         for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
             self._apply_limit(name, burdens.pop(name), heartbeat.node.name)
+        for name in [name for name in burdens if name.startswith(_SILENT_PREFIX)]:
+            report = _decode_silence(name, burdens.pop(name))
+            if report is not None:
+                views.responsiveness.merge(heartbeat.node.name, report, now)
         size = burdens.pop(size_entry_name(data_centre), None)
         if size is not None:
             self._neighbours.set_size(data_centre, DataCentreSize(size.running, size.memory))
@@ -141,12 +151,18 @@
         return tuple((leaving + leaving)[first : first + _MAX_LEAVING_COUNT])
 
     def _extra_entries(self) -> dict[str, Burden]:
-        """Return the version of the evacuations and the limits as entries with reserved names."""
+        """Return the entries with reserved names.
+
+        They are the version of the evacuations, the limits, and the unresponsive targets.
+        """
         row = self._views.evacuations.row
         marks = {EVACUATIONS_NAME: Burden(memory=row)} if row else {}
         now = asyncio.get_running_loop().time()
         for word in self._views.limits.words(now, _MAX_LIMIT_COUNT):
             marks[_LIMIT_PREFIX + word.target] = _encode_limit(word)
+        for report in self._views.responsiveness.reports(now, _MAX_SILENT_COUNT):
+            age_ms = round(report.age * 1000)
+            marks[_SILENT_PREFIX + report.target] = Burden(running=1, unread=age_ms)
         return marks
 
     def _apply_limit(self, name: str, entry: Burden, told_by: str) -> None:
@@ -170,6 +186,13 @@
     return Burden(running=1, unread=round(word.age * 1000), memory=rate)
 
 
+def _decode_silence(name: str, entry: Burden) -> SilenceReport | None:
+    """Decode a report from a load; return None for a sum, as for a limit."""
+    if entry.running != 1:
+        return None
+    return SilenceReport(name.removeprefix(_SILENT_PREFIX), entry.unread / 1000)
+
+
 def _decode_limit(name: str, entry: Burden) -> LimitReport | None:
     """Decode a limit from a load; return None for a sum of the limits of several nodes.
 
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -113,6 +113,10 @@
         self.sends = self._counter("sends", "requests sent to targets")
         self.outdated_sends = self._counter("outdated_sends", "prompts sent to older weights")
         self.retries = self._counter("retries", "sends that failed, by reason", "reason")
+        self.unresponsive = self._counter(
+            "unresponsive", "targets that stopped responding, by evidence", "evidence"
+        )
+        self.probes = self._counter("probes", "requests sent to unresponsive targets")
         self.cut_events = self._counter("cut_events", "runs that broke off inside an event")
         self.odd_events = self._counter(
             "odd_events",
@@ -147,6 +151,9 @@
         self.paused_targets = self._gauge(
             "paused_targets", "targets and store hosts that want nothing from this node for a time"
         )
+        self.unresponsive_targets = self._gauge(
+            "unresponsive_targets", "targets that do not respond"
+        )
         self.evacuated = self._gauge(
             "evacuated_data_centres", "data centres whose targets get nothing"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -33,6 +33,7 @@
 from .ports import CallerDialect, Platform, RemoteCallError, TargetDialect
 from .rollout_runner import RolloutRunner
 from .send_gate import SendGate
+from .send_watch import ResponsivenessWatch
 from .settings import NodeSettings
 from .sharing import PeerClient, PeerHandler
 from .store_tracker import StoreTracker
@@ -184,6 +185,9 @@
             metrics=self._metrics,
             announce=lambda: self._gossip.schedule_update(Scope.ALL),
         )
+        self._responsiveness = ResponsivenessWatch(
+            views=self._views, metrics=self._metrics, on_change=self._gossip.schedule_load_update
+        )
         context = ServingContext(
             settings=settings,
             views=self._views,
@@ -263,6 +267,7 @@
             self._gossip.run,
             self._store_tracker.run,
             self._rollout_runner.run,
+            self._responsiveness.run,
             self._free,
             self._tick,
         ):
@@ -385,6 +390,8 @@
         metrics.cold_targets.set(views.cold.expire(names, now))
         metrics.limited_targets.set(views.limits.expire(names, now))
         metrics.paused_targets.set(views.pauses.expire(now))
+        views.responsiveness.expire(names)
+        metrics.unresponsive_targets.set(len(views.responsiveness))
         metrics.platform_calls.set(self._platform.calls)
         metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -13,6 +13,7 @@
 from .attempts import AttemptFailed, Attempts, send_once
 from .call import Call, ServingContext
 from .ports import OutgoingRequest
+from .send_watch import SendWatch
 
 __all__ = ["PlainRequests"]
 
@@ -37,7 +38,7 @@
                 raise attempts.exhausted()
             attempts.begin(instance)
             try:
-                head, body = await self._attempt(call, instance, may_retry=attempts.may_retry())
+                head, body = await self._attempt(call, instance, attempts)
             except AttemptFailed as failure:
                 attempts.failed(failure)
                 continue
@@ -54,7 +55,7 @@
                 i, views.workload.burden_of(i.name, now), views.health.share(i.name, now)
             )
             for i in views.registry.serving(call.service.name)
-            if self._context.gate.allows(call.service, i, now)
+            if self._context.gate.allows(call.service, i, now, repeatable=call.route.repeatable)
         ]
         return choose_plain_target(
             states,
@@ -64,24 +65,37 @@
         )
 
     async def _attempt(
-        self, call: Call, instance: Instance, *, may_retry: bool
+        self, call: Call, instance: Instance, attempts: Attempts
     ) -> tuple[ResponseHead, bytes]:
-        views = self._context.views
+        views, may_retry = self._context.views, attempts.may_retry()
         loop = asyncio.get_running_loop()
         outgoing = OutgoingRequest(
             call.parsed, instance, call.deadline - loop.time(), call.customer_name
         )
+        watch = SendWatch(
+            views=views,
+            metrics=self._context.metrics,
+            target=instance.name,
+            request=call.trace.key,
+            estimate=call.route.latency_goal,
+            reserve_retry=attempts.reserve_retry,
+        )
         views.workload.begin(instance.name, call.trace.key, 0)
         try:
-            async with asyncio.timeout(self._timeout(call) if may_retry else None):
-                head, body = await self._exchange(call, outgoing)
+            async with asyncio.timeout(self._timeout(call) if may_retry else None) as limit:
+                with watch.over(limit):
+                    head, body = await self._exchange(call, outgoing)
         except TimeoutError:
-            views.health.failed(instance.name, loop.time())
+            reason = "unresponsive" if watch.moved else "silent"
+            if not watch.moved:
+                views.health.failed(instance.name, loop.time())
             raise AttemptFailed(
-                f"target {instance.name}: silent", reason="silent", reached=True, not_run=False
+                f"target {instance.name}: {reason}", reason=reason, reached=True, not_run=False
             ) from None
         except AttemptFailed as failure:
-            views.health.failed(instance.name, loop.time())
+            if not (failure.reached and failure.not_run):
+                # A target that refuses a request before it runs has not failed.
+                views.health.failed(instance.name, loop.time())
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
             raise
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -241,7 +241,10 @@
             for engine in available.engines
             if engine.name not in tried and engine.outdated <= max_outdated
             if (instance := views.registry.get(engine.name)) is not None
-            if not wanted.sends or self._context.gate.allows(call.service, instance, now)
+            if not wanted.sends
+            or self._context.gate.allows(
+                call.service, instance, now, repeatable=call.route.repeatable
+            )
         ]
         memory_fraction = wanted.memory_fraction
         if memory_fraction is not None:
--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -18,16 +18,27 @@
 
 
 class SendGate:
-    """Combines the rules for cold, limited and paused targets; sends are recorded here."""
+    """Combines the rules for cold, limited, paused and unresponsive targets.
+
+    Sends are recorded here.
+    """
 
     def __init__(self, *, views: Views, neighbours: Neighbours, bounds: Bounds) -> None:
         self._views = views
         self._cold = ColdGate(views=views, neighbours=neighbours, bounds=bounds)
         self._limits = LimitGate(views=views, neighbours=neighbours)
 
-    def allows(self, service: Service, instance: Instance, now: float) -> bool:
-        """Return whether this node may send to `instance`, which is of `service`, now."""
+    def allows(
+        self, service: Service, instance: Instance, now: float, *, repeatable: bool = False
+    ) -> bool:
+        """Return whether this node may send to `instance`, which is of `service`, now.
+
+        `repeatable` says whether the request may be sent again after it may have run: only such
+        requests are sent to unresponsive targets, as probes.
+        """
         # Called for every engine in each choice, so the usual case, no limits, must be cheap.
+        if self._views.responsiveness and not self._may_respond(instance, now, repeatable):
+            return False
         restricted = self._views.limits or self._views.pauses
         if restricted and self._wait(instance, now) > 0:
             return False
@@ -43,5 +54,19 @@
         waits = [self._wait(instance, now) for instance in instances]
         return min((wait for wait in waits if math.isfinite(wait)), default=None)
 
+    def _may_respond(self, instance: Instance, now: float, repeatable: bool) -> bool:
+        """Return False for an unresponsive target, unless the request may probe it.
+
+        If all targets of the service are unresponsive, none is treated so: the cause may be on
+        this node's side.
+        """
+        responsiveness = self._views.responsiveness
+        if not responsiveness.is_unresponsive(instance.name):
+            return True
+        if repeatable and responsiveness.may_probe(instance.name, now, nodes=self._views.nodes):
+            return True
+        serving = self._views.registry.serving(instance.service)
+        return all(responsiveness.is_unresponsive(other.name) for other in serving)
+
     def _wait(self, instance: Instance, now: float) -> float:
         return max(self._views.pauses.left(instance.name, now), self._limits.wait(instance, now))
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/send_watch.py
@@ -0,0 +1,137 @@
+"""Watch the sends that wait for a response, and move them away from unresponsive targets."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from functools import partial
+
+import structlog
+from fielddrift_core.responsiveness import (
+    CHECK_INTERVAL_SECONDS,
+    ResponsivenessChange,
+    allowed_seconds,
+)
+
+from .metrics import Metrics
+from .views import Views
+
+__all__ = ["ResponsivenessWatch", "SendWatch"]
+
+_log = structlog.get_logger()
+
+
+class SendWatch:
+    """Records one send as outstanding, and cancels it if its target becomes unresponsive.
+
+    `estimate` is the expected time in seconds to the first event, or to the end of a plain
+    response.  `reserve_retry` returns whether the request may be sent to another target, and counts
+    that send.
+    """
+
+    def __init__(
+        self,
+        *,
+        views: Views,
+        metrics: Metrics,
+        target: str,
+        request: str,
+        estimate: float,
+        reserve_retry: Callable[[], bool],
+    ) -> None:
+        self._views = views
+        self._metrics = metrics
+        self._target = target
+        self._request = request
+        self._estimate = estimate
+        self._reserve_retry = reserve_retry
+        self._moved = False
+
+    @property
+    def moved(self) -> bool:
+        """Return whether the send was cancelled because its target is unresponsive."""
+        return self._moved
+
+    @contextmanager
+    def over(self, limit: asyncio.Timeout) -> Iterator[None]:
+        """Record the send as outstanding; make `limit` expire when it is to be moved."""
+        responsiveness, movable = self._views.responsiveness, self._views.movable_sends
+        if responsiveness.is_unresponsive(self._target):
+            self._metrics.probes.inc()
+        now = asyncio.get_running_loop().time()
+        key = (self._target, self._request)
+        responsiveness.sent(*key, allowed=self._allowed(now), now=now)
+        movable[key] = partial(self._move, limit)
+        try:
+            yield
+        finally:
+            del movable[key]
+            responsiveness.ended(*key)
+
+    def _allowed(self, now: float) -> float:
+        """Return the seconds for which the send may be outstanding.
+
+        No time is too long at a target that is known to be slow for the moment.
+        """
+        views = self._views
+        slow = views.cold.is_cold(self._target, now) or views.loading.seconds(self._target, now) > 0
+        return math.inf if slow else allowed_seconds(self._estimate)
+
+    def _move(self, limit: asyncio.Timeout) -> None:
+        now = asyncio.get_running_loop().time()
+        expires_at = limit.when()
+        if (expires_at is None or expires_at > now) and self._reserve_retry():
+            self._moved = True
+            limit.reschedule(now)
+
+
+class ResponsivenessWatch:
+    """Checks periodically which targets are unresponsive, and moves the sends that wait there.
+
+    `on_change` is called when other nodes should be informed soon.
+    """
+
+    def __init__(self, *, views: Views, metrics: Metrics, on_change: Callable[[], None]) -> None:
+        self._views = views
+        self._metrics = metrics
+        self._on_change = on_change
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._check(loop.time())
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+
+    def _check(self, now: float) -> None:
+        responsiveness = self._views.responsiveness
+        for change in responsiveness.check(now):
+            self._record(change)
+        for key in responsiveness.movable(now) if responsiveness else ():
+            move = self._views.movable_sends.get(key)
+            if move is not None:
+                move()
+
+    def _record(self, change: ResponsivenessChange) -> None:
+        age_ms = round(change.age * 1000)
+        if not change.unresponsive:
+            _log.info(
+                "target responsive again",
+                target=change.target,
+                evidence=change.evidence,
+                after_ms=age_ms,
+            )
+            return
+        self._metrics.unresponsive.inc(label_value=change.evidence)
+        _log.warning(
+            "target unresponsive",
+            target=change.target,
+            evidence=change.evidence,
+            silent_ms=age_ms,
+            allowed_ms=None if change.allowed is None else round(change.allowed * 1000),
+            told_by=change.reporter or None,
+        )
+        if change.evidence != "report":
+            self._on_change()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from fielddrift_core.catalog import Catalog
@@ -17,6 +17,7 @@
 from fielddrift_core.link_queue import LinkQueue
 from fielddrift_core.loading_engines import LoadingEngines
 from fielddrift_core.readers import OPERATORS_POLL_SECONDS, ReadState
+from fielddrift_core.responsiveness import Responsiveness
 from fielddrift_core.rollout import EngineWeights, Naming, NamingTimes, VersionAge, upcoming_loads
 from fielddrift_core.store_index import StoreIndex
 from fielddrift_core.target_notices import TargetLimits, TargetPauses
@@ -80,6 +81,9 @@
         self.cold = ColdTargets()
         self.limits = TargetLimits()
         self.pauses = TargetPauses()
+        self.responsiveness = Responsiveness()
+        self.movable_sends: dict[tuple[str, str], Callable[[], None]] = {}
+        """By target and request key: moves a send that waits there to another target."""
         self.workload = Workload()
         self.health = TargetHealth()
         self.store_index = StoreIndex()
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -33,14 +33,24 @@
     """Raised when an exchange ends without a complete response.
 
     `sent` is False if certainly no byte of the request was sent; `reason` is a
-    short label for metrics.  `refused` is True if the server refused the connection.
+    short label for metrics.  `refused` is True if the server refused the connection,
+    `connect_timed_out` if it did not respond to the attempt to connect.
     """
 
-    def __init__(self, detail: str, *, sent: bool, reason: str, refused: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        *,
+        sent: bool,
+        reason: str,
+        refused: bool = False,
+        connect_timed_out: bool = False,
+    ) -> None:
         super().__init__(detail)
         self.sent = sent
         self.reason = reason
         self.refused = refused
+        self.connect_timed_out = connect_timed_out
 
 
 class Timeouts(NamedTuple):
@@ -124,6 +134,7 @@
             # No request is pending, so these bytes answer none.
             self.close()
             return
+        self._exchange.on_bytes()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -229,10 +240,19 @@
 
 
 class Exchange:
-    """One request and its response, which is read as it arrives."""
+    """One request and its response, which is read as it arrives.
+
+    `on_bytes` is called when bytes of any kind arrive on its connection.
+    """
 
-    def __init__(self, *, accepts: Callable[[ResponseHead], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        accepts: Callable[[ResponseHead], bool],
+        on_bytes: Callable[[], None] = lambda: None,
+    ) -> None:
         self._accepts = accepts
+        self.on_bytes = on_bytes
         self._loop = asyncio.get_running_loop()
         self._head: ResponseHead | None = None
         self._buffer: deque[bytes] = deque()
@@ -349,6 +369,7 @@
         *,
         connect_seconds: float,
         accepts: Callable[[ResponseHead], bool] = lambda head: True,
+        on_bytes: Callable[[], None] = lambda: None,
         max_idle_seconds: float | None = None,
         max_connections: int | None = None,
     ) -> Exchange:
@@ -365,7 +386,7 @@
                 detail = f"{address}: {max_connections} connections are open"
                 raise ExchangeError(detail, sent=False, reason="connections")
             connection = await self._connect(address, connect_seconds)
-        exchange = Exchange(accepts=accepts)
+        exchange = Exchange(accepts=accepts, on_bytes=on_bytes)
         exchange.bind(connection, kept=kept)
         connection.begin(exchange, data)
         return exchange
@@ -460,7 +481,13 @@
         except (OSError, TimeoutError) as error:
             detail = f"{address}: no connection: {error or 'timeout'}"
             refused = isinstance(error, ConnectionRefusedError)
-            raise ExchangeError(detail, sent=False, reason="connect", refused=refused) from None
+            raise ExchangeError(
+                detail,
+                sent=False,
+                reason="connect",
+                refused=refused,
+                connect_timed_out=isinstance(error, TimeoutError),
+            ) from None
         finally:
             # `_lost` decrements the count for a connection that came up and was then abandoned.
             if connection is None:
