Require two reports of a silent target, and send to it where nothing else is left

A request that may run once was refused where its only other target had refused the connection; tests/test_crash_blame.py showed it.

--- a/packages/core/src/fielddrift_core/responsiveness.py
+++ b/packages/core/src/fielddrift_core/responsiveness.py
@@ -38,6 +38,9 @@
 _REPORT_SECONDS = 1.0
 """Time for which another node's report holds: two heartbeat periods in a data centre of 33 nodes.
 A node that was paused for longer starts without any knowledge of silent targets."""
+_MIN_REPORTERS = 2
+"""Nodes whose reports are needed.  An engine that is overloaded keeps the prompts of one node
+waiting while it sends events to others; in a trial of a burst, most single reports were of such."""
 _REPORT_TURN_SECONDS = 0.1
 """Time after which the next reports are sent if one heartbeat cannot carry all; shorter than the
 heartbeat period, so that each report is renewed before it expires."""
@@ -193,14 +196,19 @@
 
     # --- reports --------------------------------------------------------------------
 
-    def merge(self, reporter: str, report: SilenceReport, now: float) -> None:
-        """Record another node's report, unless this node has heard the target since."""
+    def merge(self, reporter: str, report: SilenceReport, now: float, *, nodes: int) -> None:
+        """Record another node's report, unless this node has heard the target since.
+
+        `nodes` is the number of nodes, this one included.  Two reports are needed where there are
+        other nodes to send a second one.
+        """
         target = report.target
         since = now - report.age
         if self._heard_at.get(target, -math.inf) >= self._running(since):
             return
-        self._reports.setdefault(target, {})[reporter] = now + _REPORT_SECONDS
-        if target not in self._states:
+        reports = self._reports.setdefault(target, {})
+        reports[reporter] = now + _REPORT_SECONDS
+        if target not in self._states and len(reports) >= min(_MIN_REPORTERS, nodes - 1):
             self._begin(target, "report", since, now, reporter=reporter)
 
     def reports(self, now: float, max_count: int) -> list[SilenceReport]:
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple, Protocol, TypedDict
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
@@ -197,11 +197,18 @@
     """Limits what is sent to targets that are cold, limited, paused or unresponsive."""
 
     def allows(
-        self, service: Service, instance: Instance, now: float, *, repeatable: bool = False
+        self,
+        service: Service,
+        instance: Instance,
+        now: float,
+        *,
+        repeatable: bool = False,
+        tried: Collection[str] = (),
     ) -> bool:
         """Return whether this node may send to `instance` now.
 
-        `repeatable` says whether the request may be sent again after it may have run.
+        `repeatable` says whether the request may be sent again after it may have run; `tried` are
+        the targets that it was sent to before.
         """
 
     def sent(self, instance: Instance, now: float) -> None:
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -103,7 +103,7 @@
         for name in [name for name in burdens if name.startswith(_SILENT_PREFIX)]:
             report = _decode_silence(name, burdens.pop(name))
             if report is not None:
-                views.responsiveness.merge(heartbeat.node.name, report, now)
+                views.responsiveness.merge(heartbeat.node.name, report, now, nodes=views.nodes)
         size = burdens.pop(size_entry_name(data_centre), None)
         if size is not None:
             self._neighbours.set_size(data_centre, DataCentreSize(size.running, size.memory))
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -55,7 +55,9 @@
                 i, views.workload.burden_of(i.name, now), views.health.share(i.name, now)
             )
             for i in views.registry.serving(call.service.name)
-            if self._context.gate.allows(call.service, i, now, repeatable=call.route.repeatable)
+            if self._context.gate.allows(
+                call.service, i, now, repeatable=call.route.repeatable, tried=tried
+            )
         ]
         return choose_plain_target(
             states,
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -243,7 +243,7 @@
             if (instance := views.registry.get(engine.name)) is not None
             if not wanted.sends
             or self._context.gate.allows(
-                call.service, instance, now, repeatable=call.route.repeatable
+                call.service, instance, now, repeatable=call.route.repeatable, tried=tried
             )
         ]
         memory_fraction = wanted.memory_fraction
--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from fielddrift_core.catalog import Service
 from fielddrift_core.neighbours import Neighbours
@@ -29,15 +29,22 @@
         self._limits = LimitGate(views=views, neighbours=neighbours)
 
     def allows(
-        self, service: Service, instance: Instance, now: float, *, repeatable: bool = False
+        self,
+        service: Service,
+        instance: Instance,
+        now: float,
+        *,
+        repeatable: bool = False,
+        tried: Collection[str] = (),
     ) -> bool:
         """Return whether this node may send to `instance`, which is of `service`, now.
 
         `repeatable` says whether the request may be sent again after it may have run: only such
-        requests are sent to unresponsive targets, as probes.
+        requests are sent to unresponsive targets, as probes.  `tried` are the targets that it was
+        sent to before, which do not count as alternatives.
         """
         # Called for every engine in each choice, so the usual case, no limits, must be cheap.
-        if self._views.responsiveness and not self._may_respond(instance, now, repeatable):
+        if self._views.responsiveness and not self._may_respond(instance, now, repeatable, tried):
             return False
         restricted = self._views.limits or self._views.pauses
         if restricted and self._wait(instance, now) > 0:
@@ -54,11 +61,13 @@
         waits = [self._wait(instance, now) for instance in instances]
         return min((wait for wait in waits if math.isfinite(wait)), default=None)
 
-    def _may_respond(self, instance: Instance, now: float, repeatable: bool) -> bool:
+    def _may_respond(
+        self, instance: Instance, now: float, repeatable: bool, tried: Collection[str]
+    ) -> bool:
         """Return False for an unresponsive target, unless the request may probe it.
 
-        If all targets of the service are unresponsive, none is treated so: the cause may be on
-        this node's side.
+        If all targets of the service that are left are unresponsive, none is treated so: the cause
+        may be on this node's side.
         """
         responsiveness = self._views.responsiveness
         if not responsiveness.is_unresponsive(instance.name):
@@ -66,7 +75,9 @@
         if repeatable and responsiveness.may_probe(instance.name, now, nodes=self._views.nodes):
             return True
         serving = self._views.registry.serving(instance.service)
-        return all(responsiveness.is_unresponsive(other.name) for other in serving)
+        return all(
+            other.name in tried or responsiveness.is_unresponsive(other.name) for other in serving
+        )
 
     def _wait(self, instance: Instance, now: float) -> float:
         return max(self._views.pauses.left(instance.name, now), self._limits.wait(instance, now))
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -74,7 +74,7 @@
         for name, node in nodes.items() if step % 3 == 0 else ():
             for report in node.state.reports(now, 16):
                 for other in set(nodes) - {name}:
-                    nodes[other].state.merge(name, report, now)
+                    nodes[other].state.merge(name, report, now, nodes=_NODES)
         for number in range(round(_RATE * STEP)):
             node, repeatable = nodes[f"n{rng.randrange(_NODES)}"], number % 2 == 0
             engine = rng.choice([e for e in engines if node.allows(e, repeatable, now)])
@@ -146,9 +146,9 @@
     def test_a_report_expires_and_is_ignored_after_a_byte(self) -> None:
         self.node.heard("t", self.now)
         self.run_for(0.2)
-        self.node.merge("n2", SilenceReport("t", 0.3), self.now)
+        self.node.merge("n2", SilenceReport("t", 0.3), self.now, nodes=2)
         self.assertFalse(self.node)
-        self.node.merge("n2", SilenceReport("t", 0.1), self.now)
+        self.node.merge("n2", SilenceReport("t", 0.1), self.now, nodes=2)
         self.assertEqual(self.node.reports(self.now, 16), [])
         self.assertEqual(self.run_for(0.9), ["report"])
         self.assertEqual(self.run_for(0.2), ["lapsed"])
@@ -160,7 +160,7 @@
         self.assertFalse(self.node.may_probe("t", self.now, nodes=9))
         self.run_for(0.5)
         self.assertTrue(self.node.may_probe("t", self.now, nodes=9))
-        self.node.merge("n2", SilenceReport("t", 1.0), self.now)
+        self.node.merge("n2", SilenceReport("t", 1.0), self.now, nodes=2)
         self.assertFalse(self.node.may_probe("t", self.now, nodes=9))
         self.run_for(1.0)
         self.send("probe")
@@ -187,10 +187,12 @@
         service = mock.Mock(cold_rate=0.0)
         for instance in (one, two):
             views.registry.heard(instance, 0.0)
-        views.responsiveness.merge("n2", SilenceReport("one", 0.3), 1.0)
+        views.responsiveness.merge("n2", SilenceReport("one", 0.3), 1.0, nodes=2)
         self.assertEqual([gate.allows(service, i, 1.0) for i in (one, two)], [False, True])
         self.assertTrue(gate.allows(service, one, 2.1, repeatable=True))
-        views.responsiveness.merge("n2", SilenceReport("two", 0.3), 1.0)
+        # The other target refused the connection: only the silent one is left.
+        self.assertTrue(gate.allows(service, one, 1.0, tried={"two"}))
+        views.responsiveness.merge("n2", SilenceReport("two", 0.3), 1.0, nodes=2)
         self.assertEqual([gate.allows(service, i, 1.0) for i in (one, two)], [True, True])
 
 
