Count progress of other nodes' requests as a sign of life of a target

Change: loads in heartbeats that fall show that requests of another node were read or ended there. They put off the finding, and reports of others older than them are ignored.

--- a/packages/core/src/fielddrift_core/responsiveness.py
+++ b/packages/core/src/fielddrift_core/responsiveness.py
@@ -7,7 +7,8 @@
 A target is unresponsive while a send to it has been outstanding for longer than it may take, and
 no byte has arrived from the target for as long, on any connection of this node.  Bytes of other
 responses count: an engine that reads a long prompt sends nothing for that prompt, but events of
-its other runs.  Nodes report what they observed themselves to each other.
+its other runs.  So does progress of other nodes' requests there: an overloaded engine keeps those
+of one node waiting.  Nodes report what they observed themselves to each other.
 
 Time is an argument everywhere, in seconds on a monotonic clock.  `check` must be called every
 `CHECK_INTERVAL_SECONDS`; the time by which a call is late is time in which this node's event loop
@@ -39,8 +40,8 @@
 """Time for which another node's report holds: two heartbeat periods in a data centre of 33 nodes.
 A node that was paused for longer starts without any knowledge of silent targets."""
 _MIN_REPORTERS = 2
-"""Nodes whose reports are needed.  An engine that is overloaded keeps the prompts of one node
-waiting while it sends events to others; in a trial of a burst, most single reports were of such."""
+"""Nodes whose reports are needed: an overloaded engine may keep the prompts of one node waiting
+while it sends events to others."""
 _REPORT_TURN_SECONDS = 0.1
 """Time after which the next reports are sent if one heartbeat cannot carry all; shorter than the
 heartbeat period, so that each report is renewed before it expires."""
@@ -106,6 +107,8 @@
         self._sends: dict[str, dict[str, _Send]] = {}
         """Outstanding sends by target and request key."""
         self._heard_at: dict[str, float] = {}
+        self._progress_at: dict[str, float] = {}
+        """When other nodes last reported progress of their requests at a target."""
         self._own: dict[str, _Silence] = {}
         self._reports: dict[str, dict[str, float]] = {}
         """By target, when the report of each node expires."""
@@ -147,6 +150,13 @@
             self._reports.pop(target, None)
             self._end(target, "byte", now)
 
+    def progressed_elsewhere(self, target: str, now: float) -> None:
+        """Record a report that requests of another node at the target have progressed.
+
+        It does not end a state: the target may be out of reach for this node only.
+        """
+        self._progress_at[target] = self._running(now)
+
     def connect_timed_out(self, target: str, request: str, now: float) -> None:
         """Record that the target did not accept the connection for an outstanding send."""
         send = self._sends.get(target, {}).get(request)
@@ -204,7 +214,7 @@
         """
         target = report.target
         since = now - report.age
-        if self._heard_at.get(target, -math.inf) >= self._running(since):
+        if self._alive_at(target) >= self._running(since):
             return
         reports = self._reports.setdefault(target, {})
         reports[reporter] = now + _REPORT_SECONDS
@@ -246,7 +256,7 @@
 
     def expire(self, listed: Collection[str]) -> None:
         """Remove observations of targets that are not `listed` and have no outstanding send."""
-        for known in (self._heard_at, self._own):
+        for known in (self._heard_at, self._progress_at, self._own):
             for target in [t for t in known if t not in listed and t not in self._sends]:
                 known.pop(target)
 
@@ -257,8 +267,13 @@
         return now - self._stopped
 
     def _silence(self, target: str, send: _Send, running: float) -> float:
-        """Return for how long nothing has arrived while the send was outstanding."""
-        return running - max(send.at, self._heard_at.get(target, -math.inf))
+        """Return for how long there was no sign of life while the send was outstanding."""
+        return running - max(send.at, self._alive_at(target))
+
+    def _alive_at(self, target: str) -> float:
+        """Return when the target was last seen to be alive, here or by another node."""
+        never = -math.inf
+        return max(self._heard_at.get(target, never), self._progress_at.get(target, never))
 
     def _observe(
         self, target: str, silence: float, now: float, *, evidence: str, allowed: float
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -98,6 +98,19 @@
             burdens.get(target, _IDLE).memory < burden.memory for target, burden in before.items()
         )
 
+    def progressed(self, node: str, burdens: Mapping[str, Burden]) -> list[str]:
+        """Return the targets of which `node` expects less in `burdens` than in its last report.
+
+        Prompts of the node have been read there, or runs have ended.
+        """
+        report = self._reports.get(node)
+        return [
+            target
+            for target, before in (report.burdens.items() if report is not None else ())
+            if (current := burdens.get(target, _IDLE)).unread < before.unread
+            or current.running < before.running
+        ]
+
     def total(self, nodes: Iterable[str], now: float) -> dict[str, Burden]:
         """Return the summed burdens of this node and of `nodes`, by target."""
         self._expire(now)
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -100,13 +100,20 @@
         burdens.pop(EVACUATIONS_NAME, None)
         for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
             self._apply_limit(name, burdens.pop(name), heartbeat.node.name)
-        for name in [name for name in burdens if name.startswith(_SILENT_PREFIX)]:
-            report = _decode_silence(name, burdens.pop(name))
-            if report is not None:
-                views.responsiveness.merge(heartbeat.node.name, report, now, nodes=views.nodes)
+        silences = [
+            _decode_silence(name, burdens.pop(name))
+            for name in list(burdens)
+            if name.startswith(_SILENT_PREFIX)
+        ]
         size = burdens.pop(size_entry_name(data_centre), None)
         if size is not None:
             self._neighbours.set_size(data_centre, DataCentreSize(size.running, size.memory))
+        self._apply_silences(heartbeat.node.name, [s for s in silences if s is not None], now)
+        silent = {silence.target for silence in silences if silence is not None}
+        for target in views.workload.progressed(reporter, burdens):
+            # A node that finds a target silent takes its own requests away from it.
+            if target not in silent:
+                views.responsiveness.progressed_elsewhere(target, now)
         if views.workload.update_node(reporter, burdens, now):
             # True if capacity was freed: waiting requests evaluate all engines again.
             views.service_queues.wake_all()
@@ -171,6 +178,10 @@
         if word is not None and self._views.limits.merge(word, now):
             log_limit(word.target, word.rate, told_by)
 
+    def _apply_silences(self, reporter: str, silences: list[SilenceReport], now: float) -> None:
+        for silence in silences:
+            self._views.responsiveness.merge(reporter, silence, now, nodes=self._views.nodes)
+
     def _apply_leaving(self, name: str, told_by: str) -> None:
         registry = self._views.registry
         if name not in registry.leaving() and registry.get(name) is not None:
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -13,7 +13,7 @@
 from fielddrift_core.responsiveness import CHECK_INTERVAL_SECONDS as STEP
 from fielddrift_core.responsiveness import Responsiveness, SilenceReport, allowed_seconds
 from fielddrift_core.target_registry import Instance
-from fielddrift_core.workload import TargetHealth
+from fielddrift_core.workload import Burden, TargetHealth
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
 from fielddrift_node.serving.send_gate import SendGate
 from fielddrift_node.serving.views import Views
@@ -124,6 +124,17 @@
             self.assertEqual(self.run_for(0.4), [])
             self.node.heard("t", self.now)
 
+    def test_progress_of_other_nodes_shows_that_an_engine_is_overloaded(self) -> None:
+        """Failure: in a burst, prompts were taken from engines that only were slow."""
+        self.send()
+        for _ in range(10):
+            self.assertEqual(self.run_for(0.2), [])
+            self.node.progressed_elsewhere("t", self.now)
+        self.assertEqual(self.run_for(0.4), ["send"])
+        self.node.progressed_elsewhere("t", self.now)
+        # It may be out of reach for this node only.
+        self.assertTrue(self.node.is_unresponsive("t"))
+
     def test_a_pause_of_this_node_is_no_silence_of_targets(self) -> None:
         self.send()
         self.run_for(0.1)
@@ -275,6 +286,11 @@
                 "silent:t", two.heartbeat(Relation(near, True, True), leaving=False).burdens
             )
         entry = heartbeat.burdens["silent:t"]
+        for burden, progressed in ((Burden(2, 9), False), (Burden(1, 0), True)):
+            views[1].responsiveness = Responsiveness()
+            two.heard(heartbeat._replace(burdens={"t": burden}))
+            views[1].responsiveness.merge("n3", SilenceReport("t", 0.3), now, nodes=2)
+            self.assertEqual(bool(views[1].responsiveness), not progressed)
         views[1].responsiveness = Responsiveness()
         # A relay of the previous release adds up the entries of several nodes.
         two.heard(heartbeat._replace(burdens={"silent:t": entry + entry}))
