--- a/packages/core/src/fielddrift_core/responsiveness.py
+++ b/packages/core/src/fielddrift_core/responsiveness.py
@@ -145,9 +145,9 @@
     def heard(self, target: str, now: float) -> None:
         """Record bytes that arrived from a target."""
         self._heard_at[target] = self._running(now)
+        self._reports.pop(target, None)
         if target in self._states:
             self._own.pop(target, None)
-            self._reports.pop(target, None)
             self._end(target, "byte", now)
 
     def progressed_elsewhere(self, target: str, now: float) -> None:
