--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple, Protocol, TypedDict
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
@@ -202,10 +202,22 @@
 
 
 class SendCheck(Protocol):
-    """Limits what is sent to targets that are cold, limited or paused."""
-
-    def allows(self, service: Service, instance: Instance, now: float) -> bool:
-        """Return whether this node may send to `instance` now."""
+    """Limits what is sent to targets that are cold, limited, paused or unresponsive."""
+
+    def allows(
+        self,
+        service: Service,
+        instance: Instance,
+        now: float,
+        *,
+        repeatable: bool = False,
+        tried: Collection[str] = (),
+    ) -> bool:
+        """Return whether this node may send to `instance` now.
+
+        `repeatable` says whether the request may be sent again after it may have run; `tried` are
+        the targets that it was sent to before.
+        """
 
     def sent(self, instance: Instance, now: float) -> None:
         """Record that a request is about to be sent."""
@@ -230,7 +242,7 @@
     crashes: CrashCheck
     """Detects and refuses requests that crash their targets."""
     gate: SendCheck
-    """Limits what is sent to cold, limited and paused targets."""
+    """Limits what is sent to cold, limited, paused and unresponsive targets."""
     notices: NoticeHandler
     """Handles what targets report about themselves."""
 
