--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -300,7 +300,7 @@
     def _heard_lately(self, node: Neighbour, now: float) -> bool:
         heard = self._states[node.name]
         bound = _MAX_NAMED_SILENCE_SECONDS
-        if self._is_nearby(heard):
+        if node.data_centre == self._me.data_centre:
             bound = max(bound, heard.period + _PERIOD_MARGIN_SECONDS)
         return now - heard.received_at <= bound
 
