--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -83,6 +83,8 @@
             "cold" if target.get("cold") else "",
             target.get("limit"),
             target.get("paused") or "",
+            target.get("concurrency") or "",
+            target.get("work_seconds") or "",
         ]
         for target in beliefs["targets"]
     ]
@@ -107,7 +109,8 @@
     parts = [
         ("held back request,s left,targets that ended under it", held),
         (
-            "target,service,leaving,weights,runs,unread,failures,loading s,cold,limit,paused s",
+            "target,service,leaving,weights,runs,unread,failures,loading s,cold,limit,paused s"
+            ",concurrency,work s",
             targets,
         ),
         ("store,life,parts,tokens,heard s ago", stores),
--- a/packages/core/src/fielddrift_core/placement.py
+++ b/packages/core/src/fielddrift_core/placement.py
@@ -20,6 +20,7 @@
 from .workload import Burden
 
 __all__ = [
+    "PLAIN_WORK_SECONDS",
     "PREFILL_TOKENS_PER_SECOND",
     "EngineChoice",
     "EngineState",
@@ -339,19 +340,24 @@
     return min(1.0, max(0.0, (part - _LATE_RAMP_START) / (_LATE_RAMP_END - _LATE_RAMP_START)))
 
 
+PLAIN_WORK_SECONDS = 0.045
+"""Work of a plain request by the operators' data sheets, until answers show it; its latency goal
+is a few times longer."""
+
+
 class PlainTargetState(NamedTuple):
     """What is known of one plain target when a request is placed.
 
-    `failures` is its recent failure rate, from 0 to 1.
+    `failures` is its recent failure rate, from 0 to 1, `work_seconds` the usual time of one of
+    its requests.
     """
 
     instance: Instance
     burden: Burden
     failures: float
+    work_seconds: float = PLAIN_WORK_SECONDS
 
 
-_PLAIN_WORK_SECONDS = 0.045
-"""Work of a plain request by the operators' data sheets; its latency goal is a few times longer."""
 _PLAIN_REMOTE_SECONDS = 0.01
 """Cost of a plain target in another data centre; low, since its requests are short."""
 _PLAIN_FAILURE_SECONDS = 2.0
@@ -374,7 +380,7 @@
         if target.instance.name in tried:
             continue
         slots = max(1, target.instance.slots)
-        cost = (target.burden.running + 1) / slots * _PLAIN_WORK_SECONDS
+        cost = (target.burden.running + 1) / slots * target.work_seconds
         cost += target.failures * _PLAIN_FAILURE_SECONDS
         if target.instance.data_centre != data_centre:
             cost += _PLAIN_REMOTE_SECONDS
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -88,6 +88,10 @@
         """Return the burdens of this node's own sends, by target."""
         return dict(self._own)
 
+    def own_of(self, target: str) -> Burden:
+        """Return the burden of this node's own sends to `target`."""
+        return self._own.get(target, _IDLE)
+
     def update_node(self, node: str, burdens: Mapping[str, Burden], now: float) -> bool:
         """Replace the report of `node`; return whether it needs less memory of some target."""
         before = self._forget(node)
@@ -113,6 +117,12 @@
         self._expire(now)
         return self._own.get(target, _IDLE) + self._others.get(target, _IDLE)
 
+    def oldest_report_seconds(self, now: float) -> float:
+        """Return the age in seconds of the oldest report of another node, 0 without any."""
+        self._expire(now)
+        oldest = next(iter(self._reports.values()), None)
+        return 0.0 if oldest is None else now - oldest.received_at
+
     def _set(self, target: str, run: str, burden: Burden) -> None:
         runs = self._runs.setdefault(target, {})
         _add(self._own, target, burden - runs.get(run, _IDLE))
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import msgspec
 from fielddrift_core.eras import era_of, version_of
 from fielddrift_core.neighbours import KnownNode, Neighbours
+from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 
 from .views import Views
@@ -28,6 +29,8 @@
     `loading` is the remaining seconds for which it is assumed to load weights.  `cold` says
     whether it is assumed to be cold.  `limit` is its limit in requests per second for all nodes
     together, None for no limit.  `paused` is the remaining seconds of a pause that it asked for.
+    `concurrency` is the learned number of requests that a plain target may have from all nodes,
+    `work_seconds` the usual time to its answers; None for engines and targets without requests.
     """
 
     name: str
@@ -40,6 +43,13 @@
     cold: bool
     limit: float | None
     paused: float
+    concurrency: int | None = None
+    work_seconds: float | None = None
+
+
+class _PlainState(TypedDict, total=False):
+    concurrency: int
+    work_seconds: float
 
 
 class StoreState(NamedTuple):
@@ -133,11 +143,22 @@
             cold=views.cold.is_cold(target.name, now),
             limit=views.limits.rate(target.name),
             paused=round(views.pauses.left(target.name, now), 3),
+            **_plain_state(views, target),
         )
         for target in views.registry.all()
     ]
 
 
+def _plain_state(views: Views, target: Instance) -> _PlainState:
+    """Return what this node learned of a plain target; empty for other targets."""
+    queue = views.plain_queues.known(target.service)
+    concurrency = None if queue is None else queue.known_limit(target.name)
+    if queue is None or concurrency is None:
+        return {}
+    work_seconds = round(queue.target_work_seconds(target.name), 3)
+    return {"concurrency": concurrency, "work_seconds": work_seconds}
+
+
 def _stores(views: Views, now: float) -> list[StoreState]:
     return [
         StoreState(
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -100,6 +100,7 @@
         if views.workload.update_node(reporter, burdens, now):
             # True if capacity was freed: waiting requests evaluate all engines again.
             views.service_queues.wake_all()
+        views.plain_queues.wake_all()
         views.record_version_ages(heartbeat.named_ages, now)
         views.links.update_node(reporter, heartbeat.moves, now)
         views.lateness.merge_reported(heartbeat.lateness, now)
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -147,6 +147,12 @@
         self.paused_targets = self._gauge(
             "paused_targets", "targets and store hosts that want nothing from this node for a time"
         )
+        self.plain_waiting = self._gauge(
+            "plain_waiting", "plain requests that wait at the node for room at a target"
+        )
+        self.plain_limit = self._gauge(
+            "plain_limit", "requests that plain targets may have, as learned, summed over targets"
+        )
         self.evacuated = self._gauge(
             "evacuated_data_centres", "data centres whose targets get nothing"
         )
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -1,17 +1,25 @@
-"""Serve requests to plain services: each response is read completely before it is sent on."""
+"""Serve requests to plain services: each response is read completely before it is sent on.
+
+A target is sent no more requests than it is known to handle well.  Others wait at this node; one
+that could not be answered in time is refused at once, with a time after which to return.
+"""
 
 from __future__ import annotations
 
 import asyncio
 
+from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.placement import PlainTargetState, choose_plain_target
+from fielddrift_core.plain_queue import Admission, Decision, Demand, WaitingRequest
+from fielddrift_core.prompt_queue import queue_name
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, send_once
-from .call import Call, ServingContext
+from .call import Call, Refused, ServingContext
+from .plain_queues import PlainServiceQueue
 from .ports import OutgoingRequest
 
 __all__ = ["PlainRequests"]
@@ -20,6 +28,13 @@
 """Time without a response, in the route's latency goals, after which a repeatable request is sent
 to another target."""
 _MIN_TIMEOUT_SECONDS = 0.35
+_CHECK_INTERVAL_SECONDS = 0.05
+"""Interval at which the first request in the queue looks for room, also without updates: the loads
+that other nodes reported expire without an event."""
+_NOT_RUN_REASON = "not-started"
+"""Reason of a send that its target returned without running it, since it was full."""
+_OTHER_INSTANCE_REASONS = ("replaced", "other-weights")
+"""Reasons of sends that a target returned for another cause than its load."""
 
 
 class PlainRequests:
@@ -32,9 +47,7 @@
         """Respond to `call`; raise `Refused` if no target can serve it."""
         attempts = Attempts(call=call, context=self._context)
         while True:
-            instance = self._choose(call, attempts.tried)
-            if instance is None:
-                raise attempts.exhausted()
+            instance = await self._place(call, attempts)
             attempts.begin(instance)
             try:
                 head, body = await self._attempt(call, instance, may_retry=attempts.may_retry())
@@ -46,23 +59,144 @@
             responder.send(head.status, headers, body)
             return
 
-    def _choose(self, call: Call, tried: set[str]) -> Instance | None:
+    # --- choosing and waiting -------------------------------------------------------
+
+    async def _place(self, call: Call, attempts: Attempts) -> Instance:
+        """Return the target to send to, once one has room; raise `Refused` if none is in time."""
+        service_queue = self._context.views.plain_queues.of(call.service.name)
+        if service_queue.queue.count_ahead(call.priority) == 0:
+            instance = self._choose(call, attempts)
+            if instance is not None:
+                return instance
+        if all(state.instance.name in attempts.tried for state in self._states(call)):
+            raise attempts.exhausted()
+        turn = asyncio.get_running_loop().time()
+        if not attempts.tried:
+            turn += self._admit(call, service_queue).wait
+        return await self._wait_in_queue(call, attempts, service_queue, turn)
+
+    def _admit(self, call: Call, service_queue: PlainServiceQueue) -> Admission:
+        """Raise `Refused` if a request that has to wait would be answered too late."""
         views = self._context.views
         now = asyncio.get_running_loop().time()
-        states = [
+        ahead = self._waiting(call, now)
+        admission = service_queue.queue.admit(
+            self._states(call),
+            rank=call.priority,
+            ahead=ahead,
+            elapsed=now - call.arrived_at,
+            time_left=call.deadline - now,
+            latency_goal=call.route.latency_goal,
+            now=now,
+            rng=self._context.rng,
+        )
+        if admission.decision is Decision.WAIT:
+            return admission
+        detail = (
+            f"room in {admission.wait:.2f} s behind {ahead} waiting, answer {admission.work:.2f} s "
+            f"later, latency goal {call.route.latency_goal:.2f} s, {call.deadline - now:.2f} s "
+            f"left, loads up to {views.workload.oldest_report_seconds(now):.2f} s old"
+        )
+        raise Refused(
+            Refusal(ErrorKind.OVERLOADED, detail, Ran.NO, admission.retry_after, admission.reason)
+        )
+
+    async def _wait_in_queue(
+        self, call: Call, attempts: Attempts, service_queue: PlainServiceQueue, turn: float
+    ) -> Instance:
+        """Return a target once one has room; raise `Refused` once the deadline cannot be kept."""
+        loop = asyncio.get_running_loop()
+        queue, queued_at = service_queue.queue, loop.time()
+        due = call.arrived_at + call.route.latency_goal
+        expires_at = call.deadline - queue.work_seconds
+        waiting = WaitingRequest(call.trace.key, call.priority, due, turn)
+        workload, name = self._context.views.workload, queue_name(call.service.name, call.priority)
+        queue.add(waiting)
+        workload.begin(name, waiting.request, 0)
+        try:
+            while (left := expires_at - loop.time()) > 0:
+                if service_queue.is_first(waiting):
+                    left = min(left, _CHECK_INTERVAL_SECONDS)
+                await service_queue.wait_turn(waiting, left)
+                instance = self._choose(call, attempts, waiting)
+                if instance is not None:
+                    return instance
+                if all(state.instance.name in attempts.tried for state in self._states(call)):
+                    raise attempts.exhausted()
+                if attempts.tried:
+                    # It may only lack room at the targets that it was not sent to before.
+                    service_queue.wake(after=waiting)
+        finally:
+            call.trace.held += loop.time() - queued_at
+            queue.remove(waiting)
+            workload.end(name, waiting.request)
+            service_queue.wake()
+        seconds = loop.time() - queued_at
+        detail = f"no target had room for {seconds:.2f} s, estimated {turn - queued_at:.2f} s"
+        if attempts.tried:
+            raise attempts.exhausted(detail)
+        retry_after = queue.retry_after(
+            time_left=call.deadline - loop.time(), rng=self._context.rng
+        )
+        raise Refused(Refusal(ErrorKind.OVERLOADED, detail, Ran.NO, retry_after, "plain-expired"))
+
+    def _choose(
+        self, call: Call, attempts: Attempts, waiting: WaitingRequest | None = None
+    ) -> Instance | None:
+        """Return the best target that has room, None if there is none."""
+        now = asyncio.get_running_loop().time()
+        states = self._states(call)
+        data_centre, rng = self._context.settings.data_centre, self._context.rng
+        if call.service.engine is not None:
+            # Engines are limited by their memory, and their runs are not counted in this queue.
+            return choose_plain_target(
+                states, data_centre=data_centre, tried=attempts.tried, rng=rng
+            )
+        queue = self._context.views.plain_queues.of(call.service.name).queue
+        return queue.choose(
+            states,
+            self._demand(call, waiting, now),
+            data_centre=data_centre,
+            tried=attempts.tried,
+            now=now,
+            rng=rng,
+        )
+
+    def _states(self, call: Call) -> list[PlainTargetState]:
+        """Return the states of the targets that this node may send to now."""
+        views = self._context.views
+        now = asyncio.get_running_loop().time()
+        return [
             PlainTargetState(
                 i, views.workload.burden_of(i.name, now), views.health.share(i.name, now)
             )
             for i in views.registry.serving(call.service.name)
             if self._context.gate.allows(call.service, i, now)
         ]
-        return choose_plain_target(
-            states,
-            data_centre=self._context.settings.data_centre,
-            tried=tried,
-            rng=self._context.rng,
+
+    def _demand(self, call: Call, waiting: WaitingRequest | None, now: float) -> Demand:
+        """Return what shares the targets with a request, which is `waiting` or has just come."""
+        views = self._context.views
+        workload = views.workload
+        serving = views.registry.serving(call.service.name)
+        own_waiting = views.plain_queues.of(call.service.name).queue.count_ahead(call.priority)
+        return Demand(
+            own_running=sum(workload.own_of(i.name).running for i in serving),
+            own_waiting=own_waiting + (waiting is None),
+            others_waiting=self._waiting(call, now) - own_waiting,
+            overdue=waiting is not None and waiting.turn <= now,
         )
 
+    def _waiting(self, call: Call, now: float) -> int:
+        """Return how many requests of the same or a more urgent rank wait at all nodes."""
+        names = [
+            queue_name(call.service.name, r) for r in call.catalog.priorities if r <= call.priority
+        ]
+        workload = self._context.views.workload
+        return sum(workload.burden_of(name, now).running for name in names)
+
+    # --- sending ----------------------------------------------------------------------
+
     async def _attempt(
         self, call: Call, instance: Instance, *, may_retry: bool
     ) -> tuple[ResponseHead, bytes]:
@@ -71,12 +205,16 @@
         outgoing = OutgoingRequest(
             call.parsed, instance, call.deadline - loop.time(), call.customer_name
         )
+        service_queue = views.plain_queues.of(call.service.name)
+        limited = _limited(call, instance)
         views.workload.begin(instance.name, call.trace.key, 0)
+        running = views.workload.burden_of(instance.name, loop.time()).running
         try:
             async with asyncio.timeout(self._timeout(call) if may_retry else None):
                 head, body = await self._exchange(call, outgoing)
         except TimeoutError:
             views.health.failed(instance.name, loop.time())
+            service_queue.queue.lost(limited, loop.time())
             raise AttemptFailed(
                 f"target {instance.name}: silent", reason="silent", reached=True, not_run=False
             ) from None
@@ -84,16 +222,24 @@
             views.health.failed(instance.name, loop.time())
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
+            if failure.reason == _NOT_RUN_REASON:
+                service_queue.queue.full(limited, running=running)
+            elif failure.reason not in _OTHER_INSTANCE_REASONS:
+                service_queue.queue.lost(limited, loop.time())
             raise
         finally:
             views.workload.end(instance.name, call.trace.key)
+            service_queue.wake()
         if head.status >= 500:
             views.health.failed(instance.name, loop.time())
+            service_queue.queue.failed_answer(limited)
             if may_retry and call.route.repeatable:
                 detail = f"target {instance.name}: status {head.status}"
                 raise AttemptFailed(detail, reason="status", reached=True, not_run=False)
         else:
             views.health.succeeded(instance.name, loop.time())
+            seconds = loop.time() - call.trace.sent_at
+            service_queue.queue.answered(limited, seconds, running=running, now=loop.time())
         return head, body
 
     async def _exchange(self, call: Call, outgoing: OutgoingRequest) -> tuple[ResponseHead, bytes]:
@@ -112,3 +258,8 @@
         if not call.route.repeatable:
             return None
         return max(_MIN_TIMEOUT_SECONDS, _TIMEOUT_GOALS * call.route.latency_goal)
+
+
+def _limited(call: Call, instance: Instance) -> Instance:
+    """Return `instance` as the queue knows it: engines, limited by memory, without their slots."""
+    return instance if call.service.engine is None else instance._replace(slots=0)
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -24,6 +24,7 @@
 from fielddrift_core.urgency import CallerWaits
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
+from .plain_queues import PlainQueues
 from .ports import NamedWeights
 from .service_queues import ServiceQueues
 
@@ -89,6 +90,7 @@
         self.pace = EngineSlowdowns()
         self.loading = LoadingEngines()
         self.service_queues = ServiceQueues()
+        self.plain_queues = PlainQueues()
         self.crashes = CrashHistory()
         self.weights: dict[tuple[str, str], int] = {}
         """Weights by (instance, model), where newer than those in the instance's entry."""
