--- a/packages/core/src/fielddrift_core/plain_queue.py
+++ b/packages/core/src/fielddrift_core/plain_queue.py
@@ -16,7 +16,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from .overload import LATE_FRACTION, retry_delay
+from .overload import LATE_FRACTION, is_congested, retry_delay
 from .placement import PLAIN_WORK_SECONDS, PlainTargetState, choose_plain_target
 from .target_registry import Instance
 
@@ -61,10 +61,16 @@
 _SUSPECT_SECONDS = 0.5
 """Time for which a target that failed without an answer gets no requests while others can be
 used.  It would otherwise attract every waiting request, since nothing runs there."""
-_ADMIT_FRACTION = 0.6
-"""Ratio of the estimate to the latency goal up to which requests may wait.  It is below
-`LATE_FRACTION` because all nodes admit requests for one heartbeat before they know of each
-other's: at four times the usual rate these take a quarter of the latency goal."""
+_MAX_WAIT_FRACTION = 0.4
+"""Fraction of the latency goal for which a request may be expected to wait.  The rest is for its
+work and for what all nodes admit within one heartbeat, before they know of each other's requests:
+at four times the usual rate this takes a quarter of the latency goal."""
+_OVERDUE_FRACTION = 0.25
+"""Fraction of the latency goal by which the estimated wait may be exceeded.  Later the estimate
+counts as wrong, and the request is sent unless the targets return requests."""
+_RETURNED_SECONDS = 5.0
+"""Time for which a target that returned a request because it was full is never sent more than its
+limit: longer than most bursts."""
 
 
 class WaitingRequest(NamedTuple):
@@ -91,8 +97,8 @@
     own_running: int = 0
     own_waiting: int = 1
     others_waiting: int = 0
-    overdue: bool = False
-    """Whether the request to be sent has waited for as long as was estimated."""
+    overdue_seconds: float | None = None
+    """Seconds since the estimated wait of the request to be sent was over; None before that."""
 
 
 class Decision(StrEnum):
@@ -133,6 +139,7 @@
         self._previous_lowest = float("inf")
         """Lowest latency of the window before the current one."""
         self._window_end = float("-inf")
+        self._returned_at = float("-inf")
 
     @property
     def slots(self) -> int:
@@ -168,11 +175,16 @@
             return
         self._value = max(1.0, self._value + _LIMIT_WEIGHT * (wanted - self._value))
 
-    def full(self, *, running: int) -> None:
+    def returns(self, now: float) -> bool:
+        """Return whether the target returned a request in the last seconds."""
+        return now - self._returned_at < _RETURNED_SECONDS
+
+    def full(self, *, running: int, now: float) -> None:
         """Record that the target returned a request because it was full.
 
         `running` is the number of requests that it had by this node's knowledge.
         """
+        self._returned_at = now
         self._value = max(1.0, _FULL_FACTOR * min(self._value, float(max(1, running))))
 
 
@@ -261,11 +273,11 @@
         """Record an answer that reports a failure: it says that the target can be reached."""
         self._suspect_until.pop(instance.name, None)
 
-    def full(self, instance: Instance, *, running: int) -> None:
+    def full(self, instance: Instance, *, running: int, now: float) -> None:
         """Record that `instance`, which had `running` requests, did not run a request."""
         self._suspect_until.pop(instance.name, None)
         if self.limit(instance) is not None:
-            self._limits[instance.name].full(running=running)
+            self._limits[instance.name].full(running=running, now=now)
 
     def lost(self, instance: Instance, now: float) -> None:
         """Record that a send to `instance` failed without an answer."""
@@ -287,6 +299,7 @@
         targets: Sequence[PlainTargetState],
         demand: Demand,
         *,
+        latency_goal: float,
         data_centre: str,
         tried: Collection[str],
         now: float,
@@ -294,15 +307,25 @@
     ) -> Instance | None:
         """Return the target with the least expected time among those with room, None without.
 
-        Targets that were `tried` are left out.
+        Targets that were `tried` are left out.  A request whose work alone exceeds the latency
+        goal is late in any order, and one that waits for longer than estimated shows that the
+        estimate is wrong: both are sent to any target that does not return requests.
         """
         untried = [
             target._replace(work_seconds=self.target_work_seconds(target.instance.name))
             for target in targets
             if target.instance.name not in tried
         ]
+        usable = self._usable(untried, now)
+        open_targets = self._with_room(usable, demand, now, rng)
+        overdue = demand.overdue_seconds or 0.0
+        if not open_targets and (
+            self.work_seconds > LATE_FRACTION * latency_goal
+            or overdue > _OVERDUE_FRACTION * latency_goal
+        ):
+            open_targets = [t for t in usable if not self._limits[t.instance.name].returns(now)]
         return choose_plain_target(
-            self._with_room(self._usable(untried, now), demand, now, rng),
+            open_targets,
             data_centre=data_centre,
             tried=tried,
             rng=rng,
@@ -327,18 +350,21 @@
         """
         usable = self._usable(targets, now)
         wait, work = self._estimate_wait(usable, ahead), self.work_seconds
-        bound = _ADMIT_FRACTION * latency_goal
-        # A request that is late without waiting may wait as long as one that is just in time.
-        in_time = elapsed + work <= LATE_FRACTION * latency_goal
+        latest = LATE_FRACTION * latency_goal
         reason = ""
         if wait + work > time_left:
             reason = "plain-deadline"
-        elif (elapsed + wait + work if in_time else wait) > bound:
+        elif work <= latest and wait > _MAX_WAIT_FRACTION * latency_goal:
             reason = "plain-full"
-        elif in_time and self._has_late(rank, now):
-            # New requests go ahead of late ones.  While more arrive than are served, these would
-            # wait until their deadline, and then be refused.
-            reason = "plain-late-ahead"
+        elif elapsed + work <= latest and is_congested(
+            queue_seconds=wait, latency_goal=latency_goal
+        ):
+            if elapsed + wait + work > latest:
+                reason = "plain-full"
+            elif self._has_late(rank, now):
+                # New requests go ahead of late ones.  While more arrive than are served, these
+                # would wait until their deadline, and then be refused.
+                reason = "plain-late-ahead"
         if not reason:
             return Admission(Decision.WAIT, wait, work)
         return Admission(
@@ -380,7 +406,9 @@
             for target, limit in zip(targets, limits, strict=True)
             if limit is None or target.burden.running < limit
         ]
-        if not demand.others_waiting or demand.overdue or not free or None in limits:
+        if not free or not demand.others_waiting or demand.overdue_seconds is not None:
+            return free
+        if None in limits:
             return free
         room = sum(limit for limit in limits if limit is not None)
         own = demand.own_running + demand.own_waiting
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -156,6 +156,7 @@
         return queue.choose(
             states,
             self._demand(call, waiting, now),
+            latency_goal=call.route.latency_goal,
             data_centre=data_centre,
             tried=attempts.tried,
             now=now,
@@ -184,7 +185,7 @@
             own_running=sum(workload.own_of(i.name).running for i in serving),
             own_waiting=own_waiting + (waiting is None),
             others_waiting=self._waiting(call, now) - own_waiting,
-            overdue=waiting is not None and waiting.turn <= now,
+            overdue_seconds=now - waiting.turn if waiting and waiting.turn <= now else None,
         )
 
     def _waiting(self, call: Call, now: float) -> int:
@@ -223,7 +224,7 @@
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
             if failure.reason == _NOT_RUN_REASON:
-                service_queue.queue.full(limited, running=running)
+                service_queue.queue.full(limited, running=running, now=loop.time())
             elif failure.reason not in _OTHER_INSTANCE_REASONS:
                 service_queue.queue.lost(limited, loop.time())
             raise
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -96,9 +96,10 @@
         waiting = len(self.queue) + (request.waiting is None)
         line = self.workload.burden_of(LINE, self.replay.now)
         others = line.running - self.workload.own_of(LINE).running
-        overdue = request.waiting is not None and request.waiting.turn <= self.replay.now
-        demand = Demand(own, waiting, others, overdue)
-        return self.queue.choose(self.states(), demand, now=self.replay.now, **arguments)  # type: ignore[arg-type]
+        now = self.replay.now
+        turn = request.waiting.turn if request.waiting else now + 1
+        demand = Demand(own, waiting, others, now - turn if turn <= now else None)
+        return self.queue.choose(self.states(), demand, latency_goal=GOAL, now=now, **arguments)  # type: ignore[arg-type]
 
     def serve(self, request: Request) -> None:
         queue = self.queue
@@ -193,7 +194,7 @@
         self.workload.end(instance.name, request.key)
         self.health.failed(instance.name, self.replay.now)
         if self.queue is not None:
-            self.queue.full(instance, running=running)
+            self.queue.full(instance, running=running, now=self.replay.now)
         self.again(request)
 
     def failed(self, request: Request, instance: Instance, running: int) -> None:
