--- a/packages/core/src/fielddrift_core/plain_queue.py
+++ b/packages/core/src/fielddrift_core/plain_queue.py
@@ -179,13 +179,10 @@
         """Return whether the target returned a request in the last seconds."""
         return now - self._returned_at < _RETURNED_SECONDS
 
-    def full(self, *, running: int, now: float) -> None:
-        """Record that the target returned a request because it was full.
-
-        `running` is the number of requests that it had by this node's knowledge.
-        """
+    def full(self, now: float) -> None:
+        """Record that the target returned a request because it was full."""
         self._returned_at = now
-        self._value = max(1.0, _FULL_FACTOR * min(self._value, float(max(1, running))))
+        self._value = max(1.0, _FULL_FACTOR * self._value)
 
 
 class PlainQueue:
@@ -273,11 +270,11 @@
         """Record an answer that reports a failure: it says that the target can be reached."""
         self._suspect_until.pop(instance.name, None)
 
-    def full(self, instance: Instance, *, running: int, now: float) -> None:
-        """Record that `instance`, which had `running` requests, did not run a request."""
+    def full(self, instance: Instance, now: float) -> None:
+        """Record that `instance` returned a request because it was full."""
         self._suspect_until.pop(instance.name, None)
         if self.limit(instance) is not None:
-            self._limits[instance.name].full(running=running, now=now)
+            self._limits[instance.name].full(now)
 
     def lost(self, instance: Instance, now: float) -> None:
         """Record that a send to `instance` failed without an answer."""
@@ -318,12 +315,9 @@
         ]
         usable = self._usable(untried, now)
         open_targets = self._with_room(usable, demand, now, rng)
-        overdue = demand.overdue_seconds or 0.0
-        if not open_targets and (
-            self.work_seconds > LATE_FRACTION * latency_goal
-            or overdue > _OVERDUE_FRACTION * latency_goal
-        ):
-            open_targets = [t for t in usable if not self._limits[t.instance.name].returns(now)]
+        overdue = (demand.overdue_seconds or 0.0) > _OVERDUE_FRACTION * latency_goal
+        if not open_targets and (overdue or self._is_always_late(latency_goal)):
+            open_targets = self._not_returning(usable, now)
         return choose_plain_target(
             open_targets,
             data_centre=data_centre,
@@ -350,15 +344,19 @@
         """
         usable = self._usable(targets, now)
         wait, work = self._estimate_wait(usable, ahead), self.work_seconds
+        if self._is_always_late(latency_goal) and self._not_returning(usable, now):
+            return Admission(Decision.WAIT, 0.0, work)
         latest = LATE_FRACTION * latency_goal
+        congested = is_congested(queue_seconds=wait, latency_goal=latency_goal)
         reason = ""
         if wait + work > time_left:
             reason = "plain-deadline"
+        elif not ahead or len(self._work) < _MIN_SAMPLE_COUNT:
+            # The next free place, or an estimate without answers that it could rest on.
+            pass
         elif work <= latest and wait > _MAX_WAIT_FRACTION * latency_goal:
             reason = "plain-full"
-        elif elapsed + work <= latest and is_congested(
-            queue_seconds=wait, latency_goal=latency_goal
-        ):
+        elif elapsed + work <= latest and congested:
             if elapsed + wait + work > latest:
                 reason = "plain-full"
             elif self._has_late(rank, now):
@@ -375,6 +373,21 @@
         """Return the seconds after which a caller that waits for `time_left` should return."""
         return retry_delay(time_left=time_left, rng=rng)
 
+    def _is_always_late(self, latency_goal: float) -> bool:
+        """Return whether the work alone exceeds what the latency goal allows."""
+        return self.work_seconds > LATE_FRACTION * latency_goal
+
+    def _not_returning(
+        self, targets: Sequence[PlainTargetState], now: float
+    ) -> Sequence[PlainTargetState]:
+        """Return the targets that did not return requests lately."""
+        limits = self._limits
+        return [
+            target
+            for target in targets
+            if target.instance.name not in limits or not limits[target.instance.name].returns(now)
+        ]
+
     def _has_late(self, rank: int, now: float) -> bool:
         latest = now + self.work_seconds
         return any(r.rank == rank and r.due < latest for r in self._requests.values())
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -224,7 +224,7 @@
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
             if failure.reason == _NOT_RUN_REASON:
-                service_queue.queue.full(limited, running=running, now=loop.time())
+                service_queue.queue.full(limited, loop.time())
             elif failure.reason not in _OTHER_INSTANCE_REASONS:
                 service_queue.queue.lost(limited, loop.time())
             raise
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -194,7 +194,7 @@
         self.workload.end(instance.name, request.key)
         self.health.failed(instance.name, self.replay.now)
         if self.queue is not None:
-            self.queue.full(instance, running=running, now=self.replay.now)
+            self.queue.full(instance, self.replay.now)
         self.again(request)
 
     def failed(self, request: Request, instance: Instance, running: int) -> None:
