--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -2,18 +2,30 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import itertools
+import json
 import random
+import unittest
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fielddrift_core.placement import PlainTargetState, choose_plain_target
-from fielddrift_core.plain_queue import Decision, Demand, PlainQueue, WaitingRequest
+from fielddrift_core.plain_queue import (
+    Decision,
+    Demand,
+    PlainQueue,
+    TargetLimit,
+    WaitingRequest,
+)
 from fielddrift_core.prompt_queue import queue_name
 from fielddrift_core.target_registry import Instance
-from fielddrift_core.workload import TargetHealth, Workload
+from fielddrift_core.workload import Burden, TargetHealth, Workload
+from fielddrift_standins.worker import Worker
+
+from .platform_fleet import FleetCase, RunningNode, ask, eventually, get
 
 GOAL, DEADLINE, WORK = 0.347, 1.6, 0.069
 SLOTS, TARGET_QUEUE = 6, 24
@@ -51,7 +63,7 @@
 
     def offer(self, done: Callable[[], None]) -> bool:
         """Run a request, or queue it; return False if there is no room."""
-        if self.running >= SLOTS + 0 and len(self.queue) >= TARGET_QUEUE:
+        if self.running >= SLOTS and len(self.queue) >= TARGET_QUEUE:
             return False
         self.queue.append(done)
         self._next()
@@ -268,3 +280,206 @@
                 other.workload.update_node(node.name, burdens, self.now)
                 other.wake()
         self.after(HEARTBEAT, lambda: self._heartbeat(node))
+
+
+class Outcome:
+    """What became of the requests of an overload of `factor` times the usual rate."""
+
+    def __init__(
+        self, *, former: bool = False, factor: float = 4.0, slow: float = 1.0, lost: bool = False
+    ) -> None:
+        replay = Replay(seed=1, former=former)
+        replay.targets["t0"].factor = slow
+        replay.run(WARM_UP)
+        start = len(replay.requests)
+        replay.factor, replay.targets["t1"].lost = factor, lost
+        replay.run(WARM_UP + OVERLOAD)
+        requests, replay.factor = replay.requests[start:], 1.0
+        replay.run(WARM_UP + OVERLOAD + 4.0)
+        served = [request.ended - request.arrived for request in requests if request.served]
+        self.in_time = sum(seconds <= GOAL for seconds in served) / len(served)
+        self.good_rate = sum(seconds <= GOAL for seconds in served) / OVERLOAD
+        self.refused_late = [
+            request for request in requests
+            if not request.served and (request.ended or replay.now) - request.arrived > GOAL / 8
+        ]  # fmt: skip
+        self.refused = len(requests) - len(served)
+        self.returned = replay.returned
+        """Sends that targets returned because they were full."""
+        end = WARM_UP + OVERLOAD + 2.0
+        self.open = [request for request in requests if (request.ended or replay.now) > end]
+        """Requests of the overload that were not ended 2 s after it."""
+        self.unserved_after = [
+            request for request in replay.requests
+            if end <= request.arrived < replay.now - DEADLINE and not request.served
+        ]  # fmt: skip
+
+
+class TestOverload(unittest.TestCase):
+    """Four times the usual rate for six seconds, with nodes that know each other's sends late.
+
+    Failure of the former decision: targets fill up, return most requests, and answer the others
+    after their latency goal.
+    """
+
+    def test_who_cannot_be_served_is_refused_at_once_and_the_others_are_in_time(self) -> None:
+        former, outcome = Outcome(former=True), Outcome()
+        self.assertEqual(outcome.refused_late, [])
+        self.assertGreaterEqual(outcome.in_time, 0.95)
+        self.assertEqual(outcome.returned, 0)
+        self.assertEqual(outcome.open, [])
+        self.assertEqual(outcome.unserved_after, [])
+        self.assertGreater(outcome.good_rate, former.good_rate)
+        self.assertLess(former.in_time, 0.95)
+        self.assertGreater(former.returned, 0)
+
+    def test_a_target_three_times_slower_makes_no_requests_late(self) -> None:
+        former, outcome = Outcome(former=True, factor=1.0, slow=3.0), Outcome(factor=1.0, slow=3.0)
+        self.assertGreaterEqual(outcome.in_time, 0.95)
+        self.assertEqual((outcome.refused, outcome.returned), (0, 0))
+        self.assertLess(former.in_time, 0.95)
+
+    def test_a_slow_target_in_an_overload_returns_nothing(self) -> None:
+        former, outcome = Outcome(former=True, slow=3.0), Outcome(slow=3.0)
+        self.assertEqual((outcome.refused_late, outcome.open, outcome.returned), ([], [], 0))
+        self.assertGreater(outcome.good_rate, former.good_rate)
+
+    def test_a_lost_target_does_not_attract_what_waits(self) -> None:
+        former, outcome = Outcome(former=True, lost=True), Outcome(lost=True)
+        self.assertEqual((outcome.refused_late, outcome.open, outcome.returned), ([], [], 0))
+        self.assertGreaterEqual(outcome.in_time, 0.95)
+        self.assertLess(former.in_time, 0.95)
+
+    def test_without_overload_nothing_waits_or_is_refused(self) -> None:
+        outcome = Outcome(factor=1.0)
+        self.assertEqual((outcome.refused, outcome.returned), (0, 0))
+        self.assertGreaterEqual(outcome.in_time, 0.95)
+
+
+class TestTargetLimit(unittest.TestCase):
+    def test_it_starts_at_the_slots_grows_in_use_and_falls_with_latency(self) -> None:
+        limit = TargetLimit(slots=6)
+        self.assertEqual(limit.value, 6)
+        for number in range(40):
+            limit.answered(0.07, running=limit.value, now=number * 0.01)
+        self.assertIn(limit.value, range(9, 13))
+        for number in range(40):
+            limit.answered(0.5, running=limit.value, now=0.4 + number * 0.01)
+        self.assertLess(limit.value, 6)
+
+    def test_it_falls_when_the_target_is_full_but_not_below_one(self) -> None:
+        limit = TargetLimit(slots=6)
+        limit.full(0.0)
+        self.assertEqual(limit.value, 4)
+        for _ in range(20):
+            limit.full(0.0)
+        self.assertEqual(limit.value, 1)
+
+
+class TestPlainQueue(unittest.TestCase):
+    def setUp(self) -> None:
+        self.queue = PlainQueue()
+        for _ in range(5):
+            self.queue.answered(TARGETS[0], WORK, running=1, now=0.0)
+
+    def _choose(self, running: int, demand: Demand, slots: int = SLOTS) -> Instance | None:
+        state = PlainTargetState(TARGETS[0]._replace(slots=slots), Burden(running), 0.0)
+        return self.queue.choose(
+            [state], demand, latency_goal=GOAL, data_centre="a", tried=(), now=0.0,
+            rng=random.Random(1),
+        )  # fmt: skip
+
+    def _admit(self, *, ahead: int, time_left: float = DEADLINE, elapsed: float = 0.0) -> str:
+        states = [PlainTargetState(TARGETS[0], Burden(SLOTS), 0.0)]
+        admission = self.queue.admit(
+            states, rank=1, ahead=ahead, elapsed=elapsed, time_left=time_left, latency_goal=GOAL,
+            now=0.0, rng=random.Random(1),
+        )  # fmt: skip
+        self.assertLessEqual(admission.retry_after, time_left / 3)
+        return admission.reason or admission.decision.value
+
+    def test_rank_comes_first_then_who_can_be_in_time_then_the_due_time(self) -> None:
+        for request, rank, due in (("late", 1, 0.5), ("c", 1, 3.0), ("b", 1, 2.0), ("a", 0, 9.0)):
+            self.queue.add(WaitingRequest(request, rank, due, 0.0))
+        self.assertEqual([r.request for r in self.queue.in_order(1.0)], ["a", "b", "c", "late"])
+
+    def test_a_full_target_gets_nothing_and_unknown_slots_have_no_limit(self) -> None:
+        self.assertIsNotNone(self._choose(SLOTS - 1, Demand()))
+        self.assertIsNone(self._choose(SLOTS, Demand()))
+        self.assertIsNotNone(self._choose(100, Demand(), slots=0))
+
+    def test_room_is_shared_with_the_requests_that_wait_at_other_nodes(self) -> None:
+        self.assertIsNone(self._choose(SLOTS - 1, Demand(3, 1, others_waiting=20)))
+        self.assertIsNotNone(self._choose(SLOTS - 1, Demand(0, 20, others_waiting=1)))
+
+    def test_a_request_that_waits_longer_than_estimated_is_sent_unless_targets_are_full(
+        self,
+    ) -> None:
+        demand = Demand(overdue_seconds=GOAL)
+        self.assertIsNotNone(self._choose(SLOTS, demand))
+        self.queue.full(TARGETS[0], 0.0)
+        self.assertIsNone(self._choose(SLOTS, demand))
+
+    def test_the_estimate_decides_who_waits(self) -> None:
+        self.assertEqual(self._admit(ahead=1), "wait")
+        self.assertEqual(self._admit(ahead=30), "plain-full")
+        self.assertEqual(self._admit(ahead=1, time_left=0.05), "plain-deadline")
+        # Late but within its deadline: it is served after the others.
+        self.assertEqual(self._admit(ahead=1, elapsed=1.0), "wait")
+
+    def test_no_request_is_admitted_ahead_of_a_late_one_while_many_wait(self) -> None:
+        self.queue.add(WaitingRequest("late", 1, 0.0, 0.0))
+        self.assertEqual(self._admit(ahead=8), "plain-late-ahead")
+        self.assertEqual(self._admit(ahead=1), "wait")
+
+
+class TestNode(FleetCase):
+    """A node before a plain target with four slots."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for each in self.fleet.routes:
+            each["target-latency-ms"] = 300
+        self.fleet.configure()
+        self.worker = await self.fleet.worker(Worker(name="w1", work_seconds=0.1), "plain")
+        self.node = await self.fleet.node()
+        await eventually(lambda: len(self.node.node.views.registry) == 1)
+        for number in range(4):
+            await ask(self.node, "/unsafe/x", request_id=f"warm{number}")
+
+    async def _target(self, node: RunningNode) -> dict[str, object]:
+        beliefs = json.loads((await get(node.settings.metrics, "/beliefs")).body)
+        return next(target for target in beliefs["targets"] if target["name"] == "w1")
+
+    async def test_what_cannot_be_in_time_is_refused_at_once_and_never_sent(self) -> None:
+        before = len(self.worker.arrivals)
+        started = asyncio.get_running_loop().time()
+        seconds: list[float] = []
+
+        async def one(number: int) -> tuple[int, dict[str, str]]:
+            answer = await ask(self.node, "/unsafe/x", request_id=f"r{number}")
+            if answer.status == 503:
+                seconds.append(asyncio.get_running_loop().time() - started)
+            return answer.status, answer.headers
+
+        answers = await asyncio.gather(*(one(number) for number in range(60)))
+        refused = [headers for status, headers in answers if status == 503]
+        self.assertEqual({status for status, _ in answers}, {200, 503})
+        # Far less than the deadline of 3 s.
+        self.assertLess(max(seconds), 1.0)
+        self.assertTrue(all(0 < float(headers["retry-after"]) <= 1.0 for headers in refused))
+        self.assertEqual(len(self.worker.arrivals) - before, len(answers) - len(refused))
+        metrics = (await get(self.node.settings.metrics, "/metrics")).body.decode()
+        self.assertIn('fielddrift_refusals_total{reason="plain-full"}', metrics)
+        self.assertEqual(self.node.node.views.plain_queues.waiting, 0)
+
+    async def test_a_full_target_lowers_its_limit_and_the_request_goes_elsewhere(self) -> None:
+        other = await self.fleet.worker(Worker(name="w2"), "plain")
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
+        self.worker.faults = other.faults = ["shed"]
+        before = await self._target(self.node)
+        self.assertEqual(before["concurrency"], 4)
+        self.assertGreaterEqual(before["work_seconds"], 0.1)  # type: ignore[operator]
+        self.assertEqual((await ask(self.node, "/safe/x", request_id="s")).status, 200)
+        limits = self.node.node.views.plain_queues.of("plain").queue
+        self.assertIn(2, (limits.known_limit("w1"), limits.known_limit("w2")))
