Spread plain requests over the targets with room while some wait

The target is now drawn in proportion to room while requests wait, and a request may wait for a third of its latency goal instead of 0.4. Limits of targets that are gone are dropped.

--- a/packages/core/src/fielddrift_core/plain_queue.py
+++ b/packages/core/src/fielddrift_core/plain_queue.py
@@ -29,7 +29,7 @@
     "WaitingRequest",
 ]
 
-REPORT_INTERVAL_SECONDS = 0.15
+_REPORT_INTERVAL_SECONDS = 0.15
 """Interval of the heartbeats by which active nodes learn of each other's sends and queues."""
 _WORK_SAMPLE_COUNT = 31
 """Recent answers of a service from which its work time is computed.  An odd number has a middle."""
@@ -61,7 +61,7 @@
 _SUSPECT_SECONDS = 0.5
 """Time for which a target that failed without an answer gets no requests while others can be
 used.  It would otherwise attract every waiting request, since nothing runs there."""
-_MAX_WAIT_FRACTION = 0.4
+_MAX_WAIT_FRACTION = 1 / 3
 """Fraction of the latency goal for which a request may be expected to wait.  The rest is for its
 work and for what all nodes admit within one heartbeat, before they know of each other's requests:
 at four times the usual rate this takes a quarter of the latency goal."""
@@ -281,9 +281,7 @@
         self._suspect_until[instance.name] = now + _SUSPECT_SECONDS
 
     def retain(self, targets: Collection[str]) -> None:
-        """Drop what is known of other targets than `targets`, unless that is little."""
-        if len(self._limits) <= 2 * len(targets):
-            return
+        """Drop what is known of other targets than `targets`."""
         for name in [name for name in self._limits if name not in targets]:
             del self._limits[name]
         for name in [name for name in self._suspect_until if name not in targets]:
@@ -318,6 +316,8 @@
         overdue = (demand.overdue_seconds or 0.0) > _OVERDUE_FRACTION * latency_goal
         if not open_targets and (overdue or self._is_always_late(latency_goal)):
             open_targets = self._not_returning(usable, now)
+        if demand.others_waiting or demand.own_waiting > 1:
+            open_targets = self._spread(open_targets, rng)
         return choose_plain_target(
             open_targets,
             data_centre=data_centre,
@@ -430,13 +430,30 @@
         share = room * own / max(room, everyone)
         return free if demand.own_running < int(share + self._round_up(now, rng)) else []
 
+    def _spread(
+        self, targets: Sequence[PlainTargetState], rng: random.Random
+    ) -> Sequence[PlainTargetState]:
+        """Return one of `targets`, in proportion to their room.
+
+        While requests wait, all nodes look for room at the same time and know the same loads.
+        They would all send to the target with the lowest one.
+        """
+        if len(targets) < 2:
+            return targets
+        limits = [self.limit(target.instance) for target in targets]
+        rooms = [
+            max(1, (limit or target.instance.slots) - target.burden.running)
+            for target, limit in zip(targets, limits, strict=True)
+        ]
+        return rng.choices(targets, rooms)
+
     def _round_up(self, now: float, rng: random.Random) -> float:
         """Return a random fraction to add before a share is rounded down.
 
         It is kept for one heartbeat: shares would grow if each look at the same room drew anew.
         """
         if now >= self._rounding_until:
-            self._rounding, self._rounding_until = rng.random(), now + REPORT_INTERVAL_SECONDS
+            self._rounding, self._rounding_until = rng.random(), now + _REPORT_INTERVAL_SECONDS
         return self._rounding
 
     def _estimate_wait(self, targets: Iterable[PlainTargetState], ahead: int) -> float:
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -385,6 +385,7 @@
         metrics.cold_targets.set(views.cold.expire(names, now))
         metrics.limited_targets.set(views.limits.expire(names, now))
         metrics.paused_targets.set(views.pauses.expire(now))
+        views.plain_queues.retain(names)
         metrics.plain_waiting.set(views.plain_queues.waiting)
         metrics.plain_limit.set(views.plain_queues.limits)
         metrics.platform_calls.set(self._platform.calls)
--- a/packages/node/src/fielddrift_node/serving/plain_queues.py
+++ b/packages/node/src/fielddrift_node/serving/plain_queues.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Collection
 
 from fielddrift_core.plain_queue import PlainQueue, WaitingRequest
 
@@ -74,6 +75,11 @@
         """Return the sum of the learned limits of all targets."""
         return sum(each.queue.limits for each in self._queues.values())
 
+    def retain(self, targets: Collection[str]) -> None:
+        """Drop what is known of targets that are not among `targets`."""
+        for each in self._queues.values():
+            each.queue.retain(targets)
+
     def wake_all(self) -> None:
         """Wake the first request of each queue: some target may have room again."""
         for each in self._queues.values():
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -31,6 +31,7 @@
 SLOTS, TARGET_QUEUE = 6, 24
 RATE = 132.0
 NODES = 12
+"""Enough that most of a target's load is known from heartbeats."""
 HEARTBEAT, LINK, CHECK = 0.15, 0.001, 0.05
 WARM_UP, OVERLOAD = 3.0, 6.0
 LINE = queue_name("plain", 1)
@@ -473,6 +474,14 @@
         self.assertIn('fielddrift_refusals_total{reason="plain-full"}', metrics)
         self.assertEqual(self.node.node.views.plain_queues.waiting, 0)
 
+    async def test_a_lost_target_refuses_at_once_with_a_time(self) -> None:
+        self.worker.close()
+        started = asyncio.get_running_loop().time()
+        answer = await ask(self.node, "/unsafe/x", request_id="r")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertLess(asyncio.get_running_loop().time() - started, 1.0)
+
     async def test_a_full_target_lowers_its_limit_and_the_request_goes_elsewhere(self) -> None:
         other = await self.fleet.worker(Worker(name="w2"), "plain")
         await eventually(lambda: len(self.node.node.views.registry) == 2)
