--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -84,6 +84,8 @@
             target.get("limit"),
             target.get("paused") or "",
             target.get("silent"),
+            target.get("concurrency") or "",
+            target.get("work_seconds") or "",
         ]
         for target in beliefs["targets"]
     ]
@@ -109,7 +111,7 @@
         ("held back request,s left,targets that ended under it", held),
         (
             "target,service,leaving,weights,runs,unread,failures,loading s,cold,limit,paused s,"
-            "silent s",
+            "silent s,concurrency,work s",
             targets,
         ),
         ("store,life,parts,tokens,heard s ago", stores),
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -90,6 +90,10 @@
         """Return the burdens of this node's own sends, by target."""
         return dict(self._own)
 
+    def own_of(self, target: str) -> Burden:
+        """Return the burden of this node's own sends to `target`."""
+        return self._own.get(target, _IDLE)
+
     def update_node(self, node: str, burdens: Mapping[str, Burden], now: float) -> bool:
         """Replace the report of `node`; return whether it needs less memory of some target."""
         report = self._reports.pop(node, None)
@@ -141,6 +145,12 @@
             return own or others or _IDLE
         return own + others
 
+    def oldest_report_seconds(self, now: float) -> float:
+        """Return the age in seconds of the oldest report of another node, 0 without any."""
+        self._expire(now)
+        oldest = next(iter(self._reports.values()), None)
+        return 0.0 if oldest is None else now - oldest.received_at
+
     def _set(self, target: str, run: str, burden: Burden) -> None:
         runs = self._runs.setdefault(target, {})
         _change(self._own, target, runs.get(run, _IDLE), burden)
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import msgspec
 from fielddrift_core.eras import era_of, version_of
 from fielddrift_core.neighbours import KnownNode, Neighbours
+from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 
 from .views import Views
@@ -29,6 +30,8 @@
     whether it is assumed to be cold.  `limit` is its limit in requests per second for all nodes
     together, None for no limit.  `paused` is the remaining seconds of a pause that it asked for.
     `silent` is the seconds for which an unresponsive target has been silent, None for any other.
+    `concurrency` is the learned number of requests that a plain target may have from all nodes,
+    `work_seconds` the usual time to its answers; None for engines and targets without requests.
     """
 
     name: str
@@ -41,7 +44,14 @@
     cold: bool
     limit: float | None
     paused: float
-    silent: float | None
+    silent: float | None = None
+    concurrency: int | None = None
+    work_seconds: float | None = None
+
+
+class _PlainState(TypedDict, total=False):
+    concurrency: int
+    work_seconds: float
 
 
 class StoreState(NamedTuple):
@@ -136,11 +146,22 @@
             limit=views.limits.rate(target.name),
             paused=round(views.pauses.left(target.name, now), 3),
             silent=_rounded(views.responsiveness.silent_seconds(target.name, now)),
+            **_plain_state(views, target),
         )
         for target in views.registry.all()
     ]
 
 
+def _plain_state(views: Views, target: Instance) -> _PlainState:
+    """Return what this node learned of a plain target; empty for other targets."""
+    queue = views.plain_queues.known(target.service)
+    concurrency = None if queue is None else queue.known_limit(target.name)
+    if queue is None or concurrency is None:
+        return {}
+    work_seconds = round(queue.target_work_seconds(target.name), 3)
+    return {"concurrency": concurrency, "work_seconds": work_seconds}
+
+
 def _stores(views: Views, now: float) -> list[StoreState]:
     return [
         StoreState(
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -157,6 +157,12 @@
         self.unresponsive_targets = self._gauge(
             "unresponsive_targets", "targets that do not respond"
         )
+        self.plain_waiting = self._gauge(
+            "plain_waiting", "plain requests that wait at the node for room at a target"
+        )
+        self.plain_limit = self._gauge(
+            "plain_limit", "requests that plain targets may have, as learned, summed over targets"
+        )
         self.evacuated = self._gauge(
             "evacuated_data_centres", "data centres whose targets get nothing"
         )
