--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -176,7 +176,6 @@
     def send(self, request: Request, instance: Instance) -> None:
         request.tried.add(instance.name)
         request.sent_at = self.replay.now
-        self.replay.sends += 1
         self.workload.begin(instance.name, request.key, 0)
         running = self.workload.burden_of(instance.name, self.replay.now).running
         target = self.replay.targets[instance.name]
@@ -240,7 +239,7 @@
     def __init__(self, *, seed: int, former: bool = False) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.sends = self.returned = 0
+        self.returned = 0
         self.requests: list[Request] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
