Do not hold runs to resume back for the learned reserve

A run to resume comes first in its node's queue whatever its rank. Runs to resume leave the smallest reserve again, as before the reserve was learned.

--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -23,6 +23,7 @@
     has_room,
 )
 from fielddrift_core.prompt_queue import WaitingPrompt, queue_name
+from fielddrift_core.rank_reserve import MIN_RESERVE_FRACTION
 from fielddrift_core.rollout import EngineWeights, seconds_to_begin
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
@@ -80,7 +81,9 @@
         service_queue = self._context.views.service_queues.of(call.service.name)
         priority = _RESUME_PRIORITY if resumes else call.rank
         if service_queue.queue.count_ahead(priority) == 0:
-            choice = self._choose_with_room(call, attempts.tried)
+            choice = self._choose_with_room(
+                call, attempts.tried, resumes=priority == _RESUME_PRIORITY
+            )
             if choice is not None:
                 if not attempts.tried:
                     self._admit(call, choice, 0.0)
@@ -166,7 +169,9 @@
                 await service_queue.wait_turn(waiting, min(left, _CHECK_INTERVAL_SECONDS))
                 if service_queue.queue.head() is not waiting:
                     continue
-                choice = self._choose_with_room(call, attempts.tried)
+                choice = self._choose_with_room(
+                    call, attempts.tried, resumes=priority == _RESUME_PRIORITY
+                )
                 if choice is not None:
                     return choice
         finally:
@@ -190,18 +195,23 @@
 
     # --- choosing ---------------------------------------------------------------
 
-    def _choose_with_room(self, call: Call, tried: set[str]) -> EngineChoice | None:
+    def _choose_with_room(
+        self, call: Call, tried: set[str], *, resumes: bool = False
+    ) -> EngineChoice | None:
         """Return the best healthy engine that has room, None if there is none."""
         service_queue = self._context.views.service_queues.of(call.service.name)
         memory_fraction = service_queue.turnover.send_limit(
             call.rank,
             call.ranks.ranks,
-            reserve=self._reserve(call, service_queue),
+            reserve=self._reserve(call, service_queue, resumes=resumes),
         )
         return self._choose(call, tried, memory_fraction=memory_fraction, sends=True)
 
-    def _reserve(self, call: Call, service_queue: ServiceQueue) -> float:
+    def _reserve(self, call: Call, service_queue: ServiceQueue, *, resumes: bool) -> float:
         """Return the fraction of memory that `call` leaves to prompts of higher rank."""
+        if resumes:
+            # It is the first in the queue: more urgent prompts with room would wait behind it.
+            return MIN_RESERVE_FRACTION
         reserve = service_queue.reserve(call.rank)
         now = asyncio.get_running_loop().time()
         higher = [rank for rank in call.ranks.ranks if rank < call.rank]
--- a/tests/test_rank_reserve.py
+++ b/tests/test_rank_reserve.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from types import SimpleNamespace
 from typing import NamedTuple
+from unittest import mock
 
 from fielddrift_core.rank_reserve import MIN_RESERVE_FRACTION, RankReserve
+from fielddrift_core.workload import Burden
+from fielddrift_node.serving.prompt_placement import Placement
+from fielddrift_node.serving.views import Views
 
 _STEP_SECONDS = 0.05
 _LONG_SECONDS, _SHORT_SECONDS = 3.0, 0.6
@@ -90,3 +96,32 @@
         reserve = RankReserve()
         reserve.observe(0.0, 0.0)
         self.assertLess(reserve.observe(0.05, 3600.0), 0.3)
+
+
+class _Placement(Placement):
+    """Has one engine, of whose memory 0.6 is in use."""
+
+    def _total_memory(self, call: object) -> int:
+        return 100_000
+
+    def _choose(self, call: object, tried: set[str], **wanted: object) -> object:
+        return "engine" if wanted["memory_fraction"] > 0.6 else None  # type: ignore[operator]
+
+
+class TestRunsToResume(unittest.IsolatedAsyncioTestCase):
+    async def test_a_run_to_resume_does_not_hold_up_urgent_prompts(self) -> None:
+        # It is the first in the queue, whatever its rank.  With a grown reserve it found no room,
+        # and urgent prompts at its node waited behind it for a quarter of its latency goal.
+        now = asyncio.get_running_loop().time()
+        views = Views()
+        reserve = views.service_queues.of("s").reserve(1)
+        for seconds in (2.0, 1.5, 1.0, 0.5, 0.0):
+            reserve.observe(0.5, now - seconds)
+        views.workload.update_node("n2", {"line:s:0": Burden(1, 0, 20_000)}, now)
+        placement = _Placement(context=mock.Mock(views=views), kept=mock.Mock())
+        call = mock.Mock(rank=1, arrived_at=now)
+        call.service.name, call.ranks.ranks = "s", range(2)
+        attempts = SimpleNamespace(tried={"failed"})
+        self.assertIsNone(placement._choose_with_room(call, set()), "the reserve has grown")
+        async with asyncio.timeout(0.5):
+            await placement.place(call, attempts, resumes=True)  # type: ignore[arg-type]
