Name nodes to callers until their next heartbeat is due

With more than some 250 standby nodes in a data centre, heartbeats to each come less often than every 4 s. After 4 s without one a standby node took all active ones for ended, and named only itself to callers.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -37,9 +37,12 @@
 _MAX_ADDRESSES = 64
 """Callers use at most this many addresses of a response."""
 _MAX_NAMED_SILENCE_SECONDS = 4.0
-"""Silence after which a node is not named to callers, longer than any period between the
-heartbeats of nodes of one data centre.  A standby node counts as alive for three times as long:
-it may be selected as active after it has ended."""
+"""Silence after which a node is not named to callers, if its heartbeats come at least every 3 s.
+A standby node counts as alive for three times as long: it may be selected as active after it has
+ended."""
+_PERIOD_MARGIN_SECONDS = 1.0
+"""The same beyond the period of heartbeats that are less frequent: with more than two hundred
+standby nodes each gets them less often than every 3 s."""
 _SELECTION_SECONDS = 0.1
 """How long the selection of the active nodes is cached: it sorts all nodes."""
 _STANDBY_SELECTION_SECONDS = 0.3
@@ -278,7 +281,11 @@
         return [*heard, self._me] if self._serving else heard
 
     def _heard_lately(self, node: Neighbour, now: float) -> bool:
-        return now - self._states[node.name].received_at <= _MAX_NAMED_SILENCE_SECONDS
+        heard = self._states[node.name]
+        bound = _MAX_NAMED_SILENCE_SECONDS
+        if self._is_nearby(heard):
+            bound = max(bound, heard.period + _PERIOD_MARGIN_SECONDS)
+        return now - heard.received_at <= bound
 
     def _candidates(self, now: float) -> Iterable[Candidate]:
         for name, heard in self._nearby.items():
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -203,6 +203,13 @@
         self.assertEqual(self._addresses(4.5), [])
         self.assertEqual([node.name for node in self.view.alive(4.5)], ["n1"])
 
+    def test_a_node_is_named_until_its_next_heartbeat_is_due(self) -> None:
+        # With 300 standby nodes an active one sends to each every 4.5 s; after 4 s a standby node
+        # named only itself to callers.
+        self.view.receive(heartbeat(neighbour("n1"))._replace(period=4.5), 0.0)
+        self.assertEqual(self._addresses(4.6), ["n1:80"])
+        self.assertEqual(self._addresses(5.6), [])
+
     def test_a_leaving_node_is_removed_from_the_addresses_at_once(self) -> None:
         self.view.receive(heartbeat(neighbour("n1")), 0.0)
         self.assertEqual(len(self._addresses(0.01)), 1)
