--- a/packages/core/src/fielddrift_core/rank_reserve.py
+++ b/packages/core/src/fielddrift_core/rank_reserve.py
@@ -18,7 +18,7 @@
 """Reserve without any wait: a prompt without room preempts less urgent runs, each of which has to
 prefill its whole prompt again."""
 _MAX_FRACTION = 0.5
-"""Largest reserve, so that lower ranks are served, if late, however many urgent prompts come."""
+"""Largest reserve.  Lower ranks then still get what urgent prompts leave of half of the memory."""
 _GROWTH_PER_SECOND = 3.0
 """Growth of the reserve per second, relative to the fraction of memory that is waited for.  With
 a twentieth of the memory waited for it takes a second to grow by 0.15, about the latency goal of
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -81,7 +81,9 @@
         service_queue = self._context.views.service_queues.of(call.service.name)
         priority = _RESUME_PRIORITY if resumes else call.rank
         if service_queue.queue.count_ahead(priority) == 0:
-            choice = self._choose_with_room(call, attempts.tried, priority)
+            choice = self._choose_with_room(
+                call, attempts.tried, resumes=priority == _RESUME_PRIORITY
+            )
             if choice is not None:
                 if not attempts.tried:
                     self._admit(call, choice, 0.0)
@@ -167,7 +169,9 @@
                 await service_queue.wait_turn(waiting, min(left, _CHECK_INTERVAL_SECONDS))
                 if service_queue.queue.head() is not waiting:
                     continue
-                choice = self._choose_with_room(call, attempts.tried, priority)
+                choice = self._choose_with_room(
+                    call, attempts.tried, resumes=priority == _RESUME_PRIORITY
+                )
                 if choice is not None:
                     return choice
         finally:
@@ -191,23 +195,25 @@
 
     # --- choosing ---------------------------------------------------------------
 
-    def _choose_with_room(self, call: Call, tried: set[str], priority: int) -> EngineChoice | None:
+    def _choose_with_room(
+        self, call: Call, tried: set[str], *, resumes: bool = False
+    ) -> EngineChoice | None:
         """Return the best healthy engine that has room, None if there is none."""
         service_queue = self._context.views.service_queues.of(call.service.name)
         memory_fraction = service_queue.turnover.send_limit(
             call.rank,
             call.ranks.ranks,
-            reserve=self._reserve(call, service_queue, priority),
+            reserve=self._reserve(call, service_queue, resumes=resumes),
         )
         return self._choose(call, tried, memory_fraction=memory_fraction, sends=True)
 
-    def _reserve(self, call: Call, service_queue: ServiceQueue, priority: int) -> float:
+    def _reserve(self, call: Call, service_queue: ServiceQueue, *, resumes: bool) -> float:
         """Return the fraction of memory that `call` leaves to prompts of higher rank.
 
         It is learned where requests of one priority have different ranks, since priorities do
         not then keep long prompts from taking the memory of urgent ones.
         """
-        if priority == _RESUME_PRIORITY:
+        if resumes:
             # It is the first in the queue: more urgent prompts with room would wait behind it.
             return MIN_RESERVE_FRACTION
         reserve = service_queue.reserve(call.rank)
--- a/tests/test_rank_reserve.py
+++ b/tests/test_rank_reserve.py
@@ -122,6 +122,6 @@
         call = mock.Mock(rank=1, arrived_at=now)
         call.service.name, call.ranks.ranks = "s", range(2)
         attempts = SimpleNamespace(tried={"failed"})
-        self.assertIsNone(placement._choose_with_room(call, set(), 1), "the reserve has grown")
+        self.assertIsNone(placement._choose_with_room(call, set()), "the reserve has grown")
         async with asyncio.timeout(0.5):
             await placement.place(call, attempts, resumes=True)  # type: ignore[arg-type]
