Add bursts of one kind of prompts to the laboratory

The laboratory's bursts raise both kinds of prompts alike, its callers all wait equally long, and late answers count for nothing, so that it cannot show what a burst of one kind costs the other.

Add the loads long-burst and urgent-burst, sizes for the goal of urgent prompts, for the patience of callers and its spread, and for callers that give up a silent stream, and the worth that one kind earns with late answers.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -135,6 +135,7 @@
         self.status: int | None = None
         self.retry_after: float | None = None
         self.first_at: float | None = None
+        self.on_first: Callable[[], None] = lambda: None
         self.whole = False
         self._loop = asyncio.get_running_loop()
 
@@ -151,6 +152,7 @@
         """Take a piece."""
         if self.first_at is None:
             self.first_at = self._loop.time()
+            self.on_first()
 
     async def drain(self) -> None:
         """Callers here read at once."""
--- a/bench/lab/figures.py
+++ b/bench/lab/figures.py
@@ -10,12 +10,14 @@
 from .laboratory import Outcome, Play
 from .sizes import Sizes
 
-__all__ = ["Figures", "Interval", "intervals", "measure"]
+__all__ = ["Figures", "Interval", "earned", "intervals", "measure"]
 
 RECOVERY_SECONDS = 3.0
 """Time after the trouble's end in which the fleet should be back."""
 _URGENT_WORTH = 0.3
 """What a short, urgent answer is worth of a long one, as on a users' sheet."""
+_LATE_WORTH = 0.2
+"""What a late answer is worth of one in time, as on the users' sheets."""
 _INTERVAL_ERRORS = 1.96
 """Standard errors to each side of a mean: 95 of 100 such intervals hold the true one."""
 
@@ -82,6 +84,19 @@
     )
 
 
+def earned(play: Play, sizes: Sizes, *, urgent: bool, begins: float, ends: float) -> float:
+    """Return which part of their worth the prompts of one kind earned, late answers included.
+
+    It is about the prompts that came first from `begins` to `ends`, in seconds of the load.
+    """
+    owed = [
+        o for o in play.outcomes if o.arrival.urgent is urgent and begins <= o.arrival.at < ends
+    ]
+    whole = [o for o in owed if o.whole]
+    sum_earned = sum(1.0 if _in_time(o, sizes) else _LATE_WORTH for o in whole)
+    return sum_earned / len(owed) if owed else 1.0
+
+
 def intervals(found: Sequence[Figures]) -> dict[str, Interval]:
     """Return, for each figure, its mean over plays and the interval's half."""
     result = {}
--- a/bench/lab/laboratory.py
+++ b/bench/lab/laboratory.py
@@ -44,8 +44,6 @@
 _GONE_SECONDS = 3.6
 """How long nodes take a target that is gone to be there: three heartbeats of its entry."""
 _PAUSE_AIM = 0.6
-_LONG_PATIENCE = 2.0
-"""Patience of those who bring long prompts, in that of the others."""
 
 
 class Outcome(NamedTuple):
@@ -180,8 +178,8 @@
                 prefix=f"/{name}/",
                 answer_format=AnswerFormat.EVENTS,
                 repeat_policy=RepeatPolicy.FREELY,
-                timeout=sizes.patience * _LONG_PATIENCE,
-                latency_goal=sizes.aim,
+                timeout=sizes.patience * sizes.long_patience * (1.0 + sizes.patience_spread),
+                latency_goal=sizes.aim_of(urgent=name == "urgent"),
                 priority=rank,
                 shares=(Share(_SERVICE, 1),),
                 attempts=2,
@@ -254,7 +252,7 @@
         loop = asyncio.get_running_loop()
         await asyncio.sleep(start + arrival.at - loop.time())
         began = loop.time()
-        patience = self._sizes.patience * (1.0 if arrival.urgent else _LONG_PATIENCE)
+        patience = self._sizes.patience_of(urgent=arrival.urgent) * arrival.patience
         if arrival.leaves is not None:
             patience = arrival.leaves
         node, tries, told, answer = arrival.node, 0, False, None
@@ -295,5 +293,7 @@
             name, _HOST, path, "", patience, arrival.prompt, "", request
         )
         answer = Answer()
-        await node.gateway.handle(request, answer)
+        async with asyncio.timeout(self._sizes.silence) as silence:
+            answer.on_first = lambda: silence.reschedule(None)
+            await node.gateway.handle(request, answer)
         return answer
--- a/bench/lab/loads.py
+++ b/bench/lab/loads.py
@@ -22,13 +22,15 @@
 """The longest prompts, in means."""
 _TOP_TOKENS = 0.06
 """Part of the shared tokens that all prompts of a kind begin with."""
+_CLASS_BURST = 2.2
+"""How many times the usual prompts of one kind come in a burst of that kind alone."""
 
 
 class Arrival(NamedTuple):
     """A prompt that a caller brings at `at` seconds to the node numbered `node`.
 
     Who `repeats` asks again at once, whatever it is told; who has a short `leaves` (seconds)
-    is gone by then.
+    is gone by then.  `patience` is that of its caller, in the usual one of its kind.
     """
 
     at: float
@@ -37,6 +39,7 @@
     urgent: bool
     repeats: bool = False
     leaves: float | None = None
+    patience: float = 1.0
 
 
 class Trouble(NamedTuple):
@@ -67,6 +70,8 @@
     """Part of the arrivals during the trouble that are added in one data centre."""
     repeats: float = 0.0
     leaves: float = 0.0
+    urgent_only: bool | None = None
+    """The kind of prompts that `rate` is about; None for both."""
 
 
 _Maker = Callable[[Sizes, float, float], _Shape]
@@ -97,6 +102,16 @@
     return _Shape(rate=_during(begins, ends, 3.0 / sizes.load))
 
 
+@_load("long-burst")
+def _long_burst(sizes: Sizes, begins: float, ends: float) -> _Shape:
+    return _Shape(rate=_during(begins, ends, _CLASS_BURST), urgent_only=False)
+
+
+@_load("urgent-burst")
+def _urgent_burst(sizes: Sizes, begins: float, ends: float) -> _Shape:
+    return _Shape(rate=_during(begins, ends, _CLASS_BURST), urgent_only=True)
+
+
 @_load("wave")
 def _wave(sizes: Sizes, begins: float, ends: float) -> _Shape:
     period = (ends - begins) / 2
@@ -140,6 +155,8 @@
     ends = begins + sizes.seconds * _TROUBLE_PART
     shape = LOADS[name](sizes, begins, ends)
     rng = random.Random(f"{name} {seed}")
+    # A generator of its own: the other draws are the same for any spread.
+    patience = random.Random(f"patience {name} {seed}")
     prompts = _Prompts(sizes, rng)
     arrivals = []
     most = max(shape.rate(sizes.seconds * step / 1000) for step in range(1000))
@@ -152,6 +169,9 @@
             continue
         troubled = begins <= at < ends
         urgent = rng.random() < sizes.urgent_part
+        other = shape.urgent_only is not None and urgent is not shape.urgent_only
+        if other and rng.random() > 1.0 / shape.rate(at):
+            continue
         arrivals.append(
             Arrival(
                 at=at,
@@ -160,6 +180,7 @@
                 urgent=urgent,
                 repeats=troubled and rng.random() < shape.repeats,
                 leaves=sizes.aim / 3 if troubled and rng.random() < shape.leaves else None,
+                patience=1.0 + sizes.patience_spread * patience.uniform(-1.0, 1.0),
             )
         )
     return Load(name, tuple(arrivals), shape.troubles, begins, ends)
--- a/bench/lab/sizes.py
+++ b/bench/lab/sizes.py
@@ -38,7 +38,10 @@
     """A deployment: times in seconds, rates in tokens or bytes a second, sizes in tokens.
 
     `load` is the part of the engines' capacity that callers ask for; `urgent_part` of
-    the prompts are short and urgent, a `short_part` as long as the others.
+    the prompts are short and urgent, a `short_part` as long as the others; their aim is the
+    part `urgent_aim` of `aim`.  Those who bring the others wait `long_patience` times as long.
+    Callers' patience lies within the part `patience_spread` of the usual one; they give up an
+    answer that does not begin within `silence` seconds.
     """
 
     nodes: int = 6
@@ -65,6 +68,18 @@
     answer_tokens: int = 55
     subjects: int = 120
     seconds: float = 30.0
+    urgent_aim: float = 1.0
+    long_patience: float = 2.0
+    patience_spread: float = 0.0
+    silence: float = 60.0
+
+    def aim_of(self, *, urgent: bool) -> float:
+        """Return the seconds within which a first event is in time."""
+        return self.aim * (self.urgent_aim if urgent else 1.0)
+
+    def patience_of(self, *, urgent: bool) -> float:
+        """Return the seconds for which callers usually wait."""
+        return self.patience * (1.0 if urgent else self.long_patience)
 
     @property
     def capacity(self) -> float:
