Do not take plain targets that work for long for silent

Sends to plain targets were overdue after twice the latency goal. Where the work itself takes longer than that, each request marked its target as unresponsive, and repeatable ones were sent twice. The estimate is now the learned work time of the target where that exceeds the latency goal.

--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -211,15 +211,18 @@
         outgoing = OutgoingRequest(
             call.parsed, instance, call.deadline - loop.time(), call.customer_name
         )
+        service_queue = views.plain_queues.of(call.service.name)
+        # A target sends nothing until a response is complete.  One whose work takes longer than
+        # the latency goal is slow, not silent.
+        work = service_queue.queue.target_work_seconds(instance.name)
         watch = SendWatch(
             views=views,
             metrics=self._context.metrics,
             target=instance.name,
             request=call.trace.key,
-            estimate=call.route.latency_goal,
+            estimate=max(call.route.latency_goal, work),
             reserve_retry=attempts.reserve_retry,
         )
-        service_queue = views.plain_queues.of(call.service.name)
         limited = _limited(call, instance)
         views.workload.begin(instance.name, call.trace.key, 0)
         running = views.workload.burden_of(instance.name, loop.time()).running
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -247,6 +247,20 @@
         await self.start("plain")
         await self.send_while_silent(2.6)
 
+    async def test_a_plain_target_that_works_for_long_is_not_silent(self) -> None:
+        """Failure: responses that take over twice the latency goal counted as silence."""
+        await self.start("plain")
+        for each in self.fleet.routes:
+            each["target-latency-ms"] = 150
+        self.fleet.configure()
+        self.speaker.work_seconds = self.other.work_seconds = 0.4
+        # Their work time is learned from requests that are never moved.
+        self.assertEqual({(await self.ask("/unsafe/1")).status for _ in range(6)}, {200})
+        with capture_logs() as lines:
+            self.assertEqual({(await self.ask()).status for _ in range(4)}, {200})
+        self.assertNotIn("target unresponsive", [line["event"] for line in lines])
+        self.assertEqual(len(self.speaker.ran) + len(self.other.ran), 10)
+
     async def test_a_single_target_is_not_treated_as_unresponsive(self) -> None:
         await self.start("engines", alone=True)
         self.speaker.faults = ["hang"]
