Do not take moves in other data centres for progress

A relay sends the totals of its data centre, and reports only what it found silent itself. When another node there moved its requests away from a silent target, the total fell, which counted as a sign of life in the other data centres: they ignored reports and found the target silent later.

--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection, Mapping
 
 import structlog
 from fielddrift_core.evacuations import EVACUATIONS_NAME
@@ -108,11 +109,10 @@
         if size is not None:
             self._neighbours.set_size(data_centre, DataCentreSize(size.running, size.memory))
         self._apply_silences(heartbeat.node.name, [s for s in silences if s is not None], now)
-        silent = {silence.target for silence in silences if silence is not None}
-        for target in views.workload.progressed(reporter, burdens):
-            # A node that finds a target silent takes its own requests away from it.
-            if target not in silent:
-                views.responsiveness.progressed_elsewhere(target, now)
+        if not is_remote:
+            self._apply_progress(
+                heartbeat.node.name, burdens, {s.target for s in silences if s is not None}, now
+            )
         if views.workload.update_node(reporter, burdens, now):
             # True if capacity was freed: waiting requests evaluate all engines again.
             views.service_queues.wake_all()
@@ -183,6 +183,19 @@
         for silence in silences:
             self._views.responsiveness.merge(reporter, silence, now, nodes=self._views.nodes)
 
+    def _apply_progress(
+        self, reporter: str, burdens: Mapping[str, Burden], silent: Collection[str], now: float
+    ) -> None:
+        """Record at which targets requests of a nearby node have progressed.
+
+        A node that finds a target silent takes its requests away from it, which is no progress.
+        The totals of other data centres do not tell one from the other: a relay reports only what
+        it finds `silent` itself, and the two relays' totals differ at any time.
+        """
+        for target in self._views.workload.progressed(reporter, burdens):
+            if target not in silent:
+                self._views.responsiveness.progressed_elsewhere(target, now)
+
     def _apply_leaving(self, name: str, told_by: str) -> None:
         registry = self._views.registry
         if name not in registry.leaving() and registry.get(name) is not None:
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -279,6 +279,27 @@
         self.assertEqual(set(await self.send_many(30, 0.5)), {200})
         self.assertGreater(len(self.speaker.ran), 5)
 
+    async def test_a_move_in_another_data_centre_is_no_progress(self) -> None:
+        """Failure: the relay's total fell, and the relay had not found the target silent itself."""
+        now = asyncio.get_running_loop().time()
+        views = [Views(), Views()]
+        relay, two = (
+            HeartbeatTranslator(
+                views=views[number],
+                neighbours=Neighbours(me=Neighbour(f"n{number}", 1, place, "x:1", "x:2", "x:3")),
+            )
+            for number, place in enumerate("ab")
+        )
+        mover = [Neighbour("mover", 1, "a", "x:1", "x:2", "x:3")]
+        for running in (2, 1):
+            views[0].workload.update_node("mover", {"t": Burden(running)}, now)
+            with mock.patch.object(Neighbours, "nearby_active", return_value=mover):
+                heartbeat = relay.heartbeat(Relation(False, True, True), leaving=False)
+            self.assertEqual(heartbeat.burdens["t"].running, running)
+            two.heard(heartbeat)
+        views[1].responsiveness.merge("n3", SilenceReport("t", 0.3), now, nodes=2)
+        self.assertTrue(views[1].responsiveness.is_unresponsive("t"))
+
     async def test_reports_reach_other_nodes_and_are_not_forwarded(self) -> None:
         now = asyncio.get_running_loop().time()
         views = [Views(), Views()]
