Spread plain requests over targets that are about as fast

The choice of a target used each target's own learned latency, whatever the difference. An idle node sent everything to the target that was a few percent faster by chance, and one that had been slow got nothing while others had room, since its latency was kept for ever. Own latencies now count where they clearly differ and are at most 5 s old.

--- a/packages/core/src/fielddrift_core/plain_queue.py
+++ b/packages/core/src/fielddrift_core/plain_queue.py
@@ -44,6 +44,12 @@
 _NEAR_FACTOR = 1.5
 """Ratio to the lowest latency up to which a target's latency counts as unloaded: the median of a
 few answers varies by about a quarter."""
+_LATENCY_SECONDS = 5.0
+"""Time after its last answer for which a target's own latency counts.  A target that was slow is
+sent nothing while others are fast, and could not show that it has recovered."""
+_MIN_DIFFERENCE_SECONDS = 0.01
+"""Difference from the service's work time up to which a target's own does not count: the event
+loop of a small host adds up to 6 ms."""
 _HEADROOM_REQUESTS = 2.0
 """Requests beyond the slots that a target may hold: the next request is there when one ends."""
 _MIN_GRADIENT = 0.5
@@ -135,6 +141,7 @@
         self._slots = slots
         self._value = float(slots)
         self._latencies: deque[float] = deque(maxlen=_TARGET_SAMPLE_COUNT)
+        self._answered_at = float("-inf")
         self._lowest = float("inf")
         self._previous_lowest = float("inf")
         """Lowest latency of the window before the current one."""
@@ -158,8 +165,13 @@
             return None
         return statistics.median(self._latencies)
 
+    def recent_latency(self, now: float) -> float | None:
+        """Return the latency; None also if the last answer is too old."""
+        return self.latency if now - self._answered_at <= _LATENCY_SECONDS else None
+
     def answered(self, seconds: float, *, running: int, now: float) -> None:
         """Record an answer after `seconds`, when the target had `running` requests."""
+        self._answered_at = now
         self._latencies.append(seconds)
         latency = self.latency
         if latency is None:
@@ -231,11 +243,17 @@
             return PLAIN_WORK_SECONDS
         return statistics.median(self._work)
 
-    def target_work_seconds(self, target: str) -> float:
-        """Return the time in seconds from a send to `target` to its answer."""
-        limit = self._limits.get(target)
-        latency = None if limit is None else limit.latency
-        return self.work_seconds if latency is None else latency
+    def target_work_seconds(self, target: str, now: float) -> float:
+        """Return the time in seconds from a send to `target` to its answer.
+
+        It is that of the service unless the target clearly differs: otherwise an idle node would
+        send everything to the target whose few answers were the fastest by chance.
+        """
+        usual, limit = self.work_seconds, self._limits.get(target)
+        latency = None if limit is None else limit.recent_latency(now)
+        if latency is None or abs(latency - usual) <= _MIN_DIFFERENCE_SECONDS:
+            return usual
+        return usual if usual / _NEAR_FACTOR <= latency <= usual * _NEAR_FACTOR else latency
 
     def limit(self, instance: Instance) -> int | None:
         """Return how many requests `instance` may have; None, no limit, if its slots are unknown.
@@ -307,7 +325,7 @@
         estimate is wrong: both are sent to any target that does not return requests.
         """
         untried = [
-            target._replace(work_seconds=self.target_work_seconds(target.instance.name))
+            target._replace(work_seconds=self.target_work_seconds(target.instance.name, now))
             for target in targets
             if target.instance.name not in tried
         ]
@@ -343,7 +361,7 @@
         caller has waited for `elapsed` seconds, and waits for `time_left` more.
         """
         usable = self._usable(targets, now)
-        wait, work = self._estimate_wait(usable, ahead), self.work_seconds
+        wait, work = self._estimate_wait(usable, ahead, now), self.work_seconds
         if self._is_always_late(latency_goal) and self._not_returning(usable, now):
             return Admission(Decision.WAIT, 0.0, work)
         latest = LATE_FRACTION * latency_goal
@@ -456,13 +474,13 @@
             self._rounding, self._rounding_until = rng.random(), now + _REPORT_INTERVAL_SECONDS
         return self._rounding
 
-    def _estimate_wait(self, targets: Iterable[PlainTargetState], ahead: int) -> float:
+    def _estimate_wait(self, targets: Iterable[PlainTargetState], ahead: int, now: float) -> float:
         """Return the seconds until there is room behind `ahead` requests."""
         rate, excess = 0.0, 0
         for target in targets:
             limit = self.limit(target.instance)
             if limit is None:
                 return 0.0
-            rate += limit / self.target_work_seconds(target.instance.name)
+            rate += limit / self.target_work_seconds(target.instance.name, now)
             excess += target.burden.running - limit
         return (max(0, excess) + ahead + 1) / rate if rate > 0 else float("inf")
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -146,19 +146,19 @@
             limit=views.limits.rate(target.name),
             paused=round(views.pauses.left(target.name, now), 3),
             silent=_rounded(views.responsiveness.silent_seconds(target.name, now)),
-            **_plain_state(views, target),
+            **_plain_state(views, target, now),
         )
         for target in views.registry.all()
     ]
 
 
-def _plain_state(views: Views, target: Instance) -> _PlainState:
+def _plain_state(views: Views, target: Instance, now: float) -> _PlainState:
     """Return what this node learned of a plain target; empty for other targets."""
     queue = views.plain_queues.known(target.service)
     concurrency = None if queue is None else queue.known_limit(target.name)
     if queue is None or concurrency is None:
         return {}
-    work_seconds = round(queue.target_work_seconds(target.name), 3)
+    work_seconds = round(queue.target_work_seconds(target.name, now), 3)
     return {"concurrency": concurrency, "work_seconds": work_seconds}
 
 
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -214,7 +214,7 @@
         service_queue = views.plain_queues.of(call.service.name)
         # A target sends nothing until a response is complete.  One whose work takes longer than
         # the latency goal is slow, not silent.
-        work = service_queue.queue.target_work_seconds(instance.name)
+        work = service_queue.queue.target_work_seconds(instance.name, loop.time())
         watch = SendWatch(
             views=views,
             metrics=self._context.metrics,
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -408,6 +408,31 @@
         self.assertIsNone(self._choose(SLOTS, Demand()))
         self.assertIsNotNone(self._choose(100, Demand(), slots=0))
 
+    def _chosen(self, seconds: float, *, now: float) -> set[str]:
+        """Return the targets used by an idle node if `t1` last answered after `seconds`."""
+        for _ in range(7):
+            self.queue.answered(TARGETS[0], WORK, running=1, now=0.0)
+        for _ in range(7):
+            self.queue.answered(TARGETS[1], seconds, running=1, now=0.0)
+        states = [PlainTargetState(target, Burden(), 0.0) for target in TARGETS[:2]]
+        rng = random.Random(1)
+        chosen = [
+            self.queue.choose(
+                states, Demand(), latency_goal=GOAL, data_centre="a", tried=(), now=now, rng=rng
+            )
+            for _ in range(50)
+        ]
+        return {instance.name for instance in chosen if instance is not None}
+
+    def test_targets_that_are_about_as_fast_are_all_used(self) -> None:
+        """Failure: an idle node sent everything to the target that was faster by 6 in 100."""
+        self.assertEqual(self._chosen(1.06 * WORK, now=1.0), {"t0", "t1"})
+
+    def test_a_target_that_was_slow_is_tried_again(self) -> None:
+        """Failure: a latency was kept for ever while the other target had room."""
+        self.assertEqual(self._chosen(10 * WORK, now=1.0), {"t0"})
+        self.assertEqual(self._chosen(10 * WORK, now=6.0), {"t0", "t1"})
+
     def test_room_is_shared_with_the_requests_that_wait_at_other_nodes(self) -> None:
         self.assertIsNone(self._choose(SLOTS - 1, Demand(3, 1, others_waiting=20)))
         self.assertIsNotNone(self._choose(SLOTS - 1, Demand(0, 20, others_waiting=1)))
