Leave failing plain targets out while requests wait

While requests wait, a target is drawn in proportion to its room, whatever its failure rate, and one that answers failures at once always has room.

--- a/packages/core/src/fielddrift_core/plain_queue.py
+++ b/packages/core/src/fielddrift_core/plain_queue.py
@@ -67,6 +67,9 @@
 _SUSPECT_SECONDS = 0.5
 """Time for which a target that failed without an answer gets no requests while others can be
 used.  It would otherwise attract every waiting request, since nothing runs there."""
+_FAILING_RATE = 0.5
+"""Failure rate from which a target gets no requests while others can be used: three failures in a
+row reach it.  A target that answers failures at once always has room."""
 _MAX_WAIT_FRACTION = 1 / 3
 """Fraction of the latency goal for which a request may be expected to wait.  The rest is for its
 work and for what all nodes admit within one heartbeat, before they know of each other's requests:
@@ -413,10 +416,16 @@
     def _usable(
         self, targets: Sequence[PlainTargetState], now: float
     ) -> Sequence[PlainTargetState]:
-        """Return the targets that did not fail just now, or all if all did."""
-        if not self._suspect_until:
-            return targets
-        usable = [t for t in targets if self._suspect_until.get(t.instance.name, now) <= now]
+        """Return the targets that work: not those that failed just now, or mostly fail.
+
+        If no target works, all are returned.
+        """
+        usable = [
+            target
+            for target in targets
+            if target.failures < _FAILING_RATE
+            and self._suspect_until.get(target.instance.name, now) <= now
+        ]
         return usable or targets
 
     def _with_room(
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -59,7 +59,7 @@
     """A target with slots and a bounded queue."""
 
     def __init__(self, replay: Replay) -> None:
-        self.replay, self.factor, self.lost = replay, 1.0, False
+        self.replay, self.factor, self.lost, self.failing = replay, 1.0, False, False
         self.running, self.queue = 0, deque[Callable[[], None]]()
 
     def offer(self, done: Callable[[], None]) -> bool:
@@ -179,7 +179,11 @@
         self.workload.begin(instance.name, request.key, 0)
         running = self.workload.burden_of(instance.name, self.replay.now).running
         target = self.replay.targets[instance.name]
-        if target.lost:
+        if target.failing:
+            request.fails = True
+            self.replay.failed += 1
+            self.replay.after(LINK, lambda: self.answered(request, instance, running))
+        elif target.lost:
             self.replay.after(LINK, lambda: self.failed(request, instance, running))
         elif not target.offer(
             lambda: self.replay.after(LINK, lambda: self.answered(request, instance, running))
@@ -239,7 +243,7 @@
     def __init__(self, *, seed: int, former: bool = False) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.returned = 0
+        self.returned = self.failed = 0
         self.requests: list[Request] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -286,13 +290,20 @@
     """What became of the requests of an overload of `factor` times the usual rate."""
 
     def __init__(
-        self, *, former: bool = False, factor: float = 4.0, slow: float = 1.0, lost: bool = False
+        self,
+        *,
+        former: bool = False,
+        factor: float = 4.0,
+        slow: float = 1.0,
+        lost: bool = False,
+        failing: bool = False,
     ) -> None:
         replay = Replay(seed=1, former=former)
         replay.targets["t0"].factor = slow
         replay.run(WARM_UP)
         start = len(replay.requests)
         replay.factor, replay.targets["t1"].lost = factor, lost
+        replay.targets["t1"].failing = failing
         replay.run(WARM_UP + OVERLOAD)
         requests, replay.factor = replay.requests[start:], 1.0
         replay.run(WARM_UP + OVERLOAD + 4.0)
@@ -304,6 +315,8 @@
             if not request.served and (request.ended or replay.now) - request.arrived > GOAL / 8
         ]  # fmt: skip
         self.refused = len(requests) - len(served)
+        self.failed = replay.failed
+        """Answers of a target that fails all requests at once."""
         self.returned = replay.returned
         """Sends that targets returned because they were full."""
         end = WARM_UP + OVERLOAD + 2.0
@@ -350,6 +363,12 @@
         self.assertGreaterEqual(outcome.in_time, 0.95)
         self.assertLess(former.in_time, 0.95)
 
+    def test_a_target_that_fails_at_once_does_not_attract_what_waits(self) -> None:
+        """Failure: it always had room, and got half of the requests of an overload."""
+        former, outcome = Outcome(former=True, failing=True), Outcome(failing=True)
+        self.assertLess(outcome.failed, former.failed / 4)
+        self.assertEqual((outcome.refused_late, outcome.open, outcome.returned), ([], [], 0))
+
     def test_without_overload_nothing_waits_or_is_refused(self) -> None:
         outcome = Outcome(factor=1.0)
         self.assertEqual((outcome.refused, outcome.returned), (0, 0))
