Count only requests at usable targets in a node's part of the room

While requests wait at other nodes, a node uses room in proportion to its requests. Requests that hang at an unresponsive target counted as its part of the room at the others: with five of them it got no room until its estimated wait was over.

--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -158,7 +158,7 @@
         queue = self._context.views.plain_queues.of(call.service.name).queue
         return queue.choose(
             states,
-            self._demand(call, waiting, now),
+            self._demand(call, states, waiting, now),
             latency_goal=call.route.latency_goal,
             data_centre=data_centre,
             tried=attempts.tried,
@@ -180,14 +180,23 @@
             )
         ]
 
-    def _demand(self, call: Call, waiting: WaitingRequest | None, now: float) -> Demand:
-        """Return what shares the targets with a request, which is `waiting` or has just come."""
+    def _demand(
+        self,
+        call: Call,
+        states: list[PlainTargetState],
+        waiting: WaitingRequest | None,
+        now: float,
+    ) -> Demand:
+        """Return what shares the targets with a request, which is `waiting` or has just come.
+
+        Requests that wait at other targets than those of `states`, such as unresponsive ones, take
+        none of the room, and must not count as this node's part of it.
+        """
         views = self._context.views
         workload = views.workload
-        serving = views.registry.serving(call.service.name)
         own_waiting = views.plain_queues.of(call.service.name).queue.count_ahead(call.priority)
         return Demand(
-            own_running=sum(workload.own_of(i.name).running for i in serving),
+            own_running=sum(workload.own_of(s.instance.name).running for s in states),
             own_waiting=own_waiting + (waiting is None),
             others_waiting=self._waiting(call, now) - own_waiting,
             overdue_seconds=now - waiting.turn if waiting and waiting.turn <= now else None,
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from unittest import mock
 
 from fielddrift_core.placement import PlainTargetState, choose_plain_target
 from fielddrift_core.plain_queue import (
@@ -23,6 +24,8 @@
 from fielddrift_core.prompt_queue import queue_name
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden, TargetHealth, Workload
+from fielddrift_node.serving.plain_requests import PlainRequests
+from fielddrift_node.serving.views import Views
 from fielddrift_standins.worker import Worker
 
 from .platform_fleet import FleetCase, RunningNode, ask, eventually, get
@@ -456,6 +459,21 @@
         self.assertIsNone(self._choose(SLOTS - 1, Demand(3, 1, others_waiting=20)))
         self.assertIsNotNone(self._choose(SLOTS - 1, Demand(0, 20, others_waiting=1)))
 
+    def test_requests_at_unresponsive_targets_take_no_room_at_others(self) -> None:
+        """Failure: a node whose requests hung at one target got no room at the others."""
+        views = Views()
+        for target in TARGETS[:2]:
+            views.registry.heard(target, 0.0)
+        for name in ("hung", "hung too"):
+            views.workload.begin("t0", name, 0)
+        views.workload.begin("t1", "running", 0)
+        call = mock.Mock(priority=1, catalog=mock.Mock(priorities=[1]))
+        call.service.name = "plain"
+        # The gate leaves out `t0`, which is unresponsive.
+        states = [PlainTargetState(TARGETS[1], Burden(SLOTS - 1), 0.0)]
+        demand = PlainRequests(context=mock.Mock(views=views))._demand(call, states, None, 0.0)
+        self.assertEqual(demand.own_running, 1)
+
     def test_a_request_that_waits_longer_than_estimated_is_sent_unless_targets_are_full(
         self,
     ) -> None:
