Count the first send of a request once in the retry budget

Each send whose connection failed counted as the first send of another request, so that the budget for repeated sends grew with failed connections.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -75,9 +75,13 @@
         self._context.crashes.record_send(self._call)
         now = asyncio.get_running_loop().time()
         budget = self._context.budget(self._call.service.name)
-        if self._reached == 0:
+        if not self.tried:
             budget.record_first(now)
-        elif not self._retry_reserved and not budget.spend(now, nodes=self._context.views.nodes):
+        elif (
+            self._reached
+            and not self._retry_reserved
+            and not budget.spend(now, nodes=self._context.views.nodes)
+        ):
             raise Refused(self._refusal("the budget for repeated sends is exhausted", None))
         self._retry_reserved = False
         self._context.gate.sent(instance, now)
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -22,6 +22,7 @@
     WaitingRequest,
 )
 from fielddrift_core.prompt_queue import queue_name
+from fielddrift_core.retries import WindowBudget
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden, TargetHealth, Workload
 from fielddrift_node.serving.plain_requests import PlainRequests
@@ -543,6 +544,16 @@
         self.assertGreater(float(answer.headers["retry-after"]), 0)
         self.assertLess(asyncio.get_running_loop().time() - started, 1.0)
 
+    async def test_failed_connections_add_nothing_to_the_budget_for_repeated_sends(self) -> None:
+        """Failure: each send to a lost target counted as the first send of another request."""
+        workers = [self.worker, await self.fleet.worker(Worker(name="w2"), "plain")]
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
+        for worker in workers:
+            worker.close()
+        with mock.patch.object(WindowBudget, "record_first", autospec=True) as record_first:
+            self.assertEqual((await ask(self.node, "/unsafe/x", request_id="r")).status, 503)
+        self.assertEqual(record_first.call_count, 1)
+
     async def test_a_full_target_lowers_its_limit_and_the_request_goes_elsewhere(self) -> None:
         other = await self.fleet.worker(Worker(name="w2"), "plain")
         await eventually(lambda: len(self.node.node.views.registry) == 2)
