Receive the rest of a batch after a datagram that cannot be handled

An exception ended the batch, so a standby node received one datagram in 0.1 s while a sender's datagrams raised, and lost those of other nodes.

--- a/packages/node/src/fielddrift_node/serving/datagrams.py
+++ b/packages/node/src/fielddrift_node/serving/datagrams.py
@@ -94,12 +94,21 @@
         self.close()
 
     def _receive_batch(self) -> None:
-        # Scheduled first: an exception of the protocol must not end the reception.
         self._timer = self._loop.call_later(self._interval, self._receive_batch)
         for _ in range(_MAX_BATCH_COUNT):
-            if self._closed or not self._receive():
+            if self._closed or not self._receive_one_of_batch():
                 return
 
+    def _receive_one_of_batch(self) -> bool:
+        try:
+            return self._receive()
+        except Exception as error:
+            # The loop reports it, as it does for datagrams that are received as they arrive.  The
+            # others of the batch would wait for the next one, and be lost if there are many.
+            context = {"message": "a datagram could not be handled", "exception": error}
+            self._loop.call_exception_handler(context)
+            return True
+
     def _receive(self) -> bool:
         """Receive one datagram; return whether there was one."""
         try:
--- a/tests/test_standby_cost.py
+++ b/tests/test_standby_cost.py
@@ -245,6 +245,16 @@
         await self._wait_for(b"bad", b"a", b"bad", b"b")
         self.assertEqual(len(self.faults), 2)
 
+    async def test_a_fault_does_not_delay_the_rest_of_a_batch(self) -> None:
+        # Each fault ended its batch: a sender of faulty datagrams made the others late, and lost
+        # them once the receive buffer was full.
+        self.socket.receive_every(0.3)
+        data = (*[b"bad"] * 20, b"a")
+        self._send(*data)
+        async with asyncio.timeout(1.5):
+            await self._wait_for(*data)
+        self.assertEqual(len(self.faults), 20)
+
     async def test_it_returns_to_receiving_at_once(self) -> None:
         self.socket.receive_every(60.0)
         self._send(b"a")
