Let a learned reserve end where ranks no longer follow from goals

A new catalog with closer latency goals left the reserve at its last value, up to half of the memory, for as long as the node ran.

--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -221,7 +221,8 @@
         higher = [rank for rank in call.ranks.ranks if rank < call.rank]
         memory = self._total_memory(call)
         if not call.ranks.by_goal or not higher or not memory:
-            return reserve.fraction
+            # What was learned under an earlier catalog ends as if nothing waited.
+            return reserve.observe(0.0, now)
         return reserve.observe(self._waiting_tokens(call, higher, now) / memory, now)
 
     def _total_memory(self, call: Call) -> int:
