--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -81,9 +81,7 @@
         service_queue = self._context.views.service_queues.of(call.service.name)
         priority = _RESUME_PRIORITY if resumes else call.rank
         if service_queue.queue.count_ahead(priority) == 0:
-            choice = self._choose_with_room(
-                call, attempts.tried, resumes=priority == _RESUME_PRIORITY
-            )
+            choice = self._choose_with_room(call, attempts.tried, resumes=resumes)
             if choice is not None:
                 if not attempts.tried:
                     self._admit(call, choice, 0.0)
