Tell in logs and metrics that a node reaches no target

A node now keeps the outcome of its last direct connection to each target. fielddrift_unconnected_targets counts those that failed; 'no target reached' and 'targets reached again' are logged once two or more failed and none has come up since. Nothing is decided by it yet.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -8,7 +8,7 @@
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import Exchange, ExchangeError
+from ..web.client import CONNECT_REASON, Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from .call import Call, Refused, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
@@ -197,12 +197,16 @@
             max_idle_seconds=None if call.route.repeatable else _NOT_REPEATABLE_MAX_IDLE_SECONDS,
         )
         call.trace.connection = "kept" if exchange.kept else "new"
+        if not exchange.kept:
+            context.views.direct_paths.connected(name, loop.time())
         # From here on the request may run, even if this task is cancelled.
         call.trace.unproved += 1
         head = await exchange.head()
     except ExchangeError as error:
         if exchange is not None:
             exchange.cancel()
+        if error.reason == CONNECT_REASON:
+            context.views.direct_paths.failed(name, loop.time())
         if error.connect_timed_out:
             responsiveness.connect_timed_out(name, call.trace.key, loop.time())
         raise AttemptFailed(
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -157,6 +157,9 @@
         self.unresponsive_targets = self._gauge(
             "unresponsive_targets", "targets that do not respond"
         )
+        self.unconnected_targets = self._gauge(
+            "unconnected_targets", "targets whose last direct connection from this node failed"
+        )
         self.plain_waiting = self._gauge(
             "plain_waiting", "plain requests that wait at the node for room at a target"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -97,6 +97,8 @@
         self._metrics = Metrics()
         self._leaving = False
         self._active: bool | None = None
+        self._disconnected_since: float | None = None
+        """Since when this node has connected to no target, None if it has."""
         self._era: int | None = None
         """Newest known era of the platform's store; None until one is known."""
         self._era_since = asyncio.get_running_loop().time()
@@ -353,6 +355,7 @@
             self._update_status()
             self._views.nodes = self._neighbours.sharing(loop.time())
             self._update_role(loop.time())
+            self._check_direct_paths(loop.time())
             self._update_gauges(loop.time())
 
     def _update_status(self) -> None:
@@ -388,6 +391,24 @@
             _log.info("active" if active else "standing by", nodes=self._views.nodes)
             self._store_tracker.check_now()
 
+    def _check_direct_paths(self, now: float) -> None:
+        """Log when no target accepts a connection of this node any more, and when one does."""
+        since = self._views.direct_paths.disconnected_since()
+        if (since is None) is (self._disconnected_since is None):
+            return
+        if since is None:
+            assert self._disconnected_since is not None
+            seconds = round(now - self._disconnected_since, 2)
+            _log.warning("targets reached again", after_seconds=seconds)
+        else:
+            _log.warning(
+                "no target reached",
+                failed=self._views.direct_paths.unconnected,
+                targets=len(self._views.registry),
+                seconds=round(now - since, 2),
+            )
+        self._disconnected_since = since
+
     def _update_gauges(self, now: float) -> None:
         views, metrics = self._views, self._metrics
         metrics.catalog.set(0 if views.catalog is None else views.catalog.version)
@@ -403,6 +424,8 @@
         metrics.held_bytes.set(self._memory.budget.held)
         views.responsiveness.expire(names)
         metrics.unresponsive_targets.set(len(views.responsiveness))
+        views.direct_paths.expire(names)
+        metrics.unconnected_targets.set(views.direct_paths.unconnected)
         views.plain_queues.retain(names)
         metrics.plain_waiting.set(views.plain_queues.waiting)
         metrics.plain_limit.set(views.plain_queues.limits)
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -10,6 +10,7 @@
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.cold_targets import ColdTargets
 from fielddrift_core.crashes import CrashHistory
+from fielddrift_core.direct_paths import DirectPaths
 from fielddrift_core.drain_window import DrainWindow
 from fielddrift_core.engine_memory import EngineMemory
 from fielddrift_core.engine_slowdown import EngineSlowdowns
@@ -83,6 +84,7 @@
         self.cold = ColdTargets()
         self.limits = TargetLimits()
         self.pauses = TargetPauses()
+        self.direct_paths = DirectPaths()
         self.responsiveness = Responsiveness()
         self.movable_sends: dict[tuple[str, str], Callable[[], None]] = {}
         """By target and request key: moves a send that waits there to another target."""
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -19,8 +19,10 @@
 from .messages import Headers, ResponseHead
 from .server import prepare_socket
 
-__all__ = ["Client", "Exchange", "ExchangeError", "Reply", "Timeouts"]
+__all__ = ["CONNECT_REASON", "Client", "Exchange", "ExchangeError", "Reply", "Timeouts"]
 
+CONNECT_REASON = "connect"
+"""`ExchangeError.reason` if no connection came up."""
 _DEFAULT_IDLE_LIMIT_SECONDS = 4.0
 """How long an idle connection is reused if the server sends no Keep-Alive timeout."""
 _IDLE_LIMIT_FRACTION = 0.7
@@ -555,7 +557,7 @@
             raise ExchangeError(
                 detail,
                 sent=False,
-                reason="connect",
+                reason=CONNECT_REASON,
                 refused=refused,
                 connect_timed_out=isinstance(error, TimeoutError),
             ) from None
