Show that hosts which reach no target serve nothing

Callers of a host that is cut off from all targets get 503 for every request, although callers, the store and the other hosts reach it. The test cuts two of four hosts off for plain requests, and all three of a data centre for prompts, with refused, reset and silent links, and asks from 3 s on for two thirds of what is served elsewhere.

The client of targets takes the function that opens connections, so that a test can cut the links of one node; nothing else changes.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -10,7 +10,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple, cast
+from typing import NamedTuple, Protocol, cast
 
 import httptools
 from fielddrift_core.memory_budget import MAX_READ_BYTES
@@ -19,7 +19,15 @@
 from .messages import Headers, ResponseHead
 from .server import prepare_socket
 
-__all__ = ["CONNECT_REASON", "Client", "Exchange", "ExchangeError", "Reply", "Timeouts"]
+__all__ = [
+    "CONNECT_REASON",
+    "Client",
+    "Exchange",
+    "ExchangeError",
+    "OpenConnection",
+    "Reply",
+    "Timeouts",
+]
 
 CONNECT_REASON = "connect"
 """`ExchangeError.reason` if no connection came up."""
@@ -57,6 +65,21 @@
         self.connect_timed_out = connect_timed_out
 
 
+class OpenConnection(Protocol):
+    """Opens a connection to a host and port, as `asyncio.loop.create_connection` does."""
+
+    async def __call__(
+        self, factory: Callable[[], _Connection], host: str, port: int
+    ) -> tuple[asyncio.BaseTransport, _Connection]:
+        """Return the transport and the protocol; raise `OSError` if no connection comes up."""
+
+
+async def _create_connection(
+    factory: Callable[[], _Connection], host: str, port: int
+) -> tuple[asyncio.BaseTransport, _Connection]:
+    return await asyncio.get_running_loop().create_connection(factory, host, port)
+
+
 class Timeouts(NamedTuple):
     """Timeouts of a call in seconds: of the connect, and of the call as a whole."""
 
@@ -422,11 +445,18 @@
 class Client:
     """A pool of connections by address, and the exchanges over them.
 
-    `on_connect` is called with the address of each new connection attempt.
+    `on_connect` is called with the address of each new connection attempt.  `open_connection`
+    replaces the event loop's `create_connection`.
     """
 
-    def __init__(self, *, on_connect: Callable[[str], None] = lambda address: None) -> None:
+    def __init__(
+        self,
+        *,
+        on_connect: Callable[[str], None] = lambda address: None,
+        open_connection: OpenConnection | None = None,
+    ) -> None:
         self._on_connect = on_connect
+        self._open_connection = open_connection
         self._read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._idle: dict[str, list[_Connection]] = {}
         self._open_counts: dict[str, int] = {}
@@ -532,7 +562,7 @@
 
     async def _connect(self, address: str, seconds: float) -> _Connection:
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
+        open_connection = self._open_connection or _create_connection
         self._open_counts[address] = self._open_counts.get(address, 0) + 1
         self._on_connect(address)
         connection: _Connection | None = None
@@ -548,9 +578,7 @@
 
         try:
             async with asyncio.timeout(seconds):
-                _, opened_connection = await loop.create_connection(
-                    make_connection, host, int(port)
-                )
+                _, opened_connection = await open_connection(make_connection, host, int(port))
         except (OSError, TimeoutError) as error:
             detail = f"{address}: no connection: {error or 'timeout'}"
             refused = isinstance(error, ConnectionRefusedError)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -19,6 +19,8 @@
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
 
+from .cut_network import CutNetwork
+
 BOUNDS = Bounds(
     drain=2.0,
     grace=1.4,
@@ -54,10 +56,19 @@
         store: str = "",
         data_centre: str = "a",
         bounds: Bounds = BOUNDS,
+        network: CutNetwork | None = None,
     ) -> RunningNode:
-        """Start a node and wait until it is ready; `store` is another address of the store."""
+        """Start a node and wait until it is ready; `store` is another address of the store.
+
+        With `network`, its connections to targets can be cut.
+        """
         node = RunningNode(
-            name=name, fleet=self, store=store, data_centre=data_centre, bounds=bounds
+            name=name,
+            fleet=self,
+            store=store,
+            data_centre=data_centre,
+            bounds=bounds,
+            network=network,
         )
         self.nodes.append(node)
         await node.start()
@@ -81,6 +92,7 @@
         store: str = "",
         data_centre: str = "a",
         bounds: Bounds = BOUNDS,
+        network: CutNetwork | None = None,
     ) -> None:
         address = [f"{HOST}:{free_port()}" for _ in range(4)]
         self.settings = NodeSettings(
@@ -97,7 +109,9 @@
             seeds=(),
             bounds=bounds,
         )
-        self.client, self.calls = Client(), Client()
+        opener = None if network is None else network.open_connection
+        self.client = Client(open_connection=opener)
+        self.calls = Client(open_connection=opener)
         self.node = ServingNode(
             settings=self.settings,
             platform=PlatformStore(address=store or fleet.store_address, client=self.calls),
--- /dev/null
+++ b/tests/test_hosts_without_targets.py
@@ -0,0 +1,134 @@
+"""A host that callers, the store and other hosts reach, but that reaches no target, serves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import NamedTuple
+
+from fielddrift_standins.worker import Worker
+
+from .cut_network import Cut, CutNetwork
+from .platform_fleet import FleetCase, RunningNode, ask, prompt
+
+_CONTACT_SECONDS = 3.0
+"""Time after the beginning of a cut from which first tries count."""
+_MEASURED_SECONDS = 2.0
+_PAUSE_SECONDS = 0.1
+_SETTLE_SECONDS = 1.0
+_HEAL_SECONDS = 2.0
+_TARGETS = 4
+_MIN_RATIO = 2 / 3
+"""How often first tries at hosts without targets must be served, relative to the others."""
+
+
+class _Try(NamedTuple):
+    node: str
+    request_id: str
+    at: float
+    status: int
+
+
+class TestHostsWithoutTargets(FleetCase):
+    """Three hosts of a data centre and one of another; callers send to each at a steady rate."""
+
+    async def start(self, service: str, paths: tuple[str, ...]) -> None:
+        # Debug mode records a traceback for each callback, which takes most of the processor time.
+        asyncio.get_running_loop().set_debug(False)
+        self.paths = paths
+        self.workers = []
+        for number in range(_TARGETS):
+            worker = Worker(name=f"w{number}", events=4 if service == "engines" else 0)
+            worker.work_seconds = 0.02
+            self.workers.append(await self.fleet.worker(worker, service))
+        self.networks: dict[str, CutNetwork] = {}
+        self.nodes: list[RunningNode] = []
+        for name, data_centre in (("n0", "a"), ("n1", "a"), ("n2", "a"), ("n3", "b")):
+            network = CutNetwork(is_target=self.is_target)
+            self.addCleanup(network.close)
+            self.networks[name] = network
+            node = await self.fleet.node(name, data_centre=data_centre, network=network)
+            self.nodes.append(node)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        self.tries: list[_Try] = []
+        self.number = 0
+        self.calls = [asyncio.ensure_future(self.call(node)) for node in self.nodes]
+
+    async def asyncTearDown(self) -> None:
+        for call in self.calls:
+            call.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+        await super().asyncTearDown()
+
+    def is_target(self, address: str) -> bool:
+        return address in self.fleet.addresses.values() or address == self.fleet.kv_address
+
+    async def call(self, node: RunningNode) -> None:
+        """Send requests to a node at a steady rate."""
+        pending: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                self.number += 1
+                path = self.paths[self.number % len(self.paths)]
+                task = asyncio.ensure_future(self.ask(node, path, f"r{self.number}"))
+                pending.add(task)
+                task.add_done_callback(pending.discard)
+                await asyncio.sleep(_PAUSE_SECONDS)
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def ask(self, node: RunningNode, path: str, request_id: str) -> None:
+        at = asyncio.get_running_loop().time()
+        extra = prompt() if path.startswith(("/chat", "/verdict")) else {}
+        answer = await ask(node, path, request_id=request_id, **extra)
+        self.tries.append(_Try(node.settings.name, request_id, at, answer.status))
+
+    async def measure(self, cut: frozenset[str]) -> dict[bool, float]:
+        """Return the parts of first tries that are served at the nodes in `cut` and elsewhere."""
+        loop = asyncio.get_running_loop()
+        began = loop.time() + _CONTACT_SECONDS
+        await asyncio.sleep(_CONTACT_SECONDS + _MEASURED_SECONDS)
+        ended = loop.time()
+        await asyncio.sleep(0.5)
+        rates = {}
+        for side in (True, False):
+            counted = [t for t in self.tries if began <= t.at < ended and (t.node in cut) is side]
+            rates[side] = sum(t.status == 200 for t in counted) / len(counted)
+        return rates
+
+    async def check(self, *names: str) -> None:
+        """Cut some nodes off in each way, and check what is served there meanwhile."""
+        rates = {}
+        for cut in (Cut.REFUSED, Cut.RESET, Cut.SILENT):
+            for name in names:
+                self.networks[name].cut(cut)
+            rates[cut] = await self.measure(frozenset(names))
+            for name in names:
+                self.networks[name].cut(Cut.NONE)
+            await asyncio.sleep(_HEAL_SECONDS)
+        for cut, served in rates.items():
+            self.assertGreaterEqual(served[False], 0.95, (cut, rates))
+            self.assertGreaterEqual(served[True], _MIN_RATIO * served[False], (cut, rates))
+
+    def check_runs(self) -> None:
+        """Check that no request of a kind that may run only once has run twice."""
+        ran = Counter(
+            ran.request_id
+            for worker in self.workers
+            for ran in worker.ran
+            if ran.target.startswith(("/unsafe", "/verdict"))
+        )
+        self.assertEqual([name for name, times in ran.items() if times > 1], [])
+        refused = {t.request_id for t in self.tries if t.status in (429, 503)}
+        self.assertEqual([name for name in refused if name in ran], [])
+
+    async def test_plain_requests_are_served(self) -> None:
+        await self.start("plain", ("/safe/1", "/unsafe/1"))
+        await self.check("n0", "n1")
+        self.check_runs()
+
+    async def test_prompts_are_served_also_where_a_whole_data_centre_is_cut_off(self) -> None:
+        await self.start("engines", ("/chat/1", "/verdict/1"))
+        await self.check("n0", "n1", "n2")
+        self.check_runs()
