Carry requests of hosts that reach no target through other nodes

What callers saw: 503 for every request at hosts that had lost their links to the targets, up to 12 s long, although callers, the store and the other hosts reached them, and the other hosts had room.

Cause: a node had one way to a target and took every failure on it for the target's. Each failed connection stayed with its target; with all targets of a service silent, none was treated so; and no request could go through a node whose links were sound.

Ruled out: sending callers elsewhere alone. They keep an entry response for up to three times its time to live and go on using open connections, so the first seconds are lost all the same, and with most hosts cut off the rest would have to take the connections of all.

Change: a node that cannot connect to a target asks another node for a tunnel (a CONNECT request on the TCP port of the heartbeats' number). If that node connects, the path is known to be interrupted and requests to the target go that way; after two such targets without a direct connection in between, all are presumed so. One direct attempt a second shows when a path is back. Only the connection goes through the other node: choice, budget, attempts, deadline, cancellation and the claim that a request has not run stay where they were, and no byte of a request leaves before the target has accepted. A tunnel goes over one node, to targets in its list only, and passes resets on as resets. Nodes say in heartbeats that they are disconnected; entry responses leave them out while half of a data centre's active hosts are left.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -39,6 +39,7 @@
 from fielddrift_node.serving.prompt_placement import Placement
 from fielddrift_node.serving.send_gate import SendGate
 from fielddrift_node.serving.settings import NodeSettings
+from fielddrift_node.serving.target_paths import TargetPaths
 from fielddrift_node.serving.views import Views
 from fielddrift_node.web.messages import Headers, RequestHead
 from fielddrift_node.web.server import Request
@@ -137,10 +138,17 @@
     )  # fmt: skip
     targets = LabTargets()
     neighbours = Neighbours(me=Neighbour("me", 1, _centre(0), address, address, address))
+    paths = TargetPaths(
+        client=LabClient(engines={}, targets=targets),
+        views=views,
+        neighbours=neighbours,
+        metrics=Metrics(),
+        rng=random.Random(seed),
+    )
     context = ServingContext(
         settings=settings,
         views=views,
-        client=LabClient(engines={}, targets=targets),
+        paths=paths,
         callers=LabCallers(),
         targets=targets,
         budgets={},
@@ -149,7 +157,7 @@
         on_load_change=lambda: None,
         crashes=CrashWatch(
             views=views,
-            client=LabClient(engines={}, targets=targets),
+            paths=paths,
             neighbours=neighbours,
             metrics=Metrics(),
             rng=random.Random(seed),
--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -112,16 +112,17 @@
         on_bytes: Callable[[], None] = lambda: None,
         max_idle_seconds: float | None = None,
         max_connections: int | None = None,
+        through: str = "",
     ) -> Exchange:
         """Hand a send to its engine."""
         send = self._targets.sends.pop(data)
-        await self.connect(address, seconds=connect_seconds)
+        await self.connect(address, seconds=connect_seconds, through=through)
         engine = self._engines[address]
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes)
         engine.take(send, exchange)
         return exchange
 
-    async def connect(self, address: str, *, seconds: float) -> None:
+    async def connect(self, address: str, *, seconds: float, through: str = "") -> None:
         """Find that an engine listens, or does not."""
         await asyncio.sleep(_CONNECT_SECONDS)
         if not self._engines[address].up:
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -21,6 +21,7 @@
 from fielddrift_node.serving.ports import NamedWeights
 from fielddrift_node.serving.send_gate import SendGate
 from fielddrift_node.serving.settings import Bounds, NodeSettings
+from fielddrift_node.serving.target_paths import TargetPaths
 from fielddrift_node.serving.views import Views
 
 from .dialects import LabCallers, LabClient, LabTargets
@@ -95,9 +96,16 @@
         )  # fmt: skip
         client = LabClient(engines=engines, targets=targets)
         rng = random.Random(f"{self.name} {seed}")
+        paths = TargetPaths(
+            client=client,
+            views=self.views,
+            neighbours=self.neighbours,
+            metrics=self.metrics,
+            rng=rng,
+        )
         crashes = CrashWatch(
             views=self.views,
-            client=client,
+            paths=paths,
             neighbours=self.neighbours,
             metrics=self.metrics,
             rng=rng,
@@ -106,7 +114,7 @@
         context = ServingContext(
             settings=settings,
             views=self.views,
-            client=client,
+            paths=paths,
             callers=self.callers,
             targets=targets,
             budgets={},
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -71,6 +71,8 @@
         """The states of the nodes in this data centre."""
         self._remote: dict[str, NeighbourState] = {}
         """The states of the nodes in other data centres."""
+        self._disconnected: set[str] = set()
+        """The nodes, this one included, that reach no target by themselves."""
         self._sizes: dict[str, DataCentreSize] = {}
         self._contacts: dict[str, Contact] = {}
         """The nodes of other data centres to which this node sends heartbeats."""
@@ -156,6 +158,25 @@
             self._remote[name] = heard
             self._nearby.pop(name, None)
 
+    def set_disconnected(self, name: str, disconnected: bool) -> None:
+        """Set whether the node `name` reaches no target by itself."""
+        if disconnected:
+            self._disconnected.add(name)
+        else:
+            self._disconnected.discard(name)
+
+    def is_disconnected(self) -> bool:
+        """Return whether this node reaches no target by itself."""
+        return self._me.name in self._disconnected
+
+    def carriers(self, now: float) -> list[Neighbour]:
+        """Return the other nodes that may carry tunnels to targets: they serve and reach some."""
+        return [
+            heard.node
+            for name, heard in self._states.items()
+            if heard.serves and heard.is_alive(now) and name not in self._disconnected
+        ]
+
     def set_size(self, data_centre: str, size: DataCentreSize) -> None:
         """Set the numbers of nodes of another data centre, as reported by its relay."""
         self._sizes[data_centre] = size
@@ -287,11 +308,19 @@
         active = [node for node in self.active_everywhere(now) if self._heard_lately(node, now)]
         if self.is_active(now):
             active.append(self._me)
-        near = [node for node in active if node.data_centre == data_centre]
+        near = self._reaching([node for node in active if node.data_centre == data_centre])
         if near:
             return [node.entry for node in sample_hosts(near, rng)][:_MAX_ADDRESSES]
         return [node.entry for node in active or self._any_serving(now)][:_MAX_ADDRESSES]
 
+    def _reaching(self, nodes: list[Neighbour]) -> list[Neighbour]:
+        """Return those of `nodes` that reach targets by themselves, if they are half at least.
+
+        Fewer would have to take the requests of all; the others still serve through them.
+        """
+        reaching = [node for node in nodes if node.name not in self._disconnected]
+        return reaching if 2 * len(reaching) >= len(nodes) else nodes
+
     def _any_serving(self, now: float) -> list[Neighbour]:
         others = [node for node in self.alive(now) if self._states[node.name].serves]
         heard = [node for node in others if self._heard_lately(node, now)]
@@ -382,6 +411,7 @@
         self._nearby.pop(name, None)
         self._remote.pop(name, None)
         self._contacts.pop(name, None)
+        self._disconnected.discard(name)
         self._sent.forget(name)
 
     def relation(self, node: Neighbour, now: float) -> Relation:
--- a/packages/core/src/fielddrift_core/responsiveness.py
+++ b/packages/core/src/fielddrift_core/responsiveness.py
@@ -69,9 +69,10 @@
     """A target that became unresponsive, or is no longer so.
 
     The `evidence` of the first is `send`, `connect` or `report`, and `age` the seconds since the
-    last byte or the send.  That of the second is `byte`, `lapsed` (nothing new) or `paused` (this
-    node itself), and `age` the seconds for which the target was unresponsive.  `reporter` is the
-    node that sent the report, `allowed` the seconds for which the send might be outstanding.
+    last byte or the send.  That of the second is `byte`, `lapsed` (nothing new), `path` (the target
+    is reached through another node) or `paused` (this node itself), and `age` the seconds for which
+    the target was unresponsive.  `reporter` is the node that sent the report, `allowed` the seconds
+    for which the send might be outstanding.
     """
 
     target: str
@@ -168,6 +169,17 @@
         if not late and silence >= _MIN_ALLOWED_SECONDS:
             self._observe(target, silence, now, evidence="connect", allowed=send.allowed)
 
+    def observed(self) -> list[str]:
+        """Return the targets that this node itself found to be silent."""
+        return list(self._own)
+
+    def path_changed(self, target: str, now: float) -> None:
+        """Record that `target` is reached on another path: its silence was that of the former."""
+        self._own.pop(target, None)
+        self._reports.pop(target, None)
+        if target in self._states:
+            self._end(target, "path", now)
+
     def check(self, now: float) -> list[ResponsivenessChange]:
         """Update all states; return what changed since the last call."""
         last = now if self._checked_at is None else self._checked_at
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -8,7 +8,7 @@
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import CONNECT_REASON, Exchange, ExchangeError
+from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from .call import Call, Refused, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
@@ -17,8 +17,6 @@
 
 MAX_CONNECT_FAILURES = 4
 """Failed connections to targets after which a request is refused."""
-CONNECT_TIMEOUT_SECONDS = 0.35
-"""A connection within a region takes a few ms; a lost SYN packet is resent only after 1 s."""
 _MIN_CONNECTION_COUNT = 4
 """Minimum share of a node in the connections to a target, for any number of nodes."""
 _FIRST_SERVER_ERROR_STATUS = 500
@@ -91,6 +89,7 @@
         self.tried.add(instance.name)
         self._call.trace.targets.append(instance.name)
         self._call.trace.connection = ""
+        self._call.trace.through = ""
 
     def failed(self, failure: AttemptFailed) -> None:
         """Record a failed send; raise `Refused` unless the request may be retried."""
@@ -109,6 +108,7 @@
             not_run=failure.not_run,
             after_ms=round((asyncio.get_running_loop().time() - call.trace.sent_at) * 1000),
             connection=call.trace.connection,
+            through=call.trace.through,
             answer_begun=call.trace.first_event is not None,
             **call.trace.relay_progress(),
         )
@@ -182,31 +182,33 @@
 
     A response which proves that the request did not run is a failure.
     """
-    address, name = outgoing.instance.address, outgoing.instance.name
+    name = outgoing.instance.name
     data = context.targets.request(outgoing)
     responsiveness, loop = context.views.responsiveness, asyncio.get_running_loop()
     exchange: Exchange | None = None
+
+    def on_bytes() -> None:
+        responsiveness.heard(name, loop.time())
+        if exchange is not None and not exchange.through:
+            context.views.direct_paths.heard(loop.time())
+
     try:
-        exchange = await context.client.begin(
-            address,
+        exchange = await context.paths.begin(
+            outgoing.instance,
             data,
-            connect_seconds=CONNECT_TIMEOUT_SECONDS,
             accepts=lambda head: context.targets.answers(outgoing, head),
-            on_bytes=lambda: responsiveness.heard(name, loop.time()),
+            on_bytes=on_bytes,
             max_connections=_max_connections(call, context),
             max_idle_seconds=None if call.route.repeatable else _NOT_REPEATABLE_MAX_IDLE_SECONDS,
         )
         call.trace.connection = "kept" if exchange.kept else "new"
-        if not exchange.kept:
-            context.views.direct_paths.connected(name, loop.time())
+        call.trace.through = exchange.through
         # From here on the request may run, even if this task is cancelled.
         call.trace.unproved += 1
         head = await exchange.head()
     except ExchangeError as error:
         if exchange is not None:
             exchange.cancel()
-        if error.reason == CONNECT_REASON:
-            context.views.direct_paths.failed(name, loop.time())
         if error.connect_timed_out:
             responsiveness.connect_timed_out(name, call.trace.key, loop.time())
         raise AttemptFailed(
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -16,11 +16,11 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 
-from ..web.client import Client
 from .metrics import Metrics
 from .notices import NoticeHandler
 from .ports import CallerDialect, ParsedRequest, TargetDialect
 from .settings import NodeSettings
+from .target_paths import TargetPaths
 from .views import Views
 
 __all__ = ["Call", "Refused", "RelayProgress", "ServingContext", "Trace", "short_id"]
@@ -90,6 +90,8 @@
         """Whether the response had an explicit end, not only the end of its connection."""
         self.connection = ""
         """`kept` or `new` for the last send: a reused or a new connection; empty for none."""
+        self.through = ""
+        """Address of the node that carried the connection of the last send, empty for none."""
         self.runs = 0
         self.framer: EventFramer | None = None
         """Splits the response to the last send into events; None for a plain request."""
@@ -231,7 +233,7 @@
 
     settings: NodeSettings
     views: Views
-    client: Client
+    paths: TargetPaths
     callers: CallerDialect
     targets: TargetDialect
     budgets: dict[str, WindowBudget]
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -19,9 +19,10 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import Client, ExchangeError
+from ..web.client import ExchangeError
 from .call import Call, Refused
 from .metrics import Metrics
+from .target_paths import TargetPaths
 from .views import Views
 
 __all__ = ["CrashWatch"]
@@ -31,8 +32,6 @@
 _REPLACED = "replaced"
 _PROBE_DELAY_SECONDS = 0.05
 """Delay before the target is probed: a crashing process closes its port within this time."""
-_PROBE_TIMEOUT_SECONDS = 0.35
-"""Connect timeout. A connection within a region takes some ms; a lost SYN is resent after 1 s."""
 _TICK_SECONDS = 0.25
 _UPDATE_INTERVAL_SECONDS = 1.0
 """Interval between updates to one random node. They repeat, within 1 to 2 s, entries
@@ -55,7 +54,7 @@
         self,
         *,
         views: Views,
-        client: Client,
+        paths: TargetPaths,
         neighbours: Neighbours,
         metrics: Metrics,
         rng: random.Random,
@@ -63,7 +62,7 @@
     ) -> None:
         self._views = views
         self._history = views.crashes
-        self._client = client
+        self._paths = paths
         self._neighbours = neighbours
         self._metrics = metrics
         self._rng = rng
@@ -151,7 +150,7 @@
             await asyncio.sleep(_PROBE_DELAY_SECONDS)
             if instance.name in self._lost_runs:
                 # The connection is kept in the pool for a later request.
-                await self._client.connect(instance.address, seconds=_PROBE_TIMEOUT_SECONDS)
+                await self._paths.connect(instance)
         except ExchangeError as error:
             if error.refused:
                 self.refused(instance)
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -239,6 +239,7 @@
             outcome=outcome,
             targets=trace.targets,
             reasons=trace.reasons,
+            through=trace.through,
             catalog=call.catalog.version,
             weights=trace.weights,
             outdated_ms=round(trace.outdated_seconds * 1000),
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -38,6 +38,8 @@
 _SILENT_PREFIX = "silent:"
 """Prefix of the names under which unresponsive targets are sent among the loads of targets, as for
 limits."""
+_DISCONNECTED_NAME = "disconnected"
+"""Name of the entry among the loads of targets by which a node says that it reaches no target."""
 _MAX_LOADING_SECONDS = 2.0
 """Maximum time for which another node's report that an engine is loading is trusted."""
 
@@ -98,6 +100,8 @@
         reporter = data_centre if is_remote else heartbeat.node.name
         burdens = dict(heartbeat.burdens)
         burdens.pop(EVACUATIONS_NAME, None)
+        disconnected = burdens.pop(_DISCONNECTED_NAME, None) is not None
+        self._neighbours.set_disconnected(heartbeat.node.name, disconnected)
         for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
             self._apply_limit(name, burdens.pop(name), heartbeat.node.name)
         silences = [
@@ -161,10 +165,13 @@
     def _extra_entries(self) -> dict[str, Burden]:
         """Return the entries with reserved names.
 
-        They are the version of the evacuations, the limits, and the unresponsive targets.
+        They are the version of the evacuations, whether this node reaches no target, the limits,
+        and the unresponsive targets.
         """
         row = self._views.evacuations.row
         marks = {EVACUATIONS_NAME: Burden(memory=row)} if row else {}
+        if self._neighbours.is_disconnected():
+            marks[_DISCONNECTED_NAME] = Burden(running=1)
         now = asyncio.get_running_loop().time()
         for word in self._views.limits.words(now, _MAX_LIMIT_COUNT):
             marks[_LIMIT_PREFIX + word.target] = _encode_limit(word)
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -160,6 +160,15 @@
         self.unconnected_targets = self._gauge(
             "unconnected_targets", "targets whose last direct connection from this node failed"
         )
+        self.interrupted_targets = self._gauge(
+            "interrupted_targets", "targets that this node reaches only through other nodes"
+        )
+        self.tunnels = self._counter(
+            "tunnels", "connections to targets through other nodes, by outcome", "outcome"
+        )
+        self.carried_tunnels = self._gauge(
+            "carried_tunnels", "connections to targets that this node carries for others"
+        )
         self.plain_waiting = self._gauge(
             "plain_waiting", "plain requests that wait at the node for room at a target"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -16,6 +16,7 @@
 from ..web.client import Client
 from ..web.host_memory import HostMemory
 from ..web.server import Limits, Server
+from ..web.tunnel import TunnelServer
 from .beliefs import cluster_state, to_json
 from .call import ServingContext
 from .crash_rows import CrashRows
@@ -39,6 +40,7 @@
 from .sharing import PeerClient, PeerHandler
 from .store_tracker import StoreTracker
 from .target_feed import TargetFeed
+from .target_paths import TargetPaths
 from .views import PAUSE_THRESHOLD_SECONDS, Views
 
 __all__ = ["Dialects", "ServingNode"]
@@ -115,9 +117,17 @@
         )
         self._neighbours = Neighbours(me=me)
         self._heartbeats = HeartbeatTranslator(views=self._views, neighbours=self._neighbours)
+        self._paths = TargetPaths(
+            client=client,
+            views=self._views,
+            neighbours=self._neighbours,
+            metrics=self._metrics,
+            rng=rng,
+        )
+        self._tunnels = TunnelServer(admit=self._paths.admit, on_connect=self._paths.record_carried)
         self._crashes = CrashWatch(
             views=self._views,
-            client=client,
+            paths=self._paths,
             neighbours=self._neighbours,
             metrics=self._metrics,
             rng=rng,
@@ -194,7 +204,7 @@
         context = ServingContext(
             settings=settings,
             views=self._views,
-            client=client,
+            paths=self._paths,
             callers=dialects.callers,
             targets=dialects.targets,
             budgets={},
@@ -263,6 +273,8 @@
         await self._listen(self._directory_server, settings.ready)
         await self._listen(self._directory_server, settings.directory)
         await self._gossip.start(settings.host, settings.gossip_port)
+        # The same number as the heartbeats' port, which is for datagrams.
+        await self._tunnels.start(settings.host, settings.gossip_port)
         await self._listen(self._peer_server, settings.peer)
         await self._listen(self._metrics_server, settings.metrics)
         await self._listen(self._entry_server, settings.entry)
@@ -278,6 +290,7 @@
             self._store_tracker.run,
             self._rollout_runner.run,
             self._responsiveness.run,
+            self._paths.run,
             self._free,
             self._tick,
         ):
@@ -316,13 +329,16 @@
             _log.warning("duty not given back", error=str(error))
         idle_since = loop.time()
         while loop.time() < drain_deadline:
-            if self._entry_server.busy:
+            if self._entry_server.busy or self._tunnels.count:
                 idle_since = loop.time()
             if loop.time() - idle_since > _IDLE_BEFORE_STOP_SECONDS:
                 break
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
         self._entry_server.stop_accepting()
-        while self._entry_server.busy and loop.time() < drain_deadline + _CLOSE_RESERVE_SECONDS / 2:
+        self._tunnels.stop_accepting()
+        while (
+            self._entry_server.busy or self._tunnels.count
+        ) and loop.time() < drain_deadline + _CLOSE_RESERVE_SECONDS / 2:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
         _log.info(
             "stopped", cut=self._entry_server.busy, seconds=round(loop.time() - started_at, 2)
@@ -331,6 +347,7 @@
             task.cancel()
         self._gossip.close()
         self._entry_server.close()
+        self._tunnels.close()
         for server in (self._directory_server, self._peer_server, self._metrics_server):
             server.stop_accepting()
             server.close()
@@ -393,7 +410,12 @@
 
     def _check_direct_paths(self, now: float) -> None:
         """Log when no target accepts a connection of this node any more, and when one does."""
-        since = self._views.direct_paths.disconnected_since()
+        paths = self._views.direct_paths
+        disconnected = paths.disconnected
+        if disconnected is not self._neighbours.is_disconnected():
+            self._neighbours.set_disconnected(self._settings.name, disconnected)
+            self._gossip.schedule_update(Scope.ALL)
+        since = paths.disconnected_since()
         if (since is None) is (self._disconnected_since is None):
             return
         if since is None:
@@ -425,6 +447,8 @@
         views.responsiveness.expire(names)
         metrics.unresponsive_targets.set(len(views.responsiveness))
         views.direct_paths.expire(names)
+        metrics.interrupted_targets.set(views.direct_paths.interrupted)
+        metrics.carried_tunnels.set(self._tunnels.count)
         metrics.unconnected_targets.set(views.direct_paths.unconnected)
         views.plain_queues.retain(names)
         metrics.plain_waiting.set(views.plain_queues.waiting)
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -0,0 +1,331 @@
+"""Connect to targets directly, or through a node that reaches them.
+
+Tunnels go over one node only: the node that carries one connects to the target itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable, Coroutine
+from itertools import zip_longest
+from typing import Any, TypedDict, TypeVar, Unpack
+
+import structlog
+from fielddrift_core.direct_paths import PathChange
+from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.target_registry import Instance
+
+from ..web.client import CONNECT_REASON, TUNNEL_REASON, Client, Exchange, ExchangeError
+from ..web.messages import ResponseHead
+from ..web.tunnel import TunnelStatus
+from .metrics import Metrics
+from .views import Views
+
+__all__ = ["SendOptions", "TargetPaths"]
+
+CONNECT_TIMEOUT_SECONDS = 0.35
+"""A connection within a region takes a few ms; a lost SYN packet is resent only after 1 s."""
+_TUNNEL_TIMEOUT_SECONDS = 0.5
+"""The same with the connection to the node that carries it."""
+_MAX_CARRIER_COUNT = 3
+"""Nodes that are asked for one connection: each of them may be disconnected itself."""
+_AVOID_SECONDS = 3.0
+"""Time for which a node that could not connect to a target is asked last for tunnels to it."""
+_TICK_SECONDS = 0.1
+_CLEAN_SECONDS = 0.5
+"""Interval between searches for tunnels that are not needed any more."""
+
+_log = structlog.get_logger()
+_T = TypeVar("_T")
+
+
+class SendOptions(TypedDict, total=False):
+    """The options of `Client.begin` for one send."""
+
+    accepts: Callable[[ResponseHead], bool]
+    on_bytes: Callable[[], None]
+    max_connections: int | None
+    max_idle_seconds: float | None
+
+
+class TargetPaths:
+    """Connects to targets, and checks which of them this node reaches by itself."""
+
+    def __init__(
+        self,
+        *,
+        client: Client,
+        views: Views,
+        neighbours: Neighbours,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._views = views
+        self._paths = views.direct_paths
+        self._neighbours = neighbours
+        self._metrics = metrics
+        self._rng = rng
+        self._failed_at: dict[tuple[str, str], float] = {}
+        """When a node could not connect to a target for this one, by their names."""
+        self._checks: set[asyncio.Task[None]] = set()
+
+    # --- sends ----------------------------------------------------------------------
+
+    async def begin(
+        self, instance: Instance, data: bytes, **options: Unpack[SendOptions]
+    ) -> Exchange:
+        """Send a complete request to a target and return its exchange.
+
+        Raise `ExchangeError`, with `sent` False if there is no connection to send it on.  Then
+        `refused` says that the target has ended: it refused this node and another one, or there
+        is no other node.
+        """
+        address = instance.address
+
+        async def begin(seconds: float, through: str) -> Exchange:
+            return await self._client.begin(
+                address, data, connect_seconds=seconds, through=through, **options
+            )
+
+        return await self._connect(instance, begin)
+
+    async def connect(self, instance: Instance) -> None:
+        """Open a connection for a later send; raise `ExchangeError` as for `begin`."""
+
+        async def connect(seconds: float, through: str) -> None:
+            await self._client.connect(instance.address, seconds=seconds, through=through)
+
+        await self._connect(instance, connect)
+
+    async def _connect(
+        self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
+    ) -> _T:
+        """Return the result of `attempt`, which gets its time limit and the carrying node."""
+        direct_error: ExchangeError | None = None
+        if not self._paths.is_interrupted(instance.name):
+            try:
+                return await self._try_direct(instance, attempt)
+            except ExchangeError as error:
+                # Asking another node after a time-out would take as long again, while other
+                # targets may respond: `run` asks it.
+                if error.reason != CONNECT_REASON or error.connect_timed_out:
+                    raise
+                direct_error = error
+        try:
+            result = await self._try_tunnels(instance, attempt)
+        except ExchangeError as error:
+            if error.reason == TUNNEL_REASON and direct_error is None:
+                return await self._try_direct(instance, attempt)
+            raise self._verdict(direct_error or error, error) from None
+        if direct_error is not None:
+            self._record_reached_elsewhere(instance.name)
+        return result
+
+    def _verdict(self, error: ExchangeError, tunnel_error: ExchangeError) -> ExchangeError:
+        """Return `error` as it is if it proves that the target has ended, else without a refusal.
+
+        Another node must have been refused as well, unless there is none; this one must not be
+        disconnected, since others may have lost their paths at the same time.
+        """
+        if not error.refused:
+            return error
+        is_alone = not self._neighbours.carriers(asyncio.get_running_loop().time())
+        is_confirmed = tunnel_error.refused and not self._paths.disconnected
+        if is_alone or is_confirmed:
+            return error
+        return ExchangeError(str(error), sent=False, reason=CONNECT_REASON)
+
+    async def _try_direct(
+        self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
+    ) -> _T:
+        loop = asyncio.get_running_loop()
+        try:
+            result = await attempt(CONNECT_TIMEOUT_SECONDS, "")
+        except ExchangeError as error:
+            if error.reason == CONNECT_REASON:
+                self._paths.failed(instance.name, loop.time())
+            raise
+        if not isinstance(result, Exchange) or not result.kept:
+            self._record_connected(instance.name)
+        return result
+
+    async def _try_tunnels(
+        self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
+    ) -> _T:
+        """Return the result of the first tunnel that is opened.
+
+        Raise `ExchangeError`, with the reason `TUNNEL_REASON` if no node carries a tunnel.
+        """
+        failure: ExchangeError | None = None
+        for carrier in self._carriers(instance):
+            try:
+                result = await attempt(_TUNNEL_TIMEOUT_SECONDS, carrier.gossip)
+            except ExchangeError as error:
+                self._metrics.tunnels.inc(label_value=_outcome(error))
+                if error.sent or error.reason not in (CONNECT_REASON, TUNNEL_REASON):
+                    raise
+                self._failed_at[carrier.name, instance.name] = asyncio.get_running_loop().time()
+                if failure is None or error.reason == CONNECT_REASON:
+                    failure = error
+                if error.connect_timed_out:
+                    break
+                continue
+            self._failed_at.pop((carrier.name, instance.name), None)
+            if not isinstance(result, Exchange) or not result.kept:
+                self._metrics.tunnels.inc(label_value="open")
+            return result
+        raise failure or ExchangeError(
+            f"{instance.address}: no node carries a tunnel", sent=False, reason=TUNNEL_REASON
+        )
+
+    def _carriers(self, instance: Instance) -> list[Neighbour]:
+        """Return the nodes to ask for a tunnel, the best one first.
+
+        Nodes with an idle connection to the target come first, and those that lately could not
+        connect to it last.  The rest are drawn at random by capacity, from this node's data centre
+        and from others in turn: a data centre may be disconnected as a whole.
+        """
+        now = asyncio.get_running_loop().time()
+        own = self._neighbours.me.data_centre
+        nodes = self._neighbours.carriers(now)
+        nodes.sort(key=lambda node: -(self._rng.random() ** (1 / max(node.capacity, 1e-9))))
+        near = [node for node in nodes if node.data_centre == own]
+        far = [node for node in nodes if node.data_centre != own]
+        mixed = [n for pair in zip_longest(near, far) for n in pair if n is not None]
+        mixed.sort(
+            key=lambda node: (
+                self._failed_at.get((node.name, instance.name), -math.inf) > now - _AVOID_SECONDS,
+                not self._client.has_idle(instance.address, through=node.gossip),
+            )
+        )
+        return mixed[:_MAX_CARRIER_COUNT]
+
+    # --- checks ---------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Check the paths to silent and to interrupted targets, until cancelled."""
+        loop = asyncio.get_running_loop()
+        cleaned_at = loop.time()
+        try:
+            while True:
+                await asyncio.sleep(_TICK_SECONDS)
+                now = loop.time()
+                if now - cleaned_at >= _CLEAN_SECONDS:
+                    cleaned_at = now
+                    self._close_unused_tunnels(now)
+                self._check_paths(now)
+        finally:
+            for task in self._checks:
+                task.cancel()
+
+    def _close_unused_tunnels(self, now: float) -> None:
+        """Close idle tunnels that are not needed any more, or whose nodes are about to stop."""
+        for pair in [p for p, at in self._failed_at.items() if at <= now - _AVOID_SECONDS]:
+            del self._failed_at[pair]
+        usable = {node.gossip for node in self._neighbours.carriers(now)} if self._paths else set()
+        self._client.close_idle_tunnels(usable=usable)
+
+    def _check_paths(self, now: float) -> None:
+        registry = self._views.registry
+        suspects = [
+            name
+            for name in self._views.responsiveness.observed()
+            if self._paths.should_verify(name, now)
+        ]
+        due = self._paths.due_check(now)
+        for name in suspects if due is None else [*suspects, due]:
+            instance = registry.get(name)
+            if instance is not None:
+                task = asyncio.ensure_future(self._check(instance))
+                self._checks.add(task)
+                task.add_done_callback(self._checks.discard)
+
+    async def _check(self, instance: Instance) -> None:
+        """Try to connect to a target directly, then through another node."""
+
+        async def connect(seconds: float, through: str) -> None:
+            await self._client.connect(instance.address, seconds=seconds, through=through)
+
+        if not self._paths.is_unconnected(instance.name) or self._paths.is_known(instance.name):
+            try:
+                await self._try_direct(instance, connect)
+            except ExchangeError:
+                if self._paths.is_known(instance.name):
+                    return
+            else:
+                return
+        try:
+            await self._try_tunnels(instance, connect)
+        except ExchangeError:
+            return
+        self._record_reached_elsewhere(instance.name)
+
+    # --- changes --------------------------------------------------------------------
+
+    def _record_connected(self, target: str) -> None:
+        change = self._paths.connected(target, asyncio.get_running_loop().time())
+        if change is not None:
+            self._log(change)
+
+    def _record_reached_elsewhere(self, target: str) -> None:
+        """Record that only other nodes reach a target; move the requests that wait there."""
+        now = asyncio.get_running_loop().time()
+        views = self._views
+        silent = [t for t in views.responsiveness.observed() if not self._paths.is_interrupted(t)]
+        change = self._paths.reached_elsewhere(target, now)
+        if change is None:
+            return
+        self._log(change)
+        moved = {name for name in silent if self._paths.is_interrupted(name)}
+        for (name, _), move in list(views.movable_sends.items()):
+            if name in moved:
+                move()
+        for name in moved | {target}:
+            # The target has not been silent, only the path to it.
+            views.responsiveness.path_changed(name, now)
+        views.service_queues.wake_all()
+        views.plain_queues.wake_all()
+
+    def record_carried(self, address: str, status: TunnelStatus) -> TunnelStatus:
+        """Record the outcome of a connection for another node; return the status to respond with.
+
+        A disconnected node cannot tell whether a target has ended.
+        """
+        now = asyncio.get_running_loop().time()
+        for instance in self._views.registry.all():
+            if instance.address == address:
+                if status is TunnelStatus.OPEN:
+                    self._record_connected(instance.name)
+                else:
+                    self._paths.failed(instance.name, now)
+        if status is not TunnelStatus.OPEN and self._paths.disconnected:
+            return TunnelStatus.UNAVAILABLE
+        return status
+
+    def admit(self, address: str) -> TunnelStatus:
+        """Return whether this node carries tunnels to `address`: `OPEN`, or the refusal."""
+        names = [i.name for i in self._views.registry.all() if i.address == address]
+        if not names:
+            return TunnelStatus.FORBIDDEN
+        if any(self._paths.is_interrupted(name) for name in names):
+            return TunnelStatus.UNAVAILABLE
+        return TunnelStatus.OPEN
+
+    def _log(self, change: PathChange) -> None:
+        _log.warning(
+            "target reached through other nodes" if change.interrupted else "target reached again",
+            target=change.target,
+            seconds=round(change.seconds, 2),
+            interrupted=self._paths.interrupted,
+            disconnected=self._paths.disconnected,
+        )
+
+
+def _outcome(error: ExchangeError) -> str:
+    """Return the label of a tunnel that was not opened."""
+    if error.refused:
+        return "refused"
+    return "silent" if error.connect_timed_out else "not-carried"
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -9,8 +9,8 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable
-from typing import NamedTuple, Protocol, cast
+from collections.abc import Callable, Collection
+from typing import NamedTuple, Protocol, TypeVar, cast
 
 import httptools
 from fielddrift_core.memory_budget import MAX_READ_BYTES
@@ -18,6 +18,7 @@
 from .host_memory import HeldBytes, bound_receive_buffer, held_for_caller
 from .messages import Headers, ResponseHead
 from .server import prepare_socket
+from .tunnel import TunnelError, TunnelHandshake, TunnelStatus
 
 __all__ = [
     "CONNECT_REASON",
@@ -26,11 +27,14 @@
     "ExchangeError",
     "OpenConnection",
     "Reply",
+    "TUNNEL_REASON",
     "Timeouts",
 ]
 
 CONNECT_REASON = "connect"
 """`ExchangeError.reason` if no connection came up."""
+TUNNEL_REASON = "tunnel"
+"""The same for a tunnel that another node did not open."""
 _DEFAULT_IDLE_LIMIT_SECONDS = 4.0
 """How long an idle connection is reused if the server sends no Keep-Alive timeout."""
 _IDLE_LIMIT_FRACTION = 0.7
@@ -41,12 +45,16 @@
 """Body bytes buffered for a slow reader before reading from the connection pauses."""
 
 
+_P = TypeVar("_P", bound=asyncio.BaseProtocol)
+
+
 class ExchangeError(Exception):
     """Raised when an exchange ends without a complete response.
 
     `sent` is False if certainly no byte of the request was sent; `reason` is a
     short label for metrics.  `refused` is True if the server refused the connection,
-    `connect_timed_out` if it did not respond to the attempt to connect.
+    `connect_timed_out` if it did not respond to the attempt to connect.  The reason
+    `TUNNEL_REASON` says that another node opened no tunnel, which says nothing of the server.
     """
 
     def __init__(
@@ -69,14 +77,14 @@
     """Opens a connection to a host and port, as `asyncio.loop.create_connection` does."""
 
     async def __call__(
-        self, factory: Callable[[], _Connection], host: str, port: int
-    ) -> tuple[asyncio.BaseTransport, _Connection]:
+        self, factory: Callable[[], _P], host: str, port: int
+    ) -> tuple[asyncio.BaseTransport, _P]:
         """Return the transport and the protocol; raise `OSError` if no connection comes up."""
 
 
 async def _create_connection(
-    factory: Callable[[], _Connection], host: str, port: int
-) -> tuple[asyncio.BaseTransport, _Connection]:
+    factory: Callable[[], _P], host: str, port: int
+) -> tuple[asyncio.BaseTransport, _P]:
     return await asyncio.get_running_loop().create_connection(factory, host, port)
 
 
@@ -310,6 +318,12 @@
         self._changed = asyncio.Event()
         self._connection: _Connection | None = None
         self._kept = False
+        self._through = ""
+
+    @property
+    def through(self) -> str:
+        """Return the address of the node that carries the connection, empty for none."""
+        return self._through
 
     @property
     def kept(self) -> bool:
@@ -321,10 +335,14 @@
         """Return whether the whole response has arrived."""
         return self._complete
 
-    def bind(self, connection: _Connection, *, kept: bool = False) -> None:
-        """Set the connection that carries the exchange, and whether it is a reused one."""
+    def bind(self, connection: _Connection, *, kept: bool = False, through: str = "") -> None:
+        """Set the connection that carries the exchange, and whether it is a reused one.
+
+        `through` is the address of the node that carries the connection, empty for none.
+        """
         self._connection = connection
         self._kept = kept
+        self._through = through
         if self._held is not None:
             self._held.add_source(self)
 
@@ -442,6 +460,29 @@
             self._held.remove_source(self)
 
 
+class _Path(NamedTuple):
+    """The address of a server, and that of the node that carries the connection, if any."""
+
+    address: str
+    through: str = ""
+
+
+def _connect_error(path: _Path, error: OSError | TimeoutError) -> ExchangeError:
+    """Return the error for a connection that did not come up."""
+    detail = f"{path.address}: no connection: {error or 'timeout'}"
+    refused = isinstance(error, ConnectionRefusedError)
+    timed_out = isinstance(error, TimeoutError)
+    reason = CONNECT_REASON
+    if path.through:
+        status = error.status if isinstance(error, TunnelError) else None
+        refused, timed_out = status is TunnelStatus.REFUSED, status is TunnelStatus.SILENT
+        reason = CONNECT_REASON if refused or timed_out else TUNNEL_REASON
+        detail = f"{detail}, through {path.through}"
+    return ExchangeError(
+        detail, sent=False, reason=reason, refused=refused, connect_timed_out=timed_out
+    )
+
+
 class Client:
     """A pool of connections by address, and the exchanges over them.
 
@@ -458,7 +499,7 @@
         self._on_connect = on_connect
         self._open_connection = open_connection
         self._read_buffer = memoryview(bytearray(MAX_READ_BYTES))
-        self._idle: dict[str, list[_Connection]] = {}
+        self._idle: dict[_Path, list[_Connection]] = {}
         self._open_counts: dict[str, int] = {}
 
     async def begin(
@@ -471,25 +512,27 @@
         on_bytes: Callable[[], None] = lambda: None,
         max_idle_seconds: float | None = None,
         max_connections: int | None = None,
+        through: str = "",
     ) -> Exchange:
         """Send `data`, a complete request, and return its exchange.
 
         `max_idle_seconds` bounds the idle time of a reused connection in seconds,
-        `max_connections` the number of open connections to the address.  Raise
+        `max_connections` the number of open connections to the address.  `through` is the
+        address of a node whose tunnel carries the connection, empty for a direct one.  Raise
         `ExchangeError` with `sent` False if there is no connection to send it on.
         """
         held = held_for_caller.get()
-        connection = self._take_idle(address, max_idle_seconds)
+        connection = self._take_idle(_Path(address, through), max_idle_seconds)
         kept = connection is not None
         if connection is None:
             if max_connections is not None and self._open_counts.get(address, 0) >= max_connections:
                 detail = f"{address}: {max_connections} connections are open"
                 raise ExchangeError(detail, sent=False, reason="connections")
-            connection = await self._connect(address, connect_seconds)
+            connection = await self._connect(_Path(address, through), connect_seconds)
             if held is not None and held.limited:
                 connection.bound_receive_buffer()
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held)
-        exchange.bind(connection, kept=kept)
+        exchange.bind(connection, kept=kept, through=through)
         connection.begin(exchange, data)
         return exchange
 
@@ -520,38 +563,51 @@
             sent = exchange is not None
             # Connections to an address stop responding together: one idle since before
             # this call would hang as well.
-            self._close_idle_before(address, idle_before=started_at)
+            self._close_idle_before(_Path(address), idle_before=started_at)
             detail = f"{address}: no answer in {timeouts.whole} s"
             raise ExchangeError(detail, sent=sent, reason="timeout") from None
         finally:
             if exchange is not None:
                 exchange.cancel()
 
-    async def connect(self, address: str, *, seconds: float) -> None:
-        """Open a connection and add it to the idle ones; raise `ExchangeError` if that fails."""
-        self._release(address, await self._connect(address, seconds))
+    async def connect(self, address: str, *, seconds: float, through: str = "") -> None:
+        """Open a connection and add it to the idle ones; raise `ExchangeError` if that fails.
+
+        `through` is as for `begin`.
+        """
+        path = _Path(address, through)
+        self._release(path, await self._connect(path, seconds))
 
     def close_idle(self, address: str) -> None:
-        """Close the idle connections to `address`."""
-        self._close_idle_before(address, idle_before=float("inf"))
+        """Close the idle direct connections to `address`."""
+        self._close_idle_before(_Path(address), idle_before=float("inf"))
+
+    def has_idle(self, address: str, *, through: str) -> bool:
+        """Return whether an idle connection to `address` goes through the node at `through`."""
+        return bool(self._idle.get(_Path(address, through)))
+
+    def close_idle_tunnels(self, *, usable: Collection[str]) -> None:
+        """Close the idle connections through nodes whose addresses are not `usable`."""
+        for path in [p for p in self._idle if p.through and p.through not in usable]:
+            self._close_idle_before(path, idle_before=float("inf"))
 
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
-            self.close_idle(address)
+        for path in list(self._idle):
+            self._close_idle_before(path, idle_before=float("inf"))
 
-    def _close_idle_before(self, address: str, *, idle_before: float) -> None:
-        """Close the idle connections to `address` that became idle before `idle_before`."""
-        idle = self._idle.pop(address, [])
+    def _close_idle_before(self, path: _Path, *, idle_before: float) -> None:
+        """Close the idle connections on `path` that became idle before `idle_before`."""
+        idle = self._idle.pop(path, [])
         kept = [connection for connection in idle if connection.idle_since >= idle_before]
         if kept:
-            self._idle[address] = kept
+            self._idle[path] = kept
         for connection in idle:
             if connection not in kept:
                 connection.close()
 
-    def _take_idle(self, address: str, max_idle_seconds: float | None) -> _Connection | None:
-        idle = self._idle.get(address, [])
+    def _take_idle(self, path: _Path, max_idle_seconds: float | None) -> _Connection | None:
+        idle = self._idle.get(path, [])
         now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
@@ -560,9 +616,8 @@
             connection.close()
         return None
 
-    async def _connect(self, address: str, seconds: float) -> _Connection:
-        host, _, port = address.rpartition(":")
-        open_connection = self._open_connection or _create_connection
+    async def _connect(self, path: _Path, seconds: float) -> _Connection:
+        address = path.address
         self._open_counts[address] = self._open_counts.get(address, 0) + 1
         self._on_connect(address)
         connection: _Connection | None = None
@@ -570,41 +625,51 @@
         def make_connection() -> _Connection:
             nonlocal connection
             connection = _Connection(
-                released=lambda c: self._release(address, c),
-                lost=lambda c: self._lost(address, c),
+                released=lambda c: self._release(path, c),
+                lost=lambda c: self._lost(path, c),
                 read_buffer=self._read_buffer,
             )
             return connection
 
         try:
             async with asyncio.timeout(seconds):
-                _, opened_connection = await open_connection(make_connection, host, int(port))
+                if path.through:
+                    return await self._connect_through(path, make_connection)
+                return await self._open(make_connection, address)
         except (OSError, TimeoutError) as error:
-            detail = f"{address}: no connection: {error or 'timeout'}"
-            refused = isinstance(error, ConnectionRefusedError)
-            raise ExchangeError(
-                detail,
-                sent=False,
-                reason=CONNECT_REASON,
-                refused=refused,
-                connect_timed_out=isinstance(error, TimeoutError),
-            ) from None
+            raise _connect_error(path, error) from None
         finally:
             # `_lost` decrements the count for a connection that came up and was then abandoned.
             if connection is None:
                 self._count_closed(address)
-        return opened_connection
 
-    def _release(self, address: str, connection: _Connection) -> None:
+    async def _open(self, factory: Callable[[], _P], address: str) -> _P:
+        host, _, port = address.rpartition(":")
+        open_connection = self._open_connection or _create_connection
+        _, protocol = await open_connection(factory, host, int(port))
+        return protocol
+
+    async def _connect_through(
+        self, path: _Path, make_connection: Callable[[], _Connection]
+    ) -> _Connection:
+        """Return a connection that another node carries; raise `OSError` without one."""
+        handshake = await self._open(lambda: TunnelHandshake(address=path.address), path.through)
+        transport = await handshake.opened()
+        connection = make_connection()
+        transport.set_protocol(connection)
+        connection.connection_made(transport)
+        return connection
+
+    def _release(self, path: _Path, connection: _Connection) -> None:
         if connection.usable:
-            self._idle.setdefault(address, []).append(connection)
+            self._idle.setdefault(path, []).append(connection)
 
-    def _lost(self, address: str, connection: _Connection) -> None:
-        idle = self._idle.get(address)
+    def _lost(self, path: _Path, connection: _Connection) -> None:
+        idle = self._idle.get(path)
         if idle is not None:
             with contextlib.suppress(ValueError):
                 idle.remove(connection)
-        self._count_closed(address)
+        self._count_closed(path.address)
 
     def _count_closed(self, address: str) -> None:
         left = self._open_counts.get(address, 1) - 1
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -250,7 +250,8 @@
             # A send without a response times out after twice the route's latency goal.
             each["target-latency-ms"] = round(seconds * 500)
         self.fleet.configure()
-        connects = mock.patch("fielddrift_node.serving.attempts.CONNECT_TIMEOUT_SECONDS", seconds)
+        timeout = "fielddrift_node.serving.target_paths.CONNECT_TIMEOUT_SECONDS"
+        connects = mock.patch(timeout, seconds)
         connects.start()
         self.addCleanup(connects.stop)
 
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -9,7 +9,11 @@
 import unittest
 from unittest import mock
 
+from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_node.serving.attempts import send_once
+from fielddrift_node.serving.metrics import Metrics
+from fielddrift_node.serving.target_paths import TargetPaths
+from fielddrift_node.serving.views import Views
 from fielddrift_node.web.client import Client, ExchangeError, Timeouts
 from fielddrift_standins.relay import Relay
 
@@ -103,7 +107,15 @@
     async def test_a_response_that_is_given_up_at_the_deadline_leaves_no_connection(self) -> None:
         # It counted as open for ever, so that none was left for the target in time.
         self.answers = [b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nfu", WITH_LENGTH]
-        context, outgoing, call = mock.Mock(client=self.client), mock.Mock(), mock.Mock()
+        me = Neighbour("me", 1, "a", "", "", "")
+        paths = TargetPaths(
+            client=self.client,
+            views=Views(),
+            neighbours=Neighbours(me=me),
+            metrics=Metrics(),
+            rng=random.Random(1),
+        )
+        context, outgoing, call = mock.Mock(paths=paths), mock.Mock(), mock.Mock()
         outgoing.instance.address = self.address
         context.targets.request.return_value = REQUEST
         context.targets.response_info.return_value.not_started = True
