Divide the room of brittle targets among the nodes

What callers saw: targets that say that they are brittle fell over in a burst, and requests were sent to them while they were down.

Cause: Server-Brittle was not read. A node learns how much a target handles from its "full" answers, and each such lesson is a rejection; nodes know each other's sends only after a heartbeat, so several fill the last places of one target at once.

Change: the notice is read from every answer, report and order response and told in heartbeats by service. While it holds (3 s after the last one) the targets of the service are divided among the active nodes of all data centres, by a partition that each node works out from its own place: one or more targets a node, one or more owners a target, and the room (slots, for engines also memory) in equal parts. A node knows its own sends exactly, so no part is exceeded. Nodes without a place, such as standby ones or those that have just started, use mostly idle targets with one request at a time. A target that rejected requests (429 or 503, proved not run or not) is left alone for a second. A limit that a target names beside it keeps its own owners.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -14,6 +14,7 @@
 from collections.abc import Collection, Iterable
 
 from .active import Candidate, active_names
+from .brittle_services import NodePosition
 from .caller_spread import sample_hosts
 from .heartbeat import Heartbeat, KnownNode, Neighbour, NeighbourState, StorePosition
 from .heartbeat_schedule import Relation, SentHeartbeats, periods
@@ -287,16 +288,34 @@
         active = sum(size.active for size in sizes)
         return max(1, min(2 * active, sum(size.alive for size in sizes)))
 
+    def position(self, now: float) -> NodePosition | None:
+        """Return this node's place among the active nodes of all data centres.
+
+        They are ordered by data centre and name; None for a node that is not active.
+        """
+        active = sorted(self.active(now))
+        if self._me.name not in active:
+            return None
+        index, count = active.index(self._me.name), len(active)
+        for data_centre, size in self._sizes_by_data_centre(now).items():
+            count += size.active
+            index += size.active if data_centre < self._me.data_centre else 0
+        return NodePosition(index, count)
+
     def _remote_sizes(self, now: float) -> list[DataCentreSize]:
+        return list(self._sizes_by_data_centre(now).values())
+
+    def _sizes_by_data_centre(self, now: float) -> dict[str, DataCentreSize]:
+        """Return the numbers of nodes of the other data centres."""
         heard: Counter[str] = Counter()
         for state in self._remote.values():
             heard[state.node.data_centre] += state.serves and state.is_alive(now)
         # Until a relay has reported the size, only the nodes that are alive are known.
-        return [
-            self._sizes.get(data_centre, DataCentreSize(count, count))
+        return {
+            data_centre: self._sizes.get(data_centre, DataCentreSize(count, count))
             for data_centre, count in heard.items()
             if count
-        ]
+        }
 
     def addresses(self, data_centre: str, now: float, rng: random.Random) -> list[str]:
         """Return the addresses that a caller in `data_centre` should use.
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -204,7 +204,7 @@
 
 
 class SendCheck(Protocol):
-    """Limits what is sent to targets that are cold, limited, paused or unresponsive."""
+    """Limits what is sent to targets that are cold, limited, paused, brittle or unresponsive."""
 
     def allows(
         self,
@@ -221,6 +221,14 @@
         the targets that it was sent to before.
         """
 
+    def has_room(
+        self, service: Service, instance: Instance, now: float, *, tokens: int = 0
+    ) -> bool:
+        """Return whether this node may use more of the room of `instance`.
+
+        `tokens` is the memory that a prompt needs, 0 for a plain request.
+        """
+
     def sent(self, instance: Instance, now: float) -> None:
         """Record that a request is about to be sent."""
 
@@ -244,7 +252,7 @@
     crashes: CrashCheck
     """Detects and refuses requests that crash their targets."""
     gate: SendCheck
-    """Limits what is sent to cold, limited, paused and unresponsive targets."""
+    """Limits what is sent to cold, limited, paused, brittle and unresponsive targets."""
     notices: NoticeHandler
     """Handles what targets report about themselves."""
 
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Mapping
 
 import structlog
+from fielddrift_core.brittle_services import BrittleReport
 from fielddrift_core.evacuations import EVACUATIONS_NAME
 from fielddrift_core.neighbours import Heartbeat, Neighbours, Relation
 from fielddrift_core.relays import DataCentreSize, size_entry_name
@@ -18,7 +19,7 @@
 from fielddrift_core.target_notices import LimitReport
 from fielddrift_core.workload import Burden
 
-from .notices import log_limit
+from .notices import log_brittle, log_limit
 from .views import Views
 
 __all__ = ["HeartbeatTranslator"]
@@ -38,6 +39,8 @@
 _SILENT_PREFIX = "silent:"
 """Prefix of the names under which unresponsive targets are sent among the loads of targets, as for
 limits."""
+_BRITTLE_PREFIX = "brittle:"
+"""Prefix of the names under which brittle services are sent among the loads of targets."""
 _DISCONNECTED_NAME = "disconnected"
 """Name of the entry among the loads of targets by which a node says that it reaches no target."""
 _MAX_LOADING_SECONDS = 2.0
@@ -104,6 +107,8 @@
         self._neighbours.set_disconnected(heartbeat.node.name, disconnected)
         for name in [name for name in burdens if name.startswith(_LIMIT_PREFIX)]:
             self._apply_limit(name, burdens.pop(name), heartbeat.node.name)
+        for name in [name for name in burdens if name.startswith(_BRITTLE_PREFIX)]:
+            self._apply_brittle(name, burdens.pop(name), heartbeat.node.name)
         silences = [
             _decode_silence(name, burdens.pop(name))
             for name in list(burdens)
@@ -166,7 +171,7 @@
         """Return the entries with reserved names.
 
         They are the version of the evacuations, whether this node reaches no target, the limits,
-        and the unresponsive targets.
+        the brittle services, and the unresponsive targets.
         """
         row = self._views.evacuations.row
         marks = {EVACUATIONS_NAME: Burden(memory=row)} if row else {}
@@ -175,6 +180,10 @@
         now = asyncio.get_running_loop().time()
         for word in self._views.limits.words(now, _MAX_LIMIT_COUNT):
             marks[_LIMIT_PREFIX + word.target] = _encode_limit(word)
+        for brittle in self._views.brittle.reports(now):
+            age_ms = round(brittle.age * 1000)
+            entry = Burden(running=1, unread=age_ms, memory=brittle.tolerance)
+            marks[_BRITTLE_PREFIX + brittle.service] = entry
         for report in self._views.responsiveness.reports(now, _MAX_SILENT_COUNT):
             age_ms = round(report.age * 1000)
             marks[_SILENT_PREFIX + report.target] = Burden(running=1, unread=age_ms)
@@ -186,6 +195,16 @@
         if word is not None and self._views.limits.merge(word, now):
             log_limit(word.target, word.rate, told_by)
 
+    def _apply_brittle(self, name: str, entry: Burden, told_by: str) -> None:
+        """Apply a report that a service is brittle; a sum of several nodes' reports is ignored."""
+        service = name.removeprefix(_BRITTLE_PREFIX)
+        now = asyncio.get_running_loop().time()
+        if entry.running != 1:
+            return
+        report = BrittleReport(service, entry.memory, entry.unread / 1000)
+        if self._views.brittle.merge(report, now):
+            log_brittle(service, report.tolerance, told_by)
+
     def _apply_silences(self, reporter: str, silences: list[SilenceReport], now: float) -> None:
         for silence in silences:
             self._views.responsiveness.merge(reporter, silence, now, nodes=self._views.nodes)
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -151,6 +151,9 @@
         self.limited_targets = self._gauge(
             "limited_targets", "targets that name a limit for all nodes together"
         )
+        self.brittle_services = self._gauge(
+            "brittle_services", "services whose targets fail if they reject many requests"
+        )
         self.paused_targets = self._gauge(
             "paused_targets", "targets and store hosts that want nothing from this node for a time"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -440,6 +440,9 @@
         names = {target.name for target in views.registry.all()}
         metrics.cold_targets.set(views.cold.expire(names, now))
         metrics.limited_targets.set(views.limits.expire(names, now))
+        for service in views.brittle.expire(names, now):
+            _log.info("service brittle no longer", service=service)
+        metrics.brittle_services.set(len(views.brittle))
         metrics.paused_targets.set(views.pauses.expire(now))
         metrics.reserved.set(views.service_queues.largest_reserve(now))
         self._memory.refresh()
--- a/packages/node/src/fielddrift_node/serving/notices.py
+++ b/packages/node/src/fielddrift_node/serving/notices.py
@@ -11,7 +11,7 @@
 
 from .views import Views
 
-__all__ = ["NoticeHandler", "log_limit"]
+__all__ = ["NoticeHandler", "log_brittle", "log_limit"]
 
 _log = structlog.get_logger()
 
@@ -38,6 +38,13 @@
         if notice.leaving:
             self._record_leaving(instance)
         self._update_limit(instance.name, notice.limit, served_at, now)
+        if notice.rejected:
+            self._views.brittle.rejected(instance.name, now)
+        if notice.brittle is not None and self._views.brittle.named(
+            instance.service, notice.brittle, now
+        ):
+            log_brittle(instance.service, notice.brittle, "itself")
+            self._on_change()
         if notice.pause > 0 and self._views.pauses.record(instance.name, notice.pause, now):
             _log.info("target asks for a pause", target=instance.name, seconds=notice.pause)
 
@@ -62,6 +69,11 @@
             self._on_change()
 
 
+def log_brittle(service: str, tolerance: int, told_by: str) -> None:
+    """Log that the targets of a service are brittle, and how many rejections they tolerate."""
+    _log.warning("service brittle", service=service, tolerance=tolerance, told_by=told_by)
+
+
 def log_limit(target: str, rate: float | None, told_by: str) -> None:
     """Log that a target announced another limit in requests per second, None for no limit."""
     if rate is None:
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -156,8 +156,10 @@
                 states, data_centre=data_centre, tried=attempts.tried, rng=rng
             )
         queue = self._context.views.plain_queues.of(call.service.name).queue
+        gate = self._context.gate
+        open_states = [s for s in states if gate.has_room(call.service, s.instance, now)]
         return queue.choose(
-            states,
+            open_states,
             self._demand(call, states, waiting, now),
             latency_goal=call.route.latency_goal,
             data_centre=data_centre,
@@ -198,7 +200,12 @@
         return Demand(
             own_running=sum(workload.own_of(s.instance.name).running for s in states),
             own_waiting=own_waiting + (waiting is None),
-            others_waiting=self._waiting(call, now) - own_waiting,
+            # The room of brittle targets is divided among the nodes already.
+            others_waiting=(
+                0
+                if views.brittle.is_brittle(call.service.name)
+                else self._waiting(call, now) - own_waiting
+            ),
             overdue_seconds=now - waiting.turn if waiting and waiting.turn <= now else None,
         )
 
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -285,7 +285,12 @@
         memory_fraction = wanted.memory_fraction
         if memory_fraction is not None:
             healthy = self._healthy(candidates, now)
-            candidates = [c for c in healthy if has_room(c.burden, prompt, traits, memory_fraction)]
+            candidates = [
+                c
+                for c in healthy
+                if has_room(c.burden, prompt, traits, memory_fraction)
+                and self._context.gate.has_room(call.service, c.instance, now, tokens=prompt.tokens)
+            ]
             if call.rank > min(call.ranks.ranks, default=call.rank):
                 # Prompts of lower priority leave prefill capacity to more urgent prompts.
                 candidates = [c for c in candidates if self._can_prefill_soon(call, c)]
--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -9,6 +9,7 @@
 from fielddrift_core.neighbours import Neighbours
 from fielddrift_core.target_registry import Instance
 
+from .brittle_gate import BrittleGate
 from .cold_gate import ColdGate
 from .limit_gate import LimitGate
 from .settings import Bounds
@@ -18,7 +19,7 @@
 
 
 class SendGate:
-    """Combines the rules for cold, limited, paused and unresponsive targets.
+    """Combines the rules for cold, limited, paused, brittle and unresponsive targets.
 
     Sends are recorded here.
     """
@@ -27,6 +28,7 @@
         self._views = views
         self._cold = ColdGate(views=views, neighbours=neighbours, bounds=bounds)
         self._limits = LimitGate(views=views, neighbours=neighbours)
+        self._brittle = BrittleGate(views=views, neighbours=neighbours)
 
     def allows(
         self,
@@ -46,11 +48,23 @@
         # Called for every engine in each choice, so the usual case, no limits, must be cheap.
         if self._views.responsiveness and not self._may_respond(instance, now, repeatable, tried):
             return False
-        restricted = self._views.limits or self._views.pauses
+        views = self._views
+        restricted = views.limits or views.pauses or views.brittle
         if restricted and self._wait(instance, now) > 0:
             return False
+        if views.brittle and not self._brittle.allows(service, instance, now):
+            return False
         return self._cold.allows(service, instance, now)
 
+    def has_room(
+        self, service: Service, instance: Instance, now: float, *, tokens: int = 0
+    ) -> bool:
+        """Return whether this node may use more of the room of `instance`, which is of `service`.
+
+        It always may unless the target is brittle.  `tokens` is the memory that a prompt needs.
+        """
+        return not self._views.brittle or self._brittle.has_room(service, instance, tokens, now)
+
     def sent(self, instance: Instance, now: float) -> None:
         """Count a request that is about to be sent."""
         self._cold.sent(instance, now)
@@ -80,4 +94,8 @@
         )
 
     def _wait(self, instance: Instance, now: float) -> float:
-        return max(self._views.pauses.left(instance.name, now), self._limits.wait(instance, now))
+        return max(
+            self._views.pauses.left(instance.name, now),
+            self._limits.wait(instance, now),
+            self._brittle.wait(instance, now),
+        )
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
+from fielddrift_core.brittle_services import BrittleServices
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.cold_targets import ColdTargets
 from fielddrift_core.crashes import CrashHistory
@@ -84,6 +85,7 @@
         self.cold = ColdTargets()
         self.limits = TargetLimits()
         self.pauses = TargetPauses()
+        self.brittle = BrittleServices()
         self.direct_paths = DirectPaths()
         self.responsiveness = Responsiveness()
         self.movable_sends: dict[tuple[str, str], Callable[[], None]] = {}
--- a/packages/standins/src/fielddrift_standins/deployment.py
+++ b/packages/standins/src/fielddrift_standins/deployment.py
@@ -51,6 +51,8 @@
         self.workers: dict[str, Worker] = {}
         self._centres: dict[str, str] = {}
         """The data centre of each worker."""
+        self.memory = 40000
+        """Tokens that an engine has memory for."""
         self.cold_rate = 0.0
         """Requests a second that a cold engine bears, 0 for any number."""
         self.cold_seconds = 3.0
@@ -78,7 +80,7 @@
         self.version += 1
         engine: dict[str, object] = {
             "slots": 8,
-            "kv-capacity": 40000,
+            "kv-capacity": self.memory,
             "kv-token-bytes": 10,
             "link-mbps": 1000.0,
         }
