Test that a target which is silent for a second costs no request

A sound target may fall silent for a second and go on. Two of four targets do so in turn, for plain requests and prompts, repeatable ones and those that may run once: all are answered whole, none of the latter runs twice, no path counts as interrupted, and the target is used again within 1.5 s where the others are full.

--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -114,6 +114,8 @@
         self.signed = False
         """Whether each event says whose it is, and where it was made."""
         self.begun_bytes = _BEGUN_BYTES
+        self.silent_until = float("-inf")
+        """Until when the worker takes nothing in and sends nothing, on the loop's clock."""
         self._busy = False
         self._server = Server(handler=self._handle, limits=Limits)
 
@@ -127,6 +129,13 @@
         self._server.stop_accepting()
         self._server.close()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Take nothing in and send nothing for `seconds`, then go on."""
+        self.silent_until = asyncio.get_running_loop().time() + seconds
+
+    async def _wait_out_silence(self) -> None:
+        await asyncio.sleep(max(0.0, self.silent_until - asyncio.get_running_loop().time()))
+
     def crash(self) -> None:
         """End as a process that dies: its port and all its connections are gone."""
         if not self.closed:
@@ -180,6 +189,7 @@
         return request_id
 
     async def _handle(self, request: Request, responder: Responder) -> None:
+        await self._wait_out_silence()
         path = request.head.target.decode().partition("?")[0]
         if path in ("/report", "/order"):
             self.calls.append((asyncio.get_running_loop().time(), path))
@@ -245,6 +255,7 @@
         self.begin(request)
         try:
             await asyncio.sleep(self.work_seconds)
+            await self._wait_out_silence()
             if self.events:
                 await self.stream(request, responder, request_id, self.events)
                 responder.end()
@@ -267,6 +278,7 @@
         fields = Headers([*self.head(request_id), *_EVENTS])
         responder.start(200, fields, None)
         for number in range(int(after or 0) + 1, last + 1):
+            await self._wait_out_silence()
             responder.write(self.event(number, request_id))
             await asyncio.sleep(self.pause_seconds)
 
