Probe connections to targets, so that a wait on a silent path ends

What callers saw: a request that may run once, sent on a connection whose path went silent after the target had acknowledged it, was held until its deadline, 12 s on some routes; idle connections on such a path were kept and used.

Cause: TCP_USER_TIMEOUT (4 s) bounds only the time for sent bytes to be acknowledged, and none are sent while a response is waited for. SO_KEEPALIVE was not set anywhere.

Change: connections to targets, the platform's store and other nodes, and both sides of a tunnel, are probed each second. On Linux TCP_USER_TIMEOUT also decides when probes give up, whatever their count, so the one time-out of 4 s holds for both, and a path that is silent for a second costs nothing. Connections of callers are not probed: those of slow callers have a longer time-out, and callers may be silent for longer.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -17,7 +17,7 @@
 
 from .host_memory import HeldBytes, bound_receive_buffer, held_for_caller
 from .messages import Headers, ResponseHead
-from .server import prepare_socket
+from .server import prepare_socket, probe_silent_path
 from .tunnel import TunnelError, TunnelHandshake, TunnelStatus
 
 __all__ = [
@@ -169,6 +169,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         prepare_socket(transport)
+        probe_silent_path(transport)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._read_buffer
@@ -582,8 +583,8 @@
         """Close the idle direct connections to `address`."""
         self._close_idle_before(_Path(address), idle_before=float("inf"))
 
-    def has_idle(self, address: str, *, through: str) -> bool:
-        """Return whether an idle connection to `address` goes through the node at `through`."""
+    def has_idle(self, address: str, *, through: str = "") -> bool:
+        """Return whether there is an idle connection to `address`; `through` is as for `begin`."""
         return bool(self._idle.get(_Path(address, through)))
 
     def close_idle_tunnels(self, *, usable: Collection[str]) -> None:
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -28,6 +28,7 @@
     "Server",
     "plain_text_fault",
     "prepare_socket",
+    "probe_silent_path",
 ]
 
 _MAX_PIPELINED_COUNT = 4
@@ -40,6 +41,9 @@
 
 A peer that lost power never answers, not even with a reset.
 """
+_KEEPALIVE_SECONDS = 1
+"""Idle time before the first keep-alive probe, and interval between probes.  On Linux probes give
+up once nothing has arrived for the time-out above, whatever their count."""
 _LISTEN_BACKLOG_COUNT = 1024
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides its name and value: colon, space and line end."""
@@ -92,6 +96,20 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
 
 
+def probe_silent_path(transport: asyncio.BaseTransport) -> None:
+    """Probe an idle connection, so that it is closed if its path is silent for some seconds.
+
+    Without probes only sent bytes show that, and none are sent while a response is waited for.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS)
+
+
 class Responder:
     """Writes the response to one request."""
 
--- a/packages/node/src/fielddrift_node/web/tunnel.py
+++ b/packages/node/src/fielddrift_node/web/tunnel.py
@@ -17,7 +17,7 @@
 from enum import IntEnum
 from typing import cast
 
-from .server import prepare_socket
+from .server import prepare_socket, probe_silent_path
 
 __all__ = ["TunnelError", "TunnelHandshake", "TunnelServer", "TunnelStatus"]
 
@@ -204,6 +204,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_BUFFER_BYTES)
         prepare_socket(transport)
+        probe_silent_path(transport)
 
     def join(self, peer: _Side) -> None:
         """Pass all bytes that arrive here on to `peer`."""
