Let the soak cut hosts off from all workers, and make workers brittle

Three new kinds of fault: some hosts, at times a whole data centre, lose their paths to all workers and the store host (open connections silent or reset, new ones hang); the workers of a service say that they are brittle, reject what they have no room for, and fall over; a sound worker is silent for a second or so, which counts as planned work and may cost nobody an answer.

Two new checks: first tries at hosts that are cut off are served two thirds as often as elsewhere, from 3 s on, and brittle workers fall no more often than 2 + a tenth of their number. Links tell hosts apart by their addresses, from which the nodes of a soak now connect; the kernel drops the packets of hosts that are cut off, so that connections hang as on a partition.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,8 +14,8 @@
 from .callers import KINDS, Attempt
 from .links import Harm, Link
 from .machines import Machine
-from .outside import Limit
-from .promises import COLD, ENDING, LEAVING, LIMITED, PAUSING
+from .outside import Brittle, CutOff, Limit
+from .promises import BRITTLE, COLD, CUT_OFF, ENDING, LEAVING, LIMITED, PAUSING
 from .site import Site
 
 __all__ = ["FAULTS", "Fault"]
@@ -570,3 +570,67 @@
     worker.pause = rng.uniform(1.0, 3.0)
     await _lasting(rng, 1.0, 5.0)
     worker.pause = 0.0
+
+
+_BRITTLE_SECONDS = (6.0, 9.0)
+"""How long workers are brittle: some seconds longer than the time until fewer may wait."""
+_BRITTLE_WORK_SECONDS = 0.3
+_BRITTLE_ROOM = {"plain": 4, "engines": 2 * 360}
+"""What workers run at once then: their slots, or the tokens of two prompts."""
+
+
+@fault(BRITTLE)
+async def _brittle(site: Site, rng: random.Random) -> None:
+    outside, loop = site.outside, asyncio.get_running_loop()
+    service = rng.choice(["plain", "engines"])
+    workers = outside.brittle_workers(service)
+    if any(worker.brittle is not None for worker in workers):
+        return
+    index = len(outside.brittle)
+    outside.brittle.append(Brittle(service, loop.time(), float("inf")))
+    usual = [(w, w.room, w.waiting, w.work_seconds) for w in workers]
+    tolerance = rng.randint(2, 4)
+    for worker in workers:
+        worker.brittle, worker.room = tolerance, _BRITTLE_ROOM[service]
+        worker.waiting, worker.work_seconds = 3, _BRITTLE_WORK_SECONDS
+    await asyncio.sleep(3.0)
+    for worker in workers:
+        worker.waiting = rng.randint(0, 1)
+    site.pace = 0.3
+    await _lasting(rng, *_BRITTLE_SECONDS)
+    site.pace = 1.0
+    outside.brittle[index] = outside.brittle[index]._replace(ended=loop.time())
+    for worker, room, waiting, seconds in usual:
+        worker.brittle, worker.room = None, room
+        worker.waiting, worker.work_seconds = waiting, seconds
+
+
+@fault("a sound worker is silent for a second", planned=True)
+async def _silent_second(site: Site, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        _any_worker(site, rng).fall_silent(rng.uniform(0.8, 1.3))
+        await _lasting(rng, 1.0, 2.5)
+
+
+# --- hosts without workers ------------------------------------------------------------
+
+_CUT_SECONDS = (5.0, 9.0)
+"""How long hosts are cut off: longer than the time after which their first tries count."""
+
+
+@fault(CUT_OFF)
+async def _hosts_cut_off(site: Site, rng: random.Random) -> None:
+    outside, loop = site.outside, asyncio.get_running_loop()
+    if outside.cut or len(site.machines) < 2:
+        return
+    zone = rng.choice(site.machines).zone
+    some = rng.sample(site.machines, k=rng.randint(1, len(site.machines) - 1))
+    whole = [machine for machine in site.machines if machine.zone == zone]
+    hosts = whole if rng.random() < 0.4 and len(whole) < len(site.machines) else some
+    index = len(outside.cuts)
+    entries = frozenset(machine.entry for machine in hosts)
+    outside.cuts.append(CutOff(entries, loop.time(), float("inf")))
+    outside.cut_off(frozenset(machine.ip for machine in hosts), resets=rng.random() < 0.5)
+    await _lasting(rng, *_CUT_SECONDS)
+    outside.cuts[index] = outside.cuts[index]._replace(ended=loop.time())
+    outside.cut_off(frozenset(), resets=False)
--- a/soak/links.py
+++ b/soak/links.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import ctypes
+import ipaddress
 import socket
 import struct
+from collections.abc import Collection
 from typing import NamedTuple
 
 from fielddrift_standins.fleet import HOST, free_port
@@ -16,6 +20,33 @@
 """Value of SO_LINGER that makes a close send a reset."""
 
 
+_SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
+_LOAD_WORD, _JUMP_IF_EQUAL, _RETURN = 0x20, 0x15, 0x06
+"""Instructions of the kernel's socket filters (classic BPF)."""
+_SOURCE_ADDRESS = 0xFFF00000 + 12
+"""Offset of the source address in a packet, from the begin of the network header."""
+_WHOLE_PACKET = 0x40000
+
+
+def _lose_packets(sock: socket.socket, sources: Collection[str]) -> None:
+    """Let the kernel drop all packets from `sources` that arrive for `sock`."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+    if not sources:
+        return
+    addresses = [int(ipaddress.IPv4Address(source)) for source in sorted(sources)]
+    program = struct.pack("HBBI", _LOAD_WORD, 0, 0, _SOURCE_ADDRESS)
+    for index, address in enumerate(addresses):
+        left = len(addresses) - index
+        program += struct.pack("HBBI", _JUMP_IF_EQUAL, left, 0, address)
+    program += struct.pack("HBBI", _RETURN, 0, 0, _WHOLE_PACKET)
+    program += struct.pack("HBBI", _RETURN, 0, 0, 0)
+    buffer = ctypes.create_string_buffer(program)
+    filter_ = struct.pack("HL", len(program) // 8, ctypes.addressof(buffer))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, filter_)
+
+
 class Harm(NamedTuple):
     """What a link does to bytes: hold them up for `delay` seconds, or swallow them one way."""
 
@@ -25,12 +56,24 @@
     refuse: bool = False
 
 
+def _kernel_socket(writer: asyncio.StreamWriter) -> socket.socket:
+    return socket.socket(fileno=socket.dup(writer.get_extra_info("socket").fileno()))
+
+
 class _Pair:
     """One carried connection."""
 
     def __init__(self, *, writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]) -> None:
         self.writers = writers
         self.silent = False
+        self.source: str = writers[0].get_extra_info("peername")[0]
+        """The address from which the connection came."""
+
+    def cut(self, sources: Collection[str]) -> None:
+        """Carry nothing more, and acknowledge nothing, if the connection is from `sources`."""
+        if self.source in sources:
+            self.silent = True
+            _lose_packets(_kernel_socket(self.writers[0]), sources)
 
     def reset(self) -> None:
         """Reset both ends."""
@@ -51,6 +94,7 @@
         self._pairs: set[_Pair] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._cut: frozenset[str] = frozenset()
 
     async def start(self) -> Link:
         """Listen."""
@@ -76,6 +120,30 @@
         for pair in self._pairs:
             pair.silent = True
 
+    def cut(self, sources: Collection[str]) -> None:
+        """Cut the paths from `sources`: open connections and new ones hang.
+
+        Paths that are not among them any more are whole again; their connections are reset, for
+        what they should have carried is lost.
+        """
+        healed, self._cut = self._cut - frozenset(sources), frozenset(sources)
+        if self._server is not None:
+            for sock in self._server.sockets:
+                duplicate = socket.socket(fileno=socket.dup(sock.fileno()))
+                _lose_packets(duplicate, self._cut)
+                duplicate.close()
+        for pair in list(self._pairs):
+            if pair.source in healed:
+                _lose_packets(_kernel_socket(pair.writers[0]), ())
+                pair.reset()
+            pair.cut(self._cut)
+
+    def reset_from(self, sources: Collection[str]) -> None:
+        """Reset the open connections from `sources`."""
+        for pair in list(self._pairs):
+            if pair.source in sources:
+                pair.reset()
+
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A task of asyncio's own streams that is cancelled before its first step is logged as
         # a fault: so this one is ours.
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -65,6 +65,7 @@
 
     def __init__(self, *, name: str, ip: str, zone: str, folder: Path, store: Link) -> None:
         self.name = name
+        self.ip = ip
         self.zone = zone
         self.store = store
         self.entry, self.ready, self.directory, self.peer = (
@@ -100,7 +101,7 @@
         environment = {**os.environ, "FIELDDRIFT_SETTINGS": str(self._settings)}
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "fielddrift_platform"],
+                [sys.executable, "-m", "soak.bound_node"],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from fielddrift_node.web.server import Limits, Request, Responder, Server
+from fielddrift_standins.brittle import BrittleWorker
 from fielddrift_standins.deployment import KEY, Deployment, route
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
@@ -14,7 +15,17 @@
 from .callers import EVENTS
 from .links import Link
 
-__all__ = ["Arrival", "Change", "Cold", "End", "Evacuation", "Limit", "Outside"]
+__all__ = [
+    "Arrival",
+    "Brittle",
+    "Change",
+    "Cold",
+    "CutOff",
+    "End",
+    "Evacuation",
+    "Limit",
+    "Outside",
+]
 
 COLD_RATE = 4.0
 """Requests a second that a cold engine bears."""
@@ -25,6 +36,8 @@
 _LOAD_SECONDS = 0.05
 _SLOW_SECONDS = 10.0
 """How long engines load slowly, once they do."""
+_UNBOUNDED = 1 << 40
+"""Room of a worker that rejects nothing."""
 _PLAIN, _ENGINES = "plain", "engines"
 
 
@@ -77,6 +90,24 @@
     ended: float
 
 
+class CutOff(NamedTuple):
+    """Hosts, by the addresses for their callers, without a path to any worker: from when, and
+    until when.
+    """
+
+    entries: frozenset[str]
+    began: float
+    ended: float
+
+
+class Brittle(NamedTuple):
+    """A service whose workers were brittle: from when, and until when."""
+
+    service: str
+    began: float
+    ended: float
+
+
 class Outside(Deployment):
     """The store, workers that come and go, and what the operator changes."""
 
@@ -98,6 +129,10 @@
         self.named_at = {1: float("-inf")}
         """When the store took each version of the weights."""
         self.arrivals: list[Arrival] = []
+        self.cuts: list[CutOff] = []
+        self.brittle: list[Brittle] = []
+        self._cut: frozenset[str] = frozenset()
+        """The addresses of the hosts that are cut off from all workers."""
         self._numbers = itertools.count(1)
         self._services: dict[str, str] = {}
         self._targets: dict[str, str] = {}
@@ -157,13 +192,14 @@
     ) -> str:
         """Start a worker under a new name, cold for some time where that is said; return it."""
         engine = service == _ENGINES
-        worker = Worker(
+        worker = BrittleWorker(
             name=f"{service}-{next(self._numbers)}",
+            room=_UNBOUNDED,
             events=EVENTS if engine else 0,
             work_seconds=0.02,
             pause_seconds=0.02 if engine else 0.0,
-            version=self.named,
         )
+        worker.version = self.named
         worker.load_seconds = _LOAD_SECONDS
         worker.signed = True
         worker.fatal = self._fatal.get(service, frozenset())
@@ -173,6 +209,7 @@
         await worker.start(host, int(port))
         self._targets[worker.name] = address
         link = await Link(target=address).start()
+        link.cut(self._cut)
         self.links[worker.name] = link
         self.workers[worker.name] = worker
         self.addresses[worker.name] = link.address
@@ -189,6 +226,28 @@
         """Return the data centre of each worker that there has been."""
         return self._centres
 
+    def cut_off(self, hosts: frozenset[str], *, resets: bool) -> None:
+        """Cut hosts, by their addresses, off from all workers and the store host.
+
+        Open connections fall silent, or are reset; new ones hang.  All other hosts have theirs.
+        """
+        if resets:
+            for link in self.links.values():
+                link.reset_from(hosts)
+        self._cut = hosts
+        for link in self.links.values():
+            link.cut(hosts)
+
+    @property
+    def cut(self) -> frozenset[str]:
+        """Return the addresses of the hosts that are cut off from all workers."""
+        return self._cut
+
+    def brittle_workers(self, service: str) -> list[BrittleWorker]:
+        """Return the workers of a service that are not leaving."""
+        found = [self.workers[name] for name in self.serving(service)]
+        return [worker for worker in found if isinstance(worker, BrittleWorker)]
+
     def crash(self, name: str) -> None:
         """End a worker at once; its entry lapses, and another one comes."""
         service = self._services[name]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,13 +7,26 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from fielddrift_standins.brittle import BrittleWorker
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
-from .outside import COLD_RATE, Arrival, Change, Cold, End, Evacuation, Limit
+from .outside import (
+    COLD_RATE,
+    Arrival,
+    Brittle,
+    Change,
+    Cold,
+    CutOff,
+    End,
+    Evacuation,
+    Limit,
+)
 
 __all__ = [
+    "BRITTLE",
     "COLD",
+    "CUT_OFF",
     "ENDING",
     "LEAVING",
     "LIMITED",
@@ -48,7 +61,15 @@
 LIMITED = "a worker names a limit"
 LEAVING = "a worker says in its answers that it leaves"
 PAUSING = "a worker asks nodes for pauses"
+BRITTLE = "workers say that they are brittle"
 """The names of the faults in which workers speak of themselves."""
+CUT_OFF = "hosts are cut off from all workers"
+_MIN_SERVED_RATIO = 2 / 3
+"""How often first tries at such hosts must be served, relative to those at the others."""
+_MOST_UNSERVED, _MOST_UNSERVED_PART = 10, 0.02
+"""First tries that may fail there, and part of all first tries beside."""
+_MOST_FALLS, _MOST_FALLS_PART = 2, 0.1
+"""Falls of brittle workers, and falls for each of them."""
 _LIMIT_SECONDS = 4.0
 """The time within which what a limited worker gets is counted."""
 _LIMIT_OVERAGE = 1.5
@@ -114,6 +135,8 @@
     evacuations: list[Evacuation] = []
     cold: list[Cold] = []
     limits: list[Limit] = []
+    cuts: list[CutOff] = []
+    brittle: list[Brittle] = []
     centres: dict[str, str] = {}
     """The data centre of each worker."""
 
@@ -360,6 +383,48 @@
         yield f"{len(bad)} of {len(done)} requests unserved: {dict(counts)}"
 
 
+@promise("hosts that reach no worker serve through others")
+def _cut_off_served(evidence: Evidence) -> Iterator[str]:
+    # Other harm to links and workers befalls all hosts alike.
+    spans = [s for s in evidence.spans if s.processes or "store" in s.name]
+    for cut in evidence.cuts:
+        began, ended = cut.began + _TOUCH_SECONDS, cut.ended
+        if ended <= began or evidence._replace(spans=spans).disturbed(began, ended):
+            continue
+        tries = [
+            a
+            for a in evidence.attempts
+            if began <= a.sent_at and a.ended_at is not None and a.ended_at <= ended and not a.left
+        ]
+        there = [a for a in tries if a.address in cut.entries]
+        others = [a for a in tries if a.address and a.address not in cut.entries]
+        served, elsewhere = _served(there), _served(others)
+        unserved = len(there) - served
+        if unserved <= _MOST_UNSERVED + _MOST_UNSERVED_PART * len(tries) or not others:
+            continue
+        if served / len(there) < _MIN_SERVED_RATIO * elsewhere / len(others):
+            yield f"{served} of {len(there)} served, at other hosts {elsewhere} of {len(others)}"
+
+
+def _served(attempts: list[Attempt]) -> int:
+    return sum(a.status == 200 and a.whole for a in attempts)
+
+
+@promise("brittle workers are not brought to fall over")
+def _brittle(evidence: Evidence) -> Iterator[str]:
+    for time in evidence.brittle:
+        if evidence.others(BRITTLE, time.began, time.ended):
+            continue
+        workers = [
+            worker
+            for worker in evidence.workers
+            if isinstance(worker, BrittleWorker) and worker.name.startswith(f"{time.service}-")
+        ]
+        falls = sum(time.began <= at <= time.ended for w in workers for at in w.falls)
+        if falls > _MOST_FALLS + _MOST_FALLS_PART * len(workers):
+            yield f"{time.service}: {falls} falls of {len(workers)} workers"
+
+
 @promise("an evacuated data centre's workers get nothing")
 def _evacuated(evidence: Evidence) -> Iterator[str]:
     for data_centre, began, ended in evidence.evacuations:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -123,6 +123,8 @@
             evacuations=self._site.outside.evacuations,
             cold=self._site.outside.cold,
             limits=self._site.outside.named_limits,
+            cuts=self._site.outside.cuts,
+            brittle=self._site.outside.brittle,
             centres=self._site.outside.centres,
             faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,14 +8,15 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+from fielddrift_standins.brittle import BrittleWorker
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Ran, Worker
 
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind
 from soak.faults import FAULTS
 from soak.links import Harm, Link
-from soak.outside import Arrival, Cold, End, Evacuation, Limit
-from soak.promises import ENDING, PROMISES, Evidence, Followed, Probe, Span, broken
+from soak.outside import Arrival, Brittle, Cold, CutOff, End, Evacuation, Limit
+from soak.promises import CUT_OFF, ENDING, PROMISES, Evidence, Followed, Probe, Span, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
 
@@ -26,6 +27,9 @@
 CUT_RESUMED = SHORT._replace(
     callers=16, seconds=8.0, kinds=("engines that resume break off inside their first event",)
 )
+HOSTS_CUT_OFF = Size(nodes=3, callers=8, seconds=2.0, kinds=(CUT_OFF,))
+CUT_OFF_SERVED = "hosts that reach no worker serve through others"
+NOT_FALLEN = "brittle workers are not brought to fall over"
 SAFE, UNSAFE, CHAT, VERDICT = KINDS
 
 
@@ -167,6 +171,28 @@
         worker.arrivals.append((11.9, made.id))
         self.assertEqual(self.seen(found._replace(limits=[])), {paused})
 
+    async def test_hosts_cut_off_that_serve_less_are_seen(self) -> None:
+        cut = CutOff(frozenset({"n1"}), 5.0, 20.0)
+        made = [attempt(SAFE, address="n2") for _ in range(30)]
+        for lost, broke in ((10, False), (12, True)):
+            there = [attempt(SAFE, address="n1") for _ in range(30 - lost)]
+            there += [attempt(SAFE, address="n1", status=503, seal="") for _ in range(lost)]
+            found = evidence(*made, *there[:30], cuts=[cut])
+            found.workers[0].ran = [ran(a) for a in [*made, *there] if a.status == 200]
+            self.assertEqual(self.seen(found), {CUT_OFF_SERVED} if broke else set())
+        # Within contact-ms of its begin a cut need not be known.
+        self.assertEqual(self.seen(found._replace(cuts=[cut._replace(began=8.0)])), set())
+        killed = [Span("one killed", 9.0, 9.5, False, True)]
+        self.assertEqual(self.seen(found._replace(spans=killed)), set())
+
+    async def test_falls_of_brittle_workers_are_seen(self) -> None:
+        for falls, broke in ((2, False), (3, True)):
+            found = evidence(brittle=[Brittle("plain", 5.0, 20.0)])
+            worker = BrittleWorker(name="plain-2", room=1)
+            worker.falls = [6.0 + number for number in range(falls)]
+            found.workers.append(worker)
+            self.assertEqual(self.seen(found), {NOT_FALLEN} if broke else set())
+
     async def test_work_at_evacuated_and_cold_workers_is_seen(self) -> None:
         evacuated, cold = list(PROMISES)[-7:-5]
         found = evidence(
@@ -318,6 +344,12 @@
         self.assertEqual(outcome.broken, [], outcome.faults)
         self.assertGreater(outcome.answered, 0)
 
+    def test_a_short_soak_of_hosts_cut_off_from_all_workers_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SEED, HOSTS_CUT_OFF, Path(folder)))
+        self.assertEqual(outcome.broken, [], outcome.faults)
+        self.assertGreater(outcome.answered, 0)
+
     def test_failed_seeds_have_a_cause_and_faults_of_both_kinds_are_known(self) -> None:
         self.assertTrue(all(failed.cause for failed in FAILED_ONCE))
         self.assertEqual({fault.planned for fault in FAULTS.values()}, {True, False})
