Hand the duty of new weights on when its holder reaches no engine

What callers saw, with stand-ins: new weights were named while the node that is first in line for the duty was cut off from all engines; it took the duty, renewed its lease and sent orders that nobody received for as long as the cut lasted, so outdated weights stayed for over 10 s, in which all must have loaded.

Holding the duty depended on the platform's store alone, not on reaching the engines, and a failed report or order stayed with its engine.

Change: a report that fails makes the node verify the path to its engine through another node. Once it knows that it is disconnected it cancels its loads, releases the lease and takes no duty until a direct connection is back. Orders are not sent through other nodes: engines tell holders apart by their addresses, and two of them would take turns.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -197,6 +197,7 @@
             weights_seconds=settings.bounds.weights,
             metrics=self._metrics,
             announce=lambda: self._gossip.schedule_update(Scope.ALL),
+            verify_path=self._paths.verify,
         )
         self._responsiveness = ResponsivenessWatch(
             views=self._views, metrics=self._metrics, on_change=self._gossip.schedule_load_update
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -68,7 +68,9 @@
         weights_seconds: float,
         metrics: Metrics,
         announce: Callable[[], None],
+        verify_path: Callable[[Instance], None],
     ) -> None:
+        self._verify_path = verify_path
         self._metrics = metrics
         self._views = views
         self._neighbours = neighbours
@@ -105,12 +107,20 @@
     async def stop(self) -> None:
         """Start no more loads, and release the lease."""
         self._leaving = True
+        await self._hand_over()
+
+    async def _hand_over(self) -> None:
+        """Start no more loads, and release the lease."""
         for task in self._tasks.values():
             task.cancel()
         await self._lease.release()
 
     async def _check(self) -> None:
-        work = [] if self._leaving else self._find_work()
+        if self._views.direct_paths.disconnected and self._lease.held():
+            # Orders never go through other nodes: targets judge holders by their addresses.
+            await self._hand_over()
+        unfit = self._leaving or self._views.direct_paths.disconnected
+        work = [] if unfit else self._find_work()
         now = asyncio.get_running_loop().time()
         if not work:
             self._work_since = None
@@ -232,6 +242,7 @@
         except RemoteCallError as error:
             _log.info("no report", target=name, error=str(error))
             self._notices.heard(instance, error.notice)
+            self._verify_path(instance)
             return None
         self._notices.heard(instance, report.notice)
         self._views.record_engine_clock(report.clock, asyncio.get_running_loop().time())
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -228,20 +228,24 @@
         usable = {node.gossip for node in self._neighbours.carriers(now)} if self._paths else set()
         self._client.close_idle_tunnels(usable=usable)
 
+    def verify(self, instance: Instance) -> None:
+        """Check the path to a target that did not respond, unless that was done just now."""
+        if self._paths.should_verify(instance.name, asyncio.get_running_loop().time()):
+            self._start_check(instance)
+
     def _check_paths(self, now: float) -> None:
         registry = self._views.registry
-        suspects = [
-            name
-            for name in self._views.responsiveness.observed()
-            if self._paths.should_verify(name, now)
-        ]
+        for name in self._views.responsiveness.observed():
+            if (instance := registry.get(name)) is not None:
+                self.verify(instance)
         due = self._paths.due_check(now)
-        for name in suspects if due is None else [*suspects, due]:
-            instance = registry.get(name)
-            if instance is not None:
-                task = asyncio.ensure_future(self._check(instance))
-                self._checks.add(task)
-                task.add_done_callback(self._checks.discard)
+        if due is not None and (instance := registry.get(due)) is not None:
+            self._start_check(instance)
+
+    def _start_check(self, instance: Instance) -> None:
+        task = asyncio.ensure_future(self._check(instance))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
 
     async def _check(self, instance: Instance) -> None:
         """Try to connect to a target directly, then through another node."""
--- a/tests/test_hosts_without_targets.py
+++ b/tests/test_hosts_without_targets.py
@@ -9,7 +9,7 @@
 from fielddrift_standins.worker import Worker
 
 from .cut_network import Cut, CutNetwork
-from .platform_fleet import FleetCase, RunningNode, ask, prompt
+from .platform_fleet import FleetCase, RunningNode, ask, eventually, prompt
 
 _CONTACT_SECONDS = 3.0
 """Time after the beginning of a cut from which first tries count."""
@@ -17,6 +17,8 @@
 _PAUSE_SECONDS = 0.1
 _SETTLE_SECONDS = 1.0
 _HEAL_SECONDS = 2.0
+_WEIGHTS_SECONDS = 10.0
+"""Time within which new weights must be everywhere, as in the nodes' bounds."""
 _TARGETS = 4
 _MIN_RATIO = 2 / 3
 """How often first tries at hosts without targets must be served, relative to the others."""
@@ -132,3 +134,29 @@
         await self.start("engines", ("/chat/1", "/verdict/1"))
         await self.check("n0", "n1", "n2")
         self.check_runs()
+
+
+class TestDuties(FleetCase):
+    """The node that comes first for the duty of new weights reaches no engine."""
+
+    async def test_new_weights_are_loaded_by_a_node_that_reaches_engines(self) -> None:
+        workers = [
+            await self.fleet.worker(Worker(name=f"w{number}", events=4), "engines")
+            for number in range(_TARGETS)
+        ]
+        addresses = self.fleet.addresses.values()
+        network = CutNetwork(is_target=lambda address: address in addresses)
+        self.addCleanup(network.close)
+        await self.fleet.node("n0", network=network)
+        for name in ("n1", "n2"):
+            await self.fleet.node(name)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        for cut in (Cut.REFUSED, Cut.SILENT):
+            network.cut(cut)
+            version = workers[0].version + 1
+            self.fleet.store.put("op", "version/m", {"model": "m", "version": version})
+            await eventually(
+                lambda v=version: all(worker.version == v for worker in workers), _WEIGHTS_SECONDS
+            )
+            network.cut(Cut.NONE)
+            await asyncio.sleep(_HEAL_SECONDS)
