Ask other nodes once about a target that has ended

Each request to a target that refuses connections asked up to three other nodes for a tunnel, although the first answer had confirmed that the target has ended. For half a second after a confirmation no other node is asked. Found by reading; not measured.

--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -33,6 +33,9 @@
 """Nodes that are asked for one connection: each of them may be disconnected itself."""
 _AVOID_SECONDS = 3.0
 """Time for which a node that could not connect to a target is asked last for tunnels to it."""
+_CONFIRMED_SECONDS = 0.5
+"""Time for which no other node is asked about a target that refused one: a target that has ended
+would otherwise cost each request to it three tunnels."""
 _TICK_SECONDS = 0.1
 _CLEAN_SECONDS = 0.5
 """Interval between searches for tunnels that are not needed any more."""
@@ -70,6 +73,8 @@
         self._rng = rng
         self._failed_at: dict[tuple[str, str], float] = {}
         """When a node could not connect to a target for this one, by their names."""
+        self._confirmed_at: dict[str, float] = {}
+        """When another node was refused by a target that had refused this one."""
         self._checks: set[asyncio.Task[None]] = set()
 
     # --- sends ----------------------------------------------------------------------
@@ -114,17 +119,26 @@
                 if error.reason != CONNECT_REASON or error.connect_timed_out:
                     raise
                 direct_error = error
+                if error.refused and self._was_confirmed(instance.name):
+                    raise
         try:
             result = await self._try_tunnels(instance, attempt)
         except ExchangeError as error:
             if error.reason == TUNNEL_REASON and direct_error is None:
                 return await self._try_direct(instance, attempt)
-            raise self._verdict(direct_error or error, error) from None
+            raise self._verdict(instance.name, direct_error or error, error) from None
         if direct_error is not None:
             self._record_reached_elsewhere(instance.name)
         return result
 
-    def _verdict(self, error: ExchangeError, tunnel_error: ExchangeError) -> ExchangeError:
+    def _was_confirmed(self, target: str) -> bool:
+        """Return whether another node was refused by `target` just now as well."""
+        now = asyncio.get_running_loop().time()
+        return now - self._confirmed_at.get(target, -math.inf) < _CONFIRMED_SECONDS
+
+    def _verdict(
+        self, target: str, error: ExchangeError, tunnel_error: ExchangeError
+    ) -> ExchangeError:
         """Return `error` as it is if it proves that the target has ended, else without a refusal.
 
         Another node must have been refused as well, unless there is none; this one must not be
@@ -134,6 +148,8 @@
             return error
         is_alone = not self._neighbours.carriers(asyncio.get_running_loop().time())
         is_confirmed = tunnel_error.refused and not self._paths.disconnected
+        if is_confirmed:
+            self._confirmed_at[target] = asyncio.get_running_loop().time()
         if is_alone or is_confirmed:
             return error
         return ExchangeError(str(error), sent=False, reason=CONNECT_REASON)
@@ -223,6 +239,8 @@
 
     def _close_unused_tunnels(self, now: float) -> None:
         """Close idle tunnels that are not needed any more, or whose nodes are about to stop."""
+        for name in [n for n, at in self._confirmed_at.items() if now - at > _CONFIRMED_SECONDS]:
+            del self._confirmed_at[name]
         for pair in [p for p, at in self._failed_at.items() if at <= now - _AVOID_SECONDS]:
             del self._failed_at[pair]
         usable = {node.gossip for node in self._neighbours.carriers(now)} if self._paths else set()
