Leave brittle targets that are cold to the owners of cold targets

A brittle target that has fallen comes back cold. Cold targets and brittle ones have owners that are chosen differently, and a node needed both, so that a target might get nothing at all while it was cold. Cold targets get few requests a second, less than there is room for, so the division is left out for them, as for limited ones. Found by reading; not measured.

--- a/packages/node/src/fielddrift_node/serving/brittle_gate.py
+++ b/packages/node/src/fielddrift_node/serving/brittle_gate.py
@@ -39,13 +39,9 @@
 
     def allows(self, service: Service, instance: Instance, now: float) -> bool:
         """Return whether this node has a part of a target."""
-        views = self._views
-        return (
-            not views.brittle.is_brittle(service.name)
-            # A limit has owners of its own, who send less than there is room for.
-            or views.limits.rate(instance.name) is not None
-            or self._share(service, instance, now) is not None
-        )
+        if not self._is_divided(service, instance, now):
+            return True
+        return self._share(service, instance, now) is not None
 
     def has_room(self, service: Service, instance: Instance, tokens: int, now: float) -> bool:
         """Return whether this node's part of a target's room allows one more request.
@@ -53,9 +49,7 @@
         `tokens` is the memory that a prompt needs, 0 for a plain request.
         """
         views = self._views
-        if not views.brittle.is_brittle(service.name):
-            return True
-        if views.limits.rate(instance.name) is not None:
+        if not self._is_divided(service, instance, now):
             return True
         share = self._share(service, instance, now)
         if share is None:
@@ -74,6 +68,18 @@
             return False
         return share.has_room(own=own.running, known=known.running, need=1, capacity=max(1, slots))
 
+    def _is_divided(self, service: Service, instance: Instance, now: float) -> bool:
+        """Return whether a target is divided among the nodes.
+
+        Limited and cold targets have owners of their own, who send less than there is room for.
+        """
+        views = self._views
+        return (
+            views.brittle.is_brittle(service.name)
+            and views.limits.rate(instance.name) is None
+            and not views.cold.is_cold(instance.name, now)
+        )
+
     def _share(self, service: Service, instance: Instance, now: float) -> Share | None:
         """Return this node's part of a target, None if it belongs to others."""
         registry = self._views.registry
