--- a/packages/cli/src/fielddrift_cli/beliefs.py
+++ b/packages/cli/src/fielddrift_cli/beliefs.py
@@ -52,6 +52,7 @@
             beliefs["node"],
             "active" if beliefs["active"] else "standing by",
             "stale" if beliefs["stale"] else "",
+            "none" if beliefs.get("disconnected") else "",
             beliefs["catalog"],
             beliefs.get("era"),
             beliefs["operators_row"],
@@ -61,11 +62,12 @@
             beliefs["reader"] or "itself",
             _pairs(beliefs["named"]),
             ", ".join(beliefs.get("evacuated", [])),
+            ", ".join(beliefs.get("brittle", [])),
         ]
         for beliefs in found
     ]
-    headers = "node,role,view,catalog,era,operators' row,age s,targets' row,age s,reads from"
-    headers += ",weights,evacuated"
+    headers = "node,role,view,targets reached,catalog,era,operators' row,age s,targets' row,age s"
+    headers += ",reads from,weights,evacuated,brittle"
     return tabulate(rows, headers=headers.split(","), missingval=_UNKNOWN)
 
 
@@ -84,6 +86,7 @@
             target.get("limit"),
             target.get("paused") or "",
             target.get("silent"),
+            target.get("path", ""),
             target.get("concurrency") or "",
             target.get("work_seconds") or "",
         ]
@@ -111,7 +114,7 @@
         ("held back request,s left,targets that ended under it", held),
         (
             "target,service,leaving,weights,runs,unread,failures,loading s,cold,limit,paused s,"
-            "silent s,concurrency,work s",
+            "silent s,path,concurrency,work s",
             targets,
         ),
         ("store,life,parts,tokens,heard s ago", stores),
--- a/packages/node/src/fielddrift_node/serving/beliefs.py
+++ b/packages/node/src/fielddrift_node/serving/beliefs.py
@@ -32,6 +32,7 @@
     `silent` is the seconds for which an unresponsive target has been silent, None for any other.
     `concurrency` is the learned number of requests that a plain target may have from all nodes,
     `work_seconds` the usual time to its answers; None for engines and targets without requests.
+    `path` is `tunnel` if this node reaches it only through other nodes, else empty.
     """
 
     name: str
@@ -47,6 +48,7 @@
     silent: float | None = None
     concurrency: int | None = None
     work_seconds: float | None = None
+    path: str = ""
 
 
 class _PlainState(TypedDict, total=False):
@@ -82,7 +84,8 @@
     `reader` is the node that reads from the platform for this one, empty if this node reads
     itself.  `named` is the newest weights by model, `era` the era of the platform's store to
     which the versions of the rows belong, `evacuated` the data centres whose targets receive no
-    requests.
+    requests.  A `disconnected` node reaches no target by itself.  `brittle` names the services
+    whose targets fail if they reject many requests.
     """
 
     node: str
@@ -102,6 +105,8 @@
     held: list[HeldRequestState]
     era: int
     evacuated: list[str]
+    disconnected: bool
+    brittle: list[str]
 
 
 def cluster_state(views: Views, neighbours: Neighbours, *, reader: str) -> ClusterState:
@@ -124,6 +129,8 @@
         nodes=neighbours.known_nodes(now),
         era=era_of(max(views.operators_row, views.targets_row)),
         evacuated=sorted(views.registry.evacuated),
+        disconnected=views.direct_paths.disconnected,
+        brittle=sorted(report.service for report in views.brittle.reports(now)),
         held=[
             HeldRequestState(held.fingerprint, held.targets, round(held.until - now, 3))
             for held in views.crashes.all_held(now)
@@ -145,6 +152,7 @@
             cold=views.cold.is_cold(target.name, now),
             limit=views.limits.rate(target.name),
             paused=round(views.pauses.left(target.name, now), 3),
+            path="tunnel" if views.direct_paths.is_interrupted(target.name) else "",
             silent=_rounded(views.responsiveness.silent_seconds(target.name, now)),
             **_plain_state(views, target, now),
         )
