--- a/tests/test_brittle_services.py
+++ b/tests/test_brittle_services.py
@@ -11,6 +11,11 @@
     Share,
     divide,
 )
+from fielddrift_core.catalog import Service
+from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.target_registry import Instance
+from fielddrift_node.serving.brittle_gate import BrittleGate
+from fielddrift_node.serving.views import Views
 
 
 class TestDivision(unittest.TestCase):
@@ -84,3 +89,33 @@
         self.brittle.named("s", 3, 0.0)
         self.brittle.rejected("t", 1.0)
         self.assertAlmostEqual(self.brittle.wait("s", "t", 1.5, nodes=9), 0.5)
+
+
+class TestGate(unittest.TestCase):
+    """A node that knows no other yet, and a target that has one of its requests."""
+
+    def setUp(self) -> None:
+        me = Neighbour("n", 1, "a", "", "", "")
+        self.views = Views(started_at=0.0)
+        self.gate = BrittleGate(views=self.views, neighbours=Neighbours(me=me))
+        self.service = Service("s", cold_rate=1.0, cold_seconds=3.0)
+        self.target = Instance("t", "s", "10.0.0.1:1", "a", slots=6)
+        self.views.registry.apply_copy([self.target], [])
+        self.views.workload.begin("t", "r", 0)
+        self.views.brittle.named("s", 3, 0.5)
+
+    def has_room(self) -> bool:
+        return self.gate.has_room(self.service, self.target, 0, 0.6)
+
+    def test_it_sends_one_request_at_a_time(self) -> None:
+        self.assertFalse(self.has_room())
+        self.views.workload.end("t", "r")
+        self.assertTrue(self.has_room())
+
+    def test_a_brittle_target_that_is_cold_keeps_its_cold_owners(self) -> None:
+        self.views.cold.assume("t", 3.0, 0.5)
+        self.assertTrue(self.has_room())
+
+    def test_a_brittle_target_with_a_limit_keeps_its_owners(self) -> None:
+        self.views.limits.named("t", 2.0, 0.5)
+        self.assertTrue(self.has_room())
