Test that streams go on when all connections of a node are reset

Eight streams are in progress at a node with idle connections to all targets; the links to them are reset 2 ms apart and stay cut. All streams are resumed through another node, whole and without an event twice.

--- a/tests/cut_network.py
+++ b/tests/cut_network.py
@@ -14,6 +14,9 @@
 __all__ = ["Cut", "CutNetwork"]
 
 
+_RESET_GAP_SECONDS = 0.002
+
+
 class Cut(StrEnum):
     """What becomes of a node's connections to targets."""
 
@@ -41,11 +44,13 @@
         """Cut the links to all targets, or to the addresses in `only`; `Cut.NONE` heals them."""
         self._cut = cut
         self._only = only
-        for address, link in self._links.items():
+        loop = asyncio.get_running_loop()
+        for index, (address, link) in enumerate(self._links.items()):
             harmed = cut is Cut.SILENT and self._is_cut(address)
             link.harm = Harm(lose_to_server=harmed, lose_to_client=harmed)
             if cut is Cut.RESET and self._is_cut(address):
-                link.reset()
+                # Resets come from several hosts, and not at the same time.
+                loop.call_later(index * _RESET_GAP_SECONDS, link.reset)
             if harmed:
                 link.silence()
 
--- a/tests/test_hosts_without_targets.py
+++ b/tests/test_hosts_without_targets.py
@@ -9,7 +9,7 @@
 from fielddrift_standins.worker import Worker
 
 from .cut_network import Cut, CutNetwork
-from .platform_fleet import FleetCase, RunningNode, ask, eventually, prompt
+from .platform_fleet import Answer, FleetCase, RunningNode, ask, eventually, prompt
 
 _CONTACT_SECONDS = 3.0
 """Time after the beginning of a cut from which first tries count."""
@@ -160,3 +160,36 @@
             )
             network.cut(Cut.NONE)
             await asyncio.sleep(_HEAL_SECONDS)
+
+
+class TestStreams(FleetCase):
+    """Streams are in progress at a node while all its connections to targets are reset."""
+
+    async def test_streams_that_may_be_resumed_go_on_at_others(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        for number in range(_TARGETS):
+            worker = Worker(name=f"w{number}", events=10, pause_seconds=0.1)
+            await self.fleet.worker(worker, "engines")
+        addresses = self.fleet.addresses.values()
+        network = CutNetwork(is_target=lambda address: address in addresses)
+        self.addCleanup(network.close)
+        node = await self.fleet.node("n0", network=network)
+        await self.fleet.node("n1")
+        await asyncio.sleep(_SETTLE_SECONDS)
+
+        def begin(group: str, number: int) -> list[asyncio.Future[Answer]]:
+            return [
+                asyncio.ensure_future(ask(node, "/chat/1", request_id=f"{group}{n}", **prompt()))
+                for n in range(number)
+            ]
+
+        # Their connections are idle when those of the streams are reset.
+        await asyncio.gather(*begin("earlier", 24))
+        streams = begin("cut", 8)
+        await asyncio.sleep(0.4)
+        network.cut(Cut.RESET)
+        answers = await asyncio.gather(*streams)
+        whole = [a.status == 200 and a.headers.get("whole") == "yes" for a in answers]
+        self.assertEqual(whole, [True] * len(answers))
+        for answer in answers:
+            self.assertEqual(answer.body.count(b"data: token"), 10)
