Do not count failures of an interrupted path against its targets

What callers saw: for some seconds after a cut, requests at hosts that already reached their targets through others were refused, 'no engine had room'.

Cause: each connection that failed before the path was known to be interrupted raised its target's failure rate; one failure is enough to be left out while other targets have none, and the rate halves in 4 s only. The few targets left over were full.

Change: once a path is known to be interrupted the failure rates of the targets behind it are forgotten, and failures of direct sends there count no more.

Measured: the test failed before (all four engines over the rate).

--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -274,6 +274,10 @@
         """Record a failure."""
         self._add(target, 1.0, now)
 
+    def forget(self, target: str) -> None:
+        """Remove what is known of a target: its failures had another cause."""
+        self._rates.pop(target, None)
+
     def share(self, target: str, now: float) -> float:
         """Return the recent failure rate of `target`, from 0 to 1."""
         if target not in self._rates:
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -434,7 +434,8 @@
             pause = min(views.pauses.left(name, now), _MAX_AVOID_SECONDS)
             views.loading.record_own(name, now + max(pause, _MIN_AVOID_SECONDS))
             return
-        views.health.failed(name, now)
+        if not views.is_path_failure(name, through=call.trace.through):
+            views.health.failed(name, now)
 
     def _record_reported_weights(
         self, call: Call, outgoing: OutgoingRequest, head: ResponseHead
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -249,7 +249,7 @@
         except TimeoutError:
             reason = "unresponsive" if watch.moved else "silent"
             if not watch.moved:
-                views.health.failed(instance.name, loop.time())
+                self._record_failure(call, instance)
             service_queue.queue.lost(limited, loop.time())
             raise AttemptFailed(
                 f"target {instance.name}: {reason}", reason=reason, reached=True, not_run=False
@@ -257,7 +257,7 @@
         except AttemptFailed as failure:
             if not (failure.reached and failure.not_run):
                 # A target that refuses a request before it runs has not failed.
-                views.health.failed(instance.name, loop.time())
+                self._record_failure(call, instance)
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
             if failure.reason == _NOT_RUN_REASON:
@@ -280,6 +280,11 @@
             service_queue.queue.answered(limited, seconds, running=running, now=loop.time())
         return head, body
 
+    def _record_failure(self, call: Call, instance: Instance) -> None:
+        views = self._context.views
+        if not views.is_path_failure(instance.name, through=call.trace.through):
+            views.health.failed(instance.name, asyncio.get_running_loop().time())
+
     async def _exchange(self, call: Call, outgoing: OutgoingRequest) -> tuple[ResponseHead, bytes]:
         exchange, head = await send_once(self._context, outgoing, call)
         return head, await self._read_body(outgoing, exchange)
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -296,12 +296,16 @@
         """Record that only other nodes reach a target; move the requests that wait there."""
         now = asyncio.get_running_loop().time()
         views = self._views
-        silent = [t for t in views.responsiveness.observed() if not self._paths.is_interrupted(t)]
+        sound = [t.name for t in views.registry.all() if not self._paths.is_interrupted(t.name)]
+        silent = views.responsiveness.observed()
         change = self._paths.reached_elsewhere(target, now)
         if change is None:
             return
         self._log(change)
-        moved = {name for name in silent if self._paths.is_interrupted(name)}
+        cut = {name for name in sound if self._paths.is_interrupted(name)}
+        for name in cut:
+            views.health.forget(name)
+        moved = cut.intersection(silent)
         for (name, _), move in list(views.movable_sends.items()):
             if name in moved:
                 move()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -126,6 +126,13 @@
         self._refreshed = asyncio.Event()
         self._engine_clock: tuple[int, float] | None = None
 
+    def is_path_failure(self, target: str, *, through: str) -> bool:
+        """Return whether a failed send says nothing of `target`, since only its path is cut.
+
+        `through` is the address of the node that carried the connection, empty for none.
+        """
+        return not through and self.direct_paths.is_interrupted(target)
+
     def record_engine_clock(self, clock: int | None, now: float) -> None:
         """Record the engines' clock in ms, as reported by a target."""
         if clock is not None:
--- a/tests/test_hosts_without_targets.py
+++ b/tests/test_hosts_without_targets.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from fielddrift_core.placement import FAILING_RATE
 from fielddrift_standins.worker import Worker
 
 from .cut_network import Cut, CutNetwork
@@ -193,3 +194,32 @@
         self.assertEqual(whole, [True] * len(answers))
         for answer in answers:
             self.assertEqual(answer.body.count(b"data: token"), 10)
+
+
+class TestFailureRates(FleetCase):
+    """A node learns that its paths to all targets are cut from failed connections."""
+
+    async def test_failures_of_a_path_do_not_count_against_its_targets(self) -> None:
+        # Targets with high failure rates are left out, and the others were full.
+        for number in range(_TARGETS):
+            await self.fleet.worker(Worker(name=f"w{number}", events=4), "engines")
+        addresses = self.fleet.addresses.values()
+        network = CutNetwork(is_target=lambda address: address in addresses)
+        self.addCleanup(network.close)
+        node = await self.fleet.node("n0", network=network)
+        await self.fleet.node("n1")
+        await asyncio.sleep(_SETTLE_SECONDS)
+        network.cut(Cut.SILENT)
+        views, loop = node.node.views, asyncio.get_running_loop()
+        number = 0
+        async with asyncio.timeout(_CONTACT_SECONDS):
+            while not views.direct_paths.disconnected:
+                number += 4
+                await asyncio.gather(
+                    *(
+                        ask(node, "/chat/1", request_id=f"r{number + n}", **prompt())
+                        for n in range(4)
+                    )
+                )
+        rates = {name: views.health.share(name, loop.time()) for name in self.fleet.addresses}
+        self.assertEqual([name for name, rate in rates.items() if rate >= FAILING_RATE], [])
