Send over a new connection after one was lost

What callers saw: in the second after a cut with resets, streams that could have been resumed were cut.

Cause: connections to several targets are lost together, and an idle one shows it only when it is used. A resumed run took an idle connection to another target, was reset again, and had used up its route's two attempts.

Change: the send after a lost connection takes no idle one. A new connection that fails has sent nothing, uses up no attempt and leads to another node. Other sends are unchanged.

Measured: the test failed before, all eight streams cut; the stand-in network now resets connections when they are used, and no longer loses one of two links that are opened at once, which had hidden this.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -13,7 +13,7 @@
 from .call import Call, Refused, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
 
-__all__ = ["AttemptFailed", "Attempts", "send_once"]
+__all__ = ["CONNECTION_LOST_REASONS", "AttemptFailed", "Attempts", "send_once"]
 
 MAX_CONNECT_FAILURES = 4
 """Failed connections to targets after which a request is refused."""
@@ -25,6 +25,9 @@
 """Maximum idle time of a reused connection for a request that must not be sent twice: the target
 may have closed a connection that has been idle for longer."""
 
+CONNECTION_LOST_REASONS = frozenset({"reset", "cut"})
+"""Failure reasons of sends whose connection was lost; a crash of the target may explain them."""
+
 _log = structlog.get_logger()
 
 
@@ -199,7 +202,7 @@
             accepts=lambda head: context.targets.answers(outgoing, head),
             on_bytes=on_bytes,
             max_connections=_max_connections(call, context),
-            max_idle_seconds=None if call.route.repeatable else _NOT_REPEATABLE_MAX_IDLE_SECONDS,
+            max_idle_seconds=_max_idle_seconds(call),
         )
         call.trace.connection = "kept" if exchange.kept else "new"
         call.trace.through = exchange.through
@@ -252,6 +255,15 @@
     return max(_MIN_CONNECTION_COUNT, call.service.connections // context.views.nodes)
 
 
+def _max_idle_seconds(call: Call) -> float | None:
+    """Return the maximum idle time of a connection for the next send, None for the usual one."""
+    if call.trace.reasons and call.trace.reasons[-1] in CONNECTION_LOST_REASONS:
+        # Connections to several targets are often lost together, which shows only when they are
+        # used.  A new one fails before the request is sent, and uses up no attempt.
+        return 0.0
+    return None if call.route.repeatable else _NOT_REPEATABLE_MAX_IDLE_SECONDS
+
+
 async def _read_rest(exchange: Exchange) -> None:
     """Read the rest of a short response, so that its connection can be reused."""
     try:
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -20,6 +20,7 @@
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import ExchangeError
+from .attempts import CONNECTION_LOST_REASONS
 from .call import Call, Refused
 from .metrics import Metrics
 from .target_paths import TargetPaths
@@ -27,8 +28,6 @@
 
 __all__ = ["CrashWatch"]
 
-CONNECTION_LOST_REASONS = frozenset({"reset", "cut"})
-"""Failure reasons of sends that a crash of the target may explain."""
 _REPLACED = "replaced"
 _PROBE_DELAY_SECONDS = 0.05
 """Delay before the target is probed: a crashing process closes its port within this time."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -66,6 +66,8 @@
     def __init__(self, *, writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]) -> None:
         self.writers = writers
         self.silent = False
+        self.lost = False
+        """Whether the next byte finds that the connection is gone."""
         self.source: str = writers[0].get_extra_info("peername")[0]
         """The address from which the connection came."""
 
@@ -115,6 +117,11 @@
         for pair in list(self._pairs):
             pair.reset()
 
+    def lose(self) -> None:
+        """Reset each open connection as soon as something is sent on it."""
+        for pair in self._pairs:
+            pair.lost = True
+
     def silence(self) -> None:
         """Let open connections carry nothing any more, for good; new ones work."""
         for pair in self._pairs:
@@ -190,6 +197,9 @@
     ) -> None:
         try:
             while data := await reader.read(_PIECE_BYTES):
+                if pair.lost:
+                    pair.reset()
+                    return
                 if self.harm.delay:
                     await asyncio.sleep(self.harm.delay)
                 harm = self.harm
--- a/tests/cut_network.py
+++ b/tests/cut_network.py
@@ -14,9 +14,6 @@
 __all__ = ["Cut", "CutNetwork"]
 
 
-_RESET_GAP_SECONDS = 0.002
-
-
 class Cut(StrEnum):
     """What becomes of a node's connections to targets."""
 
@@ -24,7 +21,7 @@
     SILENT = "silent"
     """Open connections carry nothing, new ones hang."""
     RESET = "reset"
-    """Open connections are reset, and so are new ones."""
+    """Open connections are reset once they are used, and new ones at once."""
     REFUSED = "refused"
     """Open connections live on, new ones are refused."""
 
@@ -39,18 +36,18 @@
         self._is_target = is_target
         self._links: dict[str, Link] = {}
         self._cut = Cut.NONE
+        self._only: frozenset[str] = frozenset()
+        self._starting = asyncio.Lock()
 
     def cut(self, cut: Cut, *, only: frozenset[str] = frozenset()) -> None:
         """Cut the links to all targets, or to the addresses in `only`; `Cut.NONE` heals them."""
         self._cut = cut
         self._only = only
-        loop = asyncio.get_running_loop()
-        for index, (address, link) in enumerate(self._links.items()):
+        for address, link in self._links.items():
             harmed = cut is Cut.SILENT and self._is_cut(address)
             link.harm = Harm(lose_to_server=harmed, lose_to_client=harmed)
             if cut is Cut.RESET and self._is_cut(address):
-                # Resets come from several hosts, and not at the same time.
-                loop.call_later(index * _RESET_GAP_SECONDS, link.reset)
+                link.lose()
             if harmed:
                 link.silence()
 
@@ -70,8 +67,9 @@
                 await asyncio.Event().wait()
             failure = ConnectionResetError if self._cut is Cut.RESET else ConnectionRefusedError
             raise failure(f"{address}: {self._cut}")
-        if address not in self._links:
-            self._links[address] = await Link(target=address).start()
+        async with self._starting:
+            if address not in self._links:
+                self._links[address] = await Link(target=address).start()
         link_port = int(self._links[address].address.rpartition(":")[2])
         return await loop.create_connection(factory, HOST, link_port)
 
--- a/tests/test_hosts_without_targets.py
+++ b/tests/test_hosts_without_targets.py
@@ -179,8 +179,16 @@
         await asyncio.sleep(_SETTLE_SECONDS)
 
         def begin(group: str, number: int) -> list[asyncio.Future[Answer]]:
+            # Without shared parts the prompts are spread over all engines.
             return [
-                asyncio.ensure_future(ask(node, "/chat/1", request_id=f"{group}{n}", **prompt()))
+                asyncio.ensure_future(
+                    ask(
+                        node,
+                        "/chat/1",
+                        request_id=f"{group}{n}",
+                        **prompt(X_Prompt_Prefix=f"{group}{n}:350"),
+                    )
+                )
                 for n in range(number)
             ]
 
