Forget rejections that are over a second old

A node kept the time of each rejection of a target for as long as the target's entry lasted, unless its service was brittle: memory grew with rejections. Old ones go with each new one. The test failed before (50,000 times kept).

--- a/packages/core/src/fielddrift_core/brittle_services.py
+++ b/packages/core/src/fielddrift_core/brittle_services.py
@@ -44,7 +44,7 @@
 
 
 class NodePosition(NamedTuple):
-    """The place of a node among all active nodes: `before` it in their order, and `all`."""
+    """The place of a node: how many active nodes are `before` it in their order, and `all`."""
 
     before: int
     all: int
@@ -131,7 +131,7 @@
 
     def rejected(self, target: str, now: float) -> None:
         """Record that a target rejected a request of this node for want of room."""
-        self._rejections.setdefault(target, deque()).append(now)
+        self._recent_rejections(target, now).append(now)
 
     def wait(self, service: str, target: str, now: float, *, nodes: int) -> float:
         """Return the seconds for which a target is left alone because it rejected requests.
@@ -140,11 +140,9 @@
         at least.
         """
         notice = self._notices.get(service)
-        times = self._rejections.get(target)
-        if notice is None or not times:
+        if notice is None or target not in self._rejections:
             return 0.0
-        while times and times[0] <= now - _WINDOW_SECONDS:
-            times.popleft()
+        times = self._recent_rejections(target, now)
         allowed = max(1, notice.tolerance // max(1, nodes))
         return times[-allowed] + _WINDOW_SECONDS - now if len(times) >= allowed else 0.0
 
@@ -159,3 +157,10 @@
         for name in [name for name in self._rejections if name not in targets]:
             del self._rejections[name]
         return ended
+
+    def _recent_rejections(self, target: str, now: float) -> deque[float]:
+        """Return the times of a target's rejections within the last second."""
+        times = self._rejections.setdefault(target, deque())
+        while times and times[0] <= now - _WINDOW_SECONDS:
+            times.popleft()
+        return times
--- a/tests/test_brittle_services.py
+++ b/tests/test_brittle_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
 
 from fielddrift_core.brittle_services import (
@@ -85,6 +86,13 @@
         self.assertEqual(self.brittle.wait("s", "t", 2.1, nodes=3), 0.0)
         self.assertEqual(self.brittle.wait("s", "other", 1.3, nodes=3), 0.0)
 
+    def test_rejections_do_not_pile_up_while_nothing_is_brittle(self) -> None:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(50_000):
+            self.brittle.rejected("t", number / 10)
+        self.assertLess(tracemalloc.get_traced_memory()[0], 50_000)
+
     def test_a_single_rejection_is_enough_among_many_nodes(self) -> None:
         self.brittle.named("s", 3, 0.0)
         self.brittle.rejected("t", 1.0)
