Keep the rejection of a request out of what a target says of itself

test_what_is_no_number_says_nothing failed since: a 503 alone became a notice. Whether a request was rejected is now told beside the notice, for requests only, so an order that an engine refuses while it loads no longer counts as one for want of room. The adapter's tests hold that Server-Brittle is read from answers of any status, beside a limit, and nowhere but in the adapter.

Since test_web_client.py failed as well, for its stand-in of a call had no list of reasons; it has one now.

--- a/packages/core/src/fielddrift_core/target_notices.py
+++ b/packages/core/src/fielddrift_core/target_notices.py
@@ -34,14 +34,12 @@
     it accepts from all nodes together, None where it states none.  `pause`: the seconds for
     which it accepts no requests from the node that receives the response.  `brittle`: it fails
     if it rejects more than that many requests in a second, None if it does not say so.
-    `rejected`: it rejected the request for want of room.
     """
 
     leaving: bool = False
     limit: float | None = None
     pause: float = 0.0
     brittle: int | None = None
-    rejected: bool = False
 
 
 class LimitReport(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -231,6 +231,8 @@
     context.notices.heard(
         outgoing.instance, info.notice, served_at=call.trace.sent_at if served else None
     )
+    if info.rejected:
+        context.views.brittle.rejected(name, loop.time())
     if not info.not_started:
         return exchange, head
     call.trace.unproved -= 1
--- a/packages/node/src/fielddrift_node/serving/notices.py
+++ b/packages/node/src/fielddrift_node/serving/notices.py
@@ -38,8 +38,6 @@
         if notice.leaving:
             self._record_leaving(instance)
         self._update_limit(instance.name, notice.limit, served_at, now)
-        if notice.rejected:
-            self._views.brittle.rejected(instance.name, now)
         if notice.brittle is not None and self._views.brittle.named(
             instance.service, notice.brittle, now
         ):
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -238,7 +238,8 @@
     `not_started` means that the request provably has not run and will not.  `misdirected` means
     that the target is not the expected instance, or does not have the expected weights.
     `instance` is the id of the responding instance, empty if not given.  `notice` is what the
-    target reports about itself.
+    target reports about itself.  `rejected` means that it rejected the request for want of room,
+    whether or not it states that the request has not run.
     """
 
     not_started: bool
@@ -246,6 +247,7 @@
     instance: str
     weights: int | None
     notice: TargetNotice = _NO_NOTICE
+    rejected: bool = False
 
 
 class WeightsOrder(NamedTuple):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -33,7 +33,7 @@
 _INSTANCE = Instance("i-1", "engines", "127.0.0.1:1", "a")
 ROOT = Path(__file__).resolve().parent.parent
 PLATFORM_NAMES = re.compile(
-    r"Server-(Limit|Leaving)|X-(Expect-Instance|Not-Executed|Kv-|Cache-Salt|Deadline-Ms|Response-Seal|Credential)"
+    r"Server-(Limit|Leaving|Brittle)|X-(Expect-Instance|Not-Executed|Kv-|Cache-Salt|Deadline-Ms|Response-Seal|Credential)"
     r"|rows-(tx|feed|get)|kv-(events|list|free)|target-latency-ms|api-keys|traffic-split",
     re.IGNORECASE,
 )
@@ -196,6 +196,11 @@
         self.assertEqual(self._notice(503, (b"Retry-After", b"3")).pause, 3.0)
         self.assertEqual(self._notice(429, (b"Retry-After", b"0.25")).pause, 0.25)
 
+    def test_a_brittle_target_says_so_in_answers_of_any_status(self) -> None:
+        for status in (200, 400, 429, 500, 503, 504):
+            notice = self._notice(status, (b"Server-Brittle", b"3"), (b"Server-Limit", b"2"))
+            self.assertEqual((notice.brittle, notice.limit), (3, 2.0), status)
+
     def test_a_success_asks_for_no_pause(self) -> None:
         self.assertEqual(self._notice(200, (b"Retry-After", b"3")), TargetNotice())
 
@@ -210,6 +215,7 @@
             b"Wed, 21 Oct 2026 07:28:00 GMT",
         ):
             fields = ((b"Server-Limit", text), (b"Retry-After", text), (b"Server-Leaving", text))
+            fields += ((b"Server-Brittle", text),)
             self.assertEqual(self._notice(503, *fields), TargetNotice(), text)
 
     def test_another_target_at_the_address_speaks_of_itself(self) -> None:
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -120,6 +120,7 @@
         context.targets.request.return_value = REQUEST
         context.targets.response_info.return_value.not_started = True
         call.trace.unproved = call.service.connections = 0
+        call.trace.reasons = []
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.03):
                 await send_once(context, outgoing, call)
