--- a/tests/test_standby_cost.py
+++ b/tests/test_standby_cost.py
@@ -115,6 +115,7 @@
             weights_seconds=10.0,
             metrics=mock.Mock(),
             announce=mock.Mock(),
+            verify_path=lambda instance: None,
         )
         self.loops = [self.gossip.run, rollouts.run, operators.run, self._tick]
         local = [node for node in others if node.data_centre == "a"]
