--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -99,7 +99,6 @@
         await self.check_left("/unsafe/1")
 
     async def test_an_engine_that_leaves_gets_nothing_more(self) -> None:
-        self.tolerate_pauses(1.0)
         await self.left("engines")
         await self.check_left()
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -39,7 +39,6 @@
         self.assertEqual(set(await self.limited("plain", 1.0)), {200})
 
     async def test_a_limited_engine_gets_its_limit_from_all_nodes_together(self) -> None:
-        self.tolerate_pauses(1.0)
         self.assertEqual(set(await self.limited("engines", 1.0)), {200})
 
     async def check_utilisation(self, service: str) -> None:
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -34,9 +34,6 @@
         return {answer.status for answer in await asyncio.gather(*asks)}
 
     async def test_an_engine_gets_no_request_while_it_asked_for_none(self) -> None:
-        # The other engine takes as long as the usual goal, so that a slow moment has requests
-        # refused or sent again.
-        self.tolerate_pauses(1.0)
         await self.paused("engines")
         self.assertEqual(await self.send_during_pause(), {200})
         self.assertEqual(len(self.speaker.arrivals), 1)
