--- a/packages/core/src/fielddrift_core/responsiveness.py
+++ b/packages/core/src/fielddrift_core/responsiveness.py
@@ -108,6 +108,8 @@
         self._sends: dict[str, dict[str, _Send]] = {}
         """Outstanding sends by target and request key."""
         self._heard_at: dict[str, float] = {}
+        self._bytes_at: dict[str, float] = {}
+        """When bytes last arrived, unlike `_heard_at` on the caller's clock."""
         self._progress_at: dict[str, float] = {}
         """When other nodes last reported progress of their requests at a target."""
         self._own: dict[str, _Silence] = {}
@@ -146,6 +148,7 @@
     def heard(self, target: str, now: float) -> None:
         """Record bytes that arrived from a target."""
         self._heard_at[target] = self._running(now)
+        self._bytes_at[target] = now
         self._reports.pop(target, None)
         if target in self._states:
             self._own.pop(target, None)
@@ -261,6 +264,14 @@
         last = max(state.entered_at, self._probed_at.get(target, -math.inf))
         return now - last >= _PROBE_INTERVAL_SECONDS * sharing
 
+    def last_heard(self, target: str) -> float | None:
+        """Return when bytes last arrived from a target, None if that is not known."""
+        return self._bytes_at.get(target)
+
+    def unresponsive(self) -> frozenset[str]:
+        """Return the unresponsive targets."""
+        return frozenset(self._states)
+
     def silent_seconds(self, target: str, now: float) -> float | None:
         """Return for how long an unresponsive target has been silent, None for any other."""
         state = self._states.get(target)
@@ -268,7 +279,7 @@
 
     def expire(self, listed: Collection[str]) -> None:
         """Remove observations of targets that are not `listed` and have no outstanding send."""
-        for known in (self._heard_at, self._progress_at, self._own):
+        for known in (self._heard_at, self._bytes_at, self._progress_at, self._own):
             for target in [t for t in known if t not in listed and t not in self._sends]:
                 known.pop(target)
 
--- a/packages/core/src/fielddrift_core/retries.py
+++ b/packages/core/src/fielddrift_core/retries.py
@@ -137,12 +137,22 @@
 
         `nodes` is the number of nodes that share the slack.
         """
-        allowed = self._ratio * self._sum(self._firsts, now) + self._slack / max(1, nodes)
-        if self._sum(self._repeats, now) + 1 > allowed:
+        if not self.has_room(now, nodes=nodes):
             return False
         self._count(self._repeats, now)
         return True
 
+    def has_room(self, now: float, *, nodes: int) -> bool:
+        """Return whether `spend` would succeed."""
+        allowed = self._ratio * self._sum(self._firsts, now) + self._slack / max(1, nodes)
+        return self._sum(self._repeats, now) + 1 <= allowed
+
+    def refund(self, spent_at: float) -> None:
+        """Give back a send that was spent at `spent_at` and never left this node."""
+        spent = int(spent_at / self._slice)
+        if self._repeats.get(spent, 0) > 0:
+            self._repeats[spent] -= 1
+
     def _count(self, slices: dict[int, int], now: float) -> None:
         current = int(now / self._slice)
         slices[current] = slices.get(current, 0) + 1
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -1,8 +1,9 @@
-"""Send a request to one target, classify failures, and decide whether to retry."""
+"""Send a request to one target, classify failures, and decide whether to send it again."""
 
 from __future__ import annotations
 
 import asyncio
+from enum import StrEnum
 
 import structlog
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
@@ -10,10 +11,10 @@
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
-from .call import Call, Refused, ServingContext
+from .call import Call, Refused, Send, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
 
-__all__ = ["CONNECTION_LOST_REASONS", "AttemptFailed", "Attempts", "send_once"]
+__all__ = ["CONNECTION_LOST_REASONS", "AttemptFailed", "Attempts", "Shortage", "send_once"]
 
 MAX_CONNECT_FAILURES = 4
 """Failed connections to targets after which a request is refused."""
@@ -54,6 +55,15 @@
         self.refused = refused
 
 
+class Shortage(StrEnum):
+    """What keeps a send without progress from being replaced by another one."""
+
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+    TARGET = "target"
+    HELD_BACK = "held-back"
+
+
 class Attempts:
     """Counts the sends of a request against its route's limit and the shared retry budget."""
 
@@ -62,81 +72,136 @@
         self._context = context
         self._reached = 0
         self._connect_failures = 0
+        self._in_flight = 0
         self._retry_reserved = False
-        self._instance: Instance | None = None
-        """The target of the last send."""
         self.tried: set[str] = set()
 
-    def begin(self, instance: Instance) -> None:
-        """Record a send to a target.
+    def begin(self, instance: Instance) -> Send:
+        """Record a send to a target and return it.
 
         Raise `Refused` if the budget for repeated sends is exhausted or the request is held back.
         """
         # The request may have crashed targets since it arrived, also at other nodes.
         self._context.crashes.record_send(self._call)
         now = asyncio.get_running_loop().time()
+        send = Send(instance=instance, at=now)
         budget = self._context.budget(self._call.service.name)
         if not self.tried:
             budget.record_first(now)
-        elif (
-            self._reached
-            and not self._retry_reserved
-            and not budget.spend(now, nodes=self._context.views.nodes)
-        ):
-            raise Refused(self._refusal("the budget for repeated sends is exhausted", None))
+        elif self._reached or self._retry_reserved:
+            if not self._retry_reserved and not budget.spend(now, nodes=self._context.views.nodes):
+                raise Refused(self._refusal("the budget for repeated sends is exhausted", None))
+            send.is_budgeted = True
         self._retry_reserved = False
+        self._in_flight += 1
         self._context.gate.sent(instance, now)
         self._context.metrics.sends.inc()
-        self._instance = instance
-        self._call.trace.sent_at = now
         self.tried.add(instance.name)
-        self._call.trace.targets.append(instance.name)
-        self._call.trace.connection = ""
-        self._call.trace.through = ""
+        self._call.trace.sends.append(send)
+        return send
+
+    def begin_replacement(self, instance: Instance) -> Send | Shortage:
+        """Record a send that is to replace one in progress; return why there can be none.
+
+        Everything is checked before the send in progress is given up: if it were cancelled first,
+        the request might be refused although its response could still arrive.
+        """
+        if (shortage := self.replacement_shortage()) is not None:
+            return shortage
+        budget = self._context.budget(self._call.service.name)
+        now = asyncio.get_running_loop().time()
+        if not budget.spend(now, nodes=self._context.views.nodes):
+            return Shortage.BUDGET
+        self._retry_reserved = True
+        try:
+            return self.begin(instance)
+        except Refused:
+            self._retry_reserved = False
+            budget.refund(now)
+            return Shortage.HELD_BACK
+
+    def replacement_shortage(self) -> Shortage | None:
+        """Return what rules out a replacement for a send in progress, None if nothing does."""
+        if not self._call.route.repeatable or not self.may_retry():
+            return Shortage.ATTEMPTS
+        if self._connect_failures >= MAX_CONNECT_FAILURES:
+            return Shortage.TARGET
+        budget = self._context.budget(self._call.service.name)
+        now = asyncio.get_running_loop().time()
+        if not budget.has_room(now, nodes=self._context.views.nodes):
+            return Shortage.BUDGET
+        return None
+
+    def failed(self, send: Send, failure: AttemptFailed) -> None:
+        """Record a failed send; raise `Refused` unless the request may be sent again."""
+        self.record(send, failure)
+        self.check(failure)
 
-    def failed(self, failure: AttemptFailed) -> None:
-        """Record a failed send; raise `Refused` unless the request may be retried."""
+    def record(self, send: Send, failure: AttemptFailed) -> None:
+        """Record a failed send."""
         call = self._call
         call.trace.reasons.append(failure.reason)
         self._context.metrics.retries.inc(label_value=failure.reason)
-        if call.trace.broke_mid_event:
+        if send.broke_mid_event:
             self._context.metrics.cut_events.inc()
         _log.info(
             "send failed",
             request=call.parsed.request_id,
             fingerprint=call.fingerprint,
-            target=call.trace.targets[-1],
+            target=send.target,
             reason=failure.reason,
             detail=str(failure),
             not_run=failure.not_run,
-            after_ms=round((asyncio.get_running_loop().time() - call.trace.sent_at) * 1000),
-            connection=call.trace.connection,
-            through=call.trace.through,
+            after_ms=_age_ms(send),
+            connection=send.connection,
+            through=send.through,
             answer_begun=call.trace.first_event is not None,
-            **call.trace.relay_progress(),
+            **call.trace.relay_progress(send),
         )
-        self._report_failure(failure)
-        if failure.reached:
-            self._reached += 1
-        else:
-            self._connect_failures += 1
-        retryable = failure.not_run or call.route.repeatable
+        self._report_failure(send, failure)
+        self._count_end(send, reached=failure.reached)
+
+    def check(self, failure: AttemptFailed) -> None:
+        """Raise `Refused` if the request may not be sent again after `failure`."""
+        retryable = failure.not_run or self._call.route.repeatable
         if (
             not retryable
-            or self._reached >= call.route.attempts
+            or self._reached >= self._call.route.attempts
             or self._connect_failures >= MAX_CONNECT_FAILURES
         ):
             raise self.exhausted(str(failure))
 
-    def _report_failure(self, failure: AttemptFailed) -> None:
+    def cancelled(self, send: Send, reason: str) -> None:
+        """Record a replacement that this node cancelled, since the send before it progressed."""
+        call = self._call
+        self._context.metrics.cancelled_sends.inc(label_value=reason)
+        _log.info(
+            "send cancelled",
+            request=call.parsed.request_id,
+            target=send.target,
+            reason=reason,
+            after_ms=_age_ms(send),
+            connection=send.connection,
+            through=send.through,
+            written=send.written_at is not None,
+        )
+        self._count_end(send, reached=send.written_at is not None)
+
+    def _count_end(self, send: Send, *, reached: bool) -> None:
+        self._in_flight -= 1
+        if reached:
+            self._reached += 1
+            return
+        self._connect_failures += 1
+        if send.is_budgeted:
+            self._context.budget(self._call.service.name).refund(send.at)
+
+    def _report_failure(self, send: Send, failure: AttemptFailed) -> None:
         """Report the failure to the detection of requests that crash their targets."""
-        instance = self._instance
-        assert instance is not None
         if failure.reached:
-            sent_at = self._call.trace.sent_at
-            self._context.crashes.failed(self._call, instance, failure.reason, sent_at)
+            self._context.crashes.failed(self._call, send.instance, failure.reason, send.at)
         elif failure.refused:
-            self._context.crashes.refused(instance)
+            self._context.crashes.refused(send.instance)
 
     def exhausted(self, detail: str = "no target can take it") -> Refused:
         """Return the refusal of a request that no target can serve or resume.
@@ -150,36 +215,21 @@
             self._refusal(detail, self._context.gate.shortest_wait(serving, now) or None)
         )
 
-    def reserve_retry(self) -> bool:
-        """Return whether a send that waits may be repeated at another target instead.
-
-        If so, the repeated send is taken from the budget now: if the send were cancelled first,
-        the request might be refused although its response could still arrive.
-        """
-        call, views, now = self._call, self._context.views, asyncio.get_running_loop().time()
-        if not call.route.repeatable or not self.may_retry():
-            return False
-        has_other = any(
-            instance.name not in self.tried
-            and not views.responsiveness.is_unresponsive(instance.name)
-            and self._context.gate.allows(call.service, instance, now, repeatable=True)
-            for instance in views.registry.serving(call.service.name)
-        )
-        budget = self._context.budget(call.service.name)
-        self._retry_reserved = has_other and budget.spend(now, nodes=views.nodes)
-        return self._retry_reserved
-
     def may_retry(self) -> bool:
-        """Return whether the route allows another send."""
-        return self._reached + 1 < self._call.route.attempts
+        """Return whether the route allows a send beside the one in progress."""
+        return self._reached + max(1, self._in_flight) < self._call.route.attempts
 
     def _refusal(self, detail: str, return_after: float | None) -> Refusal:
         ran = Ran.UNKNOWN if self._call.trace.unproved else Ran.NO
         return Refusal(ErrorKind.NO_TARGET, detail, ran, return_after)
 
 
+def _age_ms(send: Send) -> int:
+    return round((asyncio.get_running_loop().time() - send.at) * 1000)
+
+
 async def send_once(
-    context: ServingContext, outgoing: OutgoingRequest, call: Call
+    context: ServingContext, outgoing: OutgoingRequest, call: Call, send: Send
 ) -> tuple[Exchange, ResponseHead]:
     """Send a request; return the exchange and the response head, or raise `AttemptFailed`.
 
@@ -204,8 +254,9 @@
             max_connections=_max_connections(call, context),
             max_idle_seconds=_max_idle_seconds(call),
         )
-        call.trace.connection = "kept" if exchange.kept else "new"
-        call.trace.through = exchange.through
+        send.connection = "kept" if exchange.kept else "new"
+        send.through = exchange.through
+        send.written_at = loop.time()
         # From here on the request may run, even if this task is cancelled.
         call.trace.unproved += 1
         head = await exchange.head()
@@ -225,12 +276,10 @@
         if exchange is not None:
             exchange.cancel()
         raise
-    call.trace.framed = head.framed
+    send.framed = head.framed
     info = context.targets.response_info(outgoing, head)
     served = not info.not_started and head.status < _FIRST_SERVER_ERROR_STATUS
-    context.notices.heard(
-        outgoing.instance, info.notice, served_at=call.trace.sent_at if served else None
-    )
+    context.notices.heard(outgoing.instance, info.notice, served_at=send.at if served else None)
     if info.rejected:
         context.views.brittle.rejected(name, loop.time())
     if not info.not_started:
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -23,7 +23,7 @@
 from .target_paths import TargetPaths
 from .views import Views
 
-__all__ = ["Call", "Refused", "RelayProgress", "ServingContext", "Trace", "short_id"]
+__all__ = ["Call", "Refused", "RelayProgress", "Send", "ServingContext", "Trace", "short_id"]
 
 _MAX_ID_CHARACTERS = 40
 """Maximum length of an event id in a log line: a target may send ids of any length."""
@@ -60,6 +60,47 @@
     """Runs that produced output."""
 
 
+class Send:
+    """One send of a request to a target.  Times are loop times."""
+
+    def __init__(self, *, instance: Instance, at: float) -> None:
+        self.instance = instance
+        self.at = at
+        """When the target was chosen."""
+        self.written_at: float | None = None
+        """When the request was written to a connection, None as long as there is none."""
+        self.is_budgeted = False
+        """Whether it was taken from the budget for repeated sends."""
+        self.connection = ""
+        """`kept` or `new`: a reused or a new connection; empty for none."""
+        self.through = ""
+        """Address of the node that carries the connection, empty for none."""
+        self.framed = False
+        """Whether the response had an explicit end, not only the end of its connection."""
+        self.framer: EventFramer | None = None
+        """Splits the response into events; None for a plain request."""
+        self.parts: list[str] = []
+        """Each shared part of the prompt, and whether it is fetched, saved or computed."""
+        self.weights: int | None = None
+        self.outdated_seconds = 0.0
+        """Seconds for which these weights had been outdated."""
+        self.outdated_by: int | None = None
+        """The first newer version, None if there was none."""
+        self.estimate = 0.0
+        self.ahead = Burden()
+        """The known load of the engine when it was chosen."""
+
+    @property
+    def target(self) -> str:
+        """Return the name of the target."""
+        return self.instance.name
+
+    @property
+    def broke_mid_event(self) -> bool:
+        """Return whether the response so far ends with an incomplete event."""
+        return self.framer is not None and self.framer.partial
+
+
 class Trace:
     """Records what happened to a request, mostly for its log lines."""
 
@@ -67,62 +108,48 @@
         self.key = str(next(_request_keys))
         """Identifies the request at this node: two callers may choose the same request id."""
         self.status = 0
-        self.targets: list[str] = []
+        self.sends: list[Send] = []
         self.reasons: list[str] = []
         self.unproved = 0
         """Sends that may have run: the target has not proved that they did not."""
-        self.parts: list[str] = []
-        """Each shared part of the prompt, and whether it is fetched, saved or computed."""
-        self.weights: int | None = None
-        self.outdated_seconds = 0.0
-        """Seconds for which these weights had been outdated at the last send."""
-        self.outdated_by: int | None = None
-        """The first newer version, None if there was none."""
-        self.estimate = 0.0
         self.held = 0.0
         """Seconds for which the prompt waited at this node for an engine with room."""
-        self.ahead = Burden()
-        """The known load of the engine when it was chosen."""
         self.first_event: float | None = None
-        self.sent_at = 0.0
-        """Loop time of the last send."""
-        self.framed = False
-        """Whether the response had an explicit end, not only the end of its connection."""
-        self.connection = ""
-        """`kept` or `new` for the last send: a reused or a new connection; empty for none."""
-        self.through = ""
-        """Address of the node that carried the connection of the last send, empty for none."""
-        self.runs = 0
-        self.framer: EventFramer | None = None
-        """Splits the response to the last send into events; None for a plain request."""
-        self.events_before = 0
-        """Events that were relayed before the last send."""
-        self.odd_before = 0
-        """Odd events that were relayed before the last send, see `EventFramer.odd`."""
+        self.relayed: list[Send] = []
+        """Sends whose events were relayed, in order."""
+        self.delivered: Send | None = None
+        """The send whose response is passed on, None before there is one."""
 
     @property
-    def broke_mid_event(self) -> bool:
-        """Return whether the last send ended with an incomplete event."""
-        return self.framer is not None and self.framer.partial
+    def targets(self) -> list[str]:
+        """Return the names of the targets that the request was sent to."""
+        return [send.target for send in self.sends]
 
-    def begin_event_stream(self, *, after: str) -> EventFramer:
-        """Return a new framer for the events of the next send, which follow the id `after`."""
-        if self.framer is not None:
-            self.events_before += self.framer.events
-            self.odd_before += self.framer.odd
-        self.framer = EventFramer(after=after)
-        return self.framer
-
-    def relay_progress(self) -> RelayProgress:
-        """Return what has been relayed so far; empty for a plain request."""
-        framer = self.framer
-        if framer is None:
+    @property
+    def runs(self) -> int:
+        """Return how many runs produced output for the caller."""
+        return len(self.relayed)
+
+    def begin_relay(self, send: Send) -> None:
+        """Record that the events of `send` are passed on from now on."""
+        self.delivered = send
+        self.relayed.append(send)
+
+    def relay_progress(self, send: Send | None = None) -> RelayProgress:
+        """Return what has been relayed so far; empty for a plain request.
+
+        The last id and the incomplete event are those of `send`, by default of the last one.
+        """
+        if send is None:
+            send = self.delivered or (self.sends[-1] if self.sends else None)
+        if send is None or send.framer is None:
             return {}
+        framers = [each.framer for each in self.relayed if each.framer is not None]
         return {
-            "events": self.events_before + framer.events,
-            "odd": self.odd_before + framer.odd,
-            "last": short_id(framer.last),
-            "partial_bytes": framer.partial_bytes,
+            "events": sum(framer.events for framer in framers),
+            "odd": sum(framer.odd for framer in framers),
+            "last": short_id(send.framer.last),
+            "partial_bytes": send.framer.partial_bytes,
             "runs": self.runs,
         }
 
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -83,9 +83,9 @@
 
     def _record_complete(self, call: Call) -> None:
         """Record that a target sent a complete response: this request did not crash it."""
-        trace = call.trace
-        if trace.framed and trace.status < 500:
-            self._context.crashes.answered(call, trace.targets[-1], trace.sent_at)
+        send = call.trace.delivered
+        if send is not None and send.framed and call.trace.status < 500:
+            self._context.crashes.answered(call, send.target, send.at)
 
     def _check_leaving(self, call: Call) -> None:
         """Raise `Refused` if this node may stop before the response is complete."""
@@ -220,13 +220,14 @@
 
     def _log_response(self, call: Call, outcome: str, now: float) -> None:
         trace = call.trace
-        first = trace.first_event
+        first, send = trace.first_event, trace.delivered
+        assert send is not None
         metrics = self._context.metrics
         metrics.answers.inc(label_value=str(trace.status))
         metrics.whole.observe(now - call.arrived_at)
         if first is not None:
             metrics.first_event.observe(first - call.arrived_at)
-            metrics.estimate.observe(trace.estimate)
+            metrics.estimate.observe(send.estimate)
             metrics.held.observe(trace.held)
         _log.info(
             "request answered",
@@ -239,16 +240,16 @@
             outcome=outcome,
             targets=trace.targets,
             reasons=trace.reasons,
-            through=trace.through,
+            through=send.through,
             catalog=call.catalog.version,
-            weights=trace.weights,
-            outdated_ms=round(trace.outdated_seconds * 1000),
-            outdated_by=trace.outdated_by,
-            parts=trace.parts,
+            weights=send.weights,
+            outdated_ms=round(send.outdated_seconds * 1000),
+            outdated_by=send.outdated_by,
+            parts=send.parts,
             waited_ms=round(call.waited_seconds * 1000),
-            ahead=list(trace.ahead),
+            ahead=list(send.ahead),
             held_ms=round(trace.held * 1000),
-            estimate_ms=round(trace.estimate * 1000),
+            estimate_ms=round(send.estimate * 1000),
             first_ms=None if first is None else round((first - call.arrived_at) * 1000),
             ms=round((now - call.arrived_at) * 1000),
             **trace.relay_progress(),
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -1,29 +1,33 @@
 """Serve prompts: choose an engine and stored parts, and relay the engine's events.
 
 The response head is sent with the first event.  If a run fails, it is resumed after the last
-complete event where the route allows that; otherwise the response to the caller is cut off.
+complete event where the route allows that; otherwise the response to the caller is cut off.  A run
+that only makes no progress is kept until another one does.
 """
 
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import structlog
 from fielddrift_core.placement import EngineChoice, transfer_seconds
+from fielddrift_core.stalls import MAX_OVERLAP_SECONDS, replacement_delay
 from fielddrift_core.stream import EventFramer, first_event_id
+from fielddrift_core.target_registry import Instance
 from fielddrift_core.urgency import urgency
 
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
-from .attempts import AttemptFailed, Attempts, send_once
-from .call import Call, ServingContext, short_id
+from .attempts import AttemptFailed, Attempts, Shortage, send_once
+from .call import Call, Send, ServingContext, short_id
 from .part_transfers import PartTransferPlanner
 from .ports import OutgoingRequest
 from .prompt_placement import FIRST_EVENT_TIMEOUT_ESTIMATES, Placement
 from .send_watch import SendWatch
 from .stale_weights import StaleWeightsTimeout
+from .takeover import Pending, Stall, Takeover
 
 __all__ = ["Generation"]
 
@@ -33,9 +37,11 @@
 """Maximum of that time where the engine asks for a longer pause: nodes whose requests it did not
 reject use it again after this time."""
 _FIRST_EVENT_TIMEOUT_GOALS = 2.0
-"""Time without a first event, in latency goals, after which a run moves to another engine."""
-_GAP_TIMEOUT_GOALS = 3.0
-"""Time without a further event, in the route's gap goals, after which a run moves."""
+"""Time without a first event, in latency goals, after which a run gets a replacement."""
+_LOST_TARGET_LATENCY_GOALS = 2.0
+_LOST_TARGET_GAP_GOALS = 3.0
+"""Time without a further event after which a run at an engine that this node has lost gets a
+replacement, the longer of these: its next event is not to be expected."""
 
 _log = structlog.get_logger()
 
@@ -52,6 +58,7 @@
 class _Run(NamedTuple):
     """A run at one engine; `ended` is empty until the run has been counted as ended."""
 
+    send: Send
     choice: EngineChoice
     exchange: Exchange
     head: ResponseHead
@@ -61,6 +68,65 @@
     ended: list[bool]
 
 
+class _PromptSends:
+    """The sends of a prompt that continue behind one event, as `Takeover` needs them.
+
+    `after` is the id of that event, empty before the first; `run` the run whose events are relayed.
+    """
+
+    def __init__(
+        self,
+        *,
+        generation: Generation,
+        call: Call,
+        attempts: Attempts,
+        after: str,
+        run: _Run | None = None,
+    ) -> None:
+        self._generation = generation
+        self._call = call
+        self._attempts = attempts
+        self._after = after
+        self._run = run
+
+    def start(self, choice: EngineChoice, send: Send) -> Pending[_Run]:
+        """Start a run at the chosen engine."""
+        return self._generation.start_pending(
+            self._call, choice, self._attempts, send, after=self._after
+        )
+
+    def replace(self, pending: Pending[Any]) -> Pending[_Run] | Shortage:
+        """Start a run that may replace `pending`, or return why there can be none."""
+        if (shortage := self._attempts.replacement_shortage()) is not None:
+            return shortage
+        choice = self._generation.choose_replacement(self._call, self._attempts, after=self._after)
+        if choice is None:
+            return Shortage.TARGET
+        send = self._attempts.begin_replacement(choice.instance)
+        return send if isinstance(send, Shortage) else self.start(choice, send)
+
+    def record_failure(self, pending: Pending[Any], failure: AttemptFailed) -> None:
+        """Record a run that failed."""
+        send = pending.send
+        self._generation.record_failure(self._call, send.instance, failure, send)
+        self._attempts.record(send, failure)
+
+    def release(self, pending: Pending[Any]) -> None:
+        """End a run without progress."""
+        reason, send = pending.stall.reason, pending.send
+        detail, reached = f"target {send.target}: {reason}", send.written_at is not None
+        failure = AttemptFailed(detail, reason=reason, reached=reached, not_run=not reached)
+        self.record_failure(pending, failure)
+        if self._run is not None and self._run.send is send:
+            self._generation.end_run(self._call, self._run)
+
+    def cancel(self, pending: Pending[_Run], reason: str) -> None:
+        """End a run that is not needed."""
+        if pending.succeeded:
+            self._generation.end_run(self._call, pending.task.result())
+        self._attempts.cancelled(pending.send, reason)
+
+
 def _is_event_stream(head: ResponseHead) -> bool:
     """Return whether `head` starts an event stream, not another kind of response."""
     return head.status == 200 and head.length is None
@@ -96,13 +162,13 @@
             if not _is_event_stream(run.head):
                 await self._relay_plain(call, run, responder, attempts)
                 return
-            while not await self._relay(call, run, responder, attempts):
-                self._end_run(call, run)
-                run = await self._start_run(call, attempts, after=run.framer.last)
+            while (following := await self._relay(call, run, responder, attempts)) is not None:
+                self.end_run(call, run)
+                run = following
                 responder.write(run.first)
             responder.end()
         finally:
-            self._end_run(call, run)
+            self.end_run(call, run)
 
     # --- starting -------------------------------------------------------------
 
@@ -111,27 +177,71 @@
 
         `after` is the id of the last event that the caller received, empty before the first.
         """
+        sends = _PromptSends(generation=self, call=call, attempts=attempts, after=after)
         while True:
             choice = await self._placement.place(call, attempts, resumes=after != "")
-            attempts.begin(choice.instance)
+            first = sends.start(choice, attempts.begin(choice.instance))
             try:
-                run = await self._attempt(call, choice, attempts, after=after)
+                run: _Run = (await self._takeover(call, sends).result(first)).task.result()
             except AttemptFailed as failure:
-                self._record_failure(call, choice, failure)
-                attempts.failed(failure)
+                attempts.check(failure)
             else:
                 self._record_run(call, run, after)
                 return run
 
+    def _takeover(self, call: Call, sends: _PromptSends) -> Takeover:
+        return Takeover(
+            owner=sends,
+            last_heard=self._context.views.responsiveness.last_heard,
+            max_overlap=MAX_OVERLAP_SECONDS,
+            metrics=self._context.metrics,
+            request_id=call.parsed.request_id,
+        )
+
+    def start_pending(
+        self, call: Call, choice: EngineChoice, attempts: Attempts, send: Send, *, after: str
+    ) -> Pending[_Run]:
+        """Start a run; the result is the run once it has produced its first complete event.
+
+        The run counts as load of its engine at once: requests that are placed before its task
+        begins must see it.
+        """
+        stall = Stall()
+        outgoing = self._build_request(call, choice, send, after)
+        effects = self._record_send(call, choice, outgoing)
+        send.framer = EventFramer(after=after or _callers_last_event_id(call))
+        attempt = self._attempt(call, choice, attempts, send, stall, outgoing, effects, after=after)
+        task = asyncio.ensure_future(attempt)
+        # A task that is cancelled before it begins does not clean up.
+        task.add_done_callback(lambda done: self._end_cancelled(call, send, done))
+        return Pending(send, task, stall)
+
+    def _end_cancelled(self, call: Call, send: Send, task: asyncio.Task[_Run]) -> None:
+        if task.cancelled():
+            self._context.views.workload.end(send.target, call.trace.key)
+
+    def choose_replacement(
+        self, call: Call, attempts: Attempts, *, after: str
+    ) -> EngineChoice | None:
+        """Return an engine for a run that may replace one without progress, None for none."""
+        return self._placement.replacement(call, attempts, resumes=after != "")
+
     async def _attempt(
-        self, call: Call, choice: EngineChoice, attempts: Attempts, *, after: str
+        self,
+        call: Call,
+        choice: EngineChoice,
+        attempts: Attempts,
+        send: Send,
+        stall: Stall,
+        outgoing: OutgoingRequest,
+        effects: _SendEffects,
+        *,
+        after: str,
     ) -> _Run:
-        context, may_retry = self._context, attempts.may_retry()
-        outgoing = self._build_request(call, choice, after)
-        framer = call.trace.begin_event_stream(after=after or _callers_last_event_id(call))
-        name = choice.instance.name
-        effects = self._record_send(call, choice, outgoing)
-        started_at = asyncio.get_running_loop().time()
+        context, framer, name = self._context, send.framer, choice.instance.name
+        assert framer is not None
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         weights_timeout = self._stale_weights_timeout(call, outgoing)
         watch = SendWatch(
             views=context.views,
@@ -139,23 +249,22 @@
             target=name,
             request=call.trace.key,
             estimate=choice.seconds,
-            reserve_retry=attempts.reserve_retry,
+            on_unresponsive=lambda: stall.notice("unresponsive"),
+        )
+        overdue = loop.call_later(
+            self._first_event_timeout(call, choice), lambda: stall.notice("silent")
         )
         exchange: Exchange | None = None
         ok = False
         try:
-            async with asyncio.timeout(
-                self._first_event_timeout(call, choice) if may_retry else None
-            ) as limit:
-                with weights_timeout.over(limit), watch.over(limit):
-                    exchange, head = await send_once(context, outgoing, call)
+            async with asyncio.timeout(None) as limit:
+                with weights_timeout.over(limit), watch.over():
+                    exchange, head = await send_once(context, outgoing, call, send)
                     first = await self._read_first_events(exchange, head, framer)
             ok = True
         except TimeoutError:
-            reason = "outdated" if weights_timeout.expired else "silent"
-            reason = "unresponsive" if watch.moved else reason
-            detail = f"target {name}: no event, {reason}"
-            raise AttemptFailed(detail, reason=reason, reached=True, not_run=False) from None
+            detail = f"target {name}: no event, outdated"
+            raise AttemptFailed(detail, reason="outdated", reached=True, not_run=False) from None
         except ExchangeError as error:
             raise AttemptFailed(str(error), reason="cut", reached=True, not_run=False) from None
         except AttemptFailed as failure:
@@ -163,21 +272,22 @@
                 self._undo_send(name, effects)
             raise
         finally:
+            overdue.cancel()
             if not ok:
                 context.views.workload.end(name, call.trace.key)
                 if exchange is not None:
                     exchange.cancel()
         resume_unusable = after != "" and not _is_event_stream(head)
-        if resume_unusable or (head.status >= 500 and may_retry and call.route.repeatable):
+        if resume_unusable or (head.status >= 500 and attempts.replacement_shortage() is None):
             context.views.workload.end(name, call.trace.key)
             exchange.cancel()
             detail = f"target {name}: status {head.status}"
             raise AttemptFailed(detail, reason="status", reached=True, not_run=False)
         self._record_first_event(call, choice, started_at)
         if head.status < 500:
-            context.views.health.succeeded(name, asyncio.get_running_loop().time())
+            context.views.health.succeeded(name, loop.time())
         self._record_reported_weights(call, outgoing, head)
-        return _Run(choice, exchange, head, first, framer, started_at, [])
+        return _Run(send, choice, exchange, head, first, framer, started_at, [])
 
     async def _read_first_events(
         self, exchange: Exchange, head: ResponseHead, framer: EventFramer
@@ -208,9 +318,7 @@
             bound=self._context.settings.bounds.weights,
         )
 
-    def _first_event_timeout(self, call: Call, choice: EngineChoice) -> float | None:
-        if not call.route.repeatable:
-            return None
+    def _first_event_timeout(self, call: Call, choice: EngineChoice) -> float:
         return max(
             _FIRST_EVENT_TIMEOUT_GOALS * call.route.latency_goal,
             FIRST_EVENT_TIMEOUT_ESTIMATES * choice.seconds,
@@ -228,53 +336,100 @@
                 await responder.drain()
         except ExchangeError as error:
             failure = AttemptFailed(str(error), reason="cut", reached=True, not_run=False)
-            self._record_failure(call, run.choice, failure)
-            attempts.failed(failure)
+            self.record_failure(call, run.choice.instance, failure, run.send)
+            attempts.failed(run.send, failure)
             # Part of the response was sent, so it cannot be replaced by another one.
             raise attempts.exhausted(str(failure)) from None
         responder.end()
 
-    async def _relay(self, call: Call, run: _Run, responder: Responder, attempts: Attempts) -> bool:
-        """Relay events; return True at the end of the stream, False to resume elsewhere."""
+    async def _relay(
+        self, call: Call, run: _Run, responder: Responder, attempts: Attempts
+    ) -> _Run | None:
+        """Relay events; return None at the end of the stream, else the run to continue with."""
         framer = run.framer
-        can_resume = call.route.resumable and attempts.may_retry() and framer.last != ""
-        gap_timeout = self._gap_timeout(call) if can_resume else None
         try:
             while True:
-                if gap_timeout is not None:
-                    async with asyncio.timeout(gap_timeout):
-                        data = await run.exchange.read()
-                else:
-                    data = await run.exchange.read()
-                if not data:
+                result = await self._read(call, run, attempts)
+                if isinstance(result, _Run):
+                    return result
+                if not result:
                     break
-                if ready := framer.feed(data):
+                if ready := framer.feed(result):
                     responder.write(ready)
                     await responder.drain()
             if not framer.partial:
-                return True
+                return None
             failure = AttemptFailed(
                 "ended inside an event", reason="cut", reached=True, not_run=False
             )
+            self.record_failure(call, run.choice.instance, failure, run.send)
+            attempts.record(run.send, failure)
         except ExchangeError as error:
             failure = AttemptFailed(str(error), reason="cut", reached=True, not_run=False)
-        except TimeoutError:
-            failure = AttemptFailed("silent", reason="silent", reached=True, not_run=False)
-        self._record_failure(call, run.choice, failure)
-        run.exchange.cancel()
-        attempts.failed(failure)
+            self.record_failure(call, run.choice.instance, failure, run.send)
+            attempts.record(run.send, failure)
+        except AttemptFailed as recorded:
+            failure = recorded
+        self.end_run(call, run)
+        attempts.check(failure)
         if not framer.resumable:
             # Resuming after the last id, or from the start, would repeat events to the caller.
             raise attempts.exhausted("a run that sends events without an id cannot be resumed")
-        return False
+        return await self._start_run(call, attempts, after=framer.last)
 
-    def _gap_timeout(self, call: Call) -> float:
-        return max(
-            _FIRST_EVENT_TIMEOUT_GOALS * call.route.latency_goal,
-            _GAP_TIMEOUT_GOALS * call.route.gap_goal,
+    async def _read(self, call: Call, run: _Run, attempts: Attempts) -> bytes | _Run:
+        """Return bytes of a run, or the run that takes over because this one is silent.
+
+        Raise `ExchangeError` if the run is cut off while nothing was to replace it, and
+        `AttemptFailed`, which has been recorded, if it is cut off after that.
+        """
+        framer = run.framer
+        can_resume = call.route.resumable and framer.last != "" and framer.resumable
+        if not can_resume or not attempts.may_retry():
+            return await run.exchange.read()
+        goals = call.route.latency_goal, call.route.gap_goal
+        delay = replacement_delay(latency_goal=goals[0], gap_goal=goals[1])
+        lost_delay = min(
+            delay, max(_LOST_TARGET_LATENCY_GOALS * goals[0], _LOST_TARGET_GAP_GOALS * goals[1])
+        )
+        try:
+            async with asyncio.timeout(lost_delay):
+                return await run.exchange.read()
+        except TimeoutError:
+            pass
+        if not self._is_lost(run):
+            try:
+                async with asyncio.timeout(delay - lost_delay):
+                    return await run.exchange.read()
+            except TimeoutError:
+                pass
+        return await self._read_or_replace(call, run, attempts)
+
+    def _is_lost(self, run: _Run) -> bool:
+        """Return whether the engine of a run has ended, or can no longer be reached directly."""
+        views, name = self._context.views, run.choice.instance.name
+        return views.registry.get(name) is None or (
+            not run.send.through and views.direct_paths.is_interrupted(name)
         )
 
-    def _end_run(self, call: Call, run: _Run) -> None:
+    async def _read_or_replace(self, call: Call, run: _Run, attempts: Attempts) -> bytes | _Run:
+        async def read() -> bytes:
+            try:
+                return await run.exchange.read()
+            except ExchangeError as error:
+                raise AttemptFailed(str(error), reason="cut", reached=True, not_run=False) from None
+
+        after = run.framer.last
+        sends = _PromptSends(generation=self, call=call, attempts=attempts, after=after, run=run)
+        reading = Pending(run.send, asyncio.ensure_future(read()), Stall(reason="silent"))
+        settled = await self._takeover(call, sends).result(reading)
+        result: bytes | _Run = settled.task.result()
+        if isinstance(result, _Run):
+            self._record_run(call, result, after)
+        return result
+
+    def end_run(self, call: Call, run: _Run) -> None:
+        """End a run and count it once."""
         run.exchange.cancel()
         views = self._context.views
         views.workload.end(run.choice.instance.name, call.trace.key)
@@ -292,7 +447,7 @@
     # --- sending ---------------------------------------------------------------
 
     def _build_request(
-        self, call: Call, choice: EngineChoice, resume_after: str
+        self, call: Call, choice: EngineChoice, send: Send, resume_after: str
     ) -> OutgoingRequest:
         prompt = call.parsed.prompt
         assert prompt is not None
@@ -300,9 +455,9 @@
         now = asyncio.get_running_loop().time()
         salt = self._transfers.salt(call, prompt, choice.instance.name)
         weights = views.weights_of(choice.instance.name, prompt.model)
-        self._record_weights(call, prompt.model, weights, now)
-        call.trace.estimate = choice.seconds
-        call.trace.ahead = choice.burden
+        self._record_weights(send, prompt.model, weights, now)
+        send.estimate = choice.seconds
+        send.ahead = choice.burden
         return OutgoingRequest(
             parsed=call.parsed,
             instance=choice.instance,
@@ -310,25 +465,25 @@
             customer=call.customer_name,
             salt=salt,
             weights=weights,
-            fetch=self._transfers.fetch(call, choice, salt),
+            fetch=self._transfers.fetch(call, choice, send, salt),
             resume_after=resume_after or call.parsed.resume_after,
             urgency=self._urgency(call),
         )
 
-    def _record_weights(self, call: Call, model: str, weights: int | None, now: float) -> None:
-        """Record in the trace the weights of a send, and for how long they have been outdated."""
-        trace = call.trace
+    def _record_weights(self, send: Send, model: str, weights: int | None, now: float) -> None:
+        """Record the weights of a send, and for how long they have been outdated."""
         naming = None if weights is None else self._context.views.first_superseding(model, weights)
-        trace.weights = weights
-        trace.outdated_by = None if naming is None else naming.version
-        trace.outdated_seconds = 0.0 if naming is None else now - naming.at
+        send.weights = weights
+        send.outdated_by = None if naming is None else naming.version
+        send.outdated_seconds = 0.0 if naming is None else now - naming.at
         if naming is not None:
             self._context.metrics.outdated_sends.inc()
 
     def _record_run(self, call: Call, run: _Run, after: str) -> None:
         """Count a run that produced output; log it if an earlier send may have run as well."""
-        trace = call.trace
-        trace.runs += 1
+        trace, send = call.trace, run.send
+        events_before = trace.relay_progress().get("events", 0) if trace.relayed else 0
+        trace.begin_relay(send)
         # `unproved` includes this run.
         if trace.unproved < 2:
             return
@@ -336,11 +491,11 @@
             "run resumed",
             request=call.parsed.request_id,
             target=run.choice.instance.name,
-            connection=trace.connection,
-            weights=trace.weights,
+            connection=send.connection,
+            weights=send.weights,
             after=short_id(after or call.parsed.resume_after),
             first=short_id(first_event_id(run.first)) if _is_event_stream(run.head) else "",
-            events_before=trace.events_before,
+            events_before=events_before,
             runs=trace.runs,
         )
 
@@ -417,9 +572,12 @@
 
     # --- updating views -------------------------------------------------------
 
-    def _record_failure(self, call: Call, choice: EngineChoice, failure: AttemptFailed) -> None:
+    def record_failure(
+        self, call: Call, instance: Instance, failure: AttemptFailed, send: Send
+    ) -> None:
+        """Update the views with a failed send."""
         views = self._context.views
-        name = choice.instance.name
+        name = instance.name
         now = asyncio.get_running_loop().time()
         if failure.reason == "replaced":
             # Another instance uses the address, so this one has ended.
@@ -434,7 +592,7 @@
             pause = min(views.pauses.left(name, now), _MAX_AVOID_SECONDS)
             views.loading.record_own(name, now + max(pause, _MIN_AVOID_SECONDS))
             return
-        if not views.is_path_failure(name, through=call.trace.through):
+        if not views.is_path_failure(name, through=send.through):
             views.health.failed(name, now)
 
     def _record_reported_weights(
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -113,6 +113,14 @@
         self.sends = self._counter("sends", "requests sent to targets")
         self.outdated_sends = self._counter("outdated_sends", "prompts sent to older weights")
         self.retries = self._counter("retries", "sends that failed, by reason", "reason")
+        self.cancelled_sends = self._counter(
+            "cancelled_sends",
+            "replacements that were not needed, by why they were cancelled",
+            "reason",
+        )
+        self.kept_sends = self._counter(
+            "kept_sends", "silent sends that were kept, by what a replacement lacked", "lacks"
+        )
         self.unresponsive = self._counter(
             "unresponsive", "targets that stopped responding, by evidence", "evidence"
         )
--- a/packages/node/src/fielddrift_node/serving/part_transfers.py
+++ b/packages/node/src/fielddrift_node/serving/part_transfers.py
@@ -8,7 +8,7 @@
 from fielddrift_core.placement import EngineChoice, EngineState, Holder
 from fielddrift_core.prompt import Part, Prompt
 
-from .call import Call
+from .call import Call, Send
 from .ports import TransferPlan
 from .views import MAX_FETCH_SECONDS, Views
 
@@ -85,15 +85,18 @@
         isolated = call.customer_name if call.customer and call.customer.isolated else ""
         return StoredPartLookup(views=self._views, model=prompt.model, isolated=isolated, now=now)
 
-    def fetch(self, call: Call, choice: EngineChoice, salt: str) -> TransferPlan:
-        """Return the stores to fetch from and to save to, for each part of the prompt."""
+    def fetch(self, call: Call, choice: EngineChoice, send: Send, salt: str) -> TransferPlan:
+        """Return the stores to fetch from and to save to, for each part of the prompt.
+
+        How each part is obtained is recorded in `send`.
+        """
         prompt = call.parsed.prompt
         assert prompt is not None
         now = asyncio.get_running_loop().time()
         sources = tuple("" if s is None else s.address for s in choice.fetch_plan.sources)
         saves = self._choose_saves(prompt, salt, sources, choice.instance.data_centre, now)
         memory = self._views.memory.parts(choice.instance.name, salt)
-        call.trace.parts = [
+        send.parts = [
             f"{part.id}:{part.tokens}:{self._describe(part, source, save, salt, memory, now)}"
             for part, source, save in zip(prompt.shared, sources, saves, strict=False)
         ]
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -1,12 +1,14 @@
 """Serve requests to plain services: each response is read completely before it is sent on.
 
 A target is sent no more requests than it is known to handle well.  Others wait at this node; one
-that could not be answered in time is refused at once, with a time after which to return.
+that could not be answered in time is refused at once, with a time after which to return.  A
+repeatable request whose target is silent is sent to a second one, and the first response counts.
 """
 
 from __future__ import annotations
 
 import asyncio
+from typing import Any, NamedTuple
 
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.placement import PlainTargetState, choose_plain_target
@@ -17,17 +19,18 @@
 from ..web.client import Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
-from .attempts import AttemptFailed, Attempts, send_once
-from .call import Call, Refused, ServingContext
+from .attempts import AttemptFailed, Attempts, Shortage, send_once
+from .call import Call, Refused, Send, ServingContext
 from .plain_queues import PlainServiceQueue
 from .ports import OutgoingRequest
 from .send_watch import SendWatch
+from .takeover import Pending, Stall, Takeover
 
 __all__ = ["PlainRequests"]
 
 _TIMEOUT_GOALS = 4.0
 """Time without a response, in the route's latency goals, after which a repeatable request is sent
-to another target."""
+to another target as well."""
 _MIN_TIMEOUT_SECONDS = 0.35
 _CHECK_INTERVAL_SECONDS = 0.05
 """Interval at which the first request in the queue looks for room, also without updates: the loads
@@ -38,6 +41,50 @@
 """Reasons of sends that a target returned for another cause than its load."""
 
 
+class _Response(NamedTuple):
+    head: ResponseHead
+    body: bytes
+
+
+class _PlainSends:
+    """The sends of a plain request, as `Takeover` needs them."""
+
+    def __init__(self, *, requests: PlainRequests, call: Call, attempts: Attempts) -> None:
+        self._requests = requests
+        self._call = call
+        self._attempts = attempts
+
+    def start(self, send: Send) -> Pending[_Response]:
+        """Send the request to the chosen target."""
+        return self._requests.start_pending(self._call, self._attempts, send)
+
+    def replace(self, pending: Pending[Any]) -> Pending[_Response] | Shortage:
+        """Start a send beside `pending`, or return why there can be none."""
+        if (shortage := self._attempts.replacement_shortage()) is not None:
+            return shortage
+        instance = self._requests.choose_replacement(self._call, self._attempts)
+        if instance is None:
+            return Shortage.TARGET
+        send = self._attempts.begin_replacement(instance)
+        return send if isinstance(send, Shortage) else self.start(send)
+
+    def record_failure(self, pending: Pending[Any], failure: AttemptFailed) -> None:
+        """Record a send that failed."""
+        self._attempts.record(pending.send, failure)
+
+    def release(self, pending: Pending[Any]) -> None:
+        """End a send whose target was silent until another one responded."""
+        reason, send = pending.stall.reason, pending.send
+        self._requests.record_silence(self._call, send, reason)
+        detail, reached = f"target {send.target}: {reason}", send.written_at is not None
+        failure = AttemptFailed(detail, reason=reason, reached=reached, not_run=not reached)
+        self._attempts.record(send, failure)
+
+    def cancel(self, pending: Pending[Any], reason: str) -> None:
+        """End a send that is not needed."""
+        self._attempts.cancelled(pending.send, reason)
+
+
 class PlainRequests:
     """Sends each request to the target with the lowest expected time; retries where allowed."""
 
@@ -47,19 +94,74 @@
     async def serve(self, call: Call, responder: Responder) -> None:
         """Respond to `call`; raise `Refused` if no target can serve it."""
         attempts = Attempts(call=call, context=self._context)
+        sends = _PlainSends(requests=self, call=call, attempts=attempts)
         while True:
             instance = await self._place(call, attempts)
-            attempts.begin(instance)
+            first = sends.start(attempts.begin(instance))
             try:
-                head, body = await self._attempt(call, instance, attempts)
+                answered = await self._takeover(call, sends).result(first)
             except AttemptFailed as failure:
-                attempts.failed(failure)
+                attempts.check(failure)
                 continue
+            head, body = answered.task.result()
             call.trace.status = head.status
+            call.trace.delivered = answered.send
             headers = self._context.callers.answer_headers(head, call.parsed.request_id)
             responder.send(head.status, headers, body)
             return
 
+    def _takeover(self, call: Call, sends: _PlainSends) -> Takeover:
+        return Takeover(
+            owner=sends,
+            last_heard=self._context.views.responsiveness.last_heard,
+            max_overlap=None,
+            metrics=self._context.metrics,
+            request_id=call.parsed.request_id,
+        )
+
+    def start_pending(self, call: Call, attempts: Attempts, send: Send) -> Pending[_Response]:
+        """Send a request; the result is the complete response.
+
+        It counts as load of its target at once: requests that are placed before its task begins
+        must see it.
+        """
+        stall, workload = Stall(), self._context.views.workload
+        workload.begin(send.target, call.trace.key, 0)
+        running = workload.burden_of(send.target, send.at).running
+        task = asyncio.ensure_future(self._attempt(call, attempts, send, stall, running))
+        # A task that is cancelled before it begins does not clean up.
+        task.add_done_callback(lambda done: self._end_cancelled(call, send, done))
+        return Pending(send, task, stall)
+
+    def _end_cancelled(self, call: Call, send: Send, task: asyncio.Task[_Response]) -> None:
+        if task.cancelled():
+            self._context.views.workload.end(send.target, call.trace.key)
+            self._context.views.plain_queues.of(call.service.name).wake()
+
+    def choose_replacement(self, call: Call, attempts: Attempts) -> Instance | None:
+        """Return a target with room beside those that were tried, None if there is none."""
+        if self._context.views.plain_queues.of(call.service.name).queue.count_ahead(call.priority):
+            return None
+        instance = self._choose(call, attempts)
+        if instance is None or instance.name in attempts.tried:
+            return None
+        is_silent = self._context.views.responsiveness.is_unresponsive(instance.name)
+        return None if is_silent else instance
+
+    def record_silence(self, call: Call, send: Send, reason: str) -> None:
+        """Record that a target did not respond before another one did."""
+        now = asyncio.get_running_loop().time()
+        if reason == "silent":
+            self.record_target_failure(send)
+        service_queue = self._context.views.plain_queues.of(call.service.name)
+        service_queue.queue.lost(_limited(call, send.instance), now)
+
+    def record_target_failure(self, send: Send) -> None:
+        """Count a failure against the target of a send, unless its path caused it."""
+        views = self._context.views
+        if not views.is_path_failure(send.target, through=send.through):
+            views.health.failed(send.target, asyncio.get_running_loop().time())
+
     # --- choosing and waiting -------------------------------------------------------
 
     async def _place(self, call: Call, attempts: Attempts) -> Instance:
@@ -220,9 +322,9 @@
     # --- sending ----------------------------------------------------------------------
 
     async def _attempt(
-        self, call: Call, instance: Instance, attempts: Attempts
-    ) -> tuple[ResponseHead, bytes]:
-        views, may_retry = self._context.views, attempts.may_retry()
+        self, call: Call, attempts: Attempts, send: Send, stall: Stall, running: int
+    ) -> _Response:
+        views, instance = self._context.views, send.instance
         loop = asyncio.get_running_loop()
         outgoing = OutgoingRequest(
             call.parsed, instance, call.deadline - loop.time(), call.customer_name
@@ -237,27 +339,17 @@
             target=instance.name,
             request=call.trace.key,
             estimate=max(call.route.latency_goal, work),
-            reserve_retry=attempts.reserve_retry,
+            on_unresponsive=lambda: stall.notice("unresponsive"),
         )
+        overdue = loop.call_later(self._timeout(call), lambda: stall.notice("silent"))
         limited = _limited(call, instance)
-        views.workload.begin(instance.name, call.trace.key, 0)
-        running = views.workload.burden_of(instance.name, loop.time()).running
         try:
-            async with asyncio.timeout(self._timeout(call) if may_retry else None) as limit:
-                with watch.over(limit):
-                    head, body = await self._exchange(call, outgoing)
-        except TimeoutError:
-            reason = "unresponsive" if watch.moved else "silent"
-            if not watch.moved:
-                self._record_failure(call, instance)
-            service_queue.queue.lost(limited, loop.time())
-            raise AttemptFailed(
-                f"target {instance.name}: {reason}", reason=reason, reached=True, not_run=False
-            ) from None
+            with watch.over():
+                head, body = await self._exchange(call, outgoing, send)
         except AttemptFailed as failure:
             if not (failure.reached and failure.not_run):
                 # A target that refuses a request before it runs has not failed.
-                self._record_failure(call, instance)
+                self.record_target_failure(send)
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
             if failure.reason == _NOT_RUN_REASON:
@@ -266,27 +358,25 @@
                 service_queue.queue.lost(limited, loop.time())
             raise
         finally:
+            overdue.cancel()
             views.workload.end(instance.name, call.trace.key)
             service_queue.wake()
         if head.status >= 500:
             views.health.failed(instance.name, loop.time())
             service_queue.queue.failed_answer(limited)
-            if may_retry and call.route.repeatable:
+            if attempts.replacement_shortage() is None:
                 detail = f"target {instance.name}: status {head.status}"
                 raise AttemptFailed(detail, reason="status", reached=True, not_run=False)
         else:
             views.health.succeeded(instance.name, loop.time())
-            seconds = loop.time() - call.trace.sent_at
+            seconds = loop.time() - send.at
             service_queue.queue.answered(limited, seconds, running=running, now=loop.time())
-        return head, body
+        return _Response(head, body)
 
-    def _record_failure(self, call: Call, instance: Instance) -> None:
-        views = self._context.views
-        if not views.is_path_failure(instance.name, through=call.trace.through):
-            views.health.failed(instance.name, asyncio.get_running_loop().time())
-
-    async def _exchange(self, call: Call, outgoing: OutgoingRequest) -> tuple[ResponseHead, bytes]:
-        exchange, head = await send_once(self._context, outgoing, call)
+    async def _exchange(
+        self, call: Call, outgoing: OutgoingRequest, send: Send
+    ) -> tuple[ResponseHead, bytes]:
+        exchange, head = await send_once(self._context, outgoing, call, send)
         return head, await self._read_body(outgoing, exchange)
 
     async def _read_body(self, outgoing: OutgoingRequest, exchange: Exchange) -> bytes:
@@ -297,9 +387,7 @@
         finally:
             exchange.cancel()
 
-    def _timeout(self, call: Call) -> float | None:
-        if not call.route.repeatable:
-            return None
+    def _timeout(self, call: Call) -> float:
         return max(_MIN_TIMEOUT_SECONDS, _TIMEOUT_GOALS * call.route.latency_goal)
 
 
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 from typing import NamedTuple
 
 from fielddrift_core.candidates import MAX_CANDIDATES, sample
@@ -96,6 +97,17 @@
             )
         return await self._wait_in_queue(call, attempts, best, service_queue, priority)
 
+    def replacement(self, call: Call, attempts: Attempts, *, resumes: bool) -> EngineChoice | None:
+        """Return an engine with room that may replace a send in progress, None if there is none.
+
+        Engines that do not respond are no replacement.
+        """
+        service_queue = self._context.views.service_queues.of(call.service.name)
+        if service_queue.queue.count_ahead(_RESUME_PRIORITY if resumes else call.rank):
+            return None
+        excluded = attempts.tried | self._context.views.responsiveness.unresponsive()
+        return self._choose_with_room(call, excluded, resumes=resumes)
+
     # --- waiting ----------------------------------------------------------------
 
     def _queue_wait(self, call: Call, service_queue: ServiceQueue) -> float:
@@ -194,7 +206,7 @@
     # --- choosing ---------------------------------------------------------------
 
     def _choose_with_room(
-        self, call: Call, tried: set[str], *, resumes: bool = False
+        self, call: Call, tried: AbstractSet[str], *, resumes: bool = False
     ) -> EngineChoice | None:
         """Return the best healthy engine that has room, None if there is none."""
         service_queue = self._context.views.service_queues.of(call.service.name)
@@ -238,7 +250,7 @@
     def _choose(
         self,
         call: Call,
-        tried: set[str],
+        tried: AbstractSet[str],
         *,
         memory_fraction: float | None = None,
         sends: bool = False,
@@ -261,7 +273,7 @@
     def _engine_states(
         self,
         call: Call,
-        tried: set[str],
+        tried: AbstractSet[str],
         lookup: StoredPartLookup,
         wanted: _EngineFilter,
         now: float,
--- a/packages/node/src/fielddrift_node/serving/send_watch.py
+++ b/packages/node/src/fielddrift_node/serving/send_watch.py
@@ -1,4 +1,4 @@
-"""Watch the sends that wait for a response, and move them away from unresponsive targets."""
+"""Watch the sends that wait for a response, and ask to replace those at unresponsive targets."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import partial
 
 import structlog
 from fielddrift_core.responsiveness import (
@@ -24,11 +23,10 @@
 
 
 class SendWatch:
-    """Records one send as outstanding, and cancels it if its target becomes unresponsive.
+    """Records one send as outstanding, and tells when its target has become unresponsive.
 
     `estimate` is the expected time in seconds to the first event, or to the end of a plain
-    response.  `reserve_retry` returns whether the request may be sent to another target, and counts
-    that send.
+    response.  `on_unresponsive` is called, perhaps several times, when the send should be replaced.
     """
 
     def __init__(
@@ -39,31 +37,25 @@
         target: str,
         request: str,
         estimate: float,
-        reserve_retry: Callable[[], bool],
+        on_unresponsive: Callable[[], None],
     ) -> None:
         self._views = views
         self._metrics = metrics
         self._target = target
         self._request = request
         self._estimate = estimate
-        self._reserve_retry = reserve_retry
-        self._moved = False
-
-    @property
-    def moved(self) -> bool:
-        """Return whether the send was cancelled because its target is unresponsive."""
-        return self._moved
+        self._on_unresponsive = on_unresponsive
 
     @contextmanager
-    def over(self, limit: asyncio.Timeout) -> Iterator[None]:
-        """Record the send as outstanding; make `limit` expire when it is to be moved."""
+    def over(self) -> Iterator[None]:
+        """Record the send as outstanding within the context."""
         responsiveness, movable = self._views.responsiveness, self._views.movable_sends
         if responsiveness.is_unresponsive(self._target):
             self._metrics.probes.inc()
         now = asyncio.get_running_loop().time()
         key = (self._target, self._request)
         responsiveness.sent(*key, allowed=self._allowed(now), now=now)
-        movable[key] = partial(self._move, limit)
+        movable[key] = self._on_unresponsive
         try:
             yield
         finally:
@@ -79,16 +71,9 @@
         slow = views.cold.is_cold(self._target, now) or views.loading.seconds(self._target, now) > 0
         return math.inf if slow else allowed_seconds(self._estimate)
 
-    def _move(self, limit: asyncio.Timeout) -> None:
-        now = asyncio.get_running_loop().time()
-        expires_at = limit.when()
-        if (expires_at is None or expires_at > now) and self._reserve_retry():
-            self._moved = True
-            limit.reschedule(now)
-
 
 class ResponsivenessWatch:
-    """Checks periodically which targets are unresponsive, and moves the sends that wait there.
+    """Checks periodically which targets are unresponsive, and has the sends there replaced.
 
     `on_change` is called when other nodes should be informed soon.
     """
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/takeover.py
@@ -0,0 +1,225 @@
+"""Wait for a send, and replace it if it makes no progress.
+
+The send is kept until its replacement makes progress, so that a request is never without a send
+that may still be answered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar
+
+import structlog
+from fielddrift_core.stalls import is_replacement_alive
+
+from .attempts import AttemptFailed, Shortage
+from .call import Send
+from .metrics import Metrics
+
+__all__ = ["Pending", "Stall", "Takeover", "TakeoverOwner"]
+
+_RETRY_SECONDS = 0.25
+"""Interval at which a replacement is sought for a send that makes no progress."""
+_POLL_SECONDS = 0.05
+"""Interval at which two sends in progress are compared."""
+
+_log = structlog.get_logger()
+_T = TypeVar("_T")
+
+
+class Stall:
+    """Tells that a send makes no progress, and why: `reason` is empty until then."""
+
+    def __init__(self, *, reason: str = "") -> None:
+        self._reason = reason
+        self._noticed = asyncio.Event()
+        if reason:
+            self._noticed.set()
+
+    @property
+    def reason(self) -> str:
+        """Return `silent` or `unresponsive`, empty while the send is not overdue."""
+        return self._reason
+
+    def notice(self, reason: str) -> None:
+        """Record that the send makes no progress; the first reason is kept."""
+        self._reason = self._reason or reason
+        self._noticed.set()
+
+    async def wait(self) -> None:
+        """Wait until the send makes no progress."""
+        await self._noticed.wait()
+
+
+class Pending(NamedTuple, Generic[_T]):
+    """A send in progress, and the task that returns its result or raises `AttemptFailed`."""
+
+    send: Send
+    task: asyncio.Task[_T]
+    stall: Stall
+
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the task has returned a result."""
+        task = self.task
+        return task.done() and not task.cancelled() and task.exception() is None
+
+
+class TakeoverOwner(Protocol):
+    """Starts and ends the sends of one request."""
+
+    def replace(self, pending: Pending[Any]) -> Pending[Any] | Shortage:
+        """Start a send that may replace `pending`, or return why there can be none."""
+
+    def record_failure(self, pending: Pending[Any], failure: AttemptFailed) -> None:
+        """Record a send that failed."""
+
+    def release(self, pending: Pending[Any]) -> None:
+        """End a send whose replacement takes over; its task has been cancelled."""
+
+    def cancel(self, pending: Pending[Any], reason: str) -> None:
+        """End a replacement that is not needed; its task has been cancelled or is done."""
+
+
+class Takeover:
+    """Waits for one of the sends of a request.
+
+    `last_heard` returns when any byte last arrived from a target.  `max_overlap` bounds the
+    seconds for which two sends run at a time, None for no bound.
+    """
+
+    def __init__(
+        self,
+        *,
+        owner: TakeoverOwner,
+        last_heard: Callable[[str], float | None],
+        max_overlap: float | None,
+        metrics: Metrics,
+        request_id: str,
+    ) -> None:
+        self._owner = owner
+        self._last_heard = last_heard
+        self._max_overlap = max_overlap
+        self._metrics = metrics
+        self._request_id = request_id
+        self._shortage: Shortage | None = None
+        """Why the send in progress was kept, as logged."""
+
+    async def result(self, first: Pending[Any]) -> Pending[Any]:
+        """Return the send that has a result; raise `AttemptFailed` if all of them failed."""
+        current, rival = first, None
+        stalled = asyncio.ensure_future(current.stall.wait())
+        try:
+            while True:
+                if rival is None and stalled.done():
+                    rival = self._replace(current)
+                await self._wait(current, rival, stalled)
+                winner = next((p for p in (current, rival) if p is not None and p.succeeded), None)
+                if winner is not None:
+                    if rival is not None:
+                        self._settle(current, rival, winner)
+                    return winner
+                if rival is not None and rival.task.done():
+                    self._owner.record_failure(rival, _failure(rival))
+                    rival = None
+                if current.task.done():
+                    failure = _failure(current)
+                    self._owner.record_failure(current, failure)
+                    if rival is None:
+                        raise failure
+                elif rival is None or not self._is_overdue(rival):
+                    continue
+                elif not self._is_alive(rival):
+                    self._cancel(rival, "silent")
+                    rival = None
+                    continue
+                else:
+                    self._release(current)
+                stalled.cancel()
+                current, rival = rival, None
+                stalled = asyncio.ensure_future(current.stall.wait())
+        except BaseException:
+            tasks = [pending.task for pending in (current, rival) if pending is not None]
+            for task in tasks:
+                task.cancel()
+            # They must have closed their connections before the request counts as ended.
+            await asyncio.gather(*tasks, return_exceptions=True)
+            raise
+        finally:
+            stalled.cancel()
+
+    def _replace(self, current: Pending[Any]) -> Pending[Any] | None:
+        rival = self._owner.replace(current)
+        if not isinstance(rival, Shortage):
+            self._shortage = None
+            return rival
+        if rival is not self._shortage:
+            self._shortage = rival
+            self._metrics.kept_sends.inc(label_value=rival.value)
+            _log.info(
+                "send kept",
+                request=self._request_id,
+                target=current.send.target,
+                reason=current.stall.reason,
+                lacks=rival.value,
+            )
+        return None
+
+    async def _wait(
+        self, current: Pending[Any], rival: Pending[Any] | None, stalled: asyncio.Future[None]
+    ) -> None:
+        waiting: set[asyncio.Future[Any]] = {current.task}
+        seconds = None
+        if rival is not None:
+            waiting.add(rival.task)
+            seconds = None if self._max_overlap is None else _POLL_SECONDS
+        elif not stalled.done():
+            waiting.add(stalled)
+        else:
+            seconds = _RETRY_SECONDS
+        await asyncio.wait(waiting, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+
+    def _settle(self, current: Pending[Any], rival: Pending[Any], winner: Pending[Any]) -> None:
+        """End the send that did not win."""
+        if winner is current:
+            self._cancel(rival, "progress")
+        elif current.task.done():
+            self._owner.record_failure(current, _failure(current))
+        else:
+            self._release(current)
+
+    def _is_overdue(self, rival: Pending[Any]) -> bool:
+        """Return whether both sends have run for as long as they may."""
+        if self._max_overlap is None or rival.send.written_at is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - rival.send.written_at >= self._max_overlap
+
+    def _is_alive(self, rival: Pending[Any]) -> bool:
+        assert rival.send.written_at is not None
+        heard_at = self._last_heard(rival.send.target)
+        return is_replacement_alive(sent_at=rival.send.written_at, heard_at=heard_at)
+
+    def _release(self, pending: Pending[Any]) -> None:
+        _discard(pending.task)
+        self._owner.release(pending)
+
+    def _cancel(self, pending: Pending[Any], reason: str) -> None:
+        _discard(pending.task)
+        self._owner.cancel(pending, reason)
+
+
+def _failure(pending: Pending[Any]) -> AttemptFailed:
+    """Return the failure of a send that is done; raise any other exception of its task."""
+    error = pending.task.exception()
+    if isinstance(error, AttemptFailed):
+        return error
+    assert error is not None
+    raise error
+
+
+def _discard(task: asyncio.Task[Any]) -> None:
+    """Cancel a task whose result is not used."""
+    task.cancel()
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -7,8 +7,10 @@
 import unittest
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
-from fielddrift_node.serving.call import Trace
+from fielddrift_core.stream import EventFramer
+from fielddrift_node.serving.call import Send, Trace
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_standins.worker import Worker
 from structlog.testing import capture_logs
@@ -162,6 +164,8 @@
         self.assertNotIn("events", line)
 
     async def test_a_long_id_is_cut_in_lines(self) -> None:
-        trace = Trace()
-        trace.begin_event_stream(after="").feed(b"id: " + b"7" * 5000 + b"\ndata: x\n\n")
+        trace, send = Trace(), Send(instance=mock.Mock(), at=0.0)
+        send.framer = EventFramer()
+        trace.begin_relay(send)
+        send.framer.feed(b"id: " + b"7" * 5000 + b"\ndata: x\n\n")
         self.assertEqual(trace.relay_progress()["last"], "7" * 40)
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -12,6 +12,8 @@
 _EVENTS = 26
 _SILENT_SECONDS = 1.3
 _SPACING_SECONDS = 0.01
+_TIMEOUT_MS = 8000
+"""Of the routes and the callers: no request ends by its deadline."""
 _TIGHT_BUDGET = BOUNDS._replace(retry_slack=2.0)
 """Allows few repeated sends, as for one of many nodes."""
 
@@ -20,6 +22,9 @@
     """Nodes and targets, some of which send nothing for a while and then go on."""
 
     async def start(self, *, engines: int = 3, plain: int = 0, nodes: int = 1) -> None:
+        for route in self.fleet.routes:
+            route["timeout-ms"] = _TIMEOUT_MS
+        self.fleet.configure()
         self.engines = [
             await self.fleet.worker(
                 Worker(name=f"e{number}", events=_EVENTS, pause_seconds=0.05), "engines"
@@ -40,7 +45,7 @@
         for number in range(len(self.asks), len(self.asks) + count):
             extra = prompt() if path.startswith(("/chat", "/verdict")) else {}
             node = self.nodes[number % len(self.nodes)]
-            asking = ask(node, path, request_id=f"r{number}", **extra)
+            asking = ask(node, path, request_id=f"r{number}", deadline_ms=_TIMEOUT_MS, **extra)
             self.asks.append(asyncio.ensure_future(asking))
             await asyncio.sleep(_SPACING_SECONDS)
 
@@ -72,6 +77,13 @@
             engine.fall_silent(_SILENT_SECONDS)
         self.assertEqual(await self.ends(), {"whole": 30})
 
+    async def test_streams_are_not_cut_while_one_of_their_engines_is_silent(self) -> None:
+        await self.start(nodes=3)
+        await self.send("/chat/1", 60)
+        await self.begun(60)
+        self.engines[0].fall_silent(_SILENT_SECONDS)
+        self.assertEqual(await self.ends(), {"whole": 60})
+
     async def test_streams_that_run_once_outlive_a_silence(self) -> None:
         await self.start()
         await self.send("/verdict/1", 30)
@@ -79,3 +91,20 @@
         for engine in self.engines:
             engine.fall_silent(_SILENT_SECONDS)
         self.assertEqual(await self.ends(), {"whole": 30})
+
+    async def test_prompts_are_not_refused_while_all_engines_are_silent(self) -> None:
+        await self.start()
+        for engine in self.engines:
+            engine.fall_silent(_SILENT_SECONDS)
+        await self.send("/chat/1", 30)
+        self.assertEqual(await self.ends(), {"whole": 30})
+
+
+class TestPlainRequests(SilentTargets):
+    async def test_plain_requests_are_not_refused_while_all_targets_are_silent(self) -> None:
+        await self.start(engines=0, plain=3)
+        await self.send("/safe/1", 6)
+        for target in self.plain:
+            target.fall_silent(_SILENT_SECONDS)
+        await self.send("/safe/1", 6)
+        self.assertEqual(await self.ends(), {"whole": 12})
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -123,7 +123,7 @@
         call.trace.reasons = []
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.03):
-                await send_once(context, outgoing, call)
+                await send_once(context, outgoing, call, mock.Mock())
         self.assertEqual(call.trace.unproved, 0, "the rest of the response was being read")
         await asyncio.sleep(0.02)
         await self.client.begin(self.address, REQUEST, connect_seconds=1.0, max_connections=1)
