Count and log each accepted request's end by cause, in one place

What could not be told: `request left` was written for each cancellation of a handler, whether its caller closed, memory or the stop ended it; requests that the server dropped (queued behind `Connection: close`, or on a connection that was lost) were in no figure; nothing said that a request had been accepted.

Change: a request that was read whole is accepted and ends once. The connection collects the facts (response sent, who closed first), core.request_ends decides the cause, serving.request_ends counts it and writes the line. A response has ended once the kernel has all of it, so that one aborted behind its last write is seen. Requests that were not read whole are counted apart. accepted - ended is compared with open_requests, which is taken from the connections. The end of a handler is taken from its task's callback: a task cancelled before its first step runs no `finally`.

No decision about requests changes here. `request left` is now written only where the caller left; other ends without a whole answer are `answer cut` or `request dropped`, with cause, age and bytes.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -8,6 +8,7 @@
 
 from fielddrift_core.catalog import StoreTraits
 from fielddrift_core.prompt import Part
+from fielddrift_core.request_ends import EndCause
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.ports import (
     EngineReport,
@@ -21,7 +22,7 @@
     WeightsOrder,
 )
 from fielddrift_node.web.client import Client, Exchange, ExchangeError
-from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_node.web.messages import Headers, RequestHead, ResponseHead
 from fielddrift_node.web.server import Request, Responder
 
 if TYPE_CHECKING:
@@ -38,6 +39,10 @@
     def __init__(self) -> None:
         self.asks: dict[bytes, ParsedRequest] = {}
 
+    def request_id(self, head: RequestHead) -> str:
+        """Return the key of the question."""
+        return head.target.decode()
+
     def read(self, request: Request) -> ParsedRequest:
         """Return what is asked."""
         return self.asks.pop(request.head.target)
@@ -145,6 +150,11 @@
         """Return whether the head was written."""
         return self.status is not None
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the answer is whole."""
+        return self.whole
+
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Take the head."""
         self.status = status
@@ -168,6 +178,6 @@
         value = headers.get(b"retry-after")
         self.retry_after = None if value is None else float(value)
 
-    def cut(self) -> None:
+    def cut(self, cause: EndCause = EndCause.FAULT) -> None:
         """Take a break."""
         self.whole = False
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -9,6 +9,7 @@
 from fielddrift_core.catalog import Route
 from fielddrift_core.drain_window import max_response_seconds
 from fielddrift_core.errors import ERROR_RESPONSES, ErrorKind, Ran, Refusal
+from fielddrift_core.request_ends import EndCause
 
 from ..web.server import Request, Responder
 from .call import Call, Refused, ServingContext, Trace
@@ -20,6 +21,11 @@
 
 _STATUS_IF_MAY_HAVE_RUN: Mapping[int, int] = {503: 502, 429: 502}
 """Statuses for requests that may have run, in place of those that promise it has not run."""
+_CUT_CAUSES: Mapping[ErrorKind, EndCause] = {
+    ErrorKind.DEADLINE: EndCause.DEADLINE,
+    ErrorKind.INTERNAL: EndCause.FAULT,
+}
+"""Causes of responses that are cut off; all other kinds of failure begin at a target."""
 _DEFAULT_RETRY_SECONDS = 0.25
 """Default for `Retry-After`: a tenth of the shortest deadline."""
 _OTHER_NODE_RETRY_SECONDS = 0.05
@@ -49,6 +55,7 @@
             self._refuse(responder, "", refusal, Trace())
             return
         trace = Trace()
+        responder.describe(lambda: {"targets": trace.targets})
         loop = asyncio.get_running_loop()
         self._context.views.detect_pause(loop.time())
         self._context.views.load.add(loop.time())
@@ -63,10 +70,6 @@
         except TimeoutError:
             refusal = Refusal(ErrorKind.DEADLINE, "no answer in time", _ran(trace))
             self._refuse(responder, parsed.request_id, refusal, trace)
-        except asyncio.CancelledError:
-            self._context.metrics.left.inc()
-            _log.info("request left", request=parsed.request_id, targets=trace.targets)
-            raise
         except Exception:
             _log.exception("request failed", request=parsed.request_id)
             refusal = Refusal(ErrorKind.INTERNAL, "the node failed", _ran(trace))
@@ -183,16 +186,15 @@
         self, responder: Responder, request_id: str, refusal: Refusal, trace: Trace
     ) -> None:
         if responder.started:
-            self._context.metrics.cut.inc()
-            _log.warning(
-                "answer cut",
-                request=request_id,
-                detail=refusal.detail,
-                targets=trace.targets,
-                reasons=trace.reasons,
-                **trace.relay_progress(),
+            responder.describe(
+                lambda: {
+                    "detail": refusal.detail,
+                    "targets": trace.targets,
+                    "reasons": trace.reasons,
+                    **trace.relay_progress(),
+                }
             )
-            responder.cut()
+            responder.cut(_CUT_CAUSES.get(refusal.kind, EndCause.TARGET))
             return
         status = ERROR_RESPONSES[refusal.kind].status
         if refusal.kind is ErrorKind.DEADLINE and refusal.ran is not Ran.NO:
@@ -216,7 +218,7 @@
             targets=trace.targets,
             reasons=trace.reasons,
         )
-        responder.send(status, headers, refusal.detail.encode("utf-8", "replace"))
+        responder.refuse(status, headers, refusal.detail.encode("utf-8", "replace"))
 
     def _log_response(self, call: Call, outcome: str, now: float) -> None:
         trace = call.trace
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -108,6 +108,12 @@
         self._metrics: list[Counter | Gauge | Histogram] = []
         self.answers = self._counter("answers", "answers of targets passed on", "status")
         self.refusals = self._counter("refusals", "answers of the node's own", "reason")
+        self.accepted = self._counter("accepted_requests", "callers' requests that were read whole")
+        self.ended = self._counter("ended_requests", "accepted requests that ended", "cause")
+        self.open = self._gauge("open_requests", "accepted requests that the server holds")
+        self.unread = self._counter(
+            "unread_requests", "requests whose reading ended before they were whole", "cause"
+        )
         self.left = self._counter("left", "requests whose caller left")
         self.cut = self._counter("cut", "answers broken off")
         self.sends = self._counter("sends", "requests sent to targets")
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -33,6 +33,7 @@
 from .notices import NoticeHandler
 from .operator_feed import OperatorFeed
 from .ports import CallerDialect, Platform, RemoteCallError, TargetDialect
+from .request_ends import RequestEnds
 from .rollout_runner import RolloutRunner
 from .send_gate import SendGate
 from .send_watch import ResponsivenessWatch
@@ -225,6 +226,7 @@
             handler=Gateway(context=context).handle,
             limits=self._server_limits,
             memory=self._memory,
+            observer=RequestEnds(metrics=self._metrics, request_id=dialects.callers.request_id),
         )
         directory = EntryHandler(
             dialect=dialects.entry,
@@ -448,6 +450,7 @@
         metrics.reserved.set(views.service_queues.largest_reserve(now))
         self._memory.refresh()
         metrics.held_bytes.set(self._memory.budget.held)
+        metrics.open.set(self._entry_server.open_requests)
         views.responsiveness.expire(names)
         metrics.unresponsive_targets.set(len(views.responsiveness))
         views.direct_paths.expire(names)
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -15,7 +15,7 @@
 from fielddrift_core.target_notices import TargetNotice
 from fielddrift_core.target_registry import Instance
 
-from ..web.messages import Headers, ResponseHead
+from ..web.messages import Headers, RequestHead, ResponseHead
 from ..web.server import Request
 
 __all__ = [
@@ -192,6 +192,9 @@
 class CallerDialect(Protocol):
     """The wire protocol for callers."""
 
+    def request_id(self, head: RequestHead) -> str:
+        """Return the id that the caller gave to its request, empty for none."""
+
     def read(self, request: Request) -> ParsedRequest | InvalidRequest:
         """Parse a request."""
 
--- a/packages/node/src/fielddrift_node/web/host_memory.py
+++ b/packages/node/src/fielddrift_node/web/host_memory.py
@@ -63,9 +63,15 @@
     """The bytes held for one connection of a caller, and the exchanges that read for it."""
 
     def __init__(
-        self, *, memory: HostMemory, transport: asyncio.Transport, record: ConnectionBytes
+        self,
+        *,
+        memory: HostMemory,
+        transport: asyncio.Transport,
+        record: ConnectionBytes,
+        on_abort: Callable[[], None],
     ) -> None:
         self._memory = memory
+        self._on_abort = on_abort
         self._transport: asyncio.Transport | None = transport
         self._record = record
         self._loop = asyncio.get_running_loop()
@@ -192,6 +198,7 @@
 
     def abort(self) -> None:
         """Abort the connection."""
+        self._on_abort()
         if self._transport is not None:
             self._transport.abort()
 
@@ -236,10 +243,15 @@
         """Return the account."""
         return self._budget
 
-    def open(self, transport: asyncio.Transport) -> HeldBytes:
-        """Return the entry of a new connection of a caller; bound its socket's buffers."""
+    def open(
+        self, transport: asyncio.Transport, *, on_abort: Callable[[], None] = lambda: None
+    ) -> HeldBytes:
+        """Return the entry of a new connection of a caller; bound its socket's buffers.
+
+        `on_abort` is called before the connection is aborted for memory.
+        """
         record = self._budget.open(asyncio.get_running_loop().time())
-        held = HeldBytes(memory=self, transport=transport, record=record)
+        held = HeldBytes(memory=self, transport=transport, record=record, on_abort=on_abort)
         self._connections[record] = held
         if self._budget.limited:
             _set_option(transport, socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -11,13 +11,15 @@
 import contextlib
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple, cast
 
 import httptools
+from fielddrift_core.request_ends import EndCause, end_cause
 
 from .host_memory import HeldBytes, HostMemory, held_for_caller
 from .messages import Headers, RequestHead, reason_phrase
+from .request_ends import NOT_OBSERVED, RequestEnd, RequestObserver
 
 __all__ = [
     "Fault",
@@ -120,6 +122,31 @@
         self._chunked = False
         self._started = False
         self._ended = False
+        self._refused = False
+        self._details: Callable[[], Mapping[str, object]] = dict
+        self._begins_at = connection.written_bytes
+        self._ends_at = self._begins_at
+
+    @property
+    def refused(self) -> bool:
+        """Return whether the response is the node's own."""
+        return self._refused
+
+    @property
+    def details(self) -> Mapping[str, object]:
+        """Return the log fields that the handler adds to the line about the request's end."""
+        return self._details()
+
+    @property
+    def written(self) -> int:
+        """Return the bytes of the response that were written, its head included."""
+        end = self._ends_at if self._ended else self._connection.written_bytes
+        return end - self._begins_at
+
+    @property
+    def ends_at(self) -> int:
+        """Return the offset of the end of the response in all bytes of the connection."""
+        return self._ends_at
 
     @property
     def started(self) -> bool:
@@ -167,6 +194,7 @@
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
         self._ended = True
+        self._ends_at = self._connection.written_bytes
         if not self._keep_alive:
             self._connection.close_after_answer()
 
@@ -176,6 +204,15 @@
         self.write(body)
         self.end()
 
+    def refuse(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a complete response of the node's own."""
+        self._refused = True
+        self.send(status, headers, body)
+
+    def describe(self, details: Callable[[], Mapping[str, object]]) -> None:
+        """Set what returns the log fields for the line about the request's end."""
+        self._details = details
+
     def write_raw(self, data: bytes) -> None:
         """Write bytes without framing.
 
@@ -183,9 +220,9 @@
         """
         self._connection.write(data)
 
-    def cut(self) -> None:
+    def cut(self, cause: EndCause = EndCause.FAULT) -> None:
         """Abort the connection, so that the client cannot take the response for complete."""
-        self._connection.abort()
+        self._connection.abort(cause)
 
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
@@ -214,7 +251,7 @@
     """Listens on addresses and passes each request to `handler`.
 
     `limits` is read for each new connection; `format_fault` formats error responses.  `memory`
-    counts and bounds what is held for the connections.
+    counts and bounds what is held for the connections.  `observer` is told of each request.
     """
 
     def __init__(
@@ -224,9 +261,11 @@
         limits: Callable[[], Limits],
         format_fault: Callable[[Fault], FaultAnswer] = plain_text_fault,
         memory: HostMemory | None = None,
+        observer: RequestObserver = NOT_OBSERVED,
     ) -> None:
         self._handler = handler
         self._format_fault = format_fault
+        self._observer = observer
         self._limits = limits
         self._memory = memory
         self._connections: set[_Connection] = set()
@@ -243,6 +282,16 @@
         """Return the number of connections on which a request is being read or handled."""
         return sum(1 for connection in self._connections if connection.busy)
 
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that were read whole and have not ended."""
+        return sum(connection.open_requests for connection in self._connections)
+
+    @property
+    def observer(self) -> RequestObserver:
+        """Return what is told of each request."""
+        return self._observer
+
     async def start(self, host: str, port: int) -> None:
         """Listen on the address; raise `OSError` if it cannot be bound."""
         loop = asyncio.get_running_loop()
@@ -265,7 +314,7 @@
     def close(self) -> None:
         """Abort all open connections."""
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(EndCause.STOP)
 
     def _connection(self) -> _Connection:
         return _Connection(
@@ -299,8 +348,18 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._observer = server.observer
         self._queue: deque[Request] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._unsent: deque[tuple[Request, Responder]] = deque()
+        """Requests whose complete responses are still partly in the write buffer."""
+        self._reports_empty = False
+        """Whether the transport reports only an empty write buffer."""
+        self._written_bytes = 0
+        self._dropped_at: int | None = None
+        """The offset of the first byte that was written after the connection began to close."""
+        self._closed_by: EndCause | None = None
+        """Why the connection was closed or lost; None while it is open."""
         self._close_after_answer = False
         self._fault: _BadRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -308,6 +367,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._in_message = False
+        self._dropped_after_last = False
+        """Whether data was dropped that arrived after the last response."""
         self._expects_continue = False
         """Whether the client waits for `100 Continue` before it sends the body of the request
         that is being read."""
@@ -320,6 +381,16 @@
         """Return whether a request is being read, queued or handled."""
         return self._task is not None or bool(self._queue) or self._in_message
 
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that were read whole and have not ended."""
+        return len(self._queue) + (self._task is not None) + len(self._unsent)
+
+    @property
+    def written_bytes(self) -> int:
+        """Return the bytes of all responses that were written on the connection."""
+        return self._written_bytes
+
     @property
     def closing(self) -> bool:
         """Return whether the next response should be the last one on the connection."""
@@ -344,11 +415,12 @@
         self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         prepare_socket(transport)
         if self._memory is not None:
-            self._held = self._memory.open(self._transport)
+            self._held = self._memory.open(self._transport, on_abort=self._closed_for_memory)
         self._server.joined(self)
         self._check_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._note_close(EndCause.CALLER_CLOSED if exc is None else EndCause.CALLER_RESET)
         self._server.left(self)
         self._transport = None
         if self._held is not None:
@@ -358,9 +430,11 @@
             self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
-        self._queue.clear()
+        self._end_queued()
+        self._end_unsent()
 
     def eof_received(self) -> bool:
+        self._note_close(EndCause.CALLER_CLOSED)
         return False
 
     def pause_writing(self) -> None:
@@ -368,11 +442,15 @@
 
     def resume_writing(self) -> None:
         self._writable.set()
+        self._end_sent()
         if self._held is not None:
             self._held.refresh()
 
     def data_received(self, data: bytes) -> None:
-        if self._fault is not None or self._close_after_answer:
+        if self._fault is not None:
+            return
+        if self._close_after_answer:
+            self._drop_after_last()
             return
         self._head_bytes += 0 if self._head_complete else len(data)
         try:
@@ -459,6 +537,7 @@
         # `_handle` releases the complete body; a later fault must not release it as well.
         self._reserved_bytes = 0
         self._queue.append(Request(head, b"".join(self._body_chunks), self._arrived))
+        self._observer.accepted()
         self._body_chunks = []
         self._deadline = self._loop.time() + self._limits.idle_seconds
         if len(self._queue) > _MAX_PIPELINED_COUNT and self._transport is not None:
@@ -493,22 +572,93 @@
             connection=self, keep_alive=request.head.keep_alive, http_1_0=request.head.http_1_0
         )
         self._task = self._loop.create_task(self._handle(request, responder))
+        # A task that is cancelled before its first step runs nothing of its coroutine.
+        self._task.add_done_callback(lambda task: self._handled(task, request, responder))
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         held = self._held
         if held is not None:
             held_for_caller.set(held)
             held.record.begin_response()
+        await self._handler(request, responder)
+
+    def _handled(self, task: asyncio.Task[None], request: Request, responder: Responder) -> None:
+        """End a request whose handler has ended."""
+        self._task = None
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._observer.failed(error)
+        if self._held is not None:
+            self._held.record.end_response(len(request.body))
+        if not responder.ended:
+            self.abort(EndCause.FAULT)
+            self._report_end(request, responder, sent=False)
+            return
+        self._unsent.append((request, responder))
         try:
-            await self._handler(request, responder)
+            self._end_sent()
         finally:
-            self._task = None
-            if held is not None:
-                held.record.end_response(len(request.body))
-            if not responder.ended:
-                self.abort()
-            else:
-                self._after_answer()
+            self._after_answer()
+
+    def _end_sent(self) -> None:
+        """End the requests whose responses were handed to the kernel."""
+        if not self._unsent:
+            return
+        transport = self._transport
+        sent = self._written_bytes
+        if transport is not None:
+            sent -= transport.get_write_buffer_size()
+        if self._dropped_at is not None:
+            sent = min(sent, self._dropped_at)
+        while self._unsent and self._unsent[0][1].ends_at <= sent:
+            self._report_end(*self._unsent.popleft(), sent=True)
+        if transport is None:
+            self._end_unsent()
+        elif self._unsent or self._reports_empty:
+            # With these limits the transport reports when the buffer is empty.
+            self._reports_empty = bool(self._unsent)
+            high = 0 if self._unsent else _WRITE_HIGH_WATER_BYTES
+            transport.set_write_buffer_limits(high=high)
+
+    def _end_unsent(self) -> None:
+        """End the requests whose responses can no longer be sent whole."""
+        while self._unsent:
+            self._report_end(*self._unsent.popleft(), sent=False)
+
+    def _end_queued(self) -> None:
+        """End the requests that were not handled."""
+        while self._queue:
+            self._report_end(self._queue.popleft(), None, sent=False)
+        if self._in_message:
+            self._in_message = False
+            self._observer.unread(self._closed_by or EndCause.FAULT)
+
+    def _report_end(self, request: Request, responder: Responder | None, *, sent: bool) -> None:
+        refused = responder is not None and responder.refused
+        self._observer.ended(
+            RequestEnd(
+                head=request.head,
+                cause=end_cause(sent=sent, refused=refused, closed_by=self._closed_by),
+                age=self._loop.time() - request.arrived,
+                handled=responder is not None,
+                written=0 if responder is None else responder.written,
+                details={} if responder is None else responder.details,
+            )
+        )
+
+    def _note_close(self, cause: EndCause) -> None:
+        """Record why the connection is closed; the first cause counts."""
+        if self._closed_by is None:
+            self._closed_by = cause
+
+    def _closed_for_memory(self) -> None:
+        self._end_sent()
+        self._note_close(EndCause.MEMORY)
+
+    def _drop_after_last(self) -> None:
+        """Count a request that arrives behind a response with `Connection: close`, once."""
+        if not self._dropped_after_last:
+            self._dropped_after_last = True
+            self._observer.unread(EndCause.LAST_RESPONSE)
 
     def _after_answer(self) -> None:
         self._deadline = self._loop.time() + self._limits.idle_seconds
@@ -519,6 +669,7 @@
         elif self._close_after_answer or (
             self.closing and not self._queue and not self._in_message
         ):
+            self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
         else:
             self._send_continue()
@@ -526,6 +677,8 @@
 
     def _fail(self, fault: _BadRequest) -> None:
         self._fault = fault
+        if self._in_message:
+            self._observer.unread(EndCause.REFUSED)
         self._in_message = False
         self._body_chunks = []
         if self._held is not None:
@@ -544,6 +697,7 @@
         values = (fault.status, reason_phrase(fault.status), content_type, len(body))
         if fault.status != _MEMORY_STATUS:
             self.write(head % values + b"\r\n" + body)
+            self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
             return
         retry_after = b"Retry-After: %.3f\r\n\r\n" % _MEMORY_RETRY_SECONDS
@@ -554,7 +708,11 @@
     # --- writing and closing ------------------------------------------------
 
     def write(self, data: bytes) -> None:
+        written = self._written_bytes
+        self._written_bytes += len(data)
         if self._transport is None or self._transport.is_closing():
+            if self._dropped_at is None:
+                self._dropped_at = written
             return
         if self._held is None:
             self._transport.write(data)
@@ -571,14 +729,18 @@
 
     def close_if_idle(self) -> None:
         if not self.busy and self._transport is not None:
+            self._note_close(EndCause.STOP)
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, cause: EndCause) -> None:
+        self._end_sent()
+        self._note_close(cause)
         if self._transport is not None:
             self._transport.abort()
 
     def _close_transport(self) -> None:
         if self._transport is not None:
+            self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
 
     def _check_timeout(self) -> None:
@@ -586,6 +748,7 @@
         if self._task is not None:
             self._deadline = max(self._deadline, now + self._limits.idle_seconds)
         if now >= self._deadline and self._transport is not None:
+            self._note_close(EndCause.IDLE)
             self._transport.close()
             return
         self._timer = self._loop.call_later(max(0.05, self._deadline - now), self._check_timeout)
--- /dev/null
+++ b/tests/test_request_ends.py
@@ -0,0 +1,296 @@
+"""Each request that was read whole ends exactly once, by a known cause."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from fielddrift_core.request_ends import END_RULES, EndCause, end_cause, end_event
+from fielddrift_node.serving.metrics import Counter, Metrics
+from fielddrift_node.serving.request_ends import RequestEnds
+from fielddrift_node.web.host_memory import HostMemory
+from fielddrift_node.web.messages import Headers
+from fielddrift_node.web.server import Limits, Request, Responder, Server
+from fielddrift_standins.worker import Worker
+from structlog.testing import capture_logs
+
+from .platform_fleet import HOST, FleetCase, ask, eventually, free_port, get, prompt, request
+
+LARGE = b"x" * 8_000_000
+"""More than the buffers of a loopback connection take."""
+
+
+class TestCauses(unittest.TestCase):
+    def test_every_cause_has_a_rule_and_only_whole_answers_need_no_line(self) -> None:
+        self.assertEqual(set(END_RULES), set(EndCause))
+        unlogged = {c for c in EndCause if not end_event(c, begun=True)}
+        self.assertEqual(unlogged, {EndCause.ANSWERED, EndCause.REFUSED})
+
+    def test_a_request_left_only_where_its_caller_did(self) -> None:
+        left = {c for c in EndCause if end_event(c, begun=False) == "request left"}
+        self.assertEqual(left, {EndCause.CALLER_CLOSED, EndCause.CALLER_RESET})
+
+    def test_a_response_that_was_sent_is_an_answer_however_its_connection_closed(self) -> None:
+        for cause in EndCause:
+            end = end_cause(sent=True, refused=False, closed_by=cause)
+            self.assertIs(end, EndCause.ANSWERED)
+        self.assertIs(end_cause(sent=False, refused=True, closed_by=None), EndCause.FAULT)
+
+
+def ends(metrics: Metrics) -> dict[str, int]:
+    """Return the ended requests by cause."""
+    return {s.labels["cause"]: int(s.value) for s in metrics.ended.family().samples}
+
+
+def total(metric: Counter) -> int:
+    """Return the sum of a counter over its labels."""
+    return int(sum(s.value for s in metric.family().samples))
+
+
+class _Caller:
+    """A caller's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def connect(cls, address: str) -> _Caller:
+        host, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def rest(self) -> bytes:
+        """Return what arrives until the connection is closed."""
+        try:
+            async with asyncio.timeout(10.0):
+                return await self.reader.read()
+        except ConnectionResetError:
+            return b"(reset)"
+        finally:
+            self.writer.close()
+
+    def reset(self) -> None:
+        self.writer.transport.abort()
+
+
+def plain(path: str, *, close: bool = False, request_id: str = "r1") -> bytes:
+    """Return a request without a body."""
+    last = "Connection: close\r\n" if close else ""
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\nX-Request-Id: {request_id}\r\n{last}\r\n".encode()
+
+
+class TestServer(unittest.IsolatedAsyncioTestCase):
+    """A server whose handler does what the path says."""
+
+    async def asyncSetUp(self) -> None:
+        self.metrics = Metrics()
+        self.memory = HostMemory(limit_bytes=48_000_000)
+        self.address = f"{HOST}:{free_port()}"
+        self.go_on = asyncio.Event()
+        self.handled: list[str] = []
+        self.server = Server(
+            handler=self._answer,
+            limits=Limits,
+            memory=self.memory,
+            observer=RequestEnds(
+                metrics=self.metrics, request_id=lambda head: head.headers.text(b"x-request-id")
+            ),
+        )
+        await self.server.start(HOST, int(self.address.split(":")[1]))
+        logs = capture_logs()
+        self.lines = logs.__enter__()
+        self.addCleanup(logs.__exit__, None, None, None)
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop_accepting()
+        self.server.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(total(self.metrics.accepted), total(self.metrics.ended))
+
+    async def _answer(self, request: Request, responder: Responder) -> None:
+        path = request.head.target.decode()
+        self.handled.append(path)
+        if path == "/late":
+            await self.go_on.wait()
+        if path == "/large":
+            responder.send(200, Headers(), LARGE)
+            return
+        if path == "/stream":
+            responder.start(200, Headers(), None)
+            responder.write(b"first")
+            await self.go_on.wait()
+            responder.end()
+            return
+        if path == "/fault":
+            raise ValueError("a fault of the handler")
+        responder.send(200, Headers(), path.encode())
+        if path == "/fault-after":
+            raise ValueError("a fault of the handler")
+
+    async def _ended(self, **causes: int) -> None:
+        """Wait until requests have ended, by these causes and by no other."""
+        expected = {cause.replace("_", "-"): number for cause, number in causes.items()}
+        await eventually(lambda: sum(ends(self.metrics).values()) >= sum(expected.values()))
+        self.assertEqual(ends(self.metrics), expected)
+        self.assertEqual(total(self.metrics.accepted), sum(expected.values()))
+        self.assertEqual(self.server.open_requests, 0)
+
+    def _line(self, event: str) -> dict[str, Any]:
+        (line,) = [line for line in self.lines if line["event"] == event]
+        return dict(line)
+
+    async def test_a_whole_answer_ends_its_request_without_a_line(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/x", close=True))
+        self.assertTrue((await caller.rest()).endswith(b"/x"))
+        await self._ended(answered=1)
+        self.assertEqual(self.lines, [])
+
+    async def test_requests_in_progress_are_those_accepted_and_not_ended(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/late") + plain("/x") + plain("/y", close=True))
+        await eventually(lambda: self.server.open_requests == 3)
+        self.assertEqual((total(self.metrics.accepted), ends(self.metrics)), (3, {}))
+        self.go_on.set()
+        await caller.rest()
+        await self._ended(answered=3)
+
+    async def test_a_caller_that_closes_ends_its_requests_also_those_in_the_queue(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/late", request_id="r1") + plain("/x", request_id="r2"))
+        await eventually(lambda: self.server.open_requests == 2)
+        caller.writer.close()
+        await self._ended(caller_closed=2)
+        lines = [line for line in self.lines if line["event"] == "request left"]
+        self.assertEqual({(line["request"], line["handled"]) for line in lines},
+                         {("r1", True), ("r2", False)})  # fmt: skip
+        self.assertEqual({(line["by"], line["written"]) for line in lines}, {("caller", 0)})
+
+    async def test_a_caller_that_closes_its_sending_side_has_left(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/stream"))
+        await caller.reader.readuntil(b"first")
+        caller.writer.write_eof()
+        await self._ended(caller_closed=1)
+        self.assertGreater(self._line("request left")["written"], len(b"first"))
+
+    async def test_a_request_whose_handler_never_started_ends_too(self) -> None:
+        """A task that is cancelled before its first step runs no `finally`."""
+        caller = await _Caller.connect(self.address)
+        await eventually(lambda: len(self.server._connections) == 1)
+        (connection,) = self.server._connections
+        connection.data_received(plain("/x"))
+        connection.connection_lost(None)
+        await self._ended(caller_closed=1)
+        self.assertEqual(self.handled, [])
+        caller.reset()
+
+    async def test_a_caller_that_resets_its_connection_is_told_apart(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/large"))
+        await caller.reader.readexactly(1000)
+        self.assertEqual(self.server.open_requests, 1)
+        caller.reset()
+        await self._ended(caller_reset=1)
+        self.assertEqual(self._line("request left")["cause"], "caller-reset")
+
+    async def test_an_answer_has_ended_only_once_the_kernel_has_it_all(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/large"))
+        await caller.reader.readexactly(1000)
+        await asyncio.sleep(0.05)
+        self.assertEqual((self.server.open_requests, ends(self.metrics)), (1, {}))
+        await caller.reader.readuntil(LARGE[-1000:])
+        await caller.reader.readexactly(len(LARGE) // 2)
+        caller.send(plain("/x", close=True))
+        self.assertTrue((await caller.rest()).endswith(b"/x"))
+        await self._ended(answered=2)
+
+    async def test_a_connection_that_memory_closes_is_no_caller_that_left(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/stream") + plain("/x"))
+        await caller.reader.readuntil(b"first")
+        (connection,) = self.server._connections
+        assert connection._held is not None
+        connection._held.abort()
+        await self._ended(memory=2)
+        cut, dropped = self._line("answer cut"), self._line("request dropped")
+        self.assertEqual((cut["cause"], cut["by"], cut["handled"]), ("memory", "node", True))
+        self.assertEqual((dropped["cause"], dropped["handled"]), ("memory", False))
+
+    async def test_a_stop_that_cuts_is_no_caller_that_left(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/stream"))
+        await caller.reader.readuntil(b"first")
+        self.server.close()
+        await self._ended(stop=1)
+        self.assertEqual(self._line("answer cut")["cause"], "stop")
+
+    async def test_requests_that_are_not_read_whole_are_counted_apart(self) -> None:
+        half = b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf"
+        caller = await _Caller.connect(self.address)
+        caller.send(half)
+        await eventually(lambda: self.server.busy == 1)
+        caller.writer.close()
+        await eventually(lambda: total(self.metrics.unread) == 1)
+        await self._ended()
+
+
+class TestNode(FleetCase):
+    """A node whose targets fail, and whose callers or deadlines end requests."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.tolerate_pauses(2.0)
+        self.engine = await self.fleet.worker(Worker(name="e1", events=5), "engines")
+        self.worker = await self.fleet.worker(Worker(name="w1"), "plain")
+        self.node = await self.fleet.node()
+        await eventually(lambda: len(self.node.node.views.registry) == 2)
+        self.metrics = self.node.node._metrics
+
+    async def _ended(self, **causes: int) -> None:
+        expected = {cause.replace("_", "-"): number for cause, number in causes.items()}
+        await eventually(lambda: sum(ends(self.metrics).values()) >= sum(expected.values()))
+        self.assertEqual(ends(self.metrics), expected)
+        self.assertEqual(total(self.metrics.accepted), sum(expected.values()))
+
+    async def test_answers_and_refusals(self) -> None:
+        self.assertEqual((await ask(self.node, "/safe/x")).status, 200)
+        self.assertEqual((await ask(self.node, "/nowhere")).status, 404)
+        self.assertEqual((await ask(self.node, "/safe/x", request_id="")).status, 400)
+        await self._ended(answered=1, refused=2)
+        text = (await get(self.node.settings.metrics, "/metrics")).body.decode().splitlines()
+        self.assertIn("fielddrift_accepted_requests_total 3.0", text)
+        self.assertIn('fielddrift_ended_requests_total{cause="refused"} 2.0', text)
+
+    async def test_a_target_that_breaks_off(self) -> None:
+        self.engine.faults = ["cut-event"]
+        with capture_logs() as lines:
+            await ask(self.node, "/verdict/x", **prompt())
+            await self._ended(target=1)
+        (line,) = [line for line in lines if line["event"] == "answer cut"]
+        self.assertEqual((line["cause"], line["by"], line["events"]), ("target", "target", 2))
+        self.assertGreater(line["written"], 0)
+
+    async def test_a_deadline_before_and_within_the_answer(self) -> None:
+        self.worker.faults = ["hang"]
+        self.assertEqual((await ask(self.node, "/unsafe/x", deadline_ms=300)).status, 504)
+        await self._ended(refused=1)
+        self.engine.pause_seconds = 0.3
+        await ask(self.node, "/verdict/x", deadline_ms=700, **prompt())
+        await self._ended(refused=1, deadline=1)
+
+    async def test_a_caller_that_leaves(self) -> None:
+        self.worker.faults = ["hang"]
+        caller = await _Caller.connect(self.node.settings.entry)
+        with capture_logs() as lines:
+            caller.send(request("/safe/x", request_id="gone"))
+            await eventually(lambda: bool(self.worker.ran))
+            caller.writer.close()
+            await self._ended(caller_closed=1)
+        (line,) = [line for line in lines if line["event"] == "request left"]
+        self.assertEqual((line["request"], line["targets"]), ("gone", ["w1"]))
+        self.assertGreater(line["age_ms"], -1)
