Answer requests whose handling fails before they are routed

Callers saw their connection close without an answer: reading the request, detecting pauses and counting load stood before the handler's `try`.

Change: all of it is inside, and a fault is answered. A fault before any send that may have run gets 503 with a time to come back, which promises that it has not run; behind one it stays 500, which promises nothing. An invalid request is refused under its id.

Ruled out: 500 for both, since callers do not come back behind it.

Before: test_a_fault_before_a_request_is_routed_is_answered got no status (0 != 503). After: tests/test_request_ends.py, 19 passed.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -49,31 +49,28 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Respond to one request."""
-        parsed = self._context.callers.read(request)
-        if isinstance(parsed, InvalidRequest):
-            refusal = Refusal(ErrorKind.BAD_REQUEST, parsed.detail, Ran.NO)
-            self._refuse(responder, "", refusal, Trace())
-            return
-        trace = Trace()
+        trace, request_id = Trace(), ""
         responder.describe(lambda: {"targets": trace.targets})
         loop = asyncio.get_running_loop()
-        self._context.views.detect_pause(loop.time())
-        self._context.views.load.add(loop.time())
         try:
+            request_id = self._context.callers.request_id(request.head)
+            parsed = self._read(request)
+            self._context.views.detect_pause(loop.time())
+            self._context.views.load.add(loop.time())
             call = await self._resolve(parsed, trace)
             async with asyncio.timeout_at(call.deadline):
                 await self._serve(call, responder)
             self._record_complete(call)
             self._log_response(call, "answered", loop.time())
         except Refused as refused:
-            self._refuse(responder, parsed.request_id, refused.refusal, trace)
+            self._refuse(responder, request_id, refused.refusal, trace)
         except TimeoutError:
             refusal = Refusal(ErrorKind.DEADLINE, "no answer in time", _ran(trace))
-            self._refuse(responder, parsed.request_id, refusal, trace)
+            self._refuse(responder, request_id, refusal, trace)
         except Exception:
-            _log.exception("request failed", request=parsed.request_id)
+            _log.exception("request failed", request=request_id)
             refusal = Refusal(ErrorKind.INTERNAL, "the node failed", _ran(trace))
-            self._refuse(responder, parsed.request_id, refusal, trace)
+            self._refuse(responder, request_id, refusal, trace)
 
     async def _serve(self, call: Call, responder: Responder) -> None:
         self._check_leaving(call)
@@ -111,6 +108,13 @@
 
     # --- validation and routing ---------------------------------------------
 
+    def _read(self, request: Request) -> ParsedRequest:
+        """Return the parsed request; raise `Refused` if it is invalid."""
+        parsed = self._context.callers.read(request)
+        if isinstance(parsed, InvalidRequest):
+            raise Refused(Refusal(ErrorKind.BAD_REQUEST, parsed.detail, Ran.NO))
+        return parsed
+
     async def _resolve(self, parsed: ParsedRequest, trace: Trace) -> Call:
         try:
             return self._build_call(parsed, trace)
@@ -201,6 +205,8 @@
             status = 504
         elif refusal.ran is not Ran.NO:
             status = _STATUS_IF_MAY_HAVE_RUN.get(status, status)
+        elif refusal.kind is ErrorKind.INTERNAL:
+            status = 503
         retry_after = refusal.retry_after
         if status == 503 and retry_after is None:
             retry_after = _DEFAULT_RETRY_SECONDS
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 from fielddrift_core.request_ends import END_RULES, EndCause, end_cause, end_event
 from fielddrift_node.serving.metrics import Counter, Metrics
@@ -12,6 +13,7 @@
 from fielddrift_node.web.host_memory import HostMemory
 from fielddrift_node.web.messages import Headers
 from fielddrift_node.web.server import Limits, Request, Responder, Server
+from fielddrift_platform.callers import PlatformCallers
 from fielddrift_standins.worker import Worker
 from structlog.testing import capture_logs
 
@@ -294,3 +296,27 @@
         (line,) = [line for line in lines if line["event"] == "request left"]
         self.assertEqual((line["request"], line["targets"]), ("gone", ["w1"]))
         self.assertGreater(line["age_ms"], -1)
+
+    async def test_a_fault_before_a_request_is_routed_is_answered(self) -> None:
+        """It closed the connection without an answer and without a line."""
+        views = self.node.node.views
+        for place, name in ((views, "detect_pause"), (views.load, "add")):
+            with mock.patch.object(place, name, side_effect=ValueError("a fault")):
+                answer = await ask(self.node, "/safe/x")
+            self.assertEqual(answer.status, 503, name)
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
+        fault = mock.patch.object(PlatformCallers, "read", side_effect=ValueError("a fault"))
+        with fault, capture_logs() as lines:
+            self.assertEqual((await ask(self.node, "/safe/x")).status, 503)
+        self.assertEqual([line["event"] for line in lines], ["request failed", "request refused"])
+        self.assertEqual({line["request"] for line in lines}, {"r1"})
+        self.assertEqual(self.worker.ran, [])
+        await self._ended(refused=3)
+
+    async def test_a_fault_behind_a_send_promises_nothing(self) -> None:
+        with mock.patch.object(
+            PlatformCallers, "answer_headers", side_effect=ValueError("a fault")
+        ):
+            answer = await ask(self.node, "/unsafe/x")
+        self.assertEqual((answer.status, len(self.worker.ran)), (500, 1))
+        await self._ended(refused=1)
