Keep whole responses when counting or logging them fails

Callers saw a whole response aborted: an exception behind its end, from counting or logging, was handled as a failed request whose response had begun.

Change: behind a whole response a fault is only logged, as `request not recorded`, and the connection is kept.

Before: test_a_fault_behind_a_whole_answer_closes_nothing failed with the line `request failed` in place of `request not recorded`. After: 20 passed.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -68,6 +68,9 @@
             refusal = Refusal(ErrorKind.DEADLINE, "no answer in time", _ran(trace))
             self._refuse(responder, request_id, refusal, trace)
         except Exception:
+            if responder.ended:
+                _log.exception("request not recorded", request=request_id)
+                return
             _log.exception("request failed", request=request_id)
             refusal = Refusal(ErrorKind.INTERNAL, "the node failed", _ran(trace))
             self._refuse(responder, request_id, refusal, trace)
@@ -189,6 +192,10 @@
     def _refuse(
         self, responder: Responder, request_id: str, refusal: Refusal, trace: Trace
     ) -> None:
+        if responder.ended:
+            # The caller has a whole response, which must not be aborted.
+            _log.warning("request not recorded", request=request_id, detail=refusal.detail)
+            return
         if responder.started:
             responder.describe(
                 lambda: {
