Answer requests whose handler fails with an error of the server

Change: the server logs each such exception as `handler failed` and sends 500, which does not say whether the request has run. Where part of a response was written the connection is aborted as before, for the rest cannot be told.

Before: test_a_handler_that_fails_before_its_answer_gives_an_error got no byte.

--- a/packages/node/src/fielddrift_node/serving/request_ends.py
+++ b/packages/node/src/fielddrift_node/serving/request_ends.py
@@ -61,7 +61,3 @@
     def unread(self, cause: EndCause) -> None:
         """Count a request that was not read whole."""
         self._metrics.unread.inc(label_value=cause.value)
-
-    def failed(self, error: BaseException) -> None:
-        """Log an exception that a handler did not turn into a response."""
-        _log.error("handler failed", error=repr(error), exc_info=error)
--- a/packages/node/src/fielddrift_node/web/request_ends.py
+++ b/packages/node/src/fielddrift_node/web/request_ends.py
@@ -39,9 +39,6 @@
     def unread(self, cause: EndCause) -> None:
         """Record that reading of a request ended before it was whole, and why."""
 
-    def failed(self, error: BaseException) -> None:
-        """Record an exception of a handler."""
-
 
 class _NoObserver:
     """Ignores all reports: servers that answer no callers' requests are not counted."""
@@ -52,7 +49,5 @@
 
     def unread(self, cause: EndCause) -> None: ...
 
-    def failed(self, error: BaseException) -> None: ...
-
 
 NOT_OBSERVED: RequestObserver = _NoObserver()
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -15,6 +15,7 @@
 from typing import Any, NamedTuple, cast
 
 import httptools
+import structlog
 from fielddrift_core.request_ends import EndCause, end_cause
 
 from .host_memory import HeldBytes, HostMemory, held_for_caller
@@ -55,10 +56,14 @@
 """Status of requests that are refused because their bodies would take too much memory."""
 _MEMORY_RETRY_SECONDS = 0.25
 """Their `Retry-After`, as that of other refusals: the caller may reach another node at once."""
+_FAILED_STATUS = 500
+"""Status of a request whose handler failed before its response; it may have run."""
 _LINGER_SECONDS = 1.0
 """Time for which the rest of a refused body is read and dropped.  A connection that is closed
 with unread bytes is reset, and the client may lose the response."""
 
+_log = structlog.get_logger()
+
 
 class Limits(NamedTuple):
     """Limits on the size of a request in bytes, and on header and idle times in seconds."""
@@ -586,7 +591,11 @@
         """End a request whose handler has ended."""
         self._task = None
         if not task.cancelled() and (error := task.exception()) is not None:
-            self._observer.failed(error)
+            _log.error("handler failed", error=repr(error), exc_info=error)
+            if not responder.written and self._transport is not None:
+                answer = self._server.format_fault(Fault(_FAILED_STATUS, "the server failed"))
+                fields = Headers([(b"Content-Type", answer.content_type)])
+                responder.refuse(_FAILED_STATUS, fields, answer.body)
         if self._held is not None:
             self._held.record.end_response(len(request.body))
         if not responder.ended:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -246,6 +246,22 @@
         await eventually(lambda: total(self.metrics.unread) == 1)
         await self._ended()
 
+    async def test_a_handler_that_fails_before_its_answer_gives_an_error(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/fault") + plain("/x", close=True))
+        data = await caller.rest()
+        self.assertIn(b"HTTP/1.1 500 ", data)
+        self.assertTrue(data.endswith(b"/x"), data)
+        await self._ended(refused=1, answered=1)
+        self.assertEqual([line["event"] for line in self.lines], ["handler failed"])
+
+    async def test_a_handler_that_fails_behind_its_answer_closes_nothing(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/fault-after") + plain("/x", close=True))
+        self.assertTrue((await caller.rest()).endswith(b"/x"))
+        await self._ended(answered=2)
+        self.assertEqual([line["event"] for line in self.lines], ["handler failed"])
+
 
 class TestNode(FleetCase):
     """A node whose targets fail, and whose callers or deadlines end requests."""
