Announce the close of a connection only with its last response

Callers of a stopping node, or of one that had an invalid request next, got `Connection: close` with the response to one request, and the requests that the node had already read behind it were dropped: pipelined ones, half-read ones, and those before an invalid one.

Change: a response announces the close only where no other request is queued or being read and no error response follows. What arrives once the head with the close is out is not handled: RFC 9112, section 9.6, forbids a server to process it and tells the caller to expect no answer. It ends as `last-response`, or is counted as not read.

Ruled out: 503 with `Retry-After` behind the last response, for the caller does not read it.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -398,8 +398,13 @@
 
     @property
     def closing(self) -> bool:
-        """Return whether the next response should be the last one on the connection."""
-        return self._server.leaving or self._close_after_answer or self._fault is not None
+        """Return whether the next response should be the last one on the connection.
+
+        It is not while another request is queued or being read, nor before the response to an
+        invalid one: a caller takes no answer behind `Connection: close` (RFC 9112, section 9.6).
+        """
+        has_next = bool(self._queue) or self._in_message or self._fault is not None
+        return self._server.leaving and not has_next
 
     def _reset_message(self) -> None:
         self._url = b""
@@ -673,13 +678,11 @@
         self._deadline = self._loop.time() + self._limits.idle_seconds
         if self._transport is None:
             return
-        if self._fault is not None and not self._queue:
-            self._answer_fault()
-        elif self._close_after_answer or (
-            self.closing and not self._queue and not self._in_message
-        ):
+        if self._close_after_answer or self.closing:
             self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
+        elif self._fault is not None and not self._queue:
+            self._answer_fault()
         else:
             self._send_continue()
             self._handle_next()
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -262,6 +262,55 @@
         await self._ended(answered=2)
         self.assertEqual([line["event"] for line in self.lines], ["handler failed"])
 
+    async def test_pipelined_requests_are_all_answered_by_a_server_that_leaves(self) -> None:
+        """The first response announced the close, and the others were dropped."""
+        self.server.announce_close()
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/x") + plain("/y") + plain("/z"))
+        data = await caller.rest()
+        self.assertEqual(data.count(b"HTTP/1.1 200"), 3, data)
+        self.assertEqual(data.count(b"Connection: close"), 1)
+        self.assertLess(data.index(b"/y"), data.index(b"Connection: close"))
+        await self._ended(answered=3)
+
+    async def test_a_half_read_request_is_answered_by_a_server_that_leaves(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/late") + plain("/x")[:10])
+        await eventually(lambda: self.handled == ["/late"])
+        self.server.announce_close()
+        self.go_on.set()
+        await caller.reader.readuntil(b"/late")
+        caller.send(plain("/x")[10:])
+        self.assertTrue((await caller.rest()).endswith(b"/x"))
+        await self._ended(answered=2)
+
+    async def test_requests_before_an_invalid_one_are_answered(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/late") + plain("/x") + b"POST /y HTTP/1.1\r\nContent-Length: z\r\n\r\n")
+        await eventually(lambda: self.handled == ["/late"])
+        self.go_on.set()
+        data = await caller.rest()
+        self.assertEqual(data.count(b"HTTP/1.1 200"), 2, data)
+        self.assertLess(data.index(b"/x"), data.index(b"HTTP/1.1 400"))
+        await self._ended(answered=2)
+        self.assertEqual(total(self.metrics.unread), 1)
+
+    async def test_a_request_behind_an_announced_close_is_not_handled(self) -> None:
+        """RFC 9112, section 9.6: its caller was told that no answer follows."""
+        caller = await _Caller.connect(self.address)
+        self.server.announce_close()
+        caller.send(plain("/stream"))
+        await caller.reader.readuntil(b"first")
+        caller.send(plain("/x", request_id="r2"))
+        await eventually(lambda: total(self.metrics.accepted) == 2)
+        self.go_on.set()
+        data = await caller.rest()
+        self.assertTrue(data.endswith(b"0\r\n\r\n"), data)
+        await self._ended(answered=1, last_response=1)
+        self.assertEqual(self.handled, ["/stream"])
+        line = self._line("request dropped")
+        self.assertEqual((line["request"], line["cause"]), ("r2", "last-response"))
+
 
 class TestNode(FleetCase):
     """A node whose targets fail, and whose callers or deadlines end requests."""
