Keep a connection whose last response promised to keep it

Callers of a stopping node lost requests that crossed a close: where the stop began after the head of a response had gone out without `Connection: close`, the connection was closed behind that response, while its caller could already be sending the next request on it.

Change: only a response that announced it closes its connection. The next response announces it, and idle connections are closed when the node stops accepting, as before.

Before: test_a_connection_whose_response_promised_to_keep_it_is_kept got no answer to the second request.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -678,7 +678,7 @@
         self._deadline = self._loop.time() + self._limits.idle_seconds
         if self._transport is None:
             return
-        if self._close_after_answer or self.closing:
+        if self._close_after_answer:
             self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
         elif self._fault is not None and not self._queue:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -295,6 +295,21 @@
         await self._ended(answered=2)
         self.assertEqual(total(self.metrics.unread), 1)
 
+    async def test_a_connection_whose_response_promised_to_keep_it_is_kept(self) -> None:
+        """A request that crossed the close was lost."""
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/stream"))
+        await caller.reader.readuntil(b"first")
+        self.server.announce_close()
+        self.go_on.set()
+        await caller.reader.readuntil(b"0\r\n\r\n")
+        await asyncio.sleep(0.02)
+        caller.send(plain("/x"))
+        data = await caller.rest()
+        self.assertTrue(data.endswith(b"/x"), data)
+        self.assertIn(b"Connection: close", data)
+        await self._ended(answered=2)
+
     async def test_a_request_behind_an_announced_close_is_not_handled(self) -> None:
         """RFC 9112, section 9.6: its caller was told that no answer follows."""
         caller = await _Caller.connect(self.address)
