Refuse what has no response when the grace period ends

Callers of a stopping node whose requests still waited or ran at the end of the grace period saw their connections aborted without an answer, and the process ended before the ends of what it aborted were reported.

Change: before the node closes, it cancels the handlers that have not begun a response; the gateway refuses these with 503 where no send may have run and with 502 otherwise, each with a time to come back. Requests queued behind them are refused in turn: the drain window accepts nothing once it has closed, also where the grace period is shorter than the time in which all is accepted. Responses under way are cut as before, and now counted as `stop`.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -150,6 +150,11 @@
         """Return whether the head was written."""
         return self.status is not None
 
+    @property
+    def is_open(self) -> bool:
+        """Return False: a question is cancelled only when its caller leaves."""
+        return False
+
     @property
     def ended(self) -> bool:
         """Return whether the answer is whole."""
--- a/packages/core/src/fielddrift_core/drain_window.py
+++ b/packages/core/src/fielddrift_core/drain_window.py
@@ -28,6 +28,8 @@
 
     def accepts(self, now: float, max_seconds: float) -> bool:
         """Return whether a request is accepted at `now` that takes up to `max_seconds`."""
+        if now >= self.closes_at:
+            return False
         return now - self.started_at <= _ACCEPT_ALL_SECONDS or now + max_seconds <= self.closes_at
 
 
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -67,6 +67,16 @@
         except TimeoutError:
             refusal = Refusal(ErrorKind.DEADLINE, "no answer in time", _ran(trace))
             self._refuse(responder, request_id, refusal, trace)
+        except asyncio.CancelledError:
+            if responder.is_open and not responder.started:
+                detail = "this node stops before the response"
+                self._refuse(
+                    responder,
+                    request_id,
+                    Refusal(ErrorKind.STOPPING, detail, _ran(trace), _OTHER_NODE_RETRY_SECONDS),
+                    trace,
+                )
+            raise
         except Exception:
             if responder.ended:
                 _log.exception("request not recorded", request=request_id)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -66,6 +66,9 @@
 _CLOSE_RESERVE_SECONDS = 0.9
 """The node stops accepting connections this long before the end of the grace period, and closes
 the last ones half of this time later."""
+_LAST_REPORTS_SECONDS = 0.01
+_LAST_RESPONSES_SECONDS = 0.05
+"""Time for the refusals of requests that have no response when the node closes."""
 _IDLE_BEFORE_STOP_SECONDS = 2 * _ENTRY_CACHE_SECONDS
 """Idle time before a stopping node closes: callers may use a cached entry response until then."""
 
@@ -343,6 +346,8 @@
             self._entry_server.busy or self._tunnels.count
         ) and loop.time() < drain_deadline + _CLOSE_RESERVE_SECONDS / 2:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        self._entry_server.cancel_unanswered()
+        await asyncio.sleep(_LAST_RESPONSES_SECONDS)
         _log.info(
             "stopped", cut=self._entry_server.busy, seconds=round(loop.time() - started_at, 2)
         )
@@ -356,6 +361,8 @@
             server.close()
         self._client.close()
         self._peer_client.close()
+        # Connections that were aborted report their ends in the next iterations of the loop.
+        await asyncio.sleep(_LAST_REPORTS_SECONDS)
 
     # --- background loops -------------------------------------------------------
 
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -158,6 +158,11 @@
         """Return whether the head has been written."""
         return self._started
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the caller can still receive a response."""
+        return self._connection.is_open
+
     @property
     def ended(self) -> bool:
         """Return whether the response is complete."""
@@ -316,6 +321,11 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def cancel_unanswered(self) -> None:
+        """Cancel the handlers that have not begun a response; they may still send one."""
+        for connection in list(self._connections):
+            connection.cancel_unanswered()
+
     def close(self) -> None:
         """Abort all open connections."""
         for connection in list(self._connections):
@@ -356,6 +366,8 @@
         self._observer = server.observer
         self._queue: deque[Request] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._responder: Responder | None = None
+        """That of the request that is handled, once its handler has started."""
         self._unsent: deque[tuple[Request, Responder]] = deque()
         """Requests whose complete responses are still partly in the write buffer."""
         self._reports_empty = False
@@ -391,6 +403,11 @@
         """Return the number of requests that were read whole and have not ended."""
         return len(self._queue) + (self._task is not None) + len(self._unsent)
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether a response can be written."""
+        return self._transport is not None and not self._transport.is_closing()
+
     @property
     def written_bytes(self) -> int:
         """Return the bytes of all responses that were written on the connection."""
@@ -590,21 +607,22 @@
         if held is not None:
             held_for_caller.set(held)
             held.record.begin_response()
+        self._responder = responder
         await self._handler(request, responder)
 
     def _handled(self, task: asyncio.Task[None], request: Request, responder: Responder) -> None:
         """End a request whose handler has ended."""
-        self._task = None
+        self._task = self._responder = None
         if not task.cancelled() and (error := task.exception()) is not None:
             _log.error("handler failed", error=repr(error), exc_info=error)
-            if not responder.written and self._transport is not None:
+            if not responder.written and self.is_open:
                 answer = self._server.format_fault(Fault(_FAILED_STATUS, "the server failed"))
                 fields = Headers([(b"Content-Type", answer.content_type)])
                 responder.refuse(_FAILED_STATUS, fields, answer.body)
         if self._held is not None:
             self._held.record.end_response(len(request.body))
         if not responder.ended:
-            self.abort(EndCause.FAULT)
+            self.abort(EndCause.STOP if task.cancelled() else EndCause.FAULT)
             self._report_end(request, responder, sent=False)
             return
         self._unsent.append((request, responder))
@@ -744,6 +762,11 @@
             self._note_close(EndCause.STOP)
             self._transport.close()
 
+    def cancel_unanswered(self) -> None:
+        # A handler that has not started could send nothing if it were cancelled.
+        if self._task is not None and self._responder and not self._responder.written:
+            self._task.cancel()
+
     def abort(self, cause: EndCause) -> None:
         self._end_sent()
         self._note_close(cause)
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -18,7 +18,7 @@
 from fielddrift_standins.worker import Worker
 from structlog.testing import capture_logs
 
-from .platform_fleet import HOST, FleetCase, ask, eventually, free_port, get, prompt, request
+from .platform_fleet import HOST, FleetCase, ask, eventually, free_port, get, parse, prompt, request
 
 LARGE = b"x" * 8_000_000
 """More than the buffers of a loopback connection take."""
@@ -61,6 +61,8 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.received = b""
+        """What `rest` returned."""
 
     @classmethod
     async def connect(cls, address: str) -> _Caller:
@@ -74,13 +76,15 @@
         """Return what arrives until the connection is closed."""
         try:
             async with asyncio.timeout(10.0):
-                return await self.reader.read()
+                self.received = await self.reader.read()
+                return self.received
         except ConnectionResetError:
             return b"(reset)"
         finally:
             self.writer.close()
 
     def reset(self) -> None:
+        """Abort the connection."""
         self.writer.transport.abort()
 
 
@@ -383,6 +387,44 @@
         self.assertEqual((line["request"], line["targets"]), ("gone", ["w1"]))
         self.assertGreater(line["age_ms"], -1)
 
+    async def test_the_end_of_the_grace_period_answers_what_has_no_answer_yet(self) -> None:
+        """They were cut without an answer, whether they had run or not."""
+        self.worker.faults = ["hang"] * 10
+        callers = []
+        for number in range(8):
+            caller = await _Caller.connect(self.node.settings.entry)
+            caller.send(request("/unsafe/x", request_id=f"r{number}"))
+            callers.append(caller)
+        queued = await _Caller.connect(self.node.settings.entry)
+        keep = request("/unsafe/x").replace(b"Connection: close\r\n", b"")
+        queued.send(keep + keep)
+        await eventually(lambda: total(self.metrics.accepted) == 10)
+        await eventually(lambda: len(self.worker.ran) > 1)
+        await asyncio.gather(self.node.stop(), *(caller.rest() for caller in callers))
+        self.assertEqual(ends(self.metrics), {"refused": 10})
+        answers = [parse(caller.received) for caller in callers]
+        ran = {
+            number for number in range(8) if f"r{number}" in {r.request_id for r in self.worker.ran}
+        }
+        for number, answer in enumerate(answers):
+            self.assertEqual(answer.status, 502 if number in ran else 503, number)
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
+        data = await queued.rest()
+        self.assertEqual(data.count(b"Retry-After"), 2, data)
+        # The second one waited on its connection, and was sent to no target.
+        self.assertEqual(parse(data[data.rindex(b"HTTP/1.1 ") :]).status, 503)
+
+    async def test_the_end_of_the_grace_period_cuts_streams_under_way(self) -> None:
+        self.engine.pause_seconds = 1.0
+        caller = await _Caller.connect(self.node.settings.entry)
+        caller.send(request("/chat/x", **prompt()))
+        await caller.reader.readuntil(b"token 1")
+        with capture_logs() as lines:
+            await self.node.stop()
+        self.assertEqual(ends(self.metrics), {"stop": 1})
+        self.assertEqual(events(lines), ["answer cut"])
+        caller.reset()
+
     async def test_a_fault_before_a_request_is_routed_is_answered(self) -> None:
         """It closed the connection without an answer and without a line."""
         views = self.node.node.views
