Count a caller that resets its connection within a last response as left

A caller that closed within a response that had announced the close was counted under `last-response`, as if the node had ended it.

Cause: the connection noted that it was closed by its last response before the rest of this response was sent. Change: that cause is given only to the requests that wait behind the response.

Before: test_a_caller_that_resets_within_a_last_response_has_left saw {'last-response': 1}, expected {'caller-reset': 1}. After: the file passes.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -457,7 +457,7 @@
             self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
-        self._end_queued()
+        self._end_queued(self._closed_by or EndCause.FAULT)
         self._end_unsent()
 
     def eof_received(self) -> bool:
@@ -656,20 +656,27 @@
         while self._unsent:
             self._report_end(*self._unsent.popleft(), sent=False)
 
-    def _end_queued(self) -> None:
+    def _end_queued(self, cause: EndCause) -> None:
         """End the requests that were not handled."""
         while self._queue:
-            self._report_end(self._queue.popleft(), None, sent=False)
+            self._report_end(self._queue.popleft(), None, sent=False, closed_by=cause)
         if self._in_message:
             self._in_message = False
-            self._observer.unread(self._closed_by or EndCause.FAULT)
+            self._observer.unread(cause)
 
-    def _report_end(self, request: Request, responder: Responder | None, *, sent: bool) -> None:
+    def _report_end(
+        self,
+        request: Request,
+        responder: Responder | None,
+        *,
+        sent: bool,
+        closed_by: EndCause | None = None,
+    ) -> None:
         refused = responder is not None and responder.refused
         self._observer.ended(
             RequestEnd(
                 head=request.head,
-                cause=end_cause(sent=sent, refused=refused, closed_by=self._closed_by),
+                cause=end_cause(sent=sent, refused=refused, closed_by=closed_by or self._closed_by),
                 age=self._loop.time() - request.arrived,
                 handled=responder is not None,
                 written=0 if responder is None else responder.written,
@@ -697,7 +704,7 @@
         if self._transport is None:
             return
         if self._close_after_answer:
-            self._note_close(EndCause.LAST_RESPONSE)
+            self._end_queued(EndCause.LAST_RESPONSE)
             self._transport.close()
         elif self._fault is not None and not self._queue:
             self._answer_fault()
@@ -727,7 +734,6 @@
         values = (fault.status, reason_phrase(fault.status), content_type, len(body))
         if fault.status != _MEMORY_STATUS:
             self.write(head % values + b"\r\n" + body)
-            self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
             return
         retry_after = b"Retry-After: %.3f\r\n\r\n" % _MEMORY_RETRY_SECONDS
@@ -775,7 +781,6 @@
 
     def _close_transport(self) -> None:
         if self._transport is not None:
-            self._note_close(EndCause.LAST_RESPONSE)
             self._transport.close()
 
     def _check_timeout(self) -> None:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -209,6 +209,14 @@
         await self._ended(caller_reset=1)
         self.assertEqual(self._line("request left")["cause"], "caller-reset")
 
+    async def test_a_caller_that_resets_within_a_last_response_has_left(self) -> None:
+        """The node counted it as closed by itself, since it had announced the close."""
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/large", close=True))
+        await caller.reader.readexactly(1000)
+        caller.reset()
+        await self._ended(caller_reset=1)
+
     async def test_an_answer_has_ended_only_once_the_kernel_has_it_all(self) -> None:
         caller = await _Caller.connect(self.address)
         caller.send(plain("/large"))
