Let a stopping node wait for responses that are not sent yet

Callers that take a response slowly lost the end of it when a node stopped: a connection whose handler had ended counted as idle although part of the response was still in the write buffer, so that the node could close, which aborts the connection, before its grace period was over.

Change: a connection is busy until its requests have ended.

Before: test_a_whole_response_that_is_not_sent_yet_keeps_a_server_busy saw 0 busy connections. After: test_request_ends.py, 31 passed.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -289,7 +289,7 @@
 
     @property
     def busy(self) -> int:
-        """Return the number of connections on which a request is being read or handled."""
+        """Return the number of connections on which a request is being read or has not ended."""
         return sum(1 for connection in self._connections if connection.busy)
 
     @property
@@ -395,8 +395,8 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being read, queued or handled."""
-        return self._task is not None or bool(self._queue) or self._in_message
+        """Return whether a request is being read or has not ended."""
+        return self.open_requests > 0 or self._in_message
 
     @property
     def open_requests(self) -> int:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -217,6 +217,20 @@
         caller.reset()
         await self._ended(caller_reset=1)
 
+    async def test_a_whole_response_that_is_not_sent_yet_keeps_a_server_busy(self) -> None:
+        """A stopping node saw no work left, and aborted it."""
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/large"))
+        await caller.reader.readexactly(1000)
+        self.server.announce_close()
+        self.server.stop_accepting()
+        self.assertEqual(self.server.busy, 1)
+        data = await caller.reader.readexactly(len(LARGE) - 2000)
+        self.assertEqual(len(data), len(LARGE) - 2000)
+        await self._ended(answered=1)
+        self.assertEqual(self.server.busy, 0)
+        caller.reset()
+
     async def test_an_answer_has_ended_only_once_the_kernel_has_it_all(self) -> None:
         caller = await _Caller.connect(self.address)
         caller.send(plain("/large"))
