Read what crosses the close behind a last response

Callers of a stopping node that had sent a further request before they saw `Connection: close` lost the end of the response: the connection was closed without reading that request, so the kernel reset it and dropped what it had not sent yet.

Change: where the caller had not asked for the close itself, the node closes its sending side and drops what arrives for up to a second, or until the caller closes, as it did for refused bodies. Such requests are counted as not read (`last-response`).

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -59,8 +59,9 @@
 _FAILED_STATUS = 500
 """Status of a request whose handler failed before its response; it may have run."""
 _LINGER_SECONDS = 1.0
-"""Time for which the rest of a refused body is read and dropped.  A connection that is closed
-with unread bytes is reset, and the client may lose the response."""
+"""Time for which what arrives behind the last response is read and dropped, such as the rest of
+a refused body.  A connection that is closed with unread bytes is reset, and the client may lose
+the response."""
 
 _log = structlog.get_logger()
 
@@ -378,6 +379,8 @@
         self._closed_by: EndCause | None = None
         """Why the connection was closed or lost; None while it is open."""
         self._close_after_answer = False
+        self._expects_close = False
+        """Whether the caller asked to close the connection behind the current request."""
         self._fault: _BadRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._deadline = self._loop.time() + limits.idle_seconds
@@ -608,6 +611,7 @@
             held_for_caller.set(held)
             held.record.begin_response()
         self._responder = responder
+        self._expects_close = not request.head.keep_alive
         await self._handler(request, responder)
 
     def _handled(self, task: asyncio.Task[None], request: Request, responder: Responder) -> None:
@@ -705,7 +709,7 @@
             return
         if self._close_after_answer:
             self._end_queued(EndCause.LAST_RESPONSE)
-            self._transport.close()
+            self._close_after_last()
         elif self._fault is not None and not self._queue:
             self._answer_fault()
         else:
@@ -738,11 +742,35 @@
             return
         retry_after = b"Retry-After: %.3f\r\n\r\n" % _MEMORY_RETRY_SECONDS
         self.write(head % values + retry_after + body)
-        self._transport.write_eof()
-        self._loop.call_later(_LINGER_SECONDS, self._close_transport)
+        self._linger()
 
     # --- writing and closing ------------------------------------------------
 
+    def _close_after_last(self) -> None:
+        """Close the connection behind its last response, once that is sent."""
+        if self._transport is None:
+            return
+        if self._expects_close:
+            self._transport.close()
+        else:
+            self._linger()
+
+    def _linger(self) -> None:
+        """Close the sending side; read and drop what arrives until the caller closes."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._loop.call_later(_LINGER_SECONDS, self._end_linger)
+
+    def _end_linger(self) -> None:
+        if self._transport is None:
+            return
+        if self._transport.get_write_buffer_size():
+            self._loop.call_later(_LINGER_SECONDS, self._end_linger)
+        else:
+            self._transport.close()
+
     def write(self, data: bytes) -> None:
         written = self._written_bytes
         self._written_bytes += len(data)
@@ -779,10 +807,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _close_transport(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
     def _check_timeout(self) -> None:
         now = self._loop.time()
         if self._task is not None:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -231,6 +231,19 @@
         self.assertEqual(self.server.busy, 0)
         caller.reset()
 
+    async def test_a_request_that_crosses_a_close_costs_no_response(self) -> None:
+        """It was not read, and the kernel reset the connection with the rest of the response."""
+        self.server.announce_close()
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/large"))
+        await caller.reader.readexactly(1000)
+        caller.send(plain("/x"))
+        await asyncio.sleep(0.05)
+        self.assertTrue((await caller.rest()).endswith(LARGE[-100:]))
+        await self._ended(answered=1)
+        self.assertEqual(self.handled, ["/large"])
+        await eventually(lambda: total(self.metrics.unread) == 1)
+
     async def test_an_answer_has_ended_only_once_the_kernel_has_it_all(self) -> None:
         caller = await _Caller.connect(self.address)
         caller.send(plain("/large"))
