Let callers read the error response to a request with a long body

Callers that sent a body behind an invalid head, or one larger than allowed, saw a reset instead of 400, 413 or 431: the connection was closed with the rest of the body unread. Refusals for memory already read it.

Change: all error responses of the server end the same way: the sending side is closed, what arrives is dropped for up to a second.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -736,12 +736,10 @@
         content_type, body = self._server.format_fault(Fault(fault.status, str(fault)))
         head = b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n"
         values = (fault.status, reason_phrase(fault.status), content_type, len(body))
-        if fault.status != _MEMORY_STATUS:
-            self.write(head % values + b"\r\n" + body)
-            self._transport.close()
-            return
-        retry_after = b"Retry-After: %.3f\r\n\r\n" % _MEMORY_RETRY_SECONDS
-        self.write(head % values + retry_after + body)
+        retry_after = b""
+        if fault.status == _MEMORY_STATUS:
+            retry_after = b"Retry-After: %.3f\r\n" % _MEMORY_RETRY_SECONDS
+        self.write(head % values + retry_after + b"\r\n" + body)
         self._linger()
 
     # --- writing and closing ------------------------------------------------
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -244,6 +244,15 @@
         self.assertEqual(self.handled, ["/large"])
         await eventually(lambda: total(self.metrics.unread) == 1)
 
+    async def test_an_invalid_request_with_a_long_body_gets_its_error(self) -> None:
+        """The unread body reset the connection, and the error with it."""
+        caller = await _Caller.connect(self.address)
+        caller.send(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n" + LARGE)
+        await asyncio.sleep(0.1)
+        self.assertIn(b"HTTP/1.1 413 ", await caller.rest())
+        await eventually(lambda: total(self.metrics.unread) == 1)
+        await self._ended()
+
     async def test_an_answer_has_ended_only_once_the_kernel_has_it_all(self) -> None:
         caller = await _Caller.connect(self.address)
         caller.send(plain("/large"))
