Log exceptions of callbacks and tasks that nobody awaits

Such errors went to standard error through asyncio's own logger, outside the node's log, where an end that was lost to one could not be found.

Before: test_an_exception_that_nobody_awaits_gets_a_line saw no line.

--- a/packages/node/src/fielddrift_node/log.py
+++ b/packages/node/src/fielddrift_node/log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 import os
@@ -19,7 +20,7 @@
 
 from . import clock
 
-__all__ = ["LineSink", "configure", "get"]
+__all__ = ["LineSink", "configure", "get", "log_loop_error"]
 
 _MAX_BUFFERED_LINE_COUNT = 2000
 """Maximum number of buffered lines: some seconds of a busy node, under 1 MB."""
@@ -132,6 +133,17 @@
     return sink
 
 
+def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log an exception of a callback or of a task that nobody awaits.
+
+    Pass it to `loop.set_exception_handler`; asyncio writes such errors to standard error.
+    """
+    error = context.get("exception")
+    get().error(
+        "unhandled error", detail=context["message"], error=repr(error), exc_info=error or False
+    )
+
+
 def get() -> Any:
     """Return the project's logger."""
     return structlog.get_logger()
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -14,6 +14,7 @@
 from fielddrift_node.web.host_memory import HostMemory
 from fielddrift_node.web.messages import Headers
 from fielddrift_node.web.server import Limits, Request, Responder, Server
+from fielddrift_platform import main
 from fielddrift_platform.callers import PlatformCallers
 from fielddrift_standins.worker import Worker
 from structlog.testing import capture_logs
@@ -513,3 +514,28 @@
         caller.send(request("/safe/x"))
         self.assertTrue((await caller.rest()).endswith(b"answer of w1"))
         await self._ended(answered=4)
+
+
+class TestLoop(unittest.IsolatedAsyncioTestCase):
+    async def test_an_exception_that_nobody_awaits_gets_a_line(self) -> None:
+        """It went to standard error, beside the log."""
+
+        async def run(stopping: asyncio.Event) -> None:
+            def fail() -> None:
+                raise ValueError("a fault")
+
+            asyncio.get_running_loop().call_soon(fail)
+            await asyncio.sleep(0.01)
+
+        self.addCleanup(asyncio.get_running_loop().set_exception_handler, None)
+        with (
+            mock.patch.object(main, "ServingNode") as node,
+            mock.patch.object(main, "PlatformStore"),
+            capture_logs() as lines,
+        ):
+            node.return_value.run = run
+            await main._run(mock.Mock(), "")
+        (line,) = lines
+        self.assertEqual(
+            (line["event"], line["error"]), ("unhandled error", "ValueError('a fault')")
+        )
