Finish requests in progress when part of the shutdown fails

Callers lost all requests in progress at a node whose stop raised: an exception other than of a remote call, when the duty is given back, ended the process at once; a call without an answer held up the drain without a bound.

Change: such an exception is logged as `stop failed` and the drain goes on; the call gets no longer than the drain.

Before: test_a_fault_of_the_stop_cuts_no_request ended with the exception. After: test_request_ends.py and test_drain_window.py pass.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -330,9 +330,12 @@
         self._gossip.send_to_all()
         _log.info("leaving", busy=self._entry_server.busy)
         try:
-            await self._rollout_runner.stop()
-        except RemoteCallError as error:
+            async with asyncio.timeout_at(drain_deadline):
+                await self._rollout_runner.stop()
+        except (RemoteCallError, TimeoutError) as error:
             _log.warning("duty not given back", error=str(error))
+        except Exception:
+            _log.exception("stop failed")
         idle_since = loop.time()
         while loop.time() < drain_deadline:
             if self._entry_server.busy or self._tunnels.count:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -459,6 +459,21 @@
         # The second one waited on its connection, and was sent to no target.
         self.assertEqual(parse(data[data.rindex(b"HTTP/1.1 ") :]).status, 503)
 
+    async def test_a_fault_of_the_stop_cuts_no_request(self) -> None:
+        """The process ended at once, with all requests in progress."""
+        self.worker.work_seconds = 0.2
+        caller = await _Caller.connect(self.node.settings.entry)
+        caller.send(request("/unsafe/x"))
+        await eventually(lambda: bool(self.worker.ran))
+        fault = mock.patch.object(
+            self.node.node._rollout_runner, "stop", side_effect=ValueError("a fault")
+        )
+        with fault, capture_logs() as lines:
+            await self.node.stop()
+        self.assertEqual(parse(await caller.rest()).status, 200)
+        self.assertEqual(ends(self.metrics), {"answered": 1})
+        self.assertEqual([e["event"] for e in lines if e["log_level"] == "error"], ["stop failed"])
+
     async def test_the_end_of_the_grace_period_cuts_streams_under_way(self) -> None:
         self.engine.pause_seconds = 1.0
         caller = await _Caller.connect(self.node.settings.entry)
