Read connections that have just opened before a stop closes idle ones

Callers that connected in the last moment before a node stopped accepting lost their request without an answer: a connection counts as idle until its first read, and was closed with the request in the kernel's buffer.

Before: test_a_request_on_a_connection_that_has_just_opened_is_read got no answer.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -345,6 +345,8 @@
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
         self._entry_server.stop_accepting()
         self._tunnels.stop_accepting()
+        # A request on a connection that has just opened is read in this time.
+        await asyncio.sleep(_DRAIN_POLL_SECONDS)
         while (
             self._entry_server.busy or self._tunnels.count
         ) and loop.time() < drain_deadline + _CLOSE_RESERVE_SECONDS / 2:
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -58,6 +58,8 @@
 """Their `Retry-After`, as that of other refusals: the caller may reach another node at once."""
 _FAILED_STATUS = 500
 """Status of a request whose handler failed before its response; it may have run."""
+_CLOSE_IDLE_SECONDS = 0.02
+"""Time between the last new connections and the close of idle ones."""
 _LINGER_SECONDS = 1.0
 """Time for which what arrives behind the last response is read and dropped, such as the rest of
 a refused body.  A connection that is closed with unread bytes is reset, and the client may lose
@@ -316,9 +318,17 @@
         self._leaving = True
 
     def stop_accepting(self) -> None:
-        """Stop listening and close idle connections."""
+        """Stop listening and, shortly after, close idle connections.
+
+        What arrived on a connection that has just opened is read before.
+        """
         for listener in self._listeners:
             listener.close()
+        if self._listeners:
+            loop = self._listeners[0].get_loop()
+            loop.call_later(_CLOSE_IDLE_SECONDS, self._close_idle)
+
+    def _close_idle(self) -> None:
         for connection in list(self._connections):
             connection.close_if_idle()
 
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -13,7 +13,7 @@
 from fielddrift_node.serving.request_ends import RequestEnds
 from fielddrift_node.web.host_memory import HostMemory
 from fielddrift_node.web.messages import Headers
-from fielddrift_node.web.server import Limits, Request, Responder, Server
+from fielddrift_node.web.server import Limits, Request, Responder, Server, _Connection
 from fielddrift_platform import main
 from fielddrift_platform.callers import PlatformCallers
 from fielddrift_standins.worker import Worker
@@ -359,6 +359,29 @@
         self.assertIn(b"Connection: close", data)
         await self._ended(answered=2)
 
+    async def test_a_request_on_a_connection_that_has_just_opened_is_read(self) -> None:
+        """A stop that fell between its opening and its first read closed the connection."""
+
+        def open_and_stop(connection: _Connection, transport: asyncio.BaseTransport) -> None:
+            connection_made(connection, transport)
+            self.server.announce_close()
+            self.server.stop_accepting()
+
+        connection_made = _Connection.connection_made
+        with mock.patch.object(_Connection, "connection_made", open_and_stop):
+            caller = await _Caller.connect(self.address)
+            caller.send(plain("/x"))
+            self.assertTrue((await caller.rest()).endswith(b"/x"))
+        await self._ended(answered=1)
+
+    async def test_idle_connections_are_closed_by_a_stop(self) -> None:
+        caller = await _Caller.connect(self.address)
+        caller.send(plain("/x"))
+        await caller.reader.readuntil(b"/x")
+        self.server.stop_accepting()
+        self.assertEqual(await caller.rest(), b"")
+        await self._ended(answered=1)
+
     async def test_a_request_behind_an_announced_close_is_not_handled(self) -> None:
         """RFC 9112, section 9.6: its caller was told that no answer follows."""
         caller = await _Caller.connect(self.address)
