--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -482,6 +482,41 @@
         # The second one waited on its connection, and was sent to no target.
         self.assertEqual(parse(data[data.rindex(b"HTTP/1.1 ") :]).status, 503)
 
+    async def _ask_until_closed(self, number: int) -> tuple[int, int]:
+        """Send requests on one kept connection until it is closed; return how many were sent.
+
+        The second number is that of the whole answers.
+        """
+        keep = request("/safe/x", request_id=f"r{number}").replace(b"Connection: close\r\n", b"")
+        caller = await _Caller.connect(self.node.settings.entry)
+        sent = answered = 0
+        try:
+            while True:
+                caller.send(keep)
+                sent += 1
+                head = await caller.reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0])
+                await caller.reader.readexactly(length)
+                answered += 1
+                if b"Connection: close" in head:
+                    break
+                await asyncio.sleep(0.01 * (number % 5))
+        except (asyncio.IncompleteReadError, ConnectionResetError):
+            pass
+        caller.reset()
+        return sent, answered
+
+    async def test_a_stop_loses_no_request_of_callers_that_keep_their_connections(self) -> None:
+        callers = [asyncio.ensure_future(self._ask_until_closed(n)) for n in range(40)]
+        await eventually(lambda: total(self.metrics.accepted) > 80)
+        with capture_logs() as lines:
+            await self.node.stop()
+        counts = await asyncio.gather(*callers)
+        self.assertLessEqual(set(ends(self.metrics)), {"answered", "refused"}, lines)
+        answered = sum(whole for _, whole in counts)
+        self.assertEqual(total(self.metrics.accepted), sum(ends(self.metrics).values()))
+        self.assertEqual(answered, total(self.metrics.accepted))
+
     async def test_a_fault_of_the_stop_cuts_no_request(self) -> None:
         """The process ended at once, with all requests in progress."""
         self.worker.work_seconds = 0.2
