--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -9,6 +9,7 @@
 from fielddrift_core.catalog import Route
 from fielddrift_core.drain_window import max_response_seconds
 from fielddrift_core.errors import ERROR_RESPONSES, ErrorKind, Ran, Refusal
+from fielddrift_core.request_ends import EndCause
 
 from ..web.server import Request, Responder
 from .call import Call, Refused, ServingContext, Trace
@@ -20,6 +21,11 @@
 
 _STATUS_IF_MAY_HAVE_RUN: Mapping[int, int] = {503: 502, 429: 502}
 """Statuses for requests that may have run, in place of those that promise it has not run."""
+_CUT_CAUSES: Mapping[ErrorKind, EndCause] = {
+    ErrorKind.DEADLINE: EndCause.DEADLINE,
+    ErrorKind.INTERNAL: EndCause.FAULT,
+}
+"""Causes of responses that are cut off; all other kinds of failure begin at a target."""
 _DEFAULT_RETRY_SECONDS = 0.25
 """Default for `Retry-After`: a tenth of the shortest deadline."""
 _OTHER_NODE_RETRY_SECONDS = 0.05
@@ -43,34 +49,41 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Respond to one request."""
-        parsed = self._context.callers.read(request)
-        if isinstance(parsed, InvalidRequest):
-            refusal = Refusal(ErrorKind.BAD_REQUEST, parsed.detail, Ran.NO)
-            self._refuse(responder, "", refusal, Trace())
-            return
-        trace = Trace()
+        trace, request_id = Trace(), ""
+        responder.describe(lambda: {"targets": trace.targets})
         loop = asyncio.get_running_loop()
-        self._context.views.detect_pause(loop.time())
-        self._context.views.load.add(loop.time())
         try:
+            request_id = self._context.callers.request_id(request.head)
+            parsed = self._read(request)
+            self._context.views.detect_pause(loop.time())
+            self._context.views.load.add(loop.time())
             call = await self._resolve(parsed, trace)
             async with asyncio.timeout_at(call.deadline):
                 await self._serve(call, responder)
             self._record_complete(call)
             self._log_response(call, "answered", loop.time())
         except Refused as refused:
-            self._refuse(responder, parsed.request_id, refused.refusal, trace)
+            self._refuse(responder, request_id, refused.refusal, trace)
         except TimeoutError:
             refusal = Refusal(ErrorKind.DEADLINE, "no answer in time", _ran(trace))
-            self._refuse(responder, parsed.request_id, refusal, trace)
+            self._refuse(responder, request_id, refusal, trace)
         except asyncio.CancelledError:
-            self._context.metrics.left.inc()
-            _log.info("request left", request=parsed.request_id, targets=trace.targets)
+            if responder.is_open and not responder.started:
+                detail = "this node stops before the response"
+                self._refuse(
+                    responder,
+                    request_id,
+                    Refusal(ErrorKind.STOPPING, detail, _ran(trace), _OTHER_NODE_RETRY_SECONDS),
+                    trace,
+                )
             raise
         except Exception:
-            _log.exception("request failed", request=parsed.request_id)
+            if responder.ended:
+                _log.exception("request not recorded", request=request_id)
+                return
+            _log.exception("request failed", request=request_id)
             refusal = Refusal(ErrorKind.INTERNAL, "the node failed", _ran(trace))
-            self._refuse(responder, parsed.request_id, refusal, trace)
+            self._refuse(responder, request_id, refusal, trace)
 
     async def _serve(self, call: Call, responder: Responder) -> None:
         self._check_leaving(call)
@@ -108,6 +121,13 @@
 
     # --- validation and routing ---------------------------------------------
 
+    def _read(self, request: Request) -> ParsedRequest:
+        """Return the parsed request; raise `Refused` if it is invalid."""
+        parsed = self._context.callers.read(request)
+        if isinstance(parsed, InvalidRequest):
+            raise Refused(Refusal(ErrorKind.BAD_REQUEST, parsed.detail, Ran.NO))
+        return parsed
+
     async def _resolve(self, parsed: ParsedRequest, trace: Trace) -> Call:
         try:
             return self._build_call(parsed, trace)
@@ -182,23 +202,28 @@
     def _refuse(
         self, responder: Responder, request_id: str, refusal: Refusal, trace: Trace
     ) -> None:
+        if responder.ended:
+            # The caller has a whole response, which must not be aborted.
+            _log.warning("request not recorded", request=request_id, detail=refusal.detail)
+            return
         if responder.started:
-            self._context.metrics.cut.inc()
-            _log.warning(
-                "answer cut",
-                request=request_id,
-                detail=refusal.detail,
-                targets=trace.targets,
-                reasons=trace.reasons,
-                **trace.relay_progress(),
+            responder.describe(
+                lambda: {
+                    "detail": refusal.detail,
+                    "targets": trace.targets,
+                    "reasons": trace.reasons,
+                    **trace.relay_progress(),
+                }
             )
-            responder.cut()
+            responder.cut(_CUT_CAUSES.get(refusal.kind, EndCause.TARGET))
             return
         status = ERROR_RESPONSES[refusal.kind].status
         if refusal.kind is ErrorKind.DEADLINE and refusal.ran is not Ran.NO:
             status = 504
         elif refusal.ran is not Ran.NO:
             status = _STATUS_IF_MAY_HAVE_RUN.get(status, status)
+        elif refusal.kind is ErrorKind.INTERNAL:
+            status = 503
         retry_after = refusal.retry_after
         if status == 503 and retry_after is None:
             retry_after = _DEFAULT_RETRY_SECONDS
@@ -216,7 +241,7 @@
             targets=trace.targets,
             reasons=trace.reasons,
         )
-        responder.send(status, headers, refusal.detail.encode("utf-8", "replace"))
+        responder.refuse(status, headers, refusal.detail.encode("utf-8", "replace"))
 
     def _log_response(self, call: Call, outcome: str, now: float) -> None:
         trace = call.trace
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -33,6 +33,7 @@
 from .notices import NoticeHandler
 from .operator_feed import OperatorFeed
 from .ports import CallerDialect, Platform, RemoteCallError, TargetDialect
+from .request_ends import RequestEnds
 from .rollout_runner import RolloutRunner
 from .send_gate import SendGate
 from .send_watch import ResponsivenessWatch
@@ -65,6 +66,9 @@
 _CLOSE_RESERVE_SECONDS = 0.9
 """The node stops accepting connections this long before the end of the grace period, and closes
 the last ones half of this time later."""
+_LAST_REPORTS_SECONDS = 0.01
+_LAST_RESPONSES_SECONDS = 0.05
+"""Time for the refusals of requests that have no response when the node closes."""
 _IDLE_BEFORE_STOP_SECONDS = 2 * _ENTRY_CACHE_SECONDS
 """Idle time before a stopping node closes: callers may use a cached entry response until then."""
 
@@ -225,6 +229,7 @@
             handler=Gateway(context=context).handle,
             limits=self._server_limits,
             memory=self._memory,
+            observer=RequestEnds(metrics=self._metrics, request_id=dialects.callers.request_id),
         )
         directory = EntryHandler(
             dialect=dialects.entry,
@@ -325,9 +330,12 @@
         self._gossip.send_to_all()
         _log.info("leaving", busy=self._entry_server.busy)
         try:
-            await self._rollout_runner.stop()
-        except RemoteCallError as error:
+            async with asyncio.timeout_at(drain_deadline):
+                await self._rollout_runner.stop()
+        except (RemoteCallError, TimeoutError) as error:
             _log.warning("duty not given back", error=str(error))
+        except Exception:
+            _log.exception("stop failed")
         idle_since = loop.time()
         while loop.time() < drain_deadline:
             if self._entry_server.busy or self._tunnels.count:
@@ -337,10 +345,14 @@
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
         self._entry_server.stop_accepting()
         self._tunnels.stop_accepting()
+        # A request on a connection that has just opened is read in this time.
+        await asyncio.sleep(_DRAIN_POLL_SECONDS)
         while (
             self._entry_server.busy or self._tunnels.count
         ) and loop.time() < drain_deadline + _CLOSE_RESERVE_SECONDS / 2:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        self._entry_server.cancel_unanswered()
+        await asyncio.sleep(_LAST_RESPONSES_SECONDS)
         _log.info(
             "stopped", cut=self._entry_server.busy, seconds=round(loop.time() - started_at, 2)
         )
@@ -354,6 +366,8 @@
             server.close()
         self._client.close()
         self._peer_client.close()
+        # Connections that were aborted report their ends in the next iterations of the loop.
+        await asyncio.sleep(_LAST_REPORTS_SECONDS)
 
     # --- background loops -------------------------------------------------------
 
@@ -448,6 +462,7 @@
         metrics.reserved.set(views.service_queues.largest_reserve(now))
         self._memory.refresh()
         metrics.held_bytes.set(self._memory.budget.held)
+        metrics.open.set(self._entry_server.open_requests)
         views.responsiveness.expire(names)
         metrics.unresponsive_targets.set(len(views.responsiveness))
         views.direct_paths.expire(names)
