Show that an idle time follows no later configuration

A connection that was opened under an idle time of 1.5 s is closed after 1.5 s of rest, though a configuration with 5 s has been in force meanwhile. Callers take up connections by the newest idle time; one whose request crosses the close gets neither an answer nor a refusal.

--- /dev/null
+++ b/tests/test_limits_in_force.py
@@ -0,0 +1,87 @@
+"""The limits on callers' connections follow the configuration, on open connections too."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fielddrift_standins.worker import Worker
+
+from .platform_fleet import Answer, FleetCase, RunningNode, eventually, parse, request
+
+_SHORT_SECONDS = 1.5
+_LONG_SECONDS = 5.0
+
+
+class KeptConnection:
+    """A connection to a node that is kept open between requests."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, node: RunningNode) -> KeptConnection:
+        """Connect to the entry of a node."""
+        host, _, port = node.settings.entry.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        self._writer.write(data)
+
+    async def answer(self) -> Answer | None:
+        """Return the next response, None if the connection was closed without one."""
+        try:
+            head = await self._reader.readuntil(b"\r\n\r\n")
+            length = parse(head).headers.get("content-length", "0")
+            return parse(head + await self._reader.readexactly(int(length)))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+
+    async def ask(self, **extra: object) -> Answer | None:
+        """Send a request and return its response, None if there was none."""
+        self.write(request("/safe/x", Connection="", **extra))  # type: ignore[arg-type]
+        return await self.answer()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
+class TestOpenConnections(FleetCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.fleet.worker(Worker(name="w1"), "plain")
+
+    async def start(self, idle_seconds: float) -> KeptConnection:
+        """Start a node under an idle time and return a connection that has served a request."""
+        self.limit(idle_seconds)
+        self.node = await self.fleet.node()
+        connection = await KeptConnection.open(self.node)
+        self.addCleanup(connection.close)
+        answer = await connection.ask()
+        assert answer is not None
+        self.assertEqual(answer.status, 200)
+        return connection
+
+    def limit(self, idle_seconds: float, **others: int) -> None:
+        """Write a configuration with an idle time, and with `others` of its limits."""
+        self.fleet.limits |= {"idle-timeout-ms": round(idle_seconds * 1000)}
+        self.fleet.limits |= {name.replace("_", "-"): value for name, value in others.items()}
+        self.fleet.configure()
+
+    async def apply(self, idle_seconds: float, **others: int) -> None:
+        """Write a configuration and wait until the node has it."""
+        self.limit(idle_seconds, **others)
+        await eventually(self._has_newest)
+
+    def _has_newest(self) -> bool:
+        catalog = self.node.node.views.catalog
+        return catalog is not None and catalog.version == self.fleet.version
+
+    async def test_a_connection_is_not_closed_by_an_idle_time_that_was_lengthened(self) -> None:
+        connection = await self.start(_SHORT_SECONDS)
+        await self.apply(_LONG_SECONDS)
+        await asyncio.sleep(_SHORT_SECONDS + 0.5)
+        answer = await connection.ask()
+        self.assertIsNotNone(answer, "closed without an answer")
