Let open connections follow the limits in force

Callers saw: a kept connection that was opened under a short idle time was closed by it after a configuration with a longer one was in force; a request that crossed the close got neither an answer nor a refusal. A body under way was closed in the same way, and sizes that a later configuration allows were refused with 431 or 413 on open connections only.

Cause: the server read its limits once for each connection. Ruled out: the node not knowing the configuration (the test waits until it has it), and new connections, which followed it.

Change: a connection takes the limits in force with the bytes that arrive and when its time is up; then it goes on waiting if a longer time holds by now. A request that is being read keeps larger limits that held when it began, and a wait is never cut short. No timer is re-armed by a change: each connection has its one timer as before.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -66,6 +66,15 @@
     header_seconds: float = 3.0
     idle_seconds: float = 15.0
 
+    def widened(self, other: Limits) -> Limits:
+        """Return the larger value of each limit, of this and of `other`."""
+        return Limits(
+            header_bytes=max(self.header_bytes, other.header_bytes),
+            body_bytes=max(self.body_bytes, other.body_bytes),
+            header_seconds=max(self.header_seconds, other.header_seconds),
+            idle_seconds=max(self.idle_seconds, other.idle_seconds),
+        )
+
 
 class Request(NamedTuple):
     """A complete request; `arrived` is the event loop's time at its first byte."""
@@ -213,8 +222,8 @@
 class Server:
     """Listens on addresses and passes each request to `handler`.
 
-    `limits` is read for each new connection; `format_fault` formats error responses.  `memory`
-    counts and bounds what is held for the connections.
+    `limits` returns the limits in force, which open connections follow; `format_fault` formats
+    error responses.  `memory` counts and bounds what is held for the connections.
     """
 
     def __init__(
@@ -268,9 +277,11 @@
             connection.abort()
 
     def _connection(self) -> _Connection:
-        return _Connection(
-            server=self, handler=self._handler, limits=self._limits(), memory=self._memory
-        )
+        return _Connection(server=self, handler=self._handler, memory=self._memory)
+
+    def limits(self) -> Limits:
+        """Return the limits in force."""
+        return self._limits()
 
     def format_fault(self, fault: Fault) -> FaultAnswer:
         """Return the body of the response to an invalid request."""
@@ -288,14 +299,12 @@
 class _Connection(asyncio.Protocol):
     """Parses the requests of one connection and handles them in order."""
 
-    def __init__(
-        self, *, server: Server, handler: Handler, limits: Limits, memory: HostMemory | None
-    ) -> None:
+    def __init__(self, *, server: Server, handler: Handler, memory: HostMemory | None) -> None:
         self._server = server
         self._memory = memory
         self._held: HeldBytes | None = None
         self._handler = handler
-        self._limits = limits
+        self._limits = server.limits()
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -304,7 +313,7 @@
         self._close_after_answer = False
         self._fault: _BadRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._deadline = self._loop.time() + limits.idle_seconds
+        self._wait(self._limits.idle_seconds)
         self._writable = asyncio.Event()
         self._writable.set()
         self._in_message = False
@@ -374,6 +383,7 @@
     def data_received(self, data: bytes) -> None:
         if self._fault is not None or self._close_after_answer:
             return
+        self._refresh_limits()
         self._head_bytes += 0 if self._head_complete else len(data)
         try:
             self._parser.feed_data(data)
@@ -396,7 +406,7 @@
         self._reset_message()
         self._in_message = True
         self._arrived = self._loop.time()
-        self._deadline = self._arrived + self._limits.header_seconds
+        self._wait(self._limits.header_seconds)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -410,7 +420,7 @@
 
     def on_headers_complete(self) -> None:
         self._head_complete = True
-        self._deadline = self._loop.time() + self._limits.idle_seconds
+        self._wait(self._limits.idle_seconds)
         fields = self._fields
         for name in (b"content-length", b"transfer-encoding", b"host"):
             if fields.count(name) > 1:
@@ -460,7 +470,7 @@
         self._reserved_bytes = 0
         self._queue.append(Request(head, b"".join(self._body_chunks), self._arrived))
         self._body_chunks = []
-        self._deadline = self._loop.time() + self._limits.idle_seconds
+        self._wait(self._limits.idle_seconds)
         if len(self._queue) > _MAX_PIPELINED_COUNT and self._transport is not None:
             self._transport.pause_reading()
         self._handle_next()
@@ -511,7 +521,8 @@
                 self._after_answer()
 
     def _after_answer(self) -> None:
-        self._deadline = self._loop.time() + self._limits.idle_seconds
+        self._refresh_limits()
+        self._wait(self._limits.idle_seconds)
         if self._transport is None:
             return
         if self._fault is not None and not self._queue:
@@ -581,10 +592,33 @@
         if self._transport is not None:
             self._transport.close()
 
+    # --- limits -------------------------------------------------------------
+
+    def _refresh_limits(self) -> None:
+        """Take the limits in force; a request that is being read keeps those that were larger."""
+        limits = self._server.limits()
+        if limits != self._limits:
+            self._limits = self._limits.widened(limits) if self._in_message else limits
+
+    def _wait(self, seconds: float) -> None:
+        """Begin to wait for the client, for `seconds` unless a longer time comes into force."""
+        self._waiting_since = self._loop.time()
+        self._deadline = self._waiting_since + seconds
+
+    def _extend_wait(self) -> None:
+        """Wait for as long as the limits in force allow, if that is longer than before."""
+        self._refresh_limits()
+        reads_header = self._in_message and not self._head_complete
+        limits = self._limits
+        seconds = limits.header_seconds if reads_header else limits.idle_seconds
+        self._deadline = max(self._deadline, self._waiting_since + seconds)
+
     def _check_timeout(self) -> None:
         now = self._loop.time()
         if self._task is not None:
             self._deadline = max(self._deadline, now + self._limits.idle_seconds)
+        elif now >= self._deadline:
+            self._extend_wait()
         if now >= self._deadline and self._transport is not None:
             self._transport.close()
             return
--- a/tests/test_limits_in_force.py
+++ b/tests/test_limits_in_force.py
@@ -85,3 +85,20 @@
         await asyncio.sleep(_SHORT_SECONDS + 0.5)
         answer = await connection.ask()
         self.assertIsNotNone(answer, "closed without an answer")
+
+    async def test_a_body_under_way_is_not_closed_by_an_idle_time_that_was_lengthened(self) -> None:
+        connection = await self.start(_SHORT_SECONDS)
+        whole = request("/safe/x", Connection="", body=b"ask")
+        connection.write(whole[:-1])
+        await self.apply(_LONG_SECONDS)
+        await asyncio.sleep(_SHORT_SECONDS + 0.5)
+        connection.write(whole[-1:])
+        answer = await connection.answer()
+        self.assertIsNotNone(answer, "closed without an answer")
+
+    async def test_sizes_that_were_raised_hold_on_an_open_connection(self) -> None:
+        connection = await self.start(_LONG_SECONDS)
+        await self.apply(_LONG_SECONDS, max_header_bytes=3 * 4096, max_body_bytes=2 * 65536)
+        answer = await connection.ask(body=b"x" * 100_000, X_Long="y" * 8000)
+        assert answer is not None
+        self.assertEqual(answer.status, 200, answer.body)
