Keep former limits in force until all know the new ones

Callers saw: beside a change to a shorter idle time, a connection whose timer ran out just then was closed after the new time, while its caller still went by the former one; a request that crossed the close got nothing. A body within the former size was refused with 413, after which callers do not try again.

Cause: a node put each configuration into force alone and at once, though others learn of it up to the time that a change may take later, and the node itself may have it before the operators' write is acknowledged.

Change: `LimitsInForce` holds the newest limits, and for twice the time of a change the larger ones of those before. Connections that rest keep the idle time under which they began to, as before this change. Limits are now built once for each configuration instead of once for each use.

Ruled out: closing at the shorter time those connections that rest already; nothing tells their callers before.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -15,6 +15,7 @@
 
 from ..web.client import Client
 from ..web.host_memory import HostMemory
+from ..web.limits_in_force import LimitsInForce
 from ..web.server import Limits, Server
 from ..web.tunnel import TunnelServer
 from .beliefs import cluster_state, to_json
@@ -68,6 +69,10 @@
 _IDLE_BEFORE_STOP_SECONDS = 2 * _ENTRY_CACHE_SECONDS
 """Idle time before a stopping node closes: callers may use a cached entry response until then."""
 
+_LIMITS_OVERLAP_CHANGES = 2.0
+"""Time for which former limits stay in force beside new ones, in the time that a change takes: the
+node may have a configuration before the operators' write is acknowledged."""
+
 _log = structlog.get_logger()
 
 
@@ -221,9 +226,12 @@
             on_closed=self._metrics.memory_closed.inc,
             on_refused=self._record_refused_body,
         )
+        self._limits = LimitsInForce(
+            overlap_seconds=_LIMITS_OVERLAP_CHANGES * settings.bounds.change
+        )
         self._entry_server = Server(
             handler=Gateway(context=context).handle,
-            limits=self._server_limits,
+            limits=lambda: self._limits.at(asyncio.get_running_loop().time()),
             memory=self._memory,
         )
         directory = EntryHandler(
@@ -483,6 +491,7 @@
         self._metrics.refusals.inc(label_value="memory")
 
     def _on_operators_changed(self) -> None:
+        self._update_limits()
         self._update_status()
         self._named_rows.schedule_save()
         self._store_tracker.check_now()
@@ -493,13 +502,14 @@
         self._operators.heard(heartbeat)
         self._targets.heard(heartbeat.node, heartbeat.reading)
 
-    def _server_limits(self) -> Limits:
+    def _update_limits(self) -> None:
         catalog = self._views.catalog
         if catalog is None:
-            return Limits()
-        return Limits(
+            return
+        limits = Limits(
             header_bytes=catalog.header_bytes,
             body_bytes=catalog.body_bytes,
             header_seconds=catalog.header_seconds,
             idle_seconds=catalog.idle_seconds,
         )
+        self._limits.replace(limits, asyncio.get_running_loop().time())
--- a/tests/test_limits_in_force.py
+++ b/tests/test_limits_in_force.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
 
+from fielddrift_node.web.limits_in_force import LimitsInForce
+from fielddrift_node.web.server import Limits
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import Answer, FleetCase, RunningNode, eventually, parse, request
+from .platform_fleet import BOUNDS, Answer, FleetCase, RunningNode, eventually, parse, request
 
 _SHORT_SECONDS = 1.5
 _LONG_SECONDS = 5.0
+_CHANGE_SECONDS = 1.0
+_OVERLAP_SECONDS = 2 * _CHANGE_SECONDS
 
 
 class KeptConnection:
@@ -56,7 +61,7 @@
     async def start(self, idle_seconds: float) -> KeptConnection:
         """Start a node under an idle time and return a connection that has served a request."""
         self.limit(idle_seconds)
-        self.node = await self.fleet.node()
+        self.node = await self.fleet.node(bounds=BOUNDS._replace(change=_CHANGE_SECONDS))
         connection = await KeptConnection.open(self.node)
         self.addCleanup(connection.close)
         answer = await connection.ask()
@@ -102,3 +107,63 @@
         answer = await connection.ask(body=b"x" * 100_000, X_Long="y" * 8000)
         assert answer is not None
         self.assertEqual(answer.status, 200, answer.body)
+
+    async def test_a_caller_may_go_by_the_former_idle_time_until_the_shorter_one_is_known(
+        self,
+    ) -> None:
+        connection = await self.start(_SHORT_SECONDS)
+        await asyncio.sleep(0.4 * _SHORT_SECONDS)
+        await self.apply(0.3)
+        self.assertIsNotNone(await connection.ask())
+        await asyncio.sleep(0.8 * _SHORT_SECONDS)
+        self.assertIsNotNone(await connection.ask(), "closed without an answer")
+
+    async def test_a_connection_that_rested_before_is_kept_for_the_former_idle_time(self) -> None:
+        connection = await self.start(_LONG_SECONDS)
+        await self.apply(0.3)
+        await asyncio.sleep(_OVERLAP_SECONDS + 0.8)
+        self.assertIsNotNone(await connection.ask(), "closed without an answer")
+
+    async def test_a_shorter_idle_time_holds_once_all_know_it(self) -> None:
+        await self.start(_LONG_SECONDS)
+        await self.apply(0.3)
+        await asyncio.sleep(_OVERLAP_SECONDS)
+        connection = await KeptConnection.open(self.node)
+        self.addCleanup(connection.close)
+        self.assertIsNotNone(await connection.ask())
+        async with asyncio.timeout(1.0):
+            self.assertIsNone(await connection.answer())
+
+    async def test_sizes_that_were_lowered_hold_once_all_know_them(self) -> None:
+        connection = await self.start(_LONG_SECONDS)
+        await self.apply(_LONG_SECONDS, max_body_bytes=1000)
+        former = await connection.ask(body=b"x" * 2000)
+        await asyncio.sleep(_OVERLAP_SECONDS)
+        later = await connection.ask(body=b"x" * 2000)
+        assert former is not None and later is not None
+        self.assertEqual((former.status, later.status), (200, 413))
+
+
+class TestLimitsInForce(unittest.TestCase):
+    def setUp(self) -> None:
+        self.limits = LimitsInForce(overlap_seconds=2.0)
+
+    def test_the_defaults_end_with_the_first_configuration(self) -> None:
+        self.assertEqual(self.limits.at(0.0), Limits())
+        first = Limits(idle_seconds=1.0, body_bytes=10)
+        self.limits.replace(first, 1.0)
+        self.assertEqual(self.limits.at(1.0), first)
+
+    def test_each_limit_is_the_largest_of_the_last_configurations(self) -> None:
+        self.limits.replace(Limits(idle_seconds=1.0, body_bytes=30), 0.0)
+        self.limits.replace(Limits(idle_seconds=5.0, body_bytes=20), 1.0)
+        self.limits.replace(Limits(idle_seconds=2.0, body_bytes=10), 2.0)
+        for now, expected in ((2.0, (5.0, 30)), (3.0, (5.0, 20)), (4.0, (2.0, 10))):
+            found = self.limits.at(now)
+            self.assertEqual((found.idle_seconds, found.body_bytes), expected, now)
+
+    def test_a_configuration_with_the_same_limits_prolongs_nothing(self) -> None:
+        self.limits.replace(Limits(idle_seconds=5.0), 0.0)
+        self.limits.replace(Limits(idle_seconds=2.0), 1.0)
+        self.limits.replace(Limits(idle_seconds=2.0), 2.0)
+        self.assertEqual(self.limits.at(3.0).idle_seconds, 2.0)
