Announce the idle time for which a caller's connection is kept

Callers saw: a close by idle time told them nothing before. One that goes by another configuration than the node, in either direction, takes up a connection that the node is about to close; the node may also not have the newer configuration yet, which no change to how it applies one can mend.

Change: responses at the entry carry `Connection: keep-alive` and `Keep-Alive: timeout=N`, N whole seconds, at least 0.25 s below the time after which the node closes, for a request in transit. The node keeps a connection for the time that its last response announced, also if a shorter one comes into force while that response is under way. Where that leaves less than a second, nothing is announced: 0 would read as a close. Other servers announce nothing as before.

Not covered: a stopping node closes resting connections at the end of its drain window, whatever was announced.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -233,6 +233,7 @@
             handler=Gateway(context=context).handle,
             limits=lambda: self._limits.at(asyncio.get_running_loop().time()),
             memory=self._memory,
+            announces_idle_time=True,
         )
         directory = EntryHandler(
             dialect=dialects.entry,
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -45,6 +45,8 @@
 """Idle time before the first keep-alive probe, and interval between probes.  On Linux probes give
 up once nothing has arrived for the time-out above, whatever their count."""
 _LISTEN_BACKLOG_COUNT = 1024
+_KEEP_ALIVE_MARGIN_SECONDS = 0.25
+"""Time from the end of the announced idle time to the close, for a request that is in transit."""
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides its name and value: colon, space and line end."""
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
@@ -157,6 +159,8 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         if not keep:
             lines.append(b"Connection: close\r\n")
+        elif seconds := self._connection.announced_idle_seconds():
+            lines.append(b"Connection: keep-alive\r\nKeep-Alive: timeout=%d\r\n" % seconds)
         lines.append(b"\r\n")
         self._keep_alive = keep
         self._started = True
@@ -223,7 +227,8 @@
     """Listens on addresses and passes each request to `handler`.
 
     `limits` returns the limits in force, which open connections follow; `format_fault` formats
-    error responses.  `memory` counts and bounds what is held for the connections.
+    error responses.  `memory` counts and bounds what is held for the connections.  With
+    `announces_idle_time` responses contain the idle time in a `Keep-Alive` header.
     """
 
     def __init__(
@@ -233,8 +238,10 @@
         limits: Callable[[], Limits],
         format_fault: Callable[[Fault], FaultAnswer] = plain_text_fault,
         memory: HostMemory | None = None,
+        announces_idle_time: bool = False,
     ) -> None:
         self._handler = handler
+        self._announces_idle_time = announces_idle_time
         self._format_fault = format_fault
         self._limits = limits
         self._memory = memory
@@ -247,6 +254,11 @@
         """Return whether responses carry `Connection: close`."""
         return self._leaving
 
+    @property
+    def announces_idle_time(self) -> bool:
+        """Return whether responses contain the idle time of their connections."""
+        return self._announces_idle_time
+
     @property
     def busy(self) -> int:
         """Return the number of connections on which a request is being read or handled."""
@@ -314,6 +326,8 @@
         self._fault: _BadRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._wait(self._limits.idle_seconds)
+        self._promised_idle_seconds = 0.0
+        """Idle time after the current response, if the response announces one."""
         self._writable = asyncio.Event()
         self._writable.set()
         self._in_message = False
@@ -522,7 +536,7 @@
 
     def _after_answer(self) -> None:
         self._refresh_limits()
-        self._wait(self._limits.idle_seconds)
+        self._wait(max(self._limits.idle_seconds, self._promised_idle_seconds))
         if self._transport is None:
             return
         if self._fault is not None and not self._queue:
@@ -600,6 +614,14 @@
         if limits != self._limits:
             self._limits = self._limits.widened(limits) if self._in_message else limits
 
+    def announced_idle_seconds(self) -> int:
+        """Return the idle time to announce in a response, in whole seconds; 0 for none."""
+        if not self._server.announces_idle_time:
+            return 0
+        self._refresh_limits()
+        self._promised_idle_seconds = self._limits.idle_seconds
+        return max(0, int(self._limits.idle_seconds - _KEEP_ALIVE_MARGIN_SECONDS))
+
     def _wait(self, seconds: float) -> None:
         """Begin to wait for the client, for `seconds` unless a longer time comes into force."""
         self._waiting_since = self._loop.time()
--- a/tests/test_limits_in_force.py
+++ b/tests/test_limits_in_force.py
@@ -6,10 +6,12 @@
 import unittest
 
 from fielddrift_node.web.limits_in_force import LimitsInForce
-from fielddrift_node.web.server import Limits
+from fielddrift_node.web.messages import Headers
+from fielddrift_node.web.server import Limits, Request, Responder, Server
+from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import BOUNDS, Answer, FleetCase, RunningNode, eventually, parse, request
+from .platform_fleet import BOUNDS, Answer, FleetCase, eventually, get, parse, request
 
 _SHORT_SECONDS = 1.5
 _LONG_SECONDS = 5.0
@@ -25,9 +27,9 @@
         self._writer = writer
 
     @classmethod
-    async def open(cls, node: RunningNode) -> KeptConnection:
-        """Connect to the entry of a node."""
-        host, _, port = node.settings.entry.rpartition(":")
+    async def open(cls, address: str) -> KeptConnection:
+        """Connect to an address."""
+        host, _, port = address.rpartition(":")
         return cls(*await asyncio.open_connection(host, int(port)))
 
     def write(self, data: bytes) -> None:
@@ -62,7 +64,7 @@
         """Start a node under an idle time and return a connection that has served a request."""
         self.limit(idle_seconds)
         self.node = await self.fleet.node(bounds=BOUNDS._replace(change=_CHANGE_SECONDS))
-        connection = await KeptConnection.open(self.node)
+        connection = await KeptConnection.open(self.node.settings.entry)
         self.addCleanup(connection.close)
         answer = await connection.ask()
         assert answer is not None
@@ -128,7 +130,7 @@
         await self.start(_LONG_SECONDS)
         await self.apply(0.3)
         await asyncio.sleep(_OVERLAP_SECONDS)
-        connection = await KeptConnection.open(self.node)
+        connection = await KeptConnection.open(self.node.settings.entry)
         self.addCleanup(connection.close)
         self.assertIsNotNone(await connection.ask())
         async with asyncio.timeout(1.0):
@@ -144,6 +146,71 @@
         self.assertEqual((former.status, later.status), (200, 413))
 
 
+class TestAnnouncedIdleTime(FleetCase):
+    async def test_a_response_announces_less_than_the_time_until_the_close(self) -> None:
+        await self.fleet.worker(Worker(name="w1"), "plain")
+        for idle_ms, announced in ((15000, "timeout=14"), (1500, "timeout=1"), (1200, None)):
+            self.fleet.limits |= {"idle-timeout-ms": idle_ms}
+            self.fleet.configure()
+            node = await self.fleet.node()
+            connection = await KeptConnection.open(node.settings.entry)
+            self.addCleanup(connection.close)
+            answer = await connection.ask()
+            assert answer is not None
+            self.assertEqual(answer.headers.get("keep-alive"), announced, idle_ms)
+            expected = None if announced is None else "keep-alive"
+            self.assertEqual(answer.headers.get("connection"), expected, idle_ms)
+            await node.stop()
+            self.fleet.nodes.remove(node)
+
+    async def test_a_last_response_and_other_servers_announce_nothing(self) -> None:
+        await self.fleet.worker(Worker(name="w1"), "plain")
+        node = await self.fleet.node()
+        connection = await KeptConnection.open(node.settings.entry)
+        self.addCleanup(connection.close)
+        connection.write(request("/safe/x"))
+        answers = [await connection.answer()]
+        for address in (node.settings.ready, node.settings.metrics, node.settings.peer):
+            answers.append(await get(address, "/readyz"))
+        for answer in answers:
+            assert answer is not None
+            self.assertEqual(answer.headers["connection"], "close")
+            self.assertNotIn("keep-alive", answer.headers)
+
+
+class TestAnnouncementAndClose(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.limits = Limits(idle_seconds=1.5)
+        self.ending = asyncio.Event()
+        self.server = Server(
+            handler=self._handle, limits=lambda: self.limits, announces_idle_time=True
+        )
+        self.addCleanup(self.server.close)
+        self.address = f"{HOST}:{free_port()}"
+        await self.server.start(HOST, int(self.address.rpartition(":")[2]))
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        responder.start(200, Headers(), 1)
+        await self.ending.wait()
+        responder.write(b"x")
+        responder.end()
+
+    async def test_an_announced_time_is_held_though_a_shorter_one_follows(self) -> None:
+        connection = await KeptConnection.open(self.address)
+        self.addCleanup(connection.close)
+        connection.write(request("/", Connection=""))
+        answer = asyncio.ensure_future(connection.answer())
+        await eventually(lambda: self.server.busy)
+        await asyncio.sleep(0.05)
+        self.limits = Limits(idle_seconds=0.2)
+        self.ending.set()
+        first = await answer
+        assert first is not None
+        self.assertEqual(first.headers.get("keep-alive"), "timeout=1")
+        await asyncio.sleep(1.0)
+        self.assertIsNotNone(await connection.ask(), "closed without an answer")
+
+
 class TestLimitsInForce(unittest.TestCase):
     def setUp(self) -> None:
         self.limits = LimitsInForce(overlap_seconds=2.0)
