Stop within the grace period that the settings name by then

Callers saw: a request in progress was cut by the stop of a node, at the grace period with which the process had started, although the settings file named a longer one by then; under a shorter one the process would be killed first.

Cause: the settings file was read at the start only. SIGHUP checked it and applied nothing, and a change without a signal was not noticed at all.

Change: SIGHUP, and the signal to stop itself, apply the bounds of the file to the stop and to entry responses, which read them when they use them. The other bounds are passed on at the start and stay open (docs/design/limits.md). A file that cannot be read leaves the last ones, and the node stops all the same.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -37,7 +37,7 @@
 from .rollout_runner import RolloutRunner
 from .send_gate import SendGate
 from .send_watch import ResponsivenessWatch
-from .settings import NodeSettings
+from .settings import Bounds, NodeSettings
 from .sharing import PeerClient, PeerHandler
 from .store_tracker import StoreTracker
 from .target_feed import TargetFeed
@@ -258,6 +258,13 @@
         """Return the node's views of the cluster."""
         return self._views
 
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Apply changed bounds to a later stop and to entry responses.
+
+        The other bounds apply at the next start.
+        """
+        self._settings = self._settings._replace(bounds=bounds)
+
     @property
     def _serving(self) -> bool:
         return self._views.ready and not self._leaving
--- /dev/null
+++ b/tests/test_settings_reload.py
@@ -0,0 +1,104 @@
+"""A node process stops within the grace period that its settings file names by then."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from fielddrift_standins.fleet import free_port
+from fielddrift_standins.worker import Worker
+
+from .platform_fleet import FleetCase, eventually, get, parse, request, send_raw
+
+_SHORT_GRACE_SECONDS = 1.4
+_LONG_GRACE_SECONDS = 6.0
+_WORK_SECONDS = 2.0
+"""Longer than the short grace period."""
+_SETTINGS = """\
+node-name = "node-1"
+ip = "{ip}"
+zone = "a"
+region = "r"
+port-range = [{gossip}, {gossip}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
+[platform]
+address = "{store}"
+[bounds]
+grace-s = {{grace}}
+"""
+
+
+class TestGracePeriod(FleetCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.fleet.worker(Worker(name="w1", work_seconds=_WORK_SECONDS), "plain")
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "node.toml"
+        # The port of the metrics is fixed, so the node needs an address of its own.
+        rng = random.SystemRandom()
+        ip = f"127.{rng.randrange(20, 250)}.{rng.randrange(1, 250)}.{rng.randrange(1, 250)}"
+        names = ("gossip", "front", "ready", "control", "directory")
+        ports = {name: free_port() for name in names}
+        self.entry, self.ready = f"{ip}:{ports['front']}", f"{ip}:{ports['ready']}"
+        self.template = _SETTINGS.format(ip=ip, store=self.fleet.store_address, **ports)
+        self.write(_SHORT_GRACE_SECONDS)
+        self.node = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "fielddrift_platform",
+            env={**os.environ, "FIELDDRIFT_SETTINGS": str(self.file)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        self.addAsyncCleanup(self._kill)
+        await eventually(self._is_ready)
+
+    async def _kill(self) -> None:
+        if self.node.returncode is None:
+            self.node.kill()
+            await self.node.wait()
+
+    async def _is_ready(self) -> bool:
+        try:
+            return (await get(self.ready, "/readyz")).status == 200
+        except OSError:
+            return False
+
+    def write(self, grace: float) -> None:
+        """Write the settings file."""
+        self.file.write_text(self.template.format(grace=grace))
+
+    async def ask_beside_stop(self) -> int:
+        """Send a request, stop the node, and return the status of the answer, 0 without one."""
+        asking = asyncio.ensure_future(send_raw(self.entry, request("/unsafe/x")))
+        await asyncio.sleep(0.2)
+        self.node.send_signal(signal.SIGTERM)
+        status = parse(await asking).status
+        await asyncio.wait_for(self.node.wait(), 2 * _LONG_GRACE_SECONDS)
+        self.assertEqual(self.node.returncode, 0)
+        return status
+
+    async def test_a_request_is_not_cut_by_a_grace_period_that_was_lengthened(self) -> None:
+        self.write(_LONG_GRACE_SECONDS)
+        self.node.send_signal(signal.SIGHUP)
+        self.assertEqual(await self.ask_beside_stop(), 200)
+
+    async def test_a_changed_file_counts_without_a_signal(self) -> None:
+        self.write(_LONG_GRACE_SECONDS)
+        self.assertEqual(await self.ask_beside_stop(), 200)
+
+    async def test_a_file_that_cannot_be_read_leaves_the_last_grace_period(self) -> None:
+        self.write(_LONG_GRACE_SECONDS)
+        self.node.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        self.file.write_text("grace = [")
+        self.assertEqual(await self.ask_beside_stop(), 200)
