--- a/tests/test_limits_in_force.py
+++ b/tests/test_limits_in_force.py
@@ -11,7 +11,7 @@
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import BOUNDS, Answer, FleetCase, eventually, get, parse, request
+from .platform_fleet import BOUNDS, Answer, FleetCase, ask, eventually, get, parse, request
 
 _SHORT_SECONDS = 1.5
 _LONG_SECONDS = 5.0
@@ -211,6 +211,21 @@
         self.assertIsNotNone(await connection.ask(), "closed without an answer")
 
 
+class TestRequestsInProgress(FleetCase):
+    async def test_a_shorter_time_of_its_route_does_not_end_a_request_in_progress(self) -> None:
+        worker = await self.fleet.worker(Worker(name="w1", work_seconds=1.0), "plain")
+        node = await self.fleet.node()
+        asking = asyncio.ensure_future(ask(node, "/unsafe/x"))
+        await eventually(lambda: bool(worker.ran))
+        for route in self.fleet.routes:
+            route["timeout-ms"] = 300
+        self.fleet.configure()
+        views = node.node.views
+        await eventually(lambda: views.catalog and views.catalog.version == self.fleet.version)
+        self.assertEqual((await asking).status, 200)
+        self.assertEqual((await ask(node, "/unsafe/x", request_id="r2")).status, 504)
+
+
 class TestLimitsInForce(unittest.TestCase):
     def setUp(self) -> None:
         self.limits = LimitsInForce(overlap_seconds=2.0)
