--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -48,6 +48,8 @@
 """Idle time before the first keep-alive probe, and interval between probes.  On Linux probes give
 up once nothing has arrived for the time-out above, whatever their count."""
 _LISTEN_BACKLOG_COUNT = 1024
+_KEEP_ALIVE_MARGIN_SECONDS = 0.25
+"""Time from the end of the announced idle time to the close, for a request that is in transit."""
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides its name and value: colon, space and line end."""
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
@@ -76,6 +78,15 @@
     header_seconds: float = 3.0
     idle_seconds: float = 15.0
 
+    def widened(self, other: Limits) -> Limits:
+        """Return the larger value of each limit, of this and of `other`."""
+        return Limits(
+            header_bytes=max(self.header_bytes, other.header_bytes),
+            body_bytes=max(self.body_bytes, other.body_bytes),
+            header_seconds=max(self.header_seconds, other.header_seconds),
+            idle_seconds=max(self.idle_seconds, other.idle_seconds),
+        )
+
 
 class Request(NamedTuple):
     """A complete request; `arrived` is the event loop's time at its first byte."""
@@ -188,6 +199,8 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         if not keep:
             lines.append(b"Connection: close\r\n")
+        elif seconds := self._connection.announced_idle_seconds():
+            lines.append(b"Connection: keep-alive\r\nKeep-Alive: timeout=%d\r\n" % seconds)
         lines.append(b"\r\n")
         self._keep_alive = keep
         self._started = True
@@ -263,8 +276,10 @@
 class Server:
     """Listens on addresses and passes each request to `handler`.
 
-    `limits` is read for each new connection; `format_fault` formats error responses.  `memory`
-    counts and bounds what is held for the connections.  `observer` is told of each request.
+    `limits` returns the limits in force, which open connections follow; `format_fault` formats
+    error responses.  `memory` counts and bounds what is held for the connections.  With
+    `announces_idle_time` responses contain the idle time in a `Keep-Alive` header.  `observer` is
+    told of each request.
     """
 
     def __init__(
@@ -275,8 +290,10 @@
         format_fault: Callable[[Fault], FaultAnswer] = plain_text_fault,
         memory: HostMemory | None = None,
         observer: RequestObserver = NOT_OBSERVED,
+        announces_idle_time: bool = False,
     ) -> None:
         self._handler = handler
+        self._announces_idle_time = announces_idle_time
         self._format_fault = format_fault
         self._observer = observer
         self._limits = limits
@@ -290,6 +307,11 @@
         """Return whether responses carry `Connection: close`."""
         return self._leaving
 
+    @property
+    def announces_idle_time(self) -> bool:
+        """Return whether responses contain the idle time of their connections."""
+        return self._announces_idle_time
+
     @property
     def busy(self) -> int:
         """Return the number of connections on which a request is being read or has not ended."""
@@ -343,9 +365,11 @@
             connection.abort(EndCause.STOP)
 
     def _connection(self) -> _Connection:
-        return _Connection(
-            server=self, handler=self._handler, limits=self._limits(), memory=self._memory
-        )
+        return _Connection(server=self, handler=self._handler, memory=self._memory)
+
+    def limits(self) -> Limits:
+        """Return the limits in force."""
+        return self._limits()
 
     def format_fault(self, fault: Fault) -> FaultAnswer:
         """Return the body of the response to an invalid request."""
@@ -363,14 +387,12 @@
 class _Connection(asyncio.Protocol):
     """Parses the requests of one connection and handles them in order."""
 
-    def __init__(
-        self, *, server: Server, handler: Handler, limits: Limits, memory: HostMemory | None
-    ) -> None:
+    def __init__(self, *, server: Server, handler: Handler, memory: HostMemory | None) -> None:
         self._server = server
         self._memory = memory
         self._held: HeldBytes | None = None
         self._handler = handler
-        self._limits = limits
+        self._limits = server.limits()
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -393,7 +415,9 @@
         """Whether the caller asked to close the connection behind the current request."""
         self._fault: _BadRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._deadline = self._loop.time() + limits.idle_seconds
+        self._wait(self._limits.idle_seconds)
+        self._promised_idle_seconds = 0.0
+        """Idle time after the current response, if the response announces one."""
         self._writable = asyncio.Event()
         self._writable.set()
         self._in_message = False
@@ -492,6 +516,7 @@
         if self._close_after_answer:
             self._drop_after_last()
             return
+        self._refresh_limits()
         self._head_bytes += 0 if self._head_complete else len(data)
         try:
             self._parser.feed_data(data)
@@ -514,7 +539,7 @@
         self._reset_message()
         self._in_message = True
         self._arrived = self._loop.time()
-        self._deadline = self._arrived + self._limits.header_seconds
+        self._wait(self._limits.header_seconds)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -528,7 +553,7 @@
 
     def on_headers_complete(self) -> None:
         self._head_complete = True
-        self._deadline = self._loop.time() + self._limits.idle_seconds
+        self._wait(self._limits.idle_seconds)
         fields = self._fields
         for name in (b"content-length", b"transfer-encoding", b"host"):
             if fields.count(name) > 1:
@@ -579,7 +604,7 @@
         self._queue.append(Request(head, b"".join(self._body_chunks), self._arrived))
         self._observer.accepted()
         self._body_chunks = []
-        self._deadline = self._loop.time() + self._limits.idle_seconds
+        self._wait(self._limits.idle_seconds)
         if len(self._queue) > _MAX_PIPELINED_COUNT and self._transport is not None:
             self._transport.pause_reading()
         self._handle_next()
@@ -714,7 +739,8 @@
             self._observer.unread(EndCause.LAST_RESPONSE)
 
     def _after_answer(self) -> None:
-        self._deadline = self._loop.time() + self._limits.idle_seconds
+        self._refresh_limits()
+        self._wait(max(self._limits.idle_seconds, self._promised_idle_seconds))
         if self._transport is None:
             return
         if self._close_after_answer:
@@ -815,10 +841,41 @@
         if self._transport is not None:
             self._transport.abort()
 
+    # --- limits -------------------------------------------------------------
+
+    def _refresh_limits(self) -> None:
+        """Take the limits in force; a request that is being read keeps those that were larger."""
+        limits = self._server.limits()
+        if limits != self._limits:
+            self._limits = self._limits.widened(limits) if self._in_message else limits
+
+    def announced_idle_seconds(self) -> int:
+        """Return the idle time to announce in a response, in whole seconds; 0 for none."""
+        if not self._server.announces_idle_time:
+            return 0
+        self._refresh_limits()
+        self._promised_idle_seconds = self._limits.idle_seconds
+        return max(0, int(self._limits.idle_seconds - _KEEP_ALIVE_MARGIN_SECONDS))
+
+    def _wait(self, seconds: float) -> None:
+        """Begin to wait for the client, for `seconds` unless a longer time comes into force."""
+        self._waiting_since = self._loop.time()
+        self._deadline = self._waiting_since + seconds
+
+    def _extend_wait(self) -> None:
+        """Wait for as long as the limits in force allow, if that is longer than before."""
+        self._refresh_limits()
+        reads_header = self._in_message and not self._head_complete
+        limits = self._limits
+        seconds = limits.header_seconds if reads_header else limits.idle_seconds
+        self._deadline = max(self._deadline, self._waiting_since + seconds)
+
     def _check_timeout(self) -> None:
         now = self._loop.time()
         if self._task is not None:
             self._deadline = max(self._deadline, now + self._limits.idle_seconds)
+        elif now >= self._deadline:
+            self._extend_wait()
         if now >= self._deadline and self._transport is not None:
             self._note_close(EndCause.IDLE)
             self._transport.close()
