--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 
 import click
 
-from .faults import FAULTS
+from .faults import FAULTS, SERIES
 from .scene import Outcome, Size, run
 from .seeds import FAILED_ONCE
 
@@ -35,6 +35,8 @@
 @click.option("--fault", type=click.Choice(list(FAULTS)), multiple=True, help="Only these kinds.")
 @click.option("--nodes", default=Size().nodes, show_default=True)
 @click.option("--callers", default=Size().callers, show_default=True)
+@click.option("--resting", default=Size().resting, show_default=True, help="Callers that rest.")
+@click.option("--series", is_flag=True, help="Only planned work in series and silent targets.")
 @click.option("--seconds", default=Size().seconds, show_default=True, help="Time of faults.")
 @click.option("--jobs", default=1, show_default=True, help="Soaks side by side.")
 def main(
@@ -44,11 +46,14 @@
     fault: tuple[str, ...],
     nodes: int,
     callers: int,
+    resting: int,
+    series: bool,
     seconds: float,
     jobs: int,
 ) -> None:
     """Soak fielddrift in faults; exit 1 where a promise was broken."""
-    size = Size(nodes, callers, seconds, fault or tuple(FAULTS))
+    kinds = fault or (SERIES if series else tuple(FAULTS))
+    size = Size(nodes, callers, seconds, kinds, resting)
     if kept:
         wanted = [failed.seed for failed in FAILED_ONCE]
         sizes = [size._replace(kinds=f.kinds, seconds=f.seconds) for f in FAILED_ONCE]
@@ -64,8 +69,10 @@
                 f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}, "
                 f"followed when cut in a first event: {fresh} fresh, {resumed} resumed"
             )
-            for line in [*outcome.broken[:20], *(outcome.faults if outcome.broken else [])]:
-                click.echo(f"  {line}")
+            click.echo(f"  {outcome.ends}")
+            if outcome.broken:
+                for line in [*outcome.broken[:20], *outcome.told[:60], *outcome.faults]:
+                    click.echo(f"  {line}")
             bad += bool(outcome.broken)
     click.echo(f"{len(wanted)} seeds, {bad} with something broken")
     sys.exit(1 if bad else 0)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,17 @@
 
 from fielddrift_standins.deployment import KEY
 
-__all__ = ["EVENTS", "KINDS", "TALK", "Attempt", "Caller", "Kind"]
+__all__ = [
+    "EVENTS",
+    "KINDS",
+    "PATIENCE_SECONDS",
+    "REST_PART",
+    "TALK",
+    "Attempt",
+    "Caller",
+    "Kind",
+    "RestingCaller",
+]
 
 EVENTS = 12
 """Events of each stream."""
@@ -24,6 +34,15 @@
 _KEEP_CHANCE = 0.7
 _LEAVE_CHANCE = 0.05
 _PATIENCE_MS = 2500
+PATIENCE_SECONDS = _PATIENCE_MS / 1000
+"""The deadline that each request names, counted from its sending."""
+_SILENCE_SECONDS = 1.0
+"""How long a caller waits beyond it."""
+REST_PART = 0.8
+"""Part of the idle time for which a resting connection may be taken up again."""
+_LONGEST_REST_SECONDS = 5.0
+_SHORT_REST_CHANCE = 0.25
+_SHORT_REST_SECONDS = 0.2
 _PARTS = "aa:100,bb{session}:200,cc{number}:50"
 
 _numbers = itertools.count(1)
@@ -66,6 +85,20 @@
         self.left = False
         self.sent = False
         """Whether the whole request was handed to a connection."""
+        self.handed_at: float | None = None
+        """When it was."""
+        self.end = ""
+        """How the connection ended where no whole answer came: `closed`, `reset`, `silent` or
+        `malformed`."""
+        self.late = False
+        """Whether the connection had been closed when the request was handed to it."""
+        self.earlier = 0
+        """Requests that the connection carried before."""
+        self.rested = 0.0
+        """Seconds for which the connection had rested."""
+        self.found_closed: tuple[str, float] | None = None
+        """The address, and the begin of the rest, of a connection that was to be taken up again
+        and had been closed."""
 
     def head(self, rng: random.Random) -> bytes:
         """Return the request."""
@@ -91,6 +124,12 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
+    @property
+    def closed(self) -> bool:
+        """Return whether the other end has closed it."""
+        ended = self.reader.at_eof() or self.reader.exception() is not None
+        return ended or self.writer.transport.is_closing()
+
 
 class Caller:
     """One client: asks the directory, keeps a connection, sends one request after another."""
@@ -113,6 +152,8 @@
         self._addresses: list[str] = []
         self._until = 0.0
         self._kept: _Connection | None = None
+        self._carried = 0
+        """Requests that it has carried."""
         self._rested_at = 0.0
         self._loop = asyncio.get_running_loop()
 
@@ -126,9 +167,10 @@
         """Send a request, and note what comes of it."""
         self._attempts.append(attempt)
         try:
-            async with asyncio.timeout(_PATIENCE_MS / 1000 + 1.0):
+            async with asyncio.timeout(PATIENCE_SECONDS + _SILENCE_SECONDS):
                 await self._send(attempt)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
+            attempt.end = _end_of(error)
             self._drop()
         finally:
             attempt.ended_at = self._loop.time()
@@ -141,17 +183,22 @@
         return kind if self._chats % 3 == 0 else TALK
 
     async def _send(self, attempt: Attempt) -> None:
-        connection = await self._connection()
+        connection = await self._connection(attempt)
         attempt.address = connection.address
+        attempt.earlier = self._carried
+        attempt.rested = self._loop.time() - self._rested_at if self._carried else 0.0
+        attempt.late = connection.closed
+        self._carried += 1
         connection.writer.write(attempt.head(self._rng))
         attempt.sent = True
+        attempt.handed_at = self._loop.time()
         if self._rng.random() < _LEAVE_CHANCE:
             await asyncio.sleep(self._rng.uniform(0, 0.1))
             attempt.left = True
             self._drop()
             return
         keep = await self._read(attempt, connection.reader)
-        if not keep or self._rng.random() > _KEEP_CHANCE:
+        if not keep or not self._keeps():
             self._drop()
         self._rested_at = self._loop.time()
 
@@ -169,15 +216,23 @@
         return fields.get("connection") != "close"
 
     async def _read_chunks(self, attempt: Attempt, reader: asyncio.StreamReader) -> None:
-        while size := int(await reader.readline(), 16):
+        while size := int(await reader.readuntil(b"\r\n"), 16):
             attempt.answer += await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readexactly(2)
 
     # --- connections --------------------------------------------------------------
 
-    async def _connection(self) -> _Connection:
-        if self._kept is not None and self._loop.time() - self._rested_at < _IDLE_SECONDS:
+    def _keeps(self) -> bool:
+        """Return whether a connection that may be used again is kept."""
+        return self._rng.random() <= _KEEP_CHANCE
+
+    def _may_use(self, connection: _Connection, attempt: Attempt) -> bool:
+        """Return whether a kept connection may carry one more request."""
+        return self._loop.time() - self._rested_at < _IDLE_SECONDS
+
+    async def _connection(self, attempt: Attempt) -> _Connection:
+        if self._kept is not None and self._may_use(self._kept, attempt):
             return self._kept
         self._drop()
         await self._resolve()
@@ -190,7 +245,7 @@
             # Left out until a new answer comes.
             self._addresses.remove(address)
             raise
-        self._kept = _Connection(address, reader, writer)
+        self._kept, self._carried = _Connection(address, reader, writer), 0
         return self._kept
 
     def _drop(self) -> None:
@@ -214,6 +269,53 @@
             raise OSError("no directory answers")
 
 
+class RestingCaller(Caller):
+    """A client that keeps its connection until the other end closes it, and lets it rest."""
+
+    def __init__(
+        self,
+        *,
+        directories: Callable[[], Sequence[str]],
+        rng: random.Random,
+        attempts: list[Attempt],
+        idle_seconds: Callable[[], float],
+    ) -> None:
+        super().__init__(directories=directories, rng=rng, attempts=attempts)
+        self._idle_seconds = idle_seconds
+        """Tells the idle time of the newest configuration."""
+
+    async def rest_and_ask(self) -> None:
+        """Send until cancelled, with rests for which the idle time allows."""
+        while True:
+            if self._rng.random() < _SHORT_REST_CHANCE:
+                rest = self._rng.uniform(0.0, _SHORT_REST_SECONDS)
+            else:
+                longest = min(REST_PART * self._idle_seconds(), _LONGEST_REST_SECONDS)
+                rest = self._rng.uniform(_SHORT_REST_SECONDS, longest)
+            await asyncio.sleep(rest)
+            await self.ask(Attempt(kind=self._kind(), now=self._loop.time()))
+
+    def _keeps(self) -> bool:
+        return True
+
+    def _may_use(self, connection: _Connection, attempt: Attempt) -> bool:
+        if self._loop.time() - self._rested_at > REST_PART * self._idle_seconds():
+            return False
+        if connection.closed:
+            attempt.found_closed = (connection.address, self._rested_at)
+            return False
+        return True
+
+
+def _end_of(error: Exception) -> str:
+    """Return how a connection ended on which `error` was seen."""
+    if isinstance(error, TimeoutError):
+        return "silent"
+    if isinstance(error, asyncio.IncompleteReadError):
+        return "closed"
+    return "reset" if isinstance(error, OSError) else "malformed"
+
+
 async def _ask_directory(address: str) -> list[str]:
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,7 +18,7 @@
 from .promises import BRITTLE, COLD, CUT_OFF, ENDING, LEAVING, LIMITED, PAUSING
 from .site import Site
 
-__all__ = ["FAULTS", "Fault"]
+__all__ = ["FAULTS", "SERIES", "Fault"]
 
 _BEGIN_LOOK_SECONDS = 0.01
 """Time between looks for a run that has begun its first event."""
@@ -33,22 +33,25 @@
 class Fault(NamedTuple):
     """A fault; planned work must not cost anyone an answer.
 
-    `processes` says that it touches nothing but nodes' processes.
+    `processes` says that it touches nothing but nodes' processes, `workers` nothing but workers.
     """
 
     work: _Work
     planned: bool
     processes: bool
+    workers: bool
 
 
 FAULTS: dict[str, Fault] = {}
 
 
-def fault(name: str, *, planned: bool = False, processes: bool = False) -> Callable[[_Work], _Work]:
+def fault(
+    name: str, *, planned: bool = False, processes: bool = False, workers: bool = False
+) -> Callable[[_Work], _Work]:
     """Register the decorated function under `name`."""
 
     def register(work: _Work) -> _Work:
-        FAULTS[name] = Fault(work, planned, processes)
+        FAULTS[name] = Fault(work, planned, processes, workers)
         return work
 
     return register
@@ -213,7 +216,7 @@
     return rng.choice(site.outside.serving(service) or list(site.outside.workers))
 
 
-@fault("a worker crashes")
+@fault("a worker crashes", workers=True)
 async def _crash(site: Site, rng: random.Random) -> None:
     name = _worker(site, rng)
     if len(site.outside.serving("plain")) > 1 and len(site.outside.serving("engines")) > 1:
@@ -229,13 +232,14 @@
     await _lasting(rng, 3.0, 4.0)
 
 
-@fault("a worker fails")
+@fault("a worker fails", workers=True)
 async def _worker_fails(site: Site, rng: random.Random) -> None:
     name = _worker(site, rng)
     common = ["shed", "error", "lost", "hang", "garbage"]
     own = ["cut-event"] if name.startswith("engines") else ["surplus", "extra"]
     worker = site.outside.workers[name]
-    worker.faults += [rng.choice([*common, *own]) for _ in range(rng.randint(1, 12))]
+    faults = [rng.choice([*common, *own]) for _ in range(rng.randint(1, 12))]
+    site.outside.give_faults(name, faults)
     await _lasting(rng, 1.0, 3.0)
     worker.faults.clear()
 
@@ -391,21 +395,23 @@
         site.talks -= 1
 
 
-@fault("engines break off inside their first event")
+@fault("engines break off inside their first event", workers=True)
 async def _cut_first(site: Site, rng: random.Random) -> None:
     engines = _some_engines(site, rng)
     for engine in engines:
         ways = ["cut-first", "cut-first", "end-first", "silent-first"]
-        engine.faults += [rng.choice(ways) for _ in range(rng.randint(3, 12))]
+        faults = [rng.choice(ways) for _ in range(rng.randint(3, 12))]
+        site.outside.give_faults(engine.name, faults)
     await _first_event_lost(site, rng, engines)
 
 
-@fault("engines that resume break off inside their first event")
+@fault("engines that resume break off inside their first event", workers=True)
 async def _cut_resumed(site: Site, rng: random.Random) -> None:
     engines = _some_engines(site, rng, least=2)
     for engine in engines:
         ways = ["cut-event", "cut-event", "cut-first", "end-first", "silent-first"]
-        engine.faults += [rng.choice(ways) for _ in range(rng.randint(6, 12))]
+        faults = [rng.choice(ways) for _ in range(rng.randint(6, 12))]
+        site.outside.give_faults(engine.name, faults)
     await _first_event_lost(site, rng, engines)
 
 
@@ -413,7 +419,7 @@
 async def _lost_first(site: Site, rng: random.Random) -> None:
     engines = _some_engines(site, rng)
     for engine in engines:
-        engine.faults += ["silent-first"] * rng.randint(2, 6)
+        site.outside.give_faults(engine.name, ["silent-first"] * rng.randint(2, 6))
     losses = [asyncio.ensure_future(_lose_in_event(site, rng, engine)) for engine in engines]
     await _first_event_lost(site, rng, engines)
     for loss in losses:
@@ -441,7 +447,7 @@
             site.outside.crash(engine.name)
 
 
-@fault(ENDING)
+@fault(ENDING, workers=True)
 async def _ends_workers(site: Site, rng: random.Random) -> None:
     """Let one request come again and again, and end each worker that runs it."""
     kind = rng.choice(KINDS)
@@ -516,7 +522,7 @@
     await _lasting(rng, 0.5, 1.5)
 
 
-@fault(COLD)
+@fault(COLD, workers=True)
 async def _cold(site: Site, rng: random.Random) -> None:
     outside = site.outside
     for name in outside.serving("engines")[1:]:
@@ -537,7 +543,7 @@
     return site.outside.workers[rng.choice(site.outside.serving(rng.choice(["plain", "engines"])))]
 
 
-@fault(LIMITED)
+@fault(LIMITED, workers=True)
 async def _limited(site: Site, rng: random.Random) -> None:
     loop = asyncio.get_running_loop()
     worker, rate = _any_worker(site, rng), rng.choice([0.0, rng.uniform(0.5, 3.0)])
@@ -551,7 +557,7 @@
     worker.limit = None
 
 
-@fault(LEAVING)
+@fault(LEAVING, workers=True)
 async def _says_that_it_leaves(site: Site, rng: random.Random) -> None:
     worker = _any_worker(site, rng)
     if worker.leaving:
@@ -562,7 +568,7 @@
         site.outside.drain(worker.name)
 
 
-@fault(PAUSING)
+@fault(PAUSING, workers=True)
 async def _asks_for_pauses(site: Site, rng: random.Random) -> None:
     worker = _any_worker(site, rng)
     if worker.pause:
@@ -579,7 +585,7 @@
 """What workers run at once then: their slots, or the tokens of two prompts."""
 
 
-@fault(BRITTLE)
+@fault(BRITTLE, workers=True)
 async def _brittle(site: Site, rng: random.Random) -> None:
     outside, loop = site.outside, asyncio.get_running_loop()
     service = rng.choice(["plain", "engines"])
@@ -634,3 +640,75 @@
     await _lasting(rng, *_CUT_SECONDS)
     outside.cuts[index] = outside.cuts[index]._replace(ended=loop.time())
     outside.cut_off(frozenset(), resets=False)
+
+
+# --- what must cost no answer, in series ------------------------------------------------
+
+_SILENT_SECONDS = (0.8, 1.3)
+"""How long sound targets may send nothing."""
+_HEARD_SECONDS = 1.0
+"""How long a target is heard, at least, before it falls silent once more."""
+_IDLE_SECONDS = (1.0, 6.0)
+_ROUTE_TIMEOUT_SECONDS = (2.0, 4.0)
+"""Longer than a silence and a stream: one silence excuses no answer that is cut."""
+_HEADER_BYTES = (4096, 16384)
+_BODY_BYTES = (65536, 262144)
+_SERIES_GAP_SECONDS = (0.3, 2.5)
+
+
+@fault("targets fall silent for a second", planned=True)
+async def _targets_silent(site: Site, rng: random.Random) -> None:
+    outside = site.outside
+    for _ in range(rng.randint(1, 3)):
+        now = asyncio.get_running_loop().time()
+        # Two silences in a row would be one that is longer than sound targets'.
+        late = {hold.worker for hold in outside.holds if hold.ended > now - _HEARD_SECONDS}
+        names = outside.serving(rng.choice(["plain", "engines"]))
+        names = [name for name in names if name not in late]
+        count = rng.choice([1, rng.randint(1, max(1, len(names))), len(names)])
+        chosen = rng.sample(names, k=min(count, len(names)))
+        unheard = [machine.ip for machine in site.machines] if rng.random() < 0.5 else []
+        await outside.hold(chosen, rng.uniform(*_SILENT_SECONDS), unheard)
+        await _lasting(rng, 1.0, 2.5)
+
+
+@fault("the idle time changes", planned=True)
+async def _idle_time(site: Site, rng: random.Random) -> None:
+    for _ in range(rng.randint(2, 5)):
+        site.outside.set_idle_time(rng.uniform(*_IDLE_SECONDS))
+        await _lasting(rng, *_SERIES_GAP_SECONDS)
+
+
+@fault("time-outs of routes change", planned=True)
+async def _route_timeouts(site: Site, rng: random.Random) -> None:
+    for _ in range(rng.randint(2, 5)):
+        seconds = rng.uniform(*_ROUTE_TIMEOUT_SECONDS)
+        site.outside.set_timeout(rng.choice(KINDS).route, seconds)
+        await _lasting(rng, *_SERIES_GAP_SECONDS)
+
+
+@fault("limits of requests change", planned=True)
+async def _limits(site: Site, rng: random.Random) -> None:
+    for _ in range(rng.randint(2, 4)):
+        header, body = rng.randint(*_HEADER_BYTES), rng.randint(*_BODY_BYTES)
+        site.outside.set_sizes(header_bytes=header, body_bytes=body)
+        await _lasting(rng, *_SERIES_GAP_SECONDS)
+
+
+@fault("settings are reloaded", planned=True)
+async def _reloaded(site: Site, rng: random.Random) -> None:
+    for _ in range(rng.randint(2, 6)):
+        for machine in rng.sample(site.machines, k=rng.randint(1, len(site.machines))):
+            machine.reload()
+        await _lasting(rng, 0.1, 1.0)
+
+
+@fault("signals, restarts and changes overlap", planned=True)
+async def _planned_together(site: Site, rng: random.Random) -> None:
+    series = [_rolled, _reloaded, _idle_time, _route_timeouts, _limits, _changed]
+    works = [work(site, random.Random(rng.random())) for work in series]
+    await asyncio.gather(*works)
+
+
+SERIES = tuple(FAULTS)[-6:]
+"""The names of these kinds."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -97,6 +97,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._cut: frozenset[str] = frozenset()
+        self._unheard: frozenset[str] = frozenset()
+        """Addresses whose new connections are not accepted while all is held."""
+        self._holds = 0
+        self._released = asyncio.Event()
+        self._released.set()
 
     async def start(self) -> Link:
         """Listen."""
@@ -127,6 +132,24 @@
         for pair in self._pairs:
             pair.silent = True
 
+    async def hold(self, seconds: float, unheard: Collection[str] = ()) -> None:
+        """Carry nothing for `seconds`, then go on with everything: nothing is lost.
+
+        New connections wait as well; those from `unheard` hang in their handshake.
+        """
+        self._holds += 1
+        self._released.clear()
+        self._unheard |= frozenset(unheard)
+        self._filter()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._holds -= 1
+            if not self._holds:
+                self._unheard = frozenset()
+                self._filter()
+                self._released.set()
+
     def cut(self, sources: Collection[str]) -> None:
         """Cut the paths from `sources`: open connections and new ones hang.
 
@@ -134,11 +157,7 @@
         what they should have carried is lost.
         """
         healed, self._cut = self._cut - frozenset(sources), frozenset(sources)
-        if self._server is not None:
-            for sock in self._server.sockets:
-                duplicate = socket.socket(fileno=socket.dup(sock.fileno()))
-                _lose_packets(duplicate, self._cut)
-                duplicate.close()
+        self._filter()
         for pair in list(self._pairs):
             if pair.source in healed:
                 _lose_packets(_kernel_socket(pair.writers[0]), ())
@@ -151,6 +170,15 @@
             if pair.source in sources:
                 pair.reset()
 
+    def _filter(self) -> None:
+        """Let the kernel drop what new connections send that are not to be accepted."""
+        if self._server is None:
+            return
+        for sock in self._server.sockets:
+            duplicate = socket.socket(fileno=socket.dup(sock.fileno()))
+            _lose_packets(duplicate, self._cut | self._unheard)
+            duplicate.close()
+
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A task of asyncio's own streams that is cancelled before its first step is logged as
         # a fault: so this one is ours.
@@ -164,6 +192,7 @@
             return
         host, _, port = self._target.rpartition(":")
         try:
+            await self._released.wait()
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
         except (OSError, asyncio.CancelledError):
             # Cancelled, the soak ends; asyncio's own streams log what passes through here.
@@ -202,14 +231,17 @@
                     return
                 if self.harm.delay:
                     await asyncio.sleep(self.harm.delay)
+                await self._released.wait()
                 harm = self.harm
                 lost = harm.lose_to_server if to_server else harm.lose_to_client
                 if pair.silent or lost:
                     continue
                 writer.write(data)
                 await writer.drain()
+            await self._released.wait()
             if not pair.silent and writer.can_write_eof():
                 writer.write_eof()
         except OSError:
             # One end was reset: so is the other.
+            await self._released.wait()
             pair.reset()
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -75,6 +75,8 @@
         """Ends of its processes that nobody asked for."""
         self.touched_at = float("-inf")
         """The loop's time until which the process was last paused, killed or started."""
+        self.stopped_at: list[float] = []
+        """The loop's times at which its process was asked to stop."""
         self.busy = False
         """Whether a fault that ends or pauses the process is under way."""
         self._starts = 0
@@ -136,8 +138,16 @@
         self.send(signal.SIGKILL)
         await self._wait()
 
+    def reload(self) -> None:
+        """Tell its process that the settings have changed, unless it is still starting."""
+        # Until it listens the signal would end it.
+        if self.running and len(self.logged("started")) >= self._starts:
+            assert self._process is not None
+            self._process.send_signal(signal.SIGHUP)
+
     async def stop(self) -> None:
         """Ask its process to stop, and wait until it has."""
+        self.stopped_at.append(asyncio.get_running_loop().time())
         self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_SECONDS + 1.0):
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Collection
 from typing import NamedTuple
 
 from fielddrift_node.web.server import Limits, Request, Responder, Server
@@ -16,6 +17,7 @@
 from .links import Link
 
 __all__ = [
+    "DEFAULT_IDLE_SECONDS",
     "Arrival",
     "Brittle",
     "Change",
@@ -36,6 +38,8 @@
 _LOAD_SECONDS = 0.05
 _SLOW_SECONDS = 10.0
 """How long engines load slowly, once they do."""
+DEFAULT_IDLE_SECONDS = 15.0
+"""The idle time of configurations that name none."""
 _UNBOUNDED = 1 << 40
 """Room of a worker that rejects nothing."""
 _PLAIN, _ENGINES = "plain", "engines"
@@ -100,6 +104,29 @@
     ended: float
 
 
+class Hold(NamedTuple):
+    """A worker whose packets were held up, both ways: from when, and until when."""
+
+    worker: str
+    began: float
+    ended: float
+
+
+class IdleTime(NamedTuple):
+    """The idle time of connections, in seconds, that the store took at the time `at`."""
+
+    at: float
+    seconds: float
+
+
+class RouteTimeout(NamedTuple):
+    """The time-out of a route, in seconds, that the store took at the time `at`."""
+
+    at: float
+    route: str
+    seconds: float
+
+
 class Brittle(NamedTuple):
     """A service whose workers were brittle: from when, and until when."""
 
@@ -131,6 +158,13 @@
         self.arrivals: list[Arrival] = []
         self.cuts: list[CutOff] = []
         self.brittle: list[Brittle] = []
+        self.holds: list[Hold] = []
+        self.unsound: set[str] = set()
+        """Workers that were told to fail."""
+        self.gone_at: dict[str, float] = {}
+        """When each worker ended that has."""
+        self.timeouts: list[RouteTimeout] = []
+        self.idle_times: list[IdleTime] = []
         self._cut: frozenset[str] = frozenset()
         """The addresses of the hosts that are cut off from all workers."""
         self._numbers = itertools.count(1)
@@ -243,6 +277,17 @@
         """Return the addresses of the hosts that are cut off from all workers."""
         return self._cut
 
+    async def hold(
+        self, names: Collection[str], seconds: float, unheard: Collection[str] = ()
+    ) -> None:
+        """Let workers send and receive nothing for `seconds`, then go on with everything.
+
+        New connections from the addresses `unheard` hang in their handshake meanwhile.
+        """
+        now = asyncio.get_running_loop().time()
+        self.holds += [Hold(name, now, now + seconds) for name in names]
+        await asyncio.gather(*(self.links[name].hold(seconds, unheard) for name in names))
+
     def brittle_workers(self, service: str) -> list[BrittleWorker]:
         """Return the workers of a service that are not leaving."""
         found = [self.workers[name] for name in self.serving(service)]
@@ -255,6 +300,11 @@
         self.links[name].close()
         self._later(self._lapse(name, service))
 
+    def give_faults(self, name: str, faults: Collection[str]) -> None:
+        """Let the next requests of a worker meet `faults`."""
+        self.unsound.add(name)
+        self.workers[name].faults += faults
+
     def make_fatal(self, service: str, body: bytes) -> None:
         """Let `body` end each worker of `service` that runs it from now on."""
         self._fatal[service] = self._fatal.get(service, frozenset()) | {body}
@@ -285,6 +335,7 @@
 
     def _gone(self, name: str) -> None:
         worker = self.workers.pop(name)
+        self.gone_at[name] = asyncio.get_running_loop().time()
         worker.close()
         self.ended.append(worker)
 
@@ -356,3 +407,27 @@
         self.configure()
         now = asyncio.get_running_loop().time()
         self.changes.append(Change(now, last.added_path, path, dropped_key))
+
+    @property
+    def idle_seconds(self) -> float:
+        """Return the idle time of the newest configuration."""
+        return self.idle_times[-1].seconds if self.idle_times else DEFAULT_IDLE_SECONDS
+
+    def set_idle_time(self, seconds: float) -> None:
+        """Change the idle time of connections."""
+        self.limits["idle-timeout-ms"] = round(seconds * 1000)
+        self.configure()
+        self.idle_times.append(IdleTime(asyncio.get_running_loop().time(), seconds))
+
+    def set_sizes(self, *, header_bytes: int, body_bytes: int) -> None:
+        """Change the limits of requests."""
+        self.limits |= {"max-header-bytes": header_bytes, "max-body-bytes": body_bytes}
+        self.configure()
+
+    def set_timeout(self, name: str, seconds: float) -> None:
+        """Change the time-out of a route."""
+        value = {"timeout-ms": round(seconds * 1000)}
+        self.routes = [{**r, **value} if r["name"] == name else r for r in self.routes]
+        self.configure()
+        now = asyncio.get_running_loop().time()
+        self.timeouts.append(RouteTimeout(now, name, seconds))
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,7 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
+from .endings import ROUTE_TIMEOUT, TROUBLE, describe, excuse
 from .outside import (
     COLD_RATE,
     Arrival,
@@ -20,7 +21,10 @@
     CutOff,
     End,
     Evacuation,
+    Hold,
+    IdleTime,
     Limit,
+    RouteTimeout,
 )
 
 __all__ = [
@@ -36,6 +40,7 @@
     "Followed",
     "Probe",
     "Span",
+    "Stop",
     "broken",
 ]
 
@@ -87,11 +92,13 @@
 """A request that nobody passed on, and whose connection closed so soon, crossed that close."""
 _TOUCH_SECONDS = 3.0
 """Time without disturbance after which the bounds in seconds hold."""
+_MOST_CLOSED = 3
+"""Kept connections that a node may close under a sound worker's work, beside other's trouble."""
 
 
 class Span(NamedTuple):
     """A fault: from when to when, whether it was planned work, and whether it touched
-    nothing but nodes' processes.
+    nothing but nodes' processes, or nothing but workers.
     """
 
     name: str
@@ -99,6 +106,7 @@
     ended: float
     planned: bool
     processes: bool = False
+    workers: bool = False
 
 
 class Probe(NamedTuple):
@@ -111,6 +119,13 @@
     what: str
 
 
+class Stop(NamedTuple):
+    """A node, by the address for its callers, that was asked to stop."""
+
+    address: str
+    at: float
+
+
 class Followed(NamedTuple):
     """Runs that broke off inside their first event, and that another run followed."""
 
@@ -139,6 +154,13 @@
     brittle: list[Brittle] = []
     centres: dict[str, str] = {}
     """The data centre of each worker."""
+    holds: list[Hold] = []
+    stops: list[Stop] = []
+    timeouts: list[RouteTimeout] = []
+    idle_times: list[IdleTime] = []
+    gone_at: dict[str, float] = {}
+    unsound: frozenset[str] = frozenset()
+    """Workers that were told to fail."""
 
     def ran(self) -> dict[str, list[tuple[Worker, Ran]]]:
         """Return what ran, by request."""
@@ -148,6 +170,22 @@
                 found[ran.request_id].append((worker, ran))
         return found
 
+    def reached(self, request_id: str) -> bool:
+        """Return whether a request came to a worker, one that had ended included."""
+        came = (at_worker for w in self.workers for _, at_worker in w.arrivals)
+        return (
+            request_id in self.ran()
+            or request_id in came
+            or any(arrival.request_id == request_id for arrival in self.arrivals)
+        )
+
+    def held(self, worker: str, began: float, ended: float) -> bool:
+        """Return whether a worker's packets were held up in a time, or came in a bunch then."""
+        return any(
+            hold.worker == worker and hold.began <= ended and hold.ended >= began - _DRAIN_SLACK
+            for hold in self.holds
+        )
+
     def followed(self) -> Followed:
         """Return how many runs broke off inside their first event and were followed."""
         ran = self.ran()
@@ -169,6 +207,11 @@
         spans = [span for span in self.spans if span.name != name]
         return self._replace(spans=spans).disturbed(began, ended)
 
+    def beside_workers(self, began: float, ended: float) -> bool:
+        """Return whether unplanned trouble of anything but workers touched the time."""
+        spans = [span for span in self.spans if not span.workers]
+        return self._replace(spans=spans).disturbed(began, ended)
+
     def sound_since(self, at: float) -> float:
         """Return since when the store and all links had been sound at the time `at`.
 
@@ -307,6 +350,8 @@
         if attempt.id not in ran and ended - attempt.sent_at < _CROSSING_SECONDS:
             continue
         during = [s for s in planned if s.began <= ended and s.ended >= attempt.sent_at]
+        if during and excuse(evidence, attempt) == ROUTE_TIMEOUT:
+            continue
         if during and not evidence.disturbed(attempt.sent_at, ended):
             yield f"{attempt.id}: no whole answer ({attempt.status}) during {during[0].name}"
 
@@ -330,7 +375,8 @@
         for request_id, came_at in came:
             # Trouble before the bound's own time excuses nothing: an entry may stay for good.
             since = max(at, came_at - _LEAVING_SECONDS - _DRAIN_SLACK)
-            if came_at > limit and not evidence.disturbed(since, came_at):
+            held = evidence.held(worker.name, came_at, came_at)
+            if came_at > limit and not held and not evidence.disturbed(since, came_at):
                 yield f"{request_id}: at {worker.name} {came_at - at:.2f} s after its word"
 
 
@@ -355,6 +401,7 @@
             outdated = evidence.outdated_at(ran.version)
             since = max(outdated, evidence.sound_since(ran.at))
             late = ran.at - since > _WEIGHTS_SECONDS + _WEIGHTS_SLACK
+            late = late and not evidence.held(worker.name, ran.at, ran.at)
             if late and not evidence.disturbed(ran.at, ran.at):
                 after = f"{ran.at - outdated:.2f} s after a newer version"
                 yield f"{ran.request_id}: on {ran.version} at {worker.name} {after}"
@@ -425,6 +472,39 @@
             yield f"{time.service}: {falls} falls of {len(workers)} workers"
 
 
+@promise("each whole request ends with an answer, a refusal or its caller's leaving")
+def _ends(evidence: Evidence) -> Iterator[str]:
+    beside: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in evidence.attempts:
+        if not attempt.sent or attempt.left or attempt.whole or attempt.ended_at is None:
+            continue
+        why = excuse(evidence, attempt)
+        if not why:
+            yield f"{attempt.id}: {_loss(attempt)}"
+        elif why == TROUBLE and attempt.earlier and _at_sound_workers(evidence, attempt):
+            beside[attempt.address].append(attempt)
+    for address, lost in beside.items():
+        if len(lost) > _MOST_CLOSED:
+            losses = "; ".join(f"{a.id}: {_loss(a)}" for a in lost)
+            yield f"{address}: closed kept connections under sound workers' work: {losses}"
+
+
+def _loss(attempt: Attempt) -> str:
+    seconds = (attempt.ended_at or 0.0) - (attempt.handed_at or 0.0)
+    return (
+        f"{attempt.kind.route}: {describe(attempt)}, {seconds:.2f} s after its sending, "
+        f"as request {attempt.earlier + 1} of its connection after {attempt.rested:.2f} s of rest"
+    )
+
+
+def _at_sound_workers(evidence: Evidence, attempt: Attempt) -> bool:
+    """Return whether it came to workers that nothing befell, while nothing befell the nodes."""
+    began, ended = attempt.handed_at or 0.0, attempt.ended_at or 0.0
+    names = {worker.name for worker, _ in evidence.ran().get(attempt.id, [])}
+    harmed = evidence.unsound | evidence.gone_at.keys() | evidence.leaving_at.keys()
+    return bool(names) and not names & harmed and not evidence.beside_workers(began, ended)
+
+
 @promise("an evacuated data centre's workers get nothing")
 def _evacuated(evidence: Evidence) -> Iterator[str]:
     for data_centre, began, ended in evidence.evacuations:
@@ -433,6 +513,7 @@
                 continue
             for ran in worker.ran:
                 late = began + _EVACUATE_SECONDS < ran.at < ended
+                late = late and not evidence.held(worker.name, ran.at, ran.at)
                 if late and not evidence.disturbed(ran.at - _TOUCH_SECONDS, ran.at):
                     seconds = f"{ran.at - began:.2f} s"
                     yield f"{ran.request_id}: at {worker.name} {seconds} after its word"
@@ -446,7 +527,9 @@
         for first in times:
             last = first + 1.0
             number = sum(first <= at < last for at in times)
-            # What was held up on a harmed link may arrive together.
+            # What was held up may arrive together.
+            if evidence.held(worker.name, first, last):
+                continue
             if number > _COLD_BOUND and not evidence.others(COLD, first, last):
                 yield f"{worker.name}: {number} in a second, expected {_COLD_BOUND} at most"
 
@@ -462,6 +545,7 @@
                 last = first + _LIMIT_SECONDS
                 number = sum(first <= at < last for at in times)
                 bound = last > limit.began + _TOUCH_SECONDS
+                bound = bound and not evidence.held(worker.name, first, last)
                 if number > allowed and bound and not evidence.others(LIMITED, began, last):
                     yield f"{worker.name}: {number} in 4 s, limit {limit.rate:.1f} a second"
 
@@ -471,6 +555,8 @@
     for worker in evidence.workers:
         until = worker.said_leaving_at + _LEAVING_SECONDS + _DRAIN_SLACK
         for at, request_id in worker.arrivals:
+            if evidence.held(worker.name, at, at):
+                continue
             if at > until and not evidence.others(LEAVING, worker.said_leaving_at, at):
                 seconds = f"{at - worker.said_leaving_at:.2f} s"
                 yield f"{request_id}: at {worker.name} {seconds} after it said so"
@@ -486,6 +572,8 @@
                 began + _TOLD_SECONDS < at < ended and nodes.get(other) == node
                 for at, other in worker.arrivals
             )
+            if evidence.held(worker.name, began, ended):
+                continue
             if number > _MOST_IN_A_PAUSE and not evidence.others(PAUSING, began, ended):
                 yield f"{worker.name}: {number} from {node} within a pause of {seconds:.1f} s"
 
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import random
+import re
 from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
 
+from .endings import Ends, count_ends
 from .faults import FAULTS
 from .machines import Machine
-from .promises import Evidence, Followed, Probe, Span, broken
+from .promises import Evidence, Followed, Probe, Span, Stop, broken
 from .site import Site, status_of
 
 __all__ = ["Outcome", "Scene", "Size", "run"]
@@ -27,6 +29,8 @@
 """Mean time between the beginnings of faults; they last some two seconds each."""
 _CALLER_PAUSE_SECONDS = 0.15
 _PROBE_SECONDS = 2.0
+_REQUEST = re.compile(r"\br\d+\b")
+_LOGGED_REQUEST = re.compile(r'"(r\d+)"')
 _OUR_FAILURES = ("loop failed", "request failed", "store loop failed")
 
 
@@ -37,6 +41,8 @@
     callers: int = 16
     seconds: float = 20.0
     kinds: tuple[str, ...] = tuple(FAULTS)
+    resting: int = 16
+    """Callers whose connections rest."""
 
 
 class Outcome(NamedTuple):
@@ -47,13 +53,17 @@
     attempts: int
     answered: int
     followed: Followed
+    ends: Ends
     faults: list[str]
+    told: list[str]
+    """Lines of the nodes' logs about requests that are named in `broken`."""
 
 
 class Scene:
     """One soak: a site, its callers, its faults, and what was seen."""
 
     def __init__(self, *, seed: int, size: Size, folder: Path) -> None:
+        self._seed = seed
         self._rng = random.Random(seed)
         self._site = Site(folder=folder)
         self._size = size
@@ -71,6 +81,11 @@
             caller = self._site.caller(random.Random(self._rng.random()))
             pause = lambda: _CALLER_PAUSE_SECONDS * self._site.pace  # noqa: E731
             self._tasks.append(asyncio.ensure_future(caller.run(pause)))
+        # From a source of their own: seeds that failed once draw what they drew.
+        own = random.Random(f"resting {self._seed}")
+        for _ in range(self._size.resting):
+            resting = self._site.resting_caller(random.Random(own.random()))
+            self._tasks.append(asyncio.ensure_future(resting.rest_and_ask()))
         self._tasks.append(asyncio.ensure_future(self._watch()))
         self._tasks.append(asyncio.ensure_future(self._probe_often()))
 
@@ -91,12 +106,33 @@
         self._calm_since = self._loop.time()
         await asyncio.sleep(_CALM_SECONDS - _RECOVERY_SECONDS)
 
-    def outcome(self, seed: int) -> Outcome:
+    def outcome(self) -> Outcome:
         """Return what was seen."""
         answered = sum(1 for a in self._attempts if a.whole and a.status == 200)
         names = [f"{span.began:.1f} {span.name}" for span in self._spans]
         seen = self.evidence()
-        return Outcome(seed, broken(seen), len(self._attempts), answered, seen.followed(), names)
+        lines = broken(seen)
+        return Outcome(
+            self._seed,
+            lines,
+            len(self._attempts),
+            answered,
+            seen.followed(),
+            count_ends(seen),
+            names,
+            self._told(lines),
+        )
+
+    def _told(self, lines: list[str]) -> list[str]:
+        """Return the last line of each node's log about each request that `lines` name."""
+        told: dict[str, list[str]] = {name: [] for name in _REQUEST.findall("\n".join(lines))}
+        for machine in self._site.machines:
+            last: dict[str, str] = {}
+            for line in machine.log.read_text(errors="replace").splitlines():
+                last |= {name: line for name in _LOGGED_REQUEST.findall(line) if name in told}
+            for name, line in last.items():
+                told[name].append(f"{machine.name}: {line}")
+        return [f"{name}: {line}" for name, found in told.items() for line in found or ["no line"]]
 
     def close(self) -> None:
         """End everything that was started here."""
@@ -126,6 +162,12 @@
             cuts=self._site.outside.cuts,
             brittle=self._site.outside.brittle,
             centres=self._site.outside.centres,
+            holds=self._site.outside.holds,
+            stops=[Stop(m.entry, at) for m in self._site.machines for at in m.stopped_at],
+            timeouts=self._site.outside.timeouts,
+            idle_times=self._site.outside.idle_times,
+            gone_at=self._site.outside.gone_at,
+            unsound=frozenset(self._site.outside.unsound),
             faults_of_ours=[*failures, *(f for m in self._site.machines for f in m.faults)],
         )
 
@@ -136,7 +178,7 @@
         began = self._loop.time()
         # Until it is over it lasts for ever, for the checks that run meanwhile.
         index = len(self._spans)
-        span = Span(name, began, float("inf"), fault.planned, fault.processes)
+        span = Span(name, began, float("inf"), fault.planned, fault.processes, fault.workers)
         self._spans.append(span)
         await fault.work(self._site, rng)
         self._spans[index] = span._replace(ended=self._loop.time())
@@ -197,6 +239,6 @@
         await scene.open()
         await scene.trouble()
         await scene.calm()
-        return scene.outcome(seed)
+        return scene.outcome()
     finally:
         scene.close()
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,7 @@
 import random
 from pathlib import Path
 
-from .callers import Attempt, Caller
+from .callers import Attempt, Caller, RestingCaller
 from .machines import Machine, Net
 from .outside import Outside
 
@@ -63,6 +63,15 @@
             talks=lambda: self.talks > 0,
         )
 
+    def resting_caller(self, rng: random.Random) -> RestingCaller:
+        """Return a caller that keeps a connection which rests between requests."""
+        return RestingCaller(
+            directories=lambda: [m.directory for m in self.some_machines()],
+            rng=rng,
+            attempts=self.attempts,
+            idle_seconds=lambda: self.outside.idle_seconds,
+        )
+
     def some_machines(self) -> list[Machine]:
         """Return the nodes, some twice where they are fewer than a caller asks."""
         return self.machines if len(self.machines) >= 3 else self.machines * 3
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import tempfile
 import unittest
 from collections.abc import Iterable
@@ -12,11 +13,23 @@
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Ran, Worker
 
-from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind
-from soak.faults import FAULTS
+from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind, RestingCaller
+from soak.endings import count_ends
+from soak.faults import FAULTS, SERIES
 from soak.links import Harm, Link
-from soak.outside import Arrival, Brittle, Cold, CutOff, End, Evacuation, Limit
-from soak.promises import CUT_OFF, ENDING, PROMISES, Evidence, Followed, Probe, Span, broken
+from soak.outside import (
+    Arrival,
+    Brittle,
+    Cold,
+    CutOff,
+    End,
+    Evacuation,
+    Hold,
+    IdleTime,
+    Limit,
+    RouteTimeout,
+)
+from soak.promises import CUT_OFF, ENDING, PROMISES, Evidence, Followed, Probe, Span, Stop, broken
 from soak.scene import Size, run
 from soak.seeds import FAILED_ONCE
 
@@ -28,6 +41,8 @@
     callers=16, seconds=8.0, kinds=("engines that resume break off inside their first event",)
 )
 HOSTS_CUT_OFF = Size(nodes=3, callers=8, seconds=2.0, kinds=(CUT_OFF,))
+PLANNED = Size(nodes=3, callers=8, seconds=6.0, kinds=SERIES, resting=16)
+ENDS = "each whole request ends with an answer, a refusal or its caller's leaving"
 CUT_OFF_SERVED = "hosts that reach no worker serve through others"
 NOT_FALLEN = "brittle workers are not brought to fall over"
 SAFE, UNSAFE, CHAT, VERDICT = KINDS
@@ -37,6 +52,7 @@
     """Return an attempt that was answered as it should be."""
     made = Attempt(kind=kind, now=10.0)
     made.ended_at, made.status, made.whole, made.sent = 10.1, 200, True, True
+    made.handed_at = made.sent_at
     made.seal = f"{worker}.{made.id}"
     made.answer = f"answer of {worker}".encode()
     if kind.streams:
@@ -96,7 +112,7 @@
         self.assertEqual(self.seen(foreign), {own})
         self.assertEqual(self.seen(evidence(attempt(SAFE, answer=b"half"))), {own})
         gap = stream([1, 3], whole=False)
-        self.assertEqual(self.seen(evidence(gap)), {order})
+        self.assertEqual(self.seen(evidence(gap)), {order, ENDS})
         short = stream(range(1, EVENTS))
         self.assertEqual(self.seen(evidence(short)), {order})
         twice = evidence(attempt(UNSAFE))
@@ -114,7 +130,7 @@
         self.assertEqual(self.seen(denied), {allowed})
         cut = evidence(attempt(SAFE, status=0, whole=False, ended_at=11.0))
         stopped = cut._replace(spans=[Span("all stopped in turn", 9.0, 12.0, True)])
-        self.assertEqual(self.seen(stopped), {planned})
+        self.assertEqual(self.seen(stopped), {planned, ENDS})
         troubled = [*stopped.spans, Span("one killed", 9.5, 9.8, False)]
         self.assertEqual(self.seen(stopped._replace(spans=troubled)), set())
         late = evidence(probes=[Probe(1.0, "n1", 200, 404, "/extra-1/")])
@@ -239,8 +255,9 @@
             }
             for name, answer in wrong.items():
                 made.answer = answer
+                expected = {order} if whole else {order, ENDS}
                 with self.subTest(name, route=kind.route, whole=whole):
-                    self.assertEqual(self.seen(evidence(made)), {order})
+                    self.assertEqual(self.seen(evidence(made)), expected)
 
     async def test_runs_must_go_on_behind_the_last_event(self) -> None:
         order = list(PROMISES)[1]
@@ -261,9 +278,160 @@
             with self.subTest(route=kind.route, runs=runs, after=after):
                 self.assertEqual(self.seen(found), expected)
 
-    async def test_a_cut_answer_of_whole_events_breaks_nothing(self) -> None:
+    async def test_a_cut_answer_of_whole_events_is_lost_and_nothing_else(self) -> None:
         for kind in (CHAT, TALK):
-            self.assertEqual(broken(evidence(stream([1, 2], kind=kind, whole=False))), [])
+            cut = evidence(stream([1, 2], kind=kind, whole=False))
+            self.assertEqual(self.seen(cut), {ENDS})
+            broke_off = cut._replace(gone_at={"engines-1": 10.07})
+            self.assertEqual(broken(broke_off), [])
+
+    async def test_a_request_without_an_end_is_seen(self) -> None:
+        planned = [Span("the configuration changes", 9.0, 12.0, True)]
+        held = [Hold("plain-1", 9.9, 11.0)]
+        for kind in (SAFE, UNSAFE, CHAT, VERDICT):
+            for end in ("closed", "reset", "silent", "malformed"):
+                made = attempt(kind, status=0, whole=False, answer=b"", end=end, ended_at=10.1)
+                found = evidence(made)
+                with self.subTest(route=kind.route, end=end):
+                    self.assertEqual(self.seen(found), {ENDS})
+                    self.assertIn(ENDS, self.seen(found._replace(spans=planned, holds=held)))
+                    lost = count_ends(found).lost
+                    self.assertEqual(lost, {f"{end} before an answer": 1})
+        for kind in (CHAT, VERDICT, TALK):
+            cut = stream([1, 2], kind=kind, whole=False, end="reset")
+            with self.subTest(cut=kind.route):
+                self.assertEqual(self.seen(evidence(cut)), {ENDS})
+        # Nobody passed it on, but the close came late.
+        late = evidence(attempt(SAFE, status=0, whole=False, end="closed", ended_at=10.25))
+        late.workers[0].ran.clear()
+        self.assertEqual(self.seen(late), {ENDS})
+        # It came to a worker, which has not begun it, or is gone.
+        soon = evidence(attempt(SAFE, status=0, whole=False, end="closed", ended_at=10.15))
+        soon.workers[0].ran.clear()
+        self.assertEqual(self.seen(soon), set())
+        soon.workers[0].arrivals.append((10.1, soon.attempts[0].id))
+        self.assertEqual(self.seen(soon), {ENDS})
+        soon.workers[0].arrivals.clear()
+        soon.arrivals.append(Arrival("plain-9", soon.attempts[0].id, 10.1))
+        self.assertEqual(self.seen(soon), {ENDS})
+
+    async def test_ends_that_the_rules_excuse_are_not_seen(self) -> None:
+        def cut(ended_at: float, **changes: object) -> Evidence:
+            made = stream([1], whole=False, end="reset", ended_at=ended_at, address="n1")
+            return evidence(made, **changes)
+
+        def outcome(found: Evidence) -> str:
+            ends = count_ends(found)
+            self.assertEqual(self.seen(found), {ENDS} if ends.lost else set())
+            return next(iter(ends.excused), "")
+
+        by_route = "its route's time-out"
+        self.assertEqual(outcome(cut(12.4)), "")
+        self.assertEqual(outcome(cut(12.5)), "its deadline")
+        for changes, expected in (
+            ([RouteTimeout(5.0, "chat", 1.5)], by_route),
+            ([RouteTimeout(5.0, "chat", 1.6)], ""),
+            ([RouteTimeout(5.0, "safe", 1.5)], ""),
+            # The older one may stay in force for some time, the newer one holds at once.
+            ([RouteTimeout(5.0, "chat", 1.5), RouteTimeout(8.1, "chat", 4.0)], by_route),
+            ([RouteTimeout(5.0, "chat", 1.5), RouteTimeout(7.9, "chat", 4.0)], ""),
+            ([RouteTimeout(11.0, "chat", 1.5)], by_route),
+            ([RouteTimeout(11.6, "chat", 1.5)], ""),
+        ):
+            with self.subTest(changes=changes):
+                self.assertEqual(outcome(cut(11.5, timeouts=changes)), expected)
+        # Neither does planned work beside it make such a cut a loss; a cut before it is one.
+        planned = [Span("time-outs of routes change", 9.0, 12.0, True)]
+        for seconds, seen in ((1.5, set()), (1.6, {ENDS, "planned work costs nobody an answer"})):
+            changed = cut(11.5, spans=planned, timeouts=[RouteTimeout(5.0, "chat", seconds)])
+            self.assertEqual(self.seen(changed), seen)
+        self.assertIn(ENDS, self.seen(cut(11.5, spans=planned)))
+        unchanged = self.seen(cut(12.97, spans=planned))
+        self.assertEqual(unchanged, {"planned work costs nobody an answer"})
+        for stop, sent_in_time in ((Stop("n1", 7.5), True), (Stop("n1", 6.9), False)):
+            found = cut(11.3, stops=[stop])
+            self.assertEqual(bool(outcome(found)), sent_in_time)
+        # Before the last sixth of the grace period, and at another node.
+        self.assertEqual(outcome(cut(10.5, stops=[Stop("n1", 7.5)])), "")
+        self.assertEqual(outcome(cut(11.3, stops=[Stop("n2", 7.5)])), "")
+        self.assertEqual(outcome(cut(11.0, gone_at={"engines-1": 10.9})), "its target ended")
+        self.assertEqual(outcome(cut(11.0, gone_at={"engines-1": 9.9})), "")
+        self.assertEqual(outcome(cut(11.0, gone_at={"engines-2": 10.9})), "")
+        killed = Span("one killed", 7.5, 8.1, False, True)
+        self.assertEqual(outcome(cut(11.0, spans=[killed])), "unplanned trouble")
+        self.assertEqual(outcome(cut(11.0, spans=[killed._replace(ended=6.9)])), "")
+        late = attempt(SAFE, status=0, whole=False, end="silent", ended_at=13.5, late=True)
+        self.assertEqual(outcome(evidence(late)), "")
+        unread = evidence(late)
+        unread.workers[0].ran.clear()
+        self.assertEqual(outcome(unread), "sent on a closed connection")
+        left = attempt(SAFE, status=0, whole=False, left=True)
+        self.assertEqual(self.seen(evidence(left)), set())
+        self.assertEqual(count_ends(evidence(left)).left, 1)
+        unsent = attempt(SAFE, status=0, whole=False, sent=False, handed_at=None)
+        self.assertEqual(count_ends(evidence(unsent)).sent, 0)
+
+    async def test_a_silence_beyond_the_deadline_is_seen(self) -> None:
+        silent = attempt(SAFE, status=0, whole=False, end="silent", ended_at=13.5)
+        found = evidence(silent, timeouts=[RouteTimeout(5.0, "safe", 1.5)])
+        self.assertEqual(self.seen(found), {ENDS})
+
+    async def test_kept_connections_closed_under_sound_workers_are_seen(self) -> None:
+        crash = Span("a worker crashes", 9.0, 12.0, False, workers=True)
+        for number, broke in ((3, False), (4, True)):
+            lost = [
+                attempt(SAFE, status=0, whole=False, end="reset", earlier=1, address="n1")
+                for _ in range(number)
+            ]
+            found = evidence(*lost, spans=[crash])
+            self.assertEqual(self.seen(found), {ENDS} if broke else set())
+        for excused in (
+            found._replace(spans=[crash, Span("one killed", 9.0, 9.1, False, True)]),
+            found._replace(unsound=frozenset({"plain-1"})),
+            found._replace(gone_at={"plain-1": 20.0}),
+        ):
+            self.assertEqual(self.seen(excused), set())
+        lost[0].address = "n2"
+        self.assertEqual(self.seen(found), set())
+        lost[0].address, lost[0].earlier = "n1", 0
+        self.assertEqual(self.seen(found), set())
+
+    async def test_ends_are_counted_by_cause(self) -> None:
+        refusal = attempt(SAFE, status=503, seal="", answer=b"")
+        failure = attempt(SAFE, status=500, answer=b"failed")
+        cut = stream([1], whole=False, end="reset")
+        found = evidence(attempt(SAFE), refusal, failure, cut, attempt(SAFE, ended_at=None))
+        ends = count_ends(found)
+        self.assertEqual(
+            str(ends),
+            "sent whole 5: answered 2, refused 1, left 0, pending 1, "
+            "lost 1 (reset inside an answer 1), excused 0; closed early at rest 0",
+        )
+
+    async def test_resting_connections_closed_early_are_counted(self) -> None:
+        found = evidence(attempt(SAFE, found_closed=("n1", 8.0)))
+        self.assertEqual(count_ends(found).closed_early, 1)
+        for at, counted in ((3.9, 1), (4.1, 0), (9.0, 0), (10.1, 1)):
+            stopped = found._replace(stops=[Stop("n1", at)])
+            self.assertEqual(count_ends(stopped).closed_early, counted)
+        killed = found._replace(spans=[Span("one killed", 6.0, 6.1, False, True)])
+        self.assertEqual(count_ends(killed).closed_early, 0)
+        for times, counted in (
+            ([IdleTime(5.9, 1.9), IdleTime(6.0, 2.1)], 1),
+            ([IdleTime(5.9, 1.9), IdleTime(6.1, 2.1)], 0),
+            ([IdleTime(9.0, 2.0)], 0),
+            ([IdleTime(9.0, 2.1)], 1),
+        ):
+            changed = found._replace(idle_times=times)
+            self.assertEqual(count_ends(changed).closed_early, counted, times)
+
+    async def test_what_was_held_up_is_not_late(self) -> None:
+        left, late = attempt(SAFE), attempt(SAFE)
+        found = evidence(left, late, leaving_at={"plain-1": 7.0})
+        self.assertEqual(len(broken(found)), 2)
+        self.assertEqual(broken(found._replace(holds=[Hold("plain-1", 9.0, 9.9)])), [])
+        self.assertEqual(len(broken(found._replace(holds=[Hold("plain-1", 9.0, 9.7)]))), 2)
+        self.assertEqual(len(broken(found._replace(holds=[Hold("plain-2", 9.0, 9.9)]))), 2)
 
     async def test_runs_that_were_followed_are_counted(self) -> None:
         fresh, resumed, last = attempt(CHAT), attempt(TALK), attempt(TALK)
@@ -318,6 +486,32 @@
         writer.write(b"six")
         self.assertEqual(await reader.readexactly(3), b"six")
 
+    async def test_a_held_link_goes_on_with_everything(self) -> None:
+        reader, writer = await self._open()
+        host, port = self.link.address.rsplit(":", 1)
+        holds = [asyncio.ensure_future(self.link.hold(seconds)) for seconds in (0.2, 0.4)]
+        await asyncio.sleep(0)
+        writer.write(b"two")
+        new_reader, new_writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(new_writer.close)
+        new_writer.write(b"six")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await reader.read(3)
+        self.assertEqual(await reader.readexactly(3), b"two")
+        self.assertEqual(await new_reader.readexactly(3), b"six")
+        await asyncio.gather(*holds)
+
+    async def test_handshakes_hang_while_a_link_is_held(self) -> None:
+        host, port = self.link.address.rsplit(":", 1)
+        hold = asyncio.ensure_future(self.link.hold(0.3, [HOST]))
+        await asyncio.sleep(0)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await asyncio.open_connection(host, int(port))
+        await hold
+        await self._open()
+
     async def test_a_reset_is_seen_as_one(self) -> None:
         reader, _ = await self._open()
         self.link.reset()
@@ -325,6 +519,70 @@
             await reader.read(3)
 
 
+class RestingCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.idle_seconds = 1.0
+        self.opened = 0
+        self.closing: set[asyncio.StreamWriter] = set()
+        address = f"{HOST}:{free_port()}"
+        server = await asyncio.start_server(self._serve, HOST, int(address.split(":")[1]))
+        self.addCleanup(server.close)
+        self.attempts: list[Attempt] = []
+        self.caller = RestingCaller(
+            directories=lambda: [address] * 3,
+            rng=random.Random(3),
+            attempts=self.attempts,
+            idle_seconds=lambda: self.idle_seconds,
+        )
+        self.address = address
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        body = f'{{"addresses": ["{self.address}"]}}'.encode()
+        if head.startswith(b"POST"):
+            self.opened += 1
+            self.closing.add(writer)
+        try:
+            while True:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                if head.startswith(b"GET"):
+                    break
+                await reader.readexactly(int(head.split(b"Content-Length: ")[1].split()[0]))
+                head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError):
+            # The test ends, or the caller has; asyncio's own streams log what passes through here.
+            pass
+        writer.close()
+
+    async def _ask(self) -> Attempt:
+        made = Attempt(kind=SAFE, now=asyncio.get_running_loop().time())
+        while not made.whole:
+            made.left = False
+            await self.caller.ask(made)
+        return made
+
+    async def test_a_connection_is_taken_up_within_the_newest_idle_time(self) -> None:
+        await self._ask()
+        opened = self.opened
+        await asyncio.sleep(0.6)
+        made = await self._ask()
+        self.assertEqual((self.opened, made.earlier), (opened, 1))
+        self.assertGreater(made.rested, 0.5)
+        self.idle_seconds = 0.3
+        await asyncio.sleep(0.4)
+        made = await self._ask()
+        self.assertEqual((made.earlier, made.found_closed), (0, None))
+
+    async def test_a_connection_that_was_closed_carries_nothing(self) -> None:
+        await self._ask()
+        for writer in self.closing:
+            writer.close()
+        await asyncio.sleep(0.1)
+        made = await self._ask()
+        self.assertEqual(made.earlier, 0)
+        self.assertIsNotNone(made.found_closed)
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_a_short_seeded_soak_breaks_no_promise(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -350,6 +608,12 @@
         self.assertEqual(outcome.broken, [], outcome.faults)
         self.assertGreater(outcome.answered, 0)
 
+    def test_a_short_soak_of_planned_work_and_silent_targets_loses_no_request(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SEED, PLANNED, Path(folder)))
+        self.assertEqual(outcome.broken, [], [*outcome.told, *outcome.faults])
+        self.assertGreater(outcome.ends.answered, 0)
+
     def test_failed_seeds_have_a_cause_and_faults_of_both_kinds_are_known(self) -> None:
         self.assertTrue(all(failed.cause for failed in FAILED_ONCE))
         self.assertEqual({fault.planned for fault in FAULTS.values()}, {True, False})
