Look up what workers saw once for all requests that the soak judges

Each request without an answer had all runs gathered anew, each second, which takes time of the process that plays all workers. A close within the slack excuses only ends that are closes, as do deadlines and time-outs: an answer that is none in the protocol was excused too (seen to fail on made-up evidence).

--- a/soak/endings.py
+++ b/soak/endings.py
@@ -13,10 +13,12 @@
 if TYPE_CHECKING:
     from .promises import Evidence
 
-__all__ = ["EXCUSES", "ROUTE_TIMEOUT", "TROUBLE", "Ends", "count_ends", "describe", "excuse"]
+__all__ = ["EXCUSES", "ROUTE_TIMEOUT", "TROUBLE", "Endings", "Ends", "describe"]
 
 ROUTE_TIMEOUT = "its route's time-out"
 TROUBLE = "unplanned trouble"
+_CLOSED = ("closed", "reset")
+"""Ends by which a node gives a request up; silence, or what is no answer, is excused by less."""
 _SLACK_SECONDS = 0.2
 """`loss-slack-ms`: a request that nobody passed on, and whose connection closed so soon after it
 was sent, crossed that close."""
@@ -61,7 +63,57 @@
     return f" ({', '.join(f'{cause} {n}' for cause, n in counts.most_common())})" if counts else ""
 
 
-_Excuse = Callable[["Evidence", Attempt, float, float], bool]
+class Endings:
+    """Tells from what was seen how each request ended, and what excuses one without an answer."""
+
+    def __init__(self, *, evidence: Evidence) -> None:
+        self.evidence = evidence
+        self.ran = evidence.ran()
+        self._reached = {name for worker in evidence.workers for _, name in worker.arrivals}
+        self._reached |= self.ran.keys() | {arrival.request_id for arrival in evidence.arrivals}
+
+    def reached(self, attempt: Attempt) -> bool:
+        """Return whether a request came to a worker, one that had ended included."""
+        return attempt.id in self._reached
+
+    def excuse(self, attempt: Attempt) -> str:
+        """Return what excuses that a request has no whole answer, empty for nothing."""
+        sent, ended = attempt.handed_at, attempt.ended_at
+        if sent is None or ended is None:
+            return ""
+        excuses = (n for n, check in EXCUSES.items() if check(self, attempt, sent, ended))
+        return next(excuses, "")
+
+    def count(self) -> Ends:
+        """Return how the requests ended that were sent whole."""
+        sent = [attempt for attempt in self.evidence.attempts if attempt.sent]
+        counts: Counter[str] = Counter()
+        lost: Counter[str] = Counter()
+        excused: Counter[str] = Counter()
+        for attempt in sent:
+            if attempt.left:
+                counts["left"] += 1
+            elif attempt.ended_at is None:
+                counts["pending"] += 1
+            elif attempt.whole:
+                counts["answered" if attempt.status == 200 or attempt.seal else "refused"] += 1
+            elif why := self.excuse(attempt):
+                excused[why] += 1
+            else:
+                lost[describe(attempt)] += 1
+        return Ends(
+            len(sent),
+            counts["answered"],
+            counts["refused"],
+            counts["left"],
+            counts["pending"],
+            lost,
+            excused,
+            _closed_early(self.evidence),
+        )
+
+
+_Excuse = Callable[[Endings, Attempt, float, float], bool]
 """Tells whether something excuses that a request, sent and ended at two times, has no answer."""
 EXCUSES: dict[str, _Excuse] = {}
 
@@ -76,43 +128,6 @@
     return register
 
 
-def excuse(evidence: Evidence, attempt: Attempt) -> str:
-    """Return what excuses that a request has no whole answer, empty for nothing."""
-    sent, ended = attempt.handed_at, attempt.ended_at
-    if sent is None or ended is None:
-        return ""
-    return next((n for n, check in EXCUSES.items() if check(evidence, attempt, sent, ended)), "")
-
-
-def count_ends(evidence: Evidence) -> Ends:
-    """Return how the requests ended that were sent whole."""
-    sent = [attempt for attempt in evidence.attempts if attempt.sent]
-    counts: Counter[str] = Counter()
-    lost: Counter[str] = Counter()
-    excused: Counter[str] = Counter()
-    for attempt in sent:
-        if attempt.left:
-            counts["left"] += 1
-        elif attempt.ended_at is None:
-            counts["pending"] += 1
-        elif attempt.whole:
-            counts["answered" if attempt.status == 200 or attempt.seal else "refused"] += 1
-        elif why := excuse(evidence, attempt):
-            excused[why] += 1
-        else:
-            lost[describe(attempt)] += 1
-    return Ends(
-        len(sent),
-        counts["answered"],
-        counts["refused"],
-        counts["left"],
-        counts["pending"],
-        lost,
-        excused,
-        _closed_early(evidence),
-    )
-
-
 def describe(attempt: Attempt) -> str:
     """Return how a request ended that has no whole answer."""
     begun = "inside" if attempt.status else "before"
@@ -145,49 +160,51 @@
 
 
 @_excuse("sent on a closed connection")
-def _late(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
-    return attempt.late and not attempt.status and not evidence.reached(attempt.id)
+def _late(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
+    return attempt.late and not attempt.status and not endings.reached(attempt)
 
 
 @_excuse("crossed a close")
-def _crossed(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
-    soon = not attempt.status and attempt.end != "silent" and ended - sent <= _SLACK_SECONDS
-    return soon and not evidence.reached(attempt.id)
+def _crossed(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
+    soon = not attempt.status and attempt.end in _CLOSED and ended - sent <= _SLACK_SECONDS
+    return soon and not endings.reached(attempt)
 
 
 @_excuse("its deadline")
-def _deadline(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
+def _deadline(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
     # A node that lets it pass without a word owes a refusal.
-    return attempt.end != "silent" and ended - sent >= PATIENCE_SECONDS - _EARLY_SECONDS
+    return attempt.end in _CLOSED and ended - sent >= PATIENCE_SECONDS - _EARLY_SECONDS
 
 
 @_excuse(ROUTE_TIMEOUT)
-def _route_timeout(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
-    if attempt.end == "silent":
+def _route_timeout(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
+    if attempt.end not in _CLOSED:
         return False
-    changes = [(t.at, t.seconds) for t in evidence.timeouts if t.route == attempt.kind.route]
+    changes = [
+        (t.at, t.seconds) for t in endings.evidence.timeouts if t.route == attempt.kind.route
+    ]
     seconds = min(_in_force([(float("-inf"), _ROUTE_SECONDS), *changes], sent, ended))
     return ended - sent >= seconds - _EARLY_SECONDS
 
 
 @_excuse("its target ended")
-def _target_ended(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
+def _target_ended(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
     return any(
-        ran.at <= evidence.gone_at.get(worker.name, float("inf")) <= ended
-        for worker, ran in evidence.ran().get(attempt.id, [])
+        ran.at <= endings.evidence.gone_at.get(worker.name, float("inf")) <= ended
+        for worker, ran in endings.ran.get(attempt.id, [])
     )
 
 
 @_excuse("its target worked to the end of a grace period")
-def _grace(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
-    return evidence.reached(attempt.id) and any(
+def _grace(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
+    return endings.reached(attempt) and any(
         stop.address == attempt.address
         and sent <= stop.at + _STOP_SENT_SECONDS
         and stop.at + _STOP_PART * GRACE_SECONDS <= ended <= stop.at + GRACE_SECONDS + 1.0
-        for stop in evidence.stops
+        for stop in endings.evidence.stops
     )
 
 
 @_excuse(TROUBLE)
-def _trouble(evidence: Evidence, attempt: Attempt, sent: float, ended: float) -> bool:
-    return evidence.disturbed(sent, ended)
+def _trouble(endings: Endings, attempt: Attempt, sent: float, ended: float) -> bool:
+    return endings.evidence.disturbed(sent, ended)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,7 +11,7 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from .callers import EVENTS, Attempt
-from .endings import ROUTE_TIMEOUT, TROUBLE, describe, excuse
+from .endings import ROUTE_TIMEOUT, TROUBLE, Endings, describe
 from .outside import (
     COLD_RATE,
     Arrival,
@@ -170,15 +170,6 @@
                 found[ran.request_id].append((worker, ran))
         return found
 
-    def reached(self, request_id: str) -> bool:
-        """Return whether a request came to a worker, one that had ended included."""
-        came = (at_worker for w in self.workers for _, at_worker in w.arrivals)
-        return (
-            request_id in self.ran()
-            or request_id in came
-            or any(arrival.request_id == request_id for arrival in self.arrivals)
-        )
-
     def held(self, worker: str, began: float, ended: float) -> bool:
         """Return whether a worker's packets were held up in a time, or came in a bunch then."""
         return any(
@@ -341,7 +332,8 @@
 
 @promise("planned work costs nobody an answer")
 def _planned(evidence: Evidence) -> Iterator[str]:
-    ran = evidence.ran()
+    endings = Endings(evidence=evidence)
+    ran = endings.ran
     planned = [span for span in evidence.spans if span.planned]
     for attempt in evidence.attempts:
         ended = attempt.ended_at
@@ -350,7 +342,7 @@
         if attempt.id not in ran and ended - attempt.sent_at < _CROSSING_SECONDS:
             continue
         during = [s for s in planned if s.began <= ended and s.ended >= attempt.sent_at]
-        if during and excuse(evidence, attempt) == ROUTE_TIMEOUT:
+        if during and endings.excuse(attempt) == ROUTE_TIMEOUT:
             continue
         if during and not evidence.disturbed(attempt.sent_at, ended):
             yield f"{attempt.id}: no whole answer ({attempt.status}) during {during[0].name}"
@@ -474,14 +466,15 @@
 
 @promise("each whole request ends with an answer, a refusal or its caller's leaving")
 def _ends(evidence: Evidence) -> Iterator[str]:
+    endings = Endings(evidence=evidence)
     beside: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in evidence.attempts:
         if not attempt.sent or attempt.left or attempt.whole or attempt.ended_at is None:
             continue
-        why = excuse(evidence, attempt)
+        why = endings.excuse(attempt)
         if not why:
             yield f"{attempt.id}: {_loss(attempt)}"
-        elif why == TROUBLE and attempt.earlier and _at_sound_workers(evidence, attempt):
+        elif why == TROUBLE and attempt.earlier and _at_sound_workers(endings, attempt):
             beside[attempt.address].append(attempt)
     for address, lost in beside.items():
         if len(lost) > _MOST_CLOSED:
@@ -497,10 +490,11 @@
     )
 
 
-def _at_sound_workers(evidence: Evidence, attempt: Attempt) -> bool:
+def _at_sound_workers(endings: Endings, attempt: Attempt) -> bool:
     """Return whether it came to workers that nothing befell, while nothing befell the nodes."""
     began, ended = attempt.handed_at or 0.0, attempt.ended_at or 0.0
-    names = {worker.name for worker, _ in evidence.ran().get(attempt.id, [])}
+    evidence = endings.evidence
+    names = {worker.name for worker, _ in endings.ran.get(attempt.id, [])}
     harmed = evidence.unsound | evidence.gone_at.keys() | evidence.leaving_at.keys()
     return bool(names) and not names & harmed and not evidence.beside_workers(began, ended)
 
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from .endings import Ends, count_ends
+from .endings import Endings, Ends
 from .faults import FAULTS
 from .machines import Machine
 from .promises import Evidence, Followed, Probe, Span, Stop, broken
@@ -118,7 +118,7 @@
             len(self._attempts),
             answered,
             seen.followed(),
-            count_ends(seen),
+            Endings(evidence=seen).count(),
             names,
             self._told(lines),
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from fielddrift_standins.worker import Ran, Worker
 
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind, RestingCaller
-from soak.endings import count_ends
+from soak.endings import Endings, Ends
 from soak.faults import FAULTS, SERIES
 from soak.links import Harm, Link
 from soak.outside import (
@@ -96,6 +96,11 @@
     )
 
 
+def count_ends(found: Evidence) -> Ends:
+    """Return how the requests of `found` ended."""
+    return Endings(evidence=found).count()
+
+
 class PromisesTest(unittest.IsolatedAsyncioTestCase):
     def seen(self, found: Evidence) -> set[str]:
         """Return the promises that are broken."""
@@ -305,6 +310,11 @@
         late = evidence(attempt(SAFE, status=0, whole=False, end="closed", ended_at=10.25))
         late.workers[0].ran.clear()
         self.assertEqual(self.seen(late), {ENDS})
+        # It was no close.
+        for end in ("silent", "malformed"):
+            unread = evidence(attempt(SAFE, status=0, whole=False, end=end, ended_at=10.15))
+            unread.workers[0].ran.clear()
+            self.assertEqual(self.seen(unread), {ENDS})
         # It came to a worker, which has not begun it, or is gone.
         soon = evidence(attempt(SAFE, status=0, whole=False, end="closed", ended_at=10.15))
         soon.workers[0].ran.clear()
@@ -372,9 +382,10 @@
         self.assertEqual(count_ends(evidence(unsent)).sent, 0)
 
     async def test_a_silence_beyond_the_deadline_is_seen(self) -> None:
-        silent = attempt(SAFE, status=0, whole=False, end="silent", ended_at=13.5)
-        found = evidence(silent, timeouts=[RouteTimeout(5.0, "safe", 1.5)])
-        self.assertEqual(self.seen(found), {ENDS})
+        for end in ("silent", "malformed"):
+            silent = attempt(SAFE, status=0, whole=False, end=end, ended_at=13.5)
+            found = evidence(silent, timeouts=[RouteTimeout(5.0, "safe", 1.5)])
+            self.assertEqual(self.seen(found), {ENDS})
 
     async def test_kept_connections_closed_under_sound_workers_are_seen(self) -> None:
         crash = Span("a worker crashes", 9.0, 12.0, False, workers=True)
