--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,7 +69,7 @@
                 f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}, "
                 f"followed when cut in a first event: {fresh} fresh, {resumed} resumed"
             )
-            click.echo(f"  {outcome.ends}")
+            click.echo(f"  {outcome.ends}; the soak's own process late by {outcome.late:.2f} s")
             if outcome.broken:
                 for line in [*outcome.broken[:20], *outcome.told[:60], *outcome.faults]:
                     click.echo(f"  {line}")
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -9,7 +9,6 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
 from pathlib import Path
 
 from fielddrift_standins.fleet import free_port
@@ -80,6 +79,9 @@
         self.busy = False
         """Whether a fault that ends or pauses the process is under way."""
         self._starts = 0
+        self._lines: dict[str | None, list[str]] = {}
+        """The log's lines by event: it grows too long to be read anew each second."""
+        self._read_bytes = 0
         self._process: subprocess.Popen[bytes] | None = None
         self._settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
@@ -170,21 +172,36 @@
 
     def logged(self, *events: str) -> list[str]:
         """Return the lines of its log with one of `events`."""
-        return [line for line, event in self._lines() if event in events]
+        rest = self._read_log()
+        lines = [line for event in events for line in self._lines.get(event, ())]
+        return lines + [line for line in rest if _event_of(line) in events]
 
     def strays(self) -> list[str]:
         """Return the lines of its output that are no log lines, such as a traceback's."""
-        return [line for line, event in self._lines() if event is None]
-
-    def _lines(self) -> Iterator[tuple[str, str | None]]:
-        for line in self.log.read_text(errors="replace").splitlines():
-            try:
-                yield line, json.loads(line)["event"]
-            except (ValueError, TypeError, KeyError):
-                yield line, None
+        rest = self._read_log()
+        return self._lines.get(None, []) + [line for line in rest if _event_of(line) is None]
+
+    def _read_log(self) -> list[str]:
+        """Keep the lines that came since the last call; return the one that has no end yet."""
+        with self.log.open("rb") as log:
+            log.seek(self._read_bytes)
+            whole, end, rest = log.read().rpartition(b"\n")
+        self._read_bytes += len(whole) + len(end)
+        for line in whole.decode(errors="replace").splitlines():
+            self._lines.setdefault(_event_of(line), []).append(line)
+        return [rest.decode(errors="replace")] if rest else []
 
     async def _wait(self) -> int:
         assert self._process is not None
         while self._process.poll() is None:
             await asyncio.sleep(0.02)
         return self._process.returncode
+
+
+def _event_of(line: str) -> str | None:
+    """Return the event of a log line, None where it is no log line."""
+    try:
+        event: str = json.loads(line)["event"]
+    except (ValueError, TypeError, KeyError):
+        return None
+    return event
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -31,6 +31,7 @@
 _PROBE_SECONDS = 2.0
 _REQUEST = re.compile(r"\br\d+\b")
 _LOGGED_REQUEST = re.compile(r'"(r\d+)"')
+_TICK_SECONDS = 0.05
 _OUR_FAILURES = ("loop failed", "request failed", "store loop failed")
 
 
@@ -54,6 +55,8 @@
     answered: int
     followed: Followed
     ends: Ends
+    late: float
+    """The longest time, in seconds, for which the soak's own process ran nothing else."""
     faults: list[str]
     told: list[str]
     """Lines of the nodes' logs about requests that are named in `broken`."""
@@ -71,6 +74,7 @@
         self._spans: list[Span] = []
         self._probes: list[Probe] = []
         self._calm_since: float | None = None
+        self._late = 0.0
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -88,6 +92,7 @@
             self._tasks.append(asyncio.ensure_future(resting.rest_and_ask()))
         self._tasks.append(asyncio.ensure_future(self._watch()))
         self._tasks.append(asyncio.ensure_future(self._probe_often()))
+        self._tasks.append(asyncio.ensure_future(self._time_itself()))
 
     async def trouble(self) -> None:
         """Let faults begin at random times, overlapping, until the time is up."""
@@ -119,6 +124,7 @@
             answered,
             seen.followed(),
             Endings(evidence=seen).count(),
+            self._late,
             names,
             self._told(lines),
         )
@@ -196,6 +202,13 @@
                 if told[line] == 1:
                     print(f"  broken: {line}", flush=True)
 
+    async def _time_itself(self) -> None:
+        """Note how late this process is: callers and workers stand still meanwhile."""
+        while True:
+            due = self._loop.time() + _TICK_SECONDS
+            await asyncio.sleep(_TICK_SECONDS)
+            self._late = max(self._late, self._loop.time() - due)
+
     async def _probe_often(self) -> None:
         """Ask calm nodes what the last change must have changed."""
         while True:
