--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 from soak.endings import Endings, Ends
 from soak.faults import FAULTS, SERIES
 from soak.links import Harm, Link
+from soak.machines import Machine
 from soak.outside import (
     Arrival,
     Brittle,
@@ -530,6 +531,26 @@
             await reader.read(3)
 
 
+class MachineTest(unittest.TestCase):
+    def test_lines_of_a_log_that_grows_are_each_told_once(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            machine = Machine(
+                name="n1",
+                ip=HOST,
+                zone="a",
+                folder=Path(folder),
+                store=Link(target=f"{HOST}:1"),
+            )
+            machine.log.write_text('{"event": "started"}\n{"event": "ans')
+            self.assertEqual(machine.logged("started"), ['{"event": "started"}'])
+            self.assertEqual(machine.strays(), ['{"event": "ans'])
+            with machine.log.open("a") as log:
+                log.write('wered"}\nTraceback\n{"event": "started"}\n')
+            self.assertEqual(machine.strays(), ["Traceback"])
+            self.assertEqual(len(machine.logged("started")), 2)
+            self.assertEqual(len(machine.logged("started", "answered")), 3)
+
+
 class RestingCallerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.idle_seconds = 1.0
