Run a short soak of targets that are silent for a second, which fails

The node's lines: "answer cut", "no target can take it" or "the budget for repeated sends is exhausted", behind a send that failed as silent.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,7 +18,7 @@
 from .promises import BRITTLE, COLD, CUT_OFF, ENDING, LEAVING, LIMITED, PAUSING
 from .site import Site
 
-__all__ = ["FAULTS", "SERIES", "Fault"]
+__all__ = ["FAULTS", "SERIES", "SILENCE", "Fault"]
 
 _BEGIN_LOOK_SECONDS = 0.01
 """Time between looks for a run that has begun its first event."""
@@ -644,6 +644,7 @@
 
 # --- what must cost no answer, in series ------------------------------------------------
 
+SILENCE = "targets fall silent for a second"
 _SILENT_SECONDS = (0.8, 1.3)
 """How long sound targets may send nothing."""
 _HEARD_SECONDS = 1.0
@@ -656,7 +657,7 @@
 _SERIES_GAP_SECONDS = (0.3, 2.5)
 
 
-@fault("targets fall silent for a second", planned=True)
+@fault(SILENCE, planned=True)
 async def _targets_silent(site: Site, rng: random.Random) -> None:
     outside = site.outside
     for _ in range(rng.randint(1, 3)):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind, RestingCaller
 from soak.endings import Endings, Ends
-from soak.faults import FAULTS, SERIES
+from soak.faults import FAULTS, SERIES, SILENCE
 from soak.links import Harm, Link
 from soak.machines import Machine
 from soak.outside import (
@@ -42,6 +42,9 @@
     callers=16, seconds=8.0, kinds=("engines that resume break off inside their first event",)
 )
 HOSTS_CUT_OFF = Size(nodes=3, callers=8, seconds=2.0, kinds=(CUT_OFF,))
+SILENT_SEED = 16
+"""All engines fall silent while chats are under way."""
+SILENT = Size(nodes=3, callers=24, seconds=8.0, kinds=(SILENCE,))
 PLANNED = Size(nodes=3, callers=8, seconds=6.0, kinds=SERIES, resting=16)
 ENDS = "each whole request ends with an answer, a refusal or its caller's leaving"
 CUT_OFF_SERVED = "hosts that reach no worker serve through others"
@@ -646,6 +649,12 @@
         self.assertEqual(outcome.broken, [], [*outcome.told, *outcome.faults])
         self.assertGreater(outcome.ends.answered, 0)
 
+    def test_a_short_soak_of_targets_silent_for_a_second_loses_no_request(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SILENT_SEED, SILENT, Path(folder)))
+        self.assertEqual(outcome.broken, [], [*outcome.told, *outcome.faults])
+        self.assertGreater(outcome.ends.answered, 0)
+
     def test_failed_seeds_have_a_cause_and_faults_of_both_kinds_are_known(self) -> None:
         self.assertTrue(all(failed.cause for failed in FAILED_ONCE))
         self.assertEqual({fault.planned for fault in FAULTS.values()}, {True, False})
