Log connections that time out at targets whose bound is infinite

A connection that timed out at a target that was cold or loading ended the loop that detects silent targets for half a second: OverflowError in its log line, whose bound is infinite there. The test failed before (no line).

--- a/packages/node/src/fielddrift_node/serving/send_watch.py
+++ b/packages/node/src/fielddrift_node/serving/send_watch.py
@@ -115,8 +115,13 @@
             target=change.target,
             evidence=change.evidence,
             silent_ms=age_ms,
-            allowed_ms=None if change.allowed is None else round(change.allowed * 1000),
+            allowed_ms=_milliseconds(change.allowed),
             told_by=change.reporter or None,
         )
         if change.evidence != "report":
             self._on_change()
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    """Return whole milliseconds, None for no bound."""
+    return None if seconds is None or math.isinf(seconds) else round(seconds * 1000)
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import unittest
 from unittest import mock
@@ -15,7 +16,9 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden, TargetHealth
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
+from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.send_gate import SendGate
+from fielddrift_node.serving.send_watch import ResponsivenessWatch
 from fielddrift_node.serving.views import Views
 from structlog.testing import capture_logs
 
@@ -207,6 +210,23 @@
         self.assertEqual([gate.allows(service, i, 1.0) for i in (one, two)], [True, True])
 
 
+class TestLines(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_that_times_out_at_a_cold_target_is_logged(self) -> None:
+        """Failure: its bound is infinite, which ended the loop that detects silent targets."""
+        views, loop = Views(), asyncio.get_running_loop()
+        now = loop.time()
+        views.responsiveness.check(now - STEP)
+        views.responsiveness.sent("t", "r", allowed=math.inf, now=now - 1.0)
+        views.responsiveness.connect_timed_out("t", "r", now)
+        watch = ResponsivenessWatch(views=views, metrics=Metrics(), on_change=lambda: None)
+        with capture_logs() as lines:
+            running = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(STEP)
+            running.cancel()
+        (line,) = [line for line in lines if line["event"] == "target unresponsive"]
+        self.assertEqual((line["evidence"], line["allowed_ms"]), ("connect", None))
+
+
 class TestNode(TwoTargets):
     """Nodes and two targets, of which the first one, `speaker`, goes silent."""
 
