--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -102,3 +103,11 @@
         await asyncio.sleep(0.3)
         self.file.write_text("grace = [")
         self.assertEqual(await self.ask_beside_stop(), 200)
+
+    async def test_reloads_in_the_last_moments_do_not_end_the_process(self) -> None:
+        self.node.send_signal(signal.SIGTERM)
+        while self.node.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.node.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+        self.assertEqual(self.node.returncode, 0)
