Measure how late the event loop runs, and log delays of 0.1 s and longer

A node logged only pauses over 0.7 s. A shorter delay of its event loop (a garbage collection, work of its own, a host that did not run it) can exceed what a first event is allowed, and its log then told of silent targets only.

The check of silent targets, due every 0.05 s, now records how late it runs: fielddrift_loop_delay_seconds, and a line 'event loop delayed' from 0.1 s on, with the processor time used meanwhile, which tells the node's own work from a host that did not run it.

Checked by reading the code: log lines go through a bounded buffer under a lock that its writing thread holds only to take the lines; it writes outside the lock, so that logging does not stop the loop.

--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -159,6 +159,9 @@
         self.estimate_error = self._histogram(
             "estimate_error", "seconds that a first event came later than estimated"
         )
+        self.loop_delay = self._histogram(
+            "loop_delay", "seconds by which the event loop ran a periodic check late"
+        )
         self.catalog = self._gauge("catalog_version", "version of the catalog in force")
         self.targets = self._gauge("targets", "targets that are known")
         self.cold_targets = self._gauge("cold_targets", "targets that are taken for cold")
--- a/packages/node/src/fielddrift_node/serving/send_watch.py
+++ b/packages/node/src/fielddrift_node/serving/send_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -19,6 +20,10 @@
 
 __all__ = ["ResponsivenessWatch", "SendWatch"]
 
+_LOGGED_DELAY_SECONDS = 0.1
+"""Delays of the event loop from which on they are logged; half of what many routes allow a first
+event."""
+
 _log = structlog.get_logger()
 
 
@@ -75,7 +80,8 @@
 class ResponsivenessWatch:
     """Checks periodically which targets are unresponsive, and has the sends there replaced.
 
-    `on_change` is called when other nodes should be informed soon.
+    Also measures how late the event loop runs the checks.  `on_change` is called when other nodes
+    should be informed soon.
     """
 
     def __init__(self, *, views: Views, metrics: Metrics, on_change: Callable[[], None]) -> None:
@@ -88,7 +94,20 @@
         loop = asyncio.get_running_loop()
         while True:
             self._check(loop.time())
+            due, used = loop.time() + CHECK_INTERVAL_SECONDS, time.thread_time()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._record_delay(max(0.0, loop.time() - due), time.thread_time() - used)
+
+    def _record_delay(self, delay: float, used: float) -> None:
+        """Record how late a check runs; `used` is the thread's processor time since the last one.
+
+        Both are in seconds.
+        """
+        self._metrics.loop_delay.observe(delay)
+        if delay >= _LOGGED_DELAY_SECONDS:
+            _log.warning(
+                "event loop delayed", delay_ms=round(delay * 1000), cpu_ms=round(used * 1000)
+            )
 
     def _check(self, now: float) -> None:
         responsiveness = self._views.responsiveness
--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import re
 import subprocess
 import sys
+import time
 import unittest
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+from fielddrift_core.responsiveness import CHECK_INTERVAL_SECONDS
 from fielddrift_core.stream import EventFramer
 from fielddrift_node.serving.call import Send, Trace
 from fielddrift_node.serving.metrics import Metrics
@@ -20,6 +23,7 @@
 ROOT = Path(__file__).parent.parent
 UNNEEDED_MODULES = ("prometheus_client", "ssl", "http.server")
 """Not needed for serving; their imports took a quarter of a node's start time."""
+_DELAY_SECONDS = 0.4
 
 
 class MetricsTest(unittest.TestCase):
@@ -82,6 +86,27 @@
         self.assertEqual(done.stdout.strip(), "True", done.stderr)
 
 
+class LoopDelayTest(FleetCase):
+    """Delays of the event loop are measured, and long ones are logged."""
+
+    async def test_a_delay_is_told_with_the_time_that_the_node_itself_used(self) -> None:
+        await self.fleet.worker(Worker(name="w1"), "plain")
+        node = await self.fleet.node()
+        with capture_logs() as lines:
+            time.sleep(_DELAY_SECONDS)
+            await eventually(lambda: any(n["event"] == "event loop delayed" for n in lines))
+        line = next(n for n in lines if n["event"] == "event loop delayed")
+        self.assertGreaterEqual(line["delay_ms"], 1000 * (_DELAY_SECONDS - CHECK_INTERVAL_SECONDS))
+        # A sleep takes time, and no processor time.
+        self.assertLess(line["cpu_ms"], line["delay_ms"] / 2)
+        text = (await get(node.settings.metrics, "/metrics")).body.decode()
+        counts = {
+            bound: float(count)
+            for bound, count in re.findall(r'loop_delay_seconds_bucket{le="([^"]*)"} (\S+)', text)
+        }
+        self.assertGreater(counts["+Inf"], counts["0.2"])
+
+
 class RunLinesTest(FleetCase):
     """Log lines and metrics of a run that fails, and of the run that resumes it."""
 
