--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .faults import FAULTS
+from .faults import FAULTS, SERIES
 
 __all__ = ["FAILED_ONCE", "FailedSeed"]
 
@@ -36,6 +36,10 @@
 _LOST_FIRST = ("engines go down or lose their links inside a first event",)
 _JOINED = "bytes of a run that broke off inside its first event were put before the next run's"
 
+_GIVEN_UP = (
+    "a stream's run was given up for its target's silence, and cut where no other target took it"
+)
+
 FAILED_ONCE = (
     FailedSeed(2966062626, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
     FailedSeed(2859916874, f"{_CROSSED}; then a process that was stopped while it still loaded"),
@@ -50,4 +54,7 @@
     FailedSeed(4117352822, _JOINED, _CUT_RESUMED),
     FailedSeed(692747074, _JOINED, _LOST_FIRST),
     FailedSeed(510775832, _JOINED, _LOST_FIRST),
+    FailedSeed(4067470475, _GIVEN_UP, SERIES),
+    FailedSeed(2203299640, _GIVEN_UP, SERIES),
+    FailedSeed(2881916249, _GIVEN_UP, SERIES),
 )
