--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -11,6 +11,8 @@
 
 _FIRST_KINDS = tuple(FAULTS)[:26]
 """Those that there were at first: a seed names other faults where there are more kinds."""
+_KINDS = tuple(FAULTS)[:50]
+"""Those that there were once planned work came in series."""
 
 
 class FailedSeed(NamedTuple):
@@ -39,6 +41,8 @@
 _GIVEN_UP = (
     "a stream's run was given up for its target's silence, and cut where no other target took it"
 )
+_ENDED = "a reload in the last moments of a process that stopped ended it with -1"
+_INFINITE = "a line about a connection that timed out could not tell an infinite bound"
 
 FAILED_ONCE = (
     FailedSeed(2966062626, f"{_CROSSED}; then, beside hunts: {_ENDLESS}"),
@@ -57,4 +61,8 @@
     FailedSeed(4067470475, _GIVEN_UP, SERIES),
     FailedSeed(2203299640, _GIVEN_UP, SERIES),
     FailedSeed(2881916249, _GIVEN_UP, SERIES),
+    FailedSeed(2767594970, _ENDED, SERIES),
+    FailedSeed(2721167154, _ENDED, SERIES),
+    FailedSeed(1711511954, _ENDED, SERIES),
+    FailedSeed(3105105914, _INFINITE, _KINDS),
 )
