Let an idle engine go on with a prompt that its replacement took over

An idle engine sends nothing before its first event, and was taken for silent after 0.3 s: with two attempts the prompt then stayed with an engine that hung, until its deadline (504, or a stream cut). Now the latest sign of life decides, and without any the send that was silent for a shorter time goes on. A run whose first event came in the pass of the loop in which its caller left was never ended. An error of the second send ended the first one, which still worked. Two engines ran a prompt for up to 0.35 s, now 0.3 s, and a plain request to engines without bound. A second send that never left the node counted as a failed connection, and its target as tried.

--- a/packages/core/src/fielddrift_core/stalls.py
+++ b/packages/core/src/fielddrift_core/stalls.py
@@ -6,14 +6,15 @@
 their responses are cut although their targets would have gone on.
 
 So a send is kept until a replacement makes progress.  Both run for `MAX_OVERLAP_SECONDS` at most;
-then the one whose target shows no sign of life is released.  Times are in seconds.
+then the one whose target showed a sign of life goes on.  If neither did, it is the replacement: the
+other one has been silent for longer.  Times are in seconds.
 """
 
 from __future__ import annotations
 
 __all__ = [
     "MAX_OVERLAP_SECONDS",
-    "is_replacement_alive",
+    "prefers_replacement",
     "replacement_delay",
     "stream_patience",
 ]
@@ -49,10 +50,15 @@
     return _DELAY_FRACTION * stream_patience(latency_goal=latency_goal, gap_goal=gap_goal)
 
 
-def is_replacement_alive(*, sent_at: float, heard_at: float | None) -> bool:
-    """Return whether the target of a replacement has shown a sign of life since it was sent.
+def prefers_replacement(
+    *, written_at: float, replacement_heard_at: float | None, current_heard_at: float | None
+) -> bool:
+    """Return whether a replacement goes on rather than the send before it.
 
-    `sent_at` is when the request was written to it, `heard_at` when any byte last arrived from its
-    target, None for never.
+    `written_at` is when the replacement was written to its connection.  The others are when bytes
+    last arrived from either target, None for never.  An idle engine sends nothing before the first
+    event of the replacement, so that silence alone does not rule it out.
     """
-    return heard_at is not None and heard_at > sent_at
+    if replacement_heard_at is not None and replacement_heard_at > written_at:
+        return True
+    return current_heard_at is None or current_heard_at <= written_at
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -58,6 +58,7 @@
 class Shortage(StrEnum):
     """What keeps a send without progress from being replaced by another one."""
 
+    REPEATABLE_ROUTE = "repeatable-route"
     ATTEMPTS = "attempts"
     BUDGET = "budget"
     TARGET = "target"
@@ -122,7 +123,9 @@
 
     def replacement_shortage(self) -> Shortage | None:
         """Return what rules out a replacement for a send in progress, None if nothing does."""
-        if not self._call.route.repeatable or not self.may_retry():
+        if not self._call.route.repeatable:
+            return Shortage.REPEATABLE_ROUTE
+        if not self.may_retry():
             return Shortage.ATTEMPTS
         if self._connect_failures >= MAX_CONNECT_FAILURES:
             return Shortage.TARGET
@@ -185,14 +188,17 @@
             through=send.through,
             written=send.written_at is not None,
         )
-        self._count_end(send, reached=send.written_at is not None)
+        if send.written_at is None:
+            # Its target may still be used: nothing is known against it.
+            self.tried.discard(send.target)
+        self._count_end(send, reached=send.written_at is not None, connect_failed=False)
 
-    def _count_end(self, send: Send, *, reached: bool) -> None:
+    def _count_end(self, send: Send, *, reached: bool, connect_failed: bool = True) -> None:
         self._in_flight -= 1
         if reached:
             self._reached += 1
             return
-        self._connect_failures += 1
+        self._connect_failures += connect_failed
         if send.is_budgeted:
             self._context.budget(self._call.service.name).refund(send.at)
 
@@ -215,6 +221,11 @@
             self._refusal(detail, self._context.gate.shortest_wait(serving, now) or None)
         )
 
+    @property
+    def has_other(self) -> bool:
+        """Return whether more than one send is in progress."""
+        return self._in_flight > 1
+
     def may_retry(self) -> bool:
         """Return whether the route allows a send beside the one in progress."""
         return self._reached + max(1, self._in_flight) < self._call.route.attempts
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -120,12 +120,16 @@
         if self._run is not None and self._run.send is send:
             self._generation.end_run(self._call, self._run)
 
-    def cancel(self, pending: Pending[_Run], reason: str) -> None:
+    def cancel(self, pending: Pending[Any], reason: str) -> None:
         """End a run that is not needed."""
-        if pending.succeeded:
-            self._generation.end_run(self._call, pending.task.result())
+        self.discard(pending)
         self._attempts.cancelled(pending.send, reason)
 
+    def discard(self, pending: Pending[Any]) -> None:
+        """End a run that has begun and is not used."""
+        if pending.succeeded and isinstance(run := pending.task.result(), _Run):
+            self._generation.end_run(self._call, run)
+
 
 def _is_event_stream(head: ResponseHead) -> bool:
     """Return whether `head` starts an event stream, not another kind of response."""
@@ -278,7 +282,8 @@
                 if exchange is not None:
                     exchange.cancel()
         resume_unusable = after != "" and not _is_event_stream(head)
-        if resume_unusable or (head.status >= 500 and attempts.replacement_shortage() is None):
+        can_replace = attempts.has_other or attempts.replacement_shortage() is None
+        if resume_unusable or (head.status >= 500 and can_replace):
             context.views.workload.end(name, call.trace.key)
             exchange.cancel()
             detail = f"target {name}: status {head.status}"
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -14,6 +14,7 @@
 from fielddrift_core.placement import PlainTargetState, choose_plain_target
 from fielddrift_core.plain_queue import Admission, Decision, Demand, WaitingRequest
 from fielddrift_core.prompt_queue import queue_name
+from fielddrift_core.stalls import MAX_OVERLAP_SECONDS
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import Exchange, ExchangeError
@@ -84,6 +85,9 @@
         """End a send that is not needed."""
         self._attempts.cancelled(pending.send, reason)
 
+    def discard(self, pending: Pending[Any]) -> None:
+        """Do nothing: a complete response leaves nothing open."""
+
 
 class PlainRequests:
     """Sends each request to the target with the lowest expected time; retries where allowed."""
@@ -114,7 +118,8 @@
         return Takeover(
             owner=sends,
             last_heard=self._context.views.responsiveness.last_heard,
-            max_overlap=None,
+            # Engines work on what they were sent until its connection is closed.
+            max_overlap=None if call.service.engine is None else MAX_OVERLAP_SECONDS,
             metrics=self._context.metrics,
             request_id=call.parsed.request_id,
         )
@@ -364,7 +369,7 @@
         if head.status >= 500:
             views.health.failed(instance.name, loop.time())
             service_queue.queue.failed_answer(limited)
-            if attempts.replacement_shortage() is None:
+            if attempts.has_other or attempts.replacement_shortage() is None:
                 detail = f"target {instance.name}: status {head.status}"
                 raise AttemptFailed(detail, reason="status", reached=True, not_run=False)
         else:
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -37,7 +37,7 @@
 __all__ = ["FIRST_EVENT_TIMEOUT_ESTIMATES", "Placement"]
 
 FIRST_EVENT_TIMEOUT_ESTIMATES = 4.0
-"""Time without a first event, in estimates of it, after which a run moves to another engine."""
+"""Time without a first event, in estimates of it, after which a run gets a replacement."""
 _MAX_OUTDATED_FRACTION = 0.7
 """Fraction of the time for starting on outdated weights within which requests are sent.  The
 rest, about 3 s, suffices for nearly all that wait at a congested engine (up to 2.4 s);
--- a/packages/node/src/fielddrift_node/serving/takeover.py
+++ b/packages/node/src/fielddrift_node/serving/takeover.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
 import structlog
-from fielddrift_core.stalls import is_replacement_alive
+from fielddrift_core.stalls import prefers_replacement
 
 from .attempts import AttemptFailed, Shortage
 from .call import Send
@@ -21,8 +22,8 @@
 
 _RETRY_SECONDS = 0.25
 """Interval at which a replacement is sought for a send that makes no progress."""
-_POLL_SECONDS = 0.05
-"""Interval at which two sends in progress are compared."""
+_CONNECT_POLL_SECONDS = 0.05
+"""Interval at which it is checked whether a replacement has been written to its connection."""
 
 _log = structlog.get_logger()
 _T = TypeVar("_T")
@@ -79,7 +80,10 @@
         """End a send whose replacement takes over; its task has been cancelled."""
 
     def cancel(self, pending: Pending[Any], reason: str) -> None:
-        """End a replacement that is not needed; its task has been cancelled or is done."""
+        """End a replacement that is not needed; its task has been cancelled."""
+
+    def discard(self, pending: Pending[Any]) -> None:
+        """End what a send has begun, if its task returned a result that is not used."""
 
 
 class Takeover:
@@ -128,9 +132,9 @@
                     self._owner.record_failure(current, failure)
                     if rival is None:
                         raise failure
-                elif rival is None or not self._is_overdue(rival):
+                elif rival is None or self._overlap_left(rival) > 0:
                     continue
-                elif not self._is_alive(rival):
+                elif not self._prefers(rival, current):
                     self._cancel(rival, "silent")
                     rival = None
                     continue
@@ -140,11 +144,16 @@
                 current, rival = rival, None
                 stalled = asyncio.ensure_future(current.stall.wait())
         except BaseException:
-            tasks = [pending.task for pending in (current, rival) if pending is not None]
-            for task in tasks:
-                task.cancel()
-            # They must have closed their connections before the request counts as ended.
-            await asyncio.gather(*tasks, return_exceptions=True)
+            left = [pending for pending in (current, rival) if pending is not None]
+            for pending in left:
+                pending.task.cancel()
+            try:
+                # They must have closed their connections before the request counts as ended.
+                await asyncio.gather(*(p.task for p in left), return_exceptions=True)
+            finally:
+                for pending in left:
+                    # A task that was done already could not be cancelled.
+                    self._owner.discard(pending)
             raise
         finally:
             stalled.cancel()
@@ -173,7 +182,10 @@
         seconds = None
         if rival is not None:
             waiting.add(rival.task)
-            seconds = None if self._max_overlap is None else _POLL_SECONDS
+            left = self._overlap_left(rival)
+            is_written = rival.send.written_at is not None
+            if not math.isinf(left) or not is_written:
+                seconds = max(0.0, left) if is_written else _CONNECT_POLL_SECONDS
         elif not stalled.done():
             waiting.add(stalled)
         else:
@@ -182,24 +194,29 @@
 
     def _settle(self, current: Pending[Any], rival: Pending[Any], winner: Pending[Any]) -> None:
         """End the send that did not win."""
-        if winner is current:
+        if winner is current and rival.task.done() and not rival.succeeded:
+            self._owner.record_failure(rival, _failure(rival))
+        elif winner is current:
             self._cancel(rival, "progress")
         elif current.task.done():
             self._owner.record_failure(current, _failure(current))
         else:
             self._release(current)
 
-    def _is_overdue(self, rival: Pending[Any]) -> bool:
-        """Return whether both sends have run for as long as they may."""
+    def _overlap_left(self, rival: Pending[Any]) -> float:
+        """Return the seconds for which both sends may still run, infinite for no bound."""
         if self._max_overlap is None or rival.send.written_at is None:
-            return False
+            return math.inf
         now = asyncio.get_running_loop().time()
-        return now - rival.send.written_at >= self._max_overlap
+        return rival.send.written_at + self._max_overlap - now
 
-    def _is_alive(self, rival: Pending[Any]) -> bool:
+    def _prefers(self, rival: Pending[Any], current: Pending[Any]) -> bool:
         assert rival.send.written_at is not None
-        heard_at = self._last_heard(rival.send.target)
-        return is_replacement_alive(sent_at=rival.send.written_at, heard_at=heard_at)
+        return prefers_replacement(
+            written_at=rival.send.written_at,
+            replacement_heard_at=self._last_heard(rival.send.target),
+            current_heard_at=self._last_heard(current.send.target),
+        )
 
     def _release(self, pending: Pending[Any]) -> None:
         _discard(pending.task)
