--- a/packages/node/src/fielddrift_node/serving/takeover.py
+++ b/packages/node/src/fielddrift_node/serving/takeover.py
@@ -30,7 +30,10 @@
 
 
 class Stall:
-    """Tells that a send makes no progress, and why: `reason` is empty until then."""
+    """Tells that a send makes no progress, and why.
+
+    `reason` is given for a send that is known to make none already.
+    """
 
     def __init__(self, *, reason: str = "") -> None:
         self._reason = reason
@@ -111,40 +114,46 @@
         """Why the send in progress was kept, as logged."""
 
     async def result(self, first: Pending[Any]) -> Pending[Any]:
-        """Return the send that has a result; raise `AttemptFailed` if all of them failed."""
-        current, rival = first, None
+        """Return the send that has a result; raise `AttemptFailed` if all of them failed.
+
+        At most two are in progress.  `current` is the older one; when it has failed or is released,
+        its replacement takes its place, and may be replaced in turn.
+        """
+        current, replacement = first, None
         stalled = asyncio.ensure_future(current.stall.wait())
         try:
             while True:
-                if rival is None and stalled.done():
-                    rival = self._replace(current)
-                await self._wait(current, rival, stalled)
-                winner = next((p for p in (current, rival) if p is not None and p.succeeded), None)
+                if replacement is None and stalled.done():
+                    replacement = self._replace(current)
+                await self._wait(current, replacement, stalled)
+                winner = next(
+                    (p for p in (current, replacement) if p is not None and p.succeeded), None
+                )
                 if winner is not None:
-                    if rival is not None:
-                        self._settle(current, rival, winner)
+                    if replacement is not None:
+                        self._settle(current, replacement, winner)
                     return winner
-                if rival is not None and rival.task.done():
-                    self._owner.record_failure(rival, _failure(rival))
-                    rival = None
+                if replacement is not None and replacement.task.done():
+                    self._owner.record_failure(replacement, _failure(replacement))
+                    replacement = None
                 if current.task.done():
                     failure = _failure(current)
                     self._owner.record_failure(current, failure)
-                    if rival is None:
+                    if replacement is None:
                         raise failure
-                elif rival is None or self._overlap_left(rival) > 0:
+                elif replacement is None or self._overlap_left(replacement) > 0:
                     continue
-                elif not self._prefers(rival, current):
-                    self._cancel(rival, "silent")
-                    rival = None
+                elif not self._prefers(replacement, current):
+                    self._cancel(replacement, "silent")
+                    replacement = None
                     continue
                 else:
                     self._release(current)
                 stalled.cancel()
-                current, rival = rival, None
+                current, replacement = replacement, None
                 stalled = asyncio.ensure_future(current.stall.wait())
         except BaseException:
-            left = [pending for pending in (current, rival) if pending is not None]
+            left = [pending for pending in (current, replacement) if pending is not None]
             for pending in left:
                 pending.task.cancel()
             try:
@@ -159,31 +168,31 @@
             stalled.cancel()
 
     def _replace(self, current: Pending[Any]) -> Pending[Any] | None:
-        rival = self._owner.replace(current)
-        if not isinstance(rival, Shortage):
+        replacement = self._owner.replace(current)
+        if not isinstance(replacement, Shortage):
             self._shortage = None
-            return rival
-        if rival is not self._shortage:
-            self._shortage = rival
-            self._metrics.kept_sends.inc(label_value=rival.value)
+            return replacement
+        if replacement is not self._shortage:
+            self._shortage = replacement
+            self._metrics.kept_sends.inc(label_value=replacement.value)
             _log.info(
                 "send kept",
                 request=self._request_id,
                 target=current.send.target,
                 reason=current.stall.reason,
-                lacks=rival.value,
+                lacks=replacement.value,
             )
         return None
 
     async def _wait(
-        self, current: Pending[Any], rival: Pending[Any] | None, stalled: asyncio.Future[None]
+        self, current: Pending[Any], replacement: Pending[Any] | None, stalled: asyncio.Future[None]
     ) -> None:
         waiting: set[asyncio.Future[Any]] = {current.task}
         seconds = None
-        if rival is not None:
-            waiting.add(rival.task)
-            left = self._overlap_left(rival)
-            is_written = rival.send.written_at is not None
+        if replacement is not None:
+            waiting.add(replacement.task)
+            left = self._overlap_left(replacement)
+            is_written = replacement.send.written_at is not None
             if not math.isinf(left) or not is_written:
                 seconds = max(0.0, left) if is_written else _CONNECT_POLL_SECONDS
         elif not stalled.done():
@@ -192,29 +201,31 @@
             seconds = _RETRY_SECONDS
         await asyncio.wait(waiting, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
 
-    def _settle(self, current: Pending[Any], rival: Pending[Any], winner: Pending[Any]) -> None:
+    def _settle(
+        self, current: Pending[Any], replacement: Pending[Any], winner: Pending[Any]
+    ) -> None:
         """End the send that did not win."""
-        if winner is current and rival.task.done() and not rival.succeeded:
-            self._owner.record_failure(rival, _failure(rival))
+        if winner is current and replacement.task.done() and not replacement.succeeded:
+            self._owner.record_failure(replacement, _failure(replacement))
         elif winner is current:
-            self._cancel(rival, "progress")
+            self._cancel(replacement, "progress")
         elif current.task.done():
             self._owner.record_failure(current, _failure(current))
         else:
             self._release(current)
 
-    def _overlap_left(self, rival: Pending[Any]) -> float:
+    def _overlap_left(self, replacement: Pending[Any]) -> float:
         """Return the seconds for which both sends may still run, infinite for no bound."""
-        if self._max_overlap is None or rival.send.written_at is None:
+        if self._max_overlap is None or replacement.send.written_at is None:
             return math.inf
         now = asyncio.get_running_loop().time()
-        return rival.send.written_at + self._max_overlap - now
+        return replacement.send.written_at + self._max_overlap - now
 
-    def _prefers(self, rival: Pending[Any], current: Pending[Any]) -> bool:
-        assert rival.send.written_at is not None
+    def _prefers(self, replacement: Pending[Any], current: Pending[Any]) -> bool:
+        assert replacement.send.written_at is not None
         return prefers_replacement(
-            written_at=rival.send.written_at,
-            replacement_heard_at=self._last_heard(rival.send.target),
+            written_at=replacement.send.written_at,
+            replacement_heard_at=self._last_heard(replacement.send.target),
             current_heard_at=self._last_heard(current.send.target),
         )
 
