Let further crashes end the hold of a part only if other holds explain them

Callers saw engines end again after the part of their prompts that ended them had been held back: their requests were cut or answered with 502, and sound requests lost their engines.

Cause: holds were judged afresh at each crash. Once a repeated request with the part reached three crashes, these counted once, and the part fell below the four that it needs.

A part with sufficient crashes is held back now unless other suspects that are held back explain all but one of them, by requests first; any stretch of its crashes suffices, so that neither more of them nor later ones of other targets count against it. The rule is a function of the crashes alone, so all nodes reach it whatever the order of their reports. Ruled out: to keep a hold as it was found first, which depends on that order.

Crashes that are reported late can still show that those of a part were few among many in their time.

--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -7,12 +7,17 @@
 request that any target has answered completely is cleared of its earlier crashes, and so are
 the parts of its prompt.
 
+A hold ends when its time is over, when a complete answer or an operator clears the suspect, or when
+targets prove to be alive.  Further crashes end it only if other suspects that are held back explain
+its crashes; those of a part, all but one.
+
 Nodes exchange these reports in any order and any number of times.  Merging is a union, and
 of two reports about the same request or target the newer one applies, so all nodes converge.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Collection, Iterable, Sequence
 from functools import lru_cache
@@ -38,7 +43,7 @@
 """Crashes after which a part is held back, where targets that crashed at one moment count once:
 a rack that loses power ends runs of many parts."""
 _UNEXPLAINED_PART_CRASHES = 2
-"""Least number of these crashes that no other part which is held back explains."""
+"""Least number of its crashes that no other suspect which is held back explains."""
 _SURE_PART_CRASHES = 8
 """Crashes after which it is held back whatever other targets crashed meanwhile."""
 _PART_EXPLAINED_FRACTION = 0.3
@@ -487,19 +492,26 @@
     def _update_holds(self) -> None:
         """Attribute the crashes to the fewest suspects that explain them, and hold those back.
 
-        Requests are attributed first, as a part counts the crashes of a repeated request once, and
-        again without the crashes that the held parts explain.
+        Requests explain the crashes of a part first, as several requests that crash targets may
+        have an innocent part in common.  A request that held parts explain is not held back itself.
         """
         counts = {name: len(self._crashes.get(name, {})) for name in self._frequent}
         suspects = {name for name, count in counts.items() if count >= CRASHES_TO_HOLD}
         self._frequent = suspects
         ranked = sorted(suspects, key=self._suspicion_key)
-        parts = [name for name in ranked if is_part(name)]
         requests = [name for name in ranked if not is_part(name)]
-        repeated = self._hold_requests(requests, set()).values()
-        held = self._hold_parts(parts, {target for each in repeated for target in each.targets[1:]})
-        explained = {target for each in held.values() for target in each.targets}
-        held |= self._hold_requests(requests, explained)
+        parts = self._evident_parts(name for name in ranked if is_part(name))
+        held: dict[str, HeldRequest] = {}
+        explained: set[str] = set()
+        held_requests = self._hold_requests(requests, explained)
+        while parts:
+            name = self._first_unexplained(parts, explained | _targets(held_requests.values()))
+            if name is None:
+                break
+            held[name] = self._hold_part(name, parts.pop(name), explained)
+            explained.update(held[name].targets)
+            held_requests = self._hold_requests(requests, explained)
+        held |= held_requests
         self._attributed = held
         self._probe_until = {
             name: until for name, until in self._probe_until.items() if name in held
@@ -521,52 +533,61 @@
             held[name] = HeldRequest(name, tuple(crash.target for crash in crashes), until)
         return held
 
-    def _hold_parts(
-        self, ranked: Iterable[str], repeated: Collection[str]
-    ) -> dict[str, HeldRequest]:
-        """Return the holds of parts, where `repeated` are targets that crashed during further runs
-        of the same requests.
+    def _evident_parts(self, ranked: Iterable[str]) -> dict[str, float]:
+        """Return when the crashes of each part sufficed, in the order of these times.
 
-        A part is held back where enough of its crashes were during runs of different requests, and
-        other parts leave some.  It explains all of them.
+        In this order a part that is held back stays so while others gather crashes.
         """
         begun = {}
         for name in ranked:
-            different = [c for c in self.crashes_of(name) if c.target not in repeated]
-            if (at := self._evident_at(_moments(different))) is not None:
+            if (at := self._evident_at(name)) is not None:
                 begun[name] = at
-        held: dict[str, HeldRequest] = {}
-        explained: set[str] = set()
-        # In this order a part that is held back stays so while others gather crashes.
-        for name in sorted(begun, key=lambda name: begun[name]):
-            crashes = self.crashes_of(name)
-            own = [crash for crash in crashes if crash.target not in explained]
-            if len(_moments(own)) < _UNEXPLAINED_PART_CRASHES:
-                continue
-            explained.update(crash.target for crash in own)
-            held[name] = HeldRequest(
-                name,
-                tuple(crash.target for crash in own),
-                own[-1].at + _part_hold_seconds(own),
-                _early_probe_at(_moments(crashes), begun[name]),
-            )
-        return held
+        return dict(sorted(begun.items(), key=lambda item: item[1]))
+
+    def _first_unexplained(self, parts: Iterable[str], explained: Collection[str]) -> str | None:
+        """Return the first of `parts` with crashes of other targets than `explained`, if any."""
+        for name in parts:
+            own = [crash for crash in self.crashes_of(name) if crash.target not in explained]
+            if len(_moments(own)) >= _UNEXPLAINED_PART_CRASHES:
+                return name
+        return None
+
+    def _hold_part(self, name: str, begun: float, explained: Collection[str]) -> HeldRequest:
+        crashes = self.crashes_of(name)
+        own = [crash for crash in crashes if crash.target not in explained]
+        return HeldRequest(
+            name,
+            tuple(crash.target for crash in own),
+            own[-1].at + _part_hold_seconds(own),
+            _early_probe_at(_moments(crashes), begun),
+        )
 
-    def _evident_at(self, times: Sequence[float]) -> float | None:
-        """Return when crashes at `times` sufficed to hold a part back, None if they do not."""
-        windows = (self._dense_from(times[start:]) for start in range(len(times)))
-        near = next((near for near in windows if near), ())
-        enough = near[_PART_CRASHES_TO_HOLD - 1 :]
-        return next((at for at in enough if at - near[0] >= _PART_SPAN_SECONDS), None)
-
-    def _dense_from(self, times: Sequence[float]) -> Sequence[float]:
-        """Return those from the first of `times` on, none where they may be a coincidence."""
-        near = [at for at in times if at - times[0] < _PART_WINDOW_SECONDS]
-        if len(near) < _PART_CRASHES_TO_HOLD or near[-1] - near[0] < _PART_SPAN_SECONDS:
-            return []
-        meanwhile = sum(near[0] <= at <= near[-1] for at in self._ended.values())
-        sure = len(near) >= _SURE_PART_CRASHES
-        return near if sure or len(near) >= _PART_EXPLAINED_FRACTION * meanwhile else []
+    def _evident_at(self, part: str) -> float | None:
+        """Return when the crashes of a part sufficed to hold it back, None if they do not.
+
+        Any stretch of them suffices, so that neither more of them nor later crashes of other
+        targets count against it.
+        """
+        times = [crash.at for crash in self.crashes_of(part)]
+        ended = sorted(self._ended.values())
+        ended_until = [bisect_right(ended, at) for at in times]
+        found: float | None = None
+        for first, begin in enumerate(times):
+            ended_before = bisect_left(ended, begin)
+            moments, previous = 0, float("-inf")
+            for last, at in enumerate(times[first:], start=first):
+                if at - begin >= _PART_WINDOW_SECONDS or (found is not None and at >= found):
+                    break
+                moments += at - previous > _MOMENT_SECONDS
+                previous = at
+                if moments < _PART_CRASHES_TO_HOLD or at - begin < _PART_SPAN_SECONDS:
+                    continue
+                meanwhile = ended_until[last] - ended_before
+                is_common = moments >= _PART_EXPLAINED_FRACTION * meanwhile
+                if is_common or moments >= _SURE_PART_CRASHES:
+                    found = at
+                    break
+        return found
 
     def _suspicion_key(self, name: str) -> tuple[int, bool, float, str]:
         """Return the sort key among suspects: most crashes first, then the shortest mean run.
@@ -599,6 +620,10 @@
     return True
 
 
+def _targets(holds: Iterable[HeldRequest]) -> set[str]:
+    return {target for held in holds for target in held.targets}
+
+
 def _moments(crashes: Sequence[Crash]) -> list[float]:
     """Return the times of `crashes`, in chronological order, of each moment the first one."""
     found: list[float] = []
--- /dev/null
+++ b/tests/test_crash_holds.py
@@ -0,0 +1,134 @@
+"""When a hold may end, whatever crashes follow and in whatever order they are reported.
+
+Failure: further crashes took away holds that the crashes before them justified.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from fielddrift_core.crashes import Crash, CrashHistory, HeldRequest, is_part, part_suspect
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+_MOMENT_SECONDS = 0.15
+_COMMON_FRACTION = 0.3
+_BAD = part_suspect("m", "bad")
+
+
+class _End(NamedTuple):
+    """A target that ended, `after` seconds after the one before, and what ran on it."""
+
+    after: float
+    request: int | None
+    """One of the requests that are repeated, None for another one each time."""
+    parts: frozenset[str]
+
+
+def _ends(*, least: float) -> st.SearchStrategy[list[_End]]:
+    """Return targets that end at least `least` seconds after each other."""
+    pauses = [pause for pause in (0.02, 0.1, 0.2, 0.7, 2.0, 9.0) if pause >= least]
+    parts = st.frozensets(st.sampled_from(["bad", "evil", "shared"]), max_size=3)
+    requests = st.one_of(st.none(), st.integers(0, 2))
+    end = st.builds(_End, st.sampled_from(pauses), requests, parts)
+    return st.lists(end, min_size=4, max_size=24)
+
+
+def _reports(ends: Iterable[_End]) -> list[list[Crash]]:
+    """Return the reports about each of the targets."""
+    found, at = [], 0.0
+    for number, end in enumerate(ends):
+        at += end.after
+        request = f"new-{number}" if end.request is None else f"repeated-{end.request}"
+        names = [request, *(part_suspect("m", part) for part in sorted(end.parts))]
+        found.append([Crash(name, f"t{number}", at, 0.1) for name in names])
+    return found
+
+
+def _held(history: CrashHistory) -> dict[str, HeldRequest]:
+    return {held.fingerprint: held for held in history.all_held(0.0)}
+
+
+def _moments(times: Iterable[float]) -> int:
+    """Return how many of `times` are at least a moment apart."""
+    count, last = 0, float("-inf")
+    for at in sorted(times):
+        if at - last > _MOMENT_SECONDS:
+            count, last = count + 1, at
+    return count
+
+
+def _unexplained(history: CrashHistory, name: str) -> list[Crash]:
+    """Return the crashes of a suspect that no other one which is held back explains."""
+    others = [held for other, held in _held(history).items() if other != name]
+    explained = {target for held in others for target in held.targets}
+    return [crash for crash in history.crashes_of(name) if crash.target not in explained]
+
+
+def _is_explained(history: CrashHistory, name: str) -> bool:
+    """Return whether other holds explain so many of its crashes that its own may end."""
+    unexplained = _unexplained(history, name)
+    if is_part(name):
+        return _moments(crash.at for crash in unexplained) < 2
+    return len(unexplained) < 3
+
+
+def _is_common(history: CrashHistory, name: str, ended: Collection[float]) -> bool:
+    """Return whether a suspect is in many of the crashes from its first to its last one."""
+    times = [crash.at for crash in history.crashes_of(name)]
+    meanwhile = sum(times[0] <= at <= times[-1] for at in ended)
+    return len(times) >= _COMMON_FRACTION * meanwhile
+
+
+class TestHoldsEnd(unittest.TestCase):
+    """Crashes end a hold only where other holds explain its crashes."""
+
+    def _record(self, history: CrashHistory, reports: Sequence[Crash], ended: set[float]) -> None:
+        """Record reports; check that they end no hold but those that others explain."""
+        before = _held(history)
+        for crash in reports:
+            history.record_crash(crash)
+            ended.add(crash.at)
+        for name in before.keys() - _held(history).keys():
+            if _is_common(history, name, ended):
+                self.assertTrue(_is_explained(history, name), f"{name} was let go")
+
+    @given(ends=_ends(least=0.2))
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_later_crashes_end_no_hold_that_others_do_not_explain(self, ends: list[_End]) -> None:
+        history: CrashHistory = CrashHistory()
+        for reports in _reports(ends):
+            self._record(history, reports, set())
+
+    @given(ends=_ends(least=0.2), data=st.data())
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_reports_in_any_order_end_no_hold_that_others_do_not_explain(
+        self, ends: list[_End], data: st.DataObject
+    ) -> None:
+        history, ended = CrashHistory(), set[float]()
+        reports = [crash for crashes in _reports(ends) for crash in crashes]
+        for crash in data.draw(st.permutations(reports)):
+            self._record(history, [crash], ended)
+
+    @given(ends=_ends(least=0.02), data=st.data())
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    def test_the_order_of_reports_does_not_matter(
+        self, ends: list[_End], data: st.DataObject
+    ) -> None:
+        reports = [crash for crashes in _reports(ends) for crash in crashes]
+        in_time, in_any_order = CrashHistory(), CrashHistory()
+        for crash in reports:
+            in_time.record_crash(crash)
+        for crash in data.draw(st.permutations(reports)):
+            in_any_order.record_crash(crash)
+        self.assertEqual(in_any_order.all_held(0.0), in_time.all_held(0.0))
+
+    def test_a_sound_part_stays_free_beside_repeated_requests_and_a_crash_by_chance(self) -> None:
+        history = CrashHistory()
+        ends = [_End(0.5, number % 3, frozenset({"shared"})) for number in range(9)]
+        for reports in _reports([*ends, _End(0.5, None, frozenset({"shared"}))]):
+            for crash in reports:
+                history.record_crash(crash)
+        self.assertEqual(sorted(_held(history)), [f"repeated-{number}" for number in range(3)])
