Hold a part back no later the faster it crashes engines

Callers saw a part that crashes an engine each 0.02 to 0.14 s never held back while such crashes went on, and one each 0.16 to 0.3 s after 8, 6 and 5 engines (4 at slower ones).

Cause: crashes within 0.15 s of the one before were one moment, however long their chain, and moments were compared with targets that ended meanwhile, one by one. A moment lasts 0.15 s from its first crash now, and crashes are compared with crashes. More crashes never delay a hold: it begins once they go on for a second, which the parts of prompts that other engines answer are cleared within.

Of the four new tests three failed on the former code: crashes each 0.02 to 0.14 s (no hold), a second part beside a quicker one, and the property that more crashes never delay a hold.

--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -55,7 +55,8 @@
 _PART_WINDOW_SECONDS = 60.0
 """Time within which these crashes happen."""
 _MOMENT_SECONDS = 0.15
-"""Crashes that follow each other within this time count as one moment."""
+"""Crashes within this time of the first of them count as one moment.  Measured from the one before,
+a part that crashes targets quickly would have a single moment."""
 _ANSWERED_SECONDS = 5.0
 """How long after a whole answer crashes are not attributed to a part of its prompt.  A part that
 crashes engines has none; while many engines crash, a part that most prompts have may get none for
@@ -574,16 +575,16 @@
         found: float | None = None
         for first, begin in enumerate(times):
             ended_before = bisect_left(ended, begin)
-            moments, previous = 0, float("-inf")
+            moments, moment = 0, float("-inf")
             for last, at in enumerate(times[first:], start=first):
                 if at - begin >= _PART_WINDOW_SECONDS or (found is not None and at >= found):
                     break
-                moments += at - previous > _MOMENT_SECONDS
-                previous = at
+                if at - moment > _MOMENT_SECONDS:
+                    moments, moment = moments + 1, at
                 if moments < _PART_CRASHES_TO_HOLD or at - begin < _PART_SPAN_SECONDS:
                     continue
                 meanwhile = ended_until[last] - ended_before
-                is_common = moments >= _PART_EXPLAINED_FRACTION * meanwhile
+                is_common = last - first + 1 >= _PART_EXPLAINED_FRACTION * meanwhile
                 if is_common or moments >= _SURE_PART_CRASHES:
                     found = at
                     break
@@ -624,14 +625,13 @@
     return {target for held in holds for target in held.targets}
 
 
-def _moments(crashes: Sequence[Crash]) -> list[float]:
-    """Return the times of `crashes`, in chronological order, of each moment the first one."""
+def _moments(crashes: Iterable[Crash]) -> list[float]:
+    """Return the times of `crashes`, in chronological order, that are a moment after the one
+    returned before."""
     found: list[float] = []
-    before = float("-inf")
     for crash in crashes:
-        if crash.at - before > _MOMENT_SECONDS:
+        if not found or crash.at - found[-1] > _MOMENT_SECONDS:
             found.append(crash.at)
-        before = crash.at
     return found
 
 
--- a/tests/test_crash_holds.py
+++ b/tests/test_crash_holds.py
@@ -132,3 +132,52 @@
             for crash in reports:
                 history.record_crash(crash)
         self.assertEqual(sorted(_held(history)), [f"repeated-{number}" for number in range(3)])
+
+
+def _first_hold(history: CrashHistory, times: Iterable[float], *, part: str = "bad") -> float:
+    """Record crashes of different requests with `part`; return when it is held back."""
+    name = part_suspect("m", part)
+    for number, at in enumerate(sorted(times)):
+        history.record_crash(Crash(f"{part}-{number}", f"{part}-t{number}", at, 0.1))
+        history.record_crash(Crash(name, f"{part}-t{number}", at, 0.1))
+        if name in _held(history):
+            return at
+    return float("inf")
+
+
+class TestQuickCrashes(unittest.TestCase):
+    """Failure: the faster a part crashed targets, the later it was held back, if at all."""
+
+    def test_a_part_is_held_back_once_its_crashes_go_on_for_a_second(self) -> None:
+        for pause in (0.02, 0.05, 0.1, 0.14, 0.16, 0.2, 0.3):
+            with self.subTest(pause=pause):
+                times = [pause * number for number in range(int(3.0 / pause))]
+                self.assertLessEqual(_first_hold(CrashHistory(), times), 1.0 + pause)
+
+    def test_crashes_of_another_part_that_is_quicker_delay_no_hold_for_long(self) -> None:
+        history = CrashHistory()
+        evil = _first_hold(history, [0.05 * number for number in range(60)], part="evil")
+        self.assertLessEqual(evil, 1.05)
+        # From then on only requests with the other part crash targets.
+        bad = _first_hold(history, [0.2 * number for number in range(20)])
+        self.assertLessEqual(bad, evil + 1.2)
+
+    @given(
+        times=st.lists(st.integers(0, 40), min_size=4, max_size=12, unique=True),
+        more=st.lists(st.integers(0, 40), max_size=40),
+    )
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_more_crashes_never_delay_a_hold(self, times: list[int], more: list[int]) -> None:
+        few, many = ([each / 20 for each in found] for found in (times, {*times, *more}))
+        self.assertLessEqual(_first_hold(CrashHistory(), many), _first_hold(CrashHistory(), few))
+
+    def test_no_part_is_held_back_for_a_rack_that_loses_power_over_half_a_second(self) -> None:
+        history, shared = CrashHistory(), part_suspect("m", "shared")
+        for loss in range(3):
+            times = [5.0 * loss + 0.05 * number for number in range(11)]
+            self.assertEqual(_first_hold(history, times, part=f"of-{loss}"), float("inf"))
+            for at in times:
+                history.record_crash(Crash(shared, f"t{at}", at, 0.1))
+            self.assertEqual(_held(history), {})
+            # Other racks go on to answer prompts with the part.
+            history.record_answer([shared], times[-1] + 0.5)
