Keep a hold as long as further crashes of others explain some of its own

Callers of a request or part that is held back were admitted before the hold that they had been told was over, and ended another target.

Cause: the end of a hold was computed from the crashes that no other hold explained. When another suspect came to explain the latest of them the hold ended as if it had not been, up to its doubling (242.2 s became 122.2 s in an example that was found). It is computed from all crashes of the suspect now.

The properties of test_crash_holds.py ask for it, and failed before.

--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -526,12 +526,13 @@
         held: dict[str, HeldRequest] = {}
         explained = set(explained)
         for name in ranked:
-            crashes = [c for c in self.crashes_of(name) if c.target not in explained]
-            if len(crashes) < CRASHES_TO_HOLD:
+            crashes = self.crashes_of(name)
+            own = [crash.target for crash in crashes if crash.target not in explained]
+            if len(own) < CRASHES_TO_HOLD:
                 continue
-            explained.update(crash.target for crash in crashes)
+            explained.update(own)
             until = crashes[-1].at + _hold_seconds(len(crashes) - CRASHES_TO_HOLD)
-            held[name] = HeldRequest(name, tuple(crash.target for crash in crashes), until)
+            held[name] = HeldRequest(name, tuple(own), until)
         return held
 
     def _evident_parts(self, ranked: Iterable[str]) -> dict[str, float]:
@@ -555,11 +556,10 @@
 
     def _hold_part(self, name: str, begun: float, explained: Collection[str]) -> HeldRequest:
         crashes = self.crashes_of(name)
-        own = [crash for crash in crashes if crash.target not in explained]
         return HeldRequest(
             name,
-            tuple(crash.target for crash in own),
-            own[-1].at + _part_hold_seconds(own),
+            tuple(crash.target for crash in crashes if crash.target not in explained),
+            crashes[-1].at + _part_hold_seconds(crashes),
             _early_probe_at(_moments(crashes), begun),
         )
 
--- a/tests/test_crash_holds.py
+++ b/tests/test_crash_holds.py
@@ -83,7 +83,7 @@
 
 
 class TestHoldsEnd(unittest.TestCase):
-    """Crashes end a hold only where other holds explain its crashes."""
+    """Crashes end a hold only where other holds explain its crashes, and never shorten it."""
 
     def _record(self, history: CrashHistory, reports: Sequence[Crash], ended: set[float]) -> None:
         """Record reports; check that they end no hold but those that others explain."""
@@ -91,9 +91,14 @@
         for crash in reports:
             history.record_crash(crash)
             ended.add(crash.at)
-        for name in before.keys() - _held(history).keys():
+        after = _held(history)
+        for name in before.keys() - after.keys():
             if _is_common(history, name, ended):
                 self.assertTrue(_is_explained(history, name), f"{name} was let go")
+        for name in before.keys() & after.keys():
+            self.assertGreaterEqual(
+                after[name].until, before[name].until, f"{name}: hold is shorter"
+            )
 
     @given(ends=_ends(least=0.2))
     @settings(max_examples=300, deadline=None, derandomize=True)
