Count a target that ended after a late report that it had been alive

A late report that a target had been alive removed its later crash from those to which crashes of a part are compared, at nodes that heard of the crash first: they held a part back that others did not.

test_a_target_that_was_alive_before_it_ended_counts_in_any_order failed before: a part in a fifth of the crashes was held back.

--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -287,9 +287,11 @@
         """Record that a target reported as crashed is alive at `at`; return whether this is new."""
         if not _record_latest(self._living, target, at):
             return False
-        self._ended.pop(target, None)
+        until = at + _SAME_EVENT_SECONDS
+        if _timestamp(self._ended, target) <= until:
+            self._ended.pop(target, None)
         ended = self._targets.get(target, {})
-        self._remove_all(crash for crash in ended.values() if crash.at <= at + _SAME_EVENT_SECONDS)
+        self._remove_all(crash for crash in ended.values() if crash.at <= until)
         return True
 
     def merge(self, update: CrashUpdate, now: float) -> CrashUpdate:
--- a/tests/test_crash_holds.py
+++ b/tests/test_crash_holds.py
@@ -130,6 +130,23 @@
             in_any_order.record_crash(crash)
         self.assertEqual(in_any_order.all_held(0.0), in_time.all_held(0.0))
 
+    def test_a_target_that_was_alive_before_it_ended_counts_in_any_order(self) -> None:
+        """Failure: a late report that a target had been alive hid its later crash."""
+        rare = part_suspect("m", "rare")
+        crashes = [Crash(f"new-{number}", f"t{number}", 0.4 * number, 0.1) for number in range(20)]
+        crashes += [crash._replace(fingerprint=rare) for crash in crashes[::5]]
+        alive = [(crash.target, crash.at - 5.0) for crash in crashes if crash.fingerprint != rare]
+        first, last = CrashHistory(), CrashHistory()
+        for target, at in alive:
+            first.record_alive(target, at)
+        for history in (first, last):
+            for crash in crashes:
+                history.record_crash(crash)
+        for target, at in alive:
+            last.record_alive(target, at)
+        self.assertEqual(_held(first), {}, "it is in a fifth of the crashes")
+        self.assertEqual(_held(last), {})
+
     def test_a_sound_part_stays_free_beside_repeated_requests_and_a_crash_by_chance(self) -> None:
         history = CrashHistory()
         ends = [_End(0.5, number % 3, frozenset({"shared"})) for number in range(9)]
