Tell refused callers to return when capacity is free for them

Callers saw answers late again for some seconds after a burst was over: new ones as much as those that had been told to return.

Cause: the time to return followed from the caller's patience alone, so that all who were refused in a burst came back from 2.8 to 4 s later, several times as many a second as engines can serve beside the usual callers, and competed with new ones although they were late in any case.

A service has one line of callers that were told to return. Nodes report the tokens of theirs and their usual rate, two words a service in the heartbeat, and each caller is told when capacity becomes free behind all of them, up to the third of its patience that callers honour. The usual rate is a median, which a burst does not change. A caller that surely came before, as it has less time left than any first request, and is late comes after all that can still be in time, and may wait for its room until its deadline unless the estimate says that there will be none.

Plain services still tell callers a time by their patience alone.

--- a/bench/lab/switches.py
+++ b/bench/lab/switches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from typing import Any
@@ -11,8 +12,10 @@
 from fielddrift_core.engine_slowdown import EngineSlowdowns
 from fielddrift_core.prompt_queue import MemoryTurnover
 from fielddrift_core.rank_reserve import RankReserve
+from fielddrift_core.returns import latest_delay
 from fielddrift_core.workload import Lateness
-from fielddrift_node.serving import prompt_placement
+from fielddrift_node.serving import caller_returns, prompt_placement
+from fielddrift_node.serving.call import Call
 
 __all__ = ["SWITCHES", "switched_off"]
 
@@ -59,7 +62,23 @@
 @_switch("refusing")
 def _refusing() -> Sequence[Any]:
     """Take everyone, however late."""
-    return [mock.patch.object(prompt_placement, "refusal_delay", lambda **_: None)]
+    return [mock.patch.object(prompt_placement, "is_too_late", lambda **_: False)]
+
+
+@_switch("returns")
+def _returns() -> Sequence[Any]:
+    """Tell all refused callers to return after the longest time that they honour."""
+
+    def delay(*, time_left: float, rng: random.Random, **_: object) -> tuple[float, bool]:
+        return latest_delay(time_left=time_left, rng=rng), False
+
+    return [mock.patch.object(caller_returns, "return_delay", delay)]
+
+
+@_switch("yielding")
+def _yielding() -> Sequence[Any]:
+    """Let prompts that will be late in any case compete with the others."""
+    return [mock.patch.object(Call, "yields", False)]
 
 
 @_switch("lateness")
--- a/packages/core/src/fielddrift_core/plain_queue.py
+++ b/packages/core/src/fielddrift_core/plain_queue.py
@@ -16,8 +16,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from .overload import LATE_FRACTION, is_congested, retry_delay
+from .overload import LATE_FRACTION, is_congested
 from .placement import PLAIN_WORK_SECONDS, PlainTargetState, choose_plain_target
+from .returns import latest_delay
 from .target_registry import Instance
 
 __all__ = [
@@ -392,7 +393,7 @@
 
     def retry_after(self, *, time_left: float, rng: random.Random) -> float:
         """Return the seconds after which a caller that waits for `time_left` should return."""
-        return retry_delay(time_left=time_left, rng=rng)
+        return latest_delay(time_left=time_left, rng=rng)
 
     def _is_always_late(self, latency_goal: float) -> bool:
         """Return whether the work alone exceeds what the latency goal allows."""
--- a/packages/core/src/fielddrift_core/prompt_queue.py
+++ b/packages/core/src/fielddrift_core/prompt_queue.py
@@ -14,7 +14,7 @@
 
 from .rank_reserve import MIN_RESERVE_FRACTION
 
-__all__ = ["MemoryTurnover", "PromptQueue", "WaitingPrompt", "queue_name"]
+__all__ = ["MemoryTurnover", "PromptQueue", "WaitingPrompt", "late_rank", "queue_name"]
 
 _INITIAL_HOLD_SECONDS = 1.0
 """Initial estimate of how long a run keeps its memory: a response of one second."""
@@ -26,6 +26,13 @@
 report of the end, the choice of an engine, and a connection."""
 _MIN_HOLD_SECONDS = 0.1
 """Lower bound of the estimate; shorter runs count as if they kept their memory for so long."""
+_LATE_RANKS = 1000
+"""First rank of prompts that will be late in any case, behind all others."""
+
+
+def late_rank(rank: int) -> int:
+    """Return the rank of prompts of `rank` that will be late in any case."""
+    return _LATE_RANKS + rank
 
 
 def queue_name(service: str, rank: int) -> str:
@@ -117,6 +124,10 @@
         part = 1.0 + _HANDOVER_SECONDS / max(_MIN_HOLD_SECONDS, self._seconds)
         return part if rank <= min(ranks, default=rank) else part - reserve
 
+    def rate(self, memory: int) -> float:
+        """Return how many tokens of `memory` become free per second."""
+        return memory / max(_MIN_HOLD_SECONDS, self._seconds)
+
     def wait(self, tokens: int, memory: int) -> float:
         """Return the expected seconds until `tokens` are free.
 
--- a/packages/core/src/fielddrift_core/urgency.py
+++ b/packages/core/src/fielddrift_core/urgency.py
@@ -23,11 +23,36 @@
 """Requests after which the usual time is computed again; each computation costs a sort."""
 
 
+_FIRST_QUANTILE = 0.02
+"""Quantile of the times of first tries below which a request is none."""
+
+
+class _RecentQuantile:
+    """A quantile of recent values, computed from at least `least` of them."""
+
+    def __init__(self, fraction: float, *, least: int, initial: float) -> None:
+        self._fraction = fraction
+        self._least = least
+        self._values: deque[float] = deque(maxlen=_SAMPLE_COUNT)
+        self._since_update = 0
+        self.value = initial
+
+    def add(self, value: float) -> None:
+        """Add a value; it counts after some more at the latest."""
+        self._values.append(value)
+        self._since_update += 1
+        is_due = self._since_update >= _UPDATE_INTERVAL_COUNT
+        if is_due or self._least <= len(self._values) < _UPDATE_INTERVAL_COUNT:
+            self._since_update = 0
+            ordered = sorted(self._values)
+            self.value = ordered[int(self._fraction * (len(ordered) - 1))]
+
+
 class _Route:
     def __init__(self) -> None:
-        self.remaining_seconds: deque[float] = deque(maxlen=_SAMPLE_COUNT)
-        self.usual_seconds = 0.0
-        self.since = _UPDATE_INTERVAL_COUNT
+        self.usual = _RecentQuantile(_USUAL_QUANTILE, least=_UPDATE_INTERVAL_COUNT, initial=0.0)
+        self.least_first = _RecentQuantile(_FIRST_QUANTILE, least=1, initial=float("-inf"))
+        """Of requests that came while no caller was expected to return."""
 
 
 class CallerWaits:
@@ -41,14 +66,20 @@
 
         `remaining` is the number of seconds for which it will still wait.
         """
-        known = self._routes.setdefault(route, _Route())
-        known.remaining_seconds.append(remaining)
-        known.since += 1
-        if known.since >= _UPDATE_INTERVAL_COUNT:
-            known.since = 0
-            ordered = sorted(known.remaining_seconds)
-            known.usual_seconds = ordered[int(_USUAL_QUANTILE * (len(ordered) - 1))]
-        return max(0.0, known.usual_seconds - remaining)
+        usual = self._routes.setdefault(route, _Route()).usual
+        usual.add(remaining)
+        return max(0.0, usual.value - remaining)
+
+    def is_return(self, route: str, remaining: float, *, expected: bool) -> bool:
+        """Return whether a caller with `remaining` seconds left surely came before.
+
+        `expected` says whether any caller may return now.  Callers differ in patience, so the least
+        time that first requests come with decides, not the usual one.
+        """
+        least = self._routes.setdefault(route, _Route()).least_first
+        if not expected:
+            least.add(remaining)
+        return remaining < least.value
 
 
 def urgency(rank: int, *, late: bool, ranks: Sequence[int]) -> int:
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -10,6 +10,7 @@
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
 from fielddrift_core.errors import Refusal
 from fielddrift_core.fingerprint import fingerprint
+from fielddrift_core.prompt_queue import late_rank
 from fielddrift_core.retries import WindowBudget
 from fielddrift_core.service_ranks import ServiceRanks
 from fielddrift_core.stream import EventFramer
@@ -176,6 +177,8 @@
     trace: Trace
     waited_seconds: float = 0.0
     """Estimated seconds for which the caller had waited before it sent this request."""
+    returned: bool = False
+    """Whether the caller surely sent the request before."""
     ranks: ServiceRanks = ServiceRanks()
     """The ranks of the requests for the service."""
 
@@ -184,6 +187,11 @@
         """Return whether a response can no longer be in time."""
         return self.waited_seconds >= self.route.latency_goal
 
+    @property
+    def yields(self) -> bool:
+        """Return whether the request comes after all that can still be answered in time."""
+        return self.returned and self.late
+
     @property
     def priority(self) -> int:
         """Return the priority, 0 for the most urgent: the customer's if set, else the route's."""
@@ -196,6 +204,11 @@
         """Return the rank among the requests for the service, the lowest for the most urgent."""
         return self.ranks.rank(self.priority, self.route.latency_goal)
 
+    @property
+    def queue_rank(self) -> int:
+        """Return the rank among the prompts that wait for the service."""
+        return late_rank(self.rank) if self.yields else self.rank
+
     @property
     def customer_name(self) -> str:
         """Return the customer's name, empty for none."""
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 import structlog
-from fielddrift_core.catalog import Route
+from fielddrift_core.catalog import Route, Service
 from fielddrift_core.drain_window import max_response_seconds
 from fielddrift_core.errors import ERROR_RESPONSES, ErrorKind, Ran, Refusal
 from fielddrift_core.request_ends import EndCause
@@ -187,9 +187,18 @@
             deadline=deadline,
             trace=trace,
             waited_seconds=waited_seconds,
+            returned=self._is_return(parsed, route, service),
             ranks=views.ranks(catalog, service.name),
         )
 
+    def _is_return(self, parsed: ParsedRequest, route: Route, service: Service) -> bool:
+        """Return whether the caller surely sent the prompt before, and has read nothing of it."""
+        if parsed.prompt is None or parsed.timeout_seconds is None or parsed.resume_after:
+            return False
+        views = self._context.views
+        expected = views.expects_returns(service.name, parsed.request.arrived)
+        return views.waits.is_return(route.name, parsed.timeout_seconds, expected=expected)
+
     def _unknown_after_pause(self, what: str) -> Refused:
         detail = f"this node was paused and does not know whether the {what} exists"
         return Refused(
--- a/packages/node/src/fielddrift_node/serving/service_queues.py
+++ b/packages/node/src/fielddrift_node/serving/service_queues.py
@@ -7,6 +7,7 @@
 
 from fielddrift_core.prompt_queue import MemoryTurnover, PromptQueue, WaitingPrompt
 from fielddrift_core.rank_reserve import RankReserve
+from fielddrift_core.returns import UsualRate
 
 __all__ = ["ServiceQueue", "ServiceQueues"]
 
@@ -20,6 +21,8 @@
         self._restricted: dict[str, PromptQueue] = {}
         """Prompts that only engines of one software version may run, by that version."""
         self.turnover = MemoryTurnover()
+        self.usual_rate = UsualRate()
+        """Tokens per second of the prompts that came to this node for the first time."""
         self._reserves: dict[int, RankReserve] = {}
         self._wakeups: dict[int, asyncio.Event] = {}
 
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -20,6 +20,7 @@
 from fielddrift_core.loading_engines import LoadingEngines
 from fielddrift_core.readers import OPERATORS_POLL_SECONDS, ReadState
 from fielddrift_core.responsiveness import Responsiveness
+from fielddrift_core.returns import returns_name
 from fielddrift_core.rollout import EngineWeights, Naming, NamingTimes, VersionAge, upcoming_loads
 from fielddrift_core.service_ranks import ServiceRanks
 from fielddrift_core.store_index import StoreIndex
@@ -46,6 +47,9 @@
 _RETURNING_CALLERS_SECONDS = 3.0
 """Time after a start in which most requests are retries of callers that could not be served before;
 these wait at most 1 to 2 s between attempts."""
+_RETURN_GRACE_SECONDS = 2.0
+"""How long after the last time to return callers may still come: those without a connection open a
+new one, and some nodes hear of that time later."""
 
 
 class CandidateEngines(NamedTuple):
@@ -117,6 +121,8 @@
         """Rate of the requests among them that engines serve."""
         self.waits = CallerWaits()
         """How long callers have been waiting."""
+        self._returns_expected_at: dict[str, float] = {}
+        """When callers that were told to return were last expected, by service."""
         self._weights_change_count = 0
         self._ranks: dict[str, ServiceRanks] = {}
         self._ranked_version = 0
@@ -303,6 +309,13 @@
         """Return whether most requests may come from callers that waited for this node to start."""
         return now - self._started_at < _RETURNING_CALLERS_SECONDS
 
+    def expects_returns(self, service: str, now: float) -> bool:
+        """Return whether callers that any node told to return may do so now."""
+        if self.workload.burden_of(returns_name(service), now).running:
+            self._returns_expected_at[service] = now
+        expected_at = self._returns_expected_at.get(service, float("-inf"))
+        return now - expected_at < _RETURN_GRACE_SECONDS
+
     def tick(self, now: float, *, interval: float) -> float:
         """Record a tick, due every `interval` seconds, and return its delay in seconds.
 
