--- a/packages/core/src/fielddrift_core/urgency.py
+++ b/packages/core/src/fielddrift_core/urgency.py
@@ -26,6 +26,10 @@
 _FIRST_QUANTILE = 0.02
 """Quantile of the times of first tries below which a request is none."""
 
+_ALIKE_FRACTION = 0.8
+"""Ratio of the least to the usual time of first requests from which callers are alike: most return
+after more than a fifth of it."""
+
 
 class _RecentQuantile:
     """A quantile of recent values, computed from at least `least` of them."""
@@ -73,13 +77,16 @@
     def is_return(self, route: str, remaining: float, *, expected: bool) -> bool:
         """Return whether a caller with `remaining` seconds left surely came before.
 
-        `expected` says whether any caller may return now.  Callers differ in patience, so the least
-        time that first requests come with decides, not the usual one.
+        `expected` says whether any caller may return now.  The least time that first requests come
+        with decides.  Where callers differ much in patience, only the impatient ones among those
+        that return could be told from first ones, and would come after the others.
         """
-        least = self._routes.setdefault(route, _Route()).least_first
+        known = self._routes.setdefault(route, _Route())
+        least = known.least_first
         if not expected:
             least.add(remaining)
-        return remaining < least.value
+        is_alike = least.value >= _ALIKE_FRACTION * known.usual.value
+        return is_alike and remaining < least.value
 
 
 def urgency(rank: int, *, late: bool, ranks: Sequence[int]) -> int:
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -116,6 +116,14 @@
         found = [waits.is_return("chat", rng.uniform(2.0, 6.0), expected=True) for _ in range(500)]
         self.assertLess(sum(found), 25)
 
+    def test_where_patience_differs_nobody_comes_after_the_others(self) -> None:
+        waits, rng = CallerWaits(), random.Random(1)
+        for _ in range(200):
+            remaining = rng.uniform(8.0, 16.0)
+            waits.waited("chat", remaining)
+            waits.is_return("chat", remaining, expected=False)
+        self.assertFalse(waits.is_return("chat", 6.0, expected=True))
+
     def test_returning_requests_do_not_pass_for_first_ones(self) -> None:
         waits = CallerWaits()
         for _ in range(50):
