Split the records of crashes into evidence, attribution and probes

It keeps what was seen and merged; crash_attribution.py says who is held back, as a function of the crashes, and begins with its rule; crash_probes.py says who may be sent all the same. No change of behaviour; test_crashes.py imports three constants from their new places.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,11 +5,10 @@
 import random
 import unittest
 
+from fielddrift_core.crash_attribution import INITIAL_HOLD_SECONDS, MAX_HOLD_SECONDS
+from fielddrift_core.crash_probes import PROBE_INTERVAL_SECONDS
 from fielddrift_core.crashes import (
-    _INITIAL_HOLD_SECONDS,
     _MAX_CRASHES,
-    _MAX_HOLD_SECONDS,
-    _PROBE_INTERVAL_SECONDS,
     _RETENTION_SECONDS,
     CRASHES_TO_HOLD,
     Crash,
@@ -46,7 +45,7 @@
         self._record(Crash(_FATAL, "c", 6.0, 0.1))
         (held,) = self.history.all_held(7.0)
         self.assertEqual(held.targets, ("a", "b", "c"))
-        self.assertEqual(held.until, 6.0 + _INITIAL_HOLD_SECONDS)
+        self.assertEqual(held.until, 6.0 + INITIAL_HOLD_SECONDS)
 
     def test_a_request_with_more_crashes_explains_those_of_concurrent_requests(self) -> None:
         self._record(*_crashes(_FATAL, "a", "b", "c", "d"), *_crashes("other", "a", "b", "c"))
@@ -83,21 +82,21 @@
 
     def test_after_a_hold_one_send_is_admitted_and_another_crash_doubles_the_hold(self) -> None:
         self._record(*_crashes(_FATAL, "a", "b", "c"))
-        over = 2.0 + _INITIAL_HOLD_SECONDS
+        over = 2.0 + INITIAL_HOLD_SECONDS
         self.assertIsNotNone(self.history.admit(_FATAL, over - 0.1))
         self.assertIsNone(self.history.held(_FATAL, over))
         self.assertIsNone(self.history.admit(_FATAL, over))
         held = self.history.admit(_FATAL, over + 0.1)
         assert held is not None
-        self.assertEqual(held.until, over + _PROBE_INTERVAL_SECONDS)
+        self.assertEqual(held.until, over + PROBE_INTERVAL_SECONDS)
         self._record(Crash(_FATAL, "d", over + 1.0, 0.1))
         (held,) = self.history.all_held(over + 2.0)
-        self.assertEqual(held.until, over + 1.0 + 2 * _INITIAL_HOLD_SECONDS)
+        self.assertEqual(held.until, over + 1.0 + 2 * INITIAL_HOLD_SECONDS)
 
     def test_holds_are_bounded_and_expire(self) -> None:
         self._record(*_crashes(_FATAL, *map(str, range(40))))
         (held,) = self.history.all_held(40.0)
-        self.assertEqual(held.until, 39.0 + _MAX_HOLD_SECONDS)
+        self.assertEqual(held.until, 39.0 + MAX_HOLD_SECONDS)
         self.history.expire(held.until + _RETENTION_SECONDS)
         self.assertFalse(self.history.is_empty)
         self.history.expire(held.until + _RETENTION_SECONDS + 1.0)
@@ -302,13 +301,13 @@
     def test_after_a_hold_the_first_node_probes_and_the_others_wait(self) -> None:
         for number in range(4):
             self._crash(f"t{number}", number * 0.5, "bad")
-        bad, over = part_suspect("m", "bad"), 1.5 + _INITIAL_HOLD_SECONDS
+        bad, over = part_suspect("m", "bad"), 1.5 + INITIAL_HOLD_SECONDS
         self.assertIsNotNone(self.history.admit_request([bad], over + 1.0, probe_rank=1))
         self.assertIsNone(self.history.admit_request([bad], over + 1.0))
         self.assertIsNotNone(self.history.admit_request([bad], over + 1.1))
         self._crash("t9", over + 1.5, "bad")
         (held,) = self.history.all_held(over + 2.0)
-        self.assertEqual(held.until, over + 1.5 + 2 * _INITIAL_HOLD_SECONDS)
+        self.assertEqual(held.until, over + 1.5 + 2 * INITIAL_HOLD_SECONDS)
         self.assertIsNotNone(self.history.admit_request([bad], over + 40.0, probe_rank=1))
 
 
