--- a/packages/node/src/fielddrift_node/serving/caller_returns.py
+++ b/packages/node/src/fielddrift_node/serving/caller_returns.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import NamedTuple
 
+from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.prompt_queue import late_rank, queue_name
 from fielddrift_core.returns import free_rate, return_delay, returns_name, usual_rate_name
 
@@ -17,6 +19,14 @@
 _RATE_INTERVAL_SECONDS = 1.0
 
 
+class _ReturnTime(NamedTuple):
+    """After how many seconds a caller should return, and the tokens and the rate behind it."""
+
+    seconds: float
+    backlog: int
+    rate: float
+
+
 class CallerReturns:
     """What is free for callers that return, and the times at which they are told to do so."""
 
@@ -45,17 +55,27 @@
         rate = self._free_rate(call)
         return (ahead + prompt.tokens) / rate if rate > 0 else 0.0
 
-    def delay(self, call: Call, *, least: float) -> float:
-        """Return after how many seconds a refused caller should return, at least after `least`."""
+    def refusal(self, call: Call, detail: str, *, least: float, reason: str = "") -> Refusal:
+        """Return the refusal of a prompt, whose caller should return after `least` or more seconds.
+
+        `detail` and `reason` are as in `Refusal`.
+        """
+        assigned = self._assign(call, least)
+        detail += f"; {assigned.backlog} tokens go before, {assigned.rate:.0f} per second are free"
+        return Refusal(ErrorKind.OVERLOADED, detail, Ran.NO, assigned.seconds, reason)
+
+    def _assign(self, call: Call, least: float) -> _ReturnTime:
         prompt, service = call.parsed.prompt, call.service.name
         assert prompt is not None
         loop, workload = asyncio.get_running_loop(), self._context.views.workload
         name, ranks = returns_name(service), call.ranks.ranks
         waiting = self.waiting_tokens(call, [*ranks, *map(late_rank, ranks)])
+        backlog = workload.burden_of(name, loop.time()).memory + waiting
+        rate = self._free_rate(call)
         delay, is_free = return_delay(
-            backlog=workload.burden_of(name, loop.time()).memory + waiting,
+            backlog=backlog,
             tokens=prompt.tokens,
-            rate=self._free_rate(call),
+            rate=rate,
             least=least,
             time_left=self._time_left(call),
             rng=self._context.rng,
@@ -63,7 +83,7 @@
         # Callers for whom nothing is free take nothing from the others.
         workload.begin(name, call.trace.key, 0, prompt.tokens if is_free else 0)
         loop.call_later(delay, workload.end, name, call.trace.key)
-        return delay
+        return _ReturnTime(delay, backlog, rate)
 
     def total_memory(self, call: Call) -> int:
         """Return the memory of all engines of the service, in tokens."""
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -12,7 +12,6 @@
 from typing import NamedTuple
 
 from fielddrift_core.candidates import MAX_CANDIDATES, sample
-from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.overload import LATE_FRACTION, is_congested, is_too_late
 from fielddrift_core.placement import (
     FAILING_RATE,
@@ -145,9 +144,8 @@
         serving = self._context.views.registry.serving(call.service.name)
         closed = self._context.gate.shortest_wait(serving, now)
         if closed is None:
-            retry_after = self._returns.delay(call, least=float("inf"))
             detail = "no engine takes requests of this node"
-            raise Refused(Refusal(ErrorKind.OVERLOADED, detail, Ran.NO, retry_after, "closed"))
+            raise Refused(self._returns.refusal(call, detail, least=float("inf"), reason="closed"))
         return closed
 
     def _admit(self, call: Call, choice: EngineChoice, wait: float) -> None:
@@ -164,10 +162,9 @@
             is_refused = is_too_late(estimate=estimate, latency_goal=goal, congested=congested)
         if not is_refused:
             return
-        retry_after = self._returns.delay(call, least=estimate)
         detail = f"room in {wait:.2f} s, first event {choice.seconds:.2f} s later"
         detail += f", latency goal {goal:.2f} s"
-        raise Refused(Refusal(ErrorKind.OVERLOADED, detail, Ran.NO, retry_after))
+        raise Refused(self._returns.refusal(call, detail, least=estimate))
 
     async def _wait_in_queue(
         self,
@@ -230,9 +227,8 @@
             if best is None:
                 raise self._exhausted(call, attempts)
             return best
-        retry_after = self._returns.delay(call, least=seconds)
         detail = f"no engine had room for {seconds:.2f} s"
-        raise Refused(Refusal(ErrorKind.OVERLOADED, detail, Ran.NO, retry_after, "no-room"))
+        raise Refused(self._returns.refusal(call, detail, least=seconds, reason="no-room"))
 
     # --- choosing ---------------------------------------------------------------
 
