Let late callers come after others only where capacity is usually free

Nobody yields now where the usual rate is as large as the usual capacity, a median like it, and nothing is assigned to returning callers then; late prompts leave as much of the engines' memory free as callers usually take, times 0.75; and what is not known yet after a start is not free.

--- a/packages/core/src/fielddrift_core/returns.py
+++ b/packages/core/src/fielddrift_core/returns.py
@@ -18,9 +18,11 @@
 from typing import NamedTuple
 
 __all__ = [
+    "UsualCapacity",
     "UsualRate",
     "free_rate",
     "latest_delay",
+    "reserved_fraction",
     "return_delay",
     "returns_name",
     "usual_rate_name",
@@ -33,11 +35,15 @@
 all of it."""
 _USUAL_WINDOW_SECONDS = 20
 """Time over which the usual rate is the median: bursts of less than half of it do not count."""
-_MIN_FREE_FRACTION = 0.1
-"""Fraction of the capacity that returning callers are assigned at least."""
+_MIN_CAPACITY_COUNT = 3
+"""Seconds after which the usual capacity is known: little is sent in the first one."""
 _ASSIGNED_FRACTION = 0.9
 """Fraction of the free capacity that is assigned: the usual rate varies from second to second."""
 
+_RESERVED_FRACTION = 0.75
+"""Fraction of the memory that callers usually use which is kept free for them: an engine that is
+full of late prompts makes those late that come next."""
+
 
 def returns_name(service: str) -> str:
     """Return the key under which nodes report the tokens of callers told to return."""
@@ -91,12 +97,30 @@
         return statistics.median([counts.get(at, 0.0) for at in range(first, second)] or [0.0])
 
 
+class UsualCapacity:
+    """The median of the capacities of the last seconds, in tokens per second."""
+
+    def __init__(self) -> None:
+        self._capacities: deque[float] = deque(maxlen=_USUAL_WINDOW_SECONDS)
+
+    def add(self, capacity: float) -> None:
+        """Add the capacity in one second."""
+        self._capacities.append(capacity)
+
+    @property
+    def value(self) -> float:
+        """Return the usual capacity, 0 as long as it is not known."""
+        if len(self._capacities) < _MIN_CAPACITY_COUNT:
+            return 0.0
+        return statistics.median(self._capacities)
+
+
 def free_rate(capacity: float, usual: float) -> float:
-    """Return the rate at which callers may return, in tokens per second.
+    """Return the rate at which callers may return, in tokens per second; 0 in a lasting overload.
 
     `capacity` is that of all engines and `usual` the usual rate of all nodes.
     """
-    return max(_MIN_FREE_FRACTION * capacity, _ASSIGNED_FRACTION * (capacity - usual))
+    return _ASSIGNED_FRACTION * max(0.0, capacity - usual)
 
 
 def latest_delay(*, time_left: float, rng: random.Random) -> float:
@@ -104,6 +128,14 @@
     return _MAX_DELAY_FRACTION * max(0.0, time_left) * rng.uniform(_MIN_JITTER, 1.0)
 
 
+def reserved_fraction(capacity: float, usual: float) -> float:
+    """Return the fraction of engines' memory that late prompts leave to those that may be in time.
+
+    `capacity` and `usual` are as in `free_rate`.
+    """
+    return _RESERVED_FRACTION * min(1.0, usual / capacity) if capacity > 0 else 0.0
+
+
 def return_delay(
     *, backlog: float, tokens: int, rate: float, least: float, time_left: float, rng: random.Random
 ) -> tuple[float, bool]:
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -13,6 +13,7 @@
 
 from ..web.server import Request, Responder
 from .call import Call, Refused, ServingContext, Trace, short_id
+from .caller_returns import has_free_capacity
 from .generation import Generation
 from .plain_requests import PlainRequests
 from .ports import InvalidRequest, ParsedRequest
@@ -192,12 +193,16 @@
         )
 
     def _is_return(self, parsed: ParsedRequest, route: Route, service: Service) -> bool:
-        """Return whether the caller surely sent the prompt before, and has read nothing of it."""
+        """Return whether the caller surely sent the prompt before, and has read nothing of it.
+
+        In a lasting overload nobody counts as such: late prompts would never run after the others.
+        """
         if parsed.prompt is None or parsed.timeout_seconds is None or parsed.resume_after:
             return False
         views = self._context.views
         expected = views.expects_returns(service.name, parsed.request.arrived)
-        return views.waits.is_return(route.name, parsed.timeout_seconds, expected=expected)
+        found = views.waits.is_return(route.name, parsed.timeout_seconds, expected=expected)
+        return found and has_free_capacity(views, service)
 
     def _unknown_after_pause(self, what: str) -> Refused:
         detail = f"this node was paused and does not know whether the {what} exists"
--- a/packages/node/src/fielddrift_node/serving/prompt_placement.py
+++ b/packages/node/src/fielddrift_node/serving/prompt_placement.py
@@ -253,12 +253,13 @@
         if resumes:
             # It is the first in the queue: more urgent prompts with room would wait behind it.
             return MIN_RESERVE_FRACTION
-        reserve = service_queue.reserve(call.queue_rank)
+        if call.yields:
+            return max(MIN_RESERVE_FRACTION, self._returns.reserve(call))
+        reserve = service_queue.reserve(call.rank)
         now = asyncio.get_running_loop().time()
-        higher = [each for each in call.ranks.ranks if each < call.queue_rank]
+        higher = [each for each in call.ranks.ranks if each < call.rank]
         memory = self._returns.total_memory(call)
-        is_learned = call.ranks.by_goal or call.yields
-        if not is_learned or not higher or not memory:
+        if not call.ranks.by_goal or not higher or not memory:
             # What was learned under an earlier catalog ends as if nothing waited.
             return reserve.observe(0.0, now)
         return reserve.observe(self._returns.waiting_tokens(call, higher) / memory, now)
--- a/packages/node/src/fielddrift_node/serving/service_queues.py
+++ b/packages/node/src/fielddrift_node/serving/service_queues.py
@@ -7,7 +7,7 @@
 
 from fielddrift_core.prompt_queue import MemoryTurnover, PromptQueue, WaitingPrompt
 from fielddrift_core.rank_reserve import RankReserve
-from fielddrift_core.returns import UsualRate
+from fielddrift_core.returns import UsualCapacity, UsualRate
 
 __all__ = ["ServiceQueue", "ServiceQueues"]
 
@@ -23,6 +23,8 @@
         self.turnover = MemoryTurnover()
         self.usual_rate = UsualRate()
         """Tokens per second of the prompts that came to this node for the first time."""
+        self.usual_capacity = UsualCapacity()
+        """Tokens per second that the engines' memory usually turns over."""
         self._reserves: dict[int, RankReserve] = {}
         self._wakeups: dict[int, asyncio.Event] = {}
 
