--- a/packages/core/src/fielddrift_core/returns.py
+++ b/packages/core/src/fielddrift_core/returns.py
@@ -39,7 +39,6 @@
 """Seconds after which the usual capacity is known: little is sent in the first one."""
 _ASSIGNED_FRACTION = 0.9
 """Fraction of the free capacity that is assigned: the usual rate varies from second to second."""
-
 _RESERVED_FRACTION = 0.75
 """Fraction of the memory that callers usually use which is kept free for them: an engine that is
 full of late prompts makes those late that come next."""
--- a/packages/core/src/fielddrift_core/urgency.py
+++ b/packages/core/src/fielddrift_core/urgency.py
@@ -25,7 +25,6 @@
 
 _FIRST_QUANTILE = 0.02
 """Quantile of the times of first tries below which a request is none."""
-
 _ALIKE_FRACTION = 0.8
 """Ratio of the least to the usual time of first requests from which callers are alike: most return
 after more than a fifth of it."""
@@ -39,7 +38,12 @@
         self._least = least
         self._values: deque[float] = deque(maxlen=_SAMPLE_COUNT)
         self._since_update = 0
-        self.value = initial
+        self._value = initial
+
+    @property
+    def value(self) -> float:
+        """Return the quantile, at first the initial value."""
+        return self._value
 
     def add(self, value: float) -> None:
         """Add a value; it counts after some more at the latest."""
@@ -49,7 +53,7 @@
         if is_due or self._least <= len(self._values) < _UPDATE_INTERVAL_COUNT:
             self._since_update = 0
             ordered = sorted(self._values)
-            self.value = ordered[int(self._fraction * (len(ordered) - 1))]
+            self._value = ordered[int(self._fraction * (len(ordered) - 1))]
 
 
 class _Route:
--- a/packages/node/src/fielddrift_node/serving/caller_returns.py
+++ b/packages/node/src/fielddrift_node/serving/caller_returns.py
@@ -25,6 +25,7 @@
 _OWN_RATE = "rate"
 """Key of this node's usual rate in its own loads."""
 _RATE_INTERVAL_SECONDS = 1.0
+"""Interval between reports of the usual rate, a median of whole seconds."""
 
 
 class _Rates(NamedTuple):
@@ -36,6 +37,7 @@
 
     @property
     def free(self) -> float:
+        """Return the rate at which callers may return."""
         return free_rate(self.capacity, self.usual)
 
 
@@ -78,7 +80,7 @@
         """Services whose usual rate is reported anew each second."""
 
     def record_first(self, call: Call) -> None:
-        """Count the prompt of a caller that comes for the first time."""
+        """Count the prompt of a caller that comes for the first time in the usual rate."""
         prompt, service = call.parsed.prompt, call.service.name
         assert prompt is not None
         now = asyncio.get_running_loop().time()
@@ -88,7 +90,10 @@
             self._report_rate(call.service)
 
     def wait(self, call: Call) -> float:
-        """Return the seconds until there is room for a prompt that comes after all others."""
+        """Return the seconds until there is room for a prompt that comes after all others.
+
+        0 if nothing is free at this moment: in a burst that may change before its deadline.
+        """
         prompt = call.parsed.prompt
         assert prompt is not None
         ranks = call.ranks.ranks
