List streams that a node joins for want of an answer as known red

Its log shows two streams that a node whose list of targets was behind took up at the version that it knew (origin=presumed): no asked node had answered within 0.8 s, which passes for all of them denying it.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -11,6 +11,7 @@
 from unittest import mock
 from unittest.mock import AsyncMock
 
+from fielddrift_node.serving import stream_versions
 from fielddrift_standins.worker import Worker
 
 from .platform_fleet import (
@@ -335,6 +336,22 @@
         self.assertEqual({c.status for c in callers if len(c.events) < _EVENTS}, {503})
         self.assertTrue(any(len(caller.events) == _EVENTS for caller in callers))
 
+    async def test_a_question_without_an_answer_in_time_joins_nothing_to_a_stream(self) -> None:
+        """Failure: without an answer in time a node takes its list of versions for complete."""
+        await self.start(nodes=6, engines=2, versions=("v1",))
+        *others, behind = self.nodes
+        feed = mock.patch.object(behind.node._targets, "_update", AsyncMock(return_value=0.2))
+        late = mock.patch.object(stream_versions, "_ASK_TIMEOUT_SECONDS", 0.0)
+        with feed, late:
+            for number in range(2, 8):
+                await self.add_engine(f"e{number}", "v1.1")
+            for node in others:
+                registry = node.node.views.registry
+                await eventually(lambda registry=registry: len(registry.serving("engines")) == 8)
+            callers = await self.open_streams(24, self.nodes[0], own_parts=True)
+            await self.move(callers, behind)
+        self.assert_unmixed(callers)
+
     async def test_an_isolated_node_takes_no_streams_up_that_it_does_not_know(self) -> None:
         await self.start(nodes=3, engines=2, versions=("v1",))
         *others, isolated = self.nodes
