Presume no version of a stream where other nodes did not answer

Callers got streams whose events two software versions had written. A node whose list of targets is behind asks other nodes for the origin of a stream that a caller takes up; where none answered within 0.8 s it presumed the one version that it knew, as if all had denied to know the stream.

Answers are counted now. A version is presumed only if all but one of the live nodes that were asked answered, and at least one; otherwise the caller is told at once when to return, as where versions are known to differ. One may be missing, as an origin has two holders in a data centre: a new test, which fails where all must answer, has streams go on after the node that began them was killed.

--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import NamedTuple
 
 import structlog
@@ -41,6 +41,9 @@
 """How long a query waits for others to the same node."""
 _ASK_TIMEOUT_SECONDS = 0.8
 """How long answers of other nodes are waited for; one that knows the origin ends the wait."""
+_MAX_UNANSWERED_COUNT = 1
+"""Live nodes of which no answer is needed to tell that none knows an origin: one of its holders
+that has just ended leaves another one."""
 _DEFAULT_LIFETIME_SECONDS = 30.0
 """How long an origin is kept if the caller gave no deadline."""
 _RETURN_MARGIN_SECONDS = 1.0
@@ -67,11 +70,28 @@
     source: str
 
 
+class _Answer(NamedTuple):
+    """The origin that one node knows of a stream, if any, and whether it answered at all."""
+
+    node: str
+    origin: StreamOrigin | None
+    is_given: bool
+
+
+class _Answers(NamedTuple):
+    """The origin that other nodes were asked for, and whether enough of them answered to tell that
+    none knows it."""
+
+    origin: StreamOrigin | None
+    is_sufficient: bool
+
+
 class _Batch(NamedTuple):
-    """The keys, in order, that one node is asked for at a time, and its answers by key."""
+    """The keys, in order, that one node is asked for at a time, and its answers by key, None where
+    it gave none."""
 
     keys: dict[str, None]
-    answers: asyncio.Future[dict[str, StreamOrigin]]
+    answers: asyncio.Future[dict[str, StreamOrigin] | None]
 
 
 class StreamVersions:
@@ -162,11 +182,14 @@
         services = [share.service for share in call.route.shares]
         outdated = now - self._views.targets_read_at > _OUTDATED_SECONDS
         if outdated or len(services) > 1 or self._versions.is_mixed(call.service.name):
-            if call.parsed.resumes and (known := await self._ask_others(key)) is not None:
+            answers = await self._ask_others(key) if call.parsed.resumes else None
+            if answers is not None and (known := answers.origin) is not None:
                 self._origins.record(known)
                 return _Resumption(known.service, known.software, "node")
             if len(services) > 1:
                 raise _refused("it is not known which service began the stream")
+            if answers is not None and not answers.is_sufficient:
+                raise _refused("too few nodes answered that may know which version began it")
             if outdated and self._is_isolated(now):
                 raise _refused("no other node is reached that may know of newer versions")
         try:
@@ -182,34 +205,46 @@
 
     # --- other nodes ----------------------------------------------------------------
 
-    async def _ask_others(self, key: str) -> StreamOrigin | None:
-        """Return the origin of the stream `key` from another node, None if none knows it."""
+    async def _ask_others(self, key: str) -> _Answers:
+        """Ask other nodes for the origin of the stream `key`, first those of this data centre."""
         near = self._neighbours.nearby(asyncio.get_running_loop().time())
         found = await self._ask(_first(key, near, _ASKED_COUNT), key)
-        if found is not None:
+        if found.origin is not None:
             return found
         remote = [
             node
             for nodes in self._neighbours.remote().values()
             for node in _first(key, nodes, _ASKED_COUNT)
         ]
-        return await self._ask(remote, key)
+        answers = await self._ask(remote, key)
+        return answers._replace(is_sufficient=found.is_sufficient and answers.is_sufficient)
 
-    async def _ask(self, nodes: Iterable[Neighbour], key: str) -> StreamOrigin | None:
-        """Return the origin that one of `nodes` knows, None if none of them answers with one."""
+    async def _ask(self, nodes: Collection[Neighbour], key: str) -> _Answers:
+        """Ask `nodes` for the origin of the stream `key`, until one of them knows it."""
+        answered: set[str] = set()
         tasks = [asyncio.ensure_future(self._ask_one(node, key)) for node in nodes]
         try:
-            for answer in asyncio.as_completed(tasks, timeout=_ASK_TIMEOUT_SECONDS):
-                if (found := await answer) is not None:
-                    return found
+            for task in asyncio.as_completed(tasks, timeout=_ASK_TIMEOUT_SECONDS):
+                answer = await task
+                if answer.origin is not None:
+                    return _Answers(answer.origin, is_sufficient=True)
+                if answer.is_given:
+                    answered.add(answer.node)
         except TimeoutError:
             pass
         finally:
-            for task in tasks:
-                task.cancel()
-        return None
-
-    async def _ask_one(self, node: Neighbour, key: str) -> StreamOrigin | None:
+            for each in tasks:
+                each.cancel()
+        return _Answers(None, self._is_sufficient(answered, nodes))
+
+    def _is_sufficient(self, answered: Collection[str], asked: Iterable[Neighbour]) -> bool:
+        """Return whether enough of the live nodes that were asked have answered."""
+        alive = {node.name for node in self._neighbours.alive(asyncio.get_running_loop().time())}
+        needed = alive & {node.name for node in asked}
+        missing = len(needed.difference(answered))
+        return missing <= _MAX_UNANSWERED_COUNT and missing < max(1, len(needed))
+
+    async def _ask_one(self, node: Neighbour, key: str) -> _Answer:
         batch = self._batches.get(node.name)
         if batch is None:
             batch = self._batches[node.name] = _Batch(
@@ -217,12 +252,16 @@
             )
         batch.keys[key] = None
         # Shielded: others may wait for the same answer.
-        return (await asyncio.shield(batch.answers)).get(key)
+        origins = await asyncio.shield(batch.answers)
+        if origins is None:
+            return _Answer(node.name, None, is_given=False)
+        return _Answer(node.name, origins.get(key), is_given=True)
 
-    async def _ask_batch(self, node: Neighbour) -> dict[str, StreamOrigin]:
+    async def _ask_batch(self, node: Neighbour) -> dict[str, StreamOrigin] | None:
         """Return the origins that `node` knows of the streams that callers return with now.
 
-        When a node ends, its callers return within a short time.
+        Return None if it gives no answer.  Queries are collected, as the callers of a node that has
+        ended return within a short time.
         """
         await asyncio.sleep(_BATCH_SECONDS)
         keys = list(self._batches.pop(node.name).keys)
@@ -230,7 +269,7 @@
             found = await self._peers.origins(node, keys)
         except RemoteCallError as error:
             _log.info("node not reached", node=node.name, error=str(error))
-            return {}
+            return None
         now = asyncio.get_running_loop().time()
         return {origin.key: origin._replace(until=now + origin.until) for origin in found}
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -352,6 +352,19 @@
             await self.move(callers, behind)
         self.assert_unmixed(callers)
 
+    async def test_streams_go_on_where_one_of_the_asked_nodes_has_ended(self) -> None:
+        """Failure if all asked nodes must answer: one that ends keeps all streams from going on."""
+        await self.start(nodes=4, engines=4, versions=("v1",))
+        ended, behind, *_ = self.nodes
+        feed = mock.patch.object(behind.node._targets, "_update", AsyncMock(return_value=0.2))
+        with feed:
+            views, now = behind.node.views, asyncio.get_running_loop().time()
+            await asyncio.sleep(max(0.0, views.targets_read_at + 3.1 - now))
+            callers = await self.open_streams(12, ended, own_parts=True)
+            ended.kill()
+            await self.come_back(callers, behind)
+        self.assert_whole(callers)
+
     async def test_an_isolated_node_takes_no_streams_up_that_it_does_not_know(self) -> None:
         await self.start(nodes=3, engines=2, versions=("v1",))
         *others, isolated = self.nodes
