Hold a part back however slowly it crashes engines

Cause: four crashes had to lie within a minute. What keeps sound parts free is another thing, a whole answer after a crash, or that they are in few of the crashes meanwhile. Crashes count now for as long as they are kept, 15 minutes; the eight that suffice whatever else ended meanwhile must still lie within a minute, and the time for which a hold lasts is reckoned from its fourth crash on if that comes later than a minute after the first.

Of the four new tests two failed before (nothing held at 20 to 240 s); that prompts which are answered between crashes, or a part of a fifth of the crashes, hold nothing back held before and holds.

--- a/packages/core/src/fielddrift_core/crash_attribution.py
+++ b/packages/core/src/fielddrift_core/crash_attribution.py
@@ -39,15 +39,20 @@
 _UNEXPLAINED_PART_CRASHES = 2
 """Least number of its crashes that no other suspect which is held back explains."""
 _SURE_PART_CRASHES = 8
-"""Crashes after which it is held back whatever other targets crashed meanwhile."""
+"""Crashes within `_SURE_SECONDS` after which it is held back whatever other targets crashed
+meanwhile."""
+_SURE_SECONDS = 60.0
 _PART_EXPLAINED_FRACTION = 0.3
 """Below this fraction of the targets that crashed meanwhile, crashes during runs of a part may be
 a coincidence."""
 _PART_SPAN_SECONDS = 1.0
 """Least time between the first and the last of these crashes: a part that is in many prompts is
 cleared within it by a complete answer."""
-_PART_WINDOW_SECONDS = 60.0
-"""Time within which these crashes happen."""
+_PART_WINDOW_SECONDS = 900.0
+"""Time within which these crashes happen: for as long crashes are kept.  A part that is sound is
+cleared meanwhile."""
+_SETTLING_SECONDS = 60.0
+"""Time after the first crash in which sends that were in progress may still crash targets."""
 _MOMENT_SECONDS = 0.15
 """Crashes within this time of the first of them count as one moment.  Measured from the one before,
 a part that crashes targets quickly would have a single moment."""
@@ -233,7 +238,8 @@
                     continue
                 meanwhile = ended_until[last] - ended_before
                 is_common = last - first + 1 >= _PART_EXPLAINED_FRACTION * meanwhile
-                if is_common or moments >= _SURE_PART_CRASHES:
+                is_sure = moments >= _SURE_PART_CRASHES and at - begin < _SURE_SECONDS
+                if is_common or is_sure:
                     found = at
                     break
         return found
@@ -281,7 +287,7 @@
 def _part_hold_seconds(crashes: Sequence[Crash]) -> float:
     """Return how long a part is held back after the last of `crashes`."""
     # Sends in progress when the hold begins still crash targets, and are no probes.
-    settled = crashes[0].at + _PART_WINDOW_SECONDS
+    settled = max(crashes[0].at + _SETTLING_SECONDS, crashes[_PART_CRASHES_TO_HOLD - 1].at)
     return _hold_seconds(sum(crash.at > settled for crash in crashes))
 
 
--- a/tests/test_crash_holds.py
+++ b/tests/test_crash_holds.py
@@ -203,3 +203,43 @@
             self.assertEqual(_held(history), {})
             # Other racks go on to answer prompts with the part.
             history.record_answer([shared], times[-1] + 0.5)
+
+
+class TestSlowCrashes(unittest.TestCase):
+    """Failure: a part that crashed a target each 20 s or more was never held back."""
+
+    _PAUSES = (15.0, 20.0, 30.0, 60.0, 120.0, 240.0)
+
+    def test_a_part_is_held_back_after_as_many_crashes_however_slow_they_come(self) -> None:
+        for pause in self._PAUSES:
+            with self.subTest(pause=pause):
+                times = [pause * number for number in range(8)]
+                self.assertEqual(_first_hold(CrashHistory(), times), 3 * pause)
+
+    def test_further_crashes_lengthen_the_hold_of_a_slow_part_from_its_beginning_on(self) -> None:
+        history = CrashHistory()
+        begun = _first_hold(history, [60.0 * number for number in range(4)])
+        (held,) = history.all_held(begun)
+        self.assertEqual(held.until, begun + 120.0)
+        for name in ("probe", _BAD):
+            history.record_crash(Crash(name, "probed", begun + 125.0, 0.1))
+        (held,) = history.all_held(begun + 125.0)
+        self.assertEqual(held.until, begun + 125.0 + 240.0)
+
+    def test_no_part_is_held_back_whose_prompts_are_answered_between_crashes(self) -> None:
+        for pause in self._PAUSES:
+            history = CrashHistory()
+            for number in range(12):
+                at = pause * number
+                for name in (f"request-{number}", _BAD):
+                    history.record_crash(Crash(name, f"t{number}", at, 0.1))
+                history.record_answer([_BAD], at + 0.9 * pause)
+                self.assertEqual(_held(history), {})
+
+    def test_no_part_is_held_back_that_few_of_many_crashes_have(self) -> None:
+        history = CrashHistory()
+        for number in range(120):
+            names = [f"request-{number}", *([_BAD] if number % 5 == 0 else [])]
+            for name in names:
+                history.record_crash(Crash(name, f"t{number}", 6.0 * number, 0.1))
+        self.assertEqual(_held(history), {})
