--- a/packages/core/src/fielddrift_core/crash_attribution.py
+++ b/packages/core/src/fielddrift_core/crash_attribution.py
@@ -39,9 +39,9 @@
 _UNEXPLAINED_PART_CRASHES = 2
 """Least number of its crashes that no other suspect which is held back explains."""
 _SURE_PART_CRASHES = 8
-"""Crashes within `_SURE_SECONDS` after which it is held back whatever other targets crashed
-meanwhile."""
+"""Crashes after which it is held back whatever other targets crashed meanwhile."""
 _SURE_SECONDS = 60.0
+"""Time within which these crashes happen."""
 _PART_EXPLAINED_FRACTION = 0.3
 """Below this fraction of the targets that crashed meanwhile, crashes during runs of a part may be
 a coincidence."""
@@ -49,8 +49,8 @@
 """Least time between the first and the last of these crashes: a part that is in many prompts is
 cleared within it by a complete answer."""
 _PART_WINDOW_SECONDS = 900.0
-"""Time within which these crashes happen: for as long crashes are kept.  A part that is sound is
-cleared meanwhile."""
+"""Time within which `_PART_CRASHES_TO_HOLD` crashes happen: as long as crashes are kept, since a
+sound part is cleared by the next whole answer."""
 _SETTLING_SECONDS = 60.0
 """Time after the first crash in which sends that were in progress may still crash targets."""
 _MOMENT_SECONDS = 0.15
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -78,9 +78,9 @@
     is_given: bool
 
 
-class _Answers(NamedTuple):
-    """The origin that other nodes were asked for, and whether enough of them answered to tell that
-    none knows it."""
+class _SearchResult(NamedTuple):
+    """The origin that other nodes know of a stream, if any, and whether enough of them answered to
+    tell that none does."""
 
     origin: StreamOrigin | None
     is_sufficient: bool
@@ -205,7 +205,7 @@
 
     # --- other nodes ----------------------------------------------------------------
 
-    async def _ask_others(self, key: str) -> _Answers:
+    async def _ask_others(self, key: str) -> _SearchResult:
         """Ask other nodes for the origin of the stream `key`, first those of this data centre."""
         near = self._neighbours.nearby(asyncio.get_running_loop().time())
         found = await self._ask(_first(key, near, _ASKED_COUNT), key)
@@ -219,7 +219,7 @@
         answers = await self._ask(remote, key)
         return answers._replace(is_sufficient=found.is_sufficient and answers.is_sufficient)
 
-    async def _ask(self, nodes: Collection[Neighbour], key: str) -> _Answers:
+    async def _ask(self, nodes: Collection[Neighbour], key: str) -> _SearchResult:
         """Ask `nodes` for the origin of the stream `key`, until one of them knows it."""
         answered: set[str] = set()
         tasks = [asyncio.ensure_future(self._ask_one(node, key)) for node in nodes]
@@ -227,7 +227,7 @@
             for task in asyncio.as_completed(tasks, timeout=_ASK_TIMEOUT_SECONDS):
                 answer = await task
                 if answer.origin is not None:
-                    return _Answers(answer.origin, is_sufficient=True)
+                    return _SearchResult(answer.origin, is_sufficient=True)
                 if answer.is_given:
                     answered.add(answer.node)
         except TimeoutError:
@@ -235,7 +235,7 @@
         finally:
             for each in tasks:
                 each.cancel()
-        return _Answers(None, self._is_sufficient(answered, nodes))
+        return _SearchResult(None, self._is_sufficient(answered, nodes))
 
     def _is_sufficient(self, answered: Collection[str], asked: Iterable[Neighbour]) -> bool:
         """Return whether enough of the live nodes that were asked have answered."""
