--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -18,6 +18,7 @@
 from types import TracebackType
 from typing import Any, NamedTuple
 
+from .link import Link
 from .store import Store
 
 __all__ = ["HOST_NAME", "KEY", "Answer", "Fleet", "Node", "ask_stream"]
@@ -184,7 +185,8 @@
         self.store = Store()
         self.store_address = ""
         self.nodes: list[Node] = []
-        self.worker_addresses: dict[str, str] = {}
+        self.links: dict[str, Link] = {}
+        self._starts: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Fleet:
         ip = self.ip()
@@ -221,8 +223,10 @@
 
     # --- workers --------------------------------------------------------------
 
-    def worker(self, name: str, *, zone: str = _ZONES[0], **options: object) -> subprocess.Popen:
-        """Start a worker and let it enter itself in the store."""
+    def worker(
+        self, name: str, *, zone: str = _ZONES[0], linked: bool = False, **options: object
+    ) -> subprocess.Popen:
+        """Start a worker and let it enter itself in the store; `linked` puts a link before it."""
         ip = self.ip()
         port = _free_ports(ip, 1)[0]
         given = {"name": name, "host": ip, "port": port, "model": MODEL}
@@ -231,12 +235,21 @@
             [sys.executable, "-m", "standins.worker", json.dumps(given)], cwd=ROOT / "review"
         )
         self._processes.append(process)
-        self.enter(name, f"{ip}:{port}", zone)
+        address = f"{ip}:{port}"
+        if linked:
+            address = self._link(name, address)
+        self.enter(name, address, zone)
         return process
 
+    def _link(self, name: str, target: str) -> str:
+        """Put a link before a worker; return the address that stands for it."""
+        ip = self.ip()
+        link = self.links[name] = Link(ip=ip, port=_free_ports(ip, 1)[0], target=target)
+        self._starts.append(asyncio.ensure_future(link.start()))
+        return link.address
+
     def enter(self, name: str, address: str, zone: str) -> None:
         """Write the entry of a worker, and renew it from now on."""
-        self.worker_addresses[name] = address
         self._entries[name] = {
             "service": "engines",
             "address": address,
