--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
-import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+from standins.case import TROUBLE, Case  # noqa: E402
 from standins.fleet import Fleet, ask_stream  # noqa: E402
 
-_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 _TENANTS = {
     "jeye930": ["nu6wsjnbanfqasnmgkcu"],
     "molo114": ["qp0vxtkd2rhaz81mceyb"],
@@ -41,50 +39,40 @@
     return sent
 
 
-async def _play(fleet: Fleet) -> list[str]:
-    keys = [key for held in _TENANTS.values() for key in held]
-    fleet.configure(version=3, tenants=_TENANTS)
-    fleet.worker("i-one", pace_seconds=0.02)
-    fleet.worker("i-two", pace_seconds=0.02, zone="messina-b")
-    for number in range(3):
-        fleet.node(number)
-    await fleet.wait_ready()
-    await asyncio.sleep(2.0)
-    await _ask(fleet, "before", keys)
-    held = {name: list(own) for name, own in _TENANTS.items()}
-    for version, name in enumerate(_TENANTS, start=4):
-        if _TROUBLE:
-            held[name] = []
-            fleet.configure(version=version, tenants=held)
-            fleet.note("operator takes the key away", tenant=name, version=version)
-        await asyncio.sleep(_GAP_SECONDS)
-    await asyncio.sleep(_APPLY_SECONDS + _MARGIN_SECONDS)
-    valid = {key for own in held.values() for key in own}
-    sent = await _ask(fleet, "after", [*keys, _UNKNOWN_KEY])
-    ran = {line["id"] for line in fleet.runs() if line["what"] == "runs"}
-    fleet.note_runs()
-    found = []
-    for request_id, key in sent.items():
-        if request_id in ran and key not in valid:
-            what = "a key never held" if key == _UNKNOWN_KEY else "a dropped key"
-            found.append(f"{request_id} ran with {what}")
-    return found
+class NoKeyLeft(Case):
+    """The operator takes every key away."""
 
+    rule = "CONFIG or ROUTE"
 
-async def _main() -> int:
-    record = Path(__file__).with_name("record.txt")
-    with tempfile.TemporaryDirectory() as folder:
-        async with Fleet(folder=Path(folder), record=record) as fleet:
-            try:
-                broken = await _play(fleet)
-            except (OSError, TimeoutError) as error:
-                fleet.note("could not run", error=repr(error))
-                return 2
-            for line in broken:
-                fleet.note("CONFIG or ROUTE broken:", request=line)
-            fleet.note("verdict", broken=len(broken))
-            return 1 if broken else 0
+    async def play(self, fleet: Fleet) -> list[str]:
+        """Play the case; return a line for each breach of the rule."""
+        keys = [key for held in _TENANTS.values() for key in held]
+        fleet.configure(version=3, tenants=_TENANTS)
+        await fleet.worker("i-one", pace_seconds=0.02)
+        await fleet.worker("i-two", pace_seconds=0.02, zone="messina-b")
+        for number in range(3):
+            fleet.node(number)
+        await fleet.wait_ready()
+        await asyncio.sleep(2.0)
+        await _ask(fleet, "before", keys)
+        held = {name: list(own) for name, own in _TENANTS.items()}
+        for version, name in enumerate(_TENANTS, start=4):
+            if TROUBLE:
+                held[name] = []
+                fleet.configure(version=version, tenants=held)
+                fleet.note("operator takes the key away", tenant=name, version=version)
+            await asyncio.sleep(_GAP_SECONDS)
+        await asyncio.sleep(_APPLY_SECONDS + _MARGIN_SECONDS)
+        valid = {key for own in held.values() for key in own}
+        sent = await _ask(fleet, "after", [*keys, _UNKNOWN_KEY])
+        ran = {line["id"] for line in fleet.runs() if line["what"] == "runs"}
+        found = []
+        for request_id, key in sent.items():
+            if request_id in ran and key not in valid:
+                what = "a key never held" if key == _UNKNOWN_KEY else "a dropped key"
+                found.append(f"{request_id} ran with {what}")
+        return found
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(_main()))
+    sys.exit(NoKeyLeft(folder=Path(__file__).parent).run())
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -18,7 +18,6 @@
 from types import TracebackType
 from typing import Any, NamedTuple
 
-from .link import Link
 from .store import Store
 
 __all__ = ["HOST_NAME", "KEY", "Answer", "Fleet", "Node", "ask_stream"]
@@ -30,6 +29,7 @@
 HEARTBEAT_SECONDS = 1.2
 _ZONES = ("catania-a", "messina-b", "siracusa-c")
 _READY_SECONDS = 30.0
+_NO_FIELDS: Mapping[str, str] = {}
 _TENANTS: Mapping[str, Sequence[str]] = {"jeye930": [KEY]}
 _SETTINGS = """\
 node-name = "{name}"
@@ -63,6 +63,10 @@
 max-fds = 4100
 link-mbps = 1000.0
 disk-mb = 0
+[fault-tolerance]
+machines = 2
+zones = 0
+regions = 0
 [bounds]
 seed-lag-s = 3
 addr-reuse-s = 2
@@ -99,22 +103,31 @@
 row-bytes = 65536
 across = false
 history-s = 20
+blob-bytes = 8388608
+blob-ms = 25.0
+blob-mb-s = 80.0
 """
 
 
 class Answer(NamedTuple):
-    """What a client received: `whole` says that the end of the response came with it."""
+    """What a client received: `whole` says that the end of the response came with it.
+
+    `retry_after` is how many seconds the client was told to wait.
+    """
 
     status: int
     events: list[str]
     whole: bool
     error: str
+    retry_after: float = 0.0
 
 
 class Node:
     """One node: its settings and its process."""
 
-    def __init__(self, *, name: str, ip: str, zone: str, folder: Path, store: str) -> None:
+    def __init__(
+        self, *, name: str, ip: str, zone: str, folder: Path, store: str, seeds: Sequence[str]
+    ) -> None:
         self.name = name
         self.ip = ip
         self._folder = folder
@@ -128,7 +141,7 @@
                 zone=zone,
                 first_port=ports[4],
                 last_port=ports[4],
-                seeds="",
+                seeds=", ".join(f'"{seed}"' for seed in seeds),
                 front=self.front,
                 ready=self.ready,
                 control=self.control,
@@ -140,6 +153,9 @@
 
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
+        if self.process is not None:
+            settings = self._file.read_text()
+            self._file.write_text(settings.replace("bootstrap = true", "bootstrap = false"))
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = shlex.split(deploy["roles"]["node"]["run"])
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
@@ -152,23 +168,12 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT
             )
 
-    @property
-    def pid(self) -> int:
-        """Return the id of the process."""
-        assert self.process is not None
-        return self.process.pid
-
     def kill(self) -> None:
         """Kill the process."""
         assert self.process is not None
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
 
-    def log_lines(self, *needles: str) -> list[str]:
-        """Return the lines of the node's log that contain one of `needles`."""
-        text = (self._folder / f"{self.name}.log").read_text(errors="replace")
-        return [line for line in text.splitlines() if any(needle in line for needle in needles)]
-
 
 class Fleet:
     """A store, workers and nodes; `note` writes to the record of the case."""
@@ -185,8 +190,6 @@
         self.store = Store()
         self.store_address = ""
         self.nodes: list[Node] = []
-        self.links: dict[str, Link] = {}
-        self._starts: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Fleet:
         ip = self.ip()
@@ -223,10 +226,10 @@
 
     # --- workers --------------------------------------------------------------
 
-    def worker(
-        self, name: str, *, zone: str = _ZONES[0], linked: bool = False, **options: object
-    ) -> subprocess.Popen:
-        """Start a worker and let it enter itself in the store; `linked` puts a link before it."""
+    async def worker(
+        self, name: str, *, zone: str = _ZONES[0], **options: object
+    ) -> subprocess.Popen[bytes]:
+        """Start a worker; once it listens, let it enter itself in the store."""
         ip = self.ip()
         port = _free_ports(ip, 1)[0]
         given = {"name": name, "host": ip, "port": port, "model": MODEL}
@@ -236,25 +239,19 @@
         )
         self._processes.append(process)
         address = f"{ip}:{port}"
-        if linked:
-            address = self._link(name, address)
-        self.enter(name, address, zone)
+        async with asyncio.timeout(_READY_SECONDS):
+            while await _status(address, "/healthz") != 200:
+                await asyncio.sleep(0.02)
+        self.enter(name, address, zone, software=str(options.get("software", "v1")))
         return process
 
-    def _link(self, name: str, target: str) -> str:
-        """Put a link before a worker; return the address that stands for it."""
-        ip = self.ip()
-        link = self.links[name] = Link(ip=ip, port=_free_ports(ip, 1)[0], target=target)
-        self._starts.append(asyncio.ensure_future(link.start()))
-        return link.address
-
-    def enter(self, name: str, address: str, zone: str) -> None:
+    def enter(self, name: str, address: str, zone: str, *, software: str = "v1") -> None:
         """Write the entry of a worker, and renew it from now on."""
         self._entries[name] = {
             "service": "engines",
             "address": address,
             "zone": zone,
-            "version": "v1",
+            "version": software,
             "slots": 64,
             "state": "ready",
             "cold-left-ms": 0,
@@ -264,6 +261,11 @@
         }
         self.store.put("servers", name, self._entries[name])
 
+    def drain(self, name: str) -> None:
+        """Let a worker say that it leaves."""
+        self._entries[name]["state"] = "draining"
+        self.store.put("servers", name, self._entries[name])
+
     def leave(self, name: str) -> None:
         """Remove the entry of a worker."""
         del self._entries[name]
@@ -340,6 +342,7 @@
             zone=_ZONES[number % len(_ZONES)],
             folder=self._folder,
             store=self.store_address,
+            seeds=[other.control for other in self.nodes[:3]],
         )
         node.start()
         self.nodes.append(node)
@@ -378,9 +381,19 @@
 
 
 async def ask_stream(
-    node: Node, path: str, request_id: str, *, tokens: int, key: str = KEY
+    node: Node,
+    path: str,
+    request_id: str,
+    *,
+    tokens: int,
+    key: str = KEY,
+    deadline_ms: int = 12000,
+    resume: Mapping[str, str] = _NO_FIELDS,
 ) -> Answer:
-    """Ask for a stream of `tokens` events as a client does, and read it to its end."""
+    """Ask for a stream of `tokens` events as a client does, and read it to its end.
+
+    `resume` are the headers of a client that takes a stream up again.
+    """
     prompt = f"{random.getrandbits(32):08x}"
     lines = [
         f"POST {path} HTTP/1.1",
@@ -389,9 +402,10 @@
         f"X-Model: {MODEL}",
         f"X-Token-Usage: 460,{tokens}",
         f"X-Prompt-Prefix: 5c1e07a2:200,{prompt}:260",
-        "X-Deadline-Ms: 12000",
+        f"X-Deadline-Ms: {deadline_ms}",
         f"X-Credential: {key}",
         "Content-Length: 3",
+        *(f"{name}: {value}" for name, value in resume.items()),
     ]
     host, _, port = node.front.rpartition(":")
     status, events = 0, list[str]()
@@ -408,7 +422,8 @@
                     fields[name.lower()] = value.strip()
                 if fields.get("transfer-encoding") != "chunked":
                     body = await reader.readexactly(int(fields.get("content-length", "0")))
-                    return Answer(status, [], True, body.decode("latin-1"))
+                    wait = float(fields.get("retry-after", "0"))
+                    return Answer(status, [], True, body.decode("latin-1"), wait)
                 data = b""
                 while size := int((await reader.readline()).strip(), 16):
                     data += (await reader.readexactly(size + 2))[:size]
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -25,6 +25,7 @@
         self._unframed: bool = options.get("unframed", False)
         self._pace: float = options.get("pace_seconds", 0.1)
         self._version: int = options.get("version", 1)
+        self._software: str = options.get("software", "v1")
         self._model: str = options["model"]
         self._journal = Path(options["journal"]).open("a", buffering=1)  # noqa: SIM115
         self._running = 0
@@ -76,7 +77,8 @@
                 await asyncio.sleep(self._pace)
                 if number == after + 1:
                     writer.write(head(200, fields))
-                event = f"id: {number}\ndata: token {number} of {count}\n\n".encode()
+                data = f"token {number} of {count} by {self._software}"
+                event = f"id: {number}\ndata: {data}\n\n".encode()
                 writer.write(event if self._unframed else b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
                 if writer.transport.is_closing():
