--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import subprocess
 import sys
@@ -17,7 +18,7 @@
 _TOKENS = 70
 _PACE_SECONDS = 0.1
 """A stream takes 7 s of its 12."""
-_STREAMS = 24
+_STREAMS = 40
 _DEADLINE_SECONDS = 12.0
 _DRAIN_SECONDS = 2.3
 """`drain-ms` of 2,000, and a little longer."""
@@ -25,7 +26,8 @@
 _RESTART_SECONDS = 0.7
 _RETRY_SECONDS = 0.5
 """A client's pause after a broken connection."""
-_MOST_TRIES = 6
+_RETRY_COUNT = 1
+"""As on the site's sheet."""
 _ALLOWED_COUNT = 2
 """Streams that may hold events from workers of two versions."""
 
@@ -35,9 +37,10 @@
     began = time.monotonic()
     events: list[str] = []
     first = ""
-    for attempt in range(_MOST_TRIES):
+    tries = 0
+    for attempt in itertools.count():
         left = _DEADLINE_SECONDS - (time.monotonic() - began)
-        if left <= 0:
+        if left <= 0 or tries > _RETRY_COUNT:
             break
         node = random.choice(fleet.nodes)
         request_id = f"{name}-{attempt}"
@@ -51,6 +54,8 @@
             deadline_ms=int(left * 1000),
             resume=resume,
         )
+        # A connection that does not come up is no try: the client takes another address.
+        tries += answer.status != 0
         if answer.events and not first:
             first = request_id
         events += answer.events
