Keep on the platform which software versions served, and which one began a stream

Where two versions served, every returning stream was refused instead, those of the version that serves on as well.

Cause: both lived in processes only. Ruled out: presumed while both are seen (origin=presumed 0 times), no list of targets yet (no such refusal).

Change: a row a service tells which versions served lately; no stream begins at a version beside a saved one before it is saved itself. A history that was not read is unknown: the caller waits for it, other nodes are asked, and then it is refused.

--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -13,12 +13,17 @@
 from typing import NamedTuple
 
 from .fingerprint import fingerprint
+from .rollout import StoreClock
 
 __all__ = [
+    "MAX_LIFETIME_SECONDS",
+    "VERSION_RETENTION_SECONDS",
+    "SavedVersion",
     "ServiceVersions",
     "StreamOrigin",
     "StreamOrigins",
     "UnknownOrigin",
+    "VersionSpan",
     "presumed_version",
     "rank_holders",
     "stream_key",
@@ -28,7 +33,7 @@
 """How long an origin is kept at most; it is needed until the deadline of the stream's caller."""
 _MAX_ORIGINS = 10_000
 """Origins that a node keeps, about 300 bytes each; the oldest are removed first."""
-_VERSION_RETENTION_SECONDS = 30.0
+VERSION_RETENTION_SECONDS = 30.0
 """How long a version counts after its last target has ended: streams that it began may still be
 resumed."""
 _NEW_VERSION_SECONDS = 3.0
@@ -108,12 +113,97 @@
             del self._origins[key]
 
 
+class SavedVersion(NamedTuple):
+    """When a software version first and last served, on the platform's clock in seconds.
+
+    `last` is None for a version that had a target when this was written.
+    """
+
+    first: float
+    last: float | None
+
+
+class VersionSpan(NamedTuple):
+    """When a software version was first and last seen, as loop times in seconds."""
+
+    first: float
+    last: float
+
+
 class ServiceVersions:
-    """The software versions of each service's targets, now and lately.  Not thread-safe."""
+    """The software versions of each service's targets, now and lately.  Not thread-safe.
+
+    A node that has just started sees only the versions that serve now.  Which ones served before,
+    and may have begun streams, it learns from rows on the platform.  Where these are kept, call
+    `expect_history` first: until they are read, the history is unknown.
+    """
 
     def __init__(self) -> None:
-        self._seen: dict[str, dict[str, tuple[float, float]]] = {}
+        self._seen: dict[str, dict[str, VersionSpan]] = {}
         """When each version was first and last seen, by service."""
+        self._recorded: dict[str, frozenset[str]] = {}
+        """The versions of which the platform's rows say that they serve, by service."""
+        self._inherited: dict[str, frozenset[str]] = {}
+        """The versions that the rows held when this node started, by service."""
+        self._is_history_known = True
+        self._history_read_at = float("-inf")
+
+    @property
+    def is_history_known(self) -> bool:
+        """Return whether the versions that served before the start of this node are known."""
+        return self._is_history_known
+
+    @property
+    def history_read_at(self) -> float:
+        """Return when the history was read, as a loop time, minus infinity for never."""
+        return self._history_read_at
+
+    def expect_history(self) -> None:
+        """Take the history for unknown until `restore` is called."""
+        self._is_history_known = False
+
+    def restore(
+        self, saved: Mapping[str, Mapping[str, SavedVersion]], clock: StoreClock, now: float
+    ) -> None:
+        """Add the `saved` versions of all services, read at the time that `clock` tells.
+
+        A version that still served when its row was written may have ended at any time since.
+        """
+        self._recorded.clear()
+        for service, versions in saved.items():
+            known = self._seen.setdefault(service, {})
+            for name, (first, last) in versions.items():
+                first_seen = clock.local(first)
+                last_seen = now if last is None else clock.heard + last - clock.clock
+                if now - last_seen > VERSION_RETENTION_SECONDS:
+                    continue
+                span = known.get(name, VersionSpan(first_seen, last_seen))
+                known[name] = VersionSpan(min(span.first, first_seen), max(span.last, last_seen))
+            self.set_recorded(service, versions)
+        self._start_history(saved, now)
+
+    def copy_history(self, spans: Mapping[str, Mapping[str, VersionSpan]], now: float) -> None:
+        """Take over what another node has seen: its spans with times of this node's loop."""
+        for service, versions in spans.items():
+            known = self._seen.setdefault(service, {})
+            for name, span in versions.items():
+                own = known.get(name, span)
+                known[name] = VersionSpan(min(own.first, span.first), max(own.last, span.last))
+        self._start_history(spans, now)
+
+    def _start_history(self, versions: Mapping[str, Iterable[str]], now: float) -> None:
+        if not self._is_history_known:
+            self._inherited = {service: frozenset(names) for service, names in versions.items()}
+            self._is_history_known, self._history_read_at = True, now
+
+    def set_recorded(self, service: str, saved: Mapping[str, SavedVersion]) -> None:
+        """Record what the platform's row of `service` holds."""
+        serving = (name for name, version in saved.items() if version.last is None)
+        self._recorded[service] = frozenset(serving)
+
+    def is_recorded(self, service: str, version: str) -> bool:
+        """Return whether the platform's row of `service` says that `version` serves."""
+        return version in self._recorded.get(service, ())
 
     def observe(self, service: str, versions: Iterable[str], now: float) -> bool:
         """Record the versions that serve at `now`; return whether they have become several.
@@ -124,10 +214,10 @@
         before = len(known)
         for version in versions:
             if version:
-                first, _ = known.get(version, (now, now))
-                known[version] = (first, now)
+                first = known[version].first if version in known else now
+                known[version] = VersionSpan(first, now)
         for version in [
-            v for v, (_, last) in known.items() if now - last > _VERSION_RETENTION_SECONDS
+            v for v, span in known.items() if now - span.last > VERSION_RETENTION_SECONDS
         ]:
             del known[version]
         return before < 2 <= len(known)
@@ -136,9 +226,30 @@
         """Return whether several versions serve, or did so lately."""
         return len(self._seen.get(service, ())) > 1
 
-    def first_seen(self, service: str) -> Mapping[str, float]:
-        """Return the versions that serve, or did so lately, and when each was first seen."""
-        return {version: first for version, (first, _) in self._seen.get(service, {}).items()}
+    def is_any_mixed(self) -> bool:
+        """Return whether any service is mixed."""
+        return any(len(versions) > 1 for versions in self._seen.values())
+
+    def spans(self) -> Mapping[str, Mapping[str, VersionSpan]]:
+        """Return the versions that serve, or did so lately, and when each was seen, by service."""
+        return self._seen
+
+    def presumed(self, service: str, now: float, *, all_reached: bool) -> str:
+        """Return the version at which a stream of unknown origin may be resumed, empty for any.
+
+        `all_reached` tells that no node which may have begun the stream has ended or is out of
+        reach since this node started.  Raise `UnknownOrigin` if several versions may have begun
+        the stream, or if it is not known which ones served.
+        """
+        if not self._is_history_known:
+            raise UnknownOrigin("the versions that served before this node started")
+        seen = self._seen.get(service, {})
+        former = self._inherited.get(service, frozenset()) & seen.keys()
+        since_start = now - self._history_read_at
+        if all_reached and len(former) == 1 and since_start < MAX_LIFETIME_SECONDS:
+            # The other versions are newer than this node, so the live nodes know their streams.
+            return min(former) if len(seen) > 1 else ""
+        return presumed_version({name: span.first for name, span in seen.items()}, now)
 
 
 def presumed_version(first_seen: Mapping[str, float], now: float) -> str:
--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -88,6 +88,8 @@
         self._unconfirmed: dict[str, Instance] = {}
         """Entries of the copy from which the store was restored, whose instances had ended."""
         self._restore_grace_until = 0.0
+        self._software: tuple[int, Mapping[str, frozenset[str]]] = (-1, {})
+        """The software versions by service, and the serial of which that is true."""
         self.serial = 0
         """Incremented with each change of the listed or lapsed entries."""
 
@@ -126,6 +128,17 @@
         """Return all known instances, including leaving and evacuated ones."""
         return self._instances.values()
 
+    def software(self) -> Mapping[str, frozenset[str]]:
+        """Return the known software versions of the listed instances, by service."""
+        if self._software[0] != self.serial:
+            found: dict[str, set[str]] = {}
+            for instance in self._instances.values():
+                if instance.software:
+                    found.setdefault(instance.service, set()).add(instance.software)
+            versions = {service: frozenset(names) for service, names in found.items()}
+            self._software = (self.serial, versions)
+        return self._software[1]
+
     def store_returned(self, now: float) -> None:
         """Record that the store is available again, at `now`, after it was unavailable."""
         self._lapse_grace_until = now + LAPSE_GRACE_SECONDS
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -33,6 +33,7 @@
 from .named_rows import NamedRows
 from .notices import NoticeHandler
 from .operator_feed import OperatorFeed
+from .origin_rows import OriginRows
 from .ports import CallerDialect, Platform, RemoteCallError, TargetDialect
 from .request_ends import RequestEnds
 from .rollout_runner import RolloutRunner
@@ -44,6 +45,7 @@
 from .stream_versions import StreamVersions
 from .target_feed import TargetFeed
 from .target_paths import TargetPaths
+from .version_rows import VersionRows
 from .views import PAUSE_THRESHOLD_SECONDS, Views
 
 __all__ = ["Dialects", "ServingNode"]
@@ -145,12 +147,28 @@
         )
         self._peer_client = Client()
         peers = PeerClient(client=self._peer_client)
+        self._version_rows = VersionRows(
+            platform=platform,
+            peers=peers,
+            neighbours=self._neighbours,
+            views=self._views,
+            rng=rng,
+        )
+        self._origin_rows = OriginRows(
+            platform=platform,
+            views=self._views,
+            neighbours=self._neighbours,
+            instance=f"{settings.name}/{self._boot}",
+            rng=rng,
+        )
         self._streams = StreamVersions(
             views=self._views,
             neighbours=self._neighbours,
             peers=peers,
             metrics=self._metrics,
             send=lambda origins, node: self._gossip.send_origins(origins, node),
+            version_rows=self._version_rows,
+            origin_rows=self._origin_rows,
         )
         self._gossip = Gossip(
             neighbours=self._neighbours,
@@ -318,6 +336,8 @@
             self._named_rows.run,
             self._crashes.run,
             self._crash_rows.run,
+            self._version_rows.run,
+            self._origin_rows.run,
             self._gossip.run,
             self._store_tracker.run,
             self._rollout_runner.run,
@@ -443,6 +463,7 @@
         self._membership.mark_store_restored()
         self._named_rows.mark_store_restored()
         self._crash_rows.mark_store_restored()
+        self._version_rows.mark_store_restored()
 
     def _update_role(self, now: float) -> None:
         active = self._neighbours.is_active(now)
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -17,7 +17,7 @@
 from fielddrift_core.evacuations import EvacuationState
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_core.store_index import KeptChange
-from fielddrift_core.stream_origins import StreamOrigin
+from fielddrift_core.stream_origins import StreamOrigin, VersionSpan
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import Client, ExchangeError, Timeouts
@@ -123,6 +123,7 @@
             "/views/targets": self._targets,
             "/views/kept": self._kept,
             "/views/origins": self._origins,
+            "/views/software": self._software,
         }
         """Requests of the previous release have no `marks` parameter, as it does not know eras."""
 
@@ -166,6 +167,19 @@
         found = [self._views.origins.find(key, now) for key in keys]
         return [origin._replace(until=origin.until - now) for origin in found if origin is not None]
 
+    def _software(self, _: list[str]) -> dict[str, dict[str, VersionSpan]]:
+        """Return the software versions by service, with ages in place of times."""
+        versions = self._views.software_versions
+        if not versions.is_history_known:
+            raise ValueError("the versions that served earlier are not known yet")
+        now = asyncio.get_running_loop().time()
+        return {
+            service: {
+                name: VersionSpan(now - span.first, now - span.last) for name, span in found.items()
+            }
+            for service, found in versions.spans().items()
+        }
+
     def _kept(self, requests: list[str]) -> list[StoreCopy]:
         clock = self._views.to_engine_clock(asyncio.get_running_loop().time())
         copies = [self._store_copy(_parse_store_request(text), clock) for text in requests]
@@ -221,6 +235,10 @@
         path = f"/views/origins?{query}"
         return await self._get(node, path, list[StreamOrigin], timeouts=_ORIGIN_TIMEOUTS)
 
+    async def software_versions(self, node: Neighbour) -> dict[str, dict[str, VersionSpan]]:
+        """Return the software versions that `node` has seen, with ages in seconds, by service."""
+        return await self._get(node, "/views/software", dict[str, dict[str, VersionSpan]])
+
     async def _get(
         self, node: Neighbour, path: str, kind: type[_T], *, timeouts: Timeouts = _TIMEOUTS
     ) -> _T:
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -2,7 +2,7 @@
 
 A stream is resumed by this node after its run broke off or made no progress, or by its caller, who
 may return to any node.  Where targets of several software versions serve, the origin of each
-stream is sent to some other nodes before its first event is relayed.
+stream is sent to some other nodes before its first event is relayed, and saved on the platform.
 """
 
 from __future__ import annotations
@@ -19,7 +19,6 @@
     MAX_LIFETIME_SECONDS,
     StreamOrigin,
     UnknownOrigin,
-    presumed_version,
     rank_holders,
     stream_key,
 )
@@ -27,8 +26,10 @@
 
 from .call import Call, Refused, short_id
 from .metrics import Metrics
+from .origin_rows import OriginRows, SavedOrigin
 from .ports import RemoteCallError
 from .sharing import PeerClient
+from .version_rows import VersionRows
 from .views import Views
 
 __all__ = ["StreamVersions"]
@@ -52,6 +53,11 @@
 """Origins per datagram; an entry takes about 40 bytes, and more with long names."""
 _MAX_RECENT_COUNT = 1000
 """Origins, newest first, among which those for a newly discovered node are looked for."""
+_WRITER_COUNT = 4
+"""Nodes of each data centre that save origins, for all of its nodes."""
+_HISTORY_WAIT_SECONDS = 0.8
+"""How long a returning caller waits until a node that has just started knows former versions."""
+_HISTORY_POLL_SECONDS = 0.02
 _OBSERVE_SECONDS = 1.0
 """Interval at which the versions of unchanged targets are recorded."""
 _OUTDATED_SECONDS = 3.0
@@ -86,6 +92,9 @@
     is_sufficient: bool
 
 
+_NO_SAVED_ORIGIN = SavedOrigin(None, is_given=False)
+
+
 class _Batch(NamedTuple):
     """The keys, in order, that one node is asked for at a time, and its answers by key, None where
     it gave none."""
@@ -95,7 +104,11 @@
 
 
 class StreamVersions:
-    """Restricts streams to the software version that began them."""
+    """Restricts streams to the software version that began them.
+
+    Without `version_rows` and `origin_rows` nothing is known of streams that began before all
+    nodes ended.
+    """
 
     def __init__(
         self,
@@ -105,6 +118,8 @@
         peers: PeerClient,
         metrics: Metrics,
         send: Callable[[Sequence[StreamOrigin], Neighbour], None],
+        version_rows: VersionRows | None = None,
+        origin_rows: OriginRows | None = None,
     ) -> None:
         self._views = views
         self._origins = views.origins
@@ -113,6 +128,8 @@
         self._peers = peers
         self._metrics = metrics
         self._send = send
+        self._version_rows = version_rows
+        self._origin_rows = origin_rows
         self._batches: dict[str, _Batch] = {}
         """Queries that are about to be sent, by the name of the asked node."""
         self._observed_serial = -1
@@ -149,7 +166,14 @@
 
     def allows(self, call: Call, instance: Instance) -> bool:
         """Return whether `instance` may run the request."""
-        return call.trace.software in ("", instance.software)
+        if call.trace.software:
+            return call.trace.software == instance.software
+        return not (
+            self._version_rows is not None
+            and instance.software
+            and _is_resumable(call)
+            and self._version_rows.is_gated(instance.service, instance.software)
+        )
 
     def is_restricted(self, call: Call) -> bool:
         """Return whether some targets of the service may not run the request."""
@@ -170,35 +194,70 @@
         )
         self._origins.record(origin)
         if self._versions.is_mixed(instance.service):
+            self._save([origin], now)
             self._publish([origin], now)
 
     async def _resumption(self, call: Call) -> _Resumption:
         """Return what is known about the stream that a caller resumes."""
+        loop = asyncio.get_running_loop()
         key = stream_key(call.customer_name, call.parsed.resumes)
-        now = asyncio.get_running_loop().time()
-        if (known := self._origins.find(key, now)) is not None:
+        if (known := self._origins.find(key, loop.time())) is not None:
             return _Resumption(known.service, known.software, "own")
+        await self._wait_for_history()
+        now = loop.time()
         self._observe(now)
         services = [share.service for share in call.route.shares]
         outdated = now - self._views.targets_read_at > _OUTDATED_SECONDS
-        if outdated or len(services) > 1 or self._versions.is_mixed(call.service.name):
+        is_open = not self._versions.is_history_known or self._versions.is_mixed(call.service.name)
+        saved = _NO_SAVED_ORIGIN
+        if outdated or len(services) > 1 or is_open:
             answers = await self._ask_others(key) if call.parsed.resumes else None
             if answers is not None and (known := answers.origin) is not None:
                 self._origins.record(known)
                 return _Resumption(known.service, known.software, "node")
+            if is_open and call.parsed.resumes and self._origin_rows is not None:
+                saved = await self._origin_rows.find(key)
+                if (known := saved.origin) is not None:
+                    self._origins.record(known)
+                    return _Resumption(known.service, known.software, "platform")
             if len(services) > 1:
                 raise _refused("it is not known which service began the stream")
             if answers is not None and not answers.is_sufficient:
                 raise _refused("too few nodes answered that may know which version began it")
             if outdated and self._is_isolated(now):
                 raise _refused("no other node is reached that may know of newer versions")
+        return self._presume(call, is_denied=saved.is_given)
+
+    def _presume(self, call: Call, *, is_denied: bool) -> _Resumption:
+        """Return where a stream of unknown origin may go on; raise `Refused` if that is not known.
+
+        `is_denied` tells that the platform does not know its origin, either.
+        """
+        now = asyncio.get_running_loop().time()
+        all_reached = is_denied and not self._missing_nodes(now)
         try:
-            software = presumed_version(self._versions.first_seen(call.service.name), now)
+            software = self._versions.presumed(call.service.name, now, all_reached=all_reached)
         except UnknownOrigin as versions:
             detail = f"it is not known which software version began the stream: {versions}"
             raise _refused(detail) from None
         return _Resumption(call.service.name, software, "presumed" if software else "any")
 
+    async def _wait_for_history(self) -> None:
+        """Wait a short time until the versions that served before the start are known."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + _HISTORY_WAIT_SECONDS
+        while not self._versions.is_history_known and loop.time() < until:
+            await asyncio.sleep(_HISTORY_POLL_SECONDS)
+
+    def _missing_nodes(self, now: float) -> list[str]:
+        """Return the nodes that this one has heard, and that do not send heartbeats any more."""
+        alive = {node.name for node in self._neighbours.alive(now)}
+        return [
+            node.name
+            for node in self._neighbours.known_nodes(now)
+            if node.silent_seconds is not None and node.name not in alive
+        ]
+
     def _is_isolated(self, now: float) -> bool:
         """Return whether there are other nodes, and none is heard from."""
         return bool(self._neighbours.known_nodes(now)) and not self._neighbours.alive(now)
@@ -276,11 +335,15 @@
     def heard(self, origins: Sequence[StreamOrigin]) -> None:
         """Record origins from another node, whose `until` are the seconds that are left."""
         now = asyncio.get_running_loop().time()
-        for origin in origins:
-            left = min(origin.until, MAX_LIFETIME_SECONDS)
-            self._origins.record(origin._replace(until=now + left))
+        received = [o._replace(until=now + min(o.until, MAX_LIFETIME_SECONDS)) for o in origins]
+        for origin in received:
+            self._origins.record(origin)
             # The sender may know targets of another version that this node does not know yet.
             self._observe_versions(origin.service, {origin.software}, now)
+        writers = self._writers(now)
+        if len(writers) == _WRITER_COUNT:
+            # Nodes that save no origins send theirs to those that do.
+            self._save([o for o in received if self._is_writer_of(o.key, writers)], now)
 
     def send_recent(self, node: Neighbour) -> None:
         """Send the origins that a node which was just discovered or restarted should hold."""
@@ -298,6 +361,19 @@
         """Return the origins that other nodes need, in the order of their recording."""
         return [o for o in self._origins.all(now) if self._versions.is_mixed(o.service)]
 
+    def _writers(self, now: float) -> list[str]:
+        """Return the names of the nodes of this data centre that save origins."""
+        names = [self._neighbours.me.name, *(n.name for n in self._neighbours.nearby(now))]
+        return sorted(names)[:_WRITER_COUNT]
+
+    def _is_writer_of(self, key: str, writers: Sequence[str]) -> bool:
+        return rank_holders(key, writers)[0] == self._neighbours.me.name
+
+    def _save(self, origins: Sequence[StreamOrigin], now: float) -> None:
+        """Save origins on the platform if this node does so."""
+        if self._origin_rows is not None and self._neighbours.me.name in self._writers(now):
+            self._origin_rows.add(origins)
+
     def _publish(self, origins: Sequence[StreamOrigin], now: float) -> None:
         by_node: dict[str, tuple[Neighbour, list[StreamOrigin]]] = {}
         for origin in origins:
@@ -307,8 +383,16 @@
             self._send_chunks(wanted, node, now)
 
     def _holders(self, key: str, now: float) -> list[Neighbour]:
-        """Return the nodes that should hold an origin: some nearby, one in another data centre."""
-        holders = _first(key, self._neighbours.nearby(now), _COPY_COUNT)
+        """Return the nodes that should hold an origin: some nearby, one in another data centre.
+
+        If this node does not save origins, one that does is among them.
+        """
+        nearby = self._neighbours.nearby(now)
+        holders = _first(key, nearby, _COPY_COUNT)
+        writers = self._writers(now)
+        if self._origin_rows is not None and self._neighbours.me.name not in writers:
+            writer = rank_holders(key, writers)[0]
+            holders += [n for n in nearby if n.name == writer and n not in holders]
         remote = self._neighbours.remote()
         for data_centre in rank_holders(key, remote)[:1]:
             holders += _first(key, remote[data_centre], 1)
@@ -341,6 +425,7 @@
         if self._versions.observe(service, versions, now):
             # Streams that began before were not sent to other nodes.
             begun = [o for o in self._origins.all(now) if o.service == service]
+            self._save(begun, now)
             self._publish(begun, now)
 
 
--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/version_rows.py
@@ -0,0 +1,297 @@
+"""Persist in the platform's table which software versions serve, to survive a restart of all nodes.
+
+There is one row per service.  It is written when a version appears and after its last target has
+ended.  No stream begins at a version before its row is written, so that a node which starts knows
+every version that may have begun a stream.  Times in the rows are on the platform's clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import NamedTuple, TypedDict
+
+import msgspec
+import structlog
+from fielddrift_core.neighbours import Neighbours
+from fielddrift_core.rollout import StoreClock
+from fielddrift_core.stream_origins import VERSION_RETENTION_SECONDS, SavedVersion, VersionSpan
+
+from .feeds import Backoff
+from .ports import Platform, RemoteCallError, RowWrite, SavedRow
+from .sharing import PeerClient
+from .views import Views
+
+__all__ = ["VersionRows"]
+
+TABLE = "software"
+_POLL_SECONDS = 0.1
+"""Polling interval for changes to save."""
+_MAX_CLOCK_AGE_SECONDS = 60.0
+"""Maximum age of a reading of the platform's clock from which the current time is extrapolated."""
+_READ_DELAY_SECONDS = 0.1
+"""How long a new version is left to the coordinator to save, before this one reads the rows."""
+_WRITE_DELAY_SECONDS = 1.0
+"""How long it is left to the coordinator, which may not reach the platform."""
+_START_DELAY_SECONDS = 1.5
+"""How long after its start a node saves no new version beside a saved one.  Nodes that start
+together all find the row as it was when the last of their predecessors ended."""
+_MAX_GATE_SECONDS = 3.0
+"""How long streams are kept from a version that cannot be saved."""
+_MAX_READ_PERIOD_SECONDS = 0.8
+_COPY_ATTEMPTS = 3
+"""Nodes that are asked for their versions while the platform gives no answer."""
+_MAX_WRITE_COUNT = 40
+"""Rows per call; the platform accepts 100 entries per call."""
+
+_log = structlog.get_logger()
+
+
+class _VersionRow(TypedDict):
+    """The versions of one service; fields may be added."""
+
+    versions: dict[str, SavedVersion]
+
+
+class _Saved(NamedTuple):
+    versions: Mapping[str, SavedVersion]
+    row: int
+
+
+_ABSENT = _Saved({}, 0)
+
+
+class VersionRows:
+    """Load the versions that served lately, and save those that appear or end.
+
+    The coordinator writes for all nodes, and others do where it fails to.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        peers: PeerClient,
+        neighbours: Neighbours,
+        views: Views,
+        rng: random.Random,
+    ) -> None:
+        self._platform = platform
+        self._views = views
+        self._versions = views.software_versions
+        self._versions.expect_history()
+        self._peers = peers
+        self._neighbours = neighbours
+        self._rng = rng
+        self._saved: dict[str, _Saved] = {}
+        self._clock: StoreClock | None = None
+        self._unsaved_since: dict[tuple[str, str], float] = {}
+        """Since when a serving version has not been saved, by service and version."""
+        self._read_period = _READ_DELAY_SECONDS
+        self._read_at = float("-inf")
+        self._backoff = Backoff(what="rows of software versions", rng=rng)
+
+    def mark_store_restored(self) -> None:
+        """Handle a store restored from a backup: rows written since must be saved again."""
+        self._clock = None
+
+    def is_gated(self, service: str, version: str) -> bool:
+        """Return whether no stream may begin at `version` yet, as it is not saved.
+
+        Where no version that serves is saved, streams may begin at any.
+        """
+        versions = self._versions
+        if not versions.is_history_known or versions.is_recorded(service, version):
+            return False
+        now = asyncio.get_running_loop().time()
+        since = self._unsaved_since.setdefault((service, version), now)
+        return now - since < _MAX_GATE_SECONDS and self._has_saved_version(service)
+
+    async def run(self) -> None:
+        """Load the rows, then save changes, until cancelled."""
+        while self._clock is None:
+            await self._attempt(read=True)
+            if not self._versions.is_history_known:
+                await self._copy_history()
+        while True:
+            await asyncio.sleep(_POLL_SECONDS)
+            now = asyncio.get_running_loop().time()
+            if not self._views.targets_row:
+                continue
+            if self._clock is None:
+                await self._attempt(read=True)
+            elif self._update_unsaved(now) and self._changes():
+                waited = now - min(self._unsaved_since.values())
+                if self._neighbours.is_coordinator(
+                    now
+                ) or waited > _WRITE_DELAY_SECONDS * self._rng.uniform(1.0, 1.5):
+                    await self._attempt()
+                elif waited > _READ_DELAY_SECONDS and now - self._read_at > self._read_period:
+                    self._read_period = min(2 * self._read_period, _MAX_READ_PERIOD_SECONDS)
+                    await self._attempt(read=True)
+            else:
+                self._read_period = _READ_DELAY_SECONDS
+                if self._neighbours.is_coordinator(now) and self._changes():
+                    await self._attempt()
+
+    def _update_unsaved(self, now: float) -> bool:
+        """Record which serving versions are not saved; return whether there are any."""
+        unsaved = {
+            (service, version)
+            for service, versions in self._serving().items()
+            for version in versions
+            if not self._versions.is_recorded(service, version)
+        }
+        self._unsaved_since = {key: self._unsaved_since.get(key, now) for key in unsaved}
+        return bool(unsaved)
+
+    def _serving(self) -> Mapping[str, frozenset[str]]:
+        """Return the versions of the targets that are listed, by service."""
+        return self._views.registry.software()
+
+    def _has_saved_version(self, service: str) -> bool:
+        """Return whether a version of `service` that serves is saved."""
+        serving = self._serving().get(service, ())
+        return any(self._versions.is_recorded(service, name) for name in serving)
+
+    async def _attempt(self, *, read: bool = False) -> None:
+        """Read the rows or save changes; back off if the platform gives no answer."""
+        try:
+            if read:
+                await self._read()
+            else:
+                await self._save()
+            self._backoff.succeeded()
+        except RemoteCallError as error:
+            await self._backoff.failed(error)
+
+    async def _copy_history(self) -> None:
+        """Copy the versions that served from another node, as the platform gives no answer."""
+        loop = asyncio.get_running_loop()
+        for node in self._neighbours.alive(loop.time())[:_COPY_ATTEMPTS]:
+            try:
+                ages = await self._peers.software_versions(node)
+            except RemoteCallError as error:
+                _log.info("software versions not copied", node=node.name, error=str(error))
+                continue
+            now = loop.time()
+            spans = {
+                service: {
+                    name: VersionSpan(now - age.first, now - age.last)
+                    for name, age in versions.items()
+                }
+                for service, versions in ages.items()
+            }
+            self._versions.copy_history(spans, now)
+            _log.info("software versions copied", node=node.name)
+            return
+
+    def _changes(self) -> dict[str, Mapping[str, SavedVersion]]:
+        """Return what the rows should hold, by service, where it differs from what they do."""
+        clock, now = self._clock, asyncio.get_running_loop().time()
+        assert clock is not None
+        serving = self._serving()
+        changes: dict[str, Mapping[str, SavedVersion]] = {}
+        is_new = now - self._versions.history_read_at < _START_DELAY_SECONDS
+        for service in {*serving, *self._saved}:
+            if is_new and self._has_saved_version(service):
+                continue
+            before = self._saved.get(service, _ABSENT).versions
+            after = _updated(
+                before,
+                serving=serving.get(service, frozenset()),
+                spans=self._versions.spans().get(service, {}),
+                clock=clock,
+                now=now,
+            )
+            if after != before:
+                changes[service] = after
+        return changes
+
+    async def _save(self) -> None:
+        clock = self._clock
+        now = asyncio.get_running_loop().time()
+        if clock is None or now - clock.heard > _MAX_CLOCK_AGE_SECONDS:
+            await self._read()
+        changes = dict(list(self._changes().items())[:_MAX_WRITE_COUNT])
+        if not changes:
+            return
+        writes = [
+            RowWrite(
+                service,
+                msgspec.json.encode(_VersionRow(versions=dict(versions))) if versions else None,
+                self._saved.get(service, _ABSENT).row,
+            )
+            for service, versions in changes.items()
+        ]
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        outcome = await self._platform.write(TABLE, writes)
+        if not outcome.done:
+            # Another node has written a row.
+            await self._read()
+            return
+        self._clock = StoreClock(outcome.clock, sent, loop.time())
+        for service, versions in changes.items():
+            self._versions.set_recorded(service, versions)
+            if versions:
+                self._saved[service] = _Saved(versions, outcome.version)
+            else:
+                self._saved.pop(service, None)
+        _log.info(
+            "software versions saved",
+            versions={name: sorted(versions) for name, versions in changes.items()},
+            serving={name: sorted(self._serving().get(name, ())) for name in changes},
+        )
+
+    async def _read(self) -> None:
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        rows, platform_time = await self._platform.rows(TABLE)
+        now = self._read_at = loop.time()
+        self._clock = clock = StoreClock(platform_time, sent, now)
+        is_start = not self._versions.is_history_known
+        self._saved = {row.key: _Saved(_decode(row), row.version) for row in rows}
+        found = {service: saved.versions for service, saved in self._saved.items()}
+        self._versions.restore(found, clock, now)
+        if is_start:
+            names = {service: sorted(versions) for service, versions in found.items()}
+            _log.info("software versions read", versions=names)
+
+
+def _decode(row: SavedRow) -> Mapping[str, SavedVersion]:
+    try:
+        return msgspec.json.decode(row.value, type=_VersionRow)["versions"]
+    except msgspec.DecodeError as error:
+        _log.error("row of software versions cannot be decoded", row=row.key, error=str(error))
+        return {}
+
+
+def _updated(
+    before: Mapping[str, SavedVersion],
+    *,
+    serving: frozenset[str],
+    spans: Mapping[str, VersionSpan],
+    clock: StoreClock,
+    now: float,
+) -> Mapping[str, SavedVersion]:
+    """Return the versions that the row of a service should hold, instead of `before`."""
+
+    def on_platform(moment: float) -> float:
+        return round(clock.clock + moment - clock.heard, 3)
+
+    after: dict[str, SavedVersion] = {}
+    for name in sorted({*before, *serving}):
+        saved = before.get(name)
+        first = saved.first if saved is not None else on_platform(spans[name].first)
+        if name in serving:
+            after[name] = SavedVersion(first, None)
+            continue
+        assert saved is not None
+        last = saved.last
+        if last is None:
+            last = on_platform(spans[name].last if name in spans else now)
+        if on_platform(now) - last <= VERSION_RETENTION_SECONDS:
+            after[name] = SavedVersion(first, last)
+    return after
--- /dev/null
+++ b/tests/test_versions_after_restart.py
@@ -0,0 +1,225 @@
+"""A node that has just started knows which software versions may have begun a stream.
+
+Failure: which version began a stream, and which ones had served, lived in processes only.  After
+all nodes had ended, streams of a version that had ended went on at the one that served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import mock
+
+from fielddrift_node.serving import origin_rows, version_rows
+from fielddrift_node.serving.ports import RemoteCallError
+from fielddrift_platform.store import PlatformStore
+
+from .platform_fleet import RunningNode, eventually
+from .test_software_versions import _EVENTS, _RETURN_SECONDS, MixedCase, _Caller
+
+_CONTACT_SECONDS = 3.2
+"""From this time after a start on, a node has to let streams go on that may."""
+
+
+class RestartCase(MixedCase):
+    """All nodes end at the same moment, and others start."""
+
+    async def replace_all(self) -> list[RunningNode]:
+        """Kill all nodes and start as many new ones."""
+        count = sum(node.task is not None for node in self.nodes)
+        for node in self.nodes:
+            if node.task is not None:
+                node.kill()
+        started = [await self.fleet.node(f"again-{number}") for number in range(count)]
+        self.nodes += started
+        await self.known()
+        return started
+
+    async def end_version(self, software: str) -> None:
+        """Let all engines of a version leave the list and end."""
+        for engine in self.engines:
+            if engine.software == software:
+                self.fleet.store.drop("servers", engine.name)
+        running = [node for node in self.nodes if node.task is not None]
+        for engine in self.engines:
+            if engine.software == software:
+                for node in running:
+                    registry = node.node.views.registry
+                    await eventually(lambda r=registry, e=engine: r.get(e.name) is None)
+                engine.crash()
+
+    async def come_back(self, callers: list[_Caller], nodes: list[RunningNode]) -> None:
+        """Let the callers return to the nodes in turn, and wait until their responses end."""
+        for number, caller in enumerate(callers):
+            caller.send(nodes[number % len(nodes)])
+        await self.end_streams(callers)
+
+    async def saved(self) -> None:
+        """Wait until all nodes know that the versions which serve are saved."""
+        for node in self.nodes:
+            views = node.node.views
+            if node.task is None:
+                continue
+            for name in views.registry.software().get("engines", ()):
+                await eventually(
+                    lambda v=views, n=name: v.software_versions.is_recorded("engines", n)
+                )
+
+    def begun_by(self, callers: list[_Caller], software: str) -> list[_Caller]:
+        """Return the callers whose streams the version began."""
+        found = zip(callers, self.software(callers), strict=True)
+        return [caller for caller, versions in found if versions == {software}]
+
+
+class TestAllNodesEnd(RestartCase):
+    async def test_streams_of_a_version_that_ended_before_the_start_join_no_other(self) -> None:
+        """Failure: a node that started after the end of a version took its streams for any."""
+        await self.start(engines=4, versions=("v1", "v1.1"))
+        await self.saved()
+        callers = await self.open_streams(18, own_parts=True)
+        old = self.begun_by(callers, "v1")
+        new = self.begun_by(callers, "v1.1")
+        self.assertTrue(old and new)
+        for caller in old:
+            caller.leave()
+        await self.end_version("v1")
+        await asyncio.sleep(2 * origin_rows._FLUSH_SECONDS)
+        nodes = await self.replace_all()
+        await self.come_back(callers, nodes)
+        self.assert_unmixed(callers)
+        self.assertEqual({caller.status for caller in old}, {503})
+        self.assert_whole(new)
+
+    async def test_streams_of_all_versions_that_serve_go_on(self) -> None:
+        """Failure if a node refuses all streams that began before its start."""
+        await self.start(engines=4, versions=("v1", "v1.1"))
+        await self.saved()
+        callers = await self.open_streams(18, own_parts=True)
+        await asyncio.sleep(2 * origin_rows._FLUSH_SECONDS)
+        nodes = await self.replace_all()
+        await self.come_back(callers, nodes)
+        self.assert_whole(callers)
+
+    async def test_streams_go_on_where_a_version_appeared_while_no_node_ran(self) -> None:
+        """Failure if a version that no node has seen may have begun streams of former nodes."""
+        await self.start(engines=2, versions=("v1",))
+        await self.saved()
+        callers = await self.open_streams(12, own_parts=True)
+        for node in self.nodes:
+            node.kill()
+        await self.add_engine("late", "v1.1")
+        nodes = await self.replace_all_from_none(3)
+        await asyncio.sleep(_CONTACT_SECONDS)
+        await self.come_back(callers, nodes)
+        self.assert_whole(callers)
+
+    async def replace_all_from_none(self, count: int) -> list[RunningNode]:
+        started = [await self.fleet.node(f"again-{number}") for number in range(count)]
+        self.nodes += started
+        await self.known()
+        return started
+
+    async def test_streams_of_the_only_version_go_on_after_a_mixture_long_ago(self) -> None:
+        """Failure if an end that nobody saved counts as new at each start."""
+        core = mock.patch("fielddrift_core.stream_origins.VERSION_RETENTION_SECONDS", 1.0)
+        rows = mock.patch.object(version_rows, "VERSION_RETENTION_SECONDS", 1.0)
+        with core, rows:
+            await self.start(engines=4, versions=("v1", "v1.1"))
+            await self.saved()
+            await self.end_version("v1")
+            await eventually(lambda: self._saved_last("v1") is not None)
+            await asyncio.sleep(1.2)
+            callers = await self.open_streams(12, own_parts=True)
+            for caller in callers:
+                caller._first = f"unknown-{caller.name}"
+            nodes = await self.replace_all()
+            await self.come_back(callers, nodes)
+            self.assert_whole(callers)
+
+    def _saved_last(self, version: str) -> object:
+        row = self.fleet.store.get("software", "engines") or {"versions": {}}
+        return row["versions"].get(version, [0, None])[1]
+
+
+class TestOneNodeStarts(RestartCase):
+    async def test_a_node_that_starts_after_the_end_of_a_version_presumes_nothing(self) -> None:
+        """Failure: only the versions that serve when a node starts counted there."""
+        await self.start(nodes=2, engines=2, versions=("v1", "v1.1"))
+        await self.saved()
+        callers = await self.open_streams(8, own_parts=True)
+        old = self.begun_by(callers, "v1")
+        self.assertTrue(old)
+        for caller in callers:
+            caller.leave()
+            caller._first = f"unknown-{caller.name}"
+        await self.end_version("v1")
+        late = await self.add_node("late")
+        await asyncio.sleep(_RETURN_SECONDS)
+        await self.come_back(old, [late])
+        self.assert_unmixed(old)
+        self.assertEqual({caller.status for caller in old}, {503})
+
+    async def test_a_node_that_the_store_turns_away_learns_the_versions_of_others(self) -> None:
+        """Failure if a node that starts without the store refuses all streams or takes any."""
+        await self.start(nodes=2, engines=4, versions=("v1", "v1.1"))
+        await self.saved()
+        await self.end_version("v1")
+        rows = PlatformStore.rows
+
+        async def refuse(store: PlatformStore, table: str) -> object:
+            if table == version_rows.TABLE:
+                raise RemoteCallError("turned away")
+            return await rows(store, table)
+
+        with mock.patch.object(PlatformStore, "rows", refuse):
+            late = await self.fleet.node("late")
+            self.nodes.append(late)
+            versions = late.node.views.software_versions
+            await eventually(lambda: versions.is_history_known)
+        self.assertTrue(versions.is_mixed("engines"))
+
+
+class TestBeforeItIsSaved(RestartCase):
+    async def test_no_stream_begins_at_a_version_before_it_is_saved(self) -> None:
+        """Failure: a version may begin streams, and no node that starts later knows of it."""
+        await self.start(nodes=1, engines=1, versions=("v1",))
+        await self.saved()
+        rows = self.nodes[0].node._version_rows
+        with mock.patch.object(rows, "_save", side_effect=RemoteCallError("no answer")):
+            for number in range(3):
+                await self.add_engine(f"late-{number}", "v1.1")
+            await self.known()
+            callers = await self.open_streams(8, own_parts=True)
+            self.assertEqual(self.begun_by(callers, "v1.1"), [])
+        await self.saved()
+        more = [_Caller(f"more-{number}") for number in range(8)]
+        for number, caller in enumerate(more):
+            caller.send(self.nodes[0], X_Prompt_Prefix=f"r{number}:300,s{number}:50")
+        for caller in more:
+            await caller.has_events(1)
+        self.assertTrue(self.begun_by(more, "v1.1"))
+        await self.end_streams([*callers, *more])
+        self.assertEqual({len(caller.events) for caller in callers}, {_EVENTS})
+
+
+class TestRows(RestartCase):
+    async def test_nothing_is_written_for_streams_of_one_version(self) -> None:
+        await self.start(engines=2, versions=("v1",))
+        await self.saved()
+        before = len(self.fleet.store.calls)
+        callers = await self.open_streams(12, own_parts=True)
+        await self.end_streams(callers)
+        written = [c for c in self.fleet.store.calls[before:] if "rows-tx" in c]
+        self.assertEqual(written, [])
+
+    async def test_writes_are_bounded_however_many_streams_begin(self) -> None:
+        await self.start(nodes=1, engines=4, versions=("v1", "v1.1"))
+        await self.saved()
+        before = len(self.fleet.store.calls)
+        began_at = asyncio.get_running_loop().time()
+        callers = await self.open_streams(60, own_parts=True)
+        await asyncio.sleep(2 * origin_rows._FLUSH_SECONDS)
+        seconds = asyncio.get_running_loop().time() - began_at
+        written = [c for c in self.fleet.store.calls[before:] if "rows-tx" in c]
+        self.assertTrue(written)
+        self.assertLessEqual(len(written), seconds / origin_rows._FLUSH_SECONDS + 2)
+        await self.end_streams(callers)
