Save a software version that the node has not observed yet

Cause: the row's first time was taken from the versions that the node observes every 0.2 s; a target that came in between failed the loop (`loop failed`, loop VersionRows.run, in the log of a test), which then started again after 0.5 s. Change: the current time counts.

--- a/packages/node/src/fielddrift_node/serving/version_rows.py
+++ b/packages/node/src/fielddrift_node/serving/version_rows.py
@@ -283,15 +283,15 @@
 
     after: dict[str, SavedVersion] = {}
     for name in sorted({*before, *serving}):
-        saved = before.get(name)
-        first = saved.first if saved is not None else on_platform(spans[name].first)
+        saved, span = before.get(name), spans.get(name, VersionSpan(now, now))
+        first = saved.first if saved is not None else on_platform(span.first)
         if name in serving:
             after[name] = SavedVersion(first, None)
             continue
         assert saved is not None
         last = saved.last
         if last is None:
-            last = on_platform(spans[name].last if name in spans else now)
+            last = on_platform(span.last)
         if on_platform(now) - last <= VERSION_RETENTION_SECONDS:
             after[name] = SavedVersion(first, last)
     return after
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -9,6 +9,8 @@
 import asyncio
 from unittest import mock
 
+from fielddrift_core.rollout import StoreClock
+from fielddrift_core.stream_origins import SavedVersion
 from fielddrift_node.serving import origin_rows, version_rows
 from fielddrift_node.serving.ports import RemoteCallError
 from fielddrift_platform.store import PlatformStore
@@ -202,6 +204,13 @@
 
 
 class TestRows(RestartCase):
+    def test_a_version_that_this_node_has_not_recorded_yet_is_saved(self) -> None:
+        """Failure: the loop that saves failed where a target came before the next observation."""
+        updated = version_rows._updated(
+            {}, serving=frozenset({"v1"}), spans={}, clock=StoreClock(10.0, 1.0, 1.0), now=3.0
+        )
+        self.assertEqual(updated, {"v1": SavedVersion(12.0, None)})
+
     async def test_nothing_is_written_for_streams_of_one_version(self) -> None:
         await self.start(engines=2, versions=("v1",))
         await self.saved()
