Let the configuration say that requests need a key, not the number of keys

Cause: the gateway asked for a key only where the map of customers by key was not empty.

Change: Catalog.needs_key follows the form of the configuration. None means that it is not known, as in a copy from the release before, and is refused with 503. That release gets a catalog with which it asks for a key as well.

Seen failing: the four tests of nodes got 200 where 401 is due.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -100,7 +100,7 @@
         (Share(_SERVICE, 1),), 2, True, True, 0.25,
     )  # fmt: skip
     by_name = {service.name: service for service in services}
-    return Catalog(1, {"h": (route,)}, by_name, {}, 16_384, 1 << 22, 3.0, 15.0)
+    return Catalog(1, {"h": (route,)}, by_name, {}, 16_384, 1 << 22, 3.0, 15.0, needs_key=False)
 
 
 def _views(fleet: Fleet, catalog: Catalog, rng: random.Random) -> Views:
--- a/bench/lab/laboratory.py
+++ b/bench/lab/laboratory.py
@@ -191,7 +191,9 @@
         )
         services = {_SERVICE: Service(_SERVICE, engine=engines)}
         services |= {s.address: Service(s.address, store=s) for s in stores}
-        return Catalog(1, {_HOST: routes}, services, {}, 1 << 14, 1 << 22, 3.0, 15.0)
+        return Catalog(
+            1, {_HOST: routes}, services, {}, 1 << 14, 1 << 22, 3.0, 15.0, needs_key=False
+        )
 
     # --- between nodes, and from stores --------------------------------------------
 
--- a/packages/core/src/fielddrift_core/catalog.py
+++ b/packages/core/src/fielddrift_core/catalog.py
@@ -133,7 +133,12 @@
 
 
 class Catalog(NamedTuple):
-    """All settings of the operators at one version; sizes in bytes, times in seconds."""
+    """All settings of the operators at one version; sizes in bytes, times in seconds.
+
+    `needs_key` tells that requests need a customer's key, but on anonymous routes.  The operators
+    decide that, not the number of keys: with none left, no request has a valid one.  None means
+    that it is not known, as in the copy of a node whose release does not tell it.
+    """
 
     version: int
     routes: Mapping[str, tuple[Route, ...]]
@@ -143,6 +148,7 @@
     body_bytes: int
     header_seconds: float
     idle_seconds: float
+    needs_key: bool | None = None
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`, None without a match."""
--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 import structlog
-from fielddrift_core.catalog import Route, Service
+from fielddrift_core.catalog import Catalog, Route, Service
 from fielddrift_core.drain_window import max_response_seconds
 from fielddrift_core.errors import ERROR_RESPONSES, ErrorKind, Ran, Refusal
 from fielddrift_core.request_ends import EndCause
@@ -157,10 +157,8 @@
             detail = f"host {parsed.host!r}, path {parsed.path!r}: no route"
             raise Refused(Refusal(ErrorKind.NOT_FOUND, detail, Ran.NO))
         customer = catalog.customer(parsed.key) if parsed.key else None
-        if customer is None and catalog.customers and not route.anonymous:
-            if views.stale.is_set():
-                raise self._unknown_after_pause("key")
-            raise Refused(Refusal(ErrorKind.UNAUTHORIZED, "the key is missing or unknown", Ran.NO))
+        if customer is None and not route.anonymous:
+            self._check_anonymous(catalog)
         service = catalog.services.get(self._choose_service(route, parsed))
         if service is None:
             raise Refused(
@@ -192,6 +190,19 @@
             ranks=views.ranks(catalog, service.name),
         )
 
+    def _check_anonymous(self, catalog: Catalog) -> None:
+        """Raise `Refused` unless requests without a customer's key may run under `catalog`."""
+        if catalog.needs_key is None:
+            detail = f"configuration {catalog.version}: it is not known whether keys are needed"
+            raise Refused(
+                Refusal(ErrorKind.PLATFORM_DOWN, detail, Ran.NO, 1.0, "key-policy-unknown")
+            )
+        if not catalog.needs_key:
+            return
+        if self._context.views.stale.is_set():
+            raise self._unknown_after_pause("key")
+        raise Refused(Refusal(ErrorKind.UNAUTHORIZED, "the key is missing or unknown", Ran.NO))
+
     def _is_return(self, parsed: ParsedRequest, route: Route, service: Service) -> bool:
         """Return whether the caller surely sent the prompt before, and has read nothing of it.
 
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -7,12 +7,12 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple, TypeVar, cast
 from urllib.parse import parse_qs, urlencode
 
 import msgspec
 import structlog
-from fielddrift_core.catalog import Catalog
+from fielddrift_core.catalog import Catalog, CatalogCustomer
 from fielddrift_core.eras import version_of
 from fielddrift_core.evacuations import EvacuationState
 from fielddrift_core.neighbours import Neighbour
@@ -57,6 +57,10 @@
 
 _PREVIOUS_FIELD_COUNT, _PREVIOUS_SERVICE_FIELD_COUNT = 3, 5
 """Number of fields of `OperatorCopy`, and of a `Service` in it, in the previous release."""
+_UNKEYED_CATALOG_FIELD_COUNT = 8
+"""Number of fields of a `Catalog` without `needs_key`."""
+_NO_KEY = ""
+"""No request is looked up under the empty key, and no customer holds it."""
 _PREVIOUS_INSTANCE_FIELD_COUNT = 8
 """Number of fields of an `Instance` in the previous release."""
 
@@ -67,10 +71,21 @@
     if copy.catalog is not None:
         services = copy.catalog.services.items()
         shortened = {name: service[:_PREVIOUS_SERVICE_FIELD_COUNT] for name, service in services}
-        catalog = (*copy.catalog[:2], shortened, *copy.catalog[3:])
+        fields = cast(tuple[object, ...], _without_key_policy(copy)[0])
+        catalog = (*fields[:2], shortened, *fields[3:])
     return (catalog, *copy[1:_PREVIOUS_FIELD_COUNT])
 
 
+def _without_key_policy(copy: OperatorCopy) -> tuple[object, ...]:
+    """Return `copy` for a node of a release that asks for a key where there is any customer."""
+    catalog = copy.catalog
+    if catalog is None:
+        return copy
+    if catalog.needs_key is not False and not catalog.customers:
+        catalog = catalog._replace(customers={_NO_KEY: CatalogCustomer(_NO_KEY)})
+    return (catalog[:_UNKEYED_CATALOG_FIELD_COUNT], *copy[1:])
+
+
 class TargetCopy(NamedTuple):
     """A node's copy of the target entries, as of row version `row`.
 
@@ -140,6 +155,8 @@
                 view = view._replace(row=version_of(view.row))
             if "evacuations" not in query and isinstance(view, OperatorCopy):
                 view = _for_previous_release(view)
+            elif "keys" not in query and isinstance(view, OperatorCopy):
+                view = _without_key_policy(view)
             if "software" not in query and isinstance(view, TargetCopy):
                 view = _without_software(view)
         except ValueError as error:
@@ -218,7 +235,12 @@
 
     async def operators(self, node: Neighbour) -> OperatorCopy:
         """Return the operators' rows of `node`."""
-        return await self._get(node, "/views/operators?marks=era&evacuations=all", OperatorCopy)
+        path = "/views/operators?marks=era&evacuations=all&keys=all"
+        copy = await self._get(node, path, OperatorCopy)
+        catalog = copy.catalog
+        if catalog is not None and catalog.needs_key is None and catalog.customers:
+            copy = copy._replace(catalog=catalog._replace(needs_key=True))
+        return copy
 
     async def targets(self, node: Neighbour) -> TargetCopy:
         """Return the target entries of `node`."""
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -161,9 +161,16 @@
         return self.catalog is not None and len(self.registry) > 0
 
     def update_catalog(self, catalog: Catalog) -> bool:
-        """Apply a newer catalog and return True; ignore an older one."""
-        if self.catalog is not None and catalog.version <= self.catalog.version:
-            return False
+        """Apply a newer catalog and return True; ignore an older one.
+
+        One that tells more of the same version counts as newer.
+        """
+        known = self.catalog
+        if known is not None:
+            is_same = catalog.version == known.version
+            tells_more = known.needs_key is None and catalog.needs_key is not None
+            if catalog.version < known.version or (is_same and not tells_more):
+                return False
         self.catalog = catalog
         self.store_index.configure([s.store for s in catalog.stores if s.store is not None])
         return True
