Take a response that ends with its connection for complete only if its target lives

Cause: the engine refuses the connection that shall confirm its end, other nodes answer 403 for a target that is not listed, the refusal was then discarded, and "not known" counted as "lives on" for events and for plain responses. Ruled out by 14 checks with debug lines: interrupted paths, something else at the address.

Change: three states by a type; only a target that lives makes a response complete. A target that refuses and is not listed has ended, unless it still holds a connection open. Plain responses of engines are confirmed as well.

--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from collections.abc import Callable, Collection, Iterable
+from enum import StrEnum
 from typing import NamedTuple, Protocol, TypedDict
 
 from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
@@ -24,7 +25,16 @@
 from .target_paths import TargetPaths
 from .views import Views
 
-__all__ = ["Call", "Refused", "RelayProgress", "Send", "ServingContext", "Trace", "short_id"]
+__all__ = [
+    "Call",
+    "Refused",
+    "RelayProgress",
+    "Send",
+    "ServingContext",
+    "TargetState",
+    "Trace",
+    "short_id",
+]
 
 _MAX_ID_CHARACTERS = 40
 """Maximum length of an event id in a log line: a target may send ids of any length."""
@@ -61,6 +71,17 @@
     """Runs that produced output."""
 
 
+class TargetState(StrEnum):
+    """Whether a target lives on after a response that ended with its connection.
+
+    Only `LIVES` shows that the response is complete.
+    """
+
+    LIVES = "lives"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+
+
 class Send:
     """One send of a request to a target.  Times are loop times."""
 
@@ -245,11 +266,8 @@
     def refused(self, instance: Instance) -> None:
         """Record that a target refused a connection."""
 
-    async def confirm_end(self, instance: Instance) -> bool | None:
-        """Return whether a target lives on after a response that ended with its connection.
-
-        None means that it is not known.
-        """
+    async def confirm_end(self, send: Send) -> TargetState:
+        """Return the state of a target after a response that ended with its connection."""
 
     def confirm_later(self, call: Call, send: Send) -> None:
         """Record a complete response that ended with its connection, if its target lives on."""
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -21,7 +21,7 @@
 
 from ..web.client import ExchangeError
 from .attempts import CONNECTION_LOST_REASONS
-from .call import Call, Refused, Send
+from .call import Call, Refused, Send, TargetState
 from .metrics import Metrics
 from .target_paths import TargetPaths
 from .views import Views
@@ -31,6 +31,8 @@
 _REPLACED = "replaced"
 _PROBE_DELAY_SECONDS = 0.05
 """Delay before the target is probed: a crashing process closes its port within this time."""
+_MAX_CONFIRM_SECONDS = 0.4
+"""Time after which no more attempts are made to find out whether a target lives on."""
 _SETTLING_SECONDS = 10.0
 """Time after its start in which a node may not know the others, and would probe beside them."""
 _TICK_SECONDS = 0.25
@@ -142,18 +144,45 @@
         """Record that a target refused a connection."""
         self._target_ended(instance.name, "connection refused")
 
-    async def confirm_end(self, instance: Instance) -> bool | None:
-        """Return whether a target lives on after a response that ended with its connection.
+    async def confirm_end(self, send: Send) -> TargetState:
+        """Return the state of a target after a response that ended with its connection.
 
-        Such a response looks the same if the target ended in it.  None means that it is not known.
+        Such a response looks the same if the target ended in it.
         """
-        await asyncio.sleep(_PROBE_DELAY_SECONDS)
+        started_at = self._loop.time()
+        delay = _PROBE_DELAY_SECONDS
+        while True:
+            await asyncio.sleep(delay)
+            state, detail = await self._probe_end(send)
+            waited = self._loop.time() - started_at
+            if state is not TargetState.UNKNOWN or waited > _MAX_CONFIRM_SECONDS:
+                break
+            delay *= 2
+        if state is not TargetState.LIVES:
+            _log.info(
+                "end of a response not confirmed",
+                target=send.target,
+                state=state,
+                through=send.through,
+                listed=self._views.registry.get(send.target) is not None,
+                detail=detail,
+                waited_ms=round(waited * 1000),
+            )
+        return state
+
+    async def _probe_end(self, send: Send) -> tuple[TargetState, str]:
+        """Connect to the target of `send` again; return its state, and the error if any."""
         try:
             # The connection is kept in the pool for a later request.
-            await self._paths.connect(instance)
+            await self._paths.connect(send.instance)
         except ExchangeError as error:
-            return False if error.refused else None
-        return True
+            if not error.refused:
+                return TargetState.UNKNOWN, str(error)
+            if self._paths.has_live_connection(send.instance):
+                # It accepts no more connections, and finishes what it has begun.
+                return TargetState.LIVES, ""
+            return TargetState.ENDED, str(error)
+        return TargetState.LIVES, ""
 
     def confirm_later(self, call: Call, send: Send) -> None:
         """Record a complete response that ended with its connection, once its target is known to
@@ -162,7 +191,7 @@
             return
 
         async def confirm() -> None:
-            if await self.confirm_end(send.instance):
+            if await self.confirm_end(send) is TargetState.LIVES:
                 self.answered(call, send)
 
         task = self._loop.create_task(confirm())
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -21,7 +21,7 @@
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, Shortage, send_once
-from .call import Call, Send, ServingContext, short_id
+from .call import Call, Send, ServingContext, TargetState, short_id
 from .part_transfers import PartTransferPlanner
 from .ports import OutgoingRequest
 from .prompt_placement import FIRST_EVENT_TIMEOUT_ESTIMATES, Placement
@@ -341,7 +341,11 @@
             while data := await run.exchange.read():
                 responder.write(data)
                 await responder.drain()
-        except ExchangeError as error:
+            if not await self._is_complete(call, run):
+                raise AttemptFailed(
+                    "not known to be complete", reason="cut", reached=True, not_run=False
+                )
+        except (ExchangeError, AttemptFailed) as error:
             failure = AttemptFailed(str(error), reason="cut", reached=True, not_run=False)
             self.record_failure(call, run.choice.instance, failure, run.send)
             attempts.failed(run.send, failure)
@@ -368,7 +372,7 @@
             if not framer.partial and await self._is_complete(call, run):
                 run.send.generated = framer.events > 0
                 return None
-            detail = "ended inside an event" if framer.partial else "ended with its target"
+            detail = "ended inside an event" if framer.partial else "not known to be complete"
             failure = AttemptFailed(detail, reason="cut", reached=True, not_run=False)
             self.record_failure(call, run.choice.instance, failure, run.send)
             attempts.record(run.send, failure)
@@ -386,14 +390,14 @@
         return await self._start_run(call, attempts, after=framer.last)
 
     async def _is_complete(self, call: Call, run: _Run) -> bool:
-        """Return whether the end of a run's events is that of the stream, not of its target."""
+        """Return whether the end of a run is that of its response, not of its target."""
         if run.send.framed:
             return True
         # Its memory at the engine is free already.
         self.end_run(call, run)
-        lives = await self._context.crashes.confirm_end(run.send.instance)
-        run.send.is_confirmed = bool(lives)
-        return lives is not False
+        state = await self._context.crashes.confirm_end(run.send)
+        run.send.is_confirmed = state is TargetState.LIVES
+        return run.send.is_confirmed
 
     async def _read(self, call: Call, run: _Run, attempts: Attempts) -> bytes | _Run:
         """Return bytes of a run, or the run that takes over because this one is silent.
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -21,7 +21,7 @@
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, Shortage, send_once
-from .call import Call, Refused, Send, ServingContext
+from .call import Call, Refused, Send, ServingContext, TargetState
 from .plain_queues import PlainServiceQueue
 from .ports import OutgoingRequest
 from .send_watch import SendWatch
@@ -392,11 +392,11 @@
         exchange, head = await send_once(self._context, outgoing, call, send)
         body = await self._read_body(outgoing, exchange)
         if not send.framed:
-            lives = await self._context.crashes.confirm_end(send.instance)
-            if lives is False:
-                detail = f"{len(body)} bytes without framing ended with their target"
+            state = await self._context.crashes.confirm_end(send)
+            if state is not TargetState.LIVES:
+                detail = f"{len(body)} bytes without framing, the target's state is {state}"
                 raise AttemptFailed(detail, reason="cut", reached=True, not_run=False)
-            send.is_confirmed = bool(lives)
+            send.is_confirmed = True
         return head, body
 
     async def _read_body(self, outgoing: OutgoingRequest, exchange: Exchange) -> bytes:
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -105,6 +105,10 @@
 
         await self._connect(instance, connect)
 
+    def has_live_connection(self, instance: Instance) -> bool:
+        """Return whether a connection of this node shows that a target's process lives."""
+        return self._client.has_live_connection(instance.address)
+
     async def _connect(
         self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
     ) -> _T:
@@ -141,13 +145,15 @@
     ) -> ExchangeError:
         """Return `error` as it is if it proves that the target has ended, else without a refusal.
 
-        Another node must have been refused as well, unless there is none; this one must not be
+        Another node must have been refused as well, unless there is none, or the target must have
+        left the list, since other nodes carry no tunnels to such.  This node must not be
         disconnected, since others may have lost their paths at the same time.
         """
         if not error.refused:
             return error
         is_alone = not self._neighbours.carriers(asyncio.get_running_loop().time())
-        is_confirmed = tunnel_error.refused and not self._paths.disconnected
+        is_unlisted = self._views.registry.get(target) is None
+        is_confirmed = (tunnel_error.refused or is_unlisted) and not self._paths.disconnected
         if is_confirmed:
             self._confirmed_at[target] = asyncio.get_running_loop().time()
         if is_alone or is_confirmed:
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -138,6 +138,12 @@
         """Return whether the connection may carry another exchange."""
         return self._reusable and self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_reading(self) -> bool:
+        """Return whether the connection is open, and its end would be noticed."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing() and transport.is_reading()
+
     def can_reuse(self, now: float, max_idle_seconds: float | None) -> bool:
         """Return whether the server certainly still accepts a request here at `now`.
 
@@ -502,6 +508,7 @@
         self._read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._idle: dict[_Path, list[_Connection]] = {}
         self._open_counts: dict[str, int] = {}
+        self._established: dict[str, set[_Connection]] = {}
 
     async def begin(
         self,
@@ -587,6 +594,13 @@
         """Return whether there is an idle connection to `address`; `through` is as for `begin`."""
         return bool(self._idle.get(_Path(address, through)))
 
+    def has_live_connection(self, address: str) -> bool:
+        """Return whether a connection to `address` is open at its other end as well.
+
+        One that is not read from at the moment does not count: its end would not be noticed.
+        """
+        return any(c.is_reading for c in self._established.get(address, ()))
+
     def close_idle_tunnels(self, *, usable: Collection[str]) -> None:
         """Close the idle connections through nodes whose addresses are not `usable`."""
         for path in [p for p in self._idle if p.through and p.through not in usable]:
@@ -635,8 +649,11 @@
         try:
             async with asyncio.timeout(seconds):
                 if path.through:
-                    return await self._connect_through(path, make_connection)
-                return await self._open(make_connection, address)
+                    established = await self._connect_through(path, make_connection)
+                else:
+                    established = await self._open(make_connection, address)
+            self._established.setdefault(address, set()).add(established)
+            return established
         except (OSError, TimeoutError) as error:
             raise _connect_error(path, error) from None
         finally:
@@ -670,6 +687,11 @@
         if idle is not None:
             with contextlib.suppress(ValueError):
                 idle.remove(connection)
+        established = self._established.get(path.address)
+        if established is not None:
+            established.discard(connection)
+            if not established:
+                del self._established[path.address]
         self._count_closed(path.address)
 
     def _count_closed(self, address: str) -> None:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -6,15 +6,22 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 from unittest import mock
 
+from fielddrift_node.web.client import ExchangeError
 from fielddrift_standins import worker as standin
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import Answer, FleetCase, ask, prompt
+from .cut_network import CutNetwork
+from .platform_fleet import Answer, FleetCase, RunningNode, ask, eventually, prompt
+from .test_software_versions import _alive
 
 _EVENTS = 5
+_PAUSE_SECONDS = 0.05
+_LONG = 30
+"""Events of streams that last long enough for something to happen meanwhile."""
 
 
 async def _end_and_crash(exchange: Any) -> None:
@@ -26,6 +33,15 @@
     worker.crash()
 
 
+async def _stream_for_long(exchange: Any) -> None:
+    """Send twice as many events as others do."""
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    last = 2 * worker.events
+    await worker.stream(exchange.request, exchange.responder, exchange.request_id, last)
+    exchange.responder.end()
+
+
 async def _answer_half_and_crash(exchange: Any) -> None:
     """Send a part of an answer, end it as if it were complete, and end the process."""
     worker, responder = exchange.worker, exchange.responder
@@ -122,3 +138,97 @@
         answer = await self._ask("/verdict/x")
         self.assertEqual(answer.body.count(b"\n\n"), 2)
         self.assertIsNone(answer.headers.get("whole"))
+
+
+class _FleetOfThree(FleetCase):
+    """Three nodes, of which the first may be cut off, and engines whose streams end with their
+    connections."""
+
+    async def start(self, engines: int = 3) -> None:
+        self.tolerate_pauses(2.0)
+        faults = mock.patch.dict(standin.FAULTS, {"long": _stream_for_long})
+        faults.start()
+        self.addCleanup(faults.stop)
+        for route in self.fleet.routes:
+            route |= {"timeout-ms": 8000, "target-latency-ms": 1000}
+        self.fleet.configure()
+        self.engines = []
+        for number in range(engines):
+            engine = Worker(name=f"e{number}", events=_LONG, pause_seconds=_PAUSE_SECONDS)
+            engine.unframed = True
+            self.engines.append(await self.fleet.worker(engine, "engines"))
+        self.network = CutNetwork(is_target=lambda a: a in self.fleet.addresses.values())
+        self.addCleanup(self.network.close)
+        self.nodes = [await self.fleet.node("n0", network=self.network)]
+        for name in ("n1", "n2"):
+            self.nodes.append(await self.fleet.node(name))
+        for node in self.nodes:
+            await eventually(lambda n=node: len(n.node.views.registry) == engines)
+            await eventually(lambda n=node: _alive(n) == len(self.nodes) - 1)
+
+    def ask_many(self, count: int, *, nodes: list[RunningNode]) -> list[asyncio.Task[Answer]]:
+        """Begin streams, in turn on a route that may be resumed and on one that may not."""
+        return [
+            asyncio.ensure_future(
+                ask(
+                    nodes[number % len(nodes)],
+                    "/verdict/x" if number // len(nodes) % 2 else "/chat/x",
+                    request_id=f"r{number}",
+                    deadline_ms=8000,
+                    **prompt(X_Prompt_Prefix=f"p{number}:300,q{number}:50"),
+                )
+            )
+            for number in range(count)
+        ]
+
+    async def check(self, streams: list[asyncio.Task[Answer]], *, cut: bool = True) -> None:
+        """Check that each answer that looks whole is; and that some do not, if `cut`."""
+        answers = await asyncio.gather(*streams)
+        looks_whole = [a for a in answers if a.headers.get("whole") == "yes" and a.status == 200]
+        self.assertEqual({a.body.count(b"\n\n") for a in looks_whole}, {_LONG})
+        self.assertEqual(len(looks_whole) < len(answers), cut)
+
+
+class TestLeavingEngine(_FleetOfThree):
+    async def test_streams_of_an_engine_that_is_not_listed_any_more_do_not_end_as_whole(
+        self,
+    ) -> None:
+        """Failure: other nodes carry no tunnel to an engine whose entry has gone, and their refusal
+        passed for a sign of life."""
+        await self.start()
+        # The connections of the first node end at a relay, which lives on.
+        streams = self.ask_many(18, nodes=self.nodes[1:])
+        await eventually(lambda: len(self.engines[0].ran) >= 3)
+        self.fleet.store.drop("servers", "e0")
+        for node in self.nodes:
+            await eventually(lambda n=node: n.node.views.registry.get("e0") is None)
+        self.engines[0].crash()
+        await self.check(streams)
+
+    async def test_streams_that_an_engine_finishes_without_listening_are_whole(self) -> None:
+        """Failure if each engine that accepts no connections counts as ended."""
+        await self.start(engines=1)
+        streams = self.ask_many(6, nodes=self.nodes[1:2])
+        await eventually(lambda: len(self.engines[0].ran) == 6)
+        self.engines[0].faults = ["long"]
+        longer = self.ask_many(1, nodes=self.nodes[1:2])
+        await eventually(lambda: len(self.engines[0].ran) == 7)
+        self.fleet.store.drop("servers", "e0")
+        await eventually(lambda: self.nodes[1].node.views.registry.get("e0") is None)
+        self.engines[0]._server.stop_accepting()
+        await self.check(streams, cut=False)
+        longer[0].cancel()
+
+
+class TestUnknownEnd(_FleetOfThree):
+    async def test_a_stream_whose_end_cannot_be_confirmed_is_not_whole(self) -> None:
+        """Failure: not to know whether an engine has ended counted as that it lives on."""
+        await self.start()
+        node = self.nodes[1]
+        streams = self.ask_many(4, nodes=[node])
+        await eventually(lambda: sum(len(engine.ran) for engine in self.engines) == 4)
+        error = ExchangeError("no answer", sent=False, reason="connect", connect_timed_out=True)
+        with mock.patch.object(node.node._paths, "connect", side_effect=error):
+            answers = await asyncio.gather(*streams)
+        for answer in answers:
+            self.assertNotEqual(answer.headers.get("whole"), "yes")
