Tell the end of a response from the end of the node that carried it

Cause: the check of such an end asked whether the engine lives, which it does. Change: the carrying node is asked for another connection; if nothing listens there any more, the response ended with it. Where it gives no answer, the end is unknown and not complete.

--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -79,6 +79,7 @@
 
     LIVES = "lives"
     ENDED = "ended"
+    """The target has ended, or the node that carried the connection has."""
     UNKNOWN = "unknown"
 
 
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -19,7 +19,7 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import ExchangeError
+from ..web.client import CarrierState, ExchangeError
 from .attempts import CONNECTION_LOST_REASONS
 from .call import Call, Refused, Send, TargetState
 from .metrics import Metrics
@@ -147,7 +147,7 @@
     async def confirm_end(self, send: Send) -> TargetState:
         """Return the state of a target after a response that ended with its connection.
 
-        Such a response looks the same if the target ended in it.
+        Such a response looks the same if the target ended in it, or the node that carried it.
         """
         started_at = self._loop.time()
         delay = _PROBE_DELAY_SECONDS
@@ -173,7 +173,16 @@
     async def _probe_end(self, send: Send) -> tuple[TargetState, str]:
         """Connect to the target of `send` again; return its state, and the error if any."""
         try:
-            # The connection is kept in the pool for a later request.
+            # The connections are kept in the pool for later requests.
+            if send.through:
+                try:
+                    await self._paths.connect_through(send.instance, send.through)
+                    return TargetState.LIVES, ""
+                except ExchangeError as error:
+                    if error.carrier is CarrierState.REFUSED:
+                        return TargetState.ENDED, str(error)
+                    if error.carrier is CarrierState.UNKNOWN:
+                        return TargetState.UNKNOWN, str(error)
             await self._paths.connect(send.instance)
         except ExchangeError as error:
             if not error.refused:
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -105,6 +105,15 @@
 
         await self._connect(instance, connect)
 
+    async def connect_through(self, instance: Instance, carrier: str) -> None:
+        """Open a connection that the node at the address `carrier` carries, for a later send.
+
+        Raise `ExchangeError`, which tells what is known of that node.
+        """
+        await self._client.connect(
+            instance.address, seconds=_TUNNEL_TIMEOUT_SECONDS, through=carrier
+        )
+
     def has_live_connection(self, instance: Instance) -> bool:
         """Return whether a connection of this node shows that a target's process lives."""
         return self._client.has_live_connection(instance.address)
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -10,6 +10,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Collection
+from enum import StrEnum
 from typing import NamedTuple, Protocol, TypeVar, cast
 
 import httptools
@@ -28,6 +29,7 @@
     "OpenConnection",
     "Reply",
     "TUNNEL_REASON",
+    "CarrierState",
     "Timeouts",
 ]
 
@@ -48,6 +50,15 @@
 _P = TypeVar("_P", bound=asyncio.BaseProtocol)
 
 
+class CarrierState(StrEnum):
+    """What an attempt to open a tunnel showed of the node that was to carry it."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    """Nothing listens at its address: its process has ended."""
+    UNKNOWN = "unknown"
+
+
 class ExchangeError(Exception):
     """Raised when an exchange ends without a complete response.
 
@@ -55,6 +66,7 @@
     short label for metrics.  `refused` is True if the server refused the connection,
     `connect_timed_out` if it did not respond to the attempt to connect.  The reason
     `TUNNEL_REASON` says that another node opened no tunnel, which says nothing of the server.
+    `carrier` is what is known of that node, None for a direct connection.
     """
 
     def __init__(
@@ -65,12 +77,14 @@
         reason: str,
         refused: bool = False,
         connect_timed_out: bool = False,
+        carrier: CarrierState | None = None,
     ) -> None:
         super().__init__(detail)
         self.sent = sent
         self.reason = reason
         self.refused = refused
         self.connect_timed_out = connect_timed_out
+        self.carrier = carrier
 
 
 class OpenConnection(Protocol):
@@ -480,16 +494,32 @@
     refused = isinstance(error, ConnectionRefusedError)
     timed_out = isinstance(error, TimeoutError)
     reason = CONNECT_REASON
+    carrier: CarrierState | None = None
     if path.through:
+        carrier = _carrier_state(error)
         status = error.status if isinstance(error, TunnelError) else None
         refused, timed_out = status is TunnelStatus.REFUSED, status is TunnelStatus.SILENT
         reason = CONNECT_REASON if refused or timed_out else TUNNEL_REASON
         detail = f"{detail}, through {path.through}"
     return ExchangeError(
-        detail, sent=False, reason=reason, refused=refused, connect_timed_out=timed_out
+        detail,
+        sent=False,
+        reason=reason,
+        refused=refused,
+        connect_timed_out=timed_out,
+        carrier=carrier,
     )
 
 
+def _carrier_state(error: OSError | TimeoutError) -> CarrierState:
+    """Return what `error`, with which a tunnel was not opened, shows of the carrying node."""
+    if isinstance(error, TunnelError):
+        return CarrierState.UNKNOWN if error.status is None else CarrierState.ANSWERED
+    if isinstance(error, ConnectionRefusedError):
+        return CarrierState.REFUSED
+    return CarrierState.UNKNOWN
+
+
 class Client:
     """A pool of connections by address, and the exchanges over them.
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -14,7 +14,7 @@
 from fielddrift_standins import worker as standin
 from fielddrift_standins.worker import Worker
 
-from .cut_network import CutNetwork
+from .cut_network import Cut, CutNetwork
 from .platform_fleet import Answer, FleetCase, RunningNode, ask, eventually, prompt
 from .test_software_versions import _alive
 
@@ -220,6 +220,28 @@
         longer[0].cancel()
 
 
+class TestKilledCarrier(_FleetOfThree):
+    async def test_streams_do_not_end_as_whole_with_the_node_that_carries_them(self) -> None:
+        """Failure: the end of a tunnel, closed in order by a kernel, passed for that of a stream,
+        since its engine lived on."""
+        await self.start()
+        self.network.cut(Cut.REFUSED)
+        await asyncio.sleep(1.0)
+        streams = self.ask_many(12, nodes=self.nodes[:1])
+        await eventually(lambda: sum(len(engine.ran) for engine in self.engines) >= 10)
+        await asyncio.sleep(0.3)
+        carrier = max(self.nodes[1:], key=lambda node: node.node._tunnels.count)
+        self.assertGreater(carrier.node._tunnels.count, 0)
+        tunnels = carrier.node._tunnels
+        tunnels.stop_accepting()
+        for side in list(tunnels._carried):
+            side.finish()
+        # The rest of the node goes once the connections have been closed in order.
+        await eventually(lambda: tunnels.count == 0)
+        carrier.kill()
+        await self.check(streams)
+
+
 class TestUnknownEnd(_FleetOfThree):
     async def test_a_stream_whose_end_cannot_be_confirmed_is_not_whole(self) -> None:
         """Failure: not to know whether an engine has ended counted as that it lives on."""
