Let requests wait a moment for the first reading of a node that has just started

Cause: the reading takes milliseconds, and the refusal came at once. Change: for 1 s after its start a node lets a request wait for it, for 0.25 s at most.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -33,6 +33,9 @@
 """`Retry-After` of a stopping node: other nodes can be used at once, this is the time for a new
 connection."""
 _DEFAULT_TIMEOUT_SECONDS = 30.0
+_MAX_READY_WAIT_SECONDS = 0.25
+"""Maximum time that a request waits for the first reading of a node that has just started.  It
+takes some milliseconds, and a caller that is refused may have no other attempt."""
 _REFRESH_TIMEOUT_SECONDS = 0.4
 """After a pause of this process, the maximum time that a request which seems not allowed waits
 for a newer catalog."""
@@ -135,6 +138,7 @@
         return parsed
 
     async def _resolve(self, parsed: ParsedRequest, trace: Trace) -> Call:
+        await self._context.views.wait_until_ready(_MAX_READY_WAIT_SECONDS)
         try:
             return self._build_call(parsed, trace)
         except Refused:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -44,6 +44,10 @@
 _CANDIDATES_CACHE_SECONDS = 0.05
 """Cache time of the list of a service's engines. Each request needs the list, computing it takes
 some microseconds per engine, and the loading reported by other nodes lasts for a second or more."""
+_FIRST_READING_SECONDS = 1.0
+"""Time after a start in which the first reading may be under way; without an answer, the platform
+is not reached."""
+_READY_POLL_SECONDS = 0.01
 _RETURNING_CALLERS_SECONDS = 3.0
 """Time after a start in which most requests are retries of callers that could not be served before;
 these wait at most 1 to 2 s between attempts."""
@@ -348,6 +352,13 @@
         self.stale.clear()
         self._refreshed.set()
 
+    async def wait_until_ready(self, seconds: float) -> None:
+        """Wait up to `seconds` until requests can be served, if this node has just started."""
+        loop = asyncio.get_running_loop()
+        until = min(loop.time() + seconds, self._started_at + _FIRST_READING_SECONDS)
+        while not self.ready and loop.time() < until:
+            await asyncio.sleep(_READY_POLL_SECONDS)
+
     async def wait_until_refreshed(self, seconds: float) -> None:
         """Wait up to `seconds` for the operators' rows to be read again."""
         self._refreshed.clear()
