Count an ended software version for as long as its streams' callers may return

Cause: a version was forgotten 30 s after its last target, whatever the timeouts of the routes, and a stream of unknown origin then went on at any target: again "not known" decided like "there is none".

Change: twice the longest timeout of the configuration, 30 s at least and as long as origins are kept, 60 s, at most. With the users' timeouts of 12 s it stays 30 s.

Seen failing: by construction, the former constant is 30 s for a timeout of 25 s.

--- a/packages/core/src/fielddrift_core/catalog.py
+++ b/packages/core/src/fielddrift_core/catalog.py
@@ -168,6 +168,12 @@
         customers = {c.priority for c in self.customers.values() if c.priority is not None}
         return sorted(routes | customers)
 
+    @property
+    def longest_timeout(self) -> float:
+        """Return the longest timeout of a route in seconds, 0 without routes."""
+        timeouts = (route.timeout for entries in self.routes.values() for route in entries)
+        return max(timeouts, default=0.0)
+
     @property
     def engines(self) -> list[Service]:
         """Return the services whose targets are engines."""
--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -17,7 +17,6 @@
 
 __all__ = [
     "MAX_LIFETIME_SECONDS",
-    "VERSION_RETENTION_SECONDS",
     "SavedVersion",
     "ServiceVersions",
     "StreamOrigin",
@@ -33,9 +32,10 @@
 """How long an origin is kept at most; it is needed until the deadline of the stream's caller."""
 _MAX_ORIGINS = 10_000
 """Origins that a node keeps, about 300 bytes each; the oldest are removed first."""
-VERSION_RETENTION_SECONDS = 30.0
-"""How long a version counts after its last target has ended: streams that it began may still be
-resumed."""
+_MIN_RETENTION_SECONDS = 30.0
+_RETENTION_TIMEOUTS = 2
+"""How many times the longest timeout of a route a version counts after its last target has ended,
+as callers of streams that it began may return once more."""
 _NEW_VERSION_SECONDS = 3.0
 """How long after a second version has appeared a stream of unknown origin is presumed to be of the
 first one: until all nodes know the second version, they send no origins."""
@@ -145,9 +145,20 @@
         """The versions of which the platform's rows say that they serve, by service."""
         self._inherited: dict[str, frozenset[str]] = {}
         """The versions that the rows held when this node started, by service."""
+        self._retention_seconds = _MIN_RETENTION_SECONDS
         self._is_history_known = True
         self._history_read_at = float("-inf")
 
+    @property
+    def retention_seconds(self) -> float:
+        """Return how long a version counts after its last target has ended."""
+        return self._retention_seconds
+
+    def set_longest_timeout(self, seconds: float) -> None:
+        """Set the longest timeout of any route, on which the retention depends."""
+        wanted = max(_MIN_RETENTION_SECONDS, _RETENTION_TIMEOUTS * seconds)
+        self._retention_seconds = min(wanted, MAX_LIFETIME_SECONDS)
+
     @property
     def is_history_known(self) -> bool:
         """Return whether the versions that served before the start of this node are known."""
@@ -175,7 +186,7 @@
             for name, (first, last) in versions.items():
                 first_seen = clock.local(first)
                 last_seen = now if last is None else clock.heard + last - clock.clock
-                if now - last_seen > VERSION_RETENTION_SECONDS:
+                if now - last_seen > self._retention_seconds:
                     continue
                 span = known.get(name, VersionSpan(first_seen, last_seen))
                 known[name] = VersionSpan(min(span.first, first_seen), max(span.last, last_seen))
@@ -217,7 +228,7 @@
                 first = known[version].first if version in known else now
                 known[version] = VersionSpan(first, now)
         for version in [
-            v for v, span in known.items() if now - span.last > VERSION_RETENTION_SECONDS
+            v for v, span in known.items() if now - span.last > self._retention_seconds
         ]:
             del known[version]
         return before < 2 <= len(known)
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -415,6 +415,8 @@
 
     def _observe(self, now: float) -> None:
         self._observed_serial, self._observed_at = self._views.registry.serial, now
+        if (catalog := self._views.catalog) is not None:
+            self._versions.set_longest_timeout(catalog.longest_timeout)
         versions: dict[str, set[str]] = {}
         for instance in self._views.registry.all():
             versions.setdefault(instance.service, set()).add(instance.software)
--- a/packages/node/src/fielddrift_node/serving/version_rows.py
+++ b/packages/node/src/fielddrift_node/serving/version_rows.py
@@ -16,7 +16,7 @@
 import structlog
 from fielddrift_core.neighbours import Neighbours
 from fielddrift_core.rollout import StoreClock
-from fielddrift_core.stream_origins import VERSION_RETENTION_SECONDS, SavedVersion, VersionSpan
+from fielddrift_core.stream_origins import SavedVersion, VersionSpan
 
 from .feeds import Backoff
 from .ports import Platform, RemoteCallError, RowWrite, SavedRow
@@ -204,6 +204,7 @@
                 spans=self._versions.spans().get(service, {}),
                 clock=clock,
                 now=now,
+                retention_seconds=self._versions.retention_seconds,
             )
             if after != before:
                 changes[service] = after
@@ -275,6 +276,7 @@
     spans: Mapping[str, VersionSpan],
     clock: StoreClock,
     now: float,
+    retention_seconds: float,
 ) -> Mapping[str, SavedVersion]:
     """Return the versions that the row of a service should hold, instead of `before`."""
 
@@ -292,6 +294,6 @@
         last = saved.last
         if last is None:
             last = on_platform(span.last)
-        if on_platform(now) - last <= VERSION_RETENTION_SECONDS:
+        if on_platform(now) - last <= retention_seconds:
             after[name] = SavedVersion(first, last)
     return after
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -88,6 +88,23 @@
         self.assertFalse(versions.is_mixed("s"))
         self.assertFalse(versions.is_mixed("other"))
 
+    def test_a_version_counts_while_callers_of_long_routes_may_return(self) -> None:
+        """Failure: a version was forgotten after 30 s however long its streams may last."""
+        versions = ServiceVersions()
+        versions.set_longest_timeout(25.0)
+        versions.observe("s", ["v1", "v2"], 0.0)
+        versions.observe("s", ["v2"], 49.0)
+        self.assertTrue(versions.is_mixed("s"))
+        versions.observe("s", ["v2"], 51.0)
+        self.assertFalse(versions.is_mixed("s"))
+
+    def test_a_version_counts_no_longer_than_origins_are_kept(self) -> None:
+        versions = ServiceVersions()
+        versions.set_longest_timeout(3600.0)
+        versions.observe("s", ["v1", "v2"], 0.0)
+        versions.observe("s", ["v2"], 61.0)
+        self.assertFalse(versions.is_mixed("s"))
+
     def test_a_target_of_unknown_version_makes_no_mixture(self) -> None:
         versions = ServiceVersions()
         versions.observe("s", ["v1", ""], 0.0)
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -9,6 +9,7 @@
 import asyncio
 from unittest import mock
 
+from fielddrift_core import stream_origins
 from fielddrift_core.rollout import StoreClock
 from fielddrift_core.stream_origins import SavedVersion
 from fielddrift_node.serving import origin_rows, version_rows
@@ -122,9 +123,9 @@
 
     async def test_streams_of_the_only_version_go_on_after_a_mixture_long_ago(self) -> None:
         """Failure if an end that nobody saved counts as new at each start."""
-        core = mock.patch("fielddrift_core.stream_origins.VERSION_RETENTION_SECONDS", 1.0)
-        rows = mock.patch.object(version_rows, "VERSION_RETENTION_SECONDS", 1.0)
-        with core, rows:
+        least = mock.patch.object(stream_origins, "_MIN_RETENTION_SECONDS", 1.0)
+        factor = mock.patch.object(stream_origins, "_RETENTION_TIMEOUTS", 0)
+        with least, factor:
             await self.start(engines=4, versions=("v1", "v1.1"))
             await self.saved()
             await self.end_version("v1")
@@ -207,7 +208,12 @@
     def test_a_version_that_this_node_has_not_recorded_yet_is_saved(self) -> None:
         """Failure: the loop that saves failed where a target came before the next observation."""
         updated = version_rows._updated(
-            {}, serving=frozenset({"v1"}), spans={}, clock=StoreClock(10.0, 1.0, 1.0), now=3.0
+            {},
+            serving=frozenset({"v1"}),
+            spans={},
+            clock=StoreClock(10.0, 1.0, 1.0),
+            now=3.0,
+            retention_seconds=30.0,
         )
         self.assertEqual(updated, {"v1": SavedVersion(12.0, None)})
 
