Share the origins of streams on routes with several services

Callers saw: a stream on a route that two services share was refused everywhere once the node that had begun it ended ("it is not known which service began the stream"): origins were sent and saved only while software versions were mixed.

Change: they are for such routes as well, from the configuration on that splits one.

--- a/packages/core/src/fielddrift_core/catalog.py
+++ b/packages/core/src/fielddrift_core/catalog.py
@@ -174,6 +174,13 @@
         timeouts = (route.timeout for entries in self.routes.values() for route in entries)
         return max(timeouts, default=0.0)
 
+    @property
+    def split_services(self) -> frozenset[str]:
+        """Return the services that share a route of resumable streams with others."""
+        routes = (route for entries in self.routes.values() for route in entries)
+        split = (r.shares for r in routes if r.resumable and len(r.shares) > 1)
+        return frozenset(share.service for shares in split for share in shares)
+
     @property
     def engines(self) -> list[Service]:
         """Return the services whose targets are engines."""
--- a/packages/node/src/fielddrift_node/serving/origin_rows.py
+++ b/packages/node/src/fielddrift_node/serving/origin_rows.py
@@ -38,7 +38,7 @@
 """How long a reading of the rows answers for other streams, too."""
 _READ_TIMEOUT_SECONDS = 0.8
 _CLEANUP_SECONDS = MAX_LIFETIME_SECONDS + 5.0
-"""How long after a mixture of versions has ended the rows of nodes that are gone are removed."""
+"""Interval at which rows of nodes that are gone are looked for, while there may be any."""
 _IDLE_SECONDS = 1.0
 _MAX_REMOVED_COUNT = 90
 """Rows per call; the platform accepts 100 entries per call."""
@@ -217,8 +217,8 @@
         return found
 
     async def _clean_up(self, now: float) -> None:
-        """Remove the expired rows of processes that are gone, some time after a mixture."""
-        if self._versions.is_any_mixed():
+        """Remove the expired rows of processes that are gone, now and then while there are any."""
+        if self._cleanup_at is None and (self._rows or self._versions.is_any_mixed()):
             self._cleanup_at = now + _CLEANUP_SECONDS
         if self._cleanup_at is None or now < self._cleanup_at:
             return
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -132,6 +132,8 @@
         self._origin_rows = origin_rows
         self._batches: dict[str, _Batch] = {}
         """Queries that are about to be sent, by the name of the asked node."""
+        self._split: tuple[int, frozenset[str]] = (0, frozenset())
+        """The services that share a route with others, and the catalog of which that is true."""
         self._observed_serial = -1
         self._observed_at = float("-inf")
 
@@ -193,7 +195,7 @@
             min(_returns_until(call), now + MAX_LIFETIME_SECONDS),
         )
         self._origins.record(origin)
-        if self._versions.is_mixed(instance.service):
+        if self._is_shared(instance.service):
             self._save([origin], now)
             self._publish([origin], now)
 
@@ -215,7 +217,8 @@
             if answers is not None and (known := answers.origin) is not None:
                 self._origins.record(known)
                 return _Resumption(known.service, known.software, "node")
-            if is_open and call.parsed.resumes and self._origin_rows is not None:
+            is_saved = is_open or len(services) > 1
+            if is_saved and call.parsed.resumes and self._origin_rows is not None:
                 saved = await self._origin_rows.find(key)
                 if (known := saved.origin) is not None:
                     self._origins.record(known)
@@ -359,7 +362,11 @@
 
     def _shared(self, now: float) -> list[StreamOrigin]:
         """Return the origins that other nodes need, in the order of their recording."""
-        return [o for o in self._origins.all(now) if self._versions.is_mixed(o.service)]
+        return [o for o in self._origins.all(now) if self._is_shared(o.service)]
+
+    def _is_shared(self, service: str) -> bool:
+        """Return whether a stream of `service` may go on at some of the targets only."""
+        return self._versions.is_mixed(service) or service in self._split[1]
 
     def _writers(self, now: float) -> list[str]:
         """Return the names of the nodes of this data centre that save origins."""
@@ -415,20 +422,33 @@
 
     def _observe(self, now: float) -> None:
         self._observed_serial, self._observed_at = self._views.registry.serial, now
-        if (catalog := self._views.catalog) is not None:
-            self._versions.set_longest_timeout(catalog.longest_timeout)
+        self._observe_catalog(now)
         versions: dict[str, set[str]] = {}
         for instance in self._views.registry.all():
             versions.setdefault(instance.service, set()).add(instance.software)
         for service, found in versions.items():
             self._observe_versions(service, found, now)
 
+    def _observe_catalog(self, now: float) -> None:
+        catalog = self._views.catalog
+        if catalog is None or catalog.version == self._split[0]:
+            return
+        self._versions.set_longest_timeout(catalog.longest_timeout)
+        before, after = self._split[1], catalog.split_services
+        self._split = (catalog.version, after)
+        for service in after - before:
+            self._share_begun(service, now)
+
+    def _share_begun(self, service: str, now: float) -> None:
+        """Save the origins of the streams that run, and send them to other nodes."""
+        begun = [o for o in self._origins.all(now) if o.service == service]
+        self._save(begun, now)
+        self._publish(begun, now)
+
     def _observe_versions(self, service: str, versions: Iterable[str], now: float) -> None:
         if self._versions.observe(service, versions, now):
             # Streams that began before were not sent to other nodes.
-            begun = [o for o in self._origins.all(now) if o.service == service]
-            self._save(begun, now)
-            self._publish(begun, now)
+            self._share_begun(service, now)
 
 
 def _is_resumable(call: Call) -> bool:
