Give the four kinds of saved rows one table class

Cause: named weights, crashes, software versions and origins each had the same loop of their own: read with the platform's clock, write, retry, decode. Change: RowTable does that.

--- a/packages/node/src/fielddrift_node/serving/crash_rows.py
+++ b/packages/node/src/fielddrift_node/serving/crash_rows.py
@@ -8,16 +8,16 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
-from typing import Any, NamedTuple, TypedDict
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, TypedDict
 
 import msgspec
 import structlog
 from fielddrift_core.crashes import Crash
 from fielddrift_core.rollout import StoreClock
 
-from .feeds import Backoff
-from .ports import Platform, RemoteCallError, RowWrite, SavedRow
+from .ports import Platform, RowWrite, SavedRow
+from .row_table import RowTable
 from .views import Views
 
 __all__ = ["CrashRows"]
@@ -25,8 +25,6 @@
 TABLE = "crashes"
 _POLL_SECONDS = 0.25
 """Polling interval for changes to save. A power loss within this time loses the change."""
-_MAX_CLOCK_AGE_SECONDS = 60.0
-"""Maximum age of a reading of the platform's clock from which the current time is extrapolated."""
 _MAX_WRITE_COUNT = 40
 """Rows per call; the platform accepts 100 entries per call."""
 _MAX_BACKOFF_SECONDS = 6.0
@@ -53,16 +51,20 @@
     def __init__(
         self, *, platform: Platform, views: Views, first: Callable[[], bool], rng: random.Random
     ) -> None:
-        self._platform = platform
+        self._table = RowTable(
+            platform=platform,
+            name=TABLE,
+            what="rows of crashes",
+            rng=rng,
+            max_backoff_seconds=_MAX_BACKOFF_SECONDS,
+        )
         self._history = views.crashes
         self._first = first
         self._saved: dict[str, int] = {}
         """Number of crashes in each row, by request."""
-        self._clock: StoreClock | None = None
         self._saved_valid = False
         """Whether `_saved` matches the rows, which is so while no other node writes them."""
         self._store_restored = False
-        self._backoff = Backoff(what="rows of crashes", rng=rng)
 
     def mark_store_restored(self) -> None:
         """Handle a store restored from a backup: rows written since that backup must be saved
@@ -71,25 +73,16 @@
 
     async def run(self) -> None:
         """Load the rows, then save changes, until cancelled."""
-        await self._retry(self._read)
+        await self._table.retry(self._read)
         while True:
             await asyncio.sleep(_POLL_SECONDS)
             if not self._first():
                 self._saved_valid = self._store_restored = False
             elif self._store_restored:
                 self._store_restored = False
-                await self._retry(self._read)
+                await self._table.retry(self._read)
             elif self._changes():
-                await self._retry(self._save)
-
-    async def _retry(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        while True:
-            try:
-                await work()
-                self._backoff.succeeded()
-                return
-            except RemoteCallError as error:
-                await self._backoff.failed(error, max_seconds=_MAX_BACKOFF_SECONDS)
+                await self._table.retry(self._save)
 
     def _changes(self) -> list[str]:
         """Return the requests whose rows are out of date; rows to remove come last."""
@@ -98,18 +91,17 @@
         return [*outdated, *(name for name in self._saved if name not in held)]
 
     async def _save(self) -> None:
-        if not self._saved_valid or self._clock_age() > _MAX_CLOCK_AGE_SECONDS:
+        if not self._saved_valid or self._table.recent_clock() is None:
             # Another node may have been the first one in the meantime and written rows.
             await self._read()
         changes = self._changes()[:_MAX_WRITE_COUNT]
-        if not changes or self._clock is None:
+        clock = self._table.clock
+        if not changes or clock is None:
             return
         held = self._history.suspects
         crashes = {name: self._history.crashes_of(name) if name in held else () for name in changes}
-        writes = [RowWrite(name, self._encode(crashes[name])) for name in changes]
-        sent = asyncio.get_running_loop().time()
-        outcome = await self._platform.write(TABLE, writes)
-        self._clock = StoreClock(outcome.clock, sent, asyncio.get_running_loop().time())
+        writes = [RowWrite(name, self._encode(crashes[name], clock)) for name in changes]
+        await self._table.write(writes)
         for name, found in crashes.items():
             if found:
                 self._saved[name] = len(found)
@@ -119,28 +111,20 @@
         saved = [name for name in changes if name not in removed]
         _log.info("crashes saved", saved=saved, removed=removed)
 
-    def _encode(self, crashes: Sequence[Crash]) -> bytes | None:
+    def _encode(self, crashes: Sequence[Crash], clock: StoreClock) -> bytes | None:
         """Return the encoded row, None if the row is to be removed."""
         if not crashes:
             return None
-        clock = self._clock
-        assert clock is not None
         saved = [
             _SavedCrash(crash.target, clock.clock + crash.at - clock.heard, crash.ran)
             for crash in crashes
         ]
         return msgspec.json.encode(_CrashRow(crashes=saved))
 
-    def _clock_age(self) -> float:
-        if self._clock is None:
-            return float("inf")
-        return asyncio.get_running_loop().time() - self._clock.heard
-
     async def _read(self) -> None:
-        loop = asyncio.get_running_loop()
-        sent = loop.time()
-        rows, platform_time = await self._platform.rows(TABLE)
-        self._clock = clock = StoreClock(platform_time, sent, loop.time())
+        rows = await self._table.read()
+        clock = self._table.clock
+        assert clock is not None
         self._saved = {}
         for row in rows:
             self._load_row(row, clock)
@@ -149,11 +133,8 @@
             _log.info("crashes read", requests=sorted(self._saved))
 
     def _load_row(self, row: SavedRow, clock: StoreClock) -> None:
-        try:
-            crashes = msgspec.json.decode(row.value, type=_CrashRow)["crashes"]
-        except msgspec.DecodeError as error:
-            _log.error("row of crashes cannot be decoded", row=row.key, error=str(error))
-            crashes = []
+        value = self._table.decode(row, _CrashRow)
+        crashes = [] if value is None else value["crashes"]
         self._saved[row.key] = len(crashes)
         for target, at, ran in crashes:
             self._history.record_crash(Crash(row.key, target, clock.heard + at - clock.clock, ran))
--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -16,16 +16,13 @@
 from fielddrift_core.eras import version_of
 from fielddrift_core.rollout import StoreClock, times_to_save
 
-from .feeds import Backoff
-from .ports import Platform, RemoteCallError, RowWrite, SavedRow
+from .ports import Platform, RowWrite, SavedRow
+from .row_table import RowTable
 from .views import Views
 
 __all__ = ["NamedRows"]
 
 TABLE = "namings"
-_MAX_CLOCK_AGE_SECONDS = 60.0
-"""Maximum age of a reading of the platform's clock from which the current time is extrapolated. The
-steady clocks of two hosts drift apart by about 50 ppm: 3 ms in this time, 4 s in a day."""
 _MIN_UNSAVED_AGE_SECONDS = 2.5
 """Minimum age assumed for a version that a node finds at its start without a saved time. It was
 named while no node ran or just before all nodes ended. After a power loss the nodes restart within
@@ -59,13 +56,11 @@
     def __init__(
         self, *, platform: Platform, views: Views, is_reader: Callable[[], bool], rng: random.Random
     ) -> None:
-        self._platform = platform
+        self._table = RowTable(platform=platform, name=TABLE, what="rows of named weights", rng=rng)
         self._views = views
         self._is_reader = is_reader
         self._saved: dict[str, _Saved] = {}
-        self._clock: StoreClock | None = None
         self._rows_read = asyncio.Event()
-        self._backoff = Backoff(what="rows of named weights", rng=rng)
 
     def schedule_save(self) -> None:
         """Schedule a save after the operators' rows were read and may have changed."""
@@ -75,7 +70,7 @@
     def mark_store_restored(self) -> None:
         """Handle a store restored from a backup: rows written since that backup must be saved
         again."""
-        self._clock = None
+        self._table.forget_clock()
         self._saved = {}
         self.schedule_save()
 
@@ -85,11 +80,7 @@
         while True:
             await self._rows_read.wait()
             self._rows_read.clear()
-            try:
-                await self._save_read_versions()
-                self._backoff.succeeded()
-            except RemoteCallError as error:
-                await self._backoff.failed(error)
+            if not await self._table.attempt(self._save_read_versions):
                 self._rows_read.set()
 
     async def load(self) -> None:
@@ -99,12 +90,8 @@
         """
         await self._rows_read.wait()
         found = dict(self._views.named)
-        while found and self._clock is None:
-            try:
-                await self._read()
-                self._backoff.succeeded()
-            except RemoteCallError as error:
-                await self._backoff.failed(error)
+        while found and self._table.clock is None:
+            await self._table.attempt(self._read)
         self._apply_minimum_age(found)
 
     def _apply_minimum_age(self, found: Mapping[str, int]) -> None:
@@ -128,52 +115,47 @@
     async def save(self, model: str) -> None:
         """Save the times of the versions of `model` unless saved; raise `RemoteCallError`."""
         for _ in range(_MAX_WRITE_ATTEMPTS):
-            clock = self._recent_clock() or await self._read()
+            clock = await self._recent_clock()
             saved = self._saved.get(model, _ABSENT)
             own = self._views.named_times.newest(model)
             times = times_to_save(own, saved=saved.times, clock=clock)
             if times is None or await self._write(model, times, saved.version):
                 return
             # Another node has written the row; read it again to see which times are missing.
-            self._clock = None
+            self._table.forget_clock()
         _log.warning("namings not saved", model=model, tries=_MAX_WRITE_ATTEMPTS)
 
-    def _recent_clock(self) -> StoreClock | None:
-        now = asyncio.get_running_loop().time()
-        clock = self._clock
-        return clock if clock is not None and now - clock.heard <= _MAX_CLOCK_AGE_SECONDS else None
+    async def _recent_clock(self) -> StoreClock:
+        clock = self._table.recent_clock()
+        if clock is None:
+            await self._read()
+            clock = self._table.clock
+            assert clock is not None
+        return clock
 
     async def _write(self, model: str, times: dict[int, float], expect: int) -> bool:
-        loop = asyncio.get_running_loop()
         value = msgspec.json.encode(_NamedRow(times=times))
-        sent = loop.time()
-        outcome = await self._platform.write(TABLE, [RowWrite(model, value, expect)])
+        outcome = await self._table.write([RowWrite(model, value, expect)])
         if not outcome.done:
             return False
-        self._clock = StoreClock(outcome.clock, sent, loop.time())
         self._saved[model] = _Saved(times, outcome.version)
         _log.info(
             "namings saved", model=model, versions=sorted(times), row=version_of(outcome.version)
         )
         return True
 
-    async def _read(self) -> StoreClock:
-        loop = asyncio.get_running_loop()
-        sent = loop.time()
-        rows, platform_time = await self._platform.rows(TABLE)
-        self._clock = clock = StoreClock(platform_time, sent, loop.time())
+    async def _read(self) -> None:
+        rows = await self._table.read()
+        clock = self._table.clock
+        assert clock is not None
         # Forget removed rows: a write that expects the version of a removed row never succeeds.
         self._saved = {}
         for row in rows:
             self._load_row(row, clock)
-        return clock
 
     def _load_row(self, row: SavedRow, clock: StoreClock) -> None:
-        try:
-            times = msgspec.json.decode(row.value, type=_NamedRow)["times"]
-        except msgspec.DecodeError as error:
-            _log.error("row of named weights cannot be decoded", row=row.key, error=str(error))
-            times = {}
+        value = self._table.decode(row, _NamedRow)
+        times = {} if value is None else value["times"]
         self._saved[row.key] = _Saved(times, row.version)
         self._views.named_times.restore(row.key, times, clock)
         ages = {str(version): round(clock.clock - at, 3) for version, at in times.items()}
--- a/packages/node/src/fielddrift_node/serving/origin_rows.py
+++ b/packages/node/src/fielddrift_node/serving/origin_rows.py
@@ -18,8 +18,8 @@
 from fielddrift_core.rollout import StoreClock
 from fielddrift_core.stream_origins import MAX_LIFETIME_SECONDS, StreamOrigin
 
-from .feeds import Backoff
 from .ports import Platform, RemoteCallError, RowWrite, SavedRow
+from .row_table import RowTable
 from .views import Views
 
 __all__ = ["OriginRows", "SavedOrigin"]
@@ -84,7 +84,9 @@
         instance: str,
         rng: random.Random,
     ) -> None:
-        self._platform = platform
+        self._table = RowTable(
+            platform=platform, name=TABLE, what="rows of stream origins", rng=rng
+        )
         self._versions = views.software_versions
         self._neighbours = neighbours
         self._instance = instance
@@ -93,12 +95,10 @@
         self._segment_number = 0
         self._rows: dict[str, _Row] = {}
         """The rows of this process, by key."""
-        self._clock: StoreClock | None = None
         self._wanted = asyncio.Event()
         self._reading: asyncio.Task[dict[str, StreamOrigin] | None] | None = None
         self._reading_began = float("-inf")
         self._cleanup_at: float | None = None
-        self._backoff = Backoff(what="rows of stream origins", rng=rng)
 
     def add(self, origins: Iterable[StreamOrigin]) -> None:
         """Save `origins` with the next write."""
@@ -137,15 +137,14 @@
                     await self._wanted.wait()
             except TimeoutError:
                 pass
-            try:
-                if self._pending or self._expired(loop.time()):
-                    await self._flush()
-                await self._clean_up(loop.time())
-                self._backoff.succeeded()
-            except RemoteCallError as error:
-                await self._backoff.failed(error)
-                continue
-            await asyncio.sleep(_FLUSH_SECONDS)
+            if await self._table.attempt(self._maintain):
+                await asyncio.sleep(_FLUSH_SECONDS)
+
+    async def _maintain(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._pending or self._expired(loop.time()):
+            await self._flush()
+        await self._clean_up(loop.time())
 
     def _expired(self, now: float) -> list[str]:
         return [row.key for row in self._rows.values() if row.until <= now]
@@ -153,11 +152,10 @@
     async def _flush(self) -> None:
         """Write pending origins, and remove own rows that have expired, in one call."""
         loop = asyncio.get_running_loop()
-        clock = self._clock
-        if clock is None:
-            sent = loop.time()
-            _, platform_time = await self._platform.rows(TABLE)
-            self._clock = clock = StoreClock(platform_time, sent, loop.time())
+        if self._table.recent_clock() is None:
+            await self._table.read()
+        clock = self._table.clock
+        assert clock is not None
         now = loop.time()
         expired = self._expired(now)[:_MAX_FLUSH_COUNT]
         writes = [RowWrite(key, None) for key in expired]
@@ -178,9 +176,7 @@
             self._pending.clear()
             self._wanted.clear()
             return
-        sent = loop.time()
-        outcome = await self._platform.write(TABLE, writes)
-        self._clock = StoreClock(outcome.clock, sent, loop.time())
+        await self._table.write(writes)
         self._segment, self._segment_number = segment, number
         for key in expired:
             del self._rows[key]
@@ -198,17 +194,16 @@
 
     async def _read(self) -> dict[str, StreamOrigin] | None:
         """Return the origins of all rows by key, None if the platform gives no answer."""
-        loop = asyncio.get_running_loop()
-        sent = loop.time()
         try:
-            rows, platform_time = await self._platform.rows(TABLE)
+            rows = await self._table.read()
         except RemoteCallError as error:
             _log.info("origins not read", error=str(error))
             return None
-        clock = StoreClock(platform_time, sent, loop.time())
+        clock = self._table.clock
+        assert clock is not None
         found: dict[str, StreamOrigin] = {}
         for row in rows:
-            for origin in _decode(row):
+            for origin in self._decode(row):
                 until = clock.heard + origin.until - clock.clock
                 known = found.get(origin.key)
                 if until > clock.heard and (known is None or known.until < until):
@@ -216,6 +211,10 @@
         _log.info("origins read", rows=len(rows), origins=len(found))
         return found
 
+    def _decode(self, row: SavedRow) -> list[StreamOrigin]:
+        value = self._table.decode(row, _Segment)
+        return [] if value is None else value["origins"]
+
     async def _clean_up(self, now: float) -> None:
         """Remove the expired rows of processes that are gone, now and then while there are any."""
         if self._cleanup_at is None and (self._rows or self._versions.is_any_mixed()):
@@ -224,12 +223,16 @@
             return
         if not self._neighbours.is_coordinator(now):
             return
-        rows, clock = await self._platform.rows(TABLE)
+        rows = await self._table.read()
+        clock = self._table.clock
+        assert clock is not None
         expired = [
-            row.key for row in rows if all(origin.until <= clock for origin in _decode(row))
+            row.key
+            for row in rows
+            if all(origin.until <= clock.clock for origin in self._decode(row))
         ][:_MAX_REMOVED_COUNT]
         if expired:
-            await self._platform.write(TABLE, [RowWrite(key, None) for key in expired])
+            await self._table.write([RowWrite(key, None) for key in expired])
             _log.info("rows of stream origins removed", count=len(expired), rows=len(rows))
         self._cleanup_at = None if len(expired) == len(rows) else now + _CLEANUP_SECONDS
 
@@ -240,11 +243,3 @@
         for origin in origins
     ]
     return msgspec.json.encode(_Segment(origins=saved))
-
-
-def _decode(row: SavedRow) -> list[StreamOrigin]:
-    try:
-        return msgspec.json.decode(row.value, type=_Segment)["origins"]
-    except msgspec.DecodeError as error:
-        _log.error("row of stream origins cannot be decoded", row=row.key, error=str(error))
-        return []
--- a/packages/node/src/fielddrift_node/serving/version_rows.py
+++ b/packages/node/src/fielddrift_node/serving/version_rows.py
@@ -18,8 +18,8 @@
 from fielddrift_core.rollout import StoreClock
 from fielddrift_core.stream_origins import SavedVersion, VersionSpan
 
-from .feeds import Backoff
-from .ports import Platform, RemoteCallError, RowWrite, SavedRow
+from .ports import Platform, RemoteCallError, RowWrite
+from .row_table import RowTable
 from .sharing import PeerClient
 from .views import Views
 
@@ -28,8 +28,6 @@
 TABLE = "software"
 _POLL_SECONDS = 0.1
 """Polling interval for changes to save."""
-_MAX_CLOCK_AGE_SECONDS = 60.0
-"""Maximum age of a reading of the platform's clock from which the current time is extrapolated."""
 _READ_DELAY_SECONDS = 0.1
 """How long a new version is left to the coordinator to save, before this one reads the rows."""
 _WRITE_DELAY_SECONDS = 1.0
@@ -77,7 +75,9 @@
         views: Views,
         rng: random.Random,
     ) -> None:
-        self._platform = platform
+        self._table = RowTable(
+            platform=platform, name=TABLE, what="rows of software versions", rng=rng
+        )
         self._views = views
         self._versions = views.software_versions
         self._versions.expect_history()
@@ -85,16 +85,14 @@
         self._neighbours = neighbours
         self._rng = rng
         self._saved: dict[str, _Saved] = {}
-        self._clock: StoreClock | None = None
         self._unsaved_since: dict[tuple[str, str], float] = {}
         """Since when a serving version has not been saved, by service and version."""
         self._read_period = _READ_DELAY_SECONDS
         self._read_at = float("-inf")
-        self._backoff = Backoff(what="rows of software versions", rng=rng)
 
     def mark_store_restored(self) -> None:
         """Handle a store restored from a backup: rows written since must be saved again."""
-        self._clock = None
+        self._table.forget_clock()
 
     def is_gated(self, service: str, version: str) -> bool:
         """Return whether no stream may begin at `version` yet, as it is not saved.
@@ -110,8 +108,8 @@
 
     async def run(self) -> None:
         """Load the rows, then save changes, until cancelled."""
-        while self._clock is None:
-            await self._attempt(read=True)
+        while self._table.clock is None:
+            await self._table.attempt(self._read)
             if not self._versions.is_history_known:
                 await self._copy_history()
         while True:
@@ -119,21 +117,21 @@
             now = asyncio.get_running_loop().time()
             if not self._views.targets_row:
                 continue
-            if self._clock is None:
-                await self._attempt(read=True)
+            if self._table.clock is None:
+                await self._table.attempt(self._read)
             elif self._update_unsaved(now) and self._changes():
                 waited = now - min(self._unsaved_since.values())
                 if self._neighbours.is_coordinator(
                     now
                 ) or waited > _WRITE_DELAY_SECONDS * self._rng.uniform(1.0, 1.5):
-                    await self._attempt()
+                    await self._table.attempt(self._save)
                 elif waited > _READ_DELAY_SECONDS and now - self._read_at > self._read_period:
                     self._read_period = min(2 * self._read_period, _MAX_READ_PERIOD_SECONDS)
-                    await self._attempt(read=True)
+                    await self._table.attempt(self._read)
             else:
                 self._read_period = _READ_DELAY_SECONDS
                 if self._neighbours.is_coordinator(now) and self._changes():
-                    await self._attempt()
+                    await self._table.attempt(self._save)
 
     def _update_unsaved(self, now: float) -> bool:
         """Record which serving versions are not saved; return whether there are any."""
@@ -155,17 +153,6 @@
         serving = self._serving().get(service, ())
         return any(self._versions.is_recorded(service, name) for name in serving)
 
-    async def _attempt(self, *, read: bool = False) -> None:
-        """Read the rows or save changes; back off if the platform gives no answer."""
-        try:
-            if read:
-                await self._read()
-            else:
-                await self._save()
-            self._backoff.succeeded()
-        except RemoteCallError as error:
-            await self._backoff.failed(error)
-
     async def _copy_history(self) -> None:
         """Copy the versions that served from another node, as the platform gives no answer."""
         loop = asyncio.get_running_loop()
@@ -189,7 +176,7 @@
 
     def _changes(self) -> dict[str, Mapping[str, SavedVersion]]:
         """Return what the rows should hold, by service, where it differs from what they do."""
-        clock, now = self._clock, asyncio.get_running_loop().time()
+        clock, now = self._table.clock, asyncio.get_running_loop().time()
         assert clock is not None
         serving = self._serving()
         changes: dict[str, Mapping[str, SavedVersion]] = {}
@@ -211,9 +198,7 @@
         return changes
 
     async def _save(self) -> None:
-        clock = self._clock
-        now = asyncio.get_running_loop().time()
-        if clock is None or now - clock.heard > _MAX_CLOCK_AGE_SECONDS:
+        if self._table.recent_clock() is None:
             await self._read()
         changes = dict(list(self._changes().items())[:_MAX_WRITE_COUNT])
         if not changes:
@@ -226,14 +211,11 @@
             )
             for service, versions in changes.items()
         ]
-        loop = asyncio.get_running_loop()
-        sent = loop.time()
-        outcome = await self._platform.write(TABLE, writes)
+        outcome = await self._table.write(writes)
         if not outcome.done:
             # Another node has written a row.
             await self._read()
             return
-        self._clock = StoreClock(outcome.clock, sent, loop.time())
         for service, versions in changes.items():
             self._versions.set_recorded(service, versions)
             if versions:
@@ -247,13 +229,15 @@
         )
 
     async def _read(self) -> None:
-        loop = asyncio.get_running_loop()
-        sent = loop.time()
-        rows, platform_time = await self._platform.rows(TABLE)
-        now = self._read_at = loop.time()
-        self._clock = clock = StoreClock(platform_time, sent, now)
+        rows = await self._table.read()
+        clock = self._table.clock
+        assert clock is not None
+        now = self._read_at = clock.heard
         is_start = not self._versions.is_history_known
-        self._saved = {row.key: _Saved(_decode(row), row.version) for row in rows}
+        self._saved = {}
+        for row in rows:
+            value = self._table.decode(row, _VersionRow)
+            self._saved[row.key] = _Saved({} if value is None else value["versions"], row.version)
         found = {service: saved.versions for service, saved in self._saved.items()}
         self._versions.restore(found, clock, now)
         if is_start:
@@ -261,14 +245,6 @@
             _log.info("software versions read", versions=names)
 
 
-def _decode(row: SavedRow) -> Mapping[str, SavedVersion]:
-    try:
-        return msgspec.json.decode(row.value, type=_VersionRow)["versions"]
-    except msgspec.DecodeError as error:
-        _log.error("row of software versions cannot be decoded", row=row.key, error=str(error))
-        return {}
-
-
 def _updated(
     before: Mapping[str, SavedVersion],
     *,
