Discard the trailers of a chunked request

Seen by the review, and not claimed: fields behind a chunked body were added to those of the head, which had been checked before. A caller could so give the target a field that the node checks or sets. Change: they are discarded, and count towards the size of the header as before.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -548,7 +548,9 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._fields.add(name, value)
+        # Trailers are discarded: nothing has checked their names.
+        if not self._head_complete:
+            self._fields.add(name, value)
         self._fields_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
         size = self._fields_bytes + len(self._url)
         if size > self._limits.header_bytes:
