--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -18,6 +18,7 @@
 
 _SHORT_GRACE_SECONDS = 1.4
 _LONG_GRACE_SECONDS = 6.0
+_INTERPRETER_SECONDS = 0.1
 _WORK_SECONDS = 2.0
 """Longer than the short grace period."""
 _SETTINGS = """\
@@ -53,15 +54,19 @@
         self.entry, self.ready = f"{ip}:{ports['front']}", f"{ip}:{ports['ready']}"
         self.template = _SETTINGS.format(ip=ip, store=self.fleet.store_address, **ports)
         self.write(_SHORT_GRACE_SECONDS)
-        self.node = await asyncio.create_subprocess_exec(
+        self.node = await self._start()
+        self.addAsyncCleanup(self._kill)
+        await eventually(self._is_ready)
+
+    async def _start(self) -> asyncio.subprocess.Process:
+        """Start the node as the deploy file does."""
+        return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "fielddrift_platform",
             env={**os.environ, "FIELDDRIFT_SETTINGS": str(self.file)},
             stdout=asyncio.subprocess.DEVNULL,
         )
-        self.addAsyncCleanup(self._kill)
-        await eventually(self._is_ready)
 
     async def _kill(self) -> None:
         if self.node.returncode is None:
@@ -104,6 +109,21 @@
         self.file.write_text("grace = [")
         self.assertEqual(await self.ask_beside_stop(), 200)
 
+    async def test_reloads_while_the_process_starts_do_not_end_it(self) -> None:
+        """Failure: a signal had its default action until the modules were loaded, and the handler
+        named a node that did not exist yet."""
+        await self._kill()
+        self.node = await self._start()
+        began_at = asyncio.get_running_loop().time()
+        # The interpreter itself takes some ms, in which no program can handle a signal.
+        await asyncio.sleep(_INTERPRETER_SECONDS)
+        while not await self._is_ready():
+            self.assertIsNone(self.node.returncode, asyncio.get_running_loop().time() - began_at)
+            with contextlib.suppress(ProcessLookupError):
+                self.node.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+        self.assertIsNone(self.node.returncode)
+
     async def test_reloads_in_the_last_moments_do_not_end_the_process(self) -> None:
         self.node.send_signal(signal.SIGTERM)
         while self.node.returncode is None:
