--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -143,6 +143,7 @@
         """When each version was first and last seen, by service."""
         self._recorded: dict[str, frozenset[str]] = {}
         """The versions of which the platform's rows say that they serve, by service."""
+        self._changes = 0
         self._inherited: dict[str, frozenset[str]] = {}
         """The versions that the rows held when this node started, by service."""
         self._retention_seconds = _MIN_RETENTION_SECONDS
@@ -181,6 +182,7 @@
         A version that still served when its row was written may have ended at any time since.
         """
         self._recorded.clear()
+        self._changes += 1
         for service, versions in saved.items():
             known = self._seen.setdefault(service, {})
             for name, (first, last) in versions.items():
@@ -209,9 +211,15 @@
 
     def set_recorded(self, service: str, saved: Mapping[str, SavedVersion]) -> None:
         """Record what the platform's row of `service` holds."""
+        self._changes += 1
         serving = (name for name, version in saved.items() if version.last is None)
         self._recorded[service] = frozenset(serving)
 
+    @property
+    def changes(self) -> int:
+        """Return how often what is recorded has changed."""
+        return self._changes
+
     def is_recorded(self, service: str, version: str) -> bool:
         """Return whether the platform's row of `service` says that `version` serves."""
         return version in self._recorded.get(service, ())
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -170,12 +170,10 @@
         """Return whether `instance` may run the request."""
         if call.trace.software:
             return call.trace.software == instance.software
-        return not (
-            self._version_rows is not None
-            and instance.software
-            and _is_resumable(call)
-            and self._version_rows.is_gated(instance.service, instance.software)
-        )
+        rows = self._version_rows
+        if rows is None or not rows.has_unsaved or not _is_resumable(call):
+            return True
+        return not rows.is_gated(instance.service, instance.software)
 
     def is_restricted(self, call: Call) -> bool:
         """Return whether some targets of the service may not run the request."""
--- a/packages/node/src/fielddrift_node/serving/version_rows.py
+++ b/packages/node/src/fielddrift_node/serving/version_rows.py
@@ -87,6 +87,8 @@
         self._saved: dict[str, _Saved] = {}
         self._unsaved_since: dict[tuple[str, str], float] = {}
         """Since when a serving version has not been saved, by service and version."""
+        self._checked = (-1, -1)
+        """The registry's serial and the recorded changes of which `_unsaved_since` is true."""
         self._read_period = _READ_DELAY_SECONDS
         self._read_at = float("-inf")
 
@@ -94,17 +96,27 @@
         """Handle a store restored from a backup: rows written since must be saved again."""
         self._table.forget_clock()
 
+    @property
+    def has_unsaved(self) -> bool:
+        """Return whether a version that serves is not saved."""
+        state = (self._views.registry.serial, self._versions.changes)
+        if state != self._checked:
+            self._checked = state
+            self._update_unsaved(asyncio.get_running_loop().time())
+        return bool(self._unsaved_since)
+
     def is_gated(self, service: str, version: str) -> bool:
         """Return whether no stream may begin at `version` yet, as it is not saved.
 
         Where no version that serves is saved, streams may begin at any.
         """
-        versions = self._versions
-        if not versions.is_history_known or versions.is_recorded(service, version):
+        if not self.has_unsaved or not self._versions.is_history_known:
+            return False
+        since = self._unsaved_since.get((service, version))
+        if since is None:
             return False
-        now = asyncio.get_running_loop().time()
-        since = self._unsaved_since.setdefault((service, version), now)
-        return now - since < _MAX_GATE_SECONDS and self._has_saved_version(service)
+        waited = asyncio.get_running_loop().time() - since
+        return waited < _MAX_GATE_SECONDS and self._has_saved_version(service)
 
     async def run(self) -> None:
         """Load the rows, then save changes, until cancelled."""
@@ -119,7 +131,7 @@
                 continue
             if self._table.clock is None:
                 await self._table.attempt(self._read)
-            elif self._update_unsaved(now) and self._changes():
+            elif self.has_unsaved and self._changes():
                 waited = now - min(self._unsaved_since.values())
                 if self._neighbours.is_coordinator(
                     now
@@ -133,8 +145,8 @@
                 if self._neighbours.is_coordinator(now) and self._changes():
                     await self._table.attempt(self._save)
 
-    def _update_unsaved(self, now: float) -> bool:
-        """Record which serving versions are not saved; return whether there are any."""
+    def _update_unsaved(self, now: float) -> None:
+        """Record which serving versions are not saved."""
         unsaved = {
             (service, version)
             for service, versions in self._serving().items()
@@ -142,7 +154,6 @@
             if not self._versions.is_recorded(service, version)
         }
         self._unsaved_since = {key: self._unsaved_since.get(key, now) for key in unsaved}
-        return bool(unsaved)
 
     def _serving(self) -> Mapping[str, frozenset[str]]:
         """Return the versions of the targets that are listed, by service."""
