Take an unreadable row for unknown, not for an empty one

Seen by reading the diff: a row of versions or origins that cannot be decoded counted as one without any, and a stream that it may have held went on at any target: "not known" decided like "there is none" once more. Change: the history of such a service is unknown until its streams are over, and the platform denies a stream only if all its rows were read.

--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -147,6 +147,8 @@
         self._inherited: dict[str, frozenset[str]] = {}
         """The versions that the rows held when this node started, by service."""
         self._retention_seconds = _MIN_RETENTION_SECONDS
+        self._unknown_until: dict[str, float] = {}
+        """Until when the history of a service is unknown although the rows were read."""
         self._is_history_known = True
         self._history_read_at = float("-inf")
 
@@ -165,6 +167,10 @@
         """Return whether the versions that served before the start of this node are known."""
         return self._is_history_known
 
+    def knows_history(self, service: str, now: float) -> bool:
+        """Return whether the versions of `service` that served before the start are known."""
+        return self._is_history_known and now >= self._unknown_until.get(service, now)
+
     @property
     def history_read_at(self) -> float:
         """Return when the history was read, as a loop time, minus infinity for never."""
@@ -175,12 +181,21 @@
         self._is_history_known = False
 
     def restore(
-        self, saved: Mapping[str, Mapping[str, SavedVersion]], clock: StoreClock, now: float
+        self,
+        saved: Mapping[str, Mapping[str, SavedVersion]],
+        clock: StoreClock,
+        now: float,
+        *,
+        unreadable: Iterable[str] = (),
     ) -> None:
         """Add the `saved` versions of all services, read at the time that `clock` tells.
 
         A version that still served when its row was written may have ended at any time since.
+        The history of services whose rows are `unreadable` stays unknown until no stream that
+        began before `now` can be resumed.
         """
+        for service in unreadable:
+            self._unknown_until[service] = now + self._retention_seconds
         self._recorded.clear()
         self._changes += 1
         for service, versions in saved.items():
@@ -260,7 +275,7 @@
         reach since this node started.  Raise `UnknownOrigin` if several versions may have begun
         the stream, or if it is not known which ones served.
         """
-        if not self._is_history_known:
+        if not self.knows_history(service, now):
             raise UnknownOrigin("the versions that served before this node started")
         seen = self._seen.get(service, {})
         former = self._inherited.get(service, frozenset()) & seen.keys()
--- a/packages/node/src/fielddrift_node/serving/origin_rows.py
+++ b/packages/node/src/fielddrift_node/serving/origin_rows.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple, TypedDict
 
 import msgspec
@@ -49,7 +49,7 @@
 class SavedOrigin(NamedTuple):
     """What the platform knows of a stream: its origin, or none.
 
-    With `is_given` false the platform did not answer.
+    Without `is_given` the rows could not be read, or not all of them: none means nothing then.
     """
 
     origin: StreamOrigin | None
@@ -62,6 +62,16 @@
     origins: list[StreamOrigin]
 
 
+class _Reading(NamedTuple):
+    """Origins by key; `is_complete` tells that all rows were read."""
+
+    origins: Mapping[str, StreamOrigin]
+    is_complete: bool
+
+
+_NOTHING_READ = _Reading({}, is_complete=False)
+
+
 class _Row(NamedTuple):
     """A row that this node has written, and until when it is needed, as a loop time."""
 
@@ -96,7 +106,7 @@
         self._rows: dict[str, _Row] = {}
         """The rows of this process, by key."""
         self._wanted = asyncio.Event()
-        self._reading: asyncio.Task[dict[str, StreamOrigin] | None] | None = None
+        self._reading: asyncio.Task[_Reading] | None = None
         self._reading_began = float("-inf")
         self._cleanup_at: float | None = None
 
@@ -122,10 +132,8 @@
             async with asyncio.timeout(_READ_TIMEOUT_SECONDS):
                 found = await asyncio.shield(self._reading)
         except TimeoutError:
-            found = None
-        if found is None:
-            return SavedOrigin(None, is_given=False)
-        return SavedOrigin(found.get(key), is_given=True)
+            found = _NOTHING_READ
+        return SavedOrigin(found.origins.get(key), is_given=found.is_complete)
 
     async def run(self) -> None:
         """Write new origins and remove rows that are not needed any more, until cancelled."""
@@ -192,28 +200,31 @@
             self._wanted.clear()
         _log.debug("origins saved", saved=taken, rows=len(rows), removed=len(expired))
 
-    async def _read(self) -> dict[str, StreamOrigin] | None:
-        """Return the origins of all rows by key, None if the platform gives no answer."""
+    async def _read(self) -> _Reading:
+        """Return the origins of all rows."""
         try:
             rows = await self._table.read()
         except RemoteCallError as error:
             _log.info("origins not read", error=str(error))
-            return None
+            return _NOTHING_READ
         clock = self._table.clock
         assert clock is not None
         found: dict[str, StreamOrigin] = {}
+        is_complete = True
         for row in rows:
-            for origin in self._decode(row):
+            origins = self._decode(row)
+            is_complete = is_complete and origins is not None
+            for origin in origins or ():
                 until = clock.heard + origin.until - clock.clock
                 known = found.get(origin.key)
                 if until > clock.heard and (known is None or known.until < until):
                     found[origin.key] = origin._replace(until=until)
-        _log.info("origins read", rows=len(rows), origins=len(found))
-        return found
+        _log.info("origins read", rows=len(rows), origins=len(found), complete=is_complete)
+        return _Reading(found, is_complete)
 
-    def _decode(self, row: SavedRow) -> list[StreamOrigin]:
+    def _decode(self, row: SavedRow) -> list[StreamOrigin] | None:
         value = self._table.decode(row, _Segment)
-        return [] if value is None else value["origins"]
+        return None if value is None else value["origins"]
 
     async def _clean_up(self, now: float) -> None:
         """Remove the expired rows of processes that are gone, now and then while there are any."""
@@ -229,7 +240,7 @@
         expired = [
             row.key
             for row in rows
-            if all(origin.until <= clock.clock for origin in self._decode(row))
+            if all(origin.until <= clock.clock for origin in self._decode(row) or ())
         ][:_MAX_REMOVED_COUNT]
         if expired:
             await self._table.write([RowWrite(key, None) for key in expired])
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -208,7 +208,8 @@
         self._observe(now)
         services = [share.service for share in call.route.shares]
         outdated = now - self._views.targets_read_at > _OUTDATED_SECONDS
-        is_open = not self._versions.is_history_known or self._versions.is_mixed(call.service.name)
+        name = call.service.name
+        is_open = not self._versions.knows_history(name, now) or self._versions.is_mixed(name)
         saved = _NO_SAVED_ORIGIN
         if outdated or len(services) > 1 or is_open:
             answers = await self._ask_others(key) if call.parsed.resumes else None
--- a/packages/node/src/fielddrift_node/serving/version_rows.py
+++ b/packages/node/src/fielddrift_node/serving/version_rows.py
@@ -133,9 +133,8 @@
                 await self._table.attempt(self._read)
             elif self.has_unsaved and self._changes():
                 waited = now - min(self._unsaved_since.values())
-                if self._neighbours.is_coordinator(
-                    now
-                ) or waited > _WRITE_DELAY_SECONDS * self._rng.uniform(1.0, 1.5):
+                is_overdue = waited > _WRITE_DELAY_SECONDS * self._rng.uniform(1.0, 1.5)
+                if is_overdue or self._neighbours.is_coordinator(now):
                     await self._table.attempt(self._save)
                 elif waited > _READ_DELAY_SECONDS and now - self._read_at > self._read_period:
                     self._read_period = min(2 * self._read_period, _MAX_READ_PERIOD_SECONDS)
@@ -191,9 +190,9 @@
         assert clock is not None
         serving = self._serving()
         changes: dict[str, Mapping[str, SavedVersion]] = {}
-        is_new = now - self._versions.history_read_at < _START_DELAY_SECONDS
+        has_just_started = now - self._versions.history_read_at < _START_DELAY_SECONDS
         for service in {*serving, *self._saved}:
-            if is_new and self._has_saved_version(service):
+            if has_just_started and self._has_saved_version(service):
                 continue
             before = self._saved.get(service, _ABSENT).versions
             after = _updated(
@@ -246,11 +245,14 @@
         now = self._read_at = clock.heard
         is_start = not self._versions.is_history_known
         self._saved = {}
+        unreadable = []
         for row in rows:
             value = self._table.decode(row, _VersionRow)
+            if value is None:
+                unreadable.append(row.key)
             self._saved[row.key] = _Saved({} if value is None else value["versions"], row.version)
         found = {service: saved.versions for service, saved in self._saved.items()}
-        self._versions.restore(found, clock, now)
+        self._versions.restore(found, clock, now, unreadable=unreadable)
         if is_start:
             names = {service: sorted(versions) for service, versions in found.items()}
             _log.info("software versions read", versions=names)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import Counter
 
+from fielddrift_core.rollout import StoreClock
 from fielddrift_core.stream_origins import (
     ServiceVersions,
     StreamOrigin,
@@ -105,6 +106,19 @@
         versions.observe("s", ["v2"], 61.0)
         self.assertFalse(versions.is_mixed("s"))
 
+    def test_a_row_that_cannot_be_read_leaves_the_history_of_its_service_unknown(self) -> None:
+        """Failure: an unreadable row counted as one without versions: any target would do."""
+        versions = ServiceVersions()
+        versions.expect_history()
+        versions.observe("s", ["v2"], 0.0)
+        with self.assertRaises(UnknownOrigin):
+            versions.presumed("s", 0.0, all_reached=True)
+        versions.restore({}, StoreClock(0.0, 0.0, 0.0), 1.0, unreadable=["s"])
+        with self.assertRaises(UnknownOrigin):
+            versions.presumed("s", 2.0, all_reached=True)
+        self.assertEqual(versions.presumed("other", 2.0, all_reached=True), "")
+        self.assertEqual(versions.presumed("s", 31.0, all_reached=True), "")
+
     def test_a_target_of_unknown_version_makes_no_mixture(self) -> None:
         versions = ServiceVersions()
         versions.observe("s", ["v1", ""], 0.0)
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -144,6 +144,17 @@
         return version not in versions or versions[version][1] is not None
 
 
+class TestUnreadableRows(RestartCase):
+    async def test_a_stream_that_an_unreadable_row_may_hold_is_refused(self) -> None:
+        """Failure: an unreadable row counted as one without origins."""
+        await self.start(nodes=2, engines=2, versions=("v1", "v1.1"))
+        rows = self.nodes[0].node._origin_rows
+        self.assertEqual((await rows.find("aa")).is_given, True)
+        self.fleet.store.put("origins", "gone/1", "not a segment")
+        await asyncio.sleep(origin_rows._REUSE_SECONDS)
+        self.assertEqual((await rows.find("aa")).is_given, False)
+
+
 class TestOneNodeStarts(RestartCase):
     async def test_a_node_that_starts_after_the_end_of_a_version_presumes_nothing(self) -> None:
         """Failure: only the versions that serve when a node starts counted there."""
