Begin a new segment of origins when the last one is over

Seen by reading the diff: origins of a later mixture were added to the last segment, whose row the same call removed since it was over, so that they were not kept. Change: a new segment begins then. Seen failing: test_a_segment_that_is_over_is_not_written_again. After: 27 tests of three modules pass.

--- a/packages/node/src/fielddrift_node/serving/origin_rows.py
+++ b/packages/node/src/fielddrift_node/serving/origin_rows.py
@@ -154,6 +154,10 @@
             await self._flush()
         await self._clean_up(loop.time())
 
+    def _key(self, number: int) -> str:
+        """Return the key of the row that holds a segment."""
+        return f"{self._instance}/{number}"
+
     def _expired(self, now: float) -> list[str]:
         return [row.key for row in self._rows.values() if row.until <= now]
 
@@ -170,6 +174,8 @@
         rows: list[_Row] = []
         pending = [origin for origin in self._pending.values() if origin.until > now]
         segment, number = self._segment, self._segment_number
+        if self._key(number) in expired:
+            segment, number = [], number + 1
         taken = 0
         while taken < len(pending) and len(writes) < _MAX_FLUSH_COUNT:
             if len(segment) >= _SEGMENT_SIZE:
@@ -177,7 +183,7 @@
             new = pending[taken : taken + _SEGMENT_SIZE - len(segment)]
             segment = [*segment, *new]
             taken += len(new)
-            row = _Row(f"{self._instance}/{number}", max(origin.until for origin in segment))
+            row = _Row(self._key(number), max(origin.until for origin in segment))
             rows.append(row)
             writes.append(RowWrite(row.key, _encode(segment, clock)))
         if not writes:
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -209,14 +209,14 @@
         services = [share.service for share in call.route.shares]
         outdated = now - self._views.targets_read_at > _OUTDATED_SECONDS
         name = call.service.name
-        is_open = not self._versions.knows_history(name, now) or self._versions.is_mixed(name)
+        is_ambiguous = not self._versions.knows_history(name, now) or self._versions.is_mixed(name)
         saved = _NO_SAVED_ORIGIN
-        if outdated or len(services) > 1 or is_open:
+        if outdated or len(services) > 1 or is_ambiguous:
             answers = await self._ask_others(key) if call.parsed.resumes else None
             if answers is not None and (known := answers.origin) is not None:
                 self._origins.record(known)
                 return _Resumption(known.service, known.software, "node")
-            is_saved = is_open or len(services) > 1
+            is_saved = is_ambiguous or len(services) > 1
             if is_saved and call.parsed.resumes and self._origin_rows is not None:
                 saved = await self._origin_rows.find(key)
                 if (known := saved.origin) is not None:
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from unittest import mock
 
 from fielddrift_core import stream_origins
 from fielddrift_core.rollout import StoreClock
-from fielddrift_core.stream_origins import SavedVersion
+from fielddrift_core.stream_origins import SavedVersion, StreamOrigin
 from fielddrift_node.serving import origin_rows, version_rows
 from fielddrift_node.serving.ports import RemoteCallError
+from fielddrift_node.serving.views import Views
+from fielddrift_node.web.client import Client
 from fielddrift_platform.store import PlatformStore
 
 from .platform_fleet import RunningNode, eventually
@@ -238,6 +241,26 @@
         written = [c for c in self.fleet.store.calls[before:] if "rows-tx" in c]
         self.assertEqual(written, [])
 
+    async def test_a_segment_that_is_over_is_not_written_again(self) -> None:
+        """Failure: new origins were added to the row that the same call removed."""
+        client = Client()
+        self.addCleanup(client.close)
+        now = asyncio.get_running_loop().time()
+        rows = origin_rows.OriginRows(
+            platform=PlatformStore(address=self.fleet.store_address, client=client),
+            views=Views(),
+            neighbours=mock.Mock(),
+            instance="n/1",
+            rng=random.Random(1),
+        )
+        rows.add([StreamOrigin("aa", "s", "v1", now + 0.05)])
+        await rows._flush()
+        await asyncio.sleep(0.06)
+        rows.add([StreamOrigin("bb", "s", "v2", now + 60.0)])
+        await rows._flush()
+        found = (await rows.find("bb")).origin
+        self.assertIsNotNone(found)
+
     async def test_writes_are_bounded_however_many_streams_begin(self) -> None:
         await self.start(nodes=1, engines=4, versions=("v1", "v1.1"))
         await self.saved()
