Count no failure against a target that was found unresponsive meanwhile

Hypotheses: (1) a slowdown was learned from the silence: no first event had come, and the refusal's 0.18 s is exactly what 15 prompts at a usual engine make; ruled out. (2) engines that were found unresponsive later took all prompts: true, but all are equal once all are silent. (3) sends that were overdue before their engine was found unresponsive counted as its failures when they were given up: e0 then had a failure rate for seconds, prompts filled e1 and e2 up to the limit of admission. Change: whether a send counts against its target is decided once, in Views.is_target_failure, for prompts and plain requests: not if its path was cut, nor if the target is unresponsive by then. Such a target is avoided until it sends a byte.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -609,16 +609,15 @@
             # Another instance uses the address, so this one has ended.
             views.registry.left(name)
             return
-        if failure.reason in ("outdated", "unresponsive"):
-            # This node cancelled the send. An engine that does not respond is avoided until it
-            # sends a byte, and its failure rate would keep it out of use for longer.
+        if failure.reason == "outdated":
+            # This node cancelled the send.
             return
         if failure.reason in ("not-started", "other-weights"):
             # Shared with nearby nodes, so that they avoid the engine before it rejects them too.
             pause = min(views.pauses.left(name, now), _MAX_AVOID_SECONDS)
             views.loading.record_own(name, now + max(pause, _MIN_AVOID_SECONDS))
             return
-        if not views.is_path_failure(name, through=send.through):
+        if views.is_target_failure(name, reason=failure.reason, through=send.through):
             views.health.failed(name, now)
 
     def _record_reported_weights(
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -159,15 +159,14 @@
     def record_silence(self, call: Call, send: Send, reason: str) -> None:
         """Record that a target did not respond before another one did."""
         now = asyncio.get_running_loop().time()
-        if reason == "silent":
-            self.record_target_failure(send)
+        self.record_target_failure(send, reason)
         service_queue = self._context.views.plain_queues.of(call.service.name)
         service_queue.queue.lost(_limited(call, send.instance), now)
 
-    def record_target_failure(self, send: Send) -> None:
-        """Count a failure against the target of a send, unless its path caused it."""
+    def record_target_failure(self, send: Send, reason: str) -> None:
+        """Count a failure against the target of a send, unless it had another cause."""
         views = self._context.views
-        if not views.is_path_failure(send.target, through=send.through):
+        if views.is_target_failure(send.target, reason=reason, through=send.through):
             views.health.failed(send.target, asyncio.get_running_loop().time())
 
     # --- choosing and waiting -------------------------------------------------------
@@ -362,7 +361,7 @@
         except AttemptFailed as failure:
             if not (failure.reached and failure.not_run):
                 # A target that refuses a request before it runs has not failed.
-                self.record_target_failure(send)
+                self.record_target_failure(send, failure.reason)
             if failure.reason == "replaced":
                 views.registry.left(instance.name)
             if failure.reason == _NOT_RUN_REASON:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -146,6 +146,19 @@
         """
         return not through and self.direct_paths.is_interrupted(target)
 
+    def is_target_failure(self, target: str, *, reason: str, through: str) -> bool:
+        """Return whether a send that failed for `reason` counts as a failure of `target`.
+
+        `through` is as in `is_path_failure`.  A target that does not respond is avoided until it
+        sends a byte; a failure rate would keep it out of use for longer.
+        """
+        if reason == "unresponsive":
+            return False
+        if reason == "silent" and self.responsiveness.is_unresponsive(target):
+            # The send was overdue before its target was found to be unresponsive.
+            return False
+        return not self.is_path_failure(target, through=through)
+
     def record_engine_clock(self, clock: int | None, now: float) -> None:
         """Record the engines' clock in ms, as reported by a target."""
         if clock is not None:
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -17,6 +17,7 @@
 from fielddrift_core.workload import Burden, TargetHealth
 from fielddrift_node.serving.heartbeats import HeartbeatTranslator
 from fielddrift_node.serving.metrics import Metrics
+from fielddrift_node.serving.plain_requests import PlainRequests
 from fielddrift_node.serving.send_gate import SendGate
 from fielddrift_node.serving.send_watch import ResponsivenessWatch
 from fielddrift_node.serving.views import Views
@@ -210,6 +211,22 @@
         self.assertEqual([gate.allows(service, i, 1.0) for i in (one, two)], [True, True])
 
 
+class TestFailures(unittest.IsolatedAsyncioTestCase):
+    async def test_a_silent_send_is_no_failure_of_an_unresponsive_plain_target(self) -> None:
+        """Failure: it counted if it was overdue before its target was found unresponsive."""
+        views, now = Views(), asyncio.get_running_loop().time()
+        requests = PlainRequests(context=mock.Mock(views=views))
+        call = mock.Mock(service=mock.Mock(engine=None))
+        call.service.name = "s"
+        views.responsiveness.merge("n2", SilenceReport("one", 0.3), now, nodes=2)
+        for name in ("one", "two"):
+            instance = Instance(name, "s", f"{name}:1", "a")
+            send = mock.Mock(target=name, instance=instance, through="")
+            requests.record_silence(call, send, "silent")
+        rates = [views.health.share(name, now) for name in ("one", "two")]
+        self.assertEqual([rate > 0.0 for rate in rates], [False, True])
+
+
 class TestLines(unittest.IsolatedAsyncioTestCase):
     async def test_a_connection_that_times_out_at_a_cold_target_is_logged(self) -> None:
         """Failure: its bound is infinite, which ended the loop that detects silent targets."""
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -62,6 +62,11 @@
             return "whole" if answer.headers.get("whole") and events == _EVENTS else "cut"
         return "whole"
 
+    def failure_rates(self) -> dict[str, float]:
+        """Return the failure rates that the first node has recorded, by engine."""
+        views, now = self.nodes[0].node.views, asyncio.get_running_loop().time()
+        return {engine.name: views.health.share(engine.name, now) for engine in self.engines}
+
     async def begun(self, count: int) -> None:
         """Wait until `count` runs have begun at the engines."""
         await eventually(lambda: sum(len(engine.ran) for engine in self.engines) >= count)
@@ -99,6 +104,15 @@
         await self.send("/chat/1", 30)
         self.assertEqual(await self.ends(), {"whole": 30})
 
+    async def test_a_silence_of_all_engines_is_no_failure_of_those_given_up_first(self) -> None:
+        """Failure: prompts given up there counted, and later ones filled the other engines."""
+        await self.start()
+        for engine in self.engines:
+            engine.fall_silent(_SILENT_SECONDS)
+        await self.send("/chat/1", 12)
+        self.assertEqual(await self.ends(), {"whole": 12})
+        self.assertEqual(self.failure_rates(), dict.fromkeys(("e0", "e1", "e2"), 0.0))
+
 
 class TestPlainRequests(SilentTargets):
     async def test_plain_requests_are_not_refused_while_all_targets_are_silent(self) -> None:
