Probe an unresponsive target soon, however many nodes observed its silence

Cause: nodes space their probes by a second for each observer, and the first one waited as long as all later ones: with eight observers none probed for eight seconds. Change: the first probes are sent in turn, in the order of the observers' names, a second apart; later ones as before. The rate of all nodes together stays one a second. The new test fails before (no probe within eight seconds); the replay of engines that stop keeps its bounds.

--- a/packages/core/src/fielddrift_core/responsiveness.py
+++ b/packages/core/src/fielddrift_core/responsiveness.py
@@ -250,19 +250,24 @@
         """Return whether a target is unresponsive."""
         return target in self._states
 
-    def may_probe(self, target: str, now: float, *, nodes: int) -> bool:
+    def may_probe(self, target: str, now: float, *, name: str, nodes: int) -> bool:
         """Return whether a probe may be sent to an unresponsive target.
 
-        Probes are spaced by the number of nodes that observed the silence, for a node that only
-        knows it from reports by the number of all `nodes`.
+        `name` is the name of this node.  The nodes that observed the silence send probes in turn,
+        in the order of their names, so that the first one is soon sent however many they are.  A
+        node that only knows of the silence from reports comes last of all `nodes`.
         """
         if any(send.is_probe for send in self._sends.get(target, {}).values()):
             return False
-        state = self._states[target]
-        reporters = len(self._reports.get(target, ()))
-        sharing = 1 + reporters if target in self._own else max(1, nodes)
-        last = max(state.entered_at, self._probed_at.get(target, -math.inf))
-        return now - last >= _PROBE_INTERVAL_SECONDS * sharing
+        reporters = self._reports.get(target, {}).keys()
+        turn = sharing = max(1, nodes)
+        if target in self._own:
+            turn = 1 + sum(reporter < name for reporter in reporters)
+            sharing = 1 + len(reporters)
+        probed_at = self._probed_at.get(target)
+        if probed_at is None:
+            return now - self._states[target].entered_at >= _PROBE_INTERVAL_SECONDS * turn
+        return now - probed_at >= _PROBE_INTERVAL_SECONDS * sharing
 
     def last_heard(self, target: str) -> float | None:
         """Return when bytes last arrived from a target, None if that is not known."""
--- a/packages/node/src/fielddrift_node/serving/send_gate.py
+++ b/packages/node/src/fielddrift_node/serving/send_gate.py
@@ -26,6 +26,7 @@
 
     def __init__(self, *, views: Views, neighbours: Neighbours, bounds: Bounds) -> None:
         self._views = views
+        self._neighbours = neighbours
         self._cold = ColdGate(views=views, neighbours=neighbours, bounds=bounds)
         self._limits = LimitGate(views=views, neighbours=neighbours)
         self._brittle = BrittleGate(views=views, neighbours=neighbours)
@@ -86,7 +87,8 @@
         responsiveness = self._views.responsiveness
         if not responsiveness.is_unresponsive(instance.name):
             return True
-        if repeatable and responsiveness.may_probe(instance.name, now, nodes=self._views.nodes):
+        name, nodes = self._neighbours.me.name, self._views.nodes
+        if repeatable and responsiveness.may_probe(instance.name, now, name=name, nodes=nodes):
             return True
         serving = self._views.registry.serving(instance.service)
         return all(
--- a/tests/test_responsiveness.py
+++ b/tests/test_responsiveness.py
@@ -36,14 +36,15 @@
 class _Node:
     """One node under the replayed load; without `detects` it knows only failure rates."""
 
-    def __init__(self, *, detects: bool) -> None:
+    def __init__(self, *, name: str, detects: bool) -> None:
+        self.name = name
         self.detects = detects
         self.state, self.health = Responsiveness(), TargetHealth()
         self.waiting: dict[str, tuple[str, float, bool]] = {}
 
     def allows(self, engine: str, repeatable: bool, now: float) -> bool:
         if self.detects and self.state.is_unresponsive(engine):
-            return repeatable and self.state.may_probe(engine, now, nodes=_NODES)
+            return repeatable and self.state.may_probe(engine, now, name=self.name, nodes=_NODES)
         return self.health.share(engine, now) < FAILING_RATE
 
     def send(self, request: str, engine: str, repeatable: bool, now: float) -> None:
@@ -67,7 +68,8 @@
 def _replay(*, detects: bool) -> tuple[int, int]:
     """Return the sends to silent engines until their entries lapse, and those lost there."""
     rng = random.Random(1)
-    nodes = {f"n{number}": _Node(detects=detects) for number in range(_NODES)}
+    names = [f"n{number}" for number in range(_NODES)]
+    nodes = {name: _Node(name=name, detects=detects) for name in names}
     engines = [f"e{number}" for number in range(16)]
     sent = lost = 0
     for step in range(round((2 + _LISTED_SECONDS) / STEP)):
@@ -172,21 +174,42 @@
         self.send()
         self.run_for(1.0)
         self.node.ended("t", "r")
-        self.assertFalse(self.node.may_probe("t", self.now, nodes=9))
+        self.assertFalse(self.node.may_probe("t", self.now, name="n3", nodes=9))
         self.run_for(0.5)
-        self.assertTrue(self.node.may_probe("t", self.now, nodes=9))
+        self.assertTrue(self.node.may_probe("t", self.now, name="n3", nodes=9))
         self.node.merge("n2", SilenceReport("t", 1.0), self.now, nodes=2)
-        self.assertFalse(self.node.may_probe("t", self.now, nodes=9))
+        self.assertFalse(self.node.may_probe("t", self.now, name="n3", nodes=9))
         self.run_for(1.0)
         self.send("probe")
         self.run_for(3.0)
-        self.assertFalse(self.node.may_probe("t", self.now, nodes=9))
+        self.assertFalse(self.node.may_probe("t", self.now, name="n3", nodes=9))
         self.assertEqual(self.node.movable(self.now), [("t", "probe")])
         self.node.ended("t", "probe")
         # Without repeatable requests nothing probes: the target must not be avoided for ever.
         self.assertEqual(self.run_for(4.5), [])
         self.assertEqual(self.run_for(1.0), ["lapsed"])
 
+    def test_one_of_many_observers_probes_within_a_second(self) -> None:
+        """Failure: each of them waited a second for each of them, so that none probed for long."""
+        names = [f"n{number}" for number in range(8)]
+        nodes = {name: Responsiveness() for name in names}
+        probes: list[float] = []
+        for step in range(round(8.0 / STEP)):
+            now = 10.0 + step * STEP
+            for name, node in nodes.items():
+                if step == 1:
+                    node.sent("t", "r", allowed=0.25, now=now)
+                node.check(now)
+                for report in node.reports(now, 16):
+                    for other in set(names) - {name}:
+                        nodes[other].merge(name, report, now, nodes=8)
+                if node.is_unresponsive("t") and node.may_probe("t", now, name=name, nodes=8):
+                    probes.append(round(now - 10.0, 2))
+                    node.sent("t", f"probe/{step}", allowed=0.25, now=now)
+                    node.ended("t", f"probe/{step}")
+        self.assertLess(probes[0], 1.5)
+        self.assertLessEqual(len(probes), 8)
+
     def test_a_heartbeat_reports_at_most_sixteen_and_later_ones_the_others(self) -> None:
         for number in range(20):
             self.send(target=f"t{number}")
@@ -197,7 +220,8 @@
 
     def test_requests_that_run_once_go_elsewhere_unless_all_are_silent(self) -> None:
         views = Views()
-        gate = SendGate(views=views, neighbours=mock.Mock(), bounds=BOUNDS)
+        neighbours = mock.Mock(me=Neighbour("n1", 1, "a", "n1:1", "n1:2", "n1:3"))
+        gate = SendGate(views=views, neighbours=neighbours, bounds=BOUNDS)
         one, two = (Instance(name, "s", f"{name}:1", "a") for name in ("one", "two"))
         service = mock.Mock(cold_rate=0.0)
         for instance in (one, two):
