Cancel the send of a deadline test when its head has come, not after 30 ms

Change: the send is cancelled, as a deadline does, in the step after its head was read. The checks are the same. With the cause of put back (no close of a cancelled response), the test fails as before: '1 connections are open'.

--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -121,9 +121,16 @@
         context.targets.response_info.return_value.not_started = True
         call.trace.unproved = call.service.connections = 0
         call.trace.reasons = []
-        with self.assertRaises(TimeoutError):
-            async with asyncio.timeout(0.03):
-                await send_once(context, outgoing, call, mock.Mock())
+
+        def cancel_soon(*_: object) -> object:
+            asyncio.get_running_loop().call_soon(sending.cancel)
+            return mock.DEFAULT
+
+        # As a deadline does while the rest of the response is being read.
+        context.targets.response_info.side_effect = cancel_soon
+        sending = asyncio.ensure_future(send_once(context, outgoing, call, mock.Mock()))
+        with self.assertRaises(asyncio.CancelledError):
+            await sending
         self.assertEqual(call.trace.unproved, 0, "the rest of the response was being read")
         await asyncio.sleep(0.02)
         await self.client.begin(self.address, REQUEST, connect_seconds=1.0, max_connections=1)
