Ask who listens at a target's address before a response that ends with its connection is whole

Callers saw a part of a response as the whole one: a target ended inside a response without a length or chunks, and another process listened at its address by the time the node asked. The check opened a connection and took whatever accepted it for the target.

The question is an HTTP request now, for the report of an engine or the health of another target, and the reply names its sender (X-Instance-Id, 421 to a request for another instance, the start time in a report). A reply that does not tell, or none, leaves the end unconfirmed: the response is cut, or asked for again where that is allowed. Where the port is closed, only connections that were open before the question show that the target finishes what it has begun. A counter tells how such ends were judged.

Evidence: with the stand-in that starts again at its address, the four tests of responses and streams fail on (a part passed on as whole, with and without the right to run again) and pass here. TestUnknownEnd let `connect` fail; the question goes through `ask` now, which fails in its place.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
-from fielddrift_core.catalog import StoreTraits
+from fielddrift_core.catalog import Service, StoreTraits
 from fielddrift_core.prompt import Part
 from fielddrift_core.request_ends import EndCause
 from fielddrift_core.target_registry import Instance
@@ -21,7 +21,7 @@
     StoreContents,
     WeightsOrder,
 )
-from fielddrift_node.web.client import Client, Exchange, ExchangeError
+from fielddrift_node.web.client import Client, Exchange, ExchangeError, Reply
 from fielddrift_node.web.messages import Headers, RequestHead, ResponseHead
 from fielddrift_node.web.server import Request, Responder
 
@@ -78,6 +78,14 @@
         """Return what a head tells: engines here refuse only what they have not run."""
         return ResponseInfo(head.status == 503, False, "", 1)
 
+    def identity_request(self, instance: Instance, service: Service | None) -> bytes:
+        """Return nothing: no response here ends with its connection."""
+        return b""
+
+    def identity(self, instance: Instance, reply: Reply) -> bool | None:
+        """Return that it is not known."""
+        return None
+
     async def order(self, order: WeightsOrder) -> OrderOutcome:
         """Refuse: no weights change here."""
         raise RemoteCallError("no orders in the laboratory", not_executed=True)
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -108,6 +108,7 @@
         crashes = CrashWatch(
             views=self.views,
             paths=paths,
+            targets=targets,
             neighbours=self.neighbours,
             metrics=self.metrics,
             rng=rng,
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -10,19 +10,21 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import structlog
+from fielddrift_core.catalog import Service
 from fielddrift_core.crashes import CrashUpdate, HeldRequest, part_suspect
 from fielddrift_core.errors import Ran
 from fielddrift_core.lost_runs import LostRun, LostRuns
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import CarrierState, ExchangeError
+from ..web.client import CarrierState, ExchangeError, LiveConnection
 from .attempts import CONNECTION_LOST_REASONS
 from .call import Call, Refused, Send, TargetState
 from .metrics import Metrics
+from .ports import TargetDialect
 from .target_paths import TargetPaths
 from .views import Views
 
@@ -33,6 +35,8 @@
 """Delay before the target is probed: a crashing process closes its port within this time."""
 _MAX_CONFIRM_SECONDS = 0.4
 """Time after which no more attempts are made to find out whether a target lives on."""
+_MAX_ANSWER_SECONDS = 0.4
+"""Time for a target to tell who it is."""
 _SETTLING_SECONDS = 10.0
 """Time after its start in which a node may not know the others, and would probe beside them."""
 _TICK_SECONDS = 0.25
@@ -58,6 +62,7 @@
         *,
         views: Views,
         paths: TargetPaths,
+        targets: TargetDialect,
         neighbours: Neighbours,
         metrics: Metrics,
         rng: random.Random,
@@ -66,6 +71,7 @@
         self._views = views
         self._history = views.crashes
         self._paths = paths
+        self._targets = targets
         self._neighbours = neighbours
         self._metrics = metrics
         self._rng = rng
@@ -150,14 +156,16 @@
         Such a response looks the same if the target ended in it, or the node that carried it.
         """
         started_at = self._loop.time()
+        open_before = self._paths.live_connections(send.instance)
         delay = _PROBE_DELAY_SECONDS
         while True:
             await asyncio.sleep(delay)
-            state, detail = await self._probe_end(send)
+            state, detail = await self._probe_end(send, open_before)
             waited = self._loop.time() - started_at
             if state is not TargetState.UNKNOWN or waited > _MAX_CONFIRM_SECONDS:
                 break
             delay *= 2
+        self._metrics.confirmed_ends.inc(label_value=state.value)
         if state is not TargetState.LIVES:
             _log.info(
                 "end of a response not confirmed",
@@ -170,28 +178,44 @@
             )
         return state
 
-    async def _probe_end(self, send: Send) -> tuple[TargetState, str]:
-        """Connect to the target of `send` again; return its state, and the error if any."""
+    async def _probe_end(
+        self, send: Send, open_before: Collection[LiveConnection]
+    ) -> tuple[TargetState, str]:
+        """Ask the process at the address of a target who it is; return the state of the target.
+
+        Also return the reason if it is not known to live.  That something listens at the address
+        would not tell: a process that started there since may have taken the place of the target.
+        """
+        instance = send.instance
+        request = self._targets.identity_request(instance, self._service(instance))
         try:
-            # The connections are kept in the pool for later requests.
-            if send.through:
-                try:
-                    await self._paths.connect_through(send.instance, send.through)
-                    return TargetState.LIVES, ""
-                except ExchangeError as error:
-                    if error.carrier is CarrierState.REFUSED:
-                        return TargetState.ENDED, str(error)
-                    if error.carrier is CarrierState.UNKNOWN:
-                        return TargetState.UNKNOWN, str(error)
-            await self._paths.connect(send.instance)
+            async with asyncio.timeout(_MAX_ANSWER_SECONDS):
+                reply = await self._paths.ask(instance, request, carrier=send.through)
+        except TimeoutError:
+            return TargetState.UNKNOWN, f"no answer in {_MAX_ANSWER_SECONDS} s"
         except ExchangeError as error:
-            if not error.refused:
-                return TargetState.UNKNOWN, str(error)
-            if self._paths.has_live_connection(send.instance):
-                # It accepts no more connections, and finishes what it has begun.
-                return TargetState.LIVES, ""
-            return TargetState.ENDED, str(error)
-        return TargetState.LIVES, ""
+            return self._state_after(send, error, open_before), str(error)
+        is_target = self._targets.identity(instance, reply)
+        if is_target is None:
+            return TargetState.UNKNOWN, f"status {reply.head.status} of an unknown process"
+        return (TargetState.LIVES, "") if is_target else (TargetState.ENDED, "replaced")
+
+    def _state_after(
+        self, send: Send, error: ExchangeError, open_before: Collection[LiveConnection]
+    ) -> TargetState:
+        """Return the state of a target after `error`, with which a question to it failed."""
+        if send.through and error.carrier is CarrierState.REFUSED:
+            return TargetState.ENDED
+        if not error.refused:
+            return TargetState.UNKNOWN
+        if any(connection.is_reading for connection in open_before):
+            # It accepts no more connections, and finishes what it has begun.
+            return TargetState.LIVES
+        return TargetState.ENDED
+
+    def _service(self, instance: Instance) -> Service | None:
+        catalog = self._views.catalog
+        return None if catalog is None else catalog.services.get(instance.service)
 
     def confirm_later(self, call: Call, send: Send) -> None:
         """Record a complete response that ended with its connection, once its target is known to
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -119,6 +119,11 @@
         self.sends = self._counter("sends", "requests sent to targets")
         self.outdated_sends = self._counter("outdated_sends", "prompts sent to older weights")
         self.retries = self._counter("retries", "sends that failed, by reason", "reason")
+        self.confirmed_ends = self._counter(
+            "confirmed_ends",
+            "responses that ended with their connection, by the state of their target",
+            "state",
+        )
         self.cancelled_sends = self._counter(
             "cancelled_sends",
             "replacements that were not needed, by why they were cancelled",
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -140,6 +140,7 @@
         self._crashes = CrashWatch(
             views=self._views,
             paths=self._paths,
+            targets=dialects.targets,
             neighbours=self._neighbours,
             metrics=self._metrics,
             rng=rng,
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -17,7 +17,15 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import CONNECT_REASON, TUNNEL_REASON, Client, Exchange, ExchangeError
+from ..web.client import (
+    CONNECT_REASON,
+    TUNNEL_REASON,
+    Client,
+    Exchange,
+    ExchangeError,
+    LiveConnection,
+    Reply,
+)
 from ..web.messages import ResponseHead
 from ..web.tunnel import TunnelStatus
 from .metrics import Metrics
@@ -105,18 +113,27 @@
 
         await self._connect(instance, connect)
 
-    async def connect_through(self, instance: Instance, carrier: str) -> None:
-        """Open a connection that the node at the address `carrier` carries, for a later send.
+    async def ask(self, instance: Instance, data: bytes, *, carrier: str = "") -> Reply:
+        """Send a request that changes nothing to the process at a target's address.
 
-        Raise `ExchangeError`, which tells what is known of that node.
+        With `carrier`, the address of a node, only over connections that it carries.  Return the
+        complete response of whichever process is there.  Raise `ExchangeError`, which tells what
+        is known of that node.
         """
-        await self._client.connect(
-            instance.address, seconds=_TUNNEL_TIMEOUT_SECONDS, through=carrier
-        )
+        if carrier:
+            exchange = await self._client.begin(
+                instance.address, data, connect_seconds=_TUNNEL_TIMEOUT_SECONDS, through=carrier
+            )
+        else:
+            exchange = await self.begin(instance, data)
+        try:
+            return Reply(await exchange.head(), await exchange.body())
+        finally:
+            exchange.cancel()
 
-    def has_live_connection(self, instance: Instance) -> bool:
-        """Return whether a connection of this node shows that a target's process lives."""
-        return self._client.has_live_connection(instance.address)
+    def live_connections(self, instance: Instance) -> frozenset[LiveConnection]:
+        """Return the open connections to a target's address; they end with its process."""
+        return self._client.live_connections(instance.address)
 
     async def _connect(
         self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -26,6 +26,7 @@
     "Client",
     "Exchange",
     "ExchangeError",
+    "LiveConnection",
     "OpenConnection",
     "Reply",
     "TUNNEL_REASON",
@@ -96,6 +97,14 @@
         """Return the transport and the protocol; raise `OSError` if no connection comes up."""
 
 
+class LiveConnection(Protocol):
+    """An established connection, whose end is noticed while it is read from."""
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether the connection is open, and its end would be noticed."""
+
+
 async def _create_connection(
     factory: Callable[[], _P], host: str, port: int
 ) -> tuple[asyncio.BaseTransport, _P]:
@@ -624,12 +633,12 @@
         """Return whether there is an idle connection to `address`; `through` is as for `begin`."""
         return bool(self._idle.get(_Path(address, through)))
 
-    def has_live_connection(self, address: str) -> bool:
-        """Return whether a connection to `address` is open at its other end as well.
+    def live_connections(self, address: str) -> frozenset[LiveConnection]:
+        """Return the connections to `address` that are open at their other ends as well.
 
         One that is not read from at the moment does not count: its end would not be noticed.
         """
-        return any(c.is_reading for c in self._established.get(address, ()))
+        return frozenset(c for c in self._established.get(address, ()) if c.is_reading)
 
     def close_idle_tunnels(self, *, usable: Collection[str]) -> None:
         """Close the idle connections through nodes whose addresses are not `usable`."""
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -20,6 +20,7 @@
 
 _EVENTS = Headers([(b"Content-Type", b"text/event-stream")])
 _JSON = Headers([(b"Content-Type", b"application/json")])
+_HEALTH_PATH = "/healthz"
 _SILENT_SECONDS = 3600
 """Longer than any test, and any caller, waits."""
 _BEGUN_BYTES = 15
@@ -213,6 +214,12 @@
         path = request.head.target.decode().partition("?")[0]
         if path in ("/report", "/order"):
             self.calls.append((asyncio.get_running_loop().time(), path))
+        if path in (_HEALTH_PATH, "/report") and self._is_for_another(request):
+            responder.send(421, Headers([(b"X-Instance-Id", self.name.encode())]), b"")
+            return
+        if path == _HEALTH_PATH:
+            responder.send(200, Headers([(b"X-Instance-Id", self.name.encode())]), b"")
+            return
         if path == "/report":
             responder.send(200, Headers([*_JSON, *self.notice()]), self._report())
             return
@@ -221,6 +228,10 @@
             return
         await self._run(request, responder)
 
+    def _is_for_another(self, request: Request) -> bool:
+        expected = request.head.headers.text(b"x-expect-instance")
+        return expected not in ("", self.name)
+
     def _report(self) -> bytes:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         answer = {"stage": "combined", "models": models, "busy": self._busy}
--- /dev/null
+++ b/tests/test_ends_judged_by_another_process.py
@@ -0,0 +1,133 @@
+"""A response that ends with its connection is judged by the process that sent it, by no other.
+
+Failure: a target ended inside a response without a length, and another process began to listen at
+its address before the node asked.  The node took that one for the target, and the part for the
+whole response.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+from fielddrift_node.web.client import Reply
+from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_platform.targets import PlatformTargets
+from fielddrift_standins import worker as standin
+from fielddrift_standins.worker import Worker
+
+from .platform_fleet import FleetCase, ask, prompt
+
+_EVENTS = 5
+_PART = b"answer of"
+
+
+async def _part_and_restart(exchange: Any) -> None:
+    """Send a part of a response, end, and let another process listen at the address at once."""
+    worker, responder = exchange.worker, exchange.responder
+    worker.begin(exchange.request)
+    if worker.events:
+        await worker.stream(exchange.request, responder, exchange.request_id, 2)
+    else:
+        responder.start(200, worker.head(exchange.request_id), None, chunked=False)
+        responder.write(_PART)
+    responder.end()
+    # What was written has left before the connection is closed.
+    await asyncio.sleep(0)
+    worker.crash()
+
+
+class _RestartingTargets(FleetCase):
+    """Targets of one service that start again at their addresses as soon as they have ended."""
+
+    async def start(self, service: str, *, events: int = 0) -> None:
+        faults = mock.patch.dict(standin.FAULTS, {"part-and-restart": _part_and_restart})
+        faults.start()
+        self.addCleanup(faults.stop)
+        self.tolerate_pauses(2.0)
+        self.workers = []
+        self.restarts: list[asyncio.Task[None]] = []
+        for number in range(2):
+            worker = Worker(name=f"t{number}", events=events)
+            worker.unframed = True
+            worker.crashed = self._restart
+            worker.faults = ["part-and-restart"]
+            self.workers.append(await self.fleet.worker(worker, service))
+        self.node = await self.fleet.node()
+
+    def _restart(self, worker: Worker) -> None:
+        async def restart() -> None:
+            again = worker.successor()
+            host, _, port = self.fleet.addresses[worker.name].rpartition(":")
+            self.fleet.workers[again.name] = again
+            await again.start(host, int(port))
+
+        self.restarts.append(asyncio.ensure_future(restart()))
+
+    async def check_restarted(self) -> None:
+        await asyncio.gather(*self.restarts)
+        self.assertTrue(self.restarts)
+
+
+class TestPlainResponses(_RestartingTargets):
+    async def test_a_part_is_not_whole_because_another_process_listens(self) -> None:
+        await self.start("plain")
+        for number in range(2):
+            answer = await ask(self.node, "/unsafe/x", request_id=f"r{number}")
+            self.assertNotEqual(answer.body, _PART)
+            self.assertEqual(answer.status, 502)
+        await self.check_restarted()
+
+    async def test_a_part_is_asked_for_again_where_that_is_allowed(self) -> None:
+        await self.start("plain")
+        self.workers[1].faults = []
+        for number in range(6):
+            answer = await ask(self.node, "/safe/x", request_id=f"r{number}")
+            self.assertNotEqual(answer.body, _PART)
+        await self.check_restarted()
+
+
+class TestStreams(_RestartingTargets):
+    async def test_a_stream_goes_on_elsewhere_though_another_process_listens(self) -> None:
+        await self.start("engines", events=_EVENTS)
+        self.workers[1].faults = []
+        for number in range(6):
+            answer = await ask(self.node, "/chat/x", request_id=f"r{number}", **prompt())
+            if answer.headers.get("whole") == "yes":
+                self.assertEqual(answer.body.count(b"\n\n"), _EVENTS)
+        await self.check_restarted()
+
+    async def test_a_stream_that_may_not_go_on_does_not_end_as_whole(self) -> None:
+        await self.start("engines", events=_EVENTS)
+        answer = await ask(self.node, "/verdict/x", **prompt())
+        self.assertEqual(answer.body.count(b"\n\n"), 2)
+        self.assertNotEqual(answer.headers.get("whole"), "yes")
+        await self.check_restarted()
+
+
+class TestIdentity(FleetCase):
+    def _identity(self, status: int, body: bytes = b"", **fields: str) -> bool | None:
+        headers = Headers(
+            (name.replace("_", "-").encode(), text.encode()) for name, text in fields.items()
+        )
+        head = ResponseHead(status, headers, len(body), True)
+        instance = mock.Mock(target="t", address="h:1")
+        instance.name = "t"
+        targets = PlatformTargets(client=mock.Mock())
+        return targets.identity(instance, Reply(head, body))
+
+    async def test_a_process_is_known_by_the_id_that_it_tells(self) -> None:
+        self.assertIs(self._identity(200, X_Instance_Id="t"), True)
+        self.assertIs(self._identity(503, X_Instance_Id="t"), True)
+        self.assertIs(self._identity(200, X_Instance_Id="u"), False)
+        self.assertIs(self._identity(421), False)
+        self.assertIs(self._identity(200, b"{}"), True)
+
+    async def test_a_reply_that_tells_nothing_is_not_taken_for_the_target(self) -> None:
+        self.assertIsNone(self._identity(404))
+        self.assertIsNone(self._identity(503, b"{}"))
+        self.assertIsNone(self._identity(200, b"fine"))
+
+    async def test_a_late_answer_to_a_request_does_not_tell_who_is_there(self) -> None:
+        self.assertIsNone(self._identity(200, X_Instance_Id="t", X_Request_Id="r"))
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -250,7 +250,7 @@
         streams = self.ask_many(4, nodes=[node])
         await eventually(lambda: sum(len(engine.ran) for engine in self.engines) == 4)
         error = ExchangeError("no answer", sent=False, reason="connect", connect_timed_out=True)
-        with mock.patch.object(node.node._paths, "connect", side_effect=error):
+        with mock.patch.object(node.node._paths, "ask", side_effect=error):
             answers = await asyncio.gather(*streams)
         for answer in answers:
             self.assertNotEqual(answer.headers.get("whole"), "yes")
