Never send a request id twice on one connection

What callers saw: a caller could be told that its request had not run while it ran. A target refused a request as not run, the request was sent again with its id to the same address and on the same connection, and a late second copy of the refusal was taken for the second answer.

Cause: an answer is matched by the request's id alone, and the connection on which the refusal had just come was the first to be reused.

Why it works: a connection remembers the ids (as hashes) of the requests that it carried and is passed over for these; it stays idle for others. The number of ids is bounded: a connection that carried 256 is closed behind the last answer, so none is ever forgotten. Where the limit of connections is reached by idle ones that all carried the id, the oldest makes room.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -126,6 +126,7 @@
         max_idle_seconds: float | None = None,
         max_connections: int | None = None,
         through: str = "",
+        request_id: str = "",
     ) -> Exchange:
         """Hand a send to its engine."""
         send = self._targets.sends.pop(data)
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -265,6 +265,7 @@
             on_bytes=on_bytes,
             max_connections=_max_connections(call, context),
             max_idle_seconds=_max_idle_seconds(call),
+            request_id=outgoing.parsed.request_id,
         )
         send.connection = "kept" if exchange.kept else "new"
         send.through = exchange.through
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -59,6 +59,7 @@
     on_bytes: Callable[[], None]
     max_connections: int | None
     max_idle_seconds: float | None
+    request_id: str
 
 
 class TargetPaths:
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -46,6 +46,9 @@
 """Responses to earlier requests that are skipped before the connection is closed."""
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Body bytes buffered for a slow reader before reading from the connection pauses."""
+_MAX_REQUEST_IDS = 256
+"""Requests with ids that one connection carries.  All of their ids are remembered, in some 24 KB,
+so that no id is sent twice on a connection; the connection that has carried this many is closed."""
 
 
 _P = TypeVar("_P", bound=asyncio.BaseProtocol)
@@ -150,6 +153,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._ends_at_close = False
         self._skipping = False
+        self._request_ids: set[int] = set()
+        """The hashes of the ids of the requests that the connection carried."""
         self._fields = Headers()
         self._idle_limit_seconds = _DEFAULT_IDLE_LIMIT_SECONDS
         self.idle_since = self._loop.time()
@@ -179,9 +184,17 @@
         )
         return self.usable and now - self.idle_since <= limit
 
-    def begin(self, exchange: Exchange, data: bytes) -> None:
-        """Send `data`, a complete request, for `exchange`."""
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id may have been sent here; empty stands for none."""
+        return request_id != "" and hash(request_id) in self._request_ids
+
+    def begin(self, exchange: Exchange, data: bytes, *, request_id: str = "") -> None:
+        """Send `data`, a complete request, for `exchange`; `request_id` is empty for none."""
         assert self._transport is not None
+        if request_id:
+            self._request_ids.add(hash(request_id))
+            if len(self._request_ids) >= _MAX_REQUEST_IDS:
+                self._reusable = False
         self._exchange = exchange
         self._answered = False
         self._skipped_count = 0
@@ -560,27 +573,35 @@
         max_idle_seconds: float | None = None,
         max_connections: int | None = None,
         through: str = "",
+        request_id: str = "",
     ) -> Exchange:
         """Send `data`, a complete request, and return its exchange.
 
         `max_idle_seconds` bounds the idle time of a reused connection in seconds,
         `max_connections` the number of open connections to the address.  `through` is the
-        address of a node whose tunnel carries the connection, empty for a direct one.  Raise
-        `ExchangeError` with `sent` False if there is no connection to send it on.
+        address of a node whose tunnel carries the connection, empty for a direct one.  A
+        connection never carries a `request_id` twice, unless it is empty: a late copy of the
+        first answer could not be told from the second answer.  Raise `ExchangeError` with
+        `sent` False if there is no connection to send it on.
         """
         held = held_for_caller.get()
-        connection = self._take_idle(_Path(address, through), max_idle_seconds)
+        path = _Path(address, through)
+        connection = self._take_idle(path, max_idle_seconds, request_id)
         kept = connection is not None
         if connection is None:
-            if max_connections is not None and self._open_counts.get(address, 0) >= max_connections:
+            if (
+                max_connections is not None
+                and self._open_counts.get(address, 0) >= max_connections
+                and not self._close_one_idle(path)
+            ):
                 detail = f"{address}: {max_connections} connections are open"
                 raise ExchangeError(detail, sent=False, reason="connections")
-            connection = await self._connect(_Path(address, through), connect_seconds)
+            connection = await self._connect(path, connect_seconds)
             if held is not None and held.limited:
                 connection.bound_receive_buffer()
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held)
         exchange.bind(connection, kept=kept, through=through)
-        connection.begin(exchange, data)
+        connection.begin(exchange, data, request_id=request_id)
         return exchange
 
     async def call(
@@ -660,16 +681,28 @@
             if connection not in kept:
                 connection.close()
 
-    def _take_idle(self, path: _Path, max_idle_seconds: float | None) -> _Connection | None:
+    def _take_idle(
+        self, path: _Path, max_idle_seconds: float | None, request_id: str
+    ) -> _Connection | None:
+        """Return an idle connection that has not carried `request_id`; the others stay idle."""
         idle = self._idle.get(path, [])
         now = asyncio.get_running_loop().time()
-        while idle:
-            connection = idle.pop()
-            if connection.can_reuse(now, max_idle_seconds):
-                return connection
-            connection.close()
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if not connection.can_reuse(now, max_idle_seconds):
+                idle.pop(index).close()
+            elif not connection.has_carried(request_id):
+                return idle.pop(index)
         return None
 
+    def _close_one_idle(self, path: _Path) -> bool:
+        """Close an idle connection to make room for another one; return False without any."""
+        idle = self._idle.get(path)
+        if not idle:
+            return False
+        idle.pop(0).close()
+        return True
+
     async def _connect(self, path: _Path, seconds: float) -> _Connection:
         address = path.address
         self._open_counts[address] = self._open_counts.get(address, 0) + 1
