--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -14,7 +14,8 @@
 from fielddrift_node.serving.views import Views
 from fielddrift_node.web import client
 from fielddrift_node.web.client import Client, Timeouts
-from fielddrift_node.web.messages import ResponseHead
+from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_platform.targets import PlatformTargets
 
 from .platform_fleet import HOST, free_port
 
@@ -135,3 +136,24 @@
         reply = await self.client.call(self.address, REQUEST, timeouts=TIMEOUTS)
         self.assertEqual(reply.body, b"done")
         self.assertEqual(list(reply.head.headers), [(b"Transfer-Encoding", b"chunked")])
+
+
+class TwoIdsTest(unittest.TestCase):
+    """Failure: the first of two different request ids in a head decided what it answered."""
+
+    def test_a_head_with_two_request_ids_is_no_answer(self) -> None:
+        send = mock.Mock()
+        send.parsed.request_id = "one"
+        targets = PlatformTargets(client=mock.Mock())
+        mine, other = (b"X-Request-Id", b"one"), (b"x-request-id", b"two")
+        for fields, is_answer in (
+            ([mine], True),
+            ([other], False),
+            ([], False),
+            ([mine, other], False),
+            ([other, mine], False),
+            ([mine, mine], False),
+        ):
+            with self.subTest(fields=fields):
+                head = ResponseHead(200, Headers(fields), 0, True)
+                self.assertEqual(targets.answers(send, head), is_answer)
