Refuse an answer that carries the id of another request on the own interface

What callers saw: a target that answered a request twice, the second time late, on a kept connection gave the next caller the answer to another request. Of a run: events of another prompt, of the same customer and version, so the check of the head passed. Of a call: the late answer met the next poll, order or run at that target.

Cause: runs shared kept connections, and a call's own connection went back to the shared ones (FRESH_CONNECT opens one, but does not close it). libcurl drops a kept connection on which bytes wait, not one on which they come just after the next request. X-Request-Id was sent with calls, and never compared.

Fix: every request to a target but the cancelling of a run carries an id; a response with another one stops the transfer, which closes its connection, and the send fails for wrong-head, not as not executed. A response without an id is accepted, so all but polls have a connection of their own that is closed afterwards (FORBID_REUSE), where a late second answer meets nobody. This also ends libcurl's resending of a run by itself on a dead connection.

--- a/packages/node/src/fielddrift_node/filters/call.py
+++ b/packages/node/src/fielddrift_node/filters/call.py
@@ -14,7 +14,7 @@
 from ..exchange import Answer, Exchange
 from ..http_client import Call, Reply
 from ..settle import AttemptFailed, settle_refused, start_request
-from ..targets import pause_seconds, proved_not_started
+from ..targets import pause_seconds, proved_not_started, retry_reason
 from .admit import is_available, no_target_refusal
 
 __all__ = ["call_service"]
@@ -88,8 +88,9 @@
     except ExternalSystemError as error:
         runtime.board.failed(target.name)
         exchange.record_send_failure(target, error)
-        reason = "connect" if error.not_executed else "cut-before-head"
-        raise AttemptFailed(str(error), reason, not_executed=error.not_executed) from None
+        raise AttemptFailed(
+            str(error), retry_reason(error), not_executed=error.not_executed
+        ) from None
     finally:
         runtime.board.ended(target.name, exchange.request_id)
     runtime.handle_target_headers(target.name, reply.headers)
--- a/packages/node/src/fielddrift_node/filters/run.py
+++ b/packages/node/src/fielddrift_node/filters/run.py
@@ -18,7 +18,14 @@
 from ..relay import Relay, RunInterruptedError, buffered_answer
 from ..settle import AttemptFailed, settle_refused, start_request
 from ..started import Started
-from ..targets import EngineHead, RunOrder, pause_seconds, proved_not_started, read_head
+from ..targets import (
+    EngineHead,
+    RunOrder,
+    pause_seconds,
+    proved_not_started,
+    read_head,
+    retry_reason,
+)
 from ..underway import RunInFlight
 from .admit import choose_target, is_available, no_target_refusal
 
@@ -152,8 +159,9 @@
     except ExternalSystemError as error:
         runtime.board.failed(name)
         exchange.record_send_failure(choice.target, error)
-        reason = "connect" if error.not_executed else "cut-before-head"
-        raise AttemptFailed(str(error), reason, not_executed=error.not_executed) from None
+        raise AttemptFailed(
+            str(error), retry_reason(error), not_executed=error.not_executed
+        ) from None
     runtime.handle_target_headers(name, head.headers)
     if proved_not_started(head):
         runtime.board.succeeded(name)
--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -22,8 +22,9 @@
 
 from . import clock
 
-__all__ = ["Call", "Head", "HttpClient", "Reply", "Stream"]
+__all__ = ["AnswerMismatchError", "Call", "Head", "HttpClient", "Reply", "Stream"]
 
+_REQUEST_ID_HEADER = "X-Request-Id"
 _MAX_IDLE_COUNT = 256
 _MAX_SELECT_SECONDS = 1.0
 _CONNECTION_LOST_CODES = frozenset(
@@ -37,11 +38,19 @@
 """Error codes of connections that the server closed before the response was complete."""
 
 
+class AnswerMismatchError(ExternalSystemError):
+    """A response carries the id of another request; whether this one ran is not known."""
+
+
 class Call(NamedTuple):
     """One HTTP call.  Both timeouts are in seconds; `timeout` covers the whole call.
 
-    `fresh` opens a new connection.  On a reused one, libcurl resends a request by itself if the
-    connection turns out to be dead, which is not safe for a call that must not be repeated.
+    `fresh` uses a connection for this call alone.  On a reused one, libcurl resends a request by
+    itself if the connection turns out to be dead, which is not safe for a call that must not be
+    repeated, and a late second response to an earlier request may arrive.
+
+    If `headers` have an `X-Request-Id`, a response with a different one fails with
+    `AnswerMismatchError`; a response without one is accepted.
     """
 
     method: str
@@ -132,8 +141,11 @@
         self.stream = stream
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.error: ExternalSystemError | None = None
+        """Why this class stopped the transfer."""
 
-    def header(self, line: bytes) -> None:
+    def header(self, line: bytes) -> int | None:
+        """Take a line of the head; any result but None stops the transfer."""
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.status = int(text.split(" ", 2)[1])
@@ -142,11 +154,29 @@
             name, _, value = text.partition(":")
             self.headers[name.lower()] = value.strip()
         elif self.status >= 200 and not self.stream.head.done():
+            if (mismatch := self._mismatch()) is not None:
+                return self._stop(mismatch)
             self.stream.head.set_result(Head(self.status, self.headers))
+        return None
 
     def body(self, data: bytes) -> None:
         self.stream.put(data)
 
+    def _mismatch(self) -> AnswerMismatchError | None:
+        expected = self.call.headers.get(_REQUEST_ID_HEADER)
+        received = self.headers.get(_REQUEST_ID_HEADER.lower())
+        if expected is None or received in (None, expected):
+            return None
+        return AnswerMismatchError(
+            f"{self.call.url}: response has {_REQUEST_ID_HEADER} {received!r}, "
+            f"expected {expected!r}"
+        )
+
+    def _stop(self, error: ExternalSystemError) -> int:
+        """Fail the transfer with `error`; libcurl then closes the connection."""
+        self.error = error
+        return -1
+
     def prepare(self, curl: pycurl.Curl) -> None:
         call = self.call
         curl.setopt(pycurl.URL, call.url)
@@ -155,6 +185,7 @@
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout * 1000)))
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(call.connect_timeout * 1000)))
         curl.setopt(pycurl.FRESH_CONNECT, int(call.fresh))
+        curl.setopt(pycurl.FORBID_REUSE, int(call.fresh))
         if call.body is not None:
             curl.setopt(pycurl.POST, 1)
             curl.setopt(pycurl.POSTFIELDS, call.body)
@@ -302,6 +333,8 @@
                 return
 
     def _error(self, curl: pycurl.Curl, code: int, message: str) -> ExternalSystemError:
+        if (stopped := self._transfers[curl].error) is not None:
+            return stopped
         # A call is not executed if no connection was established.  If a reused connection was
         # dead, libcurl had already sent the request on it, even if reconnecting then failed.
         sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Mapping
+from itertools import count
 from typing import Any, NamedTuple
 
 import msgspec
@@ -12,7 +13,7 @@
 from fielddrift_core.routing import Load
 
 from . import clock
-from .http_client import Call, Head, HttpClient, Reply, Stream
+from .http_client import AnswerMismatchError, Call, Head, HttpClient, Reply, Stream
 
 __all__ = [
     "EngineHead",
@@ -23,6 +24,7 @@
     "pause_seconds",
     "proved_not_started",
     "read_head",
+    "retry_reason",
 ]
 
 _JSON = {"Content-Type": "application/json"}
@@ -121,21 +123,35 @@
     return seconds if proved_not_started(reply) and 0 < seconds < math.inf else 0.0
 
 
+def retry_reason(error: ExternalSystemError) -> str:
+    """Return the reason, one of `RETRY_REASONS`, of a send that failed before its answer."""
+    if isinstance(error, AnswerMismatchError):
+        return "wrong-head"
+    return "connect" if error.not_executed else "cut-before-head"
+
+
 class TargetClient:
-    """Calls to targets; the methods raise `ExternalSystemError`."""
+    """Calls to targets; the methods raise `ExternalSystemError`.
+
+    A target may answer a request twice, the second time late.  Each request therefore has an
+    `X-Request-Id`, which the target's answer must repeat if it has one, and a connection of its
+    own; only polls share connections, and a late poll does no harm beyond an old load report.
+    """
 
     def __init__(self, *, http: HttpClient) -> None:
         self._http = http
+        self._numbers = count(1)
 
     def run(self, target: Target, order: RunOrder, *, timeout: float) -> Stream:
         """Start a run; the head of the stream arrives with the first token."""
         body = msgspec.json.encode(order._asdict())
         url = f"http://{target.address}/v1/runs"
-        return self._http.stream(Call("POST", url, body, _JSON, timeout=timeout))
+        headers = {**_JSON, "X-Request-Id": order.run}
+        return self._http.stream(Call("POST", url, body, headers, timeout=timeout, fresh=True))
 
     def cancel(self, target: Target, run: str) -> None:
         """Ask an engine to cancel a run, without waiting for the response."""
-        self._http.stream(Call("DELETE", f"http://{target.address}/v1/runs/{run}"))
+        self._http.stream(Call("DELETE", f"http://{target.address}/v1/runs/{run}", fresh=True))
 
     def call(self, target: Target, call: Call) -> Reply:
         """Make a service call on a new connection, on which libcurl does not resend it."""
@@ -144,7 +160,8 @@
     def load(self, target: Target, *, after: int) -> LoadReport:
         """Poll a target's load and its cache events with numbers above `after`."""
         url = f"http://{target.address}/load?after={after}"
-        return self._json(Call("GET", url, timeout=_POLL_TIMEOUT_SECONDS), LoadReport)
+        call = Call("GET", url, timeout=_POLL_TIMEOUT_SECONDS)
+        return self._json(self._numbered(call, fresh=False), LoadReport)
 
     def order(self, target: Target, order: Order) -> bool:
         """Send a target its desired state; return False if the fencing token is outdated."""
@@ -152,7 +169,7 @@
         call = Call(
             "POST", f"http://{target.address}/orders", body, _JSON, timeout=_ORDER_TIMEOUT_SECONDS
         )
-        reply = self._http.request(call)
+        reply = self._http.request(self._numbered(call))
         if reply.status == 409:
             return False
         _check(reply, call)
@@ -160,16 +177,22 @@
 
     def state(self, target: Target) -> dict[str, Any]:
         """Read back the state that a target was ordered to have, and its actual state."""
-        return self._json(Call("GET", f"http://{target.address}/orders"), dict[str, Any])
+        call = Call("GET", f"http://{target.address}/orders")
+        return self._json(self._numbered(call), dict[str, Any])
 
     def export(self, target: Target, order: Mapping[str, Any], *, timeout: float) -> list[Any]:
         """Have an engine export a run's blocks to a store host; return the parts written."""
         body = msgspec.json.encode(order)
         url = f"http://{target.address}/kv/export"
-        reply = self._json(Call("POST", url, body, _JSON, timeout=timeout), dict[str, list[Any]])
+        call = self._numbered(Call("POST", url, body, _JSON, timeout=timeout))
+        reply = self._json(call, dict[str, list[Any]])
         parts: list[Any] = reply["parts"]
         return parts
 
+    def _numbered(self, call: Call, *, fresh: bool = True) -> Call:
+        headers = {**call.headers, "X-Request-Id": f"node.{next(self._numbers)}"}
+        return call._replace(headers=headers, fresh=fresh)
+
     def _json(self, call: Call, kind: Any) -> Any:
         reply = self._http.request(call)
         _check(reply, call)
--- a/packages/standins/src/fielddrift_standins/web.py
+++ b/packages/standins/src/fielddrift_standins/web.py
@@ -71,6 +71,8 @@
             response = handler(request, **values)
         except HTTPException as error:
             response = error.get_response(environ)
+        if request_id := request.headers.get("X-Request-Id"):
+            response.headers["X-Request-Id"] = request_id
         return response(environ, start_response)
 
     def _broken(self) -> Response | None:
