Read past trailers of responses on the own interface

What callers saw: a target whose answer had trailers could change the head that was already checked: another content type, and with X-Started: no a call that ran counted as not started, and so (by reading) could be sent again.

Cause: libcurl hands trailers to the function of the head's fields, which wrote them into the same map.

Evidence: tests/test_trailer_fields.py on the code before: 'application/json' != 'text/plain', the trailer's value in place of the head's.

Fix: once the head is complete, further lines are no fields of it.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -146,6 +146,8 @@
 
     def header(self, line: bytes) -> int | None:
         """Take a line of the head; any result but None stops the transfer."""
+        if self.stream.head.done():
+            return None  # A trailer: the reader may have the head's fields already.
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.status = int(text.split(" ", 2)[1])
@@ -153,7 +155,7 @@
         elif text:
             name, _, value = text.partition(":")
             self.headers[name.lower()] = value.strip()
-        elif self.status >= 200 and not self.stream.head.done():
+        elif self.status >= 200:
             if (mismatch := self._mismatch()) is not None:
                 return self._stop(mismatch)
             self.stream.head.set_result(Head(self.status, self.headers))
