Bound what the own interface keeps of an answer without end

What callers saw, by reading: a target that sent fields, a body or an event without end filled the node's memory until the call's time-out, up to 600 s for a run; all callers of the node would have shared its end.

Cause: http_client.py bounded nothing itself (libcurl refuses heads of over 300 KiB or 5,000 fields, but not interim heads or trailers of as much as the tests send), a collected body had no bound, and neither had an incomplete event, the bytes of events held for a missing one, or the events of a completion that is not streamed.

Fix: 64 KiB and 1,000 fields of head, and of trailers; 64 MiB of a collected body and of a collected completion; 1 MiB of an incomplete event; 16 MiB of held events. The callbacks stop the transfer, so libcurl closes the connection; the error names bound and value. The sequencer checks before it counts anything as forwarded, so the next run goes on at the right event.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -16,6 +16,9 @@
 """An event's number, or, with an empty group, the blank line after the event."""
 _END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
 _MAX_HELD_EVENT_COUNT = 10_000
+_MAX_HELD_BYTES = 16 * 1024 * 1024
+_MAX_EVENT_BYTES = 1024 * 1024
+"""The size of an event that is still incomplete."""
 
 
 class StreamError(Exception):
@@ -36,6 +39,7 @@
         self._next = following
         self._buffer = b""
         self._held: dict[int, bytes] = {}
+        self._held_bytes = 0
         self._count: int | None = None
         self._reordered = False
 
@@ -63,10 +67,14 @@
         """Return the bytes that can be forwarded after `data` was received.
 
         Raise `StreamError` for an event without a number or with two, an end event
-        whose count contradicts the events, or too many events held out of order.
-        In that case no part of `data` counts as forwarded.
+        whose count contradicts the events, an incomplete event that is too large, or too
+        many events or bytes held out of order.  In that case no part of `data` counts as
+        forwarded.
         """
         ready, self._buffer = _split_complete(self._buffer + data)
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            following = self._next + ready.count(b"\n\n")
+            raise StreamError(f"event {following}: no end within {_MAX_EVENT_BYTES} bytes")
         if not ready:
             return b""
         following = self._next + ready.count(b"\n\n")
@@ -84,8 +92,9 @@
             if len(found) != 1:
                 raise StreamError(f"event {event[:60]!r}: expected one id line with a number")
             number = int(found[0])
-            if number >= self._next:
-                self._held.setdefault(number, event + b"\n\n")
+            if number >= self._next and number not in self._held:
+                self._held[number] = event + b"\n\n"
+                self._held_bytes += len(self._held[number])
         if len(self._held) > _MAX_HELD_EVENT_COUNT:
             raise StreamError(
                 f"event {self._next}: missing, {len(self._held)} later events received"
@@ -99,8 +108,14 @@
             count = _end_count(event, following, count)
             out.append(event)
             following += 1
+        held_bytes = self._held_bytes - sum(map(len, out))
+        if held_bytes > _MAX_HELD_BYTES:
+            raise StreamError(
+                f"event {following}: missing, later events of over {_MAX_HELD_BYTES} bytes received"
+            )
         for number in range(self._next, following):
             del self._held[number]
+        self._held_bytes = held_bytes
         self._next, self._count = following, count
         return b"".join(out)
 
--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -22,7 +22,22 @@
 
 from . import clock
 
-__all__ = ["AnswerMismatchError", "Call", "Head", "HttpClient", "Reply", "Stream"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "AnswerMismatchError",
+    "Call",
+    "Head",
+    "HttpClient",
+    "Reply",
+    "Stream",
+]
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""The size of a body that is collected whole; a body read as a stream may have any size."""
+
+_MAX_HEAD_BYTES = 64 * 1024
+_MAX_FIELD_COUNT = 1000
+"""Bounds of a response's head, interim heads included, and again of its trailers."""
 
 _REQUEST_ID_HEADER = "X-Request-Id"
 _MAX_IDLE_COUNT = 256
@@ -134,18 +149,27 @@
 
 
 class _Transfer:
-    """One call in progress: collects the headers and forwards the body to the stream."""
+    """One call in progress: collects the headers and forwards the body to the stream.
 
-    def __init__(self, *, call: Call, stream: Stream) -> None:
+    `max_body_bytes` bounds the body; None means no such bound.
+    """
+
+    def __init__(self, *, call: Call, stream: Stream, max_body_bytes: int | None = None) -> None:
         self.call = call
         self.stream = stream
         self.status = 0
         self.headers: dict[str, str] = {}
         self.error: ExternalSystemError | None = None
         """Why this class stopped the transfer."""
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._field_count = 0
 
     def header(self, line: bytes) -> int | None:
-        """Take a line of the head; any result but None stops the transfer."""
+        """Take a line of the head or a trailer; any result but None stops the transfer."""
+        if (excess := self._head_excess(line)) is not None:
+            return self._stop(excess)
         if self.stream.head.done():
             return None  # A trailer: the reader may have the head's fields already.
         text = line.decode("latin-1").strip()
@@ -158,11 +182,30 @@
         elif self.status >= 200:
             if (mismatch := self._mismatch()) is not None:
                 return self._stop(mismatch)
+            self._head_bytes = self._field_count = 0
             self.stream.head.set_result(Head(self.status, self.headers))
         return None
 
-    def body(self, data: bytes) -> None:
+    def body(self, data: bytes) -> int | None:
+        """Take a piece of the body; any result but None stops the transfer."""
+        self._body_bytes += len(data)
+        if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:
+            return self._stop(self._excess("body", self._max_body_bytes, "bytes"))
         self.stream.put(data)
+        return None
+
+    def _head_excess(self, line: bytes) -> ExternalSystemError | None:
+        part = "trailers" if self.stream.head.done() else "head"
+        self._head_bytes += len(line)
+        self._field_count += b":" in line
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            return self._excess(part, _MAX_HEAD_BYTES, "bytes")
+        if self._field_count > _MAX_FIELD_COUNT:
+            return self._excess(part, _MAX_FIELD_COUNT, "fields")
+        return None
+
+    def _excess(self, part: str, bound: int, unit: str) -> ExternalSystemError:
+        return ExternalSystemError(f"{self.call.url}: {part} of the response over {bound} {unit}")
 
     def _mismatch(self) -> AnswerMismatchError | None:
         expected = self.call.headers.get(_REQUEST_ID_HEADER)
@@ -223,13 +266,14 @@
 
     def stream(self, call: Call) -> Stream:
         """Start `call`; return the stream of its response."""
-        stream = Stream(cancel=self._cancel)
-        self._submit("add", _Transfer(call=call, stream=stream))
-        return stream
+        return self._start(call, None)
 
     def request(self, call: Call) -> Reply:
-        """Make `call` and return its complete response; raise `ExternalSystemError`."""
-        stream = self.stream(call)
+        """Make `call` and return its complete response.
+
+        Raise `ExternalSystemError`, also if the body is larger than `MAX_BODY_BYTES`.
+        """
+        stream = self._start(call, MAX_BODY_BYTES)
         head = stream.head.result()
         return Reply(head.status, head.headers, stream.read())
 
@@ -239,6 +283,12 @@
         os.write(self._writer, b".")
         self._thread.join(timeout=2 * _MAX_SELECT_SECONDS)
 
+    def _start(self, call: Call, max_body_bytes: int | None) -> Stream:
+        stream = Stream(cancel=self._cancel)
+        transfer = _Transfer(call=call, stream=stream, max_body_bytes=max_body_bytes)
+        self._submit("add", transfer)
+        return stream
+
     def _cancel(self, stream: Stream) -> None:
         self._submit("cancel", stream)
 
--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from functools import partial
 from typing import Any
 
@@ -20,6 +21,7 @@
 
 from . import clock
 from .exchange import Answer, Exchange
+from .http_client import MAX_BODY_BYTES
 from .keeping import export_prefix
 from .log import get
 from .settle import settle_refused
@@ -81,7 +83,7 @@
             problem = broken.refusal.problem(request_id=self._exchange.request_id)
             yield b"event: error\ndata: " + json.dumps(problem).encode() + b"\n\n"
 
-    def events(self) -> Iterator[bytes]:
+    def events(self) -> Generator[bytes, None, None]:
         """Yield events in order, each once; raise `RunInterruptedError` if incomplete."""
         try:
             while not self._sequencer.whole:
@@ -200,8 +202,11 @@
 
 
 def buffered_answer(exchange: Exchange, relay: Relay) -> Answer:
-    """Return the complete text as one response; raise `RunInterruptedError` if it is truncated."""
-    events = b"".join(relay.events())
+    """Return the complete text as one response.
+
+    Raise `RunInterruptedError` if it is truncated, or larger than `MAX_BODY_BYTES`.
+    """
+    events = _collect(relay)
     texts = [
         msgspec.json.decode(data)["choices"][0]["text"] for data in _TEXT_EVENT.findall(events)
     ]
@@ -220,3 +225,16 @@
             exchange.claim, status=200, content_type="application/json", body=body
         )
     return Answer(200, "application/json", body, relay.headers)
+
+
+def _collect(relay: Relay) -> bytes:
+    collected = []
+    size = 0
+    with contextlib.closing(relay.events()) as events:
+        for data in events:
+            collected.append(data)
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                detail = f"answer: events of over {MAX_BODY_BYTES} bytes"
+                raise RunInterruptedError(Refusal(ErrorKind.CUT, detail, Ran.UNKNOWN, 0.5))
+    return b"".join(collected)
