Close a tunnel that received bytes before its first request

What callers saw: none is known to have got a wrong answer this way. Bytes that arrived between the end of the handshake and the hand-over of the transport were dropped, and the tunnel was used although the target had sent something that answers no request. A connection lost in that time was handed over as open, and its end was never told to the new protocol.

Cause: TunnelHandshake.data_received ignored what came after its outcome, and opened() didn't look whether the transport was closing.

Evidence: both new tests of tests/test_tunnels.py failed on the code before (TunnelError not raised). They hold the hand-over back; with asyncio's own loop the waiting task usually runs before the next read, so the window is narrow.

Why it works: such bytes abort the connection, and opened() raises for a transport that is closing, which the client counts as a tunnel not opened; nothing of the request has been sent then.

--- a/packages/node/src/fielddrift_node/web/tunnel.py
+++ b/packages/node/src/fielddrift_node/web/tunnel.py
@@ -81,7 +81,8 @@
     async def opened(self) -> asyncio.Transport:
         """Wait until the tunnel is open and return its transport, which has this protocol.
 
-        Raise `TunnelError` if it is not opened; the connection is closed then.
+        Raise `TunnelError` if it is not opened, was closed since or has received bytes, which
+        answer no request; the connection is closed then.
         """
         assert self._transport is not None
         try:
@@ -89,6 +90,8 @@
         except BaseException:
             self._transport.abort()
             raise
+        if self._transport.is_closing():
+            raise TunnelError(f"tunnel to {self._address}: closed before its use", status=None)
         return self._transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -98,7 +101,10 @@
         self._transport.write(request.encode("ascii"))
 
     def data_received(self, data: bytes) -> None:
+        assert self._transport is not None
         if self._outcome.done():
+            # These bytes answer no request of this node, and what follows them might not either.
+            self._transport.abort()
             return
         self._head += data
         end = self._head.find(b"\r\n\r\n")
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -10,12 +10,14 @@
 from unittest import mock
 
 from fielddrift_node.web.client import CONNECT_REASON, TUNNEL_REASON, Client, ExchangeError
-from fielddrift_node.web.tunnel import TunnelServer, TunnelStatus
+from fielddrift_node.web.tunnel import TunnelError, TunnelHandshake, TunnelServer, TunnelStatus
 from fielddrift_standins.fleet import HOST, free_port
 
 from .platform_fleet import WAIT_SECONDS, eventually
 
 _SLOW_SECONDS = 5.0
+_ARRIVAL_SECONDS = 0.1
+"""Longer than bytes take from the target to the node."""
 _REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 _BIG = b"x" * 30_000_000
 """More than the buffers of two connections hold."""
@@ -172,3 +174,33 @@
         with self.assertRaises(ConnectionResetError):
             await asyncio.wait_for(reader.read(), 1.0)
         writer.close()
+
+    async def test_a_surplus_answer_before_the_first_request_closes_the_tunnel(self) -> None:
+        # Failure: these bytes were dropped, and the tunnel was used although they belong to none.
+        await self.listen(_answer_whole)
+        handshake = await self._handshake()
+        await eventually(lambda: self.targets)
+        self.targets[0].transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+        await asyncio.sleep(_ARRIVAL_SECONDS)
+        with self.assertRaises(TunnelError):
+            await handshake.opened()
+        await eventually(lambda: self.server.count == 0)
+
+    async def test_a_tunnel_that_ends_before_its_first_request_is_not_open(self) -> None:
+        await self.listen(_answer_whole)
+        handshake = await self._handshake()
+        await eventually(lambda: self.targets)
+        self.targets[0].transport.close()
+        await asyncio.sleep(_ARRIVAL_SECONDS)
+        with self.assertRaises(TunnelError):
+            await handshake.opened()
+
+    async def _handshake(self) -> TunnelHandshake:
+        """Return a handshake whose tunnel is open but is not taken over yet."""
+        port = int(self.carrier.rpartition(":")[2])
+        _, handshake = await asyncio.get_running_loop().create_connection(
+            lambda: TunnelHandshake(address=self.address), HOST, port
+        )
+        await eventually(lambda: self.statuses)
+        await asyncio.sleep(_ARRIVAL_SECONDS)
+        return handshake
