Reset the connection of an answer to HTTP/1.0 that is cut

What callers saw: an answer without a length to an HTTP/1.0 request that was cut (by its handler, a fault, a stop, a killed process, or since the caller had closed its sending side) ended in an orderly close, which is how such an answer ends, so that a part looked like the whole.

Cause: transport.abort() sends a plain FIN while nothing is unread, and so does the kernel for a killed process.

Why it works: SO_LINGER is set to reset on close as the head is written and is taken back once the whole answer was handed to the kernel, so that every other end is a reset. Answers with a length or chunks show a cut by themselves and are left as they were, as are answers of stand-ins that end with their connections. web/tunnel.py uses the same method.

--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple, cast
@@ -32,6 +33,7 @@
     "plain_text_fault",
     "prepare_socket",
     "probe_silent_path",
+    "set_reset_on_close",
 ]
 
 _MAX_PIPELINED_COUNT = 4
@@ -67,6 +69,9 @@
 a refused body.  A connection that is closed with unread bytes is reset, and the client may lose
 the response."""
 
+_LINGER_OPTION = struct.Struct("ii")
+"""The value of SO_LINGER: whether it is on, and its seconds."""
+
 _log = structlog.get_logger()
 
 
@@ -131,6 +136,18 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS)
 
 
+def set_reset_on_close(transport: asyncio.BaseTransport, enabled: bool) -> None:
+    """Set whether the connection is reset when its socket is closed, by whatever cause.
+
+    The kernel drops what is not sent yet then, and the peer cannot take the close for an end.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OPTION.pack(enabled, 0))
+
+
 class Responder:
     """Writes the response to one request."""
 
@@ -194,6 +211,9 @@
         self._chunked = length is None and chunked and not self._http_1_0
         if length is None and not self._chunked:
             keep = False
+        if length is None and self._http_1_0:
+            # The caller takes a connection that is closed in order for the end of the response.
+            self._connection.reset_unless_sent(self)
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason_phrase(status))]
         lines += [b"%s: %s\r\n" % field for field in headers]
         if length is not None:
@@ -414,6 +434,8 @@
         self._closed_by: EndCause | None = None
         """Why the connection was closed or lost; None while it is open."""
         self._close_after_answer = False
+        self._reset_without: Responder | None = None
+        """The one whose response must be sent whole before the connection may close in order."""
         self._expects_close = False
         """Whether the caller asked to close the connection behind the current request."""
         self._fault: _BadRequest | None = None
@@ -686,7 +708,10 @@
         if self._dropped_at is not None:
             sent = min(sent, self._dropped_at)
         while self._unsent and self._unsent[0][1].ends_at <= sent:
-            self._report_end(*self._unsent.popleft(), sent=True)
+            request, responder = self._unsent.popleft()
+            if responder is self._reset_without and transport is not None:
+                set_reset_on_close(transport, False)
+            self._report_end(request, responder, sent=True)
         if transport is None:
             self._end_unsent()
         elif self._unsent or self._reports_empty:
@@ -830,6 +855,12 @@
     def close_after_answer(self) -> None:
         self._close_after_answer = True
 
+    def reset_unless_sent(self, responder: Responder) -> None:
+        """Reset the connection if it is closed before the response was sent whole."""
+        if self._transport is not None:
+            self._reset_without = responder
+            set_reset_on_close(self._transport, True)
+
     def close_if_idle(self) -> None:
         if not self.busy and self._transport is not None:
             self._note_close(EndCause.STOP)
--- a/packages/node/src/fielddrift_node/web/tunnel.py
+++ b/packages/node/src/fielddrift_node/web/tunnel.py
@@ -9,15 +9,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import re
-import socket
-import struct
 from collections.abc import Callable
 from enum import IntEnum
 from typing import cast
 
-from .server import prepare_socket, probe_silent_path
+from .server import prepare_socket, probe_silent_path, set_reset_on_close
 
 __all__ = ["TunnelError", "TunnelHandshake", "TunnelServer", "TunnelStatus"]
 
@@ -34,8 +31,6 @@
 """Tunnels that a node carries.  Each takes two descriptors and up to 64 KiB."""
 _REQUEST_LINE = re.compile(rb"CONNECT ([^ ]+) HTTP/1\.1\r\n")
 _STATUS_LINE = re.compile(rb"HTTP/1\.1 (\d{3}) ")
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which closing a socket sends a reset."""
 
 
 class TunnelStatus(IntEnum):
@@ -230,10 +225,7 @@
         transport = self._transport
         if transport is None:
             return
-        sock = transport.get_extra_info("socket")
-        if sock is not None and sock.fileno() >= 0:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        set_reset_on_close(transport, True)
         transport.abort()
 
     def data_received(self, data: bytes) -> None:
