Send no body behind an answer that has none

What callers saw: on a kept connection, the body of a refusal of a HEAD request, or the last chunk of an answer with status 204 or 304 and no length, came where the caller reads its next answer.

Cause: the server wrote bodies, chunks and Transfer-Encoding without regard to the request's method and the answer's status (RFC 9112, section 6.3). An answer of 204 also had a Content-Length.

Why it works: the writer of a response knows the method and drops the body of a response that has none, also its chunks; the length of an answer to HEAD stays.

--- a/packages/node/src/fielddrift_node/web/messages.py
+++ b/packages/node/src/fielddrift_node/web/messages.py
@@ -5,7 +5,17 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-__all__ = ["HOP_BY_HOP", "Headers", "RequestHead", "ResponseHead", "reason_phrase"]
+__all__ = [
+    "BODILESS_STATUSES",
+    "HOP_BY_HOP",
+    "Headers",
+    "RequestHead",
+    "ResponseHead",
+    "reason_phrase",
+]
+
+BODILESS_STATUSES = frozenset({204, 304})
+"""Final statuses of responses without a body, whatever their fields tell of one."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -117,4 +127,4 @@
     def framed(self) -> bool:
         """Return whether the body is delimited other than by the close of the connection."""
         chunked = self.headers.get(b"transfer-encoding") is not None
-        return self.length is not None or chunked or self.status in (204, 304)
+        return self.length is not None or chunked or self.status in BODILESS_STATUSES
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -20,7 +20,7 @@
 from fielddrift_core.request_ends import EndCause, end_cause
 
 from .host_memory import HeldBytes, HostMemory, held_for_caller
-from .messages import Headers, RequestHead, reason_phrase
+from .messages import BODILESS_STATUSES, Headers, RequestHead, reason_phrase
 from .request_ends import NOT_OBSERVED, RequestEnd, RequestObserver
 
 __all__ = [
@@ -60,6 +60,8 @@
 """Status of requests that are refused because their bodies would take too much memory."""
 _MEMORY_RETRY_SECONDS = 0.25
 """Their `Retry-After`, as that of other refusals: the caller may reach another node at once."""
+_NO_CONTENT_STATUS = 204
+"""The status whose responses have no Content-Length either."""
 _FAILED_STATUS = 500
 """Status of a request whose handler failed before its response; it may have run."""
 _CLOSE_IDLE_SECONDS = 0.02
@@ -151,10 +153,14 @@
 class Responder:
     """Writes the response to one request."""
 
-    def __init__(self, *, connection: _Connection, keep_alive: bool, http_1_0: bool) -> None:
+    def __init__(
+        self, *, connection: _Connection, keep_alive: bool, http_1_0: bool, method: bytes
+    ) -> None:
         self._connection = connection
         self._keep_alive = keep_alive
         self._http_1_0 = http_1_0
+        self._answers_head = method == b"HEAD"
+        self._has_body = True
         self._chunked = False
         self._started = False
         self._ended = False
@@ -205,13 +211,18 @@
         """Write the head; `length` is that of the body in bytes, None if it is not known.
 
         Without a length the body is chunked, or ends with the connection for HTTP/1.0 and where
-        `chunked` is false.
+        `chunked` is false.  A response to HEAD, or with a status in `BODILESS_STATUSES`, has no
+        body whatever is written (RFC 9112, section 6.3).
         """
         keep = self._keep_alive and not self._connection.closing
-        self._chunked = length is None and chunked and not self._http_1_0
-        if length is None and not self._chunked:
+        self._has_body = not self._answers_head and status not in BODILESS_STATUSES
+        if status == _NO_CONTENT_STATUS:
+            length = None
+        ends_with_length = length is not None or not self._has_body
+        self._chunked = not ends_with_length and chunked and not self._http_1_0
+        if not ends_with_length and not self._chunked:
             keep = False
-        if length is None and self._http_1_0:
+        if not ends_with_length and self._http_1_0:
             # The caller takes a connection that is closed in order for the end of the response.
             self._connection.reset_unless_sent(self)
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason_phrase(status))]
@@ -230,8 +241,8 @@
         self._connection.write(b"".join(lines))
 
     def write(self, data: bytes) -> None:
-        """Write part of the body."""
-        if data:
+        """Write part of the body, if the response has one."""
+        if data and self._has_body:
             self._connection.write(b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data)
 
     async def drain(self) -> None:
@@ -661,7 +672,10 @@
         request = self._queue.popleft()
         self._transport.resume_reading()
         responder = Responder(
-            connection=self, keep_alive=request.head.keep_alive, http_1_0=request.head.http_1_0
+            connection=self,
+            keep_alive=request.head.keep_alive,
+            http_1_0=request.head.http_1_0,
+            method=request.head.method,
         )
         self._task = self._loop.create_task(self._handle(request, responder))
         # A task that is cancelled before its first step runs nothing of its coroutine.
