Fail a send whose answer has a transfer coding besides chunks

What callers saw: an answer with Transfer-Encoding: gzip, chunked came as a success whose body was the coded bytes, without the field that tells so.

Cause: the client decodes chunks, and the field is not forwarded, whatever else it names. Other codings without chunks failed already, as connections lost.

Evidence: TestCodedTransfers of tests/test_garbled_answers.py failed on the code before: (200, b'garbled') in place of the other target's answer.

Why it works: such a send fails with the reason garbled before a byte is passed on. It may have run, so it is sent again only where the route allows it; on the other kind of route the caller gets 502.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -25,6 +25,7 @@
 _NOT_REPEATABLE_MAX_IDLE_SECONDS = 0.4
 """Maximum idle time of a reused connection for a request that must not be sent twice: the target
 may have closed a connection that has been idle for longer."""
+_CHUNKED = "chunked"
 
 CONNECTION_LOST_REASONS = frozenset({"reset", "cut"})
 """Failure reasons of sends whose connection was lost; a crash of the target may explain them."""
@@ -296,6 +297,10 @@
     if info.rejected:
         context.views.brittle.rejected(name, loop.time())
     if not info.not_started:
+        if detail := _garbling(head):
+            exchange.cancel()
+            detail = f"target {name}: status {head.status}, {detail}"
+            raise AttemptFailed(detail, reason="garbled", reached=True, not_run=False)
         return exchange, head
     call.trace.unproved -= 1
     await _read_rest(exchange)
@@ -304,6 +309,15 @@
     raise AttemptFailed(detail, reason=reason, reached=True, not_run=True)
 
 
+def _garbling(head: ResponseHead) -> str:
+    """Return why the body of a response cannot be passed on as it is, empty if it can."""
+    coding = head.headers.text(b"transfer-encoding").lower()
+    if coding in ("", _CHUNKED):
+        return ""
+    # The field is not forwarded, and no coding but this one is decoded.
+    return f"transfer-encoding {coding[:40]!r}, expected {_CHUNKED}"
+
+
 def _not_run_reason(info: ResponseInfo, outgoing: OutgoingRequest) -> str:
     if not info.misdirected:
         return "not-started"
