Take a node that carries tunnels and has started again for another one

A response without a length that came through a tunnel ended as whole when the carrying node was killed in the middle of it and listened again before it was asked: its kernel had closed the tunnel in order, and the new process carries connections to the same target, which lives on.

The response to CONNECT tells the process that carries the tunnel, and an end counts as the target's only if the same process carries the question about it.

Evidence: the test of a carrier that is back at once fails without the comparison (1 of 1) and passes with it.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -270,6 +270,7 @@
         )
         send.connection = "kept" if exchange.kept else "new"
         send.through = exchange.through
+        send.carrier_process = exchange.carrier_process
         send.written_at = loop.time()
         # From here on the request may run, even if this task is cancelled.
         call.trace.unproved += 1
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -98,6 +98,8 @@
         """`kept` or `new`: a reused or a new connection; empty for none."""
         self.through = ""
         """Address of the node that carries the connection, empty for none."""
+        self.carrier_process = ""
+        """The id of the process of that node, empty if it is not known."""
         self.framed = False
         """Whether the response had an explicit end, not only the end of its connection."""
         self.is_confirmed = False
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -190,14 +190,18 @@
         request = self._targets.identity_request(instance, self._service(instance))
         try:
             async with asyncio.timeout(_MAX_ANSWER_SECONDS):
-                reply = await self._paths.ask(instance, request, carrier=send.through)
+                carried = await self._paths.ask(instance, request, carrier=send.through)
         except TimeoutError:
             return TargetState.UNKNOWN, f"no answer in {_MAX_ANSWER_SECONDS} s"
         except ExchangeError as error:
             return self._state_after(send, error, open_before), str(error)
-        is_target = self._targets.identity(instance, reply)
+        if send.through and carried.carrier_process != send.carrier_process:
+            return TargetState.ENDED, "the node that carried the connection has started again"
+        if send.through and not send.carrier_process:
+            return TargetState.UNKNOWN, "the process that carried the connection is not known"
+        is_target = self._targets.identity(instance, carried.reply)
         if is_target is None:
-            return TargetState.UNKNOWN, f"status {reply.head.status} of an unknown process"
+            return TargetState.UNKNOWN, f"status {carried.reply.head.status}, sender not known"
         return (TargetState.LIVES, "") if is_target else (TargetState.ENDED, "replaced")
 
     def _state_after(
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from itertools import zip_longest
-from typing import Any, TypedDict, TypeVar, Unpack
+from typing import Any, NamedTuple, TypedDict, TypeVar, Unpack
 
 import structlog
 from fielddrift_core.direct_paths import PathChange
@@ -31,7 +31,7 @@
 from .metrics import Metrics
 from .views import Views
 
-__all__ = ["SendOptions", "TargetPaths"]
+__all__ = ["CarriedReply", "SendOptions", "TargetPaths"]
 
 CONNECT_TIMEOUT_SECONDS = 0.35
 """A connection within a region takes a few ms; a lost SYN packet is resent only after 1 s."""
@@ -62,6 +62,13 @@
     request_id: str
 
 
+class CarriedReply(NamedTuple):
+    """A reply, and the id of the process that carried its connection, empty for none."""
+
+    reply: Reply
+    carrier_process: str
+
+
 class TargetPaths:
     """Connects to targets, and checks which of them this node reaches by itself."""
 
@@ -114,7 +121,7 @@
 
         await self._connect(instance, connect)
 
-    async def ask(self, instance: Instance, data: bytes, *, carrier: str = "") -> Reply:
+    async def ask(self, instance: Instance, data: bytes, *, carrier: str = "") -> CarriedReply:
         """Send a request that changes nothing to the process at a target's address.
 
         With `carrier`, the address of a node, only over connections that it carries.  Return the
@@ -128,7 +135,8 @@
         else:
             exchange = await self.begin(instance, data)
         try:
-            return Reply(await exchange.head(), await exchange.body())
+            reply = Reply(await exchange.head(), await exchange.body())
+            return CarriedReply(reply, exchange.carrier_process)
         finally:
             exchange.cancel()
 
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -158,6 +158,7 @@
         read_buffer: memoryview,
     ) -> None:
         self._read_buffer = read_buffer
+        self._carrier_process = ""
         self._release = released
         self._lost = lost
         self._loop = asyncio.get_running_loop()
@@ -184,6 +185,15 @@
 
     # --- state --------------------------------------------------------------
 
+    @property
+    def carrier_process(self) -> str:
+        """Return the id of the process that carries the connection, empty for none or unknown."""
+        return self._carrier_process
+
+    def set_carrier_process(self, process: str) -> None:
+        """Set the id of the process of another node that carries the connection."""
+        self._carrier_process = process
+
     @property
     def usable(self) -> bool:
         """Return whether the connection may carry another exchange."""
@@ -424,12 +434,18 @@
         self._connection: _Connection | None = None
         self._kept = False
         self._through = ""
+        self._carrier_process = ""
 
     @property
     def through(self) -> str:
         """Return the address of the node that carries the connection, empty for none."""
         return self._through
 
+    @property
+    def carrier_process(self) -> str:
+        """Return the id of the process of that node, empty if it is not known."""
+        return self._carrier_process
+
     @property
     def kept(self) -> bool:
         """Return whether the connection is a reused one."""
@@ -448,6 +464,7 @@
         self._connection = connection
         self._kept = kept
         self._through = through
+        self._carrier_process = connection.carrier_process
         if self._held is not None:
             self._held.add_source(self)
 
@@ -808,6 +825,7 @@
         handshake = await self._open(lambda: TunnelHandshake(address=path.address), path.through)
         transport = await handshake.opened()
         connection = make_connection()
+        connection.set_carrier_process(handshake.process)
         transport.set_protocol(connection)
         connection.connection_made(transport)
         return connection
--- a/packages/node/src/fielddrift_node/web/tunnel.py
+++ b/packages/node/src/fielddrift_node/web/tunnel.py
@@ -3,13 +3,16 @@
 The node that wants the connection sends a `CONNECT` request (RFC 9110, section 9.3.6) to another
 node, which connects to the target and then passes bytes both ways.  No byte of a caller's request
 is sent before the target has accepted the connection, and a connection that is lost on either side
-is closed on the other, with a reset where it was reset.
+is closed on the other, with a reset where it was reset.  The response to `CONNECT` tells which
+process of the node carries the tunnel: a process that is killed closes its connections in order, as
+if the target had.
 """
 
 from __future__ import annotations
 
 import asyncio
 import re
+import secrets
 from collections.abc import Callable
 from enum import IntEnum
 from typing import cast
@@ -31,6 +34,7 @@
 """Tunnels that a node carries.  Each takes two descriptors and up to 64 KiB."""
 _REQUEST_LINE = re.compile(rb"CONNECT ([^ ]+) HTTP/1\.1\r\n")
 _STATUS_LINE = re.compile(rb"HTTP/1\.1 (\d{3}) ")
+_PROCESS_LINE = re.compile(rb"\r\nNode-Process: ([0-9a-f]+)\r\n")
 
 
 class TunnelStatus(IntEnum):
@@ -70,9 +74,15 @@
     def __init__(self, *, address: str) -> None:
         self._address = address
         self._head = b""
+        self._process = ""
         self._transport: asyncio.Transport | None = None
         self._outcome: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
+    @property
+    def process(self) -> str:
+        """Return the id of the process that carries the tunnel, empty if it is not known."""
+        return self._process
+
     async def opened(self) -> asyncio.Transport:
         """Wait until the tunnel is open and return its transport, which has this protocol.
 
@@ -109,6 +119,8 @@
         number = int(match.group(1)) if match else 0
         # A target sends nothing before it has received a request.
         if number == TunnelStatus.OPEN and end + 4 == len(self._head):
+            if found := _PROCESS_LINE.search(self._head):
+                self._process = found.group(1).decode("ascii")
             self._outcome.set_result(None)
             return
         status = TunnelStatus(number) if number in _REASONS else None
@@ -140,9 +152,15 @@
     ) -> None:
         self._admit = admit
         self._on_connect = on_connect
+        self._process = secrets.token_hex(8)
         self._carried: set[_NodeSide] = set()
         self._listener: asyncio.Server | None = None
 
+    @property
+    def process(self) -> str:
+        """Return the id of this process, as it tells nodes whose connections it carries."""
+        return self._process
+
     @property
     def count(self) -> int:
         """Return the number of tunnels that are open or being opened."""
@@ -306,7 +324,9 @@
         if self._transport is None:
             target.reset()
             return
-        self.write(b"HTTP/1.1 %d %s\r\n\r\n" % (status, _REASONS[status]))
+        process = self._server.process.encode("ascii")
+        head = b"HTTP/1.1 %d %s\r\nNode-Process: %s\r\n\r\n"
+        self.write(head % (status, _REASONS[status], process))
         if status is not TunnelStatus.OPEN:
             self.finish()
             return
--- a/tests/test_ends_judged_by_another_process.py
+++ b/tests/test_ends_judged_by_another_process.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from typing import Any
 from unittest import mock
 
@@ -17,7 +18,9 @@
 from fielddrift_standins import worker as standin
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import FleetCase, ask, prompt
+from .cut_network import Cut
+from .platform_fleet import FleetCase, ask, eventually, prompt
+from .test_unframed_answers import _FleetOfThree
 
 _EVENTS = 5
 _PART = b"answer of"
@@ -106,6 +109,25 @@
         await self.check_restarted()
 
 
+class TestRestartedCarrier(_FleetOfThree):
+    async def test_streams_do_not_end_as_whole_with_a_carrier_that_is_back_at_once(self) -> None:
+        """Failure: the node that carried a stream was killed and started again before it was asked
+        whether it lives, and the end of the tunnel passed for that of the stream."""
+        await self.start()
+        self.network.cut(Cut.REFUSED)
+        await asyncio.sleep(1.0)
+        streams = self.ask_many(12, nodes=self.nodes[:1])
+        await eventually(lambda: sum(len(engine.ran) for engine in self.engines) >= 10)
+        await asyncio.sleep(0.3)
+        for carrier in self.nodes[1:]:
+            tunnels = carrier.node._tunnels
+            # The new process listens at the same address, and reaches the targets as well.
+            tunnels._process = secrets.token_hex(8)
+            for side in list(tunnels._carried):
+                side.finish()
+        await self.check(streams)
+
+
 class TestIdentity(FleetCase):
     def _identity(self, status: int, body: bytes = b"", **fields: str) -> bool | None:
         headers = Headers(
