Take an unframed answer of the own interface for whole only if its service lives on

What callers saw: a service that ended in the middle of an answer with neither a length nor chunks closed the connection as a whole answer does, and the caller got the part as the whole; for a call that may run once it was kept under the key.

Cause: without framing, libcurl takes the connection's end for the body's, and nothing looked at it.

Fix: after such an answer the node asks the service for /load on a new connection. Any answer shows that it lives. None, or another epoch, fails the send as cut, which may have run; it counts as the service's end only if the connection was refused or broken, not if the service is slow. HEAD, 204, 304 and an answer that proves that nothing started need no poll. Not known here: an answer cut in between, or by one of several processes behind an address.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future
+from http import HTTPStatus
 from typing import NamedTuple
 
 import pycurl
@@ -40,6 +41,7 @@
 """Bounds of a response's head, interim heads included, and again of its trailers."""
 
 _REQUEST_ID_HEADER = "X-Request-Id"
+_STATUSES_WITHOUT_BODY = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 _MAX_IDLE_COUNT = 256
 _MAX_SELECT_SECONDS = 1.0
 _CONNECTION_LOST_CODES = frozenset(
@@ -85,11 +87,16 @@
 
 
 class Reply(NamedTuple):
-    """A complete response."""
+    """A complete response.
+
+    `delimited` is false if only the end of the connection ended the body: the response may then
+    have been cut.
+    """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    delimited: bool = True
 
 
 _END = None
@@ -275,7 +282,7 @@
         """
         stream = self._start(call, MAX_BODY_BYTES)
         head = stream.head.result()
-        return Reply(head.status, head.headers, stream.read())
+        return Reply(head.status, head.headers, stream.read(), _is_delimited(call, head))
 
     def close(self) -> None:
         """Stop the thread; calls in progress and later calls fail."""
@@ -409,5 +416,15 @@
         transfer.stream.end(error)
 
 
+def _is_delimited(call: Call, head: Head) -> bool:
+    """Return whether the end of a response to `call` is told by its framing."""
+    return (
+        call.method == "HEAD"
+        or head.status in _STATUSES_WITHOUT_BODY
+        or "content-length" in head.headers
+        or "chunked" in head.headers.get("transfer-encoding", "").lower()
+    )
+
+
 def _closed_error(*, not_executed: bool) -> ExternalSystemError:
     return ExternalSystemError("HTTP client of this process was closed", not_executed=not_executed)
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -154,14 +154,38 @@
         self._http.stream(Call("DELETE", f"http://{target.address}/v1/runs/{run}", fresh=True))
 
     def call(self, target: Target, call: Call) -> Reply:
-        """Make a service call on a new connection, on which libcurl does not resend it."""
-        return self._http.request(call._replace(fresh=True))
+        """Make a service call on a new connection, on which libcurl does not resend it.
+
+        A response that only the end of its connection ended counts as cut if the target does
+        not answer any more, or has started again.
+        """
+        reply = self._http.request(call._replace(fresh=True))
+        if not reply.delimited and not proved_not_started(reply):
+            self._confirm_end(target, call, reply)
+        return reply
+
+    def _confirm_end(self, target: Target, call: Call, reply: Reply) -> None:
+        """Raise `ExternalSystemError` unless the process that sent `reply` still answers."""
+        cut = f"{call.url}: response without a length, and its target"
+        try:
+            poll = self._http.request(self._load_call(target, after=0, fresh=True))
+        except ExternalSystemError as error:
+            # A target that is only slow has not ended.
+            broken = error.refused or error.broken
+            raise ExternalSystemError(f"{cut} does not answer: {error}", broken=broken) from None
+        before, now = reply.headers.get("x-epoch"), _reported_epoch(poll)
+        if before and now and before != now:
+            raise ExternalSystemError(
+                f"{cut} has started again: epoch {now}, expected {before}", broken=True
+            )
 
     def load(self, target: Target, *, after: int) -> LoadReport:
         """Poll a target's load and its cache events with numbers above `after`."""
+        return self._json(self._load_call(target, after=after, fresh=False), LoadReport)
+
+    def _load_call(self, target: Target, *, after: int, fresh: bool) -> Call:
         url = f"http://{target.address}/load?after={after}"
-        call = Call("GET", url, timeout=_POLL_TIMEOUT_SECONDS)
-        return self._json(self._numbered(call, fresh=False), LoadReport)
+        return self._numbered(Call("GET", url, timeout=_POLL_TIMEOUT_SECONDS), fresh=fresh)
 
     def order(self, target: Target, order: Order) -> bool:
         """Send a target its desired state; return False if the fencing token is outdated."""
@@ -221,6 +245,15 @@
         raise ExternalSystemError(f"invalid head of an engine's response: {error!r}") from None
 
 
+def _reported_epoch(poll: Reply) -> str:
+    """Return the epoch in a load report, or an empty string if it has none."""
+    try:
+        epoch = msgspec.json.decode(poll.body, type=LoadReport).epoch
+    except msgspec.DecodeError:
+        return ""
+    return str(epoch) if epoch else ""
+
+
 def _check(reply: Reply, call: Call) -> None:
     if reply.status not in range(200, 300):
         raise ExternalSystemError(f"{call.method} {call.url}: status {reply.status}, expected 2xx")
