Fail a send whose success has no seal

Cause: nothing looked for the seal; it was only passed on where there was one.

Evidence: TestUnsealedAnswers.test_a_success_without_a_seal_is_not_passed_on failed on the code before: (200, b'garbled') in place of the other target's answer. Its sibling, which held before and after, has it that other statuses need no seal.

Why it works: the adapter tells why a head is not the target's own answer, and send_once fails the send with the reason garbled before a byte is passed on. It may have run, so it is sent again only where the route allows it. What a seal must contain is not checked: the node cannot know.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -86,6 +86,10 @@
         """Return that it is not known."""
         return None
 
+    def garbling(self, send: OutgoingRequest, head: ResponseHead) -> str:
+        """Return that every answer can be passed on."""
+        return ""
+
     async def order(self, order: WeightsOrder) -> OrderOutcome:
         """Refuse: no weights change here."""
         raise RemoteCallError("no orders in the laboratory", not_executed=True)
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -316,7 +316,7 @@
     if info.rejected:
         context.views.brittle.rejected(name, loop.time())
     if not info.not_started:
-        if detail := _garbling(head):
+        if detail := _garbling(head) or context.targets.garbling(outgoing, head):
             exchange.cancel()
             detail = f"target {name}: status {head.status}, {detail}"
             raise AttemptFailed(detail, reason="garbled", reached=True, not_run=False)
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -354,6 +354,9 @@
         None means that it does not tell.
         """
 
+    def garbling(self, outgoing: OutgoingRequest, head: ResponseHead) -> str:
+        """Return why a response cannot be passed on as the target's, empty if it can."""
+
     async def order(self, order: WeightsOrder) -> OrderOutcome:
         """Send an order to load weights to an engine."""
 
--- a/tests/test_garbled_answers.py
+++ b/tests/test_garbled_answers.py
@@ -93,3 +93,13 @@
     async def test_a_body_with_another_transfer_coding_than_chunks_is_not_passed_on(self) -> None:
         """Failure: the field was dropped, and the coded bytes came as the body itself."""
         await self.check_not_passed_on("coded-transfer")
+
+
+class TestUnsealedAnswers(_Garbled):
+    async def test_a_success_without_a_seal_is_not_passed_on(self) -> None:
+        await self.check_not_passed_on("unsealed")
+
+    async def test_another_answer_needs_no_seal(self) -> None:
+        for worker in self.plain:
+            worker.faults = ["unsealed-refusal"]
+        self.assertEqual((await ask(self.node, "/safe/x")).status, 404)
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -158,7 +158,7 @@
 READ = (
     "X-Request-Id X-Deadline-Ms X-Credential X-Model X-Token-Usage X-Prompt-Prefix Last-Event-Id"
     " Resumes X-Not-Executed X-Instance-Id X-Weight-Versions Retry-After Server-Leaving"
-    " Server-Limit Server-Brittle Store-Era"
+    " Server-Limit Server-Brittle Store-Era X-Response-Seal"
 )
 """Headers that decide something."""
 SET = (
@@ -167,7 +167,6 @@
 )
 """Headers that only the node sets."""
 UNUSED = {
-    "X-Response-Seal": "passed on unchanged",
     "X-Length-Hint": "passed on; a guess that is often far off",
     "X-Pin-Ms": _NO_LEASES,
     "X-Hold": _NO_LEASES,
