Fail a send whose success has a Content-Encoding

What callers saw: a success with Content-Encoding came with its coded body; by the users' page such a body is not the target's, since callers ask for bodies without encoding.

Cause: the field was passed on like Content-Type.

Evidence: TestEncodedAnswers of tests/test_garbled_answers.py failed on the code before: (200, b'garbled') in place of the other target's answer.

Why it works: as for a success without a seal. tests/test_platform_fields.py lists the field among those that decide something; its check that the field is passed on stays, for answers that are no success.

--- a/tests/test_garbled_answers.py
+++ b/tests/test_garbled_answers.py
@@ -103,3 +103,8 @@
         for worker in self.plain:
             worker.faults = ["unsealed-refusal"]
         self.assertEqual((await ask(self.node, "/safe/x")).status, 404)
+
+
+class TestEncodedAnswers(_Garbled):
+    async def test_a_body_with_an_encoding_is_not_passed_on(self) -> None:
+        await self.check_not_passed_on("encoded")
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -158,7 +158,7 @@
 READ = (
     "X-Request-Id X-Deadline-Ms X-Credential X-Model X-Token-Usage X-Prompt-Prefix Last-Event-Id"
     " Resumes X-Not-Executed X-Instance-Id X-Weight-Versions Retry-After Server-Leaving"
-    " Server-Limit Server-Brittle Store-Era X-Response-Seal"
+    " Server-Limit Server-Brittle Store-Era X-Response-Seal Content-Encoding"
 )
 """Headers that decide something."""
 SET = (
@@ -179,7 +179,8 @@
 OF_A_CONNECTION = "Connection Keep-Alive Transfer-Encoding TE Trailer Upgrade"
 """Headers of HTTP that apply to one connection, and are not passed on."""
 PASSED_ON = "Content-Encoding Content-Type Accept-Encoding"
-"""Headers of HTTP that say what a body is, or may be: bodies are passed on as they are."""
+"""Headers of HTTP that say what a body is, or may be: bodies are passed on as they are.  A success
+with the first one is not passed on."""
 
 
 def _names(struct: Any) -> set[str]:
