Take no late second answer for that to a call

Reports, orders and lists have no id, and whatever came next on their connection was the answer: the second copy of a report passed for an order that the engine holds already, though it had refused it, and a late answer to a request for a report.

The framing of a response is told in one place, `ResponseHead.framing`.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -10,7 +10,7 @@
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import GARBLED_REASON, Exchange, ExchangeError
-from ..web.messages import ResponseHead
+from ..web.messages import Framing, ResponseHead
 from .call import Call, Refused, Send, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
 
@@ -309,7 +309,7 @@
         if exchange is not None:
             exchange.cancel()
         raise
-    send.framed = head.framed
+    send.framed = head.framing is not Framing.CLOSE
     info = context.targets.response_info(outgoing, head)
     served = not info.not_started and head.status < _FIRST_SERVER_ERROR_STATUS
     context.notices.heard(outgoing.instance, info.notice, served_at=send.at if served else None)
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -17,7 +17,7 @@
 from fielddrift_core.memory_budget import MAX_READ_BYTES
 
 from .host_memory import HeldBytes, bound_receive_buffer, held_for_caller
-from .messages import Headers, ResponseHead
+from .messages import Framing, Headers, ResponseHead
 from .server import prepare_socket, probe_silent_path
 from .tunnel import TunnelError, TunnelHandshake, TunnelStatus
 
@@ -354,11 +354,10 @@
             return
         fields = self._fields
         length = fields.text(b"content-length")
-        chunked = fields.get(b"transfer-encoding") is not None
-        bodyless = status in (204, 304)
-        self._ends_at_close = not length and not chunked and not bodyless
+        head = ResponseHead(status, fields, int(length) if length.isdigit() else None, False)
+        self._ends_at_close = head.framing is Framing.CLOSE
         keep = self._parser.should_keep_alive() and not self._ends_at_close
-        head = ResponseHead(status, fields, int(length) if length.isdigit() else None, keep)
+        head = head._replace(keep_alive=keep)
         if not exchange.accepts(head):
             self._skipping = True
             self._skipped_count += 1
@@ -707,11 +706,13 @@
         data: bytes,
         *,
         timeouts: Timeouts,
+        accepts: Callable[[ResponseHead], bool] = lambda head: True,
         max_idle_seconds: float | None = None,
     ) -> Reply:
         """Send `data`, a complete request, and return the complete response.
 
-        Raise `ExchangeError` if the exchange fails or times out.
+        `accepts` and `max_idle_seconds` are as for `begin`.  Raise `ExchangeError` if the exchange
+        fails or times out.
         """
         exchange: Exchange | None = None
         started_at = asyncio.get_running_loop().time()
@@ -721,6 +722,7 @@
                     address,
                     data,
                     connect_seconds=timeouts.connect,
+                    accepts=accepts,
                     max_idle_seconds=max_idle_seconds,
                 )
                 return Reply(await exchange.head(), await exchange.body())
--- a/packages/node/src/fielddrift_node/web/messages.py
+++ b/packages/node/src/fielddrift_node/web/messages.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from enum import StrEnum
 from typing import NamedTuple
 
 __all__ = [
     "BODILESS_STATUSES",
+    "Framing",
     "HOP_BY_HOP",
     "Headers",
     "RequestHead",
@@ -93,6 +95,11 @@
         value = self.get(name)
         return "" if value is None else value.decode("latin-1").strip()
 
+    def texts(self, name: bytes) -> list[str]:
+        """Return the values of all fields `name` (in lower case) as stripped text."""
+        values = (value for field, value in self._fields if field.lower() == name)
+        return [value.decode("latin-1").strip() for value in values]
+
     def count(self, name: bytes) -> int:
         """Return the number of fields with `name` (in lower case)."""
         return sum(1 for field, _ in self._fields if field.lower() == name)
@@ -115,6 +122,16 @@
     http_1_0: bool = False
 
 
+class Framing(StrEnum):
+    """What ends the body of a response (RFC 9112, section 6.3)."""
+
+    NO_BODY = "no-body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """The end of the connection, which looks the same if the sender ended before it was done."""
+
+
 class ResponseHead(NamedTuple):
     """The head of a response; `length` is the Content-Length in bytes, or None without one."""
 
@@ -124,7 +141,10 @@
     keep_alive: bool
 
     @property
-    def framed(self) -> bool:
-        """Return whether the body is delimited other than by the close of the connection."""
-        chunked = self.headers.get(b"transfer-encoding") is not None
-        return self.length is not None or chunked or self.status in BODILESS_STATUSES
+    def framing(self) -> Framing:
+        """Return what ends the body."""
+        if self.status in BODILESS_STATUSES:
+            return Framing.NO_BODY
+        if self.headers.get(b"transfer-encoding") is not None:
+            return Framing.CHUNKS
+        return Framing.CLOSE if self.length is None else Framing.LENGTH
