Bound the event that a stream buffers

What callers saw: a target that began an event and never ended it had its node buffer all that came; a caller's stream stopped after the events before it, and was taken over only once the target counted as silent, or not at all.

Cause: the framer keeps the bytes behind the last blank line, however many.

Evidence: test_an_event_without_end_is_given_up_at_its_bound and test_events_before_an_endless_one_are_not_taken_as_forwarded failed on the unchanged code (no error), as did both tests of EndlessStreamTest (3 of 5 events in one; `silent` in place of `garbled` in the other). They pass now; an event of 1 MB still passes.

Why it works: beyond 1 MiB without the end of an event the run counts as broken off for invalid bytes, as with a garbled chunk, and goes on at another target from the last event that was forwarded where the route allows it. The sequencer of numbered events has the same bound.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -72,9 +72,6 @@
         forwarded.
         """
         ready, self._buffer = _split_complete(self._buffer + data)
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            following = self._next + ready.count(b"\n\n")
-            raise StreamError(f"event {following}: no end within {_MAX_EVENT_BYTES} bytes")
         if not ready:
             return b""
         following = self._next + ready.count(b"\n\n")
@@ -205,7 +202,11 @@
         return len(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that `data` completes, without those forwarded before."""
+        """Return the events that `data` completes, without those forwarded before.
+
+        Raise `StreamError` for an event that does not end.  In that case no part of `data`
+        counts as forwarded.
+        """
         ready, self._buffer = _split_complete(self._buffer + data)
         if not ready:
             return b""
@@ -235,6 +236,13 @@
 
 
 def _split_complete(data: bytes) -> tuple[bytes, bytes]:
-    """Return the complete events at the start of `data`, and the remaining bytes."""
-    cut = data.rfind(b"\n\n") + 2
-    return (data[:cut], data[cut:]) if cut >= 2 else (b"", data)
+    """Return the complete events at the start of `data`, and the remaining bytes.
+
+    Raise `StreamError` if these are too many.
+    """
+    end = data.rfind(b"\n\n")
+    cut = 0 if end < 0 else end + 2
+    size = len(data) - cut
+    if size > _MAX_EVENT_BYTES:
+        raise StreamError(f"event: {size} bytes without its end, at most {_MAX_EVENT_BYTES}")
+    return data[:cut], data[cut:]
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -7,6 +7,7 @@
 
 import structlog
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
+from fielddrift_core.stream import StreamError
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import GARBLED_REASON, Exchange, ExchangeError
@@ -65,12 +66,13 @@
         self.refused = refused
 
 
-def broken_off(error: ExchangeError | AttemptFailed) -> AttemptFailed:
+def broken_off(error: ExchangeError | StreamError | AttemptFailed) -> AttemptFailed:
     """Return the failure of a send whose answer broke off with `error` after its head.
 
     Invalid bytes keep their reason: unlike a lost connection they do not show a crash.
     """
-    reason = GARBLED_REASON if error.reason == GARBLED_REASON else "cut"
+    is_garbled = isinstance(error, StreamError) or error.reason == GARBLED_REASON
+    reason = GARBLED_REASON if is_garbled else "cut"
     return AttemptFailed(str(error), reason=reason, reached=True, not_run=False)
 
 
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -13,7 +13,7 @@
 import structlog
 from fielddrift_core.placement import EngineChoice, transfer_seconds
 from fielddrift_core.stalls import MAX_OVERLAP_SECONDS, replacement_delay
-from fielddrift_core.stream import EventFramer, first_event_id
+from fielddrift_core.stream import EventFramer, StreamError, first_event_id
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.urgency import urgency
 
@@ -271,7 +271,7 @@
         except TimeoutError:
             detail = f"target {name}: no event, outdated"
             raise AttemptFailed(detail, reason="outdated", reached=True, not_run=False) from None
-        except ExchangeError as error:
+        except (ExchangeError, StreamError) as error:
             raise broken_off(error) from None
         except AttemptFailed as failure:
             if failure.not_run:
@@ -376,7 +376,7 @@
             failure = AttemptFailed(detail, reason="cut", reached=True, not_run=False)
             self.record_failure(call, run.choice.instance, failure, run.send)
             attempts.record(run.send, failure)
-        except ExchangeError as error:
+        except (ExchangeError, StreamError) as error:
             failure = broken_off(error)
             self.record_failure(call, run.choice.instance, failure, run.send)
             attempts.record(run.send, failure)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.stream import EventFramer, StreamError
 from fielddrift_node.serving.attempts import AttemptFailed, send_once
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.target_paths import TargetPaths
@@ -21,7 +22,7 @@
 from fielddrift_standins.worker import Worker
 from structlog.testing import capture_logs
 
-from .platform_fleet import HOST, FleetCase, ask, eventually, free_port
+from .platform_fleet import HOST, FleetCase, ask, eventually, free_port, prompt
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 TIMEOUTS = Timeouts(connect=2.0, whole=2.0)
@@ -387,3 +388,79 @@
 
 def _is_one(head: ResponseHead) -> bool:
     return head.headers.text(b"x-request-id") == "one"
+
+
+class EndlessEventTest(unittest.TestCase):
+    """Failure: an event without a blank line behind it was buffered without end."""
+
+    def test_an_event_without_end_is_given_up_at_its_bound(self) -> None:
+        framer = EventFramer()
+        first = b"id: 1\ndata: a\n\n"
+        self.assertEqual(framer.feed(first + b"id: 2\ndata: "), first)
+        with self.assertRaisesRegex(StreamError, "event: [0-9]+ bytes.*, at most 1048576$"):
+            for _ in range(100):
+                framer.feed(b"x" * _WRITE_BYTES)
+        self.assertEqual((framer.last, framer.resumable), ("1", True))
+
+    def test_events_before_an_endless_one_are_not_taken_as_forwarded(self) -> None:
+        framer = EventFramer()
+        with self.assertRaises(StreamError):
+            framer.feed(b"id: 1\ndata: a\n\ndata: " + b"x" * 2_000_000)
+        self.assertEqual((framer.last, framer.events), ("", 0))
+
+    def test_large_events_pass(self) -> None:
+        framer = EventFramer()
+        event = b"id: 1\ndata: " + b"x" * 1_000_000
+        self.assertEqual(framer.feed(event), b"")
+        self.assertEqual(framer.feed(b"\n\n"), event + b"\n\n")
+
+
+async def _stream_without_end(exchange: Any) -> None:
+    """Send three events, and one that does not end until the node closes the connection."""
+    worker, responder = exchange.worker, exchange.responder
+    worker.begin(exchange.request)
+    await worker.stream(exchange.request, responder, exchange.request_id, 3)
+    for _ in range(_MANY_BYTES // _WRITE_BYTES):
+        responder.write(b"x" * _WRITE_BYTES)
+        await responder.drain()
+
+
+async def _begin_without_end(exchange: Any) -> None:
+    """As before, without any event before the one that does not end."""
+    worker, responder = exchange.worker, exchange.responder
+    worker.begin(exchange.request)
+    await worker.stream(exchange.request, responder, exchange.request_id, 0)
+    for _ in range(_MANY_BYTES // _WRITE_BYTES):
+        responder.write(b"x" * _WRITE_BYTES)
+        await responder.drain()
+
+
+class EndlessStreamTest(FleetCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        more = {"endless-event": _stream_without_end, "endless-first": _begin_without_end}
+        faults = mock.patch.dict(standin.FAULTS, more)
+        faults.start()
+        self.addCleanup(faults.stop)
+        self.tolerate_pauses(2.0)
+        self.workers = [
+            await self.fleet.worker(Worker(name=f"e{number}", events=5), "engines")
+            for number in range(2)
+        ]
+        self.node = await self.fleet.node()
+
+    async def _ask_until_done(self, fault: str) -> None:
+        self.workers[0].faults = [fault]
+        with capture_logs() as lines:
+            for number in range(6):
+                answer = await ask(self.node, "/chat/x", request_id=f"r{number}", **prompt())
+                self.assertEqual((answer.status, answer.body.count(b"\n\n")), (200, 5))
+        self.assertEqual(self.workers[0].faults, [])
+        reasons = [line["reason"] for line in lines if line["event"] == "send failed"]
+        self.assertEqual(reasons, ["garbled"])
+
+    async def test_a_stream_with_an_event_without_end_goes_on_at_another_target(self) -> None:
+        await self._ask_until_done("endless-event")
+
+    async def test_a_stream_whose_first_event_has_no_end_begins_at_another_target(self) -> None:
+        await self._ask_until_done("endless-first")
