--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -52,8 +52,12 @@
     transport.close()
 
 
-def _answer_part_and_reset(transport: asyncio.Transport) -> None:
+def _answer_part(transport: asyncio.Transport) -> None:
     transport.write(b"HTTP/1.1 200 OK\r\n\r\nthe first part")
+
+
+def _answer_part_and_reset(transport: asyncio.Transport) -> None:
+    _answer_part(transport)
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     asyncio.get_running_loop().call_later(0.05, transport.abort)
@@ -195,6 +199,23 @@
         with self.assertRaises(TunnelError):
             await handshake.opened()
 
+    async def test_an_answer_without_a_length_is_not_whole_if_its_carrier_stops(self) -> None:
+        await self.listen(_answer_part)
+        exchange = await self.begin()
+        self.assertEqual(await exchange.read(), b"the first part")
+        self.server.stop_accepting()
+        self.server.close()
+        with self.assertRaises(ExchangeError):
+            await exchange.read()
+
+    async def test_an_answer_is_whole_if_its_target_only_ends_sending(self) -> None:
+        await self.listen(_answer_part)
+        exchange = await self.begin()
+        self.assertEqual(await exchange.read(), b"the first part")
+        self.targets[0].transport.write_eof()
+        self.assertEqual(await exchange.read(), b"")
+        await eventually(lambda: self.server.count == 0)
+
     async def _handshake(self) -> TunnelHandshake:
         """Return a handshake whose tunnel is open but is not taken over yet."""
         port = int(self.carrier.rpartition(":")[2])
