End a response to HEAD behind its head

A caller's HEAD got 504 at its deadline: the client waited for the body that Content-Length named, and would have taken the first bytes of a late answer on the connection for it. The response ends with its head now, and the connection is closed, since the parser goes on waiting.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -177,6 +177,7 @@
         self._answered = True
         self._parser = httptools.HttpResponseParser(self)
         self._ends_at_close = False
+        self._expects_body = True
         self._skipping = False
         self._skips_mismatched = False
         """Whether an answer to another request is being skipped."""
@@ -240,6 +241,7 @@
             if len(self._request_ids) >= _MAX_REQUEST_IDS:
                 self._reusable = False
         self._exchange = exchange
+        self._expects_body = not data.startswith(b"HEAD ")
         self._answered = False
         self._skipped_count = self._skipped_bytes = 0
         self._skips_mismatched = False
@@ -393,6 +395,10 @@
         if named.strip().isdigit():
             self._idle_limit_seconds = int(named) * _IDLE_LIMIT_FRACTION
         exchange.head_received(head)
+        if not self._expects_body:
+            # The parser waits for the body that the head describes.
+            self._reusable = False
+            self._finish(exchange)
 
     def on_body(self, body: bytes) -> None:
         self._framing_bytes = 0
