Ask targets who they are without waiting for a slot

Whole responses without a length were lost where the target was full: its health check waits for a slot or is refused, the question stayed unanswered, and the end of the response unconfirmed.

The question is for the report of any target now. It takes no slot, and with X-Expect-Instance every other target answers 421, so that any other answer is the target's own, also a refusal or 404. If it does not come in time, connections that were open before tell.

The size of an event in the own interface's error ends the message now, hence the other pattern in its test.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
-from fielddrift_core.catalog import Service, StoreTraits
+from fielddrift_core.catalog import StoreTraits
 from fielddrift_core.prompt import Part
 from fielddrift_core.request_ends import EndCause
 from fielddrift_core.target_registry import Instance
@@ -78,7 +78,7 @@
         """Return what a head tells: engines here refuse only what they have not run."""
         return ResponseInfo(head.status == 503, False, "", 1)
 
-    def identity_request(self, instance: Instance, service: Service | None) -> bytes:
+    def identity_request(self, instance: Instance) -> bytes:
         """Return nothing: no response here ends with its connection."""
         return b""
 
--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -72,9 +72,10 @@
         forwarded.
         """
         ready, self._buffer = _split_complete(self._buffer + data)
+        following = self._next + ready.count(b"\n\n")
+        _check_size(self._buffer, f"event {following}")
         if not ready:
             return b""
-        following = self._next + ready.count(b"\n\n")
         # While events are held, an event in order may release them, so the fast path is skipped.
         if not self._held and _is_in_order(ready, range(self._next, following)):
             self._count = _end_count(ready, following - 1, self._count)
@@ -208,6 +209,7 @@
         counts as forwarded.
         """
         ready, self._buffer = _split_complete(self._buffer + data)
+        _check_size(self._buffer, "event")
         if not ready:
             return b""
         ids = _ID_LINE.findall(ready)
@@ -236,13 +238,14 @@
 
 
 def _split_complete(data: bytes) -> tuple[bytes, bytes]:
-    """Return the complete events at the start of `data`, and the remaining bytes.
-
-    Raise `StreamError` if these are too many.
-    """
+    """Return the complete events at the start of `data`, and the remaining bytes."""
     end = data.rfind(b"\n\n")
     cut = 0 if end < 0 else end + 2
-    size = len(data) - cut
-    if size > _MAX_EVENT_BYTES:
-        raise StreamError(f"event: {size} bytes without its end, at most {_MAX_EVENT_BYTES}")
     return data[:cut], data[cut:]
+
+
+def _check_size(partial: bytes, name: str) -> None:
+    """Raise `StreamError` if the part of an event that has come is too large."""
+    if len(partial) > _MAX_EVENT_BYTES:
+        detail = f"{len(partial)} bytes without its end, at most {_MAX_EVENT_BYTES}"
+        raise StreamError(f"{name}: {detail}")
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Collection, Sequence
 
 import structlog
-from fielddrift_core.catalog import Service
 from fielddrift_core.crashes import CrashUpdate, HeldRequest, part_suspect
 from fielddrift_core.errors import Ran
 from fielddrift_core.lost_runs import LostRun, LostRuns
@@ -187,14 +186,22 @@
         would not tell: a process that started there since may have taken the place of the target.
         """
         instance = send.instance
-        request = self._targets.identity_request(instance, self._service(instance))
+        request = self._targets.identity_request(instance)
         try:
             async with asyncio.timeout(_MAX_ANSWER_SECONDS):
                 carried = await self._paths.ask(instance, request, carrier=send.through)
         except TimeoutError:
-            return TargetState.UNKNOWN, f"no answer in {_MAX_ANSWER_SECONDS} s"
+            # A target that is full or slow may answer late.
+            state = TargetState.UNKNOWN if send.through else _state_of(open_before)
+            return state, f"no answer in {_MAX_ANSWER_SECONDS} s"
         except ExchangeError as error:
-            return self._state_after(send, error, open_before), str(error)
+            if send.through and error.carrier is CarrierState.REFUSED:
+                return TargetState.ENDED, str(error)
+            if not error.refused:
+                return TargetState.UNKNOWN, str(error)
+            # A target that accepts no more connections finishes what it has begun.
+            lives = _state_of(open_before) is TargetState.LIVES
+            return TargetState.LIVES if lives else TargetState.ENDED, str(error)
         if send.through and carried.carrier_process != send.carrier_process:
             return TargetState.ENDED, "the node that carried the connection has started again"
         if send.through and not send.carrier_process:
@@ -204,23 +211,6 @@
             return TargetState.UNKNOWN, f"status {carried.reply.head.status}, sender not known"
         return (TargetState.LIVES, "") if is_target else (TargetState.ENDED, "replaced")
 
-    def _state_after(
-        self, send: Send, error: ExchangeError, open_before: Collection[LiveConnection]
-    ) -> TargetState:
-        """Return the state of a target after `error`, with which a question to it failed."""
-        if send.through and error.carrier is CarrierState.REFUSED:
-            return TargetState.ENDED
-        if not error.refused:
-            return TargetState.UNKNOWN
-        if any(connection.is_reading for connection in open_before):
-            # It accepts no more connections, and finishes what it has begun.
-            return TargetState.LIVES
-        return TargetState.ENDED
-
-    def _service(self, instance: Instance) -> Service | None:
-        catalog = self._views.catalog
-        return None if catalog is None else catalog.services.get(instance.service)
-
     def confirm_later(self, call: Call, send: Send) -> None:
         """Record a complete response that ended with its connection, once its target is known to
         live on."""
@@ -401,6 +391,12 @@
         self._metrics.held_back.set(len(held))
 
 
+def _state_of(open_before: Collection[LiveConnection]) -> TargetState:
+    """Return what earlier connections to a target tell: they end with its process."""
+    is_open = any(connection.is_reading for connection in open_before)
+    return TargetState.LIVES if is_open else TargetState.UNKNOWN
+
+
 def _suspects(call: Call) -> tuple[str, ...]:
     """Return the names under which crashes are recorded for a request and the parts of its prompt.
 
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple, Protocol
 
-from fielddrift_core.catalog import Catalog, Service, StoreTraits
+from fielddrift_core.catalog import Catalog, StoreTraits
 from fielddrift_core.evacuations import EvacuationChanges
 from fielddrift_core.prompt import Part, Prompt
 from fielddrift_core.target_notices import TargetNotice
@@ -342,11 +342,8 @@
     def response_info(self, outgoing: OutgoingRequest, head: ResponseHead) -> ResponseInfo:
         """Return the content of the head of a response to `outgoing`."""
 
-    def identity_request(self, instance: Instance, service: Service | None) -> bytes:
-        """Return a request that asks the process at an address whether it is `instance`.
-
-        `service` is that of the instance, None if it is not known.
-        """
+    def identity_request(self, instance: Instance) -> bytes:
+        """Return a request that asks the process at an instance's address whether it is it."""
 
     def identity(self, instance: Instance, reply: Reply) -> bool | None:
         """Return whether `reply`, to an identity request, is from `instance`.
