--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -63,7 +63,7 @@
 """What may come between two parts of a body or behind it: extensions of chunks, and trailers."""
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a field besides its name and value: colon, space and line end."""
-_MAX_REQUEST_IDS = 256
+_MAX_REQUEST_ID_COUNT = 256
 """Requests with ids that one connection carries.  All of their ids are remembered, in some 24 KB,
 so that no id is sent twice on a connection; the connection that has carried this many is closed."""
 
@@ -238,7 +238,7 @@
         assert self._transport is not None
         if request_id:
             self._request_ids.add(hash(request_id))
-            if len(self._request_ids) >= _MAX_REQUEST_IDS:
+            if len(self._request_ids) >= _MAX_REQUEST_ID_COUNT:
                 self._reusable = False
         self._exchange = exchange
         self._expects_body = not data.startswith(b"HEAD ")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -125,7 +125,7 @@
     async def test_a_connection_is_closed_when_it_has_carried_as_many_ids_as_it_remembers(
         self,
     ) -> None:
-        with mock.patch.object(client, "_MAX_REQUEST_IDS", 2):
+        with mock.patch.object(client, "_MAX_REQUEST_ID_COUNT", 2):
             for number, is_kept in enumerate((False, True, False)):
                 self.answers = [ANSWER]
                 exchange = await self.client.begin(
