Leave out repeated events wherever they stand in what is read

What callers saw: none is known to; an engine that sent events a second time in its run made its caller get them twice if they came in one read with an event before them, and a break behind them was gone on with from a repeat, which repeated more.

Cause: only the first id of a read was compared with the last event forwarded.

Why it works: all ids of a read are compared, from the last event on; the usual read, of increasing ids, is passed on as it is.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -202,6 +202,11 @@
         """Return the size in bytes of the buffered, incomplete event."""
         return len(self._buffer)
 
+    @property
+    def _last_number(self) -> int:
+        """Return the number of the last event forwarded, one below all others without one."""
+        return int(self._last) if self._last.isdigit() else -1
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, without those forwarded before.
 
@@ -213,7 +218,7 @@
         if not ready:
             return b""
         ids = _ID_LINE.findall(ready)
-        if ids and self._last.isdigit() and ids[0].isdigit() and int(ids[0]) <= int(self._last):
+        if self._has_repeats(ids):
             ready = self._without_repeats(ready)
             ids = _ID_LINE.findall(ready)
         events = ready.count(b"\n\n")
@@ -227,12 +232,25 @@
             self._last = ids[-1].decode("latin-1")
         return ready
 
+    def _has_repeats(self, ids: list[bytes]) -> bool:
+        """Return whether the ids of new events do not increase, from the last one on."""
+        last = self._last_number
+        for number in ids:
+            if number.isdigit():
+                if int(number) <= last:
+                    return True
+                last = int(number)
+        return False
+
     def _without_repeats(self, ready: bytes) -> bytes:
-        kept = []
+        kept, last = [], self._last_number
         for event in ready.split(b"\n\n")[:-1]:
             found = _ID_LINE.search(event)
             number = found.group(1) if found is not None else b""
-            if not number.isdigit() or int(number) > int(self._last):
+            if not number.isdigit():
+                kept.append(event + b"\n\n")
+            elif int(number) > last:
+                last = int(number)
                 kept.append(event + b"\n\n")
         return b"".join(kept)
 
