Count a response that is cut inside its head as cut by its target

What callers saw: nothing at once. A request that ended its target while the head of its answer was on the way was not counted with that target's crashes on the own interface, so it is held back later, by reading.

Cause: libcurl reports a response whose connection ends inside the head as complete. The client noted only that no response was received, without `broken` and without the URL.

Fix: a transfer that ends without a whole head fails, broken, with its URL.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -385,12 +385,21 @@
         while True:
             left, succeeded, errors = self._multi.info_read()
             for curl in succeeded:
-                self._finish(curl, None)
+                self._finish(curl, self._cut_head_error(curl))
             for curl, code, message in errors:
                 self._finish(curl, self._error(curl, code, message))
             if not left:
                 return
 
+    def _cut_head_error(self, curl: pycurl.Curl) -> ExternalSystemError | None:
+        """Return the error of a response without a whole head, which libcurl takes for complete."""
+        transfer = self._transfers[curl]
+        if transfer.stream.head.done():
+            return None
+        return ExternalSystemError(
+            f"{transfer.call.url}: response ended inside its head", broken=True
+        )
+
     def _error(self, curl: pycurl.Curl, code: int, message: str) -> ExternalSystemError:
         if (stopped := self._transfers[curl].error) is not None:
             return stopped
