Give the laboratory's connections the process that carries them

The laboratory served nothing since exchanges tell which process carries their connection: every play of tests/test_lab.py failed. Its stand-in for a connection tells now that there is none.

--- a/bench/lab/engine.py
+++ b/bench/lab/engine.py
@@ -70,6 +70,9 @@
 class _Line:
     """Stands for the connection of an exchange: what its close ends."""
 
+    carrier_process = ""
+    """No other node carries it."""
+
     def __init__(self, closed: Callable[[], None]) -> None:
         self.close = closed
 
