--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -278,7 +278,7 @@
             self._parser.feed_data(data)
             self._check_skipped(len(data))
             self._check_framing(len(data))
-        except (httptools.HttpParserError, _BoundExceeded) as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, _BoundExceeded) as error:
             if self._exchange is not None:
                 # The parser wraps what its callbacks raise.
                 is_wrapped = isinstance(error, httptools.HttpParserCallbackError)
