--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -343,7 +343,7 @@
         """Return the content of the head of a response to `outgoing`."""
 
     def identity_request(self, instance: Instance) -> bytes:
-        """Return a request that asks the process at an instance's address whether it is it."""
+        """Return a request that asks the process at an instance's address which one it is."""
 
     def identity(self, instance: Instance, reply: Reply) -> bool | None:
         """Return whether `reply`, to an identity request, is from `instance`.
