Order the ids of events of any length

An engine's event with an id of thousands of digits ended its stream with an internal error: since all ids of a read are compared, each was converted to an integer, which refuses more than 4,300 digits. Ids are compared as digits now.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -202,11 +202,6 @@
         """Return the size in bytes of the buffered, incomplete event."""
         return len(self._buffer)
 
-    @property
-    def _last_number(self) -> int:
-        """Return the number of the last event forwarded, one below all others without one."""
-        return int(self._last) if self._last.isdigit() else -1
-
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, without those forwarded before.
 
@@ -234,27 +229,38 @@
 
     def _has_repeats(self, ids: list[bytes]) -> bool:
         """Return whether the ids of new events do not increase, from the last one on."""
-        last = self._last_number
+        last = _rank(self._last.encode("latin-1"))
         for number in ids:
             if number.isdigit():
-                if int(number) <= last:
+                if _rank(number) <= last:
                     return True
-                last = int(number)
+                last = _rank(number)
         return False
 
     def _without_repeats(self, ready: bytes) -> bytes:
-        kept, last = [], self._last_number
+        kept, last = [], _rank(self._last.encode("latin-1"))
         for event in ready.split(b"\n\n")[:-1]:
             found = _ID_LINE.search(event)
             number = found.group(1) if found is not None else b""
             if not number.isdigit():
                 kept.append(event + b"\n\n")
-            elif int(number) > last:
-                last = int(number)
+            elif _rank(number) > last:
+                last = _rank(number)
                 kept.append(event + b"\n\n")
         return b"".join(kept)
 
 
+def _rank(number: bytes) -> tuple[int, bytes]:
+    """Return a key that orders decimal numbers of any length, with anything else below them.
+
+    A target may send ids that are longer than `int` accepts.
+    """
+    if not number.isdigit():
+        return (-1, b"")
+    digits = number.lstrip(b"0")
+    return (len(digits), digits)
+
+
 def _split_complete(data: bytes) -> tuple[bytes, bytes]:
     """Return the complete events at the start of `data`, and the remaining bytes."""
     end = data.rfind(b"\n\n")
