End the threads of scripted targets with their connections

Cause: a thread of StutteringTarget reads lines until an empty one. At the end of its connection it reads empty data for ever. After test_late_second_answers.py eleven such threads spin in the worker process of the test run, and each system call of a later test waits for the interpreter lock: 3,100 round trips on a socket pair in 2 s; 1.7 s of processor time in 5 s, nothing else running. Files that pytest-xdist gives to this worker later fail or not as their order falls.

Change: targets on plain sockets share one base class.

Ruled out: another process on the machine (the delay shows after the test alone).

--- a/tests/test_late_second_answers.py
+++ b/tests/test_late_second_answers.py
@@ -8,7 +8,6 @@
 
 import json
 import socket
-import threading
 import unittest
 from types import SimpleNamespace
 from typing import Any
@@ -21,6 +20,8 @@
 from fielddrift_node.settle import AttemptFailed
 from fielddrift_node.targets import LoadReport, RunOrder, TargetClient
 
+from .scripted_target import SocketTarget, read_head
+
 _TIMEOUT_SECONDS = 5.0
 _LOAD = b'{"running": %d, "queued": 0, "backlog": 0}'
 
@@ -33,7 +34,7 @@
     return b""
 
 
-class StutteringTarget:
+class StutteringTarget(SocketTarget):
     """Answer each request, and again, late, when another one arrives on the same connection.
 
     The body of an answer names the id of its run, or counts the requests.  `echoes` returns the
@@ -43,35 +44,17 @@
     def __init__(self, *, echoes: bool, answered_id: bytes = b"") -> None:
         self._echoes = echoes
         self._answered_id = answered_id
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self.requests = 0
-        self.connections = 0
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def close(self) -> None:
-        self._socket.close()
-
-    def _serve(self) -> None:
-        while True:
-            try:
-                connection, _ = self._socket.accept()
-            except OSError:
-                return
-            self.connections += 1
-            threading.Thread(target=self._one, args=(connection,), daemon=True).start()
-
-    def _one(self, connection: socket.socket) -> None:
+        super().__init__()
+
+    def serve(self, connection: socket.socket) -> None:
         late = b""
-        with connection, connection.makefile("rb") as received:
-            while head := b"".join(iter(received.readline, b"\r\n")):
+        with connection.makefile("rb") as received:
+            while head := read_head(received):
                 body = received.read(int(_field(head, b"content-length") or b"0"))
                 self.requests += 1
                 answer = self._answer(head, body)
-                try:
-                    connection.sendall(late or answer)
-                except OSError:
-                    return
+                connection.sendall(late or answer)
                 late = answer
 
     def _answer(self, head: bytes, body: bytes) -> bytes:
--- a/tests/test_unframed_own_answers.py
+++ b/tests/test_unframed_own_answers.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
-import threading
 import unittest
 from types import SimpleNamespace
 from typing import Any
@@ -20,6 +18,8 @@
 from fielddrift_node.settle import AttemptFailed
 from fielddrift_node.targets import TargetClient
 
+from .scripted_target import SocketTarget, read_head
+
 _UNFRAMED = b"HTTP/1.1 200 OK\r\nX-Epoch: 7\r\n\r\nhalf"
 _LOAD = b'{"running": 0, "queued": 0, "backlog": 0, "epoch": %d}'
 _NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
@@ -30,7 +30,7 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
-class _Service:
+class _Service(SocketTarget):
     """Answer calls with `answer`, polls with `load`; each answer ends with its connection.
 
     If `load` is None, the service ends with its first answer.
@@ -39,28 +39,18 @@
     def __init__(self, *, answer: bytes, load: bytes | None) -> None:
         self._answer = answer
         self._load = load
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self.polls = 0
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def close(self) -> None:
-        self._socket.close()
-
-    def _serve(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._socket.accept()
-                with connection, connection.makefile("rb") as received:
-                    head = b"".join(iter(received.readline, b"\r\n"))
-                    received.read(head.count(b"Content-Length: 1\r\n"))
-                    self.polls += head.startswith(b"GET /load")
-                    connection.sendall(
-                        self._load or b"" if head.startswith(b"GET /load") else self._answer
-                    )
-                    if self._load is None:
-                        self._socket.close()
-                        return
+        super().__init__()
+
+    def serve(self, connection: socket.socket) -> None:
+        with connection.makefile("rb") as received:
+            head = read_head(received)
+            received.read(head.count(b"Content-Length: 1\r\n"))
+            is_poll = head.startswith(b"GET /load")
+            self.polls += is_poll
+            connection.sendall(self._load or b"" if is_poll else self._answer)
+            if self._load is None:
+                self.stop_listening()
 
 
 class UnframedOwnAnswersTest(unittest.TestCase):
