Let only connections over the same path tell that a target lives

A caller got a part of a stream as the whole one.

Cause: a send through another node was judged by all open connections to the target's address. That a connection is open tells something only while its end would arrive; on a direct path that is silent, or through a node that stands still, it doesn't.

Established connections are now kept by their path, and those of the send's own path are asked: it has just passed on an end. Kept as it was: a target that accepts no more connections and finishes what it has begun, with other connections over the same path.

A caller got two of five events as a whole stream, though its target had ended inside it.

Cause: the node's direct path was silent, so the send went through another node. The target ended, the tunnel passed that on, and asked through the same node the target refused the connection. Then all open connections to its address were taken for a sign of life, the direct ones among them, which are open because nothing arrives on them any more.

--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -155,7 +155,7 @@
         Such a response looks the same if the target ended in it, or the node that carried it.
         """
         started_at = self._loop.time()
-        open_before = self._paths.live_connections(send.instance)
+        open_before = self._paths.live_connections(send.instance, carrier=send.through)
         delay = _PROBE_DELAY_SECONDS
         while True:
             await asyncio.sleep(delay)
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -140,9 +140,15 @@
         finally:
             exchange.cancel()
 
-    def live_connections(self, instance: Instance) -> frozenset[LiveConnection]:
-        """Return the open connections to a target's address; they end with its process."""
-        return self._client.live_connections(instance.address)
+    def live_connections(
+        self, instance: Instance, *, carrier: str = ""
+    ) -> frozenset[LiveConnection]:
+        """Return the open connections to a target's address; they end with its process.
+
+        `carrier` is the address of the node that carries them, empty for direct ones.  On others
+        the end may not arrive: their path may be silent.
+        """
+        return self._client.live_connections(instance.address, through=carrier)
 
     async def _connect(
         self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -682,7 +682,7 @@
         self._read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._idle: dict[_Path, list[_Connection]] = {}
         self._open_counts: dict[str, int] = {}
-        self._established: dict[str, set[_Connection]] = {}
+        self._established: dict[_Path, set[_Connection]] = {}
 
     async def begin(
         self,
@@ -779,12 +779,14 @@
         """Return whether there is an idle connection to `address`; `through` is as for `begin`."""
         return bool(self._idle.get(_Path(address, through)))
 
-    def live_connections(self, address: str) -> frozenset[LiveConnection]:
+    def live_connections(self, address: str, *, through: str = "") -> frozenset[LiveConnection]:
         """Return the connections to `address` that are open at their other ends as well.
 
-        One that is not read from at the moment does not count: its end would not be noticed.
+        `through` is as for `begin`.  A connection that is not read from at the moment does not
+        count: its end would not be noticed.
         """
-        return frozenset(c for c in self._established.get(address, ()) if c.is_reading)
+        established = self._established.get(_Path(address, through), ())
+        return frozenset(c for c in established if c.is_reading)
 
     def close_idle_tunnels(self, *, usable: Collection[str]) -> None:
         """Close the idle connections through nodes whose addresses are not `usable`."""
@@ -849,7 +851,7 @@
                     established = await self._connect_through(path, make_connection)
                 else:
                     established = await self._open(make_connection, address)
-            self._established.setdefault(address, set()).add(established)
+            self._established.setdefault(path, set()).add(established)
             return established
         except (OSError, TimeoutError) as error:
             raise _connect_error(path, error) from None
@@ -885,11 +887,11 @@
         if idle is not None:
             with contextlib.suppress(ValueError):
                 idle.remove(connection)
-        established = self._established.get(path.address)
+        established = self._established.get(path)
         if established is not None:
             established.discard(connection)
             if not established:
-                del self._established[path.address]
+                del self._established[path]
         self._count_closed(path.address)
 
     def _count_closed(self, address: str) -> None:
