Judge a target that resets questions by its earlier connections

Callers got 502 for whole responses without a length of targets that had all the connections that they accept, and what may be repeated ran twice.

Cause: a reset question left the end unknown. As for a time-out and a refused connection, a connection that was open before the question and still is now tells that the process lives. Not through another node, as for a time-out: there the tunnel may have broken.

A caller got 502 for a whole response without a length ("the target's state is unknown"); a request that may be repeated ran twice.

Cause: targets reset connections beyond those that they accept. Asked whether it lives, such a target reset the question, which counted as unknown.

--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -198,7 +198,9 @@
             if send.through and error.carrier is CarrierState.REFUSED:
                 return TargetState.ENDED, str(error)
             if not error.refused:
-                return TargetState.UNKNOWN, str(error)
+                # A target with as many connections as it accepts resets those beyond them.
+                reset = error.sent and not send.through
+                return _state_of(open_before) if reset else TargetState.UNKNOWN, str(error)
             # A target that accepts no more connections finishes what it has begun.
             lives = _state_of(open_before) is TargetState.LIVES
             return TargetState.LIVES if lives else TargetState.ENDED, str(error)
