Bound no body that does not follow its head

Callers got 502 for HEAD, and for a GET answered with 304, if the head told of a body of over 32 MiB.

Cause: the bound was checked against Content-Length before anything was read, also for a response that was complete with its head. Now the length counts only while the response is not complete; a complete one is bounded by the bytes that came, as before.

Evidence: test_bodiless_lengths passes, and test_endless_answers, which holds the bound.

A caller's HEAD, or a GET that is answered with 304, got 502 if the head told of a body of over 32 MiB.

Cause: the bound on a body that is collected whole was checked against Content-Length also where no body follows.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -591,7 +591,9 @@
         record = None if self._held is None else self._held.record
         collected = 0
         try:
-            self._check_body((await self.head()).length or 0, max_bytes)
+            head = await self.head()
+            # A complete response may tell of a body that does not follow, as one to HEAD does.
+            self._check_body(0 if self._complete else head.length or 0, max_bytes)
             while data := await self.read():
                 chunks.append(data)
                 size += len(data)
