Take the end of a head for that of a response to HEAD

Cause: framing was told from the head alone, which names no body for HEAD.

A caller's HEAD got 502 if its target ended right behind a head without a length.

Cause: a head without a length counted as a response that ends with its connection, also in answer to HEAD, and the node asked whether the target lives on.

--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -311,7 +311,8 @@
         if exchange is not None:
             exchange.cancel()
         raise
-    send.framed = head.framing is not Framing.CLOSE
+    answers_head = call.parsed.request.head.method == b"HEAD"
+    send.framed = answers_head or head.framing is not Framing.CLOSE
     info = context.targets.response_info(outgoing, head)
     served = not info.not_started and head.status < _FIRST_SERVER_ERROR_STATUS
     context.notices.heard(outgoing.instance, info.notice, served_at=send.at if served else None)
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -7,8 +7,11 @@
 
 import asyncio
 import unittest
+from typing import Any
+from unittest import mock
 
 from fielddrift_node.web.client import Client, ExchangeError
+from fielddrift_standins import worker as standin
 from fielddrift_standins.fleet import HOST
 from fielddrift_standins.worker import Worker
 
@@ -49,3 +52,29 @@
             async with asyncio.timeout(_SECONDS):
                 await exchange.head()
         self.assertEqual(caught.exception.reason, "garbled")
+
+
+async def _head_and_crash(exchange: Any) -> None:
+    """Send the head of a response without a length, and end the process."""
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    exchange.responder.start(200, worker.head(exchange.request_id), None, chunked=False)
+    exchange.responder.end()
+    # The node closes the connection behind the head, which ends this task.
+    asyncio.get_running_loop().call_later(0.01, worker.crash)
+
+
+class TestHeadWithoutLength(FleetCase):
+    async def test_a_head_is_whole_without_its_target(self) -> None:
+        """Failure: the node asked whether the target lives on, as if the close of the connection
+        ended the response, and the caller got 502."""
+        self.tolerate_pauses(2.0)
+        faults = mock.patch.dict(standin.FAULTS, {"head-and-crash": _head_and_crash})
+        faults.start()
+        self.addCleanup(faults.stop)
+        target = Worker(name="p1")
+        target.faults = ["head-and-crash"]
+        await self.fleet.worker(target, "plain")
+        node = await self.fleet.node()
+        answer = await ask(node, "/unsafe/x", method="HEAD", body=b"")
+        self.assertEqual(answer.status, 200)
