Close the connection of an order behind its answer

A node took an engine's late second answer to an order for a report without models.

Cause: an order got a new connection, which was kept and carried the next report. `Client.call` now has `alone`: a new connection, closed behind the answer. It costs a connection for the next report.

A node took an engine's late second answer to an order for a report without models: it would have ordered the weights once more, with an outdated count of orders.

Evidence: the test fails on: versions {} for {"m": 1}.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -248,6 +248,10 @@
         self._expect_head()
         self._transport.write(data)
 
+    def forbid_reuse(self) -> None:
+        """Close the connection at the end of its exchange."""
+        self._reusable = False
+
     def close(self) -> None:
         """Abort the connection and the exchange on it."""
         self._reusable = False
@@ -500,6 +504,11 @@
         if self._held is not None:
             self._held.add_source(self)
 
+    def forbid_reuse(self) -> None:
+        """Close the connection behind the response, which is not complete yet."""
+        if self._connection is not None:
+            self._connection.forbid_reuse()
+
     def accepts(self, head: ResponseHead) -> bool:
         """Return whether `head` belongs to the response to this request."""
         return self._accepts(head)
@@ -736,11 +745,12 @@
         timeouts: Timeouts,
         accepts: Callable[[ResponseHead], bool] = lambda head: True,
         max_idle_seconds: float | None = None,
+        alone: bool = False,
     ) -> Reply:
         """Send `data`, a complete request, and return the complete response.
 
-        `accepts` and `max_idle_seconds` are as for `begin`.  Raise `ExchangeError` if the exchange
-        fails or times out.
+        `accepts` and `max_idle_seconds` are as for `begin`.  With `alone` the connection is a new
+        one and carries no other request.  Raise `ExchangeError` if the exchange fails or times out.
         """
         exchange: Exchange | None = None
         started_at = asyncio.get_running_loop().time()
@@ -751,8 +761,10 @@
                     data,
                     connect_seconds=timeouts.connect,
                     accepts=accepts,
-                    max_idle_seconds=max_idle_seconds,
+                    max_idle_seconds=0.0 if alone else max_idle_seconds,
                 )
+                if alone:
+                    exchange.forbid_reuse()
                 return Reply(await exchange.head(), await exchange.body())
         except TimeoutError:
             sent = exchange is not None
--- a/tests/test_late_answers_to_calls.py
+++ b/tests/test_late_answers_to_calls.py
@@ -70,3 +70,10 @@
         await self.targets.report(self.instance)
         report = await self.targets.report(self.instance)
         self.assertEqual((report.orders, dict(report.versions)), (2, {"m": 1}))
+
+    async def test_a_late_answer_to_an_order_is_not_a_report(self) -> None:
+        """Failure: the connection of an order was kept, and carried a call for a report next."""
+        await self.start(_answer(b"200 OK", b"{}"))
+        await self.targets.order(WeightsOrder(self.instance, "m", 2, "node", 1, None))
+        report = await self.targets.report(self.instance)
+        self.assertEqual(dict(report.versions), {"m": 1})
