Heed coded bodies, second ids and HEAD on the own interface

Callers of services got a coded body as a plain one, or the answer to another request whose head had the right id as well, and waited for HEAD until its time was over.

Cause: the own interface kept the last of a head's ids and looked at no Content-Encoding; libcurl was not told that no body follows HEAD. Now a head answers a request with its id once, or with none; a success with a Content-Encoding fails the send, which may have run; HEAD ends with its head.

Callers of services got a coded body as a plain one, since its Content-Encoding is not passed on; the answer to another request, if its head had both ids and the right one last; and no answer to HEAD, which the route of GET takes as well, until its time was over.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -166,6 +166,7 @@
         self.stream = stream
         self.status = 0
         self.headers: dict[str, str] = {}
+        self._answered_ids: list[str] = []
         self.error: ExternalSystemError | None = None
         """Why this class stopped the transfer."""
         self._max_body_bytes = max_body_bytes
@@ -183,12 +184,15 @@
         if text.startswith("HTTP/"):
             self.status = int(text.split(" ", 2)[1])
             self.headers = {}
+            self._answered_ids = []
         elif text:
             name, _, value = text.partition(":")
             self.headers[name.lower()] = value.strip()
+            if name.lower() == _REQUEST_ID_HEADER.lower():
+                self._answered_ids.append(value.strip())
         elif self.status >= 200:
-            if (mismatch := self._mismatch()) is not None:
-                return self._stop(mismatch)
+            if (fault := self._mismatch() or self._coding()) is not None:
+                return self._stop(fault)
             self._head_bytes = self._field_count = 0
             self.stream.head.set_result(Head(self.status, self.headers))
         return None
@@ -216,14 +220,21 @@
 
     def _mismatch(self) -> AnswerMismatchError | None:
         expected = self.call.headers.get(_REQUEST_ID_HEADER)
-        received = self.headers.get(_REQUEST_ID_HEADER.lower())
-        if expected is None or received in (None, expected):
+        received = self._answered_ids
+        if expected is None or received in ([], [expected]):
             return None
         return AnswerMismatchError(
-            f"{self.call.url}: response has {_REQUEST_ID_HEADER} {received!r}, "
+            f"{self.call.url}: response has {_REQUEST_ID_HEADER} {', '.join(received)!r}, "
             f"expected {expected!r}"
         )
 
+    def _coding(self) -> ExternalSystemError | None:
+        """Return the error of a success whose body is coded, which no request asks for."""
+        coding = self.headers.get("content-encoding")
+        if coding is None or self.status // 100 != 2:
+            return None
+        return ExternalSystemError(f"{self.call.url}: Content-Encoding {coding[:40]!r}")
+
     def _stop(self, error: ExternalSystemError) -> int:
         """Fail the transfer with `error`; libcurl then closes the connection."""
         self.error = error
@@ -241,6 +252,9 @@
         if call.body is not None:
             curl.setopt(pycurl.POST, 1)
             curl.setopt(pycurl.POSTFIELDS, call.body)
+        if call.method == "HEAD":
+            # Otherwise libcurl waits for the body that the head tells of.
+            curl.setopt(pycurl.NOBODY, 1)
         curl.setopt(pycurl.CUSTOMREQUEST, call.method)
         headers = {"Expect": "", **call.headers}
         curl.setopt(pycurl.HTTPHEADER, [f"{name}: {value}" for name, value in headers.items()])
