--- a/tests/test_own_interface_heads.py
+++ b/tests/test_own_interface_heads.py
@@ -7,9 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import socket
-import threading
 import unittest
 from types import SimpleNamespace
 from typing import Any
@@ -18,6 +15,8 @@
 from fielddrift_node.http_client import AnswerMismatchError, Call, HttpClient, Reply
 from fielddrift_node.targets import TargetClient
 
+from .scripted_target import ScriptedTarget
+
 _HEADERS = {"X-Request-Id": "r"}
 _SECONDS = 1.0
 
@@ -28,27 +27,13 @@
         self.addCleanup(self.http.close)
         self.targets = TargetClient(http=self.http)
 
-    def _target(self, answer: bytes) -> Any:
-        """Return a target that answers the first call with `answer` and keeps its connection."""
-        server = socket.create_server(("127.0.0.1", 0))
-        self.addCleanup(server.close)
-
-        def serve() -> None:
-            with contextlib.suppress(OSError):
-                connection, _ = server.accept()
-                with connection:
-                    connection.recv(65536)
-                    connection.sendall(answer)
-                    connection.recv(65536)
-
-        threading.Thread(target=serve, daemon=True).start()
-        return SimpleNamespace(name="t1", address=f"127.0.0.1:{server.getsockname()[1]}")
-
     def _call(self, fields: bytes, body: bytes = b"body", method: str = "GET") -> Reply:
         head = b"HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\n" % fields
-        target = self._target(head + body)
-        url = f"http://{target.address}/call/x"
-        return self.targets.call(target, Call(method, url, None, _HEADERS, timeout=_SECONDS))
+        server = ScriptedTarget(script=[[head + body]])
+        self.addCleanup(server.close)
+        target: Any = SimpleNamespace(name="t1", address=server.address)
+        call = Call(method, f"{server.url}call/x", None, _HEADERS, timeout=_SECONDS)
+        return self.targets.call(target, call)
 
     def test_a_coded_body_is_not_passed_on(self) -> None:
         with self.assertRaisesRegex(ExternalSystemError, "gzip") as raised:
