Compare the epoch of a service with that of its last poll

Callers of the own interface got a part of an answer as the whole one.

Cause: an answer that ends with its connection is judged by the epoch that its service tells behind it. An answer without an X-Epoch of its own was compared with nothing, so a process that had taken the place of the service confirmed the part, though earlier polls had told another epoch.

The epoch of the last poll before the call stands in for the answer's now. A poll during the call does not count: it may come from the other process. The price: a whole answer of a service that started again between that poll and the call counts as cut.

--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -141,6 +141,8 @@
     def __init__(self, *, http: HttpClient) -> None:
         self._http = http
         self._numbers = count(1)
+        self._epochs: dict[str, str] = {}
+        """The epoch that each target told in its last poll, by its name."""
 
     def run(self, target: Target, order: RunOrder, *, timeout: float) -> Stream:
         """Start a run; the head of the stream arrives with the first token."""
@@ -159,13 +161,17 @@
         A response that only the end of its connection ended counts as cut if the target does
         not answer any more, or has started again.
         """
+        polled = self._epochs.get(target.name, "")
         reply = self._http.request(call._replace(fresh=True))
         if not reply.delimited and not proved_not_started(reply):
-            self._confirm_end(target, call, reply)
+            self._confirm_end(target, call, reply.headers.get("x-epoch") or polled)
         return reply
 
-    def _confirm_end(self, target: Target, call: Call, reply: Reply) -> None:
-        """Raise `ExternalSystemError` unless the process that sent `reply` still answers."""
+    def _confirm_end(self, target: Target, call: Call, before: str) -> None:
+        """Raise `ExternalSystemError` unless the process that answered `call` still answers.
+
+        `before` is its epoch, empty if it is not known.
+        """
         cut = f"{call.url}: response without a length, and its target"
         try:
             poll = self._http.request(self._load_call(target, after=0, fresh=True))
@@ -173,7 +179,7 @@
             # A target that is only slow has not ended.
             broken = error.refused or error.broken
             raise ExternalSystemError(f"{cut} does not answer: {error}", broken=broken) from None
-        before, now = reply.headers.get("x-epoch"), _reported_epoch(poll)
+        now = _reported_epoch(poll)
         if before and now and before != now:
             raise ExternalSystemError(
                 f"{cut} has started again: epoch {now}, expected {before}", broken=True
@@ -181,7 +187,11 @@
 
     def load(self, target: Target, *, after: int) -> LoadReport:
         """Poll a target's load and its cache events with numbers above `after`."""
-        return self._json(self._load_call(target, after=after, fresh=False), LoadReport)
+        report: LoadReport = self._json(
+            self._load_call(target, after=after, fresh=False), LoadReport
+        )
+        self._epochs[target.name] = str(report.epoch) if report.epoch else ""
+        return report
 
     def _load_call(self, target: Target, *, after: int, fresh: bool) -> Call:
         url = f"http://{target.address}/load?after={after}"
--- a/tests/test_unframed_own_answers.py
+++ b/tests/test_unframed_own_answers.py
@@ -38,7 +38,7 @@
 
     def __init__(self, *, answer: bytes, load: bytes | None) -> None:
         self._answer = answer
-        self._load = load
+        self.load = load
         self.polls = 0
         super().__init__()
 
@@ -48,8 +48,8 @@
             received.read(head.count(b"Content-Length: 1\r\n"))
             is_poll = head.startswith(b"GET /load")
             self.polls += is_poll
-            connection.sendall(self._load or b"" if is_poll else self._answer)
-            if self._load is None:
+            connection.sendall(self.load or b"" if is_poll else self._answer)
+            if self.load is None:
                 self.stop_listening()
 
 
@@ -89,6 +89,16 @@
     def test_an_answer_of_a_service_that_was_replaced_is_cut(self) -> None:
         self._assert_cut(self._service(_load(8)))
 
+    def test_an_answer_without_an_epoch_is_cut_if_polls_tell_that_its_service_was_replaced(
+        self,
+    ) -> None:
+        answer = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+        target = self._service(_load(7), answer)
+        self.assertEqual(self.targets.load(target, after=0).epoch, 7)
+        self.assertEqual(self._call(target), b"half")
+        self.service.load = _load(8)
+        self._assert_cut(target)
+
     def test_an_answer_of_a_service_that_lives_on_is_whole(self) -> None:
         for load in (_load(7), _load(0), _NOT_FOUND):
             self.assertEqual(self._call(self._service(load)), b"half")
