Check which process a connection to a target leads to before its first request

What callers saw: streams of one software version that went on at another one, where a target had started again under its id and at its address.

Cause: the entry with which a target was chosen told of the process before. Until its new entry was read, sends reached the new process under the name of the former one: streams went on there, and streams that it began counted as the other version's. No answer tells which process it comes from.

Ruled out: comparing afterwards, behind the first event. The origin of a stream that a new process had begun would stay unknown, and its run would have used up one of the request's attempts.

Change: a connection leads to one process for as long as it lives. Where the entry of a target tells when its process started, each new connection is asked for a report first, which tells the same, and carries requests only if it is that process. Otherwise the target is marked as replaced, at all nodes, until its entry is new. The counters process_checks and replaced_targets and the line 'target replaced' show it. A target whose report tells no start is not asked again.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -143,6 +143,7 @@
     client = LabClient(engines={}, targets=targets)
     paths = TargetPaths(
         client=client,
+        targets=targets,
         views=views,
         neighbours=neighbours,
         metrics=Metrics(),
@@ -166,6 +167,7 @@
             metrics=Metrics(),
             rng=random.Random(seed),
             send_update=lambda update, nodes: None,
+            on_replaced=lambda instance: None,
         ),
         gate=SendGate(views=views, neighbours=neighbours, bounds=BOUNDS),
         streams=StreamVersions(
@@ -175,7 +177,7 @@
             metrics=Metrics(),
             send=lambda origins, node: None,
         ),
-        notices=NoticeHandler(views=views, on_change=lambda: None),
+        notices=NoticeHandler(views=views, metrics=Metrics(), on_change=lambda: None),
     )
     request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
     parsed = ParsedRequest("id", "h", "/", "", 4.0, _PROMPT, "", request)
--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -21,8 +21,9 @@
     StoreContents,
     WeightsOrder,
 )
-from fielddrift_node.web.client import Client, Exchange, ExchangeError, Reply
+from fielddrift_node.web.client import Client, Exchange, ExchangeError
 from fielddrift_node.web.messages import Headers, RequestHead, ResponseHead
+from fielddrift_node.web.process_check import ProcessAnswer, ProcessCheck
 from fielddrift_node.web.server import Request, Responder
 
 if TYPE_CHECKING:
@@ -78,13 +79,11 @@
         """Return what a head tells: engines here refuse only what they have not run."""
         return ResponseInfo(head.status == 503, False, "", 1)
 
-    def identity_request(self, instance: Instance) -> bytes:
-        """Return nothing: no response here ends with its connection."""
-        return b""
-
-    def identity(self, instance: Instance, reply: Reply) -> bool | None:
-        """Return that it is not known."""
-        return None
+    def process_check(self, instance: Instance) -> ProcessCheck:
+        """Return a question without an answer: engines here do not start again."""
+        return ProcessCheck(
+            instance.name, b"", lambda head: True, lambda reply: ProcessAnswer.UNKNOWN
+        )
 
     def garbling(self, send: OutgoingRequest, head: ResponseHead) -> str:
         """Return that every answer can be passed on."""
@@ -131,6 +130,7 @@
         max_connections: int | None = None,
         through: str = "",
         request_id: str = "",
+        process: ProcessCheck | None = None,
     ) -> Exchange:
         """Hand a send to its engine."""
         send = self._targets.sends.pop(data)
@@ -140,7 +140,14 @@
         engine.take(send, exchange)
         return exchange
 
-    async def connect(self, address: str, *, seconds: float, through: str = "") -> None:
+    async def connect(
+        self,
+        address: str,
+        *,
+        seconds: float,
+        through: str = "",
+        process: ProcessCheck | None = None,
+    ) -> None:
         """Find that an engine listens, or does not."""
         await asyncio.sleep(_CONNECT_SECONDS)
         if not self._engines[address].up:
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -100,11 +100,17 @@
         rng = random.Random(f"{self.name} {seed}")
         paths = TargetPaths(
             client=client,
+            targets=targets,
             views=self.views,
             neighbours=self.neighbours,
             metrics=self.metrics,
             rng=rng,
         )
+        notices = NoticeHandler(
+            views=self.views,
+            metrics=self.metrics,
+            on_change=self.gossip.schedule_load_update,
+        )
         crashes = CrashWatch(
             views=self.views,
             paths=paths,
@@ -113,6 +119,7 @@
             metrics=self.metrics,
             rng=rng,
             send_update=self.gossip.send_crash_update,
+            on_replaced=notices.replaced,
         )
         streams = StreamVersions(
             views=self.views,
@@ -134,7 +141,7 @@
             crashes=crashes,
             gate=SendGate(views=self.views, neighbours=self.neighbours, bounds=BOUNDS),
             streams=streams,
-            notices=NoticeHandler(views=self.views, on_change=self.gossip.schedule_load_update),
+            notices=notices,
         )
         self.gateway = Gateway(context=context)
         self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -67,6 +67,11 @@
         """Return the id of the target."""
         return target_id(self.name)
 
+    @property
+    def tells_process(self) -> bool:
+        """Return whether the entry tells the process from others of the target."""
+        return self.name != instance_name(self.target, None)
+
 
 class TargetRegistry:
     """The known targets, by service."""
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -10,7 +10,7 @@
 from fielddrift_core.stream import StreamError
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import GARBLED_REASON, Exchange, ExchangeError
+from ..web.client import GARBLED_REASON, REPLACED_REASON, Exchange, ExchangeError
 from ..web.messages import Framing, ResponseHead
 from .call import Call, Refused, Send, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
@@ -226,7 +226,10 @@
 
     def _report_failure(self, send: Send, failure: AttemptFailed) -> None:
         """Report the failure to the detection of requests that crash their targets."""
-        if failure.reached:
+        is_replaced = failure.reason == REPLACED_REASON
+        if is_replaced:
+            self._context.notices.replaced(send.instance)
+        if failure.reached or is_replaced:
             self._context.crashes.failed(self._call, send.instance, failure.reason, send.at)
         elif failure.refused:
             self._context.crashes.refused(send.instance)
@@ -344,7 +347,7 @@
     if not info.misdirected:
         return "not-started"
     if info.instance and info.instance != outgoing.instance.target:
-        return "replaced"
+        return REPLACED_REASON
     return "other-weights"
 
 
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -19,7 +19,8 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import CarrierState, ExchangeError, LiveConnection
+from ..web.client import REPLACED_REASON, CarrierState, ExchangeError, LiveConnection
+from ..web.process_check import ProcessAnswer
 from .attempts import CONNECTION_LOST_REASONS
 from .call import Call, Refused, Send, TargetState
 from .metrics import Metrics
@@ -29,7 +30,6 @@
 
 __all__ = ["CrashWatch"]
 
-_REPLACED = "replaced"
 _PROBE_DELAY_SECONDS = 0.05
 """Delay before the target is probed: a crashing process closes its port within this time."""
 _MAX_CONFIRM_SECONDS = 0.4
@@ -66,6 +66,7 @@
         metrics: Metrics,
         rng: random.Random,
         send_update: Callable[[CrashUpdate, Sequence[Neighbour]], None],
+        on_replaced: Callable[[Instance], None],
     ) -> None:
         self._views = views
         self._history = views.crashes
@@ -75,6 +76,7 @@
         self._metrics = metrics
         self._rng = rng
         self._send_update = send_update
+        self._on_replaced = on_replaced
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
         self._lost_runs = LostRuns()
@@ -124,8 +126,8 @@
     def failed(self, call: Call, instance: Instance, reason: str, sent_at: float) -> None:
         """Record a send that failed after the request had left this node."""
         name = instance.name
-        if reason == _REPLACED:
-            self._target_ended(name, "replaced")
+        if reason == REPLACED_REASON:
+            self._target_ended(name, reason)
         registry = self._views.registry
         if (
             reason not in CONNECTION_LOST_REASONS
@@ -186,10 +188,10 @@
         would not tell: a process that started there since may have taken the place of the target.
         """
         instance = send.instance
-        request = self._targets.identity_request(instance)
+        check = self._targets.process_check(instance)
         try:
             async with asyncio.timeout(_MAX_ANSWER_SECONDS):
-                carried = await self._paths.ask(instance, request, carrier=send.through)
+                carried = await self._paths.ask(instance, check.request, carrier=send.through)
         except TimeoutError:
             # A target that is full or slow may answer late.
             state = TargetState.UNKNOWN if send.through else _state_of(open_before)
@@ -208,10 +210,13 @@
             return TargetState.ENDED, "the node that carried the connection has started again"
         if send.through and not send.carrier_process:
             return TargetState.UNKNOWN, "the process that carried the connection is not known"
-        is_target = self._targets.identity(instance, carried.reply)
-        if is_target is None:
+        answer = check.judge(carried.reply)
+        if answer is ProcessAnswer.UNKNOWN:
             return TargetState.UNKNOWN, f"status {carried.reply.head.status}, sender not known"
-        return (TargetState.LIVES, "") if is_target else (TargetState.ENDED, "replaced")
+        if answer is not ProcessAnswer.OTHER:
+            return TargetState.LIVES, ""
+        self._on_replaced(instance)
+        return TargetState.ENDED, REPLACED_REASON
 
     def confirm_later(self, call: Call, send: Send) -> None:
         """Record a complete response that ended with its connection, once its target is known to
@@ -254,14 +259,17 @@
     # --- targets --------------------------------------------------------------------
 
     async def _probe(self, instance: Instance) -> None:
-        """Check whether a process accepts connections at the target's address."""
+        """Check whether the process of a target accepts connections at its address."""
         try:
             await asyncio.sleep(_PROBE_DELAY_SECONDS)
             if instance.name in self._lost_runs:
                 # The connection is kept in the pool for a later request.
                 await self._paths.connect(instance)
         except ExchangeError as error:
-            if error.refused:
+            if error.reason == REPLACED_REASON:
+                self._on_replaced(instance)
+                self._target_ended(instance.name, error.reason)
+            elif error.refused:
                 self.refused(instance)
         finally:
             self._probes.pop(instance.name, None)
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -17,7 +17,7 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.urgency import urgency
 
-from ..web.client import Exchange, ExchangeError
+from ..web.client import REPLACED_REASON, Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, Shortage, broken_off, send_once
@@ -605,12 +605,8 @@
         views = self._context.views
         name = instance.name
         now = asyncio.get_running_loop().time()
-        if failure.reason == "replaced":
-            # Another instance uses the address, so this one has ended.
-            views.registry.left(name)
-            return
-        if failure.reason == "outdated":
-            # This node cancelled the send.
+        if failure.reason in (REPLACED_REASON, "outdated"):
+            # The target has ended, or this node cancelled the send.
             return
         if failure.reason in ("not-started", "other-weights"):
             # Shared with nearby nodes, so that they avoid the engine before it rejects them too.
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -124,6 +124,14 @@
             "responses that ended with their connection, by the state of their target",
             "state",
         )
+        self.process_checks = self._counter(
+            "process_checks",
+            "questions on new connections which process of a target they lead to, by the answer",
+            "answer",
+        )
+        self.replaced_targets = self._counter(
+            "replaced_targets", "targets at whose addresses another process was found"
+        )
         self.cancelled_sends = self._counter(
             "cancelled_sends",
             "replacements that were not needed, by why they were cancelled",
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -131,11 +131,17 @@
         self._heartbeats = HeartbeatTranslator(views=self._views, neighbours=self._neighbours)
         self._paths = TargetPaths(
             client=client,
+            targets=dialects.targets,
             views=self._views,
             neighbours=self._neighbours,
             metrics=self._metrics,
             rng=rng,
         )
+        notices = NoticeHandler(
+            views=self._views,
+            metrics=self._metrics,
+            on_change=lambda: self._gossip.schedule_update(Scope.ALL),
+        )
         self._tunnels = TunnelServer(admit=self._paths.admit, on_connect=self._paths.record_carried)
         self._crashes = CrashWatch(
             views=self._views,
@@ -145,6 +151,7 @@
             metrics=self._metrics,
             rng=rng,
             send_update=lambda update, nodes: self._gossip.send_crash_update(update, nodes),
+            on_replaced=notices.replaced,
         )
         self._peer_client = Client()
         peers = PeerClient(client=self._peer_client)
@@ -221,9 +228,6 @@
             takeover_seconds=settings.bounds.handover_pause,
             era_since=lambda: self._era_since,
         )
-        notices = NoticeHandler(
-            views=self._views, on_change=lambda: self._gossip.schedule_update(Scope.ALL)
-        )
         self._rollout_runner = RolloutRunner(
             views=self._views,
             neighbours=self._neighbours,
--- a/packages/node/src/fielddrift_node/serving/notices.py
+++ b/packages/node/src/fielddrift_node/serving/notices.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import structlog
 from fielddrift_core.target_notices import TargetNotice
 from fielddrift_core.target_registry import Instance
 
+from .metrics import Metrics
 from .views import Views
 
 __all__ = ["NoticeHandler", "log_brittle", "log_limit"]
@@ -22,8 +24,9 @@
     `on_change` is called when other nodes should be informed soon.
     """
 
-    def __init__(self, *, views: Views, on_change: Callable[[], None]) -> None:
+    def __init__(self, *, views: Views, metrics: Metrics, on_change: Callable[[], None]) -> None:
         self._views = views
+        self._metrics = metrics
         self._on_change = on_change
 
     def heard(
@@ -46,6 +49,26 @@
         if notice.pause > 0 and self._views.pauses.record(instance.name, notice.pause, now):
             _log.info("target asks for a pause", target=instance.name, seconds=notice.pause)
 
+    def replaced(self, instance: Instance) -> None:
+        """Record that another process was found at the address of `instance`, which has ended.
+
+        Until the entry of that process is read, nothing is known of it, and it gets no requests.
+        """
+        registry = self._views.registry
+        if registry.get(instance.name) is None or instance.name in registry.leaving():
+            return
+        registry.left(instance.name)
+        self._metrics.replaced_targets.inc()
+        entry_age = asyncio.get_running_loop().time() - self._views.targets_read_at
+        _log.info(
+            "target replaced",
+            target=instance.name,
+            software=instance.software,
+            address=instance.address,
+            entry_age_ms=round(entry_age * 1000) if math.isfinite(entry_age) else None,
+        )
+        self._on_change()
+
     def _update_limit(
         self, name: str, rate: float | None, served_at: float | None, now: float
     ) -> None:
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -17,7 +17,7 @@
 from fielddrift_core.stalls import MAX_OVERLAP_SECONDS
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import Exchange, ExchangeError
+from ..web.client import REPLACED_REASON, Exchange, ExchangeError
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, Shortage, broken_off, send_once
@@ -39,7 +39,7 @@
 _NOT_RUN_REASON = "not-started"
 """Reason of a send that its target returned without running it, since it was full."""
 _OK = 200
-_OTHER_INSTANCE_REASONS = ("replaced", "other-weights")
+_OTHER_INSTANCE_REASONS = (REPLACED_REASON, "other-weights")
 """Reasons of sends that a target returned for another cause than its load."""
 
 
@@ -362,8 +362,6 @@
             if not (failure.reached and failure.not_run):
                 # A target that refuses a request before it runs has not failed.
                 self.record_target_failure(send, failure.reason)
-            if failure.reason == "replaced":
-                views.registry.left(instance.name)
             if failure.reason == _NOT_RUN_REASON:
                 service_queue.queue.full(limited, loop.time())
             elif failure.reason not in _OTHER_INSTANCE_REASONS:
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -15,8 +15,8 @@
 from fielddrift_core.target_notices import TargetNotice
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import Reply
 from ..web.messages import Headers, RequestHead, ResponseHead
+from ..web.process_check import ProcessCheck
 from ..web.server import Request
 
 __all__ = [
@@ -52,15 +52,22 @@
     """Raised when the platform or a target gave no usable response to a call.
 
     `not_executed` means that the call certainly had no effect.  `notice` is what a target
-    reported about itself in the response.
+    reported about itself in the response.  `replaced` means that another process than the
+    expected one is at the target's address.
     """
 
     def __init__(
-        self, detail: str, *, not_executed: bool = False, notice: TargetNotice = _NO_NOTICE
+        self,
+        detail: str,
+        *,
+        not_executed: bool = False,
+        notice: TargetNotice = _NO_NOTICE,
+        replaced: bool = False,
     ) -> None:
         super().__init__(detail)
         self.not_executed = not_executed
         self.notice = notice
+        self.replaced = replaced
 
 
 class HistoryTruncated(Exception):
@@ -342,14 +349,8 @@
     def response_info(self, outgoing: OutgoingRequest, head: ResponseHead) -> ResponseInfo:
         """Return the content of the head of a response to `outgoing`."""
 
-    def identity_request(self, instance: Instance) -> bytes:
-        """Return a request that asks the process at an instance's address which one it is."""
-
-    def identity(self, instance: Instance, reply: Reply) -> bool | None:
-        """Return whether `reply`, to an identity request, is from `instance`.
-
-        None means that it does not tell.
-        """
+    def process_check(self, instance: Instance) -> ProcessCheck:
+        """Return how to find out which process is at the address of `instance`."""
 
     def garbling(self, outgoing: OutgoingRequest, head: ResponseHead) -> str:
         """Return why a response cannot be passed on as the target's, empty if it can."""
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -241,6 +241,8 @@
             report = await self._targets.report(instance)
         except RemoteCallError as error:
             _log.info("no report", target=name, error=str(error))
+            if error.replaced:
+                self._notices.replaced(instance)
             self._notices.heard(instance, error.notice)
             self._verify_path(instance)
             return None
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -27,8 +27,10 @@
     Reply,
 )
 from ..web.messages import ResponseHead
+from ..web.process_check import ProcessAnswer, ProcessCheck
 from ..web.tunnel import TunnelStatus
 from .metrics import Metrics
+from .ports import TargetDialect
 from .views import Views
 
 __all__ = ["CarriedReply", "SendOptions", "TargetPaths"]
@@ -76,12 +78,14 @@
         self,
         *,
         client: Client,
+        targets: TargetDialect,
         views: Views,
         neighbours: Neighbours,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self._client = client
+        self._targets = targets
         self._views = views
         self._paths = views.direct_paths
         self._neighbours = neighbours
@@ -92,23 +96,30 @@
         self._confirmed_at: dict[str, float] = {}
         """When another node was refused by a target that had refused this one."""
         self._checks: set[asyncio.Task[None]] = set()
+        self._unidentified: set[str] = set()
+        """Names of targets that did not say which process they are."""
 
     # --- sends ----------------------------------------------------------------------
 
     async def begin(
         self, instance: Instance, data: bytes, **options: Unpack[SendOptions]
     ) -> Exchange:
-        """Send a complete request to a target and return its exchange.
+        """Send a complete request to the process that is `instance`, and return its exchange.
 
         Raise `ExchangeError`, with `sent` False if there is no connection to send it on.  Then
         `refused` says that the target has ended: it refused this node and another one, or there
-        is no other node.
+        is no other node; the reason `REPLACED_REASON`, that another process is at its address.
         """
-        address = instance.address
+        address, process = instance.address, self._process_check(instance)
 
         async def begin(seconds: float, through: str) -> Exchange:
             return await self._client.begin(
-                address, data, connect_seconds=seconds, through=through, **options
+                address,
+                data,
+                connect_seconds=seconds,
+                through=through,
+                process=process,
+                **options,
             )
 
         return await self._connect(instance, begin)
@@ -116,11 +127,30 @@
     async def connect(self, instance: Instance) -> None:
         """Open a connection for a later send; raise `ExchangeError` as for `begin`."""
 
+        process = self._process_check(instance)
+
         async def connect(seconds: float, through: str) -> None:
-            await self._client.connect(instance.address, seconds=seconds, through=through)
+            await self._client.connect(
+                instance.address, seconds=seconds, through=through, process=process
+            )
 
         await self._connect(instance, connect)
 
+    def _process_check(self, instance: Instance) -> ProcessCheck | None:
+        """Return how to find out whether a connection leads to `instance`, None if it can't be."""
+        if not instance.tells_process or instance.name in self._unidentified:
+            return None
+        check = self._targets.process_check(instance)
+
+        def judge(reply: Reply) -> ProcessAnswer:
+            answer = check.judge(reply)
+            self._metrics.process_checks.inc(label_value=answer.value)
+            if answer is ProcessAnswer.UNIDENTIFIED:
+                self._unidentified.add(instance.name)
+            return answer
+
+        return check._replace(judge=judge)
+
     async def ask(self, instance: Instance, data: bytes, *, carrier: str = "") -> CarriedReply:
         """Send a request that changes nothing to the process at a target's address.
 
@@ -133,7 +163,13 @@
                 instance.address, data, connect_seconds=_TUNNEL_TIMEOUT_SECONDS, through=carrier
             )
         else:
-            exchange = await self.begin(instance, data)
+
+            async def begin(seconds: float, through: str) -> Exchange:
+                return await self._client.begin(
+                    instance.address, data, connect_seconds=seconds, through=through
+                )
+
+            exchange = await self._connect(instance, begin)
         try:
             reply = Reply(await exchange.head(), await exchange.body())
             return CarriedReply(reply, exchange.carrier_process)
@@ -288,6 +324,8 @@
         """Close idle tunnels that are not needed any more, or whose nodes are about to stop."""
         for name in [n for n, at in self._confirmed_at.items() if now - at > _CONFIRMED_SECONDS]:
             del self._confirmed_at[name]
+        registry = self._views.registry
+        self._unidentified = {n for n in self._unidentified if registry.get(n) is not None}
         for pair in [p for p, at in self._failed_at.items() if at <= now - _AVOID_SECONDS]:
             del self._failed_at[pair]
         usable = {node.gossip for node in self._neighbours.carriers(now)} if self._paths else set()
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -17,7 +17,8 @@
 from fielddrift_core.memory_budget import MAX_READ_BYTES
 
 from .host_memory import HeldBytes, bound_receive_buffer, held_for_caller
-from .messages import Framing, Headers, ResponseHead
+from .messages import Framing, Headers, Reply, ResponseHead
+from .process_check import ProcessAnswer, ProcessCheck
 from .server import prepare_socket, probe_silent_path
 from .tunnel import TunnelError, TunnelHandshake, TunnelStatus
 
@@ -30,6 +31,7 @@
     "GARBLED_REASON",
     "MAX_BODY_BYTES",
     "OpenConnection",
+    "REPLACED_REASON",
     "Reply",
     "TUNNEL_REASON",
     "CarrierState",
@@ -40,6 +42,8 @@
 """`ExchangeError.reason` if no connection came up."""
 TUNNEL_REASON = "tunnel"
 """The same for a tunnel that another node did not open."""
+REPLACED_REASON = "replaced"
+"""The same for a connection that leads to another process than the expected one."""
 _DEFAULT_IDLE_LIMIT_SECONDS = 4.0
 """How long an idle connection is reused if the server sends no Keep-Alive timeout."""
 _IDLE_LIMIT_FRACTION = 0.7
@@ -63,6 +67,12 @@
 """What may come between two parts of a body or behind it: extensions of chunks, and trailers."""
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a field besides its name and value: colon, space and line end."""
+_CHECK_TIMEOUT_SECONDS = 1.0
+"""How long the answer to a process check is waited for."""
+_MAX_CHECK_BYTES = 256 * 1024
+"""Bytes of such an answer."""
+_MAX_CHECK_COUNT = 2
+"""Connections on which a server is asked which process it is, before one send."""
 _MAX_REQUEST_ID_COUNT = 256
 """Requests with ids that one connection carries.  All of their ids are remembered, in some 24 KB,
 so that no id is sent twice on a connection; the connection that has carried this many is closed."""
@@ -145,13 +155,6 @@
     whole: float = 1.0
 
 
-class Reply(NamedTuple):
-    """A complete response."""
-
-    head: ResponseHead
-    body: bytes
-
-
 class _Connection(asyncio.BufferedProtocol):
     """One connection to a server; it carries one exchange at a time.
 
@@ -168,6 +171,8 @@
     ) -> None:
         self._read_buffer = read_buffer
         self._carrier_process = ""
+        self._process = ""
+        self._is_reserved = False
         self._release = released
         self._lost = lost
         self._loop = asyncio.get_running_loop()
@@ -206,6 +211,19 @@
         """Set the id of the process of another node that carries the connection."""
         self._carrier_process = process
 
+    @property
+    def process(self) -> str:
+        """Return the name of the process to which the connection leads, empty if not known."""
+        return self._process
+
+    def set_process(self, process: str) -> None:
+        """Set the name of the process to which the connection leads."""
+        self._process = process
+
+    def reserve(self) -> None:
+        """Keep the connection from becoming idle at the end of its next exchange."""
+        self._is_reserved = True
+
     @property
     def usable(self) -> bool:
         """Return whether the connection may carry another exchange."""
@@ -427,10 +445,12 @@
         self.idle_since = self._loop.time()
         # A slow reader of this exchange may have paused reading; the next one must not stall.
         self.resume_reading()
+        is_reserved, self._is_reserved = self._is_reserved, False
         if self._reusable:
             # The connection is idle before the reader of the response can send again.  By
             # then surplus bytes in the data being parsed have made it unusable.
-            self._release(self)
+            if not is_reserved:
+                self._release(self)
         elif self._transport is not None:
             self._transport.close()
         exchange.completed()
@@ -707,6 +727,7 @@
         max_connections: int | None = None,
         through: str = "",
         request_id: str = "",
+        process: ProcessCheck | None = None,
     ) -> Exchange:
         """Send `data`, a complete request, and return its exchange.
 
@@ -714,29 +735,92 @@
         `max_connections` the number of open connections to the address.  `through` is the
         address of a node whose tunnel carries the connection, empty for a direct one.  A
         connection never carries a `request_id` twice, unless it is empty: a late copy of the
-        first answer could not be told from the second answer.  Raise `ExchangeError` with
-        `sent` False if there is no connection to send it on.
+        first answer could not be told from the second answer.  With `process`, only a connection
+        to that process is used.  Raise `ExchangeError` with `sent` False if there is no
+        connection to send it on, and with `REPLACED_REASON` if it leads to another process.
         """
         held = held_for_caller.get()
         path = _Path(address, through)
-        connection = self._take_idle(path, max_idle_seconds, request_id)
-        kept = connection is not None
-        if connection is None:
-            if (
-                max_connections is not None
-                and self._open_counts.get(address, 0) >= max_connections
-                and not self._close_one_idle(path)
-            ):
-                detail = f"{address}: {max_connections} connections are open"
-                raise ExchangeError(detail, sent=False, reason="connections")
-            connection = await self._connect(path, connect_seconds)
-            if held is not None and held.limited:
-                connection.bound_receive_buffer()
+        wanted = "" if process is None else process.name
+        for count in range(1 + _MAX_CHECK_COUNT):
+            idle = self._take_idle(path, max_idle_seconds, request_id, wanted)
+            kept = idle is not None
+            connection = idle or await self._open_for(path, connect_seconds, max_connections, held)
+            # A server that closes each connection behind its answer has just said which process
+            # it is.
+            if process is None or connection.process == wanted or count == _MAX_CHECK_COUNT:
+                break
+            await self._check_process(path, connection, process, on_bytes, is_kept=kept)
+            if connection.usable:
+                break
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held)
         exchange.bind(connection, kept=kept, through=through)
         connection.begin(exchange, data, request_id=request_id)
         return exchange
 
+    async def _open_for(
+        self,
+        path: _Path,
+        connect_seconds: float,
+        max_connections: int | None,
+        held: HeldBytes | None,
+    ) -> _Connection:
+        """Open a connection for a send; raise `ExchangeError` if none is allowed or comes up."""
+        address = path.address
+        if (
+            max_connections is not None
+            and self._open_counts.get(address, 0) >= max_connections
+            and not self._close_one_idle(path)
+        ):
+            detail = f"{address}: {max_connections} connections are open"
+            raise ExchangeError(detail, sent=False, reason="connections")
+        connection = await self._connect(path, connect_seconds)
+        if held is not None and held.limited:
+            connection.bound_receive_buffer()
+        return connection
+
+    async def _check_process(
+        self,
+        path: _Path,
+        connection: _Connection,
+        process: ProcessCheck,
+        on_bytes: Callable[[], None],
+        *,
+        is_kept: bool,
+    ) -> None:
+        """Ask on a connection which process is at its other end.
+
+        Raise `ExchangeError` if that is another one, or if no answer comes, unless the connection
+        is a kept one: that may have been closed by the server.
+        """
+        connection.reserve()
+        exchange = Exchange(accepts=process.accepts, on_bytes=on_bytes)
+        exchange.bind(connection, through=path.through)
+        connection.begin(exchange, process.request)
+        answer: ProcessAnswer | None = None
+        try:
+            async with asyncio.timeout(_CHECK_TIMEOUT_SECONDS):
+                reply = Reply(
+                    await exchange.head(), await exchange.body(max_bytes=_MAX_CHECK_BYTES)
+                )
+            answer = process.judge(reply)
+        except TimeoutError:
+            detail = f"{path.address}: no process named in {_CHECK_TIMEOUT_SECONDS} s"
+            raise ExchangeError(
+                detail, sent=False, reason="unidentified", connect_timed_out=True
+            ) from None
+        except ExchangeError as error:
+            if is_kept:
+                return
+            raise ExchangeError(str(error), sent=False, reason=error.reason) from None
+        finally:
+            if answer is None or answer is ProcessAnswer.OTHER:
+                connection.close()
+        if answer is ProcessAnswer.OTHER:
+            detail = f"{path.address}: not the process {process.name}"
+            raise ExchangeError(detail, sent=False, reason=REPLACED_REASON)
+        connection.set_process(process.name)
+
     async def call(
         self,
         address: str,
@@ -746,11 +830,13 @@
         accepts: Callable[[ResponseHead], bool] = lambda head: True,
         max_idle_seconds: float | None = None,
         alone: bool = False,
+        process: ProcessCheck | None = None,
     ) -> Reply:
         """Send `data`, a complete request, and return the complete response.
 
-        `accepts` and `max_idle_seconds` are as for `begin`.  With `alone` the connection is a new
-        one and carries no other request.  Raise `ExchangeError` if the exchange fails or times out.
+        `accepts`, `max_idle_seconds` and `process` are as for `begin`.  With `alone` the connection
+        is a new one and carries no other request.  Raise `ExchangeError` if the exchange fails or
+        times out.
         """
         exchange: Exchange | None = None
         started_at = asyncio.get_running_loop().time()
@@ -762,6 +848,7 @@
                     connect_seconds=timeouts.connect,
                     accepts=accepts,
                     max_idle_seconds=0.0 if alone else max_idle_seconds,
+                    process=process,
                 )
                 if alone:
                     exchange.forbid_reuse()
@@ -777,13 +864,23 @@
             if exchange is not None:
                 exchange.cancel()
 
-    async def connect(self, address: str, *, seconds: float, through: str = "") -> None:
+    async def connect(
+        self,
+        address: str,
+        *,
+        seconds: float,
+        through: str = "",
+        process: ProcessCheck | None = None,
+    ) -> None:
         """Open a connection and add it to the idle ones; raise `ExchangeError` if that fails.
 
-        `through` is as for `begin`.
+        `through` and `process` are as for `begin`.
         """
         path = _Path(address, through)
-        self._release(path, await self._connect(path, seconds))
+        connection = await self._connect(path, seconds)
+        if process is not None:
+            await self._check_process(path, connection, process, lambda: None, is_kept=False)
+        self._release(path, connection)
 
     def close_idle(self, address: str) -> None:
         """Close the idle direct connections to `address`."""
@@ -823,14 +920,18 @@
                 connection.close()
 
     def _take_idle(
-        self, path: _Path, max_idle_seconds: float | None, request_id: str
+        self, path: _Path, max_idle_seconds: float | None, request_id: str, process: str
     ) -> _Connection | None:
-        """Return an idle connection that has not carried `request_id`; the others stay idle."""
+        """Return an idle connection that has not carried `request_id`; the others stay idle.
+
+        Those that lead to another process than `process` are closed; empty stands for any.
+        """
         idle = self._idle.get(path, [])
         now = asyncio.get_running_loop().time()
         for index in reversed(range(len(idle))):
             connection = idle[index]
-            if not connection.can_reuse(now, max_idle_seconds):
+            is_outdated = process != "" and connection.process not in ("", process)
+            if is_outdated or not connection.can_reuse(now, max_idle_seconds):
                 idle.pop(index).close()
             elif not connection.has_carried(request_id):
                 return idle.pop(index)
--- a/packages/node/src/fielddrift_node/web/messages.py
+++ b/packages/node/src/fielddrift_node/web/messages.py
@@ -1,4 +1,4 @@
-"""The heads of HTTP requests and responses as plain data."""
+"""The heads of HTTP requests and responses, and complete responses, as plain data."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
     "Framing",
     "HOP_BY_HOP",
     "Headers",
+    "Reply",
     "RequestHead",
     "ResponseHead",
     "reason_phrase",
@@ -148,3 +149,10 @@
         if self.headers.get(b"transfer-encoding") is not None:
             return Framing.CHUNKS
         return Framing.CLOSE if self.length is None else Framing.LENGTH
+
+
+class Reply(NamedTuple):
+    """A complete response."""
+
+    head: ResponseHead
+    body: bytes
--- /dev/null
+++ b/packages/node/src/fielddrift_node/web/process_check.py
@@ -0,0 +1,37 @@
+"""Find out which process of a server a connection leads to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import NamedTuple
+
+from .messages import Reply, ResponseHead
+
+__all__ = ["ProcessAnswer", "ProcessCheck"]
+
+
+class ProcessAnswer(StrEnum):
+    """What a server said when it was asked which process it is."""
+
+    EXPECTED = "expected"
+    OTHER = "other"
+    UNIDENTIFIED = "unidentified"
+    """It is the expected server, and does not tell its processes apart."""
+    UNKNOWN = "unknown"
+    """It did not answer the question."""
+
+
+class ProcessCheck(NamedTuple):
+    """Finds out whether a connection leads to the expected process of a server.
+
+    A server that starts again at its address is another process.  A connection leads to the
+    process that accepted it for as long as it lives, so each one is checked once, before its
+    first request.  `name` identifies the process, `request` is a complete request that changes
+    nothing; `accepts` and `judge` tell whether a head, and what a response, answers it.
+    """
+
+    name: str
+    request: bytes
+    accepts: Callable[[ResponseHead], bool]
+    judge: Callable[[Reply], ProcessAnswer]
--- a/packages/standins/src/fielddrift_standins/deployment.py
+++ b/packages/standins/src/fielddrift_standins/deployment.py
@@ -135,8 +135,22 @@
         entry = {"service": service, "address": self.addresses[name], "slots": 4}
         entry |= {"zone": self._centres[name], "cold-left-ms": cold_seconds * 1000}
         entry["version"] = worker.software
+        if worker.started is not None:
+            entry["born"] = worker.started
         self.store.put("servers", name, {**entry, "state": state, "models": models, "seq": 1})
 
+    async def restart(self, worker: Worker, *, software: str) -> Worker:
+        """End a worker and start it again at its address and under its id, as `software`.
+
+        Its entry stays as it is until `enter` is called.
+        """
+        again = worker.restarted(software=software)
+        worker.crash()
+        host, _, port = self.addresses[worker.name].rpartition(":")
+        await again.start(host, int(port))
+        self.workers[worker.name] = again
+        return again
+
     def revive(
         self, worker: Worker, service: str, *, entry_seconds: float, back_seconds: float
     ) -> None:
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -83,8 +83,12 @@
         software: str = "v1",
     ) -> None:
         self.name = name
+        self.label = name
+        """How signed events name the worker's process."""
         self.software = software
         """The version of its program, as its entry tells it."""
+        self.started: int | None = None
+        """When its process started, in ms of Unix time, as reports tell it; None if they do not."""
         self.faults: list[str] = []
         self.fatal: frozenset[bytes] = frozenset()
         """Bodies whose run ends the worker's process."""
@@ -177,6 +181,14 @@
         again.unframed = self.unframed
         return again
 
+    def restarted(self, *, software: str) -> Worker:
+        """Return a worker as this one was at its start, under the same id, started a ms later."""
+        again = self.successor()
+        again.name, again.software = self.name, software
+        again.label = f"{self.label}+"
+        again.started = None if self.started is None else self.started + 1
+        return again
+
     def head(self, request_id: str) -> Headers:
         """Return the headers that every answer carries."""
         return Headers(
@@ -237,6 +249,8 @@
         answer = {"stage": "combined", "models": models, "busy": self._busy}
         if self.state:
             answer["state"] = self.state
+        if self.started is not None:
+            answer["born"] = self.started
         return json.dumps({**answer, "seq": len(self.orders), "clock_ms": 1000.0}).encode()
 
     def _order(self, order: dict[str, Any], responder: Responder) -> None:
@@ -316,7 +330,7 @@
 
     def event(self, number: int, request_id: str) -> bytes:
         """Return the bytes of event `number`, which say whose it is where `signed` is set."""
-        sign = f" of {request_id} at {self.name}" if self.signed else ""
+        sign = f" of {request_id} at {self.label}" if self.signed else ""
         return f"id: {number}\ndata: token {number}{sign}\n\n".encode()
 
     async def stream(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -71,6 +71,7 @@
         me = Neighbour("me", 1, "a", "", "", "")
         paths = TargetPaths(
             client=self.client,
+            targets=mock.Mock(),
             views=Views(),
             neighbours=Neighbours(me=me),
             metrics=Metrics(),
@@ -78,6 +79,7 @@
         )
         context, outgoing, call = mock.Mock(paths=paths), mock.Mock(), mock.Mock()
         outgoing.instance.address = self.address
+        outgoing.instance.tells_process = False
         outgoing.parsed.request_id = "one"
         context.targets.request.return_value = REQUEST
         context.targets.answers = lambda outgoing, head: (
--- a/tests/test_ends_judged_by_another_process.py
+++ b/tests/test_ends_judged_by_another_process.py
@@ -12,8 +12,9 @@
 from typing import Any
 from unittest import mock
 
-from fielddrift_node.web.client import Reply
-from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_core.target_registry import Instance
+from fielddrift_node.web.messages import Headers, Reply, ResponseHead
+from fielddrift_node.web.process_check import ProcessAnswer
 from fielddrift_platform.targets import PlatformTargets
 from fielddrift_standins import worker as standin
 from fielddrift_standins.worker import Worker
@@ -129,28 +130,31 @@
 
 
 class TestIdentity(FleetCase):
-    def _identity(self, status: int, body: bytes = b"", **fields: str) -> bool | None:
+    def _answer(self, status: int, body: bytes = b"", **fields: str) -> ProcessAnswer:
         headers = Headers(
             (name.replace("_", "-").encode(), text.encode()) for name, text in fields.items()
         )
         head = ResponseHead(status, headers, len(body), True)
-        instance = mock.Mock(target="t", address="h:1")
-        instance.name = "t"
+        instance = Instance("t#5", "s", "h:1", "a")
         targets = PlatformTargets(client=mock.Mock())
-        return targets.identity(instance, Reply(head, body))
+        return targets.process_check(instance).judge(Reply(head, body))
 
     async def test_a_process_is_known_by_the_id_that_it_tells(self) -> None:
-        self.assertIs(self._identity(200, X_Instance_Id="t"), True)
-        self.assertIs(self._identity(503, X_Instance_Id="t"), True)
-        self.assertIs(self._identity(200, X_Instance_Id="u"), False)
-        self.assertIs(self._identity(421), False)
-        self.assertIs(self._identity(200, b"{}"), True)
+        unidentified, other = ProcessAnswer.UNIDENTIFIED, ProcessAnswer.OTHER
+        self.assertIs(self._answer(200, X_Instance_Id="t"), unidentified)
+        self.assertIs(self._answer(503, X_Instance_Id="t"), unidentified)
+        self.assertIs(self._answer(200, X_Instance_Id="u"), other)
+        self.assertIs(self._answer(421), other)
+        self.assertIs(self._answer(200, b"{}"), unidentified)
         # A target without reports, and a full one.
-        self.assertIs(self._identity(404), True)
-        self.assertIs(self._identity(503), True)
+        self.assertIs(self._answer(404), unidentified)
+        self.assertIs(self._answer(503), unidentified)
+        self.assertIs(self._answer(200, b'{"born": 5}'), ProcessAnswer.EXPECTED)
+        self.assertIs(self._answer(200, b'{"born": 6}'), other)
 
     async def test_a_late_answer_to_a_request_does_not_tell_who_is_there(self) -> None:
-        self.assertIsNone(self._identity(200, X_Instance_Id="t", X_Request_Id="r"))
+        late = self._answer(200, X_Instance_Id="t", X_Request_Id="r")
+        self.assertIs(late, ProcessAnswer.UNKNOWN)
 
 
 class _FullTarget(Worker):
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -166,7 +166,7 @@
 
     def software(self, callers: list[_Caller]) -> list[set[str]]:
         """Return the versions that made the events of each caller."""
-        versions = {engine.name: engine.software for engine in self.engines}
+        versions = {engine.label: engine.software for engine in self.engines}
         return [{versions[target] for target in caller.targets} for caller in callers]
 
     def assert_unmixed(self, callers: list[_Caller]) -> None:
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -110,6 +110,7 @@
         me = Neighbour("me", 1, "a", "", "", "")
         paths = TargetPaths(
             client=self.client,
+            targets=mock.Mock(),
             views=Views(),
             neighbours=Neighbours(me=me),
             metrics=Metrics(),
@@ -117,6 +118,7 @@
         )
         context, outgoing, call = mock.Mock(paths=paths), mock.Mock(), mock.Mock()
         outgoing.instance.address = self.address
+        outgoing.instance.tells_process = False
         context.targets.request.return_value = REQUEST
         context.targets.response_info.return_value.not_started = True
         call.trace.unproved = call.service.connections = 0
