Name the reason of a connection whose server does not say which process it is

The label unidentified meant this failure, and the answer of a target that does not tell its processes apart.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -30,6 +30,7 @@
     "LiveConnection",
     "GARBLED_REASON",
     "MAX_BODY_BYTES",
+    "NO_PROCESS_REASON",
     "OpenConnection",
     "REPLACED_REASON",
     "Reply",
@@ -42,6 +43,8 @@
 """`ExchangeError.reason` if no connection came up."""
 TUNNEL_REASON = "tunnel"
 """The same for a tunnel that another node did not open."""
+NO_PROCESS_REASON = "no-process"
+"""The same for a connection on which the server did not say which process it is."""
 REPLACED_REASON = "replaced"
 """The same for a connection that leads to another process than the expected one."""
 _DEFAULT_IDLE_LIMIT_SECONDS = 4.0
@@ -807,7 +810,7 @@
         except TimeoutError:
             detail = f"{path.address}: no process named in {_CHECK_TIMEOUT_SECONDS} s"
             raise ExchangeError(
-                detail, sent=False, reason="unidentified", connect_timed_out=True
+                detail, sent=False, reason=NO_PROCESS_REASON, connect_timed_out=True
             ) from None
         except ExchangeError as error:
             if is_kept:
