Take only a later start for that of a process which replaced the expected one

What callers saw: a target whose entry had come before its process listened, or of which one report told an invalid start time, got no requests any more. With one target, requests were refused until it started again.

Cause: any start time but that of the entry counted as a process that had taken the target's place, also an earlier one and one that is no number of ms.

Change: process_answer tells later, earlier and untold starts apart, for process checks and for reports. A connection to an earlier process is closed and says nothing of the expected one; an invalid start time tells nothing, as before.

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -67,10 +67,16 @@
         """Return the id of the target."""
         return target_id(self.name)
 
+    @property
+    def started(self) -> int | None:
+        """Return the Unix time in ms at which the process started, None if the entry tells none."""
+        _, separator, started = self.name.rpartition(_INSTANCE_SEPARATOR)
+        return int(started) if separator and started.isdigit() else None
+
     @property
     def tells_process(self) -> bool:
         """Return whether the entry tells the process from others of the target."""
-        return self.name != instance_name(self.target, None)
+        return self.started is not None
 
 
 class TargetRegistry:
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -211,8 +211,8 @@
         if send.through and not send.carrier_process:
             return TargetState.UNKNOWN, "the process that carried the connection is not known"
         answer = check.judge(carried.reply)
-        if answer is ProcessAnswer.UNKNOWN:
-            return TargetState.UNKNOWN, f"status {carried.reply.head.status}, sender not known"
+        if answer in (ProcessAnswer.UNKNOWN, ProcessAnswer.FORMER):
+            return TargetState.UNKNOWN, f"status {carried.reply.head.status}, sender {answer}"
         if answer is not ProcessAnswer.OTHER:
             return TargetState.LIVES, ""
         self._on_replaced(instance)
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -30,11 +30,11 @@
     "LiveConnection",
     "GARBLED_REASON",
     "MAX_BODY_BYTES",
-    "NO_PROCESS_REASON",
     "OpenConnection",
     "REPLACED_REASON",
     "Reply",
     "TUNNEL_REASON",
+    "UNIDENTIFIED_REASON",
     "CarrierState",
     "Timeouts",
 ]
@@ -43,10 +43,10 @@
 """`ExchangeError.reason` if no connection came up."""
 TUNNEL_REASON = "tunnel"
 """The same for a tunnel that another node did not open."""
-NO_PROCESS_REASON = "no-process"
-"""The same for a connection on which the server did not say which process it is."""
 REPLACED_REASON = "replaced"
 """The same for a connection that leads to another process than the expected one."""
+UNIDENTIFIED_REASON = "unidentified"
+"""The same for a connection that was not shown to lead to the expected process."""
 _DEFAULT_IDLE_LIMIT_SECONDS = 4.0
 """How long an idle connection is reused if the server sends no Keep-Alive timeout."""
 _IDLE_LIMIT_FRACTION = 0.7
@@ -740,7 +740,7 @@
         connection never carries a `request_id` twice, unless it is empty: a late copy of the
         first answer could not be told from the second answer.  With `process`, only a connection
         to that process is used.  Raise `ExchangeError` with `sent` False if there is no
-        connection to send it on, and with `REPLACED_REASON` if it leads to another process.
+        connection to send it on, and with `REPLACED_REASON` if another process has taken its place.
         """
         held = held_for_caller.get()
         path = _Path(address, through)
@@ -793,8 +793,8 @@
     ) -> None:
         """Ask on a connection which process is at its other end.
 
-        Raise `ExchangeError` if that is another one, or if no answer comes, unless the connection
-        is a kept one: that may have been closed by the server.
+        Raise `ExchangeError` if that is a later one, or if it is not known to be the expected one,
+        unless the connection is a kept one: it is closed, and a new one may lead there.
         """
         connection.reserve()
         exchange = Exchange(accepts=process.accepts, on_bytes=on_bytes)
@@ -810,18 +810,23 @@
         except TimeoutError:
             detail = f"{path.address}: no process named in {_CHECK_TIMEOUT_SECONDS} s"
             raise ExchangeError(
-                detail, sent=False, reason=NO_PROCESS_REASON, connect_timed_out=True
+                detail, sent=False, reason=UNIDENTIFIED_REASON, connect_timed_out=True
             ) from None
         except ExchangeError as error:
             if is_kept:
                 return
             raise ExchangeError(str(error), sent=False, reason=error.reason) from None
         finally:
-            if answer is None or answer is ProcessAnswer.OTHER:
+            if answer not in (ProcessAnswer.EXPECTED, ProcessAnswer.UNIDENTIFIED):
                 connection.close()
         if answer is ProcessAnswer.OTHER:
             detail = f"{path.address}: not the process {process.name}"
             raise ExchangeError(detail, sent=False, reason=REPLACED_REASON)
+        if answer in (ProcessAnswer.FORMER, ProcessAnswer.UNKNOWN):
+            if is_kept:
+                return
+            detail = f"{path.address}: not known to be the process {process.name}: {answer}"
+            raise ExchangeError(detail, sent=False, reason=UNIDENTIFIED_REASON)
         connection.set_process(process.name)
 
     async def call(
--- a/packages/node/src/fielddrift_node/web/process_check.py
+++ b/packages/node/src/fielddrift_node/web/process_check.py
@@ -8,7 +8,7 @@
 
 from .messages import Reply, ResponseHead
 
-__all__ = ["ProcessAnswer", "ProcessCheck"]
+__all__ = ["ProcessAnswer", "ProcessCheck", "process_answer"]
 
 
 class ProcessAnswer(StrEnum):
@@ -16,6 +16,9 @@
 
     EXPECTED = "expected"
     OTHER = "other"
+    """It is another server, or a later process of the expected one, which has ended."""
+    FORMER = "former"
+    """It is an earlier process of the server: the expected one does not listen yet."""
     UNIDENTIFIED = "unidentified"
     """It is the expected server, and does not tell its processes apart."""
     UNKNOWN = "unknown"
@@ -35,3 +38,12 @@
     request: bytes
     accepts: Callable[[ResponseHead], bool]
     judge: Callable[[Reply], ProcessAnswer]
+
+
+def process_answer(started: int | None, *, expected: int | None) -> ProcessAnswer:
+    """Return which process of a server `started` then; None stands for a time that is not told."""
+    if started is None or expected is None:
+        return ProcessAnswer.UNIDENTIFIED
+    if started == expected:
+        return ProcessAnswer.EXPECTED
+    return ProcessAnswer.OTHER if started > expected else ProcessAnswer.FORMER
