Ask a target again that once gave no answer to a process check

What callers saw: streams of one software version that went on at another one, and a part of a stream that ended as the whole, where the process that had taken a target's place, or the one before it, had once answered 503 to the question.

Cause: an answer that told no start counted as that of a target which never tells one. Such a target wasn't asked again, and its connection counted as one to the expected process, also where that had told its start before. The end of a response without a length was confirmed by such an answer as well.

Change: TargetPaths keeps which targets have told their start. Of these, an answer without it shows nothing: the connection is closed, the send goes elsewhere, and the end of a response is confirmed only by open connections that were checked. Others are asked again on each connection while they refuse to answer, and not any more once they have answered without telling it.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -162,7 +162,6 @@
         crashes=CrashWatch(
             views=views,
             paths=paths,
-            targets=targets,
             neighbours=neighbours,
             metrics=Metrics(),
             rng=random.Random(seed),
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -114,7 +114,6 @@
         crashes = CrashWatch(
             views=self.views,
             paths=paths,
-            targets=targets,
             neighbours=self.neighbours,
             metrics=self.metrics,
             rng=rng,
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -24,7 +24,6 @@
 from .attempts import CONNECTION_LOST_REASONS
 from .call import Call, Refused, Send, TargetState
 from .metrics import Metrics
-from .ports import TargetDialect
 from .target_paths import TargetPaths
 from .views import Views
 
@@ -61,7 +60,6 @@
         *,
         views: Views,
         paths: TargetPaths,
-        targets: TargetDialect,
         neighbours: Neighbours,
         metrics: Metrics,
         rng: random.Random,
@@ -71,7 +69,6 @@
         self._views = views
         self._history = views.crashes
         self._paths = paths
-        self._targets = targets
         self._neighbours = neighbours
         self._metrics = metrics
         self._rng = rng
@@ -188,7 +185,7 @@
         would not tell: a process that started there since may have taken the place of the target.
         """
         instance = send.instance
-        check = self._targets.process_check(instance)
+        check = self._paths.process_check(instance)
         try:
             async with asyncio.timeout(_MAX_ANSWER_SECONDS):
                 carried = await self._paths.ask(instance, check.request, carrier=send.through)
@@ -212,7 +209,9 @@
             return TargetState.UNKNOWN, "the process that carried the connection is not known"
         answer = check.judge(carried.reply)
         if answer in (ProcessAnswer.UNKNOWN, ProcessAnswer.FORMER):
-            return TargetState.UNKNOWN, f"status {carried.reply.head.status}, sender {answer}"
+            # A full target may refuse the question as it does requests.
+            state = TargetState.UNKNOWN if send.through else _state_of(open_before)
+            return state, f"status {carried.reply.head.status}, sender {answer}"
         if answer is not ProcessAnswer.OTHER:
             return TargetState.LIVES, ""
         self._on_replaced(instance)
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -146,7 +146,6 @@
         self._crashes = CrashWatch(
             views=self._views,
             paths=self._paths,
-            targets=dialects.targets,
             neighbours=self._neighbours,
             metrics=self._metrics,
             rng=rng,
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -50,6 +50,9 @@
 _CLEAN_SECONDS = 0.5
 """Interval between searches for tunnels that are not needed any more."""
 
+_FIRST_SERVER_ERROR_STATUS = 500
+"""The lowest status of answers that say nothing, as of a target that is full."""
+
 _log = structlog.get_logger()
 _T = TypeVar("_T")
 
@@ -96,8 +99,10 @@
         self._confirmed_at: dict[str, float] = {}
         """When another node was refused by a target that had refused this one."""
         self._checks: set[asyncio.Task[None]] = set()
+        self._identified: set[str] = set()
+        """Names of targets that have said which process they are."""
         self._unidentified: set[str] = set()
-        """Names of targets that did not say which process they are."""
+        """Names of targets that have answered without saying it, and do not refuse to answer."""
 
     # --- sends ----------------------------------------------------------------------
 
@@ -110,7 +115,7 @@
         `refused` says that the target has ended: it refused this node and another one, or there
         is no other node; the reason `REPLACED_REASON`, that another process is at its address.
         """
-        address, process = instance.address, self._process_check(instance)
+        address, process = instance.address, self._check_for_send(instance)
 
         async def begin(seconds: float, through: str) -> Exchange:
             return await self._client.begin(
@@ -127,7 +132,7 @@
     async def connect(self, instance: Instance) -> None:
         """Open a connection for a later send; raise `ExchangeError` as for `begin`."""
 
-        process = self._process_check(instance)
+        process = self._check_for_send(instance)
 
         async def connect(seconds: float, through: str) -> None:
             await self._client.connect(
@@ -136,17 +141,34 @@
 
         await self._connect(instance, connect)
 
-    def _process_check(self, instance: Instance) -> ProcessCheck | None:
+    def _check_for_send(self, instance: Instance) -> ProcessCheck | None:
         """Return how to find out whether a connection leads to `instance`, None if it can't be."""
         if not instance.tells_process or instance.name in self._unidentified:
             return None
-        check = self._targets.process_check(instance)
+        check = self.process_check(instance)
 
         def judge(reply: Reply) -> ProcessAnswer:
             answer = check.judge(reply)
             self._metrics.process_checks.inc(label_value=answer.value)
-            if answer is ProcessAnswer.UNIDENTIFIED:
-                self._unidentified.add(instance.name)
+            return answer
+
+        return check._replace(judge=judge)
+
+    def process_check(self, instance: Instance) -> ProcessCheck:
+        """Return how to find out whether the process at the address of `instance` is that one."""
+        check = self._targets.process_check(instance)
+
+        def judge(reply: Reply) -> ProcessAnswer:
+            answer = check.judge(reply)
+            if answer is ProcessAnswer.EXPECTED:
+                self._identified.add(instance.name)
+                self._unidentified.discard(instance.name)
+            elif answer is ProcessAnswer.UNIDENTIFIED:
+                if instance.name in self._identified:
+                    # That process says who it is; this one may be another.
+                    return ProcessAnswer.UNKNOWN
+                if reply.head.status < _FIRST_SERVER_ERROR_STATUS:
+                    self._unidentified.add(instance.name)
             return answer
 
         return check._replace(judge=judge)
@@ -179,12 +201,13 @@
     def live_connections(
         self, instance: Instance, *, carrier: str = ""
     ) -> frozenset[LiveConnection]:
-        """Return the open connections to a target's address; they end with its process.
+        """Return the open connections to a target's process; they end with it.
 
         `carrier` is the address of the node that carries them, empty for direct ones.  On others
         the end may not arrive: their path may be silent.
         """
-        return self._client.live_connections(instance.address, through=carrier)
+        process = instance.name if instance.name in self._identified else ""
+        return self._client.live_connections(instance.address, through=carrier, process=process)
 
     async def _connect(
         self, instance: Instance, attempt: Callable[[float, str], Coroutine[Any, Any, _T]]
@@ -325,6 +348,7 @@
         for name in [n for n, at in self._confirmed_at.items() if now - at > _CONFIRMED_SECONDS]:
             del self._confirmed_at[name]
         registry = self._views.registry
+        self._identified = {n for n in self._identified if registry.get(n) is not None}
         self._unidentified = {n for n in self._unidentified if registry.get(n) is not None}
         for pair in [p for p, at in self._failed_at.items() if at <= now - _AVOID_SECONDS]:
             del self._failed_at[pair]
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -827,7 +827,8 @@
                 return
             detail = f"{path.address}: not known to be the process {process.name}: {answer}"
             raise ExchangeError(detail, sent=False, reason=UNIDENTIFIED_REASON)
-        connection.set_process(process.name)
+        if answer is ProcessAnswer.EXPECTED:
+            connection.set_process(process.name)
 
     async def call(
         self,
@@ -898,14 +899,17 @@
         """Return whether there is an idle connection to `address`; `through` is as for `begin`."""
         return bool(self._idle.get(_Path(address, through)))
 
-    def live_connections(self, address: str, *, through: str = "") -> frozenset[LiveConnection]:
+    def live_connections(
+        self, address: str, *, through: str = "", process: str = ""
+    ) -> frozenset[LiveConnection]:
         """Return the connections to `address` that are open at their other ends as well.
 
-        `through` is as for `begin`.  A connection that is not read from at the moment does not
-        count: its end would not be noticed.
+        `through` is as for `begin`; `process` is the name of the process to which they lead, empty
+        for any.  A connection that is not read from at the moment does not count: its end would not
+        be noticed.
         """
         established = self._established.get(_Path(address, through), ())
-        return frozenset(c for c in established if c.is_reading)
+        return frozenset(c for c in established if c.is_reading and process in ("", c.process))
 
     def close_idle_tunnels(self, *, usable: Collection[str]) -> None:
         """Close the idle connections through nodes whose addresses are not `usable`."""
