Keep a replaced target apart from a leaving one, and check only what depends on the process

A set of its own holds replaced instances now; they get no requests, and their runs count as lost. - A target whose report is refused, slow or missing got nothing, or passed for the process of its entry. Only resumable streams of engines are checked. One that goes on needs an answer; one that begins does if that process has ever told who it is, and else goes on nowhere.

--- a/bench/lab/engine.py
+++ b/bench/lab/engine.py
@@ -72,6 +72,8 @@
 
     carrier_process = ""
     """No other node carries it."""
+    process = ""
+    """Engines here do not start again."""
 
     def __init__(self, closed: Callable[[], None]) -> None:
         self.close = closed
--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -90,6 +90,9 @@
         self._left: dict[str, None] = {}
         """Names of instances reported to be leaving, listed or not, the latest last.  Neither
         an entry that returns after a lapse nor another node's copy may make them ready again."""
+        self._replaced: dict[str, None] = {}
+        """Names of instances at whose addresses another process was found, the latest last.  They
+        have ended; their entries stay until those of the other processes come."""
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._lapse_grace_until = 0.0
@@ -123,6 +126,7 @@
             if instance.service == service
             and instance.data_centre in self._evacuated
             and instance.name not in self._leaving
+            and instance.name not in self._replaced
         ]
 
     @property
@@ -228,6 +232,22 @@
             self._leaving.add(name)
             self._changed()
 
+    def process_replaced(self, name: str) -> bool:
+        """Record that another process was found at the address of an instance, which has ended.
+
+        Return whether that was not known before.
+        """
+        if name in self._replaced:
+            return False
+        _remember(self._replaced, name)
+        if name in self._instances:
+            self._changed()
+        return True
+
+    def is_replaced(self, name: str) -> bool:
+        """Return whether another process was found at the address of an instance."""
+        return name in self._replaced
+
     def apply_copy(
         self,
         entries: Iterable[Instance],
@@ -309,7 +329,8 @@
     def _reindex(self) -> None:
         by_service: dict[str, list[Instance]] = {}
         for instance in self._instances.values():
-            if instance.name not in self._leaving and instance.data_centre not in self._evacuated:
+            unusable = instance.name in self._leaving or instance.name in self._replaced
+            if not unusable and instance.data_centre not in self._evacuated:
                 by_service.setdefault(instance.service, []).append(instance)
         self._by_service = by_service
 
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -14,6 +14,7 @@
 from ..web.messages import Framing, ResponseHead
 from .call import Call, Refused, Send, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
+from .target_paths import ProcessNeed
 
 __all__ = [
     "CONNECTION_LOST_REASONS",
@@ -184,7 +185,9 @@
             **call.trace.relay_progress(send),
         )
         self._report_failure(send, failure)
-        self._count_end(send, reached=failure.reached)
+        # A replaced target is found once, and tells nothing of the others.
+        connect_failed = failure.reason != REPLACED_REASON
+        self._count_end(send, reached=failure.reached, connect_failed=connect_failed)
 
     def check(self, failure: AttemptFailed) -> None:
         """Raise `Refused` if the request may not be sent again after `failure`."""
@@ -260,6 +263,13 @@
         return Refusal(ErrorKind.NO_TARGET, detail, ran, return_after)
 
 
+def _process_need(call: Call, outgoing: OutgoingRequest) -> ProcessNeed:
+    """Return whether a request depends on the process that runs it: events of a stream do."""
+    if not call.is_resumable_stream:
+        return ProcessNeed.NONE
+    return ProcessNeed.ALWAYS if outgoing.resume_after else ProcessNeed.IF_TOLD
+
+
 def _age_ms(send: Send) -> int:
     return round((asyncio.get_running_loop().time() - send.at) * 1000)
 
@@ -290,6 +300,10 @@
             max_connections=_max_connections(call, context),
             max_idle_seconds=_max_idle_seconds(call),
             request_id=outgoing.parsed.request_id,
+            process_need=_process_need(call, outgoing),
+        )
+        send.is_process_unknown = call.is_resumable_stream and context.paths.is_process_unknown(
+            outgoing.instance, exchange
         )
         send.connection = "kept" if exchange.kept else "new"
         send.through = exchange.through
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol, TypedDict
 
-from fielddrift_core.catalog import Catalog, CatalogCustomer, Route, Service
+from fielddrift_core.catalog import AnswerFormat, Catalog, CatalogCustomer, Route, Service
 from fielddrift_core.errors import Refusal
 from fielddrift_core.fingerprint import fingerprint
 from fielddrift_core.prompt_queue import late_rank
@@ -100,6 +100,8 @@
         """Address of the node that carries the connection, empty for none."""
         self.carrier_process = ""
         """The id of the process of that node, empty if it is not known."""
+        self.is_process_unknown = False
+        """Whether another process than the target's entry tells of may run a stream."""
         self.framed = False
         """Whether the response had an explicit end, not only the end of its connection."""
         self.is_confirmed = False
@@ -206,6 +208,11 @@
     ranks: ServiceRanks = ServiceRanks()
     """The ranks of the requests for the service."""
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Return whether the response is a stream that may be resumed at another target."""
+        return self.route.resumable and self.route.answer_format is AnswerFormat.EVENTS
+
     @property
     def late(self) -> bool:
         """Return whether a response can no longer be in time."""
@@ -294,8 +301,8 @@
     def is_restricted(self, call: Call) -> bool:
         """Return whether some targets of the service may not run the request."""
 
-    def begun(self, call: Call, instance: Instance) -> None:
-        """Record that `instance` has begun to generate a stream, before its events are relayed."""
+    def begun(self, call: Call, send: Send) -> None:
+        """Record that a send's target generates a stream, before its events are relayed."""
 
 
 class SendCheck(Protocol):
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -141,6 +141,8 @@
             run = run._replace(model=prompt.model, parts=parts)
         if self._lost_runs.add(run):
             self._record_crashes([run], "ended before")
+        elif registry.is_replaced(name):
+            self._target_ended(name, REPLACED_REASON)
         elif name not in self._probes:
             self._probes[name] = self._loop.create_task(self._probe(instance))
 
@@ -208,7 +210,8 @@
         if send.through and not send.carrier_process:
             return TargetState.UNKNOWN, "the process that carried the connection is not known"
         answer = check.judge(carried.reply)
-        if answer in (ProcessAnswer.UNKNOWN, ProcessAnswer.FORMER):
+        is_refusal = answer is ProcessAnswer.REFUSED and instance.tells_process
+        if is_refusal or answer in (ProcessAnswer.UNKNOWN, ProcessAnswer.FORMER):
             # A full target may refuse the question as it does requests.
             state = TargetState.UNKNOWN if send.through else _state_of(open_before)
             return state, f"status {carried.reply.head.status}, sender {answer}"
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -507,7 +507,7 @@
         events_before = trace.relay_progress().get("events", 0) if trace.relayed else 0
         trace.begin_relay(send)
         if _is_event_stream(run.head):
-            self._context.streams.begun(call, send.instance)
+            self._context.streams.begun(call, send)
         # `unproved` includes this run.
         if trace.unproved < 2 and not call.parsed.resume_after:
             return
--- a/packages/node/src/fielddrift_node/serving/notices.py
+++ b/packages/node/src/fielddrift_node/serving/notices.py
@@ -54,10 +54,8 @@
 
         Until the entry of that process is read, nothing is known of it, and it gets no requests.
         """
-        registry = self._views.registry
-        if registry.get(instance.name) is None or instance.name in registry.leaving():
+        if not self._views.registry.process_replaced(instance.name):
             return
-        registry.left(instance.name)
         self._metrics.replaced_targets.inc()
         entry_age = asyncio.get_running_loop().time() - self._views.targets_read_at
         _log.info(
@@ -67,7 +65,6 @@
             address=instance.address,
             entry_age_ms=round(entry_age * 1000) if math.isfinite(entry_age) else None,
         )
-        self._on_change()
 
     def _update_limit(
         self, name: str, rate: float | None, served_at: float | None, now: float
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -112,7 +112,7 @@
             call.trace.status = head.status
             call.trace.delivered = answered.send
             if head.status == _OK:
-                self._context.streams.begun(call, answered.send.instance)
+                self._context.streams.begun(call, answered.send)
             headers = self._context.callers.answer_headers(head, call.parsed.request_id)
             responder.send(head.status, headers, body)
             return
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -208,7 +208,8 @@
         ordered_at = float("-inf")
         while loop.time() < until:
             instance = self._views.registry.get(name)
-            if instance is None or name in self._views.registry.leaving():
+            registry = self._views.registry
+            if instance is None or name in registry.leaving() or registry.is_replaced(name):
                 return
             if self._views.named.get(model, 0) != wanted:
                 return
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -12,7 +12,6 @@
 from typing import NamedTuple
 
 import structlog
-from fielddrift_core.catalog import AnswerFormat
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.stream_origins import (
@@ -24,7 +23,7 @@
 )
 from fielddrift_core.target_registry import Instance
 
-from .call import Call, Refused, short_id
+from .call import Call, Refused, Send, short_id
 from .metrics import Metrics
 from .origin_rows import OriginRows, SavedOrigin
 from .ports import RemoteCallError
@@ -65,6 +64,10 @@
 _UNRESUMABLE_RETRY_SECONDS = 1.0
 """When a caller may return whose stream no target can resume now."""
 
+_UNKNOWN_SOFTWARE = "?"
+"""Stands for the version of a stream that goes on at no target, as it is not known which process
+began it."""
+
 _log = structlog.get_logger()
 
 
@@ -144,7 +147,7 @@
 
         Raise `Refused` if no target may resume the stream.
         """
-        if not call.parsed.resume_after or not _is_resumable(call):
+        if not call.parsed.resume_after or not call.is_resumable_stream:
             return call
         found = await self._resumption(call)
         self._metrics.returned_streams.inc(label_value=found.source)
@@ -171,7 +174,7 @@
         if call.trace.software:
             return call.trace.software == instance.software
         rows = self._version_rows
-        if rows is None or not rows.has_unsaved or not _is_resumable(call):
+        if rows is None or not rows.has_unsaved or not call.is_resumable_stream:
             return True
         return not rows.is_gated(instance.service, instance.software)
 
@@ -179,17 +182,19 @@
         """Return whether some targets of the service may not run the request."""
         return bool(call.trace.software) and self._versions.is_mixed(call.service.name)
 
-    def begun(self, call: Call, instance: Instance) -> None:
-        """Record that `instance` has begun to generate a stream, before its events are relayed."""
-        if not instance.software or not _is_resumable(call):
+    def begun(self, call: Call, send: Send) -> None:
+        """Record that a send's target generates a stream, before its events are relayed."""
+        instance = send.instance
+        if not instance.software or not call.is_resumable_stream:
             return
-        call.trace.software = instance.software
+        software = _UNKNOWN_SOFTWARE if send.is_process_unknown else instance.software
+        call.trace.software = software
         now = asyncio.get_running_loop().time()
         request_id = call.parsed.resumes or call.parsed.request_id
         origin = StreamOrigin(
             stream_key(call.customer_name, request_id),
             instance.service,
-            instance.software,
+            software,
             min(_returns_until(call), now + MAX_LIFETIME_SECONDS),
         )
         self._origins.record(origin)
@@ -450,10 +455,6 @@
             self._share_begun(service, now)
 
 
-def _is_resumable(call: Call) -> bool:
-    return call.route.resumable and call.route.answer_format is AnswerFormat.EVENTS
-
-
 def _returns_until(call: Call) -> float:
     """Return until when the caller may return to resume its stream, as a loop time."""
     seconds = call.parsed.timeout_seconds
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Callable, Coroutine
+from enum import StrEnum
 from itertools import zip_longest
 from typing import Any, NamedTuple, TypedDict, TypeVar, Unpack
 
@@ -19,6 +20,7 @@
 
 from ..web.client import (
     CONNECT_REASON,
+    REPLACED_REASON,
     TUNNEL_REASON,
     Client,
     Exchange,
@@ -33,7 +35,7 @@
 from .ports import TargetDialect
 from .views import Views
 
-__all__ = ["CarriedReply", "SendOptions", "TargetPaths"]
+__all__ = ["CarriedReply", "ProcessNeed", "SendOptions", "TargetPaths"]
 
 CONNECT_TIMEOUT_SECONDS = 0.35
 """A connection within a region takes a few ms; a lost SYN packet is resent only after 1 s."""
@@ -50,9 +52,6 @@
 _CLEAN_SECONDS = 0.5
 """Interval between searches for tunnels that are not needed any more."""
 
-_FIRST_SERVER_ERROR_STATUS = 500
-"""The lowest status of answers that say nothing, as of a target that is full."""
-
 _log = structlog.get_logger()
 _T = TypeVar("_T")
 
@@ -67,6 +66,15 @@
     request_id: str
 
 
+class ProcessNeed(StrEnum):
+    """When a request is sent only if the process that gets it has said that it is the target's."""
+
+    NONE = "none"
+    IF_TOLD = "if-told"
+    """If that process has said so once: one that is silent, or refuses, may be another."""
+    ALWAYS = "always"
+
+
 class CarriedReply(NamedTuple):
     """A reply, and the id of the process that carried its connection, empty for none."""
 
@@ -107,15 +115,25 @@
     # --- sends ----------------------------------------------------------------------
 
     async def begin(
-        self, instance: Instance, data: bytes, **options: Unpack[SendOptions]
+        self,
+        instance: Instance,
+        data: bytes,
+        *,
+        process_need: ProcessNeed = ProcessNeed.NONE,
+        **options: Unpack[SendOptions],
     ) -> Exchange:
-        """Send a complete request to the process that is `instance`, and return its exchange.
+        """Send a complete request to a target and return its exchange.
 
-        Raise `ExchangeError`, with `sent` False if there is no connection to send it on.  Then
-        `refused` says that the target has ended: it refused this node and another one, or there
-        is no other node; the reason `REPLACED_REASON`, that another process is at its address.
+        Unless `process_need` is `NONE`, it is not sent to another process than `instance`, where
+        its entry and its reports tell when it started.  Raise `ExchangeError`, with `sent` False
+        if there is no connection to send it on.  Then `refused` says that the target has ended: it
+        refused this node and another one, or there is no other node; the reason `REPLACED_REASON`,
+        that another process has taken its place.
         """
-        address, process = instance.address, self._check_for_send(instance)
+        address = instance.address
+        process = None
+        if process_need is not ProcessNeed.NONE:
+            process = self._check_for_send(instance, process_need)
 
         async def begin(seconds: float, through: str) -> Exchange:
             return await self._client.begin(
@@ -132,7 +150,7 @@
     async def connect(self, instance: Instance) -> None:
         """Open a connection for a later send; raise `ExchangeError` as for `begin`."""
 
-        process = self._check_for_send(instance)
+        process = self._check_for_send(instance, ProcessNeed.IF_TOLD)
 
         async def connect(seconds: float, through: str) -> None:
             await self._client.connect(
@@ -141,9 +159,20 @@
 
         await self._connect(instance, connect)
 
-    def _check_for_send(self, instance: Instance) -> ProcessCheck | None:
-        """Return how to find out whether a connection leads to `instance`, None if it can't be."""
-        if not instance.tells_process or instance.name in self._unidentified:
+    def is_process_unknown(self, instance: Instance, exchange: Exchange) -> bool:
+        """Return whether an exchange may be with another process than `instance`."""
+        check = self._check_for_send(instance, ProcessNeed.IF_TOLD)
+        return check is not None and exchange.process != check.name
+
+    def _check_for_send(self, instance: Instance, need: ProcessNeed) -> ProcessCheck | None:
+        """Return how to find out whether a connection leads to `instance`, None if it can't be.
+
+        Only engines have reports; other targets might let the question wait as a request.
+        """
+        catalog = self._views.catalog
+        service = None if catalog is None else catalog.services.get(instance.service)
+        has_reports = service is not None and service.engine is not None
+        if not has_reports or not instance.tells_process or instance.name in self._unidentified:
             return None
         check = self.process_check(instance)
 
@@ -152,26 +181,28 @@
             self._metrics.process_checks.inc(label_value=answer.value)
             return answer
 
-        return check._replace(judge=judge)
+        is_required = check.is_required or need is ProcessNeed.ALWAYS
+        return check._replace(judge=judge, is_required=is_required)
 
     def process_check(self, instance: Instance) -> ProcessCheck:
         """Return how to find out whether the process at the address of `instance` is that one."""
         check = self._targets.process_check(instance)
+        is_identified = instance.name in self._identified
 
         def judge(reply: Reply) -> ProcessAnswer:
             answer = check.judge(reply)
             if answer is ProcessAnswer.EXPECTED:
                 self._identified.add(instance.name)
                 self._unidentified.discard(instance.name)
-            elif answer is ProcessAnswer.UNIDENTIFIED:
-                if instance.name in self._identified:
+            elif answer in (ProcessAnswer.UNIDENTIFIED, ProcessAnswer.REFUSED):
+                if is_identified:
                     # That process says who it is; this one may be another.
                     return ProcessAnswer.UNKNOWN
-                if reply.head.status < _FIRST_SERVER_ERROR_STATUS:
+                if answer is ProcessAnswer.UNIDENTIFIED:
                     self._unidentified.add(instance.name)
             return answer
 
-        return check._replace(judge=judge)
+        return check._replace(judge=judge, is_required=is_identified)
 
     async def ask(self, instance: Instance, data: bytes, *, carrier: str = "") -> CarriedReply:
         """Send a request that changes nothing to the process at a target's address.
@@ -230,6 +261,8 @@
         except ExchangeError as error:
             if error.reason == TUNNEL_REASON and direct_error is None:
                 return await self._try_direct(instance, attempt)
+            if error.reason == REPLACED_REASON:
+                raise
             raise self._verdict(instance.name, direct_error or error, error) from None
         if direct_error is not None:
             self._record_reached_elsewhere(instance.name)
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from enum import StrEnum
 from typing import NamedTuple, Protocol, TypeVar, cast
 
@@ -71,11 +71,11 @@
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a field besides its name and value: colon, space and line end."""
 _CHECK_TIMEOUT_SECONDS = 1.0
-"""How long the answer to a process check is waited for."""
-_MAX_CHECK_BYTES = 256 * 1024
+"""How long the answers to the process checks before one send are waited for in all."""
+_UNUSABLE_ANSWERS = frozenset({ProcessAnswer.OTHER, ProcessAnswer.FORMER, ProcessAnswer.UNKNOWN})
+"""Answers that a connection does not lead, or may not lead, to the expected process."""
+_MAX_CHECK_BYTES = 64 * 1024
 """Bytes of such an answer."""
-_MAX_CHECK_COUNT = 2
-"""Connections on which a server is asked which process it is, before one send."""
 _MAX_REQUEST_ID_COUNT = 256
 """Requests with ids that one connection carries.  All of their ids are remembered, in some 24 KB,
 so that no id is sent twice on a connection; the connection that has carried this many is closed."""
@@ -494,6 +494,12 @@
         self._kept = False
         self._through = ""
         self._carrier_process = ""
+        self._process = ""
+
+    @property
+    def process(self) -> str:
+        """Return the name of the process to which the connection leads, empty if not known."""
+        return self._process
 
     @property
     def through(self) -> str:
@@ -524,6 +530,7 @@
         self._kept = kept
         self._through = through
         self._carrier_process = connection.carrier_process
+        self._process = connection.process
         if self._held is not None:
             self._held.add_source(self)
 
@@ -745,17 +752,20 @@
         held = held_for_caller.get()
         path = _Path(address, through)
         wanted = "" if process is None else process.name
-        for count in range(1 + _MAX_CHECK_COUNT):
-            idle = self._take_idle(path, max_idle_seconds, request_id, wanted)
-            kept = idle is not None
-            connection = idle or await self._open_for(path, connect_seconds, max_connections, held)
-            # A server that closes each connection behind its answer has just said which process
-            # it is.
-            if process is None or connection.process == wanted or count == _MAX_CHECK_COUNT:
-                break
-            await self._check_process(path, connection, process, on_bytes, is_kept=kept)
-            if connection.usable:
-                break
+        until = asyncio.get_running_loop().time() + _CHECK_TIMEOUT_SECONDS
+        connection = self._take_idle(path, max_idle_seconds, request_id, wanted)
+        if connection is not None and process is not None and connection.process != wanted:
+            may_use = await self._check_process(
+                path, connection, process, on_bytes, until=until, is_kept=True
+            )
+            connection = connection if may_use and connection.usable else None
+        kept = connection is not None
+        if connection is None:
+
+            async def open_one() -> _Connection:
+                return await self._open_for(path, connect_seconds, max_connections, held)
+
+            connection = await self._open_checked(path, open_one, process, on_bytes, until=until)
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held)
         exchange.bind(connection, kept=kept, through=through)
         connection.begin(exchange, data, request_id=request_id)
@@ -782,6 +792,38 @@
             connection.bound_receive_buffer()
         return connection
 
+    async def _open_checked(
+        self,
+        path: _Path,
+        open_one: Callable[[], Awaitable[_Connection]],
+        process: ProcessCheck | None,
+        on_bytes: Callable[[], None],
+        *,
+        until: float,
+    ) -> _Connection:
+        """Return a new connection to `process`; raise `ExchangeError` as `_check_process` does."""
+        connection = await open_one()
+        if process is None:
+            return connection
+        await self._check_process(path, connection, process, on_bytes, until=until, is_kept=False)
+        if connection.usable:
+            return connection
+        # The server closes connections behind its answers.  One that was opened before another one
+        # is checked leads to the same process, or to an earlier one and ends with it.
+        connection = await open_one()
+        try:
+            checked = await open_one()
+            await self._check_process(path, checked, process, on_bytes, until=until, is_kept=False)
+            self._release(path, checked)
+            if not connection.usable:
+                detail = f"{path.address}: connection lost before it was used"
+                raise ExchangeError(detail, sent=False, reason="reset")
+        except BaseException:
+            connection.close()
+            raise
+        connection.set_process(checked.process)
+        return connection
+
     async def _check_process(
         self,
         path: _Path,
@@ -789,12 +831,14 @@
         process: ProcessCheck,
         on_bytes: Callable[[], None],
         *,
+        until: float,
         is_kept: bool,
-    ) -> None:
-        """Ask on a connection which process is at its other end.
+    ) -> bool:
+        """Ask on a connection which process is at its other end; return whether it may be used.
 
-        Raise `ExchangeError` if that is a later one, or if it is not known to be the expected one,
-        unless the connection is a kept one: it is closed, and a new one may lead there.
+        The answer is waited for until the loop time `until`.  Raise `ExchangeError` if it is a
+        later process, or is not known to be the expected one, unless the connection is a kept one:
+        it is closed, and a new one may lead there.
         """
         connection.reserve()
         exchange = Exchange(accepts=process.accepts, on_bytes=on_bytes)
@@ -802,33 +846,37 @@
         connection.begin(exchange, process.request)
         answer: ProcessAnswer | None = None
         try:
-            async with asyncio.timeout(_CHECK_TIMEOUT_SECONDS):
+            async with asyncio.timeout_at(until):
                 reply = Reply(
                     await exchange.head(), await exchange.body(max_bytes=_MAX_CHECK_BYTES)
                 )
             answer = process.judge(reply)
         except TimeoutError:
+            if not process.is_required:
+                return True
             detail = f"{path.address}: no process named in {_CHECK_TIMEOUT_SECONDS} s"
             raise ExchangeError(
                 detail, sent=False, reason=UNIDENTIFIED_REASON, connect_timed_out=True
             ) from None
         except ExchangeError as error:
             if is_kept:
-                return
+                return False
             raise ExchangeError(str(error), sent=False, reason=error.reason) from None
         finally:
-            if answer not in (ProcessAnswer.EXPECTED, ProcessAnswer.UNIDENTIFIED):
+            if answer is None or answer in _UNUSABLE_ANSWERS:
                 connection.close()
         if answer is ProcessAnswer.OTHER:
             detail = f"{path.address}: not the process {process.name}"
             raise ExchangeError(detail, sent=False, reason=REPLACED_REASON)
-        if answer in (ProcessAnswer.FORMER, ProcessAnswer.UNKNOWN):
+        is_refused = answer is ProcessAnswer.REFUSED and process.is_required
+        if is_refused or answer in _UNUSABLE_ANSWERS:
             if is_kept:
-                return
+                return False
             detail = f"{path.address}: not known to be the process {process.name}: {answer}"
             raise ExchangeError(detail, sent=False, reason=UNIDENTIFIED_REASON)
         if answer is ProcessAnswer.EXPECTED:
             connection.set_process(process.name)
+        return True
 
     async def call(
         self,
@@ -888,7 +936,10 @@
         path = _Path(address, through)
         connection = await self._connect(path, seconds)
         if process is not None:
-            await self._check_process(path, connection, process, lambda: None, is_kept=False)
+            until = asyncio.get_running_loop().time() + _CHECK_TIMEOUT_SECONDS
+            await self._check_process(
+                path, connection, process, lambda: None, until=until, is_kept=False
+            )
         self._release(path, connection)
 
     def close_idle(self, address: str) -> None:
--- a/packages/node/src/fielddrift_node/web/process_check.py
+++ b/packages/node/src/fielddrift_node/web/process_check.py
@@ -21,6 +21,8 @@
     """It is an earlier process of the server: the expected one does not listen yet."""
     UNIDENTIFIED = "unidentified"
     """It is the expected server, and does not tell its processes apart."""
+    REFUSED = "refused"
+    """It refused the question, as a full server does."""
     UNKNOWN = "unknown"
     """It did not answer the question."""
 
@@ -31,13 +33,15 @@
     A server that starts again at its address is another process.  A connection leads to the
     process that accepted it for as long as it lives, so each one is checked once, before its
     first request.  `name` identifies the process, `request` is a complete request that changes
-    nothing; `accepts` and `judge` tell whether a head, and what a response, answers it.
+    nothing; `accepts` and `judge` tell whether a head, and what a response, answers it.  With
+    `is_required` a connection without an answer is not used.
     """
 
     name: str
     request: bytes
     accepts: Callable[[ResponseHead], bool]
     judge: Callable[[Reply], ProcessAnswer]
+    is_required: bool = True
 
 
 def process_answer(started: int | None, *, expected: int | None) -> ProcessAnswer:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -80,6 +80,7 @@
         context, outgoing, call = mock.Mock(paths=paths), mock.Mock(), mock.Mock()
         outgoing.instance.address = self.address
         outgoing.instance.tells_process = False
+        call.is_resumable_stream = False
         outgoing.parsed.request_id = "one"
         context.targets.request.return_value = REQUEST
         context.targets.answers = lambda outgoing, head: (
--- a/tests/test_targets_restarted_in_place.py
+++ b/tests/test_targets_restarted_in_place.py
@@ -16,6 +16,9 @@
 
 _STARTED_MS = 1_790_000_000_000
 _SERVED = 200
+_RESTART_INTERVAL_SECONDS = 0.2
+_ENTRY_SECONDS = 0.6
+"""How long after its start a process writes its entry."""
 
 
 class RestartCase(MixedCase):
@@ -82,6 +85,30 @@
         await self.end_streams(callers)
         self.assert_unmixed(callers)
 
+    async def test_streams_go_on_while_engines_start_again_in_a_row(self) -> None:
+        await self.start(engines=6, versions=("v1",))
+        callers = await self.open_streams(18, own_parts=True)
+        entries = []
+        for engine in self.engines[:4]:
+            again = await self.restart(engine, "v2")
+            entries.append(asyncio.ensure_future(self._enter(again)))
+            await asyncio.sleep(_RESTART_INTERVAL_SECONDS)
+        newer = [_Caller(f"n{number}") for number in range(6)]
+        for number, caller in enumerate(newer):
+            parts = f"r{number}:300,s{number}:50"
+            caller.send(self.nodes[number % len(self.nodes)], X_Prompt_Prefix=parts)
+        await asyncio.gather(*entries)
+        await self.end_streams(callers + newer)
+        self.assert_unmixed(callers + newer)
+        self.assertTrue(all(caller.in_order for caller in callers + newer))
+        self.assertTrue(all(caller.whole for caller in newer if caller.events))
+        # A stream may lose each of its attempts to a restart.
+        self.assertGreater(sum(caller.whole for caller in callers), len(callers) // 2)
+
+    async def _enter(self, engine: Worker) -> None:
+        await asyncio.sleep(_ENTRY_SECONDS)
+        self.fleet.enter(engine.name, "engines")
+
     async def test_a_process_serves_once_its_entry_is_read(self) -> None:
         await self.start(nodes=1, engines=1, versions=("v1",))
         node = self.nodes[0]
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -119,6 +119,7 @@
         context, outgoing, call = mock.Mock(paths=paths), mock.Mock(), mock.Mock()
         outgoing.instance.address = self.address
         outgoing.instance.tells_process = False
+        call.is_resumable_stream = False
         context.targets.request.return_value = REQUEST
         context.targets.response_info.return_value.not_started = True
         call.trace.unproved = call.service.connections = 0
