Ask again where a read's answer equals an earlier one on its connection

Cause: calls have no id, and reads share a connection, so whatever came next there was taken for the answer.

A late copy equals an answer that its connection has carried. The connection now keeps digests of the status and body of answers without an id (256 at most, then it is closed). Behind an equal one it is closed, since the answer itself is still due there, and a read that got an equal success is sent once more on a new connection. A repeated refusal only says that the read failed, and is not asked again. Reports, events and rows with a clock never repeat, so they go on sharing a connection. Calls between nodes are not compared: no node answers twice.

A new connection no longer closes the idle ones to its address, as orders did.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -131,6 +131,8 @@
         through: str = "",
         request_id: str = "",
         process: ProcessCheck | None = None,
+        is_new: bool = False,
+        compares: bool = True,
     ) -> Exchange:
         """Hand a send to its engine."""
         send = self._targets.sends.pop(data)
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -1,13 +1,14 @@
 """An HTTP/1.1 client with persistent connections that detects truncated responses.
 
-It never sends a request twice.  `ExchangeError.sent` states whether any byte of
-the request may have reached the server.
+It sends a request once, except in `Client.read`.  `ExchangeError.sent` states whether any byte
+of the request may have reached the server.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import hashlib
 from collections import deque
 from collections.abc import Callable, Collection
 from enum import StrEnum
@@ -76,6 +77,10 @@
 _MAX_REQUEST_ID_COUNT = 256
 """Requests with ids that one connection carries.  All of their ids are remembered, in some 24 KB,
 so that no id is sent twice on a connection; the connection that has carried this many is closed."""
+_MAX_ANSWER_COUNT = 256
+"""Answers without an id that one connection carries: digests of all of them are remembered."""
+_DIGEST_BYTES = 8
+"""Size of a digest."""
 
 
 _P = TypeVar("_P", bound=asyncio.BaseProtocol)
@@ -188,6 +193,10 @@
         """Whether an answer to another request is being skipped."""
         self._request_ids: set[int] = set()
         """The hashes of the ids of the requests that the connection carried."""
+        self._answers: set[bytes] = set()
+        """The digests of the answers without an id that the connection carried."""
+        self._digest: hashlib.blake2b | None = None
+        """That of the answer being read, None if it is not compared with others."""
         self._fields = Headers()
         self._head_complete = False
         self._awaits_answer = True
@@ -251,9 +260,17 @@
         """Return whether a request with this id may have been sent here; empty stands for none."""
         return request_id != "" and hash(request_id) in self._request_ids
 
-    def begin(self, exchange: Exchange, data: bytes, *, request_id: str = "") -> None:
-        """Send `data`, a complete request, for `exchange`; `request_id` is empty for none."""
+    def begin(
+        self, exchange: Exchange, data: bytes, *, request_id: str = "", compares: bool = True
+    ) -> None:
+        """Send `data`, a complete request, for `exchange`; `request_id` is empty for none.
+
+        With `compares` an answer without an id is compared with earlier ones.
+        """
         assert self._transport is not None
+        self._digest = None
+        if compares and not request_id:
+            self._digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
         if request_id:
             self._request_ids.add(hash(request_id))
             if len(self._request_ids) >= _MAX_REQUEST_ID_COUNT:
@@ -412,6 +429,8 @@
             return
         self._awaits_answer = False
         self._framing_bytes = 0
+        if self._digest is not None:
+            self._digest.update(b"%d " % status)
         self._reusable = self._reusable and keep
         named = fields.text(b"keep-alive").lower().partition("timeout=")[2].partition(",")[0]
         if named.strip().isdigit():
@@ -425,6 +444,8 @@
     def on_body(self, body: bytes) -> None:
         self._framing_bytes = 0
         if not self._skipping and self._exchange is not None:
+            if self._digest is not None:
+                self._digest.update(body)
             self._exchange.body_received(body)
 
     def on_message_complete(self) -> None:
@@ -434,9 +455,21 @@
 
     # --- ends ---------------------------------------------------------------
 
+    def _compare(self, exchange: Exchange, digest: bytes) -> None:
+        """Mark the answer to `exchange` as repeated if the connection has carried the same one."""
+        if digest in self._answers:
+            exchange.mark_repeated()
+            # Behind a late copy the answer itself is due, in the place of the next one.
+            self._reusable = False
+        self._answers.add(digest)
+        if len(self._answers) >= _MAX_ANSWER_COUNT:
+            self._reusable = False
+
     def _finish(self, exchange: Exchange) -> None:
         self._answered = True
         self._exchange = None
+        if self._digest is not None:
+            self._compare(exchange, self._digest.digest())
         unread = self._transport.get_write_buffer_size() if self._transport is not None else 0
         if unread:
             # The server answered before it read the whole request.  It must not
@@ -485,6 +518,7 @@
         self._buffer: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._complete = False
+        self._is_repeated = False
         self._error: ExchangeError | None = None
         self._changed = asyncio.Event()
         self._connection: _Connection | None = None
@@ -512,6 +546,15 @@
         """Return whether the whole response has arrived."""
         return self._complete
 
+    @property
+    def is_repeated(self) -> bool:
+        """Return whether the response may be a late copy of one to an earlier request."""
+        return self._is_repeated
+
+    def mark_repeated(self) -> None:
+        """Note that the connection has carried the same response to an earlier request."""
+        self._is_repeated = True
+
     def bind(self, connection: _Connection, *, kept: bool = False, through: str = "") -> None:
         """Set the connection that carries the exchange, and whether it is a reused one.
 
@@ -728,6 +771,8 @@
         through: str = "",
         request_id: str = "",
         process: ProcessCheck | None = None,
+        is_new: bool = False,
+        compares: bool = True,
     ) -> Exchange:
         """Send `data`, a complete request, and return its exchange.
 
@@ -736,14 +781,16 @@
         address of a node whose tunnel carries the connection, empty for a direct one.  A
         connection never carries a `request_id` twice, unless it is empty: a late copy of the
         first answer could not be told from the second answer.  With `process`, only a connection
-        to that process is used.  Raise `ExchangeError` with `sent` False if there is no
-        connection to send it on, and with `REPLACED_REASON` if it leads to another process.
+        to that process is used, with `is_new` only a new one.  With `compares` a response without
+        an id that equals an earlier one is marked as repeated, and closes its connection.  Raise
+        `ExchangeError` with `sent` False if there is no connection to send it on, and with
+        `REPLACED_REASON` if it leads to another process.
         """
         held = held_for_caller.get()
         path = _Path(address, through)
         wanted = "" if process is None else process.name
         for count in range(1 + _MAX_CHECK_COUNT):
-            idle = self._take_idle(path, max_idle_seconds, request_id, wanted)
+            idle = None if is_new else self._take_idle(path, max_idle_seconds, request_id, wanted)
             kept = idle is not None
             connection = idle or await self._open_for(path, connect_seconds, max_connections, held)
             # A server that closes each connection behind its answer has just said which process
@@ -755,7 +802,7 @@
                 break
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held)
         exchange.bind(connection, kept=kept, through=through)
-        connection.begin(exchange, data, request_id=request_id)
+        connection.begin(exchange, data, request_id=request_id, compares=compares)
         return exchange
 
     async def _open_for(
@@ -829,14 +876,15 @@
         timeouts: Timeouts,
         accepts: Callable[[ResponseHead], bool] = lambda head: True,
         max_idle_seconds: float | None = None,
-        alone: bool = False,
         process: ProcessCheck | None = None,
+        is_new: bool = False,
+        is_last: bool = False,
+        compares: bool = False,
     ) -> Reply:
         """Send `data`, a complete request, and return the complete response.
 
-        `accepts`, `max_idle_seconds` and `process` are as for `begin`.  With `alone` the connection
-        is a new one and carries no other request.  Raise `ExchangeError` if the exchange fails or
-        times out.
+        With `is_last` the connection is closed behind the response; the other arguments are as for
+        `begin`.  Raise `ExchangeError` if the exchange fails or times out.
         """
         exchange: Exchange | None = None
         started_at = asyncio.get_running_loop().time()
@@ -847,12 +895,15 @@
                     data,
                     connect_seconds=timeouts.connect,
                     accepts=accepts,
-                    max_idle_seconds=0.0 if alone else max_idle_seconds,
+                    max_idle_seconds=max_idle_seconds,
                     process=process,
+                    is_new=is_new,
+                    compares=compares,
                 )
-                if alone:
+                if is_last:
                     exchange.forbid_reuse()
-                return Reply(await exchange.head(), await exchange.body())
+                head, body = await exchange.head(), await exchange.body()
+                return Reply(head, body, is_repeated=exchange.is_repeated)
         except TimeoutError:
             sent = exchange is not None
             # Connections to an address stop responding together: one idle since before
@@ -864,6 +915,44 @@
             if exchange is not None:
                 exchange.cancel()
 
+    async def read(
+        self,
+        address: str,
+        data: bytes,
+        *,
+        timeouts: Timeouts,
+        accepts: Callable[[ResponseHead], bool] = lambda head: True,
+    ) -> Reply:
+        """Send `data`, a read whose response has no id, and return the complete response.
+
+        A success that its connection has carried before may be a late copy: the read is sent once
+        more, on a new connection and with `timeouts` anew.  A repeated refusal is returned: the
+        read may then have failed for an earlier reason.  Raise `ExchangeError` as `call` does.
+        """
+        reply = await self.call(address, data, timeouts=timeouts, accepts=accepts, compares=True)
+        if not reply.is_repeated or reply.head.status // 100 != 2:
+            return reply
+        return await self.call(
+            address, data, timeouts=timeouts, accepts=accepts, is_new=True, compares=True
+        )
+
+    async def change(
+        self,
+        address: str,
+        data: bytes,
+        *,
+        timeouts: Timeouts,
+        accepts: Callable[[ResponseHead], bool] = lambda head: True,
+    ) -> Reply:
+        """Send `data`, which changes something and whose response has no id.
+
+        Its connection carries nothing else, so no late copy passes for the outcome.  Return the
+        complete response; raise `ExchangeError` as `call` does.
+        """
+        return await self.call(
+            address, data, timeouts=timeouts, accepts=accepts, is_new=True, is_last=True
+        )
+
     async def connect(
         self,
         address: str,
--- a/packages/node/src/fielddrift_node/web/messages.py
+++ b/packages/node/src/fielddrift_node/web/messages.py
@@ -152,7 +152,11 @@
 
 
 class Reply(NamedTuple):
-    """A complete response."""
+    """A complete response.
+
+    `is_repeated` is True if it may be a late copy of the response to an earlier request.
+    """
 
     head: ResponseHead
     body: bytes
+    is_repeated: bool = False
