--- a/tests/test_checked_connections.py
+++ b/tests/test_checked_connections.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import unittest
 
 from fielddrift_node.web.client import Client, ExchangeError
@@ -86,6 +87,7 @@
         self.server = _Server()
         await self.server.start()
         self.client = Client()
+        self.numbers = itertools.count()
 
     async def asyncTearDown(self) -> None:
         self.client.close()
@@ -98,6 +100,7 @@
             connect_seconds=1.0,
             max_connections=max_connections,
             process=_check(process),
+            request_id=str(next(self.numbers)),
         )
         return await exchange.body()
 
