Keep no bytes of an answer that was given up

Callers on a machine lost their requests with it: one target that sends bodies without end took the memory of its process.

The error of it keeps the frame that collected the body, and with it all parts; a task, its error and the frames that wait for it form a cycle that only a full collection frees, which is minutes away. The account had released these bytes already, so no bound held. An exchange that was given up also kept what it had buffered.

Now the parts are dropped when the collecting ends, however it does, and the buffer with the exchange.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -623,18 +623,24 @@
             head = await self.head()
             # A complete response may tell of a body that does not follow, as one to HEAD does.
             self._check_body(0 if self._complete else head.length or 0, max_bytes)
-            while data := await self.read():
-                chunks.append(data)
-                size += len(data)
+            while count := await self._collect(chunks):
+                size += count
                 self._check_body(size, max_bytes)
                 if record is not None:
-                    record.collect(len(data))
-                    collected += len(data)
+                    record.collect(count)
+                    collected += count
             return b"".join(chunks)
         finally:
+            # An error keeps this frame, and often a cycle keeps the error for minutes.
+            chunks.clear()
             if record is not None:
                 record.release_collected(collected)
 
+    async def _collect(self, chunks: list[bytes]) -> int:
+        """Append the next bytes of the body to `chunks`; return their number."""
+        chunks.append(await self.read())
+        return len(chunks[-1])
+
     def _check_body(self, size: int, max_bytes: int) -> None:
         """Abort the connection and raise `ExchangeError` if `size` exceeds `max_bytes`."""
         if size > max_bytes:
@@ -650,6 +656,8 @@
         if self._held is not None:
             self._held.record.release_read(self._buffered_bytes)
             self._held = None
+        self._buffer.clear()
+        self._buffered_bytes = 0
 
     def _reading_ended(self) -> None:
         if self._held is not None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
+import tracemalloc
 import unittest
 from typing import Any
 from unittest import mock
@@ -197,6 +199,39 @@
         return caught.exception
 
 
+class GivenUpTest(EndlessCase):
+    """Failure: the error of a body that was given up kept its bytes, which nothing counted."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # Errors whose tracebacks refer to themselves stay until the next full collection.
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    async def test_the_error_of_a_body_above_its_bound_keeps_none_of_its_bytes(self) -> None:
+        self.answers = [b"HTTP/1.1 200 OK\r\n\r\n", b"x" * _WRITE_BYTES]
+        exchange = await self.client.begin(self.address, REQUEST, connect_seconds=1.0)
+        kept: ExchangeError | None = None
+        try:
+            await exchange.body(max_bytes=4_000_000)
+        except ExchangeError as error:
+            kept = error
+        self.assertIsNotNone(kept)
+        await eventually(lambda: not self.client.live_connections(self.address), 1.0)
+        self.assertLess(tracemalloc.get_traced_memory()[0], 1_000_000)
+
+    async def test_an_exchange_that_was_given_up_keeps_none_of_its_bytes(self) -> None:
+        self.answers = [b"HTTP/1.1 200 OK\r\n\r\n", b"x" * _WRITE_BYTES]
+        exchange = await self.client.begin(self.address, REQUEST, connect_seconds=1.0)
+        await exchange.head()
+        await asyncio.sleep(0.2)
+        buffered = tracemalloc.get_traced_memory()[0]
+        exchange.cancel()
+        self.assertLess(tracemalloc.get_traced_memory()[0], buffered - 200_000)
+
+
 class EndlessTest(EndlessCase):
     """Failure: what a target sent without end filled the memory of the node."""
 
