Count events that have not ended, and drop those that were given up

Callers on a machine would lose their requests with it: targets that send events without an end, each below its bound of 1 MiB, held that for each stream, uncounted. Above it, the error kept the event.

Cause: bytes that a framer holds for the rest of an event left the account when they were read. The framer and the frames of its errors live on in cycles after the run.

Now what waits for more of its response counts until it is passed on, and is given up in a full account as collected bodies are; the framer drops its buffer with its run, and the error of an event that is too large keeps only its size.

Evidence: FullOfEventsTest failed before (60 bytes counted for 20 such events).

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -73,7 +73,7 @@
         """
         ready, self._buffer = _split_complete(self._buffer + data)
         following = self._next + ready.count(b"\n\n")
-        _check_size(self._buffer, f"event {following}")
+        _check_size(len(self._buffer), f"event {following}")
         if not ready:
             return b""
         # While events are held, an event in order may release them, so the fast path is skipped.
@@ -163,6 +163,7 @@
 
     def __init__(self, *, after: str = "") -> None:
         self._buffer = b""
+        self._partial_bytes = 0
         self._last = after
         self._events = 0
         self._odd = 0
@@ -195,12 +196,16 @@
     @property
     def partial(self) -> bool:
         """Return whether an incomplete event is buffered."""
-        return bool(self._buffer)
+        return self._partial_bytes > 0
 
     @property
     def partial_bytes(self) -> int:
-        """Return the size in bytes of the buffered, incomplete event."""
-        return len(self._buffer)
+        """Return the size in bytes of the incomplete event, also once it was discarded."""
+        return self._partial_bytes
+
+    def discard(self) -> None:
+        """Free the buffer, at the end of the run: errors may keep the framer for long."""
+        self._buffer = b""
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, without those forwarded before.
@@ -209,7 +214,8 @@
         counts as forwarded.
         """
         ready, self._buffer = _split_complete(self._buffer + data)
-        _check_size(self._buffer, "event")
+        self._partial_bytes = len(self._buffer)
+        _check_size(self._partial_bytes, "event")
         if not ready:
             return b""
         ids = _ID_LINE.findall(ready)
@@ -268,8 +274,8 @@
     return data[:cut], data[cut:]
 
 
-def _check_size(partial: bytes, name: str) -> None:
-    """Raise `StreamError` if the part of an event that has come is too large."""
-    if len(partial) > _MAX_EVENT_BYTES:
-        detail = f"{len(partial)} bytes without its end, at most {_MAX_EVENT_BYTES}"
+def _check_size(size: int, name: str) -> None:
+    """Raise `StreamError` if `size`, that of the part of an event that has come, is too large."""
+    if size > _MAX_EVENT_BYTES:
+        detail = f"{size} bytes without its end, at most {_MAX_EVENT_BYTES}"
         raise StreamError(f"{name}: {detail}")
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -280,6 +280,7 @@
         finally:
             overdue.cancel()
             if not ok:
+                framer.discard()
                 context.views.workload.end(name, call.trace.key)
                 if exchange is not None:
                     exchange.cancel()
@@ -312,7 +313,9 @@
                 return b""
             if not data:
                 raise ExchangeError("ended before its first event", sent=True, reason="cut")
-            if ready := framer.feed(data):
+            ready = framer.feed(data)
+            exchange.retain(framer.partial_bytes)
+            if ready:
                 return ready
 
     def _stale_weights_timeout(self, call: Call, outgoing: OutgoingRequest) -> StaleWeightsTimeout:
@@ -366,7 +369,9 @@
                     return result
                 if not result:
                     break
-                if ready := framer.feed(result):
+                ready = framer.feed(result)
+                run.exchange.retain(framer.partial_bytes)
+                if ready:
                     responder.write(ready)
                     await responder.drain()
             if not framer.partial and await self._is_complete(call, run):
@@ -453,6 +458,7 @@
     def end_run(self, call: Call, run: _Run) -> None:
         """End a run and count it once."""
         run.exchange.cancel()
+        run.framer.discard()
         views = self._context.views
         views.workload.end(run.choice.instance.name, call.trace.key)
         now = asyncio.get_running_loop().time()
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -644,7 +644,6 @@
         """
         chunks: list[bytes] = []
         size = 0
-        held = self._held
         try:
             head = await self.head()
             # A complete response may tell of a body that does not follow, as one to HEAD does.
@@ -652,14 +651,20 @@
             while count := await self._collect(chunks):
                 size += count
                 self._check_body(size, max_bytes)
-                if held is not None:
-                    held.collect(self, count)
+                self.retain(size)
             return b"".join(chunks)
         finally:
             # An error keeps this frame, and often a cycle keeps the error for minutes.
             chunks.clear()
-            if held is not None:
-                held.release_collected(self)
+            self.retain(0)
+
+    def retain(self, size: int) -> None:
+        """Set how many bytes that were read are kept until more of the response has come.
+
+        They count for the caller until the exchange is cancelled.
+        """
+        if self._held is not None:
+            self._held.set_collected(self, size)
 
     async def _collect(self, chunks: list[bytes]) -> int:
         """Append the next bytes of the body to `chunks`; return their number."""
@@ -680,6 +685,7 @@
         self._reading_ended()
         if self._held is not None:
             self._held.record.release_read(self._buffered_bytes)
+            self._held.set_collected(self, 0)
             self._held = None
         self._buffer.clear()
         self._buffered_bytes = 0
--- a/packages/node/src/fielddrift_node/web/host_memory.py
+++ b/packages/node/src/fielddrift_node/web/host_memory.py
@@ -149,14 +149,9 @@
             self._is_paused = True
             self._memory.check_soon()
 
-    def collect(self, source: Source, size: int) -> None:
-        """Count part of a response that is passed on only when it is complete."""
-        self._record.collect(size)
-        self._memory.collect(source, self._record, size)
-
-    def release_collected(self, source: Source) -> None:
-        """Subtract a response that was collected by `source`, or given up."""
-        self._memory.release_collected(source)
+    def set_collected(self, source: Source, size: int) -> None:
+        """Set the bytes of a response that are passed on only with bytes that have not come."""
+        self._memory.set_collected(source, self._record, size)
 
     def remove_source(self, source: Source) -> None:
         """Remove an exchange that reads no more."""
@@ -303,36 +298,35 @@
         self.check_soon()
         return False
 
-    def collect(self, source: Source, record: ConnectionBytes, size: int) -> None:
-        """Add `size` bytes to what `source` has collected; give up responses without room."""
-        before = self._collected.get(source)
-        self._collected[source] = _Collected(record, size + (before.size if before else 0))
-        if self._budget.full:
-            self._give_up()
-
-    def release_collected(self, source: Source) -> None:
-        """Subtract what `source` has collected."""
-        if (collected := self._collected.pop(source, None)) is not None:
+    def set_collected(self, source: Source, record: ConnectionBytes, size: int) -> None:
+        """Set what `source` has collected; give up responses without room."""
+        collected = self._collected.pop(source, None)
+        if collected is not None:
             collected.record.release_collected(collected.size)
+        if size:
+            record.collect(size)
+            self._collected[source] = _Collected(record, size)
+            if self._budget.full:
+                self._give_up()
 
     def _give_up(self) -> None:
         """Give up responses that are being collected, while they fill the account.
 
-        None of them is passed on before its end, so that all of them would wait until their
-        deadlines.  The target that has sent most loses its largest response first.
+        None of them is passed on before more of it has come, so that all of them would wait until
+        their deadlines.  The target that has sent most loses its largest response first.
         """
         budget, by_address = self._budget, Counter[str]()
         candidates = {s: c for s, c in self._collected.items() if not s.complete}
         for source, collected in candidates.items():
             by_address[source.address] += collected.size
         while by_address.total() > budget.collected_bound and budget.held > budget.slow_stop:
-            source, (_, size) = max(
+            source, (record, size) = max(
                 candidates.items(), key=lambda each: (by_address[each[0].address], each[1].size)
             )
             del candidates[source]
             by_address[source.address] -= size
             detail = f"{size} bytes collected, {budget.held} held in all, at most {budget.hard}"
-            self.release_collected(source)
+            self.set_collected(source, record, 0)
             self._write_line("response given up for memory", target=source.address, size=size)
             self._on_given_up()
             source.give_up(detail)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -510,6 +510,21 @@
                 framer.feed(b"x" * _WRITE_BYTES)
         self.assertEqual((framer.last, framer.resumable), ("1", True))
 
+    def test_the_error_of_an_event_without_end_keeps_none_of_its_bytes(self) -> None:
+        framer, kept = EventFramer(), None
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        try:
+            framer.feed(b"id: 1\ndata: ")
+            for _ in range(100):
+                framer.feed(b"x" * _WRITE_BYTES)
+        except StreamError as error:
+            kept = error
+        framer.discard()
+        self.assertIsNotNone(kept)
+        self.assertLess(tracemalloc.get_traced_memory()[0], 200_000)
+        self.assertGreater(framer.partial_bytes, 1_000_000)
+
     def test_events_before_an_endless_one_are_not_taken_as_forwarded(self) -> None:
         framer = EventFramer()
         with self.assertRaises(StreamError):
@@ -572,3 +587,44 @@
 
     async def test_a_stream_whose_first_event_has_no_end_begins_at_another_target(self) -> None:
         await self._ask_until_done("endless-first")
+
+
+async def _large_event(exchange: Any) -> None:
+    """Send an event that stays below its bound, and does not end."""
+    worker, responder = exchange.worker, exchange.responder
+    worker.begin(exchange.request)
+    await worker.stream(exchange.request, responder, exchange.request_id, 1)
+    responder.write(b"id: 2\ndata: " + b"x" * 900_000)
+    await responder.drain()
+    await asyncio.sleep(_EARLY_SECONDS)
+
+
+class FullOfEventsTest(FleetCase):
+    """Failure: events without an end, each below its bound, were held and not counted."""
+
+    async def test_events_without_end_of_many_streams_stay_under_the_bound_of_a_node(self) -> None:
+        faults = mock.patch.dict(standin.FAULTS, {"large-event": _large_event})
+        faults.start()
+        self.addCleanup(faults.stop)
+        limited = mock.patch.object(node, "HostMemory", _small_memory)
+        limited.start()
+        self.addCleanup(limited.stop)
+        self.fleet.memory = 1_000_000
+        self.tolerate_pauses(4.0)
+        engine = await self.fleet.worker(Worker(name="e1", events=5), "engines")
+        engine.faults = ["large-event"] * 30
+        running = await self.fleet.node()
+        budget, most = running.node._memory.budget, 0
+        asks = [
+            asyncio.ensure_future(ask(running, "/verdict/x", request_id=f"r{number}", **prompt()))
+            for number in range(20)
+        ]
+        with capture_logs() as lines:
+            for _ in range(250):
+                await asyncio.sleep(0.01)
+                most = max(most, budget.held)
+            for each in asks:
+                each.cancel()
+        self.assertGreater(most, 4_000_000)
+        self.assertLessEqual(most, budget.hard)
+        self.assertIn("response given up for memory", {line["event"] for line in lines})
