--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -33,6 +33,7 @@
     "LiveConnection",
     "GARBLED_REASON",
     "MAX_BODY_BYTES",
+    "MEMORY_REASON",
     "OpenConnection",
     "REPLACED_REASON",
     "Reply",
@@ -65,6 +66,8 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024
 """Bytes of a body that is collected whole.  A limited node pauses reading earlier if little of its
 memory is left; bodies that are passed on as they arrive have no bound."""
+MEMORY_REASON = "memory"
+"""The same for a response that was given up since the node's memory is full."""
 _MAX_HEAD_BYTES = 64 * 1024
 """What may come before the body of an answer: its head, interim heads and blank lines before it."""
 _MAX_FIELD_COUNT = 4096
@@ -301,6 +304,11 @@
         """Close the connection at the end of its exchange."""
         self._reusable = False
 
+    def fail(self, detail: str, reason: str) -> None:
+        """Abort the connection, and end the exchange on it with an error."""
+        self._fail(detail, reason)
+        self.close()
+
     def close(self) -> None:
         """Abort the connection and the exchange on it."""
         self._reusable = False
@@ -513,7 +521,8 @@
     """One request and its response, which is read as it arrives.
 
     `on_bytes` is called when bytes of any kind arrive on its connection.  `held` counts the bytes
-    for the caller on whose behalf the response is read, and may pause it.
+    for the caller on whose behalf the response is read, and may pause or end it.  `address` is
+    that of the server.
     """
 
     def __init__(
@@ -522,8 +531,10 @@
         accepts: Callable[[ResponseHead], bool],
         on_bytes: Callable[[], None] = lambda: None,
         held: HeldBytes | None = None,
+        address: str = "",
     ) -> None:
         self._accepts = accepts
+        self._address = address
         self.on_bytes = on_bytes
         self._held = held
         self._paused = False
@@ -546,6 +557,11 @@
         """Return the name of the process to which the connection leads, empty if not known."""
         return self._process
 
+    @property
+    def address(self) -> str:
+        """Return the address of the server, empty if it was not given."""
+        return self._address
+
     @property
     def through(self) -> str:
         """Return the address of the node that carries the connection, empty for none."""
@@ -630,6 +646,17 @@
             self._paused = False
             self._connection.resume_reading()
 
+    def give_up(self, detail: str) -> None:
+        """End the exchange with an error and drop what was not read, unless it has ended."""
+        connection, held = self._connection, self._held
+        if connection is None or self._error is not None:
+            return
+        connection.fail(detail, MEMORY_REASON)
+        if held is not None:
+            held.record.release_read(self._buffered_bytes)
+        self._buffer.clear()
+        self._buffered_bytes = 0
+
     def completed(self) -> None:
         """Mark the response as complete."""
         self._complete = True
@@ -681,23 +708,32 @@
         """
         chunks: list[bytes] = []
         size = 0
-        record = None if self._held is None else self._held.record
-        collected = 0
         try:
             head = await self.head()
             # A complete response may tell of a body that does not follow, as one to HEAD does.
             self._check_body(0 if self._complete else head.length or 0, max_bytes)
-            while data := await self.read():
-                chunks.append(data)
-                size += len(data)
+            while count := await self._collect(chunks):
+                size += count
                 self._check_body(size, max_bytes)
-                if record is not None:
-                    record.collect(len(data))
-                    collected += len(data)
+                self.retain(size)
             return b"".join(chunks)
         finally:
-            if record is not None:
-                record.release_collected(collected)
+            # An error keeps this frame, and often a cycle keeps the error for minutes.
+            chunks.clear()
+            self.retain(0)
+
+    def retain(self, size: int) -> None:
+        """Set how many bytes that were read are kept until more of the response has come.
+
+        They count for the caller until the exchange is cancelled.
+        """
+        if self._held is not None:
+            self._held.set_collected(self, size)
+
+    async def _collect(self, chunks: list[bytes]) -> int:
+        """Append the next bytes of the body to `chunks`; return their number."""
+        chunks.append(await self.read())
+        return len(chunks[-1])
 
     def _check_body(self, size: int, max_bytes: int) -> None:
         """Abort the connection and raise `ExchangeError` if `size` exceeds `max_bytes`."""
@@ -713,7 +749,10 @@
         self._reading_ended()
         if self._held is not None:
             self._held.record.release_read(self._buffered_bytes)
+            self._held.set_collected(self, 0)
             self._held = None
+        self._buffer.clear()
+        self._buffered_bytes = 0
 
     def _reading_ended(self) -> None:
         if self._held is not None:
@@ -826,7 +865,7 @@
                 return await self._open_for(path, connect_seconds, max_connections, held)
 
             connection = await self._open_checked(path, open_one, process, on_bytes, until=until)
-        exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held)
+        exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held, address=address)
         exchange.bind(connection, kept=kept, through=through)
         connection.begin(exchange, data, request_id=request_id, compares=compares)
         return exchange
