Presume no version of a stream where several served before the node started

What callers saw: streams of two software versions, joined at a node that had started after all nodes were killed within seconds of a version's appearance.

Cause: for 3 s after a second version has appeared, a stream of unknown origin is presumed to be of the first one, as living nodes would know those of the second. A node that starts reads from the platform when the versions appeared, and presumed the same of streams of nodes that were no more. Origins of the last 0.3 s before all nodes end are not saved.

Change: where the rows held several versions when the node started, nothing is presumed until no stream from before its start can be resumed.

--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -279,10 +279,13 @@
             raise UnknownOrigin("the versions that served before this node started")
         seen = self._seen.get(service, {})
         former = self._inherited.get(service, frozenset()) & seen.keys()
-        since_start = now - self._history_read_at
-        if all_reached and len(former) == 1 and since_start < MAX_LIFETIME_SECONDS:
-            # The other versions are newer than this node, so the live nodes know their streams.
-            return min(former) if len(seen) > 1 else ""
+        if now - self._history_read_at < MAX_LIFETIME_SECONDS:
+            if len(former) > 1:
+                # Each of them may have begun streams at nodes that ended before this one started.
+                raise UnknownOrigin(", ".join(sorted(seen)))
+            if all_reached and len(former) == 1:
+                # The other versions are newer than this node, so the live nodes know their streams.
+                return min(former) if len(seen) > 1 else ""
         return presumed_version({name: span.first for name, span in seen.items()}, now)
 
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -7,6 +7,7 @@
 
 from fielddrift_core.rollout import StoreClock
 from fielddrift_core.stream_origins import (
+    SavedVersion,
     ServiceVersions,
     StreamOrigin,
     StreamOrigins,
@@ -119,6 +120,25 @@
         self.assertEqual(versions.presumed("other", 2.0, all_reached=True), "")
         self.assertEqual(versions.presumed("s", 31.0, all_reached=True), "")
 
+    def test_nothing_is_presumed_of_versions_that_served_before_the_start(self) -> None:
+        """Failure: a version that appeared shortly before all nodes ended, and had begun streams,
+        counted as one that had begun none."""
+        versions = ServiceVersions()
+        versions.expect_history()
+        saved = {"v1": SavedVersion(1.0, None), "v2": SavedVersion(99.0, None)}
+        versions.restore({"s": saved}, StoreClock(100.0, 100.0, 100.0), 100.0)
+        for all_reached in (False, True):
+            with self.assertRaises(UnknownOrigin):
+                versions.presumed("s", 100.5, all_reached=all_reached)
+
+    def test_a_stream_is_of_the_saved_version_while_one_that_appeared_since_is_new(self) -> None:
+        versions = ServiceVersions()
+        versions.expect_history()
+        saved = {"v1": SavedVersion(1.0, None)}
+        versions.restore({"s": saved}, StoreClock(100.0, 100.0, 100.0), 100.0)
+        versions.observe("s", ["v1", "v2"], 101.0)
+        self.assertEqual(versions.presumed("s", 102.0, all_reached=False), "v1")
+
     def test_a_target_of_unknown_version_makes_no_mixture(self) -> None:
         versions = ServiceVersions()
         versions.observe("s", ["v1", ""], 0.0)
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -118,6 +118,27 @@
         await self.come_back(callers, nodes)
         self.assert_whole(callers)
 
+    async def test_streams_whose_origin_was_not_saved_join_no_former_version(self) -> None:
+        """Failure: nodes that started soon after a second version took its streams for the
+        first one's."""
+        await self.start(engines=2, versions=("v1",))
+        await self.saved()
+        flush = mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0)
+        new = mock.patch.object(stream_origins, "_NEW_VERSION_SECONDS", 10.0)
+        with flush, new:
+            for number in range(4):
+                await self.add_engine(f"late-{number}", "v1.1")
+            await self.known()
+            await self.saved()
+            # The first origins are saved at once, the next ones after the interval.
+            first = await self.open_streams(6, own_parts=True)
+            callers = await self.open_streams(12, own_parts=True)
+            self.assertTrue(self.begun_by(callers, "v1.1"))
+            nodes = await self.replace_all()
+            await self.come_back(callers, nodes)
+        self.assert_unmixed(callers)
+        await self.end_streams(first)
+
     async def replace_all_from_none(self, count: int) -> list[RunningNode]:
         started = [await self.fleet.node(f"again-{number}") for number in range(count)]
         self.nodes += started
