Resume a stream of one version at no version that appears later

Cause: a caller returned to a node that knew one version, so that any target might go on ('stream returned' with origin 'any'). The decision was kept while the request waited and while its run broke off before an event. Meanwhile another version had appeared, and the next run was sent there. All eight streams show this in the logs.

Change: such a stream is restricted to the one version that is known when its caller returns. No other can have begun it, however long it waits.

--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -264,6 +264,11 @@
         """Return whether any service is mixed."""
         return any(len(versions) > 1 for versions in self._seen.values())
 
+    def only_version(self, service: str) -> str:
+        """Return the one version that serves and that served lately, empty if there is not one."""
+        seen = self._seen.get(service, ())
+        return min(seen) if len(seen) == 1 else ""
+
     def spans(self) -> Mapping[str, Mapping[str, VersionSpan]]:
         """Return the versions that serve, or did so lately, and when each was seen, by service."""
         return self._seen
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -242,7 +242,10 @@
         except UnknownOrigin as versions:
             detail = f"it is not known which software version began the stream: {versions}"
             raise _refused(detail) from None
-        return _Resumption(call.service.name, software, "presumed" if software else "any")
+        if software:
+            return _Resumption(call.service.name, software, "presumed")
+        # Another version may appear before the run begins, and has not begun the stream.
+        return _Resumption(call.service.name, self._versions.only_version(call.service.name), "any")
 
     async def _wait_for_history(self) -> None:
         """Wait a short time until the versions that served before the start are known."""
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -22,6 +22,8 @@
 from .platform_fleet import RunningNode, eventually
 from .test_software_versions import _EVENTS, _RETURN_SECONDS, MixedCase, _Caller
 
+_WORK_SECONDS = 1.5
+"""How long an engine works before its first event: longer than another version needs to appear."""
 _CONTACT_SECONDS = 3.2
 """From this time after a start on, a node has to let streams go on that may."""
 
@@ -217,6 +219,27 @@
         self.assertTrue(versions.is_mixed("engines"))
 
 
+class TestAppearsMeanwhile(RestartCase):
+    async def test_a_stream_taken_up_at_the_only_version_goes_on_at_no_later_one(self) -> None:
+        """Failure: a caller returned where one version was known, and its run, which broke off
+        before its first event, was followed by one at a version that had appeared meanwhile."""
+        await self.start(nodes=2, engines=2, versions=("v1",))
+        await self.saved()
+        callers = await self.open_streams(12, self.nodes[0], own_parts=True)
+        for caller in callers:
+            caller.leave()
+        self.engines[0].work_seconds = _WORK_SECONDS
+        for number, caller in enumerate(callers):
+            caller.send(self.nodes[1], X_Prompt_Prefix=f"p{number}:300,q{number}:50")
+        for number in range(4):
+            await self.add_engine(f"late-{number}", "v1.1")
+        await self.known()
+        await self.saved()
+        self.engines[0].crash()
+        await self.end_streams(callers)
+        self.assert_whole(callers)
+
+
 class TestBeforeItIsSaved(RestartCase):
     async def test_no_stream_begins_at_a_version_before_it_is_saved(self) -> None:
         """Failure: a version may begin streams, and no node that starts later knows of it."""
