Soak engines that start again in place, and engines without a length that end

The soak could not tell two ways in which streams break rule ORDER: its workers did not say when they started and never came back under their ids, and a crash through a link reset what a killed process closes in order.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -749,3 +749,32 @@
         await _lasting(rng, 0.1, 0.5)
     await _lasting(rng, 0.1, 3.0)
     await _all_killed(site, rng)
+
+
+@fault("engines start again in place as another version", workers=True)
+async def _released_in_place(site: Site, rng: random.Random) -> None:
+    outside = site.outside
+    site.takes_up = True
+    outside.software = f"v{int(outside.software[1:]) + 1}"
+    names = rng.sample(outside.serving("engines"), k=len(outside.serving("engines")) // 2)
+    starts = []
+    for name in names:
+        if name in outside.serving("engines"):
+            starts.append(asyncio.ensure_future(outside.start_again(name)))
+        await _lasting(rng, 0.1, 0.8)
+    await asyncio.gather(*starts)
+
+
+@fault("engines end while they send answers without a length", workers=True)
+async def _ended_without_length(site: Site, rng: random.Random) -> None:
+    outside = site.outside
+    site.takes_up = True
+    engines = _some_engines(site, rng, least=3)
+    for engine in engines:
+        engine.unframed = True
+    for engine in engines[: len(engines) // 2 + 1]:
+        await _lasting(rng, 0.2, 0.8)
+        if engine.name in outside.serving("engines") and not engine.closed:
+            await outside.end_in_order(engine.name)
+    for engine in engines:
+        engine.unframed = False
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -35,6 +36,10 @@
 """Time after which the entry of a worker that crashed goes."""
 _SERVE_ON_SECONDS = 3.0
 """How long a leaving worker serves on: the drain bound and a little."""
+_CLOSE_SECONDS = 0.05
+"""Time for the ends of connections to pass a link."""
+_ENTRY_SECONDS = 0.6
+"""Time until the entry of a worker that started again is written."""
 _LOAD_SECONDS = 0.05
 _SLOW_SECONDS = 10.0
 """How long engines load slowly, once they do."""
@@ -237,6 +242,7 @@
         )
         worker.version = self.named
         worker.software = self.software
+        worker.started = round(time.time() * 1000)
         worker.load_seconds = _LOAD_SECONDS
         worker.signed = True
         worker.fatal = self._fatal.get(service, frozenset())
@@ -303,6 +309,29 @@
         self.links[name].close()
         self._later(self._lapse(name, service))
 
+    async def end_in_order(self, name: str) -> None:
+        """End a worker whose connections close in order, as a killed process's do."""
+        service = self._services[name]
+        self._gone(name)
+        await asyncio.sleep(_CLOSE_SECONDS)
+        self.links[name].close()
+        self._later(self._lapse(name, service))
+
+    async def start_again(self, name: str) -> None:
+        """End an engine and start it under its id and at its address; its entry follows."""
+        former = self.workers[name]
+        self.gone_at[name] = asyncio.get_running_loop().time()
+        former.close()
+        self.ended.append(former)
+        again = former.restarted(software=self.software)
+        again.load_seconds, again.crashed = _LOAD_SECONDS, self._crashed
+        self.workers[name] = again
+        host, _, port = self._targets[name].rpartition(":")
+        await again.start(host, int(port))
+        await asyncio.sleep(_ENTRY_SECONDS)
+        if name in self.serving(_ENGINES):
+            self.enter(name, _ENGINES)
+
     def give_faults(self, name: str, faults: Collection[str]) -> None:
         """Let the next requests of a worker meet `faults`."""
         self.unsound.add(name)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -254,7 +254,7 @@
 @promise("events come in order, none twice, none missing, each as one run made it")
 def _events(evidence: Evidence) -> Iterator[str]:
     ran = evidence.ran()
-    software = {worker.name: worker.software for worker in evidence.workers}
+    software = {worker.label: worker.software for worker in evidence.workers}
     for attempt in evidence.attempts:
         if attempt.status != 200 or not attempt.kind.streams:
             continue
@@ -280,7 +280,7 @@
     attempt: Attempt, made: list[tuple[bytes, bytes, bytes]], runs: list[tuple[Worker, Ran]]
 ) -> Iterator[str]:
     """Compare where an answer's events were made with where its runs began."""
-    begins = Counter((w.name, int(r.headers.get("last-event-id") or 0)) for w, r in runs)
+    begins = Counter((w.label, int(r.headers.get("last-event-id") or 0)) for w, r in runs)
     before = ""
     for number, of, at in made:
         name = at.decode("latin-1")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,12 @@
 KILLED_AFTER_RELEASE = Size(
     nodes=3, callers=32, seconds=4.0, kinds=("all killed when a release of engines has ended",)
 )
+RELEASED_IN_PLACE = KILLED_AFTER_RELEASE._replace(
+    kinds=(
+        "engines start again in place as another version",
+        "engines end while they send answers without a length",
+    )
+)
 SILENT_SEED = 16
 """All engines fall silent while chats are under way."""
 SILENT = Size(nodes=3, callers=24, seconds=8.0, kinds=(SILENCE,))
@@ -692,6 +698,12 @@
         self.assertEqual(outcome.broken, [], [*outcome.told, *outcome.faults])
         self.assertGreater(outcome.answered, 0)
 
+    def test_a_short_soak_of_engines_that_start_again_or_end_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(SEED, RELEASED_IN_PLACE, Path(folder)))
+        self.assertEqual(outcome.broken, [], [*outcome.told, *outcome.faults])
+        self.assertGreater(outcome.answered, 0)
+
     def test_a_short_soak_of_hosts_cut_off_from_all_workers_breaks_no_promise(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             outcome = asyncio.run(run(SEED, HOSTS_CUT_OFF, Path(folder)))
