Tell in the log which software version a stream was of whose caller left

The logs could not tell of which version the first part of a stream was, where its caller left and took it up elsewhere: 'request left' and 'answer cut' name targets, and an id says nothing of a version once its entry has gone. They tell 'software' now. The test of it failed before with a KeyError.

--- a/packages/node/src/fielddrift_node/serving/gateway.py
+++ b/packages/node/src/fielddrift_node/serving/gateway.py
@@ -54,7 +54,7 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Respond to one request."""
         trace, request_id = Trace(), ""
-        responder.describe(lambda: {"targets": trace.targets})
+        responder.describe(lambda: {"targets": trace.targets, "software": trace.software})
         loop = asyncio.get_running_loop()
         try:
             request_id = self._context.callers.request_id(request.head)
@@ -245,6 +245,7 @@
                 lambda: {
                     "detail": refusal.detail,
                     "targets": trace.targets,
+                    "software": trace.software,
                     "reasons": trace.reasons,
                     **trace.relay_progress(),
                 }
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -13,6 +13,7 @@
 
 from fielddrift_node.serving import stream_versions
 from fielddrift_standins.worker import Worker
+from structlog.testing import capture_logs
 
 from .platform_fleet import (
     FleetCase,
@@ -420,6 +421,20 @@
         self.assertEqual(len(self.engines[1].ran), ran)
 
 
+class TestLog(MixedCase):
+    async def test_the_end_of_a_stream_that_was_left_tells_its_version(self) -> None:
+        """Failure: the log did not tell of which version the first part of a stream was whose
+        caller left."""
+        await self.start(nodes=1, engines=1, versions=("v1",))
+        callers = await self.open_streams(2)
+        with capture_logs() as lines:
+            for caller in callers:
+                caller.leave()
+            await eventually(lambda: sum(line["event"] == "request left" for line in lines) == 2)
+        left = [line["software"] for line in lines if line["event"] == "request left"]
+        self.assertEqual(left, ["v1", "v1"])
+
+
 class TestOneVersion(MixedCase):
     """Where one version serves, streams go on whoever is asked, and nothing is sent for them."""
 
