--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -22,6 +22,8 @@
 from .platform_fleet import RunningNode, eventually
 from .test_software_versions import _EVENTS, _RETURN_SECONDS, MixedCase, _Caller
 
+_WORK_SECONDS = 1.5
+"""How long an engine works before its first event: longer than another version needs to appear."""
 _CONTACT_SECONDS = 3.2
 """From this time after a start on, a node has to let streams go on that may."""
 
@@ -118,6 +120,25 @@
         await self.come_back(callers, nodes)
         self.assert_whole(callers)
 
+    async def test_streams_whose_origin_was_not_saved_join_no_former_version(self) -> None:
+        """Failure: nodes that started soon after a second version took its streams for the
+        first one's."""
+        await self.start(engines=2, versions=("v1",))
+        await self.saved()
+        flush = mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0)
+        new = mock.patch.object(stream_origins, "_NEW_VERSION_SECONDS", 10.0)
+        with flush, new:
+            for number in range(4):
+                await self.add_engine(f"late-{number}", "v1.1")
+            await self.known()
+            await self.saved()
+            # The first origins are saved at once, the next ones after the interval.
+            callers = await self.open_streams(18, own_parts=True)
+            self.assertTrue(self.begun_by(callers, "v1.1"))
+            nodes = await self.replace_all()
+            await self.come_back(callers, nodes)
+        self.assert_unmixed(callers)
+
     async def replace_all_from_none(self, count: int) -> list[RunningNode]:
         started = [await self.fleet.node(f"again-{number}") for number in range(count)]
         self.nodes += started
@@ -196,6 +217,27 @@
         self.assertTrue(versions.is_mixed("engines"))
 
 
+class TestAppearsMeanwhile(RestartCase):
+    async def test_a_stream_taken_up_at_the_only_version_goes_on_at_no_later_one(self) -> None:
+        """Failure: a caller returned where one version was known, and its run, which broke off
+        before its first event, was followed by one at a version that had appeared meanwhile."""
+        await self.start(nodes=2, engines=2, versions=("v1",))
+        await self.saved()
+        callers = await self.open_streams(12, self.nodes[0], own_parts=True)
+        for caller in callers:
+            caller.leave()
+        self.engines[0].work_seconds = _WORK_SECONDS
+        for number, caller in enumerate(callers):
+            caller.send(self.nodes[1], X_Prompt_Prefix=f"p{number}:300,q{number}:50")
+        for number in range(4):
+            await self.add_engine(f"late-{number}", "v1.1")
+        await self.known()
+        await self.saved()
+        self.engines[0].crash()
+        await self.end_streams(callers)
+        self.assert_whole(callers)
+
+
 class TestBeforeItIsSaved(RestartCase):
     async def test_no_stream_begins_at_a_version_before_it_is_saved(self) -> None:
         """Failure: a version may begin streams, and no node that starts later knows of it."""
