Order nothing of an engine whose place another process has taken

What was seen: behind a report of another process, the roll-out still sent an order to that process under the former one's name, without the expected number of orders. Cause: the target was marked, and not looked at again before the order. The loop asks the registry once the report is read.

--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -220,6 +220,8 @@
             self._announce()
             await asyncio.sleep(_ANNOUNCEMENT_LEAD_SECONDS)
             report = await self._get_report(name)
+            if registry.is_replaced(name):
+                return
             if report is not None and report.versions.get(model, 0) >= wanted:
                 self._record_loaded(name, model, report.versions[model])
                 return
--- a/tests/test_targets_restarted_in_place.py
+++ b/tests/test_targets_restarted_in_place.py
@@ -124,3 +124,16 @@
     async def _serves(self, node: RunningNode, request_id: str) -> None:
         answer = await ask(node, "/chat/1", request_id=request_id, **prompt())
         self.assertEqual(answer.status, _SERVED)
+
+
+class TestOrders(RestartCase):
+    async def test_a_process_is_ordered_to_load_weights_once_its_entry_is_read(self) -> None:
+        await self.start(nodes=1, engines=1, versions=("v1",))
+        again = await self.restart(self.engines[0], "v1")
+        self.fleet.store.put("op", "version/m", {"model": "m", "version": 2})
+        await eventually(lambda: "/report" in {path for _, path in again.calls})
+        await asyncio.sleep(_ENTRY_SECONDS)
+        self.assertEqual([path for _, path in again.calls if path == "/order"], [])
+        self.fleet.enter(again.name, "engines")
+        await eventually(lambda: again.version == 2)
+        self.assertEqual([order["expected"] for order in again.orders], [0])
