Presume no version of a stream that only nodes which ended may know

Cause: for 3 s after a second version has appeared, a living node presumed streams of unknown origin to be of the first one. Origins of the second may lie only at nodes that have ended since, and those of the last 0.3 s are on no platform. Nodes that have ended are not asked any more, so that enough seemed to have answered. Both streams have 'stream returned' with origin 'presumed'.

Change: where more than one node that was heard has fallen silent, such a stream is refused with the time after which to return. One may have: its holders live.

--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -236,16 +236,18 @@
         `is_denied` tells that the platform does not know its origin, either.
         """
         now = asyncio.get_running_loop().time()
-        all_reached = is_denied and not self._missing_nodes(now)
+        name, missing = call.service.name, self._missing_nodes(now)
+        if len(missing) > _MAX_UNANSWERED_COUNT and self._versions.is_mixed(name):
+            raise _refused(f"nodes have ended that may know which version began it: {missing}")
         try:
-            software = self._versions.presumed(call.service.name, now, all_reached=all_reached)
+            software = self._versions.presumed(name, now, all_reached=is_denied and not missing)
         except UnknownOrigin as versions:
             detail = f"it is not known which software version began the stream: {versions}"
             raise _refused(detail) from None
         if software:
-            return _Resumption(call.service.name, software, "presumed")
+            return _Resumption(name, software, "presumed")
         # Another version may appear before the run begins, and has not begun the stream.
-        return _Resumption(call.service.name, self._versions.only_version(call.service.name), "any")
+        return _Resumption(name, self._versions.only_version(name), "any")
 
     async def _wait_for_history(self) -> None:
         """Wait a short time until the versions that served before the start are known."""
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -20,7 +20,7 @@
 from fielddrift_platform.store import PlatformStore
 
 from .platform_fleet import RunningNode, eventually
-from .test_software_versions import _EVENTS, _RETURN_SECONDS, MixedCase, _Caller
+from .test_software_versions import _EVENTS, _RETURN_SECONDS, MixedCase, _alive, _Caller
 
 _WORK_SECONDS = 1.5
 """How long an engine works before its first event: longer than another version needs to appear."""
@@ -139,6 +139,33 @@
             await self.come_back(callers, nodes)
         self.assert_unmixed(callers)
 
+    async def test_streams_of_nodes_that_ended_join_no_former_version_at_the_last_node(
+        self,
+    ) -> None:
+        """Failure: the one node that lived on took streams of a second version, which only nodes
+        that had ended knew, for the first one's."""
+        await self.start(nodes=6, engines=2, versions=("v1",))
+        await self.saved()
+        flush = mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0)
+        new = mock.patch.object(stream_origins, "_NEW_VERSION_SECONDS", 20.0)
+        with flush, new:
+            for number in range(4):
+                await self.add_engine(f"late-{number}", "v1.1")
+            await self.known()
+            await self.saved()
+            last, *others = self.nodes
+            callers = await self.open_streams(20, *others, own_parts=True)
+            self.assertTrue(self.begun_by(callers, "v1.1"))
+            for node in others:
+                node.kill()
+            await eventually(lambda: _alive(last) == 0)
+            # As heartbeats do, so that the list of targets is not outdated.
+            before = last.node.views.targets_read_at
+            self.fleet.enter(self.engines[0].name, "engines")
+            await eventually(lambda: last.node.views.targets_read_at > before)
+            await self.come_back(callers, [last])
+        self.assert_unmixed(callers)
+
     async def replace_all_from_none(self, count: int) -> list[RunningNode]:
         started = [await self.fleet.node(f"again-{number}") for number in range(count)]
         self.nodes += started
