--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -351,7 +351,8 @@
         for origin in received:
             self._origins.record(origin)
             # The sender may know targets of another version that this node does not know yet.
-            self._observe_versions(origin.service, {origin.software}, now)
+            if origin.software != _UNKNOWN_SOFTWARE:
+                self._observe_versions(origin.service, {origin.software}, now)
         writers = self._writers(now)
         if len(writers) == _WRITER_COUNT:
             # Nodes that save no origins send theirs to those that do.
--- a/tests/test_process_checks_reviewed.py
+++ b/tests/test_process_check_failures.py
@@ -1,4 +1,9 @@
-"""Cases of a review: what checks of the process behind a connection leave open, or cost."""
+"""Process checks that get no answer lose no answers, and let no stream go on at another process.
+
+Failures: a refused or missing report passed for that of the expected process, an unchecked kept
+connection carried a request, and a target found to be replaced counted as one that leaves, so that
+the requests that had ended it were not held back.
+"""
 
 from __future__ import annotations
 
