Close a connection whose process check was refused, and believe no report that cannot be read

Found by a second reader of the merged code: - A refused check left its connection open and counted: after as many as a target allows this node, every request to it failed. Connections that may not be used are closed in one place.

--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -270,7 +270,10 @@
             ok = True
         except TimeoutError:
             detail = f"target {name}: no event, outdated"
-            raise AttemptFailed(detail, reason="outdated", reached=True, not_run=False) from None
+            is_sent = send.written_at is not None
+            raise AttemptFailed(
+                detail, reason="outdated", reached=is_sent, not_run=not is_sent
+            ) from None
         except (ExchangeError, StreamError) as error:
             raise broken_off(error) from None
         except AttemptFailed as failure:
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -30,6 +30,7 @@
 from fielddrift_core.urgency import CallerWaits
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
+from ..web.client import MEMORY_REASON
 from .plain_queues import PlainQueues
 from .ports import NamedWeights
 from .service_queues import ServiceQueues
@@ -152,7 +153,7 @@
         `through` is as in `is_path_failure`.  A target that does not respond is avoided until it
         sends a byte; a failure rate would keep it out of use for longer.
         """
-        if reason == "unresponsive":
+        if reason in ("unresponsive", MEMORY_REASON):
             return False
         if reason == "silent" and self.responsiveness.is_unresponsive(target):
             # The send was overdue before its target was found to be unresponsive.
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -855,7 +855,7 @@
             connection = self._take_idle(path, max_idle_seconds, request_id, wanted)
         if connection is not None and process is not None and connection.process != wanted:
             may_use = await self._check_process(
-                path, connection, process, on_bytes, until=until, is_kept=True
+                path, connection, process, until=until, is_kept=True
             )
             connection = connection if may_use and connection.usable else None
         kept = connection is not None
@@ -864,7 +864,7 @@
             async def open_one() -> _Connection:
                 return await self._open_for(path, connect_seconds, max_connections, held)
 
-            connection = await self._open_checked(path, open_one, process, on_bytes, until=until)
+            connection = await self._open_checked(path, open_one, process, until=until)
         exchange = Exchange(accepts=accepts, on_bytes=on_bytes, held=held, address=address)
         exchange.bind(connection, kept=kept, through=through)
         connection.begin(exchange, data, request_id=request_id, compares=compares)
@@ -896,7 +896,6 @@
         path: _Path,
         open_one: Callable[[], Awaitable[_Connection]],
         process: ProcessCheck | None,
-        on_bytes: Callable[[], None],
         *,
         until: float,
     ) -> _Connection:
@@ -904,15 +903,18 @@
         connection = await open_one()
         if process is None:
             return connection
-        await self._check_process(path, connection, process, on_bytes, until=until, is_kept=False)
+        await self._check_process(path, connection, process, until=until, is_kept=False)
         if connection.usable:
             return connection
+        if asyncio.get_running_loop().time() >= until:
+            # No answer came, and none is required.
+            return await open_one()
         # The server closes connections behind its answers.  One that was opened before another one
         # is checked leads to the same process, or to an earlier one and ends with it.
         connection = await open_one()
         try:
             checked = await open_one()
-            await self._check_process(path, checked, process, on_bytes, until=until, is_kept=False)
+            await self._check_process(path, checked, process, until=until, is_kept=False)
             self._release(path, checked)
             if not connection.usable:
                 detail = f"{path.address}: connection lost before it was used"
@@ -928,7 +930,6 @@
         path: _Path,
         connection: _Connection,
         process: ProcessCheck,
-        on_bytes: Callable[[], None],
         *,
         until: float,
         is_kept: bool,
@@ -940,16 +941,19 @@
         it is closed, and a new one may lead there.
         """
         connection.reserve()
-        exchange = Exchange(accepts=process.accepts, on_bytes=on_bytes)
+        exchange = Exchange(accepts=process.accepts)
         exchange.bind(connection, through=path.through)
         connection.begin(exchange, process.request)
-        answer: ProcessAnswer | None = None
+        is_usable = False
         try:
             async with asyncio.timeout_at(until):
                 reply = Reply(
                     await exchange.head(), await exchange.body(max_bytes=_MAX_CHECK_BYTES)
                 )
             answer = process.judge(reply)
+            is_usable = answer not in _UNUSABLE_ANSWERS and not (
+                answer is ProcessAnswer.REFUSED and process.is_required
+            )
         except TimeoutError:
             if not process.is_required:
                 return True
@@ -962,13 +966,12 @@
                 return False
             raise ExchangeError(str(error), sent=False, reason=error.reason) from None
         finally:
-            if answer is None or answer in _UNUSABLE_ANSWERS:
+            if not is_usable:
                 connection.close()
         if answer is ProcessAnswer.OTHER:
             detail = f"{path.address}: not the process {process.name}"
             raise ExchangeError(detail, sent=False, reason=REPLACED_REASON)
-        is_refused = answer is ProcessAnswer.REFUSED and process.is_required
-        if is_refused or answer in _UNUSABLE_ANSWERS:
+        if not is_usable:
             if is_kept:
                 return False
             detail = f"{path.address}: not known to be the process {process.name}: {answer}"
@@ -1074,9 +1077,7 @@
         connection = await self._connect(path, seconds)
         if process is not None:
             until = asyncio.get_running_loop().time() + _CHECK_TIMEOUT_SECONDS
-            await self._check_process(
-                path, connection, process, lambda: None, until=until, is_kept=False
-            )
+            await self._check_process(path, connection, process, until=until, is_kept=False)
         self._release(path, connection)
 
     def close_idle(self, address: str) -> None:
--- a/packages/node/src/fielddrift_node/web/process_check.py
+++ b/packages/node/src/fielddrift_node/web/process_check.py
@@ -22,7 +22,7 @@
     UNIDENTIFIED = "unidentified"
     """It is the expected server, and does not tell its processes apart."""
     REFUSED = "refused"
-    """It refused the question, as a full server does."""
+    """It refused the question, as a full server does, or its answer cannot be read."""
     UNKNOWN = "unknown"
     """It did not answer the question."""
 
--- a/tests/test_checked_connections.py
+++ b/tests/test_checked_connections.py
@@ -10,7 +10,7 @@
 import itertools
 import unittest
 
-from fielddrift_node.web.client import Client, ExchangeError
+from fielddrift_node.web.client import UNIDENTIFIED_REASON, Client, ExchangeError
 from fielddrift_node.web.process_check import ProcessAnswer, ProcessCheck
 
 from .platform_fleet import HOST, eventually, free_port
@@ -174,6 +174,22 @@
         self.assertFalse(caught.exception.sent)
         await self._all_closed()
 
+    async def test_refused_checks_leave_no_connection(self) -> None:
+        check = ProcessCheck("a", _REPORT, lambda head: True, lambda reply: ProcessAnswer.REFUSED)
+        for _ in range(3):
+            with self.assertRaises(ExchangeError) as caught:
+                await self.client.begin(
+                    self.server.address,
+                    _REQUEST,
+                    connect_seconds=1.0,
+                    max_connections=1,
+                    process=check,
+                )
+            self.assertEqual(caught.exception.reason, UNIDENTIFIED_REASON)
+            # The end of a closed connection is noticed one turn of the loop later.
+            await eventually(lambda: self.client._open_counts == {})
+        await self._all_closed()
+
     async def test_checks_keep_to_the_number_of_connections(self) -> None:
         self.server.closes = True
         for _ in range(3):
