Count no crash of repeated requests as a failed early request

The early request that shows whether a part is held back by mistake is due 3 s after the hold's begin; a crash at 7.0 s, by repeated requests that were still running, counted as that request's failure, so the node waited until 10 s after the begin, though it had sent none.

Crashes of targets on which a repeated request with enough crashes to be held back ran do not count as failed early requests any more.

--- a/packages/core/src/fielddrift_core/crash_attribution.py
+++ b/packages/core/src/fielddrift_core/crash_attribution.py
@@ -213,10 +213,20 @@
             name,
             tuple(crash.target for crash in crashes if crash.target not in explained),
             crashes[-1].at + _part_hold_seconds(crashes),
-            _early_probe_at(_moments(crashes), begun),
+            self._early_probe_at(crashes, begun),
             self._is_explained(name, self._repeated),
         )
 
+    def _early_probe_at(self, crashes: Iterable[Crash], begun: float) -> float:
+        """Return from when on a request may be sent before the end of a part's hold that has
+        `begun`, infinity for never."""
+        # Repeated requests that are still running crash targets as well, and are no probes.
+        probes = [crash for crash in crashes if crash.target not in self._repeated]
+        failed = sum(at > begun + EARLY_PROBE_SECONDS[0] for at in _moments(probes))
+        if failed >= len(EARLY_PROBE_SECONDS):
+            return float("inf")
+        return begun + EARLY_PROBE_SECONDS[failed]
+
     def _evident_at(self, part: str) -> float | None:
         """Return when the crashes of a part sufficed to hold it back, None if they do not.
 
@@ -275,15 +285,6 @@
     return found
 
 
-def _early_probe_at(times: Sequence[float], begun: float) -> float:
-    """Return from when on a request may be sent before the end of a part's hold that has `begun`,
-    infinity for never.  `times` are those of the part's crashes."""
-    probes = sum(at > begun + EARLY_PROBE_SECONDS[0] for at in times)
-    if probes >= len(EARLY_PROBE_SECONDS):
-        return float("inf")
-    return begun + EARLY_PROBE_SECONDS[probes]
-
-
 def _part_hold_seconds(crashes: Sequence[Crash]) -> float:
     """Return how long a part is held back after the last of `crashes`."""
     # Sends in progress when the hold begins still crash targets, and are no probes.
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -256,6 +256,20 @@
         self.history.record_answer(["r", rare], 5.3)
         self.assertEqual(self._held_parts(5.3), ["first"], "second shares all but two with it")
 
+    def test_a_crash_of_repeated_requests_is_no_failed_early_request(self) -> None:
+        """Failure: a sound part was held back for ten seconds in place of three, since a crash by
+        repeated requests that were still running counted as that of its early request."""
+        shared = part_suspect("m", "shared")
+        crashes = {"t0": 0.0, "t1": 0.5, "t2": 1.0, "t3": 1.5, "t4": 5.0}
+        repeated = {"first": ("t0", "t2", "t4"), "second": ("t1", "t2", "t3")}
+        for target, at in crashes.items():
+            own = [name for name, targets in repeated.items() if target in targets]
+            for name in (*own, shared):
+                self.history.record_crash(Crash(name, target, at, 0.1))
+        self.assertEqual(self._held_parts(5.0), [shared])
+        self.history.count_prompt([shared])
+        self.assertIsNone(self.history.admit_request(["r", shared], 5.1))
+
     def test_nodes_of_the_last_rank_send_no_early_requests(self) -> None:
         bad = self._hold("bad")
         self.assertIsNotNone(self.history.admit_request(["r", bad], 60.0, probe_rank=2))
