Use a target again whose address a former target held

What callers saw: a target whose entry came while another target still answered at its address got no requests at a node for its whole life; where it was the only one of its service, all requests got 502 or 503.

Cause: that another target answers at an address was taken for the end of the listed one, and the mark lay under the name of its process until its entry went. It tells as little about a process that has not begun yet as the report of an earlier process of its own id.

Change: the address of a replaced target is asked once a second which process it is, off the path of callers. Where the target's own process answers, it is used again; a later process of its id never is.

Evidence: `test_addresses_of_former_targets.py` (an engine for resumable streams, one for others, one whose entry tells no start, a plain target). Before: none of the four was served in 10 s. After: all are within about a second. The tests on the platform's rules, targets restarted in place, process checks, target lives and tunnels: 90 passed. It costs a report a second and node for each replaced target until its entry goes.

--- a/packages/core/src/fielddrift_core/target_registry.py
+++ b/packages/core/src/fielddrift_core/target_registry.py
@@ -92,7 +92,8 @@
         an entry that returns after a lapse nor another node's copy may make them ready again."""
         self._replaced: dict[str, None] = {}
         """Names of instances at whose addresses another process was found, the latest last.  They
-        have ended; their entries stay until those of the other processes come."""
+        have ended, and their entries stay until those of the other processes come; or they have not
+        begun, and a former target still holds their address."""
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._lapse_grace_until = 0.0
@@ -233,7 +234,7 @@
             self._changed()
 
     def process_replaced(self, name: str) -> bool:
-        """Record that another process was found at the address of an instance, which has ended.
+        """Record that another process was found at the address of an instance.
 
         Return whether that was not known before.
         """
@@ -244,6 +245,16 @@
             self._changed()
         return True
 
+    def process_found(self, name: str) -> None:
+        """Record that the process of an instance was found at its address after all."""
+        if name in self._replaced:
+            del self._replaced[name]
+            self._changed()
+
+    def replaced_instances(self) -> list[Instance]:
+        """Return the listed instances at whose addresses another process was found."""
+        return [self._instances[name] for name in self._replaced if name in self._instances]
+
     def is_replaced(self, name: str) -> bool:
         """Return whether another process was found at the address of an instance."""
         return name in self._replaced
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -50,6 +50,11 @@
 would otherwise cost each request to it three tunnels."""
 _TICK_SECONDS = 0.1
 _CLEAN_SECONDS = 0.5
+_REPLACED_CHECK_SECONDS = 1.0
+"""Interval at which the address of a replaced target is asked for its process: entries may come
+some seconds before it."""
+_REPLACED_ANSWER_SECONDS = 0.5
+"""Time for an answer to that."""
 """Interval between searches for tunnels that are not needed any more."""
 
 _log = structlog.get_logger()
@@ -169,10 +174,8 @@
 
         Only engines have reports; other targets might let the question wait as a request.
         """
-        catalog = self._views.catalog
-        service = None if catalog is None else catalog.services.get(instance.service)
-        has_reports = service is not None and service.engine is not None
-        if not has_reports or not instance.tells_process or instance.name in self._unidentified:
+        is_told = self._has_reports(instance) and instance.tells_process
+        if not is_told or instance.name in self._unidentified:
             return None
         check = self.process_check(instance)
 
@@ -184,6 +187,11 @@
         is_required = check.is_required or need is ProcessNeed.ALWAYS
         return check._replace(judge=judge, is_required=is_required)
 
+    def _has_reports(self, instance: Instance) -> bool:
+        catalog = self._views.catalog
+        service = None if catalog is None else catalog.services.get(instance.service)
+        return service is not None and service.engine is not None
+
     def process_check(self, instance: Instance) -> ProcessCheck:
         """Return how to find out whether the process at the address of `instance` is that one."""
         check = self._targets.process_check(instance)
@@ -361,13 +369,17 @@
     # --- checks ---------------------------------------------------------------------
 
     async def run(self) -> None:
-        """Check the paths to silent and to interrupted targets, until cancelled."""
+        """Check the paths to silent and interrupted targets, and replaced ones, until cancelled."""
         loop = asyncio.get_running_loop()
-        cleaned_at = loop.time()
+        cleaned_at = replaced_at = loop.time()
         try:
             while True:
                 await asyncio.sleep(_TICK_SECONDS)
                 now = loop.time()
+                if now - replaced_at >= _REPLACED_CHECK_SECONDS:
+                    replaced_at = now
+                    for instance in self._views.registry.replaced_instances():
+                        self._start(self._look_again(instance))
                 if now - cleaned_at >= _CLEAN_SECONDS:
                     cleaned_at = now
                     self._close_unused_tunnels(now)
@@ -403,10 +415,31 @@
             self._start_check(instance)
 
     def _start_check(self, instance: Instance) -> None:
-        task = asyncio.ensure_future(self._check(instance))
+        self._start(self._check(instance))
+
+    def _start(self, check: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(check)
         self._checks.add(task)
         task.add_done_callback(self._checks.discard)
 
+    async def _look_again(self, instance: Instance) -> None:
+        """Use a replaced target again if its own process answers: a former one has left it the
+        address."""
+        check = self.process_check(instance)
+        try:
+            async with asyncio.timeout(_REPLACED_ANSWER_SECONDS):
+                carried = await self.ask(instance, check.request)
+        except (TimeoutError, ExchangeError):
+            return
+        answer = check.judge(carried.reply)
+        tells_none = not self._has_reports(instance) or not instance.tells_process
+        is_found = answer is ProcessAnswer.EXPECTED
+        if is_found or (answer is ProcessAnswer.UNIDENTIFIED and tells_none):
+            _log.info("target found again", target=instance.name, address=instance.address)
+            self._views.registry.process_found(instance.name)
+            self._views.service_queues.wake_all()
+            self._views.plain_queues.wake_all()
+
     async def _check(self, instance: Instance) -> None:
         """Try to connect to a target directly, then through another node."""
 
