Judge a process check by what is known when it is answered

What callers may see: streams joined from two software versions. Found by reading, shown by a test of the checks alone.

Cause: whether a target had told its start was looked up when a check was made, not when it was answered. A check that waited while another one got that answer took the missing report of the next process for one of a target that never tells, and marked the target so: no stream was checked from then on, until its entry changed.

Change: it is looked up when the answer is judged.

Evidence: `test_process_checks_at_once.py`: two of three failed before, all pass.

--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -195,10 +195,11 @@
     def process_check(self, instance: Instance) -> ProcessCheck:
         """Return how to find out whether the process at the address of `instance` is that one."""
         check = self._targets.process_check(instance)
-        is_identified = instance.name in self._identified
 
         def judge(reply: Reply) -> ProcessAnswer:
             answer = check.judge(reply)
+            # Another check may have told it while this one waited.
+            is_identified = instance.name in self._identified
             if answer is ProcessAnswer.EXPECTED:
                 self._identified.add(instance.name)
                 self._unidentified.discard(instance.name)
@@ -210,7 +211,7 @@
                     self._unidentified.add(instance.name)
             return answer
 
-        return check._replace(judge=judge, is_required=is_identified)
+        return check._replace(judge=judge, is_required=instance.name in self._identified)
 
     async def ask(self, instance: Instance, data: bytes, *, carrier: str = "") -> CarriedReply:
         """Send a request that changes nothing to the process at a target's address.
