Ask another node for a tunnel if a process check is cut in the first one

What callers saw: a request failed at a target that other nodes could reach, where the node that carried the connection ended while the target was asked which process it is.

Cause: the check is a part of opening a connection, but its loss counted as that of a request: neither the next node nor the direct path was tried.

Change: a connection that is lost before the request was sent counts against the node that carried it. What the target itself has answered, as before, holds for all tunnels.

Evidence: `test_checks_through_tunnels.py`: one of two failed before, both pass. The tests on tunnels and on hosts without targets: 19 passed.

--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -21,6 +21,7 @@
 from ..web.client import (
     CONNECT_REASON,
     REPLACED_REASON,
+    RESET_REASON,
     TUNNEL_REASON,
     Client,
     Exchange,
@@ -43,6 +44,9 @@
 """The same with the connection to the node that carries it."""
 _MAX_CARRIER_COUNT = 3
 """Nodes that are asked for one connection: each of them may be disconnected itself."""
+_TUNNEL_FAILURES = frozenset({CONNECT_REASON, TUNNEL_REASON, RESET_REASON})
+"""Reasons for which another node is asked.  A tunnel that is lost in a process check may have ended
+with the node that carried it."""
 _AVOID_SECONDS = 3.0
 """Time for which a node that could not connect to a target is asked last for tunnels to it."""
 _CONFIRMED_SECONDS = 0.5
@@ -329,7 +333,7 @@
                 result = await attempt(_TUNNEL_TIMEOUT_SECONDS, carrier.gossip)
             except ExchangeError as error:
                 self._metrics.tunnels.inc(label_value=_outcome(error))
-                if error.sent or error.reason not in (CONNECT_REASON, TUNNEL_REASON):
+                if error.sent or error.reason not in _TUNNEL_FAILURES:
                     raise
                 self._failed_at[carrier.name, instance.name] = asyncio.get_running_loop().time()
                 if failure is None or error.reason == CONNECT_REASON:
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -36,6 +36,7 @@
     "MEMORY_REASON",
     "OpenConnection",
     "REPLACED_REASON",
+    "RESET_REASON",
     "Reply",
     "TUNNEL_REASON",
     "UNIDENTIFIED_REASON",
@@ -47,8 +48,10 @@
 """`ExchangeError.reason` if no connection came up."""
 TUNNEL_REASON = "tunnel"
 """The same for a tunnel that another node did not open."""
+RESET_REASON = "reset"
+"""`ExchangeError.reason` if the connection was lost; without a byte sent, before the request."""
 REPLACED_REASON = "replaced"
-"""The same for a connection that leads to another process than the expected one."""
+"""`ExchangeError.reason` for a connection that leads to another process than the expected one."""
 UNIDENTIFIED_REASON = "unidentified"
 """The same for a connection that was not shown to lead to the expected process."""
 _DEFAULT_IDLE_LIMIT_SECONDS = 4.0
@@ -387,7 +390,7 @@
         self._transport = None
         self._reusable = False
         if self._exchange is not None:
-            self._fail(f"connection lost: {exc or 'closed'}", "reset")
+            self._fail(f"connection lost: {exc or 'closed'}", RESET_REASON)
         self._lost(self)
 
     def pause_reading(self) -> None:
@@ -918,7 +921,7 @@
             self._release(path, checked)
             if not connection.usable:
                 detail = f"{path.address}: connection lost before it was used"
-                raise ExchangeError(detail, sent=False, reason="reset")
+                raise ExchangeError(detail, sent=False, reason=RESET_REASON)
         except BaseException:
             connection.close()
             raise
