Bound the questions about replaced targets in large fleets

The target that holds the address refuses the questions of all nodes. Where targets fail if they refuse much, a question a second of each of many nodes could end it. Each node asks less often with more nodes: all together at most four times a second and target from four nodes on. By calculation; not measured.

--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -55,8 +55,11 @@
 _TICK_SECONDS = 0.1
 _CLEAN_SECONDS = 0.5
 _REPLACED_CHECK_SECONDS = 1.0
-"""Interval at which the address of a replaced target is asked for its process: entries may come
-some seconds before it."""
+"""Least interval at which the address of a replaced target is asked for its process: entries may
+come some seconds before it."""
+_REPLACED_CHECK_SECONDS_PER_NODE = 0.25
+"""The same for each node: whoever holds that address refuses the questions of all of them, and some
+targets fail if they refuse much."""
 _REPLACED_ANSWER_SECONDS = 0.5
 """Time for an answer to that."""
 """Interval between searches for tunnels that are not needed any more."""
@@ -381,7 +384,8 @@
             while True:
                 await asyncio.sleep(_TICK_SECONDS)
                 now = loop.time()
-                if now - replaced_at >= _REPLACED_CHECK_SECONDS:
+                per_node = self._views.nodes * _REPLACED_CHECK_SECONDS_PER_NODE
+                if now - replaced_at >= max(_REPLACED_CHECK_SECONDS, per_node):
                     replaced_at = now
                     for instance in self._views.registry.replaced_instances():
                         self._start(self._look_again(instance))
