--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -54,6 +54,7 @@
 would otherwise cost each request to it three tunnels."""
 _TICK_SECONDS = 0.1
 _CLEAN_SECONDS = 0.5
+"""Interval between searches for tunnels that are not needed any more."""
 _REPLACED_CHECK_SECONDS = 1.0
 """Least interval at which the address of a replaced target is asked for its process: entries may
 come some seconds before it."""
@@ -62,7 +63,6 @@
 targets fail if they refuse much."""
 _REPLACED_ANSWER_SECONDS = 0.5
 """Time for an answer to that."""
-"""Interval between searches for tunnels that are not needed any more."""
 
 _log = structlog.get_logger()
 _T = TypeVar("_T")
