--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -269,6 +269,10 @@
             # A send without a response times out after twice the route's latency goal.
             each["target-latency-ms"] = round(seconds * 500)
         self.fleet.configure()
+        self.tolerate_slow_connects(seconds)
+
+    def tolerate_slow_connects(self, seconds: float) -> None:
+        """Raise the timeout of connects so that such a pause lets none of them fail."""
         timeout = "fielddrift_node.serving.target_paths.CONNECT_TIMEOUT_SECONDS"
         connects = mock.patch(timeout, seconds)
         connects.start()
