Count no node that started again as one that was reached

Callers got streams that version 1.1 had begun and version 1 ended, with nothing in the answer to show it: two of three nodes were killed within a second of the second version's appearance and started again at once. What they had begun in the last 0.3 s was neither saved on the platform nor known to the node that lived on. That node asked the others, which knew nothing, and presumed the former version: `_missing_nodes` counted silent nodes, and one that starts again is heard within a second.

It is the class of the incident: what the former process of a node knew was told of the next one. A node of which another process is heard than before counts as missing now, from 3 s before the second version was seen on, for as long as streams may be resumed. Starts before that are of no account: no stream of a second version had begun.

--- a/packages/core/src/fielddrift_core/heartbeat.py
+++ b/packages/core/src/fielddrift_core/heartbeat.py
@@ -85,13 +85,18 @@
 
 
 class KnownNode(NamedTuple):
-    """A summary of a neighbour; `silent_seconds` is None before its first heartbeat."""
+    """A summary of a neighbour; `silent_seconds` is None before its first heartbeat.
+
+    `restarted_at` is when the node was last found to run in another process than the one that had
+    been heard, minus infinity for never.
+    """
 
     name: str
     data_centre: str
     silent_seconds: float | None
     active: bool
     serves: bool
+    restarted_at: float = float("-inf")
 
 
 class NeighbourState(NamedTuple):
--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -72,6 +72,9 @@
         """The states of the nodes in this data centre."""
         self._remote: dict[str, NeighbourState] = {}
         """The states of the nodes in other data centres."""
+        self._restarted_at: dict[str, float] = {}
+        """When each node that had been heard was found to have started again: at the heartbeat of
+        its next process, infinity until that comes."""
         self._disconnected: set[str] = set()
         """The nodes, this one included, that reach no target by themselves."""
         self._sizes: dict[str, DataCentreSize] = {}
@@ -111,6 +114,8 @@
         """Add a node from a list, from which no heartbeat has been received yet."""
         known = self._states.get(node.name)
         if node.name != self._me.name and (known is None or known.node.boot < node.boot):
+            if known is not None and known.received_at != float("-inf"):
+                self._restarted_at[node.name] = float("inf")
             self._set(NeighbourState(node, float("-inf")))
 
     def is_former_instance(self, node: Neighbour, now: float) -> bool:
@@ -133,6 +138,7 @@
         if self.is_former_instance(node, now):
             return False
         known = self._states.get(node.name)
+        self._record_restart(known, node, now)
         heard = NeighbourState(
             node,
             now,
@@ -149,6 +155,13 @@
             self._selected_at = float("-inf")
         return known is None or known.node.boot != node.boot
 
+    def _record_restart(self, known: NeighbourState | None, node: Neighbour, now: float) -> None:
+        """Record when a node is heard whose former process was heard, too."""
+        is_listed = self._restarted_at.get(node.name) == float("inf")
+        was_heard = known is not None and known.received_at != float("-inf")
+        if is_listed or (was_heard and known is not None and known.node.boot != node.boot):
+            self._restarted_at[node.name] = now
+
     def _set(self, heard: NeighbourState) -> None:
         name = heard.node.name
         self._states[name] = heard
@@ -211,6 +224,7 @@
                 ),
                 active=self._is_active(heard),
                 serves=heard.serves and heard.is_alive(now),
+                restarted_at=self._restarted_at.get(name, float("-inf")),
             )
             for name, heard in sorted(self._states.items())
         ]
@@ -437,6 +451,7 @@
         self._nearby.pop(name, None)
         self._remote.pop(name, None)
         self._contacts.pop(name, None)
+        self._restarted_at.pop(name, None)
         self._disconnected.discard(name)
         self._sent.forget(name)
 
--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -260,6 +260,14 @@
         """Return whether several versions serve, or did so lately."""
         return len(self._seen.get(service, ())) > 1
 
+    def mixed_since(self, service: str) -> float:
+        """Return from when on streams of several versions may have begun, infinity for never.
+
+        This node may have seen the second version some time after other nodes.
+        """
+        first_seen = sorted(span.first for span in self._seen.get(service, {}).values())
+        return first_seen[1] - _NEW_VERSION_SECONDS if len(first_seen) > 1 else float("inf")
+
     def is_any_mixed(self) -> bool:
         """Return whether any service is mixed."""
         return any(len(versions) > 1 for versions in self._seen.values())
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -241,7 +241,8 @@
         `is_denied` tells that the platform does not know its origin, either.
         """
         now = asyncio.get_running_loop().time()
-        name, missing = call.service.name, self._missing_nodes(now)
+        name = call.service.name
+        missing = self._missing_nodes(name, now)
         if len(missing) > _MAX_UNANSWERED_COUNT and self._versions.is_mixed(name):
             raise _refused(f"nodes have ended that may know which version began it: {missing}")
         try:
@@ -261,13 +262,19 @@
         while not self._versions.is_history_known and loop.time() < until:
             await asyncio.sleep(_HISTORY_POLL_SECONDS)
 
-    def _missing_nodes(self, now: float) -> list[str]:
-        """Return the nodes that this one has heard, and that do not send heartbeats any more."""
+    def _missing_nodes(self, service: str, now: float) -> list[str]:
+        """Return the nodes of which a process has ended that this one has heard.
+
+        They do not send heartbeats any more, or have started again since `service` had several
+        versions: then they know nothing of the streams that their former processes began.
+        """
         alive = {node.name for node in self._neighbours.alive(now)}
+        since = max(now - MAX_LIFETIME_SECONDS, self._versions.mixed_since(service))
         return [
             node.name
             for node in self._neighbours.known_nodes(now)
-            if node.silent_seconds is not None and node.name not in alive
+            if node.restarted_at >= since
+            or (node.silent_seconds is not None and node.name not in alive)
         ]
 
     def _is_isolated(self, now: float) -> bool:
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -166,6 +166,29 @@
             await self.come_back(callers, [last])
         self.assert_unmixed(callers)
 
+    async def test_streams_of_nodes_that_started_again_join_no_former_version_at_the_last_node(
+        self,
+    ) -> None:
+        """Failure: the answers of nodes that started again counted for their former processes."""
+        await self.start(nodes=6, engines=2, versions=("v1",))
+        await self.saved()
+        flush = mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0)
+        new = mock.patch.object(stream_origins, "_NEW_VERSION_SECONDS", 20.0)
+        with flush, new:
+            for number in range(4):
+                await self.add_engine(f"late-{number}", "v1.1")
+            await self.known()
+            await self.saved()
+            last, *others = self.nodes
+            callers = await self.open_streams(20, *others, own_parts=True)
+            self.assertTrue(self.begun_by(callers, "v1.1"))
+            for node in others:
+                node.kill()
+            self.nodes = [last, *[await self.fleet.node(n.settings.name) for n in others]]
+            await self.known()
+            await self.come_back(callers, [last])
+        self.assert_unmixed(callers)
+
     async def replace_all_from_none(self, count: int) -> list[RunningNode]:
         started = [await self.fleet.node(f"again-{number}") for number in range(count)]
         self.nodes += started
