Presume no version if one node ended and another gave no answer

Callers got streams that version 1.1 had begun and version 1 ended: two of three nodes were killed at once, and a caller came to the third when one of them had started again and the other did not answer yet, but did not count as silent either. The node that lived on allowed one node of which a process has ended, and one live node without an answer, each on its own; together they were all that knew the stream. Traced in a run of real processes: `stream returned` with origin `presumed`, one node heard anew 70 ms before, `node not reached` for the other.

The live nodes that gave no answer now count together with those that ended, for the limit of one and for whether all nodes were reached.

--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -42,8 +42,8 @@
 _ASK_TIMEOUT_SECONDS = 0.8
 """How long answers of other nodes are waited for; one that knows the origin ends the wait."""
 _MAX_UNANSWERED_COUNT = 1
-"""Live nodes of which no answer is needed to tell that none knows an origin: one of its holders
-that has just ended leaves another one."""
+"""Nodes of which no answer is needed to tell that none knows an origin, live or not: one of its
+holders that has just ended leaves another one."""
 _DEFAULT_LIFETIME_SECONDS = 30.0
 """How long an origin is kept if the caller gave no deadline."""
 _RETURN_MARGIN_SECONDS = 1.0
@@ -89,10 +89,11 @@
 
 class _SearchResult(NamedTuple):
     """The origin that other nodes know of a stream, if any, and whether enough of them answered to
-    tell that none does."""
+    tell that none does.  `unanswered` are the live nodes that did not."""
 
     origin: StreamOrigin | None
     is_sufficient: bool
+    unanswered: frozenset[str] = frozenset()
 
 
 _NO_SAVED_ORIGIN = SavedOrigin(None, is_given=False)
@@ -215,7 +216,7 @@
         outdated = now - self._views.targets_read_at > _OUTDATED_SECONDS
         name = call.service.name
         is_ambiguous = not self._versions.knows_history(name, now) or self._versions.is_mixed(name)
-        saved = _NO_SAVED_ORIGIN
+        saved, unanswered = _NO_SAVED_ORIGIN, frozenset[str]()
         if outdated or len(services) > 1 or is_ambiguous:
             answers = await self._ask_others(key) if call.parsed.resumes else None
             if answers is not None and (known := answers.origin) is not None:
@@ -233,16 +234,20 @@
                 raise _refused("too few nodes answered that may know which version began it")
             if outdated and self._is_isolated(now):
                 raise _refused("no other node is reached that may know of newer versions")
-        return self._presume(call, is_denied=saved.is_given)
+            unanswered = unanswered if answers is None else answers.unanswered
+        return self._presume(call, is_denied=saved.is_given, unanswered=unanswered)
 
-    def _presume(self, call: Call, *, is_denied: bool) -> _Resumption:
+    def _presume(
+        self, call: Call, *, is_denied: bool, unanswered: frozenset[str] = frozenset()
+    ) -> _Resumption:
         """Return where a stream of unknown origin may go on; raise `Refused` if that is not known.
 
-        `is_denied` tells that the platform does not know its origin, either.
+        `is_denied` tells that the platform does not know its origin, either; `unanswered` are the
+        live nodes that did not tell whether they know it.
         """
         now = asyncio.get_running_loop().time()
         name = call.service.name
-        missing = self._missing_nodes(name, now)
+        missing = sorted(unanswered.union(self._missing_nodes(name, now)))
         if len(missing) > _MAX_UNANSWERED_COUNT and self._versions.is_mixed(name):
             raise _refused(f"nodes have ended that may know which version began it: {missing}")
         try:
@@ -295,7 +300,10 @@
             for node in _first(key, nodes, _ASKED_COUNT)
         ]
         answers = await self._ask(remote, key)
-        return answers._replace(is_sufficient=found.is_sufficient and answers.is_sufficient)
+        return answers._replace(
+            is_sufficient=found.is_sufficient and answers.is_sufficient,
+            unanswered=found.unanswered | answers.unanswered,
+        )
 
     async def _ask(self, nodes: Collection[Neighbour], key: str) -> _SearchResult:
         """Ask `nodes` for the origin of the stream `key`, until one of them knows it."""
@@ -313,14 +321,12 @@
         finally:
             for each in tasks:
                 each.cancel()
-        return _SearchResult(None, self._is_sufficient(answered, nodes))
-
-    def _is_sufficient(self, answered: Collection[str], asked: Iterable[Neighbour]) -> bool:
-        """Return whether enough of the live nodes that were asked have answered."""
         alive = {node.name for node in self._neighbours.alive(asyncio.get_running_loop().time())}
-        needed = alive & {node.name for node in asked}
-        missing = len(needed.difference(answered))
-        return missing <= _MAX_UNANSWERED_COUNT and missing < max(1, len(needed))
+        needed = alive & {node.name for node in nodes}
+        unanswered = needed.difference(answered)
+        is_sufficient = len(unanswered) <= _MAX_UNANSWERED_COUNT
+        is_sufficient = is_sufficient and len(unanswered) < max(1, len(needed))
+        return _SearchResult(None, is_sufficient, frozenset(unanswered))
 
     async def _ask_one(self, node: Neighbour, key: str) -> _Answer:
         batch = self._batches.get(node.name)
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -189,6 +189,40 @@
             await self.come_back(callers, [last])
         self.assert_unmixed(callers)
 
+    async def test_streams_join_no_former_version_if_one_node_started_again_and_one_is_silent(
+        self,
+    ) -> None:
+        """Failure: a node that had started again and one that gave no answer counted apart."""
+        for route in self.fleet.routes:
+            route |= {"timeout-ms": 8000, "max-attempts": 3, "target-latency-ms": 1000}
+        self.fleet.configure()
+        self.engines, self.nodes = [], []
+        await self.add_engine("first", "v1")
+        # In data centres of their own each origin has one copy.
+        for name in ("a", "b", "c"):
+            self.nodes.append(await self.fleet.node(f"node-{name}", data_centre=name))
+        await self.known()
+        await self.saved()
+        flush = mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0)
+        new = mock.patch.object(stream_origins, "_NEW_VERSION_SECONDS", 20.0)
+        with flush, new:
+            for number in range(4):
+                await self.add_engine(f"late-{number}", "v1.1")
+            await self.known()
+            await self.saved()
+            last, *others = self.nodes
+            callers = await self.open_streams(20, *others, own_parts=True)
+            self.assertTrue(self.begun_by(callers, "v1.1"))
+            for node in others:
+                node.kill()
+            again = await self.fleet.node(others[0].settings.name, data_centre="b")
+            name, neighbours = again.settings.name, last.node._neighbours
+            boot = again.node._boot
+            await eventually(lambda: (n := neighbours.node(name)) is not None and n.boot == boot)
+            self.assertEqual(_alive(last), 2)
+            await self.come_back(callers, [last])
+        self.assert_unmixed(callers)
+
     async def replace_all_from_none(self, count: int) -> list[RunningNode]:
         started = [await self.fleet.node(f"again-{number}") for number in range(count)]
         self.nodes += started
