Ask an engine again that has not told its start

What callers saw: streams joined from two software versions, where an engine whose entry tells a start had no report at first, and later another version took its place.

Cause: one missing report, as of an engine that is still starting, counted for the whole life of its entry as that of an engine which never tells. None of its streams was checked from then on, so what its entry told was told of the process that came after it.

Change: the mark holds for 2 s.

Evidence: `test_reports_that_come_later.py` (one node, four engines whose reports are missing at first, 18 streams, all engines start again in place as another version). Before: joined streams in two of two runs. After: none in three of three. The tests on process checks, restarts in place, ends of responses, addresses and tunnels: 34 passed.

--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -55,6 +55,9 @@
 _TICK_SECONDS = 0.1
 _CLEAN_SECONDS = 0.5
 """Interval between searches for tunnels that are not needed any more."""
+_UNIDENTIFIED_SECONDS = 2.0
+"""How long a target is not asked again that has not said which process it is: one that is starting
+may have no report yet."""
 _REPLACED_CHECK_SECONDS = 1.0
 """Least interval at which the address of a replaced target is asked for its process: entries may
 come some seconds before it."""
@@ -121,8 +124,8 @@
         self._checks: set[asyncio.Task[None]] = set()
         self._identified: set[str] = set()
         """Names of targets that have said which process they are."""
-        self._unidentified: set[str] = set()
-        """Names of targets that have answered without saying it, and do not refuse to answer."""
+        self._unidentified: dict[str, float] = {}
+        """When targets last answered without saying it, by name; refusals do not count."""
 
     # --- sends ----------------------------------------------------------------------
 
@@ -182,7 +185,7 @@
         Only engines have reports; other targets might let the question wait as a request.
         """
         is_told = self._has_reports(instance) and instance.tells_process
-        if not is_told or instance.name in self._unidentified:
+        if not is_told or self._is_unidentified(instance.name):
             return None
         check = self.process_check(instance)
 
@@ -194,6 +197,11 @@
         is_required = check.is_required or need is ProcessNeed.ALWAYS
         return check._replace(judge=judge, is_required=is_required)
 
+    def _is_unidentified(self, name: str) -> bool:
+        """Return whether a target has just answered without saying which process it is."""
+        now = asyncio.get_running_loop().time()
+        return now - self._unidentified.get(name, -math.inf) <= _UNIDENTIFIED_SECONDS
+
     def _has_reports(self, instance: Instance) -> bool:
         catalog = self._views.catalog
         service = None if catalog is None else catalog.services.get(instance.service)
@@ -209,13 +217,13 @@
             is_identified = instance.name in self._identified
             if answer is ProcessAnswer.EXPECTED:
                 self._identified.add(instance.name)
-                self._unidentified.discard(instance.name)
+                self._unidentified.pop(instance.name, None)
             elif answer in (ProcessAnswer.UNIDENTIFIED, ProcessAnswer.REFUSED):
                 if is_identified:
                     # That process says who it is; this one may be another.
                     return ProcessAnswer.UNKNOWN
                 if answer is ProcessAnswer.UNIDENTIFIED:
-                    self._unidentified.add(instance.name)
+                    self._unidentified[instance.name] = asyncio.get_running_loop().time()
             return answer
 
         return check._replace(judge=judge, is_required=instance.name in self._identified)
@@ -403,7 +411,8 @@
             del self._confirmed_at[name]
         registry = self._views.registry
         self._identified = {n for n in self._identified if registry.get(n) is not None}
-        self._unidentified = {n for n in self._unidentified if registry.get(n) is not None}
+        for name in [n for n in self._unidentified if not self._is_unidentified(n)]:
+            del self._unidentified[name]
         for pair in [p for p, at in self._failed_at.items() if at <= now - _AVOID_SECONDS]:
             del self._failed_at[pair]
         usable = {node.gossip for node in self._neighbours.carriers(now)} if self._paths else set()
