Take the end of a node's process for no progress of its requests

What callers may see: requests wait longer at a target that is silent, where a node that had sent it some was killed and has come back under its name.

Cause: the first report of sends of a node that has started again was compared with the last one of its former process, so that all its runs seemed to have been answered. That counts as a sign of life of their targets.

Change: reports of two processes of a node are not compared.

Evidence: `TestRunsOfFormerProcesses` in `test_restarted_nodes.py`: failed before for the node that has started again, passes. The tests on responsiveness and relays: 31 passed.

--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -13,7 +13,7 @@
 import structlog
 from fielddrift_core.brittle_services import BrittleReport
 from fielddrift_core.evacuations import EVACUATIONS_NAME
-from fielddrift_core.neighbours import Heartbeat, Neighbours, Relation
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Relation
 from fielddrift_core.relays import DataCentreSize, size_entry_name
 from fielddrift_core.responsiveness import SilenceReport
 from fielddrift_core.target_notices import LimitReport
@@ -57,6 +57,8 @@
         self._neighbours = neighbours
         self._next_leaving_index = 0
         """Position among the leaving targets at which the next heartbeat continues."""
+        self._boots: dict[str, int] = {}
+        """The process of each nearby node whose sends were last reported."""
 
     def heartbeat(self, relation: Relation, *, leaving: bool) -> Heartbeat:
         """Return the heartbeat for a node with the given `relation` towards this one."""
@@ -120,7 +122,7 @@
         self._apply_silences(heartbeat.node.name, [s for s in silences if s is not None], now)
         if not is_remote:
             self._apply_progress(
-                heartbeat.node.name, burdens, {s.target for s in silences if s is not None}, now
+                heartbeat.node, burdens, {s.target for s in silences if s is not None}, now
             )
         if views.workload.update_node(reporter, burdens, now):
             # True if capacity was freed: waiting requests evaluate all engines again.
@@ -210,15 +212,19 @@
             self._views.responsiveness.merge(reporter, silence, now, nodes=self._views.nodes)
 
     def _apply_progress(
-        self, reporter: str, burdens: Mapping[str, Burden], silent: Collection[str], now: float
+        self, node: Neighbour, burdens: Mapping[str, Burden], silent: Collection[str], now: float
     ) -> None:
         """Record at which targets requests of a nearby node have progressed.
 
         A node that finds a target silent takes its requests away from it, which is no progress.
+        Nor is the end of a node's process, with which its requests end.
         The totals of other data centres do not tell one from the other: a relay reports only what
         it finds `silent` itself, and the two relays' totals differ at any time.
         """
-        for target in self._views.workload.progressed(reporter, burdens):
+        former, self._boots[node.name] = self._boots.get(node.name), node.boot
+        if former not in (None, node.boot):
+            return
+        for target in self._views.workload.progressed(node.name, burdens):
             if target not in silent:
                 self._views.responsiveness.progressed_elsewhere(target, now)
 
--- a/tests/test_restarted_nodes.py
+++ b/tests/test_restarted_nodes.py
@@ -6,10 +6,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import unittest
 from unittest import mock
 
 from fielddrift_core import stream_origins
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours
+from fielddrift_core.responsiveness import SilenceReport
+from fielddrift_core.workload import Burden
 from fielddrift_node.serving import origin_rows
+from fielddrift_node.serving.heartbeats import HeartbeatTranslator
+from fielddrift_node.serving.views import Views
 
 from .platform_fleet import eventually
 from .test_software_versions import _alive
@@ -39,3 +46,21 @@
             await eventually(lambda: _alive(last) == len(others))
             await self.come_back(callers, [last])
         self.assert_unmixed(callers)
+
+
+class TestRunsOfFormerProcesses(unittest.IsolatedAsyncioTestCase):
+    async def test_the_end_of_a_node_is_no_progress_at_its_targets(self) -> None:
+        """Failure: the runs of a node that was killed and came back counted as answered, so that a
+        silent target was found to be silent later."""
+        for boot, is_progress in ((1, True), (2, False)):
+            with self.subTest(boot=boot):
+                views = Views()
+                me = Neighbour("me", 1, "a", "x:1", "x:2", "x:3")
+                translator = HeartbeatTranslator(views=views, neighbours=Neighbours(me=me))
+                node = me._replace(name="other")
+                heartbeat = Heartbeat(node, True, False, 1, {}, {"t": Burden(2)})
+                translator.heard(heartbeat)
+                translator.heard(heartbeat._replace(node=node._replace(boot=boot), burdens={}))
+                now = asyncio.get_running_loop().time()
+                views.responsiveness.merge("third", SilenceReport("t", 0.3), now, nodes=2)
+                self.assertEqual(views.responsiveness.is_unresponsive("t"), not is_progress)
