Give connects in tests of software versions the time that sends have

Cause of the failures of `test_streams_whose_origin_was_not_saved_join_no_former_version`: beside four busy processes, load 20 to 24, it failed in 1 of 7 runs with SLOW_LOOPS=2 and in 2 of 4 with SLOW_LOOPS=4, each time since callers had no events within 10 s. In their logs 112 of 112 failed sends had the reason 'connect': a connection to a target on the same loop took longer than the limit of 0.35 s, four times in a row for 22 requests, which were refused for lack of a target. No stream was mixed. Other causes of the first failure, whose log was not kept, are not ruled out.

Change: connects have 2 s in these tests, whose sends were already to survive a pause of this process. What is asserted of the streams stays.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -124,6 +124,7 @@
             # No send is given up for a pause of this process.
             route |= {"timeout-ms": deadline_ms, "max-attempts": 3, "target-latency-ms": 1000}
         self.fleet.configure()
+        self.tolerate_slow_connects(2.0)
         self.engines: list[Worker] = []
         for number in range(engines):
             await self.add_engine(f"e{number}", versions[number % len(versions)])
