Take no answer of a node's next process for one of the process asked

Callers got streams that version 1.1 had begun and version 1 ended. Two of three nodes were killed and started again at once; before their first heartbeats were heard they answered, at the addresses of the processes before them, that they knew no origin of the stream. The node that lived on took that for the answers of the nodes that it knew, counted neither as ended nor as unanswered, and presumed the former version.

Answers to queries of nodes tell the number of their process now (`Node-Boot`), and one of another process counts as not given; origins in it are used. Nodes of the previous release do not tell it and are believed as before.

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -282,7 +282,8 @@
             cache_seconds=self._entry_cache,
         )
         self._directory_server = Server(handler=directory.handle, limits=Limits)
-        self._peer_server = Server(handler=PeerHandler(views=self._views).handle, limits=Limits)
+        handler = PeerHandler(views=self._views, boot=self._boot)
+        self._peer_server = Server(handler=handler.handle, limits=Limits)
         self._metrics_server = Server(
             handler=MetricsHandler(
                 metrics=self._metrics, beliefs=self._beliefs, lift=self._crashes.lift
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -21,7 +21,7 @@
 from fielddrift_core.target_registry import Instance
 
 from ..web.client import Client, ExchangeError, Timeouts
-from ..web.messages import Headers
+from ..web.messages import Headers, Reply
 from ..web.server import Request, Responder
 from .ports import RemoteCallError
 from .views import Views
@@ -30,6 +30,7 @@
     "StoreCopyRequest",
     "StoreCopy",
     "OperatorCopy",
+    "OriginsCopy",
     "PeerHandler",
     "PeerClient",
     "TargetCopy",
@@ -39,6 +40,8 @@
 """A request within a data centre takes some ms."""
 _ORIGIN_TIMEOUTS = Timeouts(connect=0.4, whole=0.8)
 """Longer, since a caller waits whose stream is refused without the answer."""
+_BOOT = b"node-boot"
+"""The header that numbers the process instance which answers."""
 _T = TypeVar("_T")
 _log = structlog.get_logger()
 
@@ -128,11 +131,23 @@
     held: tuple[tuple[str, str, int], ...] | None = None
 
 
+class OriginsCopy(NamedTuple):
+    """The origins of streams that a node knows.
+
+    `is_expected` is False if another process answered than the one that was asked: one that has
+    started at the same address knows nothing of what the former one began.
+    """
+
+    origins: list[StreamOrigin]
+    is_expected: bool
+
+
 class PeerHandler:
-    """Answers the requests of other nodes for views."""
+    """Answers the requests of other nodes for views; `boot` numbers this process instance."""
 
-    def __init__(self, *, views: Views) -> None:
+    def __init__(self, *, views: Views, boot: int | None = None) -> None:
         self._views = views
+        self._fields = Headers() if boot is None else Headers([(_BOOT, b"%d" % boot)])
         self._answers: dict[str, Callable[[list[str]], object]] = {
             "/views/operators": self._operators,
             "/views/targets": self._targets,
@@ -162,7 +177,7 @@
         except ValueError as error:
             responder.send(400, Headers(), str(error).encode())
             return
-        responder.send(200, Headers(), msgspec.msgpack.encode(view))
+        responder.send(200, self._fields, msgspec.msgpack.encode(view))
 
     def _operators(self, _: list[str]) -> OperatorCopy:
         views = self._views
@@ -251,19 +266,24 @@
         query = urlencode([("of", _format_store_request(request)) for request in requests])
         return await self._get(node, f"/views/kept?{query}", list[StoreCopy])
 
-    async def origins(self, node: Neighbour, keys: Sequence[str]) -> list[StreamOrigin]:
+    async def origins(self, node: Neighbour, keys: Sequence[str]) -> OriginsCopy:
         """Return the origins of the streams `keys` that `node` knows."""
         query = urlencode([("of", key) for key in keys])
         path = f"/views/origins?{query}"
-        return await self._get(node, path, list[StreamOrigin], timeouts=_ORIGIN_TIMEOUTS)
+        reply = await self._ask(node, path, timeouts=_ORIGIN_TIMEOUTS)
+        # Nodes of the previous release do not tell their process.
+        boot = reply.head.headers.text(_BOOT)
+        origins = _decode(node, reply, list[StreamOrigin])
+        return OriginsCopy(origins, is_expected=boot in ("", str(node.boot)))
 
     async def software_versions(self, node: Neighbour) -> dict[str, dict[str, VersionSpan]]:
         """Return the software versions that `node` has seen, with ages in seconds, by service."""
         return await self._get(node, "/views/software", dict[str, dict[str, VersionSpan]])
 
-    async def _get(
-        self, node: Neighbour, path: str, kind: type[_T], *, timeouts: Timeouts = _TIMEOUTS
-    ) -> _T:
+    async def _get(self, node: Neighbour, path: str, kind: type[_T]) -> _T:
+        return _decode(node, await self._ask(node, path), kind)
+
+    async def _ask(self, node: Neighbour, path: str, *, timeouts: Timeouts = _TIMEOUTS) -> Reply:
         request = f"GET {path} HTTP/1.1\r\nHost: {node.peer}\r\n\r\n".encode("ascii")
         try:
             reply = await self._client.call(node.peer, request, timeouts=timeouts)
@@ -274,7 +294,12 @@
             raise RemoteCallError(f"node {node.name}: {error}") from None
         if reply.head.status != 200:
             raise RemoteCallError(f"node {node.name}: status {reply.head.status}")
-        try:
-            return msgspec.msgpack.decode(reply.body, type=kind)
-        except msgspec.DecodeError as error:
-            raise RemoteCallError(f"node {node.name}: not understood: {error}") from None
+        return reply
+
+
+def _decode(node: Neighbour, reply: Reply, kind: type[_T]) -> _T:
+    """Return the view in a reply of `node`; raise `RemoteCallError` if it is malformed."""
+    try:
+        return msgspec.msgpack.decode(reply.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise RemoteCallError(f"node {node.name}: not understood: {error}") from None
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -99,12 +99,18 @@
 _NO_SAVED_ORIGIN = SavedOrigin(None, is_given=False)
 
 
+class _BatchAnswer(NamedTuple):
+    """The origins by key that one node knows, and whether the node gave a valid answer."""
+
+    origins: dict[str, StreamOrigin]
+    is_given: bool
+
+
 class _Batch(NamedTuple):
-    """The keys, in order, that one node is asked for at a time, and its answers by key, None where
-    it gave none."""
+    """The keys, in order, that one node is asked for at a time, and its answer."""
 
     keys: dict[str, None]
-    answers: asyncio.Future[dict[str, StreamOrigin] | None]
+    answer: asyncio.Future[_BatchAnswer]
 
 
 class StreamVersions:
@@ -336,16 +342,13 @@
             )
         batch.keys[key] = None
         # Shielded: others may wait for the same answer.
-        origins = await asyncio.shield(batch.answers)
-        if origins is None:
-            return _Answer(node.name, None, is_given=False)
-        return _Answer(node.name, origins.get(key), is_given=True)
+        answer = await asyncio.shield(batch.answer)
+        return _Answer(node.name, answer.origins.get(key), answer.is_given)
 
-    async def _ask_batch(self, node: Neighbour) -> dict[str, StreamOrigin] | None:
+    async def _ask_batch(self, node: Neighbour) -> _BatchAnswer:
         """Return the origins that `node` knows of the streams that callers return with now.
 
-        Return None if it gives no answer.  Queries are collected, as the callers of a node that has
-        ended return within a short time.
+        Queries are collected, as the callers of a node that has ended return within a short time.
         """
         await asyncio.sleep(_BATCH_SECONDS)
         keys = list(self._batches.pop(node.name).keys)
@@ -353,9 +356,10 @@
             found = await self._peers.origins(node, keys)
         except RemoteCallError as error:
             _log.info("node not reached", node=node.name, error=str(error))
-            return None
+            return _BatchAnswer({}, is_given=False)
         now = asyncio.get_running_loop().time()
-        return {origin.key: origin._replace(until=now + origin.until) for origin in found}
+        origins = {o.key: o._replace(until=now + o.until) for o in found.origins}
+        return _BatchAnswer(origins, is_given=found.is_expected)
 
     def heard(self, origins: Sequence[StreamOrigin]) -> None:
         """Record origins from another node, whose `until` are the seconds that are left."""
--- a/tests/test_versions_after_restart.py
+++ b/tests/test_versions_after_restart.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from unittest import mock
 
 from fielddrift_core import stream_origins
@@ -193,6 +195,45 @@
         self,
     ) -> None:
         """Failure: a node that had started again and one that gave no answer counted apart."""
+        async with self.known_to_ended_nodes() as (callers, last, others):
+            settings = others[0].settings
+            again = await self.fleet.node(settings.name, data_centre=settings.data_centre)
+            name, neighbours = again.settings.name, last.node._neighbours
+            boot = again.node._boot
+            await eventually(lambda: (n := neighbours.node(name)) is not None and n.boot == boot)
+            self.assertEqual(_alive(last), 2)
+            await self.come_back(callers, [last])
+        self.assert_unmixed(callers)
+
+    async def test_streams_join_no_former_version_before_nodes_that_started_again_are_heard(
+        self,
+    ) -> None:
+        """Failure: processes answered, at the addresses of those before them, that no node knew
+        a stream."""
+        async with self.known_to_ended_nodes() as (callers, last, others):
+            neighbours = last.node._neighbours
+            with mock.patch.object(neighbours, "receive", return_value=False):
+                for node in others:
+                    name, data_centre = node.settings.name, node.settings.data_centre
+                    again = await self.fleet.node(name, data_centre=data_centre)
+                    # As if it had started at the address of the former process.
+                    heard = neighbours._states[name]
+                    former = heard.node._replace(peer=again.settings.peer)
+                    neighbours._states[name] = neighbours._remote[name] = heard._replace(
+                        node=former
+                    )
+                self.assertEqual(_alive(last), 2)
+                await self.come_back(callers, [last])
+        self.assert_unmixed(callers)
+
+    @asynccontextmanager
+    async def known_to_ended_nodes(
+        self,
+    ) -> AsyncIterator[tuple[list[_Caller], RunningNode, list[RunningNode]]]:
+        """Begin streams of a second version that only two nodes know, and end these.
+
+        Give the callers, the node that lives on, and the others.
+        """
         for route in self.fleet.routes:
             route |= {"timeout-ms": 8000, "max-attempts": 3, "target-latency-ms": 1000}
         self.fleet.configure()
@@ -215,13 +256,7 @@
             self.assertTrue(self.begun_by(callers, "v1.1"))
             for node in others:
                 node.kill()
-            again = await self.fleet.node(others[0].settings.name, data_centre="b")
-            name, neighbours = again.settings.name, last.node._neighbours
-            boot = again.node._boot
-            await eventually(lambda: (n := neighbours.node(name)) is not None and n.boot == boot)
-            self.assertEqual(_alive(last), 2)
-            await self.come_back(callers, [last])
-        self.assert_unmixed(callers)
+            yield callers, last, others
 
     async def replace_all_from_none(self, count: int) -> list[RunningNode]:
         started = [await self.fleet.node(f"again-{number}") for number in range(count)]
