Say plainly what connections, checks and lost answers tell of a process

Wording of comments and one name (ProcessNeed.IF_IDENTIFIED), where a reader who had not seen the code was stopped; the text at broken_off said the reverse of what it does. No behaviour changes.

--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -273,7 +273,7 @@
         return any(len(versions) > 1 for versions in self._seen.values())
 
     def only_version(self, service: str) -> str:
-        """Return the one version that serves and that served lately, empty if there is not one."""
+        """Return the version if exactly one serves or did so lately, an empty string otherwise."""
         seen = self._seen.get(service, ())
         return min(seen) if len(seen) == 1 else ""
 
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -76,7 +76,8 @@
 def broken_off(error: ExchangeError | StreamError | AttemptFailed) -> AttemptFailed:
     """Return the failure of a send whose answer broke off with `error` after its head.
 
-    Only a lost connection may show a crash: other reasons are kept.
+    Reasons that say nothing of the target's process are kept; all others count as a cut
+    connection, which may show a crash.
     """
     reason = GARBLED_REASON if isinstance(error, StreamError) else error.reason
     if reason not in (GARBLED_REASON, MEMORY_REASON):
@@ -192,7 +193,7 @@
             **call.trace.relay_progress(send),
         )
         self._report_failure(send, failure)
-        # A replaced target is found once, and tells nothing of the others.
+        # Does not count as a failed connection: other targets may well be reached.
         connect_failed = failure.reason != REPLACED_REASON
         self._count_end(send, reached=failure.reached, connect_failed=connect_failed)
 
@@ -274,7 +275,7 @@
     """Return whether a request depends on the process that runs it: events of a stream do."""
     if not call.is_resumable_stream:
         return ProcessNeed.NONE
-    return ProcessNeed.ALWAYS if outgoing.resume_after else ProcessNeed.IF_TOLD
+    return ProcessNeed.ALWAYS if outgoing.resume_after else ProcessNeed.IF_IDENTIFIED
 
 
 def _age_ms(send: Send) -> int:
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -65,8 +65,8 @@
 """When a caller may return whose stream no target can resume now."""
 
 _UNKNOWN_SOFTWARE = "?"
-"""Stands for the version of a stream that goes on at no target, as it is not known which process
-began it."""
+"""Recorded for a stream of which it is not known which process began it.  No target has this
+version, so the stream is never resumed."""
 
 _log = structlog.get_logger()
 
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -85,8 +85,9 @@
     """When a request is sent only if the process that gets it has said that it is the target's."""
 
     NONE = "none"
-    IF_TOLD = "if-told"
-    """If that process has said so once: one that is silent, or refuses, may be another."""
+    IF_IDENTIFIED = "if-identified"
+    """If the target has told its start: a process that then is silent or refuses to tell may be
+    another one."""
     ALWAYS = "always"
 
 
@@ -165,7 +166,7 @@
     async def connect(self, instance: Instance) -> None:
         """Open a connection for a later send; raise `ExchangeError` as for `begin`."""
 
-        process = self._check_for_send(instance, ProcessNeed.IF_TOLD)
+        process = self._check_for_send(instance, ProcessNeed.IF_IDENTIFIED)
 
         async def connect(seconds: float, through: str) -> None:
             await self._client.connect(
@@ -176,7 +177,7 @@
 
     def is_process_unknown(self, instance: Instance, exchange: Exchange) -> bool:
         """Return whether an exchange may be with another process than `instance`."""
-        check = self._check_for_send(instance, ProcessNeed.IF_TOLD)
+        check = self._check_for_send(instance, ProcessNeed.IF_IDENTIFIED)
         return check is not None and exchange.process != check.name
 
     def _check_for_send(self, instance: Instance, need: ProcessNeed) -> ProcessCheck | None:
--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -98,7 +98,8 @@
 
 
 class Access(StrEnum):
-    """What a request does whose response has no id, so that a late copy may pass for it."""
+    """Whether a request only reads.  Its response has no id, so a late copy of one can't be told
+    from the next."""
 
     READ = "read"
     """It changes nothing: it is sent once more if its connection has carried the same success."""
@@ -912,8 +913,9 @@
         if asyncio.get_running_loop().time() >= until:
             # No answer came, and none is required.
             return await open_one()
-        # The server closes connections behind its answers.  One that was opened before another one
-        # is checked leads to the same process, or to an earlier one and ends with it.
+        # The server closes connections behind its answers, so the first of two is used and the
+        # second one checked.  The first was opened earlier: it leads to the same process, or to
+        # one that has ended and closed it.
         connection = await open_one()
         try:
             checked = await open_one()
--- a/tests/test_process_checks_at_once.py
+++ b/tests/test_process_checks_at_once.py
@@ -36,7 +36,7 @@
         first, second = (self.paths.process_check(self.instance) for _ in range(2))
         self.assertIs(first.judge(_EXPECTED), ProcessAnswer.EXPECTED)
         self.assertIs(second.judge(_NO_REPORT), ProcessAnswer.UNKNOWN)
-        self.assertIsNotNone(self.paths._check_for_send(self.instance, ProcessNeed.IF_TOLD))
+        self.assertIsNotNone(self.paths._check_for_send(self.instance, ProcessNeed.IF_IDENTIFIED))
 
     async def test_a_refusal_after_one_that_told_the_start_may_be_of_another_process(self) -> None:
         first, second = (self.paths.process_check(self.instance) for _ in range(2))
@@ -46,4 +46,4 @@
     async def test_a_target_that_never_told_its_start_is_not_checked(self) -> None:
         check = self.paths.process_check(self.instance)
         self.assertIs(check.judge(_NO_REPORT), ProcessAnswer.UNIDENTIFIED)
-        self.assertIsNone(self.paths._check_for_send(self.instance, ProcessNeed.IF_TOLD))
+        self.assertIsNone(self.paths._check_for_send(self.instance, ProcessNeed.IF_IDENTIFIED))
