Let the soak cut paths while a connection's socket is closed already

Cutting the paths of hosts filters the socket of each connection that a link carries. A link carries a connection until both of its directions have ended, and while all is held they don't: a connection that its client has reset then has a closed socket, whose descriptor is -1, and duplicating that raised `OSError: Bad file descriptor` out of the fault, so that the soak ended without a verdict. Without a hold the same holds for the few turns of the event loop between the close and the end of the carrying.

A closed socket is left alone now: nothing arrives for it. The filters are set on the transports' sockets themselves, for which no duplicates are needed.

test_paths_are_cut_while_a_held_link_has_a_connection_that_was_reset failed before with that error, and passes, as the other five of its class do.

--- a/soak/links.py
+++ b/soak/links.py
@@ -8,6 +8,7 @@
 import ipaddress
 import socket
 import struct
+from asyncio.trsock import TransportSocket
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -29,8 +30,13 @@
 _WHOLE_PACKET = 0x40000
 
 
-def _lose_packets(sock: socket.socket, sources: Collection[str]) -> None:
-    """Let the kernel drop all packets from `sources` that arrive for `sock`."""
+def _lose_packets(sock: socket.socket | TransportSocket, sources: Collection[str]) -> None:
+    """Let the kernel drop all packets from `sources` that arrive for `sock`.
+
+    Nothing arrives for a closed one; what it received may still be carried, behind a hold.
+    """
+    if sock.fileno() < 0:
+        return
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
     if not sources:
@@ -56,10 +62,6 @@
     refuse: bool = False
 
 
-def _kernel_socket(writer: asyncio.StreamWriter) -> socket.socket:
-    return socket.socket(fileno=socket.dup(writer.get_extra_info("socket").fileno()))
-
-
 class _Pair:
     """One carried connection."""
 
@@ -75,7 +77,11 @@
         """Carry nothing more, and acknowledge nothing, if the connection is from `sources`."""
         if self.source in sources:
             self.silent = True
-            _lose_packets(_kernel_socket(self.writers[0]), sources)
+            self.lose_packets(sources)
+
+    def lose_packets(self, sources: Collection[str]) -> None:
+        """Let the kernel drop what `sources` send on it; drop nothing where there are none."""
+        _lose_packets(self.writers[0].get_extra_info("socket"), sources)
 
     def reset(self) -> None:
         """Reset both ends."""
@@ -160,7 +166,7 @@
         self._filter()
         for pair in list(self._pairs):
             if pair.source in healed:
-                _lose_packets(_kernel_socket(pair.writers[0]), ())
+                pair.lose_packets(())
                 pair.reset()
             pair.cut(self._cut)
 
@@ -175,9 +181,7 @@
         if self._server is None:
             return
         for sock in self._server.sockets:
-            duplicate = socket.socket(fileno=socket.dup(sock.fileno()))
-            _lose_packets(duplicate, self._cut | self._unheard)
-            duplicate.close()
+            _lose_packets(sock, self._cut | self._unheard)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A task of asyncio's own streams that is cancelled before its first step is logged as
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 import tempfile
 import unittest
 from collections.abc import Iterable
@@ -68,6 +70,8 @@
 CUT_OFF_SERVED = "hosts that reach no worker serve through others"
 NOT_FALLEN = "brittle workers are not brought to fall over"
 SAFE, UNSAFE, CHAT, VERDICT = KINDS
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER that makes a close send a reset."""
 
 
 def attempt(kind: Kind, worker: str = "plain-1", **changes: object) -> Attempt:
@@ -576,6 +580,19 @@
         await hold
         await self._open()
 
+    async def test_paths_are_cut_while_a_held_link_has_a_connection_that_was_reset(self) -> None:
+        _, writer = await self._open()
+        hold = asyncio.ensure_future(self.link.hold(0.3))
+        await asyncio.sleep(0)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        self.link.cut([HOST])
+        self.link.cut([])
+        await hold
+        await self._open()
+
     async def test_a_reset_is_seen_as_one(self) -> None:
         reader, _ = await self._open()
         self.link.reset()
