Let a seed of the soak draw among the kinds that there were when it failed

A seed draws among all kinds of fault, so a kind that is added changes what it draws. Kept seeds name their kinds; a seed given by hand could do so only by naming each of them.

`--first-kinds N` takes the first N kinds, and each seed's line tells among how many it drew. The new test failed before (no such option) and passes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,13 @@
 @click.option("--seeds", default=4, show_default=True, help="How many fresh seeds.")
 @click.option("--kept", is_flag=True, help="The seeds that failed once.")
 @click.option("--fault", type=click.Choice(list(FAULTS)), multiple=True, help="Only these kinds.")
+@click.option(
+    "--first-kinds",
+    type=click.IntRange(1, len(FAULTS)),
+    default=len(FAULTS),
+    show_default=True,
+    help="Only so many kinds: those that there were when a seed failed.",
+)
 @click.option("--nodes", default=Size().nodes, show_default=True)
 @click.option("--callers", default=Size().callers, show_default=True)
 @click.option("--resting", default=Size().resting, show_default=True, help="Callers that rest.")
@@ -44,6 +51,7 @@
     seeds: int,
     kept: bool,
     fault: tuple[str, ...],
+    first_kinds: int,
     nodes: int,
     callers: int,
     resting: int,
@@ -52,7 +60,7 @@
     jobs: int,
 ) -> None:
     """Soak fielddrift in faults; exit 1 where a promise was broken."""
-    kinds = fault or (SERIES if series else tuple(FAULTS))
+    kinds = fault or (SERIES if series else tuple(FAULTS)[:first_kinds])
     size = Size(nodes, callers, seconds, kinds, resting)
     if kept:
         wanted = [failed.seed for failed in FAILED_ONCE]
@@ -62,11 +70,12 @@
         sizes = [size] * len(wanted)
     bad = 0
     with ProcessPoolExecutor(jobs) as pool:
-        for outcome, folder in pool.map(_one, wanted, sizes):
+        for played, (outcome, folder) in zip(sizes, pool.map(_one, wanted, sizes), strict=True):
             fresh, resumed = outcome.followed
             verdict = f"BROKEN, logs in {folder}" if outcome.broken else "held"
             click.echo(
-                f"seed {outcome.seed}: {verdict}; {outcome.answered}/{outcome.attempts}, "
+                f"seed {outcome.seed}, {len(played.kinds)} kinds: {verdict}; "
+                f"{outcome.answered}/{outcome.attempts}, "
                 f"followed when cut in a first event: {fresh} fresh, {resumed} resumed"
             )
             click.echo(f"  {outcome.ends}; the soak's own process late by {outcome.late:.2f} s")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,12 +9,16 @@
 import tempfile
 import unittest
 from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from unittest import mock
 
+from click.testing import CliRunner
 from fielddrift_standins.brittle import BrittleWorker
 from fielddrift_standins.fleet import HOST, free_port
 from fielddrift_standins.worker import Ran, Worker
 
+from soak.__main__ import main
 from soak.callers import EVENTS, KINDS, TALK, Attempt, Kind, RestingCaller
 from soak.endings import Endings, Ends
 from soak.faults import FAULTS, SERIES, SILENCE
@@ -33,7 +37,7 @@
     RouteTimeout,
 )
 from soak.promises import CUT_OFF, ENDING, PROMISES, Evidence, Followed, Probe, Span, Stop, broken
-from soak.scene import Size, run
+from soak.scene import Outcome, Size, run
 from soak.seeds import FAILED_ONCE
 
 SEED = 7
@@ -684,6 +688,25 @@
         self.assertIsNotNone(made.found_closed)
 
 
+class CommandTest(unittest.TestCase):
+    def test_a_seed_draws_among_the_kinds_that_there_were_when_it_is_told_how_many(self) -> None:
+        sizes = []
+
+        def play(seed: int, size: Size) -> tuple[Outcome, str]:
+            sizes.append(size)
+            return Outcome(seed, [], 1, 1, Followed(0, 0), count_ends(evidence()), 0.0, [], []), ""
+
+        with (
+            mock.patch("soak.__main__._one", play),
+            mock.patch("soak.__main__.ProcessPoolExecutor", ThreadPoolExecutor),
+        ):
+            fewer = CliRunner().invoke(main, ["--seed", "7", "--first-kinds", "26"])
+            every = CliRunner().invoke(main, ["--seed", "7"])
+        self.assertEqual([size.kinds for size in sizes], [tuple(FAULTS)[:26], tuple(FAULTS)])
+        self.assertIn("seed 7, 26 kinds: held", fewer.output)
+        self.assertIn(f"seed 7, {len(FAULTS)} kinds: held", every.output)
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_a_short_seeded_soak_breaks_no_promise(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
