--- a/packages/standins/src/fielddrift_standins/rowstore.py
+++ b/packages/standins/src/fielddrift_standins/rowstore.py
@@ -110,6 +110,10 @@
         """Write a row as an operator or a target does; return the new version."""
         return self._set(table, key, json.dumps(value).encode())
 
+    def put_text(self, table: str, key: str, text: str) -> int:
+        """Write a row whose value is `text`, JSON or not; return the new version."""
+        return self._set(table, key, text.encode())
+
     def drop(self, table: str, key: str) -> None:
         """Remove a row."""
         self._remove(table, key)
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -403,6 +403,19 @@
     exchange.responder.cut()
 
 
+@fault("cut-head")
+async def _cut_head(exchange: _Exchange) -> None:
+    """Break off inside the head of the answer, behind the fields that it needs to be taken."""
+    worker = exchange.worker
+    worker.begin(exchange.request)
+    fields = [*worker.head(exchange.request_id), (b"Content-Length", b"1000")]
+    lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in fields), b"", b""]
+    head = b"\r\n".join(lines)
+    exchange.responder.write_raw(head[: -1 - len(worker.ran) % len(head)])
+    await asyncio.sleep(0.02)
+    exchange.responder.cut()
+
+
 @fault("silent-first")
 async def _silent_first(exchange: _Exchange) -> None:
     """Fall silent inside the first event of this run."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 from collections import Counter
@@ -778,3 +779,79 @@
             await outside.end_in_order(engine.name)
     for engine in engines:
         engine.unframed = False
+
+
+# --- what a node has not read, or cannot ------------------------------------------------
+
+_OUT_OF_STEP_SECONDS = (0.5, 4.0)
+"""How long a host stands still, or is cut off from the store: up to when it knows that it was."""
+
+
+@fault("a host is out of step while a version joins, and its engines break off")
+async def _out_of_step(site: Site, rng: random.Random) -> None:
+    outside = site.outside
+    site.takes_up = True
+    machine = rng.choice(site.machines)
+    seconds = rng.uniform(*_OUT_OF_STEP_SECONDS)
+    if rng.random() < 0.5:
+        away = asyncio.ensure_future(_pause(machine, seconds))
+    else:
+        away = asyncio.ensure_future(_without_store(machine, seconds))
+    await _lasting(rng, 0.05, 0.4)
+    outside.software = f"v{int(outside.software[1:]) + 1}"
+    joined = [await outside.begin_worker("engines") for _ in range(rng.randint(2, 3))]
+    for name in joined:
+        outside.give_faults(name, ["cut-event"] * rng.randint(6, 12))
+    await away
+    await _lasting(rng, 1.0, 3.0)
+    for name in joined:
+        if name in outside.serving("engines"):
+            outside.workers[name].faults.clear()
+            outside.drain(name)
+
+
+async def _without_store(machine: Machine, seconds: float) -> None:
+    machine.store.silence()
+    machine.store.harm = Harm(lose_to_server=True, lose_to_client=True)
+    await asyncio.sleep(seconds)
+    machine.store.harm = Harm()
+
+
+_ODD_VALUES: dict[str, tuple[str, ...]] = {
+    "address": ('"127.0.0.1:70000"', f'"{"a" * 64}.example:80"', r'"127.0.0.1:\u0663"', "7"),
+    "slots": ("1" + "0" * 400, "-1", "1e400", '"many"'),
+    "cold-left-ms": ("1e308", "-5", "[]"),
+    "models": ('[{"name": "m", "version": 1' + "0" * 400 + "}]", "[[]]", r'"\ud800"'),
+    "version": ("1" + "0" * 5000, "[" * 5000 + "]" * 5000),
+}
+"""Values of an entry's fields, as JSON, that no target writes."""
+
+
+@fault("another writer leaves odd entries among those of workers", planned=True)
+async def _odd_entries(site: Site, rng: random.Random) -> None:
+    store, names = site.outside.store, []
+    for _ in range(rng.randint(3, 8)):
+        field = rng.choice(list(_ODD_VALUES))
+        fields = {
+            "service": json.dumps(rng.choice(["plain", "engines"])),
+            "address": '"127.0.0.1:9"',
+            "zone": json.dumps(rng.choice(site.machines).zone),
+            "state": '"ready"',
+            field: rng.choice(_ODD_VALUES[field]),
+        }
+        text = ", ".join(f'"{name}": {value}' for name, value in fields.items())
+        names.append(f"odd-{rng.getrandbits(32):08x}")
+        store.put_text("servers", names[-1], f"{{{text}}}")
+        await _lasting(rng, 0.1, 1.0)
+    await _lasting(rng, 1.0, 3.0)
+    for name in names:
+        store.drop("servers", name)
+
+
+@fault("engines stop inside the heads of their answers", workers=True)
+async def _heads_stop(site: Site, rng: random.Random) -> None:
+    engines = _some_engines(site, rng)
+    for engine in engines:
+        faults = [rng.choice(["cut-head", "cut-event"]) for _ in range(rng.randint(3, 12))]
+        site.outside.give_faults(engine.name, faults)
+    await _first_event_lost(site, rng, engines)
