Split the web client by job

Each has a module now: `errors.py` (what ends an exchange), `paths.py` (the way to a server, why no connection came up), `exchange.py`, `connection.py` (a connection and its parser), `checked_connections.py` (process checks) and `client.py` (the pool). An exchange knows its connection as a `Carrier`, so no modules import each other. `_Connection`, `_Path` and `_BoundExceeded` are used by other modules and lose their underscore. No behaviour is changed; importers name the new modules, and two tests patch the constant and the class at their new place.

--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -21,7 +21,9 @@
     StoreContents,
     WeightsOrder,
 )
-from fielddrift_node.web.client import Client, Exchange, ExchangeError
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.errors import ExchangeError
+from fielddrift_node.web.exchange import Exchange
 from fielddrift_node.web.messages import Headers, RequestHead, ResponseHead
 from fielddrift_node.web.process_check import ProcessAnswer, ProcessCheck
 from fielddrift_node.web.server import Request, Responder
--- a/bench/lab/engine.py
+++ b/bench/lab/engine.py
@@ -15,7 +15,8 @@
 from fielddrift_core.prompt import Part
 from fielddrift_core.store_index import allocated_tokens
 from fielddrift_node.serving.ports import OutgoingRequest
-from fielddrift_node.web.client import Exchange, ExchangeError
+from fielddrift_node.web.errors import ExchangeError
+from fielddrift_node.web.exchange import Exchange
 from fielddrift_node.web.messages import Headers, ResponseHead
 
 from .sizes import Sizes
--- a/packages/node/src/fielddrift_node/serving/attempts.py
+++ b/packages/node/src/fielddrift_node/serving/attempts.py
@@ -10,13 +10,8 @@
 from fielddrift_core.stream import StreamError
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import (
-    GARBLED_REASON,
-    MEMORY_REASON,
-    REPLACED_REASON,
-    Exchange,
-    ExchangeError,
-)
+from ..web.errors import GARBLED_REASON, MEMORY_REASON, REPLACED_REASON, ExchangeError
+from ..web.exchange import Exchange
 from ..web.messages import Framing, ResponseHead
 from .call import Call, Refused, Send, ServingContext
 from .ports import OutgoingRequest, ResponseInfo
--- a/packages/node/src/fielddrift_node/serving/crash_watch.py
+++ b/packages/node/src/fielddrift_node/serving/crash_watch.py
@@ -19,7 +19,8 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import REPLACED_REASON, CarrierState, ExchangeError, LiveConnection
+from ..web.connection import LiveConnection
+from ..web.errors import REPLACED_REASON, CarrierState, ExchangeError
 from ..web.process_check import ProcessAnswer
 from .attempts import CONNECTION_LOST_REASONS
 from .call import Call, Refused, Send, TargetState
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -17,7 +17,8 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.urgency import urgency
 
-from ..web.client import REPLACED_REASON, Exchange, ExchangeError
+from ..web.errors import REPLACED_REASON, ExchangeError
+from ..web.exchange import Exchange
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, Shortage, broken_off, send_once
--- a/packages/node/src/fielddrift_node/serving/plain_requests.py
+++ b/packages/node/src/fielddrift_node/serving/plain_requests.py
@@ -17,7 +17,8 @@
 from fielddrift_core.stalls import MAX_OVERLAP_SECONDS
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import REPLACED_REASON, Exchange, ExchangeError
+from ..web.errors import REPLACED_REASON, ExchangeError
+from ..web.exchange import Exchange
 from ..web.messages import ResponseHead
 from ..web.server import Responder
 from .attempts import AttemptFailed, Attempts, Shortage, broken_off, send_once
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -20,7 +20,8 @@
 from fielddrift_core.stream_origins import StreamOrigin, VersionSpan
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import Client, ExchangeError, Timeouts
+from ..web.client import Client, Timeouts
+from ..web.errors import ExchangeError
 from ..web.messages import Headers, Reply
 from ..web.server import Request, Responder
 from .ports import RemoteCallError
--- a/packages/node/src/fielddrift_node/serving/target_paths.py
+++ b/packages/node/src/fielddrift_node/serving/target_paths.py
@@ -18,18 +18,11 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.target_registry import Instance
 
-from ..web.client import (
-    CONNECT_REASON,
-    REPLACED_REASON,
-    RESET_REASON,
-    TUNNEL_REASON,
-    Client,
-    Exchange,
-    ExchangeError,
-    LiveConnection,
-    Reply,
-)
-from ..web.messages import ResponseHead
+from ..web.client import Client
+from ..web.connection import LiveConnection
+from ..web.errors import CONNECT_REASON, REPLACED_REASON, RESET_REASON, TUNNEL_REASON, ExchangeError
+from ..web.exchange import Exchange
+from ..web.messages import Reply, ResponseHead
 from ..web.process_check import ProcessAnswer, ProcessCheck
 from ..web.tunnel import TunnelStatus
 from .metrics import Metrics
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -30,7 +30,7 @@
 from fielddrift_core.urgency import CallerWaits
 from fielddrift_core.workload import Lateness, PeakRate, TargetHealth, Workload
 
-from ..web.client import MEMORY_REASON
+from ..web.errors import MEMORY_REASON
 from .plain_queues import PlainQueues
 from .ports import NamedWeights
 from .service_queues import ServiceQueues
--- a/tests/test_bodiless_lengths.py
+++ b/tests/test_bodiless_lengths.py
@@ -9,7 +9,8 @@
 import asyncio
 import unittest
 
-from fielddrift_node.web.client import MAX_BODY_BYTES, Client
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.exchange import MAX_BODY_BYTES
 from fielddrift_standins.fleet import HOST
 
 
--- a/tests/test_checked_connections.py
+++ b/tests/test_checked_connections.py
@@ -10,7 +10,8 @@
 import itertools
 import unittest
 
-from fielddrift_node.web.client import UNIDENTIFIED_REASON, Client, ExchangeError
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.errors import UNIDENTIFIED_REASON, ExchangeError
 from fielddrift_node.web.process_check import ProcessAnswer, ProcessCheck
 
 from .platform_fleet import HOST, eventually, free_port
--- a/tests/test_checks_through_tunnels.py
+++ b/tests/test_checks_through_tunnels.py
@@ -12,12 +12,8 @@
 
 from fielddrift_core.neighbours import Neighbour
 from fielddrift_node.serving.target_paths import ProcessNeed
-from fielddrift_node.web.client import (
-    REPLACED_REASON,
-    UNIDENTIFIED_REASON,
-    Exchange,
-    ExchangeError,
-)
+from fielddrift_node.web.errors import REPLACED_REASON, UNIDENTIFIED_REASON, ExchangeError
+from fielddrift_node.web.exchange import Exchange
 from fielddrift_standins.worker import Worker
 
 from .platform_fleet import FleetCase, eventually
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -17,8 +17,9 @@
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.target_paths import TargetPaths
 from fielddrift_node.serving.views import Views
-from fielddrift_node.web import client
-from fielddrift_node.web.client import Client, ExchangeError, Timeouts
+from fielddrift_node.web import connection
+from fielddrift_node.web.client import Client, Timeouts
+from fielddrift_node.web.errors import ExchangeError
 from fielddrift_node.web.host_memory import HostMemory
 from fielddrift_node.web.messages import Headers, ResponseHead
 from fielddrift_platform.targets import PlatformTargets
@@ -139,7 +140,7 @@
     async def test_a_connection_is_closed_when_it_has_carried_as_many_ids_as_it_remembers(
         self,
     ) -> None:
-        with mock.patch.object(client, "_MAX_REQUEST_ID_COUNT", 2):
+        with mock.patch.object(connection, "_MAX_REQUEST_ID_COUNT", 2):
             for number, is_kept in enumerate((False, True, False)):
                 self.answers = [ANSWER]
                 exchange = await self.client.begin(
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -10,7 +10,8 @@
 from typing import Any
 from unittest import mock
 
-from fielddrift_node.web.client import Client, ExchangeError
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.errors import ExchangeError
 from fielddrift_standins import worker as standin
 from fielddrift_standins.fleet import HOST
 from fielddrift_standins.worker import Worker
--- a/tests/test_left_from_a_try.py
+++ b/tests/test_left_from_a_try.py
@@ -20,7 +20,8 @@
 from fielddrift_core.prompt_queue import PromptQueue, WaitingPrompt
 from fielddrift_core.stream import EventFramer
 from fielddrift_node.serving.ports import TargetChanges
-from fielddrift_node.web.client import Client, Timeouts, _Connection
+from fielddrift_node.web.client import Client, Timeouts
+from fielddrift_node.web.connection import Connection
 from fielddrift_node.web.messages import Headers
 from fielddrift_standins import worker as standin
 from fielddrift_standins.deployment import route
@@ -276,15 +277,15 @@
         """A count that is too low gives a target more connections than it accepts."""
         held = await self.client.begin(self.address, _REQUEST, connect_seconds=2.0)
         connecting: asyncio.Task[Any] | None = None
-        connection_made = _Connection.connection_made
+        connection_made = Connection.connection_made
 
-        def cancel_on_connect(connection: _Connection, transport: asyncio.BaseTransport) -> None:
+        def cancel_on_connect(connection: Connection, transport: asyncio.BaseTransport) -> None:
             """Cancel the request at the moment in which its connection is established."""
             connection_made(connection, transport)
             assert connecting is not None
             connecting.cancel()
 
-        with mock.patch.object(_Connection, "connection_made", cancel_on_connect):
+        with mock.patch.object(Connection, "connection_made", cancel_on_connect):
             connecting = asyncio.ensure_future(
                 self.client.begin(self.address, _REQUEST, connect_seconds=2.0)
             )
--- a/tests/test_no_key_left.py
+++ b/tests/test_no_key_left.py
@@ -14,8 +14,7 @@
 from fielddrift_core.catalog import Catalog
 from fielddrift_node.serving.sharing import OperatorCopy, PeerClient, PeerHandler
 from fielddrift_node.serving.views import Views
-from fielddrift_node.web.client import Reply
-from fielddrift_node.web.messages import Headers, RequestHead
+from fielddrift_node.web.messages import Headers, Reply, RequestHead
 from fielddrift_node.web.server import Request
 from fielddrift_platform.wire import decode_catalog
 from fielddrift_standins.worker import Worker
--- a/tests/test_process_check_failures.py
+++ b/tests/test_process_check_failures.py
@@ -12,7 +12,8 @@
 from unittest import mock
 
 from fielddrift_core.target_registry import Instance
-from fielddrift_node.web.client import Client, ExchangeError
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.errors import ExchangeError
 from fielddrift_node.web.messages import Headers
 from fielddrift_node.web.server import Request, Responder
 from fielddrift_platform.targets import PlatformTargets
--- a/tests/test_release_before.py
+++ b/tests/test_release_before.py
@@ -13,8 +13,7 @@
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.ports import RemoteCallError
 from fielddrift_node.serving.sharing import PeerClient, PeerHandler, TargetCopy
-from fielddrift_node.web.client import Reply
-from fielddrift_node.web.messages import Headers, RequestHead
+from fielddrift_node.web.messages import Headers, Reply, RequestHead
 from fielddrift_node.web.server import Request
 
 
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -5,7 +5,8 @@
 import asyncio
 import unittest
 
-from fielddrift_node.web.client import Access, Client, Reply, Timeouts
+from fielddrift_node.web.client import Access, Client, Timeouts
+from fielddrift_node.web.messages import Reply
 from fielddrift_standins.fleet import HOST, free_port
 
 _READ = b"GET /report HTTP/1.1\r\nHost: e\r\n\r\n"
--- a/tests/test_silent_paths.py
+++ b/tests/test_silent_paths.py
@@ -8,7 +8,8 @@
 import struct
 import unittest
 
-from fielddrift_node.web.client import Client, ExchangeError
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.errors import ExchangeError
 from fielddrift_standins.fleet import HOST, free_port
 
 from .platform_fleet import eventually
--- a/tests/test_store_goes_back.py
+++ b/tests/test_store_goes_back.py
@@ -17,8 +17,7 @@
 from fielddrift_core.eras import combine
 from fielddrift_core.target_registry import LAPSE_GRACE_SECONDS
 from fielddrift_node.serving.ports import HistoryTruncated, RemoteCallError, RowWrite
-from fielddrift_node.web.client import Reply
-from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_node.web.messages import Headers, Reply, ResponseHead
 from fielddrift_platform.store import PlatformStore
 from fielddrift_standins.deployment import route
 from fielddrift_standins.rowstore import StoreCopy
--- a/tests/test_target_lives.py
+++ b/tests/test_target_lives.py
@@ -20,8 +20,7 @@
 from fielddrift_core.target_registry import Instance, TargetRegistry, instance_name, target_id
 from fielddrift_node.serving.ports import OutgoingRequest, RemoteCallError
 from fielddrift_node.serving.views import Views
-from fielddrift_node.web.client import Reply
-from fielddrift_node.web.messages import Headers, ResponseHead
+from fielddrift_node.web.messages import Headers, Reply, ResponseHead
 from fielddrift_platform import store as store_module
 from fielddrift_platform.store import PlatformStore
 from fielddrift_platform.targets import PlatformTargets
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from unittest import mock
 
-from fielddrift_node.web.client import CONNECT_REASON, TUNNEL_REASON, Client, ExchangeError
+from fielddrift_node.web.client import Client
+from fielddrift_node.web.errors import CONNECT_REASON, TUNNEL_REASON, ExchangeError
 from fielddrift_node.web.tunnel import TunnelError, TunnelHandshake, TunnelServer, TunnelStatus
 from fielddrift_standins.fleet import HOST, free_port
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from fielddrift_node.web.client import ExchangeError
+from fielddrift_node.web.errors import ExchangeError
 from fielddrift_standins import worker as standin
 from fielddrift_standins.worker import Worker
 
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -14,7 +14,8 @@
 from fielddrift_node.serving.metrics import Metrics
 from fielddrift_node.serving.target_paths import TargetPaths
 from fielddrift_node.serving.views import Views
-from fielddrift_node.web.client import Client, ExchangeError, Timeouts
+from fielddrift_node.web.client import Client, Timeouts
+from fielddrift_node.web.errors import ExchangeError
 from fielddrift_standins.relay import Relay
 
 from .platform_fleet import HOST, free_port
