Take a response that is cut in the last line of its head for cut

Callers of the own interface could get a response that its target had not sent whole: libcurl takes the first byte of the line end behind the fields for the end of the head when the connection ends there. A head with `Content-Length: 0`, chunks without their bytes, or no length passed as whole, with its status and fields.

A line of a head or trailer that does not end in a line feed is what came of one. The transfer stops there with the error of a cut head (`broken`), as for a cut at any other byte.

The test sends six framings that tell their end, and one that does not, up to each byte, closed and reset, plain and behind interim heads, to both clients.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -176,6 +176,9 @@
 
     def header(self, line: bytes) -> int | None:
         """Take a line of the head or a trailer; any result but None stops the transfer."""
+        if not line.endswith(b"\n"):
+            # libcurl passes on what came of a line before the connection ended.
+            return self._stop(self.cut_head_error())
         if (excess := self._head_excess(line)) is not None:
             return self._stop(excess)
         if self.stream.head.done():
@@ -205,6 +208,10 @@
         self.stream.put(data)
         return None
 
+    def cut_head_error(self) -> ExternalSystemError:
+        """Return the error of a response that ended before its head did."""
+        return ExternalSystemError(f"{self.call.url}: response ended inside its head", broken=True)
+
     def _head_excess(self, line: bytes) -> ExternalSystemError | None:
         part = "trailers" if self.stream.head.done() else "head"
         self._head_bytes += len(line)
@@ -410,9 +417,7 @@
         transfer = self._transfers[curl]
         if transfer.stream.head.done():
             return None
-        return ExternalSystemError(
-            f"{transfer.call.url}: response ended inside its head", broken=True
-        )
+        return transfer.cut_head_error()
 
     def _error(self, curl: pycurl.Curl, code: int, message: str) -> ExternalSystemError:
         if (stopped := self._transfers[curl].error) is not None:
