Tell in the log how far a node was behind when a caller resumed a stream there

`stream returned` told where an origin was known from, but not whether the node that decided was itself in step: the age of its list of targets, whether it had stood still, whether it heard others. A return that was turned away had no line of its own. Both now tell these.

--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import structlog
+from fielddrift_core.eras import version_of
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.stream_origins import (
@@ -156,12 +157,15 @@
         """
         if not call.parsed.resume_after or not call.is_resumable_stream:
             return call
-        found = await self._resumption(call)
+        try:
+            found = await self._resumption(call)
+        except Refused as refused:
+            self._log_return(call, "stream turned away", detail=refused.refusal.detail)
+            raise
         self._metrics.returned_streams.inc(label_value=found.source)
-        _log.info(
+        self._log_return(
+            call,
             "stream returned",
-            request=call.parsed.request_id,
-            resumes=short_id(call.parsed.resumes),
             service=found.service,
             software=found.software,
             origin=found.source,
@@ -176,6 +180,28 @@
             raise _refused(f"no target of software version {found.software!r}, which began it")
         return call
 
+    def _log_return(self, call: Call, event: str, **fields: object) -> None:
+        """Log a caller's return, and how far this node is behind the others."""
+        now = asyncio.get_running_loop().time()
+        views, neighbours = self._views, self._neighbours
+        readings = [
+            *neighbours.read_states(now).values(),
+            *neighbours.remote_read_states(now).values(),
+        ]
+        age = now - views.targets_read_at
+        is_paused = views.stale.is_set()
+        _log.info(
+            event,
+            request=call.parsed.request_id,
+            resumes=short_id(call.parsed.resumes),
+            **fields,
+            targets_age=round(age, 3) if age != float("inf") else None,
+            targets_row=version_of(views.targets_row),
+            heard_row=version_of(max((each.targets for each in readings), default=0)),
+            paused=is_paused,
+            out_of_step=is_paused or age > _OUTDATED_SECONDS or self._is_isolated(now),
+        )
+
     def allows(self, call: Call, instance: Instance) -> bool:
         """Return whether `instance` may run the request."""
         if call.trace.software:
