Check the numbers and the key of a target's entry where it is read

Callers got 503 for every request of a service beside one entry with a number of 400 digits in slots, by an OverflowError of the choice among targets. Other nodes got 500 for the list of targets, as long as such an entry, or one with a model's version of 2**64, stood: a message between nodes holds numbers of 64 bits. An entry whose key no header can hold was a target, and each request to it failed by an uncaught UnicodeEncodeError.

The types of the rows' fields now state their ranges, so that an entry, a catalog or named weights with another value raise msgspec's ValidationError where they are read; so does one that nests too deeply. As before, an odd entry is no target, and an odd catalog leaves the former one in force.

--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -7,16 +7,28 @@
 from __future__ import annotations
 
 import math
-from typing import NamedTuple
+from collections.abc import Callable, Iterable
+from typing import Annotated, Generic, NamedTuple, Protocol, TypeVar, get_args, get_origin
+
+import msgspec
 
 __all__ = [
     "COUNT",
+    "ERA",
     "MILLISECONDS",
     "PORT",
+    "Amount",
+    "Count",
+    "Finite",
+    "Number",
     "Range",
+    "RowVersion",
+    "StructDecoder",
     "ValueOutOfRange",
     "address_of",
     "address_parts",
+    "decoded",
+    "head_text_of",
     "number_of",
     "text_of",
     "whole_number_of",
@@ -24,6 +36,9 @@
 
 _MAX_SHOWN_CHARACTERS = 60
 """Characters of an invalid value that an error message contains."""
+_MAX_HEAD_CHARACTERS = 1024
+"""Characters of a name that is sent in a header: far more than names have."""
+_LAST_HEAD_CHARACTER = "\xff"
 _MAX_HOST_CHARACTERS = 253
 _MAX_LABEL_CHARACTERS = 63
 """Limits of a host name and of its parts between dots (RFC 1035)."""
@@ -59,6 +74,24 @@
 MILLISECONDS = Range(0, 10**15)
 """Durations, and times since 1970."""
 PORT = Range(1, 65_535)
+ERA = Range(0, 2**18 - 1)
+"""Eras of the platform's store: combined with a version, they are still a number of 62 bits."""
+
+Count = Annotated[int, msgspec.Meta(ge=COUNT.minimum, le=COUNT.maximum)]
+Amount = Annotated[float, msgspec.Meta(ge=MILLISECONDS.minimum, le=MILLISECONDS.maximum)]
+"""Durations, ages, sizes and rates; NaN is not in the range."""
+RowVersion = Annotated[int, msgspec.Meta(ge=0, lt=2**44)]
+"""Versions of the platform's rows, without an era."""
+Finite = Annotated[float, msgspec.Meta(ge=-MILLISECONDS.maximum, le=MILLISECONDS.maximum)]
+Number = Annotated[int, msgspec.Meta(ge=-(2**62), le=2**62)]
+"""Whole numbers, of which a message can hold the sum of two."""
+
+_T = TypeVar("_T")
+_Decoded = TypeVar("_Decoded", covariant=True)
+
+
+class _Decoder(Protocol[_Decoded]):
+    def decode(self, data: bytes, /) -> _Decoded: ...
 
 
 def whole_number_of(field: str, value: object, limits: Range = COUNT) -> int:
@@ -116,6 +149,70 @@
     return value
 
 
+def head_text_of(field: str, value: object) -> str:
+    """Return the text `value`, which can be sent in a header; else raise `ValueOutOfRange`."""
+    text = text_of(field, value, max_characters=_MAX_HEAD_CHARACTERS)
+    if max(text, default="") > _LAST_HEAD_CHARACTER or text.strip() != text:
+        raise ValueOutOfRange(field, value, "characters of ISO 8859-1, no space at the ends")
+    return text
+
+
+def decoded(decoder: _Decoder[_T], data: bytes | msgspec.Raw) -> _T:
+    """Return what `decoder` reads in `data`; raise `msgspec.DecodeError` for anything else."""
+    try:
+        return decoder.decode(bytes(data))
+    except RecursionError:
+        raise msgspec.DecodeError("nested too deeply") from None
+
+
+class StructDecoder(Generic[_T]):
+    """Decodes a `msgspec.Struct` in JSON, and leaves out elements of its lists that are invalid."""
+
+    def __init__(self, kind: type[_T]) -> None:
+        self._decoder = msgspec.json.Decoder(kind)
+        self._elements: dict[str, msgspec.json.Decoder[object]] = {
+            field.encode_name: msgspec.json.Decoder(get_args(field.type)[0])
+            for field in msgspec.structs.fields(kind)  # type: ignore[arg-type]
+            if get_origin(field.type) is list
+        }
+
+    def decode(self, data: bytes, left_out: Callable[[msgspec.DecodeError], None]) -> _T:
+        """Return the decoded struct; raise `msgspec.DecodeError` unless all but elements is valid.
+
+        `left_out` gets the error of each element that is left out.
+        """
+        try:
+            return decoded(self._decoder, data)
+        except msgspec.ValidationError:
+            fields = decoded(_FIELDS, data)
+        for name, decoder in self._elements.items():
+            if name in fields:
+                valid = _valid(decoder, decoded(_LIST, fields[name]), left_out)
+                fields[name] = msgspec.Raw(msgspec.json.encode(valid))
+        return decoded(self._decoder, msgspec.json.encode(fields))
+
+
+_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_LIST = msgspec.json.Decoder(list[msgspec.Raw])
+
+
+def _valid(
+    decoder: _Decoder[object],
+    elements: Iterable[msgspec.Raw],
+    left_out: Callable[[msgspec.DecodeError], None],
+) -> list[msgspec.Raw]:
+    """Return those of the `elements` that can be decoded."""
+    valid = []
+    for element in elements:
+        try:
+            decoded(decoder, element)
+        except msgspec.DecodeError as error:
+            left_out(error)
+        else:
+            valid.append(element)
+    return valid
+
+
 def address_of(field: str, value: object) -> str:
     """Return the address `value`, HOST:PORT; raise `ValueOutOfRange` if it cannot be one."""
     address_parts(field, value)
--- a/tests/test_entries_out_of_range.py
+++ b/tests/test_entries_out_of_range.py
@@ -4,10 +4,12 @@
 
 import unittest
 
+import msgspec
+from fielddrift_node.serving.sharing import TargetCopy
 from fielddrift_platform.wire import decode_instance
 from fielddrift_standins.worker import Worker
 
-from .platform_fleet import FleetCase, ask, eventually
+from .platform_fleet import FleetCase, ask, eventually, get
 from .test_target_lives import entry
 
 LONG_LABEL = "e" * 64
@@ -32,6 +34,21 @@
         self.assertEqual(decode_instance("e", entry(address="e-1.a:80")).address, "e-1.a:80")
 
 
+class TestNumbers(unittest.TestCase):
+    def test_a_number_that_no_message_between_nodes_can_hold_is_no_entry(self) -> None:
+        """Failure: `OverflowError: can't serialize ints` for the view of all targets."""
+        for number in (-1, 2**64, 10**400):
+            for fields in ({"slots": number}, {"models": [{"name": "m", "version": number}]}):
+                with self.subTest(fields=str(fields)[:40]), self.assertRaises(ValueError):
+                    decode_instance("e", entry(**fields))
+
+    def test_a_key_that_no_head_can_hold_is_no_target(self) -> None:
+        """Failure: requests to such a target failed by an uncaught `UnicodeEncodeError`."""
+        for key in ("\u0435", "e\r\nX-Hold: 1", "e ", "e" * 2000):
+            with self.subTest(key=key[:20]), self.assertRaises(ValueError):
+                decode_instance(key, entry())
+
+
 class TestOddEntriesBesideLiveOnes(FleetCase):
     """Each odd entry beside a live target's, then in place of one; then a new target alone."""
 
@@ -75,6 +92,15 @@
         self.assertEqual(await self._statuses(8), [200] * 8)
         self.assertTrue(self.fleet.workers["w5"].ran)
 
+    async def test_other_nodes_get_the_list_beside_numbers_too_large(self) -> None:
+        """Failure: the answer with a node's list failed, as long as such an entry stood."""
+        await self._play([{"slots": 10**400}, {"models": [{"name": "m", "version": 2**64}]}])
+        path = "/views/targets?marks=era&software=all"
+        answer = await get(self.node.settings.peer, path)
+        self.assertEqual(answer.status, 200)
+        listed = msgspec.msgpack.decode(answer.body, type=TargetCopy).entries
+        self.assertEqual([each.target for each in listed], ["w5"])
+
     async def test_no_request_is_refused_for_a_host_name_that_cannot_be_one(self) -> None:
         """Failure: requests sent to such a target were refused, as long as its entry stood."""
         await self._play([{"address": address} for address in ODD_ADDRESSES])
