--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,11 @@
         "engines end while they send answers without a length",
     )
 )
+ODD_ENTRIES = KILLED_AFTER_RELEASE._replace(
+    callers=24, seconds=6.0, kinds=("another writer leaves odd entries among those of workers",)
+)
+ODD_ENTRIES_SEED = 13
+"""One of the entries has more slots than a float can hold."""
 SILENT_SEED = 16
 """All engines fall silent while chats are under way."""
 SILENT = Size(nodes=3, callers=24, seconds=8.0, kinds=(SILENCE,))
@@ -744,6 +749,12 @@
         self.assertEqual(outcome.broken, [], [*outcome.told, *outcome.faults])
         self.assertGreater(outcome.answered, 0)
 
+    def test_a_short_soak_of_odd_entries_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(run(ODD_ENTRIES_SEED, ODD_ENTRIES, Path(folder)))
+        self.assertEqual(outcome.broken, [])
+        self.assertGreater(outcome.answered, 0)
+
     def test_a_short_soak_of_hosts_cut_off_from_all_workers_breaks_no_promise(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             outcome = asyncio.run(run(SEED, HOSTS_CUT_OFF, Path(folder)))
