Close the connections of a soak's callers before its event loop ends

Callers kept their connections when they were cancelled, and the collector closed them behind the loop's end: RuntimeError, Event loop is closed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -311,6 +311,10 @@
         self._kept, self._carried = _Connection(address, reader, writer), 0
         return self._kept
 
+    def close(self) -> None:
+        """Abort the connection that is kept, while the event loop still runs."""
+        self._drop()
+
     def _drop(self) -> None:
         if self._kept is not None:
             self._kept.writer.transport.abort()
--- a/soak/site.py
+++ b/soak/site.py
@@ -30,6 +30,7 @@
         """Faults under way that ask for talks in place of most chats."""
         self.takes_up = False
         """Whether callers take streams up that broke off."""
+        self._callers: list[Caller] = []
         self._folder = folder
         self._net = Net(rng=random.Random())
 
@@ -58,22 +59,26 @@
 
     def caller(self, rng: random.Random) -> Caller:
         """Return a caller of its own, whose requests a fault chooses."""
-        return Caller(
+        caller = Caller(
             directories=lambda: [m.directory for m in self.some_machines()],
             rng=rng,
             attempts=self.attempts,
             talks=lambda: self.talks > 0,
             takes_up=lambda: self.takes_up,
         )
+        self._callers.append(caller)
+        return caller
 
     def resting_caller(self, rng: random.Random) -> RestingCaller:
         """Return a caller that keeps a connection which rests between requests."""
-        return RestingCaller(
+        caller = RestingCaller(
             directories=lambda: [m.directory for m in self.some_machines()],
             rng=rng,
             attempts=self.attempts,
             idle_seconds=lambda: self.outside.idle_seconds,
         )
+        self._callers.append(caller)
+        return caller
 
     def some_machines(self) -> list[Machine]:
         """Return the nodes, some twice where they are fewer than a caller asks."""
@@ -81,6 +86,8 @@
 
     def close(self) -> None:
         """End everything that was started here."""
+        for caller in self._callers:
+            caller.close()
         for machine in self.machines:
             machine.end()
         self.outside.end()
