--- /dev/null
+++ b/packages/node/src/fielddrift_node/serving/left_out.py
@@ -0,0 +1,83 @@
+"""Count and log the values from outside that are left out, since they are out of range."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import TypeVar
+
+import structlog
+from fielddrift_core.outside_values import ValueOutOfRange
+
+__all__ = ["LeftOutValues", "left_out_values"]
+
+_MAX_KNOWN_COUNT = 1000
+"""Values that are remembered, so that each one is logged once."""
+_LOG_WINDOW_SECONDS = 10.0
+_MAX_LINES_PER_WINDOW = 20
+"""Lines for each place within a window; a flood of invalid messages is only counted beyond it."""
+
+_MAX_NAME_CHARACTERS = 60
+"""Characters of a name in a log line; names come from outside, too."""
+
+_log = structlog.get_logger()
+_T = TypeVar("_T")
+
+
+class LeftOutValues:
+    """Values that are left out, by the place where they were read.  Not thread-safe."""
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._counts = Counter[str]()
+        self._known: dict[tuple[str, str], str] = {}
+        self._windows: dict[str, tuple[float, int]] = {}
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Return how many values were left out, by place."""
+        return self._counts
+
+    def read(
+        self, place: str, name: str, field: str, value: object, check: Callable[[str, object], _T]
+    ) -> _T | None:
+        """Return what `check` reads in a field of the thing `name`, None if it is out of range.
+
+        `check` gets the field and its value, and raises `ValueOutOfRange`.
+        """
+        try:
+            return check(field, value)
+        except ValueOutOfRange as error:
+            self.note(place, name, error)
+            return None
+
+    def note(self, place: str, name: str, error: Exception, *, version: object = None) -> None:
+        """Record that a value of the thing `name` is left out for `error`.
+
+        It is logged and counted once for each `version`; without one, each time it is counted, and
+        logged when its error differs from the last one.
+        """
+        name = name[:_MAX_NAME_CHARACTERS]
+        key, known = (place, name), f"{version} {error}"
+        is_known = self._known.pop(key, None) == known
+        self._known[key] = known
+        if len(self._known) > _MAX_KNOWN_COUNT:
+            self._known.pop(next(iter(self._known)))
+        if is_known and version is not None:
+            return
+        self._counts[place] += 1
+        if not is_known and self._may_log(place):
+            _log.error("value left out", place=place, name=name, error=str(error))
+
+    def _may_log(self, place: str) -> bool:
+        now = self._clock()
+        began, lines = self._windows.get(place, (now, 0))
+        if now - began > _LOG_WINDOW_SECONDS:
+            began, lines = now, 0
+        self._windows[place] = (began, lines + 1)
+        return lines < _MAX_LINES_PER_WINDOW
+
+
+left_out_values = LeftOutValues()
+"""Those of this process."""
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -9,7 +9,7 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 from ..web.messages import Headers
@@ -42,6 +42,10 @@
         """Add `amount` to the sum for the label value `label_value`."""
         self._sums[label_value] += amount
 
+    def set_sums(self, sums: Mapping[str, float]) -> None:
+        """Set the sums by label value, which are counted elsewhere."""
+        self._sums.update(sums)
+
     def family(self) -> Metric:
         """Return the sums as a Prometheus metric family."""
         from prometheus_client.core import CounterMetricFamily
@@ -240,6 +244,9 @@
         self.unreadable_rows = self._gauge(
             "unreadable_rows", "versions of the platform's rows that were not understood"
         )
+        self.left_out_values = self._counter(
+            "left_out_values", "values from outside that were out of range and left out", "place"
+        )
         self.operators_age = self._gauge(
             "operators_age_seconds", "age of the operators' own reading"
         )
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -28,6 +28,7 @@
 from .gateway import Gateway
 from .gossip import Gossip, Scope
 from .heartbeats import HeartbeatTranslator
+from .left_out import left_out_values
 from .membership import Membership
 from .metrics import Metrics, MetricsHandler
 from .named_rows import NamedRows
@@ -530,6 +531,7 @@
         metrics.platform_calls.set(self._platform.calls)
         metrics.store_era.set(self._era or 0)
         metrics.unreadable_rows.set(self._platform.unreadable)
+        metrics.left_out_values.set_sums(left_out_values.counts)
         metrics.operators_age.set(min(now - views.operators_read_at, _MAX_AGE_SECONDS))
         metrics.targets_age.set(min(now - views.targets_read_at, _MAX_AGE_SECONDS))
 
