Keep the elements beside an odd one of rows, events, parts and models

One row of another writer whose key, version or value is out of range made the whole answer of the platform's store undecodable: the list of targets, the operators' rows or a table of the nodes' own was not followed for as long as it stood. One odd event or part did the same to a store host, one odd model to an engine's report.

StructDecoder decodes as before, and only where that fails decodes the elements of the lists one by one and leaves out those that are invalid. Each is logged and counted.

--- a/packages/node/src/fielddrift_node/serving/left_out.py
+++ b/packages/node/src/fielddrift_node/serving/left_out.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
+import msgspec
 import structlog
-from fielddrift_core.outside_values import ValueOutOfRange
+from fielddrift_core.outside_values import StructDecoder, ValueOutOfRange
 
-__all__ = ["LeftOutValues", "left_out_values"]
+__all__ = ["KnownVersions", "LeftOutValues", "left_out_values"]
 
 _MAX_KNOWN_COUNT = 1000
 """Values that are remembered, so that each one is logged once."""
@@ -25,13 +26,29 @@
 _T = TypeVar("_T")
 
 
+class KnownVersions:
+    """Remembers the version of each thing that was last met, of the latest 1,000 things."""
+
+    def __init__(self) -> None:
+        self._versions: dict[tuple[str, str], object] = {}
+
+    def is_new(self, place: str, name: str, version: object) -> bool:
+        """Record a version of the thing `name`; return whether another one was known, or none."""
+        key = (place, name[:_MAX_NAME_CHARACTERS])
+        known = self._versions.pop(key, None)
+        self._versions[key] = version
+        if len(self._versions) > _MAX_KNOWN_COUNT:
+            self._versions.pop(next(iter(self._versions)))
+        return known != version
+
+
 class LeftOutValues:
     """Values that are left out, by the place where they were read.  Not thread-safe."""
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._counts = Counter[str]()
-        self._known: dict[tuple[str, str], str] = {}
+        self._known = KnownVersions()
         self._windows: dict[str, tuple[float, int]] = {}
 
     @property
@@ -52,23 +69,33 @@
             self.note(place, name, error)
             return None
 
+    def decode(
+        self, place: str, name: str, decoder: StructDecoder[_T], data: bytes
+    ) -> tuple[_T, bool]:
+        """Return what `decoder` reads in `data`, and whether all elements of its lists are in it.
+
+        Raise `msgspec.DecodeError` if more than elements of lists is invalid.
+        """
+        errors: list[msgspec.DecodeError] = []
+        found = decoder.decode(data, errors.append)
+        for error in errors:
+            self.note(place, name, error)
+        return found, not errors
+
     def note(self, place: str, name: str, error: Exception, *, version: object = None) -> None:
         """Record that a value of the thing `name` is left out for `error`.
 
         It is logged and counted once for each `version`; without one, each time it is counted, and
         logged when its error differs from the last one.
         """
-        name = name[:_MAX_NAME_CHARACTERS]
-        key, known = (place, name), f"{version} {error}"
-        is_known = self._known.pop(key, None) == known
-        self._known[key] = known
-        if len(self._known) > _MAX_KNOWN_COUNT:
-            self._known.pop(next(iter(self._known)))
-        if is_known and version is not None:
+        is_new = self._known.is_new(place, name, (version, str(error)))
+        if not is_new and version is not None:
             return
         self._counts[place] += 1
-        if not is_known and self._may_log(place):
-            _log.error("value left out", place=place, name=name, error=str(error))
+        if is_new and self._may_log(place):
+            _log.error(
+                "value left out", place=place, name=name[:_MAX_NAME_CHARACTERS], error=str(error)
+            )
 
     def _may_log(self, place: str) -> bool:
         now = self._clock()
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from fielddrift_core.catalog import Catalog, StoreTraits
@@ -42,6 +42,7 @@
     "TransferPlan",
     "WeightsOrder",
     "WriteOutcome",
+    "last_changes",
 ]
 
 
@@ -327,6 +328,23 @@
     clock: int | None
 
 
+def last_changes(
+    events: Iterable[tuple[bool, StoredPart]],
+) -> tuple[tuple[StoredPart, ...], tuple[StoredPart, ...]]:
+    """Return the parts that were added and those that were dropped; each part's last event counts.
+
+    `events` are pairs of whether a part was added, and the part.
+    """
+    last: dict[tuple[str, str], tuple[bool, StoredPart]] = {}
+    for is_added, part in events:
+        last.pop((part.salt, part.id), None)
+        last[part.salt, part.id] = (is_added, part)
+    return (
+        tuple(part for is_added, part in last.values() if is_added),
+        tuple(part for is_added, part in last.values() if not is_added),
+    )
+
+
 class StoreContents(NamedTuple):
     """All parts that a store host holds completely, and those whose transfer failed."""
 
--- a/tests/test_heads_out_of_range.py
+++ b/tests/test_heads_out_of_range.py
@@ -94,4 +94,4 @@
         self.assertEqual(dict(self.values.counts), {"place": 5000})
         self.now += 11.0
         self.assertEqual(self._note(5000), 20)
-        self.assertLessEqual(len(self.values._known), 1000)
+        self.assertLessEqual(len(self.values._known._versions), 1000)
