Ask other nodes where a stream began unless the list of targets is newer than its caller

Callers saw streams joined of two software versions: a node that stood still, was cut off or read its list of targets later than others knew one version, asked nobody, and went on at that version with a stream which another node had begun at a second one. Only a list over 3 s old made it ask.

What is presumed of a stream of unknown origin rests on a list whose read began after the caller came, or on the answers of the nodes that would hold its origin. Where these are too few, the node reads the list itself, once for all callers of 0.1 s, and refuses with 503 where it cannot. The time of a read is that of its beginning: its answer may have lain unread while the process stood still.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -103,6 +103,11 @@
     return Catalog(1, {"h": (route,)}, by_name, {}, 16_384, 1 << 22, 3.0, 15.0, needs_key=False)
 
 
+async def _read_targets(since: float, seconds: float) -> bool:
+    """Tell that the list of targets was read: it does not change."""
+    return True
+
+
 def _views(fleet: Fleet, catalog: Catalog, rng: random.Random) -> Views:
     now = asyncio.get_running_loop().time()
     views = Views()
@@ -175,6 +180,7 @@
             peers=PeerClient(client=client),
             metrics=Metrics(),
             send=lambda origins, node: None,
+            read_targets=_read_targets,
         ),
         notices=NoticeHandler(views=views, metrics=Metrics(), on_change=lambda: None),
     )
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -47,6 +47,11 @@
 """Requests a second that a host carries: far more than it gets."""
 
 
+async def _read_targets(since: float, seconds: float) -> bool:
+    """Tell that the list of targets was read: it does not change."""
+    return True
+
+
 class _Datagrams(asyncio.DatagramTransport):
     """Heartbeats on their way."""
 
@@ -126,6 +131,7 @@
             peers=PeerClient(client=client),
             metrics=self.metrics,
             send=self.gossip.send_origins,
+            read_targets=_read_targets,
         )
         context = ServingContext(
             settings=settings,
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -174,6 +174,7 @@
             peers=peers,
             metrics=self._metrics,
             send=lambda origins, node: self._gossip.send_origins(origins, node),
+            read_targets=lambda since, seconds: self._targets.read_since(since, seconds=seconds),
             version_rows=self._version_rows,
             origin_rows=self._origin_rows,
         )
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 from typing import NamedTuple
 
 import structlog
@@ -60,8 +60,11 @@
 _HISTORY_POLL_SECONDS = 0.02
 _OBSERVE_SECONDS = 1.0
 """Interval at which the versions of unchanged targets are recorded."""
+_READ_WAIT_SECONDS = 0.8
+"""How long a returning caller waits until the list of targets is read, where too few nodes tell."""
 _OUTDATED_SECONDS = 3.0
-"""Age of the list of targets from which on another node may know a version that it lacks."""
+"""Age from which on the list of targets is outdated, and by how much it may be older than this node
+believes: it may have stood still since the list, or word of it, was sent."""
 _UNRESUMABLE_RETRY_SECONDS = 1.0
 """When a caller may return whose stream no target can resume now."""
 
@@ -117,8 +120,9 @@
 class StreamVersions:
     """Restricts streams to the software version that began them.
 
-    Without `version_rows` and `origin_rows` nothing is known of streams that began before all
-    nodes ended.
+    `read_targets` waits until the list of targets was read after a given time, for some seconds at
+    most, and returns whether it was.  Without `version_rows` and `origin_rows` nothing is known of
+    streams that began before all nodes ended.
     """
 
     def __init__(
@@ -129,6 +133,7 @@
         peers: PeerClient,
         metrics: Metrics,
         send: Callable[[Sequence[StreamOrigin], Neighbour], None],
+        read_targets: Callable[[float, float], Awaitable[bool]],
         version_rows: VersionRows | None = None,
         origin_rows: OriginRows | None = None,
     ) -> None:
@@ -139,6 +144,7 @@
         self._peers = peers
         self._metrics = metrics
         self._send = send
+        self._read_targets = read_targets
         self._version_rows = version_rows
         self._origin_rows = origin_rows
         self._batches: dict[str, _Batch] = {}
@@ -242,33 +248,76 @@
         if (known := self._origins.find(key, loop.time())) is not None:
             return _Resumption(known.service, known.software, "own")
         await self._wait_for_history()
-        now = loop.time()
-        self._observe(now)
-        services = [share.service for share in call.route.shares]
-        outdated = now - self._views.targets_read_at > _OUTDATED_SECONDS
+        self._observe(loop.time())
         name = call.service.name
-        is_ambiguous = not self._versions.knows_history(name, now) or self._versions.is_mixed(name)
-        saved, unanswered = _NO_SAVED_ORIGIN, frozenset[str]()
-        if outdated or len(services) > 1 or is_ambiguous:
-            answers = await self._ask_others(key) if call.parsed.resumes else None
-            if answers is not None and (known := answers.origin) is not None:
-                self._origins.record(known)
-                return _Resumption(known.service, known.software, "node")
-            is_saved = is_ambiguous or len(services) > 1
-            if is_saved and call.parsed.resumes and self._origin_rows is not None:
+        is_split = len(call.route.shares) > 1
+        answers: _SearchResult | None = None
+        if call.parsed.resumes and (
+            is_split or self._is_ambiguous(name) or not self._has_list_of(call)
+        ):
+            answers = await self._ask_others(key)
+            if answers.origin is not None:
+                self._origins.record(answers.origin)
+                return _Resumption(answers.origin.service, answers.origin.software, "node")
+        if not (is_split or self._has_list_of(call) or self._is_enough(answers, name)):
+            await self._catch_up(call, answers)
+        saved = _NO_SAVED_ORIGIN
+        if call.parsed.resumes:
+            # It may have come, as an answer of a node that gave none in time, or by itself.
+            if (known := self._origins.find(key, loop.time())) is not None:
+                return _Resumption(known.service, known.software, "own")
+            if self._origin_rows is not None and (is_split or self._is_ambiguous(name)):
                 saved = await self._origin_rows.find(key)
                 if (known := saved.origin) is not None:
                     self._origins.record(known)
                     return _Resumption(known.service, known.software, "platform")
-            if len(services) > 1:
-                raise _refused("it is not known which service began the stream")
-            if answers is not None and not answers.is_sufficient:
-                raise _refused("too few nodes answered that may know which version began it")
-            if outdated and self._is_isolated(now):
-                raise _refused("no other node is reached that may know of newer versions")
-            unanswered = unanswered if answers is None else answers.unanswered
+        if is_split:
+            raise _refused("it is not known which service began the stream")
+        if answers is not None and not answers.is_sufficient and self._is_ambiguous(name):
+            raise _refused("too few nodes answered that may know which version began it")
+        unanswered = frozenset[str]() if answers is None else answers.unanswered
         return self._presume(call, is_denied=saved.is_given, unanswered=unanswered)
 
+    def _is_ambiguous(self, service: str) -> bool:
+        """Return whether several versions may have begun a stream of `service`."""
+        now = asyncio.get_running_loop().time()
+        return not self._versions.knows_history(service, now) or self._versions.is_mixed(service)
+
+    def _has_list_of(self, call: Call) -> bool:
+        """Return whether the list of targets has every version that may have begun the stream."""
+        return self._views.targets_asked_at >= call.arrived_at
+
+    def _is_enough(self, answers: _SearchResult | None, service: str) -> bool:
+        """Return whether enough nodes told that they do not know the origin of a stream.
+
+        A node that begins one at a version which this node lacks sends the origin to some others.
+        """
+        now = asyncio.get_running_loop().time()
+        if answers is None or not answers.is_sufficient or self._is_isolated(now):
+            return False
+        missing = answers.unanswered.union(self._missing_nodes(service, now))
+        return len(missing) <= _MAX_UNANSWERED_COUNT
+
+    async def _catch_up(self, call: Call, answers: _SearchResult | None) -> None:
+        """Read the list of targets, which may lack a version that began the stream.
+
+        Raise `Refused` if it cannot be read, and other nodes may have used newer targets.
+        """
+        loop = asyncio.get_running_loop()
+        is_read = await self._read_targets(call.arrived_at, _READ_WAIT_SECONDS)
+        now = loop.time()
+        self._observe(now)
+        if is_read or not self._neighbours.known_nodes(now):
+            return
+        if answers is None or not answers.is_sufficient or self._is_isolated(now):
+            raise _refused("too few nodes answered that may know of newer versions")
+        heard_since = now - self._views.targets_read_at + _OUTDATED_SECONDS
+        missing = answers.unanswered.union(
+            self._missing_nodes(call.service.name, now, max_silent_seconds=heard_since)
+        )
+        if len(missing) > _MAX_UNANSWERED_COUNT:
+            raise _refused(f"nodes have ended that may know of newer versions: {sorted(missing)}")
+
     def _presume(
         self, call: Call, *, is_denied: bool, unanswered: frozenset[str] = frozenset()
     ) -> _Resumption:
@@ -299,19 +348,28 @@
         while not self._versions.is_history_known and loop.time() < until:
             await asyncio.sleep(_HISTORY_POLL_SECONDS)
 
-    def _missing_nodes(self, service: str, now: float) -> list[str]:
+    def _missing_nodes(
+        self, service: str, now: float, *, max_silent_seconds: float = float("inf")
+    ) -> list[str]:
         """Return the nodes of which a process has ended that this one has heard.
 
         They do not send heartbeats any more, or have started again since `service` had several
-        versions: then they know nothing of the streams that their former processes began.
+        versions or the list of targets was read: then they know nothing of the streams that their
+        former processes began.  Nodes that have been silent for longer than `max_silent_seconds`
+        are left out.
         """
         alive = {node.name for node in self._neighbours.alive(now)}
-        since = max(now - MAX_LIFETIME_SECONDS, self._versions.mixed_since(service))
+        read_at = self._views.targets_read_at - _OUTDATED_SECONDS
+        since = max(now - MAX_LIFETIME_SECONDS, min(read_at, self._versions.mixed_since(service)))
         return [
             node.name
             for node in self._neighbours.known_nodes(now)
             if node.restarted_at >= since
-            or (node.silent_seconds is not None and node.name not in alive)
+            or (
+                node.silent_seconds is not None
+                and node.silent_seconds <= max_silent_seconds
+                and node.name not in alive
+            )
         ]
 
     def _is_isolated(self, now: float) -> bool:
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -19,6 +19,10 @@
 
 __all__ = ["TargetFeed"]
 
+_MIN_WANTED_INTERVAL_SECONDS = 0.1
+"""Interval between reads that requests wait for: one answers for all that came before it."""
+_WANTED_POLL_SECONDS = 0.01
+
 _log = structlog.get_logger()
 
 
@@ -51,6 +55,8 @@
         """When the store last failed to answer; None once a list read or copied is newer. Entries
         may have expired in the meantime without being read."""
         self._wake = asyncio.Event()
+        self._read_wanted_at = float("-inf")
+        """Requests wait for a read by this node itself that begins at this time or later."""
 
     def heard(self, node: Neighbour, reading: ReadState) -> None:
         """Handle the read state in a heartbeat; update at once if `node` is the source."""
@@ -63,6 +69,21 @@
         """Read at once."""
         self._wake.set()
 
+    async def read_since(self, moment: float, *, seconds: float) -> bool:
+        """Wait until this node has read the entries from the platform, after the time `moment`.
+
+        Return False if that took more than `seconds`.
+        """
+        loop = asyncio.get_running_loop()
+        views = self._views
+        until = loop.time() + seconds
+        while views.targets_asked_at < moment and loop.time() < until:
+            if loop.time() - views.targets_asked_at >= _MIN_WANTED_INTERVAL_SECONDS:
+                self._read_wanted_at = max(self._read_wanted_at, moment)
+                self._wake.set()
+            await asyncio.sleep(_WANTED_POLL_SECONDS)
+        return views.targets_asked_at >= moment
+
     async def run(self) -> None:
         """Follow the entries until cancelled."""
         while True:
@@ -91,8 +112,12 @@
     async def _update(self) -> float:
         """Update the list and return the seconds until the next update."""
         chosen = self.reader()
-        # After a pause this node first reads itself, and uses other nodes only if that fails.
-        may_copy = not self._views.stale.is_set() or self._backoff.failing
+        # After a pause, or where a request waits for it, this node first reads itself, and uses
+        # other nodes only if that fails.
+        reads_itself = self._views.stale.is_set() or (
+            self._read_wanted_at > self._views.targets_asked_at
+        )
+        may_copy = not reads_itself or self._backoff.failing
         if chosen is not None and may_copy and await self._follow_source(chosen):
             return self._reader_check_seconds()
         await self._read()
@@ -160,6 +185,7 @@
         return True
 
     async def _read(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         changes = await self._platform.target_changes(self._after)
         now = asyncio.get_running_loop().time()
         registry = self._views.registry
@@ -184,6 +210,7 @@
         self._views.targets_row = max(self._views.targets_row, changes.version)
         self._log_changes(before, "platform")
         self._views.targets_read_at = now
+        self._views.targets_asked_at = asked_at
         self._copied_version = None
         if registry.serial != serial:
             self._on_change()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -87,6 +87,9 @@
         """The same version for the target entries."""
         self.targets_read_at = float("-inf")
         """Loop time at which this node last read the target entries from the platform."""
+        self.targets_asked_at = float("-inf")
+        """Loop time at which the last such read began: the list has all entries written before.
+        The answer to a read may be older than its arrival, as this process may stand still."""
         self.named: dict[str, int] = {}
         """Newest named weights by model."""
         self.named_times = NamingTimes()
--- /dev/null
+++ b/tests/test_nodes_out_of_step.py
@@ -0,0 +1,170 @@
+"""A node that is out of step joins no streams of software versions that it has not heard of.
+
+Failure: a node whose list of targets lacked a second version, as it stood still, was cut off or
+merely read the list later than others, asked no other node for the origin of a stream that a caller
+resumed there, and went on at the only version that it knew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+from unittest.mock import AsyncMock
+
+from fielddrift_core.stream_origins import stream_key
+from structlog.testing import capture_logs
+
+from .platform_fleet import RunningNode, eventually
+from .test_software_versions import _EVENTS, MixedCase, _Caller
+from .test_targets_restarted_beside_stopped_nodes import StoppedNodesCase, stopped
+
+_CUSTOMER = "ana"
+_ARRIVAL_SECONDS = 0.1
+"""Time for requests to arrive at a node that stands still."""
+
+
+@contextmanager
+def unread(node: RunningNode) -> Iterator[None]:
+    """Let a node read no list of targets."""
+    with mock.patch.object(node.node._targets, "_update", AsyncMock(return_value=0.2)):
+        yield
+
+
+@contextmanager
+def unheard(node: RunningNode) -> Iterator[None]:
+    """Let all datagrams to a node be lost."""
+    with mock.patch.object(node.node._gossip, "datagram_received"):
+        yield
+
+
+class OutOfStepCase(MixedCase):
+    """Targets of a second version join while one node does not read its list."""
+
+    async def join(self, *nodes: RunningNode, count: int = 6) -> None:
+        """Let targets of a second version join, and wait until `nodes` may use them."""
+        before = len(self.engines)
+        for number in range(before, before + count):
+            await self.add_engine(f"e{number}", "v1.1")
+        for node in nodes:
+            views = node.node.views
+            await eventually(lambda v=views: len(v.registry.serving("engines")) == before + count)
+            await eventually(lambda v=views: v.software_versions.is_recorded("engines", "v1.1"))
+
+    async def open_at(
+        self, node: RunningNode, count: int, *, not_held_by: str = ""
+    ) -> list[_Caller]:
+        """Let callers begin streams whose origins are not sent to the node `not_held_by`."""
+        now = asyncio.get_running_loop().time()
+        callers: list[_Caller] = []
+        number = 0
+        while len(callers) < count:
+            caller = _Caller(f"s{number}")
+            key = stream_key(_CUSTOMER, f"{caller.name}-1")
+            holders = {held.name for held in node.node._streams._holders(key, now)}
+            if not_held_by not in holders:
+                caller.send(node, X_Prompt_Prefix=f"p{number}:300,q{number}:50")
+                callers.append(caller)
+            number += 1
+        for caller in callers:
+            await caller.has_events(3)
+        self.assertTrue(any(found == {"v1.1"} for found in self.software(callers)))
+        return callers
+
+    async def return_to(self, node: RunningNode, callers: list[_Caller]) -> None:
+        """Let callers lose their connections, and return to `node` at once."""
+        for caller in callers:
+            caller.leave()
+        for caller in callers:
+            caller.send(node)
+        await self.end_streams(callers)
+
+    def assert_one_version(self, callers: list[_Caller]) -> None:
+        """Check that each stream is whole or was refused, and has events of one version."""
+        self.assert_unmixed(callers)
+        for caller in callers:
+            self.assertTrue(caller.in_order, caller.events)
+            if not caller.whole or len(caller.events) < _EVENTS:
+                self.assertEqual(caller.status, 503)
+
+
+class TestReadsLater(OutOfStepCase):
+    async def test_a_node_that_reads_its_list_later_joins_no_versions(self) -> None:
+        """Failure: nothing was wrong but that one node read its list after the others."""
+        await self.start(nodes=6, engines=2, versions=("v1",))
+        *others, behind = self.nodes
+        with unread(behind):
+            await self.join(*others)
+            callers = await self.open_at(self.nodes[0], 24, not_held_by=behind.settings.name)
+            self.assertFalse(behind.node.views.software_versions.is_mixed("engines"))
+            await self.return_to(behind, callers)
+        self.assert_one_version(callers)
+
+    async def test_a_node_that_was_cut_off_for_less_than_a_second_joins_no_versions(self) -> None:
+        """Failure: the origins that were sent to it were lost, too."""
+        await self.start(nodes=3, engines=2, versions=("v1",))
+        *others, behind = self.nodes
+        with unread(behind), unheard(behind):
+            await self.join(*others)
+            callers = await self.open_at(self.nodes[0], 24)
+            await self.return_to(behind, callers)
+        self.assert_one_version(callers)
+
+    async def test_a_node_that_no_other_one_answers_joins_no_versions(self) -> None:
+        """Failure: a node that hears of nobody took the versions that it had read for all."""
+        await self.start(nodes=3, engines=2, versions=("v1",))
+        *others, behind = self.nodes
+        with unread(behind), unheard(behind):
+            await self.join(*others)
+            callers = await self.open_at(self.nodes[0], 12)
+            for node in others:
+                node.kill()
+            await self.return_to(behind, callers)
+        self.assert_one_version(callers)
+
+    async def test_a_node_that_no_other_one_answers_reads_its_list_first(self) -> None:
+        """Failure if every stream is refused that began before the other nodes ended."""
+        await self.start(nodes=3, engines=4, versions=("v1",))
+        *others, last = self.nodes
+        callers = await self.open_streams(12, *others, own_parts=True)
+        for node in others:
+            node.kill()
+        await self.return_to(last, callers)
+        self.assert_whole(callers)
+
+
+class TestStoodStill(StoppedNodesCase, OutOfStepCase):
+    async def test_a_node_that_stood_still_joins_no_versions(self) -> None:
+        """Failure: what came while it stood still was decided before it had read its list."""
+        await self.start(nodes=5, engines=2, versions=("v1",))
+        *others, behind = self.nodes
+        with stopped([behind]):
+            await self.join(*others)
+            callers = await self.open_at(self.nodes[0], 24, not_held_by=behind.settings.name)
+            for caller in callers:
+                caller.leave()
+            for caller in callers:
+                caller.send(behind)
+            await asyncio.sleep(_ARRIVAL_SECONDS)
+        await self.end_streams(callers)
+        self.assert_one_version(callers)
+
+
+class TestLog(OutOfStepCase):
+    async def test_a_return_tells_how_far_its_node_is_behind(self) -> None:
+        """Failure: nothing told afterwards that a node which took up a stream was out of step."""
+        await self.start(nodes=3, engines=2, versions=("v1",))
+        *_, behind = self.nodes
+        callers = await self.open_streams(2, self.nodes[0], own_parts=True)
+        with unread(behind), capture_logs() as lines:
+            views, now = behind.node.views, asyncio.get_running_loop().time()
+            await self.return_to(self.nodes[1], callers[:1])
+            await asyncio.sleep(max(0.0, views.targets_read_at + 3.1 - now))
+            late = await self.open_streams(2, self.nodes[0], own_parts=True)
+            await self.return_to(behind, late[1:])
+        told = [line for line in lines if line["event"] == "stream returned"]
+        self.assertEqual([line["out_of_step"] for line in told], [False, True])
+        self.assertLess(told[0]["targets_age"], 3.0)
+        self.assertGreater(told[1]["targets_age"], 3.0)
+        self.assertLessEqual(told[1]["targets_row"], told[1]["heard_row"])
