Presume no version where the caller names no attempt, or no other node is heard

Callers saw streams joined of two versions: for 3 s after a second one had appeared, a stream of unknown origin was taken for the first one's, also where nobody could be asked for its origin, as the caller named no attempt, and where the second version was new to a node that had been cut off from all others only.

Both cases are now among those that the design already listed as not known: 503, not run.

--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -329,8 +329,11 @@
         now = asyncio.get_running_loop().time()
         name = call.service.name
         missing = sorted(unanswered.union(self._missing_nodes(name, now)))
-        if len(missing) > _MAX_UNANSWERED_COUNT and self._versions.is_mixed(name):
-            raise _refused(f"nodes have ended that may know which version began it: {missing}")
+        if self._versions.is_mixed(name):
+            if not call.parsed.resumes:
+                raise _refused("its first attempt is not named, and several versions serve")
+            if len(missing) > _MAX_UNANSWERED_COUNT or self._is_isolated(now):
+                raise _refused(f"nodes have ended that may know which version began it: {missing}")
         try:
             software = self._versions.presumed(name, now, all_reached=is_denied and not missing)
         except UnknownOrigin as versions:
--- a/tests/test_nodes_out_of_step.py
+++ b/tests/test_nodes_out_of_step.py
@@ -14,10 +14,11 @@
 from unittest.mock import AsyncMock
 
 from fielddrift_core.stream_origins import stream_key
+from fielddrift_node.serving import origin_rows
 from structlog.testing import capture_logs
 
 from .platform_fleet import RunningNode, eventually
-from .test_software_versions import _EVENTS, MixedCase, _Caller
+from .test_software_versions import _EVENTS, MixedCase, _alive, _Caller
 from .test_targets_restarted_beside_stopped_nodes import StoppedNodesCase, stopped
 
 _CUSTOMER = "ana"
@@ -134,6 +135,36 @@
         self.assert_whole(callers)
 
 
+class TestReadsAtLast(OutOfStepCase):
+    """The node reads its list while the callers return, and presumes nothing of what it missed."""
+
+    async def test_a_node_that_was_cut_off_from_the_only_other_one_joins_no_versions(self) -> None:
+        """Failure: a version that it had only just read was taken for one that had only just
+        appeared, and all streams for the former version's."""
+        await self.start(nodes=2, engines=2, versions=("v1",))
+        other, behind = self.nodes
+        # The origins of the last moments before a node ends are not saved.
+        with unheard(behind), mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0):
+            with unread(behind):
+                await self.join(other)
+                callers = await self.open_at(other, 12)
+                await eventually(lambda: _alive(behind) == 0)
+            other.kill()
+            await self.return_to(behind, callers)
+        self.assert_one_version(callers)
+
+    async def test_a_caller_that_names_no_attempt_gets_no_presumed_version(self) -> None:
+        """Failure: shortly after a second version had appeared, a stream of which the caller named
+        no attempt went on at the first version, though every node knew both."""
+        await self.start(nodes=2, engines=2, versions=("v1",))
+        await self.join(*self.nodes)
+        callers = await self.open_at(self.nodes[0], 12)
+        for caller in callers:
+            caller._first = ""
+        await self.return_to(self.nodes[1], callers)
+        self.assert_one_version(callers)
+
+
 class TestStoodStill(StoppedNodesCase, OutOfStepCase):
     async def test_a_node_that_stood_still_joins_no_versions(self) -> None:
         """Failure: what came while it stood still was decided before it had read its list."""
