Leave out datagrams between nodes whose values are out of range

A heartbeat whose address for heartbeats is none raised ValueError in the loop that sends to it; NaN, infinity and numbers that leave no room for a sum became part of the views, and a body that nests deeply raised RecursionError. The same for crash updates, origins of streams, rows of members and of a duty, seeds in the settings, and copies over HTTP.

The types of the messages state their ranges, so that decoding checks them at no further cost; addresses of a node are checked once. The row of a duty that cannot be decoded fails that call: a node of a later release may hold it, so it is not taken over.

--- a/packages/core/src/fielddrift_core/crash_attribution.py
+++ b/packages/core/src/fielddrift_core/crash_attribution.py
@@ -17,6 +17,7 @@
 
 from .errors import ErrorKind, Ran, Refusal
 from .fingerprint import fingerprint
+from .outside_values import Finite
 
 __all__ = [
     "CRASHES_TO_HOLD",
@@ -92,8 +93,8 @@
 
     fingerprint: str
     target: str
-    at: float
-    ran: float
+    at: Finite
+    ran: Finite
 
 
 class HeldRequest(NamedTuple):
--- a/packages/core/src/fielddrift_core/crashes.py
+++ b/packages/core/src/fielddrift_core/crashes.py
@@ -30,6 +30,7 @@
     part_suspect,
 )
 from .crash_probes import HoldProbes
+from .outside_values import Finite
 from .target_registry import target_id
 
 __all__ = [
@@ -71,8 +72,8 @@
 
     data_centre: str = ""
     crashes: tuple[Crash, ...] = ()
-    cleared: tuple[tuple[str, float], ...] = ()
-    living: tuple[tuple[str, float], ...] = ()
+    cleared: tuple[tuple[str, Finite], ...] = ()
+    living: tuple[tuple[str, Finite], ...] = ()
 
 
 class CrashHistory:
--- a/packages/core/src/fielddrift_core/heartbeat.py
+++ b/packages/core/src/fielddrift_core/heartbeat.py
@@ -3,18 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import lru_cache
 from typing import NamedTuple
 
+from .outside_values import Amount, Finite, Number, address_of
 from .readers import ReadState
 from .rollout import VersionAge
 from .workload import Burden
 
-__all__ = ["Heartbeat", "KnownNode", "Neighbour", "NeighbourState", "StorePosition"]
+__all__ = [
+    "Heartbeat",
+    "KnownNode",
+    "Neighbour",
+    "NeighbourState",
+    "StorePosition",
+    "check_addresses",
+]
 
 _MAX_MISSED_HEARTBEATS = 4
 """Heartbeats in a row that may be lost as datagrams before a node counts as dead."""
 _JITTER_SECONDS = 0.3
 """Silence tolerated in addition: heartbeats are delayed on slow links and busy hosts."""
+_NODE_CACHE_SIZE = 1024
+"""Nodes whose addresses were checked: those of a large fleet."""
 _DEFAULT_PERIOD_SECONDS = 0.15
 """Period stated in a heartbeat that was built without a particular receiver."""
 
@@ -27,12 +38,21 @@
     """
 
     name: str
-    boot: int
+    boot: Number
     data_centre: str
     entry: str
     gossip: str
     peer: str
-    capacity: float = 1.0
+    capacity: Amount = 1.0
+
+
+@lru_cache(maxsize=_NODE_CACHE_SIZE)
+def check_addresses(node: Neighbour) -> None:
+    """Raise `ValueOutOfRange` unless the addresses of `node` can be used."""
+    address_of("gossip", node.gossip)
+    for field, address in (("entry", node.entry), ("peer", node.peer)):
+        if address:
+            address_of(field, address)
 
 
 class StorePosition(NamedTuple):
@@ -42,9 +62,9 @@
     has read, and `age` the seconds since the store's last response.
     """
 
-    life: int
-    following: int
-    age: float
+    life: Number
+    following: Number
+    age: Finite
 
 
 class Heartbeat(NamedTuple):
@@ -68,20 +88,20 @@
     node: Neighbour
     ready: bool
     leaving: bool
-    catalog: int
-    named: Mapping[str, int]
+    catalog: Number
+    named: Mapping[str, Number]
     burdens: Mapping[str, Burden]
     left: tuple[str, ...] = ()
-    loading: Mapping[str, float] = {}
-    weights: tuple[tuple[str, str, int], ...] = ()
+    loading: Mapping[str, Finite] = {}
+    weights: tuple[tuple[str, str, Number], ...] = ()
     reading: ReadState = ReadState()
     named_ages: tuple[VersionAge, ...] = ()
-    period: float = _DEFAULT_PERIOD_SECONDS
+    period: Amount = _DEFAULT_PERIOD_SECONDS
     active: bool = True
-    load: float = 0.0
+    load: Amount = 0.0
     kept: Mapping[str, StorePosition] = {}
-    moves: Mapping[str, float] = {}
-    lateness: Mapping[str, float] = {}
+    moves: Mapping[str, Finite] = {}
+    lateness: Mapping[str, Finite] = {}
 
 
 class KnownNode(NamedTuple):
--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -17,6 +17,7 @@
     "ERA",
     "MILLISECONDS",
     "PORT",
+    "Age",
     "Amount",
     "Count",
     "Finite",
@@ -25,6 +26,7 @@
     "RowVersion",
     "StructDecoder",
     "ValueOutOfRange",
+    "Whole",
     "address_of",
     "address_parts",
     "decoded",
@@ -83,6 +85,9 @@
 RowVersion = Annotated[int, msgspec.Meta(ge=0, lt=2**44)]
 """Versions of the platform's rows, without an era."""
 Finite = Annotated[float, msgspec.Meta(ge=-MILLISECONDS.maximum, le=MILLISECONDS.maximum)]
+Age = Annotated[float, msgspec.Meta(ge=0)]
+"""Ages; infinite for what was never heard."""
+Whole = Annotated[int, msgspec.Meta(ge=-COUNT.maximum, le=COUNT.maximum)]
 Number = Annotated[int, msgspec.Meta(ge=-(2**62), le=2**62)]
 """Whole numbers, of which a message can hold the sum of two."""
 
--- a/packages/core/src/fielddrift_core/readers.py
+++ b/packages/core/src/fielddrift_core/readers.py
@@ -16,6 +16,7 @@
 
 from .active import size_class
 from .names import rank
+from .outside_values import Age, Number
 
 __all__ = [
     "OPERATORS_POLL_SECONDS",
@@ -78,10 +79,10 @@
     the whole heartbeat with it.
     """
 
-    operators: int = 0
-    targets: int = 0
-    serial: int = 0
-    age: float = float("inf")
+    operators: Number = 0
+    targets: Number = 0
+    serial: Number = 0
+    age: Age = float("inf")
 
 
 class Source(NamedTuple):
--- a/packages/core/src/fielddrift_core/rollout.py
+++ b/packages/core/src/fielddrift_core/rollout.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from .names import rank
+from .outside_values import Finite, Number
 
 __all__ = [
     "LEASE_SECONDS",
@@ -64,8 +65,8 @@
     """
 
     holder: str
-    until: float
-    era: int = 0
+    until: Finite
+    era: Number = 0
 
 
 class StoreClock(NamedTuple):
@@ -113,8 +114,8 @@
     """The seconds since a weight version of a model first became known to any node."""
 
     model: str
-    version: int
-    seconds: float
+    version: Number
+    seconds: Finite
 
 
 class Naming(NamedTuple):
--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from .fingerprint import fingerprint
+from .outside_values import Finite
 from .rollout import StoreClock
 
 __all__ = [
@@ -58,7 +59,7 @@
     key: str
     service: str
     software: str
-    until: float
+    until: Finite
 
 
 def stream_key(customer: str, request_id: str) -> str:
@@ -119,15 +120,15 @@
     `last` is None for a version that had a target when this was written.
     """
 
-    first: float
-    last: float | None
+    first: Finite
+    last: Finite | None
 
 
 class VersionSpan(NamedTuple):
     """When a software version was first and last seen, as loop times in seconds."""
 
-    first: float
-    last: float
+    first: Finite
+    last: Finite
 
 
 class ServiceVersions:
--- a/packages/core/src/fielddrift_core/workload.py
+++ b/packages/core/src/fielddrift_core/workload.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from .outside_values import Number, Whole
+
 __all__ = ["REPORT_TTL_SECONDS", "Burden", "Lateness", "PeakRate", "TargetHealth", "Workload"]
 
 REPORT_TTL_SECONDS = 1.5
@@ -27,9 +29,9 @@
     `memory` the tokens that the runs need of the target's memory.
     """
 
-    running: int = 0
-    unread: int = 0
-    memory: int = 0
+    running: Whole = 0
+    unread: Whole = 0
+    memory: Number = 0
 
     def __add__(self, other: object) -> Burden:
         if not isinstance(other, Burden):
--- a/packages/node/src/fielddrift_node/serving/crash_rows.py
+++ b/packages/node/src/fielddrift_node/serving/crash_rows.py
@@ -14,6 +14,7 @@
 import msgspec
 import structlog
 from fielddrift_core.crashes import Crash
+from fielddrift_core.outside_values import Finite
 from fielddrift_core.rollout import StoreClock
 
 from .ports import Platform, RowWrite, SavedRow
@@ -35,8 +36,8 @@
 
 class _SavedCrash(NamedTuple):
     target: str
-    at: float
-    ran: float
+    at: Finite
+    ran: Finite
 
 
 class _CrashRow(TypedDict):
--- a/packages/node/src/fielddrift_node/serving/duty.py
+++ b/packages/node/src/fielddrift_node/serving/duty.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 from fielddrift_core.eras import version_of
+from fielddrift_core.outside_values import decoded
 from fielddrift_core.rollout import (
     LEASE_SECONDS,
     DutyRow,
@@ -27,6 +28,7 @@
 _ORDER_MARGIN_SECONDS = 0.15
 """Time before its end at which a lease is no longer used; sending an order takes some ms."""
 
+_ROW = msgspec.json.Decoder(DutyRow)
 _log = structlog.get_logger()
 
 
@@ -131,10 +133,17 @@
         for saved in rows:
             if saved.key == self._name:
                 self._row_version = saved.version
-                return msgspec.json.decode(saved.value, type=DutyRow)
+                return self._decode(saved.value)
         self._row_version = 0
         return None
 
+    def _decode(self, value: bytes) -> DutyRow:
+        try:
+            return decoded(_ROW, value)
+        except msgspec.DecodeError as error:
+            # A holder of a later release may have written it, so it is not taken over.
+            raise RemoteCallError(f"row of duty {self._name}: {error}") from None
+
     async def _write_lease(self) -> bool:
         assert self._clock is not None
         loop = asyncio.get_running_loop()
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -11,10 +11,13 @@
 import msgspec
 import structlog
 from fielddrift_core.crashes import CrashUpdate
+from fielddrift_core.heartbeat import check_addresses
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Relation
+from fielddrift_core.outside_values import ValueOutOfRange, address_parts, decoded
 from fielddrift_core.stream_origins import StreamOrigin
 
 from .datagrams import DatagramSocket
+from .left_out import left_out_values
 
 __all__ = ["CrashListener", "Gossip", "Scope"]
 
@@ -180,6 +183,11 @@
     def send_to_addresses(self, addresses: list[str]) -> None:
         """Send a heartbeat to addresses whose nodes are not known yet."""
         for address in addresses:
+            try:
+                address_parts("address", address)
+            except ValueOutOfRange as error:
+                left_out_values.note("settings", "seeds", error)
+                continue
             self._send_to(address, self._encoder.encode(self._heartbeat(_UNKNOWN_RELATION)))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -193,9 +201,10 @@
             self._receive_origins(data[len(_ORIGINS_MARKER) :], addr)
             return
         try:
-            heartbeat = self._decoder.decode(data)
-        except msgspec.DecodeError as error:
-            _log.warning("heartbeat not understood", sender=str(addr), error=str(error))
+            heartbeat = decoded(self._decoder, data)
+            check_addresses(heartbeat.node)
+        except (msgspec.DecodeError, ValueOutOfRange) as error:
+            left_out_values.note("heartbeat", str(addr), error)
             return
         now = self._loop.time()
         if self._neighbours.is_former_instance(heartbeat.node, now):
@@ -217,9 +226,9 @@
         if self._crashes is None:
             return
         try:
-            update = self._crash_decoder.decode(data)
+            update = decoded(self._crash_decoder, data)
         except msgspec.DecodeError as error:
-            _log.warning("update of crashes cannot be decoded", sender=str(addr), error=str(error))
+            left_out_values.note("crash update", str(addr), error)
             return
         self._crashes.heard(update)
 
@@ -227,9 +236,9 @@
         if self._origins is None:
             return
         try:
-            origins = self._origins_decoder.decode(data)
+            origins = decoded(self._origins_decoder, data)
         except msgspec.DecodeError as error:
-            _log.warning("origins cannot be decoded", sender=str(addr), error=str(error))
+            left_out_values.note("origins", str(addr), error)
             return
         self._origins.heard(origins)
 
@@ -286,5 +295,4 @@
 
 @lru_cache(maxsize=_ADDRESS_CACHE_SIZE)
 def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+    return address_parts("address", address)
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -14,11 +14,13 @@
 from fielddrift_core.brittle_services import BrittleReport
 from fielddrift_core.evacuations import EVACUATIONS_NAME
 from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Relation
+from fielddrift_core.outside_values import COUNT, ValueOutOfRange
 from fielddrift_core.relays import DataCentreSize, size_entry_name
 from fielddrift_core.responsiveness import SilenceReport
 from fielddrift_core.target_notices import LimitReport
 from fielddrift_core.workload import Burden
 
+from .left_out import left_out_values
 from .notices import log_brittle, log_limit
 from .views import Views
 
@@ -119,6 +121,10 @@
         size = burdens.pop(size_entry_name(data_centre), None)
         if size is not None:
             self._neighbours.set_size(data_centre, DataCentreSize(size.running, size.memory))
+        for name in [name for name, each in burdens.items() if abs(each.memory) > COUNT.maximum]:
+            # The sum of several such loads would be too large for a message.
+            error = ValueOutOfRange("memory", burdens.pop(name).memory, f"{COUNT}")
+            left_out_values.note("load", name, error)
         self._apply_silences(heartbeat.node.name, [s for s in silences if s is not None], now)
         if not is_remote:
             self._apply_progress(
@@ -201,7 +207,7 @@
         """Apply a report that a service is brittle; a sum of several nodes' reports is ignored."""
         service = name.removeprefix(_BRITTLE_PREFIX)
         now = asyncio.get_running_loop().time()
-        if entry.running != 1:
+        if not _is_single(entry):
             return
         report = BrittleReport(service, entry.memory, entry.unread / 1000)
         if self._views.brittle.merge(report, now):
@@ -236,6 +242,11 @@
         registry.left(name)
 
 
+def _is_single(entry: Burden) -> bool:
+    """Return whether a load with a reserved name is the report of one node, and not a sum."""
+    return entry.running == 1 and entry.unread >= 0 and entry.memory >= 0
+
+
 def _encode_limit(word: LimitReport) -> Burden:
     """Encode a limit as a load: its age in ms, and its rate in thousandths of a request per second
     plus one, 0 for no limit."""
@@ -245,7 +256,7 @@
 
 def _decode_silence(name: str, entry: Burden) -> SilenceReport | None:
     """Decode a report from a load; return None for a sum, as for a limit."""
-    if entry.running != 1:
+    if not _is_single(entry):
         return None
     return SilenceReport(name.removeprefix(_SILENT_PREFIX), entry.unread / 1000)
 
@@ -255,7 +266,7 @@
 
     A relay of the previous release takes limits for loads and adds up those of its neighbours.
     """
-    if entry.running != 1:
+    if not _is_single(entry):
         return None
     rate = (entry.memory - 1) / 1000 if entry.memory else None
     return LimitReport(name.removeprefix(_LIMIT_PREFIX), rate, entry.unread / 1000)
--- a/packages/node/src/fielddrift_node/serving/membership.py
+++ b/packages/node/src/fielddrift_node/serving/membership.py
@@ -10,10 +10,13 @@
 
 import msgspec
 import structlog
+from fielddrift_core.heartbeat import check_addresses
 from fielddrift_core.neighbours import Neighbour, Neighbours
+from fielddrift_core.outside_values import ValueOutOfRange, decoded
 from fielddrift_core.silent_rows import SilentRows
 
 from .gossip import Gossip
+from .left_out import left_out_values
 from .ports import Platform, RemoteCallError, RowWrite, SavedRow
 from .settings import NodeSettings
 
@@ -37,6 +40,9 @@
     node: Neighbour
 
 
+_MEMBER = msgspec.json.Decoder(_MemberRow)
+
+
 class Membership:
     """Registers this node in the platform's table and reads the other nodes from it.
 
@@ -166,13 +172,16 @@
 
 def _decode_nodes(rows: list[SavedRow]) -> list[Neighbour]:
     """Return the nodes that are listed; rows that cannot be decoded are skipped."""
-    decoded = []
+    nodes = []
     for saved in rows:
         try:
-            decoded.append(msgspec.json.decode(saved.value, type=_MemberRow).node)
-        except msgspec.DecodeError as error:
-            _log.error("member row cannot be decoded", row=saved.key, error=str(error))
-    return decoded
+            node = decoded(_MEMBER, saved.value).node
+            check_addresses(node)
+        except (msgspec.DecodeError, ValueOutOfRange) as error:
+            left_out_values.note("member row", saved.key, error, version=saved.version)
+        else:
+            nodes.append(node)
+    return nodes
 
 
 def _node_write(node: Neighbour, *, expect: int | None = None) -> RowWrite:
--- a/packages/node/src/fielddrift_node/serving/named_rows.py
+++ b/packages/node/src/fielddrift_node/serving/named_rows.py
@@ -14,6 +14,7 @@
 import msgspec
 import structlog
 from fielddrift_core.eras import version_of
+from fielddrift_core.outside_values import Count, Finite
 from fielddrift_core.rollout import StoreClock, times_to_save
 
 from .ports import Platform, RowWrite, SavedRow
@@ -36,7 +37,7 @@
 class _NamedRow(TypedDict):
     """When each version was named, in seconds on the platform's clock; fields may be added."""
 
-    times: dict[int, float]
+    times: dict[Count, Finite]
 
 
 class _Saved(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/row_table.py
+++ b/packages/node/src/fielddrift_node/serving/row_table.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import structlog
+from fielddrift_core.outside_values import decoded
 from fielddrift_core.rollout import StoreClock
 
 from .feeds import Backoff
@@ -82,7 +83,7 @@
     def decode(self, row: SavedRow, kind: type[_T]) -> _T | None:
         """Return the decoded value of `row`, None if it cannot be decoded."""
         try:
-            return msgspec.json.decode(row.value, type=kind)
+            return decoded(msgspec.json.Decoder(kind), row.value)
         except msgspec.DecodeError as error:
             _log.error("row cannot be decoded", what=self._what, row=row.key, error=str(error))
             return None
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -16,6 +16,7 @@
 from fielddrift_core.eras import version_of
 from fielddrift_core.evacuations import EvacuationState
 from fielddrift_core.neighbours import Neighbour
+from fielddrift_core.outside_values import address_of, decoded
 from fielddrift_core.store_index import KeptChange
 from fielddrift_core.stream_origins import StreamOrigin, VersionSpan
 from fielddrift_core.target_registry import Instance
@@ -24,6 +25,7 @@
 from ..web.errors import ExchangeError
 from ..web.messages import Headers, Reply
 from ..web.server import Request, Responder
+from .left_out import left_out_values
 from .ports import RemoteCallError
 from .views import Views
 
@@ -260,7 +262,10 @@
 
     async def targets(self, node: Neighbour) -> TargetCopy:
         """Return the target entries of `node`."""
-        return await self._get(node, "/views/targets?marks=era&software=all", TargetCopy)
+        copy = await self._get(node, "/views/targets?marks=era&software=all", TargetCopy)
+        # A node of the previous release does not check the addresses that it reads.
+        usable = [entry for entry in copy.entries if _has_address(node, entry)]
+        return copy._replace(entries=tuple(usable))
 
     async def kept(self, node: Neighbour, requests: Sequence[StoreCopyRequest]) -> list[StoreCopy]:
         """Return the requested store views, as far as `node` has them."""
@@ -298,9 +303,14 @@
         return reply
 
 
+def _has_address(node: Neighbour, entry: Instance) -> bool:
+    field, address = f"address of {entry.target}", entry.address
+    return left_out_values.read("copy", node.name, field, address, address_of) is not None
+
+
 def _decode(node: Neighbour, reply: Reply, kind: type[_T]) -> _T:
     """Return the view in a reply of `node`; raise `RemoteCallError` if it is malformed."""
     try:
-        return msgspec.msgpack.decode(reply.body, type=kind)
+        return decoded(msgspec.msgpack.Decoder(kind), reply.body)
     except msgspec.DecodeError as error:
         raise RemoteCallError(f"node {node.name}: not understood: {error}") from None
