Check what targets, hosts and nodes of the own interface say

One odd host, such as one whose address cannot be one, made the list of hosts undecodable or was taken as a target; a head with a digit of another script in X-Leaving raised ValueError as a response came; numbers of 400 digits, NaN and infinity were kept; deep nesting raised RecursionError. A member whose name is no address ended the thread that sends sightings; this last one by reading, the test shows only that such a member is refused.

The decoders use the checks of the serving system's; an odd host is left out, logged and counted, and a head that is out of range ends its run.

--- a/packages/core/src/fielddrift_core/interfaces.py
+++ b/packages/core/src/fielddrift_core/interfaces.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple, Protocol
 
+from .outside_values import Count
+
 __all__ = [
     "ExternalSystemError",
     "HostEntry",
@@ -108,7 +110,7 @@
     kind: str
     data_centre: str
     leaving: bool
-    epoch: int
+    epoch: Count
     labels: Mapping[str, str] = {}
 
 
--- a/packages/node/src/fielddrift_node/daemon.py
+++ b/packages/node/src/fielddrift_node/daemon.py
@@ -16,6 +16,7 @@
 from fielddrift_core.interfaces import ExternalSystemError
 from fielddrift_core.membership import Member, TargetWord
 from fielddrift_core.model import Target
+from fielddrift_core.outside_values import ValueOutOfRange, decoded, whole_number_of
 from fielddrift_core.routing import POLICIES
 
 from . import clock
@@ -37,10 +38,11 @@
 from .queries import Nodes
 from .runtime import Links, RequestLog, RequestSlots, Runtime
 from .servers import ApplicationServer
+from .serving.left_out import left_out_values
 from .settings import Settings
 from .sightings import Sightings
 from .stores import Stores
-from .targets import LoadReport, TargetClient
+from .targets import LOAD_REPORT, LoadReport, TargetClient
 from .tickets import Tickets
 from .underway import apply_sighting
 from .watch import Watch
@@ -363,15 +365,15 @@
         self._cluster.spread()
 
     def _apply_headers(self, target: str, headers: Mapping[str, str]) -> None:
-        leaving = headers.get("x-leaving", "")
-        if leaving.isdigit():
-            self._cluster.merge_target(TargetWord(target, int(leaving), True))
-        if "x-load" in headers:
-            try:
-                report = msgspec.json.decode(headers["x-load"], type=LoadReport)
-            except msgspec.DecodeError:
-                return
-            self._apply_report(target, report)
+        try:
+            if "x-leaving" in headers:
+                epoch = whole_number_of("x-leaving", headers["x-leaving"])
+                self._cluster.merge_target(TargetWord(target, epoch, True))
+            if "x-load" in headers:
+                report = decoded(LOAD_REPORT, headers["x-load"].encode())
+                self._apply_report(target, report)
+        except (msgspec.DecodeError, ValueOutOfRange) as error:
+            left_out_values.note("response head", target, error)
 
     def _apply_report(self, target: str, report: LoadReport) -> None:
         board = self._runtime.board
--- a/packages/node/src/fielddrift_node/outside.py
+++ b/packages/node/src/fielddrift_node/outside.py
@@ -13,9 +13,11 @@
     Transaction,
     TransactionResult,
 )
+from fielddrift_core.outside_values import StructDecoder, ValueOutOfRange, address_of, decoded
 
 from .http_client import Call, HttpClient, Reply
 from .metrics import Metrics
+from .serving.left_out import left_out_values
 
 __all__ = ["HttpHostList", "HttpObjectStore", "HttpTable"]
 
@@ -35,6 +37,9 @@
     hosts: list[HostEntry]
 
 
+_HOSTS = StructDecoder(_Hosts)
+
+
 class HttpTable:
     """The platform's table.  Failures raise `ExternalSystemError`; `timeout` is in seconds."""
 
@@ -119,8 +124,25 @@
     def hosts(self) -> list[HostEntry]:
         """Return all entries of the list."""
         call = Call("GET", f"http://{self._address}/hosts", timeout=self._timeout)
-        hosts: list[HostEntry] = _decode(self._http.request(call), _Hosts).hosts
-        return hosts
+        reply = self._http.request(call)
+        _check(reply)
+        try:
+            return [entry for entry in _HOSTS.decode(reply.body, _left_out).hosts if _usable(entry)]
+        except msgspec.DecodeError as error:
+            raise ExternalSystemError(f"platform: {error}") from None
+
+
+def _usable(entry: HostEntry) -> bool:
+    try:
+        address_of("address", entry.address)
+    except ValueOutOfRange as error:
+        _left_out(error)
+        return False
+    return True
+
+
+def _left_out(error: Exception) -> None:
+    left_out_values.note("host list", "platform", error)
 
 
 def _check(reply: Reply) -> None:
@@ -131,6 +153,6 @@
 def _decode(reply: Reply, kind: type[Any]) -> Any:
     _check(reply)
     try:
-        return msgspec.json.decode(reply.body, type=kind)
+        return decoded(msgspec.json.Decoder(kind), reply.body)
     except msgspec.DecodeError as error:
         raise ExternalSystemError(f"platform: {error}") from None
--- a/packages/node/src/fielddrift_node/peers.py
+++ b/packages/node/src/fielddrift_node/peers.py
@@ -17,6 +17,7 @@
 from fielddrift_core.crashes import Crash, CrashUpdate
 from fielddrift_core.interfaces import ExternalSystemError
 from fielddrift_core.membership import Member, Status, TargetWord
+from fielddrift_core.outside_values import address_of
 from grpclib.client import Channel
 from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -86,6 +87,8 @@
     """Return the member in `message`; raise ValueError when it is malformed."""
     if not message.name or not message.http:
         raise ValueError(f"member: {message.name!r}, expected a name and an address")
+    address_of("member", message.name)
+    address_of("member's address", message.http)
     return Member(
         message.name,
         message.http,
--- a/packages/node/src/fielddrift_node/serving/left_out.py
+++ b/packages/node/src/fielddrift_node/serving/left_out.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -43,12 +44,13 @@
 
 
 class LeftOutValues:
-    """Values that are left out, by the place where they were read.  Not thread-safe."""
+    """Values that are left out, by the place where they were read.  Thread-safe."""
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._counts = Counter[str]()
         self._known = KnownVersions()
+        self._lock = threading.Lock()
         self._windows: dict[str, tuple[float, int]] = {}
 
     @property
@@ -88,6 +90,10 @@
         It is logged and counted once for each `version`; without one, each time it is counted, and
         logged when its error differs from the last one.
         """
+        with self._lock:
+            self._note(place, name, error, version)
+
+    def _note(self, place: str, name: str, error: Exception, version: object) -> None:
         is_new = self._known.is_new(place, name, (version, str(error)))
         if not is_new and version is not None:
             return
--- a/packages/node/src/fielddrift_node/sightings.py
+++ b/packages/node/src/fielddrift_node/sightings.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 import msgspec
+from fielddrift_core.outside_values import Finite, decoded
 
 from . import clock
 from .log import get
@@ -80,10 +81,13 @@
 
 
 class _Datagram(NamedTuple):
-    at: float
+    at: Finite
     sightings: list[tuple[int, list[object]]]
 
 
+_DECODER = msgspec.msgpack.Decoder(_Datagram)
+
+
 class _TokenBucket:
     """A token bucket of `rate` bytes per second that holds at most two seconds' worth."""
 
@@ -219,7 +223,7 @@
         digest, body = data[:_DIGEST_BYTES], data[_DIGEST_BYTES:]
         if not hmac.compare_digest(digest, self._digest(body)):
             raise ValueError("keyed digest: does not match")
-        datagram = msgspec.msgpack.decode(body, type=_Datagram)
+        datagram = decoded(_DECODER, body)
         if abs(time.time() - datagram.at) > _MAX_AGE_SECONDS:
             return []
         return [self._decode(kind, fields) for kind, fields in datagram.sightings]
--- a/packages/node/src/fielddrift_node/stores.py
+++ b/packages/node/src/fielddrift_node/stores.py
@@ -16,6 +16,7 @@
 from fielddrift_core.interfaces import ExternalSystemError
 from fielddrift_core.model import Configuration, StoreHost
 from fielddrift_core.names import Manifest, ManifestPart, PrefixName, rank
+from fielddrift_core.outside_values import decoded
 from fielddrift_core.retries import CircuitBreaker
 
 from . import clock
@@ -107,7 +108,7 @@
         if reply.status != 200:
             raise ExternalSystemError(f"{call.url}: status {reply.status}, expected 200")
         try:
-            return msgspec.json.decode(reply.body, type=kind)
+            return decoded(msgspec.json.Decoder(kind), reply.body)
         except msgspec.DecodeError as error:
             raise ExternalSystemError(f"{call.url}: {error}") from None
 
--- a/packages/node/src/fielddrift_node/targets.py
+++ b/packages/node/src/fielddrift_node/targets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from itertools import count
 from typing import Any, NamedTuple
@@ -10,12 +9,21 @@
 import msgspec
 from fielddrift_core.interfaces import ExternalSystemError
 from fielddrift_core.model import Target
+from fielddrift_core.outside_values import (
+    Count,
+    Number,
+    ValueOutOfRange,
+    decoded,
+    number_of,
+    whole_number_of,
+)
 from fielddrift_core.routing import Load
 
 from . import clock
 from .http_client import AnswerMismatchError, Call, Head, HttpClient, Reply, Stream
 
 __all__ = [
+    "LOAD_REPORT",
     "EngineHead",
     "LoadReport",
     "Order",
@@ -70,20 +78,23 @@
 class LoadReport(msgspec.Struct):
     """A target's load report; the response to a poll also has its cache events."""
 
-    running: int
-    queued: int
-    backlog: int
+    running: Count
+    queued: Count
+    backlog: Count
     leaving: bool = False
-    epoch: int = 0
+    epoch: Count = 0
     versions: list[str] = []
-    events: list[tuple[int, str]] = []
-    sequence: int = 0
+    events: list[tuple[Number, str]] = []
+    sequence: Number = 0
 
     def load(self) -> Load:
         """Return the load as used by routing, with the current time as the time of receipt."""
         return Load(self.running, self.queued, self.backlog, clock.now())
 
 
+LOAD_REPORT = msgspec.json.Decoder(LoadReport)
+
+
 class Order(NamedTuple):
     """The desired state of an engine, with the fencing token of the duty that orders it."""
 
@@ -117,10 +128,10 @@
     The result is 0 if the target gives no such time.
     """
     try:
-        seconds = float(reply.headers.get("retry-after", "0"))
-    except ValueError:
+        seconds = number_of("retry-after", reply.headers.get("retry-after", "0"))
+    except ValueOutOfRange:
         return 0.0
-    return seconds if proved_not_started(reply) and 0 < seconds < math.inf else 0.0
+    return seconds if proved_not_started(reply) else 0.0
 
 
 def retry_reason(error: ExternalSystemError) -> str:
@@ -231,7 +242,7 @@
         reply = self._http.request(call)
         _check(reply, call)
         try:
-            return msgspec.json.decode(reply.body, type=kind)
+            return decoded(msgspec.json.Decoder(kind), reply.body)
         except msgspec.DecodeError as error:
             raise ExternalSystemError(f"{call.url}: {error}") from None
 
@@ -240,14 +251,14 @@
     """Parse the head of an engine's response; raise `ExternalSystemError` if it is invalid."""
     try:
         fields = dict(pair.split("=") for pair in head.headers["x-context"].split())
-        load = msgspec.json.decode(head.headers["x-load"], type=LoadReport)
+        load = decoded(LOAD_REPORT, head.headers["x-load"].encode())
         return EngineHead(
             version=head.headers["x-version"],
             customer=head.headers["x-customer"],
-            memory=int(fields["memory"]),
-            imported=int(fields["imported"]),
-            recomputed=int(fields["recomputed"]),
-            import_seconds=float(fields.get("import_seconds", 0.0)),
+            memory=whole_number_of("memory", fields["memory"]),
+            imported=whole_number_of("imported", fields["imported"]),
+            recomputed=whole_number_of("recomputed", fields["recomputed"]),
+            import_seconds=number_of("import_seconds", fields.get("import_seconds", 0.0)),
             root=head.headers.get("x-root", ""),
             load=load,
         )
@@ -258,7 +269,7 @@
 def _reported_epoch(poll: Reply) -> str:
     """Return the epoch in a load report, or an empty string if it has none."""
     try:
-        epoch = msgspec.json.decode(poll.body, type=LoadReport).epoch
+        epoch = decoded(LOAD_REPORT, poll.body).epoch
     except msgspec.DecodeError:
         return ""
     return str(epoch) if epoch else ""
