Refuse settings whose numbers or addresses are out of range

A settings file with NaN, infinity or a negative number as a bound was accepted, as were ports above 65,535 and listening addresses that cannot be ones: the process would start and fail later, or judge by NaN.

The types of the settings state their ranges, and NodeSettings.checked names the address and what was expected. The address of the platform's store is not checked here.

--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -22,6 +22,7 @@
     "Count",
     "Finite",
     "Number",
+    "Port",
     "Range",
     "RowVersion",
     "StructDecoder",
@@ -79,6 +80,7 @@
 ERA = Range(0, 2**18 - 1)
 """Eras of the platform's store: combined with a version, they are still a number of 62 bits."""
 
+Port = Annotated[int, msgspec.Meta(ge=PORT.minimum, le=PORT.maximum)]
 Count = Annotated[int, msgspec.Meta(ge=COUNT.minimum, le=COUNT.maximum)]
 Amount = Annotated[float, msgspec.Meta(ge=MILLISECONDS.minimum, le=MILLISECONDS.maximum)]
 """Durations, ages, sizes and rates; NaN is not in the range."""
--- a/packages/node/src/fielddrift_node/serving/settings.py
+++ b/packages/node/src/fielddrift_node/serving/settings.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from fielddrift_core.outside_values import ValueOutOfRange, address_of
+
 __all__ = ["Bounds", "NodeSettings", "SettingsError"]
 
 
@@ -62,3 +64,16 @@
     bounds: Bounds
     capacity: float = 1.0
     memory_limit: int = 0
+
+    def checked(self, place: str) -> NodeSettings:
+        """Return these settings; raise `SettingsError` if a listening address cannot be one."""
+        addresses = {"entry": self.entry, "ready": self.ready, "directory": self.directory}
+        # A node may have no address for other nodes.
+        if self.peer:
+            addresses["peer"] = self.peer
+        for field, address in addresses.items():
+            try:
+                address_of(field, address)
+            except ValueOutOfRange as error:
+                raise SettingsError(f"{place}: {error}") from None
+        return self
