--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -17,14 +17,17 @@
     "ERA",
     "MILLISECONDS",
     "PORT",
+    "Age",
     "Amount",
     "Count",
     "Finite",
     "Number",
+    "Port",
     "Range",
     "RowVersion",
     "StructDecoder",
     "ValueOutOfRange",
+    "Whole",
     "address_of",
     "address_parts",
     "decoded",
@@ -77,12 +80,16 @@
 ERA = Range(0, 2**18 - 1)
 """Eras of the platform's store: combined with a version, they are still a number of 62 bits."""
 
+Port = Annotated[int, msgspec.Meta(ge=PORT.minimum, le=PORT.maximum)]
 Count = Annotated[int, msgspec.Meta(ge=COUNT.minimum, le=COUNT.maximum)]
 Amount = Annotated[float, msgspec.Meta(ge=MILLISECONDS.minimum, le=MILLISECONDS.maximum)]
 """Durations, ages, sizes and rates; NaN is not in the range."""
 RowVersion = Annotated[int, msgspec.Meta(ge=0, lt=2**44)]
 """Versions of the platform's rows, without an era."""
 Finite = Annotated[float, msgspec.Meta(ge=-MILLISECONDS.maximum, le=MILLISECONDS.maximum)]
+Age = Annotated[float, msgspec.Meta(ge=0)]
+"""Ages; infinite for what was never heard."""
+Whole = Annotated[int, msgspec.Meta(ge=-COUNT.maximum, le=COUNT.maximum)]
 Number = Annotated[int, msgspec.Meta(ge=-(2**62), le=2**62)]
 """Whole numbers, of which a message can hold the sum of two."""
 
