End a send to an address that no look-up takes as not connected

A node that was asked for a tunnel there lost its task and left the other node waiting for its time-out; an address that is no ASCII made the handshake's callback fail.

Whoever opens a connection reads the port by `whole_number_of` and takes every `ValueError` of the look-up for no connection: `ExchangeError`, not sent, reason `connect`, direct or through a tunnel. A handshake for an address that no request can contain is not begun. The carrying node answers 503, also for a name that is not found: that was 502, which says that the target refused and so has ended.

--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple, Protocol, TypeVar
 
 from fielddrift_core.memory_budget import MAX_READ_BYTES
+from fielddrift_core.outside_values import PORT, whole_number_of
 
 from .checked_connections import CHECK_TIMEOUT_SECONDS, check_process
 from .connection import Connection, LiveConnection
@@ -377,7 +378,8 @@
                     established = await self._open(make_connection, address)
             self._established.setdefault(path, set()).add(established)
             return established
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
+            # A ValueError is that of an address which cannot be looked up.
             raise connect_error(path, error) from None
         finally:
             # `_lost` decrements the count for a connection that came up and was then abandoned.
@@ -387,14 +389,15 @@
     async def _open(self, factory: Callable[[], _P], address: str) -> _P:
         host, _, port = address.rpartition(":")
         open_connection = self._open_connection or _create_connection
-        _, protocol = await open_connection(factory, host, int(port))
+        _, protocol = await open_connection(factory, host, whole_number_of("port", port, PORT))
         return protocol
 
     async def _connect_through(
         self, path: ServerPath, make_connection: Callable[[], Connection]
     ) -> Connection:
         """Return a connection that another node carries; raise `OSError` without one."""
-        handshake = await self._open(lambda: TunnelHandshake(address=path.address), path.through)
+        unopened = TunnelHandshake(address=path.address)
+        handshake = await self._open(lambda: unopened, path.through)
         transport = await handshake.opened()
         connection = make_connection()
         connection.set_carrier_process(handshake.process)
--- a/packages/node/src/fielddrift_node/web/paths.py
+++ b/packages/node/src/fielddrift_node/web/paths.py
@@ -17,14 +17,14 @@
     through: str = ""
 
 
-def connect_error(path: ServerPath, error: OSError | TimeoutError) -> ExchangeError:
+def connect_error(path: ServerPath, error: OSError | TimeoutError | ValueError) -> ExchangeError:
     """Return the error for a connection that did not come up."""
     detail = f"{path.address}: no connection: {error or 'timeout'}"
     refused = isinstance(error, ConnectionRefusedError)
     timed_out = isinstance(error, TimeoutError)
     reason = CONNECT_REASON
     carrier: CarrierState | None = None
-    if path.through:
+    if path.through and not isinstance(error, ValueError):
         carrier = _carrier_state(error)
         status = error.status if isinstance(error, TunnelError) else None
         refused, timed_out = status is TunnelStatus.REFUSED, status is TunnelStatus.SILENT
--- a/packages/node/src/fielddrift_node/web/tunnel.py
+++ b/packages/node/src/fielddrift_node/web/tunnel.py
@@ -13,10 +13,14 @@
 import asyncio
 import re
 import secrets
+import socket
 from collections.abc import Callable
 from enum import IntEnum
 from typing import cast
 
+import structlog
+from fielddrift_core.outside_values import PORT, ValueOutOfRange, whole_number_of
+
 from .server import prepare_socket, probe_silent_path, set_reset_on_close
 
 __all__ = ["TunnelError", "TunnelHandshake", "TunnelServer", "TunnelStatus"]
@@ -32,11 +36,15 @@
 _BACKLOG_COUNT = 256
 _MAX_TUNNEL_COUNT = 512
 """Tunnels that a node carries.  Each takes two descriptors and up to 64 KiB."""
+_ADDRESS = re.compile(r"[!-~]{1,512}")
 _REQUEST_LINE = re.compile(rb"CONNECT ([^ ]+) HTTP/1\.1\r\n")
 _STATUS_LINE = re.compile(rb"HTTP/1\.1 (\d{3}) ")
 _PROCESS_LINE = re.compile(rb"\r\nNode-Process: ([0-9a-f]+)\r\n")
 
 
+_log = structlog.get_logger()
+
+
 class TunnelStatus(IntEnum):
     """The statuses of responses to requests for a tunnel."""
 
@@ -46,7 +54,8 @@
     REFUSED = 502
     """The target, or the path to it, refused or reset the connection."""
     UNAVAILABLE = 503
-    """The node carries as many tunnels as it can, or reaches no target itself."""
+    """The node carries as many tunnels as it can, reaches no target itself, or can't look up the
+    address."""
     SILENT = 504
     """The target did not respond to the attempt to connect."""
 
@@ -69,9 +78,14 @@
 
 
 class TunnelHandshake(asyncio.Protocol):
-    """Asks a node for a tunnel to `address`, on a connection to that node."""
+    """Asks a node for a tunnel to `address`, on a connection to that node.
+
+    Raise `ValueOutOfRange` for an address that no request can contain.
+    """
 
     def __init__(self, *, address: str) -> None:
+        if not _ADDRESS.fullmatch(address):
+            raise ValueOutOfRange("address", address, "printable ASCII characters without spaces")
         self._address = address
         self._head = b""
         self._process = ""
@@ -203,8 +217,13 @@
         host, _, port = address.rpartition(":")
         status = TunnelStatus.OPEN
         try:
+            number = whole_number_of("port", port, PORT)
             async with asyncio.timeout(_CONNECT_SECONDS):
-                await asyncio.get_running_loop().create_connection(lambda: side, host, int(port))
+                await asyncio.get_running_loop().create_connection(lambda: side, host, number)
+        except (ValueError, socket.gaierror) as error:
+            # No host was asked: that the target's name is not found says nothing of its process.
+            _log.warning("tunnel refused", address=address, reason=str(error))
+            status = TunnelStatus.UNAVAILABLE
         except TimeoutError:
             status = TunnelStatus.SILENT
         except OSError:
--- /dev/null
+++ b/tests/test_values_in_heads.py
@@ -0,0 +1,158 @@
+"""A value out of range in a head ends that one exchange, with its reason, or is left out.
+
+Failure: a request to an address that no look-up takes ended by an error that nothing caught, and so
+did the task of a node that was asked for a tunnel there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+from typing import Any
+
+from fielddrift_node.web.client import Client, Timeouts
+from fielddrift_node.web.errors import (
+    CONNECT_REASON,
+    TUNNEL_REASON,
+    ExchangeError,
+)
+from fielddrift_node.web.messages import Reply
+from fielddrift_node.web.tunnel import TunnelServer, TunnelStatus
+from fielddrift_standins.fleet import HOST, free_port
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+_WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_TIMEOUTS = Timeouts(connect=5.0, whole=10.0)
+_ODD = (
+    b"", b"0", b"-0", b"-1", b"+2", b" 2 ", b"2 2", b"2, 2", b"2,3", b"2.0", b"2e0", b"0x2", b"1_0",
+    b"\xb2", "\u0662".encode(), b"9" * 19, b"9" * 20, b"9" * 400, b"9" * 5000, b"0" * 5000 + b"2",
+    b"nan", b"inf", b"null", b"\x00", b"f" * 17, b";", b"chunked", b"\xff",
+)  # fmt: skip
+"""Values that are no plain number in range, or barely one."""
+_ODD_ADDRESSES = (
+    "", ":", "x", ":80:", "x:", "x:0", "x:-1", "x:70000", "x:abc", "x:\xb2", "x:" + "9" * 5000,
+    "127.0.0.1:65536", "a" * 64 + ":80", "a." * 200 + "a:80", "a..b:80", ".:80", "a\x00b:80",
+    "\ud800:80", "\xe9" * 64 + ":80", "x\r\nA: b:80",
+)  # fmt: skip
+_values = st.one_of(st.sampled_from(_ODD), st.binary(max_size=12).map(lambda b: b.strip(b"\r\n")))
+
+
+class LoopCase(unittest.TestCase):
+    """Runs coroutines on one loop, and fails if a callback or task of it ended by an error."""
+
+    def setUp(self) -> None:
+        runner = asyncio.Runner()
+        self.addCleanup(runner.close)
+        self.run_loop = runner.run
+        self.uncaught: list[dict[str, Any]] = []
+        runner.get_loop().set_exception_handler(lambda loop, context: self.uncaught.append(context))
+
+    async def serve(self, answer: bytes) -> tuple[asyncio.Server, str]:
+        """Listen; send `answer` to each request and close.  Return the server and its address."""
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(handle, HOST, 0)
+        return server, f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+
+class TestAnswers(LoopCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.client = Client()
+
+    def test_an_address_that_no_look_up_takes_is_not_connected_to(self) -> None:
+        async def begun(address: str, through: str) -> ExchangeError:
+            with self.assertRaises(ExchangeError) as raised:
+                await self.client.begin(address, _REQUEST, connect_seconds=5.0, through=through)
+            return raised.exception
+
+        for address in _ODD_ADDRESSES:
+            error = self.run_loop(begun(address, ""))
+            self.assertEqual((error.sent, error.reason), (False, CONNECT_REASON), address[:20])
+            self.assertFalse(error.refused)
+            error = self.run_loop(begun(f"{HOST}:1", address)) if address else error
+            self.assertFalse(error.sent)
+        self.assertEqual(self.client._open_counts, {})
+        self.assertEqual(self.uncaught, [])
+
+
+class TestTunnels(LoopCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.client = Client()
+        self.tunnels = TunnelServer(
+            admit=lambda address: TunnelStatus.OPEN, on_connect=lambda address, status: status
+        )
+        port = free_port()
+        self.carrier = f"{HOST}:{port}"
+        self.run_loop(self.tunnels.start(HOST, port))
+
+    async def _tunnelled(self, address: str, carrier: str) -> Reply:
+        exchange = await self.client.begin(address, _REQUEST, connect_seconds=5.0, through=carrier)
+        try:
+            return Reply(await exchange.head(), await exchange.body())
+        finally:
+            exchange.cancel()
+
+    async def _works(self) -> None:
+        """Check that the carrier still carries a tunnel."""
+        server, address = await self.serve(_WHOLE)
+        async with server:
+            self.assertEqual((await self._tunnelled(address, self.carrier)).body, b"ok")
+        self.client.close()
+
+    async def _refused(self, address: str, carrier: str) -> ExchangeError:
+        with self.assertRaises(ExchangeError) as raised:
+            await self._tunnelled(address, carrier)
+        return raised.exception
+
+    def test_an_address_that_no_look_up_takes_opens_no_tunnel(self) -> None:
+        """Its task ended by an error, and whoever asked for the tunnel waited for its time-out."""
+        for address in _ODD_ADDRESSES:
+            error = self.run_loop(self._refused(address, self.carrier))
+            self.assertEqual((error.sent, error.refused), (False, False), address[:20])
+            self.assertFalse(error.connect_timed_out)
+            self.assertIn(error.reason, (CONNECT_REASON, TUNNEL_REASON))
+        self.run_loop(self._works())
+        self.assertEqual(self.uncaught, [])
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(status=_values, name=_values, rest=_values)
+    def test_any_response_to_a_handshake_ends_it(
+        self, status: bytes, name: bytes, rest: bytes
+    ) -> None:
+        async def answered() -> None:
+            answer = b"HTTP/1.1 " + status + b" Any\r\nNode-Process: " + name + b"\r\n\r\n" + rest
+            server, carrier = await self.serve(answer)
+            async with server:
+                self.assertFalse((await self._refused(f"{HOST}:1", carrier)).sent)
+
+        self.run_loop(answered())
+        self.assertEqual(self.uncaught, [])
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(address=_values, end=st.sampled_from((b"\r\n\r\n", b"\r\n", b"")))
+    def test_any_request_for_a_tunnel_ends_its_own_connection(
+        self, address: bytes, end: bytes
+    ) -> None:
+        async def asked() -> None:
+            host, _, port = self.carrier.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"CONNECT x:" + address + b" HTTP/1.1\r\nHost: x" + end)
+            writer.write_eof()
+            async with asyncio.timeout(10.0):
+                with contextlib.suppress(ConnectionError):
+                    self.assertFalse((await reader.read()).startswith(b"HTTP/1.1 200"))
+            writer.close()
+
+        self.run_loop(asked())
+        self.assertEqual(self.uncaught, [])
+        self.run_loop(self._works())
