Check numbers in heads where they are read

A whole response whose server told a Keep-Alive timeout in digits of another script, of 400 or of 5,000 digits was given up as garbled: `isdigit` is true of digits that `int` rejects, and a large int fits no float. A response with a status below 100 was taken for an interim one, so the caller waited for another one (a trial: until its time-out of 2 s); 600 to 999 was passed on. A request whose length has over 4,300 digits, most of them zeros, got 400.

The status, Content-Length and the Keep-Alive timeout are read by `whole_number_of`, each with its range. A status or length out of range ends the exchange as garbled (a request: 400), the timeout is left out, with one log line a connection.

--- a/packages/node/src/fielddrift_node/web/connection.py
+++ b/packages/node/src/fielddrift_node/web/connection.py
@@ -8,11 +8,13 @@
 from typing import Protocol, cast
 
 import httptools
+import structlog
+from fielddrift_core.outside_values import ValueOutOfRange, whole_number_of
 
 from .errors import GARBLED_REASON, RESET_REASON, BoundExceeded, ExchangeError
 from .exchange import Exchange
 from .host_memory import bound_receive_buffer
-from .messages import Framing, Headers, ResponseHead
+from .messages import MESSAGE_LENGTH, STATUS, Framing, Headers, ResponseHead
 from .server import prepare_socket, probe_silent_path
 
 __all__ = ["Connection", "LiveConnection"]
@@ -41,6 +43,8 @@
 _DIGEST_BYTES = 8
 """Size of a digest."""
 
+_log = structlog.get_logger()
+
 
 class LiveConnection(Protocol):
     """An established connection, whose end is noticed while it is read from."""
@@ -97,6 +101,8 @@
         self._framing_bytes = 0
         """Bytes since the request was sent, or since the last bytes of a body."""
         self._idle_limit_seconds = _DEFAULT_IDLE_LIMIT_SECONDS
+        self._is_timeout_left_out = False
+        """Whether a Keep-Alive timeout out of range has been logged."""
         self.idle_since = self._loop.time()
 
     # --- state --------------------------------------------------------------
@@ -303,14 +309,13 @@
 
     def on_headers_complete(self) -> None:
         self._head_complete = True
-        status = self._parser.get_status_code()
+        status = whole_number_of("status", self._parser.get_status_code(), STATUS)
         exchange = self._exchange
         if self._answered or exchange is None or status < 200:
             self._skipping = True
             return
         fields = self._fields
-        length = fields.text(b"content-length")
-        head = ResponseHead(status, fields, int(length) if length.isdigit() else None, False)
+        head = ResponseHead(status, fields, _length(fields), False)
         self._ends_at_close = head.framing is Framing.CLOSE
         keep = self._parser.should_keep_alive() and not self._ends_at_close
         head = head._replace(keep_alive=keep)
@@ -327,15 +332,30 @@
         if self._digest is not None:
             self._digest.update(b"%d " % status)
         self._reusable = self._reusable and keep
-        named = fields.text(b"keep-alive").lower().partition("timeout=")[2].partition(",")[0]
-        if named.strip().isdigit():
-            self._idle_limit_seconds = int(named) * _IDLE_LIMIT_FRACTION
+        self._set_idle_limit(fields.text(b"keep-alive"))
         exchange.head_received(head)
         if not self._expects_body:
             # The parser waits for the body that the head describes.
             self._reusable = False
             self._finish(exchange)
 
+    def _set_idle_limit(self, keep_alive: str) -> None:
+        """Set the idle time after which the connection is not reused, if the server tells its own.
+
+        `keep_alive` is the value of its field Keep-Alive.
+        """
+        timeout = keep_alive.lower().partition("timeout=")[2].partition(",")[0]
+        if not timeout:
+            return
+        try:
+            seconds = whole_number_of("keep-alive timeout", timeout)
+        except ValueOutOfRange as error:
+            if not self._is_timeout_left_out:
+                _log.warning("keep-alive timeout left out", reason=str(error))
+            self._is_timeout_left_out = True
+            return
+        self._idle_limit_seconds = seconds * _IDLE_LIMIT_FRACTION
+
     def on_body(self, body: bytes) -> None:
         self._framing_bytes = 0
         if not self._skipping and self._exchange is not None:
@@ -388,3 +408,10 @@
         self._answered = True
         if exchange is not None:
             exchange.failed(ExchangeError(detail, sent=True, reason=reason))
+
+
+def _length(fields: Headers) -> int | None:
+    """Return the Content-Length in bytes, None without one; raise `ValueOutOfRange`."""
+    if fields.get(b"content-length") is None:
+        return None
+    return whole_number_of("content-length", fields.text(b"content-length"), MESSAGE_LENGTH)
--- a/packages/node/src/fielddrift_node/web/messages.py
+++ b/packages/node/src/fielddrift_node/web/messages.py
@@ -6,17 +6,25 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from fielddrift_core.outside_values import Range
+
 __all__ = [
     "BODILESS_STATUSES",
     "Framing",
     "HOP_BY_HOP",
     "Headers",
     "Reply",
+    "MESSAGE_LENGTH",
     "RequestHead",
     "ResponseHead",
+    "STATUS",
     "reason_phrase",
 ]
 
+STATUS = Range(100, 599)
+"""Statuses of responses (RFC 9110, section 15)."""
+MESSAGE_LENGTH = Range(0, 2**64 - 1)
+"""Values of Content-Length in bytes, as the parser accepts them."""
 BODILESS_STATUSES = frozenset({204, 304})
 """Final statuses of responses without a body, whatever their fields tell of one."""
 
--- a/packages/node/src/fielddrift_node/web/server.py
+++ b/packages/node/src/fielddrift_node/web/server.py
@@ -17,10 +17,11 @@
 
 import httptools
 import structlog
+from fielddrift_core.outside_values import ValueOutOfRange, whole_number_of
 from fielddrift_core.request_ends import EndCause, end_cause
 
 from .host_memory import HeldBytes, HostMemory, held_for_caller
-from .messages import BODILESS_STATUSES, Headers, RequestHead, reason_phrase
+from .messages import BODILESS_STATUSES, MESSAGE_LENGTH, Headers, RequestHead, reason_phrase
 from .request_ends import NOT_OBSERVED, RequestEnd, RequestObserver
 
 __all__ = [
@@ -109,6 +110,16 @@
         self.status = status
 
 
+def _announced_bytes(length: bytes | None) -> int:
+    """Return the size of a body that a Content-Length announces, 0 without one."""
+    if length is None:
+        return 0
+    try:
+        return whole_number_of("content-length", length.decode("latin-1"), MESSAGE_LENGTH)
+    except ValueOutOfRange as error:
+        raise _BadRequest(400, str(error)) from None
+
+
 def prepare_socket(transport: asyncio.BaseTransport) -> None:
     """Disable Nagle's algorithm, and bound the time for a peer to acknowledge sent bytes.
 
@@ -601,14 +612,12 @@
             raise _BadRequest(400, "framing: both a length and a transfer coding")
         if coding is not None and coding.strip().lower() != b"chunked":
             raise _BadRequest(400, f"transfer-encoding {coding!r}: expected chunked")
-        if length is not None and not length.strip().isdigit():
-            raise _BadRequest(400, f"content-length {length!r}: expected digits")
-        if length is not None and int(length) > self._limits.body_bytes:
-            raise _BadRequest(413, f"body: {int(length)} bytes announced")
+        announced_bytes = _announced_bytes(length)
+        if announced_bytes > self._limits.body_bytes:
+            raise _BadRequest(413, f"body: {announced_bytes} bytes announced")
         if not self._url.startswith(b"/"):
             raise _BadRequest(400, f"request target {self._url[:40]!r}: expected a path")
-        if length is not None:
-            self._reserve_body(int(length))
+        self._reserve_body(announced_bytes)
         self._expects_continue = (fields.get(b"expect") or b"").lower() == b"100-continue"
         self._send_continue()
 
--- a/tests/test_values_in_heads.py
+++ b/tests/test_values_in_heads.py
@@ -1,7 +1,7 @@
 """A value out of range in a head ends that one exchange, with its reason, or is left out.
 
-Failure: a request to an address that no look-up takes ended by an error that nothing caught, and so
-did the task of a node that was asked for a tunnel there.
+Failure: a whole response was given up for a Keep-Alive timeout in digits of another script, and a
+request to an address that no look-up takes ended by an error that nothing caught.
 """
 
 from __future__ import annotations
@@ -14,10 +14,13 @@
 from fielddrift_node.web.client import Client, Timeouts
 from fielddrift_node.web.errors import (
     CONNECT_REASON,
+    GARBLED_REASON,
+    RESET_REASON,
     TUNNEL_REASON,
     ExchangeError,
 )
-from fielddrift_node.web.messages import Reply
+from fielddrift_node.web.messages import Headers, Reply
+from fielddrift_node.web.server import Limits, Request, Responder, Server, plain_text_fault
 from fielddrift_node.web.tunnel import TunnelServer, TunnelStatus
 from fielddrift_standins.fleet import HOST, free_port
 from hypothesis import given, settings
@@ -38,6 +41,7 @@
     "\ud800:80", "\xe9" * 64 + ":80", "x\r\nA: b:80",
 )  # fmt: skip
 _values = st.one_of(st.sampled_from(_ODD), st.binary(max_size=12).map(lambda b: b.strip(b"\r\n")))
+_REASONS = {GARBLED_REASON, RESET_REASON, "timeout", "mismatch"}
 
 
 class LoopCase(unittest.TestCase):
@@ -68,6 +72,58 @@
         super().setUp()
         self.client = Client()
 
+    async def _answered(self, answer: bytes) -> Reply | ExchangeError:
+        server, address = await self.serve(answer)
+        other, other_address = await self.serve(_WHOLE)
+        async with server, other:
+            exchange = await self.client.begin(other_address, _REQUEST, connect_seconds=5.0)
+            result: Reply | ExchangeError
+            try:
+                result = await self.client.call(address, _REQUEST, timeouts=_TIMEOUTS)
+            except ExchangeError as error:
+                result = error
+            self.assertEqual(await exchange.body(), b"ok")
+            self.client.close()
+        return result
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        field=st.sampled_from((b"Content-Length", b"Transfer-Encoding", b"Keep-Alive", b"X-Any")),
+        values=st.lists(_values, min_size=1, max_size=2),
+        status=st.one_of(st.just(b"200"), _values),
+        size=st.one_of(st.just(b"2"), _values),
+    )
+    def test_any_value_ends_its_own_exchange_only(
+        self, field: bytes, values: list[bytes], status: bytes, size: bytes
+    ) -> None:
+        head = b"HTTP/1.1 " + status + b" OK\r\n"
+        head += b"".join(field + b": timeout=" * (field[:1] == b"K") + v + b"\r\n" for v in values)
+        if field != b"Content-Length":
+            head += b"Transfer-Encoding: chunked\r\n"
+        answer = head + b"\r\n" + size + b"\r\nok\r\n0\r\n\r\n"
+        result = self.run_loop(self._answered(answer))
+        if isinstance(result, ExchangeError):
+            self.assertTrue(result.sent)
+            self.assertIn(result.reason, _REASONS)
+        self.assertEqual(self.uncaught, [])
+
+    def test_a_keep_alive_timeout_out_of_range_loses_no_response(self) -> None:
+        for value in _ODD:
+            if value in (b"\x00",):
+                continue  # The parser ends a response with such a character.
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=" + value
+            result = self.run_loop(self._answered(head + b"\r\n\r\nok"))
+            assert isinstance(result, Reply), (value[:20], result)
+            self.assertEqual(result.body, b"ok")
+
+    def test_a_status_out_of_range_is_garbled_at_once(self) -> None:
+        """Below 100 it was an interim response, behind which the caller waited for another."""
+        for status in (b"000", b"099", b"600", b"999"):
+            answer = b"HTTP/1.1 " + status + b" OK\r\nContent-Length: 2\r\n\r\nok"
+            result = self.run_loop(self._answered(answer))
+            assert isinstance(result, ExchangeError), (status, result)
+            self.assertEqual((result.sent, result.reason), (True, GARBLED_REASON))
+
     def test_an_address_that_no_look_up_takes_is_not_connected_to(self) -> None:
         async def begun(address: str, through: str) -> ExchangeError:
             with self.assertRaises(ExchangeError) as raised:
@@ -156,3 +212,66 @@
         self.run_loop(asked())
         self.assertEqual(self.uncaught, [])
         self.run_loop(self._works())
+
+
+class TestRequests(LoopCase):
+    def setUp(self) -> None:
+        super().setUp()
+        port = free_port()
+        self.port = port
+        limits = Limits(body_bytes=1000, header_bytes=16_384, idle_seconds=10.0)
+        self.server = Server(
+            handler=self._handle, limits=lambda: limits, format_fault=plain_text_fault
+        )
+        self.run_loop(self.server.start(HOST, port))
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        responder.start(200, Headers(), len(request.body))
+        responder.write(request.body)
+        responder.end()
+
+    async def _status(self, request: bytes) -> bytes:
+        """Return the status of the last response, empty if the connection was just closed."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(request)
+        async with asyncio.timeout(10.0):
+            try:
+                line = await reader.readline()
+            except ConnectionError:
+                line = b""
+        writer.close()
+        return line[9:12]
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        field=st.sampled_from((b"Content-Length", b"Transfer-Encoding", b"Expect", b"Host")),
+        values=st.lists(_values, min_size=1, max_size=2),
+        size=st.one_of(st.just(b"2"), _values),
+    )
+    def test_any_value_gets_an_answer_of_its_own(
+        self, field: bytes, values: list[bytes], size: bytes
+    ) -> None:
+        head = b"POST / HTTP/1.1\r\nConnection: close\r\n"
+        head += b"".join(field + b": " + value + b"\r\n" for value in values)
+        if field in (b"Expect", b"Host"):
+            head += b"Transfer-Encoding: chunked\r\n"
+        body = size + b"\r\nok\r\n0\r\n\r\n"
+
+        async def asked() -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, self.port)
+            writer.write(head + b"\r\n" + body)
+            writer.write_eof()
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(10.0):
+                    return (await reader.readline())[9:12]
+            return b""
+
+        self.assertIn(self.run_loop(asked()), (b"200", b"400", b"413", b"431", b"100", b""))
+        self.assertEqual(self.run_loop(self._status(_REQUEST)), b"200")
+        self.assertEqual(self.uncaught, [])
+
+    def test_lengths_are_refused_by_their_reason(self) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        for value, status in ((b"+2", b"400"), (b"9" * 19, b"413"), (b"0" * 5000 + b"2", b"200")):
+            got = self.run_loop(self._status(head + value + b"\r\n\r\nok"))
+            self.assertEqual(got, status, value[:20])
