Reject a length or status that the own interface's client can't count

A response of the own interface whose Content-Length exceeds 63 bits passed as whole wherever it was cut: libcurl then reads up to the end of the connection, and the field alone counted as a response that tells its end. A status of 600 to 999, or of four digits, passed as one.

Both are read by `whole_number_of` while the head arrives; out of range they end the transfer with an error that names the field and the value.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -20,6 +20,7 @@
 
 import pycurl
 from fielddrift_core.interfaces import ExternalSystemError
+from fielddrift_core.outside_values import Range, ValueOutOfRange, whole_number_of
 
 from . import clock
 
@@ -40,6 +41,8 @@
 _MAX_FIELD_COUNT = 1000
 """Bounds of a response's head, interim heads included, and again of its trailers."""
 
+_LENGTH_HEADER = "content-length"
+_STATUS = Range(100, 599)
 _REQUEST_ID_HEADER = "X-Request-Id"
 _STATUSES_WITHOUT_BODY = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 _MAX_IDLE_COUNT = 256
@@ -185,12 +188,17 @@
             return None  # A trailer: the reader may have the head's fields already.
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            self.status = int(text.split(" ", 2)[1])
+            try:
+                self.status = whole_number_of("status", (text.split(" ") + [""])[1], _STATUS)
+            except ValueOutOfRange as error:
+                return self._stop(ExternalSystemError(f"{self.call.url}: {error}"))
             self.headers = {}
             self._answered_ids = []
         elif text:
             name, _, value = text.partition(":")
             self.headers[name.lower()] = value.strip()
+            if name.lower() == _LENGTH_HEADER and (fault := self._length_fault(value)) is not None:
+                return self._stop(fault)
             if name.lower() == _REQUEST_ID_HEADER.lower():
                 self._answered_ids.append(value.strip())
         elif self.status >= 200:
@@ -235,6 +243,18 @@
             f"expected {expected!r}"
         )
 
+    def _length_fault(self, value: str) -> ExternalSystemError | None:
+        """Return the error of a Content-Length, or a list of them, that is not a length.
+
+        libcurl takes a body whose length is too large for it as one that ends with its connection.
+        """
+        try:
+            for length in value.split(","):
+                whole_number_of(_LENGTH_HEADER, length)
+        except ValueOutOfRange as error:
+            return ExternalSystemError(f"{self.call.url}: {error}")
+        return None
+
     def _coding(self) -> ExternalSystemError | None:
         """Return the error of a success whose body is coded, which no request asks for."""
         coding = self.headers.get("content-encoding")
@@ -449,7 +469,7 @@
     return (
         call.method == "HEAD"
         or head.status in _STATUSES_WITHOUT_BODY
-        or "content-length" in head.headers
+        or _LENGTH_HEADER in head.headers
         or "chunked" in head.headers.get("transfer-encoding", "").lower()
     )
 
--- a/tests/test_values_in_heads.py
+++ b/tests/test_values_in_heads.py
@@ -1,16 +1,22 @@
 """A value out of range in a head ends that one exchange, with its reason, or is left out.
 
-Failure: a whole response was given up for a Keep-Alive timeout in digits of another script, and a
-request to an address that no look-up takes ended by an error that nothing caught.
+Failure: a whole response was given up for a Keep-Alive timeout in digits of another script, a
+request to an address that no look-up takes ended by an error that nothing caught, and a response
+whose length is too large for libcurl was whole wherever it ended.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import socket
+import threading
 import unittest
 from typing import Any
 
+from fielddrift_core.interfaces import ExternalSystemError
+from fielddrift_node import http_client
+from fielddrift_node.http_client import HttpClient
 from fielddrift_node.web.client import Client, Timeouts
 from fielddrift_node.web.errors import (
     CONNECT_REASON,
@@ -275,3 +281,38 @@
         for value, status in ((b"+2", b"400"), (b"9" * 19, b"413"), (b"0" * 5000 + b"2", b"200")):
             got = self.run_loop(self._status(head + value + b"\r\n\r\nok"))
             self.assertEqual(got, status, value[:20])
+
+
+class TestOwnInterface(unittest.TestCase):
+    def _asked(self, answer: bytes) -> http_client.Reply | ExternalSystemError:
+        """Return what becomes of a call whose response is `answer`, behind which comes the end."""
+        http = HttpClient()
+        self.addCleanup(http.close)
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(answer)
+
+        threading.Thread(target=serve, daemon=True).start()
+        url = f"http://{HOST}:{listener.getsockname()[1]}/"
+        try:
+            return http.request(http_client.Call("GET", url, timeout=10.0, connect_timeout=5.0))
+        except ExternalSystemError as error:
+            return error
+
+    def test_a_length_too_large_to_be_counted_makes_no_response_whole(self) -> None:
+        for value in (b"9" * 19, b"9" * 20, b"9" * 5000):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: " + value
+            result = self._asked(head + b"\r\n\r\nok")
+            assert isinstance(result, ExternalSystemError), (value[:20], result)
+            self.assertFalse(result.not_executed)
+
+    def test_a_status_out_of_range_is_an_error(self) -> None:
+        for status in (b"000", b"099", b"600", b"2000", b"20", b"2", b"", b"9" * 5000):
+            result = self._asked(b"HTTP/1.1 " + status + b" OK\r\nContent-Length: 2\r\n\r\nok")
+            assert isinstance(result, ExternalSystemError), (status[:20], result)
+            self.assertFalse(result.not_executed)
