Hold at nodes that a head which stops is no proof of a run that never was

Two targets of a service answer with a head that stops at each of its bytes, closed and reset, to requests that may run once: each gets 502 without `X-Not-Executed`, and ran once in both together. It passes as the code is. With a mutant whose lost connections count as not sent until the head is whole, both tests fail: the request ran at both targets.

--- a/tests/test_heads_that_stop.py
+++ b/tests/test_heads_that_stop.py
@@ -14,7 +14,8 @@
 import time
 import unittest
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
+from unittest import mock
 
 from fielddrift_core.interfaces import ExternalSystemError
 from fielddrift_node import http_client
@@ -23,11 +24,16 @@
 from fielddrift_node.web.errors import RESET_REASON, ExchangeError
 from fielddrift_node.web.messages import Framing, Reply, ResponseHead
 from fielddrift_node.web.process_check import ProcessAnswer, ProcessCheck
+from fielddrift_node.web.server import set_reset_on_close
 from fielddrift_node.web.tunnel import TunnelServer, TunnelStatus
+from fielddrift_standins import worker as standin
 from fielddrift_standins.fleet import HOST, free_port
+from fielddrift_standins.worker import Worker
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from .platform_fleet import FleetCase, ask, prompt
+
 _REQUEST = b"GET /run HTTP/1.1\r\nHost: x\r\n\r\n"
 _CHECK = b"GET /who HTTP/1.1\r\nHost: x\r\n\r\n"
 _BODY = b"0123456789abcdef"
@@ -316,3 +322,52 @@
             else:
                 assert isinstance(result, http_client.Reply)
                 self.assertFalse(result.delimited)
+
+
+class TestNodes(FleetCase):
+    """Requests that may run once only, at two targets whose responses stop inside their heads."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.cut, self.resets = 0, False
+
+        async def stop(exchange: Any) -> None:
+            worker, responder = exchange.worker, exchange.responder
+            worker.begin(exchange.request)
+            fields = [*worker.head(exchange.request_id), (b"Content-Length", b"0")]
+            lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in fields)]
+            head = b"\r\n".join([*lines, b"", b""])
+            self.size = len(head)
+            responder.write_raw(head[: self.cut])
+            if self.resets:
+                set_reset_on_close(responder._connection._transport, True)
+            responder.cut()
+
+        faults = mock.patch.dict(standin.FAULTS, {"stop": stop})
+        faults.start()
+        self.addCleanup(faults.stop)
+
+    async def _check_cuts(self, service: str, path: str, **fields: str) -> None:
+        """Cut the head at every byte, closed in order and reset."""
+        workers = [await self.fleet.worker(Worker(name=name), service) for name in ("t", "u")]
+        node = await self.fleet.node()
+        self.size = 1
+        while self.cut < self.size:
+            for self.resets in (False, True):
+                for worker in workers:
+                    worker.faults = ["stop"]
+                name = f"r{self.cut}-{self.resets}"
+                answer = await ask(node, path, request_id=name, body=name.encode(), **fields)
+                place = (path, self.cut, self.resets, answer)
+                self.assertEqual(answer.status, 502, place)
+                self.assertNotIn("x-not-executed", answer.headers, place)
+                runs = [run for worker in workers for run in worker.ran if run.request_id == name]
+                self.assertEqual(len(runs), 1, place)
+            self.cut += 1
+        self.assertGreater(self.size, 100)
+
+    async def test_an_unsafe_request_runs_once_and_is_not_called_unrun(self) -> None:
+        await self._check_cuts("plain", "/unsafe/1")
+
+    async def test_nor_is_a_stream_that_may_be_sent_once(self) -> None:
+        await self._check_cuts("engines", "/verdict/1", **prompt())
