--- a/packages/node/src/fielddrift_node/web/client.py
+++ b/packages/node/src/fielddrift_node/web/client.py
@@ -396,8 +396,8 @@
         self, path: ServerPath, make_connection: Callable[[], Connection]
     ) -> Connection:
         """Return a connection that another node carries; raise `OSError` without one."""
-        unopened = TunnelHandshake(address=path.address)
-        handshake = await self._open(lambda: unopened, path.through)
+        handshake = TunnelHandshake(address=path.address)
+        await self._open(lambda: handshake, path.through)
         transport = await handshake.opened()
         connection = make_connection()
         connection.set_carrier_process(handshake.process)
