--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Callable, Iterable
 from typing import Annotated, Generic, NamedTuple, Protocol, TypeVar, get_args, get_origin
 
@@ -190,8 +191,8 @@
         """
         try:
             return decoded(self._decoder, data)
-        except msgspec.ValidationError:
-            fields = decoded(_FIELDS, data)
+        except msgspec.DecodeError:
+            fields = decoded(_FIELDS, _without_lone_surrogates(data))
         for name, decoder in self._elements.items():
             if name in fields:
                 valid = _valid(decoder, decoded(_LIST, fields[name]), left_out)
@@ -199,10 +200,20 @@
         return decoded(self._decoder, msgspec.json.encode(fields))
 
 
+_SURROGATES = re.compile(
+    rb"\\\\|\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}"
+    rb"|(?P<lone>\\u[dD][89a-fA-F][0-9a-fA-F]{2})"
+)
+"""Backslashes, pairs of surrogates, and surrogates without the other half, in JSON."""
 _FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _LIST = msgspec.json.Decoder(list[msgspec.Raw])
 
 
+def _without_lone_surrogates(data: bytes) -> bytes:
+    """Return the JSON with U+FFFD for each lone surrogate, for which msgspec rejects all of it."""
+    return _SURROGATES.sub(lambda found: rb"\ufffd" if found["lone"] else found[0], data)
+
+
 def _valid(
     decoder: _Decoder[object],
     elements: Iterable[msgspec.Raw],
