--- a/tests/test_entries_out_of_range.py
+++ b/tests/test_entries_out_of_range.py
@@ -13,6 +13,7 @@
 from .test_target_lives import entry
 
 LONG_LABEL = "e" * 64
+DEEP = "[" * 65_000 + "]" * 65_000
 ODD_ADDRESSES = (
     f"{LONG_LABEL}.example:80",
     f"{'e.' * 130}example:80",
@@ -59,6 +60,9 @@
         self.node = await self.fleet.node()
 
     def _write(self, key: str, **fields: object) -> None:
+        if "text" in fields:
+            self.fleet.store.put_text("servers", key, str(fields["text"]))
+            return
         fields = {"address": "127.0.0.1:9", "slots": 4, "zone": "a", "state": "ready"} | fields
         self.fleet.store.put("servers", key, {"service": "plain", **fields})
 
@@ -92,6 +96,11 @@
         self.assertEqual(await self._statuses(8), [200] * 8)
         self.assertTrue(self.fleet.workers["w5"].ran)
 
+    async def test_the_list_is_followed_beside_entries_that_no_decoder_takes(self) -> None:
+        """Failure: nodes that ended, or stopped following the list, for another writer's entry."""
+        texts = (DEEP, f'{{"x": {DEEP}}}', "9" * 5000, "NaN", '"\\ud800"', "[]", "", "\x00")
+        await self._play([{"text": text} for text in texts])
+
     async def test_other_nodes_get_the_list_beside_numbers_too_large(self) -> None:
         """Failure: the answer with a node's list failed, as long as such an entry stood."""
         await self._play([{"slots": 10**400}, {"models": [{"name": "m", "version": 2**64}]}])
--- a/tests/test_odd_datagrams.py
+++ b/tests/test_odd_datagrams.py
@@ -94,7 +94,7 @@
         self.assertTrue(self.sent.sendto.called)
 
     async def test_datagrams_that_nest_deeply_are_left_out(self) -> None:
-        """Failure: an uncaught `RecursionError`."""
+        """Guards against an uncaught `RecursionError`, as other decoders raised it."""
         for marker in (b"", b"\xc1", b"\xc0"):
             self._receive(marker + b"\x91" * 60_000 + b"\x90")
             self._receive(marker + b"\x92\xa1x" + b"\x91" * 60_000)
@@ -159,6 +159,6 @@
         self.assertEqual(self._copy(encoded(TargetCopy((odd, good), (), 1, 1))).entries, (good,))
 
     def test_a_copy_that_nests_deeply_ends_that_call_alone(self) -> None:
-        """Failure: an uncaught `RecursionError`."""
+        """Guards against an uncaught `RecursionError`, as other decoders raised it."""
         with self.assertRaises(RemoteCallError):
             self._copy(b"\x95" + b"\x91" * 60_000 + b"\x90")
