Take a row that cannot be decoded for one that is there, and bound the names that targets tell

A row of the store's answer that cannot be decoded was left out since, and so counted as absent: an origin in it was denied and former versions counted as none, so that a stream could be joined with events of another version; a change in a feed was lost for good. Such a row keeps its key now and has a value that is no base64, which every reader treats as unknown; a feed with one is read again as a whole.

A model's name in a report, or a version in an entry, of 70,000 characters made heartbeats and origins larger than a datagram: other nodes took the node for dead. Names and versions that targets tell have 200 characters at most, as the store's keys have; a datagram that is too large is told as a warning.

--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Annotated, Generic, NamedTuple, Protocol, TypeVar, get_args, get_origin
 
 import msgspec
@@ -16,12 +17,14 @@
 __all__ = [
     "COUNT",
     "ERA",
+    "MAX_NAME_CHARACTERS",
     "MILLISECONDS",
     "PORT",
     "Age",
     "Amount",
     "Count",
     "Finite",
+    "Name",
     "Number",
     "Port",
     "Range",
@@ -82,6 +85,10 @@
 """Eras of the platform's store: combined with a version, they are still a number of 62 bits."""
 
 Port = Annotated[int, msgspec.Meta(ge=PORT.minimum, le=PORT.maximum)]
+MAX_NAME_CHARACTERS = 200
+"""Characters of the names and versions that targets tell, of which one datagram holds several."""
+
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Count = Annotated[int, msgspec.Meta(ge=COUNT.minimum, le=COUNT.maximum)]
 Amount = Annotated[float, msgspec.Meta(ge=MILLISECONDS.minimum, le=MILLISECONDS.maximum)]
 """Durations, ages, sizes and rates; NaN is not in the range."""
@@ -98,6 +105,9 @@
 _Decoded = TypeVar("_Decoded", covariant=True)
 
 
+_Repair = Callable[[Mapping[str, msgspec.Raw]], Mapping[str, object]]
+
+
 class _Decoder(Protocol[_Decoded]):
     def decode(self, data: bytes, /) -> _Decoded: ...
 
@@ -174,9 +184,13 @@
 
 
 class StructDecoder(Generic[_T]):
-    """Decodes a `msgspec.Struct` in JSON, and leaves out elements of its lists that are invalid."""
+    """Decodes a `msgspec.Struct` in JSON, and leaves out elements of its lists that are invalid.
+
+    `repair` may return other fields for an element that is an object and invalid.
+    """
 
-    def __init__(self, kind: type[_T]) -> None:
+    def __init__(self, kind: type[_T], *, repair: _Repair | None = None) -> None:
+        self._repair = repair
         self._decoder = msgspec.json.Decoder(kind)
         self._elements: dict[str, msgspec.json.Decoder[object]] = {
             field.encode_name: msgspec.json.Decoder(get_args(field.type)[0])
@@ -187,7 +201,7 @@
     def decode(self, data: bytes, left_out: Callable[[msgspec.DecodeError], None]) -> _T:
         """Return the decoded struct; raise `msgspec.DecodeError` unless all but elements is valid.
 
-        `left_out` gets the error of each element that is left out.
+        `left_out` gets the error of each element that is left out or repaired.
         """
         try:
             return decoded(self._decoder, data)
@@ -195,10 +209,33 @@
             fields = decoded(_FIELDS, _without_lone_surrogates(data))
         for name, decoder in self._elements.items():
             if name in fields:
-                valid = _valid(decoder, decoded(_LIST, fields[name]), left_out)
+                elements = decoded(_LIST, fields[name])
+                valid = self._valid(decoder, elements, left_out)
                 fields[name] = msgspec.Raw(msgspec.json.encode(valid))
         return decoded(self._decoder, msgspec.json.encode(fields))
 
+    def _valid(
+        self,
+        decoder: _Decoder[object],
+        elements: Iterable[msgspec.Raw],
+        left_out: Callable[[msgspec.DecodeError], None],
+    ) -> list[msgspec.Raw]:
+        """Return those of the `elements` that can be decoded, or repaired."""
+        valid = []
+        for element in elements:
+            try:
+                decoded(decoder, element)
+                valid.append(element)
+            except msgspec.DecodeError as error:
+                left_out(error)
+                with contextlib.suppress(msgspec.DecodeError):
+                    if self._repair is not None:
+                        fields = self._repair(decoded(_FIELDS, element))
+                        repaired = msgspec.Raw(msgspec.json.encode(fields))
+                        decoded(decoder, repaired)
+                        valid.append(repaired)
+        return valid
+
 
 _SURROGATES = re.compile(
     rb"\\\\|\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}"
@@ -214,23 +251,6 @@
     return _SURROGATES.sub(lambda found: rb"\ufffd" if found["lone"] else found[0], data)
 
 
-def _valid(
-    decoder: _Decoder[object],
-    elements: Iterable[msgspec.Raw],
-    left_out: Callable[[msgspec.DecodeError], None],
-) -> list[msgspec.Raw]:
-    """Return those of the `elements` that can be decoded."""
-    valid = []
-    for element in elements:
-        try:
-            decoded(decoder, element)
-        except msgspec.DecodeError as error:
-            left_out(error)
-        else:
-            valid.append(element)
-    return valid
-
-
 def address_of(field: str, value: object) -> str:
     """Return the address `value`, HOST:PORT; raise `ValueOutOfRange` if it cannot be one."""
     address_parts(field, value)
--- a/packages/node/src/fielddrift_node/serving/gossip.py
+++ b/packages/node/src/fielddrift_node/serving/gossip.py
@@ -40,6 +40,8 @@
 callers to those nodes when their own data centre has no active node."""
 _MAX_DATAGRAM_BYTES = 1400
 """Largest datagram that fits into one packet."""
+_MAX_UDP_BYTES = 65_507
+"""Largest datagram of UDP over IPv4."""
 
 _ADDRESS_CACHE_SIZE = 1024
 """Addresses that are kept in parsed form: those of a large fleet."""
@@ -288,6 +290,9 @@
     def _send_to(self, address: str, data: bytes) -> None:
         if self._transport is None:
             return
+        if len(data) > _MAX_UDP_BYTES:
+            _log.warning("datagram not sent", bytes=len(data), limit=_MAX_UDP_BYTES)
+            return
         if len(data) > _MAX_DATAGRAM_BYTES:
             _log.debug("heartbeat exceeds the packet size", size=len(data))
         self._transport.sendto(data, _split_address(address))
