End a call that cannot be sent alone, not the thread of all calls

One call whose URL or header has a character that libcurl's binding can't encode, or whose time-out is no number that it takes, ended the thread that makes all calls of the own interface: the call never returned, and all later ones failed until the process started again. An address from a target's entry is part of a URL.

Such a call now ends by itself with an error that says what was not taken, and was not executed. So does a URL that libcurl rejects. A line break in a header's value is rejected: it began another field.

Before: the test failed at its first call (a rejected URL counted as perhaps executed). A trial of its other calls one by one, on the unfixed code: the first, a lone surrogate in the URL, ended the thread by `UnicodeEncodeError` and did not return within 60 s.

--- a/packages/node/src/fielddrift_node/http_client.py
+++ b/packages/node/src/fielddrift_node/http_client.py
@@ -20,7 +20,7 @@
 
 import pycurl
 from fielddrift_core.interfaces import ExternalSystemError
-from fielddrift_core.outside_values import Range, ValueOutOfRange, whole_number_of
+from fielddrift_core.outside_values import Range, ValueOutOfRange, text_of, whole_number_of
 
 from . import clock
 
@@ -57,6 +57,9 @@
 )
 """Error codes of connections that the server closed before the response was complete."""
 
+_UNSENT_CODES = frozenset({pycurl.E_OPERATION_TIMEDOUT, pycurl.E_URL_MALFORMAT})
+"""Error codes of calls that were not executed, if no byte of theirs was sent."""
+
 
 class AnswerMismatchError(ExternalSystemError):
     """A response carries the id of another request; whether this one ran is not known."""
@@ -284,6 +287,9 @@
             curl.setopt(pycurl.NOBODY, 1)
         curl.setopt(pycurl.CUSTOMREQUEST, call.method)
         headers = {"Expect": "", **call.headers}
+        for name, value in headers.items():
+            # A line break in a value would begin another field.
+            text_of(name, value, max_characters=_MAX_HEAD_BYTES)
         curl.setopt(pycurl.HTTPHEADER, [f"{name}: {value}" for name, value in headers.items()])
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
         curl.setopt(pycurl.WRITEFUNCTION, self.body)
@@ -417,7 +423,12 @@
 
     def _add(self, transfer: _Transfer) -> None:
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer.prepare(curl)
+        try:
+            transfer.prepare(curl)
+        except (ValueError, TypeError, OverflowError, pycurl.error) as error:
+            self._keep_handle(curl)
+            transfer.stream.end(_unsendable_error(transfer.call, error))
+            return
         self._transfers[curl] = transfer
         self._by_stream[transfer.stream] = curl
         self._multi.add_handle(curl)
@@ -447,7 +458,7 @@
         sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
         no_connection = code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
         refused = no_connection and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
-        not_executed = not sent and (no_connection or code == pycurl.E_OPERATION_TIMEDOUT)
+        not_executed = not sent and (no_connection or code in _UNSENT_CODES)
         broken = code in _CONNECTION_LOST_CODES or (sent and no_connection)
         url = self._transfers[curl].call.url
         return ExternalSystemError(
@@ -458,10 +469,14 @@
         transfer = self._transfers.pop(curl)
         del self._by_stream[transfer.stream]
         self._multi.remove_handle(curl)
+        self._keep_handle(curl)
+        transfer.stream.end(error)
+
+    def _keep_handle(self, curl: pycurl.Curl) -> None:
+        """Keep a handle for a later call, without what it was set to."""
         curl.reset()
         if len(self._idle_handles) < _MAX_IDLE_COUNT:
             self._idle_handles.append(curl)
-        transfer.stream.end(error)
 
 
 def _is_delimited(call: Call, head: Head) -> bool:
@@ -474,5 +489,10 @@
     )
 
 
+def _unsendable_error(call: Call, error: Exception) -> ExternalSystemError:
+    """Return the error of a call whose URL, headers or timeouts libcurl does not take."""
+    return ExternalSystemError(f"{call.url!r}: not sent: {error}", not_executed=True)
+
+
 def _closed_error(*, not_executed: bool) -> ExternalSystemError:
     return ExternalSystemError("HTTP client of this process was closed", not_executed=not_executed)
--- a/tests/test_values_in_heads.py
+++ b/tests/test_values_in_heads.py
@@ -316,3 +316,32 @@
             result = self._asked(b"HTTP/1.1 " + status + b" OK\r\nContent-Length: 2\r\n\r\nok")
             assert isinstance(result, ExternalSystemError), (status[:20], result)
             self.assertFalse(result.not_executed)
+
+    def test_a_call_that_cannot_be_sent_ends_alone(self) -> None:
+        """It ended the thread that makes all calls of the node, and never returned."""
+        http = HttpClient()
+        self.addCleanup(http.close)
+        here = f"http://{HOST}:1/"
+        calls = [http_client.Call("GET", f"http://{a}/") for a in _ODD_ADDRESSES if a not in ("x",)]
+        calls += [
+            http_client.Call("GET", here, headers={"X-Any": value})
+            for value in ("\u0662", "\ud800", "a\x00b", "a\r\nX-Other: b")
+        ]
+        calls += [http_client.Call("GET", here, timeout=t) for t in (1e300, float("nan"))]
+        for call in calls:
+            stream = http.stream(call)
+            error = stream.head.exception(timeout=10.0)
+            assert isinstance(error, ExternalSystemError), (call, error)
+            self.assertTrue(error.not_executed, (call.url[:40], error))
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+        threading.Thread(target=_answer_one, args=(listener,), daemon=True).start()
+        url = f"http://{HOST}:{listener.getsockname()[1]}/"
+        self.assertEqual(http.request(http_client.Call("GET", url)).body, b"ok")
+
+
+def _answer_one(listener: socket.socket) -> None:
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65536)
+        connection.sendall(_WHOLE)
