--- a/tests/test_values_in_heads.py
+++ b/tests/test_values_in_heads.py
@@ -115,10 +115,13 @@
 
     def test_a_keep_alive_timeout_out_of_range_loses_no_response(self) -> None:
         for value in _ODD:
-            if value in (b"\x00",):
-                continue  # The parser ends a response with such a character.
             head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=" + value
             result = self.run_loop(self._answered(head + b"\r\n\r\nok"))
+            if value == b"\x00":
+                # No field may contain it, whatever the field tells.
+                assert isinstance(result, ExchangeError), result
+                self.assertEqual(result.reason, GARBLED_REASON)
+                continue
             assert isinstance(result, Reply), (value[:20], result)
             self.assertEqual(result.body, b"ok")
 
@@ -156,6 +159,7 @@
         port = free_port()
         self.carrier = f"{HOST}:{port}"
         self.run_loop(self.tunnels.start(HOST, port))
+        self.addCleanup(self.tunnels.stop_accepting)
 
     async def _tunnelled(self, address: str, carrier: str) -> Reply:
         exchange = await self.client.begin(address, _REQUEST, connect_seconds=5.0, through=carrier)
@@ -230,6 +234,7 @@
             handler=self._handle, limits=lambda: limits, format_fault=plain_text_fault
         )
         self.run_loop(self.server.start(HOST, port))
+        self.addCleanup(self.server.stop_accepting)
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         responder.start(200, Headers(), len(request.body))
@@ -316,3 +321,33 @@
             result = self._asked(b"HTTP/1.1 " + status + b" OK\r\nContent-Length: 2\r\n\r\nok")
             assert isinstance(result, ExternalSystemError), (status[:20], result)
             self.assertFalse(result.not_executed)
+
+    def test_a_call_that_cannot_be_sent_ends_alone(self) -> None:
+        """It ended the thread that makes all calls of the node, and never returned."""
+        http = HttpClient()
+        self.addCleanup(http.close)
+        here = f"http://{HOST}:1/"
+        # Without a port a URL is a valid one.
+        calls = [http_client.Call("GET", f"http://{a}/") for a in _ODD_ADDRESSES if a != "x"]
+        calls += [
+            http_client.Call("GET", here, headers={"X-Any": value})
+            for value in ("\u0662", "\ud800", "a\x00b", "a\r\nX-Other: b")
+        ]
+        calls += [http_client.Call("GET", here, timeout=t) for t in (1e300, float("nan"))]
+        for call in calls:
+            stream = http.stream(call)
+            error = stream.head.exception(timeout=10.0)
+            assert isinstance(error, ExternalSystemError), (call, error)
+            self.assertTrue(error.not_executed, (call.url[:40], error))
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+        threading.Thread(target=_answer_one, args=(listener,), daemon=True).start()
+        url = f"http://{HOST}:{listener.getsockname()[1]}/"
+        self.assertEqual(http.request(http_client.Call("GET", url)).body, b"ok")
+
+
+def _answer_one(listener: socket.socket) -> None:
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65536)
+        connection.sendall(_WHOLE)
