Pass on every event of a run whose id is odd, and tell repeats by their bytes

Callers saw streams that ended as complete without some pieces: where an engine gave one event an id that was too low, too large or no number, the node took it, or all events behind it up to that id, for repeats and left them out without a word. A run that was to resume behind such an id, or that ended among the events which it repeated, counted as complete though nothing of it had been handed on.

A repeat is an event of the same number and bytes that this run has sent, or, at the start of a run that resumes, one up to and including the event after which it does. All others are handed on in their place; the run cannot be resumed from then on, so that a break is a cut for its caller. A run of which it is not known whether an event was sent before ends with `StreamError`. What was left out or came out of order is counted by reason and told in one line a run.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -8,6 +8,10 @@
 from __future__ import annotations
 
 import re
+from array import array
+from typing import NamedTuple
+
+from .outside_values import COUNT
 
 __all__ = ["EventFramer", "EventSequencer", "StreamError", "first_event_id"]
 
@@ -17,6 +21,8 @@
 _END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
 _MAX_HELD_EVENT_COUNT = 10_000
 _MAX_HELD_BYTES = 16 * 1024 * 1024
+_MAX_DIGITS = COUNT.max_digits
+_BEFORE_FIRST = -1
 _MAX_EVENT_BYTES = 1024 * 1024
 """The size of an event that is still incomplete."""
 
@@ -143,6 +149,8 @@
 
 
 _ID_LINE = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+_ID_OR_END = re.compile(rb"^id: ?([^\r\n]*)|\n\n", re.MULTILINE)
+"""An event's id, or, with an empty group, the end of the event."""
 
 
 def first_event_id(events: bytes) -> str:
@@ -151,11 +159,30 @@
     return "" if found is None else found.group(1).decode("latin-1")
 
 
+class _Progress(NamedTuple):
+    """Whether the last events of a run were repeats.
+
+    `is_at_start` tells that all events of a resumed run were, of those up to the one after which it
+    resumes, and `repeated` is the number of the last of them; `is_repeating` tells that the last
+    event was a repeat of one of the run itself.
+    """
+
+    is_at_start: bool = False
+    repeated: int = _BEFORE_FIRST
+    is_repeating: bool = False
+
+
+_AT_START = _Progress(is_at_start=True)
+_IN_ORDER = _Progress()
+
+
 class EventFramer:
-    """Split the bytes of one run into complete events, each forwarded once.
+    """Split the bytes of one run into complete events, and leave out those sent before.
 
-    Ids increase but need not be consecutive.  Events up to and including the id
-    `after`, which an earlier run of the same answer sent, are left out.
+    Ids increase but need not be consecutive.  A run that resumes after the event `after` may first
+    repeat events up to that one, and any run may repeat events of its own; these are left out.
+    Every other event is forwarded in its place, also one whose id does not increase or is not a
+    whole number in `COUNT`: then the run's position is unknown, and it cannot be resumed.
     """
 
     # Each run needs its own framer: an event that is incomplete when a run is interrupted
@@ -165,9 +192,19 @@
         self._buffer = b""
         self._partial_bytes = 0
         self._last = after
+        self._after = _event_number(after.encode("latin-1"))
+        """The number of the event after which this run resumes, None for none."""
+        self._highest = _BEFORE_FIRST if self._after is None else self._after
+        """The highest number of an event, in this run or earlier."""
+        self._progress = _IN_ORDER if self._after is None else _AT_START
         self._events = 0
         self._odd = 0
-        self._marked = True
+        self._repeats = 0
+        self._is_after_known = not after or self._after is not None
+        self._seen = array("q")
+        """The hashes of this run's events, which tell repeats from others with the same id."""
+        self._misplaced = array("q")
+        """The hashes of those without an id, or with one that did not increase."""
 
     @property
     def last(self) -> str:
@@ -188,10 +225,33 @@
         """
         return self._odd
 
+    @property
+    def misplaced(self) -> int:
+        """Return how many events were forwarded that have no id, or one that does not increase."""
+        return len(self._misplaced)
+
+    @property
+    def repeats(self) -> int:
+        """Return how many events were left out, since they were sent before."""
+        return self._repeats
+
     @property
     def resumable(self) -> bool:
-        """Return whether another run can resume after the last event: every event had an id."""
-        return self._marked
+        """Return whether another run can resume after the last event: all ids increase."""
+        return self._is_after_known and not self._misplaced
+
+    @property
+    def may_end(self) -> bool:
+        """Return whether a run that ends here may be complete.
+
+        A run ends neither inside an event nor among repeats, and where nothing was forwarded, its
+        first event must be known to follow one that was.
+        """
+        if self._partial_bytes > 0:
+            return False
+        if self._progress.is_at_start:
+            return self._progress.repeated in (_BEFORE_FIRST, self._after)
+        return self._events > 0
 
     @property
     def partial(self) -> bool:
@@ -204,73 +264,130 @@
         return self._partial_bytes
 
     def discard(self) -> None:
-        """Free the buffer, at the end of the run: errors may keep the framer for long."""
+        """Free the buffers, at the end of the run: errors may keep the framer for long."""
         self._buffer = b""
+        self._seen = array("q")
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, without those forwarded before.
 
-        Raise `StreamError` for an event that does not end.  In that case no part of `data`
-        counts as forwarded.
+        Raise `StreamError` for an event that does not end, and for a resumed run of which it is
+        not known where it goes on.  In that case no part of `data` counts as forwarded.
         """
         ready, self._buffer = _split_complete(self._buffer + data)
         self._partial_bytes = len(self._buffer)
         _check_size(self._partial_bytes, "event")
         if not ready:
             return b""
+        marks = _ID_OR_END.findall(ready)
+        if self._progress is not _IN_ORDER or (highest := self._highest_of(marks)) is None:
+            return self._sort_out(ready)
+        ids = marks[::2]
+        if len(ids) == 1:
+            self._seen.append(hash(ready))
+        else:
+            self._seen.extend(map(hash, _split_events(ready)))
+        self._highest = highest
+        self._last = ids[-1].decode("latin-1")
+        self._events += len(ids)
+        self._odd += abs(_count_data_lines(ready) - len(ids))
+        return ready
+
+    def _highest_of(self, marks: list[bytes]) -> int | None:
+        """Return the last number if each event has one id, all above those before, else None.
+
+        `marks` are the ids and, as empty bytes, the ends of the events.
+        """
+        if len(marks) % 2:
+            return None
+        last = self._highest
+        for each, end in zip(marks[::2], marks[1::2], strict=True):
+            number = None if end else _event_number(each)
+            if number is None or number <= last:
+                return None
+            last = number
+        return last
+
+    def _sort_out(self, ready: bytes) -> bytes:
+        """Return the events of `ready` that are not repeats."""
+        state, highest = self._progress, self._highest
+        kept: list[bytes] = []
+        new, misplaced = array("q"), array("q")
+        for event in _split_events(ready):
+            ids, digest = _ID_LINE.findall(event), hash(event)
+            number = _event_number(ids[0]) if len(ids) == 1 else None
+            is_known = digest in new or digest in self._seen
+            if state.is_at_start and number is not None and number <= highest:
+                if number > state.repeated:
+                    state = state._replace(repeated=number)
+                    new.append(digest)
+                elif not is_known:
+                    raise StreamError(f"event {number}: not known whether it was sent before")
+                continue
+            if state.is_at_start and state.repeated not in (_BEFORE_FIRST, self._after):
+                raise StreamError(f"event {self._last}: not among the events repeated before it")
+            if number is not None and number > highest:
+                state, highest = _IN_ORDER, number
+                new.append(digest)
+            elif number is not None and is_known:
+                state = _Progress(is_repeating=True)
+                continue
+            else:
+                # It may be a repeat that this run or an earlier one has sent with such an id.
+                is_second = bool(ids) and (digest in misplaced or digest in self._misplaced)
+                is_old = number is not None and self._after is not None and number <= self._after
+                if is_second or is_old or state.is_repeating:
+                    raise StreamError(f"event {number}: not known whether it was sent before")
+                state = _IN_ORDER
+                misplaced.append(digest)
+            kept.append(event)
+        forwarded = b"".join(kept)
+        self._progress, self._highest = state, highest
+        self._seen.extend(new)
+        self._misplaced.extend(misplaced)
+        self._repeats += ready.count(b"\n\n") - len(kept)
+        self._count_forwarded(forwarded, len(kept))
+        return forwarded
+
+    def _count_forwarded(self, ready: bytes, events: int) -> None:
         ids = _ID_LINE.findall(ready)
-        if self._has_repeats(ids):
-            ready = self._without_repeats(ready)
-            ids = _ID_LINE.findall(ready)
-        events = ready.count(b"\n\n")
         self._events += events
-        lines = ready.count(b"\ndata:") + ready.startswith(b"data:")
         unnumbered = sum(not number.isdigit() for number in ids)
+        lines = _count_data_lines(ready)
         self._odd += max(abs(len(ids) - events), abs(lines - events), unnumbered)
-        self._marked = self._marked and len(ids) >= events
         if ids:
             # When every event was a repeat, no id is left and the last id stays.
             self._last = ids[-1].decode("latin-1")
-        return ready
 
-    def _has_repeats(self, ids: list[bytes]) -> bool:
-        """Return whether the ids of new events do not increase, from the last one on."""
-        last = _rank(self._last.encode("latin-1"))
-        for number in ids:
-            if number.isdigit():
-                if _rank(number) <= last:
-                    return True
-                last = _rank(number)
-        return False
-
-    def _without_repeats(self, ready: bytes) -> bytes:
-        kept, last = [], _rank(self._last.encode("latin-1"))
-        for event in ready.split(b"\n\n")[:-1]:
-            found = _ID_LINE.search(event)
-            number = found.group(1) if found is not None else b""
-            if not number.isdigit():
-                kept.append(event + b"\n\n")
-            elif _rank(number) > last:
-                last = _rank(number)
-                kept.append(event + b"\n\n")
-        return b"".join(kept)
 
+def _count_data_lines(ready: bytes) -> int:
+    return ready.count(b"\ndata:") + ready.startswith(b"data:")
 
-def _rank(number: bytes) -> tuple[int, bytes]:
-    """Return a key that orders decimal numbers of any length, with anything else below them.
 
-    A target may send ids that are longer than `int` accepts.
-    """
-    if not number.isdigit():
-        return (-1, b"")
-    digits = number.lstrip(b"0")
-    return (len(digits), digits)
+def _event_number(text: bytes) -> int | None:
+    """Return the number that an id spells in ASCII digits, None if it is not one in `COUNT`."""
+    if not text.isdigit():
+        return None
+    if len(text) < _MAX_DIGITS:
+        return int(text)
+    # A long number is not parsed: `int` rejects over 4,300 digits.
+    digits = text.lstrip(b"0") or b"0"
+    number = int(digits) if len(digits) <= _MAX_DIGITS else COUNT.maximum + 1
+    return number if number <= COUNT.maximum else None
+
+
+def _split_events(ready: bytes) -> list[bytes]:
+    """Return the complete events of `ready`, each with the blank line that ends it."""
+    return [event + b"\n\n" for event in ready.split(b"\n\n")[:-1]]
 
 
 def _split_complete(data: bytes) -> tuple[bytes, bytes]:
     """Return the complete events at the start of `data`, and the remaining bytes."""
     end = data.rfind(b"\n\n")
     cut = 0 if end < 0 else end + 2
+    if end > 0 and data[end - 1 : end] == b"\n":
+        # Three line ends in a row: the last of them belongs to what follows.
+        cut = len(data) - len(data.split(b"\n\n")[-1])
     return data[:cut], data[cut:]
 
 
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -312,7 +312,7 @@
             return await exchange.read()
         while True:
             data = await exchange.read()
-            if not data and framer.last and not framer.partial:
+            if not data and framer.last and framer.may_end:
                 # The failed run had sent all its events; only the end of the stream was lost.
                 return b""
             if not data:
@@ -378,10 +378,10 @@
                 if ready:
                     responder.write(ready)
                     await responder.drain()
-            if not framer.partial and await self._is_complete(call, run):
+            if framer.may_end and await self._is_complete(call, run):
                 run.send.generated = framer.events > 0
                 return None
-            detail = "ended inside an event" if framer.partial else "not known to be complete"
+            detail = "not known to be complete" if framer.may_end else "ended inside an event"
             failure = AttemptFailed(detail, reason="cut", reached=True, not_run=False)
             self.record_failure(call, run.choice.instance, failure, run.send)
             attempts.record(run.send, failure)
@@ -395,7 +395,7 @@
         attempts.check(failure)
         if not framer.resumable:
             # Resuming after the last id, or from the start, would repeat events to the caller.
-            raise attempts.exhausted("a run that sends events without an id cannot be resumed")
+            raise attempts.exhausted("a run whose events lack rising ids cannot be resumed")
         return await self._start_run(call, attempts, after=framer.last)
 
     async def _is_complete(self, call: Call, run: _Run) -> bool:
@@ -470,12 +470,30 @@
         if not run.ended:
             run.ended.append(True)
             self._context.metrics.odd_events.inc(run.framer.odd)
+            self._report_order(call, run)
             views.service_queues.of(call.service.name).turnover.ended(
                 call.parsed.prompt.tokens, now - run.started_at
             )
         views.service_queues.wake_all()
         self._context.on_load_change()
 
+    def _report_order(self, call: Call, run: _Run) -> None:
+        """Count and log the events of a run that were left out, or came out of order."""
+        framer, metrics = run.framer, self._context.metrics
+        if not framer.repeats and not framer.misplaced:
+            return
+        metrics.unordered_events.inc(framer.repeats, label_value="repeat")
+        metrics.unordered_events.inc(framer.misplaced, label_value="misplaced")
+        _log.info(
+            "events out of order",
+            request=call.parsed.request_id,
+            target=run.choice.instance.name,
+            left_out=framer.repeats,
+            misplaced=framer.misplaced,
+            events=framer.events,
+            resumable=framer.resumable,
+        )
+
     # --- sending ---------------------------------------------------------------
 
     def _build_request(
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -161,6 +161,12 @@
             "odd_events",
             "events handed on with not just one numbered id and one line of data",
         )
+        self.unordered_events = self._counter(
+            "unordered_events",
+            "events that were left out as repeats, or handed on without an id that increases, "
+            "by reason",
+            "reason",
+        )
         self.crashes = self._counter(
             "crashes", "runs that broke off because their target ended, once a request and target"
         )
