End a run whose numbers contradict each other, also one of thousands of digits

Seen by callers of the own interface: a number of over 4,300 digits raised an error that nothing expected; of two events with one number the second was dropped whatever it held; and an event beside the end event was held for ever while the stream ended as whole. Number 0, which is none, was taken for a repeat. Each now ends the run with `StreamError`, from which the stream resumes at another target or is cut. Repeats below the next number stay left out: numbers are consecutive and complete.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -93,12 +93,17 @@
         self._reordered = True
         for event in ready.split(b"\n\n")[:-1]:
             found = _NUMBER.findall(event)
-            if len(found) != 1:
+            number = _event_number(found[0]) if len(found) == 1 else None
+            if not number:
                 raise StreamError(f"event {event[:60]!r}: expected one id line with a number")
-            number = int(found[0])
-            if number >= self._next and number not in self._held:
-                self._held[number] = event + b"\n\n"
+            if number < self._next:
+                # A repeat: events are consecutive, so that one by this number was forwarded.
+                continue
+            known, self._held[number] = self._held.get(number), event + b"\n\n"
+            if known is None:
                 self._held_bytes += len(self._held[number])
+            elif known != self._held[number]:
+                raise StreamError(f"event {number}: received twice, with different data")
         if len(self._held) > _MAX_HELD_EVENT_COUNT:
             raise StreamError(
                 f"event {self._next}: missing, {len(self._held)} later events received"
@@ -113,6 +118,8 @@
             out.append(event)
             following += 1
         held_bytes = self._held_bytes - sum(map(len, out))
+        if count is not None and (last := max(self._held, default=0)) >= following:
+            raise StreamError(f"event {last}: received beside the end event")
         if held_bytes > _MAX_HELD_BYTES:
             raise StreamError(
                 f"event {following}: missing, later events of over {_MAX_HELD_BYTES} bytes received"
@@ -142,9 +149,9 @@
     found = _END.search(ready)
     if found is None:
         return None
-    count = int(found.group(1))
-    if last != count + 1:
-        raise StreamError(f"end event: count {count}, but its number is {last}")
+    count = _event_number(found.group(1))
+    if count is None or last != count + 1:
+        raise StreamError(f"end event: number {last}, expected its count and 1")
     return count
 
 
--- a/tests/test_odd_event_ids.py
+++ b/tests/test_odd_event_ids.py
@@ -10,7 +10,7 @@
 import unittest
 from collections.abc import Iterator
 
-from fielddrift_core.stream import EventFramer, StreamError
+from fielddrift_core.stream import EventFramer, EventSequencer, StreamError
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -152,3 +152,61 @@
             if has_ended or not run.resumable:
                 # The caller gets no end.
                 return
+
+
+class TestSequencer(unittest.TestCase):
+    """The own interface: events are numbered from 1, and an end event tells their count."""
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        st.integers(1, 20),
+        st.dictionaries(st.integers(0, 20), st.sampled_from(_ODD_IDS)),
+        st.booleans(),
+        st.integers(0, 10**6),
+    )
+    def test_a_stream_is_whole_with_all_events_only(
+        self, count: int, odd: dict[int, str | None], is_shuffled: bool, seed: int
+    ) -> None:
+        rng = random.Random(seed)
+        plain = [_event(str(at + 1), f"token {at}") for at in range(count)]
+        plain.append(b'event: end\nid: %d\ndata: {"count": %d}\n\n' % (count + 1, count))
+        sent = [
+            _event(odd[at], f"token {at}") if at in odd and at < count else event
+            for at, event in enumerate(plain)
+        ]
+        if is_shuffled:
+            rng.shuffle(sent)
+        sequencer, out = EventSequencer(), b""
+        try:
+            for read in _reads(b"".join(sent), rng):
+                out += sequencer.feed(read)
+        except StreamError:
+            self.assertFalse(sequencer.whole)
+        self.assertEqual(sequencer.whole, out.endswith(plain[-1]))
+        if sequencer.whole:
+            self.assertEqual(len(out), sum(map(len, sent)))
+
+    def test_a_number_of_any_length_ends_the_run(self) -> None:
+        """Failure: `int` raised an error that nobody expected, and the response broke off."""
+        for number in ("9" * 5000, "0", "0" * 5000):
+            with self.subTest(number=number[:5]), self.assertRaises(StreamError):
+                EventSequencer().feed(_event(number, "x"))
+        with self.assertRaises(StreamError):
+            EventSequencer().feed(b'event: end\nid: 1\ndata: {"count": ' + b"9" * 5000 + b"}\n\n")
+
+    def test_an_event_beside_the_end_event_ends_the_run(self) -> None:
+        """Failure: an event behind the last one was held, and the stream ended as whole."""
+        end = b'event: end\nid: 2\ndata: {"count": 1}\n\n'
+        for events in ([_event("4", "x"), _event("1", "a"), end], [_event("4", "x"), end]):
+            sequencer = EventSequencer()
+            with self.assertRaises(StreamError):
+                for event in [*events, _event("1", "a")]:
+                    sequencer.feed(event)
+
+    def test_two_events_of_one_number_end_the_run(self) -> None:
+        """Failure: the second one was dropped, though it was another piece."""
+        sequencer = EventSequencer()
+        sequencer.feed(_event("2", "a"))
+        self.assertEqual(sequencer.feed(_event("2", "a")), b"")
+        with self.assertRaises(StreamError):
+            sequencer.feed(_event("2", "b"))
