--- a/packages/core/src/fielddrift_core/outside_values.py
+++ b/packages/core/src/fielddrift_core/outside_values.py
@@ -10,6 +10,7 @@
 import math
 import re
 from collections.abc import Callable, Iterable, Mapping
+from functools import lru_cache
 from typing import Annotated, Generic, NamedTuple, Protocol, TypeVar, get_args, get_origin
 
 import msgspec
@@ -45,6 +46,8 @@
 """Characters of an invalid value that an error message contains."""
 _MAX_HEAD_CHARACTERS = 1024
 """Characters of a name that is sent in a header: far more than names have."""
+_ADDRESS_CACHE_SIZE = 4096
+"""Addresses that were checked: those of a large fleet, read every two seconds."""
 _LAST_HEAD_CHARACTER = "\xff"
 _MAX_HOST_CHARACTERS = 253
 _MAX_LABEL_CHARACTERS = 63
@@ -170,7 +173,8 @@
 def head_text_of(field: str, value: object) -> str:
     """Return the text `value`, which can be sent in a header; else raise `ValueOutOfRange`."""
     text = text_of(field, value, max_characters=_MAX_HEAD_CHARACTERS)
-    if max(text, default="") > _LAST_HEAD_CHARACTER or text.strip() != text:
+    is_sendable = text.isascii() or max(text) <= _LAST_HEAD_CHARACTER
+    if not is_sendable or text.strip() != text:
         raise ValueOutOfRange(field, value, "characters of ISO 8859-1, no space at the ends")
     return text
 
@@ -265,9 +269,14 @@
     """
     if not isinstance(value, str):
         raise ValueOutOfRange(field, value, "HOST:PORT")
-    host, _, port = value.rpartition(":")
+    return _parts(field, value)
+
+
+@lru_cache(maxsize=_ADDRESS_CACHE_SIZE)
+def _parts(field: str, address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
     if not _is_host(host) or port.strip() != port:
-        raise ValueOutOfRange(field, value, "HOST:PORT with an IP address or a host name")
+        raise ValueOutOfRange(field, address, "HOST:PORT with an IP address or a host name")
     return host, whole_number_of(f"{field}: port", port, PORT)
 
 
