Ask nodes that have fallen silent where a stream began before anything is presumed of it

Callers saw streams joined of two versions: the node that began them was cut off from the other nodes, not from the targets, so that the origins which it sent were lost. One node without an answer was allowed for, since a node that has ended leaves its origins with others; one that is cut off leaves none.

Where a node lacks the list that is newer than its caller, or several versions serve, silent nodes are asked too: one that answers or whose process has ended is as before; one that may live and does not answer makes the return refused, not run. The list is read where any node is missing, once in 0.3 s at most, so that the reads of many nodes together stay below the platform's limit where others end at once.

--- a/packages/core/src/fielddrift_core/neighbours.py
+++ b/packages/core/src/fielddrift_core/neighbours.py
@@ -389,6 +389,15 @@
         ]
         return sorted(found, key=_name_of)
 
+    def silent(self, now: float) -> list[Neighbour]:
+        """Return the nodes that were heard and are not alive any more, sorted by name."""
+        found = [
+            heard.node
+            for heard in self._states.values()
+            if heard.received_at > float("-inf") and not heard.is_alive(now)
+        ]
+        return sorted(found, key=_name_of)
+
     def remote(self) -> dict[str, list[Neighbour]]:
         """Return all known nodes of the other data centres, alive or not, by data centre."""
         found: dict[str, list[Neighbour]] = {}
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -54,7 +54,7 @@
 
     `not_executed` means that the call certainly had no effect.  `notice` is what a target
     reported about itself in the response.  `replaced` means that another process than the
-    expected one is at the target's address.
+    expected one is at the target's address, `refused` that nothing listens there.
     """
 
     def __init__(
@@ -64,11 +64,13 @@
         not_executed: bool = False,
         notice: TargetNotice = _NO_NOTICE,
         replaced: bool = False,
+        refused: bool = False,
     ) -> None:
         super().__init__(detail)
         self.not_executed = not_executed
         self.notice = notice
         self.replaced = replaced
+        self.refused = refused
 
 
 class HistoryTruncated(Exception):
--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -297,7 +297,8 @@
             if error.reason == "timeout":
                 # Connections often fail together, so the next node is asked over a new connection.
                 self._client.close()
-            raise RemoteCallError(f"node {node.name}: {error}") from None
+            detail = f"node {node.name}: {error}"
+            raise RemoteCallError(detail, refused=error.refused) from None
         if reply.head.status != 200:
             raise RemoteCallError(f"node {node.name}: status {reply.head.status}")
         return reply
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -84,11 +84,15 @@
 
 
 class _Answer(NamedTuple):
-    """The origin that one node knows of a stream, if any, and whether it answered at all."""
+    """The origin that one node knows of a stream, if any, and whether it answered at all.
+
+    `is_ended` tells that the asked process has ended.
+    """
 
     node: str
     origin: StreamOrigin | None
     is_given: bool
+    is_ended: bool = False
 
 
 class _SearchResult(NamedTuple):
@@ -104,10 +108,14 @@
 
 
 class _BatchAnswer(NamedTuple):
-    """The origins by key that one node knows, and whether the node gave a valid answer."""
+    """The origins by key that one node knows, and whether the node gave a valid answer.
+
+    `is_ended` tells that the asked process has ended.
+    """
 
     origins: dict[str, StreamOrigin]
     is_given: bool
+    is_ended: bool = False
 
 
 class _Batch(NamedTuple):
@@ -271,6 +279,10 @@
                 if (known := saved.origin) is not None:
                     self._origins.record(known)
                     return _Resumption(known.service, known.software, "platform")
+            may_lack = self._versions.is_mixed(name) or not self._has_list_of(call)
+            if may_lack and (known := await self._ask_silent(key)) is not None:
+                self._origins.record(known)
+                return _Resumption(known.service, known.software, "node")
         if is_split:
             raise _refused("it is not known which service began the stream")
         if answers is not None and not answers.is_sufficient and self._is_ambiguous(name):
@@ -295,8 +307,7 @@
         now = asyncio.get_running_loop().time()
         if answers is None or not answers.is_sufficient or self._is_isolated(now):
             return False
-        missing = answers.unanswered.union(self._missing_nodes(service, now))
-        return len(missing) <= _MAX_UNANSWERED_COUNT
+        return not answers.unanswered and not self._missing_nodes(service, now)
 
     async def _catch_up(self, call: Call, answers: _SearchResult | None) -> None:
         """Read the list of targets, which may lack a version that began the stream.
@@ -398,6 +409,23 @@
             unanswered=found.unanswered | answers.unanswered,
         )
 
+    async def _ask_silent(self, key: str) -> StreamOrigin | None:
+        """Ask nodes that have fallen silent for the origin of the stream `key`.
+
+        One that has ended left its origins with others, unlike one that is cut off from them: raise
+        `Refused` if one may live and does not answer.
+        """
+        silent = self._neighbours.silent(asyncio.get_running_loop().time())
+        asked = (self._ask_one(node, key) for node in _first(key, silent, _ASKED_COUNT))
+        answers = await asyncio.gather(*asked)
+        for answer in answers:
+            if answer.origin is not None:
+                return answer.origin
+        lost = sorted(each.node for each in answers if not (each.is_given or each.is_ended))
+        if lost:
+            raise _refused(f"nodes are cut off that may know which version began it: {lost}")
+        return None
+
     async def _ask(self, nodes: Collection[Neighbour], key: str) -> _SearchResult:
         """Ask `nodes` for the origin of the stream `key`, until one of them knows it."""
         answered: set[str] = set()
@@ -430,7 +458,7 @@
         batch.keys[key] = None
         # Shielded: others may wait for the same answer.
         answer = await asyncio.shield(batch.answer)
-        return _Answer(node.name, answer.origins.get(key), answer.is_given)
+        return _Answer(node.name, answer.origins.get(key), answer.is_given, answer.is_ended)
 
     async def _ask_batch(self, node: Neighbour) -> _BatchAnswer:
         """Return the origins that `node` knows of the streams that callers return with now.
@@ -443,10 +471,10 @@
             found = await self._peers.origins(node, keys)
         except RemoteCallError as error:
             _log.info("node not reached", node=node.name, error=str(error))
-            return _BatchAnswer({}, is_given=False)
+            return _BatchAnswer({}, is_given=False, is_ended=error.refused)
         now = asyncio.get_running_loop().time()
         origins = {o.key: o._replace(until=now + o.until) for o in found.origins}
-        return _BatchAnswer(origins, is_given=found.is_expected)
+        return _BatchAnswer(origins, found.is_expected, is_ended=not found.is_expected)
 
     def heard(self, origins: Sequence[StreamOrigin]) -> None:
         """Record origins from another node, whose `until` are the seconds that are left."""
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -19,8 +19,9 @@
 
 __all__ = ["TargetFeed"]
 
-_MIN_WANTED_INTERVAL_SECONDS = 0.1
-"""Interval between reads that requests wait for: one answers for all that came before it."""
+_MIN_WANTED_INTERVAL_SECONDS = 0.3
+"""Interval between reads that requests wait for: one answers for all that came before it.  Where
+many nodes end at once, all others may read."""
 _WANTED_POLL_SECONDS = 0.01
 
 _log = structlog.get_logger()
@@ -132,6 +133,8 @@
             # A later read by the source proves, like one by this node, that the store is back.
             self._views.registry.store_returned(now - reading.age)
             self._outage_at = None
+            # Otherwise this node would never read itself where a request waits for it.
+            self._backoff.succeeded()
         if (
             reading.targets >= self._views.targets_row
             and _version_of(chosen, reading) != self._copied_version
