Let a node that stood still deny no origins until it has read its views again

Callers saw streams joined of two versions where two nodes stood still while a second version joined and the node that used it ended as they went on: the one that was asked answered before it had read the origins that had come meanwhile, and the one that asked presumed the first version.

It now answers only with origins that it knows while its views are stale, and otherwise with an error, which counts as no answer.

--- a/packages/node/src/fielddrift_node/serving/sharing.py
+++ b/packages/node/src/fielddrift_node/serving/sharing.py
@@ -200,6 +200,9 @@
     def _origins(self, keys: list[str]) -> list[StreamOrigin]:
         now = asyncio.get_running_loop().time()
         found = [self._views.origins.find(key, now) for key in keys]
+        self._views.detect_pause(now)
+        if self._views.stale.is_set() and None in found:
+            raise ValueError("this node was paused and may not have read what was sent to it")
         return [origin._replace(until=origin.until - now) for origin in found if origin is not None]
 
     def _software(self, _: list[str]) -> dict[str, dict[str, VersionSpan]]:
