Play streams begun at a node that is cut off in three ways

What callers see: 8 of 12 streams joined of two versions at another node, whether that node cannot read its list of targets, reads it first, or knows both versions, which it has known for less than 3 s. One node that is not heard is allowed for in each place: in what counts as enough answers, after a read that failed, and where the former version is presumed. Where the node itself began the streams and was cut off from all others, none of these holds the origin.

--- a/tests/test_lists_read_for_callers.py
+++ b/tests/test_lists_read_for_callers.py
@@ -6,14 +6,15 @@
 from unittest import mock
 from unittest.mock import AsyncMock
 
+from fielddrift_node.serving import origin_rows
 from fielddrift_node.serving.ports import RemoteCallError
 
-from .platform_fleet import eventually
+from .platform_fleet import RunningNode, eventually
 from .test_nodes_out_of_step import OutOfStepCase, unread
 
 _WAIT_SECONDS = 0.8
-_SILENCE_SECONDS = 2.0
-"""After this time without heartbeats a node counts as dead."""
+_COPY_SECONDS = 2.0
+"""Time in which the node has copied the list from another one again."""
 
 
 class TestReads(OutOfStepCase):
@@ -27,31 +28,48 @@
         lost = AsyncMock(side_effect=RemoteCallError("store: no answer"))
         with mock.patch.object(copier._platform, "target_changes", lost):
             self.assertFalse(await copier.read_since(loop.time(), seconds=_WAIT_SECONDS))
-        await asyncio.sleep(_SILENCE_SECONDS)
+        await asyncio.sleep(_COPY_SECONDS)
         for _ in range(3):
             self.assertTrue(await copier.read_since(loop.time(), seconds=_WAIT_SECONDS))
 
 
 class TestCutOffBeginner(OutOfStepCase):
-    async def test_streams_that_a_node_began_while_cut_off_are_not_joined(self) -> None:
-        """Failure: the other nodes told that they know no origin, and that was enough, though none
-        had heard of the node that began the stream since the version joined."""
+    """Failure: the other nodes told that they know no origin, and that was enough, though none had
+    heard of the node that began the streams since the version joined."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         await self.start(nodes=4, engines=2, versions=("v1",))
-        cut, *others = self.nodes
-        behind = others[-1]
-        with mock.patch.object(cut.node._gossip, "_send_to"):
-            await eventually(
-                lambda: all(
-                    cut.settings.name
-                    not in {
-                        n.name
-                        for n in node.node._neighbours.alive(asyncio.get_running_loop().time())
-                    }
-                    for node in others
-                )
-            )
-            with unread(behind):
-                await self.join(cut, *others[:-1])
-                callers = await self.open_at(cut, 12)
-                await self.return_to(behind, callers)
+        self.cut, *self.others = self.nodes
+        lost = mock.patch.object(self.cut.node._gossip, "_send_to")
+        lost.start()
+        self.addCleanup(lost.stop)
+        await eventually(lambda: not any(self._hears_cut(node) for node in self.others))
+
+    def _hears_cut(self, node: RunningNode) -> bool:
+        now = asyncio.get_running_loop().time()
+        alive = node.node._neighbours.alive(now)
+        return any(each.name == self.cut.settings.name for each in alive)
+
+    async def test_they_are_not_joined_by_a_node_that_cannot_read_its_list(self) -> None:
+        behind = self.others[-1]
+        with unread(behind):
+            await self.join(self.cut, *self.others[:-1])
+            callers = await self.open_at(self.cut, 12)
+            await self.return_to(behind, callers)
+        self.assert_one_version(callers)
+
+    async def test_they_are_not_joined_by_a_node_that_reads_its_list_first(self) -> None:
+        behind = self.others[-1]
+        with unread(behind):
+            await self.join(self.cut, *self.others[:-1])
+            callers = await self.open_at(self.cut, 12)
+        await self.return_to(behind, callers)
+        self.assert_one_version(callers)
+
+    async def test_they_are_not_joined_by_a_node_that_knows_both_versions(self) -> None:
+        with mock.patch.object(origin_rows, "_FLUSH_SECONDS", 10.0):
+            await self.join(*self.nodes)
+            callers = await self.open_at(self.cut, 12)
+            await self.return_to(self.others[-1], callers)
         self.assert_one_version(callers)
