Find repeated events by their numbers, and take numbers of 63 bits

Where a run repeats events, or sends odd ids, each such event was compared with all before it: 46 and 53 times the processor time for 8 times the events, while the node stands still. Numbers rise, so that a repeat is found by bisection; odd ones are kept in a set. Ids above 2**53, as times in ns are, counted as misplaced, so that such a stream was not resumed.

--- a/packages/core/src/fielddrift_core/stream.py
+++ b/packages/core/src/fielddrift_core/stream.py
@@ -9,9 +9,11 @@
 
 import re
 from array import array
+from bisect import bisect_left
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from .outside_values import COUNT
+from .outside_values import Range
 
 __all__ = ["EventFramer", "EventSequencer", "StreamError", "first_event_id"]
 
@@ -21,7 +23,9 @@
 _END = re.compile(rb'^event: ?end$.*?^data: ?\{"count": ?(\d+)', re.MULTILINE | re.DOTALL)
 _MAX_HELD_EVENT_COUNT = 10_000
 _MAX_HELD_BYTES = 16 * 1024 * 1024
-_MAX_DIGITS = COUNT.max_digits
+_NUMBERS = Range(0, 2**63 - 1)
+"""Numbers of events, which may be times in ns."""
+_MAX_DIGITS = _NUMBERS.max_digits
 _BEFORE_FIRST = -1
 _MAX_EVENT_BYTES = 1024 * 1024
 """The size of an event that is still incomplete."""
@@ -183,13 +187,35 @@
 _IN_ORDER = _Progress()
 
 
+class _SeenEvents:
+    """The numbers of a run's events, which rise, and the hashes of their bytes.
+
+    The hashes tell repeats from other events with the same id.
+    """
+
+    def __init__(self) -> None:
+        self._numbers = array("q")
+        self._digests = array("q")
+
+    def extend(self, numbers: Iterable[int], digests: Iterable[int]) -> None:
+        """Add events behind all others."""
+        self._numbers.extend(numbers)
+        self._digests.extend(digests)
+
+    def has(self, number: int, digest: int) -> bool:
+        """Return whether an event with this number and these bytes was added."""
+        at = bisect_left(self._numbers, number)
+        is_there = at < len(self._numbers) and self._numbers[at] == number
+        return is_there and self._digests[at] == digest
+
+
 class EventFramer:
     """Split the bytes of one run into complete events, and leave out those sent before.
 
     Ids increase but need not be consecutive.  A run that resumes after the event `after` may first
     repeat events up to that one, and any run may repeat events of its own; these are left out.
     Every other event is forwarded in its place, also one whose id does not increase or is not a
-    whole number in `COUNT`: then the run's position is unknown, and it cannot be resumed.
+    whole number of 63 bits: then the run's position is unknown, and it cannot be resumed.
     """
 
     # Each run needs its own framer: an event that is incomplete when a run is interrupted
@@ -208,10 +234,10 @@
         self._odd = 0
         self._repeats = 0
         self._is_after_known = not after or self._after is not None
-        self._seen = array("q")
-        """The hashes of this run's events, which tell repeats from others with the same id."""
-        self._misplaced = array("q")
-        """The hashes of those without an id, or with one that did not increase."""
+        self._seen = _SeenEvents()
+        self._misplaced = 0
+        self._misplaced_digests: set[int] = set()
+        """The hashes of events without an id, or with one that did not increase."""
 
     @property
     def last(self) -> str:
@@ -235,7 +261,7 @@
     @property
     def misplaced(self) -> int:
         """Return how many events were forwarded that have no id, or one that does not increase."""
-        return len(self._misplaced)
+        return self._misplaced
 
     @property
     def repeats(self) -> int:
@@ -273,7 +299,8 @@
     def discard(self) -> None:
         """Free the buffers, at the end of the run: errors may keep the framer for long."""
         self._buffer = b""
-        self._seen = array("q")
+        self._seen = _SeenEvents()
+        self._misplaced_digests = set()
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, without those forwarded before.
@@ -287,47 +314,48 @@
         if not ready:
             return b""
         marks = _ID_OR_END.findall(ready)
-        if self._progress is not _IN_ORDER or (highest := self._highest_of(marks)) is None:
+        if self._progress is not _IN_ORDER or (numbers := self._rising_numbers(marks)) is None:
             return self._sort_out(ready)
         ids = marks[::2]
-        if len(ids) == 1:
-            self._seen.append(hash(ready))
-        else:
-            self._seen.extend(map(hash, _split_events(ready)))
-        self._highest = highest
+        events = [ready] if len(ids) == 1 else _split_events(ready)
+        self._seen.extend(numbers, map(hash, events))
+        self._highest = numbers[-1]
         self._last = ids[-1].decode("latin-1")
         self._events += len(ids)
         self._odd += abs(_count_data_lines(ready) - len(ids))
         return ready
 
-    def _highest_of(self, marks: list[bytes]) -> int | None:
-        """Return the last number if each event has one id, all above those before, else None.
+    def _rising_numbers(self, marks: list[bytes]) -> list[int] | None:
+        """Return the numbers if each event has one id, all above those before, else None.
 
         `marks` are the ids and, as empty bytes, the ends of the events.
         """
         if len(marks) % 2:
             return None
-        last = self._highest
+        last, numbers = self._highest, []
         for each, end in zip(marks[::2], marks[1::2], strict=True):
             number = None if end else _event_number(each)
             if number is None or number <= last:
                 return None
-            last = number
-        return last
+            numbers.append(last := number)
+        return numbers
 
     def _sort_out(self, ready: bytes) -> bytes:
         """Return the events of `ready` that are not repeats."""
         state, highest = self._progress, self._highest
         kept: list[bytes] = []
-        new, misplaced = array("q"), array("q")
+        new: dict[int, int] = {}
+        misplaced: list[int] = []
         for event in _split_events(ready):
             ids, digest = _ID_LINE.findall(event), hash(event)
             number = _event_number(ids[0]) if len(ids) == 1 else None
-            is_known = digest in new or digest in self._seen
+            is_known = number is not None and (
+                new.get(number) == digest or self._seen.has(number, digest)
+            )
             if state.is_at_start and number is not None and number <= highest:
                 if number > state.repeated:
                     state = state._replace(repeated=number)
-                    new.append(digest)
+                    new[number] = digest
                 elif not is_known:
                     raise StreamError(f"event {number}: not known whether it was sent before")
                 continue
@@ -335,13 +363,13 @@
                 raise StreamError(f"event {self._last}: not among the events repeated before it")
             if number is not None and number > highest:
                 state, highest = _IN_ORDER, number
-                new.append(digest)
+                new[number] = digest
             elif number is not None and is_known:
                 state = _Progress(is_repeating=True)
                 continue
             else:
                 # It may be a repeat that this run or an earlier one has sent with such an id.
-                is_second = bool(ids) and (digest in misplaced or digest in self._misplaced)
+                is_second = bool(ids) and (digest in misplaced or digest in self._misplaced_digests)
                 is_old = number is not None and self._after is not None and number <= self._after
                 if is_second or is_old or state.is_repeating:
                     raise StreamError(f"event {number}: not known whether it was sent before")
@@ -350,8 +378,9 @@
             kept.append(event)
         forwarded = b"".join(kept)
         self._progress, self._highest = state, highest
-        self._seen.extend(new)
-        self._misplaced.extend(misplaced)
+        self._seen.extend(new.keys(), new.values())
+        self._misplaced += len(misplaced)
+        self._misplaced_digests.update(misplaced)
         self._repeats += ready.count(b"\n\n") - len(kept)
         self._count_forwarded(forwarded, len(kept))
         return forwarded
@@ -379,8 +408,8 @@
         return int(text)
     # A long number is not parsed: `int` rejects over 4,300 digits.
     digits = text.lstrip(b"0") or b"0"
-    number = int(digits) if len(digits) <= _MAX_DIGITS else COUNT.maximum + 1
-    return number if number <= COUNT.maximum else None
+    number = int(digits) if len(digits) <= _MAX_DIGITS else _NUMBERS.maximum + 1
+    return number if number <= _NUMBERS.maximum else None
 
 
 def _split_events(ready: bytes) -> list[bytes]:
