--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -209,7 +209,7 @@
         now = asyncio.get_running_loop().time()
         if not _is_single(entry):
             return
-        report = BrittleReport(service, entry.memory, entry.unread / 1000)
+        report = BrittleReport(service, entry.memory, _age_seconds(entry))
         if self._views.brittle.merge(report, now):
             log_brittle(service, report.tolerance, told_by)
 
@@ -244,7 +244,12 @@
 
 def _is_single(entry: Burden) -> bool:
     """Return whether a load with a reserved name is the report of one node, and not a sum."""
-    return entry.running == 1 and entry.unread >= 0 and entry.memory >= 0
+    return entry.running == 1 and entry.memory >= 0
+
+
+def _age_seconds(entry: Burden) -> float:
+    """Return the age that a report's load holds in ms; nothing was told later than now."""
+    return max(0, entry.unread) / 1000
 
 
 def _encode_limit(word: LimitReport) -> Burden:
@@ -258,7 +263,7 @@
     """Decode a report from a load; return None for a sum, as for a limit."""
     if not _is_single(entry):
         return None
-    return SilenceReport(name.removeprefix(_SILENT_PREFIX), entry.unread / 1000)
+    return SilenceReport(name.removeprefix(_SILENT_PREFIX), _age_seconds(entry))
 
 
 def _decode_limit(name: str, entry: Burden) -> LimitReport | None:
@@ -269,4 +274,4 @@
     if not _is_single(entry):
         return None
     rate = (entry.memory - 1) / 1000 if entry.memory else None
-    return LimitReport(name.removeprefix(_LIMIT_PREFIX), rate, entry.unread / 1000)
+    return LimitReport(name.removeprefix(_LIMIT_PREFIX), rate, _age_seconds(entry))
