End a claim alone whose row cannot be decoded

Callers got 500 for a request whose claim's row is odd (no JSON, too few fields, nested too deeply). Worse, the thread that settles claims ended by the same error, and no outcome was settled any more.

A row is decoded in one place now, which raises ExternalSystemError: the request is refused as not run, and a claim to settle whose row another writer has replaced counts as replaced.

--- a/packages/node/src/fielddrift_node/claims.py
+++ b/packages/node/src/fielddrift_node/claims.py
@@ -36,6 +36,7 @@
 )
 from fielddrift_core.errors import Refusal
 from fielddrift_core.interfaces import ExternalSystemError, Row, Table, Transaction, Write
+from fielddrift_core.outside_values import decoded
 from fielddrift_core.retries import CircuitBreaker
 
 from . import clock
@@ -52,6 +53,9 @@
 _MAX_TABLE_OPEN_SECONDS = 2.0
 
 
+_CLAIM_ROW = msgspec.json.Decoder(ClaimRow)
+
+
 class Claim(NamedTuple):
     """A claim held by this node, with the version of its stored row."""
 
@@ -206,13 +210,12 @@
         """Run `write` and return the claim now stored, or None if the result is unknown."""
         try:
             kept = write()
+            return StoredClaim(_decode(kept), kept.version)
         except FutureTimeout:
             with self._lock:
                 self._breaker.failed(clock.now())
         except ExternalSystemError as error:
             get().info("claim not confirmed", key=row.key, error=str(error))
-        else:
-            return StoredClaim(_decode(kept), kept.version)
         self._mark_unsettled(row._replace(state=ClaimState.NOT_RUN))
         return None
 
@@ -337,14 +340,27 @@
     def _settle_row(self, wanted: ClaimRow) -> None:
         key = claim_key(wanted.customer, wanted.key)
         row = self._table.read([key])[0]
-        if row.version and _decode(row).attempt == wanted.attempt:
+        if row.version and self._is_of(row, wanted):
             write = Write(key, _encode(wanted), expect=row.version)
             self._table.commit(Transaction((write,)))
 
+    def _is_of(self, row: Row, wanted: ClaimRow) -> bool:
+        """Return whether a row holds the attempt of `wanted`."""
+        try:
+            return _decode(row).attempt == wanted.attempt
+        except ExternalSystemError as error:
+            # This node has not written it: another writer has replaced the attempt.
+            get().error("claim replaced", key=wanted.key, error=str(error))
+            return False
+
 
 def _encode(row: ClaimRow) -> str:
     return msgspec.json.encode(row).decode()
 
 
 def _decode(row: Row) -> ClaimRow:
-    return msgspec.json.decode(row.value, type=ClaimRow)
+    """Return the claim in a row; raise `ExternalSystemError` if it cannot be decoded."""
+    try:
+        return decoded(_CLAIM_ROW, row.value.encode())
+    except ValueError as error:
+        raise ExternalSystemError(f"row {row.key}: {error}") from None
