Take an answer of the table without the rows asked for as none

Callers whose request may not be repeated were refused for as long as the node ran, after one answer of the table that lacked rows: the thread that writes claims ended by a ValueError (zip of groups and rows), or a request failed by an IndexError.

HttpTable checks that the rows of an answer are those asked for, in their order, and raises ExternalSystemError otherwise; a commit may have happened then, and is read back.

--- a/packages/node/src/fielddrift_node/outside.py
+++ b/packages/node/src/fielddrift_node/outside.py
@@ -54,7 +54,7 @@
     def read(self, keys: Sequence[str]) -> list[Row]:
         """Return the rows of `keys`, in the order of `keys`."""
         self._metrics.add("table.reads", len(keys))
-        return self._call("read", {"keys": list(keys)}, _Rows).rows
+        return _rows_of(keys, self._call("read", {"keys": list(keys)}, _Rows).rows)
 
     def scan(self, prefix: str, after: str, limit: int) -> list[Row]:
         """Return up to `limit` rows whose keys start with `prefix` and are greater than `after`."""
@@ -71,7 +71,8 @@
         writes = [write._asdict() for write in transaction.writes]
         self._metrics.add("table.writes", len(writes))
         done = self._call("commit", {"writes": writes}, _Committed)
-        return TransactionResult(done.ok, done.rows)
+        keys = [write.key for write in transaction.writes]
+        return TransactionResult(done.ok, tuple(_rows_of(keys, done.rows)))
 
     def _call(self, what: str, body: Any, kind: type[Any]) -> Any:
         call = Call(
@@ -132,6 +133,15 @@
             raise ExternalSystemError(f"platform: {error}") from None
 
 
+def _rows_of(keys: Sequence[str], rows: Sequence[Row]) -> list[Row]:
+    """Return the `rows` of `keys` in their order; raise `ExternalSystemError` for other rows."""
+    found = [row.key for row in rows]
+    if found != list(keys):
+        detail = f"{len(found)} rows, expected those of {len(keys)} keys in their order"
+        raise ExternalSystemError(f"platform: {detail}")
+    return list(rows)
+
+
 def _usable(entry: HostEntry) -> bool:
     try:
         address_of("address", entry.address)
