Keep the origins of streams for 10 s at least, and presume a former version only as long

Callers saw streams joined of two versions: a node stood still for longer than the deadline of a stream's caller, cut the stream when it went on, and its caller returned; the origin had expired everywhere, and that nobody knew it counted as proof that the version which served before the node's start had begun it.

An origin is kept for 10 s at least, and a stream that nobody knows is taken for the former version's only while a second version has been there for less than that, so that each of its streams is still known.

--- a/packages/core/src/fielddrift_core/stream_origins.py
+++ b/packages/core/src/fielddrift_core/stream_origins.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "MAX_LIFETIME_SECONDS",
+    "MIN_LIFETIME_SECONDS",
     "SavedVersion",
     "ServiceVersions",
     "StreamOrigin",
@@ -31,6 +32,9 @@
 
 MAX_LIFETIME_SECONDS = 60.0
 """How long an origin is kept at most; it is needed until the deadline of the stream's caller."""
+MIN_LIFETIME_SECONDS = 10.0
+"""How long an origin is kept at least, also where its caller's deadline is shorter: callers return
+later whose node stood still.  A stream that nobody knows began at no version newer than this."""
 _MAX_ORIGINS = 10_000
 """Origins that a node keeps, about 300 bytes each; the oldest are removed first."""
 _MIN_RETENTION_SECONDS = 30.0
@@ -297,7 +301,8 @@
             if len(former) > 1:
                 # Each of them may have begun streams at nodes that ended before this one started.
                 raise UnknownOrigin(", ".join(sorted(seen)))
-            if all_reached and len(former) == 1:
+            is_recent = now - self.mixed_since(service) <= MIN_LIFETIME_SECONDS
+            if all_reached and len(former) == 1 and (is_recent or len(seen) == 1):
                 # The other versions are newer than this node, so the live nodes know their streams.
                 return min(former) if len(seen) > 1 else ""
         return presumed_version({name: span.first for name, span in seen.items()}, now)
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -17,6 +17,7 @@
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.stream_origins import (
     MAX_LIFETIME_SECONDS,
+    MIN_LIFETIME_SECONDS,
     StreamOrigin,
     UnknownOrigin,
     rank_holders,
@@ -242,7 +243,7 @@
             stream_key(call.customer_name, request_id),
             instance.service,
             software,
-            min(_returns_until(call), now + MAX_LIFETIME_SECONDS),
+            min(max(_returns_until(call), now + MIN_LIFETIME_SECONDS), now + MAX_LIFETIME_SECONDS),
         )
         self._origins.record(origin)
         if self._is_shared(instance.service):
