Refuse an answer in one piece whose text cannot be read, and read it however it is spelled

Callers of the own interface who asked for no stream got 500 for a run with one odd event of text (choices without an element or a text, JSON that is malformed or nests too deeply), after the run had ended, and their claim stayed open. An event whose JSON did not begin with 'choices' was left out of the answer without a word, which counted as whole.

Each event but those of other kinds is decoded now, by a type; one that cannot be ends the answer as cut, 'ran' unknown, and closes the claim as for a run that was cut.

--- a/packages/node/src/fielddrift_node/relay.py
+++ b/packages/node/src/fielddrift_node/relay.py
@@ -17,6 +17,7 @@
 import msgspec
 from fielddrift_core.errors import ErrorKind, Ran, Refusal
 from fielddrift_core.interfaces import ExternalSystemError
+from fielddrift_core.outside_values import decoded
 from fielddrift_core.stream import EventSequencer, StreamError
 
 from . import clock
@@ -36,7 +37,20 @@
 """How long resuming an interrupted run on another target may take."""
 
 _MAX_RESUME_COUNT = 3
-_TEXT_EVENT = re.compile(rb'^data: (\{"choices".*\})$', re.MULTILINE)
+_DATA = re.compile(rb"^data: ?(.*)$", re.MULTILINE)
+_KIND = re.compile(rb"^event:", re.MULTILINE)
+"""Found in events of other kinds than text, such as the end event."""
+
+
+class _Choice(msgspec.Struct):
+    text: str
+
+
+class _TextEvent(msgspec.Struct):
+    choices: tuple[_Choice, ...] | None = None
+
+
+_TEXT_EVENT = msgspec.json.Decoder(_TextEvent)
 
 
 Resume = Callable[[Exchange, int], Started | None]
@@ -204,12 +218,15 @@
 def buffered_answer(exchange: Exchange, relay: Relay) -> Answer:
     """Return the complete text as one response.
 
-    Raise `RunInterruptedError` if it is truncated, or larger than `MAX_BODY_BYTES`.
+    Raise `RunInterruptedError` if it is truncated, or larger than `MAX_BODY_BYTES`, or if the text
+    of an event cannot be read.
     """
     events = _collect(relay)
-    texts = [
-        msgspec.json.decode(data)["choices"][0]["text"] for data in _TEXT_EVENT.findall(events)
-    ]
+    try:
+        texts = _texts(events)
+    except RunInterruptedError as unreadable:
+        settle_refused(exchange, unreadable.refusal)
+        raise
     assert exchange.completion is not None
     body = json.dumps(
         {
@@ -227,6 +244,28 @@
     return Answer(200, "application/json", body, relay.headers)
 
 
+def _texts(events: bytes) -> list[str]:
+    """Return the text of each event that has one."""
+    texts = []
+    for event in events.split(b"\n\n"):
+        if _KIND.search(event):
+            continue
+        for data in _DATA.findall(event):
+            try:
+                choices = decoded(_TEXT_EVENT, data).choices
+            except msgspec.DecodeError as error:
+                raise _unreadable(str(error)) from None
+            if choices is not None:
+                if not choices:
+                    raise _unreadable("choices: none, expected one")
+                texts.append(choices[0].text)
+    return texts
+
+
+def _unreadable(detail: str) -> RunInterruptedError:
+    return RunInterruptedError(Refusal(ErrorKind.CUT, f"answer: {detail}", Ran.UNKNOWN, 0.5))
+
+
 def _collect(relay: Relay) -> bytes:
     collected = []
     size = 0
