--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -23,6 +23,8 @@
 """Interval between reads that requests wait for: one answers for all that came before it.  Where
 many nodes end at once, all others may read."""
 _WANTED_POLL_SECONDS = 0.01
+_RETRY_SECONDS = 1.0
+"""Interval between reads that requests wait for, while the platform does not answer this node."""
 
 _log = structlog.get_logger()
 
@@ -58,6 +60,7 @@
         self._wake = asyncio.Event()
         self._read_wanted_at = float("-inf")
         """Requests wait for a read by this node itself that begins at this time or later."""
+        self._tried_again_at = float("-inf")
 
     def heard(self, node: Neighbour, reading: ReadState) -> None:
         """Handle the read state in a heartbeat; update at once if `node` is the source."""
@@ -115,15 +118,30 @@
         chosen = self.reader()
         # After a pause, or where a request waits for it, this node first reads itself, and uses
         # other nodes only if that fails.
-        reads_itself = self._views.stale.is_set() or (
-            self._read_wanted_at > self._views.targets_asked_at
-        )
+        is_wanted = self._read_wanted_at > self._views.targets_asked_at
+        reads_itself = self._views.stale.is_set() or is_wanted
+        if chosen is not None and is_wanted and self._backoff.failing and await self._tries_again():
+            return read_interval_seconds(self._max_staleness_seconds)
         may_copy = not reads_itself or self._backoff.failing
         if chosen is not None and may_copy and await self._follow_source(chosen):
             return self._reader_check_seconds()
         await self._read()
         return read_interval_seconds(self._max_staleness_seconds)
 
+    async def _tries_again(self) -> bool:
+        """Read although the last read has failed, and other nodes can be copied; return whether
+        the read succeeded."""
+        now = asyncio.get_running_loop().time()
+        if now - self._tried_again_at < _RETRY_SECONDS:
+            return False
+        self._tried_again_at = now
+        try:
+            await self._read()
+        except RemoteCallError as error:
+            _log.info("platform not reached again", what="target entries", error=str(error))
+            return False
+        return True
+
     async def _follow_source(self, chosen: Neighbour) -> bool:
         """Copy the list from another node if it is newer; return whether that node could be
         asked."""
@@ -133,8 +151,6 @@
             # A later read by the source proves, like one by this node, that the store is back.
             self._views.registry.store_returned(now - reading.age)
             self._outage_at = None
-            # Otherwise this node would never read itself where a request waits for it.
-            self._backoff.succeeded()
         if (
             reading.targets >= self._views.targets_row
             and _version_of(chosen, reading) != self._copied_version
