--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -27,7 +27,7 @@
 
 from .call import Call, Refused, Send, short_id
 from .metrics import Metrics
-from .origin_rows import OriginRows, SavedOrigin
+from .origin_rows import OriginRows
 from .ports import RemoteCallError
 from .sharing import PeerClient
 from .version_rows import VersionRows
@@ -105,7 +105,12 @@
     unanswered: frozenset[str] = frozenset()
 
 
-_NO_SAVED_ORIGIN = SavedOrigin(None, is_given=False)
+class _FurtherSearch(NamedTuple):
+    """What was found of a stream that the asked nodes do not know, and whether the platform's rows
+    were read and do not hold it."""
+
+    found: _Resumption | None
+    is_denied: bool
 
 
 class _BatchAnswer(NamedTuple):
@@ -270,26 +275,41 @@
                 return _Resumption(answers.origin.service, answers.origin.software, "node")
         if not (is_split or self._has_list_of(call) or self._is_enough(answers, name)):
             await self._catch_up(call, answers)
-        saved = _NO_SAVED_ORIGIN
-        if call.parsed.resumes:
-            # It may have come, as an answer of a node that gave none in time, or by itself.
-            if (known := self._origins.find(key, loop.time())) is not None:
-                return _Resumption(known.service, known.software, "own")
-            if self._origin_rows is not None and (is_split or self._is_ambiguous(name)):
-                saved = await self._origin_rows.find(key)
-                if (known := saved.origin) is not None:
-                    self._origins.record(known)
-                    return _Resumption(known.service, known.software, "platform")
-            may_lack = self._versions.is_mixed(name) or not self._has_list_of(call)
-            if may_lack and (known := await self._ask_silent(key)) is not None:
-                self._origins.record(known)
-                return _Resumption(known.service, known.software, "node")
+        further = await self._search_further(call, key)
+        if further.found is not None:
+            return further.found
         if is_split:
             raise _refused("it is not known which service began the stream")
         if answers is not None and not answers.is_sufficient and self._is_ambiguous(name):
             raise _refused("too few nodes answered that may know which version began it")
         unanswered = frozenset[str]() if answers is None else answers.unanswered
-        return self._presume(call, is_denied=saved.is_given, unanswered=unanswered)
+        return self._presume(call, is_denied=further.is_denied, unanswered=unanswered)
+
+    async def _search_further(self, call: Call, key: str) -> _FurtherSearch:
+        """Search for an origin that has come meanwhile, on the platform, and at silent nodes.
+
+        Raise `Refused` if a node may know it that is cut off.
+        """
+        if not call.parsed.resumes:
+            return _FurtherSearch(None, is_denied=False)
+        name, is_denied = call.service.name, False
+        now = asyncio.get_running_loop().time()
+        # As an answer of a node that gave none in time, or by itself.
+        if (known := self._origins.find(key, now)) is not None:
+            return _FurtherSearch(_Resumption(known.service, known.software, "own"), is_denied)
+        is_saved = len(call.route.shares) > 1 or self._is_ambiguous(name)
+        if self._origin_rows is not None and is_saved:
+            saved = await self._origin_rows.find(key)
+            if (known := saved.origin) is not None:
+                self._origins.record(known)
+                found = _Resumption(known.service, known.software, "platform")
+                return _FurtherSearch(found, is_denied)
+            is_denied = saved.is_given
+        may_lack = self._versions.is_mixed(name) or not self._has_list_of(call)
+        if may_lack and (known := await self._ask_silent(key)) is not None:
+            self._origins.record(known)
+            return _FurtherSearch(_Resumption(known.service, known.software, "node"), is_denied)
+        return _FurtherSearch(None, is_denied)
 
     def _is_ambiguous(self, service: str) -> bool:
         """Return whether several versions may have begun a stream of `service`."""
