--- a/packages/node/src/fielddrift_node/peers.py
+++ b/packages/node/src/fielddrift_node/peers.py
@@ -87,6 +87,7 @@
     """Return the member in `message`; raise ValueError when it is malformed."""
     if not message.name or not message.http:
         raise ValueError(f"member: {message.name!r}, expected a name and an address")
+    status = Status(message.status)
     address_of("member", message.name)
     address_of("member's address", message.http)
     return Member(
@@ -94,7 +95,7 @@
         message.http,
         message.data_centre,
         message.incarnation,
-        Status(message.status),
+        status,
     )
 
 
--- a/packages/node/src/fielddrift_node/serving/left_out.py
+++ b/packages/node/src/fielddrift_node/serving/left_out.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import TypeVar
@@ -12,6 +11,8 @@
 import structlog
 from fielddrift_core.outside_values import StructDecoder, ValueOutOfRange
 
+from .. import clock
+
 __all__ = ["KnownVersions", "LeftOutValues", "left_out_values"]
 
 _MAX_KNOWN_COUNT = 1000
@@ -46,7 +47,7 @@
 class LeftOutValues:
     """Values that are left out, by the place where they were read.  Thread-safe."""
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, *, clock: Callable[[], float] = clock.now) -> None:
         self._clock = clock
         self._counts = Counter[str]()
         self._known = KnownVersions()
