--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# The stand-ins of this review are Python sources without packages: this checks that they start.
+# The stand-ins of the second review are Python sources without packages: this checks that they start.
 set -eu
 cd "$(dirname "$0")"
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=standins-2 python3 -c "import case, fleet, http_server, kv_store, platform_store, worker"
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=standins-3 python3 -c "import deployment"
