Lease the views of stores, so that no fetch goes on beside a later save

Evidence: a log of copies, added first. All bad fetches are of prompts at the copying node, before its next copy.

Change: fetches end 1.5 s after the last answer of the process that the view is of, on the engines' clock, which stores tell with events; saves begin 1.5 s after the first answer of another process. Confirmations travel with heartbeats; a node that hears of another process drops its view. Polls hold for 0.3 s in place of 1. That needs no node to hear of anything in time.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -27,6 +27,7 @@
 )
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.store_index import StoreConfirmation
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 from fielddrift_node.serving.attempts import Attempts
@@ -53,6 +54,8 @@
 
 MODEL = "m"
 _SERVICE = "engines"
+_CLOCK_MS = 100_000
+"""The time on the engines' clock, at which all stores have just answered."""
 _CENTRES = 5
 _MEMORY = 40_000
 """Tokens of an engine: some five long prompts."""
@@ -119,10 +122,12 @@
         for n, name in enumerate(names)
     ]
     views.registry.replaced(entries, now)
+    views.record_engine_clock(_CLOCK_MS, now)
     salt = salt_of(MODEL, 1)
     for number, view in enumerate(views.store_index.views):
         kept = _PROMPT.shared if number < _KEPT_COPIES else ()
         view.listed(1, 0, [(salt, part.id, part.tokens) for part in kept])
+        view.confirm(StoreConfirmation(1, 0, _CLOCK_MS))
         views.lateness.observe(view.traits.address, 0.001, now)
     for node in range(fleet.nodes):
         busy = rng.sample(names, min(_BUSY_ENGINES, len(names)))
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -9,7 +9,7 @@
 from fielddrift_core.catalog import Catalog
 from fielddrift_core.neighbours import Neighbour, Neighbours
 from fielddrift_core.prompt import Part
-from fielddrift_core.store_index import KeptChange
+from fielddrift_core.store_index import KeptChange, StoreConfirmation
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.call import ServingContext
 from fielddrift_node.serving.crash_watch import CrashWatch
@@ -42,6 +42,8 @@
     entry_cache=5.0,
 )
 _TICK_SECONDS = 0.2
+_STORES_STARTED_MS = -10_000
+"""When the stores started, on the engines' clock: nodes have known them for some time."""
 _PORT = 1
 _CAPACITY = 400.0
 """Requests a second that a host carries: far more than it gets."""
@@ -166,6 +168,7 @@
             self.views.registry.heard(instance, now)
         for view in self.views.store_index.views:
             view.listed(1, 0, [])
+            view.confirm(StoreConfirmation(1, _STORES_STARTED_MS, 0))
 
     def part_kept(self, store: str, salt: str, part: Part) -> None:
         """Hear that a store keeps a part."""
@@ -179,6 +182,14 @@
         view = self.views.store_index.view(store)
         if view is not None:
             view.listed(life, 0, [])
+            self._confirm_stores()
+
+    def _confirm_stores(self) -> None:
+        """Hear from all stores, as a node does that follows them."""
+        clock = self.views.to_engine_clock(asyncio.get_running_loop().time())
+        for view in self.views.store_index.views:
+            if view.life is not None and clock is not None:
+                view.confirm(StoreConfirmation(view.life, clock, clock))
 
     def close(self) -> None:
         """End what runs by itself."""
@@ -191,5 +202,6 @@
         while True:
             await asyncio.sleep(_TICK_SECONDS)
             now = loop.time()
+            self._confirm_stores()
             self.neighbours.update_self(serving=True, load=self.views.load.value(now))
             self.views.nodes = self.neighbours.sharing(now)
--- a/packages/core/src/fielddrift_core/store_index.py
+++ b/packages/core/src/fielddrift_core/store_index.py
@@ -2,6 +2,13 @@
 
 Only what a store itself reported counts as kept.  After a gap in its events, or a restart,
 its content is unknown until it has been listed again.
+
+A store that has restarted is empty, and nodes learn of it at different times.  A node that still
+has a view of the former process must not let an engine fetch a part that another node has saved
+again meanwhile, as it may not be written completely.  So a view is leased: fetches by it end
+`VIEW_LEASE_SECONDS` after the store last confirmed its process, by the engines' clock, which the
+store tells with each answer.  And parts are saved only once all leases on views of former
+processes have expired.
 """
 
 from __future__ import annotations
@@ -15,7 +22,7 @@
 from .neighbours import StorePosition
 from .prompt import Part
 
-__all__ = ["KeptChange", "StoreIndex", "StoreView"]
+__all__ = ["VIEW_LEASE_SECONDS", "KeptChange", "StoreConfirmation", "StoreIndex", "StoreView"]
 
 _BLOCK_TOKENS = 16
 """Allocation unit of a store, in tokens."""
@@ -34,11 +41,23 @@
 """Changes that are kept per store for copying: some minutes' worth at about one per second."""
 _SAVE_TIMEOUT_SECONDS = 3.0
 """Time after which a save that its store has not reported counts as lost."""
+VIEW_LEASE_SECONDS = 1.5
+"""Time after a store's last answer within which fetches by a view of it must have ended.  A store
+without events is heard every 0.6 s, and nodes that copy its view learn of that 0.2 s later."""
+_MIN_LEASE_LEFT_SECONDS = 0.2
+"""Rest of a lease from which on a fetch is planned: less would rarely suffice for it."""
+_MAX_LIVES = 8
+"""Process instances of a store that are remembered, so that a late message about a former one is
+recognized."""
 
 
 _KeptAt = dict[tuple[str, str], dict[str, int]]
 
 
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def allocated_tokens(tokens: int) -> int:
     """Return the tokens that a store allocates for a part of `tokens`."""
     return -(-tokens // _BLOCK_TOKENS) * _BLOCK_TOKENS
@@ -57,6 +76,17 @@
     dropped: tuple[tuple[str, str], ...]
 
 
+class StoreConfirmation(NamedTuple):
+    """What a store told of its process instance `life`, in ms on the engines' clock.
+
+    `first` is the earliest answer of the process that is known, `last` the latest one.
+    """
+
+    life: int
+    first: int
+    last: int
+
+
 class StoreView:
     """The known content of one store host, and its latest changes for nodes that copy it.
 
@@ -75,12 +105,55 @@
         self.received_at = float("-inf")
         """When this node itself last received from the store; -inf if other nodes do that."""
         self._changes: deque[KeptChange] = deque(maxlen=_MAX_CHANGES)
+        self._confirmations: dict[int, StoreConfirmation] = {}
+        """By process instance, the one heard of last at the end."""
 
     @property
     def is_known(self) -> bool:
         """Return whether the content of the store is known."""
         return self.life is not None
 
+    @property
+    def confirmation(self) -> StoreConfirmation | None:
+        """Return what is known of the process whose content this is, None if nothing is."""
+        return None if self.life is None else self._confirmations.get(self.life)
+
+    @property
+    def fetch_until(self) -> int | None:
+        """Return when fetches by this view must have ended, in ms on the engines' clock.
+
+        None means that nothing may be fetched by it.
+        """
+        found = self.confirmation
+        return None if found is None else found.last + _milliseconds(VIEW_LEASE_SECONDS)
+
+    def may_save(self, clock: int | None) -> bool:
+        """Return whether parts may be saved at `clock`, the time in ms on the engines' clock.
+
+        Until then another node may let engines fetch the same parts by a view of a former process.
+        """
+        found = self.confirmation
+        if found is None or clock is None:
+            return False
+        return clock >= found.first + _milliseconds(VIEW_LEASE_SECONDS)
+
+    def confirm(self, confirmation: StoreConfirmation) -> bool:
+        """Record what the store told of its process, this node or another one.
+
+        Return whether that ended the process whose content this view has, which is unknown then.
+        """
+        life, first, last = confirmation
+        known = self._confirmations.pop(life, None)
+        if known is not None:
+            first, last = min(first, known.first), max(last, known.last)
+        self._confirmations[life] = StoreConfirmation(life, first, last)
+        if len(self._confirmations) > _MAX_LIVES:
+            del self._confirmations[next(iter(self._confirmations))]
+        if known is not None or self.life in (None, life):
+            return False
+        self.unknown()
+        return True
+
     def unknown(self) -> None:
         """Discard the content; it is unknown until the next call of `listed`."""
         self.life = None
@@ -197,11 +270,48 @@
             if view.life is not None and view.received_at > float("-inf")
         }
 
+    def confirmations(self, *, own: bool) -> dict[str, StoreConfirmation]:
+        """Return what is known of the processes whose content this index has, by store.
+
+        With `own` only of the stores that this node itself reads.
+        """
+        return {
+            address: found
+            for address, view in self._views.items()
+            if (found := view.confirmation) is not None
+            and not (own and view.received_at == float("-inf"))
+        }
+
     def holders(self, salt: str, part: Part) -> list[StoreTraits]:
-        """Return the stores that keep `part` completely."""
+        """Return the stores that keep `part` completely, as far as is known."""
         kept = self._kept_at.get((salt, part.id), {})
         return [self._views[store].traits for store, held in kept.items() if held >= part.tokens]
 
+    def sources(self, salt: str, part: Part, clock: int | None) -> list[StoreTraits]:
+        """Return the stores from which `part` may be fetched now.
+
+        `clock` is the time in ms on the engines' clock; nothing is fetched while it is unknown.
+        """
+        if clock is None:
+            return []
+        needed = clock + _milliseconds(_MIN_LEASE_LEFT_SECONDS)
+        return [
+            store
+            for store in self.holders(salt, part)
+            if (until := self._views[store.address].fetch_until) is not None and until >= needed
+        ]
+
+    def fetch_until(self, stores: Iterable[str]) -> int | None:
+        """Return when fetches from all of `stores` must have ended, in ms on the engines' clock.
+
+        None means that nothing may be fetched from one of them.
+        """
+        ends = [
+            self._views[store].fetch_until if store in self._views else None for store in stores
+        ]
+        known = [end for end in ends if end is not None]
+        return min(known) if known and len(known) == len(ends) else None
+
     def is_saving(self, salt: str, part: Part, now: float) -> bool:
         """Return whether a save of `part` is in progress."""
         saving = self._saving.get((salt, part.id))
@@ -213,16 +323,21 @@
         part: Part,
         now: float,
         *,
+        clock: int | None,
         data_centre: str = "",
         late: Callable[[str], float] = lambda _: 0.0,
     ) -> StoreTraits | None:
-        """Choose a store for `part` and record the save; return None if no store has room.
+        """Choose a store for `part` and record the save; return None if no store takes it.
 
         Of the stores for which the part is not too large, those with fast links and those in
         `data_centre`, the engine's own, are preferred.  `late` returns the current lateness of
-        the store at an address, in seconds.
+        the store at an address, in seconds.  `clock` is the time in ms on the engines' clock.
         """
-        fitting = [view for view in self._views.values() if self._has_room(view, part)]
+        fitting = [
+            view
+            for view in self._views.values()
+            if view.may_save(clock) and self._has_room(view, part)
+        ]
         suited = [v for v in fitting if part.tokens <= _MAX_PART_FRACTION * v.traits.capacity]
         punctual = [v for v in suited or fitting if late(v.traits.address) < _LATE_SECONDS]
         fitting = punctual or suited or fitting
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -1,8 +1,8 @@
 """Encode this node's views into heartbeats, and apply the heartbeats of other nodes to its views.
 
 All nodes get the versions by which they detect that they are behind. Only active nodes get the load
-on targets, and only those of the same data centre get what the stores hold. A relay sends other
-data centres the totals of its own data centre.
+on targets, and only those of the same data centre get how far the stores were read. A relay sends
+other data centres the totals of its own data centre, and which processes the stores are.
 """
 
 from __future__ import annotations
@@ -13,10 +13,11 @@
 import structlog
 from fielddrift_core.brittle_services import BrittleReport
 from fielddrift_core.evacuations import EVACUATIONS_NAME
-from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Relation
+from fielddrift_core.neighbours import Heartbeat, Neighbour, Neighbours, Relation, StorePosition
 from fielddrift_core.outside_values import COUNT, ValueOutOfRange
 from fielddrift_core.relays import DataCentreSize, size_entry_name
 from fielddrift_core.responsiveness import SilenceReport
+from fielddrift_core.store_index import StoreConfirmation
 from fielddrift_core.target_notices import LimitReport
 from fielddrift_core.workload import Burden
 
@@ -45,6 +46,10 @@
 """Prefix of the names under which brittle services are sent among the loads of targets."""
 _DISCONNECTED_NAME = "disconnected"
 """Name of the entry among the loads of targets by which a node says that it reaches no target."""
+_CONFIRMATION_PREFIX = "confirmed:"
+"""Prefix of the names under which the confirmations of stores are sent among the positions in their
+event streams.  Nodes of the previous release, which would reject a longer position, know no store
+of such a name."""
 _MAX_LOADING_SECONDS = 2.0
 """Maximum time for which another node's report that an engine is loading is trusted."""
 
@@ -78,7 +83,7 @@
             burdens=views.workload.own() | dict(heartbeat.burdens),
             loading=views.loading.own(now),
             moves=views.links.own(now),
-            kept=views.store_index.marks(now),
+            kept=views.store_index.marks(now) | self._confirmations(own=True),
             lateness=views.lateness.own(now),
         )
 
@@ -95,6 +100,7 @@
             burdens=burdens,
             loading=views.loading.in_data_centre(now),
             moves=views.links.total(nodes, now),
+            kept=self._confirmations(own=False),
         )
 
     def heard(self, heartbeat: Heartbeat) -> None:
@@ -134,6 +140,10 @@
             # True if capacity was freed: waiting requests evaluate all engines again.
             views.service_queues.wake_all()
         views.plain_queues.wake_all()
+        for name, entry in heartbeat.kept.items():
+            if name.startswith(_CONFIRMATION_PREFIX):
+                store = name.removeprefix(_CONFIRMATION_PREFIX)
+                self._apply_confirmation(store, entry, heartbeat.node.name)
         views.record_version_ages(heartbeat.named_ages, now)
         views.links.update_node(reporter, heartbeat.moves, now)
         views.lateness.merge_reported(heartbeat.lateness, now)
@@ -166,6 +176,31 @@
             burdens=self._extra_entries(),
         )
 
+    def _confirmations(self, *, own: bool) -> dict[str, StorePosition]:
+        """Return what stores told of their processes; with `own` those that this node reads.
+
+        A position holds the time of the last answer in place of an event, and as its age the
+        seconds from the first answer to the last one.
+        """
+        return {
+            f"{_CONFIRMATION_PREFIX}{store}": StorePosition(
+                found.life, found.last, (found.last - found.first) / 1000
+            )
+            for store, found in self._views.store_index.confirmations(own=own).items()
+        }
+
+    def _apply_confirmation(self, store: str, entry: StorePosition, told_by: str) -> None:
+        view = self._views.store_index.view(store)
+        if view is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._views.record_engine_clock(entry.following, now)
+        before, first = view.life, entry.following - round(entry.age * 1000)
+        if view.confirm(StoreConfirmation(entry.life, first, entry.following)):
+            _log.info(
+                "store view dropped", store=store, life=entry.life, before=before, told_by=told_by
+            )
+
     def _leaving_slice(self) -> tuple[str, ...]:
         """Return the leaving targets that the next heartbeat lists."""
         leaving = sorted(self._views.registry.leaving())
--- a/packages/node/src/fielddrift_node/serving/part_transfers.py
+++ b/packages/node/src/fielddrift_node/serving/part_transfers.py
@@ -40,6 +40,7 @@
         self._now = now
         self._delays: Mapping[str, float] | None = None
         self._waits: dict[str, float] = {}
+        self._clock = views.to_engine_clock(now)
         self._holders: dict[tuple[str, Part], list[Holder]] = {}
         self._salts: dict[int, str] = {}
 
@@ -50,11 +51,11 @@
         return self._salts[weights]
 
     def holders(self, sight: EngineState, part: Part) -> list[Holder]:
-        """Return the stores that hold `part` for an engine, each with the wait for its link."""
+        """Return the stores that `part` may be fetched from, each with the wait for its link."""
         salt = self.salt(sight.weights)
         part_holders = self._holders.get((salt, part))
         if part_holders is None:
-            stores = self._views.store_index.holders(salt, part)
+            stores = self._views.store_index.sources(salt, part, self._clock)
             part_holders = [Holder(store, self._store_wait(store.address)) for store in stores]
             self._holders[(salt, part)] = part_holders
         return part_holders
@@ -93,14 +94,29 @@
         prompt = call.parsed.prompt
         assert prompt is not None
         now = asyncio.get_running_loop().time()
-        sources = tuple("" if s is None else s.address for s in choice.fetch_plan.sources)
+        sources = self._usable_sources(prompt, choice, salt, now)
         saves = self._choose_saves(prompt, salt, sources, choice.instance.data_centre, now)
         memory = self._views.memory.parts(choice.instance.name, salt)
         send.parts = [
             f"{part.id}:{part.tokens}:{self._describe(part, source, save, salt, memory, now)}"
             for part, source, save in zip(prompt.shared, sources, saves, strict=False)
         ]
-        return TransferPlan(sources, saves, self._fetch_deadline(call, choice, now))
+        return TransferPlan(sources, saves, self._fetch_deadline(call, choice, sources, now))
+
+    def _usable_sources(
+        self, prompt: Prompt, choice: EngineChoice, salt: str, now: float
+    ) -> tuple[str, ...]:
+        """Return the store to fetch each part from, empty for none.
+
+        A store may have restarted since the engine was chosen.
+        """
+        clock, store_index = self._views.to_engine_clock(now), self._views.store_index
+        return tuple(
+            store.address
+            if store is not None and store in store_index.sources(salt, part, clock)
+            else ""
+            for part, store in zip(prompt.parts, choice.fetch_plan.sources, strict=True)
+        )
 
     def _describe(
         self, part: Part, source: str, save: str, salt: str, memory: Collection[str], now: float
@@ -113,14 +129,24 @@
         if save:
             return "save"
         store_index = self._views.store_index
-        if store_index.holders(salt, part):
+        clock = self._views.to_engine_clock(now)
+        if store_index.sources(salt, part, clock):
             return "read-quicker"
+        if store_index.holders(salt, part):
+            return "read-unconfirmed"
         if store_index.is_saving(salt, part, now):
             return "read-saving"
-        return "read-full" if any(view.is_known for view in store_index.views) else "read-unknown"
+        if any(view.may_save(clock) for view in store_index.views):
+            return "read-full"
+        return "read-new" if any(v.is_known for v in store_index.views) else "read-unknown"
 
-    def _fetch_deadline(self, call: Call, choice: EngineChoice, now: float) -> int | None:
-        """Return when to abort a fetch so that the prefill can still meet the latency goal."""
+    def _fetch_deadline(
+        self, call: Call, choice: EngineChoice, sources: tuple[str, ...], now: float
+    ) -> int | None:
+        """Return when to abort a fetch, in ms on the engines' clock.
+
+        The prefill can then still meet the latency goal, and the views of all sources hold.
+        """
         prompt = call.parsed.prompt
         assert prompt is not None
         prefill_seconds = choice.prefill_seconds(prompt.tokens_in + choice.burden.unread)
@@ -134,7 +160,9 @@
         timeout = max(
             spare, _MIN_FETCH_SECONDS, _FETCH_TIMEOUT_FACTOR * choice.fetch_plan.fetch_seconds
         )
-        return self._views.to_engine_clock(now + min(MAX_FETCH_SECONDS, timeout))
+        until = self._views.to_engine_clock(now + min(MAX_FETCH_SECONDS, timeout))
+        leased = self._views.store_index.fetch_until({source for source in sources if source})
+        return until if until is None or leased is None else min(until, leased)
 
     def _choose_saves(
         self,
@@ -160,6 +188,7 @@
                         salt,
                         part,
                         now,
+                        clock=self._views.to_engine_clock(now),
                         data_centre=data_centre,
                         late=lambda store: lateness.get(store, 0.0),
                     )
--- a/packages/node/src/fielddrift_node/serving/store_tracker.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -11,7 +11,7 @@
 from fielddrift_core.neighbours import Neighbours, StorePosition
 from fielddrift_core.prompt import Part
 from fielddrift_core.readers import STALE_POSITION_SECONDS, reader, store_sources
-from fielddrift_core.store_index import KeptChange, StoreView
+from fielddrift_core.store_index import KeptChange, StoreConfirmation, StoreView
 
 from .metrics import Metrics
 from .part_transfers import salt_of
@@ -21,7 +21,10 @@
 
 __all__ = ["StoreTracker"]
 
-_POLL_WAIT_SECONDS = 1.0
+_POLL_WAIT_SECONDS = 0.3
+"""How long a store may hold a poll: with each answer it renews the lease on its view."""
+_FIRST_POLL_WAIT_SECONDS = 0.2
+"""The same for the first poll of a store's process."""
 _POLL_INTERVAL_SECONDS = 0.25
 """Interval between polls for events, and between copies; each poll returns all changes since the
 last one."""
@@ -243,15 +246,23 @@
             self._skip_until[source] = asyncio.get_running_loop().time() + _UNREACHABLE_SECONDS
             return
         for copy in copies:
-            self._apply_copy(copy)
+            self._apply_copy(copy, node.name)
 
-    def _apply_copy(self, copy: StoreCopy) -> None:
+    def _apply_copy(self, copy: StoreCopy, source: str) -> None:
         view = self._views.store_index.view(copy.store)
         if view is None or copy.store in self._loops:
             return
         if not view.is_behind(copy.life, copy.following):
             return
         if copy.held is not None:
+            _log.info(
+                "store view copied",
+                store=copy.store,
+                life=copy.life,
+                before=view.life,
+                parts=len(copy.held),
+                told_by=source,
+            )
             view.listed(copy.life, copy.following, copy.held)
         elif not all(view.apply(change) for change in copy.changes):
             view.unknown()
@@ -268,6 +279,7 @@
             [(held.salt, held.id, held.tokens) for held in listed.held],
         )
         view.received_at = now
+        _confirm(view, listed.life, listed.clock)
         self._views.record_engine_clock(listed.clock, now)
         _log.info(
             "store listed",
@@ -278,7 +290,9 @@
         )
 
     async def _poll_events(self, view: StoreView) -> None:
-        events = await self._targets.store_changes(view.traits, view.following, _POLL_WAIT_SECONDS)
+        # A list does not tell the engines' clock, without which nothing can be fetched.
+        wait = _FIRST_POLL_WAIT_SECONDS if view.confirmation is None else _POLL_WAIT_SECONDS
+        events = await self._targets.store_changes(view.traits, view.following, wait)
         now = asyncio.get_running_loop().time()
         if events.life != view.life or events.gap:
             _log.info(
@@ -289,6 +303,7 @@
                 gap=events.gap,
             )
             view.unknown()
+            _confirm(view, events.life, events.clock)
             return
         change = KeptChange(
             since=view.following,
@@ -298,6 +313,7 @@
         )
         view.apply(change)
         view.received_at = now
+        _confirm(view, events.life, events.clock)
         self._views.record_engine_clock(events.clock, now)
 
     # --- freeing --------------------------------------------------------------
@@ -350,3 +366,9 @@
                     return None
                 salts += [salt_of(model, version) for version in {named, *weights} if version]
         return tuple(salts)
+
+
+def _confirm(view: StoreView, life: int, clock: int | None) -> None:
+    """Record that a store answered at `clock`, in ms on the engines' clock, as process `life`."""
+    if clock is not None:
+        view.confirm(StoreConfirmation(life, clock, clock))
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -49,6 +49,9 @@
 """Time after a start in which the first reading may be under way; without an answer, the platform
 is not reached."""
 _READY_POLL_SECONDS = 0.01
+_MAX_CLOCK_LAG_MS = 5000
+"""How far reports of the engines' clock may be behind.  One that is further behind shows that the
+clock was set back."""
 _RETURNING_CALLERS_SECONDS = 3.0
 """Time after a start in which most requests are retries of callers that could not be served before;
 these wait at most 1 to 2 s between attempts."""
@@ -164,8 +167,14 @@
         return not self.is_path_failure(target, through=through)
 
     def record_engine_clock(self, clock: int | None, now: float) -> None:
-        """Record the engines' clock in ms, as reported by a target."""
-        if clock is not None:
+        """Record the engines' clock in ms, as reported by a target or another node.
+
+        A report is older when it arrives, by an unknown time, so the latest clock counts.
+        """
+        if clock is None:
+            return
+        known = self.to_engine_clock(now)
+        if known is None or not known - _MAX_CLOCK_LAG_MS <= clock <= known:
             self._engine_clock = (clock, now)
 
     def to_engine_clock(self, moment: float) -> int | None:
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -30,6 +30,11 @@
 _FLUSH_SECONDS = 0.01
 
 
+def _clock_ms() -> float:
+    """Return the time in ms on the clock that all workers and store hosts tell."""
+    return asyncio.get_running_loop().time() * 1000
+
+
 def _part_ids(listed: str) -> set[str]:
     return {part.partition(":")[0].strip() for part in listed.split(",")}
 
@@ -251,7 +256,7 @@
             answer["state"] = self.state
         if self.started is not None:
             answer["born"] = self.started
-        return json.dumps({**answer, "seq": len(self.orders), "clock_ms": 1000.0}).encode()
+        return json.dumps({**answer, "seq": len(self.orders), "clock_ms": _clock_ms()}).encode()
 
     def _order(self, order: dict[str, Any], responder: Responder) -> None:
         if self.pause > 0:
@@ -548,10 +553,11 @@
         if self.pause > 0:
             responder.send(429, Headers([(b"Retry-After", str(self.pause).encode())]), b"")
             return
-        common = {"boot-epoch": self.life, "next-token": len(self._events), "clock_ms": 1000.0}
+        common = {"boot-epoch": self.life, "next-token": len(self._events)}
         if path == "/kv-list":
             held = [[salt, part, tokens, "m"] for (salt, part), tokens in self.held.items()]
-            responder.send(200, _JSON, json.dumps({**common, "held": held}).encode())
+            answer = {**common, "clock_ms": _clock_ms(), "held": held}
+            responder.send(200, _JSON, json.dumps(answer).encode())
         elif path == "/kv-events":
             since = int(parse_qs(query)["since"][0])
             wait = int(request.head.headers.text(b"wait-ms") or 0) / 1000
@@ -559,7 +565,7 @@
                 await asyncio.sleep(min(wait, 0.05))
             common["next-token"] = len(self._events)
             events = self._events[since:]
-            answer = {**common, "lost": False, "events": events}
+            answer = {**common, "clock_ms": _clock_ms(), "lost": False, "events": events}
             responder.send(200, _JSON, json.dumps(answer).encode())
         elif path == "/kv-free":
             asked = json.loads(request.body)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -138,6 +138,13 @@
         except OSError:
             return False
 
+    def may_save(self) -> bool:
+        """Return whether the node may let engines save parts in all stores."""
+        views = self.node.views
+        clock = views.to_engine_clock(asyncio.get_running_loop().time())
+        stores = views.store_index.views
+        return bool(stores) and all(view.may_save(clock) for view in stores)
+
     async def stop(self) -> None:
         """Shut the node down gracefully, as a signal does."""
         self.stopping.set()
--- a/tests/test_kept_parts.py
+++ b/tests/test_kept_parts.py
@@ -7,13 +7,21 @@
 from fielddrift_core.catalog import EngineTraits, StoreTraits
 from fielddrift_core.placement import EngineState, Holder, choose_engine, plan_fetch
 from fielddrift_core.prompt import Part, Prompt
-from fielddrift_core.store_index import KeptChange, StoreIndex, StoreView
+from fielddrift_core.store_index import (
+    VIEW_LEASE_SECONDS,
+    KeptChange,
+    StoreConfirmation,
+    StoreIndex,
+    StoreView,
+)
 from fielddrift_core.target_registry import Instance
 from fielddrift_core.workload import Burden
 
 ENGINE = EngineTraits(64, 40_000, 18_432, 16e9, ("m",), 12)
 SLOW = StoreTraits("slow:1", "a", 1_000_000, 3.6e9, 0.006, True, 12)
 QUICK = StoreTraits("quick:1", "a", 150_000, 12.5e9, 0.0005, True, 12)
+_CLOCK = round(VIEW_LEASE_SECONDS * 1000)
+"""A time on the engines' clock at which all stores have been known for long enough."""
 PROMPT = Prompt("m", (Part("top", 2500), Part("leaf", 5000), Part("own", 1500)), 9000, 10)
 
 
@@ -160,15 +168,18 @@
         self.store_index.configure([SLOW, QUICK])
         for view in self.store_index.views:
             view.listed(1, 0, [])
+            view.confirm(StoreConfirmation(1, 0, _CLOCK))
 
     def test_small_parts_go_to_quick_stores_and_large_ones_to_large(self) -> None:
-        self.assertEqual(self.store_index.save("s", Part("large", 5000), 0.0), SLOW)
-        chosen = [self.store_index.save("s", Part(f"p{n}", 500), 0.0) for n in range(40)]
+        self.assertEqual(self.store_index.save("s", Part("large", 5000), 0.0, clock=_CLOCK), SLOW)
+        chosen = [
+            self.store_index.save("s", Part(f"p{n}", 500), 0.0, clock=_CLOCK) for n in range(40)
+        ]
         self.assertGreater(chosen.count(QUICK), chosen.count(SLOW))
 
     def test_a_save_is_not_begun_twice_until_it_is_lost(self) -> None:
         part = Part("p", 500)
-        self.store_index.save("s", part, 0.0)
+        self.store_index.save("s", part, 0.0, clock=_CLOCK)
         self.assertTrue(self.store_index.is_saving("s", part, 1.0))
         self.assertFalse(self.store_index.is_saving("s", part, 10.0))
 
@@ -182,11 +193,13 @@
     def test_a_full_store_and_a_late_store_take_nothing(self) -> None:
         for view in self.store_index.views:
             view.listed(1, 0, [("s", "x", view.traits.capacity)])
-        self.assertIsNone(self.store_index.save("s", Part("p", 500), 0.0))
+        self.assertIsNone(self.store_index.save("s", Part("p", 500), 0.0, clock=_CLOCK))
         for view in self.store_index.views:
             view.listed(1, 0, [])
         late = {QUICK.address: 1.0}
-        chosen = self.store_index.save("s", Part("p", 500), 0.0, late=lambda s: late.get(s, 0.0))
+        chosen = self.store_index.save(
+            "s", Part("p", 500), 0.0, clock=_CLOCK, late=lambda s: late.get(s, 0.0)
+        )
         self.assertEqual(chosen, SLOW)
 
     def test_parts_are_found_by_their_salt_alone(self) -> None:
--- a/tests/test_left_from_a_try.py
+++ b/tests/test_left_from_a_try.py
@@ -158,7 +158,7 @@
 
     async def test_the_save_of_a_refused_send_is_assigned_to_the_next_send(self) -> None:
         """An engine that refused the prompt neither saves nor holds it."""
-        await eventually(lambda: all(v.is_known for v in self.node.node.views.store_index.views))
+        await eventually(self.node.may_save)
         self.faults[:] = ["shed"]
         await ask(self.node, "/long/x", **prompt())
         (ran,) = self._runs()
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -241,9 +241,7 @@
 
     async def test_shared_parts_are_saved_once_and_fetched_when_complete(self) -> None:
         store_index = self.node.node.views.store_index
-        await eventually(
-            lambda: all(view.is_known for view in store_index.views) and bool(store_index.views)
-        )
+        await eventually(self.node.may_save)
         await ask(self.node, "/chat/x", **prompt())
         await ask(self.node, "/chat/x", request_id="r2", **prompt())
         saves = [r.headers.get("x-kv-save", "") for r in self.one.ran + self.two.ran]
--- a/tests/test_store_view_walk.py
+++ b/tests/test_store_view_walk.py
@@ -124,7 +124,7 @@
             self.check()
         if copy is not None:
             with mock.patch("asyncio.get_running_loop"):
-                copier.tracker._apply_copy(copy)
+                copier.tracker._apply_copy(copy, "another node")
 
     def check(self) -> None:
         for number, node in enumerate(self.nodes):
