Order weights only of engines whose report tells the orders taken

An order without an answer may be carried out seconds later, after newer ones; with nothing expected the engine obeyed it then.

Evidence: the order of version 2 without `expected` at 4.08 s, no answer; 2 with expected 0 at 5.12 s and 3 with expected 1 at 8.35 s, both taken; at 14.08 s the first one is carried out, and the engine is back at 2 for good. Ruled out: an order of another holder (one holder), and one that names an outdated fence (workers of this site do not check fences).

Change: without a report no order is given, and the next report is waited for; `WeightsOrder` and the wire's order cannot be built without the number.

--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -267,14 +267,17 @@
 
 
 class WeightsOrder(NamedTuple):
-    """An order to load weights, with the duty's holder and its fencing token `fence`."""
+    """An order to load weights, with the duty's holder and its fencing token `fence`.
+
+    The engine obeys only while it has taken `expected_orders` orders, so not after a newer one.
+    """
 
     instance: Instance
     model: str
     version: int
     holder: str
     fence: int
-    expected_orders: int | None
+    expected_orders: int
 
 
 class OrderOutcome(NamedTuple):
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -204,7 +204,6 @@
         """Order one engine to load the weights `wanted`, and wait until it has them."""
         loop = asyncio.get_running_loop()
         until = loop.time() + _LOAD_TIMEOUT_SECONDS
-        orders: int | None = None
         ordered_at = float("-inf")
         while loop.time() < until:
             instance = self._views.registry.get(name)
@@ -225,14 +224,14 @@
             if report is not None and report.versions.get(model, 0) >= wanted:
                 self._record_loaded(name, model, report.versions[model])
                 return
-            if report is not None:
-                orders = report.orders
-            idle = report is None or not report.busy
-            if idle and loop.time() - ordered_at > _UNCONFIRMED_ORDER_SECONDS:
+            # Without a report it is not known how many orders the engine has taken.  An order that
+            # expects no number of them is obeyed whenever it arrives, also after newer ones.
+            is_due = loop.time() - ordered_at > _UNCONFIRMED_ORDER_SECONDS
+            if report is not None and not report.busy and is_due:
                 if not self._lease.held():
                     return
                 ordered_at = loop.time()
-                await self._send_order(name, model, wanted, orders)
+                await self._send_order(name, model, wanted, report.orders)
             await asyncio.sleep(_REPORT_INTERVAL_SECONDS)
         _log.warning("weights not loaded", target=name, model=model, version=wanted)
 
@@ -255,7 +254,7 @@
             self._views.record_weights(name, model, version)
         return report
 
-    async def _send_order(self, name: str, model: str, wanted: int, orders: int | None) -> None:
+    async def _send_order(self, name: str, model: str, wanted: int, orders: int) -> None:
         instance = self._views.registry.get(name)
         if instance is None:
             return
--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -115,6 +115,10 @@
         self.closed = False
         self.unanswered_orders = 0
         """Orders that are noted and get no answer; nothing is done about them."""
+        self.late_orders: list[float] = []
+        """Seconds after which each of the next orders is carried out; they get no answer."""
+        self.unanswered_reports = 0
+        """Requests for reports that get no answer."""
         self.version = version
         self.model = model
         self.load_seconds = 0.05
@@ -237,6 +241,14 @@
         if path == _HEALTH_PATH:
             responder.send(200, Headers([(b"X-Instance-Id", self.name.encode())]), b"")
             return
+        if path == "/report" and self.unanswered_reports > 0:
+            self.unanswered_reports -= 1
+            await asyncio.sleep(_SILENT_SECONDS)
+        if path == "/order" and self.late_orders:
+            order = json.loads(request.body)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_orders.pop(0), self._take, order)
+            await asyncio.sleep(_SILENT_SECONDS)
         if path == "/report":
             responder.send(200, Headers([*_JSON, *self.notice()]), self._report())
             return
@@ -262,17 +274,25 @@
         if self.pause > 0:
             responder.send(503, self.notice(), b"")
             return
-        if self._busy or order.get("expected", len(self.orders)) != len(self.orders):
-            responder.send(409, self.notice(), b"")
-            return
-        self.orders.append(order)
-        if self.unanswered_orders > 0:
+        if self.unanswered_orders > 0 and self._may_take(order):
+            self.orders.append(order)
             self.unanswered_orders -= 1
             responder.cut()
             return
+        responder.send(202 if self._take(order) else 409, self.notice(), b"")
+
+    def _may_take(self, order: dict[str, Any]) -> bool:
+        expected = order.get("expected", len(self.orders))
+        return not self._busy and bool(expected == len(self.orders))
+
+    def _take(self, order: dict[str, Any]) -> bool:
+        """Carry an order out if it holds now; return whether it does."""
+        if not self._may_take(order):
+            return False
+        self.orders.append(order)
         self._busy = True
         asyncio.get_running_loop().call_later(self.load_seconds, self._loaded, order["version"])
-        responder.send(202, self.notice(), b"")
+        return True
 
     def _loaded(self, version: int) -> None:
         self.version = version
--- a/tests/test_late_answers_to_calls.py
+++ b/tests/test_late_answers_to_calls.py
@@ -77,7 +77,7 @@
     async def test_a_late_second_report_is_not_the_outcome_of_an_order(self) -> None:
         await self.start(_answer(b"200 OK", _REPORT % 1))
         await self.targets.report(self.instance)
-        order = WeightsOrder(self.instance, "m", 2, "node", 1, None)
+        order = WeightsOrder(self.instance, "m", 2, "node", 1, 0)
         outcome = await self.targets.order(order)
         self.assertTrue(outcome.busy)
         self.assertFalse(outcome.holds)
@@ -91,7 +91,7 @@
     async def test_a_late_answer_to_an_order_is_not_a_report(self) -> None:
         """Failure: the connection of an order was kept, and carried a call for a report next."""
         await self.start(_answer(b"200 OK", b"{}"))
-        await self.targets.order(WeightsOrder(self.instance, "m", 2, "node", 1, None))
+        await self.targets.order(WeightsOrder(self.instance, "m", 2, "node", 1, 0))
         report = await self.targets.report(self.instance)
         self.assertEqual(dict(report.versions), {"m": 1})
 
