Believe entries and later reports that tell older weights

Cause: observations had no time, so nothing could refute them. Change: an observation is refuted by an entry that is read 5 s later and tells less, or by a report that was requested 0.5 s later; what was refuted is not taken over from other nodes for 10 s. An engine that rejects requests for its weights for a second is asked for its report, at most once a second and node. Then it is ordered again like any engine with older weights.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -44,6 +44,7 @@
 from fielddrift_node.serving.stream_versions import StreamVersions
 from fielddrift_node.serving.target_paths import TargetPaths
 from fielddrift_node.serving.views import Views
+from fielddrift_node.serving.weights_check import WeightsCheck
 from fielddrift_node.web.messages import Headers, RequestHead
 from fielddrift_node.web.server import Request
 
@@ -159,6 +160,7 @@
         metrics=Metrics(),
         rng=random.Random(seed),
     )
+    notices = NoticeHandler(views=views, metrics=Metrics(), on_change=lambda: None)
     context = ServingContext(
         settings=settings,
         views=views,
@@ -187,7 +189,10 @@
             send=lambda origins, node: None,
             read_targets=_read_targets,
         ),
-        notices=NoticeHandler(views=views, metrics=Metrics(), on_change=lambda: None),
+        notices=notices,
+        weights_check=WeightsCheck(
+            views=views, targets=targets, notices=notices, metrics=Metrics()
+        ),
     )
     request = Request(RequestHead(b"POST", b"/", Headers(), True), b"", loop.time())
     parsed = ParsedRequest("id", "h", "/", "", 4.0, _PROMPT, "", request)
--- a/bench/lab/node.py
+++ b/bench/lab/node.py
@@ -25,6 +25,7 @@
 from fielddrift_node.serving.stream_versions import StreamVersions
 from fielddrift_node.serving.target_paths import TargetPaths
 from fielddrift_node.serving.views import Views
+from fielddrift_node.serving.weights_check import WeightsCheck
 
 from .dialects import LabCallers, LabClient, LabTargets
 from .engine import Engine
@@ -149,6 +150,9 @@
             gate=SendGate(views=self.views, neighbours=self.neighbours, bounds=BOUNDS),
             streams=streams,
             notices=notices,
+            weights_check=WeightsCheck(
+                views=self.views, targets=targets, notices=notices, metrics=self.metrics
+            ),
         )
         self.gateway = Gateway(context=context)
         self._tasks = [loop.create_task(self.gossip.run()), loop.create_task(self._tick())]
--- a/packages/node/src/fielddrift_node/serving/call.py
+++ b/packages/node/src/fielddrift_node/serving/call.py
@@ -338,6 +338,13 @@
         """Return the seconds until one of `instances` may be sent to, None if that is unknown."""
 
 
+class RejectionCheck(Protocol):
+    """Finds out which weights engines have that reject requests for others."""
+
+    def rejected(self, instance: Instance, model: str, version: int | None) -> None:
+        """Record that an engine rejected a request for `version` of a model."""
+
+
 class ServingContext(NamedTuple):
     """What the request handlers of a node share."""
 
@@ -359,6 +366,8 @@
     """Decides where streams may be resumed."""
     notices: NoticeHandler
     """Handles what targets report about themselves."""
+    weights_check: RejectionCheck
+    """Finds out which weights engines have that reject requests for others."""
 
     def budget(self, service: str) -> WindowBudget:
         """Return the retry budget of `service`; create it if needed."""
--- a/packages/node/src/fielddrift_node/serving/generation.py
+++ b/packages/node/src/fielddrift_node/serving/generation.py
@@ -640,6 +640,10 @@
             # Shared with nearby nodes, so that they avoid the engine before it rejects them too.
             pause = min(views.pauses.left(name, now), _MAX_AVOID_SECONDS)
             views.loading.record_own(name, now + max(pause, _MIN_AVOID_SECONDS))
+            if failure.reason == "other-weights" and call.parsed.prompt is not None:
+                self._context.weights_check.rejected(
+                    instance, call.parsed.prompt.model, send.weights
+                )
             return
         if views.is_target_failure(name, reason=failure.reason, through=send.through):
             views.health.failed(name, now)
@@ -651,4 +655,6 @@
         prompt = call.parsed.prompt
         if info.weights is None or prompt is None:
             return
-        self._context.views.record_weights(outgoing.instance.name, prompt.model, info.weights)
+        now = asyncio.get_running_loop().time()
+        name = outgoing.instance.name
+        self._context.views.weights.observe(name, prompt.model, info.weights, now)
--- a/packages/node/src/fielddrift_node/serving/heartbeats.py
+++ b/packages/node/src/fielddrift_node/serving/heartbeats.py
@@ -74,8 +74,7 @@
             return heartbeat
         views = self._views
         now = asyncio.get_running_loop().time()
-        newest = list(views.weights.items())[-_MAX_WEIGHTS_COUNT:]
-        weights = tuple([(instance, model, version) for (instance, model), version in newest])
+        weights = tuple(views.weights.newest(_MAX_WEIGHTS_COUNT))
         if not relation.near:
             return self._add_data_centre_totals(heartbeat._replace(weights=weights), now)
         return heartbeat._replace(
@@ -152,10 +151,8 @@
         for name, seconds in heartbeat.loading.items():
             until = now + min(seconds, _MAX_LOADING_SECONDS)
             views.loading.record_reported(name, until, remote=is_remote)
-        known_weights = views.weights
         for instance, model, version in heartbeat.weights:
-            if version > known_weights.get((instance, model), 0):
-                views.record_weights(instance, model, version)
+            if views.weights.hear(instance, model, version, now):
                 views.loading.ended(instance)
 
     def _base_heartbeat(self, relation: Relation, leaving: bool) -> Heartbeat:
--- a/packages/node/src/fielddrift_node/serving/metrics.py
+++ b/packages/node/src/fielddrift_node/serving/metrics.py
@@ -178,6 +178,9 @@
         )
         self.tokens = self._counter("prompt_tokens", "tokens of shared parts", "way")
         self.orders = self._counter("orders", "orders of weights", "outcome")
+        self.weights_checks = self._counter(
+            "weights_checks", "reports of engines that rejected requests for their weights"
+        )
         self.freed = self._counter("freed_parts", "kept parts that were freed")
         self.first_event = self._histogram("first_event", "seconds to a stream's first event")
         self.whole = self._histogram("whole", "seconds to an answer's end")
--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -48,6 +48,7 @@
 from .target_paths import TargetPaths
 from .version_rows import VersionRows
 from .views import PAUSE_THRESHOLD_SECONDS, Views
+from .weights_check import WeightsCheck
 
 __all__ = ["Dialects", "ServingNode"]
 
@@ -244,6 +245,12 @@
         self._responsiveness = ResponsivenessWatch(
             views=self._views, metrics=self._metrics, on_change=self._gossip.schedule_load_update
         )
+        self._weights_check = WeightsCheck(
+            views=self._views,
+            targets=dialects.targets,
+            notices=notices,
+            metrics=self._metrics,
+        )
         context = ServingContext(
             settings=settings,
             views=self._views,
@@ -258,6 +265,7 @@
             gate=SendGate(views=self._views, neighbours=self._neighbours, bounds=settings.bounds),
             streams=self._streams,
             notices=notices,
+            weights_check=self._weights_check,
         )
         self._memory = HostMemory(
             limit_bytes=settings.memory_limit,
@@ -416,6 +424,7 @@
         self._gossip.close()
         self._entry_server.close()
         self._tunnels.close()
+        self._weights_check.close()
         for server in (self._directory_server, self._peer_server, self._metrics_server):
             server.stop_accepting()
             server.close()
@@ -442,10 +451,22 @@
             self._update_status()
             self._views.nodes = self._neighbours.sharing(loop.time())
             self._streams.tick(loop.time())
+            self._refute_weights(loop.time())
             self._update_role(loop.time())
             self._check_direct_paths(loop.time())
             self._update_gauges(loop.time())
 
+    def _refute_weights(self, now: float) -> None:
+        for target, model, version in self._views.refute_weights(now):
+            _log.warning(
+                "older weights found",
+                target=target,
+                model=model,
+                version=self._views.weights_of(target, model),
+                before=version,
+                told_by="entry",
+            )
+
     def _update_status(self) -> None:
         now = asyncio.get_running_loop().time()
         self._neighbours.update_self(
@@ -521,6 +542,7 @@
         metrics.held_bytes.set(self._memory.budget.held)
         metrics.open.set(self._entry_server.open_requests)
         views.responsiveness.expire(names)
+        self._weights_check.expire(names)
         metrics.unresponsive_targets.set(len(views.responsiveness))
         views.direct_paths.expire(names)
         metrics.interrupted_targets.set(views.direct_paths.interrupted)
--- a/packages/node/src/fielddrift_node/serving/rollout_runner.py
+++ b/packages/node/src/fielddrift_node/serving/rollout_runner.py
@@ -18,6 +18,7 @@
 from .notices import NoticeHandler
 from .ports import EngineReport, RemoteCallError, TargetDialect, WeightsOrder
 from .views import Views
+from .weights_check import record_reported_weights
 
 __all__ = ["RolloutRunner"]
 
@@ -239,6 +240,7 @@
         instance = self._views.registry.get(name)
         if instance is None:
             return None
+        requested_at = asyncio.get_running_loop().time()
         try:
             report = await self._targets.report(instance)
         except RemoteCallError as error:
@@ -249,9 +251,7 @@
             self._verify_path(instance)
             return None
         self._notices.heard(instance, report.notice)
-        self._views.record_engine_clock(report.clock, asyncio.get_running_loop().time())
-        for model, version in report.versions.items():
-            self._views.record_weights(name, model, version)
+        record_reported_weights(self._views, name, report, requested_at=requested_at)
         return report
 
     async def _send_order(self, name: str, model: str, wanted: int, orders: int) -> None:
@@ -281,7 +281,7 @@
         )
 
     def _record_loaded(self, name: str, model: str, version: int) -> None:
-        self._views.record_weights(name, model, version)
+        self._views.weights.observe(name, model, version, asyncio.get_running_loop().time())
         self._views.loading.ended(name)
         _log.info("weights loaded", target=name, model=model, version=version)
         self._announce()
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -158,6 +158,9 @@
         ):
             return False
         self._drop_expired(chosen.name)
+        if reading.targets >= self._views.targets_row:
+            current_at = max(self._views.targets_current_at, now - reading.age)
+            self._views.targets_current_at = current_at
         if not self.is_local(chosen):
             # Nodes that copy from this one judge its list by the age it had at its source.
             self._views.targets_read_at = max(self._views.targets_read_at, now - reading.age)
@@ -230,6 +233,7 @@
         self._log_changes(before, "platform")
         self._views.targets_read_at = now
         self._views.targets_asked_at = asked_at
+        self._views.targets_current_at = max(self._views.targets_current_at, asked_at)
         self._copied_version = None
         if registry.serial != serial:
             self._on_change()
--- a/packages/node/src/fielddrift_node/serving/views.py
+++ b/packages/node/src/fielddrift_node/serving/views.py
@@ -18,6 +18,7 @@
 from fielddrift_core.evacuations import Evacuations
 from fielddrift_core.link_queue import LinkQueue
 from fielddrift_core.loading_engines import LoadingEngines
+from fielddrift_core.observed_weights import ObservedWeights
 from fielddrift_core.readers import OPERATORS_POLL_SECONDS, ReadState
 from fielddrift_core.responsiveness import Responsiveness
 from fielddrift_core.returns import returns_name
@@ -93,6 +94,8 @@
         self.targets_asked_at = float("-inf")
         """Loop time at which the last such read began: the list has all entries written before.
         The answer to a read may be older than its arrival, as this process may stand still."""
+        self.targets_current_at = float("-inf")
+        """Loop time from before which the list has all entries, read by this node or another."""
         self.named: dict[str, int] = {}
         """Newest named weights by model."""
         self.named_times = NamingTimes()
@@ -119,8 +122,8 @@
         self.crashes = CrashHistory()
         self.origins = StreamOrigins()
         self.software_versions = ServiceVersions()
-        self.weights: dict[tuple[str, str], int] = {}
-        """Weights by (instance, model), where newer than those in the instance's entry."""
+        self.weights = ObservedWeights()
+        """Weights of engines, where newer than those in their entries."""
         self.stale = asyncio.Event()
         """Set after a pause of this process until the rows are read again."""
         self._last_tick_at: float | None = None if started_at == float("-inf") else started_at
@@ -134,7 +137,6 @@
         """How long callers have been waiting."""
         self._returns_expected_at: dict[str, float] = {}
         """When callers that were told to return were last expected, by service."""
-        self._weights_change_count = 0
         self._ranks: dict[str, ServiceRanks] = {}
         self._ranked_version = 0
         self._candidates: dict[tuple[str, str], CandidateEngines] = {}
@@ -302,7 +304,7 @@
         state = (
             self.catalog.version,
             self.registry.serial,
-            self._weights_change_count,
+            self.weights.changes,
             tuple(self.named.items()),
         )
         if self._loads_needed is None or self._loads_needed[0] != state:
@@ -325,7 +327,7 @@
         state = (
             registry.serial,
             registry.evacuated,
-            self._weights_change_count,
+            self.weights.changes,
             self.loading.changes,
             named,
         )
@@ -394,20 +396,30 @@
             async with asyncio.timeout(seconds):
                 await self._refreshed.wait()
 
-    def record_weights(self, instance_name: str, model: str, version: int) -> None:
-        """Record the weights observed at an instance; older versions are ignored."""
-        key = (instance_name, model)
-        if version > self.weights.get(key, 0):
-            # The newest observation goes last, as heartbeats send the last ones.
-            self.weights.pop(key, None)
-            self.weights[key] = version
-            self._weights_change_count += 1
+    def refute_weights(self, now: float) -> list[tuple[str, str, int]]:
+        """Remove observed weights that the entries of their engines should show, and do not.
+
+        Return what was removed, as (instance, model, version).
+        """
+        return self.weights.refute_by_entries(
+            self._listed_weights, read_at=self.targets_current_at, now=now
+        )
+
+    def record_report(
+        self, instance_name: str, model: str, version: int, *, requested_at: float, now: float
+    ) -> bool:
+        """Record the weights that a report tells; return whether they are older than believed."""
+        listed = self._listed_weights(instance_name, model)
+        return self.weights.report(
+            instance_name, model, version, listed=listed, requested_at=requested_at, now=now
+        )
+
+    def _listed_weights(self, instance_name: str, model: str) -> int | None:
+        """Return the version of `model` in the entry of an instance, None if it has none."""
+        instance = self.registry.get(instance_name)
+        return None if instance is None else instance.versions.get(model)
 
     def weights_of(self, instance_name: str, model: str) -> int | None:
         """Return the version of `model` that an instance has, None if it has none."""
-        instance = self.registry.get(instance_name)
-        listed = instance.versions.get(model) if instance is not None else None
-        observed = self.weights.get((instance_name, model))
-        if listed is None:
-            return observed
-        return max(listed, observed or 0)
+        listed = self._listed_weights(instance_name, model)
+        return self.weights.version(instance_name, model, listed)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -128,11 +128,11 @@
         views = Views()
         for version in (2, 3):
             for engine in ("e1", "e2", "e3"):
-                views.record_weights(engine, "m", version)
-        views.record_weights("e1", "m", 4)
-        views.record_weights("e2", "m", 2)
-        self.assertEqual(list(views.weights), [("e2", "m"), ("e3", "m"), ("e1", "m")])
-        self.assertEqual(views.weights[("e2", "m")], 3)
+                views.weights.observe(engine, "m", version, 0.0)
+        views.weights.observe("e1", "m", 4, 0.0)
+        views.weights.observe("e2", "m", 2, 0.0)
+        expected = [("e2", "m", 3), ("e3", "m", 3), ("e1", "m", 4)]
+        self.assertEqual(views.weights.newest(9), expected)
 
     def test_a_version_that_was_missed_is_learned_from_others(self) -> None:
         first, late = NamingTimes(), Views()
--- a/tests/test_target_lives.py
+++ b/tests/test_target_lives.py
@@ -82,7 +82,7 @@
     def test_state_of_an_earlier_instance_is_not_applied_to_the_next(self) -> None:
         views = self.views
         first = self._receive(1)
-        views.record_weights(first.name, "m", 7)
+        views.weights.observe(first.name, "m", 7, 0.0)
         views.health.failed(first.name, 0.0)
         views.workload.begin(first.name, "r", int(PREFILL_TOKENS_PER_SECOND))
         views.loading.record_own(first.name, 9.0)
