Write origins of streams so that a late write takes none away

Found by listing the calls that may be carried out late. Rows of origins are written without a condition, and a write without an answer may be done seconds later: then a segment without the origins added since replaced the one with them, and the coordinator's removal of an expired row took what its process had added after it was read. Callers of such streams who return after all nodes have ended are refused, or joined to a presumed version.

Change: after a write without an answer its row is written no more, and the next origins go to a new one; expired rows are removed only as they were read.

Two further unconditional writes are listed as open in docs/design/former-states.md.

--- a/packages/node/src/fielddrift_node/serving/origin_rows.py
+++ b/packages/node/src/fielddrift_node/serving/origin_rows.py
@@ -190,7 +190,12 @@
             self._pending.clear()
             self._wanted.clear()
             return
-        await self._table.write(writes)
+        try:
+            await self._table.write(writes)
+        except RemoteCallError:
+            # The write may still be carried out, after later ones of the same rows.
+            self._segment, self._segment_number = [], number + 1
+            raise
         self._segment, self._segment_number = segment, number
         for key in expired:
             del self._rows[key]
@@ -244,13 +249,20 @@
         clock = self._table.clock
         assert clock is not None
         expired = [
-            row.key
+            row
             for row in rows
             if all(origin.until <= clock.clock for origin in self._decode(row) or ())
         ][:_MAX_REMOVED_COUNT]
         if expired:
-            await self._table.write([RowWrite(key, None) for key in expired])
-            _log.info("rows of stream origins removed", count=len(expired), rows=len(rows))
+            # Their process may be adding to them.
+            removals = [RowWrite(row.key, None, row.version) for row in expired]
+            outcome = await self._table.write(removals)
+            _log.info(
+                "rows of stream origins removed",
+                count=len(expired),
+                rows=len(rows),
+                done=outcome.done,
+            )
         self._cleanup_at = None if len(expired) == len(rows) else now + _CLEANUP_SECONDS
 
 
