Observe software versions with each list of targets

Cause: the list and the versions in it were renewed apart, with awaits between. Change: versions are observed where a list is applied, read or copied, before anything else can use it.

tests/test_nodes_out_of_step.py, TestListReadMeanwhile: 8 of 12 streams are joined before, none after; 85 tests of the 8 files about versions passed (x86-64, load 8).

--- a/packages/node/src/fielddrift_node/serving/node.py
+++ b/packages/node/src/fielddrift_node/serving/node.py
@@ -201,6 +201,7 @@
         self._targets = TargetFeed(
             tools=feed_tools,
             on_change=lambda: self._gossip.schedule_update(Scope.ALL),
+            on_list=self._streams.observe_targets,
             returned=self._operators.restart_poll,
         )
         self._store_tracker = StoreTracker(
--- a/packages/node/src/fielddrift_node/serving/stream_versions.py
+++ b/packages/node/src/fielddrift_node/serving/stream_versions.py
@@ -579,9 +579,18 @@
         """Follow the versions of the targets, and remove origins that are not needed any more."""
         self._origins.expire(now)
         self._metrics.stream_origins.set(len(self._origins))
-        is_new = self._views.registry.serial != self._observed_serial
-        if is_new or now - self._observed_at > _OBSERVE_SECONDS:
+        if now - self._observed_at > _OBSERVE_SECONDS:
             self._observe(now)
+        else:
+            self.observe_targets()
+
+    def observe_targets(self) -> None:
+        """Record the versions of the targets if these have changed.
+
+        Called with each list, so that nothing is decided by a list and by versions before it.
+        """
+        if self._views.registry.serial != self._observed_serial:
+            self._observe(asyncio.get_running_loop().time())
 
     def _observe(self, now: float) -> None:
         self._observed_serial, self._observed_at = self._views.registry.serial, now
--- a/packages/node/src/fielddrift_node/serving/target_feed.py
+++ b/packages/node/src/fielddrift_node/serving/target_feed.py
@@ -42,16 +42,21 @@
 
 
 class TargetFeed(Feed):
-    """Follows the target entries by reading them periodically or by copying them from a reader."""
+    """Follows the target entries by reading them periodically or by copying them from a reader.
+
+    `on_list` is called as soon as a list was applied, before anything else can use it.
+    """
 
     def __init__(
         self,
         *,
         tools: FeedTools,
         on_change: Callable[[], None],
+        on_list: Callable[[], None],
         returned: Callable[[], None],
     ) -> None:
         super().__init__(what="target entries", tools=tools, on_change=on_change)
+        self._on_list = on_list
         self._returned = returned
         self._copied_version: _CopyVersion | None = None
         self._outage_at: float | None = None
@@ -193,6 +198,7 @@
         lost = lost or self._views.registry.in_grace_period(requested_at)
         self._record_cold(copy.entries, requested_at)
         self._views.registry.apply_copy(copy.entries, copy.leaving, lapsed, lost=lost)
+        self._on_list()
         self._views.targets_row = copy.row
         self._after = copy.row
         self._copied_version = _CopyVersion(chosen.name, chosen.boot, copy.serial)
@@ -228,6 +234,7 @@
         for name in changes.unreadable:
             registry.drop(name)
         registry.tick(now)
+        self._on_list()
         self._after = changes.version
         self._views.targets_row = max(self._views.targets_row, changes.version)
         self._log_changes(before, "platform")
--- a/tests/target_views.py
+++ b/tests/target_views.py
@@ -108,7 +108,9 @@
             views=self.views,
             rng=random.Random(boot),
         )
-        self.feed = TargetFeed(tools=tools, on_change=lambda: None, returned=lambda: None)
+        self.feed = TargetFeed(
+            tools=tools, on_change=lambda: None, on_list=lambda: None, returned=lambda: None
+        )
         self.task: asyncio.Task[None] | None = None
 
     @property
--- a/tests/test_nodes_out_of_step.py
+++ b/tests/test_nodes_out_of_step.py
@@ -221,3 +221,29 @@
         self.assertLess(told[0]["targets_age"], 3.0)
         self.assertGreater(told[1]["targets_age"], 3.0)
         self.assertLessEqual(told[1]["targets_row"], told[1]["heard_row"])
+
+
+class TestListReadMeanwhile(OutOfStepCase):
+    async def test_a_version_in_a_list_that_is_read_while_other_nodes_are_asked_counts(
+        self,
+    ) -> None:
+        """Failure: the node judged by the versions that it had observed before, and went on at the
+        only one of them, although its list had a second one by then."""
+        await self.start(nodes=3, engines=2, versions=("v1",))
+        *others, behind = self.nodes
+        streams, feed = behind.node._streams, behind.node._targets
+        ask_others = streams._ask_others
+
+        async def ask_and_read(key: str) -> object:
+            found = await ask_others(key)
+            await feed._read()
+            return found
+
+        with unread(behind), unheard(behind):
+            await self.join(*others)
+            callers = await self.open_at(self.nodes[0], 12)
+            for node in others:
+                node.kill()
+            with mock.patch.object(streams, "_ask_others", ask_and_read):
+                await self.return_to(behind, callers)
+        self.assert_one_version(callers)
--- a/tests/test_standby_cost.py
+++ b/tests/test_standby_cost.py
@@ -93,7 +93,9 @@
         translator = HeartbeatTranslator(views=self.views, neighbours=self.neighbours)
         tools = FeedTools(mock.Mock(), mock.Mock(), self.neighbours, self.views, random.Random(1))
         operators = OperatorFeed(tools=tools, on_change=mock.Mock())
-        targets = TargetFeed(tools=tools, on_change=mock.Mock(), returned=mock.Mock())
+        targets = TargetFeed(
+            tools=tools, on_change=mock.Mock(), on_list=mock.Mock(), returned=mock.Mock()
+        )
 
         def heard(heartbeat: Heartbeat) -> None:
             translator.heard(heartbeat)
