--- a/bench/lab/dialects.py
+++ b/bench/lab/dialects.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from fielddrift_core.catalog import StoreTraits
-from fielddrift_core.prompt import Part
 from fielddrift_core.request_ends import EndCause
 from fielddrift_core.target_registry import Instance
 from fielddrift_node.serving.ports import (
     EngineReport,
+    FreeOrder,
     OrderOutcome,
     OutgoingRequest,
     ParsedRequest,
@@ -107,9 +107,7 @@
         """Tell nothing, as `store_changes`."""
         raise RemoteCallError("no lists in the laboratory", not_executed=True)
 
-    async def free(
-        self, store: StoreTraits, parts: Sequence[tuple[str, Part]], life: int, until: int
-    ) -> bool:
+    async def free(self, order: FreeOrder) -> bool:
         """Free nothing."""
         return False
 
--- a/packages/node/src/fielddrift_node/serving/ports.py
+++ b/packages/node/src/fielddrift_node/serving/ports.py
@@ -11,7 +11,7 @@
 
 from fielddrift_core.catalog import Catalog, StoreTraits
 from fielddrift_core.evacuations import EvacuationChanges
-from fielddrift_core.prompt import Part, Prompt
+from fielddrift_core.prompt import Prompt
 from fielddrift_core.target_notices import TargetNotice
 from fielddrift_core.target_registry import Instance
 
@@ -22,6 +22,7 @@
 __all__ = [
     "CallerDialect",
     "EngineReport",
+    "FreeOrder",
     "HistoryTruncated",
     "InvalidRequest",
     "NamedWeights",
@@ -280,6 +281,19 @@
     expected_orders: int
 
 
+class FreeOrder(NamedTuple):
+    """An order to free parts, given as (salt, part), at the store host at `address`.
+
+    The host refuses it after `until`, in ms on the engines' clock, and as another process than
+    `life`.
+    """
+
+    address: str
+    parts: Sequence[tuple[str, str]]
+    life: int
+    until: int
+
+
 class OrderOutcome(NamedTuple):
     """The response of an engine to an order.
 
@@ -390,11 +404,5 @@
     async def store_contents(self, store: StoreTraits) -> StoreContents:
         """Return all parts that a store host holds."""
 
-    async def free(
-        self, store: StoreTraits, parts: Sequence[tuple[str, Part]], life: int, until: int
-    ) -> bool:
-        """Free parts, given as (salt, part), at a store host; return False if it refused.
-
-        The host refuses after `until`, in ms on the engines' clock, or as another process than
-        `life`.
-        """
+    async def free(self, order: FreeOrder) -> bool:
+        """Free parts at a store host; return False if it refused."""
--- a/packages/node/src/fielddrift_node/serving/store_tracker.py
+++ b/packages/node/src/fielddrift_node/serving/store_tracker.py
@@ -9,13 +9,12 @@
 
 import structlog
 from fielddrift_core.neighbours import Neighbours, StorePosition
-from fielddrift_core.prompt import Part
 from fielddrift_core.readers import STALE_POSITION_SECONDS, reader, store_sources
 from fielddrift_core.store_index import KeptChange, StoreConfirmation, StoreView
 
 from .metrics import Metrics
 from .part_transfers import salt_of
-from .ports import RemoteCallError, TargetDialect
+from .ports import FreeOrder, RemoteCallError, TargetDialect
 from .sharing import PeerClient, StoreCopy, StoreCopyRequest
 from .views import MAX_FETCH_SECONDS, Views
 
@@ -344,15 +343,15 @@
             if until is None:
                 continue
             batch = keys[:_MAX_FREED_COUNT]
-            parts, life = [(salt, Part(part, 0)) for salt, part in batch], view.life
+            order = FreeOrder(address, batch, view.life, until)
             try:
-                done = await self._targets.free(view.traits, parts, life, until)
+                done = await self._targets.free(order)
             except RemoteCallError as error:
                 self._pause_seconds(view, error)
                 raise
             self._metrics.freed.inc(len(batch) if done else 0)
             _log.info("parts freed", store=address, parts=len(batch), done=done)
-            if done and view.life == life:
+            if done and view.life == order.life:
                 for salt, part in batch:
                     view.drop(salt, part)
 
--- a/tests/test_late_answers_to_calls.py
+++ b/tests/test_late_answers_to_calls.py
@@ -13,9 +13,8 @@
 from dataclasses import dataclass
 
 from fielddrift_core.catalog import StoreTraits
-from fielddrift_core.prompt import Part
 from fielddrift_core.target_registry import Instance
-from fielddrift_node.serving.ports import RemoteCallError, RowWrite, WeightsOrder
+from fielddrift_node.serving.ports import FreeOrder, RemoteCallError, RowWrite, WeightsOrder
 from fielddrift_node.web.client import Client
 from fielddrift_platform.store import PlatformStore
 from fielddrift_platform.targets import PlatformTargets
@@ -157,9 +156,10 @@
 
     async def test_a_late_copy_of_a_list_is_not_the_success_of_a_free(self) -> None:
         await self.start(_LIST, stutters=True)
+        order = FreeOrder(self.kept.address, [("s", "p")], 7, 1000)
         for _ in range(2):
             await self.targets.store_contents(self.kept)
-            self.assertFalse(await self.targets.free(self.kept, [("s", Part("p", 1))], 7, 1000))
+            self.assertFalse(await self.targets.free(order))
 
     async def test_a_late_copy_of_rows_is_not_the_success_of_a_write(self) -> None:
         await self.start(_ROWS, stutters=True)
