soak: workers write their entries after they have loaded weights

Cause: the soak's workers never renewed their entries after a load. Such an entry told older weights for ever, and since it counts against what was observed 5 s before, so requests were sent for weights that the engine had no more. On the users' platform a worker writes its entry with every heartbeat.

--- a/packages/standins/src/fielddrift_standins/worker.py
+++ b/packages/standins/src/fielddrift_standins/worker.py
@@ -107,6 +107,8 @@
         """How long such a run lasts."""
         self.crashed: Callable[[Worker], None] = lambda worker: None
         """Called once such a run has ended the worker."""
+        self.loaded: Callable[[Worker], None] = lambda worker: None
+        """Called once the worker has loaded weights."""
         self.ran: list[Ran] = []
         self.left: list[str] = []
         self.begun: list[Ran] = []
@@ -297,6 +299,7 @@
     def _loaded(self, version: int) -> None:
         self.version = version
         self._busy = False
+        self.loaded(self)
 
     async def _run(self, request: Request, responder: Responder) -> None:
         fields = request.head.headers
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -256,6 +256,7 @@
         self.links[worker.name] = link
         self.workers[worker.name] = worker
         self.addresses[worker.name] = link.address
+        worker.loaded = self._loaded
         self._services[worker.name] = service
         self._centres[worker.name] = data_centre
         if cold_seconds:
@@ -325,6 +326,7 @@
         self.ended.append(former)
         again = former.restarted(software=self.software)
         again.load_seconds, again.crashed = _LOAD_SECONDS, self._crashed
+        again.loaded = self._loaded
         self.workers[name] = again
         host, _, port = self._targets[name].rpartition(":")
         await again.start(host, int(port))
@@ -343,6 +345,16 @@
         for name in self.serving(service):
             self.workers[name].fatal = self._fatal[service]
 
+    def _loaded(self, worker: Worker) -> None:
+        self._later(self._tell_weights(worker))
+
+    async def _tell_weights(self, worker: Worker) -> None:
+        """Write the entry of a worker that has loaded weights, as its next heartbeat does."""
+        await asyncio.sleep(_ENTRY_SECONDS)
+        is_current = self.workers.get(worker.name) is worker
+        if is_current and worker.name in self.serving(_ENGINES):
+            self.enter(worker.name, _ENGINES)
+
     def _crashed(self, worker: Worker) -> None:
         now = asyncio.get_running_loop().time()
         self.ends.append(End(worker.ran[-1].body, worker.name, now))
